--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# Every target sets up the virtual environment first; nothing else is needed.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/.ready
+
+.PHONY: setup demo test lint format capacity bench clean
+
+setup: $(READY)
+
+$(READY): pyproject.toml constraints.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check \
+		--constraint constraints.txt --editable '.[dev,bench]'
+	touch $(READY)
+
+demo: setup
+	$(BIN)/python -m tamarackrill.testing.demo
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/ruff format --check src tests bench
+	$(BIN)/ruff check src tests bench
+	$(BIN)/mypy
+
+format: setup
+	$(BIN)/ruff format src tests bench
+	$(BIN)/ruff check --fix src tests bench
+
+capacity: setup
+	$(BIN)/python bench/capacity.py
+
+clean:
+	rm -rf $(VENV) .mypy_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/src/tamarackrill/__init__.py
@@ -0,0 +1,1 @@
+"""Tamarackrill: a router fleet for very many returning chats."""
--- /dev/null
+++ b/src/tamarackrill/commands/__init__.py
@@ -0,0 +1,1 @@
+"""What operators change."""
--- /dev/null
+++ b/src/tamarackrill/events.py
@@ -0,0 +1,178 @@
+"""The numbered events that the fleet logs.
+
+Each event is declared once, here; docs/EVENTS.md is generated from this table by
+``python -m tamarackrill.events`` and a test compares the two.  Numbers are never
+used again for another event.  No field carries a key, a prompt or an answer.
+
+Ranges: 1000 life cycle and settings, 2000 requests, routing and admission,
+3000 membership and configuration, 4000 claims, answers and order, 5000 endpoints
+and their health.
+"""
+
+import json
+from collections.abc import Callable
+from typing import NamedTuple
+
+from absl import logging
+
+
+class Event(NamedTuple):
+    """One kind of log line."""
+
+    number: int
+    name: str
+    level: int
+    fields: tuple[str, ...]
+    meaning: str
+    action: str = "None."
+
+
+_INFO = logging.INFO
+_WARNING = logging.WARNING
+_ERROR = logging.ERROR
+
+# 1000: life cycle and settings
+ROUTER_STARTED = Event(
+    1001, "router_started", _INFO, ("router", "zone", "address"), "A router listens."
+)
+ROUTER_LEAVING = Event(
+    1002,
+    "router_leaving",
+    _INFO,
+    ("router", "in_flight"),
+    "A router was told to stop: it refuses new work and finishes what it has.",
+)
+ROUTER_STOPPED = Event(
+    1003, "router_stopped", _INFO, ("router", "in_flight"), "A router has stopped."
+)
+
+# 2000: requests, routing and admission
+REQUEST_ROUTED = Event(
+    2001,
+    "request_routed",
+    _INFO,
+    ("team", "chat", "endpoint", "runners_up", "reason", "wait_s"),
+    "A request was sent to an endpoint.",
+)
+REQUEST_REFUSED = Event(
+    2002,
+    "request_refused",
+    _INFO,
+    ("team", "chat", "code", "run", "retry_after_s"),
+    "A request got a refusal as its final answer.",
+    "Look the code up in docs/OPERATIONS.md.",
+)
+REQUEST_FORWARDED = Event(
+    2003,
+    "request_forwarded",
+    _INFO,
+    ("team", "chat", "home"),
+    "A request was handed to the home router of its chat.",
+)
+
+# 3000: membership and configuration
+CONFIGURATION_TAKEN = Event(
+    3001,
+    "configuration_taken",
+    _INFO,
+    ("kind", "name", "version", "source"),
+    "A newer version of an object came into force at this router.",
+)
+PLATFORM_LOST = Event(
+    3002,
+    "platform_lost",
+    _WARNING,
+    ("reason",),
+    "The platform did not answer; the last configuration stays in force.",
+    "Look at the platform; see 'A platform outage' in docs/OPERATIONS.md.",
+)
+PLATFORM_BACK = Event(3003, "platform_back", _INFO, (), "The platform answers again.")
+
+# 4000: claims, answers and order
+
+# 5000: endpoints and their health
+
+
+def list_events() -> list[Event]:
+    """Return all events, by number."""
+    found = [value for value in globals().values() if isinstance(value, Event)]
+    return sorted(found)
+
+
+def format_key_value(event: Event, fields: dict[str, object]) -> str:
+    """Return the line ``E<number> <name> key=value ...``."""
+    pairs = " ".join(f"{key}={_quote(value)}" for key, value in fields.items())
+    return f"E{event.number} {event.name} {pairs}".rstrip()
+
+
+def format_json(event: Event, fields: dict[str, object]) -> str:
+    """Return the event as one line of JSON."""
+    line = {"event": event.number, "name": event.name, **fields}
+    return json.dumps(line, default=str)
+
+
+def _quote(value: object) -> str:
+    if isinstance(value, float):
+        return f"{value:.6g}"
+    if isinstance(value, list | tuple):
+        return ",".join(str(item) for item in value) or "-"
+    text = str(value)
+    # A line break in a value that a caller chose would let the caller write log
+    # lines of its own; such a line would look like ours, so it is escaped.
+    return json.dumps(text) if any(c in text for c in ' "\n\r\t=') else text or "-"
+
+
+Formatter = Callable[[Event, dict[str, object]], str]
+_formatter: list[Formatter] = [format_key_value]
+
+
+def use_formatter(formatter: Formatter) -> None:
+    """Make `formatter` the one that `log_event` uses in this process."""
+    _formatter[0] = formatter
+
+
+def log_event(event: Event, **fields: object) -> None:
+    """Write one event to the log.
+
+    Parameters
+    ----------
+    event : Event
+        One of the events of this module.
+    **fields : object
+        Exactly the fields that the event declares.
+
+    Raises
+    ------
+    ValueError
+        If the fields are not the declared ones.
+    """
+    if set(fields) != set(event.fields):
+        raise ValueError(f"{event.name} takes {event.fields}, not {tuple(fields)}")
+    logging.log(event.level, "%s", _formatter[0](event, fields))
+
+
+_LEVEL_NAMES = {_INFO: "info", _WARNING: "warning", _ERROR: "error"}
+
+
+def format_catalogue() -> str:
+    """Return docs/EVENTS.md."""
+    lines = [
+        "# Log events",
+        "",
+        "Made by `python -m tamarackrill.events`; a test compares it with the code.",
+        "",
+        "| number | name | level | fields | meaning | what to do |",
+        "| --- | --- | --- | --- | --- | --- |",
+    ]
+    for event in list_events():
+        fields = ", ".join(f"`{name}`" for name in event.fields) or "none"
+        level = _LEVEL_NAMES[event.level]
+        lines.append(
+            f"| {event.number} | {event.name} | {level} | {fields} "
+            f"| {event.meaning} | {event.action} |"
+        )
+    return "\n".join(lines) + "\n"
+
+
+if __name__ == "__main__":
+    print(format_catalogue(), end="")
--- /dev/null
+++ b/src/tamarackrill/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between routers, in Thrift."""
--- /dev/null
+++ b/src/tamarackrill/queries/__init__.py
@@ -0,0 +1,1 @@
+"""What operators look at."""
--- /dev/null
+++ b/src/tamarackrill/router/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: an application object and the tasks that it owns."""
--- /dev/null
+++ b/src/tamarackrill/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for engine, service and platform, shipped for users' own tests."""
--- /dev/null
+++ b/tests/test_events.py
@@ -0,0 +1,22 @@
+import pytest
+
+from tamarackrill import events
+
+
+def test_numbers_and_names_are_unique():
+    listed = events.list_events()
+    assert len({event.number for event in listed}) == len(listed)
+    assert len({event.name for event in listed}) == len(listed)
+
+
+def test_value_cannot_start_a_line_of_its_own():
+    # A caller chooses the chat's name.  Were a line break written as it is, the
+    # caller could write log lines that look like the router's.
+    event = events.REQUEST_FORWARDED
+    line = events.format_key_value(event, {"chat": "a\nE1001 router_started"})
+    assert "\n" not in line
+
+
+def test_undeclared_field_is_an_error():
+    with pytest.raises(ValueError, match="takes"):
+        events.log_event(events.PLATFORM_BACK, key="secret")
