Decide under load: fair turns, deadline refusals, room for short work

Cause: a queue in order of arrival answers late to everybody once it is full, and clients that retry keep it full.

--- /dev/null
+++ b/src/tamarackrill/decisions/waiting.py
@@ -0,0 +1,224 @@
+"""What waits and runs in one endpoint pool, and how long a wait will be.
+
+Load pattern: a queue whose length says nothing about its wait, since the work in it
+differs a thousandfold in length.  Without an estimate in slot time, a deadline can
+only be missed, not foreseen.  `admission` decides with what this module holds.
+"""
+
+import math
+from bisect import bisect_left, insort
+from typing import NamedTuple
+
+from tamarackrill.decisions.estimates import (
+    LONG_SHARE_MIN,
+    ServiceEstimate,
+    is_short,
+)
+from tamarackrill.decisions.fairness import FairShares, Lane
+
+
+class WaitingRequest(NamedTuple):
+    """What admission has to know of one request.
+
+    Parameters
+    ----------
+    id : str
+        Unique among waiting and running requests of this router.
+    team : str
+        Team of the caller.
+    pool : str
+        Model or service that was asked for.
+    weight : float
+        Weight in the team's contract.
+    priority : int
+        Higher goes first, inside the team only.
+    size_tokens : float
+        Expected length of the answer; 0 for a plain service.
+    deadline_s : float
+        When the whole answer is due, on the clock of ``now_s``.
+    arrived_s : float
+        When the request came.
+    """
+
+    id: str
+    team: str
+    pool: str
+    weight: float
+    priority: int
+    size_tokens: float
+    deadline_s: float
+    arrived_s: float
+
+
+class Entry(NamedTuple):
+    """A waiting request with its place in the order of its team."""
+
+    order_s: float
+    sequence: int
+    request: WaitingRequest
+    cost: float
+
+
+class Running(NamedTuple):
+    """A request at an endpoint."""
+
+    request: WaitingRequest
+    cost: float
+    started_s: float
+
+
+class TeamQueue:
+    """Waiting requests of one team, short and long apart, each in order."""
+
+    def __init__(self, weight: float) -> None:
+        self.weight = weight
+        self.lines: dict[Lane, list[Entry]] = {"short": [], "long": []}
+        self.cost = 0.0
+
+    def __len__(self) -> int:
+        return sum(map(len, self.lines.values()))
+
+    def find_first(self, lane: Lane) -> Entry:
+        """Return the request of this lane that goes next."""
+        if lane != "any":
+            return self.lines[lane][0]
+        return min(line[0] for line in self.lines.values() if line)
+
+    def find_last(self) -> Entry:
+        """Return the request that goes last."""
+        return max(line[-1] for line in self.lines.values() if line)
+
+    def sum_before(self, entry: Entry) -> float:
+        """Return the cost of what goes before `entry`."""
+        if len(self) and entry > self.find_last():
+            return self.cost
+        lines = self.lines.values()
+        return sum(e.cost for line in lines for e in line[: bisect_left(line, entry)])
+
+
+class Backlog:
+    """Sums over the requests that wait in one lane."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.cost = 0.0
+
+    def add(self, cost: float, sign: int) -> None:
+        """Count one request in (sign 1) or out (sign -1)."""
+        self.count += sign
+        self.cost = self.cost + sign * cost if self.count else 0.0
+
+    @property
+    def mean_cost(self) -> float:
+        """Mean cost of a waiting request, 0 if none waits."""
+        return self.cost / self.count if self.count else 0.0
+
+
+class Pool:
+    """Queue of one model or service, and what is known of its speed."""
+
+    def __init__(self) -> None:
+        self.teams: dict[str, TeamQueue] = {}
+        self.shares = FairShares()
+        self.estimate = ServiceEstimate()
+        self.running: dict[str, Running] = {}
+        self.running_long = 0
+        self.slots = 0
+        self.backlogs: dict[Lane, Backlog] = {
+            "any": Backlog(),
+            "short": Backlog(),
+            "long": Backlog(),
+        }
+        self.weight = 0.0
+        self.bookings: dict[str, float] = {}
+
+    @property
+    def waiting(self) -> int:
+        """How many requests wait."""
+        return self.backlogs["any"].count
+
+    def add(self, entry: Entry) -> None:
+        """Let a request wait."""
+        request, lane = entry.request, find_lane(entry.request)
+        queue = self.teams.get(request.team)
+        if queue is None:
+            queue = self.teams[request.team] = TeamQueue(request.weight)
+            self.weight += queue.weight
+        insort(queue.lines[lane], entry)
+        queue.cost += entry.cost
+        self.shares.join(request.team, "any")
+        self.shares.join(request.team, lane)
+        self.backlogs["any"].add(entry.cost, 1)
+        self.backlogs[lane].add(entry.cost, 1)
+
+    def remove(self, entry: Entry) -> None:
+        """Take a request out, whether it starts or is refused."""
+        team, lane = entry.request.team, find_lane(entry.request)
+        queue = self.teams[team]
+        line = queue.lines[lane]
+        del line[bisect_left(line, entry)]
+        queue.cost -= entry.cost
+        self.backlogs["any"].add(entry.cost, -1)
+        self.backlogs[lane].add(entry.cost, -1)
+        if not line:
+            self.shares.leave(team, lane)
+        if not len(queue):
+            self.shares.leave(team, "any")
+            self.weight -= queue.weight
+            del self.teams[team]
+
+    def choose_lane(self, now_s: float) -> Lane:
+        """Return which work may have the next free slot."""
+        if self.running_long >= self.slots - self.count_reserved(now_s):
+            return "short"
+        kept = self.running_long < int(self.slots * LONG_SHARE_MIN)
+        return "long" if kept and self.backlogs["long"].count else "any"
+
+    def count_reserved(self, now_s: float) -> int:
+        """Return how many slots long work leaves to short work."""
+        return self.estimate.count_reserved(self.slots, now_s)
+
+    def measure_drain(self, now_s: float) -> float | None:
+        """Return the tokens a second that this router gets done, if known."""
+        speed = self.estimate.tokens_per_s
+        if speed is None:
+            return None
+        usable = self.slots - self.count_reserved(now_s)
+        return speed * max(1, usable, len(self.running))
+
+    def estimate_wait_s(
+        self, request: WaitingRequest, cost_before: float, now_s: float
+    ) -> float:
+        """Return how long `request` waits behind `cost_before` of its own team."""
+        drain = self.measure_drain(now_s)
+        if drain is None or (not self.waiting and len(self.running) < self.slots):
+            return 0.0
+        all_cost = self.backlogs["any"].cost
+        mean_cost = self.backlogs["any"].mean_cost
+        before = self.shares.count_before(request.team, "any")
+        own = request.team in self.teams
+        weight = self.weight + (0.0 if own else request.weight)
+        # What the other teams get meanwhile, if all of them go on waiting; never
+        # more than all there is.
+        with_others = cost_before * weight / request.weight + before * mean_cost
+        wait_s = (min(all_cost, with_others) + mean_cost) / drain
+        return min(wait_s, self.estimate_lane_wait_s(find_lane(request), now_s))
+
+    def estimate_lane_wait_s(self, lane: Lane, now_s: float) -> float:
+        """Return how long the last of a lane waits that only gets its own slots."""
+        speed = self.estimate.tokens_per_s
+        kept = int(self.slots * LONG_SHARE_MIN)
+        slots = self.count_reserved(now_s) if lane == "short" else kept
+        if not slots or not speed:
+            return math.inf
+        backlog = self.backlogs[lane]
+        return (backlog.cost + backlog.mean_cost) / (speed * slots)
+
+    def list_in_order(self) -> list[tuple[str, TeamQueue]]:
+        """Return the teams that wait and their queues, first turn first."""
+        return [(team, self.teams[team]) for team in self.shares.list_in_order()]
+
+
+def find_lane(request: WaitingRequest) -> Lane:
+    """Return the lane that a request waits in, besides ``"any"``."""
+    return "short" if is_short(request.size_tokens) else "long"
