--- a/src/tamarackrill/decisions/admission.py
+++ b/src/tamarackrill/decisions/admission.py
@@ -38,7 +38,6 @@
 # with twice that in hand, and dropped later only when the plain estimate is past
 # its deadline, so that an accepted request is not lost to noise.
 ACCEPT_MARGIN = 1.28
-DROP_MARGIN = 1.0
 # A client that comes back in under a second finds the same queue; one that is told
 # more than 30 s could as well be told to give up, by the default deadline.
 RETRY_MIN_S = 1.0
@@ -96,7 +95,9 @@
         entry = self._make_entry(request)
         queue = pool.teams.get(request.team)
         before = queue.sum_before(entry) if queue else 0.0
-        late_s = _estimate_late_s(pool, entry, before, now_s, ACCEPT_MARGIN)
+        rates = pool.measure_rates(now_s)
+        wait_s = ACCEPT_MARGIN * pool.estimate_wait_s(request, before, rates)
+        late_s = _estimate_late_s(pool, entry, wait_s, now_s)
         if late_s > 0:
             return [_refuse(pool, entry, "deadline_unmeetable", late_s, now_s)]
         refusals = []
@@ -138,7 +139,7 @@
             if team is None:
                 break
             entry = pool.teams[team].find_first(lane)
-            late_s = _estimate_late_s(pool, entry, None, now_s, DROP_MARGIN)
+            late_s = _estimate_late_s(pool, entry, 0.0, now_s)
             if late_s <= 0:
                 self._start(pool, entry, now_s)
                 actions.append(Start(entry.request.id))
@@ -181,7 +182,7 @@
             pool.estimate.observe(real_cost, now_s - started_s, now_s, short)
 
     def expire(self, now_s: float) -> list[Refuse]:
-        """Refuse all that can no longer be in time; call it every 100 ms or so."""
+        """Refuse all that can no longer be in time; call it every 250 ms or so."""
         refusals = []
         for pool in self._pools.values():
             refusals += self._expire_pool(pool, now_s)
@@ -245,10 +246,12 @@
 
     def _expire_pool(self, pool: Pool, now_s: float) -> list[Refuse]:
         refusals = []
+        rates = pool.measure_rates(now_s)
         for _, queue in pool.list_in_order():
             before = 0.0
             for entry in list(merge(*queue.lines.values())):
-                late_s = _estimate_late_s(pool, entry, before, now_s, DROP_MARGIN)
+                wait_s = pool.estimate_wait_s(entry.request, before, rates)
+                late_s = _estimate_late_s(pool, entry, wait_s, now_s)
                 if late_s <= 0:
                     before += entry.cost
                     continue
@@ -258,14 +261,10 @@
         return refusals
 
 
-def _estimate_late_s(
-    pool: Pool, entry: Entry, before: float | None, now_s: float, margin: float
-) -> float:
-    """Return by how much the answer would be late; `before` is None at a slot."""
-    request = entry.request
-    wait_s = 0.0 if before is None else pool.estimate_wait_s(request, before, now_s)
+def _estimate_late_s(pool: Pool, entry: Entry, wait_s: float, now_s: float) -> float:
+    """Return by how much the answer would be late; not above 0 if in time."""
     service_s = pool.estimate.estimate_service_s(entry.cost)
-    return now_s + margin * wait_s + service_s - request.deadline_s
+    return now_s + wait_s + service_s - entry.request.deadline_s
 
 
 def _refuse(
@@ -283,8 +282,8 @@
     """
     request = entry.request
     share = request.weight / max(pool.weight, request.weight)
-    drain = pool.measure_drain(now_s)
-    step_s = entry.cost / (drain * share) if drain else 0.0
+    rate = pool.measure_rates(now_s).all_tokens_per_s * share
+    step_s = entry.cost / rate if rate else 0.0
     earliest_s = now_s + max(RETRY_MIN_S, min(late_s, RETRY_MAX_S))
     booked_s = max(earliest_s, pool.bookings.get(request.team, 0.0)) + step_s
     booked_s = min(booked_s, now_s + RETRY_MAX_S)
--- a/src/tamarackrill/decisions/waiting.py
+++ b/src/tamarackrill/decisions/waiting.py
@@ -67,6 +67,22 @@
     started_s: float
 
 
+class Rates(NamedTuple):
+    """How fast a pool works its queue off, in tokens a second; 0 if unknown.
+
+    Parameters
+    ----------
+    all_tokens_per_s : float
+        Of all slots that may be used now.
+    short_tokens_per_s, long_tokens_per_s : float
+        Of the slots that short and long work have for themselves.
+    """
+
+    all_tokens_per_s: float
+    short_tokens_per_s: float
+    long_tokens_per_s: float
+
+
 class TeamQueue:
     """Waiting requests of one team, short and long apart, each in order."""
 
@@ -178,41 +194,41 @@
         """Return how many slots long work leaves to short work."""
         return self.estimate.count_reserved(self.slots, now_s)
 
-    def measure_drain(self, now_s: float) -> float | None:
-        """Return the tokens a second that this router gets done, if known."""
+    def measure_rates(self, now_s: float) -> Rates:
+        """Return how fast this router's queue is worked off."""
         speed = self.estimate.tokens_per_s
         if speed is None:
-            return None
-        usable = self.slots - self.count_reserved(now_s)
-        return speed * max(1, usable, len(self.running))
+            return Rates(0.0, 0.0, 0.0)
+        reserved = self.count_reserved(now_s)
+        usable = max(1, self.slots - reserved, len(self.running))
+        kept = int(self.slots * LONG_SHARE_MIN)
+        return Rates(speed * usable, speed * reserved, speed * kept)
 
     def estimate_wait_s(
-        self, request: WaitingRequest, cost_before: float, now_s: float
+        self, request: WaitingRequest, cost_before: float, rates: Rates
     ) -> float:
         """Return how long `request` waits behind `cost_before` of its own team."""
-        drain = self.measure_drain(now_s)
-        if drain is None or (not self.waiting and len(self.running) < self.slots):
+        if not rates.all_tokens_per_s or (
+            not self.waiting and len(self.running) < self.slots
+        ):
             return 0.0
-        all_cost = self.backlogs["any"].cost
-        mean_cost = self.backlogs["any"].mean_cost
+        backlog = self.backlogs["any"]
         before = self.shares.count_before(request.team, "any")
         own = request.team in self.teams
         weight = self.weight + (0.0 if own else request.weight)
         # What the other teams get meanwhile, if all of them go on waiting; never
         # more than all there is.
-        with_others = cost_before * weight / request.weight + before * mean_cost
-        wait_s = (min(all_cost, with_others) + mean_cost) / drain
-        return min(wait_s, self.estimate_lane_wait_s(find_lane(request), now_s))
-
-    def estimate_lane_wait_s(self, lane: Lane, now_s: float) -> float:
-        """Return how long the last of a lane waits that only gets its own slots."""
-        speed = self.estimate.tokens_per_s
-        kept = int(self.slots * LONG_SHARE_MIN)
-        slots = self.count_reserved(now_s) if lane == "short" else kept
-        if not slots or not speed:
-            return math.inf
+        with_others = cost_before * weight / request.weight + before * backlog.mean_cost
+        cost = min(backlog.cost, with_others) + backlog.mean_cost
+        wait_s = cost / rates.all_tokens_per_s
+        return min(wait_s, self._estimate_lane_wait_s(find_lane(request), rates))
+
+    def _estimate_lane_wait_s(self, lane: Lane, rates: Rates) -> float:
+        """Return the wait of the last in a lane that only gets its own slots."""
+        short = lane == "short"
+        rate = rates.short_tokens_per_s if short else rates.long_tokens_per_s
         backlog = self.backlogs[lane]
-        return (backlog.cost + backlog.mean_cost) / (speed * slots)
+        return (backlog.cost + backlog.mean_cost) / rate if rate else math.inf
 
     def list_in_order(self) -> list[tuple[str, TeamQueue]]:
         """Return the teams that wait and their queues, first turn first."""
--- a/src/tamarackrill/testing/callers.py
+++ b/src/tamarackrill/testing/callers.py
@@ -14,7 +14,7 @@
 from tamarackrill.decisions.waiting import WaitingRequest
 
 POOL = "pool"
-TICK_S = 0.1
+TICK_S = 0.25
 SLOT_TOKENS_PER_S = 1 / 0.046
 
 
