Hold one configuration: objects by newest version, deletions included

Cause: each router hears of a change several times and in any order (watch, list, peers), and must never go back. Weighed: last writer by arrival (reverts under a stale read) against the platform's global revision as version (taken). Tombstones are bounded by a revision up to which the store is complete.

--- /dev/null
+++ b/src/tamarackrill/decisions/configuration.py
@@ -0,0 +1,237 @@
+"""The configuration that one router holds, which never goes back.
+
+Answers the load of a fleet in which every router hears of each change several
+times and in any order: from its watch, from a list read after an outage, from
+peers.  Without it a stale read, a peer that was frozen, or a router that restarts
+from its peers would bring an old contract back into force, and a customer's limits
+would depend on the router that serves the request.
+
+The platform gives every write and every deletion the next number of one global
+revision, so versions of one object are totally ordered and "newer" needs no clock.
+An object is taken only if its version is above the one held.
+
+A deletion leaves a tombstone, else a late copy of the object would look new.  Besides
+the tombstones each kind has a ``complete`` revision: everything that happened up to
+it is in the store, so an unknown object at or below it must have been deleted.  This
+allows tombstones at or below it to be dropped: `TOMBSTONES_MAX` of them are kept, so
+that peers which are only a little behind can be sent changes instead of everything.
+3,900 changes a day, were all of them deletions, would fill it in six hours; a peer
+that was away for longer gets the whole list.
+"""
+
+import hashlib
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+
+TOMBSTONES_MAX = 1024
+_HASH_MODULUS = 1 << 64
+
+
+class ObjectVersion(NamedTuple):
+    """One version of one object of the platform; no value means deleted."""
+
+    kind: str
+    name: str
+    version: int
+    value: dict[str, Any] | None
+
+
+class ConfigurationDigest(NamedTuple):
+    """What a router tells its peers about the objects of one kind that it holds.
+
+    Parameters
+    ----------
+    kind : str
+        Kind of the objects.
+    complete : int
+        Revision up to which nothing is missing.
+    newest : int
+        Highest version held, deletions included.
+    content : int
+        Hash over name and version of the objects that exist.  It tells whether two
+        routers differ even where their revisions say nothing: the platform's
+        revision also counts writes of other kinds.
+    """
+
+    kind: str
+    complete: int
+    newest: int
+    content: int
+
+
+class Changes(NamedTuple):
+    """Objects of one kind that a peer lacks.
+
+    Parameters
+    ----------
+    kind : str
+        Kind of the objects.
+    objects : tuple of ObjectVersion
+        Objects and tombstones.
+    complete : int
+        Revision up to which the sender lacks nothing.
+    whole : bool
+        Whether `objects` is all that exists, instead of what changed.
+    """
+
+    kind: str
+    objects: tuple[ObjectVersion, ...]
+    complete: int
+    whole: bool
+
+
+class ConfigurationStore:
+    """Objects of the platform in their newest known versions."""
+
+    def __init__(self) -> None:
+        self._held: dict[str, dict[str, ObjectVersion]] = {}
+        self._complete: dict[str, int] = {}
+        self._pruned: dict[str, int] = {}
+        self._content: dict[str, int] = {}
+        self._newest: dict[str, int] = {}
+
+    @property
+    def revision(self) -> int:
+        """Highest version held of any kind, deletions included."""
+        return max(self._newest.values(), default=0)
+
+    def get(self, kind: str, name: str) -> ObjectVersion | None:
+        """Return the object, or None if it does not exist."""
+        held = self._held.get(kind, {}).get(name)
+        return held if held is not None and held.value is not None else None
+
+    def items(self, kind: str) -> list[ObjectVersion]:
+        """Return the existing objects of one kind, by name."""
+        found = self._held.get(kind, {}).values()
+        return sorted(
+            (item for item in found if item.value is not None),
+            key=lambda item: item.name,
+        )
+
+    def get_complete(self, kind: str) -> int:
+        """Return the revision up to which no change of `kind` is missing."""
+        return self._complete.get(kind, 0)
+
+    def digest(self, kind: str) -> ConfigurationDigest:
+        """Return what peers need to know to find out whether they differ."""
+        return ConfigurationDigest(
+            kind,
+            self.get_complete(kind),
+            self._newest.get(kind, 0),
+            self._content.get(kind, 0),
+        )
+
+    def changes_since(self, kind: str, revision: int) -> Changes:
+        """Return what a peer lacks whose `complete` revision is `revision`."""
+        held = self._held.get(kind, {}).values()
+        whole = revision < self._pruned.get(kind, 0) or revision == 0
+        lacking = (item for item in held if whole or item.version > revision)
+        ordered = tuple(sorted(lacking, key=lambda item: item.version))
+        return Changes(kind, ordered, self.get_complete(kind), whole)
+
+    def take(
+        self, kind: str, name: str, version: int, value: dict[str, Any] | None
+    ) -> bool:
+        """Take one version of an object if it is newer than the one held.
+
+        Parameters
+        ----------
+        kind, name : str
+            The object.
+        version : int
+            Global revision of the write or deletion.
+        value : dict or None
+            None for a deletion.
+
+        Returns
+        -------
+        bool
+            Whether the version was newer and is now in force.
+        """
+        held = self._held.setdefault(kind, {}).get(name)
+        if held is not None:
+            newer = version > held.version
+        else:
+            # Nothing is known of the object, and its tombstone may have been
+            # dropped.  A frozen peer that wakes up would bring a deleted contract
+            # back here, and its customer would be served again.
+            newer = version > self.get_complete(kind)
+        if newer:
+            self._put(ObjectVersion(kind, name, version, value), held)
+        return newer
+
+    def take_changes(self, changes: Changes) -> list[ObjectVersion]:
+        """Take a list read from the platform, or changes sent by it or a peer.
+
+        Parameters
+        ----------
+        changes : Changes
+            If `whole`, objects that it lacks were deleted by its `complete`
+            revision.  Otherwise it must hold everything between this store's
+            `complete` revision and its own.
+
+        Returns
+        -------
+        list of ObjectVersion
+            What is newly in force, deletions included.
+        """
+        taken = [item for item in changes.objects if self.take(*item)]
+        if changes.whole:
+            taken += self._delete_missing(changes)
+        self._advance(changes.kind, changes.complete)
+        return taken
+
+    def _delete_missing(self, changes: Changes) -> list[ObjectVersion]:
+        listed = {item.name for item in changes.objects}
+        gone = [
+            ObjectVersion(changes.kind, item.name, changes.complete, None)
+            for item in self.items(changes.kind)
+            if item.name not in listed and item.version < changes.complete
+        ]
+        return [item for item in gone if self.take(*item)]
+
+    def _advance(self, kind: str, revision: int) -> None:
+        self._complete[kind] = max(self.get_complete(kind), revision)
+        self._prune(kind)
+
+    def _prune(self, kind: str) -> None:
+        held = self._held.get(kind, {})
+        complete = self.get_complete(kind)
+        tombstones = sorted(
+            (item.version, item.name)
+            for item in held.values()
+            if item.value is None and item.version <= complete
+        )
+        for version, name in tombstones[: max(0, len(tombstones) - TOMBSTONES_MAX)]:
+            del held[name]
+            self._pruned[kind] = max(self._pruned.get(kind, 0), version)
+
+    def _put(self, item: ObjectVersion, replaced: ObjectVersion | None) -> None:
+        content = self._content.get(item.kind, 0)
+        content += _hash_items([item]) - _hash_items([replaced] if replaced else [])
+        self._content[item.kind] = content % _HASH_MODULUS
+        self._held[item.kind][item.name] = item
+        newest = self._newest.get(item.kind, 0)
+        self._newest[item.kind] = max(newest, item.version)
+
+
+def needs_changes(own: ConfigurationDigest, peer: ConfigurationDigest) -> bool:
+    """Return whether a router should ask this peer for changes.
+
+    Only the side that may lack something asks.  Where the digests leave that open
+    both ask, which costs one message and ends the difference.
+    """
+    if own.content == peer.content:
+        return False
+    behind = peer.complete >= own.complete or peer.newest > own.newest
+    return behind and peer.newest > 0
+
+
+def _hash_items(items: Iterable[ObjectVersion]) -> int:
+    """Return a sum, so that a change costs one hash and not one of the whole."""
+    total = 0
+    for item in items:
+        if item.value is not None:
+            key = f"{item.kind}\0{item.name}\0{item.version}".encode()
+            total += int.from_bytes(hashlib.blake2b(key, digest_size=8).digest())
+    return total
