Add weighted rendezvous hashing

Each chat needs the same engine and home router from every router without asking. Rendezvous hashing moves only the keys of the changed member.

--- /dev/null
+++ b/src/tamarackrill/decisions/hashing.py
@@ -0,0 +1,107 @@
+"""Weighted rendezvous hashing: the order in which a key prefers its members.
+
+Load pattern: many keys (chats) that come back, over members (engines, routers) that
+join, leave and flap.  Every router must find the same member for a key without asking
+anyone.  Without it, a change of one member would move the keys of all the others
+(as a hash modulo the number of members does), and each moved chat would pay for its
+whole prefix again.
+
+A key's score at a member depends on these two alone.  So the loss of a member moves
+only that member's keys, each to its own second choice, and they come back with it.
+
+Cost: one multiplication chain for each member, with the member's own hash kept.  See
+docs/design/routing.md for the measured time at 780 members.
+"""
+
+import hashlib
+import heapq
+import math
+from collections.abc import Mapping, Sequence
+from functools import lru_cache
+
+_MASK = (1 << 64) - 1
+# Multipliers of the finalizer of MurmurHash3, which spreads each input bit over all
+# output bits; two rounds suffice because both inputs are full 64-bit hashes already.
+_MULTIPLIER_FIRST = 0xFF51AFD7ED558CCD
+_MULTIPLIER_SECOND = 0xC4CEB9FE1A85EC53
+# Lists of members whose hashes are kept: one for each of 23 models, and the routers.
+# At 780 members a list takes about 40 KB.
+_LISTS_KEPT = 32
+
+
+def hash_name(name: str) -> int:
+    """Return a 64-bit hash that is the same in every process and release."""
+    digest = hashlib.blake2b(name.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+@lru_cache(maxsize=_LISTS_KEPT)
+def _hash_members(members: tuple[str, ...]) -> tuple[int, ...]:
+    return tuple(hash_name(member) for member in members)
+
+
+def _score(key: str, members: Sequence[str]) -> list[int]:
+    key_hash = hash_name(key)
+    # Written as one expression: a call for each member trebles the time, which is
+    # what limits a decision over 780 members.
+    return [
+        (
+            ((mixed := ((key_hash ^ member) * _MULTIPLIER_FIRST) & _MASK) ^ mixed >> 33)
+            * _MULTIPLIER_SECOND
+        )
+        & _MASK
+        for member in _hash_members(tuple(members))
+    ]
+
+
+def rendezvous_order(key: str, members: Sequence[str], count: int) -> list[str]:
+    """Return the members that `key` prefers, best first.
+
+    Parameters
+    ----------
+    key : str
+        Name of a chat, or of anything else that needs a place.
+    members : sequence of str
+        Names, in any order; the result does not depend on it.
+    count : int
+        How many to return at most.
+
+    Returns
+    -------
+    list of str
+        At most `count` of `members`.
+    """
+    scored = zip(_score(key, members), members, strict=True)
+    return [member for _, member in heapq.nlargest(count, scored)]
+
+
+def rank(key: str, members: Sequence[str]) -> list[str]:
+    """Return all members in the order in which `key` prefers them."""
+    return rendezvous_order(key, members, len(members))
+
+
+def weighted_order(key: str, weights: Mapping[str, float], count: int) -> list[str]:
+    """Return the members that `key` prefers, each chosen in proportion to its weight.
+
+    Parameters
+    ----------
+    key : str
+        Name of a chat.
+    weights : mapping of str to float
+        Weight of each member; a member of weight 0 or less is never chosen.
+    count : int
+        How many to return at most.
+
+    Returns
+    -------
+    list of str
+        At most `count` members.  A member whose weight grows only gains keys, and
+        one whose weight shrinks only loses them.
+    """
+    members = [member for member, weight in weights.items() if weight > 0]
+    # Half a step keeps the quotient inside (0, 1), where the logarithm is finite.
+    scored = [
+        (weights[member] / -math.log((score + 0.5) / (_MASK + 2)), member)
+        for score, member in zip(_score(key, members), members, strict=True)
+    ]
+    return [member for _, member in heapq.nlargest(count, scored)]
