--- a/src/tamarackrill/contracts.py
+++ b/src/tamarackrill/contracts.py
@@ -98,12 +98,27 @@
 
 
 class Vm(NamedTuple):
-    """One line of the platform's VM list, which lags."""
+    """One line of the platform's VM list, which lags.
+
+    Parameters
+    ----------
+    name : str
+        Name of the VM.
+    address : str
+        ``host:port`` for callers.
+    zone : str
+        Availability zone.
+    state : {"live", "leaving"}
+        As the platform saw it some time ago.
+    peer_address : str
+        ``host:port`` for other routers; empty for a VM that runs no router.
+    """
 
     name: str
     address: str
     zone: str
     state: Literal["live", "leaving"] = "live"
+    peer_address: str = ""
 
 
 def hash_key(key: str) -> str:
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -33,7 +33,11 @@
 
 # 1000: life cycle and settings
 ROUTER_STARTED = Event(
-    1001, "router_started", _INFO, ("router", "zone", "address"), "A router listens."
+    1001,
+    "router_started",
+    _INFO,
+    ("router", "zone", "address", "peer_address"),
+    "A router listens.",
 )
 ROUTER_LEAVING = Event(
     1002,
--- /dev/null
+++ b/src/tamarackrill/router/app.py
@@ -0,0 +1,212 @@
+"""The application object: owns every resource of the daemon and its clean-up."""
+
+import asyncio
+import time
+from typing import Any
+
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+
+from tamarackrill.contracts import (
+    CONTRACT_KIND,
+    ENDPOINT_KIND,
+    Contract,
+    Endpoint,
+    read_contract,
+    read_endpoint,
+)
+from tamarackrill.decisions.configuration import ConfigurationStore, ObjectVersion
+from tamarackrill.decisions.hashing import rendezvous_order
+from tamarackrill.events import (
+    ROUTER_LEAVING,
+    ROUTER_STARTED,
+    ROUTER_STOPPED,
+    log_event,
+)
+from tamarackrill.exceptions import PlatformUnavailable
+from tamarackrill.router.admitting import Admitter
+from tamarackrill.router.callers import Front, make_front
+from tamarackrill.router.chats import Chats
+from tamarackrill.router.claiming import Claimer
+from tamarackrill.router.configuring import Configurer
+from tamarackrill.router.flow import Flow
+from tamarackrill.router.members import Member, Members
+from tamarackrill.router.metrics import Metrics
+from tamarackrill.router.placing import Placer
+from tamarackrill.router.platform_client import PlatformClient
+from tamarackrill.router.upstream import make_client
+from tamarackrill.settings import Settings
+
+VM_LIST_WAIT_S = 1.0
+
+
+class RouterApplication:
+    """One router of the fleet.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+
+    Notes
+    -----
+    Life cycle: `start` opens the sockets and starts the tasks, `drain` refuses new
+    work and waits for what is in flight, `stop` closes all that `start` opened.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.clock = time.monotonic
+        self.address = ""
+        self.store = ConfigurationStore()
+        self.metrics = Metrics()
+        self._contracts: dict[str, Contract] = {}
+        self._endpoints: dict[str, Endpoint] = {}
+        self._leaving = False
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Open the sockets and start the tasks."""
+        settings = self.settings
+        sockets = bind_sockets(settings.port, settings.address)
+        self.address = f"{settings.address}:{sockets[0].getsockname()[1]}"
+        own = Member(settings.name, self.address, settings.zone)
+        self.members = Members(own)
+        self._endpoint_client = make_client()
+        self._router_client = make_client()
+        self._platform_client = CurlAsyncHTTPClient(force_instance=True)
+        self.platform = PlatformClient(
+            settings.platform, settings.zone, self._platform_client
+        )
+        self.placer = Placer(self.list_endpoints)
+        self.admitter = Admitter(self.placer.count_free, settings.queue_max)
+        self.claimer = Claimer()
+        self.flow = Flow(
+            self._endpoint_client,
+            Chats(),
+            self.claimer,
+            self.admitter,
+            self.placer,
+            self.metrics,
+            self.clock,
+        )
+        self.configurer = Configurer(self.store, self.platform, self._take_objects)
+        await self.configurer.start()
+        self._tasks.append(asyncio.create_task(self._follow_vms()))
+        self._server = HTTPServer(
+            make_front(self._make_front()),
+            max_body_size=settings.body_max_bytes,
+            max_buffer_size=settings.body_max_bytes + 65536,
+            body_timeout=30,
+            idle_connection_timeout=75,
+        )
+        self._server.add_sockets(sockets)
+        log_event(
+            ROUTER_STARTED,
+            router=settings.name,
+            zone=settings.zone,
+            address=self.address,
+            peer_address=f"{settings.address}:{settings.peer_port}",
+        )
+
+    async def drain(self) -> None:
+        """Refuse new work; return when nothing is in flight, or after the limit."""
+        self._leaving = True
+        self.members.own = self.members.own._replace(state="leaving")
+        log_event(
+            ROUTER_LEAVING, router=self.settings.name, in_flight=self.flow.running
+        )
+        try:
+            await asyncio.wait_for(self.flow.drain(), self.settings.drain_max_s)
+        except TimeoutError:
+            return
+
+    async def stop(self) -> None:
+        """Close all that `start` opened."""
+        self._server.stop()
+        await self._server.close_all_connections()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.configurer.stop()
+        self._endpoint_client.close()
+        self._router_client.close()
+        self._platform_client.close()
+        log_event(
+            ROUTER_STOPPED, router=self.settings.name, in_flight=self.flow.running
+        )
+
+    def list_contracts(self) -> list[Contract]:
+        """Return the contracts in force."""
+        return list(self._contracts.values())
+
+    def list_endpoints(self) -> list[Endpoint]:
+        """Return the endpoints known now."""
+        return list(self._endpoints.values())
+
+    def describe(self) -> dict[str, Any]:
+        """Return the status of this router, for queries."""
+        return {
+            "router": self.settings.name,
+            "zone": self.settings.zone,
+            "revision": self.store.revision,
+            "state": "leaving" if self._leaving else "alive",
+            "in_flight": self.flow.running,
+            "waiting": self.admitter.describe(),
+            "members": [member._asdict() for member in self.members.list_all()],
+            "endpoints": self.placer.describe(),
+        }
+
+    def explain(self, team: str, chat: str, model: str) -> dict[str, Any]:
+        """Return where a chat of a team would go, for queries."""
+        names = [member.name for member in self.members.list_live()]
+        homes = rendezvous_order(f"{team}\n{chat}", names, 3)
+        serving = [e.name for e in self.list_endpoints() if model in e.serves]
+        return {"homes": homes, "endpoints": serving}
+
+    def _make_front(self) -> Front:
+        return Front(
+            self.flow,
+            self.members,
+            self._router_client,
+            self.metrics,
+            self.settings.peer_keys,
+            self.list_contracts,
+            lambda: self._leaving,
+            self.describe,
+            self.explain,
+            self.clock,
+        )
+
+    def _take_objects(self, taken: list[ObjectVersion]) -> None:
+        for item in taken:
+            if item.kind == CONTRACT_KIND:
+                _put(self._contracts, item, read_contract)
+            elif item.kind == ENDPOINT_KIND:
+                _put(self._endpoints, item, read_endpoint)
+        for endpoint in self.list_endpoints():
+            for pool in endpoint.serves:
+                self.admitter.wake(pool)
+
+    async def _follow_vms(self) -> None:
+        while True:
+            try:
+                vms = await self.platform.list_vms()
+                self.members.replace(
+                    [
+                        Member(vm.name, vm.address, vm.zone)
+                        for vm in vms
+                        if vm.peer_address and vm.state == "live"
+                    ]
+                )
+            except PlatformUnavailable:
+                pass
+            await asyncio.sleep(VM_LIST_WAIT_S)
+
+
+def _put(known: dict[str, Any], item: ObjectVersion, read: Any) -> None:
+    if item.value is None:
+        known.pop(item.name, None)
+    else:
+        known[item.name] = read(item.value)
--- /dev/null
+++ b/src/tamarackrill/router/attempts.py
@@ -0,0 +1,178 @@
+"""One attempt of a call at one endpoint: send it, check it, write the reply."""
+
+from collections.abc import AsyncIterator, Callable
+from typing import Literal, NamedTuple
+
+from tamarackrill.contracts import Endpoint
+from tamarackrill.router.calls import Call
+from tamarackrill.router.replies import Reply
+from tamarackrill.router.upstream import (
+    CurlAsyncHTTPClient,
+    Exchange,
+    Head,
+    UpstreamFailed,
+)
+
+Outcome = Literal["answered", "refused", "not_sent", "cut", "cancelled"]
+
+EVENT_END = b"\n\n"
+CLOSING_EVENT = b"data: [DONE]"
+# An event or a whole answer longer than this is passed on in pieces.
+PIECE_MAX_BYTES = 1024 * 1024
+SERVER_ERROR = 500
+
+# Headers of the endpoint's connection to us; the caller's has its own.
+_NOT_PASSED_BACK = frozenset(
+    ("Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Server")
+)
+
+
+class Attempt(NamedTuple):
+    """How one attempt went.
+
+    Parameters
+    ----------
+    outcome : {"answered", "refused", "not_sent", "cut", "cancelled"}
+        ``"not_sent"`` only if no byte can have reached the endpoint.
+    first_byte_s : float or None
+        Time from sending to the first byte of the answer.
+    chunks : int
+        Chunks written to the reply.
+    reason : str
+        What went wrong, if something did.
+    """
+
+    outcome: Outcome
+    first_byte_s: float | None = None
+    chunks: int = 0
+    reason: str = ""
+
+
+async def split_events(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+    """Yield whole server-sent events, however the bytes came in."""
+    rest = b""
+    async for chunk in chunks:
+        rest += chunk.replace(b"\r\n", b"\n")
+        *events, rest = rest.split(EVENT_END)
+        for event in events:
+            yield event + EVENT_END
+        if len(rest) > PIECE_MAX_BYTES:
+            raise UpstreamFailed("an event of the stream is too long", sent=True)
+    if rest.strip():
+        yield rest
+
+
+async def attempt_call(
+    client: CurlAsyncHTTPClient,
+    call: Call,
+    endpoint: Endpoint,
+    reply: Reply,
+    have_chunks: int,
+    take_errors: bool,
+    clock: Callable[[], float],
+) -> Attempt:
+    """Send a call to an endpoint and write its answer to the reply.
+
+    Parameters
+    ----------
+    client : CurlAsyncHTTPClient
+        Not owned.
+    call : Call
+        The call.
+    endpoint : Endpoint
+        Where it goes.
+    reply : Reply
+        Gets the head once and the chunks.
+    have_chunks : int
+        Chunks that the reply has already from an attempt that was cut; the
+        endpoint is asked to resume after them.
+    take_errors : bool
+        Whether an answer with a status of 500 or above is the answer; otherwise
+        the outcome is ``"refused"`` and nothing is written.
+    clock : callable
+        Returns the present time.
+
+    Returns
+    -------
+    Attempt
+    """
+    sent_s = clock()
+    exchange = Exchange(
+        client,
+        call.method,
+        f"http://{endpoint.address}{call.path}",
+        _build_headers(call, have_chunks),
+        call.body,
+        max(0.001, call.deadline_s - sent_s),
+        call.idempotent,
+    )
+    reply.when_abandoned(exchange.cancel)
+    first_byte_s: float | None = None
+    before = reply.count
+    try:
+        head = await exchange.head()
+        first_byte_s = clock() - sent_s
+        if head.status >= SERVER_ERROR and not take_errors:
+            return Attempt("refused", first_byte_s, 0, f"status {head.status}")
+        is_stream = call.stream and _is_event_stream(head)
+        pump = _pump_events if is_stream else _pump_whole
+        await pump(exchange, _strip_head(head), reply)
+    except UpstreamFailed as error:
+        outcome = _find_outcome(error, reply)
+        return Attempt(outcome, first_byte_s, reply.count - before, error.reason)
+    finally:
+        await exchange.close()
+    return Attempt("answered", first_byte_s, reply.count - before)
+
+
+def _find_outcome(error: UpstreamFailed, reply: Reply) -> Outcome:
+    if not error.sent:
+        return "not_sent"
+    return "cancelled" if reply.abandoned.is_set() else "cut"
+
+
+def _build_headers(call: Call, have_chunks: int) -> dict[str, str]:
+    headers = {**call.headers, "Request-Id": call.request_id}
+    if have_chunks:
+        headers["Last-Event-ID"] = str(have_chunks)
+    return headers
+
+
+def _strip_head(head: Head) -> Head:
+    kept = {k: v for k, v in head.headers.items() if k not in _NOT_PASSED_BACK}
+    return Head(head.status, kept)
+
+
+def _is_event_stream(head: Head) -> bool:
+    return head.headers.get("Content-Type", "").startswith("text/event-stream")
+
+
+async def _pump_events(exchange: Exchange, head: Head, reply: Reply) -> None:
+    if not reply.started:
+        reply.start(head)
+    closed = False
+    async for event in split_events(exchange.chunks()):
+        closed = event.startswith(CLOSING_EVENT)
+        await reply.put(event)
+    # A stream can end without its closing event though the connection closed in
+    # good order, as when an engine is stopped.  The caller would take half an
+    # answer for a whole one.
+    if not closed:
+        raise UpstreamFailed("the stream ended without its closing event", sent=True)
+
+
+async def _pump_whole(exchange: Exchange, head: Head, reply: Reply) -> None:
+    held = b""
+    async for chunk in exchange.chunks():
+        held += chunk
+        if len(held) > PIECE_MAX_BYTES:
+            if not reply.started:
+                reply.start(head)
+            await reply.put(held)
+            held = b""
+    # Nothing of a short answer is written before it is known to be whole: one that
+    # was cut can then be asked for again and the caller sees one answer.
+    if not reply.started:
+        reply.start(head)
+    if held:
+        await reply.put(held)
--- /dev/null
+++ b/src/tamarackrill/router/callers.py
@@ -0,0 +1,313 @@
+"""Handlers of the callers' HTTP requests, at the entry router and at the home."""
+
+import asyncio
+import json
+import time
+from collections.abc import AsyncIterator, Callable
+from typing import Any, NamedTuple
+
+from tornado.iostream import StreamClosedError
+from tornado.web import Application, HTTPError, RequestHandler
+
+from tamarackrill.contracts import Contract
+from tamarackrill.decisions.hashing import rendezvous_order
+from tamarackrill.events import REQUEST_FORWARDED, log_event
+from tamarackrill.exceptions import Refusal
+from tamarackrill.router.calls import Call, find_contract, read_call
+from tamarackrill.router.flow import Flow
+from tamarackrill.router.forwarding import find_forwarded_id, forward_call
+from tamarackrill.router.members import Member, Members
+from tamarackrill.router.metrics import Metrics
+from tamarackrill.router.replies import Reply
+from tamarackrill.router.upstream import (
+    CurlAsyncHTTPClient,
+    Exchange,
+    Head,
+    UpstreamFailed,
+)
+
+# Homes that are tried before the entry router runs a call by itself.
+HOMES_TRIED = 2
+NOT_PASSED_BACK = ("Connection", "Transfer-Encoding", "Content-Length", "Server")
+
+
+class Front(NamedTuple):
+    """What the handlers use; owned by the application object.
+
+    Parameters
+    ----------
+    flow : Flow
+        Runs calls at this router.
+    members : Members
+        Live routers, this one among them.
+    client : CurlAsyncHTTPClient
+        For calls to other routers.
+    metrics : Metrics
+        Counters.
+    peer_keys : tuple of str
+        Keys shared by the routers.
+    list_contracts : callable
+        Returns the contracts in force.
+    is_leaving : callable
+        Tells whether this router refuses new work.
+    describe : callable
+        Returns the status of this router.
+    explain : callable
+        Returns where a team's chat would go.
+    clock : callable
+        Returns the present time.
+    """
+
+    flow: Flow
+    members: Members
+    client: CurlAsyncHTTPClient
+    metrics: Metrics
+    peer_keys: tuple[str, ...]
+    list_contracts: Callable[[], list[Contract]]
+    is_leaving: Callable[[], bool]
+    describe: Callable[[], dict[str, Any]]
+    explain: Callable[[str, str, str], dict[str, Any]]
+    clock: Callable[[], float] = time.monotonic
+
+
+class _Handler(RequestHandler):
+    def initialize(self, front: Front) -> None:
+        self.front = front
+
+    def set_default_headers(self) -> None:
+        self.clear_header("Server")
+
+    def prepare(self) -> Any:
+        raise HTTPError(404)
+
+    def compute_etag(self) -> None:
+        # An entity tag of ours would turn an endpoint's answer into a 304.
+        return None
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        code = "not_found" if status_code == 404 else "bad_request"
+        refusal = Refusal(code, status_code, self._reason)
+        self.send_refusal(refusal)
+
+    def send_refusal(self, refusal: Refusal) -> None:
+        """Answer with a refusal, or cut an answer that has begun."""
+        if self._headers_written:
+            self.cut(refusal)
+            return
+        self.set_status(refusal.status, refusal.code)
+        self.set_header("Retry-After", str(max(1, round(refusal.retry_after_s))))
+        self.finish(dict(refusal.to_body()))
+
+    def cut(self, refusal: Refusal) -> None:
+        """End an answer that has begun so that it can't be taken for a whole one."""
+        content_type = self._headers.get("Content-Type") or ""
+        if content_type.startswith("text/event-stream"):
+            self.finish(f"event: error\ndata: {json.dumps(refusal.to_body())}\n\n")
+            return
+        connection = self.request.connection
+        if connection is not None:
+            connection.detach().close()
+
+
+class CallHandler(_Handler):
+    """Takes a call, finds its home and passes the answer back."""
+
+    _exchange: Exchange | None = None
+    _reply: Reply | None = None
+
+    async def prepare(self) -> None:
+        """Answer the call; the method does not matter."""
+        self.front.metrics.count("requests", self.request.method or "")
+        try:
+            await self._answer()
+        except Refusal as refusal:
+            self.send_refusal(refusal)
+        except StreamClosedError:
+            self.on_connection_close()
+
+    async def _answer(self) -> None:
+        front = self.front
+        authorization = self.request.headers.get("Authorization", "")
+        contract = find_contract(front.list_contracts(), authorization)
+        call = self._read_call(contract)
+        forwarded_id = find_forwarded_id(
+            self.request.headers, call.fingerprint, front.peer_keys
+        )
+        if forwarded_id:
+            call = call._replace(request_id=forwarded_id)
+        if front.is_leaving():
+            raise Refusal("leaving", 503, "this router is leaving")
+        if not forwarded_id and await self._forward(call, authorization):
+            return
+        await self._serve(call)
+
+    def _read_call(self, contract: Contract) -> Call:
+        request = self.request
+        return read_call(
+            contract,
+            request.method or "",
+            request.uri or "",
+            request.headers,
+            request.body,
+            self.front.clock(),
+        )
+
+    def _list_homes(self, call: Call) -> list[Member]:
+        if not call.home_key:
+            return []
+        live = {member.name: member for member in self.front.members.list_live()}
+        names = rendezvous_order(call.home_key, list(live), HOMES_TRIED)
+        return [live[name] for name in names]
+
+    async def _forward(self, call: Call, authorization: str) -> bool:
+        """Return whether another router has answered the call."""
+        for home in self._list_homes(call):
+            if home.name == self.front.members.own.name:
+                return False
+            try:
+                await self._forward_to(call, home, authorization)
+                return True
+            except UpstreamFailed:
+                # The home is gone.  Its memory of the chat is gone with it; the
+                # next in order serves.  A call that may run only once is safe:
+                # its claim is on the platform, not in the home's memory.
+                if self._headers_written:
+                    message = "the home router was lost during the answer"
+                    refusal = Refusal("router_lost", 502, message, "unknown")
+                    self.cut(refusal)
+                    return True
+        return False
+
+    async def _forward_to(self, call: Call, home: Member, authorization: str) -> None:
+        front = self.front
+        log_event(REQUEST_FORWARDED, team=call.team, chat=call.chat, home=home.name)
+        exchange = forward_call(
+            front.client, call, home, authorization, front.peer_keys[0], front.clock()
+        )
+        self._exchange = exchange
+        try:
+            await self._pass_on(await exchange.head(), exchange.chunks(), call.stream)
+        finally:
+            await exchange.close()
+
+    async def _serve(self, call: Call) -> None:
+        reply = self.front.flow.open(call)
+        self._reply = reply
+        reply.readers += 1
+        try:
+            head = await reply.head()
+            await self._pass_on(head, reply.read(call.after_event), call.stream)
+        finally:
+            self._leave()
+
+    async def _pass_on(
+        self, head: Head, chunks: AsyncIterator[bytes], stream: bool
+    ) -> None:
+        held = b""
+        last_s: float | None = None
+        async for chunk in chunks:
+            if not stream:
+                held += chunk
+                continue
+            if not self._headers_written:
+                self._set_head(head)
+            self.write(chunk)
+            await self.flush()
+            now_s = self.front.clock()
+            if last_s is not None:
+                self.front.metrics.record_gap(now_s - last_s)
+            last_s = now_s
+        if not self._headers_written:
+            self._set_head(head)
+        self.finish(held or None)
+
+    def _set_head(self, head: Head) -> None:
+        self.set_status(head.status)
+        for name, value in head.headers.items():
+            if name not in NOT_PASSED_BACK:
+                self.set_header(name, value)
+
+    def _leave(self) -> None:
+        reply, self._reply = self._reply, None
+        if reply is not None:
+            reply.leave()
+
+    def on_connection_close(self) -> None:
+        """Let the run and the home know that the caller is gone."""
+        self._leave()
+        if self._exchange is not None:
+            self._exchange.cancel()
+
+
+class _QueryHandler(_Handler):
+    def prepare(self) -> None:
+        return None
+
+
+class HealthHandler(_QueryHandler):
+    """Tells that the process runs."""
+
+    def get(self) -> None:
+        """Answer at once."""
+        self.finish({"health": "ok"})
+
+
+class ReadinessHandler(_QueryHandler):
+    """Tells whether the balancer may send new work."""
+
+    def get(self) -> None:
+        """Answer 503 while leaving or without any contract."""
+        ready = not self.front.is_leaving() and bool(self.front.list_contracts())
+        self.set_status(200 if ready else 503)
+        self.finish({"ready": ready})
+
+
+class MetricsHandler(_QueryHandler):
+    """Metrics as text."""
+
+    def get(self) -> None:
+        """Answer with all metrics."""
+        self.set_header("Content-Type", "text/plain; version=0.0.4")
+        self.finish(self.front.metrics.format_text())
+
+
+class StatusHandler(_QueryHandler):
+    """Status of this router, for queries."""
+
+    def get(self) -> None:
+        """Answer with configuration, members, endpoints and work in flight."""
+        self.finish(self.front.describe())
+
+
+class ExplainHandler(_QueryHandler):
+    """Where a chat would go, for queries."""
+
+    def get(self) -> None:
+        """Answer with home and endpoint of ``team``, ``chat`` and ``model``."""
+        arguments = [self.get_argument(n, "") for n in ("team", "chat", "model")]
+        self.finish(self.front.explain(*arguments))
+
+
+def make_front(front: Front) -> Application:
+    """Return the callers' side as a tornado application."""
+    bound = {"front": front}
+    return Application(
+        [
+            (r"/v1/chat/completions", CallHandler, bound),
+            (r"/services/.+", CallHandler, bound),
+            (r"/healthz", HealthHandler, bound),
+            (r"/readyz", ReadinessHandler, bound),
+            (r"/metrics", MetricsHandler, bound),
+            (r"/v1/status", StatusHandler, bound),
+            (r"/v1/explain", ExplainHandler, bound),
+        ],
+        default_handler_class=_Handler,
+        default_handler_args=bound,
+        log_function=lambda handler: None,
+    )
+
+
+async def wait_closed(front: Front) -> None:
+    """Return when no call is in flight at this router."""
+    await front.flow.drain()
+    await asyncio.sleep(0)
--- /dev/null
+++ b/src/tamarackrill/router/daemon.py
@@ -0,0 +1,56 @@
+"""``tamarackrilld``: reads the settings and runs one router until SIGTERM."""
+
+import asyncio
+import os
+import signal
+import sys
+from collections.abc import Sequence
+
+from absl import logging
+
+from tamarackrill import events
+from tamarackrill.exceptions import TamarackrillError
+from tamarackrill.router.app import RouterApplication
+from tamarackrill.settings import Settings, load_settings
+
+
+async def run_router(settings: Settings) -> None:
+    """Run one router until SIGTERM or SIGINT, then drain and stop it."""
+    told_to_stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, told_to_stop.set)
+    application = RouterApplication(settings)
+    await application.start()
+    try:
+        await told_to_stop.wait()
+        await application.drain()
+    finally:
+        await application.stop()
+
+
+def set_up_logs(log_format: str) -> None:
+    """Send events of every level to standard error in the given form."""
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    logging.set_stderrthreshold(logging.INFO)
+    if log_format == "json":
+        events.use_formatter(events.format_json)
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the daemon and return its exit code."""
+    try:
+        settings = load_settings(
+            sys.argv[1:] if arguments is None else arguments, os.environ
+        )
+    except TamarackrillError as error:
+        print(error.show(), file=sys.stderr)
+        return error.exit_code
+    set_up_logs(settings.log_format)
+    asyncio.run(run_router(settings))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/tamarackrill/router/flow.py
@@ -0,0 +1,196 @@
+"""The way of a call through its home router.
+
+Order within the chat, claim, admission, placement, attempts, in that order: a
+call waits for its turn before it takes a place in a queue, and a claim is made
+before any byte can reach an endpoint.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from tamarackrill.contracts import Endpoint
+from tamarackrill.events import REQUEST_REFUSED, REQUEST_ROUTED, log_event
+from tamarackrill.exceptions import Refusal, RunState
+from tamarackrill.router.admitting import Admitter
+from tamarackrill.router.attempts import Attempt, attempt_call
+from tamarackrill.router.calls import Call
+from tamarackrill.router.chats import Chats
+from tamarackrill.router.claiming import Claimer
+from tamarackrill.router.metrics import Metrics
+from tamarackrill.router.placing import Placed, Placer
+from tamarackrill.router.replies import Reply
+from tamarackrill.router.upstream import CurlAsyncHTTPClient
+
+ATTEMPTS_MAX = 3
+
+
+class Flow:
+    """Runs calls; owns one task for each run.
+
+    Parameters
+    ----------
+    client : CurlAsyncHTTPClient
+        For calls to endpoints; not owned.
+    chats, claimer, admitter, placer, metrics
+        The parts that decide.
+    clock : callable
+        Returns the present time.
+    """
+
+    def __init__(
+        self,
+        client: CurlAsyncHTTPClient,
+        chats: Chats,
+        claimer: Claimer,
+        admitter: Admitter,
+        placer: Placer,
+        metrics: Metrics,
+        clock: Callable[[], float],
+    ) -> None:
+        self._client = client
+        self._chats = chats
+        self._claimer = claimer
+        self._admitter = admitter
+        self._placer = placer
+        self._metrics = metrics
+        self._clock = clock
+        self._runs: set[asyncio.Task[None]] = set()
+
+    @property
+    def running(self) -> int:
+        """Number of runs that have not ended."""
+        return len(self._runs)
+
+    def open(self, call: Call) -> Reply:
+        """Return the reply to a call; starts a run unless there is one already.
+
+        Raises
+        ------
+        Refusal
+            If the call can't be joined to what is known of its key or chat.
+        """
+        known = self._chats.find(call, self._clock())
+        if known is not None:
+            return known
+        reply = Reply(keep=bool(call.key))
+        self._chats.register(call, reply, self._clock())
+        task = asyncio.create_task(self._run(call, reply))
+        self._runs.add(task)
+        task.add_done_callback(self._runs.discard)
+        return reply
+
+    async def drain(self) -> None:
+        """Return when every run has ended."""
+        while self._runs:
+            await asyncio.wait(self._runs)
+
+    async def _run(self, call: Call, reply: Reply) -> None:
+        try:
+            await self._chats.wait_turn(call, self._clock())
+            await self._claimer.claim(call, self._clock())
+            await self._serve(call, reply)
+        except Refusal as refusal:
+            self._refuse(call, reply, refusal)
+        except Exception as error:  # noqa: BLE001
+            # A fault of our own must still end the reply: the caller would wait
+            # for ever, and the chat's later requests behind it.
+            message = f"internal error: {type(error).__name__}"
+            self._refuse(call, reply, Refusal("internal", 500, message, "unknown"))
+            raise
+        finally:
+            self._chats.close(call, reply, self._clock())
+            await self._claimer.settle(call, reply.is_whole, self._clock())
+
+    def _refuse(self, call: Call, reply: Reply, refusal: Refusal) -> None:
+        self._metrics.count_refusal(refusal.code)
+        log_event(
+            REQUEST_REFUSED,
+            team=call.team,
+            chat=call.chat,
+            code=refusal.code,
+            run=refusal.run,
+            retry_after_s=refusal.retry_after_s,
+        )
+        reply.fail(refusal)
+
+    async def _serve(self, call: Call, reply: Reply) -> None:
+        avoid: list[str] = []
+        sent = False
+        for number in range(ATTEMPTS_MAX):
+            is_last = number == ATTEMPTS_MAX - 1
+            attempt = await self._admit_and_attempt(call, reply, avoid, is_last, sent)
+            sent = sent or attempt.outcome != "not_sent"
+            if attempt.outcome == "answered":
+                reply.finish()
+                return
+            if attempt.outcome == "cancelled":
+                raise Refusal("cancelled", 499, "the caller went away", "unknown")
+            if sent and not call.idempotent:
+                message = "the endpoint did not answer; the call may have run"
+                raise Refusal("endpoint_lost", 502, message, "unknown")
+            if reply.count and not call.stream:
+                break
+        message = "no endpoint gave a whole answer"
+        raise Refusal("endpoint_lost", 502, message, "unknown" if sent else "not_run")
+
+    async def _admit_and_attempt(
+        self, call: Call, reply: Reply, avoid: list[str], is_last: bool, sent: bool
+    ) -> Attempt:
+        arrived_s = self._clock()
+        await self._admitter.enter(call, arrived_s)
+        attempt = Attempt("not_sent")
+        try:
+            placed = self._place(call, avoid, self._clock() - arrived_s, sent)
+            attempt = await self._attempt(call, reply, placed, is_last)
+            if attempt.outcome != "cut" or not reply.count:
+                avoid.append(placed.endpoint.name)
+            return attempt
+        finally:
+            self._admitter.leave(call, attempt.chunks, self._clock())
+
+    def _place(self, call: Call, avoid: list[str], wait_s: float, sent: bool) -> Placed:
+        now_s = self._clock()
+        # A router that was frozen while the call waited wakes up with an old
+        # decision.  The caller has given up by then and may have asked elsewhere.
+        run: RunState = "unknown" if sent else "not_run"
+        if now_s >= call.deadline_s:
+            raise Refusal("too_late", 504, "the deadline has passed", run)
+        placed = self._placer.choose(call, avoid, now_s)
+        if placed is None:
+            raise Refusal("no_endpoint", 503, "no endpoint can take the call", run)
+        self._metrics.record_wait(call.kind, wait_s)
+        log_event(
+            REQUEST_ROUTED,
+            team=call.team,
+            chat=call.chat,
+            endpoint=placed.endpoint.name,
+            runners_up=placed.runners_up,
+            reason=placed.reason,
+            wait_s=wait_s,
+        )
+        return placed
+
+    async def _attempt(
+        self, call: Call, reply: Reply, placed: Placed, is_last: bool
+    ) -> Attempt:
+        endpoint: Endpoint = placed.endpoint
+        self._claimer.check(call, self._clock())
+        self._placer.start(call, endpoint, self._clock())
+        attempt = Attempt("cut")
+        try:
+            attempt = await attempt_call(
+                self._client,
+                call,
+                endpoint,
+                reply,
+                reply.count,
+                is_last or not call.idempotent,
+                self._clock,
+            )
+            if attempt.first_byte_s is not None:
+                self._metrics.record_first_byte(call.kind, attempt.first_byte_s)
+        finally:
+            self._placer.finish(
+                call, endpoint, attempt.outcome, attempt.first_byte_s, self._clock()
+            )
+        return attempt
--- /dev/null
+++ b/src/tamarackrill/router/forwarding.py
@@ -0,0 +1,89 @@
+"""Hands a call to the home router of its chat, over HTTP.
+
+The body of a call is data and may be long or streamed, so it goes as a caller's
+request does; only control messages go in Thrift (docs/design/home.md).
+"""
+
+import hashlib
+import hmac
+from collections.abc import Mapping
+
+from tamarackrill.router.calls import CHAT_PATH, SERVICES_PATH, Call
+from tamarackrill.router.members import Member
+from tamarackrill.router.upstream import CurlAsyncHTTPClient, Exchange
+
+FORWARDED = "Tamarackrill-Forwarded"
+SIGNATURE = "Tamarackrill-Signature"
+
+
+def sign_forward(peer_key: str, request_id: str, fingerprint: str) -> str:
+    """Return the keyed digest that proves that a router forwarded a call."""
+    message = f"{request_id}\n{fingerprint}".encode()
+    return hmac.new(peer_key.encode(), message, hashlib.sha256).hexdigest()
+
+
+def find_forwarded_id(
+    headers: Mapping[str, str], fingerprint: str, peer_keys: tuple[str, ...]
+) -> str:
+    """Return the identity of a forwarded call, or empty if it was not forwarded.
+
+    A caller could set the header itself.  Without the digest it could choose the
+    identity of another team's call and be handed that call's stream.
+    """
+    request_id = headers.get(FORWARDED, "")
+    given = headers.get(SIGNATURE, "")
+    for peer_key in peer_keys:
+        wanted = sign_forward(peer_key, request_id, fingerprint)
+        if request_id and hmac.compare_digest(given.encode(), wanted.encode()):
+            return request_id
+    return ""
+
+
+def forward_call(
+    client: CurlAsyncHTTPClient,
+    call: Call,
+    home: Member,
+    authorization: str,
+    peer_key: str,
+    now_s: float,
+) -> Exchange:
+    """Send a call to its home and return the exchange.
+
+    Parameters
+    ----------
+    client : CurlAsyncHTTPClient
+        Not owned.
+    call : Call
+        The call.
+    home : Member
+        Where it goes.
+    authorization : str
+        The caller's own header; the home checks it again.
+    peer_key : str
+        First key shared by the routers.
+    now_s : float
+        Present time.
+
+    Returns
+    -------
+    Exchange
+    """
+    remaining_s = max(0.001, call.deadline_s - now_s)
+    headers = {
+        **call.headers,
+        "Authorization": authorization,
+        "Request-Timeout-Ms": str(max(1, round(remaining_s * 1000))),
+        FORWARDED: call.request_id,
+        SIGNATURE: sign_forward(peer_key, call.request_id, call.fingerprint),
+    }
+    if call.sequence is not None:
+        headers["Chat-Sequence"] = str(call.sequence)
+    if call.after_event:
+        headers["Last-Event-ID"] = str(call.after_event)
+    path = call.path
+    if not path.startswith(CHAT_PATH):
+        path = f"{SERVICES_PATH}{call.pool}{call.path}"
+    url = f"http://{home.address}{path}"
+    return Exchange(
+        client, call.method, url, headers, call.body, remaining_s, call.idempotent
+    )
--- /dev/null
+++ b/src/tamarackrill/router/members.py
@@ -0,0 +1,41 @@
+"""The routers that this router believes to be live."""
+
+from typing import NamedTuple
+
+
+class Member(NamedTuple):
+    """One router of the fleet."""
+
+    name: str
+    address: str
+    zone: str
+    state: str = "alive"
+
+
+class Members:
+    """Live routers; this one is always among them.
+
+    Parameters
+    ----------
+    own : Member
+        This router.
+    """
+
+    def __init__(self, own: Member) -> None:
+        self.own = own
+        self._others: dict[str, Member] = {}
+
+    def replace(self, members: list[Member]) -> None:
+        """Take a new list of members."""
+        self._others = {m.name: m for m in members if m.name != self.own.name}
+
+    def list_live(self) -> list[Member]:
+        """Return the routers that may be the home of a chat, by name."""
+        live = [m for m in self._others.values() if m.state == "alive"]
+        if self.own.state == "alive":
+            live.append(self.own)
+        return sorted(live)
+
+    def list_all(self) -> list[Member]:
+        """Return all known routers, by name."""
+        return sorted([self.own, *self._others.values()])
--- /dev/null
+++ b/src/tamarackrill/router/metrics.py
@@ -0,0 +1,61 @@
+"""Counters and hdrhistogram quantiles of one router, as text for scraping."""
+
+from collections import Counter, defaultdict
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_US = 1
+HIGHEST_US = 600_000_000
+SIGNIFICANT_DIGITS = 2
+QUANTILES = (50.0, 95.0, 99.0)
+
+
+def _make_histogram() -> HdrHistogram:
+    return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+
+
+class Metrics:
+    """What one router has counted and timed."""
+
+    def __init__(self) -> None:
+        self._counters: Counter[tuple[str, str]] = Counter()
+        self._times: dict[tuple[str, str], HdrHistogram] = defaultdict(_make_histogram)
+
+    def count_refusal(self, code: str) -> None:
+        """Count a refusal by its code."""
+        self._counters["refusals", code] += 1
+
+    def count(self, name: str, label: str = "") -> None:
+        """Count an event of some other sort."""
+        self._counters[name, label] += 1
+
+    def record_wait(self, kind: str, wait_s: float) -> None:
+        """Record how long a call waited for an endpoint."""
+        self._record("wait", kind, wait_s)
+
+    def record_first_byte(self, kind: str, first_byte_s: float) -> None:
+        """Record the time from sending to the first byte of the answer."""
+        self._record("first_byte", kind, first_byte_s)
+
+    def record_gap(self, gap_s: float) -> None:
+        """Record the time between two events of a stream, as the caller gets them."""
+        self._record("token_gap", "engine", gap_s)
+
+    def _record(self, name: str, label: str, duration_s: float) -> None:
+        value_us = min(HIGHEST_US, max(LOWEST_US, round(duration_s * 1e6)))
+        self._times[name, label].record_value(value_us)
+
+    def format_text(self) -> str:
+        """Return all metrics in the text form that scrapers read."""
+        lines = []
+        for (name, label), value in sorted(self._counters.items()):
+            lines.append(f'tamarackrill_{name}_total{{label="{label}"}} {value}')
+        for (name, label), histogram in sorted(self._times.items()):
+            metric = f"tamarackrill_{name}_seconds"
+            for quantile in QUANTILES:
+                value_s = histogram.get_value_at_percentile(quantile) / 1e6
+                labels = f'label="{label}",quantile="{quantile / 100}"'
+                lines.append(f"{metric}{{{labels}}} {value_s:.6f}")
+            count = histogram.get_total_count()
+            lines.append(f'{metric}_count{{label="{label}"}} {count}')
+        return "\n".join(lines) + "\n"
--- /dev/null
+++ b/src/tamarackrill/router/upstream.py
@@ -0,0 +1,252 @@
+"""Calls to endpoints and to other routers, through tornado's curl client.
+
+An `Exchange` is one call: it hands the answer on piece by piece, holds a fast
+endpoint back for a slow reader, can be cancelled at once, and tells whether any
+byte of the request can have left.
+"""
+
+import asyncio
+import collections
+import os
+import socket
+from collections.abc import AsyncIterator, Mapping
+from typing import Any, NamedTuple
+
+import pycurl
+from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
+from tornado.httpclient import HTTPRequest
+
+# Unread bytes of one answer at which libcurl is told to stop reading its socket.
+# Two reads of libcurl's default buffer of 16 KiB keep the pipe full.
+UNREAD_MAX_BYTES = 32 * 1024
+CONNECT_TIMEOUT_S = 1.0
+# A handle costs about 5 kB; 370 nodes at 6,500 requests/s have some 200 in use.
+CLIENTS_MAX = 1000
+
+
+class UpstreamFailed(Exception):
+    """An exchange ended without a whole answer.
+
+    Parameters
+    ----------
+    reason : str
+        What libcurl said.
+    sent : bool
+        False only if no byte of the request can have reached the other side.
+    """
+
+    def __init__(self, reason: str, sent: bool) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.sent = sent
+
+
+class Head(NamedTuple):
+    """Status and headers of an answer."""
+
+    status: int
+    headers: dict[str, str]
+
+
+class Exchange:
+    """One call and its answer, as it comes in.
+
+    Parameters
+    ----------
+    client : CurlAsyncHTTPClient
+        Not owned.
+    method, url : str
+        The call.
+    headers : mapping of str to str
+        Headers of the call.
+    body : bytes
+        Body of the call.
+    timeout_s : float
+        The exchange fails if it is not over by then.
+    repeatable : bool
+        Whether the call may reach the other side twice.
+    """
+
+    def __init__(
+        self,
+        client: CurlAsyncHTTPClient,
+        method: str,
+        url: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        timeout_s: float,
+        repeatable: bool,
+    ) -> None:
+        self._chunks: collections.deque[bytes] = collections.deque()
+        self._unread_bytes = 0
+        self._paused = False
+        self._cancelled = False
+        self._over = False
+        self._error: UpstreamFailed | None = None
+        self._changed = asyncio.Event()
+        self._head: asyncio.Future[Head] = asyncio.get_running_loop().create_future()
+        self._status = 0
+        self._header_lines: dict[str, str] = {}
+        self._curl: Any = None
+        self._client = client
+        self._repeatable = repeatable
+        request = HTTPRequest(
+            url,
+            method,
+            headers=dict(headers),
+            body=body if body or method in ("POST", "PUT", "PATCH") else None,
+            connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
+            request_timeout=timeout_s,
+            prepare_curl_callback=self._prepare,
+            follow_redirects=False,
+            allow_nonstandard_methods=True,
+            decompress_response=False,
+        )
+        self._task = asyncio.ensure_future(self._fetch(request))
+
+    async def head(self) -> Head:
+        """Return status and headers as soon as they are there.
+
+        Raises
+        ------
+        UpstreamFailed
+            If the exchange ended before.
+        """
+        return await self._head
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body piece by piece.
+
+        Raises
+        ------
+        UpstreamFailed
+            If the answer was cut; what was yielded is then not the whole answer.
+        """
+        while True:
+            while self._chunks:
+                chunk = self._chunks.popleft()
+                self._unread_bytes -= len(chunk)
+                yield chunk
+            self._resume()
+            if self._chunks:
+                continue
+            if self._over:
+                break
+            self._changed.clear()
+            await self._changed.wait()
+        if self._error is not None:
+            raise self._error
+
+    def cancel(self) -> None:
+        """Close the connection now; the endpoint sees that its reader is gone."""
+        self._cancelled = True
+        if self._over or self._curl is None:
+            return
+        # libcurl asks whether to go on only when something arrives or once a
+        # second.  A shut socket makes it look at once, so that an engine does not
+        # go on generating for a caller who has left.
+        fd = self._curl.getinfo(pycurl.ACTIVESOCKET)
+        if fd >= 0:
+            with socket.socket(fileno=os.dup(fd)) as active:
+                _shut(active)
+
+    async def close(self) -> None:
+        """Cancel if still running, and wait until the connection is let go."""
+        if not self._over:
+            self.cancel()
+        await asyncio.wait([self._task])
+
+    def _prepare(self, curl: Any) -> None:
+        self._curl = curl
+        # tornado hands header lines on at a later turn of its loop, so that the
+        # first bytes of the body could overtake them.
+        curl.setopt(pycurl.HEADERFUNCTION, self._take_header_line)
+        curl.setopt(pycurl.WRITEFUNCTION, self._write)
+        curl.setopt(pycurl.XFERINFOFUNCTION, self._go_on)
+        curl.setopt(pycurl.NOPROGRESS, 0)
+        # libcurl by itself sends a request a second time when a reused connection
+        # closes before any byte of the answer: the other side then counts two
+        # arrivals for one call.  It does not on a connection made for the call.
+        fresh = 0 if self._repeatable else 1
+        curl.setopt(pycurl.FRESH_CONNECT, fresh)
+        curl.setopt(pycurl.FORBID_REUSE, fresh)
+
+    def _go_on(self, *progress: int) -> int:
+        return 1 if self._cancelled else 0
+
+    def _write(self, chunk: bytes) -> int:
+        if self._cancelled:
+            return 0
+        self._set_head()
+        # An engine can be faster than its caller.  Without a bound the router
+        # would hold whole answers for each slow caller and run out of memory.
+        if self._unread_bytes >= UNREAD_MAX_BYTES:
+            self._paused = True
+            return int(pycurl.WRITEFUNC_PAUSE)
+        self._chunks.append(chunk)
+        self._unread_bytes += len(chunk)
+        self._changed.set()
+        return len(chunk)
+
+    def _resume(self) -> None:
+        if self._paused and not self._over and self._curl is not None:
+            self._paused = False
+            self._curl.pause(pycurl.PAUSE_CONT)
+
+    def _take_header_line(self, raw: bytes) -> None:
+        line = raw.decode("latin-1").strip()
+        if line.startswith("HTTP/"):
+            self._status = int(line.split()[1])
+            self._header_lines = {}
+        elif ":" in line:
+            name, _, value = line.partition(":")
+            self._header_lines[name.strip().title()] = value.strip()
+        elif not line and self._status >= 200:
+            self._set_head()
+
+    def _set_head(self) -> None:
+        if not self._head.done():
+            self._head.set_result(Head(self._status, dict(self._header_lines)))
+
+    async def _fetch(self, request: HTTPRequest) -> None:
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+            self._error = _read_error(response.error)
+        except Exception as error:  # noqa: BLE001 - an answer must end, come what may
+            self._error = UpstreamFailed(repr(error), sent=True)
+        self._over = True
+        self._curl = None
+        if self._error is not None and not self._head.done():
+            self._head.set_exception(self._error)
+            self._head.exception()
+        elif not self._head.done():
+            self._set_head()
+        self._changed.set()
+
+
+# Errors of libcurl that come before any byte of the request can have left.
+_NOTHING_SENT = (
+    pycurl.E_URL_MALFORMAT,
+    pycurl.E_COULDNT_RESOLVE_HOST,
+    pycurl.E_COULDNT_CONNECT,
+)
+
+
+def _read_error(error: BaseException | None) -> UpstreamFailed | None:
+    if not isinstance(error, CurlError):
+        return None
+    return UpstreamFailed(str(error), sent=error.errno not in _NOTHING_SENT)
+
+
+def _shut(active: socket.socket) -> None:
+    try:
+        active.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        return
+
+
+def make_client() -> CurlAsyncHTTPClient:
+    """Return a client of its own for exchanges; the caller closes it."""
+    return CurlAsyncHTTPClient(
+        force_instance=True, max_clients=CLIENTS_MAX, max_body_size=1 << 40
+    )
--- /dev/null
+++ b/src/tamarackrill/testing/engine.py
@@ -0,0 +1,310 @@
+"""Stand-in for a model engine.
+
+It batches continuously (one token of each running request a step), caches prompt
+prefixes of chats in limited memory, honours priority, resumes and cancels streams,
+publishes cache events late and with gaps, reports its load with a lag and takes
+orders with a fencing number.
+
+====== ========================== ===========================================
+POST   /v1/chat/completions       whole or ``stream``; ``Request-Id``,
+                                  ``Priority``, ``Chat-Id``, ``Last-Event-ID``
+POST   /v1/cancel/<request id>    stops a request
+GET    /v1/load                   running, waiting and the time of the report
+GET    /v1/cache_events           ``since``; late and with gaps
+POST   /v1/orders                 an order with its fencing number
+GET    /admin/state               arrivals, cancelled, orders, cached chats
+PUT    /admin/faults              replaces `EngineFaults`, field by field
+====== ========================== ===========================================
+"""
+
+import asyncio
+import json
+from collections import Counter, OrderedDict
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from tornado.iostream import StreamClosedError
+from tornado.web import Application, HTTPError, RequestHandler
+
+CRASH_WORD = "crash-the-engine"
+STREAMS_KEPT = 1000
+
+
+class EngineFaults(NamedTuple):
+    """What goes wrong at the stand-in.
+
+    Parameters
+    ----------
+    hold : bool
+        Requests arrive and wait until the fault is lifted.
+    status : int
+        If not 0, every request is answered with this status.
+    cut_after_tokens : int
+        If not 0, the connection closes after so many tokens of an answer.
+    extra_step_s : float
+        Added to every step.
+    ignore_fencing : bool
+        Orders with an old fencing number are taken too.
+    """
+
+    hold: bool = False
+    status: int = 0
+    cut_after_tokens: int = 0
+    extra_step_s: float = 0.0
+    ignore_fencing: bool = False
+
+
+class Stream(NamedTuple):
+    """Tokens of one request, and whether it is over."""
+
+    tokens: list[str]
+    finished: asyncio.Event
+    cancelled: asyncio.Event
+
+
+class EngineState:
+    """Batch, prefix cache, streams, orders and faults of one engine.
+
+    Parameters
+    ----------
+    name : str
+        Name of the endpoint.
+    slots : int
+        Requests in one batch; more wait.
+    step_s, prefill_token_s : float
+        Time of one step, and of one uncached prompt token.
+    cache_chats : int
+        Chats whose prefix fits into memory.
+    crash : callable
+        Called when a request contains `CRASH_WORD`.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        slots: int = 8,
+        step_s: float = 0.001,
+        prefill_token_s: float = 0.0,
+        cache_chats: int = 100,
+        crash: Callable[[], None] = lambda: None,
+    ) -> None:
+        self.name = name
+        self.step_s = step_s
+        self.prefill_token_s = prefill_token_s
+        self.cache_chats = cache_chats
+        self.crash = crash
+        self.batch = asyncio.Semaphore(slots)
+        self.running = 0
+        self.cache: OrderedDict[str, int] = OrderedDict()
+        self.cache_events: list[dict[str, Any]] = []
+        self.streams: OrderedDict[str, Stream] = OrderedDict()
+        self.arrivals: Counter[str] = Counter()
+        self.cancelled: list[str] = []
+        self.orders: list[dict[str, Any]] = []
+        self.fence = 0
+        self.faults = EngineFaults()
+        self.faults_changed = asyncio.Condition()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def find_stream(self, request_id: str, body: dict[str, Any], chat: str) -> Stream:
+        """Return the stream of a request; starts it if there is none."""
+        stream = self.streams.get(request_id)
+        if stream is None:
+            stream = Stream([], asyncio.Event(), asyncio.Event())
+            self.streams[request_id] = stream
+            while len(self.streams) > STREAMS_KEPT:
+                self.streams.popitem(last=False)
+            task = asyncio.create_task(self._generate(stream, body, chat))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        return stream
+
+    async def _generate(self, stream: Stream, body: dict[str, Any], chat: str) -> None:
+        async with self.batch:
+            self.running += 1
+            try:
+                await self._prefill(body, chat)
+                words = _answer_words(body)
+                for word in words:
+                    if stream.cancelled.is_set():
+                        break
+                    await asyncio.sleep(self.step_s + self.faults.extra_step_s)
+                    stream.tokens.append(word)
+            finally:
+                self.running -= 1
+                stream.finished.set()
+
+    async def _prefill(self, body: dict[str, Any], chat: str) -> None:
+        length = sum(len(str(m["content"]).split()) for m in body["messages"])
+        cached = self.cache.pop(chat, 0) if chat else 0
+        if chat:
+            self._remember(chat, length)
+        uncached = max(0, length - cached)
+        if self.prefill_token_s:
+            await asyncio.sleep(uncached * self.prefill_token_s)
+
+    def _remember(self, chat: str, length: int) -> None:
+        self.cache[chat] = length
+        self._publish("stored", chat)
+        while len(self.cache) > self.cache_chats:
+            evicted, _ = self.cache.popitem(last=False)
+            self._publish("evicted", evicted)
+
+    def _publish(self, what: str, chat: str) -> None:
+        number = len(self.cache_events) + 1
+        self.cache_events.append({"number": number, "event": what, "chat": chat})
+
+    def take_order(self, order: dict[str, Any]) -> bool:
+        """Take an order unless its fencing number is old."""
+        if order["fence"] < self.fence and not self.faults.ignore_fencing:
+            return False
+        self.fence = max(self.fence, order["fence"])
+        self.orders.append(order)
+        return True
+
+    def describe(self) -> dict[str, Any]:
+        """Return what the tests look at."""
+        return {
+            "arrivals": dict(self.arrivals),
+            "cancelled": self.cancelled,
+            "cached": list(self.cache),
+            "orders": self.orders,
+            "running": self.running,
+        }
+
+
+def _answer_words(body: dict[str, Any]) -> list[str]:
+    prompt = str(body["messages"][-1]["content"]).split() or ["nothing"]
+    count = int(body.get("max_tokens", 16))
+    return [prompt[i % len(prompt)] for i in range(count)]
+
+
+class _Handler(RequestHandler):
+    def initialize(self, state: EngineState) -> None:
+        self.state = state
+
+
+class _ChatHandler(_Handler):
+    async def post(self) -> None:
+        body = json.loads(self.request.body)
+        request_id = self.request.headers.get("Request-Id", str(id(self)))
+        self.state.arrivals[request_id] += 1
+        async with self.state.faults_changed:
+            await self.state.faults_changed.wait_for(lambda: not self.state.faults.hold)
+        if self.state.faults.status:
+            raise HTTPError(self.state.faults.status)
+        if CRASH_WORD in str(body["messages"][-1]["content"]):
+            self.state.crash()
+            self._cut()
+            return
+        chat = self.request.headers.get("Chat-Id", "")
+        self._request_id = request_id
+        stream = self.state.find_stream(request_id, body, chat)
+        try:
+            if body.get("stream"):
+                await self._send_stream(stream)
+            else:
+                await self._send_whole(stream, body)
+        except StreamClosedError:
+            stream.cancelled.set()
+            self.state.cancelled.append(request_id)
+
+    def _cut(self) -> None:
+        connection = self.request.connection
+        assert connection is not None
+        connection.detach().close()
+
+    async def _send_whole(self, stream: Stream, body: dict[str, Any]) -> None:
+        await stream.finished.wait()
+        message = {"role": "assistant", "content": " ".join(stream.tokens)}
+        choice = {"index": 0, "message": message, "finish_reason": "stop"}
+        usage = {"completion_tokens": len(stream.tokens)}
+        answer = {"model": body["model"], "choices": [choice], "usage": usage}
+        text = json.dumps(answer).encode()
+        if self.state.faults.cut_after_tokens:
+            self.set_header("Content-Length", len(text))
+            self.write(text[: len(text) // 2])
+            await self.flush()
+            self._cut()
+            return
+        self.set_header("Content-Type", "application/json")
+        self.finish(text)
+
+    async def _send_stream(self, stream: Stream) -> None:
+        self.set_header("Content-Type", "text/event-stream")
+        sent = int(self.request.headers.get("Last-Event-ID", "0"))
+        limit = self.state.faults.cut_after_tokens
+        while not (stream.finished.is_set() and sent >= len(stream.tokens)):
+            if sent >= len(stream.tokens):
+                await asyncio.sleep(self.state.step_s)
+                continue
+            delta = {"content": stream.tokens[sent] + " "}
+            data = json.dumps({"choices": [{"index": 0, "delta": delta}]})
+            sent += 1
+            self.write(f"id: {sent}\ndata: {data}\n\n")
+            await self.flush()
+            if limit and sent >= limit:
+                self._cut()
+                return
+        self.write("data: [DONE]\n\n")
+
+    def on_connection_close(self) -> None:
+        request_id = getattr(self, "_request_id", "")
+        stream = self.state.streams.get(request_id)
+        if stream and not stream.finished.is_set():
+            stream.cancelled.set()
+            self.state.cancelled.append(request_id)
+
+
+class _CancelHandler(_Handler):
+    def post(self, request_id: str) -> None:
+        stream = self.state.streams.get(request_id)
+        if stream is not None:
+            stream.cancelled.set()
+            self.state.cancelled.append(request_id)
+        self.finish({"cancelled": stream is not None})
+
+
+class _LoadHandler(_Handler):
+    def get(self) -> None:
+        self.finish({"running": self.state.running})
+
+
+class _CacheEventsHandler(_Handler):
+    def get(self) -> None:
+        since = int(self.get_argument("since", "0"))
+        self.finish({"events": self.state.cache_events[since:]})
+
+
+class _OrderHandler(_Handler):
+    def post(self) -> None:
+        taken = self.state.take_order(json.loads(self.request.body))
+        self.set_status(200 if taken else 409)
+        self.finish({"taken": taken, "fence": self.state.fence})
+
+
+class _AdminHandler(_Handler):
+    def get(self, what: str) -> None:
+        self.finish(self.state.describe())
+
+    async def put(self, what: str) -> None:
+        self.state.faults = EngineFaults(**json.loads(self.request.body))
+        async with self.state.faults_changed:
+            self.state.faults_changed.notify_all()
+        self.finish({})
+
+
+def make_engine(state: EngineState) -> Application:
+    """Return the stand-in as a tornado application."""
+    bound = {"state": state}
+    return Application(
+        [
+            (r"/v1/chat/completions", _ChatHandler, bound),
+            (r"/v1/cancel/(.+)", _CancelHandler, bound),
+            (r"/v1/load", _LoadHandler, bound),
+            (r"/v1/cache_events", _CacheEventsHandler, bound),
+            (r"/v1/orders", _OrderHandler, bound),
+            (r"/admin/(state|faults)", _AdminHandler, bound),
+        ],
+        log_function=lambda handler: None,
+    )
--- /dev/null
+++ b/src/tamarackrill/testing/service.py
@@ -0,0 +1,111 @@
+"""Stand-in for one worker of a plain service.
+
+It answers any path with what it was asked, and counts what arrived by
+``Idempotency-Key``, so that a test can tell whether a call ran more than once.
+
+====== ================ =====================================================
+any    /<path>          answers the method, path and key as JSON
+GET    /admin/state     arrivals by key, and in all
+PUT    /admin/faults    replaces `ServiceFaults`, field by field
+====== ================ =====================================================
+"""
+
+import asyncio
+import json
+from collections import Counter
+from typing import NamedTuple
+
+from tornado.web import Application, HTTPError, RequestHandler
+
+
+class ServiceFaults(NamedTuple):
+    """What goes wrong at the stand-in.
+
+    Parameters
+    ----------
+    hold : bool
+        Calls arrive, are counted, and wait until the fault is lifted.
+    close : int
+        So many of the next calls are counted and their connection closed
+        before any byte of an answer.
+    status : int
+        If not 0, every call is counted and answered with this status.
+    delay_s : float
+        Every call takes so long.
+    """
+
+    hold: bool = False
+    close: int = 0
+    status: int = 0
+    delay_s: float = 0.0
+
+
+class ServiceState:
+    """Arrivals and faults of one worker."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.arrivals: Counter[str] = Counter()
+        self.total = 0
+        self.faults = ServiceFaults()
+        self.faults_changed = asyncio.Condition()
+
+
+class _CallHandler(RequestHandler):
+    def initialize(self, state: ServiceState) -> None:
+        self.state = state
+
+    async def prepare(self) -> None:
+        state = self.state
+        key = self.request.headers.get("Idempotency-Key", "")
+        state.arrivals[key] += 1
+        state.total += 1
+        async with state.faults_changed:
+            await state.faults_changed.wait_for(lambda: not state.faults.hold)
+        if state.faults.delay_s:
+            await asyncio.sleep(state.faults.delay_s)
+        if state.faults.close:
+            state.faults = state.faults._replace(close=state.faults.close - 1)
+            connection = self.request.connection
+            assert connection is not None
+            connection.detach().close()
+            self._finished = True
+            return
+        if state.faults.status:
+            raise HTTPError(state.faults.status)
+        self.finish(
+            {
+                "worker": state.name,
+                "method": self.request.method,
+                "path": self.request.path,
+                "key": key,
+                "body": self.request.body.decode("utf-8", "replace"),
+            }
+        )
+
+
+class _AdminHandler(RequestHandler):
+    def initialize(self, state: ServiceState) -> None:
+        self.state = state
+
+    def get(self, what: str) -> None:
+        state = self.state
+        self.finish({"arrivals": dict(state.arrivals), "total": state.total})
+
+    async def put(self, what: str) -> None:
+        self.state.faults = ServiceFaults(**json.loads(self.request.body))
+        async with self.state.faults_changed:
+            self.state.faults_changed.notify_all()
+        self.finish({})
+
+
+def make_service(state: ServiceState) -> Application:
+    """Return the stand-in as a tornado application."""
+    bound = {"state": state}
+    return Application(
+        [
+            (r"/admin/(state|faults)", _AdminHandler, bound),
+            (r"/.*", _CallHandler, bound),
+        ],
+        log_function=lambda handler: None,
+    )
