--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -26,7 +26,7 @@
 )
 from tamarackrill.exceptions import PlatformUnavailable
 from tamarackrill.router.admitting import Admitter
-from tamarackrill.router.callers import Front, make_front
+from tamarackrill.router.callers import Front, OpenCalls, make_front
 from tamarackrill.router.chats import Chats
 from tamarackrill.router.claiming import Claimer
 from tamarackrill.router.configuring import Configurer
@@ -39,6 +39,13 @@
 from tamarackrill.settings import Settings
 
 VM_LIST_WAIT_S = 1.0
+UNLIMITED_BYTES = 1 << 40
+BUFFER_MAX_BYTES = 256 * 1024
+HEADERS_MAX_BYTES = 32 * 1024
+# A caller that sends a header or a body byte by byte would hold a connection for
+# ever; the balancer's own idle time is usually 60 s.
+HEADERS_TIMEOUT_S = 75.0
+BODY_TIMEOUT_S = 30.0
 
 
 class RouterApplication:
@@ -59,8 +66,10 @@
         self.settings = settings
         self.clock = time.monotonic
         self.address = ""
+        self.peer_address = ""
         self.store = ConfigurationStore()
         self.metrics = Metrics()
+        self.open_calls = OpenCalls()
         self._contracts: dict[str, Contract] = {}
         self._endpoints: dict[str, Endpoint] = {}
         self._leaving = False
@@ -71,6 +80,7 @@
         settings = self.settings
         sockets = bind_sockets(settings.port, settings.address)
         self.address = f"{settings.address}:{sockets[0].getsockname()[1]}"
+        self.peer_address = f"{settings.address}:{settings.peer_port}"
         own = Member(settings.name, self.address, settings.zone)
         self.members = Members(own)
         self._endpoint_client = make_client()
@@ -96,10 +106,12 @@
         self._tasks.append(asyncio.create_task(self._follow_vms()))
         self._server = HTTPServer(
             make_front(self._make_front()),
-            max_body_size=settings.body_max_bytes,
-            max_buffer_size=settings.body_max_bytes + 65536,
-            body_timeout=30,
-            idle_connection_timeout=75,
+            # The handler itself refuses a body that is too long, with a code.
+            max_body_size=UNLIMITED_BYTES,
+            max_buffer_size=BUFFER_MAX_BYTES,
+            max_header_size=HEADERS_MAX_BYTES,
+            body_timeout=BODY_TIMEOUT_S,
+            idle_connection_timeout=HEADERS_TIMEOUT_S,
         )
         self._server.add_sockets(sockets)
         log_event(
@@ -107,7 +119,7 @@
             router=settings.name,
             zone=settings.zone,
             address=self.address,
-            peer_address=f"{settings.address}:{settings.peer_port}",
+            peer_address=self.peer_address,
         )
 
     async def drain(self) -> None:
@@ -115,10 +127,12 @@
         self._leaving = True
         self.members.own = self.members.own._replace(state="leaving")
         log_event(
-            ROUTER_LEAVING, router=self.settings.name, in_flight=self.flow.running
+            ROUTER_LEAVING, router=self.settings.name, in_flight=self.open_calls.count
         )
         try:
-            await asyncio.wait_for(self.flow.drain(), self.settings.drain_max_s)
+            async with asyncio.timeout(self.settings.drain_max_s):
+                await self.flow.drain()
+                await self.open_calls.wait_none()
         except TimeoutError:
             return
 
@@ -152,12 +166,21 @@
             "zone": self.settings.zone,
             "revision": self.store.revision,
             "state": "leaving" if self._leaving else "alive",
-            "in_flight": self.flow.running,
+            "in_flight": self.open_calls.count,
             "waiting": self.admitter.describe(),
             "members": [member._asdict() for member in self.members.list_all()],
             "endpoints": self.placer.describe(),
         }
 
+    def describe_vm(self) -> dict[str, str]:
+        """Return this router's line of the VM list."""
+        return {
+            "name": self.settings.name,
+            "address": self.address,
+            "zone": self.settings.zone,
+            "peer_address": self.peer_address,
+        }
+
     def explain(self, team: str, chat: str, model: str) -> dict[str, Any]:
         """Return where a chat of a team would go, for queries."""
         names = [member.name for member in self.members.list_live()]
@@ -171,6 +194,8 @@
             self.members,
             self._router_client,
             self.metrics,
+            self.open_calls,
+            self.settings.body_max_bytes,
             self.settings.peer_keys,
             self.list_contracts,
             lambda: self._leaving,
--- a/src/tamarackrill/router/callers.py
+++ b/src/tamarackrill/router/callers.py
@@ -7,7 +7,7 @@
 from typing import Any, NamedTuple
 
 from tornado.iostream import StreamClosedError
-from tornado.web import Application, HTTPError, RequestHandler
+from tornado.web import Application, HTTPError, RequestHandler, stream_request_body
 
 from tamarackrill.contracts import Contract
 from tamarackrill.decisions.hashing import rendezvous_order
@@ -28,9 +28,40 @@
 
 # Homes that are tried before the entry router runs a call by itself.
 HOMES_TRIED = 2
+# Marks a refusal of a router that leaves, so that the next home is tried.
+LEAVING = "Tamarackrill-Leaving"
 NOT_PASSED_BACK = ("Connection", "Transfer-Encoding", "Content-Length", "Server")
 
 
+class OpenCalls:
+    """Counts the callers' connections that still wait for the end of an answer."""
+
+    def __init__(self) -> None:
+        self._count = 0
+        self._none = asyncio.Event()
+        self._none.set()
+
+    @property
+    def count(self) -> int:
+        """Calls that are open now."""
+        return self._count
+
+    def enter(self) -> None:
+        """Count one more."""
+        self._count += 1
+        self._none.clear()
+
+    def leave(self) -> None:
+        """Count one less."""
+        self._count -= 1
+        if not self._count:
+            self._none.set()
+
+    async def wait_none(self) -> None:
+        """Return when no call is open."""
+        await self._none.wait()
+
+
 class Front(NamedTuple):
     """What the handlers use; owned by the application object.
 
@@ -44,6 +75,10 @@
         For calls to other routers.
     metrics : Metrics
         Counters.
+    open_calls : OpenCalls
+        Calls whose answer has not ended.
+    body_max_bytes : int
+        Longest body.
     peer_keys : tuple of str
         Keys shared by the routers.
     list_contracts : callable
@@ -62,6 +97,8 @@
     members: Members
     client: CurlAsyncHTTPClient
     metrics: Metrics
+    open_calls: OpenCalls
+    body_max_bytes: int
     peer_keys: tuple[str, ...]
     list_contracts: Callable[[], list[Contract]]
     is_leaving: Callable[[], bool]
@@ -109,15 +146,57 @@
             connection.detach().close()
 
 
+@stream_request_body
 class CallHandler(_Handler):
-    """Takes a call, finds its home and passes the answer back."""
+    """Takes a call, finds its home and passes the answer back.
 
-    _exchange: Exchange | None = None
-    _reply: Reply | None = None
+    The key is checked before the body is read, so that a stranger can't make the
+    router hold a body for it.
+    """
+
+    def initialize(self, front: Front) -> None:
+        """Start with nothing read."""
+        super().initialize(front)
+        self._exchange: Exchange | None = None
+        self._reply: Reply | None = None
+        self._body = bytearray()
+        self._contract: Contract | None = None
+        self._counted = False
 
-    async def prepare(self) -> None:
-        """Answer the call; the method does not matter."""
-        self.front.metrics.count("requests", self.request.method or "")
+    def prepare(self) -> None:
+        """Check the key and the announced size before the body comes."""
+        front = self.front
+        front.metrics.count("requests", self.request.method or "")
+        front.open_calls.enter()
+        self._counted = True
+        try:
+            self._check_size(int(self.request.headers.get("Content-Length", "0")))
+            authorization = self.request.headers.get("Authorization", "")
+            self._contract = find_contract(front.list_contracts(), authorization)
+            if front.is_leaving():
+                self.set_header(LEAVING, "1")
+                raise Refusal("leaving", 503, "this router is leaving")
+        except Refusal as refusal:
+            self.send_refusal(refusal)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take a piece of the body."""
+        self._body += chunk
+        try:
+            self._check_size(len(self._body))
+        except Refusal as refusal:
+            self._body.clear()
+            if not self._finished:
+                self.send_refusal(refusal)
+
+    def _check_size(self, size_bytes: int) -> None:
+        limit_bytes = self.front.body_max_bytes
+        if size_bytes > limit_bytes:
+            message = f"the body is longer than {limit_bytes} bytes"
+            raise Refusal("body_too_long", 413, message)
+
+    async def get(self) -> None:
+        """Answer the call; the method does not matter here."""
         try:
             await self._answer()
         except Refusal as refusal:
@@ -125,19 +204,25 @@
         except StreamClosedError:
             self.on_connection_close()
 
+    post = put = patch = delete = get
+
+    def on_finish(self) -> None:
+        """Count the call as over."""
+        if self._counted:
+            self._counted = False
+            self.front.open_calls.leave()
+
     async def _answer(self) -> None:
         front = self.front
-        authorization = self.request.headers.get("Authorization", "")
-        contract = find_contract(front.list_contracts(), authorization)
-        call = self._read_call(contract)
+        if self._contract is None:
+            return
+        call = self._read_call(self._contract)
         forwarded_id = find_forwarded_id(
             self.request.headers, call.fingerprint, front.peer_keys
         )
         if forwarded_id:
             call = call._replace(request_id=forwarded_id)
-        if front.is_leaving():
-            raise Refusal("leaving", 503, "this router is leaving")
-        if not forwarded_id and await self._forward(call, authorization):
+        if not forwarded_id and await self._forward(call):
             return
         await self._serve(call)
 
@@ -148,7 +233,7 @@
             request.method or "",
             request.uri or "",
             request.headers,
-            request.body,
+            bytes(self._body),
             self.front.clock(),
         )
 
@@ -159,13 +244,13 @@
         names = rendezvous_order(call.home_key, list(live), HOMES_TRIED)
         return [live[name] for name in names]
 
-    async def _forward(self, call: Call, authorization: str) -> bool:
+    async def _forward(self, call: Call) -> bool:
         """Return whether another router has answered the call."""
         for home in self._list_homes(call):
             if home.name == self.front.members.own.name:
                 return False
             try:
-                await self._forward_to(call, home, authorization)
+                await self._forward_to(call, home)
                 return True
             except UpstreamFailed:
                 # The home is gone.  Its memory of the chat is gone with it; the
@@ -178,15 +263,19 @@
                     return True
         return False
 
-    async def _forward_to(self, call: Call, home: Member, authorization: str) -> None:
+    async def _forward_to(self, call: Call, home: Member) -> None:
         front = self.front
+        authorization = self.request.headers.get("Authorization", "")
         log_event(REQUEST_FORWARDED, team=call.team, chat=call.chat, home=home.name)
         exchange = forward_call(
             front.client, call, home, authorization, front.peer_keys[0], front.clock()
         )
         self._exchange = exchange
         try:
-            await self._pass_on(await exchange.head(), exchange.chunks(), call.stream)
+            head = await exchange.head()
+            if LEAVING in head.headers:
+                raise UpstreamFailed("the home router is leaving", sent=False)
+            await self._pass_on(head, exchange.chunks(), call.stream)
         finally:
             await exchange.close()
 
@@ -234,6 +323,7 @@
 
     def on_connection_close(self) -> None:
         """Let the run and the home know that the caller is gone."""
+        self.on_finish()
         self._leave()
         if self._exchange is not None:
             self._exchange.cancel()
@@ -305,9 +395,3 @@
         default_handler_args=bound,
         log_function=lambda handler: None,
     )
-
-
-async def wait_closed(front: Front) -> None:
-    """Return when no call is in flight at this router."""
-    await front.flow.drain()
-    await asyncio.sleep(0)
--- a/src/tamarackrill/router/daemon.py
+++ b/src/tamarackrill/router/daemon.py
@@ -5,8 +5,9 @@
 import signal
 import sys
 from collections.abc import Sequence
+from logging import Formatter
 
-from absl import logging
+from absl import flags, logging
 
 from tamarackrill import events
 from tamarackrill.exceptions import TamarackrillError
@@ -31,11 +32,15 @@
 
 def set_up_logs(log_format: str) -> None:
     """Send events of every level to standard error in the given form."""
+    # Our flags are argparse's; absl would warn at the first line that its own have
+    # not been parsed.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     logging.set_stderrthreshold(logging.INFO)
     if log_format == "json":
         events.use_formatter(events.format_json)
+        logging.get_absl_handler().setFormatter(Formatter("%(message)s"))
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
