Resume a cut stream only on its own engine; cancel by order

Cause: a cut stream was tried again on any engine; with a model that samples this splices two answers. And an engine that keeps a stream for resuming does not stop when its connection closes. Ruled out: resuming elsewhere with Last-Event-ID (another engine does not have the stream); relying on the closed connection (stops resume as well).

--- a/src/tamarackrill/router/attempts.py
+++ b/src/tamarackrill/router/attempts.py
@@ -20,6 +20,8 @@
 # An event or a whole answer longer than this is passed on in pieces.
 PIECE_MAX_BYTES = 1024 * 1024
 SERVER_ERROR = 500
+CANCEL_PATH = "/v1/cancel/"
+CANCEL_TIMEOUT_S = 1.0
 
 # Headers of the endpoint's connection to us; the caller's has its own.
 _NOT_PASSED_BACK = frozenset(
@@ -119,12 +121,29 @@
         await pump(exchange, _strip_head(head), reply)
     except UpstreamFailed as error:
         outcome = _find_outcome(error, reply)
+        if outcome == "cancelled" and call.kind == "engine":
+            await _cancel_at_engine(client, call, endpoint)
         return Attempt(outcome, first_byte_s, reply.count - before, error.reason)
     finally:
         await exchange.close()
     return Attempt("answered", first_byte_s, reply.count - before)
 
 
+async def _cancel_at_engine(
+    client: CurlAsyncHTTPClient, call: Call, endpoint: Endpoint
+) -> None:
+    # An engine keeps a stream for a while after its connection closed, so that it
+    # can be resumed.  Unless it is told, it goes on generating for nobody.
+    url = f"http://{endpoint.address}{CANCEL_PATH}{call.request_id}"
+    exchange = Exchange(client, "POST", url, {}, b"", CANCEL_TIMEOUT_S, True)
+    try:
+        await exchange.head()
+    except UpstreamFailed:
+        return
+    finally:
+        await exchange.close()
+
+
 def _find_outcome(error: UpstreamFailed, reply: Reply) -> Outcome:
     if not error.sent:
         return "not_sent"
--- a/src/tamarackrill/router/flow.py
+++ b/src/tamarackrill/router/flow.py
@@ -118,8 +118,12 @@
         sent = False
         for number in range(ATTEMPTS_MAX):
             is_last = number == ATTEMPTS_MAX - 1
-            attempt = await self._admit_and_attempt(call, reply, avoid, is_last, sent)
+            placed, attempt = await self._admit_and_attempt(
+                call, reply, avoid, is_last, sent
+            )
             sent = sent or attempt.outcome != "not_sent"
+            if attempt.outcome == "cut" and reply.started:
+                attempt = await self._resume(call, reply, placed)
             if attempt.outcome == "answered":
                 reply.finish()
                 return
@@ -128,23 +132,32 @@
             if sent and not call.idempotent:
                 message = "the endpoint did not answer; the call may have run"
                 raise Refusal("endpoint_lost", 502, message, "unknown")
-            if reply.count and not call.stream:
+            if reply.started:
                 break
+            avoid.append(placed.endpoint.name)
         message = "no endpoint gave a whole answer"
         raise Refusal("endpoint_lost", 502, message, "unknown" if sent else "not_run")
 
+    async def _resume(self, call: Call, reply: Reply, placed: Placed) -> Attempt:
+        # Only the engine that runs the stream can go on with it.  The rest of
+        # another engine's answer would be spliced to this one's beginning.
+        attempt = Attempt("cut", chunks=reply.count)
+        while call.stream and attempt.outcome == "cut" and attempt.chunks:
+            resumed = placed._replace(reason="resume", runners_up=())
+            self._log_placed(call, resumed, 0.0)
+            attempt = await self._attempt(call, reply, resumed, is_last=False)
+        return attempt
+
     async def _admit_and_attempt(
         self, call: Call, reply: Reply, avoid: list[str], is_last: bool, sent: bool
-    ) -> Attempt:
+    ) -> tuple[Placed, Attempt]:
         arrived_s = self._clock()
         await self._admitter.enter(call, arrived_s)
         attempt = Attempt("not_sent")
         try:
             placed = self._place(call, avoid, self._clock() - arrived_s, sent)
             attempt = await self._attempt(call, reply, placed, is_last)
-            if attempt.outcome != "cut" or not reply.count:
-                avoid.append(placed.endpoint.name)
-            return attempt
+            return placed, attempt
         finally:
             self._admitter.leave(call, attempt.chunks, self._clock())
 
@@ -159,6 +172,10 @@
         if placed is None:
             raise Refusal("no_endpoint", 503, "no endpoint can take the call", run)
         self._metrics.record_wait(call.kind, wait_s)
+        self._log_placed(call, placed, wait_s)
+        return placed
+
+    def _log_placed(self, call: Call, placed: Placed, wait_s: float) -> None:
         log_event(
             REQUEST_ROUTED,
             team=call.team,
@@ -168,7 +185,6 @@
             reason=placed.reason,
             wait_s=wait_s,
         )
-        return placed
 
     async def _attempt(
         self, call: Call, reply: Reply, placed: Placed, is_last: bool
--- a/src/tamarackrill/testing/engine.py
+++ b/src/tamarackrill/testing/engine.py
@@ -18,6 +18,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 from collections import Counter, OrderedDict
 from collections.abc import Callable
@@ -28,6 +29,7 @@
 
 CRASH_WORD = "crash-the-engine"
 STREAMS_KEPT = 1000
+RESUME_GRACE_S = 5.0
 
 
 class EngineFaults(NamedTuple):
@@ -100,12 +102,29 @@
         self.streams: OrderedDict[str, Stream] = OrderedDict()
         self.arrivals: Counter[str] = Counter()
         self.cancelled: list[str] = []
+        self.readers: Counter[str] = Counter()
         self.orders: list[dict[str, Any]] = []
         self.fence = 0
         self.faults = EngineFaults()
         self.faults_changed = asyncio.Condition()
         self.tasks: set[asyncio.Task[None]] = set()
 
+    def cancel(self, request_id: str) -> bool:
+        """Stop a request; returns whether it was running."""
+        stream = self.streams.get(request_id)
+        if stream is None or stream.finished.is_set() or stream.cancelled.is_set():
+            return False
+        stream.cancelled.set()
+        self.cancelled.append(request_id)
+        return True
+
+    async def cancel_later(self, request_id: str) -> None:
+        """Stop a request whose reader went away, unless one comes back."""
+        self.readers[request_id] -= 1
+        await asyncio.sleep(RESUME_GRACE_S)
+        if not self.readers[request_id]:
+            self.cancel(request_id)
+
     def find_stream(self, request_id: str, body: dict[str, Any], chat: str) -> Stream:
         """Return the stream of a request; starts it if there is none."""
         stream = self.streams.get(request_id)
@@ -199,15 +218,19 @@
             return
         chat = self.request.headers.get("Chat-Id", "")
         self._request_id = request_id
+        # Another engine's stream can't be resumed here: a model that samples would
+        # go on with the rest of a different answer.
+        resumed = self.request.headers.get("Last-Event-ID", "0") != "0"
+        if resumed and request_id not in self.state.streams:
+            raise HTTPError(404)
         stream = self.state.find_stream(request_id, body, chat)
-        try:
+        self.state.readers[request_id] += 1
+        self._counted = True
+        with contextlib.suppress(StreamClosedError):
             if body.get("stream"):
                 await self._send_stream(stream)
             else:
                 await self._send_whole(stream, body)
-        except StreamClosedError:
-            stream.cancelled.set()
-            self.state.cancelled.append(request_id)
 
     def _cut(self) -> None:
         connection = self.request.connection
@@ -233,7 +256,7 @@
     async def _send_stream(self, stream: Stream) -> None:
         self.set_header("Content-Type", "text/event-stream")
         sent = int(self.request.headers.get("Last-Event-ID", "0"))
-        limit = self.state.faults.cut_after_tokens
+        limit = self.state.faults.cut_after_tokens + sent
         while not (stream.finished.is_set() and sent >= len(stream.tokens)):
             if sent >= len(stream.tokens):
                 await asyncio.sleep(self.state.step_s)
@@ -243,26 +266,21 @@
             sent += 1
             self.write(f"id: {sent}\ndata: {data}\n\n")
             await self.flush()
-            if limit and sent >= limit:
+            if self.state.faults.cut_after_tokens and sent >= limit:
                 self._cut()
                 return
         self.write("data: [DONE]\n\n")
 
     def on_connection_close(self) -> None:
-        request_id = getattr(self, "_request_id", "")
-        stream = self.state.streams.get(request_id)
-        if stream and not stream.finished.is_set():
-            stream.cancelled.set()
-            self.state.cancelled.append(request_id)
+        if getattr(self, "_counted", False):
+            task = asyncio.create_task(self.state.cancel_later(self._request_id))
+            self.state.tasks.add(task)
+            task.add_done_callback(self.state.tasks.discard)
 
 
 class _CancelHandler(_Handler):
     def post(self, request_id: str) -> None:
-        stream = self.state.streams.get(request_id)
-        if stream is not None:
-            stream.cancelled.set()
-            self.state.cancelled.append(request_id)
-        self.finish({"cancelled": stream is not None})
+        self.finish({"cancelled": self.state.cancel(request_id)})
 
 
 class _LoadHandler(_Handler):
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,151 @@
+import http.client
+import json
+import signal
+
+import pytest
+
+from tamarackrill.contracts import hash_key
+from tamarackrill.testing.processes import FleetProcesses, call, wait_for
+
+KEY = {"Authorization": "Bearer the-key"}
+CHAT_PATH = "/v1/chat/completions"
+CLOSING = b"data: [DONE]\n\n"
+CONTRACT = {
+    "team": "t",
+    "key_hashes": [hash_key("the-key")],
+    "models": ["m"],
+    "services": ["s"],
+}
+
+
+def _chat(tokens=4, stream=False, text="one two three"):
+    messages = [{"role": "user", "content": text}]
+    return {"model": "m", "messages": messages, "max_tokens": tokens, "stream": stream}
+
+
+@pytest.fixture
+def fleet():
+    with FleetProcesses() as fleet:
+        fleet.put_contract(CONTRACT)
+        yield fleet
+
+
+def _open_stream(router, tokens, **headers):
+    host, port = router.address.split(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=30)
+    body = json.dumps(_chat(tokens, stream=True))
+    connection.request("POST", CHAT_PATH, body, {**KEY, **headers})
+    return connection, connection.getresponse()
+
+
+def _find_home(routers, chat):
+    names = call(routers[0].address, f"/v1/explain?team=t&chat={chat}&model=m").json()
+    by_name = {router.name: router for router in routers}
+    ordered = [by_name[name] for name in names["homes"]]
+    return ordered[0], ordered[1]
+
+
+@pytest.mark.parametrize("through", ["home", "other"])
+def test_caller_that_goes_away_frees_its_engine(fleet, through):
+    # A caller closes its connection in the middle of a stream.  If nobody told the
+    # engine, it would go on generating for nobody, and others would wait.
+    engine = fleet.add_engine("engine-1", "m", "--step-s=0.01")
+    routers = [fleet.add_router("a"), fleet.add_router("b")]
+    fleet.wait_ready()
+    home, other = _find_home(routers, "c")
+    entry = home if through == "home" else other
+    connection, response = _open_stream(entry, 100_000, **{"Chat-Id": "c"})
+    response.readline()
+    connection.close()
+    response.close()
+    wait_for(lambda: engine.look()["cancelled"], "the engine hears of it")
+    wait_for(lambda: not engine.look()["running"], "the engine stops")
+    wait_for(lambda: not entry.status()["in_flight"], "the router lets go")
+
+
+@pytest.mark.parametrize("stream", [False, True])
+def test_answer_cut_by_the_engine_reaches_the_caller_whole(fleet, stream):
+    # An engine closes the connection in the middle of an answer.  A caller that got
+    # the first half as if it were all would send out half a quote.
+    engine = fleet.add_engine("engine-1")
+    fleet.add_engine("engine-2")
+    router = fleet.add_router("a")
+    fleet.wait_ready()
+    engine.set_faults(cut_after_tokens=3)
+    for _ in range(4):
+        answer = call(router.address, CHAT_PATH, _chat(7, stream), headers=KEY)
+        assert answer.status == 200
+        if stream:
+            ids = [line for line in answer.body.split(b"\n") if b"id: " in line]
+            assert ids == [b"id: %d" % number for number in range(1, 8)]
+            assert answer.body.endswith(CLOSING)
+        else:
+            assert answer.json()["usage"]["completion_tokens"] == 7
+
+
+def test_stream_that_can_not_be_finished_ends_in_an_error(fleet):
+    # The engine dies in the middle of a stream.  The caller must be able to tell
+    # that what it has is not the whole answer.
+    engine = fleet.add_engine("engine-1", "m", "--step-s=0.01")
+    fleet.add_engine("engine-2", "m", "--step-s=0.01")
+    router = fleet.add_router("a")
+    fleet.wait_ready()
+    connection, response = _open_stream(router, 1000)
+    first = response.readline()
+    engine.kill()
+    rest = first + response.read()
+    connection.close()
+    assert CLOSING not in rest
+    assert b"event: error" in rest
+    assert b'"run": "unknown"' in rest
+
+
+def test_shutdown_finishes_what_is_in_flight_and_refuses_the_rest(fleet):
+    # An operator restarts a router while a caller reads a stream from it.  The
+    # stream must reach its end, and new callers must hear that nothing was run.
+    fleet.add_engine("engine-1", "m", "--step-s=0.01")
+    router = fleet.add_router("a")
+    fleet.wait_ready()
+    connection, response = _open_stream(router, 100)
+    response.readline()
+    router.send(signal.SIGTERM)
+    router.wait_line(" router_leaving ")
+    refused = call(router.address, CHAT_PATH, _chat(), headers=KEY)
+    assert refused.status == 503
+    assert refused.json()["code"] == "leaving"
+    assert refused.json()["run"] == "not_run"
+    assert response.read().endswith(CLOSING)
+    connection.close()
+    assert router.wait() == 0
+    assert "in_flight=0" in router.wait_line(" router_stopped ")
+
+
+def test_chat_is_served_when_its_home_was_killed(fleet):
+    # A VM fails.  Callers whose chats had their home there must be served by the
+    # next router, though it remembers nothing of them.
+    fleet.add_engine("engine-1")
+    routers = [fleet.add_router("a"), fleet.add_router("b")]
+    fleet.wait_ready()
+    home, other = _find_home(routers, "c")
+    home.kill()
+    answer = call(other.address, CHAT_PATH, _chat(), headers={**KEY, "Chat-Id": "c"})
+    assert answer.status == 200
+
+
+def test_forged_forward_is_treated_as_a_callers_request(fleet):
+    # A caller sets the headers that routers use among themselves, to be handed the
+    # stream of another team's call.  It must get its own answer.
+    engine = fleet.add_engine("engine-1")
+    router = fleet.add_router("a")
+    fleet.wait_ready()
+    forged = {"Tamarackrill-Forwarded": "victim", "Tamarackrill-Signature": "00"}
+    answer = call(router.address, CHAT_PATH, _chat(), headers={**KEY, **forged})
+    assert answer.status == 200
+    assert "victim" not in engine.look()["arrivals"]
+
+
+def test_body_over_the_limit_is_refused_with_its_code(fleet):
+    router = fleet.add_router("a", "zone-a", "--body-max-bytes=2000")
+    fleet.wait_ready(1)
+    answer = call(router.address, CHAT_PATH, b"x" * 3000, headers=KEY)
+    assert (answer.status, answer.json()["code"]) == (413, "body_too_long")
