--- a/src/tamarackrill/router/upstream.py
+++ b/src/tamarackrill/router/upstream.py
@@ -104,6 +104,11 @@
         )
         self._task = asyncio.ensure_future(self._fetch(request))
 
+    @property
+    def unread_bytes(self) -> int:
+        """Bytes of the body that were received and not yet read."""
+        return self._unread_bytes
+
     async def head(self) -> Head:
         """Return status and headers as soon as they are there.
 
@@ -210,8 +215,10 @@
 
     async def _fetch(self, request: HTTPRequest) -> None:
         try:
-            response = await self._client.fetch(request, raise_error=False)
-            self._error = _read_error(response.error)
+            await self._client.fetch(request, raise_error=False)
+        except CurlError as error:
+            sent = error.errno not in _NOTHING_SENT
+            self._error = UpstreamFailed(str(error), sent)
         except Exception as error:  # noqa: BLE001 - an answer must end, come what may
             self._error = UpstreamFailed(repr(error), sent=True)
         self._over = True
@@ -232,12 +239,6 @@
 )
 
 
-def _read_error(error: BaseException | None) -> UpstreamFailed | None:
-    if not isinstance(error, CurlError):
-        return None
-    return UpstreamFailed(str(error), sent=error.errno not in _NOTHING_SENT)
-
-
 def _shut(active: socket.socket) -> None:
     try:
         active.shutdown(socket.SHUT_RDWR)
--- a/src/tamarackrill/testing/processes.py
+++ b/src/tamarackrill/testing/processes.py
@@ -117,6 +117,11 @@
         self._reader = threading.Thread(target=self._read, daemon=True)
         self._reader.start()
 
+    @property
+    def pid(self) -> int:
+        """Number of the process."""
+        return self._process.pid
+
     def _read(self) -> None:
         assert self._process.stdout is not None
         for line in self._process.stdout:
--- /dev/null
+++ b/tests/test_upstream.py
@@ -0,0 +1,101 @@
+import asyncio
+
+import pytest
+from tornado.web import Application, RequestHandler
+
+from tamarackrill.router.upstream import (
+    UNREAD_MAX_BYTES,
+    Exchange,
+    UpstreamFailed,
+    make_client,
+)
+from tamarackrill.testing.daemon import listen
+
+PIECE = b"x" * 8192
+PIECES = 2000
+
+
+class _FastHandler(RequestHandler):
+    written = 0
+
+    async def get(self):
+        type(self).written = 0
+        for _ in range(PIECES):
+            self.write(PIECE)
+            await self.flush()
+            type(self).written += len(PIECE)
+
+
+class _CutHandler(RequestHandler):
+    def get(self):
+        self.set_header("Content-Length", "100")
+        self.write(b"x" * 10)
+        self.flush()
+        self.request.connection.detach().close()
+
+
+def _run(path, act):
+    async def run():
+        routes = [("/fast", _FastHandler), ("/cut", _CutHandler)]
+        server, address = listen(Application(routes, log_function=lambda h: None))
+        client = make_client()
+        try:
+            target = "127.0.0.1:1" if path == "/nobody" else address
+            url = f"http://{target}{path}"
+            exchange = Exchange(client, "GET", url, {}, b"", 30.0, True)
+            return await act(exchange)
+        finally:
+            client.close()
+            server.stop()
+
+    return asyncio.run(run())
+
+
+def test_slow_reader_holds_a_fast_endpoint_back():
+    # A caller on a slow line asks for a long answer.  Without a bound the router
+    # would take in all of it and, with many such callers, run out of memory.
+    async def act(exchange):
+        await exchange.head()
+        held = 0
+        # The endpoint writes until libcurl has stopped reading and the buffers of
+        # the sockets are full: then its count stands still over many turns.
+        seen, same = -1, 0
+        while same < 200:
+            await asyncio.sleep(0)
+            same = same + 1 if seen == _FastHandler.written else 0
+            seen = _FastHandler.written
+            held = max(held, exchange.unread_bytes)
+        size = 0
+        async for chunk in exchange.chunks():
+            size += len(chunk)
+        await exchange.close()
+        return held, size
+
+    held, size = _run("/fast", act)
+    assert held < UNREAD_MAX_BYTES + 2 * 16384
+    assert size == len(PIECE) * PIECES
+
+
+@pytest.mark.parametrize(("path", "sent"), [("/cut", True), ("/nobody", False)])
+def test_failed_exchange_tells_whether_anything_was_sent(path, sent):
+    # An answer is cut, or nobody listens.  Only in the second case may the caller
+    # be told that its request was not run.
+    async def act(exchange):
+        with pytest.raises(UpstreamFailed) as caught:
+            await exchange.head()
+            async for _ in exchange.chunks():
+                pass
+        await exchange.close()
+        return caught.value.sent
+
+    assert _run(path, act) is sent
+
+
+def test_cancel_ends_an_exchange_at_once():
+    async def act(exchange):
+        await exchange.head()
+        exchange.cancel()
+        await exchange.close()
+        return True
+
+    assert _run("/fast", act)
