Wire admission into the daemon

Cause: the daemon's placeholder queued in order of arrival and held a call back until its deadline.

A call that cannot be in time is refused at once; a caller that goes away leaves the queue; a refusal after an attempt that was sent says unknown, not not_run. A new header Request-Priority orders the requests of one team.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -16,7 +16,7 @@
 from tamarackrill.decisions.admission import AdmissionQueue
 from tamarackrill.decisions.estimates import count_cost, is_short
 from tamarackrill.decisions.waiting import WaitingRequest
-from tamarackrill.testing.callers import (
+from tamarackrill.testing.load import (
     SLOT_TOKENS_PER_S,
     Call,
     Outcome,
--- a/src/tamarackrill/decisions/admission.py
+++ b/src/tamarackrill/decisions/admission.py
@@ -199,6 +199,10 @@
         self._remove_waiting(self._pools[entry.request.pool], entry)
         return True
 
+    def find_pool(self, request_id: str) -> str:
+        """Return the pool of a started request."""
+        return self._running[request_id]
+
     def count_waiting(self, pool_name: str) -> int:
         """Return how many requests wait for a pool."""
         pool = self._pools.get(pool_name)
--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -90,7 +90,7 @@
             settings.platform, settings.zone, self._platform_client
         )
         self.placer = Placer(self.list_endpoints)
-        self.admitter = Admitter(self.placer.count_free, settings.queue_max)
+        self.admitter = Admitter(self.placer.count_free, settings.queue_max, self.clock)
         self.claimer = Claimer()
         self.flow = Flow(
             self._endpoint_client,
@@ -104,6 +104,7 @@
         self.configurer = Configurer(self.store, self.platform, self._take_objects)
         await self.configurer.start()
         self._tasks.append(asyncio.create_task(self._follow_vms()))
+        self._tasks.append(asyncio.create_task(self.admitter.run()))
         self._server = HTTPServer(
             make_front(self._make_front()),
             # The handler itself refuses a body that is too long, with a code.
--- a/src/tamarackrill/router/calls.py
+++ b/src/tamarackrill/router/calls.py
@@ -15,6 +15,7 @@
 HEADER_VALUE_MAX = 256
 TOKENS_DEFAULT = 256
 SERVICE_CALL_TOKENS = 1
+PRIORITY_MAX = 9
 
 # Headers of the connection, of the caller's own credentials, and of ours.
 _NOT_PASSED_ON = frozenset(
@@ -31,6 +32,7 @@
         "Authorization",
         "Proxy-Authorization",
         "Accept-Encoding",
+        "Request-Priority",
         "Request-Timeout-Ms",
         "Last-Event-Id",
         "Chat-Sequence",
@@ -76,6 +78,8 @@
         Latest time of the answer, on the clock of this router.
     size_tokens : int
         Expected cost.
+    priority : int
+        Higher goes first among the requests of the same team.
     fingerprint : str
         Hash of all that the endpoint would get.
     """
@@ -96,6 +100,7 @@
     after_event: int
     deadline_s: float
     size_tokens: int
+    priority: int
     fingerprint: str
 
     @property
@@ -200,6 +205,7 @@
         after_event=_read_integer(headers, "Last-Event-ID", 0, 1 << 53) or 0,
         deadline_s=now_s + _read_timeout(contract, headers),
         size_tokens=size_tokens,
+        priority=_read_integer(headers, "Request-Priority", 0, PRIORITY_MAX) or 0,
         fingerprint=_fingerprint(contract.team, pool, method, onward_path, body),
     )
 
--- a/src/tamarackrill/router/flow.py
+++ b/src/tamarackrill/router/flow.py
@@ -152,14 +152,20 @@
         self, call: Call, reply: Reply, avoid: list[str], is_last: bool, sent: bool
     ) -> tuple[Placed, Attempt]:
         arrived_s = self._clock()
-        await self._admitter.enter(call, arrived_s)
+        reply.when_abandoned(lambda: self._admitter.cancel(call))
+        try:
+            await self._admitter.enter(call, arrived_s)
+        except Refusal as refusal:
+            # This attempt was not sent, but an earlier one may have run.
+            refusal.run = "unknown" if sent else refusal.run
+            raise
         attempt = Attempt("not_sent")
         try:
             placed = self._place(call, avoid, self._clock() - arrived_s, sent)
             attempt = await self._attempt(call, reply, placed, is_last)
             return placed, attempt
         finally:
-            self._admitter.leave(call, attempt.chunks, self._clock())
+            self._admitter.leave(call, attempt, self._clock())
 
     def _place(self, call: Call, avoid: list[str], wait_s: float, sent: bool) -> Placed:
         now_s = self._clock()
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -9,7 +9,7 @@
 from tamarackrill.decisions.admission import AdmissionQueue, Start
 from tamarackrill.decisions.estimates import count_cost, is_short
 from tamarackrill.decisions.waiting import WaitingRequest
-from tamarackrill.testing.callers import SLOT_TOKENS_PER_S, drive, make_calls
+from tamarackrill.testing.load import SLOT_TOKENS_PER_S, drive, make_calls
 
 SLOTS = 16
 LONG_TOKENS = 200
