--- /dev/null
+++ b/src/tamarackrill/decisions/usage.py
@@ -0,0 +1,349 @@
+"""Sums the usage of each team over the fleet, through homes found by hashing.
+
+Load pattern: 2,300 teams over 370 routers.  If each router told every other of each
+team, a node would receive some 80 KB/s at 6,500 requests a second.  Here a router
+tells one router of its zone, the team's zone home; that tells the zone's sum to one
+router of the fleet, the team's fleet home; and the fleet's sum comes back on the same
+way.  No home has more than a zone's routers, or the zones, to listen to.
+
+How often an entry is sent follows the pressure on the team's limit: each second from
+half of the limit on, and when it has changed by a tenth of the limit; else up to 8 s
+apart, since a sum far below the limit decides nothing.
+
+A home that is lost costs a report and a reply: the next in rendezvous order collects
+the reports for `SETTLE_S` before it answers, so that nobody takes a part of a sum
+for the whole.  A zone that cannot reach the fleet home goes on with the last sum,
+corrected by its own changes, for `HOLD_S`, then with its own sum alone.
+"""
+
+import math
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+from tamarackrill.contracts import Contract
+from tamarackrill.decisions.hashing import rendezvous_order
+from tamarackrill.decisions.limits import (
+    HOLD_S,
+    TeamUsage,
+    UsageScope,
+    add_usage,
+    hash_unit,
+    measure_pressure,
+)
+
+# Upper bound of one encoded entry: names of 24 and 12 bytes, a byte of scope, four
+# numbers of 4 bytes, and the framing of thrift's compact form.
+ENTRY_BYTES = 60
+# IP and UDP headers, signature and framing of one datagram.
+DIGEST_OVERHEAD_BYTES = 70
+REPORT_MIN_S = 1.0
+REPORT_MAX_S = 8.0
+PRESSURE_HIGH = 0.5
+PRESSURE_STEP = 0.1
+# A router that hears nothing takes its own usage for all there is.  Up to a quarter
+# of the limit that decides nothing, and answers would be half of all bytes.
+PRESSURE_TOLD = 0.25
+# A usage below this is not worth a report: one request, 8 s ago.
+EMPTY_PER_S = 0.02
+# After a change of membership, two reports of a contended team.
+SETTLE_S = 2.0
+# An origin that missed two reports at the slowest pace is gone.
+ORIGIN_LOST_S = 3 * REPORT_MAX_S
+# Due messages shift by up to a tick; a report must not wait for one more.
+_TICK_SLACK_S = 0.1
+
+
+class RouterPlace(NamedTuple):
+    """A router and its availability zone."""
+
+    name: str
+    zone: str
+
+
+class UsageDigest(NamedTuple):
+    """Entries for one router."""
+
+    peer: str
+    entries: tuple[TeamUsage, ...]
+
+
+class _Sent(NamedTuple):
+    at_s: float
+    pressure: float
+    empty: bool
+
+
+class _Sum:
+    """Reports of one team from several origins, and whom to answer."""
+
+    def __init__(self, now_s: float) -> None:
+        self.since_s = now_s
+        self.reports: dict[str, tuple[TeamUsage, float]] = {}
+        # Sender of a report that has not been answered, by origin.
+        self.unanswered: dict[str, str] = {}
+        # Origins that were last told of a high pressure, and must hear of its end.
+        self.told: set[str] = set()
+
+    def forget(self, lost_s: float, now_s: float) -> None:
+        """Drop origins that were not heard of for `lost_s`."""
+        for origin, (_, at_s) in list(self.reports.items()):
+            if now_s - at_s > lost_s:
+                del self.reports[origin]
+                self.unanswered.pop(origin, None)
+                self.told.discard(origin)
+
+    def note_answer(self, origin: str, pressure: float) -> None:
+        """Take note that `origin` was told a sum of this pressure."""
+        self.unanswered.pop(origin, None)
+        if pressure < PRESSURE_TOLD:
+            self.told.discard(origin)
+        else:
+            self.told.add(origin)
+
+    def total(self, team: str, scope: UsageScope, origin: str) -> TeamUsage:
+        """Return the sum of all reports."""
+        usages = [usage for usage, _ in self.reports.values()]
+        return TeamUsage(
+            team,
+            scope,
+            origin,
+            sum(usage.requests_per_s for usage in usages),
+            sum(usage.tokens_per_s for usage in usages),
+            sum(usage.in_flight for usage in usages),
+            sum(usage.done_per_s for usage in usages),
+        )
+
+
+_Due = tuple[float, str, TeamUsage]
+
+
+class UsageExchange:
+    """One router's part in summing the usage of all teams.
+
+    Parameters
+    ----------
+    router, zone : str
+        Of this router.
+    find_contract : callable
+        Returns the contract of a team, or None.
+    """
+
+    def __init__(
+        self,
+        router: str,
+        zone: str,
+        find_contract: Callable[[str], Contract | None],
+    ) -> None:
+        self._router = router
+        self._zone = zone
+        self._find_contract = find_contract
+        self._names: tuple[str, ...] = (router,)
+        self._zone_names: tuple[str, ...] = (router,)
+        self._zones: frozenset[str] = frozenset([zone])
+        self._homes: dict[str, tuple[str, str]] = {}
+        self._changed_s = -math.inf
+        self._zone_lost_s = -math.inf
+        self._router_sent: dict[str, _Sent] = {}
+        self._zone_sent: dict[str, _Sent] = {}
+        self._zone_sums: dict[str, _Sum] = {}
+        self._fleet_sums: dict[str, _Sum] = {}
+        # As home in this zone: the usage of all other zones, and when it was heard.
+        self._other_zones: dict[str, tuple[TeamUsage, float]] = {}
+        # As any router: the usage of all other routers, likewise.
+        self._other_routers: dict[str, tuple[TeamUsage, float]] = {}
+        self._heard: dict[str, TeamUsage] = {}
+
+    def set_routers(self, routers: Sequence[RouterPlace], now_s: float) -> None:
+        """Replace the list of live routers, this one included."""
+        names = tuple(sorted(place.name for place in routers))
+        zone_names = tuple(sorted(p.name for p in routers if p.zone == self._zone))
+        if (names, zone_names) == (self._names, self._zone_names):
+            return
+        zones = frozenset(place.zone for place in routers)
+        if self._zones - zones:
+            self._zone_lost_s = now_s
+        self._names, self._zone_names, self._zones = names, zone_names, zones
+        self._homes.clear()
+        self._changed_s = now_s
+
+    def find_homes(self, team: str) -> tuple[str, str]:
+        """Return the home of a team in this zone and the one of the fleet."""
+        if team not in self._homes:
+            zone_home = rendezvous_order(team, self._zone_names, 1)[0]
+            fleet_home = rendezvous_order(team, self._names, 1)[0]
+            self._homes[team] = zone_home, fleet_home
+        return self._homes[team]
+
+    def collect(
+        self, own: Sequence[TeamUsage], now_s: float, max_bytes: int
+    ) -> list[UsageDigest]:
+        """Return what to send now; call it once a second.
+
+        Parameters
+        ----------
+        own : sequence of TeamUsage
+            Own usage of this router, each team.
+        now_s : float
+            Present time.
+        max_bytes : int
+            Most bytes of all digests together.  What does not fit is sent the
+            next time; teams closest to a limit go first.
+
+        Returns
+        -------
+        list of UsageDigest
+        """
+        self._forget(now_s)
+        due: list[_Due] = []
+        for usage in own:
+            due += self._report(usage, self._router_sent, now_s)
+        for team, zone_sum in self._zone_sums.items():
+            usage = zone_sum.total(team, "zone", self._zone)
+            due += self._report(usage, self._zone_sent, now_s)
+        for team, fleet_sum in self._fleet_sums.items():
+            due += self._answer(team, fleet_sum, "other_zones", now_s)
+        for team, zone_sum in self._zone_sums.items():
+            due += self._answer(team, zone_sum, "other_routers", now_s)
+        return self._pack(due, now_s, max_bytes)
+
+    def observe(self, sender: str, entries: Sequence[TeamUsage], now_s: float) -> None:
+        """Take in the entries of a digest from another router."""
+        for usage in entries:
+            zone_home, fleet_home = self.find_homes(usage.team)
+            if usage.scope == "router" and zone_home == self._router:
+                _take_report(self._zone_sums, sender, usage, now_s)
+            elif usage.scope == "zone" and fleet_home == self._router:
+                _take_report(self._fleet_sums, sender, usage, now_s)
+            elif usage.scope == "other_zones" and usage.origin == self._zone:
+                self._take_other_zones(usage, now_s)
+            elif usage.scope == "other_routers" and usage.origin == self._router:
+                self._heard[usage.team] = usage
+                self._other_routers[usage.team] = usage, now_s
+
+    def take_heard(self) -> list[TeamUsage]:
+        """Return what was heard of all other routers since the last call."""
+        heard = list(self._heard.values())
+        self._heard.clear()
+        return heard
+
+    def _take_other_zones(self, usage: TeamUsage, now_s: float) -> None:
+        known, at_s = self._other_zones.get(usage.team, (None, -math.inf))
+        holding = known is not None and now_s - self._zone_lost_s < HOLD_S
+        # The fleet home of this side of a partition hears nothing of the other side.
+        # Its sum would give each side the whole limit at once.
+        if holding and known and known.requests_per_s > usage.requests_per_s:
+            return
+        self._other_zones[usage.team] = usage, now_s
+
+    def _forget(self, now_s: float) -> None:
+        for sums, home, lost_s in (
+            (self._zone_sums, 0, ORIGIN_LOST_S),
+            (self._fleet_sums, 1, HOLD_S),
+        ):
+            for team, team_sum in list(sums.items()):
+                team_sum.forget(lost_s, now_s)
+                is_home = self.find_homes(team)[home] == self._router
+                if not is_home or not team_sum.reports:
+                    del sums[team]
+        for others in (self._other_zones, self._other_routers):
+            for team, (_, at_s) in list(others.items()):
+                if now_s - at_s > HOLD_S:
+                    del others[team]
+        for sent in (self._router_sent, self._zone_sent):
+            for team, last in list(sent.items()):
+                if last.empty and now_s - last.at_s > HOLD_S:
+                    del sent[team]
+
+    def _report(
+        self, usage: TeamUsage, sent: dict[str, _Sent], now_s: float
+    ) -> list[_Due]:
+        contract = self._find_contract(usage.team)
+        if contract is None:
+            return []
+        is_zone = usage.scope == "zone"
+        known = self._other_zones if is_zone else self._other_routers
+        others = known.get(usage.team)
+        whole = add_usage(usage, others[0]) if others else usage
+        pressure = measure_pressure(whole, contract)
+        if usage.team not in sent:
+            # Somewhere in the first interval: short visits of a team are sampled,
+            # and not each of them is reported.
+            unit = hash_unit(f"{usage.team}/{self._router}")
+            sent[usage.team] = _Sent(now_s - unit * REPORT_MAX_S, 0.0, True)
+        if not _is_due(sent[usage.team], pressure, _is_empty(usage), now_s):
+            return []
+        return [(pressure, self.find_homes(usage.team)[int(is_zone)], usage)]
+
+    def _answer(
+        self, team: str, team_sum: _Sum, scope: UsageScope, now_s: float
+    ) -> list[_Due]:
+        contract = self._find_contract(team)
+        if contract is None or not self._is_settled(team_sum, now_s):
+            return []
+        total = team_sum.total(team, scope, "")
+        if scope == "other_routers" and team in self._other_zones:
+            total = add_usage(total, self._other_zones[team][0])
+        pressure = measure_pressure(total, contract)
+        due = []
+        for origin, sender in list(team_sum.unanswered.items()):
+            if pressure < PRESSURE_TOLD and origin not in team_sum.told:
+                del team_sum.unanswered[origin]
+                continue
+            others = add_usage(total, team_sum.reports[origin][0], -1)
+            due.append((pressure, sender, others._replace(origin=origin)))
+        return due
+
+    def _is_settled(self, team_sum: _Sum, now_s: float) -> bool:
+        is_new_home = team_sum.since_s - self._changed_s < ORIGIN_LOST_S
+        return not is_new_home or now_s - team_sum.since_s >= SETTLE_S
+
+    def _pack(self, due: list[_Due], now_s: float, max_bytes: int) -> list[UsageDigest]:
+        due.sort(key=lambda item: -item[0])
+        packed: dict[str, list[TeamUsage]] = {}
+        left_bytes = max_bytes
+        for pressure, peer, usage in due:
+            if peer == self._router:
+                self._note_sent(pressure, usage, now_s)
+                self.observe(peer, (usage,), now_s)
+                continue
+            overhead = 0 if peer in packed else DIGEST_OVERHEAD_BYTES
+            if left_bytes < ENTRY_BYTES + overhead:
+                continue
+            left_bytes -= ENTRY_BYTES + overhead
+            packed.setdefault(peer, []).append(usage)
+            self._note_sent(pressure, usage, now_s)
+        return [UsageDigest(peer, tuple(found)) for peer, found in packed.items()]
+
+    def _note_sent(self, pressure: float, usage: TeamUsage, now_s: float) -> None:
+        sent = _Sent(now_s, pressure, _is_empty(usage))
+        if usage.scope == "router":
+            self._router_sent[usage.team] = sent
+        elif usage.scope == "zone":
+            self._zone_sent[usage.team] = sent
+        elif usage.scope == "other_zones":
+            self._fleet_sums[usage.team].note_answer(usage.origin, pressure)
+        else:
+            self._zone_sums[usage.team].note_answer(usage.origin, pressure)
+
+
+def _take_report(
+    sums: dict[str, _Sum], sender: str, usage: TeamUsage, now_s: float
+) -> None:
+    team_sum = sums.setdefault(usage.team, _Sum(now_s))
+    team_sum.reports[usage.origin] = usage, now_s
+    team_sum.unanswered[usage.origin] = sender
+
+
+def _is_empty(usage: TeamUsage) -> bool:
+    return not usage.in_flight and usage.requests_per_s < EMPTY_PER_S
+
+
+def _is_due(last: _Sent, pressure: float, empty: bool, now_s: float) -> bool:
+    if last.empty and empty:
+        return False
+    elapsed_s = now_s - last.at_s + _TICK_SLACK_S
+    if abs(pressure - last.pressure) > PRESSURE_STEP:
+        return elapsed_s >= REPORT_MIN_S
+    highest = max(pressure, last.pressure, 1e-9)
+    pace_s = REPORT_MIN_S * PRESSURE_HIGH / highest
+    return elapsed_s >= min(REPORT_MAX_S, max(REPORT_MIN_S, pace_s))
