--- a/bench/limits.py
+++ b/bench/limits.py
@@ -19,7 +19,6 @@
 from typing import Any, NamedTuple
 
 from tamarackrill.contracts import Contract
-from tamarackrill.decisions.hashing import rendezvous_order
 from tamarackrill.decisions.limits import FleetLimits
 from tamarackrill.decisions.usage import (
     DIGEST_OVERHEAD_BYTES,
@@ -31,8 +30,9 @@
 
 LIMIT_PER_S = 100.0
 TICK_S = 0.1
-DIGEST_EVERY_S = 1.0
-BUDGET_BYTES_PER_S = 1000
+# Each router sends every half second: in each tick, one part of the routers.
+PARTS = 5
+BUDGET_BYTES_PER_S = 1500
 ZONES = 4
 SERVICE_S = 2.0
 
@@ -169,7 +169,7 @@
             admitted["even_split"][int(now_s)] += even.admit(name, now_s)
             next_s += source.expovariate(load * LIMIT_PER_S)
         fleet.end_requests(now_s)
-        fleet.exchange(now_s, tick % 10, 10)
+        fleet.exchange(now_s, tick % PARTS, PARTS)
     rows = []
     for way, counts in admitted.items():
         row: dict[str, Any] = {"way": way, "case": case, "load": load}
@@ -228,7 +228,7 @@
             admitted[int(now_s)] += not fleet.admit(name, "t", now_s)
             next_s += source.expovariate(load * LIMIT_PER_S)
         fleet.end_requests(now_s)
-        fleet.exchange(now_s, tick % 10, 10)
+        fleet.exchange(now_s, tick % PARTS, PARTS)
     row: dict[str, Any] = {"way": "summed", "case": "cut", "routers": routers}
     spans = {"before": (10, 20), "10_to_60s": (30, 80), "60_to_100s": (90, 120)}
     for name, (from_s, to_s) in {**spans, "after": (135, 160)}.items():
@@ -254,7 +254,7 @@
             next_s += source.expovariate(load * 100 / SERVICE_S)
         if now_s > 15:
             seen.append(len(fleet.ending))
-        fleet.exchange(now_s, tick % 10, 10)
+        fleet.exchange(now_s, tick % PARTS, PARTS)
     return {
         "way": "summed",
         "case": "in_flight",
@@ -284,7 +284,7 @@
     fleet = Fleet(routers, contracts)
     empty_bytes = tracemalloc.get_traced_memory()[0]
     admitted: Counter[str] = Counter()
-    run_s, next_s, busy_s = 20.0, 0.0, 0.0
+    run_s, busy_s = 20.0, 0.0
     measured_from_s = 10.0
     for tick in range(int(run_s / TICK_S)):
         now_s = tick * TICK_S
@@ -297,7 +297,7 @@
             admitted[team] += not limit and now_s >= measured_from_s
         fleet.end_requests(now_s)
         started_s = time.perf_counter()
-        fleet.exchange(now_s, tick % 10, 10)
+        fleet.exchange(now_s, tick % PARTS, PARTS)
         busy_s += time.perf_counter() - started_s
     state_bytes = tracemalloc.get_traced_memory()[0] - empty_bytes
     tracemalloc.stop()
--- a/src/tamarackrill/decisions/limits.py
+++ b/src/tamarackrill/decisions/limits.py
@@ -126,6 +126,7 @@
         self.tokens = Meter()
         self.done = Meter()
         self.in_flight = 0
+        self.burst = contract.rate_burst
         self.updated_s = now_s
         # What this router itself may still admit, and what the whole fleet may.
         self.own_requests = _Bucket(contract.rate_burst)
@@ -224,6 +225,17 @@
         if team is not None:
             team.others = others
             team.others_at_s = now_s
+            self._cap_burst(team, now_s)
+
+    def _cap_burst(self, team: _Team, now_s: float) -> None:
+        # A router that a team has just come to still holds the whole burst for it.
+        # Callers that move from router to router would be granted it at each.
+        own_per_s = team.requests.read(now_s)
+        others = team.others
+        if others is not None and others.requests_per_s > 0:
+            share = own_per_s / (own_per_s + others.requests_per_s)
+            most = share * team.burst
+            team.fleet_requests.level = min(team.fleet_requests.level, most)
 
     def read_total(self, name: str, now_s: float) -> TeamUsage | None:
         """Return the fleet's usage as this router sees it, or None if unknown."""
--- a/src/tamarackrill/decisions/usage.py
+++ b/src/tamarackrill/decisions/usage.py
@@ -37,16 +37,23 @@
 # IP and UDP headers, signature and framing of one datagram.
 DIGEST_OVERHEAD_BYTES = 70
 REPORT_MIN_S = 1.0
-REPORT_MAX_S = 8.0
+REPORT_MAX_S = 16.0
 PRESSURE_HIGH = 0.5
 PRESSURE_STEP = 0.1
-# A router that hears nothing takes its own usage for all there is.  Up to a quarter
-# of the limit that decides nothing, and answers would be half of all bytes.
+# A router that hears nothing takes what it heard last for right, or its own usage for
+# all there is.  Up to a quarter of the limit that decides nothing, and answers would
+# be half of all bytes.
 PRESSURE_TOLD = 0.25
 # A usage below this is not worth a report: one request, 8 s ago.
 EMPTY_PER_S = 0.02
 # After a change of membership, two reports of a contended team.
 SETTLE_S = 2.0
+# A home tells an origin again when the sum has moved by a twentieth of the limit.
+TOLD_STEP = 0.05
+TOLD_MAX_S = 8.0
+# Bytes not used are saved up for so long: a home has to tell all its routers of a
+# surge within a second or two, and has little to say in between.
+SAVED_S = 10.0
 # An origin that missed two reports at the slowest pace is gone.
 ORIGIN_LOST_S = 3 * REPORT_MAX_S
 # Due messages shift by up to a tick; a report must not wait for one more.
@@ -81,8 +88,8 @@
         self.reports: dict[str, tuple[TeamUsage, float]] = {}
         # Sender of a report that has not been answered, by origin.
         self.unanswered: dict[str, str] = {}
-        # Origins that were last told of a high pressure, and must hear of its end.
-        self.told: set[str] = set()
+        # What each origin was last told: when, and the pressure.
+        self.told: dict[str, tuple[float, float]] = {}
 
     def forget(self, lost_s: float, now_s: float) -> None:
         """Drop origins that were not heard of for `lost_s`."""
@@ -90,15 +97,18 @@
             if now_s - at_s > lost_s:
                 del self.reports[origin]
                 self.unanswered.pop(origin, None)
-                self.told.discard(origin)
+                self.told.pop(origin, None)
 
-    def note_answer(self, origin: str, pressure: float) -> None:
+    def is_news(self, origin: str, pressure: float, now_s: float) -> bool:
+        """Return whether `origin` should hear of a sum of this pressure."""
+        at_s, told = self.told.get(origin, (-math.inf, 0.0))
+        step = TOLD_STEP * max(1.0, told)
+        return abs(pressure - told) > step or now_s - at_s >= TOLD_MAX_S
+
+    def note_answer(self, origin: str, pressure: float, now_s: float) -> None:
         """Take note that `origin` was told a sum of this pressure."""
         self.unanswered.pop(origin, None)
-        if pressure < PRESSURE_TOLD:
-            self.told.discard(origin)
-        else:
-            self.told.add(origin)
+        self.told[origin] = now_s, pressure
 
     def total(self, team: str, scope: UsageScope, origin: str) -> TeamUsage:
         """Return the sum of all reports."""
@@ -152,6 +162,8 @@
         # As any router: the usage of all other routers, likewise.
         self._other_routers: dict[str, tuple[TeamUsage, float]] = {}
         self._heard: dict[str, TeamUsage] = {}
+        self._saved_bytes = 0.0
+        self._collected_s = -math.inf
 
     def set_routers(self, routers: Sequence[RouterPlace], now_s: float) -> None:
         """Replace the list of live routers, this one included."""
@@ -175,9 +187,9 @@
         return self._homes[team]
 
     def collect(
-        self, own: Sequence[TeamUsage], now_s: float, max_bytes: int
+        self, own: Sequence[TeamUsage], now_s: float, bytes_per_s: float
     ) -> list[UsageDigest]:
-        """Return what to send now; call it once a second.
+        """Return what to send now; call it each half second.
 
         Parameters
         ----------
@@ -185,9 +197,9 @@
             Own usage of this router, each team.
         now_s : float
             Present time.
-        max_bytes : int
-            Most bytes of all digests together.  What does not fit is sent the
-            next time; teams closest to a limit go first.
+        bytes_per_s : float
+            Most bytes of all digests together, as a mean over `SAVED_S`.  What does
+            not fit is sent the next time; teams closest to a limit go first.
 
         Returns
         -------
@@ -204,7 +216,11 @@
             due += self._answer(team, fleet_sum, "other_zones", now_s)
         for team, zone_sum in self._zone_sums.items():
             due += self._answer(team, zone_sum, "other_routers", now_s)
-        return self._pack(due, now_s, max_bytes)
+        elapsed_s = min(SAVED_S, now_s - self._collected_s)
+        self._collected_s = now_s
+        saved_bytes = self._saved_bytes + elapsed_s * bytes_per_s
+        self._saved_bytes = min(saved_bytes, SAVED_S * bytes_per_s)
+        return self._pack(due, now_s)
 
     def observe(self, sender: str, entries: Sequence[TeamUsage], now_s: float) -> None:
         """Take in the entries of a digest from another router."""
@@ -286,30 +302,32 @@
         pressure = measure_pressure(total, contract)
         due = []
         for origin, sender in list(team_sum.unanswered.items()):
-            if pressure < PRESSURE_TOLD and origin not in team_sum.told:
-                del team_sum.unanswered[origin]
-                continue
             others = add_usage(total, team_sum.reports[origin][0], -1)
-            due.append((pressure, sender, others._replace(origin=origin)))
+            theirs = measure_pressure(others, contract)
+            # News for an origin is what the others do: it knows its own part, and
+            # arrivals that move to it change the others' usage but not the sum.
+            if pressure >= PRESSURE_TOLD and team_sum.is_news(origin, theirs, now_s):
+                due.append((pressure, sender, others._replace(origin=origin)))
+            else:
+                del team_sum.unanswered[origin]
         return due
 
     def _is_settled(self, team_sum: _Sum, now_s: float) -> bool:
         is_new_home = team_sum.since_s - self._changed_s < ORIGIN_LOST_S
         return not is_new_home or now_s - team_sum.since_s >= SETTLE_S
 
-    def _pack(self, due: list[_Due], now_s: float, max_bytes: int) -> list[UsageDigest]:
+    def _pack(self, due: list[_Due], now_s: float) -> list[UsageDigest]:
         due.sort(key=lambda item: -item[0])
         packed: dict[str, list[TeamUsage]] = {}
-        left_bytes = max_bytes
         for pressure, peer, usage in due:
             if peer == self._router:
                 self._note_sent(pressure, usage, now_s)
                 self.observe(peer, (usage,), now_s)
                 continue
             overhead = 0 if peer in packed else DIGEST_OVERHEAD_BYTES
-            if left_bytes < ENTRY_BYTES + overhead:
+            if self._saved_bytes < ENTRY_BYTES + overhead:
                 continue
-            left_bytes -= ENTRY_BYTES + overhead
+            self._saved_bytes -= ENTRY_BYTES + overhead
             packed.setdefault(peer, []).append(usage)
             self._note_sent(pressure, usage, now_s)
         return [UsageDigest(peer, tuple(found)) for peer, found in packed.items()]
@@ -321,9 +339,17 @@
         elif usage.scope == "zone":
             self._zone_sent[usage.team] = sent
         elif usage.scope == "other_zones":
-            self._fleet_sums[usage.team].note_answer(usage.origin, pressure)
+            self._note_answer(self._fleet_sums, usage, now_s)
         else:
-            self._zone_sums[usage.team].note_answer(usage.origin, pressure)
+            self._note_answer(self._zone_sums, usage, now_s)
+
+    def _note_answer(
+        self, sums: dict[str, _Sum], usage: TeamUsage, now_s: float
+    ) -> None:
+        contract = self._find_contract(usage.team)
+        if contract is not None:
+            told = measure_pressure(usage, contract)
+            sums[usage.team].note_answer(usage.origin, told, now_s)
 
 
 def _take_report(
