--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -33,8 +33,8 @@
 }
 CALLS = 2000
 AT_ONCE = 16
-STREAMS = 8
-EVENTS = 2000
+STREAMS = (1, 8, 48)
+EVENTS = 1000
 
 
 def _cpu_s(pid: int) -> float:
@@ -108,11 +108,13 @@
                     used_s = _cpu_s(router.pid) - cpu_s
                     summary["cpu_us_per_call"] = round(1e6 * used_s / CALLS, 1)
                 figures[f"{name}_{at_once}"] = summary
-        cpu_s = _cpu_s(router.pid)
-        events = asyncio.run(_stream(router.address, STREAMS, EVENTS))
-        used_s = _cpu_s(router.pid) - cpu_s
-        figures["stream_events"] = events
-        figures["cpu_us_per_event"] = round(1e6 * used_s / events, 1)
+        for streams in STREAMS:
+            cpu_s = _cpu_s(router.pid)
+            events = asyncio.run(_stream(router.address, streams, EVENTS))
+            used_s = _cpu_s(router.pid) - cpu_s
+            figures[f"cpu_us_per_event_{streams}_streams"] = round(
+                1e6 * used_s / events, 1
+            )
         return figures
 
 
