Order engines to load models, under a lease with a fencing number

Cause: a contract can name a model that no engine serves; its callers are refused until somebody loads it.

--- a/src/tamarackrill/contracts.py
+++ b/src/tamarackrill/contracts.py
@@ -86,6 +86,9 @@
         A leaving endpoint gets no new work.
     slots : int
         Requests that it works on at once; the unit of load is one request.
+    models_max : int
+        Models that an engine can hold; it may be ordered to load more than it
+        serves now.
     """
 
     name: str
@@ -95,6 +98,7 @@
     zone: str
     state: EndpointState = "live"
     slots: int = 8
+    models_max: int = 1
 
 
 class Vm(NamedTuple):
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -94,7 +94,22 @@
 
 # 4000: claims, answers and order
 
-# 5000: endpoints and their health
+# 5000: endpoints and their health; 5100: orders to engines
+ORDER_GIVEN = Event(
+    5101,
+    "order_given",
+    _INFO,
+    ("endpoint", "model", "replaces", "fence"),
+    "An engine took the order to load a model.",
+)
+ORDER_NOT_TAKEN = Event(
+    5102,
+    "order_not_taken",
+    _WARNING,
+    ("endpoint", "model", "replaces", "fence"),
+    "An engine did not take an order: its number was old, or no answer came.",
+    "Look whether the engine is reachable; the order is given again.",
+)
 
 
 def list_events() -> list[Event]:
--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+import uuid
 from typing import Any
 
 from tornado.curl_httpclient import CurlAsyncHTTPClient
@@ -18,6 +19,7 @@
 )
 from tamarackrill.decisions.configuration import ConfigurationStore, ObjectVersion
 from tamarackrill.decisions.hashing import rendezvous_order
+from tamarackrill.decisions.leases import LeaseTiming
 from tamarackrill.events import (
     ROUTER_LEAVING,
     ROUTER_STARTED,
@@ -33,6 +35,7 @@
 from tamarackrill.router.flow import Flow
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.metrics import Metrics
+from tamarackrill.router.orders import EngineOrderer, Fleet
 from tamarackrill.router.placing import Placer
 from tamarackrill.router.platform_client import PlatformClient
 from tamarackrill.router.upstream import make_client
@@ -103,6 +106,15 @@
         )
         self.configurer = Configurer(self.store, self.platform, self._take_objects)
         await self.configurer.start()
+        self.orderer = EngineOrderer(
+            f"{settings.name}/{uuid.uuid4().hex}",
+            Fleet(self.members, self.list_contracts, self.list_endpoints),
+            self.platform,
+            self._router_client,
+            self.clock,
+            LeaseTiming(settings.lease_s, settings.lease_s / 2),
+        )
+        await self.orderer.start()
         self._tasks.append(asyncio.create_task(self._follow_vms()))
         self._server = HTTPServer(
             make_front(self._make_front()),
@@ -143,6 +155,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.orderer.stop()
         await self.configurer.stop()
         self._endpoint_client.close()
         self._router_client.close()
--- /dev/null
+++ b/src/tamarackrill/router/orders.py
@@ -0,0 +1,192 @@
+"""Gives orders to engines, under a lease with a rising fencing number.
+
+One router at a time does it: the first of the live routers in the order of the
+lease's own name.  The others do not even read the lease, so that its cost to the
+platform does not grow with the fleet.  That choice only saves calls; what keeps two
+routers from ordering at once is the lease.
+"""
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import NamedTuple
+
+from tamarackrill.contracts import Contract, Endpoint
+from tamarackrill.decisions.hashing import rendezvous_order
+from tamarackrill.decisions.leases import (
+    Lease,
+    LeaseTiming,
+    ReadLease,
+    WriteLease,
+    read_lease_record,
+)
+from tamarackrill.decisions.loading import (
+    LoadOrder,
+    PendingLoad,
+    drop_settled,
+    list_needed,
+    plan_loads,
+)
+from tamarackrill.events import ORDER_GIVEN, ORDER_NOT_TAKEN, log_event
+from tamarackrill.exceptions import PlatformUnavailable
+from tamarackrill.router.members import Members
+from tamarackrill.router.platform_client import PlatformClient
+from tamarackrill.router.upstream import (
+    CurlAsyncHTTPClient,
+    Exchange,
+    UpstreamFailed,
+)
+
+LEASE_KIND = "lease"
+LEASE_NAME = "engine-orders"
+ORDERS_PATH = "/v1/orders"
+STEP_S = 0.5
+TAKEN = 200
+
+
+class Fleet(NamedTuple):
+    """What the orders are decided from.
+
+    Parameters
+    ----------
+    members : Members
+        Live routers.
+    list_contracts, list_endpoints : callable
+        Return what is in force now.
+    """
+
+    members: Members
+    list_contracts: Callable[[], list[Contract]]
+    list_endpoints: Callable[[], list[Endpoint]]
+
+
+class EngineOrderer:
+    """Owns the lease and the orders that are pending; one task.
+
+    Parameters
+    ----------
+    identity : str
+        Unique for each start of a router.
+    fleet : Fleet
+        What is known.
+    platform : PlatformClient
+        Not owned.
+    client : CurlAsyncHTTPClient
+        For the engines; not owned.
+    clock : callable
+        Returns the present time.
+    timing : LeaseTiming, optional
+        Durations of the lease.
+    """
+
+    def __init__(
+        self,
+        identity: str,
+        fleet: Fleet,
+        platform: PlatformClient,
+        client: CurlAsyncHTTPClient,
+        clock: Callable[[], float],
+        timing: LeaseTiming | None = None,
+    ) -> None:
+        self._timing = timing or LeaseTiming()
+        self._lease = Lease(identity, self._timing)
+        self._fleet = fleet
+        self._platform = platform
+        self._client = client
+        self._clock = clock
+        self._pending: dict[str, PendingLoad] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Start the task."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """End the task; the lease lapses by itself."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        while True:
+            if self._is_first():
+                await self._step()
+            await asyncio.sleep(STEP_S)
+
+    def _is_first(self) -> bool:
+        names = [member.name for member in self._fleet.members.list_live()]
+        first = rendezvous_order(LEASE_NAME, names, 1)
+        return first == [self._fleet.members.own.name]
+
+    async def _step(self) -> None:
+        try:
+            await self._advance_lease()
+        except PlatformUnavailable:
+            # A write may have taken effect; only a read can tell.  Until then the
+            # lease that is held runs out, and with it the right to order.
+            self._lease.take_lost_write()
+            return
+        engines = [
+            endpoint
+            for endpoint in self._fleet.list_endpoints()
+            if endpoint.kind == "engine" and endpoint.state == "live"
+        ]
+        now_s = self._clock()
+        self._pending = drop_settled(self._pending, engines, now_s)
+        if not self._lease.may_order(now_s):
+            return
+        needed = list_needed(self._fleet.list_contracts())
+        by_name = {engine.name: engine for engine in engines}
+        for order in plan_loads(needed, engines, self._pending):
+            await self._give(order, by_name[order.engine])
+
+    async def _advance_lease(self) -> None:
+        action = self._lease.advance(self._clock())
+        if isinstance(action, ReadLease):
+            found = await self._platform.get(LEASE_KIND, LEASE_NAME)
+            record = read_lease_record(found.value) if found else None
+            version = found.version if found else None
+            self._lease.take_read(record, version, self._clock())
+        elif isinstance(action, WriteLease):
+            sent_s = self._clock()
+            result = await self._platform.put(
+                LEASE_KIND, LEASE_NAME, action.record._asdict(), action.expected_version
+            )
+            self._lease.take_write(action, result.version, sent_s, self._clock())
+
+    async def _give(self, order: LoadOrder, engine: Endpoint) -> None:
+        now_s = self._clock()
+        # A router can be frozen between planning and here.  An engine that ignores
+        # fencing numbers would then take this order after those of the successor.
+        if not self._lease.may_order(now_s):
+            return
+        self._pending[order.engine] = PendingLoad(order, now_s)
+        body = {"order": "load", **order._asdict(), "fence": self._lease.fence}
+        status = await self._send(engine, json.dumps(body).encode())
+        event = ORDER_GIVEN if status == TAKEN else ORDER_NOT_TAKEN
+        log_event(
+            event,
+            endpoint=order.engine,
+            model=order.model,
+            replaces=order.replaces,
+            fence=self._lease.fence,
+        )
+        if status != TAKEN:
+            del self._pending[order.engine]
+
+    async def _send(self, engine: Endpoint, body: bytes) -> int:
+        exchange = Exchange(
+            self._client,
+            "POST",
+            f"http://{engine.address}{ORDERS_PATH}",
+            {"Content-Type": "application/json"},
+            body,
+            self._timing.order_max_s,
+            repeatable=False,
+        )
+        try:
+            return (await exchange.head()).status
+        except UpstreamFailed:
+            return 0
+        finally:
+            await exchange.close()
--- a/src/tamarackrill/settings.py
+++ b/src/tamarackrill/settings.py
@@ -48,6 +48,7 @@
     body_max_bytes: int
     queue_max: int
     drain_max_s: float
+    lease_s: float
     log_format: str
 
 
@@ -67,6 +68,7 @@
     Setting("body_max_bytes", int, "1048576", "longest request body", 1024, 1 << 26),
     Setting("queue_max", int, "512", "waiting requests for each pool", 1, 100_000),
     Setting("drain_max_s", float, "300", "longest wait for work in flight", 0, 86_400),
+    Setting("lease_s", float, "10", "lease of the router that orders", 0.5, 600),
     Setting("log_format", str, "text", "text or json"),
 )
 
--- a/src/tamarackrill/testing/daemon.py
+++ b/src/tamarackrill/testing/daemon.py
@@ -10,6 +10,7 @@
 import signal
 import sys
 from collections.abc import Sequence
+from typing import Any
 
 from tornado.httpclient import AsyncHTTPClient
 from tornado.httpserver import HTTPServer
@@ -63,42 +64,53 @@
     parser.add_argument("--zone", default="zone-a")
     parser.add_argument("--serves", default="", help="models or service, with commas")
     parser.add_argument("--slots", type=int, default=8)
+    parser.add_argument("--models-max", type=int, default=1)
     parser.add_argument("--step-s", type=float, default=0.001)
     parser.add_argument("--platform", help="host:port to announce to")
     parser.add_argument("--port", type=int, default=0)
     return parser
 
 
-def _make_application(options: argparse.Namespace) -> Application:
+def _make_application(options: argparse.Namespace) -> tuple[Application, Any]:
     if options.what == "platform":
-        return make_platform(PlatformState())
+        return make_platform(PlatformState()), None
     if options.what == "service":
-        return make_service(ServiceState(options.name))
+        return make_service(ServiceState(options.name)), None
     state = EngineState(
         options.name,
         options.slots,
         options.step_s,
         crash=lambda: os._exit(CRASH_EXIT_CODE),
+        serves=tuple(options.serves.split(",")),
+    )
+    return make_engine(state), state
+
+
+def _make_endpoint(options: argparse.Namespace, address: str) -> Endpoint:
+    return Endpoint(
+        options.name,
+        options.what,
+        tuple(options.serves.split(",")),
+        address,
+        options.zone,
+        slots=options.slots,
+        models_max=options.models_max,
     )
-    return make_engine(state)
 
 
 async def _run(options: argparse.Namespace) -> None:
     stopped = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopped.set)
-    server, address = listen(_make_application(options), options.port)
+    application, engine = _make_application(options)
+    server, address = listen(application, options.port)
     if options.platform:
         client = PlatformClient(options.platform, options.zone, AsyncHTTPClient())
-        serves = tuple(options.serves.split(","))
-        endpoint = Endpoint(
-            options.name,
-            options.what,
-            serves,
-            address,
-            options.zone,
-            slots=options.slots,
-        )
+        endpoint = _make_endpoint(options, address)
         await announce(client, endpoint)
+        if engine is not None:
+            engine.on_loaded = lambda serves: announce(
+                client, endpoint._replace(serves=serves)
+            )
     print(f"listening {address}", flush=True)
     await stopped.wait()
     server.stop()
--- a/src/tamarackrill/testing/engine.py
+++ b/src/tamarackrill/testing/engine.py
@@ -21,7 +21,7 @@
 import contextlib
 import json
 from collections import Counter, OrderedDict
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
 from tornado.iostream import StreamClosedError
@@ -79,6 +79,10 @@
         Chats whose prefix fits into memory.
     crash : callable
         Called when a request contains `CRASH_WORD`.
+    on_loaded : callable, optional
+        Called with the models served once an order to load one was carried out.
+    serves : tuple of str
+        Models loaded at the start.
     """
 
     def __init__(
@@ -89,12 +93,16 @@
         prefill_token_s: float = 0.0,
         cache_chats: int = 100,
         crash: Callable[[], None] = lambda: None,
+        on_loaded: Callable[[tuple[str, ...]], Awaitable[None]] | None = None,
+        serves: tuple[str, ...] = (),
     ) -> None:
         self.name = name
         self.step_s = step_s
         self.prefill_token_s = prefill_token_s
         self.cache_chats = cache_chats
         self.crash = crash
+        self.on_loaded = on_loaded
+        self.serves = serves
         self.batch = asyncio.Semaphore(slots)
         self.running = 0
         self.cache: OrderedDict[str, int] = OrderedDict()
@@ -173,12 +181,16 @@
         number = len(self.cache_events) + 1
         self.cache_events.append({"number": number, "event": what, "chat": chat})
 
-    def take_order(self, order: dict[str, Any]) -> bool:
+    async def take_order(self, order: dict[str, Any]) -> bool:
         """Take an order unless its fencing number is old."""
         if order["fence"] < self.fence and not self.faults.ignore_fencing:
             return False
         self.fence = max(self.fence, order["fence"])
         self.orders.append(order)
+        kept = tuple(name for name in self.serves if name != order.get("replaces"))
+        self.serves = (*kept, order["model"])
+        if self.on_loaded is not None:
+            await self.on_loaded(self.serves)
         return True
 
     def describe(self) -> dict[str, Any]:
@@ -295,8 +307,8 @@
 
 
 class _OrderHandler(_Handler):
-    def post(self) -> None:
-        taken = self.state.take_order(json.loads(self.request.body))
+    async def post(self) -> None:
+        taken = await self.state.take_order(json.loads(self.request.body))
         self.set_status(200 if taken else 409)
         self.finish({"taken": taken, "fence": self.state.fence})
 
--- /dev/null
+++ b/tests/test_loading.py
@@ -0,0 +1,76 @@
+import pytest
+
+from tamarackrill.contracts import Contract, Endpoint
+from tamarackrill.decisions.loading import (
+    LOAD_MAX_S,
+    LoadOrder,
+    PendingLoad,
+    drop_settled,
+    list_needed,
+    plan_loads,
+)
+
+
+def _engine(name, *serves, room=1):
+    return Endpoint(name, "engine", serves, "", "z", models_max=room)
+
+
+@pytest.mark.parametrize(
+    ("needed", "engines", "wanted"),
+    [
+        (["a"], [_engine("1", "a")], []),
+        (["b"], [_engine("1", "a", room=2)], [LoadOrder("1", "b")]),
+        (["a", "b"], [_engine("1", "a")], []),
+        (["b"], [_engine("1", "a")], [LoadOrder("1", "b", "a")]),
+        (
+            ["a", "b"],
+            [_engine("1", "a"), _engine("2", "a")],
+            [LoadOrder("1", "b", "a")],
+        ),
+        (["b", "c"], [_engine("1", room=2)], [LoadOrder("1", "b")]),
+    ],
+)
+def test_needed_model_is_loaded_and_none_is_lost(needed, engines, wanted):
+    assert plan_loads(needed, engines, {}) == wanted
+
+
+def test_loads_wait_for_the_weight_store():
+    # A zone's engines come back together and all models are missing.  The weight
+    # store is rate-limited: were all loaded at once, none would be ready soon.
+    engines = [_engine(str(number), room=2) for number in range(5)]
+    pending = {}
+    most = 0
+    for now_s in range(20):
+        for order in plan_loads(list("abcdef"), engines, pending):
+            pending[order.engine] = PendingLoad(order, now_s)
+        most = max(most, len(pending))
+        done = [load.order for load in pending.values() if now_s - load.ordered_s > 1]
+        engines = [
+            engine._replace(
+                serves=(
+                    *engine.serves,
+                    *(o.model for o in done if o.engine == engine.name),
+                )
+            )
+            for engine in engines
+        ]
+        pending = drop_settled(pending, engines, now_s)
+    assert most == 1
+    assert {model for engine in engines for model in engine.serves} == set("abcdef")
+
+
+def test_lost_load_is_ordered_again():
+    # The engine took the order and crashed.  Nobody else would be asked to load the
+    # model, and its callers would be refused for good.
+    engines = [_engine("1", room=2), _engine("2", room=2)]
+    pending = {"1": PendingLoad(LoadOrder("1", "a"), 0.0)}
+    assert drop_settled(pending, engines, LOAD_MAX_S - 1) == pending
+    assert drop_settled(pending, engines, LOAD_MAX_S) == {}
+
+
+def test_most_named_model_comes_first():
+    contracts = [
+        Contract("t", (), models=("b",)),
+        Contract("u", (), models=("a", "b")),
+    ]
+    assert list_needed(contracts) == ["b", "a"]
