Check contracts, endpoint objects and settings, with the place of each fault

Cause: a contract with a misspelt field, a wrong range or a field given twice was taken without a word, and a malformed object from the platform raised KeyError in the router. Unknown flags ended the daemon's start one fault at a time.

Ruled out: checks written by hand (the published schema would drift from them); a JSON parser of our own for the line numbers (the library's parser is wrapped, and only the index of each value is kept). A router passes over unknown fields, since a fleet in the middle of an upgrade reads what a newer command line wrote; an operator's file does not get away with them.

--- a/src/tamarackrill/contracts.py
+++ b/src/tamarackrill/contracts.py
@@ -2,11 +2,26 @@
 
 A contract is all that an operator writes; every limit that the fleet applies to a
 team follows from it.  Endpoints announce themselves; the VM list is the platform's.
+
+The published schemas are contract.schema.json and endpoint.schema.json, beside this
+module.  An operator's file is checked in full (`check_contract`); a router passes
+over fields that it does not know (`read_contract`), so that a fleet in the middle of
+an upgrade can read what a newer command line wrote.
 """
 
+import difflib
 import hashlib
+import json
+from collections.abc import Iterator
+from functools import cache
+from importlib import resources
 from typing import Any, Literal, NamedTuple
 
+import jsonschema
+
+from tamarackrill.documents import Document, FieldPath
+from tamarackrill.exceptions import Finding, FindingsError
+
 CONTRACT_KIND = "contract"
 ENDPOINT_KIND = "endpoint"
 CLAIM_KIND = "claim"
@@ -37,6 +52,8 @@
         What the team may call.
     weight : int
         Share of a contended endpoint pool, relative to other teams.
+    priority : int
+        Priority handed to engines that honour one; 0 goes first, 9 last.
     rate_per_s, rate_burst : float
         Requests a second over the whole fleet, and how many may come at once.
     in_flight_max : int
@@ -49,6 +66,8 @@
         Calls that run at most once; they need an ``Idempotency-Key``.
     answers_kept_s : float
         How long an answer is kept for a resend.
+    answers_kept_bytes : int
+        Most bytes of answers that one router keeps for the team's resends.
     """
 
     team: str
@@ -65,6 +84,8 @@
     deadline_max_s: float = 300.0
     non_idempotent: tuple[CallPattern, ...] = ()
     answers_kept_s: float = 60.0
+    priority: int = 5
+    answers_kept_bytes: int = 4_194_304
 
 
 class Endpoint(NamedTuple):
@@ -111,28 +132,214 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-def read_contract(value: dict[str, Any]) -> Contract:
+def read_contract(value: Any) -> Contract:
     """Return the contract that an object's value describes.
 
     Parameters
     ----------
     value : dict
-        JSON value of an object of kind ``contract``.
+        JSON value of an object of kind ``contract``.  Unknown fields are passed over.
 
     Returns
     -------
     Contract
+
+    Raises
+    ------
+    FindingsError
+        If a known field is absent, malformed or out of range.
+    """
+    if isinstance(value, dict):
+        value = {"kind": CONTRACT_FORMAT, **value}
+    findings = _find_faults("contract", Document("contract", value, {}), strict=False)
+    if findings:
+        raise FindingsError(findings)
+    return _build_contract(value)
+
+
+def check_contract(document: Document) -> Contract:
+    """Return the contract that an operator's file describes.
+
+    Parameters
+    ----------
+    document : Document
+        The parsed file.
+
+    Returns
+    -------
+    Contract
+
+    Raises
+    ------
+    FindingsError
+        Lists all faults of the file, unknown fields included, with their lines.
+    """
+    findings = [*document.findings]
+    findings.extend(_find_faults("contract", document, strict=True))
+    if findings:
+        raise FindingsError(findings)
+    return _build_contract(document.value)
+
+
+def check_contracts(documents: list[Document]) -> list[Contract]:
+    """Return the contracts of several files, which must fit each other.
+
+    Raises
+    ------
+    FindingsError
+        Lists the faults of all files together, and teams or keys that stand twice.
+    """
+    findings: list[Finding] = []
+    contracts: list[Contract] = []
+    places: dict[str, str] = {}
+    for document in documents:
+        try:
+            contract = check_contract(document)
+        except FindingsError as error:
+            findings.extend(error.findings)
+            continue
+        contracts.append(contract)
+        findings.extend(_find_repeated(document, contract, places))
+    if findings:
+        raise FindingsError(findings)
+    return contracts
+
+
+def read_endpoint(value: Any) -> Endpoint:
+    """Return the endpoint that an object's value describes.
+
+    Raises
+    ------
+    FindingsError
+        If a known field is absent, malformed or out of range.
     """
+    findings = _find_faults("endpoint", Document("endpoint", value, {}), strict=False)
+    if findings:
+        raise FindingsError(findings)
+    fields = {name: value[name] for name in Endpoint._fields if name in value}
+    fields["serves"] = tuple(value["serves"])
+    return Endpoint(**fields)
+
+
+def load_schema(kind: str) -> dict[str, Any]:
+    """Return the published schema of ``"contract"`` or ``"endpoint"``."""
+    file = resources.files("tamarackrill").joinpath(f"{kind}.schema.json")
+    return json.loads(file.read_text(encoding="utf-8"))
+
+
+def _build_contract(value: dict[str, Any]) -> Contract:
     fields = {name: value[name] for name in Contract._fields if name in value}
     for name in ("key_hashes", "models", "services"):
         fields[name] = tuple(value.get(name, ()))
     patterns = value.get("non_idempotent", ())
-    fields["non_idempotent"] = tuple(CallPattern(**pattern) for pattern in patterns)
+    fields["non_idempotent"] = tuple(
+        CallPattern(item["service"], item["method"], item["path_prefix"])
+        for item in patterns
+    )
     return Contract(**fields)
 
 
-def read_endpoint(value: dict[str, Any]) -> Endpoint:
-    """Return the endpoint that an object's value describes."""
-    fields = {name: value[name] for name in Endpoint._fields if name in value}
-    fields["serves"] = tuple(value.get("serves", ()))
-    return Endpoint(**fields)
+@cache
+def _make_validator(kind: str) -> Any:
+    return jsonschema.Draft202012Validator(load_schema(kind))
+
+
+def _find_faults(kind: str, document: Document, strict: bool) -> list[Finding]:
+    findings: list[Finding] = []
+    for error in _make_validator(kind).iter_errors(document.value):
+        if error.validator == "additionalProperties":
+            findings.extend(_find_unknown(document, error) if strict else ())
+        else:
+            place = document.place(tuple(error.absolute_path))
+            findings.append(Finding(place, _describe(error)))
+    if not findings and kind == "contract":
+        findings.extend(_find_contradictions(document))
+    return findings
+
+
+def _find_unknown(document: Document, error: Any) -> Iterator[Finding]:
+    known = error.schema["properties"]
+    for name in error.instance:
+        if name in known:
+            continue
+        nearest = difflib.get_close_matches(name, known, n=1)
+        hint = f"did you mean {nearest[0]!r}?" if nearest else ""
+        place = document.place((*error.absolute_path, name))
+        yield Finding(place, "unknown field", hint)
+
+
+def _describe(error: Any) -> str:
+    unit = error.schema.get("unit")
+    suffix = f" {unit}" if unit else ""
+    # An operator may paste the key itself in place of its hash; findings are shown
+    # and logged, so the value isn't repeated there.
+    secret = "key_hashes" in error.absolute_path
+    shown = "the value" if secret else _shorten(error.instance)
+    match error.validator:
+        case "minimum":
+            return f"{shown} is below the least value, {error.validator_value}{suffix}"
+        case "maximum":
+            return f"{shown} is above the most, {error.validator_value}{suffix}"
+        case "required":
+            missing = error.message.split("'")[1]
+            return f"field {missing!r} is missing"
+        case "pattern":
+            wanted = error.schema.get("description") or error.validator_value
+            return f"{shown} does not have the form wanted: {wanted}"
+        case "minItems":
+            return f"needs at least {error.validator_value} item(s)"
+        case "const" | "enum":
+            wanted = error.validator_value
+            choices = wanted if isinstance(wanted, list) else [wanted]
+            return f"{shown} is none of {', '.join(map(str, choices))}"
+        case "type":
+            return f"{shown} is no {error.validator_value}"
+    return f"{shown} breaks the rule {error.validator}"
+
+
+def _shorten(value: Any, length: int = 40) -> str:
+    text = json.dumps(value, default=str)
+    return text if len(text) <= length else text[: length - 3] + "..."
+
+
+def _find_contradictions(document: Document) -> Iterator[Finding]:
+    """Yield faults that only show when fields are read together."""
+    contract = _build_contract(document.value)
+
+    def find(path: FieldPath, message: str, hint: str = "") -> Finding:
+        return Finding(document.place(path), message, hint)
+
+    if contract.deadline_s > contract.deadline_max_s:
+        yield find(
+            ("deadline_s",),
+            f"{contract.deadline_s:g} s is later than deadline_max_s, "
+            f"{contract.deadline_max_s:g} s",
+        )
+    if not contract.models and not contract.services:
+        yield find((), "the team may call nothing", "give models or services")
+    if hash_key("") in contract.key_hashes:
+        number = contract.key_hashes.index(hash_key(""))
+        yield find(("key_hashes", number), "is the hash of an empty key")
+    for number, pattern in enumerate(contract.non_idempotent):
+        if pattern.service not in contract.services:
+            path = ("non_idempotent", number, "service")
+            nearest = difflib.get_close_matches(pattern.service, contract.services, 1)
+            hint = f"did you mean {nearest[0]!r}?" if nearest else "add it to services"
+            yield find(path, f"{pattern.service!r} is not among services", hint)
+
+
+def _find_repeated(
+    document: Document, contract: Contract, places: dict[str, str]
+) -> Iterator[Finding]:
+    """Yield teams and keys that another file holds already; extends `places`."""
+    listed: list[tuple[FieldPath, str, str]] = [(("team",), contract.team, "team")]
+    listed += [
+        (("key_hashes", number), key_hash, "key")
+        for number, key_hash in enumerate(contract.key_hashes)
+    ]
+    for path, value, what in listed:
+        place = document.place(path)
+        # A key that two teams hold would name either of them, by chance.
+        if value in places:
+            yield Finding(place, f"same {what} as {places[value]}")
+        places.setdefault(value, place)
--- a/src/tamarackrill/settings.py
+++ b/src/tamarackrill/settings.py
@@ -1,11 +1,16 @@
 """Settings of the daemon: flags and environment variables, declared once.
 
 A flag ``--peer-port`` is also the variable ``TAMARACKRILL_PEER_PORT``; the flag
-wins.  All faults are reported together, each with its place.
+wins.  All faults are reported together, each with its place.  ``--check`` ends the
+process after the check and ``--show-settings`` after listing what would be in force,
+as ``--help`` does.
 """
 
 import argparse
-from collections.abc import Callable, Mapping, Sequence
+import difflib
+import ipaddress
+import math
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import Any, NamedTuple
 
 from tamarackrill.exceptions import Finding, FindingsError
@@ -14,7 +19,25 @@
 
 
 class Setting(NamedTuple):
-    """Declaration of one setting."""
+    """Declaration of one setting.
+
+    Parameters
+    ----------
+    name : str
+        Field of `Settings`; also gives the flag and the variable.
+    parse : callable
+        Turns text into the value; raises ValueError with a reason.
+    default : str or None
+        Text that stands in if none is given; None for a setting that is required.
+    doc : str
+        What it is for.
+    least, most : float, optional
+        Range, bounds included.
+    unit : str, optional
+        Unit of the value, for help and findings.
+    secret : bool, default=False
+        The value is never shown.
+    """
 
     name: str
     parse: Callable[[str], Any]
@@ -22,6 +45,8 @@
     doc: str
     least: float | None = None
     most: float | None = None
+    unit: str = ""
+    secret: bool = False
 
     @property
     def flag(self) -> str:
@@ -51,37 +76,141 @@
     log_format: str
 
 
-def _parse_list(text: str) -> tuple[str, ...]:
-    return tuple(part.strip() for part in text.split(",") if part.strip())
+def _parse_peer_keys(text: str) -> tuple[str, ...]:
+    keys = tuple(part.strip() for part in text.split(",") if part.strip())
+    if not 1 <= len(keys) <= 2:
+        raise ValueError(f"holds {len(keys)} keys, not one or two")
+    return keys
+
+
+def _parse_integer(text: str) -> int:
+    try:
+        return int(text)
+    except ValueError as error:
+        raise ValueError(f"{text!r} is no whole number") from error
+
+
+def _parse_number(text: str) -> float:
+    try:
+        value = float(text)
+    except ValueError as error:
+        raise ValueError(f"{text!r} is no number") from error
+    # NaN compares false with both bounds of a range and would pass the check.
+    if not math.isfinite(value):
+        raise ValueError(f"{text!r} is no finite number")
+    return value
+
+
+def _parse_name(text: str) -> str:
+    if not text or not all(
+        part.isalnum() for part in text.replace("_", "-").split("-")
+    ):
+        raise ValueError(f"{text!r} is no name of letters, digits, '-' and '_'")
+    return text
+
+
+def _parse_address(text: str) -> str:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError as error:
+        raise ValueError(f"{text!r} is no IP number") from error
+    return text
+
+
+def _parse_host_and_port(text: str) -> str:
+    host, _, port = text.rpartition(":")
+    if not port.isdigit() or not 1 <= int(port) <= 65535:
+        raise ValueError(f"{text!r} is no host:port")
+    _parse_address(host.removeprefix("[").removesuffix("]"))
+    return text
+
+
+def _parse_log_format(text: str) -> str:
+    if text not in ("text", "json"):
+        raise ValueError(f"{text!r} is neither text nor json")
+    return text
 
 
 SETTINGS = (
-    Setting("name", str, None, "name of this VM, unique in the fleet"),
-    Setting("zone", str, None, "availability zone of this VM"),
-    Setting("address", str, "127.0.0.1", "IP number to listen on"),
-    Setting("port", int, "8080", "TCP port for callers", 0, 65535),
-    Setting("peer_port", int, "8081", "UDP port for other routers", 0, 65535),
-    Setting("platform", str, None, "host:port of the platform's object API"),
-    Setting("peer_keys", _parse_list, None, "one or two keys shared by the routers"),
-    Setting("load_bound", float, "1.25", "multiple of the mean load", 1.01, 10.0),
-    Setting("body_max_bytes", int, "1048576", "longest request body", 1024, 1 << 26),
-    Setting("queue_max", int, "512", "waiting requests for each pool", 1, 100_000),
-    Setting("drain_max_s", float, "300", "longest wait for work in flight", 0, 86_400),
-    Setting("log_format", str, "text", "text or json"),
+    Setting("name", _parse_name, None, "name of this VM, unique in the fleet"),
+    Setting("zone", _parse_name, None, "availability zone of this VM"),
+    Setting("address", _parse_address, "127.0.0.1", "IP number to listen on"),
+    Setting("port", _parse_integer, "8080", "TCP port for callers", 0, 65535),
+    Setting(
+        "peer_port", _parse_integer, "8081", "UDP port for other routers", 0, 65535
+    ),
+    Setting(
+        "platform", _parse_host_and_port, None, "host:port of the platform's object API"
+    ),
+    Setting(
+        "peer_keys",
+        _parse_peer_keys,
+        None,
+        "one key shared by the routers, or two while keys change: "
+        "new,old; best given by the variable, since flags are seen by all users "
+        "of the VM",
+        secret=True,
+    ),
+    Setting("load_bound", _parse_number, "1.25", "multiple of the mean load", 1.01, 10),
+    Setting(
+        "body_max_bytes",
+        _parse_integer,
+        "1048576",
+        "longest request body",
+        1024,
+        1 << 26,
+        "bytes",
+    ),
+    Setting(
+        "queue_max",
+        _parse_integer,
+        "512",
+        "waiting requests for each pool",
+        1,
+        100_000,
+        "requests",
+    ),
+    Setting(
+        "drain_max_s",
+        _parse_number,
+        "300",
+        "longest wait for work in flight at a shutdown",
+        0,
+        86_400,
+        "s",
+    ),
+    Setting("log_format", _parse_log_format, "text", "text or json"),
 )
 
 
 def build_parser() -> argparse.ArgumentParser:
     """Return the parser of the daemon's flags."""
     parser = argparse.ArgumentParser(
-        prog="tamarackrilld", description="One router of the fleet."
+        prog="tamarackrilld",
+        description="One router of the fleet.",
+        epilog="Each setting is a flag or an environment variable; the flag wins. "
+        "Faulty settings end the process with exit code 2.",
+        allow_abbrev=False,
+    )
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings and end"
+    )
+    parser.add_argument(
+        "--show-settings",
+        action="store_true",
+        help="list the settings in force and end",
     )
     for setting in SETTINGS:
+        # Any value is taken here, also a missing one, so that `load_settings` reports
+        # all faults together; argparse would stop at the first.
         parser.add_argument(
             setting.flag,
             dest=setting.name,
-            help=f"{setting.doc} (variable {setting.variable}, "
-            f"default {setting.default or 'none'})",
+            nargs="?",
+            const="",
+            metavar=_describe_range(setting) or "VALUE",
+            help=f"{setting.doc} ({setting.variable}, "
+            f"default {setting.default or 'none, required'})",
         )
     return parser
 
@@ -103,11 +232,14 @@
     Raises
     ------
     FindingsError
-        If any setting is absent, malformed or out of range; lists all of them.
+        If any setting is absent, malformed, out of range or unknown; lists all.
+    SystemExit
+        With code 0 after ``--help``, ``--check`` or ``--show-settings``.
     """
-    given = vars(build_parser().parse_args(list(arguments)))
+    parsed, unknown = build_parser().parse_known_args(list(arguments))
+    given = vars(parsed)
     values: dict[str, Any] = {}
-    findings: list[Finding] = []
+    findings = [*_find_unknown_flags(unknown), *_find_unknown_variables(environment)]
     for setting in SETTINGS:
         place, text = _find_text(setting, given, environment)
         value, fault = _check(setting, place, text)
@@ -115,7 +247,51 @@
         findings.extend(fault)
     if findings:
         raise FindingsError(findings)
-    return Settings(**values)
+    settings = Settings(**values)
+    if given["show_settings"]:
+        print(show_settings(settings))
+    if given["check"] or given["show_settings"]:
+        raise SystemExit(0)
+    return settings
+
+
+def show_settings(settings: Settings) -> str:
+    """Return one line for each setting; secrets are only counted."""
+    lines = []
+    for setting in SETTINGS:
+        value = getattr(settings, setting.name)
+        shown = f"({len(value)} given)" if setting.secret else str(value)
+        unit = f" {setting.unit}" if setting.unit else ""
+        lines.append(f"{setting.flag} {shown}{unit}")
+    return "\n".join(lines)
+
+
+def _describe_range(setting: Setting) -> str:
+    if setting.least is None or setting.most is None:
+        return setting.unit
+    return f"{setting.least:g}..{setting.most:g} {setting.unit}".strip()
+
+
+def _find_unknown_flags(unknown: Sequence[str]) -> Iterator[Finding]:
+    flags = [setting.flag for setting in SETTINGS]
+    for text in unknown:
+        flag = text.partition("=")[0]
+        if not flag.startswith("-"):
+            continue
+        yield Finding(flag, "unknown flag", _hint_nearest(flag, flags))
+
+
+def _find_unknown_variables(environment: Mapping[str, str]) -> Iterator[Finding]:
+    # A misspelt variable would leave the default in force without a word.
+    variables = [setting.variable for setting in SETTINGS]
+    for name in sorted(environment):
+        if name.startswith(ENVIRONMENT_PREFIX) and name not in variables:
+            yield Finding(name, "unknown variable", _hint_nearest(name, variables))
+
+
+def _hint_nearest(name: str, known: Sequence[str]) -> str:
+    nearest = difflib.get_close_matches(name, known, n=1)
+    return f"did you mean {nearest[0]}?" if nearest else ""
 
 
 def _find_text(
@@ -131,13 +307,14 @@
 def _check(setting: Setting, place: str, text: str | None) -> tuple[Any, list[Finding]]:
     if text is None:
         hint = f"give {setting.flag} or set {setting.variable}"
-        return None, [Finding(place, f"{setting.doc} is required", hint)]
+        return None, [Finding(place, f"is required: {setting.doc}", hint)]
     try:
         value = setting.parse(text)
-    except ValueError:
-        return None, [Finding(place, f"{text!r} is no {setting.parse.__name__}")]
+    except ValueError as error:
+        return None, [Finding(place, str(error), setting.doc)]
+    unit = f" {setting.unit}" if setting.unit else ""
     if setting.least is not None and value < setting.least:
-        return None, [Finding(place, f"{value} is below {setting.least}")]
+        return None, [Finding(place, f"{value} is below {setting.least:g}{unit}")]
     if setting.most is not None and value > setting.most:
-        return None, [Finding(place, f"{value} is above {setting.most}")]
+        return None, [Finding(place, f"{value} is above {setting.most:g}{unit}")]
     return value, []
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,75 @@
+import pytest
+
+from tamarackrill.exceptions import FindingsError
+from tamarackrill.settings import SETTINGS, load_settings
+
+ENVIRONMENT = {
+    "TAMARACKRILL_NAME": "vm-1",
+    "TAMARACKRILL_ZONE": "kranj-hall",
+    "TAMARACKRILL_PLATFORM": "127.0.0.1:7000",
+    "TAMARACKRILL_PEER_KEYS": "new-secret,old-secret",
+}
+
+
+def find_faults(arguments, environment):
+    with pytest.raises(FindingsError) as caught:
+        load_settings(arguments, environment)
+    return [finding.show() for finding in caught.value.findings]
+
+
+def test_flag_goes_before_variable():
+    settings = load_settings(["--zone", "kamnik-hall"], ENVIRONMENT)
+    assert (settings.zone, settings.name) == ("kamnik-hall", "vm-1")
+    assert settings.peer_keys == ("new-secret", "old-secret")
+
+
+def test_all_faults_are_reported_together():
+    found = find_faults(["--port", "x", "--prot=1"], {"TAMARACKRILL_ZONES": "a"})
+    assert [line.split(":")[0] for line in found] == [
+        "--prot",
+        "TAMARACKRILL_ZONES",
+        "--name",
+        "--zone",
+        "--port",
+        "--platform",
+        "--peer-keys",
+    ]
+    assert "did you mean --port?" in found[0]
+
+
+@pytest.mark.parametrize(
+    ("flag", "text", "part"),
+    [
+        ("--port", "70000", "70000 is above 65535"),
+        ("--load-bound", "1", "1.0 is below 1.01"),
+        ("--load-bound", "nan", "no finite number"),
+        ("--body-max-bytes", "5", "5 is below 1024 bytes"),
+        ("--address", "router.example", "no IP number"),
+        ("--platform", "127.0.0.1", "no host:port"),
+        ("--name", "a b", "no name"),
+        ("--log-format", "xml", "neither text nor json"),
+        ("--peer-keys", "a,b,c", "holds 3 keys, not one or two"),
+        ("--queue-max", "", "no whole number"),
+    ],
+)
+def test_fault_names_its_flag(flag, text, part):
+    (line,) = find_faults([flag, text], ENVIRONMENT)
+    assert line.startswith(flag)
+    assert part in line
+
+
+@pytest.mark.parametrize(("flag", "lines"), [("--check", 0), ("--show-settings", 1)])
+def test_check_and_show_end_the_process(flag, lines, capsys):
+    with pytest.raises(SystemExit) as caught:
+        load_settings([flag], ENVIRONMENT)
+    shown = capsys.readouterr().out
+    assert caught.value.code == 0
+    assert len(shown.splitlines()) == lines * len(SETTINGS)
+    assert "secret" not in shown
+
+
+def test_help_names_each_variable(capsys):
+    with pytest.raises(SystemExit):
+        load_settings(["--help"], {})
+    shown = "".join(capsys.readouterr().out.split())
+    assert all(setting.variable in shown for setting in SETTINGS)
