Keep following the platform when one object can't be read

Cause: a contract or endpoint object that someone wrote past the command line made the task that follows the platform end; no later change came into force at any router.

Now the version before it stays in force, event 6001 names the object, and the status lists it under "faulty". The status also gives "complete", the revision up to which no change of a kind is missing: the highest version of any kind, which it gave before, rises with an endpoint while a contract is still on its way.

Ruled out: dropping the object (the team would be refused everywhere), and taking what can be read of it (half a contract is not what anyone agreed).

The name of the format stands in the field "format"; "kind" is the platform's word.

--- a/src/tamarackrill/contracts.py
+++ b/src/tamarackrill/contracts.py
@@ -165,7 +165,7 @@
         If a known field is absent, malformed or out of range.
     """
     if isinstance(value, dict):
-        value = {"kind": CONTRACT_FORMAT, **value}
+        value = {"format": CONTRACT_FORMAT, **value}
     findings = _find_faults("contract", Document("contract", value, {}), strict=False)
     if findings:
         raise FindingsError(findings)
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -6,7 +6,7 @@
 
 Ranges: 1000 life cycle and settings, 2000 requests, routing and admission,
 3000 membership and configuration, 4000 claims, answers and order, 5000 endpoints
-and their health.
+and their health, 6000 objects of the platform.
 """
 
 import json
@@ -96,6 +96,16 @@
 
 # 5000: endpoints and their health
 
+# 6000: objects of the platform
+OBJECT_FAULTY = Event(
+    6001,
+    "object_faulty",
+    _ERROR,
+    ("kind", "name", "version", "message"),
+    "An object of the platform can't be read; the version before it stays in force.",
+    "Mend the object: `tamarackrill contract apply`, or the endpoint that wrote it.",
+)
+
 
 def list_events() -> list[Event]:
     """Return all events, by number."""
--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -8,14 +8,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
-from tamarackrill.contracts import (
-    CONTRACT_KIND,
-    ENDPOINT_KIND,
-    Contract,
-    Endpoint,
-    read_contract,
-    read_endpoint,
-)
+from tamarackrill.contracts import Contract, Endpoint
 from tamarackrill.decisions.configuration import ConfigurationStore, ObjectVersion
 from tamarackrill.decisions.hashing import rendezvous_order
 from tamarackrill.events import (
@@ -29,8 +22,9 @@
 from tamarackrill.router.callers import Front, OpenCalls, make_front
 from tamarackrill.router.chats import Chats
 from tamarackrill.router.claiming import Claimer
-from tamarackrill.router.configuring import Configurer
+from tamarackrill.router.configuring import KINDS, Configurer
 from tamarackrill.router.flow import Flow
+from tamarackrill.router.known_objects import KnownObjects
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.placing import Placer
@@ -70,8 +64,7 @@
         self.store = ConfigurationStore()
         self.metrics = Metrics()
         self.open_calls = OpenCalls()
-        self._contracts: dict[str, Contract] = {}
-        self._endpoints: dict[str, Endpoint] = {}
+        self.known = KnownObjects()
         self._leaving = False
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -153,11 +146,11 @@
 
     def list_contracts(self) -> list[Contract]:
         """Return the contracts in force."""
-        return list(self._contracts.values())
+        return self.known.list_contracts()
 
     def list_endpoints(self) -> list[Endpoint]:
         """Return the endpoints known now."""
-        return list(self._endpoints.values())
+        return self.known.list_endpoints()
 
     def describe(self) -> dict[str, Any]:
         """Return the status of this router, for queries."""
@@ -165,6 +158,10 @@
             "router": self.settings.name,
             "zone": self.settings.zone,
             "revision": self.store.revision,
+            # What `contract apply` waits for: the highest version of any kind would
+            # also rise with an endpoint, before the contract has arrived.
+            "complete": {kind: self.store.get_complete(kind) for kind in KINDS},
+            "faulty": [faulty._asdict() for faulty in self.known.list_faulty()],
             "state": "leaving" if self._leaving else "alive",
             "in_flight": self.open_calls.count,
             "waiting": self.admitter.describe(),
@@ -206,10 +203,7 @@
 
     def _take_objects(self, taken: list[ObjectVersion]) -> None:
         for item in taken:
-            if item.kind == CONTRACT_KIND:
-                _put(self._contracts, item, read_contract)
-            elif item.kind == ENDPOINT_KIND:
-                _put(self._endpoints, item, read_endpoint)
+            self.known.take(item)
         for endpoint in self.list_endpoints():
             for pool in endpoint.serves:
                 self.admitter.wake(pool)
@@ -228,10 +222,3 @@
             except PlatformUnavailable:
                 pass
             await asyncio.sleep(VM_LIST_WAIT_S)
-
-
-def _put(known: dict[str, Any], item: ObjectVersion, read: Any) -> None:
-    if item.value is None:
-        known.pop(item.name, None)
-    else:
-        known[item.name] = read(item.value)
--- /dev/null
+++ b/src/tamarackrill/router/known_objects.py
@@ -0,0 +1,71 @@
+"""Contracts and endpoints in force at this router, read from the platform's objects."""
+
+from typing import NamedTuple
+
+from tamarackrill.contracts import (
+    CONTRACT_KIND,
+    ENDPOINT_KIND,
+    Contract,
+    Endpoint,
+    read_contract,
+    read_endpoint,
+)
+from tamarackrill.decisions.configuration import ObjectVersion
+from tamarackrill.events import OBJECT_FAULTY, log_event
+from tamarackrill.exceptions import FindingsError
+
+_READERS = {CONTRACT_KIND: read_contract, ENDPOINT_KIND: read_endpoint}
+
+
+class FaultyObject(NamedTuple):
+    """An object that can't be read; the version before it stays in force."""
+
+    kind: str
+    name: str
+    version: int
+    message: str
+
+
+class KnownObjects:
+    """What the newest objects that can be read say.
+
+    An object that someone wrote past the command line may be malformed.  Were it to
+    end the task that follows the platform, no later change would come into force at
+    any router, though all of them would go on answering.  So it is logged, shown in
+    the status, and the version before it is kept.
+    """
+
+    def __init__(self) -> None:
+        self._contracts: dict[str, Contract] = {}
+        self._endpoints: dict[str, Endpoint] = {}
+        self._faulty: dict[tuple[str, str], FaultyObject] = {}
+
+    def take(self, item: ObjectVersion) -> None:
+        """Put a newer version of an object in force, or a deletion."""
+        reader = _READERS.get(item.kind)
+        if reader is None:
+            return
+        known: dict = self._contracts if item.kind == CONTRACT_KIND else self._endpoints
+        self._faulty.pop((item.kind, item.name), None)
+        if item.value is None:
+            known.pop(item.name, None)
+            return
+        try:
+            known[item.name] = reader(item.value)
+        except FindingsError as error:
+            message = "; ".join(finding.show() for finding in error.findings)
+            faulty = FaultyObject(item.kind, item.name, item.version, message)
+            self._faulty[item.kind, item.name] = faulty
+            log_event(OBJECT_FAULTY, **faulty._asdict())
+
+    def list_contracts(self) -> list[Contract]:
+        """Return the contracts in force."""
+        return list(self._contracts.values())
+
+    def list_endpoints(self) -> list[Endpoint]:
+        """Return the endpoints known now."""
+        return list(self._endpoints.values())
+
+    def list_faulty(self) -> list[FaultyObject]:
+        """Return the objects that can't be read, by kind and name."""
+        return sorted(self._faulty.values())
--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -7,7 +7,7 @@
 from tamarackrill.exceptions import FindingsError
 
 GOOD = {
-    "kind": contracts.CONTRACT_FORMAT,
+    "format": contracts.CONTRACT_FORMAT,
     "team": "hall",
     "key_hashes": [contracts.hash_key("k")],
     "models": ["pattern"],
@@ -44,7 +44,7 @@
         ({"key_hashes": ["s3cret"]}, ["key_hashes[0]: "]),
         ({"key_hashes": [contracts.hash_key("")]}, ["key_hashes[0]: is the hash of"]),
         ({"team": None}, ["f.json:1: field 'team' is missing"]),
-        ({"kind": "tamarackrill/contract/v9"}, ["kind: "]),
+        ({"format": "tamarackrill/contract/v9"}, ["format: "]),
         ({"deadline_s": 400}, ["deadline_s: 400 s is later than deadline_max_s"]),
         ({"services": ["bookings"]}, ["service: 'booking' is not among services"]),
         ({"models": [], "services": [], "non_idempotent": []}, ["call nothing"]),
