Add the operators' command line, both deployments as examples, and the load tool

Commands write contracts only, each on the condition of the version that was read; a lost answer to a write is settled by reading back, and the fleet is asked until every known router has the version in force. Queries read the platform and the routers' own status.

Ruled out: one lock object around all changes (a lapsed lock would need the same conditions anyway), and treating an equal value after a clean conflict as success (two operators who raise a limit alike have still raced).

--- a/src/tamarackrill/exceptions.py
+++ b/src/tamarackrill/exceptions.py
@@ -11,6 +11,17 @@
 EXIT_USAGE = 2
 EXIT_CONFLICT = 3
 EXIT_UNAVAILABLE = 4
+EXIT_NOT_IN_FORCE = 5
+
+# What the command line promises to scripts; shown by ``tamarackrill --help``.
+EXIT_CODES = {
+    0: "done",
+    EXIT_FAILURE: "failed for another reason, such as an object that does not exist",
+    EXIT_USAGE: "faulty input; nothing was changed",
+    EXIT_CONFLICT: "another operator's change came first; nothing was changed",
+    EXIT_UNAVAILABLE: "platform or router did not answer; the message says what stands",
+    EXIT_NOT_IN_FORCE: "written, but not yet in force at every known router",
+}
 
 RunState = Literal["not_run", "unknown"]
 
@@ -97,6 +108,26 @@
     exit_code = EXIT_CONFLICT
 
 
+class NotFound(TamarackrillError):
+    """The object or router that was asked for does not exist."""
+
+    code = "not_found"
+
+
+class RouterUnavailable(TamarackrillError):
+    """A router did not answer, or not in a form that is understood."""
+
+    code = "router_unavailable"
+    exit_code = EXIT_UNAVAILABLE
+
+
+class NotInForce(TamarackrillError):
+    """A change was written, but some routers have not been seen to apply it."""
+
+    code = "not_in_force"
+    exit_code = EXIT_NOT_IN_FORCE
+
+
 class Refusal(TamarackrillError):
     """A request that the fleet answers with an error of its own.
 
--- /dev/null
+++ b/src/tamarackrill/load/arguments.py
@@ -0,0 +1,178 @@
+"""Arguments of ``tamarackrill bench``, and the run they describe."""
+
+import argparse
+import asyncio
+import sys
+import uuid
+from pathlib import Path
+
+from tornado.httpclient import AsyncHTTPClient
+
+from tamarackrill.display import format_json
+from tamarackrill.documents import read_document
+from tamarackrill.exceptions import Finding, FindingsError, TamarackrillError
+from tamarackrill.load.calls import Target
+from tamarackrill.load.judgement import Judgement
+from tamarackrill.load.plan import LoadShape, make_plan
+from tamarackrill.load.plot import write_plot
+from tamarackrill.load.runner import count_runs, run_plan
+
+CALLS_MAX = 1_000_000
+CONCURRENCY_MAX = 2000
+
+
+class AnswersFaulty(TamarackrillError):
+    """Callers received something that must never happen."""
+
+    code = "answers_faulty"
+
+
+def add_bench_arguments(parser: argparse.ArgumentParser) -> None:
+    """Declare the arguments of the load tool."""
+    add = parser.add_argument
+    add("--router", action="append", required=True, metavar="HOST:PORT", dest="routers")
+    add("--keys", required=True, metavar="FILE", help='JSON: {"team": "key"}')
+    add("--model", required=True, help="model that chats name")
+    add("--lookup", required=True, metavar="SERVICE/PATH", help="what lookups GET")
+    add(
+        "--confirmation",
+        required=True,
+        metavar="SERVICE/PATH",
+        help="what confirmations POST; non-idempotent by contract",
+    )
+    add("--calls", type=int, default=1000, help="calls in all (default %(default)s)")
+    add(
+        "--seconds",
+        type=float,
+        default=10.0,
+        help="time over which they begin (default %(default)s)",
+    )
+    add("--time-max-s", type=float, help="end of the run; default: seconds + 60")
+    add("--concurrency", type=int, default=200, help="calls in flight at most")
+    add("--deadline-s", type=float, default=10.0, help="deadline of each call")
+    add("--chat-share", type=float, default=0.5, help="share of chat turns")
+    add("--lookup-share", type=float, default=0.4, help="share of lookups")
+    add("--pause-s", type=float, default=0.5, help="median pause between turns")
+    add("--tokens", type=int, default=16, help="tokens asked for in a turn")
+    add("--seed", type=int, default=1, help="the same seed sends the same calls")
+    add(
+        "--count-runs",
+        action="append",
+        default=[],
+        metavar="HOST:PORT",
+        help="service stand-in that tells how often it ran each key",
+    )
+    add("--json", metavar="FILE", help="write the figures here; - for the terminal")
+    add("--plot", metavar="FILE", help="write quantiles as .svg or .png")
+
+
+def run_bench(options: argparse.Namespace) -> None:
+    """Run the load that the arguments describe and report it.
+
+    Raises
+    ------
+    FindingsError
+        If arguments are faulty.
+    AnswersFaulty
+        If an answer was lost, doubled or crossed.
+    """
+    findings = list(_check(options))
+    if findings:
+        raise FindingsError(findings)
+    keys = read_document(options.keys).value
+    judgement = asyncio.run(_run(options, keys))
+    _report(options, judgement)
+    if not judgement.is_clean:
+        raise AnswersFaulty("answers were lost, doubled or crossed; see the counts")
+
+
+def _check(options: argparse.Namespace) -> list[Finding]:
+    shares = options.chat_share + options.lookup_share
+    rules = (
+        ("--calls", 1 <= options.calls <= CALLS_MAX, f"must be 1..{CALLS_MAX}"),
+        (
+            "--concurrency",
+            1 <= options.concurrency <= CONCURRENCY_MAX,
+            f"must be 1..{CONCURRENCY_MAX}",
+        ),
+        (
+            "--seconds",
+            0 < options.seconds <= 86_400,
+            "must be above 0, 86400 s at most",
+        ),
+        ("--deadline-s", options.deadline_s > 0, "must be above 0"),
+        ("--tokens", options.tokens >= 1, "must be 1 or more"),
+        (
+            "--chat-share",
+            min(options.chat_share, options.lookup_share) >= 0 and shares <= 1,
+            "shares must not be negative or exceed 1 together",
+        ),
+        ("--lookup", "/" in options.lookup, "needs the form SERVICE/PATH"),
+        ("--confirmation", "/" in options.confirmation, "needs the form SERVICE/PATH"),
+    )
+    return [Finding(flag, message) for flag, holds, message in rules if not holds]
+
+
+async def _run(options: argparse.Namespace, keys: dict[str, str]) -> Judgement:
+    AsyncHTTPClient.configure("tornado.curl_httpclient.CurlAsyncHTTPClient")
+    client = AsyncHTTPClient(max_clients=options.concurrency)
+    lookup_service, _, lookup_path = options.lookup.partition("/")
+    confirmation_service, _, confirmation_path = options.confirmation.partition("/")
+    target = Target(
+        routers=tuple(options.routers),
+        keys=keys,
+        model=options.model,
+        lookup_service=lookup_service,
+        confirmation_service=confirmation_service,
+        tokens=options.tokens,
+        lookup_path=f"/{lookup_path}",
+        confirmation_path=f"/{confirmation_path}",
+        deadline_s=options.deadline_s,
+        run=uuid.uuid4().hex[:8],
+    )
+    shape = LoadShape(
+        options.calls,
+        options.seconds,
+        options.chat_share,
+        options.lookup_share,
+        options.pause_s,
+    )
+    sessions = make_plan(options.seed, tuple(keys), shape)
+    time_max_s = options.time_max_s or options.seconds + 60
+    try:
+        judgement = await run_plan(client, target, sessions, time_max_s)
+        if options.count_runs:
+            services = tuple(options.count_runs)
+            judgement.take_runs(await count_runs(client, services, target.run))
+    finally:
+        client.close()
+    return judgement
+
+
+def _report(options: argparse.Namespace, judgement: Judgement) -> None:
+    figures = judgement.to_dict()
+    if options.json == "-":
+        print(format_json(figures))
+    else:
+        print(_format(figures))
+    try:
+        if options.json and options.json != "-":
+            Path(options.json).write_text(format_json(figures) + "\n", "utf-8")
+        if options.plot:
+            write_plot(judgement, options.plot)
+    except (OSError, ValueError) as error:
+        print(f"Error: could not write the result: {error}", file=sys.stderr)
+
+
+def _format(figures: dict) -> str:
+    lines = ["counts: " + _pairs(figures["counts"])]
+    lines.append("refusals: " + (_pairs(figures["refusals"]) or "none"))
+    lines.append("losses: " + (_pairs(figures["losses"]) or "none"))
+    for label, times in figures["times_s"].items():
+        shown = _pairs({name: f"{value:.4g}" for name, value in times.items()})
+        lines.append(f"{label}, s: {shown}")
+    return "\n".join(lines)
+
+
+def _pairs(values: dict) -> str:
+    return " ".join(f"{name}={value}" for name, value in values.items())
--- /dev/null
+++ b/tests/test_commands.py
@@ -0,0 +1,240 @@
+import asyncio
+import json
+import signal
+
+import pytest
+from tornado.httpclient import AsyncHTTPClient
+
+from tamarackrill.cli import main
+from tamarackrill.commands.contracts import apply_contracts, delete_contract
+from tamarackrill.contracts import CONTRACT_FORMAT, CONTRACT_KIND, hash_key
+from tamarackrill.documents import parse_document
+from tamarackrill.exceptions import (
+    FindingsError,
+    PlatformUnavailable,
+    VersionConflict,
+)
+from tamarackrill.router.platform_client import PlatformClient
+from tamarackrill.testing.daemon import listen
+from tamarackrill.testing.platform import Faults, PlatformState, make_platform
+from tamarackrill.testing.processes import FleetProcesses, call
+
+
+def make_contract(**changes):
+    return {
+        "format": CONTRACT_FORMAT,
+        "team": "hall",
+        "key_hashes": [hash_key("k")],
+        "models": ["m"],
+        **changes,
+    }
+
+
+def make_documents(**changes):
+    return [parse_document("f.json", json.dumps(make_contract(**changes), indent=1))]
+
+
+def run_with_platform(scenario):
+    async def run():
+        state = PlatformState()
+        server, address = listen(make_platform(state))
+        client = AsyncHTTPClient(force_instance=True)
+        try:
+            await scenario(state, PlatformClient(address, "", client))
+        finally:
+            client.close()
+            server.stop()
+
+    asyncio.run(run())
+
+
+def test_apply_tells_what_changes_and_can_be_repeated():
+    async def scenario(state, platform):
+        (first,) = await apply_contracts(platform, make_documents())
+        (second,) = await apply_contracts(platform, make_documents(rate_per_s=7))
+        (third,) = await apply_contracts(platform, make_documents(rate_per_s=7))
+        assert (first.outcome, second.outcome, third.outcome) == (
+            "created",
+            "changed",
+            "unchanged",
+        )
+        assert [change.show() for change in second.changes] == [
+            "rate_per_s: 100.0 -> 7"
+        ]
+        assert third.version == second.version
+        assert state.counts["write"] == 2
+
+    run_with_platform(scenario)
+
+
+class RacedPlatform(PlatformClient):
+    async def put(self, kind, name, value, expected_version):
+        raced = make_contract(weight=9)
+        await super().put(kind, name, raced, expected_version)
+        return await super().put(kind, name, value, expected_version)
+
+
+def test_raced_operator_is_told_what_came_first():
+    # Two operators change one contract at the same moment.  Without the condition
+    # the second would undo the first's change, and neither would hear of it.
+    async def scenario(state, platform):
+        await apply_contracts(platform, make_documents())
+        platform.__class__ = RacedPlatform
+        with pytest.raises(VersionConflict, match="weight: 1 -> 9"):
+            await apply_contracts(platform, make_documents(rate_per_s=7))
+        assert state.objects[CONTRACT_KIND, "hall"].value == make_contract(weight=9)
+
+    run_with_platform(scenario)
+
+
+def test_file_that_was_edited_for_long_does_not_undo_a_change():
+    # An operator saves a contract to a file and edits it over lunch; a colleague
+    # raises the weight meanwhile.  The file must not silently take it back.
+    async def scenario(state, platform):
+        (first,) = await apply_contracts(platform, make_documents())
+        await apply_contracts(platform, make_documents(weight=9))
+        with pytest.raises(VersionConflict, match="weight: 1 -> 9"):
+            await apply_contracts(platform, make_documents(), first.version)
+
+    run_with_platform(scenario)
+
+
+@pytest.mark.parametrize("faults", [Faults(lose_answers=1), Faults(drop_writes=1)])
+def test_lost_answer_to_a_write_is_settled(faults):
+    # The platform answers a write with an error; it may or may not have taken effect.
+    # The operator must hear what stands, and a change must not be written twice.
+    async def scenario(state, platform):
+        state.faults = faults
+        (applied,) = await apply_contracts(platform, make_documents())
+        assert applied.version == state.objects[CONTRACT_KIND, "hall"].version
+        assert len(state.history) == 1
+        state.faults = faults
+        deleted = await delete_contract(platform, "hall")
+        assert state.objects[CONTRACT_KIND, "hall"].value is None
+        assert deleted.version == len(state.history) == 2
+
+    run_with_platform(scenario)
+
+
+def test_unsettled_write_is_not_called_done():
+    # Every answer is lost, the ones to reads too: nobody can tell what stands.
+    async def scenario(state, platform):
+        async def lose(*arguments):
+            state.faults = Faults(outage=True)
+            raise PlatformUnavailable("platform: lost")
+
+        platform.put = lose
+        with pytest.raises(PlatformUnavailable, match="may or may not stand"):
+            await apply_contracts(platform, make_documents())
+
+    run_with_platform(scenario)
+
+
+def test_key_of_a_standing_contract_is_refused():
+    async def scenario(state, platform):
+        await apply_contracts(platform, make_documents())
+        with pytest.raises(FindingsError) as caught:
+            await apply_contracts(platform, make_documents(team="other"))
+        assert "same key" in caught.value.show()
+        assert state.counts["write"] == 1
+
+    run_with_platform(scenario)
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    with FleetProcesses() as fleet:
+        fleet.add_engine("engine-1")
+        fleet.put_contract(make_contract())
+        fleet.add_router("router-1")
+        fleet.add_router("router-2")
+        fleet.wait_ready()
+        yield fleet
+
+
+@pytest.fixture
+def run(fleet, capsys):
+    def run_command(*arguments):
+        code = main([*arguments, "--platform", fleet.platform.address])
+        shown = capsys.readouterr()
+        return code, shown.out, shown.err
+
+    return run_command
+
+
+def write_file(directory, **changes):
+    path = directory / "hall.json"
+    path.write_text(json.dumps(make_contract(**changes)))
+    return str(path)
+
+
+def test_applied_contract_is_in_force_at_all_routers(fleet, run, tmp_path):
+    key = {"Authorization": "Bearer fresh"}
+    file = write_file(tmp_path, key_hashes=[hash_key("k"), hash_key("fresh")])
+    code, out, _ = run("contract", "apply", file)
+    assert (code, "In force at 2 router(s)" in out) == (0, True)
+    body = {"model": "m", "messages": [{"role": "user", "content": "x"}]}
+    for router in fleet.routers.values():
+        answer = call(router.address, "/v1/chat/completions", body, headers=key)
+        assert answer.status == 200
+
+
+def test_frozen_router_is_named(fleet, run, tmp_path):
+    # A VM stops for seconds while a contract is applied.  Its router goes on with
+    # the old limits once it wakes, so the operator must not be told "in force".
+    frozen = fleet.routers["router-2"]
+    frozen.send(signal.SIGSTOP)
+    try:
+        file = write_file(tmp_path, weight=2)
+        code, _, err = run("contract", "apply", file, "--wait-max-s", "0.1")
+    finally:
+        frozen.send(signal.SIGCONT)
+    assert code == 5
+    assert f"no answer: {frozen.address}" in err
+
+
+def test_faulty_object_leaves_the_version_before_in_force(fleet, run):
+    # Someone writes a contract past the command line, with a rate that is no number.
+    # Routers that followed it would fail; they keep what they have and say so.
+    version = fleet.put_contract(make_contract(rate_per_s="fast"))
+    for router in fleet.routers.values():
+        line = router.wait_line(" object_faulty kind=contract name=hall ")
+        assert "rate_per_s" in line
+        assert router.status()["faulty"][0]["version"] == version
+    fleet.put_contract(make_contract())
+
+
+def test_queries_answer_as_table_and_json(fleet, run):
+    code, out, _ = run("contract", "show", "hall")
+    assert (code, json.loads(out)["team"]) == (0, "hall")
+    assert "hall" in run("contract", "list")[1]
+    assert json.loads(run("contract", "list", "--json")[1])[0]["name"] == "hall"
+    lines = json.loads(run("fleet", "status", "--json")[1])
+    assert {line["router"] for line in lines} == set(fleet.routers)
+    assert "engine-1" in run("endpoint", "list")[1]
+    asked = ("explain", "--team", "hall", "--chat", "c1", "--model", "m")
+    assert "engine-1" in run(*asked)[1]
+
+
+@pytest.mark.parametrize(
+    ("arguments", "code", "part"),
+    [
+        (("contract", "show", "nobody"), 1, "there is no contract 'nobody'"),
+        (("contract", "delete", "nobody"), 1, "Hint: see: contract list"),
+        (("contract", "apply", "no-such-file.json"), 2, "No such file"),
+        (("contract", "apply", "a", "b", "--based-on", "1"), 2, "exactly one FILE"),
+        (("explain", "--team", "t", "--model", "m", "--router", "127.0.0.1:1"), 4, ""),
+    ],
+)
+def test_mistake_gives_one_line_and_a_code(run, arguments, code, part):
+    found, out, err = run(*arguments)
+    assert (found, out) == (code, "")
+    assert part in err
+    assert "Traceback" not in err
+
+
+def test_platform_that_does_not_answer(capsys):
+    code = main(["contract", "list", "--platform", "127.0.0.1:1"])
+    assert code == 4
+    assert main(["contract", "list"]) == 2
+    assert "TAMARACKRILL_PLATFORM" in capsys.readouterr().err
--- /dev/null
+++ b/tests/test_examples.py
@@ -0,0 +1,60 @@
+import json
+from pathlib import Path
+
+import pytest
+
+from tamarackrill.cli import main
+from tamarackrill.contracts import check_contracts, hash_key, read_endpoint
+from tamarackrill.documents import read_document
+from tamarackrill.settings import load_settings
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+ZONES = {
+    "cegin-ddata": {"caerdydd-a", "caerdydd-b", "abertawe", "casnewydd"},
+    "klobucarska-zadruga": {"kranj-hall", "kamnik-hall", "skofja-hall"},
+}
+WORKERS = {
+    "cegin-ddata": {"quote-writer": 5, "booking-desk": 4},
+    "klobucarska-zadruga": {"krojni-model": 5, "zadruga-app": 3},
+}
+
+
+def read_environment(path):
+    lines = [line for line in path.read_text().splitlines() if line[:1] not in "#"]
+    return dict(line.split("=", 1) for line in lines)
+
+
+@pytest.mark.parametrize("name", ZONES)
+def test_deployment_is_whole(name):
+    directory = EXAMPLES / name
+    files = sorted((directory / "contracts").glob("*.json"))
+    contracts = check_contracts([read_document(str(file)) for file in files])
+    keys = json.loads((directory / "keys.json").read_text())
+    assert {c.team: c.key_hashes for c in contracts} == {
+        team: (hash_key(key),) for team, key in keys.items()
+    }
+    assert len(contracts) == 10
+    common = read_environment(directory / "fleet.env")
+    settings = [
+        load_settings([], {**common, **read_environment(vm)})
+        for vm in (directory / "vms").glob("*.env")
+    ]
+    assert 6 <= len(settings) <= 8
+    assert {vm.zone for vm in settings} == ZONES[name]
+    files = (directory / "endpoints").glob("*.json")
+    endpoints = [read_endpoint(json.loads(file.read_text())) for file in files]
+    served = [endpoint.serves[0] for endpoint in endpoints]
+    assert {service: served.count(service) for service in served} == WORKERS[name]
+    assert {endpoint.zone for endpoint in endpoints} <= ZONES[name]
+
+
+def test_typo_in_an_example_is_found_at_its_line(tmp_path, capsys):
+    source = EXAMPLES / "cegin-ddata" / "contracts" / "arlwyo-teifi.json"
+    file = tmp_path / "typo.json"
+    file.write_text(source.read_text().replace("deadline_s", "deadlin_s"))
+    assert main(["contract", "validate", str(file)]) == 2
+    line = 1 + source.read_text().splitlines().index('  "deadline_s": 60,')
+    place = f"{file}:{line}: deadlin_s"
+    assert capsys.readouterr().err.strip() == (
+        f"Error: {place}: unknown field (did you mean 'deadline_s'?)"
+    )
