--- a/src/tamarackrill/load/plot.py
+++ b/src/tamarackrill/load/plot.py
@@ -42,5 +42,6 @@
     axes.set_yscale("log")
     axes.set_xlabel("quantile, %")
     axes.set_ylabel("time to the whole answer, ms")
-    axes.legend()
+    if axes.lines:
+        axes.legend()
     figure.savefig(path)
--- a/src/tamarackrill/load/runner.py
+++ b/src/tamarackrill/load/runner.py
@@ -53,9 +53,10 @@
             raise result
     planned = sum(len(session.calls) for session in sessions)
     missing = planned - judgement.counts["calls"]
-    judgement.counts["calls"] += missing
-    judgement.counts["lost"] += missing
-    judgement.losses["run ended"] += missing
+    if missing:
+        judgement.counts["calls"] += missing
+        judgement.counts["lost"] += missing
+        judgement.losses["run ended"] += missing
     return judgement
 
 
