Generate the catalogue of log events, and compare it in a test

A number or field that changes in the code alone would mislead whoever reads a log with the page beside it; the test fails until the page is generated again.

--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -1,3 +1,5 @@
+from pathlib import Path
+
 import pytest
 
 from tamarackrill import events
@@ -20,3 +22,9 @@
 def test_undeclared_field_is_an_error():
     with pytest.raises(ValueError, match="takes"):
         events.log_event(events.PLATFORM_BACK, key="secret")
+
+
+def test_catalogue_is_the_one_in_the_docs():
+    # Regenerate it: .venv/bin/python -m tamarackrill.events > docs/EVENTS.md
+    path = Path(__file__).parent.parent / "docs" / "EVENTS.md"
+    assert path.read_text(encoding="utf-8") == events.format_catalogue()
