--- a/src/tamarackrill/cli.py
+++ b/src/tamarackrill/cli.py
@@ -22,6 +22,7 @@
     Finding,
     FindingsError,
     NotInForce,
+    PlatformUnavailable,
     TamarackrillError,
 )
 from tamarackrill.load.arguments import add_bench_arguments, run_bench
@@ -280,18 +281,22 @@
     if options.no_wait:
         print("Written; not waiting for the routers.")
         return
-    vms = await clients.platform.list_vms()
+    hint = "routers take it once they reach the platform or a peer; see: fleet status"
+    try:
+        vms = await clients.platform.list_vms()
+    except PlatformUnavailable as error:
+        # Passed on as it is, this would read as if nothing had been written.
+        message = f"written, but the VM list can't be read ({error.message})"
+        raise NotInForce(message, hint) from error
     found = await wait_in_force(clients.http, vms, version, options.wait_max_s)
     if not found.is_everywhere:
-        raise NotInForce(
-            _describe_missing(found),
-            "routers take it as soon as they reach the platform or a peer; "
-            "see: fleet status",
-        )
+        raise NotInForce(_describe_missing(found), hint)
     print(f"In force at {len(found.reached)} router(s) after {found.waited_s:.1f} s.")
 
 
 def _describe_missing(found: InForce) -> str:
+    if not (found.reached or found.behind or found.silent):
+        return "written, but the VM list names no live router"
     total = len(found.reached) + len(found.behind) + len(found.silent)
     parts = [f"written, but in force at {len(found.reached)} of {total} routers"]
     if found.behind:
--- a/src/tamarackrill/commands/in_force.py
+++ b/src/tamarackrill/commands/in_force.py
@@ -69,6 +69,8 @@
     # A VM without an address for other routers runs none.
     known = {vm.address for vm in vms if vm.state == "live" and vm.peer_address}
     while True:
+        if not known:
+            return InForce(version, (), (), (), time.monotonic() - start_s)
         statuses = await fetch_statuses(client, sorted(known))
         named = {a for status in statuses.values() for a in list_members(status)}
         waited_s = time.monotonic() - start_s
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -5,12 +5,14 @@
 import pytest
 from tornado.httpclient import AsyncHTTPClient
 
-from tamarackrill.cli import main
+from tamarackrill import cli
+from tamarackrill.cli import build_parser, main
 from tamarackrill.commands.contracts import apply_contracts, delete_contract
 from tamarackrill.contracts import CONTRACT_FORMAT, CONTRACT_KIND, hash_key
 from tamarackrill.documents import parse_document
 from tamarackrill.exceptions import (
     FindingsError,
+    NotInForce,
     PlatformUnavailable,
     VersionConflict,
 )
@@ -141,6 +143,20 @@
     run_with_platform(scenario)
 
 
+def test_written_change_is_not_called_lost_when_the_vm_list_fails():
+    # The write is answered, then the platform goes down.  "Not available" alone would
+    # have the operator believe that nothing was written.
+    error = PlatformUnavailable("platform: down")
+
+    class Platform:
+        async def list_vms(self):
+            raise error
+
+    options = build_parser().parse_args(["contract", "delete", "t"])
+    with pytest.raises(NotInForce, match="written, but the VM list"):
+        asyncio.run(cli._wait(options, cli._Clients(None, Platform()), 1))
+
+
 @pytest.fixture(scope="module")
 def fleet():
     with FleetProcesses() as fleet:
