--- a/src/tamarackrill/decisions/loads.py
+++ b/src/tamarackrill/decisions/loads.py
@@ -82,7 +82,6 @@
         self._reports: dict[str, _Report] = {}
         self._digests: dict[str, tuple[float, dict[str, int]]] = {}
         self._peers: dict[str, int] = {}
-        self._digest_from = 0
 
     def start(self, endpoint: str, now_s: float) -> None:
         """Count a request that is being sent to `endpoint`."""
--- /dev/null
+++ b/src/tamarackrill/decisions/routing.py
@@ -0,0 +1,238 @@
+"""Choice of the endpoint for a request: cache reuse first, under a bound on load.
+
+Load pattern: chats return to the engine that holds their prefix, and a few teams or
+chats are far hotter than the rest.  Without reuse each return computes its prefix
+again; without the bound the engine of a hot chat or team fills up, and the callers of
+all the chats that share it wait.
+
+The bound: an endpoint takes a request only while its load, counting that request, is at
+most ``load_factor`` times the mean of the endpoints that may take it.  The unit of load
+is one request in flight.  The product is rounded up, so that the bound is never below
+one: with a mean below 1 it means that no endpoint gets a second request while the
+product is at most 1, and that some endpoint is always free.  An endpoint's slots bound
+it as well.
+
+A chat is tried at the engine that rendezvous hashing gives it if that engine holds
+enough of its prefix, then at the engines that hold it, then along its rendezvous order.
+So the loss of an engine moves only that engine's chats, and they come back.
+"""
+
+import math
+from collections.abc import Iterable, Mapping, Sequence
+from typing import NamedTuple
+
+from tamarackrill.contracts import Endpoint
+from tamarackrill.decisions import hashing
+from tamarackrill.decisions.cache_index import CacheEvent, CacheIndex
+from tamarackrill.decisions.loads import EndpointLoad, Loads
+
+LOAD_FACTOR_DEFAULT = 1.5
+# A chat goes back to its first engine when that holds this share of the longest known
+# prefix: the rest is computed in one short step, and the load returns with the chats.
+RETURN_SHARE = 0.5
+# Endpoints tried in rendezvous order before the rest are ranked.
+WALK_SHORT = 8
+
+
+class PlacementRequest(NamedTuple):
+    """What a placement depends on.
+
+    Parameters
+    ----------
+    key : str
+        Identifies the request; spreads requests without a chat.
+    chat : str
+        Name of the chat, with its team; empty if the request belongs to none.
+    zone : str
+        Availability zone of the caller.
+    tokens : int
+        Tokens of the prompt, or an estimate.
+    """
+
+    key: str
+    chat: str = ""
+    zone: str = ""
+    tokens: int = 0
+
+
+class Choice(NamedTuple):
+    """An endpoint for a request, and why.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        Where the request goes.
+    reason : str
+        ``"cached"``, ``"hashed"``, ``"overflow"`` or ``"least_of_two"``.
+    runners_up : tuple of str
+        The endpoints that came next, for the log.
+    """
+
+    endpoint: Endpoint
+    reason: str
+    runners_up: tuple[str, ...] = ()
+
+
+def compute_bound(load_factor: float, total: int, count: int) -> int:
+    """Return the most requests that one of `count` endpoints may have in flight.
+
+    Parameters
+    ----------
+    load_factor : float
+        Multiple of the mean, at least 1.
+    total : int
+        Requests in flight at all of them, counting the one to be placed.
+    count : int
+        Number of endpoints.
+
+    Returns
+    -------
+    int
+        At least 1, and such that an endpoint below it always exists.
+    """
+    return max(1, math.ceil(load_factor * total / count))
+
+
+class Placement:
+    """State of the placement of one router.
+
+    Parameters
+    ----------
+    load_factor : float
+        The multiple of the mean load that no endpoint exceeds; see
+        docs/design/routing.md for the setting of each deployment.
+    loads : Loads, optional
+        Load estimates.
+    cache : CacheIndex, optional
+        Known prefixes.
+    """
+
+    def __init__(
+        self,
+        load_factor: float = LOAD_FACTOR_DEFAULT,
+        loads: Loads | None = None,
+        cache: CacheIndex | None = None,
+    ) -> None:
+        self.load_factor = load_factor
+        self.loads = Loads() if loads is None else loads
+        self.cache = CacheIndex() if cache is None else cache
+
+    def choose(
+        self,
+        request: PlacementRequest,
+        endpoints: Sequence[Endpoint],
+        now_s: float,
+        shares: Mapping[str, float] | None = None,
+    ) -> Choice | None:
+        """Return where `request` goes, or None if all endpoints are full.
+
+        Parameters
+        ----------
+        request : PlacementRequest
+            The request.
+        endpoints : sequence of Endpoint
+            Those that serve it and are healthy; leaving ones are passed over.
+        now_s : float
+            The present time.
+        shares : mapping of str to float, optional
+            Share of the bound for each endpoint in slow start; 1 for all others.
+
+        Returns
+        -------
+        Choice or None
+            Nothing is counted until `start`.
+        """
+        live = {e.name: e for e in endpoints if e.state == "live"}
+        if not live:
+            return None
+        free = self._find_free(live, now_s, shares or {})
+        if not free:
+            return None
+        if not request.chat:
+            return _choose_of_two(request, live, free)
+        return self._choose_for_chat(request, live, free, now_s)
+
+    def start(self, endpoint: str, request: PlacementRequest, now_s: float) -> None:
+        """Count a request that is being sent to `endpoint`."""
+        self.loads.start(endpoint, now_s)
+        if request.chat:
+            self.cache.record_send(request.chat, endpoint, request.tokens, now_s)
+
+    def finish(self, endpoint: str, now_s: float) -> None:
+        """Count a request that has ended at `endpoint`, whatever its outcome."""
+        self.loads.finish(endpoint, now_s)
+
+    def observe_report(
+        self, endpoint: str, load: int, reported_s: float, now_s: float
+    ) -> None:
+        """Take an endpoint's report of its load; see `Loads.observe_report`."""
+        self.loads.observe_report(endpoint, load, reported_s, now_s)
+
+    def observe_peer(
+        self, peer: str, entries: Iterable[EndpointLoad], now_s: float
+    ) -> None:
+        """Take a peer's digest; see `Loads.observe_peer`."""
+        self.loads.observe_peer(peer, entries, now_s)
+
+    def observe_event(self, event: CacheEvent) -> None:
+        """Take an engine's cache event."""
+        self.cache.observe_event(event)
+
+    def _find_free(
+        self, live: dict[str, Endpoint], now_s: float, shares: Mapping[str, float]
+    ) -> dict[str, int]:
+        """Return the load of each endpoint that is below its bound."""
+        estimates = self.loads.estimate(list(live), now_s)
+        bound = compute_bound(self.load_factor, sum(estimates) + 1, len(live))
+        free = {}
+        for (name, endpoint), load in zip(live.items(), estimates, strict=True):
+            share = shares.get(name, 1.0)
+            limit = bound if share >= 1.0 else max(1, int(bound * share))
+            if load < min(limit, endpoint.slots):
+                free[name] = load
+        return free
+
+    def _choose_for_chat(
+        self,
+        request: PlacementRequest,
+        live: dict[str, Endpoint],
+        free: dict[str, int],
+        now_s: float,
+    ) -> Choice | None:
+        names = list(live)
+        order = hashing.rendezvous_order(request.chat, names, WALK_SHORT)
+        holders = self._rank_holders(request.chat, order[0], now_s)
+        walk = [*holders, *(name for name in order if name not in holders)]
+        open_ones = [name for name in walk if name in free]
+        if not open_ones:
+            open_ones = hashing.rank(request.chat, list(free))
+        chosen = open_ones[0]
+        if chosen in holders:
+            reason = "cached"
+        else:
+            reason = "hashed" if chosen == order[0] else "overflow"
+        return Choice(live[chosen], reason, tuple(open_ones[1:3]))
+
+    def _rank_holders(self, chat: str, first: str, now_s: float) -> list[str]:
+        holders = self.cache.holders(chat, now_s)
+        longest = max((holder.tokens for holder in holders), default=0)
+        names = [holder.endpoint for holder in holders]
+        for holder in holders:
+            if holder.endpoint == first and holder.tokens >= RETURN_SHARE * longest:
+                names.remove(first)
+                names.insert(0, first)
+        return names
+
+
+def _choose_of_two(
+    request: PlacementRequest, live: dict[str, Endpoint], free: dict[str, int]
+) -> Choice:
+    """Return the emptier of two, in the caller's zone if one there is free.
+
+    The two are drawn by the request's own key, so that routers that know the same
+    loads do not all take the same endpoint.
+    """
+    near = [name for name in free if live[name].zone == request.zone]
+    drawn = hashing.rendezvous_order(request.key, near or list(free), 2)
+    drawn.sort(key=free.__getitem__)
+    return Choice(live[drawn[0]], "least_of_two", tuple(drawn[1:]))
