--- /dev/null
+++ b/src/tamarackrill/decisions/health.py
@@ -0,0 +1,389 @@
+"""Which endpoints may take new work: outliers, probes, slow start, flap damping.
+
+Load pattern: one endpoint of a pool answers slowly or with errors, a flapping one comes
+and goes, and a new one joins with an empty cache.  Without this module a share of all
+callers waits on the slow endpoint; with a fixed threshold in place of a comparison
+with peers, a slow hour of the whole pool ejects all of it; without damping, the
+chats of a flapping endpoint move back and forth and lose their cache each time.
+
+An endpoint is an outlier by its own answers against its pool's median, never by a
+threshold alone.  At most `EJECTED_SHARE` of a pool is kept from work at once.  One
+penalty, which halves with time, counts ejections and departures alike: work returns
+only when it has fallen below a lower mark than the one that stopped it (hysteresis),
+so that each ejection in a row lasts longer.  Probes, within a budget, must succeed
+before an ejected endpoint gets work, and it returns through a slow start.
+"""
+
+from collections.abc import Iterable, Sequence
+from statistics import median_low
+from typing import NamedTuple
+
+# Answers before an endpoint is compared: one slow prompt among four is no sign.
+SAMPLES_MIN = 5
+# Weight of the newest answer in a mean; about the last nine answers count.
+NEWEST_WEIGHT = 0.2
+# Times the median of the peers at which the first token counts as slow, and the time
+# below which it never does: the aim is 0.32 s for 95 in 100.
+SLOW_MULTIPLE = 3.0
+SLOW_MIN_S = 0.32
+# A probe's first token must be this near to the median again; below SLOW_MULTIPLE, or
+# an endpoint at the edge would be ejected and readmitted in turn.
+RECOVERED_MULTIPLE = 1.5
+# Share of failed answers that counts as failing, and the distance from the median.
+FAILURES_SHARE = 0.5
+FAILURES_ABOVE_PEERS = 0.3
+# Failures in a row that eject at once, as when connections are refused.
+FAILURES_IN_A_ROW = 3
+# Broken answers and departures this close together are one: a crash breaks all answers
+# in flight at once, and the membership tells of it some seconds later.
+SAME_DEPARTURE_S = 5.0
+# Share of a pool that may be kept from work; the other two thirds must carry all of
+# it, at 1.5 times their load before.
+EJECTED_SHARE = 0.34
+# The penalty: 1 for each departure or ejection, halving in this time.  Two departures
+# within a minute or so stop the work, and it may return after some 30 s.
+PENALTY_HALF_LIFE_S = 30.0
+PENALTY_STOP = 1.5
+PENALTY_RETURN = 0.75
+# An ejected endpoint is probed first after this time.
+EJECTED_MIN_S = 5.0
+PROBES_NEEDED = 2
+# One probe in 2 s for each router, whatever the number of ejected endpoints: 500 bytes
+# for a completion of one token are 0.25 of the 3 KB/s.
+PROBE_EVERY_S = 2.0
+# An engine's cache fills within some ten steps of its chats.
+SLOW_START_S = 10.0
+SLOW_START_SHARE = 0.1
+# Another router's summary is dropped after this time.
+SUMMARY_KEPT_S = 30.0
+DIGEST_ENTRIES_MAX = 8
+
+
+class EndpointHealth(NamedTuple):
+    """Summary of an endpoint's answers; also a digest's entry.
+
+    Parameters
+    ----------
+    endpoint : str
+        Name of the endpoint.
+    samples : int
+        Answers that it is made of.
+    failure_share : float
+        Share of failed answers, the newest weighted most.
+    first_token_s : float
+        Mean time to the first token.
+    """
+
+    endpoint: str
+    samples: int
+    failure_share: float
+    first_token_s: float
+
+
+class _State:
+    """What is known of one endpoint."""
+
+    __slots__ = (
+        "samples",
+        "failure_share",
+        "first_token_s",
+        "in_a_row",
+        "departed_s",
+        "penalty",
+        "penalty_s",
+        "is_stopped",
+        "ejected_s",
+        "probes_passed",
+        "is_probing",
+        "joined_s",
+        "is_present",
+    )
+
+    def __init__(self, now_s: float) -> None:
+        self.samples = 0
+        self.failure_share = 0.0
+        self.first_token_s = 0.0
+        self.in_a_row = 0
+        self.departed_s = float("-inf")
+        self.penalty = 0.0
+        self.penalty_s = now_s
+        self.is_stopped = False
+        self.ejected_s: float | None = None
+        self.probes_passed = 0
+        self.is_probing = False
+        self.joined_s = now_s
+        self.is_present = True
+
+    def decay(self, now_s: float) -> float:
+        """Return the penalty as it is now."""
+        halvings = (now_s - self.penalty_s) / PENALTY_HALF_LIFE_S
+        return self.penalty * 0.5**halvings
+
+    def punish(self, now_s: float) -> None:
+        self.penalty = self.decay(now_s) + 1.0
+        self.penalty_s = now_s
+        self.is_stopped = self.is_stopped or self.penalty >= PENALTY_STOP
+
+    def depart(self, now_s: float) -> None:
+        """Count a crash or departure, once for all its signs."""
+        if now_s - self.departed_s >= SAME_DEPARTURE_S:
+            self.punish(now_s)
+        self.departed_s = now_s
+
+    def forget_answers(self) -> None:
+        self.samples = 0
+        self.failure_share = 0.0
+        self.first_token_s = 0.0
+        self.in_a_row = 0
+
+
+class Health:
+    """Health of all endpoints, as one router knows it."""
+
+    def __init__(self) -> None:
+        self._states: dict[str, _State] = {}
+        self._peers: dict[str, tuple[float, EndpointHealth]] = {}
+        self._probed_s = float("-inf")
+
+    def observe_present(self, endpoint: str, now_s: float) -> None:
+        """Take that an endpoint has joined, or come back."""
+        state = self._states.get(endpoint)
+        if state is None:
+            self._states[endpoint] = _State(now_s)
+        elif not state.is_present:
+            state.is_present = True
+            state.joined_s = now_s
+            state.forget_answers()
+
+    def observe_absent(self, endpoint: str, now_s: float) -> None:
+        """Take that an endpoint is gone without having said that it leaves."""
+        state = self._states.get(endpoint)
+        if state is not None and state.is_present:
+            state.is_present = False
+            state.depart(now_s)
+
+    def observe_crash(self, endpoint: str, now_s: float) -> None:
+        """Take that an answer broke off because the endpoint's process ended.
+
+        It counts as a departure and not as a failed answer: the request may be to
+        blame, and `forgive` takes it back once that is known.
+        """
+        self._states.setdefault(endpoint, _State(now_s)).depart(now_s)
+
+    def remove(self, endpoint: str) -> None:
+        """Forget an endpoint that has left for good."""
+        self._states.pop(endpoint, None)
+        self._peers.pop(endpoint, None)
+
+    def observe_answer(
+        self,
+        endpoint: str,
+        is_ok: bool,
+        first_token_s: float | None,
+        pool: Sequence[str],
+        now_s: float,
+    ) -> bool:
+        """Take an answer; return whether it ejected the endpoint.
+
+        Parameters
+        ----------
+        endpoint : str
+            Name of the endpoint.
+        is_ok : bool
+            False for a failure of the endpoint: no connection, status 5xx, no first
+            token in time.  What the caller caused (a bad request, a cancelled
+            answer) is not to be passed at all; for one that broke off see
+            `observe_crash`.
+        first_token_s : float or None
+            Time to the first token, None if there was none.
+        pool : sequence of str
+            Endpoints that serve the same, to compare with.
+        now_s : float
+            The present time.
+
+        Returns
+        -------
+        bool
+        """
+        state = self._states.setdefault(endpoint, _State(now_s))
+        _add_sample(state, is_ok, first_token_s)
+        if state.ejected_s is not None or not self._is_outlier(endpoint, pool, now_s):
+            return False
+        if not self._may_eject(pool, now_s):
+            return False
+        state.ejected_s = now_s
+        state.probes_passed = 0
+        state.punish(now_s)
+        return True
+
+    def forgive(self, endpoint: str, now_s: float) -> None:
+        """Take back the crash that a poison request has caused."""
+        state = self._states.get(endpoint)
+        if state is not None:
+            state.penalty = max(0.0, state.decay(now_s) - 1.0)
+            state.penalty_s = now_s
+            state.is_stopped = state.is_stopped and state.penalty >= PENALTY_STOP
+
+    def observe_peer(self, entries: Iterable[EndpointHealth], now_s: float) -> None:
+        """Take a peer's summaries of the endpoints that it owns."""
+        for entry in entries:
+            self._peers[entry.endpoint] = (now_s, entry)
+
+    def digest(
+        self, owned: Iterable[str], limit: int = DIGEST_ENTRIES_MAX
+    ) -> list[EndpointHealth]:
+        """Return summaries for the next digest, the worst first."""
+        entries = [
+            EndpointHealth(
+                name, state.samples, state.failure_share, state.first_token_s
+            )
+            for name in owned
+            if (state := self._states.get(name)) is not None and state.samples
+        ]
+        entries.sort(key=lambda entry: (-entry.failure_share, -entry.first_token_s))
+        return entries[:limit]
+
+    def find_allowed(self, pool: Sequence[str], now_s: float) -> list[str]:
+        """Return the endpoints of `pool` that may take new work.
+
+        If more than `EJECTED_SHARE` of the pool is stopped, those with the least
+        penalty are let in again: some service is better than none.
+        """
+        stopped = [name for name in pool if self._is_kept_out(name, now_s)]
+        excess = len(stopped) - _count_ejectable(len(pool))
+        if excess > 0:
+            stopped.sort(key=lambda name: self._states[name].decay(now_s))
+            stopped = stopped[excess:]
+        kept_out = set(stopped)
+        return [name for name in pool if name not in kept_out]
+
+    def find_shares(self, pool: Sequence[str], now_s: float) -> dict[str, float]:
+        """Return the share of the bound of each endpoint in slow start.
+
+        Relative to the warmest of the pool: when all of them are new, as after the
+        start of a fleet, none is held back.
+        """
+        shares = {name: self._compute_share(name, now_s) for name in pool}
+        warmest = max(shares.values(), default=1.0)
+        return {
+            name: share / warmest for name, share in shares.items() if share < warmest
+        }
+
+    def next_probe(self, now_s: float) -> str | None:
+        """Return the ejected endpoint to probe now, if any is due.
+
+        The caller sends the probe and reports with `observe_probe`.
+        """
+        if now_s - self._probed_s < PROBE_EVERY_S:
+            return None
+        due = [
+            (state.ejected_s, name)
+            for name, state in self._states.items()
+            if state.ejected_s is not None
+            and not state.is_probing
+            and state.is_present
+            and now_s - state.ejected_s >= EJECTED_MIN_S
+        ]
+        if not due:
+            return None
+        self._probed_s = now_s
+        name = min(due)[1]
+        self._states[name].is_probing = True
+        return name
+
+    def observe_probe(
+        self,
+        endpoint: str,
+        is_ok: bool,
+        first_token_s: float | None,
+        pool: Sequence[str],
+        now_s: float,
+    ) -> bool:
+        """Take the result of a probe; return whether the endpoint gets work again."""
+        state = self._states.get(endpoint)
+        if state is None or state.ejected_s is None:
+            return False
+        state.is_probing = False
+        limit_s = RECOVERED_MULTIPLE * self._find_median(endpoint, pool, now_s)
+        is_slow = first_token_s is None or first_token_s > max(limit_s, SLOW_MIN_S)
+        if not is_ok or is_slow:
+            state.probes_passed = 0
+            return False
+        state.probes_passed += 1
+        if state.probes_passed < PROBES_NEEDED:
+            return False
+        state.ejected_s = None
+        state.joined_s = now_s
+        state.forget_answers()
+        return not self._is_kept_out(endpoint, now_s)
+
+    def _is_kept_out(self, endpoint: str, now_s: float) -> bool:
+        state = self._states.get(endpoint)
+        if state is None:
+            return False
+        if state.is_stopped and state.decay(now_s) < PENALTY_RETURN:
+            state.is_stopped = False
+            state.joined_s = now_s
+        return state.is_stopped or state.ejected_s is not None
+
+    def _may_eject(self, pool: Sequence[str], now_s: float) -> bool:
+        ejected = sum(self._is_kept_out(name, now_s) for name in pool)
+        return ejected < _count_ejectable(len(pool))
+
+    def _compute_share(self, endpoint: str, now_s: float) -> float:
+        state = self._states.get(endpoint)
+        if state is None:
+            return 1.0
+        ramp = (now_s - state.joined_s) / SLOW_START_S
+        return min(1.0, SLOW_START_SHARE + (1.0 - SLOW_START_SHARE) * ramp)
+
+    def _is_outlier(self, endpoint: str, pool: Sequence[str], now_s: float) -> bool:
+        own = self._states[endpoint]
+        peers = self._list_peers(endpoint, pool, now_s)
+        failing = median_low([peer.failure_share for peer in peers]) if peers else 0.0
+        if own.in_a_row >= FAILURES_IN_A_ROW and failing < FAILURES_SHARE:
+            return True
+        if own.samples < SAMPLES_MIN or not peers:
+            return False
+        if own.failure_share >= max(FAILURES_SHARE, failing + FAILURES_ABOVE_PEERS):
+            return True
+        usual_s = median_low([peer.first_token_s for peer in peers])
+        return own.first_token_s > max(SLOW_MIN_S, SLOW_MULTIPLE * usual_s)
+
+    def _find_median(self, endpoint: str, pool: Sequence[str], now_s: float) -> float:
+        peers = self._list_peers(endpoint, pool, now_s)
+        return median_low([peer.first_token_s for peer in peers]) if peers else 0.0
+
+    def _list_peers(
+        self, endpoint: str, pool: Sequence[str], now_s: float
+    ) -> list[EndpointHealth]:
+        """Return summaries of the others, own ones where they are long enough."""
+        found = []
+        for name in pool:
+            if name == endpoint:
+                continue
+            state = self._states.get(name)
+            heard_s, entry = self._peers.get(name, (float("-inf"), None))
+            if state is not None and state.samples >= SAMPLES_MIN:
+                found.append(
+                    EndpointHealth(
+                        name, state.samples, state.failure_share, state.first_token_s
+                    )
+                )
+            elif entry is not None and heard_s > now_s - SUMMARY_KEPT_S:
+                found.append(entry)
+        return found
+
+
+def _count_ejectable(pool_size: int) -> int:
+    """Return how many of a pool may be kept out: one of two, none of one."""
+    return min(pool_size - 1, max(1, int(EJECTED_SHARE * pool_size)))
+
+
+def _add_sample(state: _State, is_ok: bool, first_token_s: float | None) -> None:
+    state.samples += 1
+    weight = max(NEWEST_WEIGHT, 1.0 / state.samples)
+    state.failure_share += weight * ((not is_ok) - state.failure_share)
+    state.in_a_row = 0 if is_ok else state.in_a_row + 1
+    if first_token_s is not None:
+        state.first_token_s += weight * (first_token_s - state.first_token_s)
--- a/src/tamarackrill/decisions/reservations.py
+++ b/src/tamarackrill/decisions/reservations.py
@@ -92,6 +92,7 @@
         router: str,
         expires_s: float,
         now_s: float,
+        is_last: bool = False,
     ) -> Grant:
         """Decide on a request to one of this router's endpoints.
 
@@ -109,6 +110,10 @@
             When the reservation lapses if nobody ends it: the request's deadline.
         now_s : float
             The present time.
+        is_last : bool, default=False
+            Whether `ASKS_MAX` is reached and this endpoint is the emptiest known.
+            In a burst all owners know an old, lower mean and refuse; the emptiest is
+            then below the true bound, and is granted unless its slots are full.
 
         Returns
         -------
@@ -125,7 +130,7 @@
             return Grant(True, load)
         total = sum(estimates.values()) + 1
         bound = compute_bound(self.load_factor, total, len(names))
-        if load >= min(bound, endpoint.slots):
+        if load >= (endpoint.slots if is_last else min(bound, endpoint.slots)):
             return Grant(False, load)
         self._held[request] = _Reservation(endpoint.name, router, expires_s)
         self.loads.start(endpoint.name, now_s)
