Test health, poison and leaving by what callers receive

Each test was seen to fail on a scratch copy with its mechanism off: comparison with peers (all, in a row, slow, relative), cap, probes, probe budget, hysteresis, damping, slow start and its relation to the warmest, peers' summaries, refusal, shared crashes, forgiveness, isolation of suspects, age of entries, limits, sources of leaving. Four tests passed at first with a mechanism off and were sharpened. Doing so showed a fault: a crash after the first had expired was not counted again; mended.

--- a/src/tamarackrill/decisions/poison.py
+++ b/src/tamarackrill/decisions/poison.py
@@ -16,6 +16,7 @@
 """
 
 import hashlib
+import math
 from collections import OrderedDict
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -82,7 +83,7 @@
         if crashed_s <= now_s - CRASHES_KEPT_S:
             return False
         crashes = self._crashes.setdefault(crash.fingerprint, {})
-        if crash.endpoint in crashes:
+        if crashes.get(crash.endpoint, -math.inf) > now_s - CRASHES_KEPT_S:
             return False
         crashes[crash.endpoint] = crashed_s
         self._crashes.move_to_end(crash.fingerprint)
