--- a/bench/routing.py
+++ b/bench/routing.py
@@ -6,13 +6,10 @@
 leave, flap and restart.  All seeds are fixed.
 """
 
-import argparse
 import heapq
-import json
 import math
 import random
 import sys
-import time
 from collections import OrderedDict, deque
 from collections.abc import Callable
 from pathlib import Path
