--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -6,7 +6,7 @@
 
 Ranges: 1000 life cycle and settings, 2000 requests, routing and admission,
 3000 membership and configuration, 4000 claims, answers and order, 5000 endpoints
-and their health.
+and their health, 6000 objects of the platform.
 """
 
 import json
@@ -33,7 +33,11 @@
 
 # 1000: life cycle and settings
 ROUTER_STARTED = Event(
-    1001, "router_started", _INFO, ("router", "zone", "address"), "A router listens."
+    1001,
+    "router_started",
+    _INFO,
+    ("router", "zone", "address", "peer_address"),
+    "A router listens.",
 )
 ROUTER_LEAVING = Event(
     1002,
@@ -90,7 +94,32 @@
 
 # 4000: claims, answers and order
 
-# 5000: endpoints and their health
+# 5000: endpoints and their health; 5100: orders to engines
+ORDER_GIVEN = Event(
+    5101,
+    "order_given",
+    _INFO,
+    ("endpoint", "model", "replaces", "fence"),
+    "An engine took the order to load a model.",
+)
+ORDER_NOT_TAKEN = Event(
+    5102,
+    "order_not_taken",
+    _WARNING,
+    ("endpoint", "model", "replaces", "fence"),
+    "An engine did not take an order: its number was old, or no answer came.",
+    "Look whether the engine is reachable; the order is given again.",
+)
+
+# 6000: objects of the platform
+OBJECT_FAULTY = Event(
+    6001,
+    "object_faulty",
+    _ERROR,
+    ("kind", "name", "version", "message"),
+    "An object of the platform can't be read; the version before it stays in force.",
+    "Mend the object: `tamarackrill contract apply`, or the endpoint that wrote it.",
+)
 
 
 def list_events() -> list[Event]:
