Count crashes in the form that the gossip carries

A digest's entry is a fingerprint of 64 bits and a count, as the gossip has it, and each router adds up what its peers saw themselves. Endpoint names stay with the router that saw the crash. A second crash at the same endpoint counts as well, so that a pool of one is not crashed again and again.

--- a/src/tamarackrill/decisions/poison.py
+++ b/src/tamarackrill/decisions/poison.py
@@ -7,25 +7,24 @@
 A crash is an answer that breaks off, or never comes, because the endpoint's process
 ended.  Each request that was there is a suspect, since nobody knows which one did it.
 A suspect runs next at an endpoint without another suspect, so that the second crash
-tells the innocent ones apart; one that ends well is cleared.  What has crashed
-`CRASHES_MAX` endpoints is refused before it reaches another.
+tells the innocent ones apart; one that ends well is cleared.  What has caused
+`CRASHES_MAX` crashes is refused before it reaches another endpoint.
 
-Counts are shared: a crash is told to all peers at once (it is rare, and 60 bytes), and
-repeated in the digests for those who missed it.  The endpoints are not blamed: see
-`health.Health.forgive`.
+Counts are shared: each router tells its peers how many crashes it saw itself, and
+adds up what they say.  Nobody repeats the count of another, so that no count lives on
+by gossip alone.  The endpoints are not blamed: see `health.Health.forgive`.
 """
 
-import hashlib
-import math
 from collections import OrderedDict
-from collections.abc import Iterable
 from typing import NamedTuple
 
 from tamarackrill.exceptions import Refusal
 
-# Distinct endpoints that a request may crash: with one, any endpoint that fails for
-# a reason of its own would condemn all it was running.
+# Crashes that a request may cause: with one, any endpoint that fails for a reason of
+# its own would condemn all it was running.
 CRASHES_MAX = 2
+# Broken answers at one endpoint this close together are one crash.
+SAME_CRASH_S = 5.0
 # A crashed endpoint takes minutes to load its weights; the caller may send the request
 # again for as long as that, and a fixed release is not rolled out sooner.
 CRASHES_KEPT_S = 600.0
@@ -37,66 +36,55 @@
 POISON_STATUS = 422
 
 
-class Crash(NamedTuple):
-    """An endpoint that crashed while it ran a request; also a digest's entry.
+class CrashCount(NamedTuple):
+    """Crashes that a request caused at one router; also a digest's entry."""
 
-    Parameters
-    ----------
-    fingerprint : str
-        Of the request; see `compute_fingerprint`.
-    endpoint : str
-        Name of the endpoint.
-    age_s : float, default=0.0
-        How long ago it crashed.  Carried along so that a repeated entry grows old
-        instead of starting anew at each router.
-    """
+    fingerprint: int
+    crashes: int
 
-    fingerprint: str
-    endpoint: str
-    age_s: float = 0.0
 
+class _Crash(NamedTuple):
+    crashed_s: float
+    endpoint: str
+    peer: str
 
-def compute_fingerprint(path: str, body: bytes) -> str:
-    """Return the fingerprint of a request, the same at every router.
 
-    It covers what reaches the endpoint and nothing that changes when the request is
-    sent again (keys, deadlines, sequence numbers).
-    """
-    digest = hashlib.blake2b(path.encode(), digest_size=12)
-    digest.update(b"\0" + body)
-    return digest.hexdigest()
+def shorten_fingerprint(fingerprint: str) -> int:
+    """Return the 64 bits of a request's hexadecimal fingerprint that are counted."""
+    return int(fingerprint[:16], 16)
 
 
 class Poison:
     """Crashes by fingerprint, as one router knows them."""
 
     def __init__(self) -> None:
-        self._crashes: OrderedDict[str, dict[str, float]] = OrderedDict()
-        self._suspects: dict[str, dict[str, int]] = {}
+        self._crashes: OrderedDict[int, list[_Crash]] = OrderedDict()
+        self._running: dict[str, dict[int, int]] = {}
 
     def __len__(self) -> int:
         return len(self._crashes)
 
-    def observe_crash(self, crash: Crash, now_s: float) -> bool:
-        """Count a crash, seen here or by a peer; return whether it was new."""
-        crashed_s = now_s - crash.age_s
-        if crashed_s <= now_s - CRASHES_KEPT_S:
-            return False
-        crashes = self._crashes.setdefault(crash.fingerprint, {})
-        if crashes.get(crash.endpoint, -math.inf) > now_s - CRASHES_KEPT_S:
-            return False
-        crashes[crash.endpoint] = crashed_s
-        self._crashes.move_to_end(crash.fingerprint)
-        if len(self._crashes) > FINGERPRINTS_KEPT:
-            self._crashes.popitem(last=False)
+    def observe_crash(self, fingerprint: int, endpoint: str, now_s: float) -> bool:
+        """Count a crash seen by this router; return whether it was a new one."""
+        for crash in self._find(fingerprint, now_s):
+            if crash.endpoint == endpoint and now_s - crash.crashed_s < SAME_CRASH_S:
+                return False
+        self._add(fingerprint, _Crash(now_s, endpoint, ""), now_s)
         return True
 
-    def observe_success(self, fingerprint: str) -> None:
-        """Clear a suspect that has run to its end."""
-        if len(self._crashes.get(fingerprint, ())) < CRASHES_MAX:
-            self._crashes.pop(fingerprint, None)
+    def observe_peer(
+        self, peer: str, fingerprint: int, crashes: int, now_s: float
+    ) -> None:
+        """Take how many crashes by a request a peer has seen itself."""
+        known = sum(crash.peer == peer for crash in self._find(fingerprint, now_s))
+        for _ in range(known, min(crashes, CRASHES_MAX)):
+            self._add(fingerprint, _Crash(now_s, "", peer), now_s)
+
+    def observe_success(self, fingerprint: int) -> None:
+        """Clear a request that has run to its end."""
+        self._crashes.pop(fingerprint, None)
 
-    def check(self, fingerprint: str, now_s: float) -> None:
+    def check(self, fingerprint: int, now_s: float) -> None:
         """Raise if a request must not reach another endpoint.
 
         Raises
@@ -107,70 +95,70 @@
         """
         crashes = self._find(fingerprint, now_s)
         if len(crashes) >= CRASHES_MAX:
+            newest_s = max(crash.crashed_s for crash in crashes)
             raise Refusal(
                 POISON_CODE,
                 POISON_STATUS,
                 f"this request has crashed {len(crashes)} endpoints",
                 run="unknown",
-                retry_after_s=max(crashes.values()) + CRASHES_KEPT_S - now_s,
+                retry_after_s=newest_s + CRASHES_KEPT_S - now_s,
             )
 
-    def find_avoided(self, fingerprint: str, now_s: float) -> set[str]:
+    def find_avoided(self, fingerprint: int, now_s: float) -> set[str]:
         """Return the endpoints where a suspect must not run next.
 
         Those are the ones that it may have crashed and those that run another
         suspect now.  The set is empty for a request that is no suspect.
         """
-        crashes = self._find(fingerprint, now_s)
-        if not crashes:
+        crashed = self.find_crashed(fingerprint, now_s)
+        if not self._find(fingerprint, now_s):
             return set()
         taken = {
             endpoint
-            for endpoint, running in self._suspects.items()
+            for endpoint, running in self._running.items()
             if any(other != fingerprint for other in running)
         }
-        return taken | set(crashes)
+        return taken | crashed
 
-    def start(self, fingerprint: str, endpoint: str, now_s: float) -> None:
+    def start(self, fingerprint: int, endpoint: str, now_s: float) -> None:
         """Note where a suspect runs; a request that is none is passed over."""
         if self._find(fingerprint, now_s):
-            running = self._suspects.setdefault(endpoint, {})
+            running = self._running.setdefault(endpoint, {})
             running[fingerprint] = running.get(fingerprint, 0) + 1
 
-    def finish(self, fingerprint: str, endpoint: str) -> None:
+    def finish(self, fingerprint: int, endpoint: str) -> None:
         """Note that a request has ended, whatever its outcome."""
-        running = self._suspects.get(endpoint, {})
+        running = self._running.get(endpoint, {})
         if running.get(fingerprint, 0) > 1:
             running[fingerprint] -= 1
             return
         running.pop(fingerprint, None)
         if not running:
-            self._suspects.pop(endpoint, None)
-
-    def list_crashed(self, fingerprint: str, now_s: float) -> list[str]:
-        """Return the endpoints that a request has crashed."""
-        return sorted(self._find(fingerprint, now_s))
-
-    def observe_peer(self, entries: Iterable[Crash], now_s: float) -> list[Crash]:
-        """Take a peer's entries; return those that were new."""
-        return [entry for entry in entries if self.observe_crash(entry, now_s)]
-
-    def digest(self, now_s: float, limit: int = DIGEST_ENTRIES_MAX) -> list[Crash]:
-        """Return the entries for the next digest, refused requests first."""
-        entries = [
-            (len(crashes) >= CRASHES_MAX, crashed_s, fingerprint, endpoint)
-            for fingerprint, crashes in self._crashes.items()
-            for endpoint, crashed_s in crashes.items()
-            if crashed_s > now_s - CRASHES_KEPT_S
-        ]
-        return [
-            Crash(fingerprint, endpoint, now_s - crashed_s)
-            for _, crashed_s, fingerprint, endpoint in sorted(entries)[
-                : -limit - 1 : -1
-            ]
-        ]
-
-    def _find(self, fingerprint: str, now_s: float) -> dict[str, float]:
+            self._running.pop(endpoint, None)
+
+    def find_crashed(self, fingerprint: int, now_s: float) -> set[str]:
+        """Return the endpoints that this router saw a request crash."""
+        crashes = self._find(fingerprint, now_s)
+        return {crash.endpoint for crash in crashes if crash.endpoint}
+
+    def digest(self, now_s: float, limit: int = DIGEST_ENTRIES_MAX) -> list[CrashCount]:
+        """Return what this router saw itself, for the next digest; newest first."""
+        entries = []
+        for fingerprint in reversed(self._crashes):
+            own = sum(not crash.peer for crash in self._find(fingerprint, now_s))
+            if own:
+                entries.append(CrashCount(fingerprint, own))
+            if len(entries) == limit:
+                break
+        return entries
+
+    def _add(self, fingerprint: int, crash: _Crash, now_s: float) -> None:
+        self._crashes[fingerprint] = [*self._find(fingerprint, now_s), crash]
+        self._crashes.move_to_end(fingerprint)
+        if len(self._crashes) > FINGERPRINTS_KEPT:
+            self._crashes.popitem(last=False)
+
+    def _find(self, fingerprint: int, now_s: float) -> list[_Crash]:
         oldest_s = now_s - CRASHES_KEPT_S
-        crashes = self._crashes.get(fingerprint, {})
-        return {name: at_s for name, at_s in crashes.items() if at_s > oldest_s}
+        crashes = self._crashes.get(fingerprint, ())
+        return [crash for crash in crashes if crash.crashed_s > oldest_s]
