--- a/src/tamarackrill/queries/fleet.py
+++ b/src/tamarackrill/queries/fleet.py
@@ -123,5 +123,12 @@
     except FindingsError as error:
         fault = "; ".join(finding.show() for finding in error.findings)
         return EndpointLine(name, "", "", "", "", "faulty", 0, fault)
-    serves = ",".join(endpoint.serves)
-    return EndpointLine(**{**endpoint._asdict(), "serves": serves})
+    return EndpointLine(
+        endpoint.name,
+        endpoint.kind,
+        ",".join(endpoint.serves),
+        endpoint.address,
+        endpoint.zone,
+        endpoint.state,
+        endpoint.slots,
+    )
--- a/src/tamarackrill/settings.py
+++ b/src/tamarackrill/settings.py
@@ -73,6 +73,7 @@
     body_max_bytes: int
     queue_max: int
     drain_max_s: float
+    lease_s: float
     log_format: str
 
 
@@ -179,6 +180,15 @@
         86_400,
         "s",
     ),
+    Setting(
+        "lease_s",
+        _parse_number,
+        "10",
+        "lease of the router that orders engines",
+        0.5,
+        600,
+        "s",
+    ),
     Setting("log_format", _parse_log_format, "text", "text or json"),
 )
 
