Find a caller's contract by the hash of the key

The comparison of the one hash found stays in constant time.

Where two contracts hold one key, the first by name is taken, at each router alike; before, it hung on the order in which the router had heard of them.

--- a/bench/capacity_parts.py
+++ b/bench/capacity_parts.py
@@ -1,10 +1,11 @@
 """Slopes of decisions and state, in this process."""
 
 from slopes import Fit, count_bytes, fit, time_us
-from tamarackrill.contracts import Contract, hash_key
-from tamarackrill.decisions.configuration import ConfigurationStore
+from tamarackrill.contracts import hash_key
+from tamarackrill.decisions.configuration import ConfigurationStore, ObjectVersion
 from tamarackrill.decisions.hashing import rendezvous_order
 from tamarackrill.router.calls import find_contract
+from tamarackrill.router.known_objects import KnownObjects
 
 TEAMS = (100, 500, 1000, 2300)
 MEMBERS = (46, 93, 185, 370)
@@ -24,9 +25,16 @@
 
 
 def _time_find(teams: int) -> float:
-    contracts = [Contract(f"t{i}", (hash_key(f"k{i}"),)) for i in range(teams)]
+    known = KnownObjects()
+    for number in range(teams):
+        value = {
+            "team": f"t{number}",
+            "key_hashes": [hash_key(f"k{number}")],
+            "models": ["m"],
+        }
+        known.take(ObjectVersion("contract", f"t{number}", number + 1, value))
     header = f"Bearer k{teams // 2}"
-    return time_us(lambda: find_contract(contracts, header), 50)
+    return time_us(lambda: find_contract(known.find_holder, header), 500)
 
 
 def _time_order(members: int, count: int) -> float:
--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -207,6 +207,7 @@
             self.open_calls,
             self.settings.body_max_bytes,
             self.settings.peer_keys,
+            self.known.find_holder,
             self.list_contracts,
             lambda: self._leaving,
             self.describe,
--- a/src/tamarackrill/router/callers.py
+++ b/src/tamarackrill/router/callers.py
@@ -81,6 +81,8 @@
         Longest body.
     peer_keys : tuple of str
         Keys shared by the routers.
+    find_holder : callable
+        Returns the contract that holds a key, by the key's hash.
     list_contracts : callable
         Returns the contracts in force.
     is_leaving : callable
@@ -100,6 +102,7 @@
     open_calls: OpenCalls
     body_max_bytes: int
     peer_keys: tuple[str, ...]
+    find_holder: Callable[[str], Contract | None]
     list_contracts: Callable[[], list[Contract]]
     is_leaving: Callable[[], bool]
     describe: Callable[[], dict[str, Any]]
@@ -172,7 +175,7 @@
         try:
             self._check_size(int(self.request.headers.get("Content-Length", "0")))
             authorization = self.request.headers.get("Authorization", "")
-            self._contract = find_contract(front.list_contracts(), authorization)
+            self._contract = find_contract(front.find_holder, authorization)
             if front.is_leaving():
                 self.set_header(LEAVING, "1")
                 raise Refusal("leaving", 503, "this router is leaving")
--- a/src/tamarackrill/router/calls.py
+++ b/src/tamarackrill/router/calls.py
@@ -4,7 +4,7 @@
 import hmac
 import json
 import uuid
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
 
 from tamarackrill.contracts import Contract, EndpointKind, hash_key
@@ -110,27 +110,32 @@
         return f"{self.team}\n{name}" if name else ""
 
 
-def find_contract(contracts: Iterable[Contract], authorization: str) -> Contract:
+def find_contract(
+    find_holder: Callable[[str], Contract | None], authorization: str
+) -> Contract:
     """Return the contract whose key the caller holds.
 
+    Parameters
+    ----------
+    find_holder : callable
+        Returns the contract that holds a key, by the key's hash.
+    authorization : str
+        Header of the request.
+
     Raises
     ------
     Refusal
         ``unauthorized`` if no contract has it.
     """
     scheme, _, key = authorization.partition(" ")
-    found = None
     if scheme.lower() == "bearer" and key:
+        # Only the hash is looked up and compared.  How long that takes tells a caller
+        # something about a hash that it can't steer, and nothing about any key.
         digest = hash_key(key.strip())
-        # Every hash is compared, each in constant time: a caller who measured how
-        # long a wrong key takes would otherwise learn how much of one is right.
-        for contract in contracts:
-            for known in contract.key_hashes:
-                if hmac.compare_digest(known, digest):
-                    found = contract
-    if found is None:
-        raise Refusal("unauthorized", 401, "the key is absent or not known")
-    return found
+        found = find_holder(digest)
+        if found and any(hmac.compare_digest(h, digest) for h in found.key_hashes):
+            return found
+    raise Refusal("unauthorized", 401, "the key is absent or not known")
 
 
 def read_call(
--- a/src/tamarackrill/router/known_objects.py
+++ b/src/tamarackrill/router/known_objects.py
@@ -39,12 +39,15 @@
         self._contracts: dict[str, Contract] = {}
         self._endpoints: dict[str, Endpoint] = {}
         self._faulty: dict[tuple[str, str], FaultyObject] = {}
+        # Contract of each key's hash; None once a contract has changed.
+        self._holders: dict[str, Contract] | None = None
 
     def take(self, item: ObjectVersion) -> None:
         """Put a newer version of an object in force, or a deletion."""
         reader = _READERS.get(item.kind)
         if reader is None:
             return
+        self._holders = None
         known: dict = self._contracts if item.kind == CONTRACT_KIND else self._endpoints
         self._faulty.pop((item.kind, item.name), None)
         if item.value is None:
@@ -58,6 +61,20 @@
             self._faulty[item.kind, item.name] = faulty
             log_event(OBJECT_FAULTY, **faulty._asdict())
 
+    def find_holder(self, key_hash: str) -> Contract | None:
+        """Return the contract that holds a key, by the key's hash.
+
+        If two contracts hold it, the first by name is taken, at every router alike.
+        """
+        if self._holders is None:
+            ordered = sorted(self._contracts.items(), reverse=True)
+            self._holders = {
+                known: contract
+                for _, contract in ordered
+                for known in contract.key_hashes
+            }
+        return self._holders.get(key_hash)
+
     def list_contracts(self) -> list[Contract]:
         """Return the contracts in force."""
         return list(self._contracts.values())
--- /dev/null
+++ b/tests/test_known_objects.py
@@ -0,0 +1,47 @@
+import pytest
+
+from tamarackrill.contracts import hash_key
+from tamarackrill.decisions.configuration import ObjectVersion
+from tamarackrill.exceptions import Refusal
+from tamarackrill.router.calls import find_contract
+from tamarackrill.router.known_objects import KnownObjects
+
+
+def take(known, team, version, *keys):
+    value = {
+        "team": team,
+        "key_hashes": [hash_key(key) for key in keys],
+        "models": ["m"],
+    }
+    known.take(ObjectVersion("contract", team, version, value if keys else None))
+
+
+def test_key_follows_each_change_of_the_contract():
+    known = KnownObjects()
+    take(known, "a", 1, "old")
+    assert find_contract(known.find_holder, "Bearer old").team == "a"
+    take(known, "a", 2, "old", "new")
+    assert find_contract(known.find_holder, "bearer new").team == "a"
+    take(known, "a", 3, "new")
+    for header in (
+        "Bearer old",
+        "Basic new",
+        "Bearer",
+        "",
+        "Bearer " + hash_key("new"),
+    ):
+        with pytest.raises(Refusal, match="not known"):
+            find_contract(known.find_holder, header)
+    take(known, "a", 4)
+    with pytest.raises(Refusal):
+        find_contract(known.find_holder, "Bearer new")
+
+
+def test_key_of_two_contracts_names_the_same_one_everywhere():
+    # Two operators give one key to two teams at the same moment.  Routers that hear
+    # of the two in another order must still agree whose request it is.
+    for order in (("a", "b"), ("b", "a")):
+        known = KnownObjects()
+        for version, team in enumerate(order, 1):
+            take(known, team, version, "k")
+        assert known.find_holder(hash_key("k")).team == "a"
