--- /dev/null
+++ b/src/tamarackrill/decisions/membership.py
@@ -0,0 +1,411 @@
+"""Which routers exist, by gossip among themselves.
+
+Load pattern: routers start, leave, fail and freeze, whole availability zones are cut
+off, the platform's VM list lags, and each router may spend 3 KB/s at 370 routers.
+Without gossip every router would follow the VM list and go on forwarding chats to
+routers that died; were each to ping each, 370 routers would send 370 messages a
+second each.
+
+Each router pings one other a second, mostly in its own zone, and is answered with an
+ack; both carry changes as rumours.  A router that misses two pings is suspected, and
+is removed unless it refutes the suspicion by a higher incarnation.  Routers whose
+views differ ask one another for the rest, page by page.
+
+Nothing that must always hold may rest on these views being the same everywhere.
+docs/design/membership.md has what was weighed and the measured figures.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from tamarackrill.contracts import Vm
+from tamarackrill.decisions.configuration import ConfigurationDigest
+from tamarackrill.decisions.members import (
+    GONE,
+    SUSPECTED,
+    TAKES_WORK,
+    Entries,
+    Gossip,
+    MemberRecord,
+    MemberState,
+    Purpose,
+    choose_entries,
+    weigh_base,
+    weigh_record,
+)
+from tamarackrill.decisions.views import View
+
+TICK_S = 1.0
+# Below a tick, so that a tick that comes a little early still sees the timeout.
+PING_TIMEOUT_S = 0.9
+PING_TRIES = 2
+# A rumour reaches 370 routers, the suspect among them, within this time in the runs of
+# bench/gossip.py; a shorter one removes routers that only missed two pings.
+SUSPICION_S = 5.0
+# A tick so late means that the process was frozen: its view of others is old, and
+# theirs of it may say that it is dead.
+FREEZE_GAP_S = 3.0
+# Removed routers are probed for so long, since a cut zone comes back within minutes.
+# Longer for those on the VM list.
+FORGET_S = 600.0
+# One ping in so many crosses zones.
+CROSS_ZONE_ONE_IN = 4
+CATCH_UP_PINGS = 4
+# A router that knows fewer than this share of its peer's routers is catching up.
+CATCH_UP_SHARE = 0.9
+ANNOUNCE_PINGS = 6
+
+# Sent and received together stay below 3 KB/s, as each message sent is received once.
+SENT_BYTES_PER_S = 1_400
+SENT_BURST_BYTES = 4_200
+MESSAGE_MIN_BYTES = 300
+MESSAGE_MAX_BYTES = 1_200
+ENTRIES_MAX_BYTES = 300
+PAGE_BYTES = 300
+
+Pick = Callable[[int], int]
+
+
+class Send(NamedTuple):
+    """Send a message to a router, by UDP; it weighs at most `weight_bytes`."""
+
+    peer_address: str
+    message: Gossip
+    weight_bytes: int
+
+
+class MemberChanged(NamedTuple):
+    """A router joined or changed its state; `before` is None for a new one."""
+
+    record: MemberRecord
+    before: MemberState | None
+
+
+class PeerHeard(NamedTuple):
+    """A router told what configuration it holds and what other modules exchange."""
+
+    sender: str
+    address: str
+    configuration: tuple[ConfigurationDigest, ...]
+    entries: Entries
+
+
+class StaleDropped(NamedTuple):
+    """A message was a replay or was overtaken by a later one."""
+
+    sender: str
+
+
+class Froze(NamedTuple):
+    """The process did not run for a while."""
+
+    gap_s: float
+
+
+Action = Send | MemberChanged | PeerHeard | StaleDropped | Froze
+
+
+class _Ping(NamedTuple):
+    sent_s: float
+    tries: int
+
+
+class Membership:
+    """What one router knows of the others.
+
+    Parameters
+    ----------
+    own : MemberRecord
+        This router; its incarnation must be above that of any earlier process of the
+        same name, such as the start in ms since the epoch.
+
+    Attributes
+    ----------
+    configuration : tuple of ConfigurationDigest
+        Sent with each message; set by the owner.
+    entries : Entries
+        Sent with each message as far as they fit; set by the owner.
+    """
+
+    def __init__(self, own: MemberRecord) -> None:
+        self.configuration: tuple[ConfigurationDigest, ...] = ()
+        self.entries = Entries()
+        self._view = View(own)
+        self._session = own.incarnation
+        self._sequence = 0
+        self._heard: dict[str, tuple[int, int]] = {}
+        self._pings: dict[str, _Ping] = {}
+        self._seeds: dict[str, Vm] = {}
+        self._after = ""
+        self._behind = False
+        self._ticked_s: float | None = None
+        self._allowance_bytes = float(SENT_BURST_BYTES)
+
+    @property
+    def own(self) -> MemberRecord:
+        """The record of this router."""
+        return self._view.own
+
+    @property
+    def view(self) -> int:
+        """Hash over the view; equal at routers that agree."""
+        return self._view.content
+
+    def live_members(self) -> list[MemberRecord]:
+        """Return the routers that may get new work, by name; suspects included."""
+        members = [
+            record
+            for record in self.list_members()
+            if record.state in TAKES_WORK and not self._is_listed_leaving(record.name)
+        ]
+        return sorted(members)
+
+    def list_members(self) -> list[MemberRecord]:
+        """Return all routers that are not gone, by name."""
+        others = (r for r in self._view.records.values() if r.state not in GONE)
+        return sorted([self.own, *others])
+
+    def take_vm_list(self, vms: Iterable[Vm]) -> None:
+        """Take the platform's VM list, which lags.
+
+        It gives addresses of routers to ping and says early who is leaving.  It
+        neither adds nor removes a router: one that it lacks may be new, and one that
+        it still has may have failed.
+        """
+        named = {vm.name: vm for vm in vms if vm.name != self.own.name}
+        self._seeds = {name: vm for name, vm in named.items() if vm.peer_address}
+
+    def tick(self, now_s: float, pick: Pick) -> list[Action]:
+        """Let time pass; called each `TICK_S`.
+
+        Parameters
+        ----------
+        now_s : float
+            Present time, monotonic.
+        pick : callable
+            ``pick(n)`` returns a random number from 0 to n - 1.
+
+        Returns
+        -------
+        list of Action
+        """
+        actions = self._note_time(now_s)
+        if self.own.state in GONE:
+            return actions
+        actions += self._expire_pings(now_s)
+        actions += self._expire_suspects(now_s)
+        self._forget_gone(now_s)
+        for _ in range(CATCH_UP_PINGS if self._behind else 1):
+            actions += self._ping_someone(now_s, pick)
+        actions += self._probe_absent(pick)
+        return actions
+
+    def receive(self, message: Gossip, now_s: float) -> list[Action]:
+        """Take a message whose sender is proved, and return what to do."""
+        mark = (message.session, message.sequence)
+        if mark <= self._heard.get(message.sender, (-1, -1)):
+            return [StaleDropped(message.sender)]
+        if message.sender == self.own.name or not message.members:
+            return [StaleDropped(message.sender)]
+        self._heard[message.sender] = mark
+        self._pings.pop(message.sender, None)
+        actions: list[Action] = []
+        for record in message.members:
+            actions += self._take_record(record, now_s)
+        self._compare_views(message)
+        sender = message.members[0]
+        if message.purpose == Purpose.PING:
+            actions.append(self._ack(sender, message))
+        actions.append(
+            PeerHeard(
+                sender.name, sender.address, message.configuration, message.entries
+            )
+        )
+        return actions
+
+    def announce(self, state: MemberState, pick: Pick) -> list[Action]:
+        """Tell several routers at once that this one is leaving, or has left.
+
+        A router that merely stopped would be pinged and suspected first, and chats
+        would be forwarded to it for seconds.
+        """
+        self._view.set_own(self.own._replace(state=state))
+        peers = [record for record in self.list_members() if record != self.own]
+        actions: list[Action] = []
+        while peers and len(actions) < ANNOUNCE_PINGS:
+            peer = peers.pop(pick(len(peers)))
+            actions.append(self._build(peer, Purpose.PUSH))
+        return actions
+
+    def report(self, name: str, entries: Entries) -> list[Action]:
+        """Send entries to one router at once, as far as they and the budget allow."""
+        peer = self._view.get(name)
+        if peer is None or peer == self.own or self._allowance_bytes < 0:
+            return []
+        return [self._build(peer, Purpose.PUSH, entries=entries)]
+
+    def _is_listed_leaving(self, name: str) -> bool:
+        return name in self._seeds and self._seeds[name].state == "leaving"
+
+    def _note_time(self, now_s: float) -> list[Action]:
+        gap_s = now_s - self._ticked_s if self._ticked_s is not None else TICK_S
+        self._ticked_s = now_s
+        refilled = self._allowance_bytes + gap_s * SENT_BYTES_PER_S
+        self._allowance_bytes = min(SENT_BURST_BYTES, refilled)
+        if gap_s < FREEZE_GAP_S:
+            return []
+        # Every timer is overdue after a freeze.  Were they to fire, the one router
+        # that did not run would suspect all those that did.
+        self._pings.clear()
+        for record in self._view.list_suspects():
+            self._view.changed_s[record.name] = now_s
+        self._raise_incarnation(self.own.incarnation)
+        return [Froze(gap_s)]
+
+    def _raise_incarnation(self, seen: int) -> None:
+        higher = max(seen, self.own.incarnation) + 1
+        self._view.set_own(self.own._replace(incarnation=higher))
+
+    def _expire_pings(self, now_s: float) -> list[Action]:
+        actions: list[Action] = []
+        overdue = [
+            (name, ping)
+            for name, ping in self._pings.items()
+            if now_s - ping.sent_s >= PING_TIMEOUT_S
+        ]
+        for name, ping in overdue:
+            del self._pings[name]
+            record = self._view.get(name)
+            if record is None or record.state in GONE:
+                continue
+            if ping.tries < PING_TRIES:
+                actions.append(self._ping(record, now_s, ping.tries + 1))
+            else:
+                before = record.state
+                if self._view.suspect(name, now_s):
+                    actions.append(MemberChanged(self._view.records[name], before))
+        return actions
+
+    def _expire_suspects(self, now_s: float) -> list[Action]:
+        actions: list[Action] = []
+        for record in self._view.list_suspects():
+            if now_s - self._view.changed_s[record.name] >= SUSPICION_S:
+                dead = record._replace(state=MemberState.DEAD)
+                self._view.apply(dead, now_s)
+                actions.append(MemberChanged(dead, record.state))
+        return actions
+
+    def _forget_gone(self, now_s: float) -> None:
+        for record in list(self._view.records.values()):
+            old = now_s - self._view.changed_s[record.name] >= FORGET_S
+            if record.state in GONE and old and record.name not in self._seeds:
+                self._view.forget(record.name)
+                self._heard.pop(record.name, None)
+
+    def _ping_someone(self, now_s: float, pick: Pick) -> list[Action]:
+        others = [r for r in self.list_members() if r != self.own]
+        near = [r for r in others if r.zone == self.own.zone]
+        far = [r for r in others if r.zone != self.own.zone]
+        cross = far and (not near or pick(CROSS_ZONE_ONE_IN) == 0)
+        choice = far if cross else near
+        if not choice:
+            return []
+        return [self._ping(choice[pick(len(choice))], now_s, 1)]
+
+    def _probe_absent(self, pick: Pick) -> list[Action]:
+        """Ping one that is gone or was never heard, more often the more there are.
+
+        Without it two sides of a healed cut, which hold one another for dead, would
+        never speak again.
+        """
+        records = self._view.records
+        absent = [r for r in records.values() if r.state == MemberState.DEAD]
+        absent += [
+            MemberRecord(vm.name, 0, MemberState.ALIVE, vm.zone, "", vm.peer_address)
+            for vm in self._seeds.values()
+            if vm.name not in records
+        ]
+        present = self._view.known - 1
+        if not absent or pick(len(absent) + present) >= max(len(absent), present // 10):
+            return []
+        return [self._build(absent[pick(len(absent))], Purpose.PING)]
+
+    def _ping(self, peer: MemberRecord, now_s: float, tries: int) -> Send:
+        self._pings.setdefault(peer.name, _Ping(now_s, tries))
+        return self._build(peer, Purpose.PING)
+
+    def _ack(self, sender: MemberRecord, message: Gossip) -> Send:
+        if message.view == self.view:
+            return self._build(sender, Purpose.ACK)
+        few = message.known < self._view.known * CATCH_UP_SHARE
+        page_bytes = MESSAGE_MAX_BYTES if few else PAGE_BYTES
+        return self._build(sender, Purpose.ACK, message.after, page_bytes)
+
+    def _take_record(self, record: MemberRecord, now_s: float) -> list[Action]:
+        if record.name == self.own.name:
+            if record.replaces(self.own):
+                # Someone holds this router for dead, or remembers a process of this
+                # name with a later clock.  Its chats would move away for good.
+                self._raise_incarnation(record.incarnation)
+            return []
+        held = self._view.get(record.name)
+        if not self._view.apply(record, now_s):
+            return []
+        before = held.state if held is not None else None
+        return [MemberChanged(self._view.records[record.name], before)]
+
+    def _compare_views(self, message: Gossip) -> None:
+        if message.purpose == Purpose.ACK:
+            self._after = message.after
+        if message.view == self.view:
+            self._after = ""
+        self._behind = self._view.known < message.known * CATCH_UP_SHARE
+
+    def _build(
+        self,
+        peer: MemberRecord,
+        purpose: Purpose,
+        after: str = "",
+        page_bytes: int = 0,
+        entries: Entries | None = None,
+    ) -> Send:
+        digests = len(self.configuration)
+        asked = self._after if purpose == Purpose.PING else ""
+        members = [self.own, *self._list_unrefuted(peer)]
+        left = self._limit_message() - weigh_base(self.own.name, asked, digests)
+        left -= sum(weigh_record(record) for record in members)
+        room = min(ENTRIES_MAX_BYTES, max(0, left) // 2)
+        chosen, entries_bytes = choose_entries(entries or self.entries, room)
+        rumours, left = self._view.take_rumours(left - entries_bytes)
+        members += [r for r in rumours if r.name not in (self.own.name, peer.name)]
+        if page_bytes:
+            page, asked = self._view.list_after(after, min(page_bytes, left))
+            members += page
+        weight = weigh_base(self.own.name, asked, digests) + entries_bytes
+        weight += sum(weigh_record(record) for record in members)
+        self._allowance_bytes -= weight
+        self._sequence += 1
+        message = Gossip(
+            self.own.name,
+            self._session,
+            self._sequence,
+            purpose,
+            tuple(members),
+            self.view,
+            self._view.known,
+            asked,
+            self.configuration,
+            chosen,
+        )
+        return Send(peer.peer_address, message, weight)
+
+    def _limit_message(self) -> int:
+        affordable = max(MESSAGE_MIN_BYTES, int(self._allowance_bytes) // 2)
+        return min(MESSAGE_MAX_BYTES, affordable)
+
+    def _list_unrefuted(self, peer: MemberRecord) -> list[MemberRecord]:
+        """Return what is held against a router, so that it can refute it."""
+        held = self._view.records.get(peer.name)
+        if held is None or held.state in SUSPECTED:
+            return []
+        return [held]
--- /dev/null
+++ b/src/tamarackrill/protocol/codec.py
@@ -0,0 +1,220 @@
+"""Encoding and proof of origin of the messages between routers.
+
+A message is a keyed digest followed by one `Gossip` struct in Thrift's compact form.
+The digest is checked before a byte is parsed, so only holders of a peer key reach the
+parser.  Two keys are valid while operators change them: the first signs, all verify.
+Replays are recognised by session and sequence, in `decisions.membership`.
+"""
+
+import hashlib
+import hmac
+from pathlib import Path
+from typing import Any
+
+import thriftpy2
+from thriftpy2.protocol.compact import TCompactProtocol
+from thriftpy2.transport import TMemoryBuffer
+
+from tamarackrill.decisions.configuration import ConfigurationDigest
+from tamarackrill.decisions.limits import TeamUsage, UsageScope
+from tamarackrill.decisions.loads import EndpointLoad
+from tamarackrill.decisions.members import (
+    CrashCount,
+    Entries,
+    Gossip,
+    MemberRecord,
+    MemberState,
+    Purpose,
+)
+
+# 128 bits cannot be guessed over a network, and leave 16 bytes more of the budget
+# than the whole digest.
+DIGEST_BYTES = 16
+# Largest payload of one UDP datagram over IPv4.
+DATAGRAM_MAX_BYTES = 65_507
+_SCOPES: tuple[UsageScope, ...] = ("router", "zone", "fleet")
+_I64_MODULUS = 1 << 64
+_I64_LIMIT = 1 << 63
+
+_idl = thriftpy2.load(
+    str(Path(__file__).with_name("peer.thrift")), module_name="peer_thrift"
+)
+
+
+class InvalidMessage(ValueError):
+    """A datagram that no peer sent, or that does not hold a message.
+
+    Parameters
+    ----------
+    reason : {"stranger", "malformed"}
+        Whether the keyed digest or the contents were wrong.
+    """
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+def sign(payload: bytes, key: str) -> bytes:
+    """Return the keyed digest of a payload."""
+    return hmac.digest(key.encode(), payload, hashlib.sha256)[:DIGEST_BYTES]
+
+
+def verify(digest: bytes, payload: bytes, keys: tuple[str, ...]) -> bool:
+    """Return whether any of the keys gives this digest.
+
+    All keys are tried and compared in constant time: a stranger who could measure
+    how far a comparison came would find the digest byte by byte.
+    """
+    found = [hmac.compare_digest(digest, sign(payload, key)) for key in keys]
+    return any(found)
+
+
+def encode_gossip(message: Gossip, keys: tuple[str, ...]) -> bytes:
+    """Return the datagram of a message, signed with the first key."""
+    buffer = TMemoryBuffer()
+    _to_struct(message).write(TCompactProtocol(buffer))
+    payload = buffer.getvalue()
+    return sign(payload, keys[0]) + payload
+
+
+def decode_gossip(datagram: bytes, keys: tuple[str, ...]) -> Gossip:
+    """Return the message of a datagram.
+
+    Raises
+    ------
+    InvalidMessage
+        If no key proves it, or it holds no message.
+    """
+    digest, payload = datagram[:DIGEST_BYTES], datagram[DIGEST_BYTES:]
+    if not verify(digest, payload, keys):
+        raise InvalidMessage("stranger")
+    struct = _idl.Gossip()
+    try:
+        struct.read(TCompactProtocol(TMemoryBuffer(payload)))
+        return _from_struct(struct)
+    # The parser raises whatever the bytes lead it to; a peer of a later release must
+    # not be able to end the task that reads the socket.
+    except Exception as error:
+        raise InvalidMessage("malformed") from error
+
+
+def _to_struct(message: Gossip) -> Any:
+    return _idl.Gossip(
+        sender=message.sender,
+        session=message.session,
+        sequence=message.sequence,
+        purpose=int(message.purpose),
+        members=[_write_record(record) for record in message.members],
+        view=_to_signed(message.view),
+        known=message.known,
+        after=message.after or None,
+        configuration=[
+            _idl.ConfigurationDigest(
+                item.kind, item.complete, item.newest, _to_signed(item.content)
+            )
+            for item in message.configuration
+        ],
+        **_write_entries(message.entries),
+    )
+
+
+def _write_record(record: MemberRecord) -> Any:
+    return _idl.MemberRecord(
+        record.name,
+        record.incarnation,
+        int(record.state),
+        record.zone or None,
+        record.address or None,
+        record.peer_address or None,
+    )
+
+
+def _write_entries(entries: Entries) -> dict[str, Any]:
+    usages = [
+        _idl.TeamUsage(
+            item.team,
+            _SCOPES.index(item.scope),
+            item.origin,
+            round(item.requests_per_s * 1000),
+            round(item.tokens_per_s),
+            item.in_flight,
+        )
+        for item in entries.usages
+    ]
+    loads = [_idl.EndpointLoad(*item) for item in entries.loads]
+    crashes = [
+        _idl.CrashCount(_to_signed(item.fingerprint), item.crashes)
+        for item in entries.crashes
+    ]
+    lists = {"usages": usages, "loads": loads, "crashes": crashes}
+    return {name: items or None for name, items in lists.items()}
+
+
+def _from_struct(struct: Any) -> Gossip:
+    return Gossip(
+        _need_text(struct.sender),
+        struct.session + 0,
+        struct.sequence + 0,
+        Purpose(struct.purpose),
+        tuple(_read_record(record) for record in struct.members),
+        struct.view % _I64_MODULUS,
+        struct.known + 0,
+        struct.after or "",
+        tuple(_read_digest(item) for item in struct.configuration),
+        _read_entries(struct),
+    )
+
+
+def _read_record(struct: Any) -> MemberRecord:
+    return MemberRecord(
+        _need_text(struct.name),
+        struct.incarnation + 0,
+        MemberState(struct.state),
+        struct.zone or "",
+        struct.address or "",
+        struct.peer_address or "",
+    )
+
+
+def _read_digest(struct: Any) -> ConfigurationDigest:
+    return ConfigurationDigest(
+        _need_text(struct.kind),
+        struct.complete + 0,
+        struct.newest + 0,
+        struct.content % _I64_MODULUS,
+    )
+
+
+def _read_entries(struct: Any) -> Entries:
+    usages = [
+        TeamUsage(
+            _need_text(item.team),
+            _SCOPES[item.scope],
+            _need_text(item.origin),
+            item.requests_milli_per_s / 1000,
+            float(item.tokens_per_s),
+            item.in_flight + 0,
+        )
+        for item in struct.usages or ()
+    ]
+    loads = [
+        EndpointLoad(_need_text(item.endpoint), item.in_flight + 0)
+        for item in struct.loads or ()
+    ]
+    crashes = [
+        CrashCount(item.fingerprint % _I64_MODULUS, item.crashes + 0)
+        for item in struct.crashes or ()
+    ]
+    return Entries(tuple(crashes), tuple(loads), tuple(usages))
+
+
+def _need_text(value: object) -> str:
+    if not isinstance(value, str) or not value:
+        raise ValueError("a text is missing")
+    return value
+
+
+def _to_signed(value: int) -> int:
+    """Return an unsigned 64-bit hash as Thrift's i64."""
+    return value - _I64_MODULUS if value >= _I64_LIMIT else value
