--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -86,7 +86,7 @@
             settings.platform, settings.zone, self._platform_client
         )
         self.placer = Placer(self.list_endpoints)
-        self.admitter = Admitter(self.placer.count_free, settings.queue_max)
+        self.admitter = Admitter(self.placer.count_free, settings.queue_max, self.clock)
         self.claimer = Claimer()
         self.flow = Flow(
             self._endpoint_client,
@@ -109,6 +109,7 @@
         )
         await self.orderer.start()
         self._tasks.append(asyncio.create_task(self._follow_vms()))
+        self._tasks.append(asyncio.create_task(self.admitter.run()))
         self._server = HTTPServer(
             make_front(self._make_front()),
             # The handler itself refuses a body that is too long, with a code.
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -66,8 +66,14 @@
     for path in SOURCE.rglob("*.py"):
         for node in ast.walk(ast.parse(path.read_text())):
             name = getattr(getattr(node, "func", None), "id", "")
-            if name == "Refusal" and isinstance(node.args[0], ast.Constant):
-                yield node.args[0].value
+            if "refus" in name.lower():
+                texts = [getattr(item, "value", None) for item in node.args]
+                yield from (text for text in texts if is_code(text))
+
+
+def is_code(text):
+    runs = ("not_run", "unknown")
+    return isinstance(text, str) and text not in runs and text.isidentifier()
 
 
 def test_each_refusal_code_is_explained():
