--- a/bench/capacity_daemon.py
+++ b/bench/capacity_daemon.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 import os
+import subprocess
+import sys
 import time
 from typing import Any
 
@@ -31,6 +33,32 @@
 STREAMS = 8
 
 
+def measure_base() -> dict[str, float]:
+    """Return resident MB of the interpreter, and after each group of imports."""
+    groups = {
+        "base_interpreter_mb": "sys",
+        "base_libraries_mb": (
+            "asyncio, tornado.httpserver, tornado.curl_httpclient, hdrh.histogram, "
+            "absl.logging, thriftpy2"
+        ),
+        "base_schema_mb": "jsonschema",
+        "base_daemon_mb": "tamarackrill.router.daemon",
+    }
+    lines = [
+        f"import {modules}; print('{name}', *(line for line in "
+        "open('/proc/self/status') if line.startswith('VmRSS')))"
+        for name, modules in groups.items()
+    ]
+    shown = subprocess.run(
+        [sys.executable, "-c", "\n".join(lines)],
+        check=True,
+        capture_output=True,
+        text=True,
+    ).stdout
+    words = [line.split() for line in shown.splitlines() if line]
+    return {line[0]: int(line[2]) / 1024 for line in words}
+
+
 def measure_daemon() -> dict[str, Fit | float]:
     """Return slopes and fixed figures of one router.
 
--- a/src/tamarackrill/settings.py
+++ b/src/tamarackrill/settings.py
@@ -184,7 +184,7 @@
         "lease_s",
         _parse_number,
         "10",
-        "lease of the router that gives orders to engines",
+        "lease of the router that orders engines",
         0.5,
         600,
         "s",
