Place, eject, probe and refuse in the daemon by the decisions

The placeholder sent each call to the endpoint with the fewest of this router's own calls. Placer now asks Placement, Health and Poison; Prober probes ejected endpoints. The first byte is timed for streams and services only, since that of a whole answer tells its length.

--- a/src/tamarackrill/decisions/poison.py
+++ b/src/tamarackrill/decisions/poison.py
@@ -32,7 +32,6 @@
 # six crashes at once, as when a rack goes, still fit.
 FINGERPRINTS_KEPT = 1024
 DIGEST_ENTRIES_MAX = 16
-POISON_CODE = "poison_request"
 POISON_STATUS = 422
 
 
@@ -97,7 +96,7 @@
         if len(crashes) >= CRASHES_MAX:
             newest_s = max(crash.crashed_s for crash in crashes)
             raise Refusal(
-                POISON_CODE,
+                "poison_request",
                 POISON_STATUS,
                 f"this request has crashed {len(crashes)} endpoints",
                 run="unknown",
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -95,6 +95,36 @@
 # 4000: claims, answers and order
 
 # 5000: endpoints and their health; 5100: orders to engines
+ENDPOINT_EJECTED = Event(
+    5001,
+    "endpoint_ejected",
+    _WARNING,
+    ("endpoint", "outcome"),
+    "An endpoint answers worse than its peers and gets no work until probes pass.",
+    "See docs/operations/endpoints.md.",
+)
+ENDPOINT_RETURNED = Event(
+    5002,
+    "endpoint_returned",
+    _INFO,
+    ("endpoint",),
+    "An ejected endpoint has passed its probes and gets work again, slowly at first.",
+)
+ENDPOINT_CRASHED = Event(
+    5003,
+    "endpoint_crashed",
+    _WARNING,
+    ("endpoint", "fingerprint", "crashed"),
+    "An answer broke off; the request is a suspect, with the endpoints it broke at.",
+    "See docs/operations/poison.md.",
+)
+ENDPOINT_PROBED = Event(
+    5004,
+    "endpoint_probed",
+    _INFO,
+    ("endpoint", "status"),
+    "An ejected endpoint was probed; status 0 is no answer.",
+)
 ORDER_GIVEN = Event(
     5101,
     "order_given",
--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -32,6 +32,7 @@
 from tamarackrill.router.orders import EngineOrderer, Fleet
 from tamarackrill.router.placing import Placer
 from tamarackrill.router.platform_client import PlatformClient
+from tamarackrill.router.probing import Prober
 from tamarackrill.router.upstream import make_client
 from tamarackrill.settings import Settings
 
@@ -85,8 +86,12 @@
         self.platform = PlatformClient(
             settings.platform, settings.zone, self._platform_client
         )
-        self.placer = Placer(self.list_endpoints)
-        self.admitter = Admitter(self.placer.count_free, settings.queue_max, self.clock)
+        self.placer = Placer(self.list_endpoints, settings.load_bound, settings.zone)
+        self.admitter = Admitter(
+            lambda call: self.placer.count_free(call, self.clock()),
+            settings.queue_max,
+            self.clock,
+        )
         self.claimer = Claimer()
         self.flow = Flow(
             self._endpoint_client,
@@ -110,6 +115,14 @@
         await self.orderer.start()
         self._tasks.append(asyncio.create_task(self._follow_vms()))
         self._tasks.append(asyncio.create_task(self.admitter.run()))
+        prober = Prober(
+            self._endpoint_client,
+            self.placer,
+            self.list_endpoints,
+            self._wake_waiting,
+            self.clock,
+        )
+        self._tasks.append(asyncio.create_task(prober.run()))
         self._server = HTTPServer(
             make_front(self._make_front()),
             # The handler itself refuses a body that is too long, with a code.
@@ -218,9 +231,13 @@
     def _take_objects(self, taken: list[ObjectVersion]) -> None:
         for item in taken:
             self.known.take(item)
+        self.placer.take_endpoints(self.clock())
         for endpoint in self.list_endpoints():
-            for pool in endpoint.serves:
-                self.admitter.wake(pool)
+            self._wake_waiting(endpoint)
+
+    def _wake_waiting(self, endpoint: Endpoint) -> None:
+        for pool in endpoint.serves:
+            self.admitter.wake(pool)
 
     async def _follow_vms(self) -> None:
         while True:
--- a/src/tamarackrill/router/placing.py
+++ b/src/tamarackrill/router/placing.py
@@ -1,12 +1,30 @@
-"""Places calls on endpoints."""
+"""Places calls on endpoints: asks the decisions, and logs what they decide."""
 
-from collections import Counter
 from collections.abc import Callable, Collection
 from typing import NamedTuple
 
 from tamarackrill.contracts import Endpoint
+from tamarackrill.decisions.health import Health
+from tamarackrill.decisions.poison import CRASHES_MAX, Poison, shorten_fingerprint
+from tamarackrill.decisions.routing import (
+    LOAD_FACTOR_DEFAULT,
+    Placement,
+    PlacementRequest,
+)
+from tamarackrill.events import (
+    ENDPOINT_CRASHED,
+    ENDPOINT_EJECTED,
+    ENDPOINT_RETURNED,
+    log_event,
+)
 from tamarackrill.router.calls import Call
 
+# Prompts are mostly English or Welsh text, at about four bytes a token; only their
+# order of size matters, between two engines that hold parts of the same chat.
+TOKEN_BYTES = 4
+# An attempt that ended this close to its deadline was ended by it.
+DEADLINE_SLACK_S = 0.05
+
 
 class Placed(NamedTuple):
     """An endpoint that was chosen, and why."""
@@ -17,17 +35,39 @@
 
 
 class Placer:
-    """Knows the endpoints and what this router has running on each.
+    """Knows the endpoints, their health and what runs on each.
 
     Parameters
     ----------
     list_endpoints : callable
         Returns all endpoints known now.
+    load_factor : float, optional
+        Multiple of the mean load that no endpoint exceeds.
+    zone : str, optional
+        Availability zone of this router, and so of its callers.
     """
 
-    def __init__(self, list_endpoints: Callable[[], list[Endpoint]]) -> None:
+    def __init__(
+        self,
+        list_endpoints: Callable[[], list[Endpoint]],
+        load_factor: float = LOAD_FACTOR_DEFAULT,
+        zone: str = "",
+    ) -> None:
         self._list_endpoints = list_endpoints
-        self._running: Counter[str] = Counter()
+        self._zone = zone
+        self._known: set[str] = set()
+        self.placement = Placement(load_factor)
+        self.health = Health()
+        self.poison = Poison()
+
+    def take_endpoints(self, now_s: float) -> None:
+        """Take note of endpoints that have joined or left."""
+        names = {endpoint.name for endpoint in self._list_endpoints()}
+        for name in names - self._known:
+            self.health.observe_present(name, now_s)
+        for name in self._known - names:
+            self.health.observe_absent(name, now_s)
+        self._known = names
 
     def list_candidates(self, call: Call) -> list[Endpoint]:
         """Return the live endpoints that serve what the call asks for."""
@@ -39,28 +79,45 @@
             and endpoint.state == "live"
         ]
 
-    def count_free(self, call: Call) -> int:
+    def count_free(self, call: Call, now_s: float) -> int:
         """Return how many more calls the pool can take."""
-        candidates = self.list_candidates(call)
-        return sum(max(0, e.slots - self._running[e.name]) for e in candidates)
+        allowed = self._list_allowed(call, now_s)
+        names = [endpoint.name for endpoint in allowed]
+        loads = self.placement.loads.estimate(names, now_s)
+        return sum(
+            max(0, endpoint.slots - load)
+            for endpoint, load in zip(allowed, loads, strict=True)
+        )
 
     def choose(self, call: Call, avoid: Collection[str], now_s: float) -> Placed | None:
-        """Return where the call should go, or None if no endpoint can take it."""
-        free = [
-            (self._running[endpoint.name] / endpoint.slots, endpoint.name, endpoint)
-            for endpoint in self.list_candidates(call)
-            if endpoint.name not in avoid
-            and self._running[endpoint.name] < endpoint.slots
-        ]
-        if not free:
-            return None
-        free.sort()
-        names = tuple(name for _, name, _ in free[1:3])
-        return Placed(free[0][2], "least_running", names)
+        """Return where the call should go, or None if no endpoint can take it.
+
+        Raises
+        ------
+        Refusal
+            If the call has crashed too many endpoints.
+        """
+        fingerprint = shorten_fingerprint(call.fingerprint)
+        self.poison.check(fingerprint, now_s)
+        allowed = self._list_allowed(call, now_s)
+        names = [endpoint.name for endpoint in allowed]
+        shares = self.health.find_shares(names, now_s)
+        request = _make_request(call, self._zone)
+        suspected = self.poison.find_avoided(fingerprint, now_s).union(avoid)
+        # A suspect that nobody can take apart from others still has to run: with one
+        # engine left it would otherwise be refused for that engine's own crash.
+        for refused in (suspected, avoid):
+            choice = self.placement.choose(request, allowed, now_s, shares, refused)
+            if choice is not None:
+                return Placed(choice.endpoint, choice.reason, choice.runners_up)
+        return None
 
     def start(self, call: Call, endpoint: Endpoint, now_s: float) -> None:
         """Count a call as running."""
-        self._running[endpoint.name] += 1
+        request = _make_request(call, self._zone)
+        self.placement.start(endpoint.name, request, now_s)
+        fingerprint = shorten_fingerprint(call.fingerprint)
+        self.poison.start(fingerprint, endpoint.name, now_s)
 
     def finish(
         self,
@@ -85,11 +142,75 @@
         now_s : float
             Present time.
         """
-        self._running[endpoint.name] -= 1
+        self.placement.finish(endpoint.name, now_s)
+        fingerprint = shorten_fingerprint(call.fingerprint)
+        self.poison.finish(fingerprint, endpoint.name)
+        if outcome == "cancelled":
+            return
+        if outcome == "cut" and now_s < call.deadline_s - DEADLINE_SLACK_S:
+            self._take_crash(fingerprint, endpoint.name, now_s)
+            return
+        if outcome == "answered":
+            self.poison.observe_success(fingerprint)
+        # The first byte of a whole answer comes when all of it has been generated;
+        # a pool's times would then tell the length of answers, not a slow endpoint.
+        is_timed = call.stream or call.kind == "service"
+        pool = [candidate.name for candidate in self.list_candidates(call)]
+        is_ejected = self.health.observe_answer(
+            endpoint.name,
+            outcome == "answered",
+            first_byte_s if is_timed else None,
+            pool,
+            now_s,
+        )
+        if is_ejected:
+            log_event(ENDPOINT_EJECTED, endpoint=endpoint.name, outcome=outcome)
+
+    def observe_probe(
+        self, endpoint: Endpoint, is_ok: bool, first_byte_s: float | None, now_s: float
+    ) -> None:
+        """Take the result of a probe of an ejected endpoint."""
+        pool = [
+            other.name
+            for other in self._list_endpoints()
+            if other.kind == endpoint.kind and set(other.serves) & set(endpoint.serves)
+        ]
+        if self.health.observe_probe(endpoint.name, is_ok, first_byte_s, pool, now_s):
+            log_event(ENDPOINT_RETURNED, endpoint=endpoint.name)
 
     def describe(self) -> list[dict[str, object]]:
         """Return each endpoint with what runs on it, for queries."""
         return [
-            {**endpoint._asdict(), "running": self._running[endpoint.name]}
+            {
+                **endpoint._asdict(),
+                "running": self.placement.loads.own(endpoint.name),
+            }
             for endpoint in self._list_endpoints()
         ]
+
+    def _list_allowed(self, call: Call, now_s: float) -> list[Endpoint]:
+        candidates = self.list_candidates(call)
+        names = [endpoint.name for endpoint in candidates]
+        allowed = set(self.health.find_allowed(names, now_s))
+        return [endpoint for endpoint in candidates if endpoint.name in allowed]
+
+    def _take_crash(self, fingerprint: int, endpoint: str, now_s: float) -> None:
+        self.health.observe_crash(endpoint, now_s)
+        if not self.poison.observe_crash(fingerprint, endpoint, now_s):
+            return
+        crashed = self.poison.find_crashed(fingerprint, now_s)
+        log_event(
+            ENDPOINT_CRASHED,
+            endpoint=endpoint,
+            fingerprint=f"{fingerprint:016x}",
+            crashed=sorted(crashed),
+        )
+        if len(crashed) >= CRASHES_MAX:
+            for name in crashed:
+                self.health.forgive(name, now_s)
+
+
+def _make_request(call: Call, zone: str) -> PlacementRequest:
+    chat = f"{call.team}\n{call.chat}" if call.chat and call.kind == "engine" else ""
+    tokens = len(call.body) // TOKEN_BYTES
+    return PlacementRequest(call.request_id, chat, zone, tokens)
