Kill the engine that runs the stream, wherever it was placed

Cause: with the placement decisions merged, the stream of the test went to engine-2, while the test killed engine-1 and so saw a whole answer. The test was wrong about the place, not the router; it now kills the engine that reports the request as running and asserts the same.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -12,8 +12,9 @@
 from pathlib import Path
 from typing import Any
 
-from capacity_daemon import measure_base, measure_daemon
 from capacity_page import format_page
+
+from capacity_daemon import measure_base, measure_daemon
 from capacity_parts import measure_parts
 from slopes import Fit
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -86,13 +86,14 @@
 def test_stream_that_can_not_be_finished_ends_in_an_error(fleet):
     # The engine dies in the middle of a stream.  The caller must be able to tell
     # that what it has is not the whole answer.
-    engine = fleet.add_engine("engine-1", "m", "--step-s=0.01")
-    fleet.add_engine("engine-2", "m", "--step-s=0.01")
+    engines = [
+        fleet.add_engine(f"engine-{number}", "m", "--step-s=0.01") for number in (1, 2)
+    ]
     router = fleet.add_router("a")
     fleet.wait_ready()
     connection, response = _open_stream(router, 1000)
     first = response.readline()
-    engine.kill()
+    next(engine for engine in engines if engine.look()["running"]).kill()
     rest = first + response.read()
     connection.close()
     assert CLOSING not in rest
