--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -10,17 +10,50 @@
 import platform
 import sys
 from pathlib import Path
+from types import ModuleType
 from typing import Any
 
 from capacity_daemon import measure_base, measure_daemon
 from capacity_page import format_page
 from capacity_parts import measure_parts
-from slopes import Fit
+from slopes import Fit, fit
 
 PAGE = Path(__file__).parent.parent / "docs" / "CAPACITY.md"
-# Each of these has `measure() -> dict`; one that fails or is absent is named on the
-# page as not run, and its rows say so.
-OTHER_BENCHES = ("overload", "limits", "routing", "gossip", "claims")
+TEAMS = (100, 500, 1000, 2300)
+
+
+def _measure_overload(module: ModuleType) -> dict[str, Any]:
+    costs = [module.measure_cost(teams) for teams in TEAMS]
+    times_us = [cost["offer_take_release_us"] for cost in costs]
+    return {"admission_us": fit("µs", "team", TEAMS, times_us), **module.measure()}
+
+
+def _measure_limits(module: ModuleType) -> dict[str, Any]:
+    times_us = [module.measure_admit_us(teams) for teams in TEAMS]
+    return {"limits_us": fit("µs", "team", TEAMS, times_us), **module.measure()}
+
+
+def _measure_routing(module: ModuleType) -> dict[str, Any]:
+    figures = module.measure()
+    rows = figures.pop("decisions")
+    sizes = [row["endpoints"] for row in rows]
+    for name in ("choose_us", "reserve_us"):
+        figures[name] = fit("µs", "endpoint", sizes, [row[name] for row in rows])
+    return figures
+
+
+def _measure_plainly(module: ModuleType) -> dict[str, Any]:
+    return dict(module.measure())
+
+
+# One that fails or is absent is named on the page as not run, and its rows say so.
+OTHER_BENCHES = {
+    "overload": _measure_overload,
+    "limits": _measure_limits,
+    "routing": _measure_routing,
+    "gossip": _measure_plainly,
+    "claims": _measure_plainly,
+}
 
 
 def measure_all() -> dict[str, Any]:
@@ -28,10 +61,10 @@
     figures: dict[str, Any] = {"not_run": {}}
     figures |= measure_parts()
     figures |= measure_base()
-    for name in OTHER_BENCHES:
+    for name, adapt in OTHER_BENCHES.items():
         print(f"bench/{name}.py ...", file=sys.stderr, flush=True)
         try:
-            figures |= importlib.import_module(name).measure()
+            figures |= adapt(importlib.import_module(name))
         except (ImportError, AttributeError) as error:
             figures["not_run"][name] = str(error)
     print("daemon ...", file=sys.stderr, flush=True)
