--- /dev/null
+++ b/src/tamarackrill/decisions/loads.py
@@ -0,0 +1,140 @@
+"""Estimate of each endpoint's load from lagging reports and own sends.
+
+Load pattern: many routers each send a sliver of the traffic to the same endpoints,
+and an endpoint's own report of its load arrives late or not at all.  Without an
+estimate of what happened since, all routers send to the endpoint that last reported
+idle, which is then the fullest one until its next report.
+
+The unit of load is one request in flight.  The estimate is the last word on the
+endpoint (its own report, or the count of its owner, whichever is newer), less the part
+of it that was ours at that time, plus what is ours now.
+
+A word that has grown old says nothing about now.  It is replaced by the mean of the
+fresh ones, so that an endpoint that fell silent when idle (or when full) neither draws
+nor loses work for that.
+"""
+
+from collections import deque
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+# An endpoint reports about once a second with about a second of lag; three reports in
+# a row must be lost before what it said last is dropped.
+REPORT_KEPT_S = 5.0
+# Entries of one digest.  A router owns 2 endpoints at 370 routers and 780 workers, and
+# 5 while half of 7 routers are being replaced; 24 entries take about 0.4 KB.
+DIGEST_ENTRIES_MAX = 24
+
+
+class EndpointLoad(NamedTuple):
+    """One entry of a router's digest: the load of an endpoint that it owns.
+
+    Parameters
+    ----------
+    endpoint : str
+        Name of the endpoint.
+    in_flight : int
+        Requests of all routers in flight there, as its owner counts them.
+    """
+
+    endpoint: str
+    in_flight: int
+
+
+class _Word(NamedTuple):
+    others: int
+    counted_s: float
+    received_s: float
+
+
+class _OwnRequests:
+    """Own requests at one endpoint, with the changes that a late report needs."""
+
+    __slots__ = ("in_flight", "changes")
+
+    def __init__(self) -> None:
+        self.in_flight = 0
+        self.changes: deque[tuple[float, int]] = deque()
+
+    def change(self, by: int, now_s: float) -> None:
+        self.in_flight += by
+        self.changes.append((now_s, by))
+        while self.changes[0][0] < now_s - REPORT_KEPT_S:
+            self.changes.popleft()
+
+    def at(self, time_s: float) -> int:
+        """Return the requests in flight at a recent time."""
+        since = sum(by for changed_s, by in self.changes if changed_s > time_s)
+        return self.in_flight - since
+
+
+class Loads:
+    """What one router knows of the load of all endpoints."""
+
+    def __init__(self) -> None:
+        self._own: dict[str, _OwnRequests] = {}
+        self._words: dict[str, _Word] = {}
+
+    def start(self, endpoint: str, now_s: float) -> None:
+        """Count a request that is being sent to `endpoint`."""
+        self._own.setdefault(endpoint, _OwnRequests()).change(1, now_s)
+
+    def finish(self, endpoint: str, now_s: float) -> None:
+        """Count a request that has ended at `endpoint`, whatever its outcome."""
+        self._own[endpoint].change(-1, now_s)
+
+    def own(self, endpoint: str) -> int:
+        """Return this router's own requests in flight at `endpoint`."""
+        requests = self._own.get(endpoint)
+        return requests.in_flight if requests else 0
+
+    def observe_report(
+        self, endpoint: str, load: int, reported_s: float, now_s: float
+    ) -> None:
+        """Take a count of an endpoint's requests, by itself or by its owner.
+
+        Parameters
+        ----------
+        endpoint : str
+            Name of the endpoint.
+        load : int
+            Requests in flight that were counted.
+        reported_s : float
+            When they were counted, on this router's clock.
+        now_s : float
+            The present time.
+        """
+        known = self._words.get(endpoint)
+        # Reports can arrive out of order: an older one taken last would bring back a
+        # load that has gone, seen as work sent to an endpoint that is full.
+        if known is not None and reported_s < known.counted_s:
+            return
+        requests = self._own.get(endpoint)
+        own_then = requests.at(reported_s) if requests else 0
+        self._words[endpoint] = _Word(max(0, load - own_then), reported_s, now_s)
+
+    def observe_peer(self, entries: Iterable[EndpointLoad], now_s: float) -> None:
+        """Take the digest of a peer: the counts of the endpoints that it owns."""
+        for entry in entries:
+            self.observe_report(entry.endpoint, entry.in_flight, now_s, now_s)
+
+    def remove(self, endpoint: str) -> None:
+        """Forget what was said of an endpoint that has left."""
+        self._words.pop(endpoint, None)
+        if not self.own(endpoint):
+            self._own.pop(endpoint, None)
+
+    def estimate(self, endpoints: Sequence[str], now_s: float) -> list[int]:
+        """Return the estimated requests in flight at each of `endpoints`."""
+        oldest_s = now_s - REPORT_KEPT_S
+        others = []
+        for endpoint in endpoints:
+            word = self._words.get(endpoint)
+            is_fresh = word is not None and word.received_s >= oldest_s
+            others.append(word.others if word is not None and is_fresh else None)
+        fresh = [count for count in others if count is not None]
+        typical = round(sum(fresh) / len(fresh)) if fresh else 0
+        return [
+            self.own(endpoint) + (typical if count is None else count)
+            for endpoint, count in zip(endpoints, others, strict=True)
+        ]
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -6,7 +6,7 @@
 
 Ranges: 1000 life cycle and settings, 2000 requests, routing and admission,
 3000 membership and configuration, 4000 claims, answers and order, 5000 endpoints
-and their health.
+and their health, 6000 objects of the platform.
 """
 
 import json
@@ -94,7 +94,62 @@
 
 # 4000: claims, answers and order
 
-# 5000: endpoints and their health
+# 5000: endpoints and their health; 5100: orders to engines
+ENDPOINT_EJECTED = Event(
+    5001,
+    "endpoint_ejected",
+    _WARNING,
+    ("endpoint", "outcome"),
+    "An endpoint answers worse than its peers and gets no work until probes pass.",
+    "See docs/operations/endpoints.md.",
+)
+ENDPOINT_RETURNED = Event(
+    5002,
+    "endpoint_returned",
+    _INFO,
+    ("endpoint",),
+    "An ejected endpoint has passed its probes and gets work again, slowly at first.",
+)
+ENDPOINT_CRASHED = Event(
+    5003,
+    "endpoint_crashed",
+    _WARNING,
+    ("endpoint", "fingerprint", "crashed"),
+    "An answer broke off; the request is a suspect, with the endpoints it broke at.",
+    "See docs/operations/poison.md.",
+)
+ENDPOINT_PROBED = Event(
+    5004,
+    "endpoint_probed",
+    _INFO,
+    ("endpoint", "status"),
+    "An ejected endpoint was probed; status 0 is no answer.",
+)
+ORDER_GIVEN = Event(
+    5101,
+    "order_given",
+    _INFO,
+    ("endpoint", "model", "replaces", "fence"),
+    "An engine took the order to load a model.",
+)
+ORDER_NOT_TAKEN = Event(
+    5102,
+    "order_not_taken",
+    _WARNING,
+    ("endpoint", "model", "replaces", "fence"),
+    "An engine did not take an order: its number was old, or no answer came.",
+    "Look whether the engine is reachable; the order is given again.",
+)
+
+# 6000: objects of the platform
+OBJECT_FAULTY = Event(
+    6001,
+    "object_faulty",
+    _ERROR,
+    ("kind", "name", "version", "message"),
+    "An object of the platform can't be read; the version before it stays in force.",
+    "Mend the object: `tamarackrill contract apply`, or the endpoint that wrote it.",
+)
 
 
 def list_events() -> list[Event]:
