Carry the new scopes and the ended requests of a usage entry

The scope fleet gives way to other_routers and other_zones: a home tells each origin what the others do, so that no receiver has to guess which of its own reports is in a sum.

--- a/src/tamarackrill/decisions/members.py
+++ b/src/tamarackrill/decisions/members.py
@@ -18,7 +18,7 @@
 _MESSAGE_BYTES = 110
 _RECORD_BYTES = 18
 _DIGEST_BYTES = 34
-_USAGE_BYTES = 30
+_USAGE_BYTES = 36
 _LOAD_BYTES = 8
 _CRASH_BYTES = 14
 
--- a/src/tamarackrill/protocol/codec.py
+++ b/src/tamarackrill/protocol/codec.py
@@ -32,7 +32,7 @@
 DIGEST_BYTES = 16
 # Largest payload of one UDP datagram over IPv4.
 DATAGRAM_MAX_BYTES = 65_507
-_SCOPES: tuple[UsageScope, ...] = ("router", "zone", "fleet")
+_SCOPES: tuple[UsageScope, ...] = ("router", "zone", "other_routers", "other_zones")
 _I64_MODULUS = 1 << 64
 _I64_LIMIT = 1 << 63
 
@@ -139,6 +139,7 @@
             round(item.requests_per_s * 1000),
             round(item.tokens_per_s),
             item.in_flight,
+            round(item.done_per_s * 1000),
         )
         for item in entries.usages
     ]
@@ -195,6 +196,7 @@
             item.requests_milli_per_s / 1000,
             float(item.tokens_per_s),
             item.in_flight + 0,
+            item.done_milli_per_s / 1000,
         )
         for item in struct.usages or ()
     ]
--- a/src/tamarackrill/protocol/peer.thrift
+++ b/src/tamarackrill/protocol/peer.thrift
@@ -24,6 +24,7 @@
   4: i64 requests_milli_per_s
   5: i64 tokens_per_s
   6: i32 in_flight
+  7: i64 done_milli_per_s
 }
 
 struct EndpointLoad {
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -42,11 +42,12 @@
 usages = build(
     TeamUsage,
     team=names,
-    scope=st.sampled_from(["router", "zone", "fleet"]),
+    scope=st.sampled_from(["router", "zone", "other_routers", "other_zones"]),
     origin=names,
     requests_per_s=small.map(lambda value: value / 1000),
     tokens_per_s=small.map(float),
     in_flight=small,
+    done_per_s=small.map(lambda value: value / 1000),
 )
 crashes = build(members.CrashCount, fingerprint=hashes, crashes=st.integers(0, 100))
 loads = build(EndpointLoad, endpoint=names, in_flight=small)
