Hand pieces of an answer on by plain calls, not by tasks

What: exchange, splitter, reply and caller's socket form a chain of outlets; each says whether it has room. A caller that leaves while its call is being forwarded no longer makes the entry try the next home. Ruled out: joining events that came together (libcurl calls back for each chunk; 139 calls, no gain).

--- a/src/tamarackrill/router/attempts.py
+++ b/src/tamarackrill/router/attempts.py
@@ -1,10 +1,11 @@
 """One attempt of a call at one endpoint: send it, check it, write the reply."""
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 from typing import Literal, NamedTuple
 
 from tamarackrill.contracts import Endpoint
 from tamarackrill.router.calls import Call
+from tamarackrill.router.outlets import Outlet
 from tamarackrill.router.replies import Reply
 from tamarackrill.router.upstream import (
     CurlAsyncHTTPClient,
@@ -50,18 +51,57 @@
     reason: str = ""
 
 
-async def split_events(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
-    """Yield whole server-sent events, however the bytes came in."""
-    rest = b""
-    async for chunk in chunks:
-        rest += chunk.replace(b"\r\n", b"\n")
-        *events, rest = rest.split(EVENT_END)
-        for event in events:
-            yield event + EVENT_END
-        if len(rest) > PIECE_MAX_BYTES:
+class _EventOutlet(Outlet):
+    """Hands whole server-sent events on to a reply, however the bytes come in."""
+
+    def __init__(self, reply: Reply) -> None:
+        super().__init__()
+        self.is_closed = False
+        self._rest = b""
+        self._reply = reply
+        reply.on_room = lambda: self.on_room()
+
+    def take(self, piece: bytes) -> bool:
+        """Take bytes of the stream."""
+        rest = self._rest + piece.replace(b"\r\n", b"\n")
+        *events, self._rest = rest.split(EVENT_END)
+        if len(self._rest) > PIECE_MAX_BYTES:
             raise UpstreamFailed("an event of the stream is too long", sent=True)
-    if rest.strip():
-        yield rest
+        if not events:
+            return True
+        self.is_closed = events[-1].startswith(CLOSING_EVENT)
+        return self._reply.extend([event + EVENT_END for event in events])
+
+
+class _WholeOutlet(Outlet):
+    """Holds an answer until it is whole; hands a long one on in large pieces.
+
+    Nothing of a short answer is written before it is known to be whole: one that was
+    cut can then be asked for again, and the caller sees one answer.
+    """
+
+    def __init__(self, reply: Reply, head: Head) -> None:
+        super().__init__()
+        self._held: list[bytes] = []
+        self._size_bytes = 0
+        self._reply = reply
+        self._head = head
+        reply.on_room = lambda: self.on_room()
+
+    def take(self, piece: bytes) -> bool:
+        """Take bytes of the answer."""
+        self._held.append(piece)
+        self._size_bytes += len(piece)
+        return self._size_bytes <= PIECE_MAX_BYTES or self.write()
+
+    def write(self) -> bool:
+        """Write what is held to the reply; return whether it has room."""
+        if not self._reply.started:
+            self._reply.start(self._head)
+        held = b"".join(self._held)
+        self._held.clear()
+        self._size_bytes = 0
+        return self._reply.take(held) if held else True
 
 
 async def attempt_call(
@@ -169,29 +209,16 @@
 async def _pump_events(exchange: Exchange, head: Head, reply: Reply) -> None:
     if not reply.started:
         reply.start(head)
-    closed = False
-    async for event in split_events(exchange.chunks()):
-        closed = event.startswith(CLOSING_EVENT)
-        await reply.put(event)
+    outlet = _EventOutlet(reply)
+    await exchange.pump(outlet)
     # A stream can end without its closing event though the connection closed in
     # good order, as when an engine is stopped.  The caller would take half an
     # answer for a whole one.
-    if not closed:
+    if not outlet.is_closed:
         raise UpstreamFailed("the stream ended without its closing event", sent=True)
 
 
 async def _pump_whole(exchange: Exchange, head: Head, reply: Reply) -> None:
-    held = b""
-    async for chunk in exchange.chunks():
-        held += chunk
-        if len(held) > PIECE_MAX_BYTES:
-            if not reply.started:
-                reply.start(head)
-            await reply.put(held)
-            held = b""
-    # Nothing of a short answer is written before it is known to be whole: one that
-    # was cut can then be asked for again and the caller sees one answer.
-    if not reply.started:
-        reply.start(head)
-    if held:
-        await reply.put(held)
+    outlet = _WholeOutlet(reply, head)
+    await exchange.pump(outlet)
+    outlet.write()
--- a/src/tamarackrill/router/callers.py
+++ b/src/tamarackrill/router/callers.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from tornado.iostream import StreamClosedError
@@ -18,6 +18,7 @@
 from tamarackrill.router.forwarding import find_forwarded_id, forward_call
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.metrics import Metrics
+from tamarackrill.router.outlets import Outlet
 from tamarackrill.router.replies import Reply
 from tamarackrill.router.upstream import (
     CurlAsyncHTTPClient,
@@ -30,6 +31,9 @@
 HOMES_TRIED = 2
 # Marks a refusal of a router that leaves, so that the next home is tried.
 LEAVING = "Tamarackrill-Leaving"
+LEAVING_CODE = "leaving"
+# A shorter answer is sent with its length; a longer one goes on in pieces.
+HELD_MAX_BYTES = 1024 * 1024
 NOT_PASSED_BACK = ("Connection", "Transfer-Encoding", "Content-Length", "Server")
 
 
@@ -134,7 +138,10 @@
         if self._headers_written:
             self.cut(refusal)
             return
+        self.clear()
         self.set_status(refusal.status, refusal.code)
+        if refusal.code == LEAVING_CODE:
+            self.set_header(LEAVING, "1")
         self.set_header("Retry-After", str(max(1, round(refusal.retry_after_s))))
         self.finish(dict(refusal.to_body()))
 
@@ -149,6 +156,54 @@
             connection.detach().close()
 
 
+class _CallerOutlet(Outlet):
+    """Writes pieces to the caller; has no room while the caller's socket is full."""
+
+    def __init__(self, handler: "CallHandler", stream: bool) -> None:
+        super().__init__()
+        self._handler = handler
+        self._stream = stream
+        self._held: list[bytes] = []
+        self._size_bytes = 0
+        self._last_s: float | None = None
+
+    def take(self, piece: bytes) -> bool:
+        """Write a piece of a stream at once, of another answer once it is long."""
+        if self._stream:
+            self._record_gap()
+            return self._write(piece)
+        self._held.append(piece)
+        self._size_bytes += len(piece)
+        return self._size_bytes <= HELD_MAX_BYTES or self._write_held()
+
+    def finish(self) -> None:
+        """Write what is held and end the answer."""
+        self._handler.finish(b"".join(self._held) or None)
+
+    def _write_held(self) -> bool:
+        held = b"".join(self._held)
+        self._held.clear()
+        self._size_bytes = 0
+        return self._write(held)
+
+    def _write(self, piece: bytes) -> bool:
+        handler = self._handler
+        handler.write(piece)
+        flushed = handler.flush()
+        connection = handler.request.connection
+        if connection is None or not connection.stream.writing():
+            return True
+        flushed.add_done_callback(lambda _: self.on_room())
+        return False
+
+    def _record_gap(self) -> None:
+        front = self._handler.front
+        now_s = front.clock()
+        if self._last_s is not None:
+            front.metrics.record_gap(now_s - self._last_s)
+        self._last_s = now_s
+
+
 @stream_request_body
 class CallHandler(_Handler):
     """Takes a call, finds its home and passes the answer back.
@@ -165,6 +220,7 @@
         self._body = bytearray()
         self._contract: Contract | None = None
         self._counted = False
+        self._is_gone = False
 
     def prepare(self) -> None:
         """Check the key and the announced size before the body comes."""
@@ -177,8 +233,7 @@
             authorization = self.request.headers.get("Authorization", "")
             self._contract = find_contract(front.find_holder, authorization)
             if front.is_leaving():
-                self.set_header(LEAVING, "1")
-                raise Refusal("leaving", 503, "this router is leaving")
+                raise Refusal(LEAVING_CODE, 503, "this router is leaving")
         except Refusal as refusal:
             self.send_refusal(refusal)
 
@@ -256,6 +311,8 @@
                 await self._forward_to(call, home)
                 return True
             except UpstreamFailed:
+                if self._is_gone:
+                    return True
                 # The home is gone.  Its memory of the chat is gone with it; the
                 # next in order serves.  A call that may run only once is safe:
                 # its claim is on the platform, not in the home's memory.
@@ -278,7 +335,10 @@
             head = await exchange.head()
             if LEAVING in head.headers:
                 raise UpstreamFailed("the home router is leaving", sent=False)
-            await self._pass_on(head, exchange.chunks(), call.stream)
+            self.begin(head)
+            outlet = _CallerOutlet(self, call.stream)
+            await exchange.pump(outlet)
+            outlet.finish()
         finally:
             await exchange.close()
 
@@ -288,32 +348,15 @@
         reply.readers += 1
         try:
             head = await reply.head()
-            await self._pass_on(head, reply.read(call.after_event), call.stream)
+            self.begin(head)
+            outlet = _CallerOutlet(self, call.stream)
+            await reply.pump(outlet, call.after_event)
+            outlet.finish()
         finally:
             self._leave()
 
-    async def _pass_on(
-        self, head: Head, chunks: AsyncIterator[bytes], stream: bool
-    ) -> None:
-        held = b""
-        last_s: float | None = None
-        async for chunk in chunks:
-            if not stream:
-                held += chunk
-                continue
-            if not self._headers_written:
-                self._set_head(head)
-            self.write(chunk)
-            await self.flush()
-            now_s = self.front.clock()
-            if last_s is not None:
-                self.front.metrics.record_gap(now_s - last_s)
-            last_s = now_s
-        if not self._headers_written:
-            self._set_head(head)
-        self.finish(held or None)
-
-    def _set_head(self, head: Head) -> None:
+    def begin(self, head: Head) -> None:
+        """Set status and headers of the answer."""
         self.set_status(head.status)
         for name, value in head.headers.items():
             if name not in NOT_PASSED_BACK:
@@ -326,6 +369,7 @@
 
     def on_connection_close(self) -> None:
         """Let the run and the home know that the caller is gone."""
+        self._is_gone = True
         self.on_finish()
         self._leave()
         if self._exchange is not None:
--- a/src/tamarackrill/router/replies.py
+++ b/src/tamarackrill/router/replies.py
@@ -6,9 +6,10 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 
 from tamarackrill.exceptions import Refusal
+from tamarackrill.router.outlets import Outlet
 from tamarackrill.router.upstream import Head
 
 # Bytes that a run may be ahead of its reader when the reply is not kept.
@@ -17,7 +18,16 @@
 KEPT_MAX_BYTES = 1024 * 1024
 
 
-class Reply:
+class _Reader:
+    """How far one caller has got."""
+
+    def __init__(self, outlet: Outlet, position: int) -> None:
+        self.outlet = outlet
+        self.position = position
+        self.is_full = False
+
+
+class Reply(Outlet):
     """Head and chunks of an answer; each chunk of a stream is one event.
 
     Parameters
@@ -27,18 +37,20 @@
     """
 
     def __init__(self, keep: bool) -> None:
+        super().__init__()
         self.keep = keep
         self.size_bytes = 0
         self.readers = 0
         self.started = False
         self._chunks: list[bytes] = []
         self._dropped = 0
-        self._unread_bytes = 0
+        self._held_bytes = 0
+        self._was_full = False
+        self._pumped: list[_Reader] = []
         self._head: Head | None = None
         self._refusal: Refusal | None = None
         self._finished = False
         self._changed = asyncio.Event()
-        self._taken = asyncio.Event()
         self.abandoned = asyncio.Event()
         self._on_abandoned: Callable[[], None] = lambda: None
 
@@ -68,19 +80,23 @@
         self.started = True
         self._wake()
 
-    async def put(self, chunk: bytes) -> None:
-        """Append a chunk; waits for the reader if the reply is not kept."""
-        self._chunks.append(chunk)
-        self.size_bytes += len(chunk)
-        self._unread_bytes += len(chunk)
+    def take(self, piece: bytes) -> bool:
+        """Append a chunk; return whether the run may go on."""
+        return self.extend([piece])
+
+    def extend(self, pieces: list[bytes]) -> bool:
+        """Append chunks that came together; return whether the run may go on."""
+        size_bytes = sum(map(len, pieces))
+        self._chunks += pieces
+        self.size_bytes += size_bytes
+        self._held_bytes += size_bytes
         if self.size_bytes > KEPT_MAX_BYTES:
             self.keep = False
-        self._wake()
-        while not self.keep and self._unread_bytes > AHEAD_MAX_BYTES:
-            if self.abandoned.is_set():
-                return
-            self._taken.clear()
-            await self._taken.wait()
+        for reader in self._pumped:
+            self._feed(reader)
+        self._drop_taken()
+        self._was_full = not self._has_room()
+        return not self._was_full
 
     def finish(self) -> None:
         """Mark the answer as whole."""
@@ -108,27 +124,26 @@
             await self._wait()
         return self._head
 
-    async def read(self, after: int = 0) -> AsyncIterator[bytes]:
-        """Yield the chunks after the first `after` ones.
+    async def pump(self, outlet: Outlet, after: int = 0) -> None:
+        """Hand on the chunks after the first `after` ones, to the end.
 
         Raises
         ------
         Refusal
             If the run was cut, or if the chunks asked for are gone.
         """
-        position = after
-        while True:
-            if position < self._dropped:
-                message = "that part of the answer is no longer kept"
-                raise Refusal("answer_gone", 409, message, "unknown")
-            while position - self._dropped < len(self._chunks):
-                chunk = self._chunks[position - self._dropped]
-                position += 1
-                yield chunk
-                self._let_go(position, len(chunk))
-            if self._finished:
-                break
-            await self._wait()
+        if after < self._dropped:
+            message = "that part of the answer is no longer kept"
+            raise Refusal("answer_gone", 409, message, "unknown")
+        reader = _Reader(outlet, after)
+        outlet.on_room = lambda: self._resume(reader)
+        self._pumped.append(reader)
+        try:
+            self._resume(reader)
+            while not self._finished or reader.position < self.count:
+                await self._wait()
+        finally:
+            self._pumped.remove(reader)
         if self._refusal is not None:
             raise self._refusal
 
@@ -137,21 +152,39 @@
         self.readers -= 1
         if self.readers <= 0 and not self.keep:
             self.abandoned.set()
-            self._taken.set()
             self._on_abandoned()
 
     def when_abandoned(self, react: Callable[[], None]) -> None:
         """Have `react` called once no reader is left and nothing is kept."""
         self._on_abandoned = react
 
-    def _let_go(self, position: int, size_bytes: int) -> None:
-        self._unread_bytes = max(0, self._unread_bytes - size_bytes)
-        self._taken.set()
-        if self.keep:
+    def _feed(self, reader: _Reader) -> None:
+        waiting = self._chunks[reader.position - self._dropped :]
+        if waiting and not reader.is_full:
+            reader.position = self.count
+            reader.is_full = not reader.outlet.take(b"".join(waiting))
+
+    def _resume(self, reader: _Reader) -> None:
+        reader.is_full = False
+        self._feed(reader)
+        self._drop_taken()
+        if self._finished:
+            self._wake()
+        elif self._was_full and self._has_room():
+            self._was_full = False
+            self.on_room()
+
+    def _drop_taken(self) -> None:
+        if self.keep or not self._pumped:
             return
-        count = position - self._dropped
-        del self._chunks[:count]
-        self._dropped = position
+        lowest = min(reader.position for reader in self._pumped)
+        taken = self._chunks[: lowest - self._dropped]
+        del self._chunks[: lowest - self._dropped]
+        self._held_bytes -= sum(map(len, taken))
+        self._dropped = lowest
+
+    def _has_room(self) -> bool:
+        return self.keep or self._held_bytes <= AHEAD_MAX_BYTES
 
     def _wake(self) -> None:
         self._changed.set()
--- a/src/tamarackrill/router/upstream.py
+++ b/src/tamarackrill/router/upstream.py
@@ -9,13 +9,15 @@
 import collections
 import os
 import socket
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import Mapping
 from typing import Any, NamedTuple
 
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPRequest
 
+from tamarackrill.router.outlets import Outlet
+
 # Unread bytes of one answer at which libcurl is told to stop reading its socket.
 # Two reads of libcurl's default buffer of 16 KiB keep the pipe full.
 UNREAD_MAX_BYTES = 32 * 1024
@@ -79,6 +81,9 @@
     ) -> None:
         self._chunks: collections.deque[bytes] = collections.deque()
         self._unread_bytes = 0
+        self._outlet: Outlet | None = None
+        self._outlet_error: Exception | None = None
+        self._is_full = False
         self._paused = False
         self._cancelled = False
         self._over = False
@@ -119,32 +124,35 @@
         """
         return await self._head
 
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body piece by piece.
+    async def pump(self, outlet: Outlet) -> None:
+        """Hand the body on piece by piece, as it comes.
+
+        Parameters
+        ----------
+        outlet : Outlet
+            Gets the pieces.  While it has no room the other side is held back.
 
         Raises
         ------
         UpstreamFailed
-            If the answer was cut; what was yielded is then not the whole answer.
+            If the answer was cut; what was handed on is then not the whole answer.
         """
-        while True:
-            while self._chunks:
-                chunk = self._chunks.popleft()
-                self._unread_bytes -= len(chunk)
-                yield chunk
-            self._resume()
-            if self._chunks:
-                continue
-            if self._over:
-                break
+        outlet.on_room = self._resume
+        self._outlet = outlet
+        self._resume()
+        while not self._over or self._chunks:
             self._changed.clear()
             await self._changed.wait()
+        if self._outlet_error is not None:
+            raise self._outlet_error
         if self._error is not None:
             raise self._error
 
     def cancel(self) -> None:
         """Close the connection now; the endpoint sees that its reader is gone."""
         self._cancelled = True
+        self._chunks.clear()
+        self._changed.set()
         if self._over or self._curl is None:
             return
         # libcurl asks whether to go on only when something arrives or once a
@@ -183,6 +191,9 @@
         if self._cancelled:
             return 0
         self._set_head()
+        if self._outlet is not None and not self._is_full:
+            self._hand_on(chunk)
+            return 0 if self._cancelled else len(chunk)
         # An engine can be faster than its caller.  Without a bound the router
         # would hold whole answers for each slow caller and run out of memory.
         if self._unread_bytes >= UNREAD_MAX_BYTES:
@@ -190,11 +201,27 @@
             return int(pycurl.WRITEFUNC_PAUSE)
         self._chunks.append(chunk)
         self._unread_bytes += len(chunk)
-        self._changed.set()
         return len(chunk)
 
+    def _hand_on(self, chunk: bytes) -> None:
+        assert self._outlet is not None
+        try:
+            self._is_full = not self._outlet.take(chunk)
+        except Exception as error:  # noqa: BLE001
+            # libcurl would print an exception of its callback and go on; the reader
+            # has to see it, and no more may be read.
+            self._outlet_error = error
+            self._cancelled = True
+
     def _resume(self) -> None:
-        if self._paused and not self._over and self._curl is not None:
+        self._is_full = False
+        while self._chunks and not self._is_full:
+            chunk = self._chunks.popleft()
+            self._unread_bytes -= len(chunk)
+            self._hand_on(chunk)
+        if self._over or self._cancelled:
+            self._changed.set()
+        elif self._paused and not self._is_full and self._curl is not None:
             self._paused = False
             self._curl.pause(pycurl.PAUSE_CONT)
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -3,6 +3,7 @@
 import pytest
 from tornado.web import Application, RequestHandler
 
+from tamarackrill.router.outlets import Outlet
 from tamarackrill.router.upstream import (
     UNREAD_MAX_BYTES,
     Exchange,
@@ -26,6 +27,17 @@
             type(self).written += len(PIECE)
 
 
+class _SlowReader(Outlet):
+    def __init__(self):
+        super().__init__()
+        self.size = 0
+        self.room = False
+
+    def take(self, piece):
+        self.size += len(piece)
+        return self.room
+
+
 class _CutHandler(RequestHandler):
     def get(self):
         self.set_header("Content-Length", "100")
@@ -56,6 +68,8 @@
     # would take in all of it and, with many such callers, run out of memory.
     async def act(exchange):
         await exchange.head()
+        reader = _SlowReader()
+        pumping = asyncio.create_task(exchange.pump(reader))
         held = 0
         # The endpoint writes until libcurl has stopped reading and the buffers of
         # the sockets are full: then its count stands still over many turns.
@@ -64,12 +78,12 @@
             await asyncio.sleep(0)
             same = same + 1 if seen == _FastHandler.written else 0
             seen = _FastHandler.written
-            held = max(held, exchange.unread_bytes)
-        size = 0
-        async for chunk in exchange.chunks():
-            size += len(chunk)
+            held = max(held, exchange.unread_bytes + reader.size)
+        reader.room = True
+        reader.on_room()
+        await pumping
         await exchange.close()
-        return held, size
+        return held, reader.size
 
     held, size = _run("/fast", act)
     assert held < UNREAD_MAX_BYTES + 2 * 16384
@@ -83,8 +97,7 @@
     async def act(exchange):
         with pytest.raises(UpstreamFailed) as caught:
             await exchange.head()
-            async for _ in exchange.chunks():
-                pass
+            await exchange.pump(_SlowReader())
         await exchange.close()
         return caught.value.sent
 
