--- a/src/tamarackrill/testing/processes.py
+++ b/src/tamarackrill/testing/processes.py
@@ -157,6 +157,10 @@
         """Return the exit code once the process has ended."""
         return self._process.wait(PATIENCE_S)
 
+    def is_ended(self) -> bool:
+        """Return whether the process has ended."""
+        return self._process.poll() is not None
+
     def close(self) -> None:
         """End the process if it still runs, and let its pipe go."""
         if self._process.poll() is None:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,10 +1,12 @@
 import http.client
+import itertools
 import json
 import signal
 
 import pytest
 
 from tamarackrill.contracts import hash_key
+from tamarackrill.decisions.hashing import rendezvous_order
 from tamarackrill.testing.processes import FleetProcesses, call, wait_for
 
 KEY = {"Authorization": "Bearer the-key"}
@@ -38,6 +40,14 @@
     return connection, connection.getresponse()
 
 
+def _find_chats(engine, count):
+    """Return names of chats whose first engine of two is `engine`."""
+    engines = ["engine-1", "engine-2"]
+    names = (f"chat-{number}" for number in range(1000))
+    own = (n for n in names if rendezvous_order(f"t\n{n}", engines, 1) == [engine])
+    return list(itertools.islice(own, count))
+
+
 def _find_home(routers, chat):
     names = call(routers[0].address, f"/v1/explain?team=t&chat={chat}&model=m").json()
     by_name = {router.name: router for router in routers}
@@ -72,8 +82,9 @@
     router = fleet.add_router("a")
     fleet.wait_ready()
     engine.set_faults(cut_after_tokens=3)
-    for _ in range(4):
-        answer = call(router.address, CHAT_PATH, _chat(7, stream), headers=KEY)
+    for chat in _find_chats("engine-1", 4):
+        headers = {**KEY, "Chat-Id": chat}
+        answer = call(router.address, CHAT_PATH, _chat(7, stream), headers=headers)
         assert answer.status == 200
         if stream:
             ids = [line for line in answer.body.split(b"\n") if b"id: " in line]
@@ -90,7 +101,8 @@
     fleet.add_engine("engine-2", "m", "--step-s=0.01")
     router = fleet.add_router("a")
     fleet.wait_ready()
-    connection, response = _open_stream(router, 1000)
+    (chat,) = _find_chats("engine-1", 1)
+    connection, response = _open_stream(router, 1000, **{"Chat-Id": chat})
     first = response.readline()
     engine.kill()
     rest = first + response.read()
