Explain a call by the placement's own decision, at its home router

Cause: `explain` listed the engines of a model and no reason. Now the router makes the choice that it would make for the call and counts nothing; the answer names the reason, runners-up, and each candidate's load and whether it is ejected. The command asks the home router of the chat, whose view decides.

Ruled out: working the choice out in the command line from the status, which would need the cache index and health of the home and would drift from the decision.

--- a/src/tamarackrill/cli.py
+++ b/src/tamarackrill/cli.py
@@ -27,10 +27,9 @@
 )
 from tamarackrill.load.arguments import add_bench_arguments, run_bench
 from tamarackrill.queries.contracts import get_contract, list_contracts
-from tamarackrill.queries.explain import format_explanation
+from tamarackrill.queries.explain import EXPLAINED, ask_home, format_explanation
 from tamarackrill.queries.fleet import list_endpoints, list_routers, pick_router
 from tamarackrill.router.platform_client import PlatformClient
-from tamarackrill.router_client import fetch_explanation
 
 PLATFORM_VARIABLE = "TAMARACKRILL_PLATFORM"
 WAIT_MAX_S = 30.0
@@ -178,7 +177,9 @@
         groups,
         "explain",
         _explain,
-        "tell where a router would send a call now, and why",
+        "tell where a call would go now, and why",
+        "Asks the home router of the chat, which decides; without a chat, any router. "
+        "Nothing is sent to an endpoint.",
     )
     explain.add_argument("--team", required=True)
     explain.add_argument("--chat", default="", help="name of the chat")
@@ -344,8 +345,6 @@
 
 async def _explain(options: argparse.Namespace, clients: _Clients) -> None:
     router = options.router or await pick_router(clients.platform)
-    wanted = {name: getattr(options, name) for name in ("model", "service")}
-    query = {"team": options.team, "chat": options.chat, **wanted}
-    query = {name: value for name, value in query.items() if value}
-    found = await fetch_explanation(clients.http, router, query)
+    query = {name: getattr(options, name) or "" for name in EXPLAINED}
+    found = await ask_home(clients.http, router, query)
     print(format_json(found) if options.json else format_explanation(found))
--- a/src/tamarackrill/queries/explain.py
+++ b/src/tamarackrill/queries/explain.py
@@ -3,6 +3,40 @@
 from collections.abc import Iterator
 from typing import Any
 
+from tornado.httpclient import AsyncHTTPClient
+
+from tamarackrill.router_client import fetch_explanation
+
+EXPLAINED = ("team", "chat", "model", "service")
+
+
+async def ask_home(
+    client: AsyncHTTPClient, router: str, query: dict[str, str]
+) -> dict[str, Any]:
+    """Return the explanation of the router that decides.
+
+    Parameters
+    ----------
+    client : tornado.httpclient.AsyncHTTPClient
+        Not owned.
+    router : str
+        ``host:port`` of the router to ask first; it names the home.
+    query : dict of str to str
+        Values of `EXPLAINED`.
+
+    Raises
+    ------
+    NotFound
+        If the team has no contract or the contract does not allow the call.
+    RouterUnavailable
+        If a router did not answer.
+    """
+    found = await fetch_explanation(client, router, query)
+    homes = found["homes"]
+    if homes and homes[0] != found["router"]:
+        return await fetch_explanation(client, found["home_address"], query)
+    return found
+
 
 def format_explanation(found: dict[str, Any]) -> str:
     """Return a router's explanation as lines for a terminal.
--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -11,7 +11,6 @@
 
 from tamarackrill.contracts import Contract, Endpoint
 from tamarackrill.decisions.configuration import ConfigurationStore, ObjectVersion
-from tamarackrill.decisions.hashing import rendezvous_order
 from tamarackrill.decisions.leases import LeaseTiming
 from tamarackrill.events import (
     ROUTER_LEAVING,
@@ -25,6 +24,7 @@
 from tamarackrill.router.chats import Chats
 from tamarackrill.router.claiming import Claimer
 from tamarackrill.router.configuring import KINDS, Configurer
+from tamarackrill.router.explaining import Question, explain
 from tamarackrill.router.flow import Flow
 from tamarackrill.router.known_objects import KnownObjects
 from tamarackrill.router.members import Member, Members
@@ -205,12 +205,16 @@
             "peer_address": self.peer_address,
         }
 
-    def explain(self, team: str, chat: str, model: str) -> dict[str, Any]:
-        """Return where a chat of a team would go, for queries."""
-        names = [member.name for member in self.members.list_live()]
-        homes = rendezvous_order(f"{team}\n{chat}", names, 3)
-        serving = [e.name for e in self.list_endpoints() if model in e.serves]
-        return {"homes": homes, "endpoints": serving}
+    def explain(self, question: Question) -> dict[str, Any]:
+        """Return where a call would go, for queries."""
+        found = explain(
+            question,
+            self.list_contracts(),
+            self.members.list_live(),
+            self.placer,
+            self.clock(),
+        )
+        return {"router": self.settings.name, **found}
 
     def _make_front(self) -> Front:
         return Front(
--- a/src/tamarackrill/router/callers.py
+++ b/src/tamarackrill/router/callers.py
@@ -14,6 +14,7 @@
 from tamarackrill.events import REQUEST_FORWARDED, log_event
 from tamarackrill.exceptions import Refusal
 from tamarackrill.router.calls import Call, find_contract, read_call
+from tamarackrill.router.explaining import Question
 from tamarackrill.router.flow import Flow
 from tamarackrill.router.forwarding import find_forwarded_id, forward_call
 from tamarackrill.router.members import Member, Members
@@ -90,7 +91,7 @@
     describe : callable
         Returns the status of this router.
     explain : callable
-        Returns where a team's chat would go.
+        Returns where a call would go.
     clock : callable
         Returns the present time.
     """
@@ -106,7 +107,7 @@
     list_contracts: Callable[[], list[Contract]]
     is_leaving: Callable[[], bool]
     describe: Callable[[], dict[str, Any]]
-    explain: Callable[[str, str, str], dict[str, Any]]
+    explain: Callable[[Question], dict[str, Any]]
     clock: Callable[[], float] = time.monotonic
 
 
@@ -373,12 +374,15 @@
 
 
 class ExplainHandler(_QueryHandler):
-    """Where a chat would go, for queries."""
+    """Where a call would go, for queries."""
 
     def get(self) -> None:
-        """Answer with home and endpoint of ``team``, ``chat`` and ``model``."""
-        arguments = [self.get_argument(n, "") for n in ("team", "chat", "model")]
-        self.finish(self.front.explain(*arguments))
+        """Answer for ``team``, ``chat`` and one of ``model`` and ``service``."""
+        arguments = [self.get_argument(name, "") for name in Question._fields]
+        try:
+            self.finish(self.front.explain(Question(*arguments)))
+        except Refusal as refusal:
+            self.send_refusal(refusal)
 
 
 def make_front(front: Front) -> Application:
--- /dev/null
+++ b/src/tamarackrill/router/explaining.py
@@ -0,0 +1,149 @@
+"""Tells where a call would go now, and why, without sending it."""
+
+from typing import Any, NamedTuple
+
+from tamarackrill.contracts import Contract, EndpointKind
+from tamarackrill.decisions.hashing import rendezvous_order
+from tamarackrill.exceptions import Refusal
+from tamarackrill.router.calls import Call
+from tamarackrill.router.members import Member
+from tamarackrill.router.placing import Placer
+
+HOMES_SHOWN = 3
+REQUEST_ID = "explain"
+# Fingerprint of no request, so that no crash is counted against this one.
+NO_FINGERPRINT = "0" * 32
+
+
+class Question(NamedTuple):
+    """What an operator asks about.
+
+    Parameters
+    ----------
+    team, chat : str
+        Name of the team; name of the chat, or empty.
+    model, service : str
+        What the call asks for; one of them is empty.
+    """
+
+    team: str
+    chat: str
+    model: str
+    service: str
+
+    @property
+    def kind(self) -> EndpointKind:
+        """Kind of endpoint that the call needs."""
+        return "engine" if self.model else "service"
+
+    @property
+    def pool(self) -> str:
+        """Model or service."""
+        return self.model or self.service
+
+
+def explain(
+    question: Question,
+    contracts: list[Contract],
+    members: list[Member],
+    placer: Placer,
+    now_s: float,
+) -> dict[str, Any]:
+    """Return where a call would go now, as this router sees things.
+
+    Parameters
+    ----------
+    question : Question
+        What is asked about.
+    contracts : list of Contract
+        Contracts in force.
+    members : list of Member
+        Live routers.
+    placer : Placer
+        Places calls at this router; nothing is counted there.
+    now_s : float
+        Present time.
+
+    Returns
+    -------
+    dict
+        Home routers in order, the endpoint with reason and runners-up, and each
+        candidate with its load.
+
+    Raises
+    ------
+    Refusal
+        If the team has no contract, or its contract does not allow the call.
+    """
+    contract = _find_contract(question, contracts)
+    call = _make_call(question, contract, now_s)
+    placed = placer.choose(call, (), now_s)
+    candidates = placer.list_candidates(call)
+    names = [endpoint.name for endpoint in candidates]
+    loads = placer.placement.loads.estimate(names, now_s)
+    allowed = set(placer.health.find_allowed(names, now_s))
+    homes = _find_homes(call, members)
+    return {
+        "homes": [home.name for home in homes],
+        "home_address": homes[0].address if homes else "",
+        "endpoint": placed.endpoint.name if placed else None,
+        "reason": placed.reason if placed else "no_endpoint",
+        "runners_up": list(placed.runners_up) if placed else [],
+        "candidates": [
+            {
+                "endpoint": endpoint.name,
+                "zone": endpoint.zone,
+                "load": load,
+                "slots": endpoint.slots,
+                "ejected": endpoint.name not in allowed,
+            }
+            for endpoint, load in zip(candidates, loads, strict=True)
+        ],
+    }
+
+
+def _find_contract(question: Question, contracts: list[Contract]) -> Contract:
+    for contract in contracts:
+        if contract.team == question.team:
+            break
+    else:
+        raise Refusal("unknown_team", 404, f"no contract for {question.team!r}")
+    if question.pool not in contract.models + contract.services:
+        message = f"the contract does not allow {question.pool!r}"
+        raise Refusal(f"unknown_{_name_pool(question)}", 404, message)
+    return contract
+
+
+def _name_pool(question: Question) -> str:
+    return "model" if question.model else "service"
+
+
+def _find_homes(call: Call, members: list[Member]) -> list[Member]:
+    if not call.home_key:
+        return []
+    known = {member.name: member for member in members}
+    names = rendezvous_order(call.home_key, list(known), HOMES_SHOWN)
+    return [known[name] for name in names]
+
+
+def _make_call(question: Question, contract: Contract, now_s: float) -> Call:
+    return Call(
+        request_id=REQUEST_ID,
+        contract=contract,
+        kind=question.kind,
+        pool=question.pool,
+        method="GET",
+        path="/",
+        headers={},
+        body=b"",
+        chat=question.chat,
+        sequence=None,
+        key="",
+        idempotent=True,
+        stream=False,
+        after_event=0,
+        deadline_s=now_s,
+        size_tokens=1,
+        priority=contract.priority,
+        fingerprint=NO_FINGERPRINT,
+    )
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -228,13 +228,28 @@
     lines = json.loads(run("fleet", "status", "--json")[1])
     assert {line["router"] for line in lines} == set(fleet.routers)
     assert "engine-1" in run("endpoint", "list")[1]
-    asked = ("explain", "--team", "hall", "--chat", "c1", "--model", "m")
-    assert "engine-1" in run(*asked)[1]
+
+
+@pytest.mark.parametrize("router", ["router-1", "router-2"])
+def test_explanation_is_that_of_the_home_router(fleet, run, router):
+    address = fleet.routers[router].address
+    asked = ("explain", "--team", "hall", "--model", "m", "--router", address)
+    for chat in ("c1", "c2", "c3", "c4"):
+        _, out, _ = run(*asked, "--chat", chat, "--json")
+        found = json.loads(out)
+        assert found["router"] == found["homes"][0]
+        assert found["endpoint"] == "engine-1"
+        assert found["candidates"][0]["load"] == 0
+    code, out, _ = run(*asked)
+    assert (code, "endpoint: engine-1" in out) == (0, True)
 
 
 @pytest.mark.parametrize(
     ("arguments", "code", "part"),
     [
+        (("explain", "--team", "nobody", "--model", "m"), 1, "no contract for"),
+        (("explain", "--team", "hall", "--model", "x"), 1, "does not allow 'x'"),
+        (("explain", "--team", "hall", "--service", "s"), 1, "does not allow 's'"),
         (("contract", "show", "nobody"), 1, "there is no contract 'nobody'"),
         (("contract", "delete", "nobody"), 1, "Hint: see: contract list"),
         (("contract", "apply", "no-such-file.json"), 2, "No such file"),
