Take the priority of a request that names none from the contract

The field stood in the contract without any effect. It now gives the default within the team, in the same sense as the header Request-Priority: higher goes first.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -13,9 +13,8 @@
 from types import ModuleType
 from typing import Any
 
-from capacity_page import format_page
-
 from capacity_daemon import measure_base, measure_daemon
+from capacity_page import format_page
 from capacity_parts import measure_parts
 from slopes import Fit, fit
 
--- a/src/tamarackrill/contracts.py
+++ b/src/tamarackrill/contracts.py
@@ -53,7 +53,8 @@
     weight : int
         Share of a contended endpoint pool, relative to other teams.
     priority : int
-        Priority handed to engines that honour one; 0 goes first, 9 last.
+        Priority of a request that names none, among the team's own requests; higher
+        goes first.
     rate_per_s, rate_burst : float
         Requests a second over the whole fleet, and how many may come at once.
     in_flight_max : int
@@ -84,7 +85,7 @@
     deadline_max_s: float = 300.0
     non_idempotent: tuple[CallPattern, ...] = ()
     answers_kept_s: float = 60.0
-    priority: int = 5
+    priority: int = 0
     answers_kept_bytes: int = 4_194_304
 
 
--- a/src/tamarackrill/router/calls.py
+++ b/src/tamarackrill/router/calls.py
@@ -210,7 +210,7 @@
         after_event=_read_integer(headers, "Last-Event-ID", 0, 1 << 53) or 0,
         deadline_s=now_s + _read_timeout(contract, headers),
         size_tokens=size_tokens,
-        priority=_read_integer(headers, "Request-Priority", 0, PRIORITY_MAX) or 0,
+        priority=_read_priority(contract, headers),
         fingerprint=_fingerprint(contract.team, pool, method, onward_path, body),
     )
 
@@ -292,6 +292,11 @@
     return min(asked_ms / 1000, contract.deadline_max_s)
 
 
+def _read_priority(contract: Contract, headers: Mapping[str, str]) -> int:
+    asked = _read_integer(headers, "Request-Priority", 0, PRIORITY_MAX)
+    return contract.priority if asked is None else asked
+
+
 def _fingerprint(team: str, pool: str, method: str, path: str, body: bytes) -> str:
     head = f"{team}\n{pool}\n{method}\n{path}\n".encode()
     return hashlib.blake2b(head + body, digest_size=16).hexdigest()
--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,15 @@
+import pytest
+
+from tamarackrill.contracts import Contract
+from tamarackrill.router.calls import CHAT_PATH, read_call
+
+CONTRACT = Contract("t", ("0" * 64,), ("m",), priority=3)
+BODY = b'{"model": "m", "messages": [{"role": "user", "content": "x"}]}'
+
+
+@pytest.mark.parametrize(
+    ("headers", "priority"), [({}, 3), ({"Request-Priority": "0"}, 0)]
+)
+def test_priority_is_the_contracts_unless_the_call_names_one(headers, priority):
+    call = read_call(CONTRACT, "POST", CHAT_PATH, headers, BODY, 0.0)
+    assert call.priority == priority
