--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -1,12 +1,15 @@
+import asyncio
 import json
 from pathlib import Path
 
 import pytest
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
 from tamarackrill.cli import main
 from tamarackrill.contracts import check_contracts, hash_key, read_endpoint
 from tamarackrill.documents import read_document
 from tamarackrill.settings import load_settings
+from tamarackrill.testing.deployment import Deployment, read_environment
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 ZONES = {
@@ -19,11 +22,6 @@
 }
 
 
-def read_environment(path):
-    lines = [line for line in path.read_text().splitlines() if line[:1] not in "#"]
-    return dict(line.split("=", 1) for line in lines)
-
-
 @pytest.mark.parametrize("name", ZONES)
 def test_deployment_is_whole(name):
     directory = EXAMPLES / name
@@ -58,3 +56,31 @@
     assert capsys.readouterr().err.strip() == (
         f"Error: {place}: unknown field (did you mean 'deadline_s'?)"
     )
+
+
+def make_request(address, contract, key):
+    chat = {"messages": [{"role": "user", "content": "sixty guests"}], "max_tokens": 2}
+    return HTTPRequest(
+        f"http://{address}/v1/chat/completions",
+        "POST",
+        {"Authorization": f"Bearer {key}"},
+        json.dumps({"model": contract.models[0], **chat}),
+    )
+
+
+@pytest.mark.parametrize("name", ZONES)
+def test_deployment_runs_and_serves_each_team(name):
+    async def run():
+        deployment = Deployment(EXAMPLES / name, free_ports=True)
+        await deployment.start()
+        keys = json.loads((EXAMPLES / name / "keys.json").read_text())
+        router = deployment.routers[0]
+        client = AsyncHTTPClient(force_instance=True)
+        for contract in router.list_contracts():
+            request = make_request(router.address, contract, keys[contract.team])
+            assert (await client.fetch(request)).code == 200
+        assert len(router.list_contracts()) == 10
+        client.close()
+        await deployment.stop()
+
+    asyncio.run(run())
