Tell an operator who named a router as the platform what is wrong

Cause: any address that answers JSON of its own ended the command in a KeyError. Statuses of routers that lack newer fields are read with care too, since a fleet in the middle of an upgrade has both.

--- a/src/tamarackrill/commands/in_force.py
+++ b/src/tamarackrill/commands/in_force.py
@@ -10,8 +10,13 @@
 
 from tornado.httpclient import AsyncHTTPClient
 
-from tamarackrill.contracts import CONTRACT_KIND, Vm
-from tamarackrill.router_client import Statuses, fetch_statuses, list_members
+from tamarackrill.contracts import Vm
+from tamarackrill.router_client import (
+    Statuses,
+    complete_of,
+    fetch_statuses,
+    list_members,
+)
 
 POLL_S = 0.2
 
@@ -97,6 +102,6 @@
 
 def _has_in_force(status: dict[str, Any], version: int) -> bool:
     # A router that can't read the contract holds it, but applies the one before.
-    if any(item["version"] == version for item in status["faulty"]):
+    if any(item["version"] == version for item in status.get("faulty", ())):
         return False
-    return bool(status["complete"][CONTRACT_KIND] >= version)
+    return complete_of(status) >= version
--- a/src/tamarackrill/queries/fleet.py
+++ b/src/tamarackrill/queries/fleet.py
@@ -7,7 +7,12 @@
 from tamarackrill.contracts import CONTRACT_KIND, ENDPOINT_KIND, read_endpoint
 from tamarackrill.exceptions import FindingsError, RouterUnavailable
 from tamarackrill.router.platform_client import PlatformClient
-from tamarackrill.router_client import Statuses, fetch_statuses, list_members
+from tamarackrill.router_client import (
+    Statuses,
+    complete_of,
+    fetch_statuses,
+    list_members,
+)
 
 
 class RouterLine(NamedTuple):
@@ -99,7 +104,7 @@
 ) -> RouterLine:
     status = statuses[address]
     unseen_by = tuple(
-        other["router"]
+        other.get("router", name)
         for name, other in statuses.items()
         if other and name != address and address not in list_members(other)
     )
@@ -107,11 +112,11 @@
         return RouterLine(address, "", "", "silent", is_listed, None, None, unseen_by)
     return RouterLine(
         address,
-        status["router"],
-        status["zone"],
+        status.get("router", ""),
+        status.get("zone", ""),
         "answers",
         is_listed,
-        max(0, newest - status["complete"][CONTRACT_KIND]),
+        max(0, newest - complete_of(status)),
         status.get("in_flight"),
         unseen_by,
     )
--- a/src/tamarackrill/router/platform_client.py
+++ b/src/tamarackrill/router/platform_client.py
@@ -85,7 +85,7 @@
     async def list(self, kind: str) -> Listing:
         """Return all objects of a kind."""
         _, body = await self._call("GET", f"/objects/{kind}")
-        items = tuple(PlatformObject(**item) for item in body["items"])
+        items = _read_items(body, "items")
         return Listing(items, body["revision"])
 
     async def watch(self, kind: str, since: int) -> Listing:
@@ -102,12 +102,13 @@
         code, body = await self._call("GET", path, WATCH_WAIT_S + CALL_TIMEOUT_S)
         if code == GONE:
             raise WatchLost(f"revision {since} of {kind} is gone")
-        items = tuple(PlatformObject(**item) for item in body["events"])
+        items = _read_items(body, "events")
         return Listing(items, body["revision"])
 
     async def list_vms(self) -> tuple[Vm, ...]:
         """Return the VM list."""
         _, body = await self._call("GET", "/vms")
+        _check_form(body, "vms")
         return tuple(Vm(**vm) for vm in body["vms"])
 
     async def put(
@@ -193,6 +194,18 @@
         return response.code, _load(response.body)
 
 
+def _read_items(body: Any, field: str) -> tuple[PlatformObject, ...]:
+    _check_form(body, field)
+    return tuple(PlatformObject(**item) for item in body[field])
+
+
+def _check_form(body: Any, field: str) -> None:
+    # The address may be that of something else, such as a router, which answers JSON
+    # of its own.
+    if not isinstance(body, dict) or field not in body:
+        raise PlatformUnavailable("platform: the answer is not one of an object API")
+
+
 def _load(body: bytes) -> Any:
     try:
         return json.loads(body or b"null")
--- a/src/tamarackrill/router_client.py
+++ b/src/tamarackrill/router_client.py
@@ -7,6 +7,7 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
+from tamarackrill.contracts import CONTRACT_KIND
 from tamarackrill.exceptions import NotFound, RouterUnavailable
 
 CALL_TIMEOUT_S = 2.0
@@ -47,6 +48,11 @@
     return {member["address"] for member in members if member["state"] == ALIVE}
 
 
+def complete_of(status: dict[str, Any]) -> int:
+    """Return the revision up to which a router lacks no contract."""
+    return int(status.get("complete", {}).get(CONTRACT_KIND, 0))
+
+
 async def fetch_explanation(
     client: AsyncHTTPClient, address: str, query: dict[str, str]
 ) -> dict[str, Any]:
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -264,6 +264,13 @@
     assert "Traceback" not in err
 
 
+def test_address_of_a_router_is_no_platform(fleet, capsys):
+    address = fleet.routers["router-1"].address
+    for query in (("contract", "list"), ("fleet", "status")):
+        assert main([*query, "--platform", address]) == 4
+    assert "not one of an object API" in capsys.readouterr().err
+
+
 def test_platform_that_does_not_answer(capsys):
     code = main(["contract", "list", "--platform", "127.0.0.1:1"])
     assert code == 4
