--- a/src/tamarackrill/router/daemon.py
+++ b/src/tamarackrill/router/daemon.py
@@ -10,7 +10,7 @@
 from absl import flags, logging
 
 from tamarackrill import events
-from tamarackrill.exceptions import TamarackrillError
+from tamarackrill.exceptions import Finding, FindingsError, TamarackrillError
 from tamarackrill.router.app import RouterApplication
 from tamarackrill.settings import Settings, load_settings
 
@@ -22,7 +22,12 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told_to_stop.set)
     application = RouterApplication(settings)
-    await application.start()
+    try:
+        await application.start()
+    except OSError as error:
+        # Most often another process has the port; a traceback would hide which one.
+        message = f"can't listen: {error.strerror or error}"
+        raise FindingsError([Finding("--address, --port", message)]) from error
     try:
         await told_to_stop.wait()
         await application.drain()
@@ -49,11 +54,11 @@
         settings = load_settings(
             sys.argv[1:] if arguments is None else arguments, os.environ
         )
+        set_up_logs(settings.log_format)
+        asyncio.run(run_router(settings))
     except TamarackrillError as error:
         print(error.show(), file=sys.stderr)
         return error.exit_code
-    set_up_logs(settings.log_format)
-    asyncio.run(run_router(settings))
     return 0
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,7 +1,10 @@
+import socket
+
 import pytest
 
 from tamarackrill.exceptions import FindingsError
 from tamarackrill.settings import SETTINGS, load_settings
+from tamarackrill.testing.processes import Process
 
 ENVIRONMENT = {
     "TAMARACKRILL_NAME": "vm-1",
@@ -73,3 +76,14 @@
         load_settings(["--help"], {})
     shown = "".join(capsys.readouterr().out.split())
     assert all(setting.variable in shown for setting in SETTINGS)
+
+
+def test_port_in_use_is_a_finding():
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        flags = [f"--port={taken.getsockname()[1]}", "--name=a", "--zone=z"]
+        flags += ["--platform=127.0.0.1:1", "--peer-keys=k"]
+        daemon = Process(["tamarackrill.router.daemon", *flags])
+        assert daemon.wait() == 2
+        daemon.close()
+    (line,) = daemon.lines
+    assert line.startswith("Error: --address, --port: can't listen: ")
