Take a field out of the contract that nothing reads

answers_kept_bytes was to bound what is kept for resends; the answers of all teams share one bound in the router, and a limit that is accepted but not applied is a false promise. Unknown fields are findings, so a file that has it is told.

--- a/src/tamarackrill/contracts.py
+++ b/src/tamarackrill/contracts.py
@@ -67,8 +67,6 @@
         Calls that run at most once; they need an ``Idempotency-Key``.
     answers_kept_s : float
         How long an answer is kept for a resend.
-    answers_kept_bytes : int
-        Most bytes of answers that one router keeps for the team's resends.
     """
 
     team: str
@@ -86,7 +84,6 @@
     non_idempotent: tuple[CallPattern, ...] = ()
     answers_kept_s: float = 60.0
     priority: int = 0
-    answers_kept_bytes: int = 4_194_304
 
 
 class Endpoint(NamedTuple):
