--- /dev/null
+++ b/src/tamarackrill/decisions/claim_messages.py
@@ -0,0 +1,114 @@
+"""Messages that the claims of a router take, and the actions that they give."""
+
+from typing import NamedTuple
+
+from tamarackrill.decisions.claim_buckets import Claim, Entries
+
+
+class ClaimRequested(NamedTuple):
+    """A non-idempotent request came in."""
+
+    request: int
+    key_hash: str
+    deadline_s: float
+
+
+class RunEnded(NamedTuple):
+    """The attempt's run is over; `sent` if a byte may have reached an endpoint."""
+
+    key_hash: str
+    attempt: str
+    sent: bool
+
+
+class BucketRead(NamedTuple):
+    """The platform answered a read; version 0 means that there is no object."""
+
+    bucket: str
+    version: int
+    entries: Entries
+
+
+class ReadFailed(NamedTuple):
+    """The platform did not answer a read."""
+
+    bucket: str
+
+
+class BucketWritten(NamedTuple):
+    """The platform accepted a write."""
+
+    bucket: str
+    version: int
+
+
+class WriteConflicted(NamedTuple):
+    """A write met another version; with the bucket as it stands there."""
+
+    bucket: str
+    version: int
+    entries: Entries
+
+
+class WriteUnanswered(NamedTuple):
+    """Whether a write took effect is unknown."""
+
+    bucket: str
+
+
+class TimePassed(NamedTuple):
+    """The time that `next_due_s` named has come."""
+
+
+Message = (
+    ClaimRequested
+    | RunEnded
+    | BucketRead
+    | ReadFailed
+    | BucketWritten
+    | WriteConflicted
+    | WriteUnanswered
+    | TimePassed
+)
+
+
+class ReadBucket(NamedTuple):
+    """Read a bucket from the platform."""
+
+    bucket: str
+
+
+class WriteBucket(NamedTuple):
+    """Write a bucket if its version is still `expected_version` (0: no object)."""
+
+    bucket: str
+    expected_version: int
+    entries: Entries
+
+
+class Granted(NamedTuple):
+    """The request may be sent, once, while `may_send` says so."""
+
+    request: int
+    key_hash: str
+    attempt: str
+    send_until_s: float
+
+
+class Held(NamedTuple):
+    """Another attempt holds the key; this request must not be sent."""
+
+    request: int
+    key_hash: str
+    claim: Claim
+
+
+class Refused(NamedTuple):
+    """The request gets no claim and was not sent."""
+
+    request: int
+    code: str
+    retry_after_s: float
+
+
+Action = ReadBucket | WriteBucket | Granted | Held | Refused
--- a/src/tamarackrill/decisions/claims.py
+++ b/src/tamarackrill/decisions/claims.py
@@ -15,7 +15,6 @@
 """
 
 from collections.abc import Callable
-from typing import NamedTuple
 
 from tamarackrill.decisions.claim_buckets import (
     CLAIM_KEPT_S,
@@ -31,6 +30,22 @@
     format_attempt,
     merge_changes,
 )
+from tamarackrill.decisions.claim_messages import (
+    Action,
+    BucketRead,
+    BucketWritten,
+    ClaimRequested,
+    Granted,
+    Held,
+    Message,
+    ReadBucket,
+    ReadFailed,
+    Refused,
+    RunEnded,
+    TimePassed,
+    WriteBucket,
+    WriteConflicted,
+)
 
 GATHER_S = 0.02
 """How long claims of one bucket are gathered for one write.  A router writes a bucket
@@ -59,115 +74,6 @@
 RETRY_FULL_S = 60.0
 
 
-class ClaimRequested(NamedTuple):
-    """A non-idempotent request came in."""
-
-    request: int
-    key_hash: str
-    deadline_s: float
-
-
-class RunEnded(NamedTuple):
-    """The attempt's run is over; `sent` if a byte may have reached an endpoint."""
-
-    key_hash: str
-    attempt: str
-    sent: bool
-
-
-class BucketRead(NamedTuple):
-    """The platform answered a read; version 0 means that there is no object."""
-
-    bucket: str
-    version: int
-    entries: Entries
-
-
-class ReadFailed(NamedTuple):
-    """The platform did not answer a read."""
-
-    bucket: str
-
-
-class BucketWritten(NamedTuple):
-    """The platform accepted a write."""
-
-    bucket: str
-    version: int
-
-
-class WriteConflicted(NamedTuple):
-    """A write met another version; with the bucket as it stands there."""
-
-    bucket: str
-    version: int
-    entries: Entries
-
-
-class WriteUnanswered(NamedTuple):
-    """Whether a write took effect is unknown."""
-
-    bucket: str
-
-
-class TimePassed(NamedTuple):
-    """The time that `next_due_s` named has come."""
-
-
-Message = (
-    ClaimRequested
-    | RunEnded
-    | BucketRead
-    | ReadFailed
-    | BucketWritten
-    | WriteConflicted
-    | WriteUnanswered
-    | TimePassed
-)
-
-
-class ReadBucket(NamedTuple):
-    """Read a bucket from the platform."""
-
-    bucket: str
-
-
-class WriteBucket(NamedTuple):
-    """Write a bucket if its version is still `expected_version` (0: no object)."""
-
-    bucket: str
-    expected_version: int
-    entries: Entries
-
-
-class Granted(NamedTuple):
-    """The request may be sent, once, while `may_send` says so."""
-
-    request: int
-    key_hash: str
-    attempt: str
-    send_until_s: float
-
-
-class Held(NamedTuple):
-    """Another attempt holds the key; this request must not be sent."""
-
-    request: int
-    key_hash: str
-    claim: Claim
-
-
-class Refused(NamedTuple):
-    """The request gets no claim and was not sent."""
-
-    request: int
-    code: str
-    retry_after_s: float
-
-
-Action = ReadBucket | WriteBucket | Granted | Held | Refused
-
-
 class Bucket:
     """What one router knows of one bucket and wants of it."""
 
@@ -355,10 +261,7 @@
 ) -> list[Action]:
     _requeue(bucket)
     _learn(bucket, message.version, message.entries)
-    if bucket.writes < WRITES_MAX:
-        return _merge(claims, bucket, now_s)
-    refused = _refuse_all(bucket, now_s, "claims_contended", RETRY_BUSY_S)
-    return refused + _settle(claims, bucket, now_s)
+    return _merge(claims, bucket, now_s)
 
 
 def _take_written(
@@ -418,10 +321,13 @@
 
 def _merge(claims: Claims, bucket: Bucket, now_s: float) -> list[Action]:
     merge = merge_changes(bucket.entries, bucket.queue, now_s)
-    if merge.held and not bucket.is_fresh:
+    if (merge.held or merge.full) and not bucket.is_fresh:
         # The holder may have dropped its claim since this router last looked; the
         # caller would be told "unknown" of a request that never ran.
         return _read(bucket)
+    if merge.changed and bucket.writes >= WRITES_MAX:
+        refused = _refuse_all(bucket, now_s, "claims_contended", RETRY_BUSY_S)
+        return refused + _settle(claims, bucket, now_s)
     settled = {id(change) for change in (*merge.own, *merge.full, *merge.later)}
     settled.update(id(change) for change, _ in merge.held)
     going = [change for change in bucket.queue if id(change) not in settled]
