Claim, order and join in the daemon; refuse what can't be

Cause: the daemon refused every non-idempotent call, ran the requests of a chat as they came, and kept answers without bound.

A call whose claim another live router holds is forwarded to that router and joins its run; with that router gone the answer is "unknown". Chats number their requests from 1; a request that was refused without having run keeps its place.

--- a/src/tamarackrill/decisions/claims.py
+++ b/src/tamarackrill/decisions/claims.py
@@ -14,14 +14,13 @@
 the expiry of claims is compared between VMs.
 """
 
-from collections.abc import Callable
+from collections.abc import Collection
 
 from tamarackrill.decisions.claim_buckets import (
     CLAIM_KEPT_S,
     CLOCK_SKEW_MAX_S,
     AddClaim,
     Change,
-    Claim,
     DropClaim,
     Entries,
     MarkDone,
@@ -167,25 +166,16 @@
     )
 
 
-def is_own(claims: Claims, claim: Claim) -> bool:
-    """Return whether this incarnation of this router made a claim."""
-    return find_holder(claim.attempt) == (claims.router, claims.incarnation)
-
-
-def find_live_holder(
-    claim: Claim, find_incarnation: Callable[[str], str | None]
+def find_router_to_ask(
+    claims: Claims, held: Held, live_routers: Collection[str]
 ) -> str:
-    """Return the router that still runs a claimed request, or an empty string.
+    """Return the live router that made a claim, or an empty string.
 
-    Parameters
-    ----------
-    claim : Claim
-        The claim that was found.
-    find_incarnation : callable
-        Gives the incarnation of a live router by its name, or None.
+    That router runs the request or keeps its answer.  Without one, or if this router
+    itself made the claim and knows nothing of it any more, the outcome is unknown.
     """
-    router, incarnation = find_holder(claim.attempt)
-    return router if find_incarnation(router) == incarnation else ""
+    router, _ = find_holder(held.claim.attempt)
+    return router if router != claims.router and router in live_routers else ""
 
 
 def _list_dues(claims: Claims, bucket: Bucket) -> list[float]:
--- a/src/tamarackrill/decisions/ordering.py
+++ b/src/tamarackrill/decisions/ordering.py
@@ -90,10 +90,11 @@
 
 
 class Order:
-    """Chats by name, the least recently used first."""
+    """Chats by name, the least recently used first, and those where some wait."""
 
     def __init__(self) -> None:
         self.chats: dict[str, Chat] = {}
+        self.waiting: dict[str, Chat] = {}
 
 
 def arrive(order: Order, message: Arrived, now_s: float) -> list[Action]:
@@ -124,6 +125,7 @@
     if chat.next_sequence is None and message.sequence == FIRST_SEQUENCE:
         chat.next_sequence = FIRST_SEQUENCE
     chat.waiting[message.sequence] = Waiting(message.request, now_s, message.deadline_s)
+    order.waiting[message.chat] = chat
     return _start_next(chat)
 
 
@@ -151,8 +153,9 @@
 def take_time(order: Order, now_s: float) -> list[Action]:
     """Refuse what has waited too long, and start chats that are new to this home."""
     actions: list[Action] = []
-    for chat in order.chats.values():
+    for name, chat in list(order.waiting.items()):
         if not chat.waiting:
+            del order.waiting[name]
             continue
         if chat.next_sequence is None and _find_base_due_s(chat) <= now_s:
             chat.next_sequence = min(chat.waiting)
@@ -164,7 +167,7 @@
 def next_due_s(order: Order) -> float | None:
     """Return when `take_time` is next due, or None."""
     dues: list[float] = []
-    for chat in order.chats.values():
+    for chat in order.waiting.values():
         if chat.waiting and chat.next_sequence is None:
             dues.append(_find_base_due_s(chat))
         dues += [_find_limit_s(chat, sequence) for sequence in chat.waiting]
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -93,6 +93,36 @@
 PLATFORM_BACK = Event(3003, "platform_back", _INFO, (), "The platform answers again.")
 
 # 4000: claims, answers and order
+CLAIM_GRANTED = Event(
+    4001,
+    "claim_granted",
+    _INFO,
+    ("team", "chat", "attempt", "wait_s"),
+    "A non-idempotent request may be sent, once, by this attempt.",
+)
+CLAIM_HELD = Event(
+    4002,
+    "claim_held",
+    _INFO,
+    ("team", "chat", "attempt", "state", "asked"),
+    "Another attempt holds the claim; its router is asked if it is live.",
+    "See docs/operations/at-most-once.md if callers ask what became of a request.",
+)
+CLAIM_UNANSWERED = Event(
+    4003,
+    "claim_unanswered",
+    _WARNING,
+    ("bucket", "reason"),
+    "A write of claims was not answered; the bucket is read to see what stands there.",
+    "Look at the platform if it goes on; claims are refused while it is down.",
+)
+REQUEST_JOINED = Event(
+    4004,
+    "request_joined",
+    _INFO,
+    ("team", "chat"),
+    "A resend joined the run in progress or got the kept answer.",
+)
 
 # 5000: endpoints and their health; 5100: orders to engines
 ENDPOINT_EJECTED = Event(
--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -10,6 +10,7 @@
 from tornado.netutil import bind_sockets
 
 from tamarackrill.contracts import Contract, Endpoint
+from tamarackrill.decisions.claims import Claims
 from tamarackrill.decisions.configuration import ConfigurationStore, ObjectVersion
 from tamarackrill.decisions.hashing import rendezvous_order
 from tamarackrill.decisions.leases import LeaseTiming
@@ -37,6 +38,7 @@
 from tamarackrill.settings import Settings
 
 VM_LIST_WAIT_S = 1.0
+INCARNATION_DIGITS = 16
 UNLIMITED_BYTES = 1 << 40
 BUFFER_MAX_BYTES = 256 * 1024
 HEADERS_MAX_BYTES = 32 * 1024
@@ -92,10 +94,15 @@
             settings.queue_max,
             self.clock,
         )
-        self.claimer = Claimer()
+        self.chats = Chats(self.clock)
+        self.claimer = Claimer(
+            Claims(settings.name, uuid.uuid4().hex[:INCARNATION_DIGITS]),
+            self.platform,
+            lambda: [member.name for member in self.members.list_live()],
+        )
         self.flow = Flow(
             self._endpoint_client,
-            Chats(),
+            self.chats,
             self.claimer,
             self.admitter,
             self.placer,
@@ -115,6 +122,7 @@
         await self.orderer.start()
         self._tasks.append(asyncio.create_task(self._follow_vms()))
         self._tasks.append(asyncio.create_task(self.admitter.run()))
+        self._tasks.append(asyncio.create_task(self.chats.run()))
         prober = Prober(
             self._endpoint_client,
             self.placer,
@@ -162,6 +170,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.claimer.stop()
         await self.orderer.stop()
         await self.configurer.stop()
         self._endpoint_client.close()
--- a/src/tamarackrill/router/callers.py
+++ b/src/tamarackrill/router/callers.py
@@ -14,6 +14,7 @@
 from tamarackrill.events import REQUEST_FORWARDED, log_event
 from tamarackrill.exceptions import Refusal
 from tamarackrill.router.calls import Call, find_contract, read_call
+from tamarackrill.router.claiming import HeldElsewhere
 from tamarackrill.router.flow import Flow
 from tamarackrill.router.forwarding import find_forwarded_id, forward_call
 from tamarackrill.router.members import Member, Members
@@ -289,9 +290,23 @@
         try:
             head = await reply.head()
             await self._pass_on(head, reply.read(call.after_event), call.stream)
+        except HeldElsewhere as held:
+            await self._ask_holder(call, held)
         finally:
             self._leave()
 
+    async def _ask_holder(self, call: Call, held: HeldElsewhere) -> None:
+        # Routers that disagree for some seconds send a resend to another home.  The
+        # router that holds the claim has the run or the answer; the caller would
+        # otherwise hear "unknown" of a booking that went well.
+        live = {member.name: member for member in self.front.members.list_live()}
+        if held.router not in live:
+            raise held
+        try:
+            await self._forward_to(call, live[held.router])
+        except UpstreamFailed:
+            raise held from None
+
     async def _pass_on(
         self, head: Head, chunks: AsyncIterator[bytes], stream: bool
     ) -> None:
--- a/src/tamarackrill/router/chats.py
+++ b/src/tamarackrill/router/chats.py
@@ -1,14 +1,60 @@
-"""Order within a chat and answers kept for resends, at the home router."""
+"""Order within a chat and answers kept for resends, at the home router.
 
+The decisions are those of `tamarackrill.decisions.ordering` and
+`tamarackrill.decisions.answers`; this task holds the replies and wakes the calls.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from tamarackrill.decisions.answers import (
+    Answers,
+    Identity,
+    expire,
+    identify,
+    keep,
+    look_up,
+    start,
+)
+from tamarackrill.decisions.ordering import (
+    Action,
+    Arrived,
+    Ended,
+    Order,
+    Started,
+    arrive,
+    end,
+    next_due_s,
+    take_time,
+)
+from tamarackrill.events import REQUEST_JOINED, log_event
+from tamarackrill.exceptions import Refusal
 from tamarackrill.router.calls import Call
 from tamarackrill.router.replies import Reply
 
+EXPIRY_S = 1.0
+
 
 class Chats:
-    """Replies by the identity under which a caller may ask again."""
+    """Replies by the identity under which a caller may ask again.
+
+    Parameters
+    ----------
+    clock : callable
+        Returns the present time, on the clock of the calls' deadlines.
+    """
 
-    def __init__(self) -> None:
-        self._replies: dict[tuple[str, str], Reply] = {}
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._answers = Answers()
+        self._replies: dict[Identity, Reply] = {}
+        self._order = Order()
+        self._turns: dict[str, asyncio.Future[Action]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+
+    def can_be_joined(self, call: Call) -> bool:
+        """Return whether a resend of the call can be told from a new call."""
+        return _identify(call) is not None
 
     def find(self, call: Call, now_s: float) -> Reply | None:
         """Return the reply that a resend joins, or None for a new call.
@@ -16,14 +62,26 @@
         Raises
         ------
         Refusal
-            If the key was used for another request, or the sequence goes back.
+            If the key or the place in the chat was used for another request.
         """
-        return self._replies.get((call.team, call.key)) if call.key else None
+        identity = _identify(call)
+        if identity is None:
+            return None
+        verdict = look_up(self._answers, identity, call.fingerprint)
+        if verdict == "mismatch":
+            message = "the key or the sequence belongs to another request"
+            raise Refusal("key_reused", 422, message)
+        if verdict == "new":
+            return None
+        log_event(REQUEST_JOINED, team=call.team, chat=call.chat)
+        return self._replies[identity]
 
     def register(self, call: Call, reply: Reply, now_s: float) -> None:
         """Remember the reply of a new call."""
-        if call.key:
-            self._replies[call.team, call.key] = reply
+        identity = _identify(call)
+        if identity is not None:
+            start(self._answers, identity, call.fingerprint)
+            self._replies[identity] = reply
 
     async def wait_turn(self, call: Call, now_s: float) -> None:
         """Return when the calls before this one in its chat are over.
@@ -31,10 +89,80 @@
         Raises
         ------
         Refusal
-            If the turn does not come before the deadline.
+            If the place in the chat is taken or passed, or its turn does not come.
         """
+        if not call.chat or call.sequence is None:
+            return
+        turn: asyncio.Future[Action] = asyncio.get_running_loop().create_future()
+        self._turns[call.request_id] = turn
+        arrived = Arrived(
+            call.request_id, call.home_key, call.sequence, call.deadline_s
+        )
+        self._carry_out(arrive(self._order, arrived, now_s), now_s)
+        action = await turn
+        if not isinstance(action, Started):
+            status, message = _REFUSALS[action.code]
+            raise Refusal(
+                action.code, status, message, action.run, action.retry_after_s
+            )
 
     def close(self, call: Call, reply: Reply, now_s: float) -> None:
         """Let the next call of the chat go, and keep or forget the reply."""
-        if call.key and not reply.is_whole:
-            self._replies.pop((call.team, call.key), None)
+        if call.chat and call.sequence is not None:
+            refusal = reply.refusal
+            ran = refusal is None or refusal.run == "unknown"
+            ended = Ended(call.request_id, call.home_key, ran)
+            self._turns.pop(call.request_id, None)
+            self._carry_out(end(self._order, ended, now_s), now_s)
+        identity = _identify(call)
+        if identity is not None:
+            expires_s = now_s + call.contract.answers_kept_s
+            self._forget(
+                keep(
+                    self._answers,
+                    identity,
+                    reply.size_bytes,
+                    reply.is_whole,
+                    expires_s,
+                )
+            )
+
+    async def run(self) -> None:
+        """Drop kept answers whose time is over, for ever."""
+        while True:
+            await asyncio.sleep(EXPIRY_S)
+            self._forget(expire(self._answers, self._clock()))
+
+    def _forget(self, identities: list[Identity]) -> None:
+        for identity in identities:
+            self._replies.pop(identity, None)
+
+    def _carry_out(self, actions: list[Action], now_s: float) -> None:
+        for action in actions:
+            turn = self._turns.pop(action.request, None)
+            if turn is not None and not turn.done():
+                turn.set_result(action)
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        due_s = next_due_s(self._order)
+        if due_s is not None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(max(0.0, due_s - now_s), self._take_time)
+
+    def _take_time(self) -> None:
+        now_s = self._clock()
+        self._carry_out(take_time(self._order, now_s), now_s)
+
+
+def _identify(call: Call) -> Identity | None:
+    return identify(call.team, call.key, call.chat, call.sequence)
+
+
+_REFUSALS = {
+    "sequence_passed": (409, "a later request of the chat has run"),
+    "sequence_taken": (409, "another request has this place in the chat"),
+    "sequence_skipped": (409, "the place is too far ahead in the chat"),
+    "sequence_gap": (409, "an earlier request of the chat is missing"),
+    "deadline_passed": (504, "the deadline passed before the request was sent"),
+}
--- a/src/tamarackrill/router/claiming.py
+++ b/src/tamarackrill/router/claiming.py
@@ -1,26 +1,270 @@
-"""Claims non-idempotent calls on the platform before they are sent."""
+"""Claims non-idempotent calls on the platform before they are sent.
 
-from tamarackrill.exceptions import Refusal
+The decisions are those of `tamarackrill.decisions.claims`; this task carries them out:
+it owns their state, calls the platform and wakes the calls that wait for a claim.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from tamarackrill.contracts import CLAIM_KIND
+from tamarackrill.decisions.claim_buckets import (
+    Entries,
+    hash_claim_key,
+    read_entries,
+    write_entries,
+)
+from tamarackrill.decisions.claim_messages import (
+    Action,
+    BucketRead,
+    BucketWritten,
+    ClaimRequested,
+    Granted,
+    Held,
+    Message,
+    ReadBucket,
+    ReadFailed,
+    Refused,
+    RunEnded,
+    TimePassed,
+    WriteBucket,
+    WriteConflicted,
+    WriteUnanswered,
+)
+from tamarackrill.decisions.claims import (
+    Claims,
+    find_router_to_ask,
+    may_send,
+    next_due_s,
+    step,
+)
+from tamarackrill.events import CLAIM_GRANTED, CLAIM_HELD, CLAIM_UNANSWERED, log_event
+from tamarackrill.exceptions import PlatformUnavailable, Refusal
 from tamarackrill.router.calls import Call
+from tamarackrill.router.platform_client import PlatformClient, PlatformObject
+from tamarackrill.router.replies import Reply
+
+# A clock that was set back must not put off the timer by as much.
+TIMER_MAX_S = 1.0
+
+
+class HeldElsewhere(Refusal):
+    """Another live router holds the claim; it has the run or the answer.
+
+    Parameters
+    ----------
+    router : str
+        Name of that router.
+    """
+
+    def __init__(self, router: str) -> None:
+        message = "the request runs or ran at another router"
+        super().__init__("claim_held", 409, message, "unknown")
+        self.router = router
 
 
 class Claimer:
-    """Owns the claims of this router."""
+    """Owns the claims of this router.
+
+    Parameters
+    ----------
+    claims : Claims
+        State of the decisions.
+    platform : PlatformClient
+        Not owned.
+    list_live : callable
+        Names of the routers believed to be live.
+    wall_clock : callable
+        Wall-clock time; the expiry of claims is compared between VMs.
+    """
+
+    def __init__(
+        self,
+        claims: Claims,
+        platform: PlatformClient,
+        list_live: Callable[[], list[str]],
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._claims = claims
+        self._platform = platform
+        self._list_live = list_live
+        self._wall_clock = wall_clock
+        self._asked: dict[int, asyncio.Future[Granted | Held | Refused]] = {}
+        self._requests = 0
+        self._grants: dict[str, Granted] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._calls: set[asyncio.Task[None]] = set()
 
     async def claim(self, call: Call, now_s: float) -> None:
-        """Return when the call may be sent.
+        """Return when the call may be sent; at once if it is idempotent.
+
+        Parameters
+        ----------
+        call : Call
+            The call.
+        now_s : float
+            Present time on the clock of the call's deadline.
 
         Raises
         ------
+        HeldElsewhere
+            If another live router holds the claim.
         Refusal
-            ``unknown`` if another attempt holds the claim, ``not_run`` if no
-            claim can be made.
+            ``unknown`` if another attempt holds the claim, ``not_run`` if no claim
+            can be made.
         """
-        if not call.idempotent:
-            raise Refusal("claims_missing", 503, "claims are not built yet")
+        if call.idempotent:
+            return
+        self._requests += 1
+        request = self._requests
+        outcome: asyncio.Future[Granted | Held | Refused]
+        outcome = asyncio.get_running_loop().create_future()
+        self._asked[request] = outcome
+        key_hash = hash_claim_key(call.team, call.key)
+        wall_s = self._wall_clock()
+        deadline_s = wall_s + call.deadline_s - now_s
+        self._step(ClaimRequested(request, key_hash, deadline_s))
+        action = await outcome
+        if isinstance(action, Refused):
+            raise _build_refusal(action)
+        if isinstance(action, Held):
+            raise self._refuse_held(call, action)
+        self._grants[call.request_id] = action
+        log_event(
+            CLAIM_GRANTED,
+            team=call.team,
+            chat=call.chat,
+            attempt=action.attempt,
+            wait_s=self._wall_clock() - wall_s,
+        )
 
-    def check(self, call: Call, now_s: float) -> None:
-        """Raise a refusal if a claim that was granted is too old to send on."""
+    def check(self, call: Call) -> None:
+        """Raise a refusal unless the call may be sent this instant.
+
+        Raises
+        ------
+        Refusal
+            ``not_run`` if the claim that was granted is too old to send on.
+        """
+        if call.idempotent:
+            return
+        grant = self._grants.get(call.request_id)
+        if grant is None or not may_send(grant, self._wall_clock()):
+            message = "the deadline passed before the request was sent"
+            raise Refusal("deadline_passed", 504, message)
 
-    async def settle(self, call: Call, answered: bool, now_s: float) -> None:
+    def settle(self, call: Call, reply: Reply) -> None:
         """Record on the platform how a claimed call ended."""
+        grant = self._grants.pop(call.request_id, None)
+        if grant is None:
+            return
+        refusal = reply.refusal
+        if refusal is not None and refusal.run == "not_run":
+            self._step(RunEnded(grant.key_hash, grant.attempt, sent=False))
+        elif refusal is None and reply.is_finished:
+            self._step(RunEnded(grant.key_hash, grant.attempt, sent=True))
+        # Else the outcome is unknown, and the claim stands as it is.
+
+    async def stop(self) -> None:
+        """Cancel the timer and the calls to the platform."""
+        if self._timer is not None:
+            self._timer.cancel()
+        for task in self._calls:
+            task.cancel()
+        await asyncio.gather(*self._calls, return_exceptions=True)
+
+    def _refuse_held(self, call: Call, held: Held) -> Refusal:
+        router = find_router_to_ask(self._claims, held, self._list_live())
+        log_event(
+            CLAIM_HELD,
+            team=call.team,
+            chat=call.chat,
+            attempt=held.claim.attempt,
+            state=held.claim.state,
+            asked=router,
+        )
+        if router:
+            return HeldElsewhere(router)
+        if held.claim.state == "done":
+            message = "the request ran; its answer is no longer kept"
+            return Refusal("already_run", 409, message, "unknown")
+        message = "the router that claimed the request is gone; it may have run"
+        return Refusal("claim_orphaned", 409, message, "unknown")
+
+    def _step(self, message: Message) -> None:
+        now_s = self._wall_clock()
+        for action in step(self._claims, message, now_s):
+            self._carry_out(action)
+        self._set_timer(now_s)
+
+    def _carry_out(self, action: Action) -> None:
+        if isinstance(action, ReadBucket):
+            self._start(self._read(action))
+        elif isinstance(action, WriteBucket):
+            self._start(self._write(action))
+        else:
+            outcome = self._asked.pop(action.request)
+            if not outcome.done():
+                outcome.set_result(action)
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    async def _read(self, action: ReadBucket) -> None:
+        try:
+            found = await self._platform.get(CLAIM_KIND, action.bucket)
+        except PlatformUnavailable:
+            self._step(ReadFailed(action.bucket))
+            return
+        self._step(BucketRead(action.bucket, *_open(found)))
+
+    async def _write(self, action: WriteBucket) -> None:
+        value = write_entries(action.entries)
+        expected = action.expected_version or None
+        try:
+            result = await self._platform.put(
+                CLAIM_KIND, action.bucket, value, expected
+            )
+        except PlatformUnavailable as error:
+            log_event(CLAIM_UNANSWERED, bucket=action.bucket, reason=str(error))
+            self._step(WriteUnanswered(action.bucket))
+            return
+        if result.version is not None:
+            self._step(BucketWritten(action.bucket, result.version))
+        else:
+            self._step(WriteConflicted(action.bucket, *_open(result.current)))
+
+    def _set_timer(self, now_s: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        due_s = next_due_s(self._claims)
+        if due_s is not None:
+            wait_s = min(TIMER_MAX_S, max(0.0, due_s - now_s))
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(wait_s, self._step, TimePassed())
+
+
+def _open(found: PlatformObject | None) -> tuple[int, Entries]:
+    if found is None:
+        return 0, {}
+    return found.version, read_entries(found.value)
+
+
+def _build_refusal(action: Refused) -> Refusal:
+    status, message = _REFUSALS[action.code]
+    return Refusal(action.code, status, message, "not_run", action.retry_after_s)
+
+
+_REFUSALS = {
+    "platform_unavailable": (503, "no claim can be made while the platform is down"),
+    "claim_timeout": (503, "the platform was too slow for a claim"),
+    "claims_busy": (503, "too many requests wait for a claim"),
+    "claims_contended": (503, "too many routers write the same claims"),
+    "claims_full": (503, "no room for another claim"),
+    "deadline_passed": (504, "the deadline passed before the request was sent"),
+}
--- a/src/tamarackrill/router/flow.py
+++ b/src/tamarackrill/router/flow.py
@@ -72,7 +72,7 @@
         known = self._chats.find(call, self._clock())
         if known is not None:
             return known
-        reply = Reply(keep=bool(call.key))
+        reply = Reply(keep=self._chats.can_be_joined(call))
         self._chats.register(call, reply, self._clock())
         task = asyncio.create_task(self._run(call, reply))
         self._runs.add(task)
@@ -99,7 +99,7 @@
             raise
         finally:
             self._chats.close(call, reply, self._clock())
-            await self._claimer.settle(call, reply.is_whole, self._clock())
+            self._claimer.settle(call, reply)
 
     def _refuse(self, call: Call, reply: Reply, refusal: Refusal) -> None:
         self._metrics.count_refusal(refusal.code)
@@ -196,7 +196,7 @@
         self, call: Call, reply: Reply, placed: Placed, is_last: bool
     ) -> Attempt:
         endpoint: Endpoint = placed.endpoint
-        self._claimer.check(call, self._clock())
+        self._claimer.check(call)
         self._placer.start(call, endpoint, self._clock())
         attempt = Attempt("cut")
         try:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -36,7 +36,7 @@
 
 
 def other_claim(now_s, expires_s=5000.0):
-    return {KEY: claims.Claim("r2/b/1", "claimed", now_s + expires_s)}
+    return {KEY: claim_buckets.Claim("r2/b/1", "claimed", now_s + expires_s)}
 
 
 def test_claims_of_some_milliseconds_go_in_one_write():
