--- a/src/tamarackrill/decisions/claims.py
+++ b/src/tamarackrill/decisions/claims.py
@@ -14,15 +14,13 @@
 the expiry of claims is compared between VMs.
 """
 
-from collections.abc import Callable
-from typing import NamedTuple
+from collections.abc import Collection
 
 from tamarackrill.decisions.claim_buckets import (
     CLAIM_KEPT_S,
     CLOCK_SKEW_MAX_S,
     AddClaim,
     Change,
-    Claim,
     DropClaim,
     Entries,
     MarkDone,
@@ -31,6 +29,22 @@
     format_attempt,
     merge_changes,
 )
+from tamarackrill.decisions.claim_messages import (
+    Action,
+    BucketRead,
+    BucketWritten,
+    ClaimRequested,
+    Granted,
+    Held,
+    Message,
+    ReadBucket,
+    ReadFailed,
+    Refused,
+    RunEnded,
+    TimePassed,
+    WriteBucket,
+    WriteConflicted,
+)
 
 GATHER_S = 0.02
 """How long claims of one bucket are gathered for one write.  A router writes a bucket
@@ -59,115 +73,6 @@
 RETRY_FULL_S = 60.0
 
 
-class ClaimRequested(NamedTuple):
-    """A non-idempotent request came in."""
-
-    request: int
-    key_hash: str
-    deadline_s: float
-
-
-class RunEnded(NamedTuple):
-    """The attempt's run is over; `sent` if a byte may have reached an endpoint."""
-
-    key_hash: str
-    attempt: str
-    sent: bool
-
-
-class BucketRead(NamedTuple):
-    """The platform answered a read; version 0 means that there is no object."""
-
-    bucket: str
-    version: int
-    entries: Entries
-
-
-class ReadFailed(NamedTuple):
-    """The platform did not answer a read."""
-
-    bucket: str
-
-
-class BucketWritten(NamedTuple):
-    """The platform accepted a write."""
-
-    bucket: str
-    version: int
-
-
-class WriteConflicted(NamedTuple):
-    """A write met another version; with the bucket as it stands there."""
-
-    bucket: str
-    version: int
-    entries: Entries
-
-
-class WriteUnanswered(NamedTuple):
-    """Whether a write took effect is unknown."""
-
-    bucket: str
-
-
-class TimePassed(NamedTuple):
-    """The time that `next_due_s` named has come."""
-
-
-Message = (
-    ClaimRequested
-    | RunEnded
-    | BucketRead
-    | ReadFailed
-    | BucketWritten
-    | WriteConflicted
-    | WriteUnanswered
-    | TimePassed
-)
-
-
-class ReadBucket(NamedTuple):
-    """Read a bucket from the platform."""
-
-    bucket: str
-
-
-class WriteBucket(NamedTuple):
-    """Write a bucket if its version is still `expected_version` (0: no object)."""
-
-    bucket: str
-    expected_version: int
-    entries: Entries
-
-
-class Granted(NamedTuple):
-    """The request may be sent, once, while `may_send` says so."""
-
-    request: int
-    key_hash: str
-    attempt: str
-    send_until_s: float
-
-
-class Held(NamedTuple):
-    """Another attempt holds the key; this request must not be sent."""
-
-    request: int
-    key_hash: str
-    claim: Claim
-
-
-class Refused(NamedTuple):
-    """The request gets no claim and was not sent."""
-
-    request: int
-    code: str
-    retry_after_s: float
-
-
-Action = ReadBucket | WriteBucket | Granted | Held | Refused
-
-
 class Bucket:
     """What one router knows of one bucket and wants of it."""
 
@@ -261,25 +166,16 @@
     )
 
 
-def is_own(claims: Claims, claim: Claim) -> bool:
-    """Return whether this incarnation of this router made a claim."""
-    return find_holder(claim.attempt) == (claims.router, claims.incarnation)
-
-
-def find_live_holder(
-    claim: Claim, find_incarnation: Callable[[str], str | None]
+def find_router_to_ask(
+    claims: Claims, held: Held, live_routers: Collection[str]
 ) -> str:
-    """Return the router that still runs a claimed request, or an empty string.
+    """Return the live router that made a claim, or an empty string.
 
-    Parameters
-    ----------
-    claim : Claim
-        The claim that was found.
-    find_incarnation : callable
-        Gives the incarnation of a live router by its name, or None.
+    That router runs the request or keeps its answer.  Without one, or if this router
+    itself made the claim and knows nothing of it any more, the outcome is unknown.
     """
-    router, incarnation = find_holder(claim.attempt)
-    return router if find_incarnation(router) == incarnation else ""
+    router, _ = find_holder(held.claim.attempt)
+    return router if router != claims.router and router in live_routers else ""
 
 
 def _list_dues(claims: Claims, bucket: Bucket) -> list[float]:
@@ -355,10 +251,7 @@
 ) -> list[Action]:
     _requeue(bucket)
     _learn(bucket, message.version, message.entries)
-    if bucket.writes < WRITES_MAX:
-        return _merge(claims, bucket, now_s)
-    refused = _refuse_all(bucket, now_s, "claims_contended", RETRY_BUSY_S)
-    return refused + _settle(claims, bucket, now_s)
+    return _merge(claims, bucket, now_s)
 
 
 def _take_written(
@@ -418,10 +311,13 @@
 
 def _merge(claims: Claims, bucket: Bucket, now_s: float) -> list[Action]:
     merge = merge_changes(bucket.entries, bucket.queue, now_s)
-    if merge.held and not bucket.is_fresh:
+    if (merge.held or merge.full) and not bucket.is_fresh:
         # The holder may have dropped its claim since this router last looked; the
         # caller would be told "unknown" of a request that never ran.
         return _read(bucket)
+    if merge.changed and bucket.writes >= WRITES_MAX:
+        refused = _refuse_all(bucket, now_s, "claims_contended", RETRY_BUSY_S)
+        return refused + _settle(claims, bucket, now_s)
     settled = {id(change) for change in (*merge.own, *merge.full, *merge.later)}
     settled.update(id(change) for change, _ in merge.held)
     going = [change for change in bucket.queue if id(change) not in settled]
