--- /dev/null
+++ b/src/tamarackrill/protocol/owners.thrift
@@ -0,0 +1,27 @@
+// Messages between the home router of a call and the owner of an endpoint, in
+// Thrift's compact form over UDP.  Field numbers are never used again.
+
+struct Ask {
+  1: string sender
+  2: i64 ticket
+  3: string endpoint
+  4: i32 lapses_ms
+  5: bool is_last
+}
+
+struct Answer {
+  1: i64 ticket
+  2: bool is_granted
+  3: i32 in_flight
+}
+
+struct Release {
+  1: string sender
+  2: i64 ticket
+}
+
+union OwnerMessage {
+  1: Ask ask
+  2: Answer answer
+  3: Release release
+}
--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -25,11 +25,13 @@
 from tamarackrill.router.chats import Chats
 from tamarackrill.router.claiming import Claimer
 from tamarackrill.router.configuring import KINDS, Configurer
+from tamarackrill.router.datagrams import PeerSocket
 from tamarackrill.router.flow import Flow
 from tamarackrill.router.known_objects import KnownObjects
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.orders import EngineOrderer, Fleet
+from tamarackrill.router.owners import Owners
 from tamarackrill.router.placing import Placer
 from tamarackrill.router.platform_client import PlatformClient
 from tamarackrill.router.probing import Prober
@@ -77,8 +79,16 @@
         settings = self.settings
         sockets = bind_sockets(settings.port, settings.address)
         self.address = f"{settings.address}:{sockets[0].getsockname()[1]}"
-        self.peer_address = f"{settings.address}:{settings.peer_port}"
-        own = Member(settings.name, self.address, settings.zone)
+        self._peer_socket = PeerSocket()
+        self.peer_address = await self._peer_socket.start(
+            settings.address, settings.peer_port
+        )
+        own = Member(
+            settings.name,
+            self.address,
+            settings.zone,
+            peer_address=self.peer_address,
+        )
         self.members = Members(own)
         self._endpoint_client = make_client()
         self._router_client = make_client()
@@ -86,7 +96,19 @@
         self.platform = PlatformClient(
             settings.platform, settings.zone, self._platform_client
         )
-        self.placer = Placer(self.list_endpoints, settings.load_bound, settings.zone)
+        self.owners = Owners(
+            self.members,
+            settings.load_bound,
+            self.list_endpoints,
+            self._peer_socket.send,
+            settings.peer_keys,
+            self.clock,
+        )
+        self._peer_socket.handlers.append(self.owners.take_datagram)
+        self._tasks.append(asyncio.create_task(self.owners.run()))
+        self.placer = Placer(
+            self.list_endpoints, settings.load_bound, settings.zone, self.owners
+        )
         self.admitter = Admitter(
             lambda call: self.placer.count_free(call, self.clock()),
             settings.queue_max,
@@ -164,6 +186,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.orderer.stop()
         await self.configurer.stop()
+        self._peer_socket.stop()
         self._endpoint_client.close()
         self._router_client.close()
         self._platform_client.close()
@@ -246,7 +269,9 @@
                 vms = await self.platform.list_vms()
                 self.members.replace(
                     [
-                        Member(vm.name, vm.address, vm.zone)
+                        Member(
+                            vm.name, vm.address, vm.zone, peer_address=vm.peer_address
+                        )
                         for vm in vms
                         if vm.peer_address and vm.state == "live"
                     ]
--- /dev/null
+++ b/src/tamarackrill/router/datagrams.py
@@ -0,0 +1,49 @@
+"""The UDP socket on which routers talk to each other."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+Handler = Callable[[bytes], bool]
+
+
+class PeerSocket(asyncio.DatagramProtocol):
+    """Owns the socket; hands each datagram to the handler that knows its kind.
+
+    A handler returns whether the datagram was for it.  Handlers are added to
+    `handlers` before `start`.
+    """
+
+    def __init__(self) -> None:
+        self.handlers: list[Handler] = []
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def start(self, address: str, port: int) -> str:
+        """Bind the socket and return its ``host:port``."""
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(address, port)
+        )
+        self._transport = transport
+        return f"{address}:{transport.get_extra_info('sockname')[1]}"
+
+    def send(self, peer_address: str, datagram: bytes) -> None:
+        """Send a datagram; one that can't be sent is lost, as on the network."""
+        host, _, port = peer_address.rpartition(":")
+        if self._transport is not None and port.isdigit():
+            self._transport.sendto(datagram, (host, int(port)))
+
+    def stop(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+            self._transport = None
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        """Hand a datagram on."""
+        for handler in self.handlers:
+            if handler(data):
+                return
+
+    def error_received(self, exc: Exception) -> None:
+        """Pass over the error of an earlier send; whoever waits has a timeout."""
--- a/src/tamarackrill/router/flow.py
+++ b/src/tamarackrill/router/flow.py
@@ -160,21 +160,26 @@
             refusal.run = "unknown" if sent else refusal.run
             raise
         attempt = Attempt("not_sent")
+        placed: Placed | None = None
         try:
-            placed = self._place(call, avoid, self._clock() - arrived_s, sent)
+            placed = await self._place(call, avoid, self._clock() - arrived_s, sent)
             attempt = await self._attempt(call, reply, placed, is_last)
             return placed, attempt
         finally:
+            if placed is not None:
+                self._placer.release(placed)
             self._admitter.leave(call, attempt, self._clock())
 
-    def _place(self, call: Call, avoid: list[str], wait_s: float, sent: bool) -> Placed:
+    async def _place(
+        self, call: Call, avoid: list[str], wait_s: float, sent: bool
+    ) -> Placed:
         now_s = self._clock()
         # A router that was frozen while the call waited wakes up with an old
         # decision.  The caller has given up by then and may have asked elsewhere.
         run: RunState = "unknown" if sent else "not_run"
         if now_s >= call.deadline_s:
             raise Refusal("too_late", 504, "the deadline has passed", run)
-        placed = self._placer.choose(call, avoid, now_s)
+        placed = await self._placer.place(call, avoid, now_s)
         if placed is None:
             raise Refusal("no_endpoint", 503, "no endpoint can take the call", run)
         self._metrics.record_wait(call.kind, wait_s)
--- a/src/tamarackrill/router/members.py
+++ b/src/tamarackrill/router/members.py
@@ -10,6 +10,7 @@
     address: str
     zone: str
     state: str = "alive"
+    peer_address: str = ""
 
 
 class Members:
--- /dev/null
+++ b/src/tamarackrill/router/owners.py
@@ -0,0 +1,202 @@
+"""Asks the owners of endpoints for reservations, and answers for those owned here."""
+
+import asyncio
+import itertools
+import secrets
+from collections.abc import Callable
+from typing import NamedTuple
+
+from tamarackrill.contracts import Endpoint
+from tamarackrill.decisions.loads import EndpointLoad
+from tamarackrill.decisions.reservations import (
+    ASK_TIMEOUT_S,
+    Grant,
+    Reservations,
+    find_owner,
+)
+from tamarackrill.protocol.owner_codec import (
+    Answer,
+    Ask,
+    OwnerMessage,
+    Release,
+    decode_owner_message,
+    encode_owner_message,
+)
+from tamarackrill.router.members import Member, Members
+
+EXPIRE_EVERY_S = 1.0
+TICKET_BITS = 48
+
+
+class Ticket(NamedTuple):
+    """A reservation that was granted; `owner` is empty for one that nobody counts."""
+
+    owner: str
+    number: int
+
+
+UNCOUNTED = Ticket("", 0)
+
+
+class Owners:
+    """Reservations of this router, as a home and as an owner.
+
+    Parameters
+    ----------
+    members : Members
+        Live routers.
+    load_factor : float
+        Multiple of the mean load that no endpoint exceeds.
+    list_endpoints : callable
+        Returns all endpoints known now.
+    send : callable
+        Sends a datagram to a peer address.
+    peer_keys : tuple of str
+        Keys shared by the routers.
+    clock : callable
+        Returns the present time.
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        load_factor: float,
+        list_endpoints: Callable[[], list[Endpoint]],
+        send: Callable[[str, bytes], None],
+        peer_keys: tuple[str, ...],
+        clock: Callable[[], float],
+    ) -> None:
+        self._members = members
+        self._list_endpoints = list_endpoints
+        self._send = send
+        self._peer_keys = peer_keys
+        self._clock = clock
+        # A router that restarts under its name must not meet the tickets that it had
+        # before: an ask would pass for a repeated one and not be counted.
+        self._numbers = itertools.count(secrets.randbits(TICKET_BITS))
+        self._waiting: dict[int, asyncio.Future[Grant]] = {}
+        self.reservations = Reservations(load_factor)
+
+    async def run(self) -> None:
+        """End reservations that have lapsed or whose router is gone."""
+        live: set[str] = set()
+        while True:
+            now_s = self._clock()
+            names = {member.name for member in self._members.list_live()}
+            for name in live - names:
+                self.reservations.release_router(name, now_s)
+            live = names
+            self.reservations.expire(now_s)
+            await asyncio.sleep(EXPIRE_EVERY_S)
+
+    async def reserve(
+        self, endpoint: Endpoint, lapses_s: float, is_last: bool
+    ) -> tuple[Grant | None, Ticket]:
+        """Ask the owner of an endpoint for a reservation.
+
+        Returns
+        -------
+        grant : Grant or None
+            None if the owner did not answer in time.
+        ticket : Ticket
+            For `release`.
+        """
+        number = next(self._numbers)
+        owner = self._find_owner(endpoint)
+        own = self._members.own.name
+        ask = Ask(own, number, endpoint.name, int(lapses_s * 1000), is_last)
+        if owner.name == own:
+            return self._decide(ask), Ticket(own, number)
+        future: asyncio.Future[Grant] = asyncio.get_running_loop().create_future()
+        self._waiting[number] = future
+        self._send_message(owner, ask)
+        ticket = Ticket(owner.name, number)
+        try:
+            return await asyncio.wait_for(future, ASK_TIMEOUT_S), ticket
+        except TimeoutError:
+            # The ask may have been granted and only its answer lost.
+            self.release(ticket)
+            return None, UNCOUNTED
+        finally:
+            del self._waiting[number]
+
+    def release(self, ticket: Ticket) -> None:
+        """End a reservation."""
+        own = self._members.own.name
+        if ticket.owner == own:
+            self.reservations.release(_name_request(own, ticket.number), self._clock())
+            return
+        for member in self._members.list_all():
+            if member.name == ticket.owner:
+                self._send_message(member, Release(own, ticket.number))
+
+    def take_datagram(self, datagram: bytes) -> bool:
+        """Handle a datagram; return whether it was one between owners."""
+        message = decode_owner_message(datagram, self._peer_keys)
+        if isinstance(message, Ask):
+            self._answer(message)
+        elif isinstance(message, Answer):
+            future = self._waiting.get(message.ticket)
+            if future is not None and not future.done():
+                future.set_result(Grant(message.is_granted, message.in_flight))
+        elif isinstance(message, Release):
+            request = _name_request(message.sender, message.ticket)
+            self.reservations.release(request, self._clock())
+        return message is not None
+
+    def list_owned(self) -> list[Endpoint]:
+        """Return the endpoints that this router owns."""
+        own = self._members.own.name
+        return [e for e in self._list_endpoints() if self._find_owner(e).name == own]
+
+    def digest(self) -> list[EndpointLoad]:
+        """Return the loads of the endpoints owned here, for the gossip."""
+        names = [endpoint.name for endpoint in self.list_owned()]
+        return self.reservations.digest(names, self._clock())
+
+    def _answer(self, ask: Ask) -> None:
+        grant = self._decide(ask)
+        for member in self._members.list_live():
+            if member.name == ask.sender and grant is not None:
+                self._send_message(member, Answer(ask.ticket, *grant))
+
+    def _decide(self, ask: Ask) -> Grant | None:
+        now_s = self._clock()
+        endpoints = {endpoint.name: endpoint for endpoint in self._list_endpoints()}
+        endpoint = endpoints.get(ask.endpoint)
+        # This router may not have heard of the endpoint yet; the home then goes by
+        # its own estimate rather than leaving a new endpoint idle.
+        if endpoint is None:
+            return None
+        return self.reservations.reserve(
+            _name_request(ask.sender, ask.ticket),
+            endpoint,
+            self._list_pool(endpoint),
+            ask.sender,
+            now_s + ask.lapses_ms / 1000,
+            now_s,
+            ask.is_last,
+        )
+
+    def _list_pool(self, endpoint: Endpoint) -> list[Endpoint]:
+        return [
+            other
+            for other in self._list_endpoints()
+            if other.kind == endpoint.kind and set(other.serves) & set(endpoint.serves)
+        ]
+
+    def _find_owner(self, endpoint: Endpoint) -> Member:
+        routers = {member.name: member for member in self._members.list_live()}
+        if not routers:
+            return self._members.own
+        pool_size = len(self._list_pool(endpoint))
+        return routers[find_owner(endpoint, pool_size, sorted(routers))]
+
+    def _send_message(self, member: Member, message: OwnerMessage) -> None:
+        if member.peer_address:
+            datagram = encode_owner_message(message, self._peer_keys)
+            self._send(member.peer_address, datagram)
+
+
+def _name_request(router: str, number: int) -> str:
+    return f"{router}/{number}"
--- a/src/tamarackrill/router/placing.py
+++ b/src/tamarackrill/router/placing.py
@@ -6,8 +6,10 @@
 from tamarackrill.contracts import Endpoint
 from tamarackrill.decisions.health import Health
 from tamarackrill.decisions.poison import CRASHES_MAX, Poison, shorten_fingerprint
+from tamarackrill.decisions.reservations import ASKS_MAX, must_ask
 from tamarackrill.decisions.routing import (
     LOAD_FACTOR_DEFAULT,
+    Choice,
     Placement,
     PlacementRequest,
 )
@@ -18,6 +20,7 @@
     log_event,
 )
 from tamarackrill.router.calls import Call
+from tamarackrill.router.owners import UNCOUNTED, Owners, Ticket
 
 # Prompts are mostly English or Welsh text, at about four bytes a token; only their
 # order of size matters, between two engines that hold parts of the same chat.
@@ -27,11 +30,12 @@
 
 
 class Placed(NamedTuple):
-    """An endpoint that was chosen, and why."""
+    """An endpoint that was chosen, why, and the reservation there."""
 
     endpoint: Endpoint
     reason: str
     runners_up: tuple[str, ...]
+    ticket: Ticket = UNCOUNTED
 
 
 class Placer:
@@ -45,6 +49,8 @@
         Multiple of the mean load that no endpoint exceeds.
     zone : str, optional
         Availability zone of this router, and so of its callers.
+    owners : Owners, optional
+        Where reservations are made; without it the estimate alone decides.
     """
 
     def __init__(
@@ -52,8 +58,10 @@
         list_endpoints: Callable[[], list[Endpoint]],
         load_factor: float = LOAD_FACTOR_DEFAULT,
         zone: str = "",
+        owners: Owners | None = None,
     ) -> None:
         self._list_endpoints = list_endpoints
+        self._owners = owners
         self._zone = zone
         self._known: set[str] = set()
         self.placement = Placement(load_factor)
@@ -89,7 +97,9 @@
             for endpoint, load in zip(allowed, loads, strict=True)
         )
 
-    def choose(self, call: Call, avoid: Collection[str], now_s: float) -> Placed | None:
+    async def place(
+        self, call: Call, avoid: Collection[str], now_s: float
+    ) -> Placed | None:
         """Return where the call should go, or None if no endpoint can take it.
 
         Raises
@@ -97,20 +107,86 @@
         Refusal
             If the call has crashed too many endpoints.
         """
+        allowed = self._list_allowed(call, now_s)
+        refused = set(avoid)
+        for _ in range(ASKS_MAX - 1):
+            choice = self._choose(call, allowed, refused, now_s)
+            if choice is None:
+                break
+            if not self._needs_owner(choice, len(allowed)):
+                return Placed(choice.endpoint, choice.reason, choice.runners_up)
+            placed = await self._reserve(call, choice, now_s)
+            if placed is not None:
+                return placed
+            refused.add(choice.endpoint.name)
+        if refused == set(avoid):
+            return None
+        # All that were asked refused, by means that lag behind a burst.
+        last = self._choose_emptiest(allowed, avoid, now_s)
+        return await self._reserve(call, last, now_s, is_last=True) if last else None
+
+    def release(self, placed: Placed) -> None:
+        """End the reservation of a call, whose attempts are over."""
+        if self._owners is not None and placed.ticket != UNCOUNTED:
+            self._owners.release(placed.ticket)
+
+    def _choose(
+        self,
+        call: Call,
+        allowed: list[Endpoint],
+        refused: Collection[str],
+        now_s: float,
+    ) -> Choice | None:
         fingerprint = shorten_fingerprint(call.fingerprint)
         self.poison.check(fingerprint, now_s)
-        allowed = self._list_allowed(call, now_s)
         names = [endpoint.name for endpoint in allowed]
         shares = self.health.find_shares(names, now_s)
         request = _make_request(call, self._zone)
-        suspected = self.poison.find_avoided(fingerprint, now_s).union(avoid)
+        suspected = self.poison.find_avoided(fingerprint, now_s).union(refused)
+        choice = self.placement.choose(request, allowed, now_s, shares, suspected)
+        if choice is not None:
+            return choice
         # A suspect that nobody can take apart from others still has to run: with one
         # engine left it would otherwise be refused for that engine's own crash.
-        for refused in (suspected, avoid):
-            choice = self.placement.choose(request, allowed, now_s, shares, refused)
-            if choice is not None:
-                return Placed(choice.endpoint, choice.reason, choice.runners_up)
-        return None
+        return self.placement.choose(request, allowed, now_s, shares, refused)
+
+    def _choose_emptiest(
+        self, allowed: list[Endpoint], avoid: Collection[str], now_s: float
+    ) -> Choice | None:
+        names = [endpoint.name for endpoint in allowed]
+        loads = self.placement.loads.estimate(names, now_s)
+        open_ones = [
+            (load, endpoint.name, endpoint)
+            for load, endpoint in zip(loads, allowed, strict=True)
+            if endpoint.name not in avoid and load < endpoint.slots
+        ]
+        return Choice(min(open_ones)[2], "emptiest") if open_ones else None
+
+    def _needs_owner(self, choice: Choice, pool_size: int) -> bool:
+        is_engine = choice.endpoint.kind == "engine"
+        return self._owners is not None and is_engine and must_ask(choice, pool_size)
+
+    async def _reserve(
+        self, call: Call, choice: Choice, now_s: float, is_last: bool = False
+    ) -> Placed | None:
+        assert self._owners is not None
+        name = choice.endpoint.name
+        # The call counts while the owner is asked.  Otherwise its slot would be taken
+        # for free and the next call admitted to it.
+        self.placement.loads.start(name, now_s)
+        lapses_s = max(0.0, call.deadline_s - now_s)
+        try:
+            grant, ticket = await self._owners.reserve(
+                choice.endpoint, lapses_s, is_last
+            )
+        finally:
+            self.placement.loads.finish(name, now_s)
+        if grant is not None:
+            others = grant.in_flight - grant.is_granted
+            self.placement.observe_report(name, others, now_s, now_s)
+            if not grant.is_granted:
+                return None
+        return Placed(choice.endpoint, choice.reason, choice.runners_up, ticket)
 
     def start(self, call: Call, endpoint: Endpoint, now_s: float) -> None:
         """Count a call as running."""
