--- a/src/tamarackrill/router/placing.py
+++ b/src/tamarackrill/router/placing.py
@@ -125,6 +125,20 @@
         last = self._choose_emptiest(allowed, avoid, now_s)
         return await self._reserve(call, last, now_s, is_last=True) if last else None
 
+    def choose(self, call: Call, avoid: Collection[str], now_s: float) -> Placed | None:
+        """Return where the call would go by this router's estimate; for queries.
+
+        Raises
+        ------
+        Refusal
+            If the call has crashed too many endpoints.
+        """
+        allowed = self._list_allowed(call, now_s)
+        choice = self._choose(call, allowed, avoid, now_s)
+        if choice is None:
+            return None
+        return Placed(choice.endpoint, choice.reason, choice.runners_up)
+
     def release(self, placed: Placed) -> None:
         """End the reservation of a call, whose attempts are over."""
         if self._owners is not None and placed.ticket != UNCOUNTED:
