--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -2,22 +2,16 @@
 
 import asyncio
 import time
+import uuid
 from typing import Any
 
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
-from tamarackrill.contracts import (
-    CONTRACT_KIND,
-    ENDPOINT_KIND,
-    Contract,
-    Endpoint,
-    read_contract,
-    read_endpoint,
-)
+from tamarackrill.contracts import Contract, Endpoint
 from tamarackrill.decisions.configuration import ConfigurationStore, ObjectVersion
-from tamarackrill.decisions.hashing import rendezvous_order
+from tamarackrill.decisions.leases import LeaseTiming
 from tamarackrill.events import (
     ROUTER_LEAVING,
     ROUTER_STARTED,
@@ -29,12 +23,16 @@
 from tamarackrill.router.callers import Front, OpenCalls, make_front
 from tamarackrill.router.chats import Chats
 from tamarackrill.router.claiming import Claimer
-from tamarackrill.router.configuring import Configurer
+from tamarackrill.router.configuring import KINDS, Configurer
+from tamarackrill.router.explaining import Question, explain
 from tamarackrill.router.flow import Flow
+from tamarackrill.router.known_objects import KnownObjects
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.metrics import Metrics
+from tamarackrill.router.orders import EngineOrderer, Fleet
 from tamarackrill.router.placing import Placer
 from tamarackrill.router.platform_client import PlatformClient
+from tamarackrill.router.probing import Prober
 from tamarackrill.router.upstream import make_client
 from tamarackrill.settings import Settings
 
@@ -70,8 +68,7 @@
         self.store = ConfigurationStore()
         self.metrics = Metrics()
         self.open_calls = OpenCalls()
-        self._contracts: dict[str, Contract] = {}
-        self._endpoints: dict[str, Endpoint] = {}
+        self.known = KnownObjects()
         self._leaving = False
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -89,8 +86,12 @@
         self.platform = PlatformClient(
             settings.platform, settings.zone, self._platform_client
         )
-        self.placer = Placer(self.list_endpoints)
-        self.admitter = Admitter(self.placer.count_free, settings.queue_max)
+        self.placer = Placer(self.list_endpoints, settings.load_bound, settings.zone)
+        self.admitter = Admitter(
+            lambda call: self.placer.count_free(call, self.clock()),
+            settings.queue_max,
+            self.clock,
+        )
         self.claimer = Claimer()
         self.flow = Flow(
             self._endpoint_client,
@@ -103,7 +104,25 @@
         )
         self.configurer = Configurer(self.store, self.platform, self._take_objects)
         await self.configurer.start()
+        self.orderer = EngineOrderer(
+            f"{settings.name}/{uuid.uuid4().hex}",
+            Fleet(self.members, self.list_contracts, self.list_endpoints),
+            self.platform,
+            self._router_client,
+            self.clock,
+            LeaseTiming(settings.lease_s, settings.lease_s / 2),
+        )
+        await self.orderer.start()
         self._tasks.append(asyncio.create_task(self._follow_vms()))
+        self._tasks.append(asyncio.create_task(self.admitter.run()))
+        prober = Prober(
+            self._endpoint_client,
+            self.placer,
+            self.list_endpoints,
+            self._wake_waiting,
+            self.clock,
+        )
+        self._tasks.append(asyncio.create_task(prober.run()))
         self._server = HTTPServer(
             make_front(self._make_front()),
             # The handler itself refuses a body that is too long, with a code.
@@ -143,6 +162,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.orderer.stop()
         await self.configurer.stop()
         self._endpoint_client.close()
         self._router_client.close()
@@ -153,11 +173,11 @@
 
     def list_contracts(self) -> list[Contract]:
         """Return the contracts in force."""
-        return list(self._contracts.values())
+        return self.known.list_contracts()
 
     def list_endpoints(self) -> list[Endpoint]:
         """Return the endpoints known now."""
-        return list(self._endpoints.values())
+        return self.known.list_endpoints()
 
     def describe(self) -> dict[str, Any]:
         """Return the status of this router, for queries."""
@@ -165,6 +185,10 @@
             "router": self.settings.name,
             "zone": self.settings.zone,
             "revision": self.store.revision,
+            # What `contract apply` waits for: the highest version of any kind would
+            # also rise with an endpoint, before the contract has arrived.
+            "complete": {kind: self.store.get_complete(kind) for kind in KINDS},
+            "faulty": [faulty._asdict() for faulty in self.known.list_faulty()],
             "state": "leaving" if self._leaving else "alive",
             "in_flight": self.open_calls.count,
             "waiting": self.admitter.describe(),
@@ -181,12 +205,16 @@
             "peer_address": self.peer_address,
         }
 
-    def explain(self, team: str, chat: str, model: str) -> dict[str, Any]:
-        """Return where a chat of a team would go, for queries."""
-        names = [member.name for member in self.members.list_live()]
-        homes = rendezvous_order(f"{team}\n{chat}", names, 3)
-        serving = [e.name for e in self.list_endpoints() if model in e.serves]
-        return {"homes": homes, "endpoints": serving}
+    def explain(self, question: Question) -> dict[str, Any]:
+        """Return where a call would go, for queries."""
+        found = explain(
+            question,
+            self.list_contracts(),
+            self.members.list_live(),
+            self.placer,
+            self.clock(),
+        )
+        return {"router": self.settings.name, **found}
 
     def _make_front(self) -> Front:
         return Front(
@@ -197,6 +225,7 @@
             self.open_calls,
             self.settings.body_max_bytes,
             self.settings.peer_keys,
+            self.known.find_holder,
             self.list_contracts,
             lambda: self._leaving,
             self.describe,
@@ -206,13 +235,14 @@
 
     def _take_objects(self, taken: list[ObjectVersion]) -> None:
         for item in taken:
-            if item.kind == CONTRACT_KIND:
-                _put(self._contracts, item, read_contract)
-            elif item.kind == ENDPOINT_KIND:
-                _put(self._endpoints, item, read_endpoint)
+            self.known.take(item)
+        self.placer.take_endpoints(self.clock())
         for endpoint in self.list_endpoints():
-            for pool in endpoint.serves:
-                self.admitter.wake(pool)
+            self._wake_waiting(endpoint)
+
+    def _wake_waiting(self, endpoint: Endpoint) -> None:
+        for pool in endpoint.serves:
+            self.admitter.wake(pool)
 
     async def _follow_vms(self) -> None:
         while True:
@@ -228,10 +258,3 @@
             except PlatformUnavailable:
                 pass
             await asyncio.sleep(VM_LIST_WAIT_S)
-
-
-def _put(known: dict[str, Any], item: ObjectVersion, read: Any) -> None:
-    if item.value is None:
-        known.pop(item.name, None)
-    else:
-        known[item.name] = read(item.value)
--- a/src/tamarackrill/router/calls.py
+++ b/src/tamarackrill/router/calls.py
@@ -4,7 +4,7 @@
 import hmac
 import json
 import uuid
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
 
 from tamarackrill.contracts import Contract, EndpointKind, hash_key
@@ -15,6 +15,7 @@
 HEADER_VALUE_MAX = 256
 TOKENS_DEFAULT = 256
 SERVICE_CALL_TOKENS = 1
+PRIORITY_MAX = 9
 
 # Headers of the connection, of the caller's own credentials, and of ours.
 _NOT_PASSED_ON = frozenset(
@@ -31,6 +32,7 @@
         "Authorization",
         "Proxy-Authorization",
         "Accept-Encoding",
+        "Request-Priority",
         "Request-Timeout-Ms",
         "Last-Event-Id",
         "Chat-Sequence",
@@ -76,6 +78,8 @@
         Latest time of the answer, on the clock of this router.
     size_tokens : int
         Expected cost.
+    priority : int
+        Higher goes first among the requests of the same team.
     fingerprint : str
         Hash of all that the endpoint would get.
     """
@@ -96,6 +100,7 @@
     after_event: int
     deadline_s: float
     size_tokens: int
+    priority: int
     fingerprint: str
 
     @property
@@ -110,27 +115,32 @@
         return f"{self.team}\n{name}" if name else ""
 
 
-def find_contract(contracts: Iterable[Contract], authorization: str) -> Contract:
+def find_contract(
+    find_holder: Callable[[str], Contract | None], authorization: str
+) -> Contract:
     """Return the contract whose key the caller holds.
 
+    Parameters
+    ----------
+    find_holder : callable
+        Returns the contract that holds a key, by the key's hash.
+    authorization : str
+        Header of the request.
+
     Raises
     ------
     Refusal
         ``unauthorized`` if no contract has it.
     """
     scheme, _, key = authorization.partition(" ")
-    found = None
     if scheme.lower() == "bearer" and key:
+        # Only the hash is looked up and compared.  How long that takes tells a caller
+        # something about a hash that it can't steer, and nothing about any key.
         digest = hash_key(key.strip())
-        # Every hash is compared, each in constant time: a caller who measured how
-        # long a wrong key takes would otherwise learn how much of one is right.
-        for contract in contracts:
-            for known in contract.key_hashes:
-                if hmac.compare_digest(known, digest):
-                    found = contract
-    if found is None:
-        raise Refusal("unauthorized", 401, "the key is absent or not known")
-    return found
+        found = find_holder(digest)
+        if found and any(hmac.compare_digest(h, digest) for h in found.key_hashes):
+            return found
+    raise Refusal("unauthorized", 401, "the key is absent or not known")
 
 
 def read_call(
@@ -200,6 +210,7 @@
         after_event=_read_integer(headers, "Last-Event-ID", 0, 1 << 53) or 0,
         deadline_s=now_s + _read_timeout(contract, headers),
         size_tokens=size_tokens,
+        priority=_read_priority(contract, headers),
         fingerprint=_fingerprint(contract.team, pool, method, onward_path, body),
     )
 
@@ -281,6 +292,11 @@
     return min(asked_ms / 1000, contract.deadline_max_s)
 
 
+def _read_priority(contract: Contract, headers: Mapping[str, str]) -> int:
+    asked = _read_integer(headers, "Request-Priority", 0, PRIORITY_MAX)
+    return contract.priority if asked is None else asked
+
+
 def _fingerprint(team: str, pool: str, method: str, path: str, body: bytes) -> str:
     head = f"{team}\n{pool}\n{method}\n{path}\n".encode()
     return hashlib.blake2b(head + body, digest_size=16).hexdigest()
