--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -10,8 +10,8 @@
 from tornado.netutil import bind_sockets
 
 from tamarackrill.contracts import Contract, Endpoint
+from tamarackrill.decisions.claims import Claims
 from tamarackrill.decisions.configuration import ConfigurationStore, ObjectVersion
-from tamarackrill.decisions.hashing import rendezvous_order
 from tamarackrill.decisions.leases import LeaseTiming
 from tamarackrill.events import (
     ROUTER_LEAVING,
@@ -25,11 +25,14 @@
 from tamarackrill.router.chats import Chats
 from tamarackrill.router.claiming import Claimer
 from tamarackrill.router.configuring import KINDS, Configurer
+from tamarackrill.router.datagrams import PeerSocket
+from tamarackrill.router.explaining import Question, explain
 from tamarackrill.router.flow import Flow
 from tamarackrill.router.known_objects import KnownObjects
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.orders import EngineOrderer, Fleet
+from tamarackrill.router.owners import Owners
 from tamarackrill.router.placing import Placer
 from tamarackrill.router.platform_client import PlatformClient
 from tamarackrill.router.probing import Prober
@@ -37,6 +40,7 @@
 from tamarackrill.settings import Settings
 
 VM_LIST_WAIT_S = 1.0
+INCARNATION_DIGITS = 16
 UNLIMITED_BYTES = 1 << 40
 BUFFER_MAX_BYTES = 256 * 1024
 HEADERS_MAX_BYTES = 32 * 1024
@@ -77,8 +81,16 @@
         settings = self.settings
         sockets = bind_sockets(settings.port, settings.address)
         self.address = f"{settings.address}:{sockets[0].getsockname()[1]}"
-        self.peer_address = f"{settings.address}:{settings.peer_port}"
-        own = Member(settings.name, self.address, settings.zone)
+        self._peer_socket = PeerSocket()
+        self.peer_address = await self._peer_socket.start(
+            settings.address, settings.peer_port
+        )
+        own = Member(
+            settings.name,
+            self.address,
+            settings.zone,
+            peer_address=self.peer_address,
+        )
         self.members = Members(own)
         self._endpoint_client = make_client()
         self._router_client = make_client()
@@ -86,16 +98,33 @@
         self.platform = PlatformClient(
             settings.platform, settings.zone, self._platform_client
         )
-        self.placer = Placer(self.list_endpoints, settings.load_bound, settings.zone)
+        self.owners = Owners(
+            self.members,
+            settings.load_bound,
+            self.list_endpoints,
+            self._peer_socket.send,
+            settings.peer_keys,
+            self.clock,
+        )
+        self._peer_socket.handlers.append(self.owners.take_datagram)
+        self._tasks.append(asyncio.create_task(self.owners.run()))
+        self.placer = Placer(
+            self.list_endpoints, settings.load_bound, settings.zone, self.owners
+        )
         self.admitter = Admitter(
             lambda call: self.placer.count_free(call, self.clock()),
             settings.queue_max,
             self.clock,
         )
-        self.claimer = Claimer()
+        self.chats = Chats(self.clock)
+        self.claimer = Claimer(
+            Claims(settings.name, uuid.uuid4().hex[:INCARNATION_DIGITS]),
+            self.platform,
+            lambda: [member.name for member in self.members.list_live()],
+        )
         self.flow = Flow(
             self._endpoint_client,
-            Chats(),
+            self.chats,
             self.claimer,
             self.admitter,
             self.placer,
@@ -115,6 +144,7 @@
         await self.orderer.start()
         self._tasks.append(asyncio.create_task(self._follow_vms()))
         self._tasks.append(asyncio.create_task(self.admitter.run()))
+        self._tasks.append(asyncio.create_task(self.chats.run()))
         prober = Prober(
             self._endpoint_client,
             self.placer,
@@ -162,8 +192,10 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.claimer.stop()
         await self.orderer.stop()
         await self.configurer.stop()
+        self._peer_socket.stop()
         self._endpoint_client.close()
         self._router_client.close()
         self._platform_client.close()
@@ -205,12 +237,16 @@
             "peer_address": self.peer_address,
         }
 
-    def explain(self, team: str, chat: str, model: str) -> dict[str, Any]:
-        """Return where a chat of a team would go, for queries."""
-        names = [member.name for member in self.members.list_live()]
-        homes = rendezvous_order(f"{team}\n{chat}", names, 3)
-        serving = [e.name for e in self.list_endpoints() if model in e.serves]
-        return {"homes": homes, "endpoints": serving}
+    def explain(self, question: Question) -> dict[str, Any]:
+        """Return where a call would go, for queries."""
+        found = explain(
+            question,
+            self.list_contracts(),
+            self.members.list_live(),
+            self.placer,
+            self.clock(),
+        )
+        return {"router": self.settings.name, **found}
 
     def _make_front(self) -> Front:
         return Front(
@@ -246,7 +282,9 @@
                 vms = await self.platform.list_vms()
                 self.members.replace(
                     [
-                        Member(vm.name, vm.address, vm.zone)
+                        Member(
+                            vm.name, vm.address, vm.zone, peer_address=vm.peer_address
+                        )
                         for vm in vms
                         if vm.peer_address and vm.state == "live"
                     ]
--- a/src/tamarackrill/router/flow.py
+++ b/src/tamarackrill/router/flow.py
@@ -72,7 +72,7 @@
         known = self._chats.find(call, self._clock())
         if known is not None:
             return known
-        reply = Reply(keep=bool(call.key))
+        reply = Reply(keep=self._chats.can_be_joined(call))
         self._chats.register(call, reply, self._clock())
         task = asyncio.create_task(self._run(call, reply))
         self._runs.add(task)
@@ -99,7 +99,7 @@
             raise
         finally:
             self._chats.close(call, reply, self._clock())
-            await self._claimer.settle(call, reply.is_whole, self._clock())
+            self._claimer.settle(call, reply)
 
     def _refuse(self, call: Call, reply: Reply, refusal: Refusal) -> None:
         self._metrics.count_refusal(refusal.code)
@@ -160,21 +160,26 @@
             refusal.run = "unknown" if sent else refusal.run
             raise
         attempt = Attempt("not_sent")
+        placed: Placed | None = None
         try:
-            placed = self._place(call, avoid, self._clock() - arrived_s, sent)
+            placed = await self._place(call, avoid, self._clock() - arrived_s, sent)
             attempt = await self._attempt(call, reply, placed, is_last)
             return placed, attempt
         finally:
+            if placed is not None:
+                self._placer.release(placed)
             self._admitter.leave(call, attempt, self._clock())
 
-    def _place(self, call: Call, avoid: list[str], wait_s: float, sent: bool) -> Placed:
+    async def _place(
+        self, call: Call, avoid: list[str], wait_s: float, sent: bool
+    ) -> Placed:
         now_s = self._clock()
         # A router that was frozen while the call waited wakes up with an old
         # decision.  The caller has given up by then and may have asked elsewhere.
         run: RunState = "unknown" if sent else "not_run"
         if now_s >= call.deadline_s:
             raise Refusal("too_late", 504, "the deadline has passed", run)
-        placed = self._placer.choose(call, avoid, now_s)
+        placed = await self._placer.place(call, avoid, now_s)
         if placed is None:
             raise Refusal("no_endpoint", 503, "no endpoint can take the call", run)
         self._metrics.record_wait(call.kind, wait_s)
@@ -196,7 +201,7 @@
         self, call: Call, reply: Reply, placed: Placed, is_last: bool
     ) -> Attempt:
         endpoint: Endpoint = placed.endpoint
-        self._claimer.check(call, self._clock())
+        self._claimer.check(call)
         self._placer.start(call, endpoint, self._clock())
         attempt = Attempt("cut")
         try:
