Keep limits in the daemon; a request after a pause does not pay for it

The limiter refuses with 429 and rate_limited, tokens_limited or in_flight_limited and logs event 2101. The daemon does not exchange usage yet: that needs a directed message of the gossip task; until then each router holds the whole contract by itself.

--- a/src/tamarackrill/decisions/limits.py
+++ b/src/tamarackrill/decisions/limits.py
@@ -174,10 +174,12 @@
         if team is None:
             phase = hash_unit(f"{contract.team}/{self._router}")
             team = self._teams[contract.team] = _Team(contract, now_s, phase)
+        # Before this request is counted: the burst was used by what came since the
+        # last one, and a request after a pause must not pay for the pause.
+        _fill(team, contract, self._sum_fleet(team, contract.team, now_s), now_s)
         team.requests.add(1.0, now_s)
         team.tokens.add(cost_tokens, now_s)
         total = self._sum_fleet(team, contract.team, now_s)
-        _fill(team, contract, total, now_s)
         limit, excess = _find_limit(team, contract, total)
         if limit:
             return self._refuse(team, contract, limit, excess)
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -73,6 +73,21 @@
     ("team", "chat", "home"),
     "A request was handed to the home router of its chat.",
 )
+TEAM_LIMITED = Event(
+    2101,
+    "team_limited",
+    _WARNING,
+    (
+        "team",
+        "limit",
+        "fleet_requests_per_s",
+        "fleet_tokens_per_s",
+        "fleet_in_flight",
+    ),
+    "Requests of a team are refused at a limit of its contract; at most one line in "
+    "10 s for each limit. The figures are the whole fleet's, some seconds late.",
+    "See docs/operations/overload.md: talk to the team, or change its contract.",
+)
 
 # 3000: membership and configuration
 CONFIGURATION_TAKEN = Event(
--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -29,6 +29,7 @@
 from tamarackrill.router.explaining import Question, explain
 from tamarackrill.router.flow import Flow
 from tamarackrill.router.known_objects import KnownObjects
+from tamarackrill.router.limiting import Limiter
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.orders import EngineOrderer, Fleet
@@ -116,6 +117,12 @@
             settings.queue_max,
             self.clock,
         )
+        self.limiter = Limiter(
+            self.members,
+            self.known.find_contract,
+            lambda peer, usages: None,
+            self.clock,
+        )
         self.chats = Chats(self.clock)
         self.claimer = Claimer(
             Claims(settings.name, uuid.uuid4().hex[:INCARNATION_DIGITS]),
@@ -126,6 +133,7 @@
             self._endpoint_client,
             self.chats,
             self.claimer,
+            self.limiter,
             self.admitter,
             self.placer,
             self.metrics,
@@ -144,6 +152,7 @@
         await self.orderer.start()
         self._tasks.append(asyncio.create_task(self._follow_vms()))
         self._tasks.append(asyncio.create_task(self.admitter.run()))
+        self._tasks.append(asyncio.create_task(self.limiter.run()))
         self._tasks.append(asyncio.create_task(self.chats.run()))
         prober = Prober(
             self._endpoint_client,
--- a/src/tamarackrill/router/flow.py
+++ b/src/tamarackrill/router/flow.py
@@ -1,8 +1,8 @@
 """The way of a call through its home router.
 
-Order within the chat, claim, admission, placement, attempts, in that order: a
-call waits for its turn before it takes a place in a queue, and a claim is made
-before any byte can reach an endpoint.
+Limits of the team, order within the chat, claim, admission, placement, attempts, in
+that order: a call waits for its turn before it takes a place in a queue, and a claim
+is made before any byte can reach an endpoint.
 """
 
 import asyncio
@@ -16,6 +16,7 @@
 from tamarackrill.router.calls import Call
 from tamarackrill.router.chats import Chats
 from tamarackrill.router.claiming import Claimer
+from tamarackrill.router.limiting import Limiter
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.placing import Placed, Placer
 from tamarackrill.router.replies import Reply
@@ -31,7 +32,7 @@
     ----------
     client : CurlAsyncHTTPClient
         For calls to endpoints; not owned.
-    chats, claimer, admitter, placer, metrics
+    chats, claimer, limiter, admitter, placer, metrics
         The parts that decide.
     clock : callable
         Returns the present time.
@@ -42,6 +43,7 @@
         client: CurlAsyncHTTPClient,
         chats: Chats,
         claimer: Claimer,
+        limiter: Limiter,
         admitter: Admitter,
         placer: Placer,
         metrics: Metrics,
@@ -50,6 +52,7 @@
         self._client = client
         self._chats = chats
         self._claimer = claimer
+        self._limiter = limiter
         self._admitter = admitter
         self._placer = placer
         self._metrics = metrics
@@ -86,9 +89,13 @@
 
     async def _run(self, call: Call, reply: Reply) -> None:
         try:
-            await self._chats.wait_turn(call, self._clock())
-            await self._claimer.claim(call, self._clock())
-            await self._serve(call, reply)
+            self._limiter.begin(call, self._clock())
+            try:
+                await self._chats.wait_turn(call, self._clock())
+                await self._claimer.claim(call, self._clock())
+                await self._serve(call, reply)
+            finally:
+                self._limiter.end(call, reply, self._clock())
         except Refusal as refusal:
             self._refuse(call, reply, refusal)
         except Exception as error:  # noqa: BLE001
--- a/src/tamarackrill/router/known_objects.py
+++ b/src/tamarackrill/router/known_objects.py
@@ -61,6 +61,10 @@
             self._faulty[item.kind, item.name] = faulty
             log_event(OBJECT_FAULTY, **faulty._asdict())
 
+    def find_contract(self, team: str) -> Contract | None:
+        """Return the contract of a team, or None if there is none in force."""
+        return self._contracts.get(team)
+
     def find_holder(self, key_hash: str) -> Contract | None:
         """Return the contract that holds a key, by the key's hash.
 
--- /dev/null
+++ b/src/tamarackrill/router/limiting.py
@@ -0,0 +1,122 @@
+"""Keeps the limits of contracts, and exchanges usage with the other routers."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+from tamarackrill.contracts import Contract
+from tamarackrill.decisions.limits import FleetLimits, TeamUsage, Verdict
+from tamarackrill.decisions.usage import RouterPlace, UsageExchange
+from tamarackrill.events import TEAM_LIMITED, log_event
+from tamarackrill.exceptions import Refusal
+from tamarackrill.router.calls import Call
+from tamarackrill.router.members import Members
+from tamarackrill.router.replies import Reply
+
+EXCHANGE_WAIT_S = 0.5
+# A third of the 3 KB/s that a router may send and receive for control, both ways.
+USAGE_BYTES_PER_S = 500.0
+# A line for each refused request would fill the log just when a team surges.
+LOG_EVERY_S = 10.0
+STATUS_TOO_MANY = 429
+_MESSAGES = {
+    "rate": "the team sends more requests than its contract allows",
+    "tokens": "the team asks for more tokens than its contract allows",
+    "in_flight": "the team has more requests in flight than its contract allows",
+}
+
+SendUsage = Callable[[str, tuple[TeamUsage, ...]], None]
+
+
+class Limiter:
+    """Limits of all teams at this router.
+
+    Parameters
+    ----------
+    members : Members
+        Live routers; this one is among them.
+    find_contract : callable
+        Returns the contract of a team, or None.
+    send : callable
+        Sends entries to a router, by name; what is lost is sent again.
+    clock : callable
+        Returns the present time.
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        find_contract: Callable[[str], Contract | None],
+        send: SendUsage,
+        clock: Callable[[], float],
+    ) -> None:
+        own = members.own
+        self._members = members
+        self._send = send
+        self._clock = clock
+        self._limits = FleetLimits(own.name)
+        self._exchange = UsageExchange(own.name, own.zone, find_contract)
+        self._logged_s: dict[tuple[str, str], float] = {}
+
+    async def run(self) -> None:
+        """Exchange usage until cancelled."""
+        while True:
+            self.exchange(self._clock())
+            await asyncio.sleep(EXCHANGE_WAIT_S)
+
+    def exchange(self, now_s: float) -> None:
+        """Send what is due, and take over what was heard."""
+        live = [*self._members.list_live(), self._members.own]
+        places = {RouterPlace(member.name, member.zone) for member in live}
+        self._exchange.set_routers(sorted(places), now_s)
+        usages = self._limits.list_usage(now_s)
+        for digest in self._exchange.collect(usages, now_s, USAGE_BYTES_PER_S):
+            self._send(digest.peer, digest.entries)
+        for others in self._exchange.take_heard():
+            self._limits.observe_others(others, now_s)
+
+    def observe(self, sender: str, entries: Sequence[TeamUsage]) -> None:
+        """Take in entries from another router."""
+        self._exchange.observe(sender, entries, self._clock())
+
+    def begin(self, call: Call, now_s: float) -> None:
+        """Count a call; `end` must follow unless it is refused.
+
+        Raises
+        ------
+        Refusal
+            If the call is over a limit of its contract.
+        """
+        verdict = self._limits.admit(call.contract, call.size_tokens, now_s)
+        if not verdict.admitted:
+            self._log(call.team, verdict, now_s)
+            raise Refusal(
+                f"{verdict.limit}_limited",
+                STATUS_TOO_MANY,
+                _MESSAGES[verdict.limit],
+                retry_after_s=verdict.retry_after_s,
+            )
+
+    def end(self, call: Call, reply: Reply, now_s: float) -> None:
+        """Count a call as over, with the length that its answer had."""
+        if not reply.started:
+            length_tokens = 0
+        else:
+            # Only a stream tells its length: each event carries about one token.
+            length_tokens = reply.count if call.stream else call.size_tokens
+        self._limits.finish(call.team, length_tokens - call.size_tokens, now_s)
+
+    def _log(self, team: str, verdict: Verdict, now_s: float) -> None:
+        key = team, verdict.limit
+        if now_s - self._logged_s.get(key, -LOG_EVERY_S) < LOG_EVERY_S:
+            return
+        self._logged_s[key] = now_s
+        total = self._limits.read_total(team, now_s)
+        assert total is not None
+        log_event(
+            TEAM_LIMITED,
+            team=team,
+            limit=verdict.limit,
+            fleet_requests_per_s=total.requests_per_s,
+            fleet_tokens_per_s=total.tokens_per_s,
+            fleet_in_flight=total.in_flight,
+        )
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -166,6 +166,16 @@
     assert len(told) > 450
 
 
+def test_burst_after_a_pause_is_admitted():
+    # A team that was quiet sends as much at once as its contract allows.  Were the
+    # pause counted as use, its burst would be refused after each pause.
+    contract = TOKENS._replace(tokens_burst=20_000.0)
+    limits = FleetLimits("r")
+    for now_s in (0.0, 60.0):
+        verdicts = [limits.admit(contract, 3000.0, now_s).admitted for _ in range(9)]
+        assert verdicts.count(True) == 7
+
+
 class LimitsMachine(RuleBasedStateMachine):
     """One router keeps the whole contract by itself, whatever it is told."""
 
