--- a/src/tamarackrill/router/claiming.py
+++ b/src/tamarackrill/router/claiming.py
@@ -217,10 +217,11 @@
     async def _read(self, action: ReadBucket) -> None:
         try:
             found = await self._platform.get(CLAIM_KIND, action.bucket)
+            version, entries = _open(found)
         except PlatformUnavailable:
             self._step(ReadFailed(action.bucket))
             return
-        self._step(BucketRead(action.bucket, *_open(found)))
+        self._step(BucketRead(action.bucket, version, entries))
 
     async def _write(self, action: WriteBucket) -> None:
         value = write_entries(action.entries)
@@ -229,6 +230,7 @@
             result = await self._platform.put(
                 CLAIM_KIND, action.bucket, value, expected
             )
+            current_version, current = _open(result.current)
         except PlatformUnavailable as error:
             log_event(CLAIM_UNANSWERED, bucket=action.bucket, reason=str(error))
             self._step(WriteUnanswered(action.bucket))
@@ -236,7 +238,7 @@
         if result.version is not None:
             self._step(BucketWritten(action.bucket, result.version))
         else:
-            self._step(WriteConflicted(action.bucket, *_open(result.current)))
+            self._step(WriteConflicted(action.bucket, current_version, current))
 
     def _set_timer(self, now_s: float) -> None:
         if self._timer is not None:
@@ -252,7 +254,12 @@
 def _open(found: PlatformObject | None) -> tuple[int, Entries]:
     if found is None:
         return 0, {}
-    return found.version, read_entries(found.value)
+    try:
+        return found.version, read_entries(found.value)
+    except (TypeError, AttributeError) as error:
+        # Without claims that can be read, nothing may be sent.
+        message = f"claims of {found.name} can't be read: {error}"
+        raise PlatformUnavailable(message) from error
 
 
 def _build_refusal(action: Refused) -> Refusal:
--- a/src/tamarackrill/testing/service.py
+++ b/src/tamarackrill/testing/service.py
@@ -1,22 +1,25 @@
 """Stand-in for one worker of a plain service.
 
 It answers any path with what it was asked, and counts what arrived by
-``Idempotency-Key``, so that a test can tell whether a call ran more than once.
+``Idempotency-Key``, so that a test can tell whether a call ran more than once.  A
+test that gives each sending its own ``Sending-Id`` can tell which of them arrived.
 
 ====== ================ =====================================================
 any    /<path>          answers the method, path and key as JSON
-GET    /admin/state     arrivals by key, and in all
+GET    /admin/state     arrivals by key and in all, sendings in their order
 PUT    /admin/faults    replaces `ServiceFaults`, field by field
 ====== ================ =====================================================
 """
 
 import asyncio
 import json
-from collections import Counter
+from collections import Counter, deque
 from typing import NamedTuple
 
 from tornado.web import Application, HTTPError, RequestHandler
 
+SENDINGS_MAX = 1000
+
 
 class ServiceFaults(NamedTuple):
     """What goes wrong at the stand-in.
@@ -47,6 +50,7 @@
         self.name = name
         self.arrivals: Counter[str] = Counter()
         self.total = 0
+        self.sendings: deque[str] = deque(maxlen=SENDINGS_MAX)
         self.faults = ServiceFaults()
         self.faults_changed = asyncio.Condition()
 
@@ -60,6 +64,7 @@
         key = self.request.headers.get("Idempotency-Key", "")
         state.arrivals[key] += 1
         state.total += 1
+        state.sendings.append(self.request.headers.get("Sending-Id", ""))
         async with state.faults_changed:
             await state.faults_changed.wait_for(lambda: not state.faults.hold)
         if state.faults.delay_s:
@@ -90,7 +95,13 @@
 
     def get(self, what: str) -> None:
         state = self.state
-        self.finish({"arrivals": dict(state.arrivals), "total": state.total})
+        self.finish(
+            {
+                "arrivals": dict(state.arrivals),
+                "total": state.total,
+                "sendings": list(state.sendings),
+            }
+        )
 
     async def put(self, what: str) -> None:
         self.state.faults = ServiceFaults(**json.loads(self.request.body))
