--- a/src/tamarackrill/protocol/codec.py
+++ b/src/tamarackrill/protocol/codec.py
@@ -26,13 +26,14 @@
     MemberState,
     Purpose,
 )
+from tamarackrill.decisions.views import BUCKETS
 
 # 128 bits cannot be guessed over a network, and leave 16 bytes more of the budget
 # than the whole digest.
 DIGEST_BYTES = 16
 # Largest payload of one UDP datagram over IPv4.
 DATAGRAM_MAX_BYTES = 65_507
-_SCOPES: tuple[UsageScope, ...] = ("router", "zone", "fleet")
+_SCOPES: tuple[UsageScope, ...] = ("router", "zone", "other_routers", "other_zones")
 _I64_MODULUS = 1 << 64
 _I64_LIMIT = 1 << 63
 
@@ -106,9 +107,11 @@
         sequence=message.sequence,
         purpose=int(message.purpose),
         members=[_write_record(record) for record in message.members],
+        page=[_write_record(record) for record in message.page] or None,
         view=_to_signed(message.view),
         known=message.known,
         after=message.after or None,
+        buckets=message.buckets or None,
         configuration=[
             _idl.ConfigurationDigest(
                 item.kind, item.complete, item.newest, _to_signed(item.content)
@@ -139,6 +142,7 @@
             round(item.requests_per_s * 1000),
             round(item.tokens_per_s),
             item.in_flight,
+            round(item.done_per_s * 1000),
         )
         for item in entries.usages
     ]
@@ -158,9 +162,11 @@
         struct.sequence + 0,
         Purpose(struct.purpose),
         tuple(_read_record(record) for record in struct.members),
+        tuple(_read_record(record) for record in struct.page or ()),
         struct.view % _I64_MODULUS,
         struct.known + 0,
         struct.after or "",
+        _read_buckets(struct.buckets),
         tuple(_read_digest(item) for item in struct.configuration),
         _read_entries(struct),
     )
@@ -195,6 +201,7 @@
             item.requests_milli_per_s / 1000,
             float(item.tokens_per_s),
             item.in_flight + 0,
+            item.done_milli_per_s / 1000,
         )
         for item in struct.usages or ()
     ]
@@ -209,6 +216,12 @@
     return Entries(tuple(crashes), tuple(loads), tuple(usages))
 
 
+def _read_buckets(value: bytes | None) -> bytes:
+    if value and len(value) != BUCKETS:
+        raise ValueError("not the number of buckets")
+    return value or b""
+
+
 def _need_text(value: object) -> str:
     if not isinstance(value, str) or not value:
         raise ValueError("a text is missing")
--- a/src/tamarackrill/protocol/peer.thrift
+++ b/src/tamarackrill/protocol/peer.thrift
@@ -24,6 +24,7 @@
   4: i64 requests_milli_per_s
   5: i64 tokens_per_s
   6: i32 in_flight
+  7: i64 done_milli_per_s
 }
 
 struct EndpointLoad {
@@ -49,4 +50,6 @@
   10: optional list<TeamUsage> usages
   11: optional list<EndpointLoad> loads
   12: optional list<CrashCount> crashes
+  13: optional list<MemberRecord> page
+  14: optional binary buckets
 }
