--- a/src/tamarackrill/decisions/limits.py
+++ b/src/tamarackrill/decisions/limits.py
@@ -174,6 +174,8 @@
         if team is None:
             phase = hash_unit(f"{contract.team}/{self._router}")
             team = self._teams[contract.team] = _Team(contract, now_s, phase)
+        if now_s - team.others_at_s > HOLD_S:
+            team.others = None
         # Before this request is counted: the burst was used by what came since the
         # last one, and a request after a pause must not pay for the pause.
         _fill(team, contract, self._sum_fleet(team, contract.team, now_s), now_s)
@@ -257,7 +259,7 @@
 
     def _sum_fleet(self, team: _Team, name: str, now_s: float) -> TeamUsage:
         own = self._read_own(team, name, now_s)
-        if team.others is None or now_s - team.others_at_s > HOLD_S:
+        if team.others is None:
             return own
         return add_usage(own, team.others)
 
@@ -313,11 +315,11 @@
     if team.own_tokens.level <= 0.0:
         return "tokens", -team.own_tokens.level / contract.tokens_per_s
     if team.in_flight >= contract.in_flight_max:
-        return "in_flight", 1.0
+        return "in_flight", RETRY_MIN_S
     fractions: list[tuple[float, LimitName]] = [
         (_fraction_of_rate(team, contract, total), "rate"),
         (_fraction_of_tokens(team, contract, total), "tokens"),
-        (_fraction_of_in_flight(contract, total), "in_flight"),
+        (_fraction_of_in_flight(team, contract, total), "in_flight"),
     ]
     fraction, limit = min(fractions)
     if fraction >= 1.0:
@@ -341,11 +343,18 @@
     return contract.tokens_per_s / total.tokens_per_s
 
 
-def _fraction_of_in_flight(contract: Contract, total: TeamUsage) -> float:
-    arrivals = total.requests_per_s * IN_FLIGHT_HORIZON_S
+def _fraction_of_in_flight(team: _Team, contract: Contract, total: TeamUsage) -> float:
+    # Own requests are known as they come and go; only what other routers admit and
+    # end until the next sum arrives has to be foreseen.
+    others = team.others
+    if others is None:
+        return 1.0
     room = contract.in_flight_max - total.in_flight
-    room_soon = room + total.done_per_s * IN_FLIGHT_HORIZON_S
-    return max(0.0, room_soon / arrivals) if arrivals else 1.0
+    room_soon = room + others.done_per_s * IN_FLIGHT_HORIZON_S
+    if room_soon <= 0:
+        return 0.0
+    arrivals = others.requests_per_s * IN_FLIGHT_HORIZON_S
+    return room_soon / arrivals if arrivals else 1.0
 
 
 def hash_unit(text: str) -> float:
--- a/src/tamarackrill/decisions/usage.py
+++ b/src/tamarackrill/decisions/usage.py
@@ -9,7 +9,9 @@
 How often an entry is sent follows what it can decide: each second if the team is at
 half of a limit or above and the origin has a twentieth of the limit or more; each 4 s
 if the origin has less, since the noise of many small parts averages out; else each
-16 s, and when the origin's part has changed by a twentieth of the limit.
+16 s, and when the origin's part has changed by a twentieth of the limit.  What is
+below a request a second is only sampled each minute, so that the many teams that send
+now and then do not take the bytes of the few that are at a limit.
 
 A home that is lost costs a report and a reply: the next in rendezvous order collects
 the reports for `SETTLE_S` before it answers, so that nobody takes a part of a sum
@@ -40,13 +42,17 @@
 REPORT_MIN_S = 1.0
 REPORT_SMALL_S = 4.0
 REPORT_MAX_S = 16.0
+REPORT_SAMPLED_S = 64.0
+# Less than this is a visit: two or three requests in the meter's window.
+VISIT_PER_S = 1.0
+VISIT_IN_FLIGHT = 4
 PRESSURE_HIGH = 0.5
 PRESSURE_STEP = 0.05
 PART_LARGE = 0.05
 # A router that hears nothing takes what it heard last for right, or its own usage for
-# all there is.  Up to a quarter of the limit that decides nothing, and answers would
-# be half of all bytes.
-PRESSURE_TOLD = 0.25
+# all there is.  Up to half of the limit that decides nothing, and answers would be
+# half of all bytes.
+PRESSURE_TOLD = 0.5
 # A usage below this is not worth a report: one request, 8 s ago.
 EMPTY_PER_S = 0.02
 # After a change of membership, two reports of a contended team.
@@ -57,8 +63,8 @@
 # Bytes not used are saved up for so long: a home has to tell all its routers of a
 # surge within a second or two, and has little to say in between.
 SAVED_S = 10.0
-# An origin that missed two reports at the slowest pace is gone.
-ORIGIN_LOST_S = 3 * REPORT_MAX_S
+# An origin that missed a report at the slowest pace is gone.
+ORIGIN_LOST_S = 2 * REPORT_SAMPLED_S
 # Due messages shift by up to a tick; a report must not wait for one more.
 _TICK_SLACK_S = 0.1
 
@@ -296,10 +302,12 @@
             # Somewhere in the first interval: short visits of a team are sampled,
             # and not each of them is reported.
             unit = hash_unit(f"{usage.team}/{self._router}")
-            sent[usage.team] = _Sent(now_s - unit * REPORT_MAX_S, 0.0, True)
+            pace_s = REPORT_MAX_S if is_zone else REPORT_SAMPLED_S
+            sent[usage.team] = _Sent(now_s - unit * pace_s, 0.0, True)
         last = sent[usage.team]
-        pace_s = _choose_pace_s(pressure, max(part, last.part))
-        if abs(part - last.part) > PRESSURE_STEP:
+        visit = _is_visit(usage) and not is_zone
+        pace_s = _choose_pace_s(pressure, max(part, last.part), visit)
+        if abs(part - last.part) > PRESSURE_STEP and not visit:
             pace_s = REPORT_MIN_S
         overdue = (now_s - last.at_s + _TICK_SLACK_S) / pace_s
         if overdue < 1.0 or (last.empty and _is_empty(usage)):
@@ -378,7 +386,11 @@
     return not usage.in_flight and usage.requests_per_s < EMPTY_PER_S
 
 
-def _choose_pace_s(pressure: float, part: float) -> float:
+def _is_visit(usage: TeamUsage) -> bool:
+    return usage.requests_per_s < VISIT_PER_S and usage.in_flight < VISIT_IN_FLIGHT
+
+
+def _choose_pace_s(pressure: float, part: float, visit: bool) -> float:
     if pressure < PRESSURE_HIGH:
-        return REPORT_MAX_S
-    return REPORT_MIN_S if part >= PART_LARGE else REPORT_SMALL_S
+        return REPORT_SAMPLED_S if visit else REPORT_MAX_S
+    return REPORT_MIN_S if part >= PART_LARGE and not visit else REPORT_SMALL_S
