--- a/src/tamarackrill/router/limiting.py
+++ b/src/tamarackrill/router/limiting.py
@@ -13,8 +13,8 @@
 from tamarackrill.router.replies import Reply
 
 EXCHANGE_WAIT_S = 0.5
-# A third of the 3 KB/s that a router may send and receive for control, both ways.
-USAGE_BYTES_PER_S = 500.0
+# Sent; as much is received.  Both together are half of the 3 KB/s for control.
+USAGE_BYTES_PER_S = 700.0
 # A line for each refused request would fill the log just when a team surges.
 LOG_EVERY_S = 10.0
 STATUS_TOO_MANY = 429
