Exchange usage between routers in the daemon

A report travels as a signed Thrift message of its own on the peer socket: a gossip message would carry records and digests that a home does not need.

The test with two routers was seen to fail with sending switched off.

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -319,7 +319,7 @@
         "sent_bytes_per_s_max": _rate(fleet, measured_s, max),
         "got_bytes_per_s_max": round(max(fleet.got_bytes.values()) / measured_s, 1),
         "home_grant_bytes_per_s_mean": round(
-            2 * rate / routers * 2 * (ENTRY_BYTES + DIGEST_OVERHEAD_BYTES) / 2, 1
+            2 * rate / routers * (ENTRY_BYTES + DIGEST_OVERHEAD_BYTES), 1
         ),
         "exchange_core_share": round(busy_s / run_s / routers, 5),
     }
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -1,8 +1,8 @@
 """Goodput, waits and fairness of admission under load, against FIFO queues.
 
 ``python bench/overload.py`` prints one JSON line for each measurement;
-``--plot docs/img/overload.svg`` also draws the goodput.  All in simulated time
-with fixed seeds, but for the µs of a decision.
+``--plot docs/img/overload.svg`` also draws the goodput, ``--json`` keeps the lines.
+All in simulated time with fixed seeds, but for the µs of a decision.
 """
 
 import argparse
@@ -10,6 +10,7 @@
 import time
 import tracemalloc
 from collections.abc import Callable, Iterable
+from pathlib import Path
 from typing import Any
 
 from baselines import FifoQueue
@@ -233,11 +234,15 @@
     """Run all measurements."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--plot", help="file to draw into, .svg or .png")
+    parser.add_argument("--json", help="file to write all lines into")
     arguments = parser.parse_args()
     loads = measure_loads()
     costs = [measure_cost(teams) for teams in TEAM_COUNTS]
-    for row in [*loads, *measure_surge(), *measure_recovery(), *costs]:
-        print(json.dumps(row))
+    rows = [*loads, *measure_surge(), *measure_recovery(), *costs]
+    lines = "".join(json.dumps(row) + "\n" for row in rows)
+    print(lines, end="")
+    if arguments.json:
+        Path(arguments.json).write_text(lines)
     if arguments.plot:
         plot(loads, arguments.plot)
 
--- a/src/tamarackrill/decisions/admission.py
+++ b/src/tamarackrill/decisions/admission.py
@@ -203,6 +203,13 @@
         """Return the pool of a started request."""
         return self._running[request_id]
 
+    def estimate_service_s(self, pool_name: str, size_tokens: float) -> float:
+        """Return what an answer of this length may need; 0 if nothing is known."""
+        pool = self._pools.get(pool_name)
+        return (
+            pool.estimate.estimate_service_s(count_cost(size_tokens)) if pool else 0.0
+        )
+
     def count_waiting(self, pool_name: str) -> int:
         """Return how many requests wait for a pool."""
         pool = self._pools.get(pool_name)
--- a/src/tamarackrill/decisions/limits.py
+++ b/src/tamarackrill/decisions/limits.py
@@ -31,6 +31,9 @@
 # Requests in flight are steered so that they would reach the limit in 4 s, about
 # twice the time until an effect is seen in the sum; a shorter one overshoots.
 IN_FLIGHT_HORIZON_S = 4.0
+# Below this share of the limit nothing is refused.  What others end a second comes
+# late, and reads as nothing when a team has just begun.
+IN_FLIGHT_NEAR = 0.8
 # A sum that was not renewed for so long is not used any more.  Partitions are mostly
 # shorter; until then the other side is taken to ask for what it asked last.
 HOLD_S = 60.0
@@ -241,6 +244,11 @@
             most = share * team.burst
             team.fleet_requests.level = min(team.fleet_requests.level, most)
 
+    def list_totals(self, now_s: float) -> list[TeamUsage]:
+        """Return the fleet's usage of each team, as this router sees it."""
+        teams = self._teams.items()
+        return [self._sum_fleet(team, name, now_s) for name, team in teams]
+
     def read_total(self, name: str, now_s: float) -> TeamUsage | None:
         """Return the fleet's usage as this router sees it, or None if unknown."""
         team = self._teams.get(name)
@@ -347,7 +355,7 @@
     # Own requests are known as they come and go; only what other routers admit and
     # end until the next sum arrives has to be foreseen.
     others = team.others
-    if others is None:
+    if others is None or total.in_flight < IN_FLIGHT_NEAR * contract.in_flight_max:
         return 1.0
     room = contract.in_flight_max - total.in_flight
     room_soon = room + others.done_per_s * IN_FLIGHT_HORIZON_S
--- a/src/tamarackrill/decisions/usage.py
+++ b/src/tamarackrill/decisions/usage.py
@@ -43,9 +43,11 @@
 REPORT_SMALL_S = 4.0
 REPORT_MAX_S = 16.0
 REPORT_SAMPLED_S = 64.0
-# Less than this is a visit: two or three requests in the meter's window.
+# Less than this is a visit: two or three requests in the meter's window.  In a fleet of
+# fewer routers it is less in proportion, as there are fewer reports to save.
 VISIT_PER_S = 1.0
 VISIT_IN_FLIGHT = 4
+VISIT_ROUTERS = 370
 PRESSURE_HIGH = 0.5
 PRESSURE_STEP = 0.05
 PART_LARGE = 0.05
@@ -87,6 +89,7 @@
     at_s: float
     part: float
     empty: bool
+    visit: bool
 
 
 class _Sum:
@@ -303,9 +306,11 @@
             # and not each of them is reported.
             unit = hash_unit(f"{usage.team}/{self._router}")
             pace_s = REPORT_MAX_S if is_zone else REPORT_SAMPLED_S
-            sent[usage.team] = _Sent(now_s - unit * pace_s, 0.0, True)
+            sent[usage.team] = _Sent(now_s - unit * pace_s, 0.0, True, True)
         last = sent[usage.team]
-        visit = _is_visit(usage) and not is_zone
+        # Both must be small: were only the rise reported soon and the fall late, the
+        # sums would be too high, and teams be refused below their limits.
+        visit = self._is_visit(usage) and last.visit and not is_zone
         pace_s = _choose_pace_s(pressure, max(part, last.part), visit)
         if abs(part - last.part) > PRESSURE_STEP and not visit:
             pace_s = REPORT_MIN_S
@@ -314,6 +319,13 @@
             return []
         return [(overdue, self.find_homes(usage.team)[int(is_zone)], usage)]
 
+    def _is_visit(self, usage: TeamUsage) -> bool:
+        scale = min(1.0, len(self._names) / VISIT_ROUTERS)
+        return (
+            usage.requests_per_s < VISIT_PER_S * scale
+            and usage.in_flight < VISIT_IN_FLIGHT * scale
+        )
+
     def _answer(
         self, team: str, team_sum: _Sum, scope: UsageScope, now_s: float
     ) -> list[_Due]:
@@ -362,10 +374,11 @@
         if contract is None:
             return
         pressure = measure_pressure(usage, contract)
+        sent = _Sent(now_s, pressure, _is_empty(usage), self._is_visit(usage))
         if usage.scope == "router":
-            self._router_sent[usage.team] = _Sent(now_s, pressure, _is_empty(usage))
+            self._router_sent[usage.team] = sent
         elif usage.scope == "zone":
-            self._zone_sent[usage.team] = _Sent(now_s, pressure, _is_empty(usage))
+            self._zone_sent[usage.team] = sent
         elif usage.scope == "other_zones":
             fleet_sum = self._fleet_sums[usage.team]
             fleet_sum.note_answer(usage.origin, pressure, now_s)
@@ -386,10 +399,6 @@
     return not usage.in_flight and usage.requests_per_s < EMPTY_PER_S
 
 
-def _is_visit(usage: TeamUsage) -> bool:
-    return usage.requests_per_s < VISIT_PER_S and usage.in_flight < VISIT_IN_FLIGHT
-
-
 def _choose_pace_s(pressure: float, part: float, visit: bool) -> float:
     if pressure < PRESSURE_HIGH:
         return REPORT_SAMPLED_S if visit else REPORT_MAX_S
--- a/src/tamarackrill/protocol/codec.py
+++ b/src/tamarackrill/protocol/codec.py
@@ -134,18 +134,7 @@
 
 
 def _write_entries(entries: Entries) -> dict[str, Any]:
-    usages = [
-        _idl.TeamUsage(
-            item.team,
-            _SCOPES.index(item.scope),
-            item.origin,
-            round(item.requests_per_s * 1000),
-            round(item.tokens_per_s),
-            item.in_flight,
-            round(item.done_per_s * 1000),
-        )
-        for item in entries.usages
-    ]
+    usages = [write_usage(item) for item in entries.usages]
     loads = [_idl.EndpointLoad(*item) for item in entries.loads]
     crashes = [
         _idl.CrashCount(_to_signed(item.fingerprint), item.crashes)
@@ -193,18 +182,7 @@
 
 
 def _read_entries(struct: Any) -> Entries:
-    usages = [
-        TeamUsage(
-            _need_text(item.team),
-            _SCOPES[item.scope],
-            _need_text(item.origin),
-            item.requests_milli_per_s / 1000,
-            float(item.tokens_per_s),
-            item.in_flight + 0,
-            item.done_milli_per_s / 1000,
-        )
-        for item in struct.usages or ()
-    ]
+    usages = [read_usage(item) for item in struct.usages or ()]
     loads = [
         EndpointLoad(_need_text(item.endpoint), item.in_flight + 0)
         for item in struct.loads or ()
@@ -222,6 +200,32 @@
     return value or b""
 
 
+def write_usage(usage: TeamUsage) -> Any:
+    """Return the Thrift struct of an entry."""
+    return _idl.TeamUsage(
+        usage.team,
+        _SCOPES.index(usage.scope),
+        usage.origin,
+        round(usage.requests_per_s * 1000),
+        round(usage.tokens_per_s),
+        usage.in_flight,
+        round(usage.done_per_s * 1000),
+    )
+
+
+def read_usage(struct: Any) -> TeamUsage:
+    """Return the entry of a Thrift struct; raises if a field is missing."""
+    return TeamUsage(
+        _need_text(struct.team),
+        _SCOPES[struct.scope],
+        _need_text(struct.origin),
+        struct.requests_milli_per_s / 1000,
+        float(struct.tokens_per_s),
+        struct.in_flight + 0,
+        struct.done_milli_per_s / 1000,
+    )
+
+
 def _need_text(value: object) -> str:
     if not isinstance(value, str) or not value:
         raise ValueError("a text is missing")
--- /dev/null
+++ b/src/tamarackrill/protocol/usage_codec.py
@@ -0,0 +1,71 @@
+"""Encoding and proof of origin of the usage that routers tell each other.
+
+A gossip message carries records and digests that a home does not need with each
+report; of its own, a report takes some 70 bytes and 40 to 60 for each entry.  The
+keyed digest covers a word of its own, so that no other datagram is taken for one.
+"""
+
+from pathlib import Path
+from typing import NamedTuple
+
+import thriftpy2
+from thriftpy2.protocol.compact import TCompactProtocol
+from thriftpy2.transport import TMemoryBuffer
+
+from tamarackrill.decisions.limits import TeamUsage
+from tamarackrill.protocol.codec import (
+    DIGEST_BYTES,
+    read_usage,
+    sign,
+    verify,
+    write_usage,
+)
+
+_CONTEXT = b"usage\0"
+_idl = thriftpy2.load(
+    str(Path(__file__).with_name("usage.thrift")), module_name="usage_thrift"
+)
+
+
+class UsageMessage(NamedTuple):
+    """Entries from one router.
+
+    Parameters
+    ----------
+    sender : str
+        Name of the router.
+    sequence : int
+        Rises with each message of a sender, also over its restarts.
+    usages : tuple of TeamUsage
+        The entries.
+    """
+
+    sender: str
+    sequence: int
+    usages: tuple[TeamUsage, ...]
+
+
+def encode_usage(message: UsageMessage, keys: tuple[str, ...]) -> bytes:
+    """Return the datagram of a message, signed with the first key."""
+    buffer = TMemoryBuffer()
+    usages = [write_usage(usage) for usage in message.usages]
+    struct = _idl.UsageMessage(message.sender, message.sequence, usages)
+    struct.write(TCompactProtocol(buffer))
+    payload = buffer.getvalue()
+    return sign(_CONTEXT + payload, keys[0]) + payload
+
+
+def decode_usage(datagram: bytes, keys: tuple[str, ...]) -> UsageMessage | None:
+    """Return the message of a datagram, or None if it holds none of a peer's."""
+    digest, payload = datagram[:DIGEST_BYTES], datagram[DIGEST_BYTES:]
+    if not verify(digest, _CONTEXT + payload, keys):
+        return None
+    struct = _idl.UsageMessage()
+    try:
+        struct.read(TCompactProtocol(TMemoryBuffer(payload)))
+        usages = tuple(read_usage(item) for item in struct.usages)
+        return UsageMessage(struct.sender + "", struct.sequence + 0, usages)
+    # The parser raises whatever the bytes lead it to; a peer of a later release must
+    # not be able to end the task that reads the socket.
+    except Exception:
+        return None
--- a/src/tamarackrill/router/admitting.py
+++ b/src/tamarackrill/router/admitting.py
@@ -97,6 +97,15 @@
             refusal = Refusal("cancelled", 499, "the caller went away")
             self._waiters[call.request_id].set_exception(refusal)
 
+    def is_full(self, call: Call) -> bool:
+        """Return whether calls wait for the pool of this one."""
+        return self._queue.count_waiting(_name_pool(call.kind, call.pool)) > 0
+
+    def estimate_service_s(self, call: Call) -> float:
+        """Return how long an endpoint may need for a call, by what was measured."""
+        pool = _name_pool(call.kind, call.pool)
+        return self._queue.estimate_service_s(pool, call.size_tokens)
+
     def wake(self, pool: str) -> None:
         """Admit waiting calls of a model or service that may have free slots."""
         now_s = self._clock()
--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -120,9 +120,11 @@
         self.limiter = Limiter(
             self.members,
             self.known.find_contract,
-            lambda peer, usages: None,
+            self._peer_socket.send,
+            settings.peer_keys,
             self.clock,
         )
+        self._peer_socket.handlers.append(self.limiter.take_datagram)
         self.chats = Chats(self.clock)
         self.claimer = Claimer(
             Claims(settings.name, uuid.uuid4().hex[:INCARNATION_DIGITS]),
@@ -233,6 +235,7 @@
             "state": "leaving" if self._leaving else "alive",
             "in_flight": self.open_calls.count,
             "waiting": self.admitter.describe(),
+            "limits": self.limiter.describe(),
             "members": [member._asdict() for member in self.members.list_all()],
             "endpoints": self.placer.describe(),
         }
--- a/src/tamarackrill/router/attempts.py
+++ b/src/tamarackrill/router/attempts.py
@@ -14,13 +14,14 @@
     UpstreamFailed,
 )
 
-Outcome = Literal["answered", "refused", "not_sent", "cut", "cancelled"]
+Outcome = Literal["answered", "overloaded", "refused", "not_sent", "cut", "cancelled"]
 
 EVENT_END = b"\n\n"
 CLOSING_EVENT = b"data: [DONE]"
 # An event or a whole answer longer than this is passed on in pieces.
 PIECE_MAX_BYTES = 1024 * 1024
 SERVER_ERROR = 500
+OVERLOADED = 503
 CANCEL_PATH = "/v1/cancel/"
 CANCEL_TIMEOUT_S = 1.0
 
@@ -35,8 +36,9 @@
 
     Parameters
     ----------
-    outcome : {"answered", "refused", "not_sent", "cut", "cancelled"}
-        ``"not_sent"`` only if no byte can have reached the endpoint.
+    outcome : {"answered", "overloaded", "refused", "not_sent", "cut", "cancelled"}
+        ``"not_sent"`` only if no byte can have reached the endpoint; ``"overloaded"``
+        if the answer was passed on and says that the endpoint has too much to do.
     first_byte_s : float or None
         Time from sending to the first byte of the answer.
     chunks : int
@@ -154,7 +156,8 @@
     try:
         head = await exchange.head()
         first_byte_s = clock() - sent_s
-        if head.status >= SERVER_ERROR and not take_errors:
+        is_overloaded = head.status == OVERLOADED
+        if head.status >= SERVER_ERROR and not is_overloaded and not take_errors:
             return Attempt("refused", first_byte_s, 0, f"status {head.status}")
         is_stream = call.stream and _is_event_stream(head)
         pump = _pump_events if is_stream else _pump_whole
@@ -166,7 +169,8 @@
         return Attempt(outcome, first_byte_s, reply.count - before, error.reason)
     finally:
         await exchange.close()
-    return Attempt("answered", first_byte_s, reply.count - before)
+    outcome = "overloaded" if is_overloaded else "answered"
+    return Attempt(outcome, first_byte_s, reply.count - before)
 
 
 async def _cancel_at_engine(
--- a/src/tamarackrill/router/flow.py
+++ b/src/tamarackrill/router/flow.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from tamarackrill.contracts import Endpoint
+from tamarackrill.decisions.retry import Failure, RetryBudget, RetryReason
 from tamarackrill.events import REQUEST_REFUSED, REQUEST_ROUTED, log_event
 from tamarackrill.exceptions import Refusal, RunState
 from tamarackrill.router.admitting import Admitter
@@ -57,6 +58,7 @@
         self._placer = placer
         self._metrics = metrics
         self._clock = clock
+        self._budgets: dict[str, RetryBudget] = {}
         self._runs: set[asyncio.Task[None]] = set()
 
     @property
@@ -131,7 +133,8 @@
             sent = sent or attempt.outcome != "not_sent"
             if attempt.outcome == "cut" and reply.started:
                 attempt = await self._resume(call, reply, placed)
-            if attempt.outcome == "answered":
+            if attempt.outcome in ("answered", "overloaded"):
+                self._note_answer(call, attempt)
                 reply.finish()
                 return
             if attempt.outcome == "cancelled":
@@ -139,12 +142,31 @@
             if sent and not call.idempotent:
                 message = "the endpoint did not answer; the call may have run"
                 raise Refusal("endpoint_lost", 502, message, "unknown")
-            if reply.started:
+            if is_last or self._decide_retry(call, reply, attempt) != "retry":
                 break
             avoid.append(placed.endpoint.name)
         message = "no endpoint gave a whole answer"
         raise Refusal("endpoint_lost", 502, message, "unknown" if sent else "not_run")
 
+    def _note_answer(self, call: Call, attempt: Attempt) -> None:
+        if attempt.outcome == "answered":
+            self._find_budget(call).note_success()
+
+    def _decide_retry(self, call: Call, reply: Reply, attempt: Attempt) -> RetryReason:
+        outcome = attempt.outcome
+        assert outcome in ("refused", "not_sent", "cut")
+        reason = self._find_budget(call).decide(
+            Failure(outcome, call.idempotent, reply.started),
+            self._admitter.is_full(call),
+            call.deadline_s - self._clock(),
+            self._admitter.estimate_service_s(call),
+        )
+        self._metrics.count("retry_decisions", reason)
+        return reason
+
+    def _find_budget(self, call: Call) -> RetryBudget:
+        return self._budgets.setdefault(f"{call.kind}:{call.pool}", RetryBudget())
+
     async def _resume(self, call: Call, reply: Reply, placed: Placed) -> Attempt:
         # Only the engine that runs the stream can go on with it.  The rest of
         # another engine's answer would be spliced to this one's beginning.
--- a/src/tamarackrill/router/limiting.py
+++ b/src/tamarackrill/router/limiting.py
@@ -1,13 +1,19 @@
 """Keeps the limits of contracts, and exchanges usage with the other routers."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+import time
+from collections.abc import Callable
 
 from tamarackrill.contracts import Contract
-from tamarackrill.decisions.limits import FleetLimits, TeamUsage, Verdict
-from tamarackrill.decisions.usage import RouterPlace, UsageExchange
+from tamarackrill.decisions.limits import FleetLimits, Verdict
+from tamarackrill.decisions.usage import RouterPlace, UsageDigest, UsageExchange
 from tamarackrill.events import TEAM_LIMITED, log_event
 from tamarackrill.exceptions import Refusal
+from tamarackrill.protocol.usage_codec import (
+    UsageMessage,
+    decode_usage,
+    encode_usage,
+)
 from tamarackrill.router.calls import Call
 from tamarackrill.router.members import Members
 from tamarackrill.router.replies import Reply
@@ -24,8 +30,6 @@
     "in_flight": "the team has more requests in flight than its contract allows",
 }
 
-SendUsage = Callable[[str, tuple[TeamUsage, ...]], None]
-
 
 class Limiter:
     """Limits of all teams at this router.
@@ -37,7 +41,9 @@
     find_contract : callable
         Returns the contract of a team, or None.
     send : callable
-        Sends entries to a router, by name; what is lost is sent again.
+        Sends a datagram to a peer address; what is lost is sent again.
+    peer_keys : tuple of str
+        The first signs, all verify.
     clock : callable
         Returns the present time.
     """
@@ -46,12 +52,16 @@
         self,
         members: Members,
         find_contract: Callable[[str], Contract | None],
-        send: SendUsage,
+        send: Callable[[str, bytes], None],
+        peer_keys: tuple[str, ...],
         clock: Callable[[], float],
     ) -> None:
         own = members.own
         self._members = members
         self._send = send
+        self._peer_keys = peer_keys
+        self._sequence = 0
+        self._heard: dict[str, int] = {}
         self._clock = clock
         self._limits = FleetLimits(own.name)
         self._exchange = UsageExchange(own.name, own.zone, find_contract)
@@ -70,13 +80,40 @@
         self._exchange.set_routers(sorted(places), now_s)
         usages = self._limits.list_usage(now_s)
         for digest in self._exchange.collect(usages, now_s, USAGE_BYTES_PER_S):
-            self._send(digest.peer, digest.entries)
+            self._send_digest(digest)
         for others in self._exchange.take_heard():
             self._limits.observe_others(others, now_s)
 
-    def observe(self, sender: str, entries: Sequence[TeamUsage]) -> None:
-        """Take in entries from another router."""
-        self._exchange.observe(sender, entries, self._clock())
+    def describe(self) -> dict[str, dict[str, float]]:
+        """Return the fleet's usage of each team met here, for queries."""
+        return {
+            total.team: {
+                "requests_per_s": round(total.requests_per_s, 2),
+                "tokens_per_s": round(total.tokens_per_s, 1),
+                "in_flight": total.in_flight,
+            }
+            for total in self._limits.list_totals(self._clock())
+        }
+
+    def take_datagram(self, datagram: bytes) -> bool:
+        """Handle a datagram; return whether it was one of usage."""
+        message = decode_usage(datagram, self._peer_keys)
+        if message is None:
+            return False
+        # An old datagram, sent again by whoever could read it, would put back usage
+        # that has ended, and a team would be refused below its limit.
+        if message.sequence > self._heard.get(message.sender, 0):
+            self._heard[message.sender] = message.sequence
+            self._exchange.observe(message.sender, message.usages, self._clock())
+        return True
+
+    def _send_digest(self, digest: UsageDigest) -> None:
+        addresses = {m.name: m.peer_address for m in self._members.list_all()}
+        # The wall clock makes it rise over a restart of this VM too.
+        self._sequence = max(self._sequence + 1, time.time_ns())
+        message = UsageMessage(self._members.own.name, self._sequence, digest.entries)
+        datagram = encode_usage(message, self._peer_keys)
+        self._send(addresses.get(digest.peer, ""), datagram)
 
     def begin(self, call: Call, now_s: float) -> None:
         """Count a call; `end` must follow unless it is refused.
--- a/tests/test_limiting.py
+++ b/tests/test_limiting.py
@@ -52,3 +52,29 @@
     assert float(refused.headers["Retry-After"]) >= 1
     assert len(fleet.engine.look()["arrivals"]) == before + 2
     fleet.router.wait_line(f" team_limited team={limit} ")
+
+
+def test_limit_holds_over_two_routers():
+    # A team has as many calls at one router as its contract allows, and sends more to
+    # another.  If they did not tell each other, it would get its contract twice.
+    contract = {"team": "t", "key_hashes": [hash_key("t")], "models": ["m"]}
+    with FleetProcesses() as fleet:
+        fleet.put_contract({**contract, "in_flight_max": 5})
+        fleet.engine = fleet.add_engine("engine-1", "m", "--slots=64")
+        routers = [fleet.add_router("router-1"), fleet.add_router("router-2", "zone-b")]
+        fleet.wait_ready()
+        fleet.engine.set_faults(hold=True)
+        with ThreadPoolExecutor(5) as callers:
+            for count, fleet.router in enumerate([*routers[:1] * 4, routers[1]], 1):
+                callers.submit(ask, fleet, "t")
+                wait_for(
+                    lambda count=count: len(fleet.engine.look()["arrivals"]) == count,
+                    "the call at the engine",
+                )
+            wait_for(
+                lambda: routers[1].status()["limits"]["t"]["in_flight"] == 5,
+                "the sum at the other router",
+            )
+            refused = ask(fleet, "t")
+            fleet.engine.set_faults()
+        assert refused.json()["code"] == "in_flight_limited"
