Run gossip and the pull of configuration in the daemon

Cause: routers followed the VM list alone, so a killed or frozen router stayed the home of its chats until the platform noticed, and a router started in an outage had no configuration. The gossip task owns the UDP socket; the configuration task asks a peer over HTTP, with a proof in request and answer, when its digest stays ahead. After an outage a router asks what changed instead of listing all again; the wait between tries doubles from 0.5 s to 5 s.

test_paused_holder_gives_no_order_when_it_wakes failed with this (fences 1, 2, 3 for 1, 2, 2): a woken router is heard again by gossip, though the test takes it off the VM list, is first in order again and took the lease back when it could. The test stands as it was; the holder of a lease now keeps it, since each return would otherwise pause all orders for a lease and the longest order. Ruled out: an order under an old fence (the third came under 3). Before: routers known by VM list.

--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -92,6 +92,40 @@
 )
 PLATFORM_BACK = Event(3003, "platform_back", _INFO, (), "The platform answers again.")
 
+MEMBER_CHANGED = Event(
+    3004,
+    "member_changed",
+    _INFO,
+    ("router", "before", "after", "incarnation"),
+    "This router's view of another one changed; 'unknown' before is a new one.",
+)
+PEER_MESSAGES_DROPPED = Event(
+    3005,
+    "peer_messages_dropped",
+    _WARNING,
+    ("reason", "count", "source"),
+    "Datagrams at the peer port were dropped: no peer key proves them (stranger), they "
+    "hold no message (malformed) or are replays (stale).  One line a second at most, "
+    "with the last source.",
+    "See docs/operations/peer-keys.md.",
+)
+ROUTER_FROZE = Event(
+    3006,
+    "router_froze",
+    _WARNING,
+    ("gap_s",),
+    "This process did not run for a while; it tells its peers that it is back.",
+    "Look for a paused VM, swapping, or a host that is short of processors.",
+)
+CONFIGURATION_PULL_FAILED = Event(
+    3007,
+    "configuration_pull_failed",
+    _WARNING,
+    ("kind", "peer", "reason"),
+    "A peer holds newer configuration and could not be asked for it; another is asked.",
+    "None if it does not repeat; see docs/operations/cut-zone.md.",
+)
+
 # 4000: claims, answers and order
 
 # 5000: endpoints and their health; 5100: orders to engines
--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -1,17 +1,25 @@
 """The application object: owns every resource of the daemon and its clean-up."""
 
 import asyncio
+import socket
 import time
 import uuid
+from collections.abc import Awaitable
 from typing import Any
 
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
+from tornado.web import Application
 
 from tamarackrill.contracts import Contract, Endpoint
-from tamarackrill.decisions.configuration import ConfigurationStore, ObjectVersion
+from tamarackrill.decisions.configuration import (
+    Changes,
+    ConfigurationStore,
+    ObjectVersion,
+)
 from tamarackrill.decisions.leases import LeaseTiming
+from tamarackrill.decisions.members import MemberRecord, MemberState
 from tamarackrill.events import (
     ROUTER_LEAVING,
     ROUTER_STARTED,
@@ -26,10 +34,16 @@
 from tamarackrill.router.configuring import KINDS, Configurer
 from tamarackrill.router.explaining import Question, explain
 from tamarackrill.router.flow import Flow
+from tamarackrill.router.gossip import Gossiper, bind_peer_socket
 from tamarackrill.router.known_objects import KnownObjects
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.orders import EngineOrderer, Fleet
+from tamarackrill.router.peer_api import (
+    CONFIGURATION_PATH,
+    ConfigurationHandler,
+    pull_changes,
+)
 from tamarackrill.router.placing import Placer
 from tamarackrill.router.platform_client import PlatformClient
 from tamarackrill.router.probing import Prober
@@ -77,7 +91,8 @@
         settings = self.settings
         sockets = bind_sockets(settings.port, settings.address)
         self.address = f"{settings.address}:{sockets[0].getsockname()[1]}"
-        self.peer_address = f"{settings.address}:{settings.peer_port}"
+        peer_socket = bind_peer_socket(settings.address, settings.peer_port)
+        self.peer_address = f"{settings.address}:{peer_socket.getsockname()[1]}"
         own = Member(settings.name, self.address, settings.zone)
         self.members = Members(own)
         self._endpoint_client = make_client()
@@ -102,8 +117,13 @@
             self.metrics,
             self.clock,
         )
-        self.configurer = Configurer(self.store, self.platform, self._take_objects)
+        self.configurer = Configurer(
+            self.store, self.platform, self._take_objects, self._pull, self.clock
+        )
         await self.configurer.start()
+        self.gossiper = self._make_gossiper(peer_socket)
+        self.gossiper.subscribe(self.configurer.hear_peer)
+        await self.gossiper.start()
         self.orderer = EngineOrderer(
             f"{settings.name}/{uuid.uuid4().hex}",
             Fleet(self.members, self.list_contracts, self.list_endpoints),
@@ -124,7 +144,7 @@
         )
         self._tasks.append(asyncio.create_task(prober.run()))
         self._server = HTTPServer(
-            make_front(self._make_front()),
+            self._make_web_application(),
             # The handler itself refuses a body that is too long, with a code.
             max_body_size=UNLIMITED_BYTES,
             max_buffer_size=BUFFER_MAX_BYTES,
@@ -145,6 +165,7 @@
         """Refuse new work; return when nothing is in flight, or after the limit."""
         self._leaving = True
         self.members.own = self.members.own._replace(state="leaving")
+        self.gossiper.leave()
         log_event(
             ROUTER_LEAVING, router=self.settings.name, in_flight=self.open_calls.count
         )
@@ -163,6 +184,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.orderer.stop()
+        await self.gossiper.stop()
         await self.configurer.stop()
         self._endpoint_client.close()
         self._router_client.close()
@@ -192,6 +214,7 @@
             "state": "leaving" if self._leaving else "alive",
             "in_flight": self.open_calls.count,
             "waiting": self.admitter.describe(),
+            "gossip": self.gossiper.describe(),
             "members": [member._asdict() for member in self.members.list_all()],
             "endpoints": self.placer.describe(),
         }
@@ -216,6 +239,40 @@
         )
         return {"router": self.settings.name, **found}
 
+    def _make_gossiper(self, peer_socket: socket.socket) -> Gossiper:
+        own = MemberRecord(
+            self.settings.name,
+            # Above that of any earlier process of this name, as nothing is kept.
+            int(time.time() * 1000),
+            MemberState.ALIVE,
+            self.settings.zone,
+            self.address,
+            self.peer_address,
+        )
+        return Gossiper(
+            own,
+            peer_socket,
+            self.settings.peer_keys,
+            self.members,
+            self.configurer.digest,
+            self.clock,
+        )
+
+    def _pull(self, address: str, kind: str, since: int) -> Awaitable[Changes]:
+        keys = self.settings.peer_keys
+        return pull_changes(self._router_client, address, kind, since, keys)
+
+    def _make_web_application(self) -> Application:
+        application = make_front(self._make_front())
+        bound = {
+            "store": self.store,
+            "peer_keys": self.settings.peer_keys,
+            "count": self.metrics.count,
+        }
+        route = (CONFIGURATION_PATH, ConfigurationHandler, bound)
+        application.add_handlers(".*", [route])
+        return application
+
     def _make_front(self) -> Front:
         return Front(
             self.flow,
@@ -248,13 +305,7 @@
         while True:
             try:
                 vms = await self.platform.list_vms()
-                self.members.replace(
-                    [
-                        Member(vm.name, vm.address, vm.zone)
-                        for vm in vms
-                        if vm.peer_address and vm.state == "live"
-                    ]
-                )
+                self.gossiper.take_vm_list(vms)
             except PlatformUnavailable:
                 pass
             await asyncio.sleep(VM_LIST_WAIT_S)
--- a/src/tamarackrill/router/configuring.py
+++ b/src/tamarackrill/router/configuring.py
@@ -1,29 +1,42 @@
 """Keeps the configuration of this router at the newest versions known."""
 
 import asyncio
-from collections.abc import Callable
+import random
+from collections.abc import Awaitable, Callable
 
 from tamarackrill.contracts import CONTRACT_KIND, ENDPOINT_KIND
 from tamarackrill.decisions.configuration import (
     Changes,
+    ConfigurationDigest,
     ConfigurationStore,
     ObjectVersion,
+    needs_changes,
 )
+from tamarackrill.decisions.membership import PeerHeard
 from tamarackrill.events import (
+    CONFIGURATION_PULL_FAILED,
     CONFIGURATION_TAKEN,
     PLATFORM_BACK,
     PLATFORM_LOST,
     log_event,
 )
 from tamarackrill.exceptions import PlatformUnavailable
+from tamarackrill.router.peer_api import PeerUnavailable
 from tamarackrill.router.platform_client import Listing, PlatformClient, WatchLost
 
 KINDS = (CONTRACT_KIND, ENDPOINT_KIND)
-RETRY_WAIT_S = 0.5
+# 370 routers that ask again every 5 s for two kinds are 148 reads a second, of about
+# 2,000 that the platform takes.
+RETRY_MIN_S = 0.5
+RETRY_MAX_S = 5.0
+# A watch brings a change within milliseconds; a peer is asked only if it did not.
+PULL_AFTER_S = 1.0
+
+PullChanges = Callable[[str, str, int], Awaitable[Changes]]
 
 
 class Configurer:
-    """Watches the platform; owns one task for each kind of object.
+    """Watches the platform, and asks peers for what the watch did not bring.
 
     Parameters
     ----------
@@ -33,6 +46,10 @@
         Not owned.
     on_taken : callable
         Called with the list of objects that are newly in force.
+    pull : callable
+        ``await pull(address, kind, since)`` returns a peer's `Changes`.
+    clock : callable
+        Returns the present time.
     """
 
     def __init__(
@@ -40,11 +57,17 @@
         store: ConfigurationStore,
         platform: PlatformClient,
         on_taken: Callable[[list[ObjectVersion]], None],
+        pull: PullChanges,
+        clock: Callable[[], float],
     ) -> None:
         self._store = store
         self._platform = platform
         self._on_taken = on_taken
+        self._pull = pull
+        self._clock = clock
         self._tasks: list[asyncio.Task[None]] = []
+        self._pulls: dict[str, asyncio.Task[None]] = {}
+        self._behind_since_s: dict[str, float] = {}
         self._lost = False
 
     async def start(self) -> None:
@@ -53,34 +76,77 @@
 
     async def stop(self) -> None:
         """End the watches."""
-        for task in self._tasks:
+        tasks = [*self._tasks, *self._pulls.values()]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def digest(self) -> tuple[ConfigurationDigest, ...]:
+        """Return the digests of all kinds."""
+        return tuple(self._store.digest(kind) for kind in KINDS)
+
+    def hear_peer(self, heard: PeerHeard) -> None:
+        """Ask a peer for what it holds and this router doesn't, if that lasts."""
+        for digest in heard.configuration:
+            if digest.kind not in KINDS:
+                continue
+            if not needs_changes(self._store.digest(digest.kind), digest):
+                continue
+            now_s = self._clock()
+            since_s = self._behind_since_s.setdefault(digest.kind, now_s)
+            waited = self._lost or now_s - since_s >= PULL_AFTER_S
+            if waited and digest.kind not in self._pulls:
+                task = asyncio.create_task(self._pull_from(heard, digest.kind))
+                self._pulls[digest.kind] = task
+
+    async def _pull_from(self, heard: PeerHeard, kind: str) -> None:
+        since = self._store.get_complete(kind)
+        try:
+            changes = await self._pull(heard.address, kind, since)
+            self._take(changes, heard.sender)
+        except PeerUnavailable as error:
+            log_event(
+                CONFIGURATION_PULL_FAILED,
+                kind=kind,
+                peer=heard.sender,
+                reason=error.message,
+            )
+        finally:
+            del self._pulls[kind]
 
     async def _follow(self, kind: str) -> None:
         must_list = True
+        wait_s: float | None = None
+        retry_s = RETRY_MIN_S
         while True:
             try:
-                await (self._list(kind) if must_list else self._watch(kind))
-                must_list = False
+                await (self._list(kind) if must_list else self._watch(kind, wait_s))
+                must_list, wait_s, retry_s = False, None, RETRY_MIN_S
                 self._report(lost=False)
             except WatchLost:
                 must_list = True
             except PlatformUnavailable as error:
-                must_list = True
                 self._report(lost=True, reason=error.message)
-                await asyncio.sleep(RETRY_WAIT_S)
+                # After an outage a router that has the configuration asks what
+                # changed.  Were all to list everything at once, the platform, just
+                # back, would have to send 370 times a megabyte.  It asks without
+                # waiting, so that the platform counts as back at once.
+                must_list = self._store.get_complete(kind) == 0
+                wait_s = 0.0
+                await asyncio.sleep(retry_s * random.uniform(0.5, 1.0))
+                retry_s = min(RETRY_MAX_S, retry_s * 2)
 
     async def _list(self, kind: str) -> None:
-        self._take(kind, await self._platform.list(kind), whole=True)
+        listing = await self._platform.list(kind)
+        self._take(_to_changes(kind, listing, whole=True), "list")
 
-    async def _watch(self, kind: str) -> None:
+    async def _watch(self, kind: str, wait_s: float | None) -> None:
         since = self._store.get_complete(kind)
-        self._take(kind, await self._platform.watch(kind, since), whole=False)
+        listing = await self._platform.watch(kind, since, wait_s)
+        self._take(_to_changes(kind, listing, whole=False), "watch")
 
-    def _take(self, kind: str, listing: Listing, whole: bool) -> None:
-        objects = tuple(ObjectVersion(*item) for item in listing.items)
-        changes = Changes(kind, objects, listing.revision, whole)
+    def _take(self, changes: Changes, source: str) -> None:
+        self._behind_since_s.pop(changes.kind, None)
         taken = self._store.take_changes(changes)
         for item in taken:
             log_event(
@@ -88,7 +154,7 @@
                 kind=item.kind,
                 name=item.name,
                 version=item.version,
-                source="platform",
+                source=source,
             )
         if taken:
             self._on_taken(taken)
@@ -99,3 +165,8 @@
         elif self._lost and not lost:
             log_event(PLATFORM_BACK)
         self._lost = lost
+
+
+def _to_changes(kind: str, listing: Listing, whole: bool) -> Changes:
+    objects = tuple(ObjectVersion(*item) for item in listing.items)
+    return Changes(kind, objects, listing.revision, whole)
--- /dev/null
+++ b/src/tamarackrill/router/gossip.py
@@ -0,0 +1,223 @@
+"""The task that owns the UDP socket of the routers and the membership state."""
+
+import asyncio
+import random
+import socket
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from tamarackrill.contracts import Vm
+from tamarackrill.decisions.configuration import ConfigurationDigest
+from tamarackrill.decisions.members import Entries, MemberRecord, MemberState
+from tamarackrill.decisions.membership import (
+    TICK_S,
+    Action,
+    Froze,
+    MemberChanged,
+    Membership,
+    PeerHeard,
+    Send,
+    StaleDropped,
+)
+from tamarackrill.events import (
+    MEMBER_CHANGED,
+    PEER_MESSAGES_DROPPED,
+    ROUTER_FROZE,
+    log_event,
+)
+from tamarackrill.protocol.codec import InvalidMessage, decode_gossip, encode_gossip
+from tamarackrill.router.members import Member, Members
+
+_STATE_NAMES = {state: state.name.lower() for state in MemberState}
+
+
+def bind_peer_socket(address: str, port: int) -> socket.socket:
+    """Return a bound UDP socket; port 0 takes a free one."""
+    family = socket.AF_INET6 if ":" in address else socket.AF_INET
+    bound = socket.socket(family, socket.SOCK_DGRAM)
+    try:
+        bound.bind((address, port))
+    except OSError:
+        bound.close()
+        raise
+    bound.setblocking(False)
+    return bound
+
+
+class Gossiper(asyncio.DatagramProtocol):
+    """Talks to the other routers and keeps `Members` up to date.
+
+    Parameters
+    ----------
+    own : MemberRecord
+        This router.
+    bound : socket.socket
+        From `bind_peer_socket`; closed by `stop`.
+    peer_keys : tuple of str
+        The first signs, all verify.
+    members : Members
+        Told of each change.
+    digest_configuration : callable
+        Returns the digests of the configuration held now.
+    clock : callable
+        Returns the present time.
+    """
+
+    def __init__(
+        self,
+        own: MemberRecord,
+        bound: socket.socket,
+        peer_keys: tuple[str, ...],
+        members: Members,
+        digest_configuration: Callable[[], tuple[ConfigurationDigest, ...]],
+        clock: Callable[[], float],
+    ) -> None:
+        self.counts: Counter[str] = Counter()
+        self._membership = Membership(own)
+        self._socket = bound
+        self._peer_keys = peer_keys
+        self._members = members
+        self._digest_configuration = digest_configuration
+        self._clock = clock
+        self._random = random.SystemRandom()
+        self._on_heard: list[Callable[[PeerHeard], None]] = []
+        self._collect: list[Callable[[], Entries]] = []
+        self._dropped: dict[str, tuple[int, str]] = {}
+        self._ticking: asyncio.Task[None] | None = None
+        self._transport: asyncio.DatagramTransport | None = None
+
+    def subscribe(self, on_heard: Callable[[PeerHeard], None]) -> None:
+        """Call `on_heard` for each message of a peer."""
+        self._on_heard.append(on_heard)
+
+    def add_source(self, collect: Callable[[], Entries]) -> None:
+        """Send what `collect` returns, asked for each tick, along with messages."""
+        self._collect.append(collect)
+
+    async def start(self) -> None:
+        """Read the socket and start to tick."""
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, sock=self._socket
+        )
+        self._ticking = asyncio.create_task(self._tick_for_ever())
+
+    async def stop(self) -> None:
+        """Tell the others that this router has left, and close the socket."""
+        if self._ticking is not None:
+            self._ticking.cancel()
+            await asyncio.gather(self._ticking, return_exceptions=True)
+        if self._transport is not None:
+            self._announce(MemberState.LEFT)
+            self._transport.close()
+
+    def leave(self) -> None:
+        """Tell the others to send this router no new work."""
+        self._announce(MemberState.LEAVING)
+
+    def take_vm_list(self, vms: tuple[Vm, ...]) -> None:
+        """Take the platform's VM list."""
+        self._membership.take_vm_list(vms)
+        self._publish()
+
+    def report(self, name: str, entries: Entries) -> None:
+        """Send entries to one router now, as far as the byte budget allows."""
+        self._act(self._membership.report(name, entries))
+
+    def describe(self) -> dict[str, Any]:
+        """Return the counts and the hash of the view, for queries."""
+        view = f"{self._membership.view:016x}"
+        return {"view": view, "known": len(self._membership.list_members())} | dict(
+            self.counts
+        )
+
+    def datagram_received(self, data: bytes, source: tuple[Any, ...]) -> None:
+        """Take one datagram; whatever it holds, nothing is raised."""
+        self.counts["received"] += 1
+        self.counts["received_bytes"] += len(data)
+        try:
+            message = decode_gossip(data, self._peer_keys)
+        except InvalidMessage as error:
+            self._drop(error.reason, f"{source[0]}:{source[1]}")
+            return
+        self._act(self._membership.receive(message, self._clock()))
+
+    def error_received(self, error: Exception) -> None:
+        """Count an error that the network reported, such as a port that is closed."""
+        self.counts["send_errors"] += 1
+
+    async def _tick_for_ever(self) -> None:
+        while True:
+            self._refresh()
+            self._act(self._membership.tick(self._clock(), self._random.randrange))
+            self._log_dropped()
+            await asyncio.sleep(TICK_S)
+
+    def _refresh(self) -> None:
+        self._membership.configuration = self._digest_configuration()
+        collected = [collect() for collect in self._collect]
+        self._membership.entries = Entries(
+            tuple(crash for entries in collected for crash in entries.crashes),
+            tuple(load for entries in collected for load in entries.loads),
+            tuple(usage for entries in collected for usage in entries.usages),
+        )
+
+    def _announce(self, state: MemberState) -> None:
+        self._act(self._membership.announce(state, self._random.randrange))
+
+    def _act(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                self._send(action)
+            elif isinstance(action, MemberChanged):
+                self._log_change(action)
+            elif isinstance(action, PeerHeard):
+                for on_heard in self._on_heard:
+                    on_heard(action)
+            elif isinstance(action, StaleDropped):
+                self._drop("stale", action.sender)
+            elif isinstance(action, Froze):
+                log_event(ROUTER_FROZE, gap_s=action.gap_s)
+        if any(isinstance(action, MemberChanged) for action in actions):
+            self._publish()
+
+    def _send(self, action: Send) -> None:
+        host, _, port = action.peer_address.rpartition(":")
+        datagram = encode_gossip(action.message, self._peer_keys)
+        self.counts["sent"] += 1
+        self.counts["sent_bytes"] += len(datagram)
+        if self._transport is not None:
+            self._transport.sendto(datagram, (host.strip("[]"), int(port)))
+
+    def _log_change(self, change: MemberChanged) -> None:
+        before = change.before
+        log_event(
+            MEMBER_CHANGED,
+            router=change.record.name,
+            before="unknown" if before is None else _STATE_NAMES[before],
+            after=_STATE_NAMES[change.record.state],
+            incarnation=change.record.incarnation,
+        )
+
+    def _publish(self) -> None:
+        takes_work = {record.name for record in self._membership.live_members()}
+        members = []
+        for record in self._membership.list_members():
+            state = _STATE_NAMES[record.state]
+            # The VM list says that it leaves; the router itself doesn't know yet.
+            if state in ("alive", "suspect") and record.name not in takes_work:
+                state = "leaving"
+            members.append(Member(record.name, record.address, record.zone, state))
+        self._members.replace(members)
+
+    def _drop(self, reason: str, source: str) -> None:
+        self.counts[f"dropped_{reason}"] += 1
+        count, _ = self._dropped.get(reason, (0, ""))
+        self._dropped[reason] = (count + 1, source)
+
+    def _log_dropped(self) -> None:
+        # A line for each datagram would let a stranger fill the log.
+        for reason, (count, source) in self._dropped.items():
+            log_event(PEER_MESSAGES_DROPPED, reason=reason, count=count, source=source)
+        self._dropped.clear()
--- a/src/tamarackrill/router/members.py
+++ b/src/tamarackrill/router/members.py
@@ -31,7 +31,9 @@
 
     def list_live(self) -> list[Member]:
         """Return the routers that may be the home of a chat, by name."""
-        live = [m for m in self._others.values() if m.state == "alive"]
+        # A suspect is kept until it is removed: most have only missed two pings, and
+        # the chats of a removed router move away and lose their order's memory.
+        live = [m for m in self._others.values() if m.state in ("alive", "suspect")]
         if self.own.state == "alive":
             live.append(self.own)
         return sorted(live)
--- a/src/tamarackrill/router/orders.py
+++ b/src/tamarackrill/router/orders.py
@@ -109,7 +109,10 @@
 
     async def _run(self) -> None:
         while True:
-            if self._is_first():
+            # Whoever holds the lease keeps it.  Otherwise each router that returns
+            # would wait out lease and longest order to become the holder again, and
+            # engines would get no order meanwhile.
+            if self._lease.may_order(self._clock()) or self._is_first():
                 await self._step()
             await asyncio.sleep(STEP_S)
 
--- a/src/tamarackrill/router/platform_client.py
+++ b/src/tamarackrill/router/platform_client.py
@@ -88,9 +88,20 @@
         items = _read_items(body, "items")
         return Listing(items, body["revision"])
 
-    async def watch(self, kind: str, since: int) -> Listing:
+    async def watch(
+        self, kind: str, since: int, wait_s: float | None = None
+    ) -> Listing:
         """Return what changed after a revision; waits for a change.
 
+        Parameters
+        ----------
+        kind : str
+            Kind of objects.
+        since : int
+            Revision.
+        wait_s : float, optional
+            Longest wait for a change; 0 asks for what there is.
+
         Raises
         ------
         WatchLost
@@ -98,8 +109,9 @@
         PlatformUnavailable
             If the platform did not answer.
         """
-        path = f"/watch/{kind}?since={since}&wait_s={WATCH_WAIT_S}"
-        code, body = await self._call("GET", path, WATCH_WAIT_S + CALL_TIMEOUT_S)
+        wait_s = WATCH_WAIT_S if wait_s is None else wait_s
+        path = f"/watch/{kind}?since={since}&wait_s={wait_s}"
+        code, body = await self._call("GET", path, wait_s + CALL_TIMEOUT_S)
         if code == GONE:
             raise WatchLost(f"revision {since} of {kind} is gone")
         items = _read_items(body, "events")
