--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -29,6 +29,7 @@
 from tamarackrill.router.explaining import Question, explain
 from tamarackrill.router.flow import Flow
 from tamarackrill.router.known_objects import KnownObjects
+from tamarackrill.router.load_reports import LoadReader
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.orders import EngineOrderer, Fleet
@@ -153,6 +154,8 @@
             self.clock,
         )
         self._tasks.append(asyncio.create_task(prober.run()))
+        reader = LoadReader(self._endpoint_client, self.owners, self.placer, self.clock)
+        self._tasks.append(asyncio.create_task(reader.run()))
         self._server = HTTPServer(
             make_front(self._make_front()),
             # The handler itself refuses a body that is too long, with a code.
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -9,8 +9,13 @@
 from tamarackrill.decisions.routing import compute_bound
 from tamarackrill.protocol import owner_codec as codec
 from tamarackrill.protocol.codec import DIGEST_BYTES, sign
+from tamarackrill.router.load_reports import LoadReader
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.owners import UNCOUNTED, Owners
+from tamarackrill.router.placing import Placer
+from tamarackrill.router.upstream import make_client
+from tamarackrill.testing.daemon import listen
+from tamarackrill.testing.engine import EngineState, make_engine
 from tamarackrill.testing.processes import FleetProcesses, call, wait_for
 
 KEYS = ("the first key", "the second key")
@@ -143,3 +148,27 @@
             for engine in engines:
                 engine.set_faults()
             assert set(statuses) == {200}
+
+
+def test_new_owner_learns_what_runs_from_the_engines():
+    # The owner fails while calls of other routers run.  The new owner has granted none
+    # of them; taking the engine for idle it would fill it a second time.
+    async def run():
+        state = EngineState("engine-0")
+        server, address = listen(make_engine(state))
+        endpoint = POOL[0]._replace(address=address)
+        members = Members(Member("a", "", "zone-a"))
+        clock = lambda: 1.0  # noqa: E731
+        owners = Owners(members, 1.25, lambda: [endpoint], print, KEYS, clock)
+        client = make_client()
+        placer = Placer(lambda: [endpoint])
+        reader = LoadReader(client, owners, placer, clock)
+        for running, wanted in ((3, 3), (5, 5), ("many", 5), (-1, 0)):
+            state.running = running
+            await reader.look()
+            assert owners.digest() == [("engine-0", wanted)]
+            assert placer.placement.loads.estimate(["engine-0"], 1.0) == [wanted]
+        client.close()
+        server.stop()
+
+    asyncio.run(run())
