--- a/src/tamarackrill/decisions/members.py
+++ b/src/tamarackrill/decisions/members.py
@@ -12,6 +12,7 @@
 from tamarackrill.decisions.configuration import ConfigurationDigest
 from tamarackrill.decisions.limits import TeamUsage
 from tamarackrill.decisions.loads import EndpointLoad
+from tamarackrill.decisions.poison import CrashCount
 
 # Weights of the encoded parts, with UDP and IP headers; test_codec.py checks that no
 # message is heavier than its estimate.
@@ -73,13 +74,6 @@
         return mine > (other.incarnation, other.state)
 
 
-class CrashCount(NamedTuple):
-    """How many endpoints a request, known by its fingerprint, has crashed."""
-
-    fingerprint: int
-    crashes: int
-
-
 class Entries(NamedTuple):
     """What other modules exchange through gossip, most urgent first."""
 
--- a/src/tamarackrill/router/placing.py
+++ b/src/tamarackrill/router/placing.py
@@ -5,7 +5,12 @@
 
 from tamarackrill.contracts import Endpoint
 from tamarackrill.decisions.health import Health
-from tamarackrill.decisions.poison import CRASHES_MAX, Poison, shorten_fingerprint
+from tamarackrill.decisions.poison import (
+    CRASHES_MAX,
+    CrashCount,
+    Poison,
+    shorten_fingerprint,
+)
 from tamarackrill.decisions.reservations import ASKS_MAX, must_ask
 from tamarackrill.decisions.routing import (
     LOAD_FACTOR_DEFAULT,
@@ -51,6 +56,11 @@
         Availability zone of this router, and so of its callers.
     owners : Owners, optional
         Where reservations are made; without it the estimate alone decides.
+
+    Attributes
+    ----------
+    tell_crash : callable
+        Called with what to tell the peers when an endpoint has crashed.
     """
 
     def __init__(
@@ -67,6 +77,7 @@
         self.placement = Placement(load_factor)
         self.health = Health()
         self.poison = Poison()
+        self.tell_crash: Callable[[CrashCount], None] = lambda count: None
 
     def take_endpoints(self, now_s: float) -> None:
         """Take note of endpoints that have joined or left."""
@@ -295,6 +306,7 @@
             fingerprint=f"{fingerprint:016x}",
             crashed=sorted(crashed),
         )
+        self.tell_crash(CrashCount(fingerprint, len(crashed)))
         if len(crashed) >= CRASHES_MAX:
             for name in crashed:
                 self.health.forgive(name, now_s)
