Queue a call again where other routers have filled the endpoints

Two routers and one engine of four slots: the calls that the second router let pass were refused with no_endpoint, though their callers had time and the queue was empty. Ruled out: to wait inside the placement, which would pass by the queue's fairness.

--- a/src/tamarackrill/router/flow.py
+++ b/src/tamarackrill/router/flow.py
@@ -22,6 +22,8 @@
 from tamarackrill.router.upstream import CurlAsyncHTTPClient
 
 ATTEMPTS_MAX = 3
+# Some tens of steps of an engine, in which a slot may become free.
+FULL_PAUSE_S = 0.05
 
 
 class Flow:
@@ -153,26 +155,40 @@
     ) -> tuple[Placed, Attempt]:
         arrived_s = self._clock()
         reply.when_abandoned(lambda: self._admitter.cancel(call))
+        while True:
+            await self._enter(call, sent)
+            attempt = Attempt("not_sent")
+            placed: Placed | None = None
+            try:
+                wait_s = self._clock() - arrived_s
+                placed = await self._place(call, avoid, wait_s, sent)
+                if placed is not None:
+                    attempt = await self._attempt(call, reply, placed, is_last)
+                    return placed, attempt
+            finally:
+                if placed is not None:
+                    self._placer.release(placed)
+                self._admitter.leave(call, attempt, self._clock())
+            # Other routers have filled the endpoints, which this one had not heard
+            # when it let the call pass.  The call has time to wait, so it queues
+            # again; the pause keeps it from spinning until the loads are known.
+            await asyncio.sleep(FULL_PAUSE_S)
+            if reply.abandoned.is_set():
+                run: RunState = "unknown" if sent else "not_run"
+                raise Refusal("cancelled", 499, "the caller went away", run)
+
+    async def _enter(self, call: Call, sent: bool) -> None:
         try:
-            await self._admitter.enter(call, arrived_s)
+            await self._admitter.enter(call, self._clock())
         except Refusal as refusal:
             # This attempt was not sent, but an earlier one may have run.
             refusal.run = "unknown" if sent else refusal.run
             raise
-        attempt = Attempt("not_sent")
-        placed: Placed | None = None
-        try:
-            placed = await self._place(call, avoid, self._clock() - arrived_s, sent)
-            attempt = await self._attempt(call, reply, placed, is_last)
-            return placed, attempt
-        finally:
-            if placed is not None:
-                self._placer.release(placed)
-            self._admitter.leave(call, attempt, self._clock())
 
     async def _place(
         self, call: Call, avoid: list[str], wait_s: float, sent: bool
-    ) -> Placed:
+    ) -> Placed | None:
+        """Return where the call goes, or None if all endpoints are full."""
         now_s = self._clock()
         # A router that was frozen while the call waited wakes up with an old
         # decision.  The caller has given up by then and may have asked elsewhere.
@@ -181,6 +197,8 @@
             raise Refusal("too_late", 504, "the deadline has passed", run)
         placed = await self._placer.place(call, avoid, now_s)
         if placed is None:
+            if self._placer.is_servable(call, avoid):
+                return None
             raise Refusal("no_endpoint", 503, "no endpoint can take the call", run)
         self._metrics.record_wait(call.kind, wait_s)
         self._log_placed(call, placed, wait_s)
--- a/src/tamarackrill/router/placing.py
+++ b/src/tamarackrill/router/placing.py
@@ -150,6 +150,10 @@
             return None
         return Placed(choice.endpoint, choice.reason, choice.runners_up)
 
+    def is_servable(self, call: Call, avoid: Collection[str]) -> bool:
+        """Return whether an endpoint, free or full, may take the call."""
+        return any(e.name not in avoid for e in self.list_candidates(call))
+
     def release(self, placed: Placed) -> None:
         """End the reservation of a call, whose attempts are over."""
         if self._owners is not None and placed.ticket != UNCOUNTED:
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -117,6 +117,14 @@
     return list(islice(found, count))
 
 
+def _ask(router, chat):
+    """Send a request of a chat and return the status of its answer."""
+    messages = [{"role": "user", "content": "a pattern"}]
+    body = {"model": "m", "messages": messages, "max_tokens": 2}
+    headers = {**KEY, "Chat-Id": chat}
+    return call(router.address, "/v1/chat/completions", body, headers=headers).status
+
+
 def test_bound_holds_over_two_routers():
     # Twenty chats of one engine come back at once, half of them through each of two
     # routers.  Each router keeps the bound by what it sent itself, and the engine gets
@@ -130,19 +138,12 @@
         for engine in engines:
             engine.set_faults(hold=True)
         chats = [chat for name in names for chat in _find_chats(names, name, 10)]
-        messages = [{"role": "user", "content": "a pattern"}]
-        body = {"model": "m", "messages": messages, "max_tokens": 2}
-
-        def ask(chat):
-            headers = {**KEY, "Chat-Id": chat}
-            path = "/v1/chat/completions"
-            return call(routers[0].address, path, body, headers=headers).status
 
         def count():
             return [len(engine.look()["arrivals"]) for engine in engines]
 
         with ThreadPoolExecutor(len(chats)) as callers:
-            statuses = callers.map(ask, chats)
+            statuses = callers.map(lambda chat: _ask(routers[0], chat), chats)
             wait_for(lambda: sum(count()) == len(chats), "all calls are at engines")
             assert max(count()) <= compute_bound(1.25, len(chats), len(engines))
             for engine in engines:
@@ -172,3 +173,26 @@
         server.stop()
 
     asyncio.run(run())
+
+
+def test_calls_wait_where_another_router_has_filled_the_engine():
+    # One router has filled the only engine; the other has not heard of it and lets its
+    # calls pass the queue.  The owner says that the engine is full.  These callers have
+    # time to wait, and a refusal would send them away from a queue that is empty.
+    with FleetProcesses() as fleet:
+        engine = fleet.add_engine("engine-1", "m", "--slots=4")
+        fleet.put_contract(CONTRACT)
+        names = ["router-1", "router-2"]
+        routers = [fleet.add_router(name) for name in names]
+        fleet.wait_ready()
+        engine.set_faults(hold=True)
+        with ThreadPoolExecutor(8) as callers:
+            statuses = [
+                callers.submit(_ask, router, chat)
+                for router in routers
+                for chat in _find_chats(names, router.name, 4)
+            ]
+            wait_for(lambda: len(engine.look()["arrivals"]) == 4, "the engine is full")
+            wait_for(lambda: sum(r.status()["in_flight"] for r in routers) >= 8, "all")
+            engine.set_faults()
+            assert [status.result() for status in statuses] == [200] * 8
