--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -37,6 +37,7 @@
 from tamarackrill.router.flow import Flow
 from tamarackrill.router.gossip import Gossiper
 from tamarackrill.router.known_objects import KnownObjects
+from tamarackrill.router.load_reports import LoadReader
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.orders import EngineOrderer, Fleet
@@ -172,6 +173,8 @@
             self.clock,
         )
         self._tasks.append(asyncio.create_task(prober.run()))
+        reader = LoadReader(self._endpoint_client, self.owners, self.placer, self.clock)
+        self._tasks.append(asyncio.create_task(reader.run()))
         self._server = HTTPServer(
             self._make_web_application(),
             # The handler itself refuses a body that is too long, with a code.
