--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -13,6 +13,7 @@
 from tamarackrill.router.owners import UNCOUNTED, Owners
 from tamarackrill.testing.processes import FleetProcesses, call, wait_for
 
+BOUND = 1.25
 KEYS = ("the first key", "the second key")
 KEY = {"Authorization": "Bearer the-key"}
 CONTRACT = {"team": "t", "key_hashes": [hash_key("the-key")], "models": ["m"]}
@@ -120,7 +121,9 @@
         engines = [fleet.add_engine(e.name, "m", "--slots=30") for e in POOL]
         fleet.put_contract(CONTRACT)
         names = ["router-1", "router-2"]
-        routers = [fleet.add_router(name) for name in names]
+        routers = [
+            fleet.add_router(name, "zone-a", f"--load-bound={BOUND}") for name in names
+        ]
         fleet.wait_ready()
         for engine in engines:
             engine.set_faults(hold=True)
@@ -139,7 +142,7 @@
         with ThreadPoolExecutor(len(chats)) as callers:
             statuses = callers.map(ask, chats)
             wait_for(lambda: sum(count()) == len(chats), "all calls are at engines")
-            assert max(count()) <= compute_bound(1.25, len(chats), len(engines))
+            assert max(count()) <= compute_bound(BOUND, len(chats), len(engines))
             for engine in engines:
                 engine.set_faults()
             assert set(statuses) == {200}
