--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -42,6 +42,28 @@
     return figures
 
 
+def _measure_gossip(module: ModuleType) -> dict[str, Any]:
+    rows = module.measure()["sizes"]
+    sizes = [row["routers"] for row in rows]
+    largest = rows[-1]
+    figures: dict[str, Any] = {
+        f"gossip_{name}": fit(unit, "router", sizes, [row[name] for row in rows])
+        for name, unit in (
+            ("steady_bytes_per_s", "bytes/s"),
+            ("steady_cpu_us_per_s", "µs/s"),
+            ("removed_ticks", "s"),
+            ("configuration_ticks", "s"),
+            ("healed_ticks", "s"),
+        )
+    }
+    return figures | {
+        "gossip_core_share": largest["steady_cpu_us_per_s"] / 1e6,
+        "gossip_bytes_per_s": largest["steady_bytes_per_s"],
+        "gossip_detect_s": largest["removed_ticks"],
+        "gossip_largest": largest["routers"],
+    }
+
+
 def _measure_plainly(module: ModuleType) -> dict[str, Any]:
     return dict(module.measure())
 
@@ -51,7 +73,7 @@
     "overload": _measure_overload,
     "limits": _measure_limits,
     "routing": _measure_routing,
-    "gossip": _measure_plainly,
+    "gossip": _measure_gossip,
     "claims": _measure_plainly,
 }
 
--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -105,8 +105,8 @@
 
 Limits for control at a node: {CORE_SHARE_MAX:.1%} of a core, {MEMORY_MAX_MB} MB,
 {CONTROL_MAX_BYTES_PER_S / 1000:.0f} KB/s. Control is membership, claims, configuration,
-limits and placement; passing calls and answers on is the work itself and is shown
-apart."""
+limits, admission and placement; passing calls and answers on is the work itself and is
+shown apart. Bytes are those sent and received."""
 
 
 def _format_parts(figures: Figures) -> str:
@@ -227,7 +227,7 @@
                 figures.get("limits_exchange_core_share"),
             ),
             _scale(figures.get("limits_state_bytes_per_router"), 1 / 2**20),
-            figures.get("limits_sent_bytes_per_s"),
+            _scale(figures.get("limits_sent_bytes_per_s"), 2),
         ),
         "admission": Share(
             _times(admit, NODE_CALLS_PER_S),
@@ -339,6 +339,8 @@
     chat_us = _get(figures, "chat_call_us", lambda line: line.slope)
     event_us = _get(figures, "event_us", lambda line: line.slope)
     in_force = _get(figures, "in_force_s", lambda line: line.at(max(line.sizes)))
+    largest = figures.get("gossip_largest")
+    gossip = _get(figures, "gossip_configuration_ticks", lambda line: line.values[-1])
     data = _plus(
         _times(call_us, NODE_CALLS_PER_S * PASSES),
         _times(event_us, NODE_EVENTS_PER_S * PASSES),
@@ -354,8 +356,8 @@
 - In force everywhere within {IN_FORCE_MAX_S} s: {_show(in_force, ".3f")} s until the
   last of 8 routers on loopback had a change, the slowest of five. The time does not
   pass from router to router: each has its own watch, so at {NODES} routers it is the
-  platform's time to answer {NODES} watches. A zone cut off from the platform has it
-  from its peers, or when the cut heals."""
+  platform's time to answer {NODES} watches. By gossip alone, for a router whose watch
+  is lost, it took {_show(gossip)} s at {_show(largest)} routers in simulated time."""
 
 
 def _format_failures(figures: Figures) -> str:
@@ -385,9 +387,9 @@
         )
     lines += [
         "",
-        f"A failed router is taken for dead after {_show(detect)} s "
-        "(bench/gossip.py); until then calls handed to it fail at the first try and go "
-        "to the next home. A router that is told to stop finishes its calls first, so "
+        f"A failed router is taken for dead by all others after {_show(detect)} s "
+        "(bench/gossip.py, simulated time); until then calls handed to it fail at the "
+        "first try and go to the next home. A router that is told to stop finishes its calls first, so "
         "its restart moves chats and cuts nothing. When regions lose each other no "
         "chat needs to move by itself: each side takes homes among the routers it "
         "sees, so a chat whose callers reach both sides has two homes meanwhile, and "
