--- a/src/tamarackrill/decisions/limits.py
+++ b/src/tamarackrill/decisions/limits.py
@@ -37,6 +37,9 @@
 # A sum that was not renewed for so long is not used any more.  Partitions are mostly
 # shorter; until then the other side is taken to ask for what it asked last.
 HOLD_S = 60.0
+# A team that was quiet for so long is forgotten.  Longer than the slowest report of
+# `usage` takes: the last one, that there is nothing any more, must still go out.
+FORGET_S = 150.0
 RETRY_MIN_S = 1.0
 RETRY_MAX_S = 30.0
 
@@ -222,7 +225,7 @@
         for name, team in list(self._teams.items()):
             usages.append(self._read_own(team, name, now_s))
             quiet_s = now_s - team.updated_s
-            if not team.in_flight and quiet_s > HOLD_S:
+            if not team.in_flight and quiet_s > FORGET_S:
                 del self._teams[name]
         return usages
 
--- a/src/tamarackrill/decisions/usage.py
+++ b/src/tamarackrill/decisions/usage.py
@@ -34,7 +34,7 @@
     measure_pressure,
 )
 
-# Upper bound of one encoded entry: names of 24 and 12 bytes, a byte of scope, four
+# Most bytes of one encoded entry: names of 24 and 12 bytes, a byte of scope, four
 # numbers of 4 bytes, and the framing of thrift's compact form.
 ENTRY_BYTES = 62
 # IP and UDP headers, signature and framing of one datagram.
@@ -288,7 +288,7 @@
                     del others[team]
         for sent in (self._router_sent, self._zone_sent):
             for team, last in list(sent.items()):
-                if last.empty and now_s - last.at_s > HOLD_S:
+                if last.empty and now_s - last.at_s > ORIGIN_LOST_S:
                     del sent[team]
 
     def _report(
@@ -313,7 +313,12 @@
         if abs(part - last.part) > PRESSURE_STEP and not visit:
             pace_s = REPORT_MIN_S
         overdue = (now_s - last.at_s + _TICK_SLACK_S) / pace_s
-        if overdue < 1.0 or (last.empty and _is_empty(usage)):
+        if overdue < 1.0:
+            return []
+        if last.empty and _is_empty(usage):
+            # A sample too, though not worth a message.  If the next visit were taken
+            # instead, sums would be too high by the pauses between the visits.
+            sent[usage.team] = last._replace(at_s=now_s)
             return []
         return [(overdue, self.find_homes(usage.team)[int(is_zone)], usage)]
 
