Refuse after five seconds what waits for endpoints that are all out

Cause: with every endpoint ejected and nothing running, nothing said that the wait would end, and a call was held until its deadline (test_retrying.py timed out after 30 s in a run of all tests on a busy machine). The test was first seen to fail without the rule.

--- a/src/tamarackrill/decisions/admission.py
+++ b/src/tamarackrill/decisions/admission.py
@@ -43,7 +43,11 @@
 RETRY_MIN_S = 1.0
 RETRY_MAX_S = 30.0
 
-RefusalCode = Literal["queue_full", "deadline_unmeetable"]
+# With no slot to be had and nothing running that could free one, nothing says that a
+# wait will end.  An ejected endpoint is probed, and a restarted one back, within 5 s.
+NO_SLOT_WAIT_S = 5.0
+
+RefusalCode = Literal["queue_full", "deadline_unmeetable", "no_endpoint"]
 
 
 class Start(NamedTuple):
@@ -263,12 +267,12 @@
             for entry in list(merge(*queue.lines.values())):
                 wait_s = pool.estimate_wait_s(entry.request, before, rates)
                 late_s = _estimate_late_s(pool, entry, wait_s, now_s)
-                if late_s <= 0:
+                code = _find_refusal(pool, entry, late_s, now_s)
+                if code is None:
                     before += entry.cost
                     continue
                 self._remove_waiting(pool, entry)
-                refusal = _refuse(pool, entry, "deadline_unmeetable", late_s, now_s)
-                refusals.append(refusal)
+                refusals.append(_refuse(pool, entry, code, late_s, now_s))
         return refusals
 
 
@@ -278,6 +282,17 @@
     return now_s + wait_s + service_s - entry.request.deadline_s
 
 
+def _find_refusal(
+    pool: Pool, entry: Entry, late_s: float, now_s: float
+) -> RefusalCode | None:
+    if late_s > 0:
+        return "deadline_unmeetable"
+    has_slots = pool.slots > 0 or pool.running
+    if not has_slots and now_s - entry.request.arrived_s >= NO_SLOT_WAIT_S:
+        return "no_endpoint"
+    return None
+
+
 def _refuse(
     pool: Pool, entry: Entry, code: RefusalCode, late_s: float, now_s: float
 ) -> Refuse:
--- a/src/tamarackrill/router/admitting.py
+++ b/src/tamarackrill/router/admitting.py
@@ -15,6 +15,7 @@
 _MESSAGES = {
     "queue_full": "too many requests wait for this model or service",
     "deadline_unmeetable": "the answer cannot be ready by the deadline",
+    "no_endpoint": "no endpoint can take the call",
 }
 
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -172,6 +172,16 @@
     assert [r.request_id for r in queue.expire(6.0)] == ["waiting"]
 
 
+def test_request_does_not_wait_for_endpoints_that_are_all_out():
+    # Every endpoint of a pool is ejected or gone.  Nothing will free a slot, and the
+    # caller would be told only when its deadline has passed.
+    queue = AdmissionQueue(8)
+    learn_speed(queue)
+    queue.offer(make_request("a", deadline_s=60.0, arrived_s=1.0), 1.0)
+    assert queue.take("p", 0, 1.0) == queue.expire(5.0) == []
+    assert [refusal.code for refusal in queue.expire(6.0)] == ["no_endpoint"]
+
+
 def test_full_queue_makes_room_at_the_cost_of_the_team_over_its_share():
     # A surge fills the queue.  Without making room, the next request of another
     # team is refused for a queue that it has not filled.
