--- a/src/tamarackrill/protocol/codec.py
+++ b/src/tamarackrill/protocol/codec.py
@@ -31,8 +31,9 @@
 # 128 bits cannot be guessed over a network, and leave 16 bytes more of the budget
 # than the whole digest.
 DIGEST_BYTES = 16
-# Largest payload of one UDP datagram over IPv4.
-DATAGRAM_MAX_BYTES = 65_507
+# The digest covers this word, as that of the other messages covers one of its own, so
+# that none is taken for one of another protocol with the same keys.
+_CONTEXT = b"gossip\0"
 _SCOPES: tuple[UsageScope, ...] = ("router", "zone", "other_routers", "other_zones")
 _I64_MODULUS = 1 << 64
 _I64_LIMIT = 1 << 63
@@ -76,7 +77,7 @@
     buffer = TMemoryBuffer()
     _to_struct(message).write(TCompactProtocol(buffer))
     payload = buffer.getvalue()
-    return sign(payload, keys[0]) + payload
+    return sign(_CONTEXT + payload, keys[0]) + payload
 
 
 def decode_gossip(datagram: bytes, keys: tuple[str, ...]) -> Gossip:
@@ -88,7 +89,7 @@
         If no key proves it, or it holds no message.
     """
     digest, payload = datagram[:DIGEST_BYTES], datagram[DIGEST_BYTES:]
-    if not verify(digest, payload, keys):
+    if not verify(digest, _CONTEXT + payload, keys):
         raise InvalidMessage("stranger")
     struct = _idl.Gossip()
     try:
--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -1,7 +1,6 @@
 """The application object: owns every resource of the daemon and its clean-up."""
 
 import asyncio
-import socket
 import time
 import uuid
 from collections.abc import Awaitable
@@ -13,6 +12,7 @@
 from tornado.web import Application
 
 from tamarackrill.contracts import Contract, Endpoint
+from tamarackrill.decisions.claims import Claims
 from tamarackrill.decisions.configuration import (
     Changes,
     ConfigurationStore,
@@ -32,13 +32,15 @@
 from tamarackrill.router.chats import Chats
 from tamarackrill.router.claiming import Claimer
 from tamarackrill.router.configuring import KINDS, Configurer
+from tamarackrill.router.datagrams import PeerSocket
 from tamarackrill.router.explaining import Question, explain
 from tamarackrill.router.flow import Flow
-from tamarackrill.router.gossip import Gossiper, bind_peer_socket
+from tamarackrill.router.gossip import Gossiper
 from tamarackrill.router.known_objects import KnownObjects
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.orders import EngineOrderer, Fleet
+from tamarackrill.router.owners import Owners
 from tamarackrill.router.peer_api import (
     CONFIGURATION_PATH,
     ConfigurationHandler,
@@ -51,6 +53,7 @@
 from tamarackrill.settings import Settings
 
 VM_LIST_WAIT_S = 1.0
+INCARNATION_DIGITS = 16
 UNLIMITED_BYTES = 1 << 40
 BUFFER_MAX_BYTES = 256 * 1024
 HEADERS_MAX_BYTES = 32 * 1024
@@ -91,9 +94,16 @@
         settings = self.settings
         sockets = bind_sockets(settings.port, settings.address)
         self.address = f"{settings.address}:{sockets[0].getsockname()[1]}"
-        peer_socket = bind_peer_socket(settings.address, settings.peer_port)
-        self.peer_address = f"{settings.address}:{peer_socket.getsockname()[1]}"
-        own = Member(settings.name, self.address, settings.zone)
+        self._peer_socket = PeerSocket()
+        self.peer_address = await self._peer_socket.start(
+            settings.address, settings.peer_port
+        )
+        own = Member(
+            settings.name,
+            self.address,
+            settings.zone,
+            peer_address=self.peer_address,
+        )
         self.members = Members(own)
         self._endpoint_client = make_client()
         self._router_client = make_client()
@@ -101,16 +111,33 @@
         self.platform = PlatformClient(
             settings.platform, settings.zone, self._platform_client
         )
-        self.placer = Placer(self.list_endpoints, settings.load_bound, settings.zone)
+        self.owners = Owners(
+            self.members,
+            settings.load_bound,
+            self.list_endpoints,
+            self._peer_socket.send,
+            settings.peer_keys,
+            self.clock,
+        )
+        self._peer_socket.handlers.append(self.owners.take_datagram)
+        self._tasks.append(asyncio.create_task(self.owners.run()))
+        self.placer = Placer(
+            self.list_endpoints, settings.load_bound, settings.zone, self.owners
+        )
         self.admitter = Admitter(
             lambda call: self.placer.count_free(call, self.clock()),
             settings.queue_max,
             self.clock,
         )
-        self.claimer = Claimer()
+        self.chats = Chats(self.clock)
+        self.claimer = Claimer(
+            Claims(settings.name, uuid.uuid4().hex[:INCARNATION_DIGITS]),
+            self.platform,
+            lambda: [member.name for member in self.members.list_live()],
+        )
         self.flow = Flow(
             self._endpoint_client,
-            Chats(),
+            self.chats,
             self.claimer,
             self.admitter,
             self.placer,
@@ -121,7 +148,8 @@
             self.store, self.platform, self._take_objects, self._pull, self.clock
         )
         await self.configurer.start()
-        self.gossiper = self._make_gossiper(peer_socket)
+        self.gossiper = self._make_gossiper()
+        self._peer_socket.handlers.append(self.gossiper.take_datagram)
         self.gossiper.subscribe(self.configurer.hear_peer)
         await self.gossiper.start()
         self.orderer = EngineOrderer(
@@ -135,6 +163,7 @@
         await self.orderer.start()
         self._tasks.append(asyncio.create_task(self._follow_vms()))
         self._tasks.append(asyncio.create_task(self.admitter.run()))
+        self._tasks.append(asyncio.create_task(self.chats.run()))
         prober = Prober(
             self._endpoint_client,
             self.placer,
@@ -183,9 +212,11 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.claimer.stop()
         await self.orderer.stop()
         await self.gossiper.stop()
         await self.configurer.stop()
+        self._peer_socket.stop()
         self._endpoint_client.close()
         self._router_client.close()
         self._platform_client.close()
@@ -239,7 +270,7 @@
         )
         return {"router": self.settings.name, **found}
 
-    def _make_gossiper(self, peer_socket: socket.socket) -> Gossiper:
+    def _make_gossiper(self) -> Gossiper:
         own = MemberRecord(
             self.settings.name,
             # Above that of any earlier process of this name, as nothing is kept.
@@ -251,7 +282,7 @@
         )
         return Gossiper(
             own,
-            peer_socket,
+            self._peer_socket,
             self.settings.peer_keys,
             self.members,
             self.configurer.digest,
--- a/src/tamarackrill/router/gossip.py
+++ b/src/tamarackrill/router/gossip.py
@@ -1,8 +1,7 @@
-"""The task that owns the UDP socket of the routers and the membership state."""
+"""The task that owns the membership state and talks to the other routers."""
 
 import asyncio
 import random
-import socket
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
@@ -27,33 +26,22 @@
     log_event,
 )
 from tamarackrill.protocol.codec import InvalidMessage, decode_gossip, encode_gossip
+from tamarackrill.router.datagrams import PeerSocket
 from tamarackrill.router.members import Member, Members
 
 _STATE_NAMES = {state: state.name.lower() for state in MemberState}
 
 
-def bind_peer_socket(address: str, port: int) -> socket.socket:
-    """Return a bound UDP socket; port 0 takes a free one."""
-    family = socket.AF_INET6 if ":" in address else socket.AF_INET
-    bound = socket.socket(family, socket.SOCK_DGRAM)
-    try:
-        bound.bind((address, port))
-    except OSError:
-        bound.close()
-        raise
-    bound.setblocking(False)
-    return bound
-
-
-class Gossiper(asyncio.DatagramProtocol):
+class Gossiper:
     """Talks to the other routers and keeps `Members` up to date.
 
     Parameters
     ----------
     own : MemberRecord
         This router.
-    bound : socket.socket
-        From `bind_peer_socket`; closed by `stop`.
+    peer_socket : PeerSocket
+        Not owned; `take_datagram` must be the last of its handlers, as it counts what
+        no handler knows as a stranger's.
     peer_keys : tuple of str
         The first signs, all verify.
     members : Members
@@ -67,7 +55,7 @@
     def __init__(
         self,
         own: MemberRecord,
-        bound: socket.socket,
+        peer_socket: PeerSocket,
         peer_keys: tuple[str, ...],
         members: Members,
         digest_configuration: Callable[[], tuple[ConfigurationDigest, ...]],
@@ -75,7 +63,7 @@
     ) -> None:
         self.counts: Counter[str] = Counter()
         self._membership = Membership(own)
-        self._socket = bound
+        self._socket = peer_socket
         self._peer_keys = peer_keys
         self._members = members
         self._digest_configuration = digest_configuration
@@ -85,7 +73,6 @@
         self._collect: list[Callable[[], Entries]] = []
         self._dropped: dict[str, tuple[int, str]] = {}
         self._ticking: asyncio.Task[None] | None = None
-        self._transport: asyncio.DatagramTransport | None = None
 
     def subscribe(self, on_heard: Callable[[PeerHeard], None]) -> None:
         """Call `on_heard` for each message of a peer."""
@@ -96,21 +83,15 @@
         self._collect.append(collect)
 
     async def start(self) -> None:
-        """Read the socket and start to tick."""
-        loop = asyncio.get_running_loop()
-        self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: self, sock=self._socket
-        )
+        """Start to tick."""
         self._ticking = asyncio.create_task(self._tick_for_ever())
 
     async def stop(self) -> None:
-        """Tell the others that this router has left, and close the socket."""
+        """Tell the others that this router has left."""
         if self._ticking is not None:
             self._ticking.cancel()
             await asyncio.gather(self._ticking, return_exceptions=True)
-        if self._transport is not None:
-            self._announce(MemberState.LEFT)
-            self._transport.close()
+        self._announce(MemberState.LEFT)
 
     def leave(self) -> None:
         """Tell the others to send this router no new work."""
@@ -132,20 +113,17 @@
             self.counts
         )
 
-    def datagram_received(self, data: bytes, source: tuple[Any, ...]) -> None:
+    def take_datagram(self, datagram: bytes) -> bool:
         """Take one datagram; whatever it holds, nothing is raised."""
         self.counts["received"] += 1
-        self.counts["received_bytes"] += len(data)
+        self.counts["received_bytes"] += len(datagram)
         try:
-            message = decode_gossip(data, self._peer_keys)
+            message = decode_gossip(datagram, self._peer_keys)
         except InvalidMessage as error:
-            self._drop(error.reason, f"{source[0]}:{source[1]}")
-            return
+            self._drop(error.reason, self._socket.source)
+            return False
         self._act(self._membership.receive(message, self._clock()))
-
-    def error_received(self, error: Exception) -> None:
-        """Count an error that the network reported, such as a port that is closed."""
-        self.counts["send_errors"] += 1
+        return True
 
     async def _tick_for_ever(self) -> None:
         while True:
@@ -183,12 +161,10 @@
             self._publish()
 
     def _send(self, action: Send) -> None:
-        host, _, port = action.peer_address.rpartition(":")
         datagram = encode_gossip(action.message, self._peer_keys)
         self.counts["sent"] += 1
         self.counts["sent_bytes"] += len(datagram)
-        if self._transport is not None:
-            self._transport.sendto(datagram, (host.strip("[]"), int(port)))
+        self._socket.send(action.peer_address, datagram)
 
     def _log_change(self, change: MemberChanged) -> None:
         before = change.before
@@ -208,7 +184,10 @@
             # The VM list says that it leaves; the router itself doesn't know yet.
             if state in ("alive", "suspect") and record.name not in takes_work:
                 state = "leaving"
-            members.append(Member(record.name, record.address, record.zone, state))
+            member = Member(
+                record.name, record.address, record.zone, state, record.peer_address
+            )
+            members.append(member)
         self._members.replace(members)
 
     def _drop(self, reason: str, source: str) -> None:
