Prove membership under kills, freezes, cuts, loss and replays

Cause of what was mended, each found by a test here: a late message of the process that had the name before was taken for the new one's (its loads and digest); on a network that loses one message in twenty a running suspect was removed, since a suspicion reached it by rumour only; a router that had missed that another left could learn it from nobody, as pages held no router that is gone. Now a record older than the held one makes a message stale, whoever suspects tells the suspect, and pages carry LEFT. DEAD stays out of pages: it would remove routers on the other side of a cut.

--- a/src/tamarackrill/decisions/membership.py
+++ b/src/tamarackrill/decisions/membership.py
@@ -135,6 +135,7 @@
         self._sequence = 0
         self._heard: dict[str, tuple[int, int]] = {}
         self._pings: dict[str, _Ping] = {}
+        self._accused: set[str] = set()
         self._seeds: dict[str, Vm] = {}
         # Not all ask for the same page first when many start at once.
         self._after = own.name
@@ -199,6 +200,7 @@
         self._forget_gone(now_s)
         for _ in range(self._count_pings()):
             actions += self._ping_someone(now_s, pick)
+        actions += self._tell_accused(pick)
         actions += self._probe_absent(pick)
         return actions
 
@@ -207,7 +209,7 @@
         mark = (message.session, message.sequence)
         if mark <= self._heard.get(message.sender, (-1, -1)):
             return [StaleDropped(message.sender)]
-        if message.sender == self.own.name or not message.members:
+        if not self._is_current(message):
             return [StaleDropped(message.sender)]
         self._heard[message.sender] = mark
         self._pings.pop(message.sender, None)
@@ -248,6 +250,18 @@
             return []
         return [self._build(peer, Purpose.PUSH, entries=entries)]
 
+    def _is_current(self, message: Gossip) -> bool:
+        """Return whether a message is the sender's own and not of an earlier process.
+
+        A late message of the process that had this name before would bring back its
+        loads and its digest of the configuration.
+        """
+        first = message.members[0] if message.members else None
+        if first is None or first.name != message.sender or first.name == self.own.name:
+            return False
+        held = self._view.get(first.name)
+        return held is None or held.incarnation <= first.incarnation
+
     def _is_listed_leaving(self, name: str) -> bool:
         return name in self._seeds and self._seeds[name].state == "leaving"
 
@@ -287,6 +301,7 @@
             else:
                 before = record.state
                 if self._view.suspect(name, now_s):
+                    self._accused.add(name)
                     actions.append(MemberChanged(self._view.records[name], before))
         return actions
 
@@ -316,6 +331,20 @@
             return []
         return [self._ping(choice[pick(len(choice))], now_s, 1)]
 
+    def _tell_accused(self, pick: Pick) -> list[Action]:
+        """Ping a router that this one holds for suspect, so that it can refute.
+
+        By rumour alone the suspicion may reach it too late, and on a network that
+        loses messages routers that run would be removed all the time.
+        """
+        suspects = {record.name for record in self._view.list_suspects()}
+        self._accused &= suspects
+        accused = sorted(self._accused)
+        if not accused:
+            return []
+        record = self._view.records[accused[pick(len(accused))]]
+        return [self._build(record, Purpose.PING)]
+
     def _count_pings(self) -> int:
         affordable = int(self._allowance_bytes) // MESSAGE_MAX_BYTES
         return max(1, min(CATCH_UP_PINGS, affordable)) if self._behind else 1
--- a/src/tamarackrill/decisions/views.py
+++ b/src/tamarackrill/decisions/views.py
@@ -12,6 +12,7 @@
     GONE,
     SUSPECTED,
     MemberRecord,
+    MemberState,
     hash_record,
     weigh_record,
 )
@@ -162,7 +163,9 @@
         for record in sorted(self.records.values()):
             # Two views that differ may by chance have the same bytes.
             skipped = differing and _find_bucket(record.name) not in differing
-            if record.name <= after or record.state in GONE or skipped:
+            # That a router has left is its own word and goes on; that it is dead is a
+            # guess of this side, and would remove it on the other side of a cut.
+            if record.name <= after or record.state == MemberState.DEAD or skipped:
                 continue
             limit_bytes -= weigh_record(record)
             if limit_bytes < 0:
--- a/src/tamarackrill/testing/gossip.py
+++ b/src/tamarackrill/testing/gossip.py
@@ -17,12 +17,15 @@
     Action,
     MemberChanged,
     Membership,
+    PeerHeard,
     Send,
 )
 
 SESSION_MS = 1_700_000_000_000
 # About what a socket's receive buffer holds for a process that does not run.
 HELD_MAX = 200
+# What was heard last; a message is a few hundred bytes of state.
+HEARD_MAX = 10_000
 
 
 class Change(NamedTuple):
@@ -58,6 +61,7 @@
         self.frozen: set[str] = set()
         self.cut_zones: set[str] = set()
         self.changes: list[Change] = []
+        self.heard: list[tuple[str, PeerHeard]] = []
         self.sent_bytes: dict[str, int] = {}
         self._random = Random(seed)
         self._loss = loss
@@ -112,6 +116,7 @@
                 if name not in self.frozen:
                     state = self.states[name]
                     self.act(name, state.tick(now_s, self.pick), now_s)
+            del self.heard[:-HEARD_MAX]
             self.now_s += TICK_S
 
     def run_until(self, condition: Callable[[], bool], ticks_max: int) -> int:
@@ -163,6 +168,8 @@
         for action in actions:
             if isinstance(action, MemberChanged):
                 self.changes.append(Change(time_s, name, action.record))
+            elif isinstance(action, PeerHeard):
+                self.heard.append((name, action))
             elif isinstance(action, Send):
                 self.sent_bytes[name] += action.weight_bytes
                 if self._passes(name, action.peer_address):
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,194 @@
+import pytest
+
+from tamarackrill.contracts import Vm
+from tamarackrill.decisions import membership
+from tamarackrill.decisions.configuration import ConfigurationDigest
+from tamarackrill.decisions.limits import TeamUsage
+from tamarackrill.decisions.loads import EndpointLoad
+from tamarackrill.decisions.members import Entries, MemberState, Purpose
+from tamarackrill.decisions.membership import (
+    FREEZE_GAP_S,
+    SUSPICION_S,
+    Froze,
+    MemberChanged,
+    Send,
+    StaleDropped,
+)
+from tamarackrill.testing.gossip import GossipNetwork
+
+ROUTERS = 24
+ONE = "vm-0005"
+TICKS_MAX = 120
+
+
+@pytest.fixture(params=[1, 2, 3])
+def network(request):
+    network = GossipNetwork(request.param)
+    network.start_many(ROUTERS, 3)
+    network.run_until(network.agree, TICKS_MAX)
+    network.changes.clear()
+    return network
+
+
+def is_gone(network, name):
+    return set(network.list_seen(name).values()) == {None}
+
+
+def names_seen(network, name):
+    return {record.name for record in network.states[name].live_members()}
+
+
+def test_killed_router_is_removed_everywhere_though_the_vm_list_has_it(network):
+    # A VM fails and the platform's list shows it for minutes more.  Chats whose home
+    # it was would be forwarded to it, and each would wait for a timeout.
+    network.kill(ONE)
+    network.run_until(lambda: is_gone(network, ONE), TICKS_MAX)
+    network.run_until(network.agree, TICKS_MAX)
+
+
+def test_vm_list_that_lags_removes_no_router_that_is_heard(network):
+    # The platform's list comes from an old copy and lacks most routers.  Were it
+    # believed, their chats would all move at once and lose their caches.
+    for state in network.states.values():
+        state.take_vm_list([Vm(ONE, ONE, "zone-2", peer_address=ONE)])
+    network.run(20)
+    assert network.agree()
+
+
+def test_vm_listed_as_leaving_gets_no_new_work(network):
+    # The platform has told that a VM will go, and its router doesn't know yet.  New
+    # chats given to it would be cut off or moved within the minute.
+    leaving = Vm(ONE, ONE, "zone-2", "leaving", ONE)
+    network.states["vm-0000"].take_vm_list([leaving])
+    assert ONE not in names_seen(network, "vm-0000")
+
+
+def test_suspect_that_runs_refutes_before_it_is_removed():
+    # The network loses one message in twenty, and pings of routers that run are missed
+    # all the time.  Were each removed, chats would change their home every minute.
+    network = GossipNetwork(1, loss=0.05)
+    network.start_many(ROUTERS, 3)
+    network.run_until(network.agree, TICKS_MAX)
+    network.changes.clear()
+    network.run(200)
+    states = [change.record.state for change in network.changes]
+    assert MemberState.SUSPECT in states
+    assert MemberState.DEAD not in states
+
+
+def test_leaving_router_gets_no_new_work_and_is_not_held_for_dead(network):
+    # A router is told to stop, finishes what it has and ends.  Had it not announced
+    # that, the others would send it chats until its pings were missed.
+    state = network.states[ONE]
+    network.act(ONE, state.announce(MemberState.LEAVING, network.pick))
+    others = [name for name in network.states if name != ONE]
+    network.run_until(
+        lambda: all(ONE not in names_seen(network, name) for name in others), 10
+    )
+    assert set(network.list_seen(ONE).values()) == {MemberState.LEAVING}
+    network.act(ONE, state.announce(MemberState.LEFT, network.pick))
+    network.kill(ONE)
+    network.run_until(lambda: is_gone(network, ONE), TICKS_MAX)
+    network.run(20)
+    states = {change.record.state for change in network.changes}
+    assert not states & {MemberState.SUSPECT, MemberState.DEAD}
+
+
+def test_frozen_router_rejoins_and_suspects_nobody(network):
+    # A VM is paused until all others have removed its router.  When it runs again, all
+    # its timers are overdue; were they to count, it would remove the whole fleet from
+    # its own view, and the fleet would not take it back.
+    network.freeze(ONE)
+    network.run_until(lambda: is_gone(network, ONE), TICKS_MAX)
+    network.changes.clear()
+    network.wake(ONE)
+    network.run_until(network.agree, TICKS_MAX)
+    blamed = {c.record.name for c in network.changes if c.record.state.name != "ALIVE"}
+    assert not blamed - {ONE}
+
+
+def test_freeze_is_noticed_and_pending_pings_are_dropped(network):
+    state = network.states[ONE]
+    incarnation = state.own.incarnation
+    state.tick(network.now_s, network.pick)
+    later_s = network.now_s + FREEZE_GAP_S + SUSPICION_S
+    actions = state.tick(later_s, network.pick)
+    assert [a for a in actions if isinstance(a, Froze)]
+    assert not [a for a in actions if isinstance(a, MemberChanged)]
+    assert state.own.incarnation == incarnation + 1
+
+
+def test_cut_zone_goes_on_and_views_agree_after_the_cut(network):
+    # The link between a zone and the others is cut for longer than suspicion lasts.
+    # Each side must go on with its own routers, and must not hold the other for dead
+    # for ever: chats would keep two homes.
+    network.cut_zones = {"zone-1"}
+    inside = {n for n, s in network.states.items() if s.own.zone == "zone-1"}
+
+    def is_split():
+        outside = set(network.states) - inside
+        return all(
+            names_seen(network, name) == side
+            for side in (inside, outside)
+            for name in side
+        )
+
+    network.run_until(is_split, TICKS_MAX)
+    network.cut_zones = set()
+    network.run_until(network.agree, TICKS_MAX)
+
+
+def test_router_of_the_same_name_replaces_its_predecessor(network):
+    # A VM is replaced by one of the same name before its loss was noticed; messages of
+    # the old process that arrive late must not count as those of the new one.
+    old = network.states[ONE]
+    late = old.tick(network.now_s, network.pick)
+    network.kill(ONE)
+    new = network.start(ONE, "zone-2", session_ms=old.own.incarnation + 60_000)
+    network.publish_vms()
+    network.run_until(network.agree, TICKS_MAX)
+    observer = network.states["vm-0000"]
+    message = next(action.message for action in late if isinstance(action, Send))
+    assert observer.receive(message, network.now_s) == [StaleDropped(ONE)]
+    held = next(r for r in observer.list_members() if r.name == ONE)
+    assert held.incarnation == new.own.incarnation
+
+
+def test_replayed_message_is_dropped(network):
+    # A stranger records a message of a router that leaves and sends it again later.
+    sender, receiver = network.states[ONE], network.states["vm-0000"]
+    message = next(
+        action.message
+        for action in sender.announce(MemberState.LEAVING, network.pick)
+        if isinstance(action, Send)
+    )
+    receiver.receive(message, network.now_s)
+    assert receiver.receive(message, network.now_s) == [StaleDropped(ONE)]
+
+
+def test_entries_and_digests_reach_peers_within_the_budget(network):
+    # Other modules hand over more than fits; gossip must still carry membership, and a
+    # router that sends more than its share takes the network from callers.
+    digest = ConfigurationDigest("contract", 7, 7, 1 << 63)
+    heard = []
+    for state in network.states.values():
+        state.configuration = (digest,)
+        state.entries = Entries(
+            loads=tuple(EndpointLoad(f"engine-{i}", i) for i in range(100)),
+            usages=(TeamUsage("team", "router", ONE, 1.0, 1.0, 1),) * 100,
+        )
+    before = dict(network.sent_bytes)
+    ticks = 60
+    network.run(ticks - 1)
+    for state in list(network.states.values()):
+        for action in state.tick(network.now_s, network.pick):
+            if isinstance(action, Send) and action.message.purpose == Purpose.PING:
+                receiver = network.states[action.peer_address]
+                heard += receiver.receive(action.message, network.now_s)
+    news = [action for action in heard if isinstance(action, membership.PeerHeard)]
+    assert len(news) >= ROUTERS
+    assert all(n.configuration == (digest,) and n.entries.loads for n in news)
+    sent = [network.sent_bytes[name] - before[name] for name in before]
+    limit = membership.SENT_BYTES_PER_S * ticks + membership.SENT_BURST_BYTES
+    assert max(sent) <= limit
+    assert 2 * limit <= 3_000 * ticks
