--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	$(BIN)/python -m tamarackrill.testing.deployment examples/$(NAME)
 
 test: setup
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest --numprocesses 6 --dist loadfile
 
 lint: setup
 	$(BIN)/ruff format --check src tests bench
