--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -69,7 +69,7 @@
 
     def find_key(self, home):
         for number in itertools.count():
-            path = f"/v1/explain?team=t&chat=key-{number}&model="
+            path = f"/v1/explain?team=t&chat=key-{number}&service=s"
             if call(home.address, path).json()["homes"][0] == home.name:
                 return f"key-{number}"
         raise AssertionError
