--- a/src/tamarackrill/router/flow.py
+++ b/src/tamarackrill/router/flow.py
@@ -72,6 +72,12 @@
         known = self._chats.find(call, self._clock())
         if known is not None:
             return known
+        if call.after_event:
+            # The events that the caller has are of a run that is no longer known
+            # here.  A new run would go on with other words, and the caller would put
+            # two half answers together.
+            message = "the answer is no longer kept; ask for all of it again"
+            raise Refusal("answer_gone", 409, message, "unknown")
         reply = Reply(keep=self._chats.can_be_joined(call))
         self._chats.register(call, reply, self._clock())
         task = asyncio.create_task(self._run(call, reply))
