Say "unknown" once another router may have sent the call

Cause: an entry router that gave up a frozen home at the deadline tried the next one, which refused truthfully for itself ("deadline_passed", "not_run") while the service had the booking. The caller was told that it had not run and would book again under another key.

Ruled out: asking the frozen home again (it may stay frozen) and not trying the next home (a killed home must be survived). The entry router remembers that a home may have sent the call, tells the next home by a header, and each turns "not_run" to "unknown".

Before: the new test, with two and with three routers, got "not_run" with one arrival.

--- a/src/tamarackrill/router/callers.py
+++ b/src/tamarackrill/router/callers.py
@@ -17,7 +17,11 @@
 from tamarackrill.router.claiming import HeldElsewhere
 from tamarackrill.router.explaining import Question
 from tamarackrill.router.flow import Flow
-from tamarackrill.router.forwarding import find_forwarded_id, forward_call
+from tamarackrill.router.forwarding import (
+    MAY_HAVE_RUN,
+    find_forwarded_id,
+    forward_call,
+)
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.outlets import Outlet
@@ -223,6 +227,22 @@
         self._contract: Contract | None = None
         self._counted = False
         self._is_gone = False
+        self._may_have_run = MAY_HAVE_RUN in self.request.headers
+
+    def send_refusal(self, refusal: Refusal) -> None:
+        """Answer with a refusal that is also true of the routers tried before."""
+        # A home that was given up may have sent the call on before it was lost or
+        # frozen.  What the next router says of it is true of its own doing only: told
+        # "not run", a client would book again under another key.
+        if self._may_have_run and refusal.run == "not_run":
+            refusal = Refusal(
+                refusal.code,
+                refusal.status,
+                refusal.message,
+                "unknown",
+                refusal.retry_after_s,
+            )
+        super().send_refusal(refusal)
 
     def prepare(self) -> None:
         """Check the key and the announced size before the body comes."""
@@ -312,9 +332,10 @@
             try:
                 await self._forward_to(call, home)
                 return True
-            except UpstreamFailed:
+            except UpstreamFailed as error:
                 if self._is_gone:
                     return True
+                self._may_have_run = self._may_have_run or error.sent
                 # The home is gone.  Its memory of the chat is gone with it; the
                 # next in order serves.  A call that may run only once is safe:
                 # its claim is on the platform, not in the home's memory.
@@ -330,7 +351,13 @@
         authorization = self.request.headers.get("Authorization", "")
         log_event(REQUEST_FORWARDED, team=call.team, chat=call.chat, home=home.name)
         exchange = forward_call(
-            front.client, call, home, authorization, front.peer_keys[0], front.clock()
+            front.client,
+            call,
+            home,
+            authorization,
+            front.peer_keys[0],
+            front.clock(),
+            self._may_have_run,
         )
         self._exchange = exchange
         try:
--- a/src/tamarackrill/router/calls.py
+++ b/src/tamarackrill/router/calls.py
@@ -39,6 +39,7 @@
         "Chat-Sequence",
         "Request-Id",
         "Tamarackrill-Forwarded",
+        "Tamarackrill-May-Have-Run",
         "Tamarackrill-Signature",
     ]
 )
--- a/src/tamarackrill/router/forwarding.py
+++ b/src/tamarackrill/router/forwarding.py
@@ -14,6 +14,9 @@
 
 FORWARDED = "Tamarackrill-Forwarded"
 SIGNATURE = "Tamarackrill-Signature"
+# Tells the next home that another router had the call before.  It needs no signature:
+# all that a caller gains by it is to be told "unknown" in place of "not run".
+MAY_HAVE_RUN = "Tamarackrill-May-Have-Run"
 
 
 def sign_forward(peer_key: str, request_id: str, fingerprint: str) -> str:
@@ -46,6 +49,7 @@
     authorization: str,
     peer_key: str,
     now_s: float,
+    may_have_run: bool = False,
 ) -> Exchange:
     """Send a call to its home and return the exchange.
 
@@ -63,6 +67,8 @@
         First key shared by the routers.
     now_s : float
         Present time.
+    may_have_run : bool, default=False
+        Whether another router had the call before.
 
     Returns
     -------
@@ -76,6 +82,8 @@
         FORWARDED: call.request_id,
         SIGNATURE: sign_forward(peer_key, call.request_id, call.fingerprint),
     }
+    if may_have_run:
+        headers[MAY_HAVE_RUN] = "1"
     if call.sequence is not None:
         headers["Chat-Sequence"] = str(call.sequence)
     if call.after_event:
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -189,6 +189,23 @@
     assert desk.count(key) == 0
 
 
+@pytest.mark.parametrize("routers", ["ab", "abc"], ids=["two", "three"])
+def test_call_handed_to_a_frozen_home_is_never_said_not_to_have_run(open_desk, routers):
+    # The home is frozen while the service works.  The entry router gives it up at the
+    # deadline and tries the next home, which knows nothing of the call; told "not run",
+    # the client would book again under another key.
+    desk = open_desk(*routers)
+    home = desk.routers[0]
+    key = desk.find_key(home)
+    entry = desk.routers[-1]
+    desk.service.set_faults(hold=True)
+    sent = desk.send(entry, key, timeout_ms=1500)
+    wait_for(lambda: desk.count(key), "the booking arrives")
+    home.send(signal.SIGSTOP)
+    assert sent.result()[2] == "unknown"
+    home.send(signal.SIGCONT)
+
+
 @pytest.mark.parametrize(
     "faults",
     [{"lose_answers": 1}, {"drop_writes": 1}, {"lose_answers": 3}, {"stale_reads": 2}],
