--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -3,16 +3,23 @@
 import asyncio
 import time
 import uuid
+from collections.abc import Awaitable
 from typing import Any
 
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
+from tornado.web import Application
 
 from tamarackrill.contracts import Contract, Endpoint
 from tamarackrill.decisions.claims import Claims
-from tamarackrill.decisions.configuration import ConfigurationStore, ObjectVersion
+from tamarackrill.decisions.configuration import (
+    Changes,
+    ConfigurationStore,
+    ObjectVersion,
+)
 from tamarackrill.decisions.leases import LeaseTiming
+from tamarackrill.decisions.members import MemberRecord, MemberState
 from tamarackrill.events import (
     ROUTER_LEAVING,
     ROUTER_STARTED,
@@ -28,11 +35,19 @@
 from tamarackrill.router.datagrams import PeerSocket
 from tamarackrill.router.explaining import Question, explain
 from tamarackrill.router.flow import Flow
+from tamarackrill.router.gossip import Gossiper
 from tamarackrill.router.known_objects import KnownObjects
+from tamarackrill.router.limiting import Limiter
+from tamarackrill.router.load_reports import LoadReader
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.orders import EngineOrderer, Fleet
 from tamarackrill.router.owners import Owners
+from tamarackrill.router.peer_api import (
+    CONFIGURATION_PATH,
+    ConfigurationHandler,
+    pull_changes,
+)
 from tamarackrill.router.placing import Placer
 from tamarackrill.router.platform_client import PlatformClient
 from tamarackrill.router.probing import Prober
@@ -116,6 +131,12 @@
             settings.queue_max,
             self.clock,
         )
+        self.limiter = Limiter(
+            self.members,
+            self.known.find_contract,
+            lambda peer, usages: None,
+            self.clock,
+        )
         self.chats = Chats(self.clock)
         self.claimer = Claimer(
             Claims(settings.name, uuid.uuid4().hex[:INCARNATION_DIGITS]),
@@ -126,13 +147,20 @@
             self._endpoint_client,
             self.chats,
             self.claimer,
+            self.limiter,
             self.admitter,
             self.placer,
             self.metrics,
             self.clock,
         )
-        self.configurer = Configurer(self.store, self.platform, self._take_objects)
+        self.configurer = Configurer(
+            self.store, self.platform, self._take_objects, self._pull, self.clock
+        )
         await self.configurer.start()
+        self.gossiper = self._make_gossiper()
+        self.gossiper.subscribe(self.configurer.hear_peer)
+        self._peer_socket.handlers.append(self.gossiper.take_datagram)
+        await self.gossiper.start()
         self.orderer = EngineOrderer(
             f"{settings.name}/{uuid.uuid4().hex}",
             Fleet(self.members, self.list_contracts, self.list_endpoints),
@@ -144,6 +172,7 @@
         await self.orderer.start()
         self._tasks.append(asyncio.create_task(self._follow_vms()))
         self._tasks.append(asyncio.create_task(self.admitter.run()))
+        self._tasks.append(asyncio.create_task(self.limiter.run()))
         self._tasks.append(asyncio.create_task(self.chats.run()))
         prober = Prober(
             self._endpoint_client,
@@ -153,8 +182,10 @@
             self.clock,
         )
         self._tasks.append(asyncio.create_task(prober.run()))
+        reader = LoadReader(self._endpoint_client, self.owners, self.placer, self.clock)
+        self._tasks.append(asyncio.create_task(reader.run()))
         self._server = HTTPServer(
-            make_front(self._make_front()),
+            self._make_web_application(),
             # The handler itself refuses a body that is too long, with a code.
             max_body_size=UNLIMITED_BYTES,
             max_buffer_size=BUFFER_MAX_BYTES,
@@ -175,6 +206,7 @@
         """Refuse new work; return when nothing is in flight, or after the limit."""
         self._leaving = True
         self.members.own = self.members.own._replace(state="leaving")
+        self.gossiper.leave()
         log_event(
             ROUTER_LEAVING, router=self.settings.name, in_flight=self.open_calls.count
         )
@@ -194,6 +226,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.claimer.stop()
         await self.orderer.stop()
+        await self.gossiper.stop()
         await self.configurer.stop()
         self._peer_socket.stop()
         self._endpoint_client.close()
@@ -224,6 +257,7 @@
             "state": "leaving" if self._leaving else "alive",
             "in_flight": self.open_calls.count,
             "waiting": self.admitter.describe(),
+            "gossip": self.gossiper.describe(),
             "members": [member._asdict() for member in self.members.list_all()],
             "endpoints": self.placer.describe(),
         }
@@ -248,6 +282,40 @@
         )
         return {"router": self.settings.name, **found}
 
+    def _make_gossiper(self) -> Gossiper:
+        own = MemberRecord(
+            self.settings.name,
+            # Above that of any earlier process of this name, as nothing is kept.
+            int(time.time() * 1000),
+            MemberState.ALIVE,
+            self.settings.zone,
+            self.address,
+            self.peer_address,
+        )
+        return Gossiper(
+            own,
+            self._peer_socket.send,
+            self.settings.peer_keys,
+            self.members,
+            self.configurer.digest,
+            self.clock,
+        )
+
+    def _pull(self, address: str, kind: str, since: int) -> Awaitable[Changes]:
+        keys = self.settings.peer_keys
+        return pull_changes(self._router_client, address, kind, since, keys)
+
+    def _make_web_application(self) -> Application:
+        application = make_front(self._make_front())
+        bound = {
+            "store": self.store,
+            "peer_keys": self.settings.peer_keys,
+            "count": self.metrics.count,
+        }
+        route = (CONFIGURATION_PATH, ConfigurationHandler, bound)
+        application.add_handlers(".*", [route])
+        return application
+
     def _make_front(self) -> Front:
         return Front(
             self.flow,
@@ -280,15 +348,7 @@
         while True:
             try:
                 vms = await self.platform.list_vms()
-                self.members.replace(
-                    [
-                        Member(
-                            vm.name, vm.address, vm.zone, peer_address=vm.peer_address
-                        )
-                        for vm in vms
-                        if vm.peer_address and vm.state == "live"
-                    ]
-                )
+                self.gossiper.take_vm_list(vms)
             except PlatformUnavailable:
                 pass
             await asyncio.sleep(VM_LIST_WAIT_S)
