--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -389,10 +389,11 @@
         "",
         f"A failed router is taken for dead by all others after {_show(detect)} s "
         "(bench/gossip.py, simulated time); until then calls handed to it fail at the "
-        "first try and go to the next home. A router that is told to stop finishes its calls first, so "
-        "its restart moves chats and cuts nothing. When regions lose each other no "
-        "chat needs to move by itself: each side takes homes among the routers it "
-        "sees, so a chat whose callers reach both sides has two homes meanwhile, and "
+        "first try and go to the next home. A router that is told to stop finishes its "
+        "calls first, so its restart moves chats and cuts nothing. When regions lose "
+        "each other no chat needs to move by itself: each side takes homes among the "
+        "routers it sees, so a chat whose callers reach both sides has two homes "
+        "meanwhile, and "
         "only claims, on the platform, keep a non-idempotent call from running twice.",
     ]
     return "\n".join(lines)
