--- a/src/tamarackrill/router/gossip.py
+++ b/src/tamarackrill/router/gossip.py
@@ -111,12 +111,16 @@
             self.counts
         )
 
-    def take_datagram(self, data: bytes, source: str) -> bool:
-        """Take a datagram that no other handler knew; nothing is raised."""
+    def take_datagram(self, datagram: bytes, source: str) -> bool:
+        """Take a datagram; nothing is raised.
+
+        It must be the last of the socket's handlers, as it counts what none knows as
+        a stranger's.
+        """
         self.counts["received"] += 1
-        self.counts["received_bytes"] += len(data)
+        self.counts["received_bytes"] += len(datagram)
         try:
-            message = decode_gossip(data, self._peer_keys)
+            message = decode_gossip(datagram, self._peer_keys)
         except InvalidMessage as error:
             self._drop(error.reason, source)
             return True
