Keep the reservations of a router that is leaving or suspected

They were ended as soon as the router was no longer listed live, though it finishes its calls for minutes, and its engines could be filled a second time. Seen to fail before, and with reservations of a failed router kept.

--- a/src/tamarackrill/router/owners.py
+++ b/src/tamarackrill/router/owners.py
@@ -75,20 +75,25 @@
         # before: an ask would pass for a repeated one and not be counted.
         self._numbers = itertools.count(secrets.randbits(TICKET_BITS))
         self._waiting: dict[int, asyncio.Future[Grant]] = {}
+        self._present: set[str] = set()
         self.reservations = Reservations(load_factor)
 
     async def run(self) -> None:
-        """End reservations that have lapsed or whose router is gone."""
-        live: set[str] = set()
+        """End what is over, again and again."""
         while True:
-            now_s = self._clock()
-            names = {member.name for member in self._members.list_live()}
-            for name in live - names:
-                self.reservations.release_router(name, now_s)
-            live = names
-            self.reservations.expire(now_s)
+            self.expire()
             await asyncio.sleep(EXPIRE_EVERY_S)
 
+    def expire(self) -> None:
+        """End reservations that have lapsed or whose router is gone."""
+        now_s = self._clock()
+        # A router that is leaving or only suspected still has its calls in flight.
+        present = {member.name for member in self._members.list_all()}
+        for name in self._present - present:
+            self.reservations.release_router(name, now_s)
+        self._present = present
+        self.reservations.expire(now_s)
+
     async def reserve(
         self, endpoint: Endpoint, lapses_s: float, is_last: bool
     ) -> tuple[Grant | None, Ticket]:
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -6,6 +6,7 @@
 
 from tamarackrill.contracts import Endpoint, hash_key
 from tamarackrill.decisions.hashing import rendezvous_order
+from tamarackrill.decisions.reservations import find_owner
 from tamarackrill.decisions.routing import compute_bound
 from tamarackrill.protocol import owner_codec as codec
 from tamarackrill.protocol.codec import DIGEST_BYTES, sign
@@ -52,11 +53,12 @@
     def __init__(self):
         self.now_s = 0.0
         self.lost = ()
+        self.views = {}
         self.members = [Member(n, "", "zone-a", peer_address=n) for n in ("a", "b")]
         self.routers = {member.name: self._make(member) for member in self.members}
 
     def _make(self, member):
-        members = Members(member)
+        members = self.views.setdefault(member.name, Members(member))
         members.replace(self.members)
         clock = lambda: self.now_s  # noqa: E731
         return Owners(members, 1.25, lambda: POOL, self.send, KEYS, clock)
@@ -105,6 +107,25 @@
     asyncio.run(run())
 
 
+def test_reservations_outlive_a_router_that_leaves_but_not_one_that_is_gone():
+    # A router that is told to stop finishes its calls for minutes.  Taken as ended at
+    # once, their engines would be filled a second time; kept when the router has
+    # failed, the engines would stay closed to the callers of all the others.
+    async def run():
+        network = Network()
+        owner = find_owner(POOL[0], len(POOL), ["a", "b"])
+        home = "ab".replace(owner, "")
+        await network.routers[home].reserve(POOL[0], 9.0, False)
+        members = {member.name: member for member in network.members}
+        for state, wanted in (("alive", 1), ("leaving", 1), ("", 0)):
+            others = [members[home]._replace(state=state)] if state else []
+            network.views[owner].replace(others)
+            network.routers[owner].expire()
+            assert network.count() == wanted
+
+    asyncio.run(run())
+
+
 def _find_chats(routers, home, count):
     """Return chats of one home router whose first engine is engine-1."""
     engines = [endpoint.name for endpoint in POOL]
