--- a/src/tamarackrill/decisions/membership.py
+++ b/src/tamarackrill/decisions/membership.py
@@ -118,6 +118,8 @@
     own : MemberRecord
         This router; its incarnation must be above that of any earlier process of the
         same name, such as the start in ms since the epoch.
+    contacts : tuple of str, optional
+        Peer addresses of some routers, asked when the VM list can't be had.
 
     Attributes
     ----------
@@ -127,7 +129,7 @@
         Sent with each message as far as they fit; set by the owner.
     """
 
-    def __init__(self, own: MemberRecord) -> None:
+    def __init__(self, own: MemberRecord, contacts: tuple[str, ...] = ()) -> None:
         self.configuration: tuple[ConfigurationDigest, ...] = ()
         self.entries = Entries()
         self._view = View(own)
@@ -136,7 +138,9 @@
         self._heard: dict[str, tuple[int, int]] = {}
         self._pings: dict[str, _Ping] = {}
         self._accused: set[str] = set()
+        self._contacts = contacts
         self._seeds: dict[str, Vm] = {}
+        self._once_listed: set[str] = set()
         # Not all ask for the same page first when many start at once.
         self._after = own.name
         self._differs = False
@@ -173,9 +177,11 @@
 
         It gives addresses of routers to ping and says early who is leaving.  It
         neither adds nor removes a router: one that it lacks may be new, and one that
-        it still has may have failed.
+        it still has may have failed.  But a suspect that has gone from it is removed
+        at once, as two signs agree.
         """
         named = {vm.name: vm for vm in vms if vm.name != self.own.name}
+        self._once_listed |= named.keys()
         self._seeds = {name: vm for name, vm in named.items() if vm.peer_address}
 
     def tick(self, now_s: float, pick: Pick) -> list[Action]:
@@ -308,7 +314,9 @@
     def _expire_suspects(self, now_s: float) -> list[Action]:
         actions: list[Action] = []
         for record in self._view.list_suspects():
-            if now_s - self._view.changed_s[record.name] >= SUSPICION_S:
+            unlisted = record.name in self._once_listed - self._seeds.keys()
+            waited_s = now_s - self._view.changed_s[record.name]
+            if unlisted or waited_s >= SUSPICION_S:
                 dead = record._replace(state=MemberState.DEAD)
                 self._view.apply(dead, now_s)
                 actions.append(MemberChanged(dead, record.state))
@@ -319,6 +327,7 @@
             old = now_s - self._view.changed_s[record.name] >= FORGET_S
             if record.state in GONE and old and record.name not in self._seeds:
                 self._view.forget(record.name)
+                self._once_listed.discard(record.name)
                 self._heard.pop(record.name, None)
 
     def _ping_someone(self, now_s: float, pick: Pick) -> list[Action]:
@@ -357,10 +366,11 @@
         """
         records = self._view.records
         absent = [r for r in records.values() if r.state == MemberState.DEAD]
+        known = {record.peer_address for record in (self.own, *records.values())}
+        addresses = {vm.peer_address for vm in self._seeds.values()}
         absent += [
-            MemberRecord(vm.name, 0, MemberState.ALIVE, vm.zone, "", vm.peer_address)
-            for vm in self._seeds.values()
-            if vm.name not in records
+            MemberRecord(address, 0, MemberState.ALIVE, peer_address=address)
+            for address in sorted(addresses.union(self._contacts) - known)
         ]
         present = self._view.known - 1
         if not absent or pick(len(absent) + present) >= max(len(absent), present // 10):
--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -287,6 +287,7 @@
             self.members,
             self.configurer.digest,
             self.clock,
+            self.settings.peers,
         )
 
     def _pull(self, address: str, kind: str, since: int) -> Awaitable[Changes]:
--- a/src/tamarackrill/router/gossip.py
+++ b/src/tamarackrill/router/gossip.py
@@ -50,6 +50,8 @@
         Returns the digests of the configuration held now.
     clock : callable
         Returns the present time.
+    contacts : tuple of str, optional
+        Peer addresses of some routers, asked when the VM list can't be had.
     """
 
     def __init__(
@@ -60,9 +62,10 @@
         members: Members,
         digest_configuration: Callable[[], tuple[ConfigurationDigest, ...]],
         clock: Callable[[], float],
+        contacts: tuple[str, ...] = (),
     ) -> None:
         self.counts: Counter[str] = Counter()
-        self._membership = Membership(own)
+        self._membership = Membership(own, contacts)
         self._socket = peer_socket
         self._peer_keys = peer_keys
         self._members = members
--- a/src/tamarackrill/settings.py
+++ b/src/tamarackrill/settings.py
@@ -69,6 +69,7 @@
     peer_port: int
     platform: str
     peer_keys: tuple[str, ...]
+    peers: tuple[str, ...]
     load_bound: float
     body_max_bytes: int
     queue_max: int
@@ -126,6 +127,10 @@
     return text
 
 
+def _parse_peers(text: str) -> tuple[str, ...]:
+    return tuple(_parse_host_and_port(p.strip()) for p in text.split(",") if p.strip())
+
+
 def _parse_log_format(text: str) -> str:
     if text not in ("text", "json"):
         raise ValueError(f"{text!r} is neither text nor json")
@@ -152,6 +157,12 @@
         "of the VM",
         secret=True,
     ),
+    Setting(
+        "peers",
+        _parse_peers,
+        "",
+        "host:port of some routers' peer ports, asked first if the platform is down",
+    ),
     Setting("load_bound", _parse_number, "1.25", "multiple of the mean load", 1.01, 10),
     Setting(
         "body_max_bytes",
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -192,3 +192,19 @@
     limit = membership.SENT_BYTES_PER_S * ticks + membership.SENT_BURST_BYTES
     assert max(sent) <= limit
     assert 2 * limit <= 3_000 * ticks
+
+
+def test_suspect_that_left_the_vm_list_is_removed_at_once(network):
+    # A VM was replaced without warning; the platform has taken it off its list and its
+    # router misses its pings.  Waiting any longer only delays the chats whose home it
+    # was.
+    network.kill(ONE)
+    network.publish_vms()
+    network.run_until(lambda: is_gone(network, ONE), TICKS_MAX)
+    suspected, removed = (
+        {c.seen_by: c.time_s for c in network.changes if c.record.state == state}
+        for state in (MemberState.SUSPECT, MemberState.DEAD)
+    )
+    both = suspected.keys() & removed.keys()
+    assert both
+    assert all(removed[name] - suspected[name] < SUSPICION_S / 2 for name in both)
