--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -51,6 +51,7 @@
     # believed, their chats would all move at once and lose their caches.
     for state in network.states.values():
         state.take_vm_list([Vm(ONE, ONE, "zone-2", peer_address=ONE)])
+    assert network.agree()
     network.run(20)
     assert network.agree()
 
