Refuse at once a call that failed at all endpoints but an ejected one

Ruled out: the retry budget (it had credit) and the queue (it was empty). Before: no answer for 30 s. Conclusion: only endpoints that get work count as places to wait for.

--- a/src/tamarackrill/router/flow.py
+++ b/src/tamarackrill/router/flow.py
@@ -232,7 +232,7 @@
             raise Refusal("too_late", 504, "the deadline has passed", run)
         placed = await self._placer.place(call, avoid, now_s)
         if placed is None:
-            if self._placer.is_servable(call, avoid):
+            if self._placer.is_servable(call, avoid, now_s):
                 return None
             raise Refusal("no_endpoint", 503, "no endpoint can take the call", run)
         self._metrics.record_wait(call.kind, wait_s)
--- a/src/tamarackrill/router/placing.py
+++ b/src/tamarackrill/router/placing.py
@@ -150,9 +150,13 @@
             return None
         return Placed(choice.endpoint, choice.reason, choice.runners_up)
 
-    def is_servable(self, call: Call, avoid: Collection[str]) -> bool:
-        """Return whether an endpoint, free or full, may take the call."""
-        return any(e.name not in avoid for e in self.list_candidates(call))
+    def is_servable(self, call: Call, avoid: Collection[str], now_s: float) -> bool:
+        """Return whether an endpoint, free or full, may take the call.
+
+        An ejected one may not.  A call that failed at all others would otherwise wait
+        for it until its deadline, while its caller could have come back by then.
+        """
+        return any(e.name not in avoid for e in self._list_allowed(call, now_s))
 
     def release(self, placed: Placed) -> None:
         """End the reservation of a call, whose attempts are over."""
