Tell all peers of a crash at once; exchange loads through the gossip

A poison request that belongs to no chat has no home that sees all its sends, and each router lost two engines to it. Test through two router processes: failed before (the second router ended two engines more), and again with the news switched off on a scratch copy; now two engines of four end. The counts of owners go along with the gossip.

--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -48,6 +48,7 @@
     ConfigurationHandler,
     pull_changes,
 )
+from tamarackrill.router.peer_news import PeerNews
 from tamarackrill.router.placing import Placer
 from tamarackrill.router.platform_client import PlatformClient
 from tamarackrill.router.probing import Prober
@@ -159,6 +160,12 @@
         await self.configurer.start()
         self.gossiper = self._make_gossiper()
         self.gossiper.subscribe(self.configurer.hear_peer)
+        news = PeerNews(
+            self.placer, self.owners, self.members, self.gossiper.report, self.clock
+        )
+        self.gossiper.subscribe(news.hear)
+        self.gossiper.add_source(news.collect)
+        self.placer.tell_crash = news.tell_crash
         self._peer_socket.handlers.append(self.gossiper.take_datagram)
         await self.gossiper.start()
         self.orderer = EngineOrderer(
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -67,3 +67,13 @@
         body = make_chat(f"order {number}")
         for router in fleet.routers.values():
             assert call(router.address, PATH, body, headers=KEY).status == 200
+
+
+def test_poison_request_without_a_chat_is_known_at_the_other_router(fleet):
+    # The request belongs to no chat, so no home sees all of its sends.  A router that
+    # goes by its own count alone loses two engines to it, and the next one two more.
+    poison = make_chat(f"a pattern {CRASH_WORD}")
+    for router in fleet.routers.values():
+        answer = call(router.address, PATH, poison, headers=KEY)
+        assert (answer.status, answer.json()["code"]) == (422, "poison_request")
+    assert sum(engine.is_ended() for engine in fleet.engines) == 2
