--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -37,6 +37,8 @@
 from tamarackrill.router.flow import Flow
 from tamarackrill.router.gossip import Gossiper
 from tamarackrill.router.known_objects import KnownObjects
+from tamarackrill.router.limiting import Limiter
+from tamarackrill.router.load_reports import LoadReader
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.orders import EngineOrderer, Fleet
@@ -129,6 +131,12 @@
             settings.queue_max,
             self.clock,
         )
+        self.limiter = Limiter(
+            self.members,
+            self.known.find_contract,
+            lambda peer, usages: None,
+            self.clock,
+        )
         self.chats = Chats(self.clock)
         self.claimer = Claimer(
             Claims(settings.name, uuid.uuid4().hex[:INCARNATION_DIGITS]),
@@ -139,6 +147,7 @@
             self._endpoint_client,
             self.chats,
             self.claimer,
+            self.limiter,
             self.admitter,
             self.placer,
             self.metrics,
@@ -149,8 +158,8 @@
         )
         await self.configurer.start()
         self.gossiper = self._make_gossiper()
-        self._peer_socket.handlers.append(self.gossiper.take_datagram)
         self.gossiper.subscribe(self.configurer.hear_peer)
+        self._peer_socket.handlers.append(self.gossiper.take_datagram)
         await self.gossiper.start()
         self.orderer = EngineOrderer(
             f"{settings.name}/{uuid.uuid4().hex}",
@@ -163,6 +172,7 @@
         await self.orderer.start()
         self._tasks.append(asyncio.create_task(self._follow_vms()))
         self._tasks.append(asyncio.create_task(self.admitter.run()))
+        self._tasks.append(asyncio.create_task(self.limiter.run()))
         self._tasks.append(asyncio.create_task(self.chats.run()))
         prober = Prober(
             self._endpoint_client,
@@ -172,6 +182,8 @@
             self.clock,
         )
         self._tasks.append(asyncio.create_task(prober.run()))
+        reader = LoadReader(self._endpoint_client, self.owners, self.placer, self.clock)
+        self._tasks.append(asyncio.create_task(reader.run()))
         self._server = HTTPServer(
             self._make_web_application(),
             # The handler itself refuses a body that is too long, with a code.
@@ -282,7 +294,7 @@
         )
         return Gossiper(
             own,
-            self._peer_socket,
+            self._peer_socket.send,
             self.settings.peer_keys,
             self.members,
             self.configurer.digest,
--- a/src/tamarackrill/router/datagrams.py
+++ b/src/tamarackrill/router/datagrams.py
@@ -4,24 +4,18 @@
 from collections.abc import Callable
 from typing import Any
 
-Handler = Callable[[bytes], bool]
+Handler = Callable[[bytes, str], bool]
 
 
 class PeerSocket(asyncio.DatagramProtocol):
     """Owns the socket; hands each datagram to the handler that knows its kind.
 
-    A handler returns whether the datagram was for it.  Handlers are added to
-    `handlers` before `start`.
-
-    Attributes
-    ----------
-    source : str
-        Where the datagram in hand came from.  Anyone can claim any source.
+    A handler gets a datagram and its source, and returns whether it was for it.  They
+    are asked in the order of `handlers`.
     """
 
     def __init__(self) -> None:
         self.handlers: list[Handler] = []
-        self.source = ""
         self._transport: asyncio.DatagramTransport | None = None
 
     async def start(self, address: str, port: int) -> str:
@@ -37,7 +31,7 @@
         """Send a datagram; one that can't be sent is lost, as on the network."""
         host, _, port = peer_address.rpartition(":")
         if self._transport is not None and port.isdigit():
-            self._transport.sendto(datagram, (host, int(port)))
+            self._transport.sendto(datagram, (host.strip("[]"), int(port)))
 
     def stop(self) -> None:
         """Close the socket."""
@@ -47,9 +41,9 @@
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
         """Hand a datagram on."""
-        self.source = f"{addr[0]}:{addr[1]}"
+        source = f"{addr[0]}:{addr[1]}"
         for handler in self.handlers:
-            if handler(data):
+            if handler(data, source):
                 return
 
     def error_received(self, exc: Exception) -> None:
--- a/src/tamarackrill/router/flow.py
+++ b/src/tamarackrill/router/flow.py
@@ -1,8 +1,8 @@
 """The way of a call through its home router.
 
-Order within the chat, claim, admission, placement, attempts, in that order: a
-call waits for its turn before it takes a place in a queue, and a claim is made
-before any byte can reach an endpoint.
+Limits of the team, order within the chat, claim, admission, placement, attempts, in
+that order: a call waits for its turn before it takes a place in a queue, and a claim
+is made before any byte can reach an endpoint.
 """
 
 import asyncio
@@ -16,12 +16,15 @@
 from tamarackrill.router.calls import Call
 from tamarackrill.router.chats import Chats
 from tamarackrill.router.claiming import Claimer
+from tamarackrill.router.limiting import Limiter
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.placing import Placed, Placer
 from tamarackrill.router.replies import Reply
 from tamarackrill.router.upstream import CurlAsyncHTTPClient
 
 ATTEMPTS_MAX = 3
+# Some tens of steps of an engine, in which a slot may become free.
+FULL_PAUSE_S = 0.05
 
 
 class Flow:
@@ -31,7 +34,7 @@
     ----------
     client : CurlAsyncHTTPClient
         For calls to endpoints; not owned.
-    chats, claimer, admitter, placer, metrics
+    chats, claimer, limiter, admitter, placer, metrics
         The parts that decide.
     clock : callable
         Returns the present time.
@@ -42,6 +45,7 @@
         client: CurlAsyncHTTPClient,
         chats: Chats,
         claimer: Claimer,
+        limiter: Limiter,
         admitter: Admitter,
         placer: Placer,
         metrics: Metrics,
@@ -50,6 +54,7 @@
         self._client = client
         self._chats = chats
         self._claimer = claimer
+        self._limiter = limiter
         self._admitter = admitter
         self._placer = placer
         self._metrics = metrics
@@ -86,9 +91,13 @@
 
     async def _run(self, call: Call, reply: Reply) -> None:
         try:
-            await self._chats.wait_turn(call, self._clock())
-            await self._claimer.claim(call, self._clock())
-            await self._serve(call, reply)
+            self._limiter.begin(call, self._clock())
+            try:
+                await self._chats.wait_turn(call, self._clock())
+                await self._claimer.claim(call, self._clock())
+                await self._serve(call, reply)
+            finally:
+                self._limiter.end(call, reply, self._clock())
         except Refusal as refusal:
             self._refuse(call, reply, refusal)
         except Exception as error:  # noqa: BLE001
@@ -153,26 +162,40 @@
     ) -> tuple[Placed, Attempt]:
         arrived_s = self._clock()
         reply.when_abandoned(lambda: self._admitter.cancel(call))
+        while True:
+            await self._enter(call, sent)
+            attempt = Attempt("not_sent")
+            placed: Placed | None = None
+            try:
+                wait_s = self._clock() - arrived_s
+                placed = await self._place(call, avoid, wait_s, sent)
+                if placed is not None:
+                    attempt = await self._attempt(call, reply, placed, is_last)
+                    return placed, attempt
+            finally:
+                if placed is not None:
+                    self._placer.release(placed)
+                self._admitter.leave(call, attempt, self._clock())
+            # Other routers have filled the endpoints, which this one had not heard
+            # when it let the call pass.  The call has time to wait, so it queues
+            # again; the pause keeps it from spinning until the loads are known.
+            await asyncio.sleep(FULL_PAUSE_S)
+            if reply.abandoned.is_set():
+                run: RunState = "unknown" if sent else "not_run"
+                raise Refusal("cancelled", 499, "the caller went away", run)
+
+    async def _enter(self, call: Call, sent: bool) -> None:
         try:
-            await self._admitter.enter(call, arrived_s)
+            await self._admitter.enter(call, self._clock())
         except Refusal as refusal:
             # This attempt was not sent, but an earlier one may have run.
             refusal.run = "unknown" if sent else refusal.run
             raise
-        attempt = Attempt("not_sent")
-        placed: Placed | None = None
-        try:
-            placed = await self._place(call, avoid, self._clock() - arrived_s, sent)
-            attempt = await self._attempt(call, reply, placed, is_last)
-            return placed, attempt
-        finally:
-            if placed is not None:
-                self._placer.release(placed)
-            self._admitter.leave(call, attempt, self._clock())
 
     async def _place(
         self, call: Call, avoid: list[str], wait_s: float, sent: bool
-    ) -> Placed:
+    ) -> Placed | None:
+        """Return where the call goes, or None if all endpoints are full."""
         now_s = self._clock()
         # A router that was frozen while the call waited wakes up with an old
         # decision.  The caller has given up by then and may have asked elsewhere.
@@ -181,6 +204,8 @@
             raise Refusal("too_late", 504, "the deadline has passed", run)
         placed = await self._placer.place(call, avoid, now_s)
         if placed is None:
+            if self._placer.is_servable(call, avoid):
+                return None
             raise Refusal("no_endpoint", 503, "no endpoint can take the call", run)
         self._metrics.record_wait(call.kind, wait_s)
         self._log_placed(call, placed, wait_s)
--- a/src/tamarackrill/router/gossip.py
+++ b/src/tamarackrill/router/gossip.py
@@ -26,7 +26,6 @@
     log_event,
 )
 from tamarackrill.protocol.codec import InvalidMessage, decode_gossip, encode_gossip
-from tamarackrill.router.datagrams import PeerSocket
 from tamarackrill.router.members import Member, Members
 
 _STATE_NAMES = {state: state.name.lower() for state in MemberState}
@@ -39,9 +38,8 @@
     ----------
     own : MemberRecord
         This router.
-    peer_socket : PeerSocket
-        Not owned; `take_datagram` must be the last of its handlers, as it counts what
-        no handler knows as a stranger's.
+    send : callable
+        Sends a datagram to a peer address.
     peer_keys : tuple of str
         The first signs, all verify.
     members : Members
@@ -57,7 +55,7 @@
     def __init__(
         self,
         own: MemberRecord,
-        peer_socket: PeerSocket,
+        send: Callable[[str, bytes], None],
         peer_keys: tuple[str, ...],
         members: Members,
         digest_configuration: Callable[[], tuple[ConfigurationDigest, ...]],
@@ -66,7 +64,7 @@
     ) -> None:
         self.counts: Counter[str] = Counter()
         self._membership = Membership(own, contacts)
-        self._socket = peer_socket
+        self._send_datagram = send
         self._peer_keys = peer_keys
         self._members = members
         self._digest_configuration = digest_configuration
@@ -90,7 +88,7 @@
         self._ticking = asyncio.create_task(self._tick_for_ever())
 
     async def stop(self) -> None:
-        """Tell the others that this router has left."""
+        """Tell the others that this router has left; the socket must still be open."""
         if self._ticking is not None:
             self._ticking.cancel()
             await asyncio.gather(self._ticking, return_exceptions=True)
@@ -116,15 +114,19 @@
             self.counts
         )
 
-    def take_datagram(self, datagram: bytes) -> bool:
-        """Take one datagram; whatever it holds, nothing is raised."""
+    def take_datagram(self, datagram: bytes, source: str) -> bool:
+        """Take a datagram; nothing is raised.
+
+        It must be the last of the socket's handlers, as it counts what none knows as
+        a stranger's.
+        """
         self.counts["received"] += 1
         self.counts["received_bytes"] += len(datagram)
         try:
             message = decode_gossip(datagram, self._peer_keys)
         except InvalidMessage as error:
-            self._drop(error.reason, self._socket.source)
-            return False
+            self._drop(error.reason, source)
+            return True
         self._act(self._membership.receive(message, self._clock()))
         return True
 
@@ -167,7 +169,7 @@
         datagram = encode_gossip(action.message, self._peer_keys)
         self.counts["sent"] += 1
         self.counts["sent_bytes"] += len(datagram)
-        self._socket.send(action.peer_address, datagram)
+        self._send_datagram(action.peer_address, datagram)
 
     def _log_change(self, change: MemberChanged) -> None:
         before = change.before
@@ -187,10 +189,15 @@
             # The VM list says that it leaves; the router itself doesn't know yet.
             if state in ("alive", "suspect") and record.name not in takes_work:
                 state = "leaving"
-            member = Member(
-                record.name, record.address, record.zone, state, record.peer_address
+            members.append(
+                Member(
+                    record.name,
+                    record.address,
+                    record.zone,
+                    state,
+                    record.peer_address,
+                )
             )
-            members.append(member)
         self._members.replace(members)
 
     def _drop(self, reason: str, source: str) -> None:
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -9,10 +9,16 @@
 from tamarackrill.decisions.routing import compute_bound
 from tamarackrill.protocol import owner_codec as codec
 from tamarackrill.protocol.codec import DIGEST_BYTES, sign
+from tamarackrill.router.load_reports import LoadReader
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.owners import UNCOUNTED, Owners
+from tamarackrill.router.placing import Placer
+from tamarackrill.router.upstream import make_client
+from tamarackrill.testing.daemon import listen
+from tamarackrill.testing.engine import EngineState, make_engine
 from tamarackrill.testing.processes import FleetProcesses, call, wait_for
 
+BOUND = 1.25
 KEYS = ("the first key", "the second key")
 KEY = {"Authorization": "Bearer the-key"}
 CONTRACT = {"team": "t", "key_hashes": [hash_key("the-key")], "models": ["m"]}
@@ -57,7 +63,7 @@
 
     def send(self, to, datagram):
         if not isinstance(codec.decode_owner_message(datagram, KEYS), self.lost):
-            self.routers[to].take_datagram(datagram)
+            self.routers[to].take_datagram(datagram, "a peer")
 
     def count(self):
         loads = [r.reservations.loads for r in self.routers.values()]
@@ -112,6 +118,14 @@
     return list(islice(found, count))
 
 
+def _ask(router, chat):
+    """Send a request of a chat and return the status of its answer."""
+    messages = [{"role": "user", "content": "a pattern"}]
+    body = {"model": "m", "messages": messages, "max_tokens": 2}
+    headers = {**KEY, "Chat-Id": chat}
+    return call(router.address, "/v1/chat/completions", body, headers=headers).status
+
+
 def test_bound_holds_over_two_routers():
     # Twenty chats of one engine come back at once, half of them through each of two
     # routers.  Each router keeps the bound by what it sent itself, and the engine gets
@@ -120,26 +134,68 @@
         engines = [fleet.add_engine(e.name, "m", "--slots=30") for e in POOL]
         fleet.put_contract(CONTRACT)
         names = ["router-1", "router-2"]
-        routers = [fleet.add_router(name) for name in names]
+        routers = [
+            fleet.add_router(name, "zone-a", f"--load-bound={BOUND}") for name in names
+        ]
         fleet.wait_ready()
         for engine in engines:
             engine.set_faults(hold=True)
         chats = [chat for name in names for chat in _find_chats(names, name, 10)]
-        messages = [{"role": "user", "content": "a pattern"}]
-        body = {"model": "m", "messages": messages, "max_tokens": 2}
-
-        def ask(chat):
-            headers = {**KEY, "Chat-Id": chat}
-            path = "/v1/chat/completions"
-            return call(routers[0].address, path, body, headers=headers).status
 
         def count():
             return [len(engine.look()["arrivals"]) for engine in engines]
 
         with ThreadPoolExecutor(len(chats)) as callers:
-            statuses = callers.map(ask, chats)
+            statuses = callers.map(lambda chat: _ask(routers[0], chat), chats)
             wait_for(lambda: sum(count()) == len(chats), "all calls are at engines")
-            assert max(count()) <= compute_bound(1.25, len(chats), len(engines))
+            assert max(count()) <= compute_bound(BOUND, len(chats), len(engines))
             for engine in engines:
                 engine.set_faults()
             assert set(statuses) == {200}
+
+
+def test_new_owner_learns_what_runs_from_the_engines():
+    # The owner fails while calls of other routers run.  The new owner has granted none
+    # of them; taking the engine for idle it would fill it a second time.
+    async def run():
+        state = EngineState("engine-0")
+        server, address = listen(make_engine(state))
+        endpoint = POOL[0]._replace(address=address)
+        members = Members(Member("a", "", "zone-a"))
+        clock = lambda: 1.0  # noqa: E731
+        owners = Owners(members, 1.25, lambda: [endpoint], print, KEYS, clock)
+        client = make_client()
+        placer = Placer(lambda: [endpoint])
+        reader = LoadReader(client, owners, placer, clock)
+        for running, wanted in ((3, 3), (5, 5), ("many", 5), (-1, 0)):
+            state.running = running
+            await reader.look()
+            assert owners.digest() == [("engine-0", wanted)]
+            assert placer.placement.loads.estimate(["engine-0"], 1.0) == [wanted]
+        client.close()
+        server.stop()
+
+    asyncio.run(run())
+
+
+def test_calls_wait_where_another_router_has_filled_the_engine():
+    # One router has filled the only engine; the other has not heard of it and lets its
+    # calls pass the queue.  The owner says that the engine is full.  These callers have
+    # time to wait, and a refusal would send them away from a queue that is empty.
+    with FleetProcesses() as fleet:
+        engine = fleet.add_engine("engine-1", "m", "--slots=4")
+        fleet.put_contract(CONTRACT)
+        names = ["router-1", "router-2"]
+        routers = [fleet.add_router(name) for name in names]
+        fleet.wait_ready()
+        engine.set_faults(hold=True)
+        with ThreadPoolExecutor(8) as callers:
+            statuses = [
+                callers.submit(_ask, router, chat)
+                for router in routers
+                for chat in _find_chats(names, router.name, 4)
+            ]
+            wait_for(lambda: len(engine.look()["arrivals"]) == 4, "the engine is full")
+            wait_for(lambda: sum(r.status()["in_flight"] for r in routers) >= 8, "all")
+            engine.set_faults()
+            assert [status.result() for status in statuses] == [200] * 8
