--- a/src/tamarackrill/router/flow.py
+++ b/src/tamarackrill/router/flow.py
@@ -79,6 +79,12 @@
         known = self._chats.find(call, self._clock())
         if known is not None:
             return known
+        if call.after_event:
+            # The events that the caller has are of a run that is no longer known
+            # here.  A new run would go on with other words, and the caller would put
+            # two half answers together.
+            message = "the answer is no longer kept; ask for all of it again"
+            raise Refusal("answer_gone", 409, message, "unknown")
         reply = Reply(keep=self._chats.can_be_joined(call))
         self._chats.register(call, reply, self._clock())
         task = asyncio.create_task(self._run(call, reply))
@@ -226,7 +232,7 @@
             raise Refusal("too_late", 504, "the deadline has passed", run)
         placed = await self._placer.place(call, avoid, now_s)
         if placed is None:
-            if self._placer.is_servable(call, avoid):
+            if self._placer.is_servable(call, avoid, now_s):
                 return None
             raise Refusal("no_endpoint", 503, "no endpoint can take the call", run)
         self._metrics.record_wait(call.kind, wait_s)
--- a/src/tamarackrill/router/gossip.py
+++ b/src/tamarackrill/router/gossip.py
@@ -48,6 +48,8 @@
         Returns the digests of the configuration held now.
     clock : callable
         Returns the present time.
+    contacts : tuple of str, optional
+        Peer addresses of some routers, asked when the VM list can't be had.
     """
 
     def __init__(
@@ -58,9 +60,10 @@
         members: Members,
         digest_configuration: Callable[[], tuple[ConfigurationDigest, ...]],
         clock: Callable[[], float],
+        contacts: tuple[str, ...] = (),
     ) -> None:
         self.counts: Counter[str] = Counter()
-        self._membership = Membership(own)
+        self._membership = Membership(own, contacts)
         self._send_datagram = send
         self._peer_keys = peer_keys
         self._members = members
@@ -111,12 +114,16 @@
             self.counts
         )
 
-    def take_datagram(self, data: bytes, source: str) -> bool:
-        """Take a datagram that no other handler knew; nothing is raised."""
+    def take_datagram(self, datagram: bytes, source: str) -> bool:
+        """Take a datagram; nothing is raised.
+
+        It must be the last of the socket's handlers, as it counts what none knows as
+        a stranger's.
+        """
         self.counts["received"] += 1
-        self.counts["received_bytes"] += len(data)
+        self.counts["received_bytes"] += len(datagram)
         try:
-            message = decode_gossip(data, self._peer_keys)
+            message = decode_gossip(datagram, self._peer_keys)
         except InvalidMessage as error:
             self._drop(error.reason, source)
             return True
