Stop new work at an endpoint whose VM the platform calls leaving

Cause: decisions/leaving.py was built and tested but nothing called it; only an endpoint's own object stopped new work, the VM list did not. What: the list of known endpoints asks it; an endpoint names its VM, or has the VM's name. An endpoint that is not listed goes on (the list lags). Not built: news from the endpoint's own load report.

--- a/src/tamarackrill/contracts.py
+++ b/src/tamarackrill/contracts.py
@@ -108,6 +108,8 @@
     models_max : int
         Models that an engine can hold; it may be ordered to load more than it
         serves now.
+    vm : str
+        Name of its VM on the platform's list; empty if it is the endpoint's own.
     """
 
     name: str
@@ -118,6 +120,7 @@
     state: EndpointState = "live"
     slots: int = 8
     models_max: int = 1
+    vm: str = ""
 
 
 class Vm(NamedTuple):
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -204,6 +204,14 @@
     ("endpoint", "status"),
     "An ejected endpoint was probed; status 0 is no answer.",
 )
+ENDPOINT_LEAVING = Event(
+    5011,
+    "endpoint_leaving",
+    _INFO,
+    ("endpoint", "source", "is_leaving", "incarnation"),
+    "News came that an endpoint leaves and gets no new work, or that it stays.",
+    "See docs/operations/endpoints.md.",
+)
 ORDER_GIVEN = Event(
     5101,
     "order_given",
--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -360,6 +360,7 @@
             try:
                 vms = await self.platform.list_vms()
                 self.gossiper.take_vm_list(vms)
+                self.known.take_vm_list(vms)
             except PlatformUnavailable:
                 pass
             await asyncio.sleep(VM_LIST_WAIT_S)
--- a/src/tamarackrill/router/known_objects.py
+++ b/src/tamarackrill/router/known_objects.py
@@ -1,5 +1,6 @@
 """Contracts and endpoints in force at this router, read from the platform's objects."""
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from tamarackrill.contracts import (
@@ -7,11 +8,13 @@
     ENDPOINT_KIND,
     Contract,
     Endpoint,
+    Vm,
     read_contract,
     read_endpoint,
 )
 from tamarackrill.decisions.configuration import ObjectVersion
-from tamarackrill.events import OBJECT_FAULTY, log_event
+from tamarackrill.decisions.leaving import Leaving, LeavingNews
+from tamarackrill.events import ENDPOINT_LEAVING, OBJECT_FAULTY, log_event
 from tamarackrill.exceptions import FindingsError
 
 _READERS = {CONTRACT_KIND: read_contract, ENDPOINT_KIND: read_endpoint}
@@ -39,6 +42,9 @@
         self._contracts: dict[str, Contract] = {}
         self._endpoints: dict[str, Endpoint] = {}
         self._faulty: dict[tuple[str, str], FaultyObject] = {}
+        self._leaving = Leaving()
+        # Endpoints as `list_endpoints` returns them; None once one has changed.
+        self._listed: list[Endpoint] | None = None
         # Contract of each key's hash; None once a contract has changed.
         self._holders: dict[str, Contract] | None = None
 
@@ -48,13 +54,18 @@
         if reader is None:
             return
         self._holders = None
+        self._listed = None
         known: dict = self._contracts if item.kind == CONTRACT_KIND else self._endpoints
         self._faulty.pop((item.kind, item.name), None)
         if item.value is None:
             known.pop(item.name, None)
+            if item.kind == ENDPOINT_KIND:
+                self._leaving.remove(item.name)
             return
         try:
             known[item.name] = reader(item.value)
+            if item.kind == ENDPOINT_KIND:
+                self._note_object(known[item.name])
         except FindingsError as error:
             message = "; ".join(finding.show() for finding in error.findings)
             faulty = FaultyObject(item.kind, item.name, item.version, message)
@@ -84,8 +95,37 @@
         return list(self._contracts.values())
 
     def list_endpoints(self) -> list[Endpoint]:
-        """Return the endpoints known now."""
-        return list(self._endpoints.values())
+        """Return the endpoints known now; one that leaves by any news says so."""
+        if self._listed is None:
+            self._listed = [
+                endpoint._replace(state="leaving")
+                if self._leaving.is_leaving(endpoint.name)
+                else endpoint
+                for endpoint in self._endpoints.values()
+            ]
+        return self._listed
+
+    def take_vm_list(self, vms: Iterable[Vm]) -> None:
+        """Take the platform's list, which may call the VM of an endpoint leaving.
+
+        An endpoint whose VM is not listed is left as it is: the list lags, and the
+        VM of a new endpoint may not be on it yet.
+        """
+        states = {vm.name: vm.state for vm in vms}
+        for endpoint in self._endpoints.values():
+            state = states.get(endpoint.vm or endpoint.name)
+            if state is not None:
+                news = LeavingNews(endpoint.name, "vm_list", state == "leaving")
+                self._observe(news)
+
+    def _note_object(self, endpoint: Endpoint) -> None:
+        is_leaving = endpoint.state == "leaving"
+        self._observe(LeavingNews(endpoint.name, "object", is_leaving))
+
+    def _observe(self, news: LeavingNews) -> None:
+        if self._leaving.observe(news):
+            self._listed = None
+            log_event(ENDPOINT_LEAVING, **news._asdict())
 
     def list_faulty(self) -> list[FaultyObject]:
         """Return the objects that can't be read, by kind and name."""
--- a/src/tamarackrill/testing/processes.py
+++ b/src/tamarackrill/testing/processes.py
@@ -13,7 +13,7 @@
 import time
 import urllib.error
 import urllib.request
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from typing import Any, NamedTuple
 
 PATIENCE_S = 30.0
@@ -272,8 +272,8 @@
         self.publish_vms()
         return router
 
-    def publish_vms(self) -> None:
-        """Put the VM list of the routers started so far on the platform."""
+    def publish_vms(self, leaving: Collection[str] = ()) -> None:
+        """Put the VM list on the platform: the routers, and VMs that are leaving."""
         vms = [
             {
                 "name": router.name,
@@ -283,6 +283,9 @@
             }
             for router in self.routers.values()
         ]
+        for name in leaving:
+            vm = {"name": name, "address": "", "zone": "", "state": "leaving"}
+            vms.append(vm)
         call(self.platform.address, "/admin/vms", {"vms": vms}, "PUT")
 
     def put_contract(self, value: dict[str, Any]) -> int:
