--- a/src/tamarackrill/decisions/limits.py
+++ b/src/tamarackrill/decisions/limits.py
@@ -29,7 +29,7 @@
 # at 10 requests a second, and no longer than the sums are late anyway.
 METER_WINDOW_S = 2.0
 # Requests in flight are steered so that they would reach the limit in 4 s, about
-# twice the time until an effect is seen in the sum; a shorter one overshoots.
+# twice the time until an effect is seen in the sum.  With 8 s the error was larger.
 IN_FLIGHT_HORIZON_S = 4.0
 # Below this share of the limit nothing is refused.  What others end a second comes
 # late, and reads as nothing when a team has just begun.
