--- a/bench/gossip.py
+++ b/bench/gossip.py
@@ -10,7 +10,8 @@
 from typing import TypedDict
 
 from tamarackrill.decisions.configuration import ConfigurationDigest
-from tamarackrill.decisions.members import Gossip
+from tamarackrill.decisions.loads import EndpointLoad
+from tamarackrill.decisions.members import Entries, Gossip
 from tamarackrill.protocol.codec import decode_gossip, encode_gossip
 from tamarackrill.testing.gossip import SESSION_MS, GossipNetwork
 
@@ -32,6 +33,7 @@
     routers: int
     steady_bytes_per_s: float
     steady_cpu_us_per_s: float
+    full_bytes_per_s: float
     removed_ticks: int
     joined_ticks: int
     cold_start_ticks: int
@@ -73,6 +75,7 @@
     network.run(STEADY_TICKS)
     spent_us = (time.process_time() - started_s) * 1e6
     steady_bytes = _per_router(wire.sent_bytes, routers, STEADY_TICKS)
+    full_bytes = _fill_entries(network, wire)
     changed = _spread_configuration(network)
     network.kill("vm-0003")
     removed = network.run_until(
@@ -85,6 +88,7 @@
         routers=routers,
         steady_bytes_per_s=round(steady_bytes),
         steady_cpu_us_per_s=round(spent_us / routers / STEADY_TICKS),
+        full_bytes_per_s=round(full_bytes),
         removed_ticks=removed,
         joined_ticks=joined,
         cold_start_ticks=cold_start,
@@ -98,6 +102,19 @@
     return 2 * sent_bytes / routers / max(1, ticks)
 
 
+def _fill_entries(network: GossipNetwork, wire: _Wire) -> float:
+    """Return the bytes a second while other modules hand over more than fits."""
+    loads = tuple(EndpointLoad(f"engine-{i:04d}", 100) for i in range(100))
+    for state in network.states.values():
+        state.entries = Entries(loads=loads)
+    wire.sent_bytes = 0
+    network.run(STEADY_TICKS)
+    sent_bytes = wire.sent_bytes
+    for state in network.states.values():
+        state.entries = Entries()
+    return _per_router(sent_bytes, len(network.states), STEADY_TICKS)
+
+
 def _spread_configuration(network: GossipNetwork) -> int:
     """Return the ticks until a change that one router holds is at all others.
 
