Treat a peer's answer of another form as none

A pull of configuration that met an answer proved by a key but of another form would have ended in an exception that nobody reads.

--- a/src/tamarackrill/router/peer_api.py
+++ b/src/tamarackrill/router/peer_api.py
@@ -10,7 +10,6 @@
 import json
 import secrets
 from collections.abc import Callable
-from typing import Any
 
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPClientError, HTTPRequest
@@ -132,10 +131,14 @@
     proof = response.headers.get(PROOF, "")
     if not is_proved(peer_keys, "answer " + nonce, response.body, proof):
         raise PeerUnavailable("the answer is not proved by a peer key")
-    return _read_changes(json.loads(response.body))
+    return _read_changes(response.body)
 
 
-def _read_changes(body: list[Any]) -> Changes:
-    kind, objects, complete, whole = body
-    items = tuple(ObjectVersion(*item) for item in objects)
+def _read_changes(text: bytes) -> Changes:
+    # A peer of another release may prove an answer of another form.
+    try:
+        kind, objects, complete, whole = json.loads(text)
+        items = tuple(ObjectVersion(*item) for item in objects)
+    except (TypeError, ValueError) as error:
+        raise PeerUnavailable("the answer holds no changes") from error
     return Changes(kind, items, complete, whole)
