--- a/src/tamarackrill/decisions/usage.py
+++ b/src/tamarackrill/decisions/usage.py
@@ -34,11 +34,11 @@
     measure_pressure,
 )
 
-# Upper bound of one encoded entry: names of 24 and 12 bytes, a byte of scope, four
+# Most bytes of one encoded entry: names of 24 and 12 bytes, a byte of scope, four
 # numbers of 4 bytes, and the framing of thrift's compact form.
-ENTRY_BYTES = 60
+ENTRY_BYTES = 62
 # IP and UDP headers, signature and framing of one datagram.
-DIGEST_OVERHEAD_BYTES = 70
+DIGEST_OVERHEAD_BYTES = 72
 REPORT_MIN_S = 1.0
 REPORT_SMALL_S = 4.0
 REPORT_MAX_S = 16.0
@@ -86,6 +86,8 @@
 
 
 class _Sent(NamedTuple):
+    """What was last reported of a team, and how large it was."""
+
     at_s: float
     part: float
     empty: bool
@@ -286,7 +288,7 @@
                     del others[team]
         for sent in (self._router_sent, self._zone_sent):
             for team, last in list(sent.items()):
-                if last.empty and now_s - last.at_s > HOLD_S:
+                if last.empty and now_s - last.at_s > ORIGIN_LOST_S:
                     del sent[team]
 
     def _report(
@@ -302,11 +304,7 @@
         part = measure_pressure(usage, contract)
         pressure = measure_pressure(whole, contract)
         if usage.team not in sent:
-            # Somewhere in the first interval: short visits of a team are sampled,
-            # and not each of them is reported.
-            unit = hash_unit(f"{usage.team}/{self._router}")
-            pace_s = REPORT_MAX_S if is_zone else REPORT_SAMPLED_S
-            sent[usage.team] = _Sent(now_s - unit * pace_s, 0.0, True, True)
+            sent[usage.team] = self._schedule_first(usage, now_s)
         last = sent[usage.team]
         # Both must be small: were only the rise reported soon and the fall late, the
         # sums would be too high, and teams be refused below their limits.
@@ -315,10 +313,22 @@
         if abs(part - last.part) > PRESSURE_STEP and not visit:
             pace_s = REPORT_MIN_S
         overdue = (now_s - last.at_s + _TICK_SLACK_S) / pace_s
-        if overdue < 1.0 or (last.empty and _is_empty(usage)):
+        if overdue < 1.0:
+            return []
+        if last.empty and _is_empty(usage):
+            # A sample too, though not worth a message.  If the next visit were taken
+            # instead, sums would be too high by the pauses between the visits.
+            sent[usage.team] = last._replace(at_s=now_s)
             return []
         return [(overdue, self.find_homes(usage.team)[int(is_zone)], usage)]
 
+    def _schedule_first(self, usage: TeamUsage, now_s: float) -> _Sent:
+        # Somewhere in the first interval: short visits of a team are sampled, and not
+        # each of them is reported.
+        unit = hash_unit(f"{usage.team}/{self._router}")
+        pace_s = REPORT_MAX_S if usage.scope == "zone" else REPORT_SAMPLED_S
+        return _Sent(now_s - unit * pace_s, 0.0, True, True)
+
     def _is_visit(self, usage: TeamUsage) -> bool:
         scale = min(1.0, len(self._names) / VISIT_ROUTERS)
         return (
--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -48,6 +48,7 @@
     ConfigurationHandler,
     pull_changes,
 )
+from tamarackrill.router.peer_news import PeerNews
 from tamarackrill.router.placing import Placer
 from tamarackrill.router.platform_client import PlatformClient
 from tamarackrill.router.probing import Prober
@@ -161,6 +162,12 @@
         await self.configurer.start()
         self.gossiper = self._make_gossiper()
         self.gossiper.subscribe(self.configurer.hear_peer)
+        news = PeerNews(
+            self.placer, self.owners, self.members, self.gossiper.report, self.clock
+        )
+        self.gossiper.subscribe(news.hear)
+        self.gossiper.add_source(news.collect)
+        self.placer.tell_crash = news.tell_crash
         self._peer_socket.handlers.append(self.gossiper.take_datagram)
         await self.gossiper.start()
         self.orderer = EngineOrderer(
@@ -353,6 +360,7 @@
             try:
                 vms = await self.platform.list_vms()
                 self.gossiper.take_vm_list(vms)
+                self.known.take_vm_list(vms)
             except PlatformUnavailable:
                 pass
             await asyncio.sleep(VM_LIST_WAIT_S)
