--- a/tests/test_admitting.py
+++ b/tests/test_admitting.py
@@ -86,3 +86,17 @@
     assert gone.exception() is not None
     wait_queued(router, 0)
     assert len(engine.look()["arrivals"]) == 2
+
+
+def test_burst_through_all_routers_waits_for_the_one_engine():
+    # Callers come at once through three routers, and the engine has room for some of
+    # them.  The others have time to wait; before the routers queued a call that the
+    # engine's owner refused, they were told that no endpoint could take it.
+    with FleetProcesses() as fleet, ThreadPoolExecutor(24) as callers:
+        hashes = [hash_key("hot")]
+        fleet.put_contract({"team": "hot", "key_hashes": hashes, "models": ["m"]})
+        fleet.add_engine("engine-1", "m", "--slots=4")
+        routers = [fleet.add_router(name) for name in "abc"]
+        fleet.wait_ready()
+        told = callers.map(lambda number: ask(routers[number % 3], "hot", 4), range(24))
+        assert {answer.status for answer in told} == {200}
