Do not take an own request that has ended for another router's

An owner's digest is collected once a second and rides on later messages; counted while our only slow call ran and received after it had ended, it stood for another router's request, and the engine seemed at its bound: its chats went elsewhere and it never got the five answers that it takes to compare it. After: a unit test of that digest (estimate 0; it was 1 before) passes; the cause was found by reading and not reproduced over processes since. Conclusion: own requests of the last second are taken off a digest.

--- a/src/tamarackrill/decisions/loads.py
+++ b/src/tamarackrill/decisions/loads.py
@@ -24,6 +24,9 @@
 # Entries of one digest.  A router owns 2 endpoints at 370 routers and 780 workers, and
 # 5 while half of 7 routers are being replaced; 24 entries take about 0.4 KB.
 DIGEST_ENTRIES_MAX = 24
+# Longest time from an owner's count to its arrival here: digests are collected once a
+# tick of the gossip, and ride on all messages until the next one.
+DIGEST_AGE_MAX_S = 1.0
 
 
 class EndpointLoad(NamedTuple):
@@ -67,6 +70,16 @@
         since = sum(by for changed_s, by in self.changes if changed_s > time_s)
         return self.in_flight - since
 
+    def most_since(self, time_s: float) -> int:
+        """Return the most requests in flight at any moment since a recent time."""
+        most = count = self.in_flight
+        for changed_s, by in reversed(self.changes):
+            if changed_s < time_s:
+                break
+            count -= by
+            most = max(most, count)
+        return most
+
 
 class Loads:
     """What one router knows of the load of all endpoints."""
@@ -104,19 +117,29 @@
         now_s : float
             The present time.
         """
-        known = self._words.get(endpoint)
-        # Reports can arrive out of order: an older one taken last would bring back a
-        # load that has gone, seen as work sent to an endpoint that is full.
-        if known is not None and reported_s < known.counted_s:
-            return
         requests = self._own.get(endpoint)
         own_then = requests.at(reported_s) if requests else 0
-        self._words[endpoint] = _Word(max(0, load - own_then), reported_s, now_s)
+        self._take_word(endpoint, load - own_then, reported_s, now_s)
 
     def observe_peer(self, entries: Iterable[EndpointLoad], now_s: float) -> None:
         """Take the digest of a peer: the counts of the endpoints that it owns."""
         for entry in entries:
-            self.observe_report(entry.endpoint, entry.in_flight, now_s, now_s)
+            requests = self._own.get(entry.endpoint)
+            # When it was counted is not known.  Had an own request ended since, it
+            # would pass for another router's until the next digest, and this router
+            # would keep its chats off an idle engine.  The owner, which is asked near
+            # the bound, makes good what is counted too low by this.
+            own_most = requests.most_since(now_s - DIGEST_AGE_MAX_S) if requests else 0
+            self._take_word(entry.endpoint, entry.in_flight - own_most, now_s, now_s)
+
+    def _take_word(
+        self, endpoint: str, others: int, counted_s: float, now_s: float
+    ) -> None:
+        known = self._words.get(endpoint)
+        # Reports can arrive out of order: an older one taken last would bring back a
+        # load that has gone, seen as work sent to an endpoint that is full.
+        if known is None or counted_s >= known.counted_s:
+            self._words[endpoint] = _Word(max(0, others), counted_s, now_s)
 
     def remove(self, endpoint: str) -> None:
         """Forget what was said of an endpoint that has left."""
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -6,7 +6,7 @@
 from tamarackrill.contracts import Endpoint
 from tamarackrill.decisions import reservations as owners
 from tamarackrill.decisions.cache_index import CacheEvent
-from tamarackrill.decisions.loads import Loads
+from tamarackrill.decisions.loads import EndpointLoad, Loads
 from tamarackrill.decisions.reservations import Reservations, find_owner
 from tamarackrill.decisions.routing import Placement, PlacementRequest, compute_bound
 
@@ -176,6 +176,19 @@
     assert loads.estimate(["e"], 5.0) == [5]
 
 
+def test_digest_from_before_an_own_request_ended_does_not_keep_its_engine_full():
+    # The owner counts our only request, and its digest arrives when the request has
+    # just ended.  Taken for another router's, it kept the chats of the engine away
+    # from its cache for seconds; a slow engine was then not even recognised.
+    loads = Loads()
+    loads.start("e", 1.0)
+    loads.finish("e", 2.0)
+    loads.observe_peer([EndpointLoad("e", 1)], now_s=2.5)
+    assert loads.estimate(["e"], 2.5) == [0]
+    loads.observe_peer([EndpointLoad("e", 1)], now_s=3.5)
+    assert loads.estimate(["e"], 3.5) == [1]
+
+
 class OwnedPool(RuleBasedStateMachine):
     """Several routers place on one pool, with lost and late reports.
 
