Split the start of the application; a failed task ends readiness

Cause: start() had grown to 110 lines, and a background task that ended by a fault left a router that answered while nobody expired its queue or read the VM list, and nothing showed it. What: start() calls one step for each part; a task that fails is logged (1004) and /readyz answers 503. First failed: with the callback not added the new test sees the router still ready (one of its two cases).

--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -49,6 +49,14 @@
 ROUTER_STOPPED = Event(
     1003, "router_stopped", _INFO, ("router", "in_flight"), "A router has stopped."
 )
+TASK_FAILED = Event(
+    1004,
+    "task_failed",
+    _ERROR,
+    ("task", "error"),
+    "A task of the router ended by a fault of its own; the router is no longer ready.",
+    "Restart the router and send us the line.",
+)
 
 # 2000: requests, routing and admission
 REQUEST_ROUTED = Event(
--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -1,9 +1,10 @@
 """The application object: owns every resource of the daemon and its clean-up."""
 
 import asyncio
+import socket
 import time
 import uuid
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Coroutine
 from typing import Any
 
 from tornado.curl_httpclient import CurlAsyncHTTPClient
@@ -24,6 +25,7 @@
     ROUTER_LEAVING,
     ROUTER_STARTED,
     ROUTER_STOPPED,
+    TASK_FAILED,
     log_event,
 )
 from tamarackrill.exceptions import PlatformUnavailable
@@ -90,30 +92,55 @@
         self.open_calls = OpenCalls()
         self.known = KnownObjects()
         self._leaving = False
+        self._faulty_task = ""
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Open the sockets and start the tasks."""
+        sockets = bind_sockets(self.settings.port, self.settings.address)
+        self.address = f"{self.settings.address}:{sockets[0].getsockname()[1]}"
+        await self._open_peer_socket()
+        self._make_clients()
+        self._make_decisions()
+        self._make_flow()
+        await self._start_configuration()
+        await self._start_gossip()
+        await self._start_orders()
+        self._start_tasks()
+        self._serve_callers(sockets)
+        log_event(
+            ROUTER_STARTED,
+            router=self.settings.name,
+            zone=self.settings.zone,
+            address=self.address,
+            peer_address=self.peer_address,
+        )
+
+    async def _open_peer_socket(self) -> None:
         settings = self.settings
-        sockets = bind_sockets(settings.port, settings.address)
-        self.address = f"{settings.address}:{sockets[0].getsockname()[1]}"
         self._peer_socket = PeerSocket()
         self.peer_address = await self._peer_socket.start(
             settings.address, settings.peer_port
         )
-        own = Member(
-            settings.name,
-            self.address,
-            settings.zone,
-            peer_address=self.peer_address,
+        self.members = Members(
+            Member(
+                settings.name,
+                self.address,
+                settings.zone,
+                peer_address=self.peer_address,
+            )
         )
-        self.members = Members(own)
+
+    def _make_clients(self) -> None:
         self._endpoint_client = make_client()
         self._router_client = make_client()
         self._platform_client = CurlAsyncHTTPClient(force_instance=True)
         self.platform = PlatformClient(
-            settings.platform, settings.zone, self._platform_client
+            self.settings.platform, self.settings.zone, self._platform_client
         )
+
+    def _make_decisions(self) -> None:
+        settings = self.settings
         self.owners = Owners(
             self.members,
             settings.load_bound,
@@ -122,8 +149,6 @@
             settings.peer_keys,
             self.clock,
         )
-        self._peer_socket.handlers.append(self.owners.take_datagram)
-        self._tasks.append(asyncio.create_task(self.owners.run()))
         self.placer = Placer(
             self.list_endpoints, settings.load_bound, settings.zone, self.owners
         )
@@ -139,10 +164,13 @@
             settings.peer_keys,
             self.clock,
         )
+        self._peer_socket.handlers.append(self.owners.take_datagram)
         self._peer_socket.handlers.append(self.limiter.take_datagram)
+
+    def _make_flow(self) -> None:
         self.chats = Chats(self.clock)
         self.claimer = Claimer(
-            Claims(settings.name, uuid.uuid4().hex[:INCARNATION_DIGITS]),
+            Claims(self.settings.name, uuid.uuid4().hex[:INCARNATION_DIGITS]),
             self.platform,
             lambda: [member.name for member in self.members.list_live()],
         )
@@ -156,33 +184,38 @@
             self.metrics,
             self.clock,
         )
+
+    async def _start_configuration(self) -> None:
         self.configurer = Configurer(
             self.store, self.platform, self._take_objects, self._pull, self.clock
         )
         await self.configurer.start()
+
+    async def _start_gossip(self) -> None:
         self.gossiper = self._make_gossiper()
-        self.gossiper.subscribe(self.configurer.hear_peer)
         news = PeerNews(
             self.placer, self.owners, self.members, self.gossiper.report, self.clock
         )
+        self.gossiper.subscribe(self.configurer.hear_peer)
         self.gossiper.subscribe(news.hear)
         self.gossiper.add_source(news.collect)
         self.placer.tell_crash = news.tell_crash
+        # The last of the handlers: it counts what none of them knows as a stranger's.
         self._peer_socket.handlers.append(self.gossiper.take_datagram)
         await self.gossiper.start()
+
+    async def _start_orders(self) -> None:
         self.orderer = EngineOrderer(
-            f"{settings.name}/{uuid.uuid4().hex}",
+            f"{self.settings.name}/{uuid.uuid4().hex}",
             Fleet(self.members, self.list_contracts, self.list_endpoints),
             self.platform,
             self._router_client,
             self.clock,
-            LeaseTiming(settings.lease_s, settings.lease_s / 2),
+            LeaseTiming(self.settings.lease_s, self.settings.lease_s / 2),
         )
         await self.orderer.start()
-        self._tasks.append(asyncio.create_task(self._follow_vms()))
-        self._tasks.append(asyncio.create_task(self.admitter.run()))
-        self._tasks.append(asyncio.create_task(self.limiter.run()))
-        self._tasks.append(asyncio.create_task(self.chats.run()))
+
+    def _start_tasks(self) -> None:
         prober = Prober(
             self._endpoint_client,
             self.placer,
@@ -190,9 +223,30 @@
             self._wake_waiting,
             self.clock,
         )
-        self._tasks.append(asyncio.create_task(prober.run()))
         reader = LoadReader(self._endpoint_client, self.owners, self.placer, self.clock)
-        self._tasks.append(asyncio.create_task(reader.run()))
+        self._spawn("owners", self.owners.run())
+        self._spawn("vm_list", self._follow_vms())
+        self._spawn("admitter", self.admitter.run())
+        self._spawn("limiter", self.limiter.run())
+        self._spawn("chats", self.chats.run())
+        self._spawn("prober", prober.run())
+        self._spawn("load_reader", reader.run())
+
+    def _spawn(self, name: str, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work, name=name)
+        task.add_done_callback(self._note_end)
+        self._tasks.append(task)
+
+    def _note_end(self, task: asyncio.Task[None]) -> None:
+        # A task that ends by a fault of ours would leave a router that answers but no
+        # longer refuses what waits too long, or hears of the VM list.  Nobody would
+        # notice; so it is logged and the balancer is told to go elsewhere.
+        if not task.cancelled() and task.exception() is not None:
+            self._faulty_task = task.get_name()
+            error = repr(task.exception())
+            log_event(TASK_FAILED, task=self._faulty_task, error=error)
+
+    def _serve_callers(self, sockets: list[socket.socket]) -> None:
         self._server = HTTPServer(
             self._make_web_application(),
             # The handler itself refuses a body that is too long, with a code.
@@ -203,13 +257,11 @@
             idle_connection_timeout=HEADERS_TIMEOUT_S,
         )
         self._server.add_sockets(sockets)
-        log_event(
-            ROUTER_STARTED,
-            router=settings.name,
-            zone=settings.zone,
-            address=self.address,
-            peer_address=self.peer_address,
-        )
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer may send new work here."""
+        has_contracts = bool(self.known.list_contracts())
+        return has_contracts and not self._leaving and not self._faulty_task
 
     async def drain(self) -> None:
         """Refuse new work; return when nothing is in flight, or after the limit."""
@@ -337,8 +389,8 @@
             self.settings.body_max_bytes,
             self.settings.peer_keys,
             self.known.find_holder,
-            self.list_contracts,
             lambda: self._leaving,
+            self.is_ready,
             self.describe,
             self.explain,
             self.clock,
--- a/src/tamarackrill/router/callers.py
+++ b/src/tamarackrill/router/callers.py
@@ -93,10 +93,10 @@
         Keys shared by the routers.
     find_holder : callable
         Returns the contract that holds a key, by the key's hash.
-    list_contracts : callable
-        Returns the contracts in force.
     is_leaving : callable
         Tells whether this router refuses new work.
+    is_ready : callable
+        Tells whether the balancer may send new work here.
     describe : callable
         Returns the status of this router.
     explain : callable
@@ -113,8 +113,8 @@
     body_max_bytes: int
     peer_keys: tuple[str, ...]
     find_holder: Callable[[str], Contract | None]
-    list_contracts: Callable[[], list[Contract]]
     is_leaving: Callable[[], bool]
+    is_ready: Callable[[], bool]
     describe: Callable[[], dict[str, Any]]
     explain: Callable[[Question], dict[str, Any]]
     clock: Callable[[], float] = time.monotonic
@@ -436,8 +436,8 @@
     """Tells whether the balancer may send new work."""
 
     def get(self) -> None:
-        """Answer 503 while leaving or without any contract."""
-        ready = not self.front.is_leaving() and bool(self.front.list_contracts())
+        """Answer 503 while leaving, without any contract, or with a faulty task."""
+        ready = self.front.is_ready()
         self.set_status(200 if ready else 503)
         self.finish({"ready": ready})
 
--- /dev/null
+++ b/tests/test_app.py
@@ -0,0 +1,52 @@
+import asyncio
+
+import pytest
+
+from tamarackrill.contracts import hash_key
+from tamarackrill.decisions.configuration import ObjectVersion
+from tamarackrill.router.app import RouterApplication
+from tamarackrill.settings import load_settings
+
+FLAGS = [
+    "--name=a",
+    "--zone=z",
+    "--port=0",
+    "--peer-port=0",
+    "--platform=127.0.0.1:1",
+    "--peer-keys=a key that is long enough",
+]
+CONTRACT = {
+    "format": "tamarackrill/contract/v1",
+    "team": "t",
+    "key_hashes": [hash_key("k")],
+    "models": ["m"],
+}
+
+
+async def _end_well():
+    await asyncio.sleep(0)
+
+
+async def _fail():
+    await asyncio.sleep(0)
+    raise ValueError("a fault of ours")
+
+
+@pytest.mark.parametrize(("work", "ready"), [(_end_well, True), (_fail, False)])
+def test_router_with_a_task_that_failed_is_not_ready(work, ready):
+    # A task of the daemon ends by a fault of ours.  The router would go on answering
+    # while nobody refuses what waits too long, and the balancer would not notice.
+    async def run():
+        router = RouterApplication(load_settings(FLAGS, {}))
+        await router.start()
+        router.known.take(ObjectVersion("contract", "t", 1, CONTRACT))
+        assert router.is_ready()
+        router._spawn("added", work())
+        ended = asyncio.Event()
+        router._tasks[-1].add_done_callback(lambda task: ended.set())
+        await ended.wait()
+        found = router.is_ready()
+        await router.stop()
+        return found
+
+    assert asyncio.run(run()) is ready
