--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -145,6 +145,27 @@
     assert answer.status == 200
 
 
+def test_stream_whose_home_dies_ends_in_an_error(fleet):
+    # The VM of the chat's home fails in the middle of a stream that came through
+    # another router.  The caller must see that the answer is not whole, and may have
+    # run; it sends the request again and is served without that VM.
+    fleet.add_engine("engine-1", "m", "--step-s=0.01")
+    routers = [fleet.add_router("a"), fleet.add_router("b")]
+    fleet.wait_ready()
+    home, other = _find_home(routers, "c")
+    connection, response = _open_stream(other, 1000, **{"Chat-Id": "c"})
+    first = response.readline()
+    home.kill()
+    rest = first + response.read()
+    connection.close()
+    assert CLOSING not in rest
+    assert b"event: error" in rest
+    assert b'"code": "router_lost"' in rest
+    assert b'"run": "unknown"' in rest
+    again = call(other.address, CHAT_PATH, _chat(), headers={**KEY, "Chat-Id": "c"})
+    assert again.status == 200
+
+
 def test_forged_forward_is_treated_as_a_callers_request(fleet):
     # A caller sets the headers that routers use among themselves, to be handed the
     # stream of another team's call.  It must get its own answer.
