Close the clients of a stopped router without a traceback

Cause: closing libcurl's handles asks for one more timeout after tornado's client has removed the one it had; it ran on the closed client ('NoneType' has no attribute 'socket_action') in a process that lives on, as in 'make example'. Reproduced in a process of 20 lines. Ruled out: a fetch in flight of ours (the trace is of the timeout handler). First failed: the new test without the removal shows the traceback.

--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -54,7 +54,7 @@
 from tamarackrill.router.placing import Placer
 from tamarackrill.router.platform_client import PlatformClient
 from tamarackrill.router.probing import Prober
-from tamarackrill.router.upstream import make_client
+from tamarackrill.router.upstream import close_client, make_client
 from tamarackrill.settings import Settings
 
 VM_LIST_WAIT_S = 1.0
@@ -290,9 +290,9 @@
         await self.gossiper.stop()
         await self.configurer.stop()
         self._peer_socket.stop()
-        self._endpoint_client.close()
-        self._router_client.close()
-        self._platform_client.close()
+        close_client(self._endpoint_client)
+        close_client(self._router_client)
+        close_client(self._platform_client)
         log_event(
             ROUTER_STOPPED, router=self.settings.name, in_flight=self.flow.running
         )
--- a/src/tamarackrill/router/upstream.py
+++ b/src/tamarackrill/router/upstream.py
@@ -278,3 +278,14 @@
     return CurlAsyncHTTPClient(
         force_instance=True, max_clients=CLIENTS_MAX, max_body_size=1 << 40
     )
+
+
+def close_client(client: CurlAsyncHTTPClient) -> None:
+    """Close a client, whatever it still has in flight."""
+    client.close()
+    # Closing libcurl's handles makes libcurl ask for one more timeout, after tornado
+    # has dropped the one it had.  It would find the client closed and leave a
+    # traceback in the log of a process that lives on, as that of an embedded router.
+    if client._timeout is not None:
+        client.io_loop.remove_timeout(client._timeout)
+        client._timeout = None
--- a/tests/test_app.py
+++ b/tests/test_app.py
@@ -6,6 +6,8 @@
 from tamarackrill.decisions.configuration import ObjectVersion
 from tamarackrill.router.app import RouterApplication
 from tamarackrill.settings import load_settings
+from tamarackrill.testing.daemon import listen
+from tamarackrill.testing.platform import PlatformState, make_platform
 
 FLAGS = [
     "--name=a",
@@ -50,3 +52,25 @@
         return found
 
     assert asyncio.run(run()) is ready
+
+
+def test_stopped_router_leaves_nothing_behind_in_its_process(caplog):
+    # A library user stops a router while it waits for the platform, and goes on.  A
+    # timeout that libcurl asked for last used to run on the closed client, and the
+    # log showed a traceback.
+    async def run():
+        state = PlatformState()
+        server, platform = listen(make_platform(state))
+        router = RouterApplication(
+            load_settings([*FLAGS, f"--platform={platform}"], {})
+        )
+        await router.start()
+        while not state.counts["watch"]:
+            await asyncio.sleep(0)
+        await router.stop()
+        server.stop()
+        for _ in range(100):
+            await asyncio.sleep(0)
+
+    asyncio.run(run())
+    assert "Traceback" not in caplog.text
