Take the usage of teams out of the gossip, which nothing sent there

Cause: the limits got messages of their own; the gossip still carried, weighed and parsed an entry that no module filled. What: the struct, its reading and writing moved to usage.thrift and usage_codec; field 10 of the gossip stays unused.

--- a/src/tamarackrill/decisions/members.py
+++ b/src/tamarackrill/decisions/members.py
@@ -10,7 +10,6 @@
 from typing import NamedTuple
 
 from tamarackrill.decisions.configuration import ConfigurationDigest
-from tamarackrill.decisions.limits import TeamUsage
 from tamarackrill.decisions.loads import EndpointLoad
 from tamarackrill.decisions.poison import CrashCount
 
@@ -19,7 +18,6 @@
 _MESSAGE_BYTES = 115
 _RECORD_BYTES = 18
 _DIGEST_BYTES = 34
-_USAGE_BYTES = 36
 _LOAD_BYTES = 8
 _CRASH_BYTES = 14
 
@@ -79,7 +77,6 @@
 
     crashes: tuple[CrashCount, ...] = ()
     loads: tuple[EndpointLoad, ...] = ()
-    usages: tuple[TeamUsage, ...] = ()
 
 
 class Purpose(IntEnum):
@@ -163,12 +160,7 @@
     crashes, left = _fit(entries.crashes, [_CRASH_BYTES], limit_bytes)
     weights = [_LOAD_BYTES + len(item.endpoint.encode()) for item in entries.loads]
     loads, left = _fit(entries.loads, weights, left)
-    weights = [
-        _USAGE_BYTES + len(item.team.encode()) + len(item.origin.encode())
-        for item in entries.usages
-    ]
-    usages, left = _fit(entries.usages, weights, left)
-    return Entries(crashes, loads, usages), limit_bytes - left
+    return Entries(crashes, loads), limit_bytes - left
 
 
 def _fit(items: tuple, weights: list[int], limit_bytes: int) -> tuple[tuple, int]:
--- a/src/tamarackrill/protocol/codec.py
+++ b/src/tamarackrill/protocol/codec.py
@@ -16,7 +16,6 @@
 from thriftpy2.transport import TMemoryBuffer
 
 from tamarackrill.decisions.configuration import ConfigurationDigest
-from tamarackrill.decisions.limits import TeamUsage, UsageScope
 from tamarackrill.decisions.loads import EndpointLoad
 from tamarackrill.decisions.members import (
     CrashCount,
@@ -34,7 +33,6 @@
 # The digest covers this word, as that of the other messages covers one of its own, so
 # that none is taken for one of another protocol with the same keys.
 _CONTEXT = b"gossip\0"
-_SCOPES: tuple[UsageScope, ...] = ("router", "zone", "other_routers", "other_zones")
 _I64_MODULUS = 1 << 64
 _I64_LIMIT = 1 << 63
 
@@ -135,19 +133,18 @@
 
 
 def _write_entries(entries: Entries) -> dict[str, Any]:
-    usages = [write_usage(item) for item in entries.usages]
     loads = [_idl.EndpointLoad(*item) for item in entries.loads]
     crashes = [
         _idl.CrashCount(_to_signed(item.fingerprint), item.crashes)
         for item in entries.crashes
     ]
-    lists = {"usages": usages, "loads": loads, "crashes": crashes}
+    lists = {"loads": loads, "crashes": crashes}
     return {name: items or None for name, items in lists.items()}
 
 
 def _from_struct(struct: Any) -> Gossip:
     return Gossip(
-        _need_text(struct.sender),
+        need_text(struct.sender),
         struct.session + 0,
         struct.sequence + 0,
         Purpose(struct.purpose),
@@ -164,7 +161,7 @@
 
 def _read_record(struct: Any) -> MemberRecord:
     return MemberRecord(
-        _need_text(struct.name),
+        need_text(struct.name),
         struct.incarnation + 0,
         MemberState(struct.state),
         struct.zone or "",
@@ -175,7 +172,7 @@
 
 def _read_digest(struct: Any) -> ConfigurationDigest:
     return ConfigurationDigest(
-        _need_text(struct.kind),
+        need_text(struct.kind),
         struct.complete + 0,
         struct.newest + 0,
         struct.content % _I64_MODULUS,
@@ -183,16 +180,15 @@
 
 
 def _read_entries(struct: Any) -> Entries:
-    usages = [read_usage(item) for item in struct.usages or ()]
     loads = [
-        EndpointLoad(_need_text(item.endpoint), item.in_flight + 0)
+        EndpointLoad(need_text(item.endpoint), item.in_flight + 0)
         for item in struct.loads or ()
     ]
     crashes = [
         CrashCount(item.fingerprint % _I64_MODULUS, item.crashes + 0)
         for item in struct.crashes or ()
     ]
-    return Entries(tuple(crashes), tuple(loads), tuple(usages))
+    return Entries(tuple(crashes), tuple(loads))
 
 
 def _read_buckets(value: bytes | None) -> bytes:
@@ -201,33 +197,8 @@
     return value or b""
 
 
-def write_usage(usage: TeamUsage) -> Any:
-    """Return the Thrift struct of an entry."""
-    return _idl.TeamUsage(
-        usage.team,
-        _SCOPES.index(usage.scope),
-        usage.origin,
-        round(usage.requests_per_s * 1000),
-        round(usage.tokens_per_s),
-        usage.in_flight,
-        round(usage.done_per_s * 1000),
-    )
-
-
-def read_usage(struct: Any) -> TeamUsage:
-    """Return the entry of a Thrift struct; raises if a field is missing."""
-    return TeamUsage(
-        _need_text(struct.team),
-        _SCOPES[struct.scope],
-        _need_text(struct.origin),
-        struct.requests_milli_per_s / 1000,
-        float(struct.tokens_per_s),
-        struct.in_flight + 0,
-        struct.done_milli_per_s / 1000,
-    )
-
-
-def _need_text(value: object) -> str:
+def need_text(value: object) -> str:
+    """Return a text field; raises if it is missing or empty."""
     if not isinstance(value, str) or not value:
         raise ValueError("a text is missing")
     return value
--- a/src/tamarackrill/protocol/peer.thrift
+++ b/src/tamarackrill/protocol/peer.thrift
@@ -17,16 +17,6 @@
   4: i64 content
 }
 
-struct TeamUsage {
-  1: string team
-  2: byte scope
-  3: string origin
-  4: i64 requests_milli_per_s
-  5: i64 tokens_per_s
-  6: i32 in_flight
-  7: i64 done_milli_per_s
-}
-
 struct EndpointLoad {
   1: string endpoint
   2: i32 in_flight
@@ -47,7 +37,7 @@
   7: i32 known
   8: optional string after
   9: list<ConfigurationDigest> configuration
-  10: optional list<TeamUsage> usages
+  // 10 was the usage of teams, which has messages of its own (usage.thrift).
   11: optional list<EndpointLoad> loads
   12: optional list<CrashCount> crashes
   13: optional list<MemberRecord> page
--- a/src/tamarackrill/protocol/usage_codec.py
+++ b/src/tamarackrill/protocol/usage_codec.py
@@ -6,21 +6,16 @@
 """
 
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import thriftpy2
 from thriftpy2.protocol.compact import TCompactProtocol
 from thriftpy2.transport import TMemoryBuffer
 
-from tamarackrill.decisions.limits import TeamUsage
-from tamarackrill.protocol.codec import (
-    DIGEST_BYTES,
-    read_usage,
-    sign,
-    verify,
-    write_usage,
-)
+from tamarackrill.decisions.limits import TeamUsage, UsageScope
+from tamarackrill.protocol.codec import DIGEST_BYTES, need_text, sign, verify
 
+_SCOPES: tuple[UsageScope, ...] = ("router", "zone", "other_routers", "other_zones")
 _CONTEXT = b"usage\0"
 _idl = thriftpy2.load(
     str(Path(__file__).with_name("usage.thrift")), module_name="usage_thrift"
@@ -48,7 +43,7 @@
 def encode_usage(message: UsageMessage, keys: tuple[str, ...]) -> bytes:
     """Return the datagram of a message, signed with the first key."""
     buffer = TMemoryBuffer()
-    usages = [write_usage(usage) for usage in message.usages]
+    usages = [_write_usage(usage) for usage in message.usages]
     struct = _idl.UsageMessage(message.sender, message.sequence, usages)
     struct.write(TCompactProtocol(buffer))
     payload = buffer.getvalue()
@@ -63,9 +58,33 @@
     struct = _idl.UsageMessage()
     try:
         struct.read(TCompactProtocol(TMemoryBuffer(payload)))
-        usages = tuple(read_usage(item) for item in struct.usages)
+        usages = tuple(_read_usage(item) for item in struct.usages)
         return UsageMessage(struct.sender + "", struct.sequence + 0, usages)
     # The parser raises whatever the bytes lead it to; a peer of a later release must
     # not be able to end the task that reads the socket.
     except Exception:
         return None
+
+
+def _write_usage(usage: TeamUsage) -> Any:
+    return _idl.TeamUsage(
+        usage.team,
+        _SCOPES.index(usage.scope),
+        usage.origin,
+        round(usage.requests_per_s * 1000),
+        round(usage.tokens_per_s),
+        usage.in_flight,
+        round(usage.done_per_s * 1000),
+    )
+
+
+def _read_usage(struct: Any) -> TeamUsage:
+    return TeamUsage(
+        need_text(struct.team),
+        _SCOPES[struct.scope],
+        need_text(struct.origin),
+        struct.requests_milli_per_s / 1000,
+        float(struct.tokens_per_s),
+        struct.in_flight + 0,
+        struct.done_milli_per_s / 1000,
+    )
--- a/src/tamarackrill/router/gossip.py
+++ b/src/tamarackrill/router/gossip.py
@@ -143,7 +143,6 @@
         self._membership.entries = Entries(
             tuple(crash for entries in collected for crash in entries.crashes),
             tuple(load for entries in collected for load in entries.loads),
-            tuple(usage for entries in collected for usage in entries.usages),
         )
 
     def _announce(self, state: MemberState) -> None:
