--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -30,13 +30,13 @@
 )
 from tamarackrill.exceptions import PlatformUnavailable
 from tamarackrill.router.admitting import Admitter
-from tamarackrill.router.callers import Front, OpenCalls, make_front
 from tamarackrill.router.chats import Chats
 from tamarackrill.router.claiming import Claimer
 from tamarackrill.router.configuring import KINDS, Configurer
 from tamarackrill.router.datagrams import PeerSocket
 from tamarackrill.router.explaining import Question, explain
 from tamarackrill.router.flow import Flow
+from tamarackrill.router.front import Front, OpenCalls
 from tamarackrill.router.gossip import Gossiper
 from tamarackrill.router.known_objects import KnownObjects
 from tamarackrill.router.limiting import Limiter
@@ -55,6 +55,7 @@
 from tamarackrill.router.platform_client import PlatformClient
 from tamarackrill.router.probing import Prober
 from tamarackrill.router.upstream import close_client, make_client
+from tamarackrill.router.views import make_front
 from tamarackrill.settings import Settings
 
 VM_LIST_WAIT_S = 1.0
--- a/src/tamarackrill/router/callers.py
+++ b/src/tamarackrill/router/callers.py
@@ -1,13 +1,7 @@
-"""Handlers of the callers' HTTP requests, at the entry router and at the home."""
-
-import asyncio
-import json
-import time
-from collections.abc import Callable
-from typing import Any, NamedTuple
+"""Handler of the callers' calls, at the entry router and at the home."""
 
 from tornado.iostream import StreamClosedError
-from tornado.web import Application, HTTPError, RequestHandler, stream_request_body
+from tornado.web import stream_request_body
 
 from tamarackrill.contracts import Contract
 from tamarackrill.decisions.hashing import rendezvous_order
@@ -15,19 +9,16 @@
 from tamarackrill.exceptions import Refusal
 from tamarackrill.router.calls import Call, find_contract, read_call
 from tamarackrill.router.claiming import HeldElsewhere
-from tamarackrill.router.explaining import Question
-from tamarackrill.router.flow import Flow
 from tamarackrill.router.forwarding import (
     MAY_HAVE_RUN,
     find_forwarded_id,
     forward_call,
 )
-from tamarackrill.router.members import Member, Members
-from tamarackrill.router.metrics import Metrics
+from tamarackrill.router.front import LEAVING, LEAVING_CODE, Front, Handler
+from tamarackrill.router.members import Member
 from tamarackrill.router.outlets import Outlet
 from tamarackrill.router.replies import Reply
 from tamarackrill.router.upstream import (
-    CurlAsyncHTTPClient,
     Exchange,
     Head,
     UpstreamFailed,
@@ -35,133 +26,11 @@
 
 # Homes that are tried before the entry router runs a call by itself.
 HOMES_TRIED = 2
-# Marks a refusal of a router that leaves, so that the next home is tried.
-LEAVING = "Tamarackrill-Leaving"
-LEAVING_CODE = "leaving"
 # A shorter answer is sent with its length; a longer one goes on in pieces.
 HELD_MAX_BYTES = 1024 * 1024
 NOT_PASSED_BACK = ("Connection", "Transfer-Encoding", "Content-Length", "Server")
 
 
-class OpenCalls:
-    """Counts the callers' connections that still wait for the end of an answer."""
-
-    def __init__(self) -> None:
-        self._count = 0
-        self._none = asyncio.Event()
-        self._none.set()
-
-    @property
-    def count(self) -> int:
-        """Calls that are open now."""
-        return self._count
-
-    def enter(self) -> None:
-        """Count one more."""
-        self._count += 1
-        self._none.clear()
-
-    def leave(self) -> None:
-        """Count one less."""
-        self._count -= 1
-        if not self._count:
-            self._none.set()
-
-    async def wait_none(self) -> None:
-        """Return when no call is open."""
-        await self._none.wait()
-
-
-class Front(NamedTuple):
-    """What the handlers use; owned by the application object.
-
-    Parameters
-    ----------
-    flow : Flow
-        Runs calls at this router.
-    members : Members
-        Live routers, this one among them.
-    client : CurlAsyncHTTPClient
-        For calls to other routers.
-    metrics : Metrics
-        Counters.
-    open_calls : OpenCalls
-        Calls whose answer has not ended.
-    body_max_bytes : int
-        Longest body.
-    peer_keys : tuple of str
-        Keys shared by the routers.
-    find_holder : callable
-        Returns the contract that holds a key, by the key's hash.
-    is_leaving : callable
-        Tells whether this router refuses new work.
-    is_ready : callable
-        Tells whether the balancer may send new work here.
-    describe : callable
-        Returns the status of this router.
-    explain : callable
-        Returns where a call would go.
-    clock : callable
-        Returns the present time.
-    """
-
-    flow: Flow
-    members: Members
-    client: CurlAsyncHTTPClient
-    metrics: Metrics
-    open_calls: OpenCalls
-    body_max_bytes: int
-    peer_keys: tuple[str, ...]
-    find_holder: Callable[[str], Contract | None]
-    is_leaving: Callable[[], bool]
-    is_ready: Callable[[], bool]
-    describe: Callable[[], dict[str, Any]]
-    explain: Callable[[Question], dict[str, Any]]
-    clock: Callable[[], float] = time.monotonic
-
-
-class _Handler(RequestHandler):
-    def initialize(self, front: Front) -> None:
-        self.front = front
-
-    def set_default_headers(self) -> None:
-        self.clear_header("Server")
-
-    def prepare(self) -> Any:
-        raise HTTPError(404)
-
-    def compute_etag(self) -> None:
-        # An entity tag of ours would turn an endpoint's answer into a 304.
-        return None
-
-    def write_error(self, status_code: int, **kwargs: Any) -> None:
-        code = "not_found" if status_code == 404 else "bad_request"
-        refusal = Refusal(code, status_code, self._reason)
-        self.send_refusal(refusal)
-
-    def send_refusal(self, refusal: Refusal) -> None:
-        """Answer with a refusal, or cut an answer that has begun."""
-        if self._headers_written:
-            self.cut(refusal)
-            return
-        self.clear()
-        self.set_status(refusal.status, refusal.code)
-        if refusal.code == LEAVING_CODE:
-            self.set_header(LEAVING, "1")
-        self.set_header("Retry-After", str(max(1, round(refusal.retry_after_s))))
-        self.finish(dict(refusal.to_body()))
-
-    def cut(self, refusal: Refusal) -> None:
-        """End an answer that has begun so that it can't be taken for a whole one."""
-        content_type = self._headers.get("Content-Type") or ""
-        if content_type.startswith("text/event-stream"):
-            self.finish(f"event: error\ndata: {json.dumps(refusal.to_body())}\n\n")
-            return
-        connection = self.request.connection
-        if connection is not None:
-            connection.detach().close()
-
-
 class _CallerOutlet(Outlet):
     """Writes pieces to the caller; has no room while the caller's socket is full."""
 
@@ -211,7 +80,7 @@
 
 
 @stream_request_body
-class CallHandler(_Handler):
+class CallHandler(Handler):
     """Takes a call, finds its home and passes the answer back.
 
     The key is checked before the body is read, so that a stranger can't make the
@@ -417,74 +286,3 @@
         self._leave()
         if self._exchange is not None:
             self._exchange.cancel()
-
-
-class _QueryHandler(_Handler):
-    def prepare(self) -> None:
-        return None
-
-
-class HealthHandler(_QueryHandler):
-    """Tells that the process runs."""
-
-    def get(self) -> None:
-        """Answer at once."""
-        self.finish({"health": "ok"})
-
-
-class ReadinessHandler(_QueryHandler):
-    """Tells whether the balancer may send new work."""
-
-    def get(self) -> None:
-        """Answer 503 while leaving, without any contract, or with a faulty task."""
-        ready = self.front.is_ready()
-        self.set_status(200 if ready else 503)
-        self.finish({"ready": ready})
-
-
-class MetricsHandler(_QueryHandler):
-    """Metrics as text."""
-
-    def get(self) -> None:
-        """Answer with all metrics."""
-        self.set_header("Content-Type", "text/plain; version=0.0.4")
-        self.finish(self.front.metrics.format_text())
-
-
-class StatusHandler(_QueryHandler):
-    """Status of this router, for queries."""
-
-    def get(self) -> None:
-        """Answer with configuration, members, endpoints and work in flight."""
-        self.finish(self.front.describe())
-
-
-class ExplainHandler(_QueryHandler):
-    """Where a call would go, for queries."""
-
-    def get(self) -> None:
-        """Answer for ``team``, ``chat`` and one of ``model`` and ``service``."""
-        arguments = [self.get_argument(name, "") for name in Question._fields]
-        try:
-            self.finish(self.front.explain(Question(*arguments)))
-        except Refusal as refusal:
-            self.send_refusal(refusal)
-
-
-def make_front(front: Front) -> Application:
-    """Return the callers' side as a tornado application."""
-    bound = {"front": front}
-    return Application(
-        [
-            (r"/v1/chat/completions", CallHandler, bound),
-            (r"/services/.+", CallHandler, bound),
-            (r"/healthz", HealthHandler, bound),
-            (r"/readyz", ReadinessHandler, bound),
-            (r"/metrics", MetricsHandler, bound),
-            (r"/v1/status", StatusHandler, bound),
-            (r"/v1/explain", ExplainHandler, bound),
-        ],
-        default_handler_class=_Handler,
-        default_handler_args=bound,
-        log_function=lambda handler: None,
-    )
