Say 'unknown' of a call that met a fault of the router itself

Cause: found while reading: an exception in a handler went to tornado's write_error, which answered 'bad_request', not_run, whatever had been sent. A caller that trusts it sends a confirmation again under a new key. Ruled out: the flow's own catch-all (it says 'unknown' already).

--- a/src/tamarackrill/router/front.py
+++ b/src/tamarackrill/router/front.py
@@ -21,6 +21,8 @@
 # Marks a refusal of a router that leaves, so that the next home is tried.
 LEAVING = "Tamarackrill-Leaving"
 LEAVING_CODE = "leaving"
+NOT_FOUND = 404
+INTERNAL_ERROR = 500
 
 
 class OpenCalls:
@@ -113,7 +115,7 @@
 
     def prepare(self) -> Any:
         """Answer that there is nothing here."""
-        raise HTTPError(404)
+        raise HTTPError(NOT_FOUND)
 
     def compute_etag(self) -> None:
         """Return no entity tag."""
@@ -122,9 +124,7 @@
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Answer an error of tornado's in the form of a refusal."""
-        code = "not_found" if status_code == 404 else "bad_request"
-        refusal = Refusal(code, status_code, self._reason)
-        self.send_refusal(refusal)
+        self.send_refusal(_find_refusal(status_code, self._reason))
 
     def send_refusal(self, refusal: Refusal) -> None:
         """Answer with a refusal, or cut an answer that has begun."""
@@ -147,3 +147,12 @@
         connection = self.request.connection
         if connection is not None:
             connection.detach().close()
+
+
+def _find_refusal(status: int, reason: str) -> Refusal:
+    # A fault of ours can come after the call was sent.  Told that nothing ran, the
+    # caller would send its confirmation again under a new key.
+    if status >= INTERNAL_ERROR:
+        return Refusal("internal", status, "a fault of the router", "unknown")
+    code = "not_found" if status == NOT_FOUND else "bad_request"
+    return Refusal(code, status, reason)
