Share what the benches of the daemon had three times

Cause: contract without limits, reading of processor time and the load of streams stood in overhead.py, home.py and capacity_daemon.py each.

--- a/bench/capacity_daemon.py
+++ b/bench/capacity_daemon.py
@@ -1,8 +1,6 @@
 """Slopes of the daemon itself, as a process of its own on loopback."""
 
 import asyncio
-import json
-import os
 import subprocess
 import sys
 import time
@@ -12,6 +10,7 @@
 from tornado.httpclient import HTTPRequest
 
 from slopes import Fit, fit
+from support import KEY, read_cpu_s, stream_events
 from tamarackrill.contracts import CONTRACT_FORMAT, hash_key
 from tamarackrill.testing.processes import (
     POLL_S,
@@ -21,7 +20,6 @@
     wait_for,
 )
 
-KEY = {"Authorization": "Bearer the-key"}
 CALLS = (300, 600, 1200, 2400)
 HOME_CALLS = (200, 400, 800, 1600)
 EVENTS = (2000, 4000, 8000, 16000)
@@ -85,14 +83,16 @@
     asyncio.run(_call_often(url, CALLS[0]))
     calls_us = []
     for count in CALLS:
-        before_s = _read_cpu_s(router)
+        before_s = read_cpu_s(router)
         asyncio.run(_call_often(url, count))
-        calls_us.append((_read_cpu_s(router) - before_s) * 1e6)
+        calls_us.append((read_cpu_s(router) - before_s) * 1e6)
     events, events_us = [], []
     for count in EVENTS:
-        before_s = _read_cpu_s(router)
-        events.append(asyncio.run(_stream(router.address, count)))
-        events_us.append((_read_cpu_s(router) - before_s) * 1e6)
+        before_s = read_cpu_s(router)
+        events.append(
+            asyncio.run(stream_events(router.address, STREAMS, count // STREAMS))
+        )
+        events_us.append((read_cpu_s(router) - before_s) * 1e6)
     return {
         "call_us": fit("µs", "call", CALLS, calls_us),
         "event_us": fit("µs", "event", events, events_us),
@@ -110,9 +110,9 @@
         asyncio.run(_call_often(url, HOME_CALLS[0], in_chats=True))
         used_us = []
         for count in HOME_CALLS:
-            before_s = sum(map(_read_cpu_s, routers))
+            before_s = sum(map(read_cpu_s, routers))
             asyncio.run(_call_often(url, count, in_chats=True))
-            used_us.append((sum(map(_read_cpu_s, routers)) - before_s) * 1e6)
+            used_us.append((sum(map(read_cpu_s, routers)) - before_s) * 1e6)
         return {"chat_call_us": fit("µs", "call", HOME_CALLS, used_us)}
 
 
@@ -143,7 +143,7 @@
 ) -> dict[str, Fit | float]:
     """Return memory and CPU of the router by objects of a kind that it follows."""
     done, rss_kb, used_us = 0, [], []
-    start_s = _read_cpu_s(router)
+    start_s = read_cpu_s(router)
     for count in counts:
         for number in range(done, count):
             _put_object(fleet, kind, number)
@@ -154,7 +154,7 @@
             f"{count} objects at the router",
         )
         rss_kb.append(_read_rss_mb(router) * 1024)
-        used_us.append((_read_cpu_s(router) - start_s) * 1e6)
+        used_us.append((read_cpu_s(router) - start_s) * 1e6)
     return {
         f"{kind}_kb": fit("KB", kind, counts, rss_kb),
         f"{kind}_change_us": fit("µs", "change", counts, used_us),
@@ -207,32 +207,6 @@
     client.close()
 
 
-async def _stream(address: str, events: int) -> int:
-    client = CurlAsyncHTTPClient(force_instance=True, max_clients=STREAMS)
-    chat = {
-        "model": "m",
-        "messages": [{"role": "user", "content": "one two"}],
-        "max_tokens": events // STREAMS,
-        "stream": True,
-    }
-    request = HTTPRequest(
-        f"http://{address}/v1/chat/completions",
-        "POST",
-        KEY,
-        json.dumps(chat),
-        request_timeout=120,
-    )
-    answers = await asyncio.gather(*(client.fetch(request) for _ in range(STREAMS)))
-    client.close()
-    return sum(answer.body.count(b"id: ") for answer in answers)
-
-
-def _read_cpu_s(router: RouterProcess) -> float:
-    with open(f"/proc/{router.pid}/stat", encoding="ascii") as file:
-        fields = file.read().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
 def _read_rss_mb(router: RouterProcess) -> float:
     with open(f"/proc/{router.pid}/status", encoding="ascii") as file:
         line = next(line for line in file if line.startswith("VmRSS"))
--- a/bench/home.py
+++ b/bench/home.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import json
-import os
 import statistics
 import time
 from typing import Any, NamedTuple
@@ -15,28 +14,14 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPRequest
 
-from tamarackrill.contracts import CONTRACT_FORMAT, hash_key
+from support import CONTRACT, KEY, read_cpu_s, stream_events
 from tamarackrill.testing.processes import FleetProcesses, RouterProcess, call
 
-KEY = {"Authorization": "Bearer the-key"}
-CONTRACT = {
-    "format": CONTRACT_FORMAT,
-    "team": "t",
-    "key_hashes": [hash_key("the-key")],
-    "models": ["m"],
-    "services": ["s"],
-    "rate_per_s": 100000,
-    "rate_burst": 100000,
-    "in_flight_max": 10000,
-    "tokens_per_s": 10000000,
-    "tokens_burst": 10000000,
-}
 WARM_UP = 100
 CALLS = 1500
 AT_ONCE = (1, 16)
 STREAMS = 8
 EVENTS = 1500
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
 class Way(NamedTuple):
@@ -47,12 +32,7 @@
 
 
 def _read_cpu_s(routers: list[RouterProcess]) -> float:
-    total = 0
-    for router in routers:
-        with open(f"/proc/{router.pid}/stat", encoding="ascii") as file:
-            fields = file.read().rsplit(")", 1)[1].split()
-        total += int(fields[11]) + int(fields[12])
-    return total / TICKS_PER_S
+    return sum(map(read_cpu_s, routers))
 
 
 async def _load(url: str, way: Way, calls: int, at_once: int) -> list[float]:
@@ -73,18 +53,6 @@
     return sorted(times_s)
 
 
-async def _stream(url: str, way: Way) -> int:
-    client = CurlAsyncHTTPClient(force_instance=True, max_clients=STREAMS)
-    messages = [{"role": "user", "content": "one two"}]
-    chat = {"model": "m", "messages": messages, "max_tokens": EVENTS, "stream": True}
-    request = HTTPRequest(
-        url, "POST", {**KEY, **way.headers}, json.dumps(chat), request_timeout=120
-    )
-    answers = await asyncio.gather(*(client.fetch(request) for _ in range(STREAMS)))
-    client.close()
-    return sum(answer.body.count(b"id: ") for answer in answers)
-
-
 def measure_way(
     way: Way, entry: RouterProcess, routers: list[RouterProcess]
 ) -> dict[str, float]:
@@ -100,7 +68,7 @@
         figures[f"p95_ms_{at_once}"] = round(1000 * times_s[int(0.95 * CALLS)], 2)
         figures[f"cpu_us_per_call_{at_once}"] = round(1e6 * used_s / CALLS)
     cpu_s = _read_cpu_s(routers)
-    events = asyncio.run(_stream(f"http://{entry.address}/v1/chat/completions", way))
+    events = asyncio.run(stream_events(entry.address, STREAMS, EVENTS, way.headers))
     used_s = _read_cpu_s(routers) - cpu_s
     figures["cpu_us_per_event"] = round(1e6 * used_s / events, 1)
     return figures
--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -7,7 +7,6 @@
 import argparse
 import asyncio
 import json
-import os
 import statistics
 import time
 from pathlib import Path
@@ -15,35 +14,15 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPRequest
 
-from tamarackrill.contracts import hash_key
+from support import CONTRACT, KEY, read_cpu_s, stream_events
 from tamarackrill.testing.processes import FleetProcesses
 
-KEY = {"Authorization": "Bearer the-key"}
-CONTRACT = {
-    "format": "tamarackrill/contract/v1",
-    "team": "t",
-    "key_hashes": [hash_key("the-key")],
-    "models": ["m"],
-    "services": ["s"],
-    "rate_per_s": 100000,
-    "rate_burst": 100000,
-    "in_flight_max": 10000,
-    "tokens_per_s": 10000000,
-    "tokens_burst": 10000000,
-}
 CALLS = 2000
 AT_ONCE = 16
 STREAMS = (1, 8, 48)
 EVENTS = 1000
 
 
-def _cpu_s(pid: int) -> float:
-    """Return the processor time that a process has used."""
-    with open(f"/proc/{pid}/stat", encoding="ascii") as file:
-        fields = file.read().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
 async def _load(url: str, calls: int, at_once: int) -> tuple[float, list[float]]:
     client = CurlAsyncHTTPClient(force_instance=True, max_clients=at_once)
     left = iter(range(calls))
@@ -62,22 +41,6 @@
     return calls / elapsed_s, sorted(times)
 
 
-async def _stream(address: str, streams: int, events: int) -> int:
-    client = CurlAsyncHTTPClient(force_instance=True, max_clients=streams)
-    messages = [{"role": "user", "content": "one two"}]
-    chat = {"model": "m", "messages": messages, "max_tokens": events, "stream": True}
-    request = HTTPRequest(
-        f"http://{address}/v1/chat/completions",
-        "POST",
-        KEY,
-        json.dumps(chat),
-        request_timeout=120,
-    )
-    answers = await asyncio.gather(*(client.fetch(request) for _ in range(streams)))
-    client.close()
-    return sum(answer.body.count(b"id: ") for answer in answers)
-
-
 def _summary(rate: float, times: list[float]) -> dict[str, float]:
     return {
         "calls_per_s": round(rate, 1),
@@ -101,17 +64,17 @@
                 ("router", f"http://{router.address}/services/s/x"),
             ):
                 asyncio.run(_load(url, CALLS // 10, at_once))
-                cpu_s = _cpu_s(router.pid)
+                cpu_s = read_cpu_s(router)
                 rate, times = asyncio.run(_load(url, CALLS, at_once))
                 summary = _summary(rate, times)
                 if name == "router":
-                    used_s = _cpu_s(router.pid) - cpu_s
+                    used_s = read_cpu_s(router) - cpu_s
                     summary["cpu_us_per_call"] = round(1e6 * used_s / CALLS, 1)
                 figures[f"{name}_{at_once}"] = summary
         for streams in STREAMS:
-            cpu_s = _cpu_s(router.pid)
-            events = asyncio.run(_stream(router.address, streams, EVENTS))
-            used_s = _cpu_s(router.pid) - cpu_s
+            cpu_s = read_cpu_s(router)
+            events = asyncio.run(stream_events(router.address, streams, EVENTS))
+            used_s = read_cpu_s(router) - cpu_s
             figures[f"cpu_us_per_event_{streams}_streams"] = round(
                 1e6 * used_s / events, 1
             )
--- a/src/tamarackrill/router/orders.py
+++ b/src/tamarackrill/router/orders.py
@@ -1,9 +1,9 @@
 """Gives orders to engines, under a lease with a rising fencing number.
 
-One router at a time does it: the first of the live routers in the order of the
-lease's own name.  The others do not even read the lease, so that its cost to the
-platform does not grow with the fleet.  That choice only saves calls; what keeps two
-routers from ordering at once is the lease.
+One router at a time does it: whoever holds the lease.  Of the others only the first
+of the live routers in the order of the lease's own name tries to get it, so that its
+cost to the platform does not grow with the fleet.  That choice only saves calls; what
+keeps two routers from ordering at once is the lease.
 """
 
 import asyncio
