Serve the platform's interface: whole path, thin

Cause: the product spoke only its own interface; nothing ran on the users' platform.

Before: nothing served.

--- a/src/tamarackrill/contracts.py
+++ b/src/tamarackrill/contracts.py
@@ -17,8 +17,6 @@
 from importlib import resources
 from typing import Any, Literal, NamedTuple
 
-import jsonschema
-
 from tamarackrill.documents import Document, FieldPath
 from tamarackrill.exceptions import Finding, FindingsError
 
@@ -261,6 +259,9 @@
 
 @cache
 def _make_validator(kind: str) -> Any:
+    # Loading it takes 60 ms and 9 MB, which a router that reads no contracts is spared.
+    import jsonschema
+
     return jsonschema.Draft202012Validator(load_schema(kind))
 
 
--- a/src/tamarackrill/decisions/health.py
+++ b/src/tamarackrill/decisions/health.py
@@ -14,7 +14,7 @@
 before an ejected endpoint gets work, and it returns through a slow start.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from statistics import median_low
 from typing import NamedTuple
 
@@ -269,10 +269,19 @@
             name: share / warmest for name, share in shares.items() if share < warmest
         }
 
-    def next_probe(self, now_s: float) -> str | None:
+    def next_probe(
+        self, now_s: float, among: Collection[str] | None = None
+    ) -> str | None:
         """Return the ejected endpoint to probe now, if any is due.
 
         The caller sends the probe and reports with `observe_probe`.
+
+        Parameters
+        ----------
+        now_s : float
+            The present time.
+        among : collection of str, optional
+            Endpoints that the caller can probe; all by default.
         """
         if now_s - self._probed_s < PROBE_EVERY_S:
             return None
@@ -283,6 +292,7 @@
             and not state.is_probing
             and state.is_present
             and now_s - state.ejected_s >= EJECTED_MIN_S
+            and (among is None or name in among)
         ]
         if not due:
             return None
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -97,6 +97,54 @@
     "See docs/operations/overload.md: talk to the team, or change its contract.",
 )
 
+# 2200: requests on the platform's interface
+CALL_REFUSED = Event(
+    2201,
+    "call_refused",
+    _INFO,
+    ("request", "route", "status", "reason", "version", "sent", "retry_after_s"),
+    "A request got a final answer of the router's own; `version` is the manifest that "
+    "decided, `sent` the endpoints that it had been sent to.",
+    "See docs/OPERATIONS.md: from a request to its cause.",
+)
+CALL_SENT = Event(
+    2202,
+    "call_sent",
+    _INFO,
+    ("request", "route", "endpoint", "reason", "load", "bound", "time_left_s"),
+    "A request was sent to an endpoint: why there, and the load that was known.",
+)
+CALL_ATTEMPT_FAILED = Event(
+    2203,
+    "call_attempt_failed",
+    _WARNING,
+    ("request", "endpoint", "outcome", "detail", "next", "repeats_left", "after_s"),
+    "An attempt brought no answer that counts; `next` is what was decided.",
+    "See docs/OPERATIONS.md: from a request to its cause.",
+)
+CALL_ANSWERED = Event(
+    2204,
+    "call_answered",
+    _INFO,
+    ("request", "endpoint", "status", "attempts", "first_s", "total_s"),
+    "A client got an endpoint's whole answer.",
+)
+CALL_CUT = Event(
+    2205,
+    "call_cut",
+    _WARNING,
+    ("request", "route", "endpoint", "events", "reason"),
+    "A stream ended midway, and could not go on at another endpoint.",
+    "See docs/OPERATIONS.md: from a request to its cause.",
+)
+CALL_LEFT = Event(
+    2206,
+    "call_left",
+    _INFO,
+    ("request", "route", "after_s"),
+    "A client closed its connection before its answer had ended.",
+)
+
 # 3000: membership and configuration
 CONFIGURATION_TAKEN = Event(
     3001,
@@ -236,6 +284,42 @@
     "Look whether the engine is reachable; the order is given again.",
 )
 
+MANIFEST_IN_FORCE = Event(
+    3011,
+    "manifest_in_force",
+    _INFO,
+    ("version", "revision", "routes"),
+    "A manifest is in force at this router, from the store's revision on.",
+)
+ENDPOINT_KNOWN = Event(
+    5021,
+    "endpoint_known",
+    _INFO,
+    ("endpoint", "address", "state", "revision"),
+    "An endpoint's entry is new or has changed.",
+)
+ENDPOINT_HELD = Event(
+    5022,
+    "endpoint_held",
+    _WARNING,
+    ("endpoint",),
+    "An entry disappeared around an outage of the store, and is held for two seconds.",
+)
+ENDPOINT_GONE = Event(
+    5023,
+    "endpoint_gone",
+    _INFO,
+    ("endpoint",),
+    "An endpoint is gone and gets no new work.",
+)
+ENDPOINT_UNREACHED = Event(
+    5024,
+    "endpoint_unreached",
+    _WARNING,
+    ("endpoint", "zone", "detail"),
+    "No connection to an endpoint could be made; it is tried after all others.",
+)
+
 # 6000: objects of the platform
 OBJECT_FAULTY = Event(
     6001,
--- /dev/null
+++ b/src/tamarackrill/platform/objects.py
@@ -0,0 +1,118 @@
+"""Objects of the platform's store that routers read: the manifest and the endpoints."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from tamarackrill.contracts import Endpoint
+from tamarackrill.decisions.manifests import (
+    ClientLimits,
+    Manifest,
+    Route,
+    Service,
+    ServiceShare,
+    TeamKeys,
+)
+
+MANIFEST_KIND = "config"
+MANIFEST_NAME = "main"
+ENDPOINT_KIND = "servers"
+
+
+def read_manifest(spec: Mapping[str, Any]) -> Manifest:
+    """Return the manifest of the object `config/main`.
+
+    Raises
+    ------
+    KeyError, TypeError, ValueError
+        If it is not of the published form.
+    """
+    tenants = spec.get("tenants")
+    return Manifest(
+        version=int(spec["version"]),
+        routes=tuple(_read_route(route) for route in spec["routes"]),
+        services=tuple(_read_service(service) for service in spec["services"]),
+        limits=_read_limits(spec["limits"]),
+        teams=None if tenants is None else tuple(_read_team(t) for t in tenants),
+    )
+
+
+def _read_route(route: Mapping[str, Any]) -> Route:
+    split = route.get("traffic_split")
+    if split:
+        shares = tuple(
+            ServiceShare(part["service"], float(part["weight"])) for part in split
+        )
+    else:
+        shares = (ServiceShare(route["service"], 1.0),)
+    return Route(
+        name=route["name"],
+        host=route["host"],
+        path_prefix=route["path_prefix"],
+        kind=route["kind"],
+        timeout_s=route["timeout_ms"] / 1000,
+        # A time for the whole answer, but for streams that of the first event.
+        objective_s=route.get("target_latency_ms", route["timeout_ms"]) / 1000,
+        gap_objective_s=route.get("gap_aim_ms", 0) / 1000,
+        priority=int(route.get("priority", 0)),
+        shares=shares,
+        # The number of endpoints, so that 1 means that nothing is sent again.
+        attempts_max=int(route.get("attempts", 1)),
+        is_anonymous=bool(route.get("anonymous", False)),
+        # Says that requests carry the parts of their prompt.
+        has_affinity=bool(route.get("session_affinity", False)),
+        is_resumable=bool(route.get("stream_resume", False)),
+    )
+
+
+def _read_service(service: Mapping[str, Any]) -> Service:
+    return Service(
+        name=service["name"],
+        health_path=service.get("health_path", "/"),
+        connections_max=int(service.get("max_connections", 0)),
+        is_engine=bool(service.get("engine")),
+    )
+
+
+def _read_limits(limits: Mapping[str, Any]) -> ClientLimits:
+    return ClientLimits(
+        header_max_bytes=int(limits["max_header_bytes"]),
+        body_max_bytes=int(limits["max_body_bytes"]),
+        header_timeout_s=limits["header_timeout_ms"] / 1000,
+        idle_timeout_s=limits["idle_timeout_ms"] / 1000,
+    )
+
+
+def _read_team(tenant: Mapping[str, Any]) -> TeamKeys:
+    priority = tenant.get("priority")
+    return TeamKeys(
+        name=tenant["name"],
+        keys=tuple(tenant["api_keys"]),
+        priority=None if priority is None else int(priority),
+    )
+
+
+def read_endpoint(name: str, spec: Mapping[str, Any]) -> Endpoint:
+    """Return the endpoint of an object of kind `servers`.
+
+    Parameters
+    ----------
+    name : str
+        Name of the object: the id of one start of the process.
+    spec : mapping
+        Its contents.
+
+    Raises
+    ------
+    KeyError, TypeError, ValueError
+        If it is not of the published form.
+    """
+    return Endpoint(
+        name=name,
+        kind="engine" if spec.get("models") else "service",
+        serves=(spec["service"],),
+        address=spec["address"],
+        zone=spec["zone"],
+        # `draining` says that it takes no new work, not that it still has some.
+        state="leaving" if spec["state"] == "draining" else "live",
+        slots=int(spec["slots"]),
+    )
--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -25,11 +25,11 @@
     ROUTER_LEAVING,
     ROUTER_STARTED,
     ROUTER_STOPPED,
-    TASK_FAILED,
     log_event,
 )
 from tamarackrill.exceptions import PlatformUnavailable
 from tamarackrill.router.admitting import Admitter
+from tamarackrill.router.background import log_failure
 from tamarackrill.router.chats import Chats
 from tamarackrill.router.claiming import Claimer
 from tamarackrill.router.configuring import KINDS, Configurer
@@ -239,13 +239,9 @@
         self._tasks.append(task)
 
     def _note_end(self, task: asyncio.Task[None]) -> None:
-        # A task that ends by a fault of ours would leave a router that answers but no
-        # longer refuses what waits too long, or hears of the VM list.  Nobody would
-        # notice; so it is logged and the balancer is told to go elsewhere.
-        if not task.cancelled() and task.exception() is not None:
+        # A router that no longer refuses what waits too long, say, is not ready.
+        if log_failure(task):
             self._faulty_task = task.get_name()
-            error = repr(task.exception())
-            log_event(TASK_FAILED, task=self._faulty_task, error=error)
 
     def _serve_callers(self, sockets: list[socket.socket]) -> None:
         self._server = HTTPServer(
--- a/src/tamarackrill/router/configuring.py
+++ b/src/tamarackrill/router/configuring.py
@@ -21,6 +21,7 @@
     log_event,
 )
 from tamarackrill.exceptions import PlatformUnavailable
+from tamarackrill.router.background import log_failure
 from tamarackrill.router.peer_api import PeerUnavailable
 from tamarackrill.router.platform_client import Listing, PlatformClient, WatchLost
 
@@ -29,6 +30,9 @@
 # 2,000 that the platform takes.
 RETRY_MIN_S = 0.5
 RETRY_MAX_S = 5.0
+# A call that fails at once after a good one is most often a connection that was closed;
+# waiting first would only make the next change late.
+FIRST_RETRY_S = 0.02
 # A watch brings a change within milliseconds; a peer is asked only if it did not.
 PULL_AFTER_S = 1.0
 
@@ -50,6 +54,15 @@
         ``await pull(address, kind, since)`` returns a peer's `Changes`.
     clock : callable
         Returns the present time.
+    kinds : tuple of str, optional
+        Kinds of objects that are followed.
+    retry_max_s : float, optional
+        Longest pause between two calls that fail.
+
+    Attributes
+    ----------
+    on_store : callable
+        Called with whether the platform is lost, at each outcome of a call.
     """
 
     def __init__(
@@ -59,7 +72,12 @@
         on_taken: Callable[[list[ObjectVersion]], None],
         pull: PullChanges,
         clock: Callable[[], float],
+        kinds: tuple[str, ...] = KINDS,
+        retry_max_s: float = RETRY_MAX_S,
     ) -> None:
+        self._kinds = kinds
+        self._retry_max_s = retry_max_s
+        self.on_store: Callable[[bool], None] = lambda is_lost: None
         self._store = store
         self._platform = platform
         self._on_taken = on_taken
@@ -72,7 +90,10 @@
 
     async def start(self) -> None:
         """Start the watches."""
-        self._tasks = [asyncio.create_task(self._follow(kind)) for kind in KINDS]
+        for kind in self._kinds:
+            task = asyncio.create_task(self._follow(kind), name=f"follow {kind}")
+            task.add_done_callback(log_failure)
+            self._tasks.append(task)
 
     async def stop(self) -> None:
         """End the watches."""
@@ -83,12 +104,12 @@
 
     def digest(self) -> tuple[ConfigurationDigest, ...]:
         """Return the digests of all kinds."""
-        return tuple(self._store.digest(kind) for kind in KINDS)
+        return tuple(self._store.digest(kind) for kind in self._kinds)
 
     def hear_peer(self, heard: PeerHeard) -> None:
         """Ask a peer for what it holds and this router doesn't, if that lasts."""
         for digest in heard.configuration:
-            if digest.kind not in KINDS:
+            if digest.kind not in self._kinds:
                 continue
             if not needs_changes(self._store.digest(digest.kind), digest):
                 continue
@@ -117,11 +138,11 @@
     async def _follow(self, kind: str) -> None:
         must_list = True
         wait_s: float | None = None
-        retry_s = RETRY_MIN_S
+        retry_s = FIRST_RETRY_S
         while True:
             try:
                 await (self._list(kind) if must_list else self._watch(kind, wait_s))
-                must_list, wait_s, retry_s = False, None, RETRY_MIN_S
+                must_list, wait_s, retry_s = False, None, FIRST_RETRY_S
                 self._report(lost=False)
             except WatchLost:
                 must_list = True
@@ -134,7 +155,7 @@
                 must_list = self._store.get_complete(kind) == 0
                 wait_s = 0.0
                 await asyncio.sleep(retry_s * random.uniform(0.5, 1.0))
-                retry_s = min(RETRY_MAX_S, retry_s * 2)
+                retry_s = min(self._retry_max_s, max(RETRY_MIN_S, retry_s * 2))
 
     async def _list(self, kind: str) -> None:
         listing = await self._platform.list(kind)
@@ -165,6 +186,7 @@
         elif self._lost and not lost:
             log_event(PLATFORM_BACK)
         self._lost = lost
+        self.on_store(lost)
 
 
 def _to_changes(kind: str, listing: Listing, whole: bool) -> Changes:
--- a/src/tamarackrill/router/daemon.py
+++ b/src/tamarackrill/router/daemon.py
@@ -5,12 +5,9 @@
 import signal
 import sys
 from collections.abc import Sequence
-from logging import Formatter
 
-from absl import flags, logging
-
-from tamarackrill import events
 from tamarackrill.exceptions import Finding, FindingsError, TamarackrillError
+from tamarackrill.logs import set_up_logs
 from tamarackrill.router.app import RouterApplication
 from tamarackrill.settings import Settings, load_settings
 
@@ -35,19 +32,6 @@
         await application.stop()
 
 
-def set_up_logs(log_format: str) -> None:
-    """Send events of every level to standard error in the given form."""
-    # Our flags are argparse's; absl would warn at the first line that its own have
-    # not been parsed.
-    flags.FLAGS.mark_as_parsed()
-    logging.use_absl_handler()
-    logging.set_verbosity(logging.INFO)
-    logging.set_stderrthreshold(logging.INFO)
-    if log_format == "json":
-        events.use_formatter(events.format_json)
-        logging.get_absl_handler().setFormatter(Formatter("%(message)s"))
-
-
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run the daemon and return its exit code."""
     try:
--- /dev/null
+++ b/src/tamarackrill/router/deployment_view.py
@@ -0,0 +1,147 @@
+"""Manifest and endpoints in force at this router, from the store's objects."""
+
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple
+
+from tamarackrill.contracts import Endpoint
+from tamarackrill.decisions.configuration import ObjectVersion
+from tamarackrill.decisions.lapses import Lapses
+from tamarackrill.decisions.manifests import Manifest, RouteTable
+from tamarackrill.events import (
+    ENDPOINT_GONE,
+    ENDPOINT_HELD,
+    ENDPOINT_KNOWN,
+    MANIFEST_IN_FORCE,
+    OBJECT_FAULTY,
+    log_event,
+)
+
+
+class ObjectReaders(NamedTuple):
+    """How a store spells the objects that routers read.
+
+    Parameters
+    ----------
+    manifest_kind, manifest_name, endpoint_kind : str
+        Where the manifest and the endpoints stand.
+    read_manifest, read_endpoint : callable
+        Return the product's types; KeyError, TypeError and ValueError tell that an
+        object is malformed.
+    """
+
+    manifest_kind: str
+    manifest_name: str
+    endpoint_kind: str
+    read_manifest: Callable[[Mapping[str, Any]], Manifest]
+    read_endpoint: Callable[[str, Mapping[str, Any]], Endpoint]
+
+
+class DeploymentView:
+    """What the newest objects that can be read say.
+
+    Parameters
+    ----------
+    readers : ObjectReaders
+        Form of the objects.
+    """
+
+    def __init__(self, readers: ObjectReaders) -> None:
+        self._readers = readers
+        self._endpoints: dict[str, Endpoint] = {}
+        self._pools: dict[str, list[Endpoint]] = {}
+        self._lapses = Lapses()
+        self.routes: RouteTable | None = None
+        self.endpoints_heard = False
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether there is a manifest, and endpoints have been heard of."""
+        return self.routes is not None and self.endpoints_heard
+
+    def observe_store(self, is_lost: bool, now_s: float) -> None:
+        """Take whether the store answers."""
+        self._lapses.observe_store(is_lost, now_s)
+
+    def take(self, item: ObjectVersion, now_s: float) -> None:
+        """Put a newer version of an object in force, or a deletion."""
+        try:
+            self._take(item, now_s)
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            # Were a malformed object to end the task that follows the store, no later
+            # change would come into force here.  The version before it stays.
+            log_event(
+                OBJECT_FAULTY,
+                kind=item.kind,
+                name=item.name,
+                version=item.version,
+                message=repr(error),
+            )
+
+    def _take(self, item: ObjectVersion, now_s: float) -> None:
+        readers = self._readers
+        if item.kind == readers.endpoint_kind:
+            self.endpoints_heard = True
+            self._take_endpoint(item, now_s)
+        elif item.name == readers.manifest_name and item.value is not None:
+            manifest = readers.read_manifest(item.value)
+            self.routes = RouteTable(manifest)
+            log_event(
+                MANIFEST_IN_FORCE,
+                version=manifest.version,
+                revision=item.version,
+                routes=len(manifest.routes),
+            )
+
+    def _take_endpoint(self, item: ObjectVersion, now_s: float) -> None:
+        name = item.name
+        if item.value is None:
+            self._remove(name, now_s)
+            return
+        endpoint = self._readers.read_endpoint(name, item.value)
+        self._lapses.observe_present(name)
+        if self._endpoints.get(name) != endpoint:
+            log_event(
+                ENDPOINT_KNOWN,
+                endpoint=name,
+                address=endpoint.address,
+                state=endpoint.state,
+                revision=item.version,
+            )
+        self._put(name, endpoint)
+
+    def _remove(self, name: str, now_s: float) -> None:
+        known = self._endpoints.get(name)
+        if known is None:
+            return
+        if known.state == "live" and self._lapses.observe_removed(name, now_s):
+            log_event(ENDPOINT_HELD, endpoint=name)
+            return
+        self._put(name, None)
+        log_event(ENDPOINT_GONE, endpoint=name)
+
+    def expire(self, now_s: float) -> None:
+        """Take entries as gone that have not come back in time."""
+        for name in self._lapses.expire(now_s):
+            if name in self._endpoints:
+                self._put(name, None)
+                log_event(ENDPOINT_GONE, endpoint=name)
+
+    def list_endpoints(self) -> list[Endpoint]:
+        """Return all endpoints known now."""
+        return list(self._endpoints.values())
+
+    def list_live(self, service: str) -> list[Endpoint]:
+        """Return the endpoints of a service that may take new work."""
+        return self._pools.get(service, [])
+
+    def _put(self, name: str, endpoint: Endpoint | None) -> None:
+        if endpoint is None:
+            self._endpoints.pop(name, None)
+        else:
+            self._endpoints[name] = endpoint
+        pools: dict[str, list[Endpoint]] = {}
+        for known in self._endpoints.values():
+            if known.state == "live":
+                for service in known.serves:
+                    pools.setdefault(service, []).append(known)
+        self._pools = pools
--- /dev/null
+++ b/src/tamarackrill/router/edge_app.py
@@ -0,0 +1,303 @@
+"""The application object of a router on the platform: owns its resources."""
+
+import asyncio
+import time
+from collections.abc import Awaitable
+
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+from tamarackrill.decisions.configuration import (
+    Changes,
+    ConfigurationStore,
+    ObjectVersion,
+)
+from tamarackrill.decisions.members import Entries, MemberRecord, MemberState
+from tamarackrill.decisions.membership import PeerHeard
+from tamarackrill.decisions.poison import CrashCount
+from tamarackrill.events import (
+    ROUTER_LEAVING,
+    ROUTER_STARTED,
+    ROUTER_STOPPED,
+    log_event,
+)
+from tamarackrill.platform.objects import (
+    ENDPOINT_KIND,
+    MANIFEST_KIND,
+    MANIFEST_NAME,
+    read_endpoint,
+    read_manifest,
+)
+from tamarackrill.platform.settings_file import PlatformSettings
+from tamarackrill.platform.store import STORE_FORM
+from tamarackrill.router.configuring import Configurer
+from tamarackrill.router.datagrams import PeerSocket
+from tamarackrill.router.deployment_view import DeploymentView, ObjectReaders
+from tamarackrill.router.edge_flow import EdgeFlow
+from tamarackrill.router.edge_placing import EdgePlacer
+from tamarackrill.router.edge_server import EdgeServer
+from tamarackrill.router.gossip import Gossiper
+from tamarackrill.router.members import Member, Members
+from tamarackrill.router.metrics import Metrics
+from tamarackrill.router.peer_api import (
+    CONFIGURATION_PATH,
+    ConfigurationHandler,
+    pull_changes,
+)
+from tamarackrill.router.platform_client import PlatformClient, StoreTiming
+from tamarackrill.router.upstream import close_client, make_client
+
+# The store answers in 4 ms, and in a quarter of a second when it is slow.  A watch that
+# waits ten seconds costs one call in that time; a dead connection shows itself earlier.
+STORE_TIMING = StoreTiming(call_s=1.0, watch_wait_s=10.0)
+# A store that was away is found back within this time; each call has its price.
+STORE_RETRY_MAX_S = 0.8
+# Named in the deploy file as well, which knows no ports of the day.
+METRICS_PORT = 9464
+HOUSEKEEPING_EVERY_S = 0.1
+# A balancer asks once a second and takes a router out after two misses; until then new
+# connections still arrive and are served.
+STILL_SERVED_S = 2.6
+# Left of the time between SIGTERM and SIGKILL when what is still in flight is cut.
+STOP_SLACK_S = 0.3
+
+READERS = ObjectReaders(
+    MANIFEST_KIND, MANIFEST_NAME, ENDPOINT_KIND, read_manifest, read_endpoint
+)
+
+
+class EdgeApplication:
+    """One router on the platform.
+
+    Parameters
+    ----------
+    settings : PlatformSettings
+        Checked settings.
+    peer_keys : tuple of str
+        Prove the messages between routers; the first signs, all verify.
+    metrics_port : int, optional
+        Where metrics are served.
+
+    Notes
+    -----
+    Life cycle: `start` opens the sockets and starts the tasks, `drain` lets what is in
+    flight end, `stop` closes all that `start` opened.
+    """
+
+    def __init__(
+        self,
+        settings: PlatformSettings,
+        peer_keys: tuple[str, ...],
+        metrics_port: int = METRICS_PORT,
+    ) -> None:
+        self.settings = settings
+        self._metrics_port = metrics_port
+        self.clock = time.monotonic
+        self._peer_keys = peer_keys
+        self._tasks: list[asyncio.Task[None]] = []
+        self._servers: list[HTTPServer] = []
+        self.metrics = Metrics()
+        self.store = ConfigurationStore()
+        self.view = DeploymentView(READERS)
+        self.placer = EdgePlacer(self.view, settings.zone)
+        address = f"{settings.ip}:{settings.peer_port}"
+        self.members = Members(
+            Member(settings.name, address, settings.zone, peer_address=address)
+        )
+        self.flow = EdgeFlow(
+            self.placer,
+            settings.retry_budget,
+            lambda: len(self.members.list_live()),
+            self.metrics,
+            self.clock,
+        )
+        self.server = EdgeServer(self.view, self.flow, self.metrics, self.clock)
+
+    async def start(self) -> None:
+        """Open the sockets and start the tasks."""
+        settings = self.settings
+        self._peer_socket = PeerSocket()
+        await self._peer_socket.start(settings.ip, settings.peer_port)
+        self._store_client = CurlAsyncHTTPClient(force_instance=True)
+        self._router_client = make_client()
+        self._listen_routers()
+        self._listen_readiness()
+        await self._start_configuration()
+        await self._start_gossip()
+        self.server.listen(settings.callers_address)
+        self._tasks.append(asyncio.create_task(self._keep_house()))
+        log_event(
+            ROUTER_STARTED,
+            router=settings.name,
+            zone=settings.zone,
+            address=settings.callers_address,
+            peer_address=self.members.own.peer_address,
+        )
+
+    def _listen_routers(self) -> None:
+        bound = {
+            "store": self.store,
+            "peer_keys": self._peer_keys,
+            "count": self.metrics.count,
+        }
+        peers = Application([(CONFIGURATION_PATH, ConfigurationHandler, bound)])
+        self._listen(peers, f"{self.settings.ip}:{self.settings.peer_port}")
+        metrics = Application(
+            [("/metrics", _MetricsHandler, {"metrics": self.metrics})]
+        )
+        self._listen(metrics, f"{self.settings.ip}:{self._metrics_port}")
+
+    def _listen_readiness(self) -> None:
+        question = Application(
+            [("/readiness", _ReadinessHandler, {"is_ready": self.is_ready})]
+        )
+        self._listen(question, self.settings.readiness_address)
+
+    def _listen(self, application: Application, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        application.settings["log_function"] = lambda handler: None
+        server = HTTPServer(application)
+        server.listen(int(port), host)
+        self._servers.append(server)
+
+    async def _start_configuration(self) -> None:
+        platform = PlatformClient(
+            self.settings.store_address,
+            self.settings.zone,
+            self._store_client,
+            STORE_FORM,
+            STORE_TIMING,
+        )
+        self.configurer = Configurer(
+            self.store,
+            platform,
+            self._take_objects,
+            self._pull,
+            self.clock,
+            (MANIFEST_KIND, ENDPOINT_KIND),
+            STORE_RETRY_MAX_S,
+        )
+        self.configurer.on_store = self._note_store
+        await self.configurer.start()
+
+    def _pull(self, address: str, kind: str, since: int) -> Awaitable[Changes]:
+        return pull_changes(self._router_client, address, kind, since, self._peer_keys)
+
+    def _note_store(self, is_lost: bool) -> None:
+        self.view.observe_store(is_lost, self.clock())
+
+    def _take_objects(self, taken: list[ObjectVersion]) -> None:
+        now_s = self.clock()
+        for item in taken:
+            self.view.take(item, now_s)
+        self._forget_gone()
+
+    def _forget_gone(self) -> None:
+        self.placer.take_endpoints(self.clock())
+        self.flow.pool.retain(e.name for e in self.view.list_endpoints())
+
+    async def _start_gossip(self) -> None:
+        own = MemberRecord(
+            self.settings.name,
+            # Above that of any earlier process of this name, as nothing is kept.
+            int(time.time() * 1000),
+            MemberState.ALIVE,
+            self.settings.zone,
+            self.members.own.address,
+            self.members.own.peer_address,
+        )
+        seeds = tuple(s for s in self.settings.seeds if s != own.peer_address)
+        self.gossiper = Gossiper(
+            own,
+            self._peer_socket.send,
+            self._peer_keys,
+            self.members,
+            self.configurer.digest,
+            self.clock,
+            seeds,
+        )
+        self.gossiper.subscribe(self.configurer.hear_peer)
+        self.gossiper.subscribe(self._hear_peer)
+        self.gossiper.add_source(self._collect_entries)
+        self.flow.tell_crash = self._tell_crash
+        self._peer_socket.handlers.append(self.gossiper.take_datagram)
+        await self.gossiper.start()
+
+    def _collect_entries(self) -> Entries:
+        return Entries(tuple(self.placer.poison.digest(self.clock())))
+
+    def _hear_peer(self, heard: PeerHeard) -> None:
+        now_s = self.clock()
+        for count in heard.entries.crashes:
+            self.placer.poison.observe_peer(heard.sender, *count, now_s)
+
+    def _tell_crash(self, fingerprint: int) -> None:
+        # Gossip takes seconds to reach all, and the client of a request that crashes
+        # endpoints sends it again at once, to any router.
+        crashes = len(self.placer.poison.find_crashed(fingerprint, self.clock()))
+        for member in self.members.list_live():
+            if member.name != self.members.own.name:
+                entries = Entries((CrashCount(fingerprint, crashes),))
+                self.gossiper.report(member.name, entries)
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_EVERY_S)
+            self.view.expire(self.clock())
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer may send new connections here."""
+        return self.view.is_complete and not self.server.is_leaving
+
+    async def drain(self) -> None:
+        """Let what is in flight end, within the time that the platform gives."""
+        began_s = self.clock()
+        self.server.leave()
+        self.gossiper.leave()
+        in_flight = len(self.server.in_flight)
+        log_event(ROUTER_LEAVING, router=self.settings.name, in_flight=in_flight)
+        await asyncio.sleep(min(STILL_SERVED_S, self.settings.grace_s / 2))
+        self.server.takes_work = False
+        self.server.server.stop()
+        left_s = began_s + self.settings.grace_s - STOP_SLACK_S - self.clock()
+        if self.server.in_flight and left_s > 0:
+            await asyncio.wait(self.server.in_flight, timeout=left_s)
+
+    async def stop(self) -> None:
+        """Close all that `start` opened."""
+        for server in (self.server.server, *self._servers):
+            server.stop()
+            await server.close_all_connections()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.gossiper.stop()
+        await self.configurer.stop()
+        self._peer_socket.stop()
+        self.flow.pool.close()
+        close_client(self._store_client)
+        close_client(self._router_client)
+        log_event(
+            ROUTER_STOPPED,
+            router=self.settings.name,
+            in_flight=len(self.server.in_flight),
+        )
+
+
+class _ReadinessHandler(RequestHandler):
+    def initialize(self, is_ready) -> None:  # type: ignore[no-untyped-def]
+        self._is_ready = is_ready
+
+    def get(self) -> None:
+        self.set_status(200 if self._is_ready() else 503)
+        self.finish()
+
+
+class _MetricsHandler(RequestHandler):
+    def initialize(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    def get(self) -> None:
+        self.set_header("Content-Type", "text/plain; version=0.0.4")
+        self.finish(self._metrics.format_text())
--- /dev/null
+++ b/src/tamarackrill/router/edge_calls.py
@@ -0,0 +1,71 @@
+"""A client's request on the platform's interface, matched to its route."""
+
+import hashlib
+from typing import NamedTuple
+
+from tamarackrill.decisions.manifests import Route
+from tamarackrill.platform.headers import CallHeaders
+
+FINGERPRINT_BYTES = 8
+
+
+class EdgeCall(NamedTuple):
+    """One request of a client.
+
+    Parameters
+    ----------
+    method, target : str
+        As the client sent them; the target holds the query.
+    headers : CallHeaders
+        What its headers say.
+    body : bytes
+        The whole body.
+    route : Route
+        The route that it matched.
+    service : str
+        The service of the route that runs it.
+    team : str or None
+        Holder of the key; None on a route without keys.
+    arrived_s : float
+        When its headers had been read.
+    limit_s : float
+        When the client's deadline or the route's timeout is reached.
+    manifest_version : int
+        The manifest that decided all this.
+    """
+
+    method: str
+    target: str
+    headers: CallHeaders
+    body: bytes
+    route: Route
+    service: str
+    team: str | None
+    arrived_s: float
+    limit_s: float
+    manifest_version: int
+
+    @property
+    def request_id(self) -> str:
+        """Identifies one attempt of the client."""
+        return self.headers.request_id
+
+    @property
+    def session(self) -> str:
+        """Name of the prompt's last shared part; empty if it shares none.
+
+        The last part of a prompt is the request's own; the one before it is that of
+        the session, which endpoints may have cached.
+        """
+        if not self.route.has_affinity or not self.headers.parts:
+            return ""
+        parts = self.headers.parts
+        return parts[-2] if len(parts) > 1 else parts[0]
+
+    @property
+    def fingerprint(self) -> int:
+        """Same for a request that comes again: path, caller and body."""
+        digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+        for field in (self.target.encode(), self.headers.key.encode(), self.body):
+            digest.update(len(field).to_bytes(8) + field)
+        return int.from_bytes(digest.digest())
--- /dev/null
+++ b/src/tamarackrill/router/edge_daemon.py
@@ -0,0 +1,55 @@
+"""``tamarackrill-edge``: one router on the platform, until SIGTERM."""
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+from tamarackrill.exceptions import Finding, FindingsError, TamarackrillError
+from tamarackrill.logs import set_up_logs
+from tamarackrill.platform.settings_file import PATH_VARIABLE, parse_settings
+from tamarackrill.router.edge_app import EdgeApplication
+
+PEER_KEYS_VARIABLE = "TAMARACKRILL_PEER_KEYS"
+
+
+async def run_router(path: Path, peer_keys: tuple[str, ...]) -> None:
+    """Run one router until SIGTERM or SIGINT, then drain and stop it."""
+    told_to_stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, told_to_stop.set)
+    # Settings hold nothing that changes while a process runs; a signal that says that
+    # the file has changed must not end it.
+    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    settings = parse_settings(str(path), path.read_text(encoding="utf-8"))
+    application = EdgeApplication(settings, peer_keys)
+    await application.start()
+    try:
+        await told_to_stop.wait()
+        await application.drain()
+    finally:
+        await application.stop()
+
+
+def main() -> int:
+    """Run the daemon and return its exit code."""
+    try:
+        path = os.environ.get(PATH_VARIABLE)
+        if not path:
+            raise FindingsError([Finding(PATH_VARIABLE, "is not set")])
+        keys = os.environ.get(PEER_KEYS_VARIABLE, "")
+        peer_keys = tuple(key.strip() for key in keys.split(",") if key.strip())
+        if not peer_keys:
+            raise FindingsError([Finding(PEER_KEYS_VARIABLE, "holds no key")])
+        set_up_logs("text")
+        asyncio.run(run_router(Path(path), peer_keys))
+    except TamarackrillError as error:
+        print(error.show(), file=sys.stderr)
+        return error.exit_code
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/tamarackrill/router/edge_placing.py
@@ -0,0 +1,163 @@
+"""Places requests of the platform's interface: asks the decisions for an endpoint."""
+
+from collections.abc import Collection
+from typing import NamedTuple
+
+from tamarackrill.contracts import Endpoint
+from tamarackrill.decisions.health import Health
+from tamarackrill.decisions.poison import Poison
+from tamarackrill.decisions.reach import Reach
+from tamarackrill.decisions.routing import Choice, Placement, PlacementRequest
+from tamarackrill.events import ENDPOINT_EJECTED, ENDPOINT_RETURNED, log_event
+from tamarackrill.exceptions import Refusal
+from tamarackrill.router.deployment_view import DeploymentView
+from tamarackrill.router.edge_calls import EdgeCall
+
+# Requests at an endpoint beyond its slots, in multiples of them, before a router looks
+# on it as full: a lookup of 20 ms behind three others is still on time.
+QUEUE_MULTIPLE = 4
+
+
+class EdgePlaced(NamedTuple):
+    """An endpoint that was chosen, why, and what was known of its load."""
+
+    endpoint: Endpoint
+    reason: str
+    load: int
+    bound: int
+
+
+class EdgePlacer:
+    """Knows what runs where, and which endpoints can be trusted.
+
+    Parameters
+    ----------
+    view : DeploymentView
+        Endpoints in force.
+    zone : str
+        Availability zone of this router, and so of its clients.
+    """
+
+    def __init__(self, view: DeploymentView, zone: str) -> None:
+        self._view = view
+        self._zone = zone
+        self.placement = Placement()
+        self.health = Health()
+        self.poison = Poison()
+        self.reach = Reach()
+
+    def choose(
+        self, call: EdgeCall, avoid: Collection[str], now_s: float
+    ) -> EdgePlaced | None:
+        """Return where a request goes, or None if nothing can take it.
+
+        Raises
+        ------
+        Refusal
+            If the request has crashed too many endpoints.
+        """
+        self.poison.check(call.fingerprint, now_s)
+        candidates = [
+            endpoint
+            for endpoint in self._view.list_live(call.service)
+            if endpoint.name not in avoid
+        ]
+        if not candidates:
+            return None
+        probed = self._choose_probe(call, candidates, now_s)
+        if probed is not None:
+            return probed
+        for pool in self._list_pools(candidates, call, now_s):
+            choice = self._choose_among(call, pool, now_s)
+            if choice is not None:
+                return EdgePlaced(
+                    choice.endpoint, choice.reason, choice.load, choice.bound
+                )
+        return None
+
+    def _list_pools(
+        self, candidates: list[Endpoint], call: EdgeCall, now_s: float
+    ) -> list[list[Endpoint]]:
+        """Return the candidates, the trusted ones first."""
+        names = [endpoint.name for endpoint in candidates]
+        healthy = set(self.health.find_allowed(names, now_s))
+        doubtful = self.reach.find_doubtful(candidates, now_s)
+        suspected = self.poison.find_avoided(call.fingerprint, now_s)
+        sound = [e for e in candidates if e.name in healthy and e.name not in doubtful]
+        best = [e for e in sound if e.name not in suspected]
+        reachable = [e for e in candidates if e.name not in doubtful]
+        return [best, sound, reachable, candidates]
+
+    def _choose_among(
+        self, call: EdgeCall, pool: list[Endpoint], now_s: float
+    ) -> Choice | None:
+        if not pool:
+            return None
+        request = _make_request(call, self._zone)
+        choice = self.placement.choose(request, pool, now_s)
+        if choice is not None:
+            return choice
+        queued = [e._replace(slots=e.slots * QUEUE_MULTIPLE) for e in pool]
+        return self.placement.choose(request, queued, now_s)
+
+    def _choose_probe(
+        self, call: EdgeCall, candidates: list[Endpoint], now_s: float
+    ) -> EdgePlaced | None:
+        # A probe of its own would be one more request to an endpoint, and would tell
+        # less than a real one: an endpoint may answer probes and fail requests.
+        if not call.route.may_repeat or len(candidates) < 2:
+            return None
+        by_name = {endpoint.name: endpoint for endpoint in candidates}
+        due = self.health.next_probe(now_s, by_name)
+        if due is None:
+            return None
+        return EdgePlaced(by_name[due], "probe", 0, 0)
+
+    def start(self, call: EdgeCall, endpoint: Endpoint, now_s: float) -> None:
+        """Count a request as running."""
+        request = _make_request(call, self._zone)
+        self.placement.start(endpoint.name, request, now_s)
+        self.poison.start(call.fingerprint, endpoint.name, now_s)
+
+    def finish(self, call: EdgeCall, endpoint: Endpoint, now_s: float) -> None:
+        """Count a request as over at an endpoint."""
+        self.placement.finish(endpoint.name, now_s)
+        self.poison.finish(call.fingerprint, endpoint.name)
+
+    def observe_result(
+        self,
+        call: EdgeCall,
+        placed: EdgePlaced,
+        is_ok: bool,
+        first_s: float | None,
+        now_s: float,
+    ) -> None:
+        """Take how an endpoint served a request that it was sent."""
+        name = placed.endpoint.name
+        pool = [endpoint.name for endpoint in self._view.list_live(call.service)]
+        if is_ok:
+            self.poison.observe_success(call.fingerprint)
+        if placed.reason == "probe":
+            if self.health.observe_probe(name, is_ok, first_s, pool, now_s):
+                log_event(ENDPOINT_RETURNED, endpoint=name)
+            return
+        if self.health.observe_answer(name, is_ok, first_s, pool, now_s):
+            outcome = "answered" if is_ok else "failed"
+            log_event(ENDPOINT_EJECTED, endpoint=name, outcome=outcome)
+
+    def is_poison(self, call: EdgeCall, now_s: float) -> bool:
+        """Return whether a request must not reach another endpoint."""
+        try:
+            self.poison.check(call.fingerprint, now_s)
+        except Refusal:
+            return True
+        return False
+
+    def take_endpoints(self, now_s: float) -> None:
+        """Forget what is known of endpoints that are gone."""
+        known = {endpoint.name for endpoint in self._view.list_endpoints()}
+        self.reach.retain(known)
+
+
+def _make_request(call: EdgeCall, zone: str) -> PlacementRequest:
+    return PlacementRequest(call.request_id, call.session, zone, call.headers.tokens)
--- a/src/tamarackrill/router/platform_client.py
+++ b/src/tamarackrill/router/platform_client.py
@@ -1,17 +1,27 @@
-"""Client of the platform's object API; the only module that knows its form."""
+"""Client of an object store: lists, watches and conditional writes.
+
+One client serves each store that routers read; what differs between them (paths and
+fields) is passed as a `StoreForm`.
+"""
 
 import json
-from typing import Any, NamedTuple
+import os
+import socket
+from collections.abc import Callable
+from typing import Any, NamedTuple, TypeVar
 from urllib.parse import quote
 
+import pycurl
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
 from tamarackrill.contracts import Vm
 from tamarackrill.exceptions import PlatformUnavailable
+from tamarackrill.router.sockets import probe_silence
 
+_T = TypeVar("_T")
 CALL_TIMEOUT_S = 2.0
 WATCH_WAIT_S = 25.0
-CONFLICT = 412
+CONFLICTS = (409, 412)
 NOT_FOUND = 404
 GONE = 410
 
@@ -32,6 +42,56 @@
     revision: int
 
 
+class ObjectPage(NamedTuple):
+    """One page of a list; `after` is where the next one begins, empty at the end."""
+
+    items: tuple[PlatformObject, ...]
+    revision: int
+    after: str = ""
+
+
+class StoreForm(NamedTuple):
+    """How one store spells its calls and answers.
+
+    Parameters
+    ----------
+    base : str
+        What all paths begin with.
+    list_path : callable
+        ``list_path(kind, after)`` for the page that follows the name `after`.
+    watch_path : callable
+        ``watch_path(kind, since, wait_s)``.
+    object_path : callable
+        ``object_path(kind, name)``.
+    read_page, read_events, read_object : callable
+        ``read(kind, body)`` returns what an answer holds; KeyError, TypeError and
+        ValueError tell that it is not of this form.
+    """
+
+    base: str
+    list_path: Callable[[str, str], str]
+    watch_path: Callable[[str, int, float], str]
+    object_path: Callable[[str, str], str]
+    read_page: Callable[[str, Any], ObjectPage]
+    read_events: Callable[[str, Any], Listing]
+    read_object: Callable[[str, Any], PlatformObject]
+
+
+class StoreTiming(NamedTuple):
+    """How long a client waits for a store.
+
+    Parameters
+    ----------
+    call_s : float
+        For an answer; a watch may take this much longer than it waits.
+    watch_wait_s : float
+        Longest wait of a watch for a change.
+    """
+
+    call_s: float = CALL_TIMEOUT_S
+    watch_wait_s: float = WATCH_WAIT_S
+
+
 class WriteResult(NamedTuple):
     """Outcome of a conditional write that was answered.
 
@@ -64,10 +124,23 @@
         Availability zone of this VM, sent with each call.
     client : tornado.httpclient.AsyncHTTPClient
         Not owned; the application object closes it.
+    form : StoreForm, optional
+        How the store spells its calls; that of our stand-in by default.
+    timing : StoreTiming, optional
+        Timeouts.
     """
 
-    def __init__(self, address: str, zone: str, client: AsyncHTTPClient) -> None:
-        self._base = f"http://{address}/v1"
+    def __init__(
+        self,
+        address: str,
+        zone: str,
+        client: AsyncHTTPClient,
+        form: StoreForm | None = None,
+        timing: StoreTiming | None = None,
+    ) -> None:
+        self._form = form or STAND_IN_FORM
+        self._timing = timing or StoreTiming()
+        self._base = f"http://{address}{self._form.base}"
         self._headers = {"Zone": zone}
         self._client = client
 
@@ -79,14 +152,26 @@
         PlatformUnavailable
             If the platform did not answer.
         """
-        code, body = await self._call("GET", self._path(kind, name))
-        return PlatformObject(**body) if code != NOT_FOUND else None
+        code, body = await self._call("GET", self._form.object_path(kind, name))
+        if code == NOT_FOUND:
+            return None
+        return _read(self._form.read_object, kind, body)
 
     async def list(self, kind: str) -> Listing:
-        """Return all objects of a kind."""
-        _, body = await self._call("GET", f"/objects/{kind}")
-        items = _read_items(body, "items")
-        return Listing(items, body["revision"])
+        """Return all objects of a kind, page by page.
+
+        The revision is that of the first page: what changes between two pages is then
+        reported once more by the next watch, and nothing is missed.
+        """
+        _, body = await self._call("GET", self._form.list_path(kind, ""))
+        page = _read(self._form.read_page, kind, body)
+        revision = page.revision
+        items = list(page.items)
+        while page.after:
+            _, body = await self._call("GET", self._form.list_path(kind, page.after))
+            page = _read(self._form.read_page, kind, body)
+            items += page.items
+        return Listing(tuple(items), revision)
 
     async def watch(
         self, kind: str, since: int, wait_s: float | None = None
@@ -109,13 +194,12 @@
         PlatformUnavailable
             If the platform did not answer.
         """
-        wait_s = WATCH_WAIT_S if wait_s is None else wait_s
-        path = f"/watch/{kind}?since={since}&wait_s={wait_s}"
-        code, body = await self._call("GET", path, wait_s + CALL_TIMEOUT_S)
+        wait_s = self._timing.watch_wait_s if wait_s is None else wait_s
+        path = self._form.watch_path(kind, since, wait_s)
+        code, body = await self._call("GET", path, wait_s + self._timing.call_s)
         if code == GONE:
             raise WatchLost(f"revision {since} of {kind} is gone")
-        items = _read_items(body, "events")
-        return Listing(items, body["revision"])
+        return _read(self._form.read_events, kind, body)
 
     async def list_vms(self) -> tuple[Vm, ...]:
         """Return the VM list."""
@@ -167,22 +251,18 @@
             condition = {"If-None-Match": "*"}
         else:
             condition = {"If-Match": str(expected_version)}
-        path = self._path(kind, name)
-        code, body = await self._call(method, path, CALL_TIMEOUT_S, condition, text)
-        if code == CONFLICT:
+        path = self._form.object_path(kind, name)
+        code, body = await self._call(method, path, None, condition, text)
+        if code in CONFLICTS:
             current = body["current"]
             return WriteResult(None, PlatformObject(**current) if current else None)
         return WriteResult(body["version"], None)
 
-    @staticmethod
-    def _path(kind: str, name: str) -> str:
-        return f"/objects/{kind}/{quote(name, safe='')}"
-
     async def _call(
         self,
         method: str,
         path: str,
-        timeout_s: float = CALL_TIMEOUT_S,
+        timeout_s: float | None = None,
         headers: dict[str, str] | None = None,
         text: str | None = None,
     ) -> tuple[int, Any]:
@@ -191,24 +271,43 @@
             method,
             headers={**self._headers, **(headers or {})},
             body=text,
-            request_timeout=timeout_s,
-            connect_timeout=CALL_TIMEOUT_S,
+            request_timeout=timeout_s or self._timing.call_s,
+            connect_timeout=self._timing.call_s,
             allow_nonstandard_methods=True,
+            prepare_curl_callback=_watch_over,
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
         except (HTTPClientError, OSError) as error:
             raise PlatformUnavailable(f"platform: {error}") from error
-        if response.code in (CONFLICT, NOT_FOUND, GONE):
+        if response.code in (*CONFLICTS, NOT_FOUND, GONE):
             return response.code, _load(response.body)
         if response.error is not None:
             raise PlatformUnavailable(f"platform: {response.error}")
         return response.code, _load(response.body)
 
 
-def _read_items(body: Any, field: str) -> tuple[PlatformObject, ...]:
-    _check_form(body, field)
-    return tuple(PlatformObject(**item) for item in body[field])
+def _watch_over(curl: Any) -> None:
+    # A watch on a connection that has fallen silent would hear of no change until it
+    # times out; pycurl has no option for the number of the kernel's questions.
+    curl.setopt(pycurl.SOCKOPTFUNCTION, _set_socket_options)
+
+
+def _set_socket_options(fd: int, purpose: int) -> int:
+    with socket.socket(fileno=os.dup(fd)) as connection:
+        probe_silence(connection)
+    return int(pycurl.SOCKOPT_OK)
+
+
+def _read(read: Callable[[str, Any], _T], kind: str, body: Any) -> _T:
+    # The address may be that of something else, such as a router, which answers JSON
+    # of its own.
+    try:
+        return read(kind, body)
+    except (KeyError, TypeError, ValueError) as error:
+        raise PlatformUnavailable(
+            "platform: the answer is not one of an object API"
+        ) from error
 
 
 def _check_form(body: Any, field: str) -> None:
@@ -223,3 +322,24 @@
         return json.loads(body or b"null")
     except ValueError as error:
         raise PlatformUnavailable("platform: the answer is no JSON") from error
+
+
+def _stand_in_list(body: Any, field: str) -> tuple[PlatformObject, ...]:
+    return tuple(PlatformObject(**item) for item in body[field])
+
+
+STAND_IN_FORM = StoreForm(
+    base="/v1",
+    list_path=lambda kind, after: f"/objects/{kind}",
+    watch_path=lambda kind, since, wait_s: (
+        f"/watch/{kind}?since={since}&wait_s={wait_s}"
+    ),
+    object_path=lambda kind, name: f"/objects/{kind}/{quote(name, safe='')}",
+    read_page=lambda kind, body: ObjectPage(
+        _stand_in_list(body, "items"), body["revision"]
+    ),
+    read_events=lambda kind, body: Listing(
+        _stand_in_list(body, "events"), body["revision"]
+    ),
+    read_object=lambda kind, body: PlatformObject(**body),
+)
--- a/src/tamarackrill/testing/demo.py
+++ b/src/tamarackrill/testing/demo.py
@@ -8,8 +8,8 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 
 from tamarackrill.contracts import CONTRACT_KIND, Endpoint, hash_key
+from tamarackrill.logs import set_up_logs
 from tamarackrill.router.app import RouterApplication
-from tamarackrill.router.daemon import set_up_logs
 from tamarackrill.router.platform_client import PlatformClient
 from tamarackrill.settings import load_settings
 from tamarackrill.testing.daemon import announce, listen
--- a/src/tamarackrill/testing/deployment.py
+++ b/src/tamarackrill/testing/deployment.py
@@ -21,8 +21,8 @@
 from tamarackrill.commands.contracts import apply_contracts
 from tamarackrill.contracts import Endpoint, read_endpoint
 from tamarackrill.documents import read_document
+from tamarackrill.logs import set_up_logs
 from tamarackrill.router.app import RouterApplication
-from tamarackrill.router.daemon import set_up_logs
 from tamarackrill.router.platform_client import PlatformClient
 from tamarackrill.settings import load_settings
 from tamarackrill.testing.daemon import announce, listen
