--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -49,8 +49,8 @@
 from tamarackrill.router.upstream import close_client, make_client
 
 # A watch can fall silent though its connection lives: a store that drops its history
-# may neither report a change that was made meanwhile nor end the watch.  A change has to
-# be in force within two seconds, so no watch is believed for longer than 1.5 s.  The
+# may neither report a change that was made meanwhile nor end the watch.  A change has
+# to be in force within two seconds, so no watch is believed for longer than 1.5 s.  The
 # store answers in 4 ms, and in a quarter of a second when it is slow.
 STORE_TIMING = StoreTiming(call_s=0.5, watch_wait_s=1.0)
 # A store that was away is found back within this time; each call has its price.
--- /dev/null
+++ b/src/tamarackrill/testing/object_store.py
@@ -0,0 +1,139 @@
+"""Stand-in for the users' object store, in its published form, over `PlatformState`.
+
+====== ============================ ==========================================
+GET    /objects/<kind>              a page of the list; with ``watch`` and
+                                    ``wait_ms`` what has changed since
+GET    /objects/<kind>/<name>       one object, or 404
+====== ============================ ==========================================
+"""
+
+import asyncio
+from typing import Any
+
+from tornado.web import Application, RequestHandler
+
+from tamarackrill.testing.platform import PlatformState, StoredObject
+
+PAGE_ITEMS = 50
+LONGEST_S = 3600.0
+
+
+class ObjectStore:
+    """Objects, and what goes wrong with them.
+
+    Attributes
+    ----------
+    state : PlatformState
+        Objects and history.
+    status : int
+        Every call is answered with it, unless 200.
+    is_deaf : bool
+        Watches neither report a change nor end.
+    forgotten : int
+        The history up to this revision is gone.
+    calls : list of str
+        Paths and queries that were called.
+    """
+
+    def __init__(self) -> None:
+        self.state = PlatformState()
+        self.status = 200
+        self.is_deaf = False
+        self.forgotten = 0
+        self.calls: list[str] = []
+
+    async def write(self, kind: str, name: str, spec: Any) -> int:
+        """Write an object, or delete it; return its revision."""
+        return (await self.state.write(kind, name, spec)).version
+
+    async def forget_history(self) -> None:
+        """Drop the history; watches that wait are not told."""
+        self.forgotten = self.state.revision
+
+    def make_application(self) -> Application:
+        """Return the stand-in as a tornado application."""
+        bound = {"store": self}
+        return Application(
+            [
+                (r"/objects/([^/]+)", _KindHandler, bound),
+                (r"/objects/([^/]+)/(.+)", _ObjectHandler, bound),
+            ],
+            log_function=lambda handler: None,
+        )
+
+
+def _write_object(item: StoredObject) -> dict[str, Any]:
+    metadata = {"name": item.name, "revision": item.version}
+    return {"metadata": metadata, "spec": item.value, "status": None}
+
+
+class _Handler(RequestHandler):
+    def initialize(self, store: ObjectStore) -> None:
+        self.store = store
+
+    def prepare(self) -> None:
+        self.store.calls.append(self.request.uri or "")
+        if self.store.status != 200:
+            self.set_status(self.store.status)
+            self.finish({"error": "unavailable"})
+
+
+class _ObjectHandler(_Handler):
+    def get(self, kind: str, name: str) -> None:
+        found = self.store.state.read(kind, name)
+        if found is None or found.value is None:
+            self.set_status(404)
+            self.finish({})
+            return
+        self.finish(_write_object(found))
+
+
+class _KindHandler(_Handler):
+    async def get(self, kind: str) -> None:
+        since = self.get_argument("watch", None)
+        if since is not None:
+            wait_s = float(self.get_argument("wait_ms", "0")) / 1000
+            await self._watch(kind, int(since), wait_s)
+            return
+        items, revision = self.store.state.list_kind(kind)
+        after = self.get_argument("after_revision", "")
+        named = sorted(items, key=lambda item: item.name)
+        rest = [item for item in named if item.name > after]
+        self.finish(
+            {
+                "items": [_write_object(item) for item in rest[:PAGE_ITEMS]],
+                "has_more": len(rest) > PAGE_ITEMS,
+                "store_revision": revision,
+            }
+        )
+
+    async def _watch(self, kind: str, since: int, wait_s: float) -> None:
+        state = self.store.state
+        if since < self.store.forgotten:
+            self.set_status(410)
+            self.finish({"store_revision": state.revision})
+            return
+        if self.store.is_deaf:
+            await asyncio.sleep(LONGEST_S)
+        async with state.changed:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await state.changed.wait_for(
+                        lambda: bool(state.events_since(kind, since))
+                    )
+            except TimeoutError:
+                pass
+        events = [
+            {"object": _write_event(item), "removed": item.value is None}
+            for item in state.events_since(kind, since)
+        ]
+        self.finish({"events": events, "store_revision": state.revision})
+
+
+def _write_event(item: StoredObject) -> dict[str, Any]:
+    written = _write_object(item)
+    if item.value is None:
+        # A removed object comes with the revision of its last change, which lies
+        # before its end.
+        written["metadata"]["revision"] = item.version - 1
+    return written
--- /dev/null
+++ b/src/tamarackrill/testing/worker.py
@@ -0,0 +1,171 @@
+"""Stand-in for a worker of the users' platform, which may misbehave byte by byte."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+HEAD_END = b"\r\n\r\n"
+SIGNATURE = "made-by-a-worker"
+
+
+class WorkerRequest(NamedTuple):
+    """A request as it arrived."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def request_id(self) -> str:
+        """Id of the client's attempt."""
+        return self.headers.get("x-request-attempt-id", "")
+
+
+Behave = Callable[[WorkerRequest, asyncio.StreamWriter], Awaitable[None]]
+
+
+class Worker:
+    """One worker.
+
+    Parameters
+    ----------
+    name : str
+        Its id, under which the store lists it.
+    behave : callable
+        ``await behave(request, writer)`` writes the bytes of the answer; when it
+        closes the writer, the connection ends.
+    """
+
+    def __init__(self, name: str, behave: Behave) -> None:
+        self.name = name
+        self.behave = behave
+        self.address = ""
+        self.requests: list[WorkerRequest] = []
+        self.connections = 0
+        self.closed = asyncio.Event()
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Listen on a free port of loopback."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Refuse connections from now on, and end those that are open."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def describe(self, service: str, zone: str = "z", **fields: object) -> dict:
+        """Return what the store lists of it."""
+        return {
+            "service": service,
+            "address": self.address,
+            "zone": zone,
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+            **fields,
+        }
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            await self._answer_all(reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            self.closed.set()
+        finally:
+            self._tasks.discard(task)
+            writer.close()
+
+    async def _answer_all(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while not writer.is_closing():
+            request = await _read_request(reader)
+            self.requests.append(request)
+            gone = asyncio.create_task(reader.read(1))
+            answering = asyncio.ensure_future(self.behave(request, writer))
+            await asyncio.wait([gone, answering], return_when=asyncio.FIRST_COMPLETED)
+            if not answering.done():
+                # The router has closed the connection while the worker was at work.
+                answering.cancel()
+                self.closed.set()
+                return
+            gone.cancel()
+            await asyncio.gather(gone, return_exceptions=True)
+            await answering
+            await writer.drain()
+
+
+async def _read_request(reader: asyncio.StreamReader) -> WorkerRequest:
+    head = (await reader.readuntil(HEAD_END)).decode("latin-1")
+    line, *lines = head.rstrip("\r\n").split("\r\n")
+    method, target, _ = line.split(" ")
+    headers = {}
+    for text in lines:
+        name, _, value = text.partition(":")
+        headers[name.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return WorkerRequest(method, target, headers, body)
+
+
+def make_answer(
+    request: WorkerRequest, body: bytes = b"ok", status: int = 200, **headers: str
+) -> bytes:
+    """Return the bytes of a whole answer; a header `X_Y` is sent as ``X-Y``."""
+    fields = {
+        "X-Request-Attempt-Id": request.request_id,
+        "X-Response-Signature": SIGNATURE,
+        "Content-Length": str(len(body)),
+    }
+    fields |= {name.replace("_", "-"): value for name, value in headers.items()}
+    lines = [f"HTTP/1.1 {status} Status"]
+    lines += [f"{name}: {value}" for name, value in fields.items() if value]
+    return "\r\n".join(lines).encode() + HEAD_END + body
+
+
+def make_stream_head(request: WorkerRequest) -> bytes:
+    """Return the head of a stream of events."""
+    lines = [
+        "HTTP/1.1 200 OK",
+        f"X-Request-Attempt-Id: {request.request_id}",
+        f"X-Response-Signature: {SIGNATURE}",
+        "Content-Type: text/event-stream",
+        "Transfer-Encoding: chunked",
+    ]
+    return "\r\n".join(lines).encode() + HEAD_END
+
+
+def make_chunk(data: bytes) -> bytes:
+    """Return a chunk; an empty one ends the body."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def make_event(number: int) -> bytes:
+    """Return an event of a stream."""
+    return b"id: %d\ndata: word-%d\n\n" % (number, number)
+
+
+async def answer_ok(request: WorkerRequest, writer: asyncio.StreamWriter) -> None:
+    """Answer as a sound worker does."""
+    writer.write(make_answer(request))
+
+
+async def refuse_full(request: WorkerRequest, writer: asyncio.StreamWriter) -> None:
+    """Refuse as a full worker does."""
+    writer.write(
+        make_answer(request, b"", 503, X_Not_Executed="1", X_Response_Signature="")
+    )
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,77 @@
+import pytest
+
+from tamarackrill.decisions.attempts import (
+    CONNECTS_MAX,
+    RETURN_MIN_S,
+    RETURN_SPREAD_S,
+    Tried,
+    add_attempt,
+    choose_return_s,
+    decide_next,
+)
+
+
+def follow(outcomes, may_repeat, attempts_max=2, repeats_left=9.0, time_left_s=1.0):
+    tried = Tried()
+    for outcome in outcomes:
+        tried = add_attempt(tried, outcome)
+    return decide_next(
+        outcomes[-1], tried, may_repeat, attempts_max, repeats_left, time_left_s
+    )
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "may_repeat", "following"),
+    [
+        (["failed"], True, "repeat"),
+        (["failed", "failed"], True, "answer"),
+        (["failed"], False, "answer"),
+        (["lost"], True, "repeat"),
+        (["lost", "lost"], True, "give_up"),
+        (["lost"], False, "give_up"),
+        (["not_run"], True, "repeat"),
+        (["not_run"], False, "repeat"),
+        (["not_run", "not_run"], False, "refuse"),
+        (["misplaced", "misplaced"], False, "refuse"),
+        (["lost", "not_run"], True, "give_up"),
+        (["not_sent"], False, "repeat"),
+        (["not_sent", "not_sent", "lost"], False, "give_up"),
+        (["not_sent", "not_sent", "not_run"], False, "repeat"),
+        (["not_sent"] * CONNECTS_MAX, True, "refuse"),
+    ],
+)
+def test_next_step(outcomes, may_repeat, following):
+    assert follow(outcomes, may_repeat) == following
+
+
+def test_request_that_may_have_run_is_never_told_that_it_has_not():
+    # A confirmation is sent, and its connection breaks.  The worker may have run it; a
+    # client that is told otherwise sends it again, and a family is billed twice.
+    assert follow(["lost"], may_repeat=False) == "give_up"
+    assert follow(["lost"], may_repeat=False, repeats_left=0.0) == "give_up"
+
+
+def test_spent_budget_ends_the_attempts():
+    assert follow(["failed"], True, repeats_left=0.9) == "answer"
+    assert follow(["not_run"], True, repeats_left=0.9) == "refuse"
+
+
+def test_what_was_not_sent_costs_no_budget():
+    assert follow(["not_sent"], True, repeats_left=0.0) == "repeat"
+
+
+def test_no_attempt_is_begun_without_time():
+    assert follow(["lost"], True, time_left_s=0.01) == "give_up"
+
+
+def test_one_endpoint_is_all_that_such_a_route_allows():
+    assert follow(["not_run"], True, attempts_max=1) == "refuse"
+
+
+def test_returns_are_spread():
+    # A full service refuses a hundred requests in one moment.  Were all told the same
+    # time, they would come back together and be refused together.
+    found = [choose_return_s(f"request-{n}") for n in range(200)]
+    assert min(found) >= RETURN_MIN_S
+    assert max(found) <= RETURN_MIN_S + RETURN_SPREAD_S
+    assert len({round(wait_s, 1) for wait_s in found}) >= 5
--- /dev/null
+++ b/tests/test_edge.py
@@ -0,0 +1,541 @@
+"""The platform's interface over sockets: what clients and workers see."""
+
+import asyncio
+
+import pytest
+
+from tamarackrill.testing.edge import (
+    KEY,
+    TEAM,
+    EdgeClient,
+    EdgeFleet,
+    ask,
+    make_route,
+    read_reason,
+)
+from tamarackrill.testing.worker import (
+    SIGNATURE,
+    make_answer,
+    make_chunk,
+    make_event,
+    make_stream_head,
+    refuse_full,
+)
+
+LOOKUP = make_route("/lookup/", "idempotent")
+CONFIRM = make_route("/confirm/", "non_idempotent", attempts=1)
+STREAM = make_route("/stream/", "streaming", stream_resume=True)
+STREAM_ONCE = make_route("/once/", "streaming", attempts=1)
+OPEN = make_route("/open/", "idempotent", anonymous=True)
+ROUTES = (LOOKUP, CONFIRM, STREAM, STREAM_ONCE, OPEN)
+
+
+def play(act):
+    async def run():
+        async with EdgeFleet() as fleet:
+            await fleet.put_manifest(1, *ROUTES)
+            await act(fleet)
+
+    asyncio.run(run())
+
+
+async def break_off(request, writer):
+    writer.transport.abort()
+
+
+def in_turn(first, *rest):
+    """Return a behaviour that workers share: each request gets the next of them."""
+    left = [first, *rest]
+
+    async def act(request, writer):
+        behave = left.pop(0) if len(left) > 1 else left[0]
+        await behave(request, writer)
+
+    return act
+
+
+def streaming(first, last, is_cut=False):
+    async def act(request, writer):
+        writer.write(make_stream_head(request))
+        start = int(request.headers.get("last-event-id", first - 1)) + 1
+        for number in range(start, last + 1):
+            writer.write(make_chunk(make_event(number)))
+        if is_cut:
+            writer.write(make_chunk(make_event(last + 1)[:5]))
+            await writer.drain()
+            writer.close()
+        else:
+            writer.write(make_chunk(b""))
+
+    return act
+
+
+def test_answer_comes_back_unchanged_and_the_worker_gets_what_it_needs():
+    async def act(fleet):
+        worker = await fleet.add_worker("w1")
+        router = await fleet.add_router()
+        answer = await ask(router, "/confirm/a?b=1", body=b"hello", X_Hold="stolen")
+        assert (answer.status, answer.body) == (200, b"ok")
+        assert answer.headers["x-response-signature"] == SIGNATURE
+        (request,) = worker.requests
+        assert (request.target, request.body) == ("/confirm/a?b=1", b"hello")
+        assert request.headers["x-tenant-id"] == TEAM
+        assert request.headers["x-expect-instance"] == "w1"
+        assert 0 < int(request.headers["x-deadline-ms"]) <= 3000
+        assert not {"x-api-key", "x-hold"} & request.headers.keys()
+
+    play(act)
+
+
+def test_body_in_chunks_reaches_the_worker_whole():
+    async def act(fleet):
+        worker = await fleet.add_worker("w1")
+        router = await fleet.add_router()
+        chunks = make_chunk(b"one ") + make_chunk(b"two") + make_chunk(b"")
+        client = await EdgeClient.connect(router)
+        client.send(
+            "/confirm/a", body=b"", Content_Length="", Transfer_Encoding="chunked"
+        )
+        client.writer.write(chunks)
+        assert (await client.read()).status == 200
+        assert worker.requests[0].body == b"one two"
+        client.close()
+
+    play(act)
+
+
+@pytest.mark.parametrize(
+    ("target", "headers", "status", "reason"),
+    [
+        ("/nowhere/a", {}, 404, "no_route"),
+        ("/lookup/a", {"X_Api_Key": "wrong"}, 401, "unknown_key"),
+        ("/lookup/a", {"X_Api_Key": ""}, 401, "unknown_key"),
+        ("/lookup/a", {"X_Long": "x" * 20_000}, 431, "head_too_long"),
+        ("/lookup/a", {"Host": "other.example"}, 404, "no_route"),
+    ],
+)
+def test_what_the_manifest_does_not_allow_reaches_no_worker(
+    target, headers, status, reason
+):
+    async def act(fleet):
+        worker = await fleet.add_worker("w1")
+        router = await fleet.add_router()
+        answer = await ask(router, target, **headers)
+        assert (answer.status, read_reason(answer)) == (status, reason)
+        assert not worker.requests
+
+    play(act)
+
+
+def test_body_beyond_the_limit_is_refused():
+    async def act(fleet):
+        worker = await fleet.add_worker("w1")
+        router = await fleet.add_router()
+        answer = await ask(router, "/lookup/a", body=b"x" * 70_000)
+        assert answer.status == 413
+        assert not worker.requests
+
+    play(act)
+
+
+def test_route_without_keys_serves_anyone():
+    async def act(fleet):
+        worker = await fleet.add_worker("w1")
+        router = await fleet.add_router()
+        assert (await ask(router, "/open/a", X_Api_Key="")).status == 200
+        assert "x-tenant-id" not in worker.requests[0].headers
+
+    play(act)
+
+
+def test_router_without_a_manifest_promises_that_nothing_ran():
+    # A router starts while the store is away, and nobody else has a manifest.  A 404
+    # or 401 would tell a client that its request is wrong, and it would not come back.
+    async def act(fleet):
+        fleet.store.status = 503
+        router = fleet.make_router("alone")
+        await router.start()
+        answer = await ask(router, "/lookup/a")
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0
+        assert not router.is_ready()
+
+    play(act)
+
+
+def test_lookup_that_fails_at_one_worker_is_served_by_another():
+    async def act(fleet):
+        async def fail(request, writer):
+            writer.write(make_answer(request, b"broken", 500))
+
+        failing = await fleet.add_worker("w1", fail)
+        sound = await fleet.add_worker("w2")
+        router = await fleet.add_router()
+        for number in range(6):
+            answer = await ask(router, "/lookup/a", f"id-{number}")
+            assert answer.status == 200
+        assert failing.requests
+        assert len(sound.requests) == 6
+
+    play(act)
+
+
+def test_failure_that_no_attempt_mends_is_passed_on_as_it_is():
+    async def act(fleet):
+        async def fail(request, writer):
+            writer.write(make_answer(request, b"broken", 500))
+
+        for name in ("w1", "w2", "w3"):
+            await fleet.add_worker(name, fail)
+        router = await fleet.add_router()
+        answer = await ask(router, "/lookup/a")
+        assert (answer.status, answer.body) == (500, b"broken")
+        assert answer.headers["x-response-signature"] == SIGNATURE
+        assert sum(len(worker.requests) for worker in fleet.workers) == 2
+
+    play(act)
+
+
+def test_confirmation_whose_answer_is_lost_is_not_sent_again():
+    # A worker takes a confirmation and its connection breaks.  It may have run; sent to
+    # another worker it would run twice, and a family would be billed twice.
+    async def act(fleet):
+        for name in ("w1", "w2"):
+            await fleet.add_worker(name, break_off)
+        router = await fleet.add_router()
+        answer = await ask(router, "/confirm/a", body=b"x")
+        assert answer.status == 502
+        assert "retry-after" not in answer.headers
+        assert sum(len(worker.requests) for worker in fleet.workers) == 1
+
+    play(act)
+
+
+def test_confirmation_that_a_full_worker_refused_is_promised_not_to_have_run():
+    async def act(fleet):
+        await fleet.add_worker("w1", refuse_full)
+        router = await fleet.add_router()
+        answer = await ask(router, "/confirm/a", body=b"x")
+        assert answer.status == 503
+        assert 0 < float(answer.headers["retry-after"]) < 1
+
+    play(act)
+
+
+def test_dark_worker_costs_no_answer():
+    # A worker's process has ended, and the store still lists it.  Its port refuses;
+    # nothing was sent, so even a confirmation may go to the next worker.
+    async def act(fleet):
+        dead = await fleet.add_worker("w1")
+        await dead.stop()
+        await fleet.add_worker("w2")
+        router = await fleet.add_router()
+        for number in range(4):
+            answer = await ask(router, "/confirm/a", f"id-{number}", body=b"x")
+            assert answer.status == 200
+
+    play(act)
+
+
+def test_worker_at_another_address_by_now_does_not_end_the_request():
+    async def act(fleet):
+        async def misplace(request, writer):
+            writer.write(make_answer(request, b"", 421, X_Response_Signature=""))
+
+        await fleet.add_worker("w1", misplace)
+        await fleet.add_worker("w2")
+        router = await fleet.add_router()
+        for number in range(4):
+            assert (await ask(router, "/lookup/a", f"id-{number}")).status == 200
+
+    play(act)
+
+
+def test_second_answer_to_an_earlier_request_is_not_taken_for_the_next():
+    # A faulty worker sends each answer twice.  The second one waits where the answer
+    # to the next request is expected; a client would read another client's answer.
+    async def act(fleet):
+        async def twice(request, writer):
+            own = make_answer(request, b"for " + request.request_id.encode())
+            writer.write(own + own)
+
+        await fleet.add_worker("w1", twice)
+        router = await fleet.add_router()
+        for number in range(5):
+            answer = await ask(router, "/lookup/a", f"id-{number}")
+            assert answer.body == b"for id-%d" % number
+
+    play(act)
+
+
+def test_late_second_answer_on_a_kept_connection_is_read_over():
+    async def act(fleet):
+        held = []
+
+        async def behind(request, writer):
+            # The extra answer leaves just ahead of the next one.
+            for extra in held:
+                writer.write(extra)
+            held[:] = [make_answer(request, b"extra")]
+            writer.write(make_answer(request, b"for " + request.request_id.encode()))
+
+        worker = await fleet.add_worker("w1", behind)
+        router = await fleet.add_router()
+        for number in range(5):
+            answer = await ask(router, "/lookup/a", f"id-{number}")
+            assert answer.body == b"for id-%d" % number
+        assert worker.connections == 1
+
+    play(act)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [{"X_Response_Signature": ""}, {"Content_Encoding": "gzip"}],
+)
+def test_success_without_proof_is_no_success(fields):
+    async def act(fleet):
+        async def forge(request, writer):
+            writer.write(make_answer(request, b"forged", **fields))
+
+        await fleet.add_worker("w1", forge)
+        router = await fleet.add_router()
+        answer = await ask(router, "/confirm/a", body=b"x")
+        assert answer.status == 502
+        assert b"forged" not in answer.body
+
+    play(act)
+
+
+def test_truncated_answer_never_looks_whole():
+    async def act(fleet):
+        async def truncate(request, writer):
+            writer.write(make_answer(request, b"a whole answer")[:-5])
+            await writer.drain()
+            writer.close()
+
+        await fleet.add_worker("w1", truncate)
+        router = await fleet.add_router()
+        assert (await ask(router, "/confirm/a", body=b"x")).status == 502
+
+    play(act)
+
+
+def test_answer_without_length_ends_with_its_connection():
+    async def act(fleet):
+        async def unframed(request, writer):
+            writer.write(make_answer(request, b"all of it", Content_Length=""))
+            await writer.drain()
+            writer.close()
+
+        await fleet.add_worker("w1", unframed)
+        router = await fleet.add_router()
+        answer = await ask(router, "/confirm/a", body=b"x")
+        assert (answer.status, answer.body) == (200, b"all of it")
+
+    play(act)
+
+
+def test_stream_goes_on_at_another_worker_within_one_answer():
+    # A worker crashes in the middle of an event.  The client must see each event once
+    # and the answer's end, with the headers of the first worker.
+    async def act(fleet):
+        cut_first = in_turn(streaming(1, 3, is_cut=True), streaming(1, 6))
+        workers = [await fleet.add_worker(name, cut_first) for name in ("w1", "w2")]
+        router = await fleet.add_router()
+        answer = await ask(router, "/stream/a", body=b"x")
+        assert answer.is_whole
+        assert answer.body == b"".join(make_event(number) for number in range(1, 7))
+        sent = [request for worker in workers for request in worker.requests]
+        assert {r.headers.get("last-event-id") for r in sent} == {None, "3"}
+        assert [len(worker.requests) for worker in workers] == [1, 1]
+
+    play(act)
+
+
+def test_stream_that_may_not_repeat_is_cut_and_not_completed():
+    async def act(fleet):
+        await fleet.add_worker("w1", streaming(1, 3, is_cut=True))
+        await fleet.add_worker("w2", streaming(1, 3, is_cut=True))
+        router = await fleet.add_router()
+        answer = await ask(router, "/once/a", body=b"x")
+        assert not answer.is_whole
+        assert answer.body == b"".join(make_event(number) for number in range(1, 4))
+
+    play(act)
+
+
+def test_worker_stops_when_its_client_leaves():
+    # A client gives up.  A worker that went on would spend its slots on an answer that
+    # nobody reads.
+    async def act(fleet):
+        begun = asyncio.Event()
+
+        async def hang(request, writer):
+            begun.set()
+            await asyncio.Event().wait()
+
+        worker = await fleet.add_worker("w1", hang)
+        router = await fleet.add_router()
+        client = await EdgeClient.connect(router)
+        client.send("/confirm/a", body=b"x")
+        await begun.wait()
+        client.close()
+        await worker.closed.wait()
+
+    play(act)
+
+
+def test_request_is_answered_at_its_routes_timeout():
+    # A worker falls silent.  The client is told in time that the outcome is unknown,
+    # and the worker is let go.
+    async def act(fleet):
+        async def hang(request, writer):
+            await asyncio.Event().wait()
+
+        await fleet.put_manifest(2, {**CONFIRM, "timeout_ms": 300})
+        await fleet.add_worker("w1", hang)
+        router = await fleet.add_router()
+        answer = await ask(router, "/confirm/a", body=b"x")
+        assert answer.status == 504
+
+    play(act)
+
+
+def test_change_of_the_manifest_is_in_force_without_a_restart():
+    async def act(fleet):
+        await fleet.add_worker("w1")
+        router = await fleet.add_router()
+        assert (await ask(router, "/new/a")).status == 404
+        await fleet.put_manifest(2, *ROUTES, make_route("/new/", "idempotent"))
+        await fleet.wait(lambda: router.view.routes.manifest.version == 2)
+        assert (await ask(router, "/new/a")).status == 200
+
+    play(act)
+
+
+def test_watch_that_the_store_forgot_does_not_keep_an_old_manifest_in_force():
+    # The store drops its history while watches wait.  They neither report the change
+    # made meanwhile nor end, though their connections live.  A key that was taken away
+    # would go on being served for as long as such a watch is believed.
+    async def act(fleet):
+        await fleet.add_worker("w1")
+        router = await fleet.add_router()
+        fleet.store.is_deaf = True
+        watches = len(fleet.store.calls)
+        await fleet.wait(lambda: len(fleet.store.calls) >= watches + 2)
+        await fleet.put_manifest(2, LOOKUP)
+        await fleet.store.forget_history()
+        await fleet.wait(lambda: router.view.routes.manifest.version == 2)
+        assert (await ask(router, "/open/a")).status == 404
+
+    play(act)
+
+
+def test_draining_worker_gets_no_new_work():
+    async def act(fleet):
+        leaving = await fleet.add_worker("w1")
+        await fleet.add_worker("w2")
+        router = await fleet.add_router()
+        await fleet.store.write(
+            "servers", "w1", leaving.describe("desk", state="draining")
+        )
+        await fleet.wait(lambda: len(router.view.list_live("desk")) == 1)
+        for number in range(6):
+            assert (await ask(router, "/lookup/a", f"id-{number}")).status == 200
+        assert not leaving.requests
+
+    play(act)
+
+
+def test_removed_worker_gets_no_new_work():
+    async def act(fleet):
+        gone = await fleet.add_worker("w1")
+        await fleet.add_worker("w2")
+        router = await fleet.add_router()
+        await fleet.store.write("servers", "w1", None)
+        await fleet.wait(lambda: len(router.view.list_live("desk")) == 1)
+        for number in range(6):
+            assert (await ask(router, "/lookup/a", f"id-{number}")).status == 200
+        assert not gone.requests
+
+    play(act)
+
+
+def test_router_that_the_store_turns_away_hears_of_a_taken_key_from_another():
+    # The store turns one router away and serves the others.  Without the others' word
+    # it would serve a key that was taken away, for as long as that lasts.
+    async def act(fleet):
+        await fleet.add_worker("w1")
+        first = await fleet.add_router("a")
+        second = await fleet.add_router("b")
+        await fleet.wait(lambda: len(first.members.list_live()) == 2)
+        await second.configurer.stop()
+        second.configurer._report(lost=True, reason="turned away")
+        await fleet.put_manifest(2, LOOKUP)
+        await fleet.wait(lambda: second.view.routes.manifest.version == 2)
+
+    play(act)
+
+
+def test_stopping_router_finishes_what_it_has_read():
+    # A router is told to stop while a worker is at work.  The answer must still come,
+    # whole, and tell the client that the connection ends.
+    async def act(fleet):
+        begun, may_end = asyncio.Event(), asyncio.Event()
+
+        async def slow(request, writer):
+            begun.set()
+            await may_end.wait()
+            writer.write(make_answer(request))
+
+        await fleet.add_worker("w1", slow)
+        router = await fleet.add_router()
+        client = await EdgeClient.connect(router)
+        client.send("/confirm/a", body=b"x")
+        await begun.wait()
+        draining = asyncio.create_task(router.drain())
+        await fleet.wait(lambda: not router.is_ready())
+        may_end.set()
+        assert (await client.read()).status == 200
+        late = await ask(router, "/confirm/a", "id-2", body=b"x")
+        assert (late.status, late.headers["connection"]) == (200, "close")
+        await draining
+        client.close()
+
+    play(act)
+
+
+def test_request_that_crashes_workers_stops_at_the_second():
+    # One request crashes each worker that runs it, and its client sends it again.
+    # Without a count it would take down every worker of the service.
+    async def act(fleet):
+        def crash(worker):
+            async def act_once(request, writer):
+                writer.transport.abort()
+                await worker.stop()
+
+            return act_once
+
+        for name in ("w1", "w2", "w3", "w4", "w5"):
+            worker = await fleet.add_worker(name)
+            worker.behave = crash(worker)
+        router = await fleet.add_router()
+        for number in range(6):
+            await ask(router, "/confirm/a", f"id-{number}", body=b"poison")
+            await asyncio.gather(*router.flow._checks)
+        assert sum(len(worker.requests) for worker in fleet.workers) == 2
+        answer = await ask(router, "/confirm/a", "id-9", body=b"poison")
+        assert (answer.status, read_reason(answer)) == (503, "poison")
+
+    play(act)
+
+
+def test_key_is_in_no_log_line(caplog):
+    async def act(fleet):
+        await fleet.add_worker("w1")
+        router = await fleet.add_router()
+        await ask(router, "/lookup/a")
+
+    play(act)
+    assert KEY not in caplog.text
--- /dev/null
+++ b/tests/test_lapses.py
@@ -0,0 +1,36 @@
+from tamarackrill.decisions.lapses import LAPSE_GRACE_S, Lapses
+
+
+def test_removal_in_calm_is_the_end():
+    lapses = Lapses()
+    lapses.observe_store(False, 0.0)
+    assert not lapses.observe_removed("a", 10.0)
+
+
+def test_entries_that_lapse_during_an_outage_are_held():
+    # Heartbeats fail while the store is away, and all entries lapse.  A router that
+    # dropped them would refuse every client until they are written again.
+    lapses = Lapses()
+    lapses.observe_store(True, 0.0)
+    assert lapses.observe_removed("a", 5.0)
+    assert lapses.expire(60.0) == []
+    lapses.observe_store(False, 61.0)
+    assert lapses.expire(61.0 + LAPSE_GRACE_S - 0.1) == []
+    assert lapses.expire(61.0 + LAPSE_GRACE_S) == ["a"]
+    assert lapses.expire(100.0) == []
+
+
+def test_list_after_an_outage_that_misses_entries_is_no_news_of_their_end():
+    lapses = Lapses()
+    lapses.observe_store(True, 0.0)
+    lapses.observe_store(False, 5.0)
+    assert lapses.observe_removed("a", 5.1)
+    lapses.observe_present("a")
+    assert lapses.expire(60.0) == []
+
+
+def test_removal_long_after_an_outage_is_the_end():
+    lapses = Lapses()
+    lapses.observe_store(True, 0.0)
+    lapses.observe_store(False, 5.0)
+    assert not lapses.observe_removed("a", 5.0 + LAPSE_GRACE_S)
