Watch the store once a zone; ask for cut paths aside; allow one request beyond the bound

Zone news: the first router of a zone watches the store and tells the others how fresh its evidence is; each of the others asks itself once that is older than 1.6 s. Ruled out: stale watches, which are seconds behind; a watch of one router for all, which a cut zone would lose.

Paths: a connection that was not made marks its endpoint until a connection of the router's own finds the path back, and has three more of the zone asked. Cause: in a cut zone each request tried the far ends of four paths, a quarter of a second each.

Bound: ceil(1.5 x mean) + 1. Cause: at a mean of two requests a burst of one session went on to endpoints that had to read its prompt first.

--- a/src/tamarackrill/decisions/routing.py
+++ b/src/tamarackrill/decisions/routing.py
@@ -77,7 +77,7 @@
     bound: int = 0
 
 
-def compute_bound(load_factor: float, total: int, count: int) -> int:
+def compute_bound(load_factor: float, total: int, count: int, slack: int = 0) -> int:
     """Return the most requests that one of `count` endpoints may have in flight.
 
     Parameters
@@ -88,13 +88,15 @@
         Requests in flight at all of them, counting the one to be placed.
     count : int
         Number of endpoints.
+    slack : int, default=0
+        Requests beyond the multiple.
 
     Returns
     -------
     int
         At least 1, and such that an endpoint below it always exists.
     """
-    return max(1, math.ceil(load_factor * total / count))
+    return max(1, math.ceil(load_factor * total / count) + slack)
 
 
 class Placement:
@@ -109,6 +111,10 @@
         Load estimates.
     cache : CacheIndex, optional
         Known prefixes.
+    slack : int, default=0
+        Requests beyond the multiple that an endpoint may have.  At a mean of two
+        requests, a burst of one session would otherwise be sent on to endpoints that
+        have to read its prompt first, though nothing waits where it is cached.
     """
 
     def __init__(
@@ -116,7 +122,9 @@
         load_factor: float = LOAD_FACTOR_DEFAULT,
         loads: Loads | None = None,
         cache: CacheIndex | None = None,
+        slack: int = 0,
     ) -> None:
+        self.slack = slack
         self.load_factor = load_factor
         self.loads = Loads() if loads is None else loads
         self.cache = CacheIndex() if cache is None else cache
@@ -192,7 +200,8 @@
     ) -> tuple[int, dict[str, int]]:
         """Return the bound, and the load of each endpoint that is below its own."""
         estimates = self.loads.estimate(list(live), now_s)
-        bound = compute_bound(self.load_factor, sum(estimates) + 1, len(live))
+        total = sum(estimates) + 1
+        bound = compute_bound(self.load_factor, total, len(live), self.slack)
         free = {}
         for (name, endpoint), load in zip(live.items(), estimates, strict=True):
             share = shares.get(name, 1.0)
--- /dev/null
+++ b/src/tamarackrill/decisions/watching.py
@@ -0,0 +1,137 @@
+"""Which routers of a zone watch the store, and when the others do so themselves.
+
+Load pattern: every router has to hear of each change within seconds, and every call to
+the store has its price, a waiting watch included.  Were each router to watch, 60 of
+them would make some 6,600 calls in a minute in which little changes, and the calls
+would grow with the fleet, which the store's rates do not.
+
+So the first router of a zone, in an order that all of its members compute alike,
+watches, and tells the others what it holds and how fresh its evidence is: when the
+store last answered it.  The others believe it only for as long as that evidence is
+younger than `trust_s`.  Whether the watcher is killed, frozen, cut off, deaf or its
+datagrams are lost, they see the same thing, evidence that grows old, and ask the store
+themselves.  They start one after the other, so that a watcher's loss is not sixty calls
+at once: whoever is first has evidence to tell the others.
+
+Nothing is ever taken to be newer than the store said: news is only a reason to ask.
+"""
+
+import math
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from tamarackrill.decisions import hashing
+from tamarackrill.decisions.configuration import ConfigurationDigest
+
+# Between one router's start to ask the store and the next one's: an answer takes 4 ms,
+# and its news a few more.
+STAGGER_S = 0.04
+# Routers start at most so late after their trust has ended, however many there are.
+STAGGER_MAX_S = 0.2
+
+
+class Evidence(NamedTuple):
+    """What a router that asks the store itself holds of one kind of objects.
+
+    Parameters
+    ----------
+    age_s : float
+        Time since the store answered it.
+    digest : ConfigurationDigest
+        What it holds.
+    """
+
+    age_s: float
+    digest: ConfigurationDigest
+
+
+class Bulletin(NamedTuple):
+    """A message from a router that asks the store to the others of its zone.
+
+    Parameters
+    ----------
+    sender : str
+        Name of the router.
+    session : int
+        Start of its process, in ms since the epoch.
+    sequence : int
+        Rises with each bulletin of a session.
+    evidence : tuple of Evidence
+        One for each kind.
+    """
+
+    sender: str
+    session: int
+    sequence: int
+    evidence: tuple[Evidence, ...]
+
+
+class Watching:
+    """Whether one router asks the store itself.
+
+    Parameters
+    ----------
+    own : str
+        Name of this router.
+    zone : str
+        Its availability zone.
+    trust_s : float
+        Age at which another's evidence is no longer believed.
+    """
+
+    def __init__(self, own: str, zone: str, trust_s: float) -> None:
+        self._own = own
+        self._zone = zone
+        self._trust_s = trust_s
+        self._rank = 0
+        self._answered_s: dict[str, float] = {}
+        self._heard: dict[str, tuple[int, int]] = {}
+        self._trusted_until_s: dict[str, float] = {}
+
+    @property
+    def is_watcher(self) -> bool:
+        """Whether this router is the one that watches for its zone."""
+        return self._rank == 0
+
+    def set_members(self, names: Iterable[str]) -> None:
+        """Take the live routers of the zone, this one among them."""
+        members = sorted({*names, self._own})
+        order = hashing.rank(self._zone, members)
+        self._rank = order.index(self._own)
+
+    def observe_answer(self, kind: str, now_s: float) -> None:
+        """Take that the store has answered this router."""
+        self._answered_s[kind] = now_s
+
+    def hear(self, bulletin: Bulletin, now_s: float) -> bool:
+        """Take a bulletin; return whether it is news and not a late or double one."""
+        mark = (bulletin.session, bulletin.sequence)
+        if mark <= self._heard.get(bulletin.sender, (-1, -1)):
+            return False
+        self._heard[bulletin.sender] = mark
+        for evidence in bulletin.evidence:
+            kind = evidence.digest.kind
+            until_s = now_s - max(0.0, evidence.age_s) + self._trust_s
+            known_s = self._trusted_until_s.get(kind, -math.inf)
+            self._trusted_until_s[kind] = max(known_s, until_s)
+        return True
+
+    def find_wait_s(self, kind: str, now_s: float) -> float:
+        """Return for how long the evidence of others is still enough; 0 to ask now."""
+        if self.is_watcher:
+            return 0.0
+        until_s = self._trusted_until_s.get(kind, -math.inf)
+        stagger_s = min(STAGGER_MAX_S, STAGGER_S * (self._rank - 1))
+        return max(0.0, until_s + stagger_s - now_s)
+
+    def make_evidence(
+        self, digests: Iterable[ConfigurationDigest], now_s: float
+    ) -> tuple[Evidence, ...]:
+        """Return this router's own evidence; that of others is never passed on."""
+        found = []
+        for digest in digests:
+            answered_s = self._answered_s.get(digest.kind, -math.inf)
+            age_s = now_s - answered_s
+            if age_s < self._trust_s:
+                found.append(Evidence(age_s, digest))
+        return tuple(found)
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -284,6 +284,14 @@
     "Look whether the engine is reachable; the order is given again.",
 )
 
+WATCH_ROLE_CHANGED = Event(
+    3012,
+    "watch_role_changed",
+    _INFO,
+    ("is_watcher", "routers"),
+    "This router has become the one that watches the store for its zone, or another "
+    "one has; `routers` live in the zone.",
+)
 MANIFEST_IN_FORCE = Event(
     3011,
     "manifest_in_force",
@@ -320,6 +328,14 @@
     "No connection to an endpoint could be made; it is tried after all others.",
 )
 
+ENDPOINT_REACHED = Event(
+    5025,
+    "endpoint_reached",
+    _INFO,
+    ("endpoint", "zone"),
+    "An endpoint that could not be reached can be again.",
+)
+
 # 6000: objects of the platform
 OBJECT_FAULTY = Event(
     6001,
--- /dev/null
+++ b/src/tamarackrill/protocol/bulletin_codec.py
@@ -0,0 +1,76 @@
+"""Encoding and proof of origin of bulletins; see `decisions.watching`."""
+
+from pathlib import Path
+from typing import Any
+
+import thriftpy2
+from thriftpy2.protocol.compact import TCompactProtocol
+from thriftpy2.transport import TMemoryBuffer
+
+from tamarackrill.decisions.configuration import ConfigurationDigest
+from tamarackrill.decisions.watching import Bulletin, Evidence
+from tamarackrill.protocol.codec import (
+    DIGEST_BYTES,
+    from_signed,
+    sign,
+    to_signed,
+    verify,
+)
+
+_CONTEXT = b"bulletin\0"
+_idl = thriftpy2.load(
+    str(Path(__file__).with_name("bulletins.thrift")), module_name="bulletins_thrift"
+)
+
+
+def encode_bulletin(bulletin: Bulletin, keys: tuple[str, ...]) -> bytes:
+    """Return the datagram of a bulletin, signed with the first key."""
+    struct = _idl.Bulletin(
+        sender=bulletin.sender,
+        session=bulletin.session,
+        sequence=bulletin.sequence,
+        evidence=[_write_evidence(evidence) for evidence in bulletin.evidence],
+    )
+    buffer = TMemoryBuffer()
+    struct.write(TCompactProtocol(buffer))
+    payload = buffer.getvalue()
+    return sign(_CONTEXT + payload, keys[0]) + payload
+
+
+def decode_bulletin(datagram: bytes, keys: tuple[str, ...]) -> Bulletin | None:
+    """Return the bulletin of a datagram, or None if it holds none of a peer's."""
+    digest, payload = datagram[:DIGEST_BYTES], datagram[DIGEST_BYTES:]
+    if not verify(digest, _CONTEXT + payload, keys):
+        return None
+    struct = _idl.Bulletin()
+    try:
+        struct.read(TCompactProtocol(TMemoryBuffer(payload)))
+        evidence = tuple(_read_evidence(item) for item in struct.evidence)
+        return Bulletin(
+            str(struct.sender), int(struct.session), int(struct.sequence), evidence
+        )
+    # The parser raises whatever the bytes lead it to; a peer of a later release must
+    # not be able to end the task that reads the socket.
+    except Exception:
+        return None
+
+
+def _write_evidence(evidence: Evidence) -> Any:
+    digest = evidence.digest
+    return _idl.Evidence(
+        kind=digest.kind,
+        age_ms=round(evidence.age_s * 1000),
+        complete=digest.complete,
+        newest=digest.newest,
+        content=to_signed(digest.content),
+    )
+
+
+def _read_evidence(struct: Any) -> Evidence:
+    digest = ConfigurationDigest(
+        str(struct.kind),
+        int(struct.complete),
+        int(struct.newest),
+        from_signed(struct.content),
+    )
+    return Evidence(struct.age_ms / 1000, digest)
--- /dev/null
+++ b/src/tamarackrill/protocol/bulletins.thrift
@@ -0,0 +1,17 @@
+// Bulletins from the routers of a zone that watch the store to the others, in Thrift's
+// compact form over UDP.  Field numbers are never used again.
+
+struct Evidence {
+  1: string kind
+  2: i32 age_ms
+  3: i64 complete
+  4: i64 newest
+  5: i64 content
+}
+
+struct Bulletin {
+  1: string sender
+  2: i64 session
+  3: i64 sequence
+  4: list<Evidence> evidence
+}
--- a/src/tamarackrill/protocol/codec.py
+++ b/src/tamarackrill/protocol/codec.py
@@ -107,13 +107,13 @@
         purpose=int(message.purpose),
         members=[_write_record(record) for record in message.members],
         page=[_write_record(record) for record in message.page] or None,
-        view=_to_signed(message.view),
+        view=to_signed(message.view),
         known=message.known,
         after=message.after or None,
         buckets=message.buckets or None,
         configuration=[
             _idl.ConfigurationDigest(
-                item.kind, item.complete, item.newest, _to_signed(item.content)
+                item.kind, item.complete, item.newest, to_signed(item.content)
             )
             for item in message.configuration
         ],
@@ -135,7 +135,7 @@
 def _write_entries(entries: Entries) -> dict[str, Any]:
     loads = [_idl.EndpointLoad(*item) for item in entries.loads]
     crashes = [
-        _idl.CrashCount(_to_signed(item.fingerprint), item.crashes)
+        _idl.CrashCount(to_signed(item.fingerprint), item.crashes)
         for item in entries.crashes
     ]
     lists = {"loads": loads, "crashes": crashes}
@@ -150,7 +150,7 @@
         Purpose(struct.purpose),
         tuple(_read_record(record) for record in struct.members),
         tuple(_read_record(record) for record in struct.page or ()),
-        struct.view % _I64_MODULUS,
+        from_signed(struct.view),
         struct.known + 0,
         struct.after or "",
         _read_buckets(struct.buckets),
@@ -175,7 +175,7 @@
         need_text(struct.kind),
         struct.complete + 0,
         struct.newest + 0,
-        struct.content % _I64_MODULUS,
+        from_signed(struct.content),
     )
 
 
@@ -185,7 +185,7 @@
         for item in struct.loads or ()
     ]
     crashes = [
-        CrashCount(item.fingerprint % _I64_MODULUS, item.crashes + 0)
+        CrashCount(from_signed(item.fingerprint), item.crashes + 0)
         for item in struct.crashes or ()
     ]
     return Entries(tuple(crashes), tuple(loads))
@@ -204,6 +204,11 @@
     return value
 
 
-def _to_signed(value: int) -> int:
+def to_signed(value: int) -> int:
     """Return an unsigned 64-bit hash as Thrift's i64."""
     return value - _I64_MODULUS if value >= _I64_LIMIT else value
+
+
+def from_signed(value: int) -> int:
+    """Return Thrift's i64 as an unsigned 64-bit hash."""
+    return value % _I64_MODULUS
--- a/src/tamarackrill/router/configuring.py
+++ b/src/tamarackrill/router/configuring.py
@@ -12,6 +12,7 @@
     ObjectVersion,
     needs_changes,
 )
+from tamarackrill.decisions.members import Entries
 from tamarackrill.decisions.membership import PeerHeard
 from tamarackrill.events import (
     CONFIGURATION_PULL_FAILED,
@@ -58,11 +59,18 @@
         Kinds of objects that are followed.
     retry_max_s : float, optional
         Longest pause between two calls that fail.
+    read_directly : tuple of str, optional
+        Kinds whose changes are too large to come from a peer.
 
     Attributes
     ----------
     on_store : callable
         Called with whether the platform is lost, at each outcome of a call.
+    on_answer : callable
+        Called with the kind that the platform has answered about.
+    find_rest_s : callable
+        ``find_rest_s(kind, now_s)`` returns for how long the platform need not be
+        asked, since another router's evidence is fresh.
     """
 
     def __init__(
@@ -74,10 +82,15 @@
         clock: Callable[[], float],
         kinds: tuple[str, ...] = KINDS,
         retry_max_s: float = RETRY_MAX_S,
+        read_directly: tuple[str, ...] = (),
     ) -> None:
+        self._read_directly = read_directly
         self._kinds = kinds
         self._retry_max_s = retry_max_s
         self.on_store: Callable[[bool], None] = lambda is_lost: None
+        self.on_answer: Callable[[str], None] = lambda kind: None
+        self.find_rest_s: Callable[[str, float], float] = lambda kind, now_s: 0.0
+        self._wanted = {kind: asyncio.Event() for kind in kinds}
         self._store = store
         self._platform = platform
         self._on_taken = on_taken
@@ -120,6 +133,22 @@
                 task = asyncio.create_task(self._pull_from(heard, digest.kind))
                 self._pulls[digest.kind] = task
 
+    def hear_news(self, sender: str, address: str, digest: ConfigurationDigest) -> None:
+        """Take what a router holds that the platform has just answered.
+
+        A manifest may be hundreds of kilobytes, which one router of a zone could not
+        send to all others in time; so the platform itself is asked for what is new.
+        Changes of endpoints are small, and come from the peer.
+        """
+        if not needs_changes(self._store.digest(digest.kind), digest):
+            return
+        if digest.kind in self._read_directly and not self._lost:
+            self._wanted[digest.kind].set()
+        elif digest.kind not in self._pulls:
+            heard = PeerHeard(sender, address, (digest,), Entries())
+            task = asyncio.create_task(self._pull_from(heard, digest.kind))
+            self._pulls[digest.kind] = task
+
     async def _pull_from(self, heard: PeerHeard, kind: str) -> None:
         since = self._store.get_complete(kind)
         try:
@@ -140,6 +169,7 @@
         wait_s: float | None = None
         retry_s = FIRST_RETRY_S
         while True:
+            wait_s = 0.0 if await self._rest(kind) else wait_s
             try:
                 await (self._list(kind) if must_list else self._watch(kind, wait_s))
                 must_list, wait_s, retry_s = False, None, FIRST_RETRY_S
@@ -157,13 +187,32 @@
                 await asyncio.sleep(retry_s * random.uniform(0.5, 1.0))
                 retry_s = min(self._retry_max_s, max(RETRY_MIN_S, retry_s * 2))
 
+    async def _rest(self, kind: str) -> bool:
+        """Wait as long as others' evidence is enough; return whether that was so."""
+        has_rested = False
+        wanted = self._wanted[kind]
+        while not wanted.is_set() and self._store.get_complete(kind):
+            rest_s = self.find_rest_s(kind, self._clock())
+            if rest_s <= 0.0:
+                break
+            has_rested = True
+            try:
+                async with asyncio.timeout(rest_s):
+                    await wanted.wait()
+            except TimeoutError:
+                continue
+        wanted.clear()
+        return has_rested
+
     async def _list(self, kind: str) -> None:
         listing = await self._platform.list(kind)
+        self.on_answer(kind)
         self._take(_to_changes(kind, listing, whole=True), "list")
 
     async def _watch(self, kind: str, wait_s: float | None) -> None:
         since = self._store.get_complete(kind)
         listing = await self._platform.watch(kind, since, wait_s)
+        self.on_answer(kind)
         self._take(_to_changes(kind, listing, whole=False), "watch")
 
     def _take(self, changes: Changes, source: str) -> None:
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -16,6 +16,7 @@
 from tamarackrill.decisions.members import Entries, MemberRecord, MemberState
 from tamarackrill.decisions.membership import PeerHeard
 from tamarackrill.decisions.poison import CrashCount
+from tamarackrill.decisions.watching import Watching
 from tamarackrill.events import (
     ROUTER_LEAVING,
     ROUTER_STARTED,
@@ -47,6 +48,7 @@
 )
 from tamarackrill.router.platform_client import PlatformClient, StoreTiming
 from tamarackrill.router.upstream import close_client, make_client
+from tamarackrill.router.zone_news import ZoneNews
 
 # A watch can fall silent though its connection lives: a store that drops its history
 # may neither report a change that was made meanwhile nor end the watch.  A change has
@@ -55,9 +57,13 @@
 STORE_TIMING = StoreTiming(call_s=0.5, watch_wait_s=1.0)
 # A store that was away is found back within this time; each call has its price.
 STORE_RETRY_MAX_S = 0.8
+# Evidence of another router is as old as its watch waits, and its bulletin may be lost
+# once; whoever then asks the store itself still has a change in force in two seconds.
+TRUST_S = 1.6
 # Named in the deploy file as well, which knows no ports of the day.
 METRICS_PORT = 9464
-HOUSEKEEPING_EVERY_S = 0.1
+# A bulletin a time costs a router of a zone of fifteen 9 KB/s inside the zone.
+HOUSEKEEPING_EVERY_S = 0.25
 # A balancer asks once a second and takes a router out after two misses; until then new
 # connections still arrive and are served.
 STILL_SERVED_S = 2.6
@@ -125,8 +131,9 @@
         self._router_client = make_client()
         self._listen_routers()
         self._listen_readiness()
-        await self._start_configuration()
+        self._make_configurer()
         await self._start_gossip()
+        await self.configurer.start()
         self.server.listen(settings.callers_address)
         self._tasks.append(asyncio.create_task(self._keep_house()))
         log_event(
@@ -163,7 +170,7 @@
         server.listen(int(port), host)
         self._servers.append(server)
 
-    async def _start_configuration(self) -> None:
+    def _make_configurer(self) -> None:
         platform = PlatformClient(
             self.settings.store_address,
             self.settings.zone,
@@ -179,9 +186,9 @@
             self.clock,
             (MANIFEST_KIND, ENDPOINT_KIND),
             STORE_RETRY_MAX_S,
+            (MANIFEST_KIND,),
         )
         self.configurer.on_store = self._note_store
-        await self.configurer.start()
 
     def _pull(self, address: str, kind: str, since: int) -> Awaitable[Changes]:
         return pull_changes(self._router_client, address, kind, since, self._peer_keys)
@@ -194,16 +201,27 @@
         for item in taken:
             self.view.take(item, now_s)
         self._forget_gone()
+        self.zone_news.tell()
 
     def _forget_gone(self) -> None:
         self.placer.take_endpoints(self.clock())
         self.flow.pool.retain(e.name for e in self.view.list_endpoints())
 
     async def _start_gossip(self) -> None:
+        # Above that of any earlier process of this name, as nothing is kept.
+        session = int(time.time() * 1000)
+        self.zone_news = ZoneNews(
+            Watching(self.settings.name, self.settings.zone, TRUST_S),
+            self.members,
+            self.configurer,
+            self._peer_socket.send,
+            self._peer_keys,
+            session,
+            self.clock,
+        )
         own = MemberRecord(
             self.settings.name,
-            # Above that of any earlier process of this name, as nothing is kept.
-            int(time.time() * 1000),
+            session,
             MemberState.ALIVE,
             self.settings.zone,
             self.members.own.address,
@@ -223,6 +241,7 @@
         self.gossiper.subscribe(self._hear_peer)
         self.gossiper.add_source(self._collect_entries)
         self.flow.tell_crash = self._tell_crash
+        self._peer_socket.handlers.append(self.zone_news.take_datagram)
         self._peer_socket.handlers.append(self.gossiper.take_datagram)
         await self.gossiper.start()
 
@@ -247,6 +266,9 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_EVERY_S)
             self.view.expire(self.clock())
+            self.flow.paths.ask_due()
+            self.zone_news.take_members()
+            self.zone_news.tell()
 
     def is_ready(self) -> bool:
         """Return whether the balancer may send new connections here."""
@@ -277,6 +299,7 @@
         await self.gossiper.stop()
         await self.configurer.stop()
         self._peer_socket.stop()
+        await self.flow.paths.stop()
         self.flow.pool.close()
         close_client(self._store_client)
         close_client(self._router_client)
--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -22,7 +22,6 @@
     CALL_CUT,
     CALL_REFUSED,
     CALL_SENT,
-    ENDPOINT_UNREACHED,
     log_event,
 )
 from tamarackrill.exceptions import Refusal
@@ -44,10 +43,8 @@
 from tamarackrill.router.edge_placing import EdgePlaced, EdgePlacer
 from tamarackrill.router.edge_reply import EdgeReply
 from tamarackrill.router.metrics import Metrics
+from tamarackrill.router.paths import CONNECT_TIMEOUT_S, Paths
 
-# A path inside a region takes 3 ms and a lost opening packet is sent again after a
-# second; by then another endpoint has answered.
-CONNECT_TIMEOUT_S = 0.25
 # An answer that an endpoint ends just at its deadline is on its way for so long.
 ANSWER_SLACK_S = 0.08
 # An endpoint of lookups that is silent for this many objectives is given up for
@@ -127,6 +124,7 @@
         self._retries: dict[str, RetryShare] = {}
         self._checks: set[asyncio.Task[None]] = set()
         self.pool = ChannelPool()
+        self.paths = Paths(placer.reach, placer.list_endpoints, self.pool.drop, clock)
         self.tell_crash: Callable[[int], None] = lambda fingerprint: None
 
     async def serve(self, call: EdgeCall, reply: EdgeReply) -> None:
@@ -211,15 +209,8 @@
         try:
             return await open_channel(endpoint.address, timeout_s)
         except OSError as error:
-            self._placer.reach.observe_failure(endpoint, self._clock())
-            self.pool.drop(endpoint.name)
+            self.paths.note_failure(endpoint, error)
             self._metrics.count("connects_failed", endpoint.zone)
-            log_event(
-                ENDPOINT_UNREACHED,
-                endpoint=endpoint.name,
-                zone=endpoint.zone,
-                detail=repr(error),
-            )
             return _Result("not_sent", repr(error))
 
     async def _exchange(
@@ -236,7 +227,7 @@
             async with asyncio.timeout_at(limit_s):
                 head, facts = await self._read_own_head(call, channel)
             first_s = self._clock() - started_s
-            self._placer.reach.observe_answer(placed.endpoint)
+            self.paths.note_answer(placed.endpoint)
             if facts.load is not None:
                 now_s = self._clock()
                 self._placer.placement.observe_report(
@@ -366,17 +357,17 @@
         # there any more has the process ended, and the request may be why.
         try:
             channel = await open_channel(placed.endpoint.address, CONNECT_TIMEOUT_S)
-        except ConnectionRefusedError:
-            now_s = self._clock()
-            name = placed.endpoint.name
-            self._placer.reach.observe_failure(placed.endpoint, now_s)
-            if self._placer.poison.observe_crash(call.fingerprint, name, now_s):
-                self.tell_crash(call.fingerprint)
-        except OSError:
-            self._placer.reach.observe_failure(placed.endpoint, self._clock())
+        except OSError as error:
+            self.paths.note_failure(placed.endpoint, error)
+            if isinstance(error, ConnectionRefusedError):
+                self._note_crash(call, placed.endpoint.name)
         else:
             channel.close()
 
+    def _note_crash(self, call: EdgeCall, name: str) -> None:
+        if self._placer.poison.observe_crash(call.fingerprint, name, self._clock()):
+            self.tell_crash(call.fingerprint)
+
     # What follows
 
     def _count_repeats_left(self, call: EdgeCall) -> float:
--- a/src/tamarackrill/router/edge_placing.py
+++ b/src/tamarackrill/router/edge_placing.py
@@ -13,6 +13,8 @@
 from tamarackrill.router.deployment_view import DeploymentView
 from tamarackrill.router.edge_calls import EdgeCall
 
+LOAD_FACTOR = 1.5
+LOAD_SLACK = 1
 # Requests at an endpoint beyond its slots, in multiples of them, before a router looks
 # on it as full: a lookup of 20 ms behind three others is still on time.
 QUEUE_MULTIPLE = 4
@@ -41,10 +43,11 @@
     def __init__(self, view: DeploymentView, zone: str) -> None:
         self._view = view
         self._zone = zone
-        self.placement = Placement()
+        self.placement = Placement(LOAD_FACTOR, slack=LOAD_SLACK)
         self.health = Health()
         self.poison = Poison()
         self.reach = Reach()
+        self.list_endpoints = view.list_endpoints
 
     def choose(
         self, call: EdgeCall, avoid: Collection[str], now_s: float
@@ -81,7 +84,7 @@
         """Return the candidates, the trusted ones first."""
         names = [endpoint.name for endpoint in candidates]
         healthy = set(self.health.find_allowed(names, now_s))
-        doubtful = self.reach.find_doubtful(candidates, now_s)
+        doubtful = self.reach.find_doubtful(candidates)
         suspected = self.poison.find_avoided(call.fingerprint, now_s)
         sound = [e for e in candidates if e.name in healthy and e.name not in doubtful]
         best = [e for e in sound if e.name not in suspected]
--- a/src/tamarackrill/router/sockets.py
+++ b/src/tamarackrill/router/sockets.py
@@ -8,9 +8,10 @@
 PROBE_IDLE_S = 1
 PROBE_EVERY_S = 1
 PROBES_MAX = 2
-# Bytes that were sent and not acknowledged for so long will never arrive; a
-# retransmission over a path of 3 ms is tried six times by then.
-UNACKNOWLEDGED_MAX_MS = 2_000
+# Bytes that were sent and not acknowledged for so long will never arrive: over a path
+# of 3 ms they have been sent three times by then.  A client leaves a stream after two
+# seconds of silence, and another endpoint still has to read its prompt.
+UNACKNOWLEDGED_MAX_MS = 700
 
 
 def probe_silence(sock: socket.socket) -> None:
