Take entries that end while one router is turned away as ended; refuse what can't be reached

A router that the store had turned away came to rest on the bulletins of its zone and counted the store as lost ever after; each entry that ended then was held as if it had lapsed in an outage.

Ruled out: late news; all routers had it within 10 ms.

A request for endpoints none of which can be reached is refused at once, and told to come back in a quarter to a third of the time it has left: before, it tried four timeouts in turn and its only return fell into the same cut.

--- a/src/tamarackrill/decisions/attempts.py
+++ b/src/tamarackrill/decisions/attempts.py
@@ -22,11 +22,16 @@
 # Endpoints of one service to which a connection may be tried and fail for a request;
 # each costs a timeout at worst, and nothing was sent.
 CONNECTS_MAX = 4
-# A client that was refused comes back after a time drawn from this range.  Work at full
-# endpoints ends at some ten a second each, so a place is free soon; spread over half a
-# second, the returns of one burst are not the next burst.
+# A client that full endpoints refused comes back after a time drawn from this range.
+# Work at full endpoints ends at some ten a second each, so a place is free soon; spread
+# over half a second, the returns of one burst are not the next burst.
 RETURN_MIN_S = 0.15
 RETURN_SPREAD_S = 0.5
+# Part of its time after which a client comes back to endpoints that can't be reached.
+# Cuts last seconds, and clients come back once or twice: the later the better, but one
+# that waits for more than a third of what it has left may not come back at all.
+CUT_RETURN_SHARE = 0.22
+CUT_RETURN_SPREAD_SHARE = 0.1
 
 
 class Tried(NamedTuple):
@@ -117,7 +122,21 @@
     return repeats_left >= 1.0
 
 
-def choose_return_s(key: str) -> float:
-    """Return when a refused client should come back, spread by its request."""
+def choose_return_s(key: str, is_cut: bool, time_left_s: float) -> float:
+    """Return when a refused client should come back, spread by its request.
+
+    Parameters
+    ----------
+    key : str
+        Identifies the request.
+    is_cut : bool
+        Whether its endpoints can't be reached, and not only full.
+    time_left_s : float
+        Until the client's deadline.
+    """
     share = hashing.hash_name(key) % 1000 / 1000
-    return RETURN_MIN_S + share * RETURN_SPREAD_S
+    soon_s = RETURN_MIN_S + share * RETURN_SPREAD_S
+    if not is_cut:
+        return soon_s
+    late_share = CUT_RETURN_SHARE + share * CUT_RETURN_SPREAD_SHARE
+    return max(RETURN_MIN_S, late_share * time_left_s)
--- a/src/tamarackrill/decisions/lapses.py
+++ b/src/tamarackrill/decisions/lapses.py
@@ -8,6 +8,10 @@
 
 So an entry that disappears while the store is away or has just come back is held for
 that time.  One that said it was leaving is not held, as its end is no surprise.
+
+Whoever can't reach the store hears of a missing entry from a router that can.  The
+store then answers again, so that such an entry is held no longer than that time either:
+it may just as well have ended while the store turned away this router alone.
 """
 
 import math
@@ -29,13 +33,12 @@
         """Take whether the store answers."""
         if self._is_lost and not is_lost:
             self._back_s = now_s
-            until_s = now_s + LAPSE_GRACE_S
-            self._held = {name: until_s for name in self._held}
         self._is_lost = is_lost
 
     def observe_removed(self, name: str, now_s: float) -> bool:
         """Take that an entry is missing; return whether it is held for now."""
-        until_s = math.inf if self._is_lost else self._back_s + LAPSE_GRACE_S
+        back_s = now_s if self._is_lost else self._back_s
+        until_s = back_s + LAPSE_GRACE_S
         if until_s <= now_s:
             return False
         self._held[name] = until_s
--- a/src/tamarackrill/decisions/reach.py
+++ b/src/tamarackrill/decisions/reach.py
@@ -18,8 +18,9 @@
 
 # The first pause: a path that is back is used again within half a second.
 PAUSE_MIN_S = 0.4
-# Paths are cut for seconds to minutes; asking costs a connection each time.
-PAUSE_MAX_S = 3.2
+# Paths are cut for seconds to minutes.  Asking costs a connection each time, and a path
+# that is back is of use at once: it may be the only one left.
+PAUSE_MAX_S = 0.8
 # Endpoints of the zone that are asked when one has failed: each that fails as well has
 # as many asked again, so that a hundred are known after four rounds.
 SUSPECTS_MAX = 3
--- a/src/tamarackrill/router/configuring.py
+++ b/src/tamarackrill/router/configuring.py
@@ -136,13 +136,20 @@
     def hear_news(self, sender: str, address: str, digest: ConfigurationDigest) -> None:
         """Take what a router holds that the platform has just answered.
 
+        It also tells that the platform answers.  A router that once was turned away and
+        no longer asks itself would otherwise count it as lost for ever, and take each
+        endpoint that ends for one whose entry has lapsed.
+
         A manifest may be hundreds of kilobytes, which one router of a zone could not
         send to all others in time; so the platform itself is asked for what is new.
         Changes of endpoints are small, and come from the peer.
         """
+        was_lost = self._lost
+        if self.find_rest_s(digest.kind, self._clock()) > 0.0:
+            self._report(lost=False)
         if not needs_changes(self._store.digest(digest.kind), digest):
             return
-        if digest.kind in self._read_directly and not self._lost:
+        if digest.kind in self._read_directly and not was_lost:
             self._wanted[digest.kind].set()
         elif digest.kind not in self._pulls:
             heard = PeerHeard(sender, address, (digest,), Entries())
--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -430,6 +430,12 @@
             total_s=total_s,
         )
 
+    def _find_client_left_s(self, call: EdgeCall) -> float:
+        waits_s = call.headers.wait_s
+        if waits_s is None:
+            return call.limit_s - self._clock()
+        return call.arrived_s + waits_s - self._clock()
+
     async def _end(
         self, progress: _Progress, reason: str, retry_after_s: float | None = None
     ) -> None:
@@ -458,7 +464,10 @@
             return
         if not tried.may_have_run:
             status = 503
-            wait_s = retry_after_s or choose_return_s(call.request_id)
+            is_cut = reason in ("no_endpoint", "not_sent")
+            wait_s = retry_after_s or choose_return_s(
+                call.request_id, is_cut, self._find_client_left_s(call)
+            )
         else:
             is_late = self._clock() >= call.limit_s
             status, wait_s = (504 if is_late else 502), None
--- a/src/tamarackrill/router/edge_placing.py
+++ b/src/tamarackrill/router/edge_placing.py
@@ -81,7 +81,11 @@
     def _list_pools(
         self, candidates: list[Endpoint], call: EdgeCall, now_s: float
     ) -> list[list[Endpoint]]:
-        """Return the candidates, the trusted ones first."""
+        """Return the candidates that can be reached, the trusted ones first.
+
+        A request for endpoints none of which can be reached is refused at once: it
+        would only wait for one timeout after the other, as those before it did.
+        """
         names = [endpoint.name for endpoint in candidates]
         healthy = set(self.health.find_allowed(names, now_s))
         doubtful = self.reach.find_doubtful(candidates)
@@ -89,7 +93,7 @@
         sound = [e for e in candidates if e.name in healthy and e.name not in doubtful]
         best = [e for e in sound if e.name not in suspected]
         reachable = [e for e in candidates if e.name not in doubtful]
-        return [best, sound, reachable, candidates]
+        return [best, sound, reachable]
 
     def _choose_among(
         self, call: EdgeCall, pool: list[Endpoint], now_s: float
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -71,7 +71,17 @@
 def test_returns_are_spread():
     # A full service refuses a hundred requests in one moment.  Were all told the same
     # time, they would come back together and be refused together.
-    found = [choose_return_s(f"request-{n}") for n in range(200)]
+    found = [choose_return_s(f"request-{n}", False, 3.0) for n in range(200)]
     assert min(found) >= RETURN_MIN_S
     assert max(found) <= RETURN_MIN_S + RETURN_SPREAD_S
     assert len({round(wait_s, 1) for wait_s in found}) >= 5
+
+
+@pytest.mark.parametrize("time_left_s", [0.6, 3.0, 15.0])
+def test_client_of_a_cut_zone_comes_back_late_but_in_time(time_left_s):
+    # A zone is cut off for six seconds.  A client that is told to come back at once
+    # spends its one retry while nothing has changed; one that is told more than a third
+    # of its time does not come back.
+    found = [choose_return_s(f"request-{n}", True, time_left_s) for n in range(200)]
+    assert max(found) <= time_left_s / 3
+    assert min(found) >= 0.2 * time_left_s
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -46,7 +46,7 @@
         while not reach.list_due(endpoints, now_s):
             now_s += 0.01
         pauses.append(round(now_s - began_s, 1))
-    assert pauses == [0.4, 0.8, 1.6, 3.2, 3.2, 3.2]
+    assert pauses == [0.4, 0.8, 0.8, 0.8, 0.8, 0.8]
     assert pauses[-1] == PAUSE_MAX_S
 
 
