Let new routers ask now and then; adopt a peer's revision; pause between watches

Now a router polls for its first 7 s (each 1.36 s), learns the complete revision of a peer that holds the same, and pauses 0.1 s after each answer, so that entries that change together cost one call.

--- a/src/tamarackrill/decisions/configuration.py
+++ b/src/tamarackrill/decisions/configuration.py
@@ -186,6 +186,15 @@
         self._advance(changes.kind, changes.complete)
         return taken
 
+    def adopt_complete(self, peer: ConfigurationDigest) -> None:
+        """Take from a peer that holds the same up to which revision that is all.
+
+        A router that asks the platform only when it hears of a change would otherwise
+        ask from a revision whose history is gone, and have to read the whole list.
+        """
+        if peer.content == self._content.get(peer.kind, 0):
+            self._advance(peer.kind, peer.complete)
+
     def _delete_missing(self, changes: Changes) -> list[ObjectVersion]:
         listed = {item.name for item in changes.objects if item.value is not None}
         gone = [
--- a/src/tamarackrill/decisions/watching.py
+++ b/src/tamarackrill/decisions/watching.py
@@ -13,6 +13,11 @@
 themselves.  They start one after the other, so that a watcher's loss is not sixty calls
 at once: whoever is first has evidence to tell the others.
 
+A router that has just started doesn't know yet who lives in its zone, and at the start
+of a whole fleet all of them would take themselves for the watcher, just while every
+endpoint writes its entry and ends all their watches.  So a new router believes its own
+evidence as long as that of others, and asks again when it has grown old.
+
 Nothing is ever taken to be newer than the store said: news is only a reason to ask.
 """
 
@@ -28,6 +33,11 @@
 STAGGER_S = 0.04
 # Routers start at most so late after their trust has ended, however many there are.
 STAGGER_MAX_S = 0.2
+# A router asks now and then, and watches nothing, for so long after its start.  In a
+# fleet of 60 that starts at once, most know all others of their zone by then.
+SETTLE_S = 7.0
+# A new router asks again a little before its own evidence is too old to be believed.
+OWN_TRUST_SHARE = 0.85
 
 
 class Evidence(NamedTuple):
@@ -77,9 +87,14 @@
         Its availability zone.
     trust_s : float
         Age at which another's evidence is no longer believed.
+    settled_s : float, default=0.0
+        Until then the members of the zone are not yet known.
     """
 
-    def __init__(self, own: str, zone: str, trust_s: float) -> None:
+    def __init__(
+        self, own: str, zone: str, trust_s: float, settled_s: float = 0.0
+    ) -> None:
+        self._settled_s = settled_s
         self._own = own
         self._zone = zone
         self._trust_s = trust_s
@@ -118,9 +133,13 @@
 
     def find_wait_s(self, kind: str, now_s: float) -> float:
         """Return for how long the evidence of others is still enough; 0 to ask now."""
+        until_s = self._trusted_until_s.get(kind, -math.inf)
+        if now_s < self._settled_s:
+            answered_s = self._answered_s.get(kind, -math.inf)
+            own_until_s = answered_s + OWN_TRUST_SHARE * self._trust_s
+            return max(0.0, max(until_s, own_until_s) - now_s)
         if self.is_watcher:
             return 0.0
-        until_s = self._trusted_until_s.get(kind, -math.inf)
         stagger_s = min(STAGGER_MAX_S, STAGGER_S * (self._rank - 1))
         return max(0.0, until_s + stagger_s - now_s)
 
--- a/src/tamarackrill/router/configuring.py
+++ b/src/tamarackrill/router/configuring.py
@@ -61,6 +61,9 @@
         Longest pause between two calls that fail.
     read_directly : tuple of str, optional
         Kinds whose changes are too large to come from a peer.
+    pause_s : float, optional
+        Between an answer and the next call, so that changes that come together cost
+        one call.
 
     Attributes
     ----------
@@ -83,7 +86,9 @@
         kinds: tuple[str, ...] = KINDS,
         retry_max_s: float = RETRY_MAX_S,
         read_directly: tuple[str, ...] = (),
+        pause_s: float = 0.0,
     ) -> None:
+        self._pause_s = pause_s
         self._read_directly = read_directly
         self._kinds = kinds
         self._retry_max_s = retry_max_s
@@ -148,6 +153,7 @@
         if self.find_rest_s(digest.kind, self._clock()) > 0.0:
             self._report(lost=False)
         if not needs_changes(self._store.digest(digest.kind), digest):
+            self._store.adopt_complete(digest)
             return
         if digest.kind in self._read_directly and not was_lost:
             self._wanted[digest.kind].set()
@@ -181,6 +187,7 @@
                 await (self._list(kind) if must_list else self._watch(kind, wait_s))
                 must_list, wait_s, retry_s = False, None, FIRST_RETRY_S
                 self._report(lost=False)
+                await asyncio.sleep(self._pause_s)
             except WatchLost:
                 must_list = True
             except PlatformUnavailable as error:
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -16,7 +16,7 @@
 from tamarackrill.decisions.members import Entries, MemberRecord, MemberState
 from tamarackrill.decisions.membership import PeerHeard
 from tamarackrill.decisions.poison import CrashCount
-from tamarackrill.decisions.watching import Watching
+from tamarackrill.decisions.watching import SETTLE_S, Watching
 from tamarackrill.events import (
     ROUTER_LEAVING,
     ROUTER_STARTED,
@@ -60,6 +60,8 @@
 # Evidence of another router is as old as its watch waits, and its bulletin may be lost
 # once; whoever then asks the store itself still has a change in force in two seconds.
 TRUST_S = 1.6
+# Endpoints that are replaced one after the other change their entries in pairs.
+STORE_PAUSE_S = 0.1
 # Named in the deploy file as well, which knows no ports of the day.
 METRICS_PORT = 9464
 # A bulletin a time costs a router of a zone of fifteen 9 KB/s inside the zone.
@@ -187,6 +189,7 @@
             (MANIFEST_KIND, ENDPOINT_KIND),
             STORE_RETRY_MAX_S,
             (MANIFEST_KIND,),
+            STORE_PAUSE_S,
         )
         self.configurer.on_store = self._note_store
 
@@ -211,7 +214,12 @@
         # Above that of any earlier process of this name, as nothing is kept.
         session = int(time.time() * 1000)
         self.zone_news = ZoneNews(
-            Watching(self.settings.name, self.settings.zone, TRUST_S),
+            Watching(
+                self.settings.name,
+                self.settings.zone,
+                TRUST_S,
+                self.clock() + SETTLE_S,
+            ),
             self.members,
             self.configurer,
             self._peer_socket.send,
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -210,3 +210,24 @@
         peer.take_changes(store.changes_since(KIND, peer.get_complete(KIND)))
         assert peer.get(KIND, "a") is None
         assert not store.take(*history.events[1])
+
+
+def test_router_that_holds_the_same_learns_that_nothing_is_missing():
+    # A router rests on a peer's evidence for longer than the platform keeps history.
+    # Asked from its old revision, the platform would send the whole list.
+    resting, asking = ConfigurationStore(), ConfigurationStore()
+    item = ObjectVersion("contract", "a", 3, {"x": 1})
+    for store in (resting, asking):
+        store.take_changes(Changes("contract", (item,), 3, True))
+    asking.take_changes(Changes("contract", (), 900, False))
+    resting.adopt_complete(asking.digest("contract"))
+    assert resting.get_complete("contract") == 900
+
+
+def test_router_that_lacks_something_keeps_its_revision():
+    behind, ahead = ConfigurationStore(), ConfigurationStore()
+    ahead.take_changes(
+        Changes("contract", (ObjectVersion("contract", "a", 3, {"x": 1}),), 3, True)
+    )
+    behind.adopt_complete(ahead.digest("contract"))
+    assert behind.get_complete("contract") == 0
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -44,6 +44,18 @@
     assert Watching("alone", "zone", TRUST_S).find_wait_s(KIND, 0.0) == 0.0
 
 
+def test_new_router_asks_now_and_then_and_does_not_watch():
+    # A fleet of sixty starts at once, and every endpoint writes its entry.  Were each
+    # router to watch until it knows its zone, each entry would cost sixty calls.
+    new = Watching("a", "zone", TRUST_S, settled_s=7.0)
+    assert new.find_wait_s(KIND, 0.0) == 0.0
+    new.observe_answer(KIND, 0.0)
+    assert 1.0 < new.find_wait_s(KIND, 0.0) < TRUST_S
+    assert new.find_wait_s(KIND, TRUST_S) == 0.0
+    new.observe_answer(KIND, 7.0)
+    assert new.find_wait_s(KIND, 7.0) == 0.0
+
+
 def test_fresh_evidence_of_another_is_enough_and_old_is_not():
     # The watcher of a zone is killed.  If the others went on believing what it said
     # last, a key that is taken away meanwhile would be served for ever.
