Log to standard output in bounded volume; explain a request from logs

Lines are JSON on standard output, at most 300 of an event in a second and 256 KB waiting; what is left out is counted, served requests first. A full pipe is never waited for: a line is written only if select() says that the pipe takes it. Before, lines went to standard error, formatted and written one by one by absl's handler, blocking.

New commands: explain-log gathers a request's lines over routers, check-settings tells all faults of the platform's settings file.

--- a/src/tamarackrill/cli.py
+++ b/src/tamarackrill/cli.py
@@ -8,6 +8,7 @@
 import os
 import sys
 from collections.abc import Awaitable, Callable, Sequence
+from pathlib import Path
 from typing import Any, NamedTuple
 
 from tornado.httpclient import AsyncHTTPClient
@@ -26,8 +27,10 @@
     TamarackrillError,
 )
 from tamarackrill.load.arguments import add_bench_arguments, run_bench
+from tamarackrill.platform.settings_file import parse_settings
 from tamarackrill.queries.contracts import get_contract, list_contracts
 from tamarackrill.queries.explain import EXPLAINED, ask_home, format_explanation
+from tamarackrill.queries.explain_log import find_lines, format_lines
 from tamarackrill.queries.fleet import list_endpoints, list_routers, pick_router
 from tamarackrill.router.platform_client import PlatformClient
 
@@ -97,6 +100,7 @@
     groups = parser.add_subparsers(metavar="COMMAND", required=True)
     _add_contract_commands(groups)
     _add_queries(groups)
+    _add_files(groups)
     bench = groups.add_parser(
         "bench",
         help="put load on running routers and judge the answers",
@@ -154,6 +158,47 @@
     _add_json(_add(contract, "list", _list, "list all contracts"))
 
 
+def _add_files(groups: Any) -> None:
+    explain_log = groups.add_parser(
+        "explain-log",
+        help="tell from the logs of routers what became of a request",
+        description="Gathers the lines that name a request over all files, and those "
+        "of the endpoints that it was sent to, in order of time.",
+    )
+    explain_log.add_argument("request", metavar="ID", help="id of the client's attempt")
+    explain_log.add_argument("files", nargs="+", metavar="FILE")
+    explain_log.set_defaults(action=_explain_log, is_offline=True)
+    check = groups.add_parser(
+        "check-settings",
+        help="check a settings file of the platform",
+        description="Reports all fields that are missing or of a wrong type, each with "
+        "its place; fields that are not known are passed over.",
+    )
+    check.add_argument("file", metavar="FILE")
+    check.set_defaults(action=_check_settings, is_offline=True)
+
+
+def _explain_log(options: argparse.Namespace) -> None:
+    lines: list[str] = []
+    for name in options.files:
+        lines += _read_text(name).splitlines()
+    print(format_lines(find_lines(options.request, lines)))
+
+
+def _check_settings(options: argparse.Namespace) -> None:
+    settings = parse_settings(options.file, _read_text(options.file))
+    for name, value in settings._asdict().items():
+        print(f"{name} = {value}")
+
+
+def _read_text(name: str) -> str:
+    try:
+        return Path(name).read_text(encoding="utf-8", errors="replace")
+    except OSError as error:
+        message = error.strerror or str(error)
+        raise FindingsError([Finding(name, message)]) from error
+
+
 def _add_queries(groups: Any) -> None:
     fleet = groups.add_parser("fleet", help="look at the routers").add_subparsers(
         metavar="QUERY", required=True
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -58,6 +58,23 @@
     "Restart the router and send us the line.",
 )
 
+LINES_LEFT_OUT = Event(
+    1005,
+    "lines_left_out",
+    _WARNING,
+    ("lines",),
+    "So many lines of each event were left out of the log, to bound its volume or "
+    "because its reader was slow.",
+    "Look at the counters; they are whole.",
+)
+ROUTER_RELOAD = Event(
+    1006,
+    "router_reload",
+    _INFO,
+    ("router",),
+    "A router was told by SIGHUP that its settings file has changed.",
+)
+
 # 2000: requests, routing and admission
 REQUEST_ROUTED = Event(
     2001,
@@ -101,7 +118,7 @@
 CALL_REFUSED = Event(
     2201,
     "call_refused",
-    _INFO,
+    _WARNING,
     ("request", "route", "status", "reason", "version", "sent", "retry_after_s"),
     "A request got a final answer of the router's own; `version` is the manifest that "
     "decided, `sent` the endpoints that it had been sent to.",
@@ -402,7 +419,23 @@
     """
     if set(fields) != set(event.fields):
         raise ValueError(f"{event.name} takes {event.fields}, not {tuple(fields)}")
-    logging.log(event.level, "%s", _formatter[0](event, fields))
+    logging.log(
+        event.level,
+        "%s",
+        _LazyLine(event, fields),
+        extra={"event": event, "event_fields": fields},
+    )
+
+
+class _LazyLine:
+    """An event's line, formatted only by a handler that wants text."""
+
+    def __init__(self, event: Event, fields: dict[str, object]) -> None:
+        self._event = event
+        self._fields = fields
+
+    def __str__(self) -> str:
+        return _formatter[0](self._event, self._fields)
 
 
 _LEVEL_NAMES = {_INFO: "info", _WARNING: "warning", _ERROR: "error"}
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpserver import HTTPServer
@@ -88,6 +88,8 @@
         Prove the messages between routers; the first signs, all verify.
     metrics_port : int, optional
         Where metrics are served.
+    flush_log : callable, optional
+        Writes what the log holds back, as far as its reader takes it.
 
     Notes
     -----
@@ -100,7 +102,9 @@
         settings: PlatformSettings,
         peer_keys: tuple[str, ...],
         metrics_port: int = METRICS_PORT,
+        flush_log: Callable[[], None] = lambda: None,
     ) -> None:
+        self._flush_log = flush_log
         self.settings = settings
         self._metrics_port = metrics_port
         self.clock = time.monotonic
@@ -277,6 +281,7 @@
             self.flow.paths.ask_due()
             self.zone_news.take_members()
             self.zone_news.tell()
+            self._flush_log()
 
     def is_ready(self) -> bool:
         """Return whether the balancer may send new connections here."""
@@ -316,6 +321,7 @@
             router=self.settings.name,
             in_flight=len(self.server.in_flight),
         )
+        self._flush_log()
 
 
 class _ReadinessHandler(RequestHandler):
--- a/src/tamarackrill/router/edge_daemon.py
+++ b/src/tamarackrill/router/edge_daemon.py
@@ -6,25 +6,38 @@
 import sys
 from pathlib import Path
 
+from tamarackrill.events import ROUTER_RELOAD, log_event
 from tamarackrill.exceptions import Finding, FindingsError, TamarackrillError
-from tamarackrill.logs import set_up_logs
+from tamarackrill.logs import BoundedHandler, set_up_bounded_logs
 from tamarackrill.platform.settings_file import PATH_VARIABLE, parse_settings
 from tamarackrill.router.edge_app import EdgeApplication
 
 PEER_KEYS_VARIABLE = "TAMARACKRILL_PEER_KEYS"
 
 
-async def run_router(path: Path, peer_keys: tuple[str, ...]) -> None:
+async def run_router(
+    path: Path, peer_keys: tuple[str, ...], log: BoundedHandler
+) -> None:
     """Run one router until SIGTERM or SIGINT, then drain and stop it."""
     told_to_stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told_to_stop.set)
-    # Settings hold nothing that changes while a process runs; a signal that says that
-    # the file has changed must not end it.
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
     settings = parse_settings(str(path), path.read_text(encoding="utf-8"))
-    application = EdgeApplication(settings, peer_keys)
+
+    def note_reload() -> None:
+        # Settings hold nothing that a running process could take over: addresses are
+        # bound, and manifest and endpoints come from the store.  Without a handler the
+        # signal would end the process.
+        log_event(ROUTER_RELOAD, router=settings.name)
+
+    loop.add_signal_handler(signal.SIGHUP, note_reload)
+
+    def flush_log() -> None:
+        log.report_left_out()
+        log.flush()
+
+    application = EdgeApplication(settings, peer_keys, flush_log=flush_log)
     await application.start()
     try:
         await told_to_stop.wait()
@@ -43,8 +56,8 @@
         peer_keys = tuple(key.strip() for key in keys.split(",") if key.strip())
         if not peer_keys:
             raise FindingsError([Finding(PEER_KEYS_VARIABLE, "holds no key")])
-        set_up_logs("text")
-        asyncio.run(run_router(Path(path), peer_keys))
+        log = set_up_bounded_logs()
+        asyncio.run(run_router(Path(path), peer_keys, log))
     except TamarackrillError as error:
         print(error.show(), file=sys.stderr)
         return error.exit_code
