--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: setup demo example test lint format capacity bench clean
+.PHONY: setup demo demo-platform example test lint format capacity bench clean
 
 setup: $(READY)
 
@@ -17,6 +17,9 @@
 demo: setup
 	$(BIN)/python -m tamarackrill.testing.demo
 
+demo-platform: setup
+	$(BIN)/python -m tamarackrill.testing.edge_demo
+
 NAME ?= cegin-ddata
 example: setup
 	$(BIN)/python -m tamarackrill.testing.deployment examples/$(NAME)
--- a/src/tamarackrill/queries/explain_log.py
+++ b/src/tamarackrill/queries/explain_log.py
@@ -42,8 +42,8 @@
 
 
 def _parse(text: str) -> dict[str, Any] | None:
-    # A log may hold lines that are not ours, such as a traceback of the interpreter, and
-    # the platform may put its own words before each line.
+    # A log may hold lines that are not ours, such as a traceback of the interpreter,
+    # and the platform may put its own words before each line.
     start = text.find("{")
     if start < 0:
         return None
--- a/src/tamarackrill/testing/worker.py
+++ b/src/tamarackrill/testing/worker.py
@@ -169,3 +169,42 @@
     writer.write(
         make_answer(request, b"", 503, X_Not_Executed="1", X_Response_Signature="")
     )
+
+
+def make_streaming(last: int, is_cut: bool = False, first: int = 1) -> Behave:
+    """Return the behaviour of a worker that sends events up to a last one.
+
+    Parameters
+    ----------
+    last : int
+        Number of the last whole event.
+    is_cut : bool, default=False
+        Whether the connection ends in the middle of the next event.
+    first : int, default=1
+        Number of the first event, unless the request asks to go on after one.
+    """
+
+    async def act(request: WorkerRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(make_stream_head(request))
+        start = int(request.headers.get("last-event-id", first - 1)) + 1
+        for number in range(start, last + 1):
+            writer.write(make_chunk(make_event(number)))
+        if is_cut:
+            writer.write(make_chunk(make_event(last + 1)[:5]))
+            await writer.drain()
+            writer.close()
+        else:
+            writer.write(make_chunk(b""))
+
+    return act
+
+
+def in_turn(*behaviours: Behave) -> Behave:
+    """Return a behaviour that workers share; each request gets the next of them."""
+    left = list(behaviours)
+
+    async def act(request: WorkerRequest, writer: asyncio.StreamWriter) -> None:
+        behave = left.pop(0) if len(left) > 1 else left[0]
+        await behave(request, writer)
+
+    return act
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -15,10 +15,11 @@
 )
 from tamarackrill.testing.worker import (
     SIGNATURE,
+    in_turn,
     make_answer,
     make_chunk,
     make_event,
-    make_stream_head,
+    make_streaming,
     refuse_full,
 )
 
@@ -43,33 +44,6 @@
     writer.transport.abort()
 
 
-def in_turn(first, *rest):
-    """Return a behaviour that workers share: each request gets the next of them."""
-    left = [first, *rest]
-
-    async def act(request, writer):
-        behave = left.pop(0) if len(left) > 1 else left[0]
-        await behave(request, writer)
-
-    return act
-
-
-def streaming(first, last, is_cut=False):
-    async def act(request, writer):
-        writer.write(make_stream_head(request))
-        start = int(request.headers.get("last-event-id", first - 1)) + 1
-        for number in range(start, last + 1):
-            writer.write(make_chunk(make_event(number)))
-        if is_cut:
-            writer.write(make_chunk(make_event(last + 1)[:5]))
-            await writer.drain()
-            writer.close()
-        else:
-            writer.write(make_chunk(b""))
-
-    return act
-
-
 def test_answer_comes_back_unchanged_and_the_worker_gets_what_it_needs():
     async def act(fleet):
         worker = await fleet.add_worker("w1")
@@ -340,7 +314,7 @@
     # A worker crashes in the middle of an event.  The client must see each event once
     # and the answer's end, with the headers of the first worker.
     async def act(fleet):
-        cut_first = in_turn(streaming(1, 3, is_cut=True), streaming(1, 6))
+        cut_first = in_turn(make_streaming(3, is_cut=True), make_streaming(6))
         workers = [await fleet.add_worker(name, cut_first) for name in ("w1", "w2")]
         router = await fleet.add_router()
         answer = await ask(router, "/stream/a", body=b"x")
@@ -355,8 +329,8 @@
 
 def test_stream_that_may_not_repeat_is_cut_and_not_completed():
     async def act(fleet):
-        await fleet.add_worker("w1", streaming(1, 3, is_cut=True))
-        await fleet.add_worker("w2", streaming(1, 3, is_cut=True))
+        await fleet.add_worker("w1", make_streaming(3, is_cut=True))
+        await fleet.add_worker("w2", make_streaming(3, is_cut=True))
         router = await fleet.add_router()
         answer = await ask(router, "/once/a", body=b"x")
         assert not answer.is_whole
