--- a/src/tamarackrill/router/edge_daemon.py
+++ b/src/tamarackrill/router/edge_daemon.py
@@ -10,13 +10,14 @@
 from tamarackrill.exceptions import Finding, FindingsError, TamarackrillError
 from tamarackrill.logs import BoundedHandler, set_up_bounded_logs
 from tamarackrill.platform.settings_file import PATH_VARIABLE, parse_settings
-from tamarackrill.router.edge_app import EdgeApplication
+from tamarackrill.router.edge_app import METRICS_PORT, EdgeApplication
 
 PEER_KEYS_VARIABLE = "TAMARACKRILL_PEER_KEYS"
+METRICS_PORT_VARIABLE = "TAMARACKRILL_METRICS_PORT"
 
 
 async def run_router(
-    path: Path, peer_keys: tuple[str, ...], log: BoundedHandler
+    path: Path, peer_keys: tuple[str, ...], metrics_port: int, log: BoundedHandler
 ) -> None:
     """Run one router until SIGTERM or SIGINT, then drain and stop it."""
     told_to_stop = asyncio.Event()
@@ -37,7 +38,7 @@
         log.report_left_out()
         log.flush()
 
-    application = EdgeApplication(settings, peer_keys, flush_log=flush_log)
+    application = EdgeApplication(settings, peer_keys, metrics_port, flush_log)
     await application.start()
     try:
         await told_to_stop.wait()
@@ -56,8 +57,12 @@
         peer_keys = tuple(key.strip() for key in keys.split(",") if key.strip())
         if not peer_keys:
             raise FindingsError([Finding(PEER_KEYS_VARIABLE, "holds no key")])
+        port = os.environ.get(METRICS_PORT_VARIABLE, str(METRICS_PORT))
+        if not port.isdigit():
+            message = f"{port!r} is no port"
+            raise FindingsError([Finding(METRICS_PORT_VARIABLE, message)])
         log = set_up_bounded_logs()
-        asyncio.run(run_router(Path(path), peer_keys, log))
+        asyncio.run(run_router(Path(path), peer_keys, int(port), log))
     except TamarackrillError as error:
         print(error.show(), file=sys.stderr)
         return error.exit_code
--- a/src/tamarackrill/testing/edge.py
+++ b/src/tamarackrill/testing/edge.py
@@ -94,10 +94,10 @@
         self.store = ObjectStore()
         self.workers: list[Worker] = []
         self.routers: list[EdgeApplication] = []
-        self._store_address = ""
+        self.store_address = ""
 
     async def __aenter__(self) -> "EdgeFleet":
-        self._server, self._store_address = listen(self.store.make_application())
+        self._server, self.store_address = listen(self.store.make_application())
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
@@ -145,7 +145,7 @@
             readiness_address=f"127.0.0.1:{find_free_port()}",
             peer_port=find_free_port(),
             seeds=seeds,
-            store_address=self._store_address,
+            store_address=self.store_address,
             grace_s=4.0,
             load_cap=2.0,
             retry_budget=BUDGET,
@@ -168,7 +168,7 @@
 
 
 async def ask(
-    router: EdgeApplication,
+    router: EdgeApplication | str,
     target: str,
     request_id: str = "id-1",
     body: bytes = b"",
@@ -194,9 +194,13 @@
         self.writer = writer
 
     @classmethod
-    async def connect(cls, router: EdgeApplication) -> "EdgeClient":
-        """Connect to a router."""
-        host, _, port = router.settings.callers_address.rpartition(":")
+    async def connect(cls, router: EdgeApplication | str) -> "EdgeClient":
+        """Connect to a router, or to the address of one."""
+        if isinstance(router, str):
+            address = router
+        else:
+            address = router.settings.callers_address
+        host, _, port = address.rpartition(":")
         return cls(*await asyncio.open_connection(host, int(port)))
 
     def send(
