--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: setup demo demo-platform example test lint format capacity bench clean
+.PHONY: setup demo demo-platform example test soak lint format capacity bench clean
 
 setup: $(READY)
 
@@ -27,14 +27,19 @@
 test: setup
 	$(BIN)/python -m pytest --numprocesses 6 --dist loadfile
 
+SEED ?= 1
+SEEDS ?= 50
+soak: setup
+	$(BIN)/python -m soak.run --seed $(SEED) --seeds $(SEEDS)
+
 lint: setup
-	$(BIN)/ruff format --check src tests bench
-	$(BIN)/ruff check src tests bench
+	$(BIN)/ruff format --check src tests bench soak
+	$(BIN)/ruff check src tests bench soak
 	$(BIN)/mypy
 
 format: setup
-	$(BIN)/ruff check --fix --exit-zero src tests bench
-	$(BIN)/ruff format src tests bench
+	$(BIN)/ruff check --fix --exit-zero src tests bench soak
+	$(BIN)/ruff format src tests bench soak
 
 capacity: setup
 	$(BIN)/python bench/capacity.py
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of router processes on the platform's interface."""
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,100 @@
+"""Faults from outside: a loopback proxy, and signals to routers."""
+
+import asyncio
+from typing import Literal
+
+Mode = Literal["pass", "delay", "silence", "one_way", "refuse"]
+DELAY_S = 0.15
+PIECE_BYTES = 65536
+
+
+class Proxy:
+    """A proxy before one address, whose connections can be harmed.
+
+    Parameters
+    ----------
+    target : str
+        ``host:port`` behind it.
+
+    Attributes
+    ----------
+    mode : str
+        ``"pass"`` passes bytes on; ``"delay"`` holds each piece; ``"silence"`` passes
+        nothing on, and new connections open all the same; ``"one_way"`` passes on only
+        what goes to the target; ``"refuse"`` resets new connections.
+    """
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+        self.mode: Mode = "pass"
+        self.address = ""
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    def reset(self) -> None:
+        """Reset all connections that are open."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def stop(self) -> None:
+        """Stop listening, and end what is open."""
+        if self._server is not None:
+            self._server.close()
+        self.reset()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        if self.mode == "refuse":
+            writer.transport.abort()
+            return
+        host, _, port = self.target.rpartition(":")
+        try:
+            back_reader, back_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        both = {writer, back_writer}
+        self._writers |= both
+        try:
+            await asyncio.gather(
+                self._pass_on(reader, back_writer, to_target=True),
+                self._pass_on(back_reader, writer, to_target=False),
+            )
+        except (OSError, asyncio.CancelledError):
+            # Either side may go at any time, and `stop` cancels what is left.
+            return
+        finally:
+            self._writers -= both
+            for each in both:
+                each.transport.abort()
+
+    async def _pass_on(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        to_target: bool,
+    ) -> None:
+        while piece := await reader.read(PIECE_BYTES):
+            if self.mode == "delay":
+                await asyncio.sleep(DELAY_S)
+            while self.mode == "silence" or (self.mode == "one_way" and not to_target):
+                await asyncio.sleep(DELAY_S)
+            writer.write(piece)
+            await writer.drain()
+        if writer.can_write_eof():
+            writer.write_eof()
--- a/src/tamarackrill/testing/edge.py
+++ b/src/tamarackrill/testing/edge.py
@@ -196,10 +196,7 @@
     @classmethod
     async def connect(cls, router: EdgeApplication | str) -> "EdgeClient":
         """Connect to a router, or to the address of one."""
-        if isinstance(router, str):
-            address = router
-        else:
-            address = router.settings.callers_address
+        address = _find_address(router)
         host, _, port = address.rpartition(":")
         return cls(*await asyncio.open_connection(host, int(port)))
 
@@ -253,6 +250,10 @@
         self.writer.close()
 
 
+def _find_address(router: EdgeApplication | str) -> str:
+    return router if isinstance(router, str) else router.settings.callers_address
+
+
 def read_reason(answer: EdgeAnswer) -> str:
     """Return the reason of a refusal."""
     return str(json.loads(answer.body)["error"])
--- a/src/tamarackrill/testing/edge_processes.py
+++ b/src/tamarackrill/testing/edge_processes.py
@@ -107,9 +107,11 @@
 
     async def wait_ended(self) -> int:
         """Return the exit code once the process has ended."""
-        assert self._process is not None
+        # Whoever else waits for it may start the next process meanwhile.
+        process = self._process
+        assert process is not None
         async with asyncio.timeout(PATIENCE_S):
-            while (code := self._process.poll()) is None:
+            while (code := process.poll()) is None:
                 await asyncio.sleep(ASK_EVERY_S)
         return code
 
--- a/src/tamarackrill/testing/worker.py
+++ b/src/tamarackrill/testing/worker.py
@@ -35,6 +35,11 @@
     behave : callable
         ``await behave(request, writer)`` writes the bytes of the answer; when it
         closes the writer, the connection ends.
+
+    Attributes
+    ----------
+    requests, ran : list of WorkerRequest
+        What arrived, and what it began to run of that.
     """
 
     def __init__(self, name: str, behave: Behave) -> None:
@@ -42,6 +47,7 @@
         self.behave = behave
         self.address = ""
         self.requests: list[WorkerRequest] = []
+        self.ran: list[WorkerRequest] = []
         self.connections = 0
         self.closed = asyncio.Event()
         self._server: asyncio.Server | None = None
@@ -96,6 +102,8 @@
         while not writer.is_closing():
             request = await _read_request(reader)
             self.requests.append(request)
+            if self.behave is not refuse_full:
+                self.ran.append(request)
             gone = asyncio.create_task(reader.read(1))
             answering = asyncio.ensure_future(self.behave(request, writer))
             await asyncio.wait([gone, answering], return_when=asyncio.FIRST_COMPLETED)
