--- a/src/tamarackrill/decisions/retry_shares.py
+++ b/src/tamarackrill/decisions/retry_shares.py
@@ -17,6 +17,30 @@
 # Part of the budget that is spent: windows of the routers and of whoever counts do not
 # begin at the same moment, and one request may straddle two.
 MARGIN = 0.8
+# How long a router that has gone still counts.  A zone that is cut off takes the others
+# for gone, and they it: were each side to divide the fixed part anew, the service would
+# get it twice.  Cuts last seconds; one that is replaced is counted twice for so long.
+REMEMBERED_S = 30.0
+
+
+class FleetSize:
+    """The most routers that were live at a time of late."""
+
+    def __init__(self) -> None:
+        self._seen: deque[tuple[float, int]] = deque()
+
+    def observe(self, live: int, now_s: float) -> None:
+        """Take how many are live now."""
+        while self._seen and self._seen[-1][1] <= live:
+            self._seen.pop()
+        self._seen.append((now_s, live))
+        while self._seen[0][0] < now_s - REMEMBERED_S:
+            self._seen.popleft()
+
+    @property
+    def most(self) -> int:
+        """Routers that may be spending the budget."""
+        return self._seen[0][1] if self._seen else 1
 
 
 class BudgetTerms(NamedTuple):
--- a/src/tamarackrill/platform/settings_file.py
+++ b/src/tamarackrill/platform/settings_file.py
@@ -31,6 +31,8 @@
         ``host:port`` of the platform's object store.
     grace_s : float
         From SIGTERM to SIGKILL.
+    news_max_s : float
+        Time in which a change of the manifest or of an endpoint has to be in force.
     load_cap : float
         Multiple of the mean load that no endpoint may exceed.
     retry_budget : BudgetTerms
@@ -46,6 +48,7 @@
     seeds: tuple[str, ...]
     store_address: str
     grace_s: float
+    news_max_s: float
     load_cap: float
     retry_budget: BudgetTerms
 
@@ -113,6 +116,7 @@
         seeds=tuple(f"{host}:{first}" for host in seeds),
         store_address=reader.read("platform.address", str),
         grace_s=reader.read("bounds.grace_s", float),
+        news_max_s=_read_news_max_s(reader),
         load_cap=reader.read("bounds.cap_x", float, 2.0),
         retry_budget=BudgetTerms(
             reader.read("bounds.retry_budget_ratio", float, 0.2),
@@ -120,3 +124,10 @@
             reader.read("bounds.budget_slack", float, 0.0),
         ),
     )
+
+
+def _read_news_max_s(reader: _Reader) -> float:
+    manifest_ms = reader.read("bounds.config_ms", float, 2000.0)
+    # Counted from when a worker says that it leaves, not from its end.
+    leaving_ms = reader.read("bounds.drain_ms", float, 2000.0)
+    return float(min(manifest_ms, leaving_ms)) / 1000
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -16,6 +16,7 @@
 from tamarackrill.decisions.members import Entries, MemberRecord, MemberState
 from tamarackrill.decisions.membership import PeerHeard
 from tamarackrill.decisions.poison import CrashCount
+from tamarackrill.decisions.retry_shares import FleetSize
 from tamarackrill.decisions.watching import SETTLE_S, Watching
 from tamarackrill.events import (
     ROUTER_LEAVING,
@@ -51,15 +52,18 @@
 from tamarackrill.router.zone_news import ZoneNews
 
 # A watch can fall silent though its connection lives: a store that drops its history
-# may neither report a change that was made meanwhile nor end the watch.  A change has
-# to be in force within two seconds, so no watch is believed for longer than 1.5 s.  The
-# store answers in 4 ms, and in a quarter of a second when it is slow.
-STORE_TIMING = StoreTiming(call_s=0.5, watch_wait_s=1.0)
+# may neither report a change that was made meanwhile nor end the watch.  So a watch
+# waits for half of the time in which a change has to be in force, and is given up after
+# three quarters of it at most.
+WATCH_SHARE = 0.5
+# The store answers in 4 ms, and in a quarter of a second when it is slow.
+STORE_CALL_MAX_S = 0.5
+STORE_CALL_SHARE = 0.25
 # A store that was away is found back within this time; each call has its price.
 STORE_RETRY_MAX_S = 0.8
 # Evidence of another router is as old as its watch waits, and its bulletin may be lost
-# once; whoever then asks the store itself still has a change in force in two seconds.
-TRUST_S = 1.6
+# once; whoever then asks the store itself still has a change in force in time.
+TRUST_SHARE = 0.8
 # Endpoints that are replaced one after the other change their entries in pairs.
 STORE_PAUSE_S = 0.1
 # Named in the deploy file as well, which knows no ports of the day.
@@ -119,10 +123,11 @@
         self.members = Members(
             Member(settings.name, address, settings.zone, peer_address=address)
         )
+        self._fleet_size = FleetSize()
         self.flow = EdgeFlow(
             self.placer,
             settings.retry_budget,
-            lambda: len(self.members.list_live()),
+            lambda: self._fleet_size.most,
             self.metrics,
             self.clock,
         )
@@ -177,12 +182,16 @@
         self._servers.append(server)
 
     def _make_configurer(self) -> None:
+        news_max_s = self.settings.news_max_s
         platform = PlatformClient(
             self.settings.store_address,
             self.settings.zone,
             self._store_client,
             STORE_FORM,
-            STORE_TIMING,
+            StoreTiming(
+                call_s=min(STORE_CALL_MAX_S, STORE_CALL_SHARE * news_max_s),
+                watch_wait_s=WATCH_SHARE * news_max_s,
+            ),
         )
         self.configurer = Configurer(
             self.store,
@@ -221,7 +230,7 @@
             Watching(
                 self.settings.name,
                 self.settings.zone,
-                TRUST_S,
+                TRUST_SHARE * self.settings.news_max_s,
                 self.clock() + SETTLE_S,
             ),
             self.members,
@@ -279,6 +288,7 @@
             await asyncio.sleep(HOUSEKEEPING_EVERY_S)
             self.view.expire(self.clock())
             self.flow.paths.ask_due()
+            self._fleet_size.observe(len(self.members.list_live()), self.clock())
             self.zone_news.take_members()
             self.zone_news.tell()
             self._flush_log()
--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -315,8 +315,9 @@
         self, progress: _Progress, channel: Channel, head: AnswerHead
     ) -> None:
         reply, stream = progress.reply, progress.stream
-        if reply.has_begun:
-            stream.resume()
+        # Half an event of an endpoint that was lost may be held, also where the client
+        # has got nothing yet.
+        stream.resume()
         while True:
             piece = await self._read_piece(progress, channel)
             events = stream.take(piece) if piece else stream.finish()
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -327,6 +327,21 @@
     play(act)
 
 
+def test_stream_whose_worker_crashes_in_the_first_event_begins_anew():
+    # A worker crashes in the middle of its first event, before its client has got any.
+    # The half event must not be joined to the first event of the next worker.
+    async def act(fleet):
+        cut_first = in_turn(make_streaming(0, is_cut=True), make_streaming(3))
+        for name in ("w1", "w2"):
+            await fleet.add_worker(name, cut_first)
+        router = await fleet.add_router()
+        answer = await ask(router, "/stream/a", body=b"x")
+        assert answer.is_whole
+        assert answer.body == b"".join(make_event(number) for number in range(1, 4))
+
+    play(act)
+
+
 def test_stream_that_may_not_repeat_is_cut_and_not_completed():
     async def act(fleet):
         await fleet.add_worker("w1", make_streaming(3, is_cut=True))
--- a/tests/test_retry_shares.py
+++ b/tests/test_retry_shares.py
@@ -2,7 +2,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tamarackrill.decisions.retry_shares import MARGIN, BudgetTerms, RetryShare
+from tamarackrill.decisions.retry_shares import (
+    MARGIN,
+    REMEMBERED_S,
+    BudgetTerms,
+    FleetSize,
+    RetryShare,
+)
 
 TERMS = BudgetTerms(ratio=0.2, window_s=10.0, fixed=56.0)
 
@@ -43,3 +49,23 @@
         window = [t for t in repeats if end_s - TERMS.window_s < t <= end_s]
         asked = [t for t in requests if end_s - TERMS.window_s < t <= end_s]
         assert len(window) <= TERMS.ratio * len(asked) + TERMS.fixed
+
+
+def test_cut_zone_does_not_divide_the_budget_anew():
+    # A zone with two of eight routers is cut off, and each side takes the other for
+    # gone.  Were both to divide the fixed part among those that are left, the service
+    # would get twice as many repeats as its budget allows.
+    size = FleetSize()
+    size.observe(8, 0.0)
+    size.observe(2, 6.0)
+    assert size.most == 8
+    size.observe(2, REMEMBERED_S + 1.0)
+    assert size.most == 2
+
+
+def test_new_routers_count_at_once():
+    size = FleetSize()
+    assert size.most == 1
+    size.observe(2, 0.0)
+    size.observe(9, 0.1)
+    assert size.most == 9
