Bound the first byte of the store's answer, not its last

A test with a slow body fails without this and passes with it. Ruled out: a longer time for all, which would believe a deaf watch for longer.

--- a/src/tamarackrill/router/platform_client.py
+++ b/src/tamarackrill/router/platform_client.py
@@ -4,6 +4,7 @@
 fields) is passed as a `StoreForm`.
 """
 
+import asyncio
 import json
 import os
 import socket
@@ -12,7 +13,12 @@
 from urllib.parse import quote
 
 import pycurl
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+from tornado.httpclient import (
+    AsyncHTTPClient,
+    HTTPClientError,
+    HTTPRequest,
+    HTTPResponse,
+)
 
 from tamarackrill.contracts import Vm
 from tamarackrill.exceptions import PlatformUnavailable
@@ -20,6 +26,8 @@
 
 _T = TypeVar("_T")
 CALL_TIMEOUT_S = 2.0
+# A value of a megabyte, the largest that the store holds, takes 1.7 s over 5 Mbit/s.
+BODY_MAX_S = 3.0
 WATCH_WAIT_S = 25.0
 CONFLICTS = (409, 412)
 NOT_FOUND = 404
@@ -266,18 +274,21 @@
         headers: dict[str, str] | None = None,
         text: str | None = None,
     ) -> tuple[int, Any]:
+        begun = asyncio.Event()
+        first_byte_s = timeout_s or self._timing.call_s
         request = HTTPRequest(
             self._base + path,
             method,
             headers={**self._headers, **(headers or {})},
             body=text,
-            request_timeout=timeout_s or self._timing.call_s,
+            request_timeout=first_byte_s + BODY_MAX_S,
             connect_timeout=self._timing.call_s,
             allow_nonstandard_methods=True,
             prepare_curl_callback=_watch_over,
+            header_callback=lambda line: begun.set(),
         )
         try:
-            response = await self._client.fetch(request, raise_error=False)
+            response = await self._fetch(request, begun, first_byte_s)
         except (HTTPClientError, OSError) as error:
             raise PlatformUnavailable(f"platform: {error}") from error
         if response.code in (*CONFLICTS, NOT_FOUND, GONE):
@@ -286,6 +297,38 @@
             raise PlatformUnavailable(f"platform: {response.error}")
         return response.code, _load(response.body)
 
+    async def _fetch(
+        self, request: HTTPRequest, begun: asyncio.Event, first_byte_s: float
+    ) -> HTTPResponse:
+        """Fetch, and give up if the answer has not begun in time.
+
+        A manifest of a thousand routes takes most of a second over a link of 5 Mbit/s.
+        Were the whole answer to come within the time of a first byte, a router behind
+        such a link would read it over and over and never have it in force.
+        """
+        fetching = asyncio.ensure_future(self._client.fetch(request, raise_error=False))
+        try:
+            async with asyncio.timeout(first_byte_s):
+                await _wait_begun(fetching, begun)
+        except TimeoutError:
+            # What the client still does for it ends at its own timeout.
+            fetching.add_done_callback(_forget)
+            raise
+        return await fetching
+
+
+def _forget(fetching: asyncio.Future[Any]) -> None:
+    if not fetching.cancelled():
+        fetching.exception()
+
+
+async def _wait_begun(fetching: asyncio.Future[Any], begun: asyncio.Event) -> None:
+    waiting = asyncio.ensure_future(begun.wait())
+    try:
+        await asyncio.wait([fetching, waiting], return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        waiting.cancel()
+
 
 def _watch_over(curl: Any) -> None:
     # A watch on a connection that has fallen silent would hear of no change until it
--- a/src/tamarackrill/testing/object_store.py
+++ b/src/tamarackrill/testing/object_store.py
@@ -31,6 +31,8 @@
         Watches neither report a change nor end.
     forgotten : int
         The history up to this revision is gone.
+    body_s : float
+        Time that the body of a list or an answered watch takes after its head.
     calls : list of str
         Paths and queries that were called.
     """
@@ -40,6 +42,7 @@
         self.status = 200
         self.is_deaf = False
         self.forgotten = 0
+        self.body_s = 0.0
         self.calls: list[str] = []
 
     async def write(self, kind: str, name: str, spec: Any) -> int:
@@ -99,7 +102,7 @@
         after = self.get_argument("after_revision", "")
         named = sorted(items, key=lambda item: item.name)
         rest = [item for item in named if item.name > after]
-        self.finish(
+        await self._finish_slowly(
             {
                 "items": [_write_object(item) for item in rest[:PAGE_ITEMS]],
                 "has_more": len(rest) > PAGE_ITEMS,
@@ -127,7 +130,14 @@
             {"object": _write_event(item), "removed": item.value is None}
             for item in state.events_since(kind, since)
         ]
-        self.finish({"events": events, "store_revision": state.revision})
+        body = {"events": events, "store_revision": state.revision}
+        await self._finish_slowly(body)
+
+    async def _finish_slowly(self, body: dict[str, Any]) -> None:
+        if self.store.body_s:
+            await self.flush()
+            await asyncio.sleep(self.store.body_s)
+        self.finish(body)
 
 
 def _write_event(item: StoredObject) -> dict[str, Any]:
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -421,6 +421,21 @@
     play(act)
 
 
+def test_long_manifest_over_a_slow_link_comes_into_force():
+    # A thousand routes are added, and a router's link needs longer for them than the
+    # store needs to answer.  A router that gives up meanwhile reads them over and over,
+    # and refuses requests on the new routes with 404.
+    async def act(fleet):
+        await fleet.add_worker("w1")
+        router = await fleet.add_router()
+        fleet.store.body_s = 1.2
+        await fleet.put_manifest(2, *ROUTES, make_route("/new/", "idempotent"))
+        await fleet.wait(lambda: router.view.routes.manifest.version == 2)
+        assert (await ask(router, "/new/a")).status == 200
+
+    play(act)
+
+
 def test_draining_worker_gets_no_new_work():
     async def act(fleet):
         leaving = await fleet.add_worker("w1")
