--- a/src/tamarackrill/testing/edge_processes.py
+++ b/src/tamarackrill/testing/edge_processes.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 import yaml
-from tornado.httpclient import AsyncHTTPClient
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 
 from tamarackrill.testing.edge import PATIENCE_S, find_free_port
 
@@ -122,7 +122,8 @@
             answer = await AsyncHTTPClient().fetch(
                 url, raise_error=False, request_timeout=1.0
             )
-        except OSError:
+        except (OSError, HTTPClientError):
+            # Which one it is depends on the client that is configured in this process.
             return False
         return bool(answer.code == 200)
 
