Take ports of router processes from below those of outgoing connections

Ports came from bind(0), which lie among those that the kernel gives to outgoing connections, and two test processes could find the same one free.

Ruled out: a SIGHUP or SIGTERM that ends a process that has not installed its handlers (no such end in the logs), a store that is never read (all other routers were ready).

--- a/src/tamarackrill/testing/edge.py
+++ b/src/tamarackrill/testing/edge.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import socket
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -11,6 +10,7 @@
 from tamarackrill.router.edge_app import EdgeApplication
 from tamarackrill.testing.daemon import listen
 from tamarackrill.testing.object_store import ObjectStore
+from tamarackrill.testing.ports import find_free_port
 from tamarackrill.testing.worker import Behave, Worker, answer_ok
 
 HOST = "shop.example"
@@ -43,13 +43,6 @@
     is_whole: bool
 
 
-def find_free_port() -> int:
-    """Return a port of loopback that is free now, for TCP and UDP alike."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 def make_route(prefix: str, kind: str, **fields: Any) -> dict[str, Any]:
     """Return a route of a manifest, in the platform's form."""
     return {
--- a/src/tamarackrill/testing/edge_processes.py
+++ b/src/tamarackrill/testing/edge_processes.py
@@ -11,7 +11,8 @@
 import yaml
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 
-from tamarackrill.testing.edge import PATIENCE_S, find_free_port
+from tamarackrill.testing.edge import PATIENCE_S
+from tamarackrill.testing.ports import find_free_port
 
 ASK_EVERY_S = 0.05
 
@@ -26,7 +27,7 @@
 
 
 def choose_addresses() -> RouterAddresses:
-    """Return addresses of loopback that are free now."""
+    """Return addresses of loopback that no other process is given."""
     ports = [find_free_port() for _ in range(4)]
     callers, readiness, peers = (f"127.0.0.1:{port}" for port in ports[:3])
     return RouterAddresses(callers, readiness, peers, ports[3])
