Take a request that left on a kept connection for sent, whatever libcurl reports

Cause: an engine that crashes while it reads a request on a kept connection leaves libcurl to connect anew, which is refused; the error then tells of the connection alone. The router took that for 'nothing sent', counted no crash, and after three engines told the caller that its request had not run. A connection is kept where the load report of an engine came before the request, which a slow start of the fleet makes likely.

Ruled out: the retry budget and the deadline (the refusal came from the third attempt with run=not_run), a time-out of the connection (the attempts took 15 ms).

--- a/src/tamarackrill/router/upstream.py
+++ b/src/tamarackrill/router/upstream.py
@@ -9,12 +9,12 @@
 import collections
 import os
 import socket
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
 
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
-from tornado.httpclient import HTTPRequest
+from tornado.httpclient import HTTPRequest, HTTPResponse
 
 from tamarackrill.router.outlets import Outlet
 
@@ -93,9 +93,10 @@
         self._status = 0
         self._header_lines: dict[str, str] = {}
         self._curl: Any = None
+        self._sent_bytes = 0
         self._client = client
         self._repeatable = repeatable
-        request = HTTPRequest(
+        request = _ObservedRequest(
             url,
             method,
             headers=dict(headers),
@@ -107,6 +108,7 @@
             allow_nonstandard_methods=True,
             decompress_response=False,
         )
+        request.on_end = self._note_sent
         self._task = asyncio.ensure_future(self._fetch(request))
 
     @property
@@ -184,6 +186,10 @@
         curl.setopt(pycurl.FRESH_CONNECT, fresh)
         curl.setopt(pycurl.FORBID_REUSE, fresh)
 
+    def _note_sent(self) -> None:
+        if self._curl is not None:
+            self._sent_bytes = int(self._curl.getinfo(pycurl.REQUEST_SIZE))
+
     def _go_on(self, *progress: int) -> int:
         return 1 if self._cancelled else 0
 
@@ -244,7 +250,10 @@
         try:
             await self._client.fetch(request, raise_error=False)
         except CurlError as error:
-            sent = error.errno not in _NOTHING_SENT
+            # An endpoint that reads a request on a kept connection and crashes leaves
+            # libcurl to connect anew, which fails; the error then tells of the
+            # connection alone, though the request has left and may have run.
+            sent = self._sent_bytes > 0 or error.errno not in _NOTHING_SENT
             self._error = UpstreamFailed(str(error), sent)
         except Exception as error:  # noqa: BLE001 - an answer must end, come what may
             self._error = UpstreamFailed(repr(error), sent=True)
@@ -258,6 +267,28 @@
         self._changed.set()
 
 
+class _ObservedRequest(HTTPRequest):
+    """A request that hears of its end while libcurl's handle is still its own."""
+
+    on_end: Callable[[], None] = staticmethod(lambda: None)
+
+
+class _ObservingClient(CurlAsyncHTTPClient):
+    """Tells requests of their end before their handle serves another one."""
+
+    def fetch_impl(
+        self, request: HTTPRequest, callback: Callable[[HTTPResponse], None]
+    ) -> None:
+        """Start a request."""
+
+        def finish(response: HTTPResponse) -> None:
+            if isinstance(response.request, _ObservedRequest):
+                response.request.on_end()
+            callback(response)
+
+        super().fetch_impl(request, finish)
+
+
 # Errors of libcurl that come before any byte of the request can have left.
 _NOTHING_SENT = (
     pycurl.E_URL_MALFORMAT,
@@ -275,7 +306,7 @@
 
 def make_client() -> CurlAsyncHTTPClient:
     """Return a client of its own for exchanges; the caller closes it."""
-    return CurlAsyncHTTPClient(
+    return _ObservingClient(
         force_instance=True, max_clients=CLIENTS_MAX, max_body_size=1 << 40
     )
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -112,3 +112,44 @@
         return True
 
     assert _run("/fast", act)
+
+
+async def _answer_once_and_end(reader, writer):
+    """Answer the first request, read the second, and end as a crashing engine does."""
+    await reader.readuntil(b"\r\n\r\n")
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+    await reader.readuntil(b"\r\n\r\n")
+
+
+def test_request_that_crashed_its_endpoint_over_a_kept_connection_was_sent():
+    # An engine reads a request on a connection that was kept from an earlier call, and
+    # its process ends. libcurl tries again by itself, finds nobody listening, and
+    # reports only that. The caller would be told that its request has not run, and
+    # the request, which counts no crash, would take down one engine after the other.
+    async def run():
+        def serve(reader, writer):
+            async def end():
+                await _answer_once_and_end(reader, writer)
+                server.close()
+                writer.transport.abort()
+
+            serving.append(asyncio.ensure_future(end()))
+
+        serving = []
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}/"
+        client = make_client()
+        try:
+            first = Exchange(client, "GET", url, {}, b"", 30.0, True)
+            assert (await first.head()).status == 200
+            await first.close()
+            second = Exchange(client, "POST", url, {}, b"order", 30.0, True)
+            with pytest.raises(UpstreamFailed) as caught:
+                await second.head()
+            await second.close()
+            return caught.value.sent
+        finally:
+            client.close()
+            await asyncio.gather(*serving, return_exceptions=True)
+
+    assert asyncio.run(run()) is True
