Copy cached parts of a prompt from the engine that probably holds them

Each router names the likely holder by itself: its own sends, or else where rendezvous hashing put the session before the last endpoints joined, which is where the others sent it. No message is needed for it, at any size of the fleet. Ruled out: reading the engines' cache events (a waiting call for each pair of router and engine), telling placements to peers.

--- a/src/tamarackrill/decisions/manifests.py
+++ b/src/tamarackrill/decisions/manifests.py
@@ -93,12 +93,16 @@
         Connections that one endpoint takes from all routers together.
     is_engine : bool
         Whether its endpoints are model engines.
+    copy_token_s : float or None
+        Time in which one engine copies a cached token from another; None if they
+        don't copy.
     """
 
     name: str
     health_path: str
     connections_max: int
     is_engine: bool
+    copy_token_s: float | None = None
 
 
 class ClientLimits(NamedTuple):
--- /dev/null
+++ b/src/tamarackrill/decisions/prefix_copies.py
@@ -0,0 +1,117 @@
+"""From which engine another one copies the cached parts of a prompt.
+
+Load pattern: a session's prompts go to the engine that holds their parts, until that
+engine is full, leaves, or shares its sessions with one that has just joined.  The next
+prompt of each of these sessions then reaches an engine without its parts.  Left alone
+it computes thousands of tokens again, and every request beside it waits meanwhile:
+nine thousand tokens take 80 ms of an engine that makes a step in 6 ms.
+
+Engines of one service can copy parts from each other over a link of their own.  So the
+request names the engine that most likely holds them: one that this router sent the
+session to, or else the one that rendezvous hashing gave it before the last endpoints
+joined, which is where the other routers sent it.  A wrong guess costs next to nothing,
+as an engine without the parts has nothing to copy.
+
+Beside sessions this covers the parts that all sessions of a kind begin with: the first
+session of a kind at an engine copies them from any engine that had one.
+"""
+
+import math
+from collections.abc import Collection, Iterable, Sequence
+
+from tamarackrill.contracts import Endpoint
+from tamarackrill.decisions import hashing
+from tamarackrill.decisions.cache_index import CacheIndex
+
+# Engines compute some hundred prompt tokens a millisecond.  A copy that takes longer
+# for each token than that would hold the request up, not speed it up.
+COPY_TOKEN_MAX_S = 8e-6
+# For so long after it joined an endpoint is not where others sent a session before;
+# sessions that are in use come back within seconds, and most parts are cold after that.
+NEWCOMER_S = 30.0
+# Endpoints that a router hears of this soon after the first one were there before it,
+# or started with the whole deployment: their entries arrive one by one.
+FIRST_HEARD_S = 5.0
+
+
+class PrefixCopies:
+    """What one router knows of the parts that engines hold."""
+
+    def __init__(self) -> None:
+        self._index = CacheIndex()
+        self._joined_s: dict[str, float] = {}
+        self._first_heard_s = math.inf
+
+    def observe_endpoints(self, names: Iterable[str], now_s: float) -> None:
+        """Take all endpoints known now; the first ones are not newcomers."""
+        known = self._joined_s
+        self._first_heard_s = min(self._first_heard_s, now_s)
+        is_first = now_s <= self._first_heard_s + FIRST_HEARD_S
+        joined_s = -math.inf if is_first else now_s
+        self._joined_s = {name: known.get(name, joined_s) for name in names}
+
+    def record_send(
+        self, parts: Sequence[str], endpoint: str, tokens: int, now_s: float
+    ) -> None:
+        """Remember that an engine reads, and then holds, the parts of a prompt."""
+        for key in _list_prefixes(parts):
+            self._index.record_send(key, endpoint, tokens, now_s)
+
+    def find_source(
+        self,
+        parts: Sequence[str],
+        chosen: str,
+        engines: Sequence[Endpoint],
+        avoid: Collection[str],
+        now_s: float,
+    ) -> Endpoint | None:
+        """Return the engine to copy from, or None if there is none worth asking.
+
+        Parameters
+        ----------
+        parts : sequence of str
+            Shared parts of the prompt, in order.
+        chosen : str
+            Engine that the request goes to.
+        engines : sequence of Endpoint
+            All of the service; those that leave still hold what they held.
+        avoid : collection of str
+            Engines that failed this request or can't be reached.
+        now_s : float
+            The present time.
+        """
+        sources = {e.name: e for e in engines if e.name not in avoid}
+        sources.pop(chosen, None)
+        if not sources or not parts:
+            return None
+        names = [engine.name for engine in engines]
+        # The longest beginning that some engine holds, as what is copied ends there.
+        for part, prefix in zip(reversed(parts), _list_prefixes(parts), strict=True):
+            holders = self._list_holders(prefix, now_s)
+            if chosen in holders:
+                return None
+            for name in (*holders, self._find_elder(part, names, now_s)):
+                if name in sources:
+                    return sources[name]
+        return None
+
+    def _list_holders(self, prefix: str, now_s: float) -> list[str]:
+        return [holder.endpoint for holder in self._index.holders(prefix, now_s)]
+
+    def _find_elder(self, part: str, names: Sequence[str], now_s: float) -> str | None:
+        """Return where a part was sent before the latest endpoints joined."""
+        elders = [
+            name
+            for name in names
+            if self._joined_s.get(name, now_s) <= now_s - NEWCOMER_S
+        ]
+        order = hashing.rendezvous_order(part, elders, 1)
+        return order[0] if order else None
+
+
+def _list_prefixes(parts: Sequence[str]) -> list[str]:
+    """Return the beginnings of a prompt, the longest first.
+
+    A part is of use only behind all parts that stand before it.
+    """
+    return ["/".join(parts[:count]) for count in range(len(parts), 0, -1)]
--- a/src/tamarackrill/platform/headers.py
+++ b/src/tamarackrill/platform/headers.py
@@ -147,6 +147,7 @@
     time_left_s: float,
     body_bytes: int | None,
     last_event_id: int | None,
+    copy_from: str | None = None,
 ) -> list[tuple[str, str]]:
     """Return the headers of a request to an endpoint.
 
@@ -164,6 +165,9 @@
         None for a request without a body.
     last_event_id : int or None
         The stream goes on after this event.
+    copy_from : str or None, default=None
+        Address of an engine from which the endpoint copies what it lacks of the
+        prompt's cached parts.
     """
     headers = list(call.forwarded)
     headers.append(("X-Deadline-Ms", str(max(1, int(time_left_s * 1000)))))
@@ -172,6 +176,8 @@
         headers.append(("X-Tenant-Id", team))
     if last_event_id is not None:
         headers.append(("Last-Event-Id", str(last_event_id)))
+    if copy_from is not None:
+        headers.append(("Kv-Fetch", copy_from))
     if body_bytes is not None:
         headers.append(("Content-Length", str(body_bytes)))
     return headers
--- a/src/tamarackrill/platform/objects.py
+++ b/src/tamarackrill/platform/objects.py
@@ -65,14 +65,25 @@
 
 
 def _read_service(service: Mapping[str, Any]) -> Service:
+    engine = service.get("engine") or {}
     return Service(
         name=service["name"],
         health_path=service.get("health_path", "/"),
         connections_max=int(service.get("max_connections", 0)),
-        is_engine=bool(service.get("engine")),
+        is_engine=bool(engine),
+        copy_token_s=_read_copy_token_s(engine),
     )
 
 
+def _read_copy_token_s(engine: Mapping[str, Any]) -> float | None:
+    token_bytes = float(engine.get("kv_token_bytes", 0))
+    # The link between engines, in bits; nothing to do with those of routers.
+    link_bytes_per_s = float(engine.get("link_mbps", 0)) * 1e6 / 8
+    if not token_bytes or not link_bytes_per_s:
+        return None
+    return token_bytes / link_bytes_per_s
+
+
 def _read_limits(limits: Mapping[str, Any]) -> ClientLimits:
     return ClientLimits(
         header_max_bytes=int(limits["max_header_bytes"]),
--- a/src/tamarackrill/router/edge_calls.py
+++ b/src/tamarackrill/router/edge_calls.py
@@ -57,10 +57,16 @@
         The last part of a prompt is the request's own; the one before it is that of
         the session, which endpoints may have cached.
         """
-        if not self.route.has_affinity or not self.headers.parts:
-            return ""
+        parts = self.shared_parts
+        return parts[-1] if parts else ""
+
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Parts of the prompt that other requests begin with too, in order."""
         parts = self.headers.parts
-        return parts[-2] if len(parts) > 1 else parts[0]
+        if not self.route.has_affinity or not parts:
+            return ()
+        return parts[:-1] or parts
 
     @property
     def fingerprint(self) -> int:
--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -248,6 +248,7 @@
     def _send(self, progress: _Progress, placed: EdgePlaced, channel: Channel) -> None:
         call = progress.call
         has_body = bool(call.body) or call.method in ("POST", "PUT", "PATCH")
+        source = placed.copy_from
         headers = write_request(
             call.headers,
             placed.endpoint.name,
@@ -255,6 +256,7 @@
             call.limit_s - self._clock(),
             len(call.body) if has_body else None,
             progress.stream.last_id,
+            None if source is None else source.address,
         )
         channel.send(call.method, call.target, headers, call.body)
 
--- a/src/tamarackrill/router/edge_placing.py
+++ b/src/tamarackrill/router/edge_placing.py
@@ -6,6 +6,7 @@
 from tamarackrill.contracts import Endpoint
 from tamarackrill.decisions.health import Health
 from tamarackrill.decisions.poison import Poison
+from tamarackrill.decisions.prefix_copies import COPY_TOKEN_MAX_S, PrefixCopies
 from tamarackrill.decisions.reach import Reach
 from tamarackrill.decisions.routing import Choice, Placement, PlacementRequest
 from tamarackrill.events import ENDPOINT_EJECTED, ENDPOINT_RETURNED, log_event
@@ -27,12 +28,16 @@
 
 
 class EdgePlaced(NamedTuple):
-    """An endpoint that was chosen, why, and what was known of its load."""
+    """An endpoint that was chosen, why, and what was known of its load.
+
+    `copy_from` is the engine that probably holds what the chosen one lacks.
+    """
 
     endpoint: Endpoint
     reason: str
     load: int
     bound: int
+    copy_from: Endpoint | None = None
 
 
 class EdgePlacer:
@@ -57,6 +62,7 @@
         self.health = Health()
         self.poison = Poison()
         self.reach = Reach()
+        self.copies = PrefixCopies()
         self.list_endpoints = view.list_endpoints
 
     def choose(
@@ -83,11 +89,30 @@
         for pool in self._list_pools(candidates, call, now_s):
             choice = self._choose_among(call, pool, now_s)
             if choice is not None:
+                source = self._find_source(call, choice.endpoint, avoid, now_s)
                 return EdgePlaced(
-                    choice.endpoint, choice.reason, choice.load, choice.bound
+                    choice.endpoint, choice.reason, choice.load, choice.bound, source
                 )
         return None
 
+    def _find_source(
+        self, call: EdgeCall, chosen: Endpoint, avoid: Collection[str], now_s: float
+    ) -> Endpoint | None:
+        if not call.shared_parts or not self._can_copy(call.service):
+            return None
+        engines = [e for e in self._view.list_endpoints() if call.service in e.serves]
+        barred = self.reach.find_doubtful(engines).union(avoid)
+        return self.copies.find_source(
+            call.shared_parts, chosen.name, engines, barred, now_s
+        )
+
+    def _can_copy(self, service_name: str) -> bool:
+        table = self._view.routes
+        service = None if table is None else table.services.get(service_name)
+        if service is None or service.copy_token_s is None:
+            return False
+        return service.copy_token_s <= COPY_TOKEN_MAX_S
+
     def _list_pools(
         self, candidates: list[Endpoint], call: EdgeCall, now_s: float
     ) -> list[list[Endpoint]]:
@@ -135,6 +160,8 @@
         request = _make_request(call, self._zone)
         self.placement.start(endpoint.name, request, now_s)
         self.poison.start(call.fingerprint, endpoint.name, now_s)
+        tokens = call.headers.tokens
+        self.copies.record_send(call.shared_parts, endpoint.name, tokens, now_s)
 
     def finish(self, call: EdgeCall, endpoint: Endpoint, now_s: float) -> None:
         """Count a request as over at an endpoint."""
@@ -174,6 +201,7 @@
         """Forget what is known of endpoints that are gone."""
         known = {endpoint.name for endpoint in self._view.list_endpoints()}
         self.reach.retain(known)
+        self.copies.observe_endpoints(known, now_s)
 
 
 def _make_request(call: EdgeCall, zone: str) -> PlacementRequest:
--- a/src/tamarackrill/testing/edge.py
+++ b/src/tamarackrill/testing/edge.py
@@ -112,9 +112,17 @@
         await self.store.write("servers", name, spec)
         return worker
 
-    async def put_manifest(self, version: int, *routes: dict[str, Any]) -> None:
-        """Write a manifest."""
-        await self.store.write("config", "main", make_manifest(version, *routes))
+    async def put_manifest(
+        self,
+        version: int,
+        *routes: dict[str, Any],
+        engine: dict[str, Any] | None = None,
+    ) -> None:
+        """Write a manifest; with `engine`, its service is one of model engines."""
+        manifest = make_manifest(version, *routes)
+        if engine is not None:
+            manifest["services"][0]["engine"] = engine
+        await self.store.write("config", "main", manifest)
 
     async def add_router(
         self, name: str = "router", zone: str = "z"
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -40,6 +40,36 @@
     asyncio.run(run())
 
 
+ENGINE = {"kv_token_bytes": 192_512, "link_mbps": 350_000.0}
+PROMPT = "aa:800,bb:4000,cc:90"
+
+
+def test_session_of_an_engine_that_leaves_is_copied_to_the_next_one():
+    # Engines are replaced one after the other. The sessions of one that leaves go on
+    # at another, which would read all of their prompts again while its own callers
+    # wait; the one that leaves still holds them.
+    route = make_route("/chat/", "streaming", attempts=1, session_affinity=True)
+
+    async def act(fleet):
+        await fleet.put_manifest(2, route, engine=ENGINE)
+        workers = [
+            await fleet.add_worker(n, make_streaming(1), models=[{"name": "m"}])
+            for n in ("w1", "w2")
+        ]
+        router = await fleet.add_router()
+        await fleet.wait(lambda: len(router.view.list_live("desk")) == 2)
+        await ask(router, "/chat/a", "id-1", X_Prompt_Prefix=PROMPT)
+        (first,) = [worker for worker in workers if worker.requests]
+        (other,) = [worker for worker in workers if worker is not first]
+        leaving = first.describe("desk", state="draining", models=[{"name": "m"}])
+        await fleet.store.write("servers", first.name, leaving)
+        await fleet.wait(lambda: len(router.view.list_live("desk")) == 1)
+        await ask(router, "/chat/a", "id-2", X_Prompt_Prefix=PROMPT)
+        assert other.requests[0].headers["kv-fetch"] == first.address
+
+    play(act)
+
+
 async def break_off(request, writer):
     writer.transport.abort()
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -99,6 +99,22 @@
     assert manifest.teams[0].keys == ("the-key",)
 
 
+@pytest.mark.parametrize(
+    ("engine", "copy_token_s"),
+    [
+        ({"kv_token_bytes": 200_000, "link_mbps": 1_600_000.0}, 1e-6),
+        ({"kv_token_bytes": 192_512}, None),
+        ({"slots": 8}, None),
+        (None, None),
+    ],
+)
+def test_time_to_copy_a_token_between_engines_is_read(engine, copy_token_s):
+    spec = make_manifest(1)
+    spec["services"][0]["engine"] = engine
+    (service,) = read_manifest(spec).services
+    assert service.copy_token_s == copy_token_s
+
+
 def test_manifest_without_tenants_asks_for_no_keys():
     spec = make_manifest(1)
     del spec["tenants"]
@@ -164,6 +180,13 @@
     assert headers["X-Deadline-Ms"] == "1250"
     assert headers["Last-Event-Id"] == "7"
     assert headers["Content-Length"] == "3"
+    assert "Kv-Fetch" not in headers
+
+
+def test_request_names_the_engine_to_copy_from_whatever_the_client_sent():
+    call = read_call(HTTPHeaders({"Kv-Fetch": "10.0.0.1:80"}))
+    headers = write_request(call, "i-1", "team", 1.25, 3, 7, "10.0.0.2:80")
+    assert [v for n, v in headers if n == "Kv-Fetch"] == ["10.0.0.2:80"]
 
 
 def test_head_of_an_answer_is_read():
--- /dev/null
+++ b/tests/test_prefix_copies.py
@@ -0,0 +1,113 @@
+import pytest
+
+from tamarackrill.contracts import Endpoint
+from tamarackrill.decisions.hashing import rank
+from tamarackrill.decisions.prefix_copies import (
+    FIRST_HEARD_S,
+    NEWCOMER_S,
+    PrefixCopies,
+)
+
+NAMES = [f"engine-{number}" for number in range(5)]
+SESSION = ("kind", "session")
+JOINED_S = 60.0
+
+
+def make_engine(name, state="live"):
+    return Endpoint(name, "engine", ("writer",), f"{name}:1", "z", state)
+
+
+def make_copies(names=NAMES, started_s=0.0):
+    copies = PrefixCopies()
+    copies.observe_endpoints(names, started_s)
+    return copies
+
+
+def find(copies, chosen, names=NAMES, avoid=(), now_s=JOINED_S + 1, parts=SESSION):
+    engines = [make_engine(name) for name in names]
+    source = copies.find_source(parts, chosen, engines, avoid, now_s)
+    return None if source is None else source.name
+
+
+def find_home(session=SESSION[-1], names=NAMES):
+    return rank(session, names)[0]
+
+
+def test_full_engine_s_session_is_copied_to_where_it_overflows():
+    # A burst of one session fills its engine, and the next prompts go to another one,
+    # which would read thousands of tokens again while everybody beside them waits.
+    home, second, *_ = rank(SESSION[-1], NAMES)
+    assert find(make_copies(), second) == home
+
+
+def test_engine_that_has_just_joined_copies_from_where_its_sessions_were():
+    # An engine is added and rendezvous hashing gives it its part of the sessions. This
+    # router has sent none of them anywhere; other routers have.
+    copies = make_copies()
+    grown = [*NAMES, "engine-new"]
+    copies.observe_endpoints(grown, JOINED_S)
+    moved = next(s for s in map(str, range(99)) if find_home(s, grown) == "engine-new")
+    source = find(copies, "engine-new", grown, parts=("kind", moved))
+    assert source == find_home(moved)
+
+
+def test_engine_that_leaves_is_copied_from_before_it_is_gone():
+    # Engines are replaced one after the other. One that leaves takes no new requests,
+    # but holds the parts of all its sessions until it ends.
+    home, second, *_ = rank(SESSION[-1], NAMES)
+    engines = [make_engine(n, "leaving" if n == home else "live") for n in NAMES]
+    copies = make_copies()
+    source = copies.find_source(SESSION, second, engines, (), JOINED_S)
+    assert source.name == home
+
+
+def test_engine_to_which_a_session_was_sent_goes_before_a_guess():
+    copies = make_copies()
+    home, second, third, *_ = rank(SESSION[-1], NAMES)
+    copies.record_send(SESSION, third, 4000, JOINED_S)
+    assert find(copies, second) == third
+
+
+def test_engine_that_holds_the_session_copies_nothing():
+    copies = make_copies()
+    home = find_home()
+    copies.record_send(SESSION, home, 4000, JOINED_S)
+    assert find(copies, home) is None
+
+
+def test_first_session_of_a_kind_copies_what_all_of_its_kind_begin_with():
+    # Each engine once reads what all prompts of a kind begin with, and a new session
+    # goes to an engine that has not yet.
+    copies = make_copies()
+    home, other, *_ = rank(SESSION[-1], NAMES)
+    copies.record_send(("kind", "another session"), other, 4000, JOINED_S)
+    assert find(copies, home) == other
+
+
+@pytest.mark.parametrize("known", [True, False])
+def test_engine_that_failed_or_cannot_be_reached_is_not_copied_from(known):
+    # The link to an engine in a zone that is cut off would hold the request up for
+    # longer than reading its prompt takes.
+    copies = make_copies()
+    home, second, *_ = rank(SESSION[-1], NAMES)
+    if known:
+        copies.record_send(SESSION, home, 4000, JOINED_S)
+    assert find(copies, second, avoid={home}) != home
+
+
+def test_entries_that_arrive_one_by_one_at_the_start_are_no_newcomers():
+    # At the start of a deployment entries are written one after the other. Were all
+    # but the first taken for newcomers, every guess would name that one engine.
+    copies = make_copies(NAMES[:1])
+    copies.observe_endpoints(NAMES, FIRST_HEARD_S)
+    home, second, *_ = rank(SESSION[-1], NAMES)
+    assert find(copies, second, now_s=FIRST_HEARD_S) == home
+
+
+def test_newcomer_is_one_of_all_after_a_while():
+    copies = make_copies()
+    grown = [*NAMES, "engine-new"]
+    copies.observe_endpoints(grown, JOINED_S)
+    moved = next(s for s in map(str, range(99)) if find_home(s, grown) == "engine-new")
+    now_s = JOINED_S + NEWCOMER_S
+    assert find(copies, NAMES[0], grown, (), now_s, ("kind", moved)) == "engine-new"
