Ask the balancer to send clients elsewhere while cut off from a service

A balancer that finds no router of a zone ready uses those of the next zones.

A router is not ready while it reaches no endpoint outside its zone and some service has none inside. It ends kept connections with their next answer, and tells refused clients to come back when the balancer has noticed. A failed connection has one endpoint of each other zone asked, so that a cut is known within two timeouts.

--- a/src/tamarackrill/decisions/attempts.py
+++ b/src/tamarackrill/decisions/attempts.py
@@ -32,6 +32,9 @@
 # that waits for more than a third of what it has left may not come back at all.
 CUT_RETURN_SHARE = 0.22
 CUT_RETURN_SPREAD_SHARE = 0.1
+# Once the balancer sends clients to other zones, the first of them arrive spread over
+# so much time, at routers that serve their own zone besides.
+ELSEWHERE_SPREAD_S = 0.2
 
 
 class Tried(NamedTuple):
@@ -119,7 +122,9 @@
     return repeats_left >= 1.0
 
 
-def choose_return_s(key: str, is_cut: bool, time_left_s: float) -> float:
+def choose_return_s(
+    key: str, is_cut: bool, time_left_s: float, elsewhere_s: float | None = None
+) -> float:
     """Return when a refused client should come back, spread by its request.
 
     Parameters
@@ -130,10 +135,15 @@
         Whether its endpoints can't be reached, and not only full.
     time_left_s : float
         Until the client's deadline.
+    elsewhere_s : float or None, default=None
+        Time after which it reaches a router in another zone, if that is foreseen.
     """
     share = hashing.hash_name(key) % 1000 / 1000
     soon_s = RETURN_MIN_S + share * RETURN_SPREAD_S
     if not is_cut:
         return soon_s
     late_share = CUT_RETURN_SHARE + share * CUT_RETURN_SPREAD_SHARE
-    return max(RETURN_MIN_S, late_share * time_left_s)
+    late_s = late_share * time_left_s
+    if elsewhere_s is not None:
+        late_s = min(late_s, elsewhere_s + share * ELSEWHERE_SPREAD_S)
+    return max(RETURN_MIN_S, late_s)
--- a/src/tamarackrill/decisions/reach.py
+++ b/src/tamarackrill/decisions/reach.py
@@ -87,3 +87,16 @@
             if endpoint.zone == failed.zone and endpoint.name not in self._marks
         ]
         return near[:SUSPECTS_MAX]
+
+    def list_elsewhere(
+        self, failed: Endpoint, endpoints: Sequence[Endpoint]
+    ) -> list[Endpoint]:
+        """Return an endpoint of each other zone than that of one that has failed.
+
+        It may be this router's own zone that is cut off.
+        """
+        first: dict[str, Endpoint] = {}
+        for endpoint in endpoints:
+            if endpoint.zone != failed.zone and endpoint.name not in self._marks:
+                first.setdefault(endpoint.zone, endpoint)
+        return list(first.values())
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -75,6 +75,23 @@
     "A router was told by SIGHUP that its settings file has changed.",
 )
 
+ROUTER_CUT_OFF = Event(
+    1007,
+    "router_cut_off",
+    _WARNING,
+    ("zone", "unreached"),
+    "No endpoint outside the zone can be reached, and some service has none inside: "
+    "the router is not ready, so that the balancer sends clients to other zones.",
+    "Look at the zone's links; the router is ready again once they work.",
+)
+ROUTER_REJOINED = Event(
+    1008,
+    "router_rejoined",
+    _INFO,
+    ("zone", "unreached"),
+    "Endpoints outside the zone can be reached again; the router is ready.",
+)
+
 # 2000: requests, routing and admission
 REQUEST_ROUTED = Event(
     2001,
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -13,13 +13,16 @@
     ConfigurationStore,
     ObjectVersion,
 )
+from tamarackrill.decisions.isolation import Isolation
 from tamarackrill.decisions.members import Entries, MemberRecord, MemberState
 from tamarackrill.decisions.membership import PeerHeard
 from tamarackrill.decisions.poison import CrashCount
 from tamarackrill.decisions.retry_shares import FleetSize
 from tamarackrill.decisions.watching import SETTLE_S, Watching
 from tamarackrill.events import (
+    ROUTER_CUT_OFF,
     ROUTER_LEAVING,
+    ROUTER_REJOINED,
     ROUTER_STARTED,
     ROUTER_STOPPED,
     log_event,
@@ -124,6 +127,7 @@
             Member(settings.name, address, settings.zone, peer_address=address)
         )
         self._fleet_size = FleetSize()
+        self.isolation = Isolation(settings.zone)
         self.flow = EdgeFlow(
             self.placer,
             settings.retry_budget,
@@ -131,6 +135,9 @@
             self.metrics,
             self.clock,
         )
+        self.flow.find_elsewhere_s = lambda: self.isolation.find_elsewhere_s(
+            self.clock()
+        )
         self.server = EdgeServer(self.view, self.flow, self.metrics, self.clock)
 
     async def start(self) -> None:
@@ -288,14 +295,30 @@
             await asyncio.sleep(HOUSEKEEPING_EVERY_S)
             self.view.expire(self.clock())
             self.flow.paths.ask_due()
+            self._watch_isolation()
             self._fleet_size.observe(len(self.members.list_live()), self.clock())
             self.zone_news.take_members()
             self.zone_news.tell()
             self._flush_log()
 
+    def _watch_isolation(self) -> None:
+        table = self.view.routes
+        if table is None:
+            return
+        pools = [self.view.list_live(name) for name in table.services]
+        doubtful = self.placer.reach.find_doubtful(self.view.list_endpoints())
+        if not self.isolation.observe(pools, doubtful, self.clock()):
+            return
+        # A kept connection stays with its router, whatever the balancer does.
+        self.server.sends_elsewhere = self.isolation.is_cut_off
+        event = ROUTER_CUT_OFF if self.isolation.is_cut_off else ROUTER_REJOINED
+        log_event(event, zone=self.settings.zone, unreached=len(doubtful))
+
     def is_ready(self) -> bool:
         """Return whether the balancer may send new connections here."""
-        return self.view.is_complete and not self.server.is_leaving
+        if self.server.is_leaving or self.isolation.is_cut_off:
+            return False
+        return self.view.is_complete
 
     async def drain(self) -> None:
         """Let what is in flight end, within the time that the platform gives."""
--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -126,6 +126,7 @@
         self.pool = ChannelPool()
         self.paths = Paths(placer.reach, placer.list_endpoints, self.pool.drop, clock)
         self.tell_crash: Callable[[int], None] = lambda fingerprint: None
+        self.find_elsewhere_s: Callable[[], float | None] = lambda: None
 
     async def serve(self, call: EdgeCall, reply: EdgeReply) -> None:
         """Give a request its final answer.
@@ -467,7 +468,10 @@
             status = 503
             is_cut = reason in ("no_endpoint", "not_sent")
             wait_s = retry_after_s or choose_return_s(
-                call.request_id, is_cut, self._find_client_left_s(call)
+                call.request_id,
+                is_cut,
+                self._find_client_left_s(call),
+                self.find_elsewhere_s(),
             )
         else:
             is_late = self._clock() >= call.limit_s
--- a/src/tamarackrill/router/edge_reply.py
+++ b/src/tamarackrill/router/edge_reply.py
@@ -14,8 +14,8 @@
     ----------
     connection : HTTP1Connection
         The client's connection, whose request has been read.
-    is_leaving : callable
-        Whether the router stops, so that the connection ends with this answer.
+    must_close : bool
+        Whether the connection ends with this answer.
 
     Attributes
     ----------
--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -69,6 +69,9 @@
     ----------
     is_leaving : bool
         Whether connections end with their next answer.
+    sends_elsewhere : bool
+        Whether connections end with their next answer because clients are better
+        served by other routers; new ones are served all the same.
     takes_work : bool
         Whether requests are still served.
     """
@@ -85,6 +88,7 @@
         self.metrics = metrics
         self.clock = clock
         self.is_leaving = False
+        self.sends_elsewhere = False
         self.takes_work = True
         self.in_flight: set[asyncio.Task[None]] = set()
         self.server = HTTPServer(
@@ -224,7 +228,9 @@
         self._task.cancel()
 
     async def _serve(self) -> None:
-        reply = EdgeReply(self._connection, self._server.is_leaving)
+        server = self._server
+        must_close = server.is_leaving or server.sends_elsewhere
+        reply = EdgeReply(self._connection, must_close)
         try:
             await self._answer(reply)
         except StreamClosedError:
--- a/src/tamarackrill/router/paths.py
+++ b/src/tamarackrill/router/paths.py
@@ -56,7 +56,9 @@
         # One that refuses connections has ended; its neighbours need not have.
         if not isinstance(error, ConnectionRefusedError):
             endpoints = self._list_endpoints()
-            for suspect in self._reach.list_suspects(endpoint, endpoints):
+            suspects = self._reach.list_suspects(endpoint, endpoints)
+            suspects += self._reach.list_elsewhere(endpoint, endpoints)
+            for suspect in suspects:
                 self.ask(suspect)
 
     def note_answer(self, endpoint: Endpoint) -> None:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -2,6 +2,7 @@
 
 from tamarackrill.decisions.attempts import (
     CONNECTS_MAX,
+    ELSEWHERE_SPREAD_S,
     RETURN_MIN_S,
     RETURN_SPREAD_S,
     Tried,
@@ -85,3 +86,12 @@
     found = [choose_return_s(f"request-{n}", True, time_left_s) for n in range(200)]
     assert max(found) <= time_left_s / 3
     assert min(found) >= 0.2 * time_left_s
+
+
+def test_client_of_a_cut_zone_comes_back_as_soon_as_it_is_sent_elsewhere():
+    # The zone of a client is cut off, and the balancer will send it to another zone in
+    # half a second. Told to come back by a share of its time, it would be late.
+    found = [choose_return_s(f"r-{n}", True, 15.0, 0.5) for n in range(200)]
+    assert min(found) >= 0.5 and max(found) <= 0.5 + ELSEWHERE_SPREAD_S
+    short = [choose_return_s(f"r-{n}", True, 3.0, 2.0) for n in range(200)]
+    assert max(short) < 3.0 / 3
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -573,3 +573,37 @@
 
     play(act)
     assert KEY not in caplog.text
+
+
+def test_router_that_is_cut_off_from_a_service_has_clients_sent_elsewhere():
+    # A zone is cut off from the others and has no desk of its own. Its clients still
+    # reach its routers, which could only refuse them for as long as the cut lasts; a
+    # balancer that finds no router of a zone ready asks those of the next zone. What
+    # the zone can serve by itself is served meanwhile.
+    async def act(fleet):
+        near_route = make_route("/near/", "idempotent", service="near-desk")
+        await fleet.put_manifest(2, *ROUTES, near_route)
+        far = [await fleet.add_worker(n, zone=n) for n in ("y", "x")]
+        await fleet.add_worker("near", zone="z", service="near-desk")
+        router = await fleet.add_router(zone="z")
+        await fleet.wait(lambda: len(router.view.list_endpoints()) == 3)
+        for worker in far:
+            await worker.stop()
+        client = await EdgeClient.connect(router)
+        client.send("/lookup/a")
+        refused = await client.read()
+        assert (refused.status, read_reason(refused)) == (503, "no_endpoint")
+        assert "retry-after" in refused.headers
+        await fleet.wait(lambda: not router.is_ready())
+        client.send("/near/a", "id-2")
+        answer = await client.read()
+        assert (answer.status, answer.headers["connection"]) == (200, "close")
+        client.close()
+        for worker in far:
+            await worker.start()
+            spec = worker.describe("desk", zone=worker.name)
+            await fleet.store.write("servers", worker.name, spec)
+        await fleet.wait(router.is_ready)
+        assert (await ask(router, "/lookup/a", "id-3")).status == 200
+
+    play(act)
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -80,3 +80,14 @@
     reach.observe_failure(endpoints[1], 0.0)
     reach.retain(["a1", "a2"])
     assert reach.find_doubtful(endpoints) == {"a1"}
+
+
+def test_failure_has_one_endpoint_of_each_other_zone_asked():
+    # The router's own zone is cut off, and the first request that notices was for one
+    # far zone. Were the other zones left to later requests, each of these would lose a
+    # timeout before the router knows where it stands.
+    endpoints = make_endpoints()
+    reach = Reach()
+    reach.observe_failure(endpoints[0], 0.0)
+    names = [e.name for e in reach.list_elsewhere(endpoints[0], endpoints)]
+    assert names == ["b0"]
