--- a/src/tamarackrill/protocol/bulletin_codec.py
+++ b/src/tamarackrill/protocol/bulletin_codec.py
@@ -1,14 +1,13 @@
 """Encoding and proof of origin of bulletins; see `decisions.watching`."""
 
-from pathlib import Path
 from typing import Any
 
-import thriftpy2
 from thriftpy2.protocol.compact import TCompactProtocol
 from thriftpy2.transport import TMemoryBuffer
 
 from tamarackrill.decisions.configuration import ConfigurationDigest
 from tamarackrill.decisions.watching import Bulletin, Evidence
+from tamarackrill.protocol import structs
 from tamarackrill.protocol.codec import (
     DIGEST_BYTES,
     from_signed,
@@ -18,14 +17,11 @@
 )
 
 _CONTEXT = b"bulletin\0"
-_idl = thriftpy2.load(
-    str(Path(__file__).with_name("bulletins.thrift")), module_name="bulletins_thrift"
-)
 
 
 def encode_bulletin(bulletin: Bulletin, keys: tuple[str, ...]) -> bytes:
     """Return the datagram of a bulletin, signed with the first key."""
-    struct = _idl.Bulletin(
+    struct = structs.Bulletin(
         sender=bulletin.sender,
         session=bulletin.session,
         sequence=bulletin.sequence,
@@ -42,7 +38,7 @@
     digest, payload = datagram[:DIGEST_BYTES], datagram[DIGEST_BYTES:]
     if not verify(digest, _CONTEXT + payload, keys):
         return None
-    struct = _idl.Bulletin()
+    struct = structs.Bulletin()
     try:
         struct.read(TCompactProtocol(TMemoryBuffer(payload)))
         evidence = tuple(_read_evidence(item) for item in struct.evidence)
@@ -57,7 +53,7 @@
 
 def _write_evidence(evidence: Evidence) -> Any:
     digest = evidence.digest
-    return _idl.Evidence(
+    return structs.Evidence(
         kind=digest.kind,
         age_ms=round(evidence.age_s * 1000),
         complete=digest.complete,
--- a/src/tamarackrill/protocol/codec.py
+++ b/src/tamarackrill/protocol/codec.py
@@ -8,10 +8,8 @@
 
 import hashlib
 import hmac
-from pathlib import Path
 from typing import Any
 
-import thriftpy2
 from thriftpy2.protocol.compact import TCompactProtocol
 from thriftpy2.transport import TMemoryBuffer
 
@@ -26,6 +24,7 @@
     Purpose,
 )
 from tamarackrill.decisions.views import BUCKETS
+from tamarackrill.protocol import structs
 
 # 128 bits cannot be guessed over a network, and leave 16 bytes more of the budget
 # than the whole digest.
@@ -36,10 +35,6 @@
 _I64_MODULUS = 1 << 64
 _I64_LIMIT = 1 << 63
 
-_idl = thriftpy2.load(
-    str(Path(__file__).with_name("peer.thrift")), module_name="peer_thrift"
-)
-
 
 class InvalidMessage(ValueError):
     """A datagram that no peer sent, or that does not hold a message.
@@ -89,7 +84,7 @@
     digest, payload = datagram[:DIGEST_BYTES], datagram[DIGEST_BYTES:]
     if not verify(digest, _CONTEXT + payload, keys):
         raise InvalidMessage("stranger")
-    struct = _idl.Gossip()
+    struct = structs.Gossip()
     try:
         struct.read(TCompactProtocol(TMemoryBuffer(payload)))
         return _from_struct(struct)
@@ -100,7 +95,7 @@
 
 
 def _to_struct(message: Gossip) -> Any:
-    return _idl.Gossip(
+    return structs.Gossip(
         sender=message.sender,
         session=message.session,
         sequence=message.sequence,
@@ -112,7 +107,7 @@
         after=message.after or None,
         buckets=message.buckets or None,
         configuration=[
-            _idl.ConfigurationDigest(
+            structs.ConfigurationDigest(
                 item.kind, item.complete, item.newest, to_signed(item.content)
             )
             for item in message.configuration
@@ -122,7 +117,7 @@
 
 
 def _write_record(record: MemberRecord) -> Any:
-    return _idl.MemberRecord(
+    return structs.MemberRecord(
         record.name,
         record.incarnation,
         int(record.state),
@@ -133,9 +128,9 @@
 
 
 def _write_entries(entries: Entries) -> dict[str, Any]:
-    loads = [_idl.EndpointLoad(*item) for item in entries.loads]
+    loads = [structs.EndpointLoad(*item) for item in entries.loads]
     crashes = [
-        _idl.CrashCount(to_signed(item.fingerprint), item.crashes)
+        structs.CrashCount(to_signed(item.fingerprint), item.crashes)
         for item in entries.crashes
     ]
     lists = {"loads": loads, "crashes": crashes}
--- a/src/tamarackrill/protocol/owner_codec.py
+++ b/src/tamarackrill/protocol/owner_codec.py
@@ -4,19 +4,15 @@
 same socket and with the same keys, is never taken for one of these.
 """
 
-from pathlib import Path
 from typing import NamedTuple
 
-import thriftpy2
 from thriftpy2.protocol.compact import TCompactProtocol
 from thriftpy2.transport import TMemoryBuffer
 
+from tamarackrill.protocol import structs
 from tamarackrill.protocol.codec import DIGEST_BYTES, sign, verify
 
 _CONTEXT = b"owners\0"
-_idl = thriftpy2.load(
-    str(Path(__file__).with_name("owners.thrift")), module_name="owners_thrift"
-)
 
 
 class Ask(NamedTuple):
@@ -64,9 +60,9 @@
 def encode_owner_message(message: OwnerMessage, keys: tuple[str, ...]) -> bytes:
     """Return the datagram of a message, signed with the first key."""
     name = type(message).__name__
-    struct = getattr(_idl, name)(**message._asdict())
+    struct = getattr(structs, name)(**message._asdict())
     buffer = TMemoryBuffer()
-    _idl.OwnerMessage(**{name.lower(): struct}).write(TCompactProtocol(buffer))
+    structs.OwnerMessage(**{name.lower(): struct}).write(TCompactProtocol(buffer))
     payload = buffer.getvalue()
     return sign(_CONTEXT + payload, keys[0]) + payload
 
@@ -76,7 +72,7 @@
     digest, payload = datagram[:DIGEST_BYTES], datagram[DIGEST_BYTES:]
     if not verify(digest, _CONTEXT + payload, keys):
         return None
-    struct = _idl.OwnerMessage()
+    struct = structs.OwnerMessage()
     try:
         struct.read(TCompactProtocol(TMemoryBuffer(payload)))
         for kind in (Ask, Answer, Release):
--- /dev/null
+++ b/src/tamarackrill/protocol/structs.py
@@ -0,0 +1,214 @@
+"""Messages between routers, generated from the IDL files; see `generate`."""
+
+from thriftpy2.thrift import TPayload, TPayloadMeta, TType
+
+
+class MemberRecord(TPayload, metaclass=TPayloadMeta):
+    """Struct of peer.thrift."""
+
+    thrift_spec = {
+        1: (TType.STRING, "name", False),
+        2: (TType.I64, "incarnation", False),
+        3: (TType.BYTE, "state", False),
+        4: (TType.STRING, "zone", False),
+        5: (TType.STRING, "address", False),
+        6: (TType.STRING, "peer_address", False),
+    }
+    default_spec = [
+        ("name", None),
+        ("incarnation", None),
+        ("state", None),
+        ("zone", None),
+        ("address", None),
+        ("peer_address", None),
+    ]
+
+
+class ConfigurationDigest(TPayload, metaclass=TPayloadMeta):
+    """Struct of peer.thrift."""
+
+    thrift_spec = {
+        1: (TType.STRING, "kind", False),
+        2: (TType.I64, "complete", False),
+        3: (TType.I64, "newest", False),
+        4: (TType.I64, "content", False),
+    }
+    default_spec = [
+        ("kind", None),
+        ("complete", None),
+        ("newest", None),
+        ("content", None),
+    ]
+
+
+class EndpointLoad(TPayload, metaclass=TPayloadMeta):
+    """Struct of peer.thrift."""
+
+    thrift_spec = {
+        1: (TType.STRING, "endpoint", False),
+        2: (TType.I32, "in_flight", False),
+    }
+    default_spec = [("endpoint", None), ("in_flight", None)]
+
+
+class CrashCount(TPayload, metaclass=TPayloadMeta):
+    """Struct of peer.thrift."""
+
+    thrift_spec = {
+        1: (TType.I64, "fingerprint", False),
+        2: (TType.BYTE, "crashes", False),
+    }
+    default_spec = [("fingerprint", None), ("crashes", None)]
+
+
+class Gossip(TPayload, metaclass=TPayloadMeta):
+    """Struct of peer.thrift."""
+
+    thrift_spec = {
+        1: (TType.STRING, "sender", False),
+        2: (TType.I64, "session", False),
+        3: (TType.I64, "sequence", False),
+        4: (TType.BYTE, "purpose", False),
+        5: (TType.LIST, "members", (TType.STRUCT, MemberRecord), False),
+        6: (TType.I64, "view", False),
+        7: (TType.I32, "known", False),
+        8: (TType.STRING, "after", False),
+        9: (TType.LIST, "configuration", (TType.STRUCT, ConfigurationDigest), False),
+        11: (TType.LIST, "loads", (TType.STRUCT, EndpointLoad), False),
+        12: (TType.LIST, "crashes", (TType.STRUCT, CrashCount), False),
+        13: (TType.LIST, "page", (TType.STRUCT, MemberRecord), False),
+        14: (TType.BINARY, "buckets", False),
+    }
+    default_spec = [
+        ("sender", None),
+        ("session", None),
+        ("sequence", None),
+        ("purpose", None),
+        ("members", None),
+        ("view", None),
+        ("known", None),
+        ("after", None),
+        ("configuration", None),
+        ("loads", None),
+        ("crashes", None),
+        ("page", None),
+        ("buckets", None),
+    ]
+
+
+class Evidence(TPayload, metaclass=TPayloadMeta):
+    """Struct of bulletins.thrift."""
+
+    thrift_spec = {
+        1: (TType.STRING, "kind", False),
+        2: (TType.I32, "age_ms", False),
+        3: (TType.I64, "complete", False),
+        4: (TType.I64, "newest", False),
+        5: (TType.I64, "content", False),
+    }
+    default_spec = [
+        ("kind", None),
+        ("age_ms", None),
+        ("complete", None),
+        ("newest", None),
+        ("content", None),
+    ]
+
+
+class Bulletin(TPayload, metaclass=TPayloadMeta):
+    """Struct of bulletins.thrift."""
+
+    thrift_spec = {
+        1: (TType.STRING, "sender", False),
+        2: (TType.I64, "session", False),
+        3: (TType.I64, "sequence", False),
+        4: (TType.LIST, "evidence", (TType.STRUCT, Evidence), False),
+    }
+    default_spec = [
+        ("sender", None),
+        ("session", None),
+        ("sequence", None),
+        ("evidence", None),
+    ]
+
+
+class Ask(TPayload, metaclass=TPayloadMeta):
+    """Struct of owners.thrift."""
+
+    thrift_spec = {
+        1: (TType.STRING, "sender", False),
+        2: (TType.I64, "ticket", False),
+        3: (TType.STRING, "endpoint", False),
+        4: (TType.I32, "lapses_ms", False),
+        5: (TType.BOOL, "is_last", False),
+    }
+    default_spec = [
+        ("sender", None),
+        ("ticket", None),
+        ("endpoint", None),
+        ("lapses_ms", None),
+        ("is_last", None),
+    ]
+
+
+class Answer(TPayload, metaclass=TPayloadMeta):
+    """Struct of owners.thrift."""
+
+    thrift_spec = {
+        1: (TType.I64, "ticket", False),
+        2: (TType.BOOL, "is_granted", False),
+        3: (TType.I32, "in_flight", False),
+    }
+    default_spec = [("ticket", None), ("is_granted", None), ("in_flight", None)]
+
+
+class Release(TPayload, metaclass=TPayloadMeta):
+    """Struct of owners.thrift."""
+
+    thrift_spec = {1: (TType.STRING, "sender", False), 2: (TType.I64, "ticket", False)}
+    default_spec = [("sender", None), ("ticket", None)]
+
+
+class OwnerMessage(TPayload, metaclass=TPayloadMeta):
+    """Struct of owners.thrift."""
+
+    thrift_spec = {
+        1: (TType.STRUCT, "ask", Ask, False),
+        2: (TType.STRUCT, "answer", Answer, False),
+        3: (TType.STRUCT, "release", Release, False),
+    }
+    default_spec = [("ask", None), ("answer", None), ("release", None)]
+
+
+class TeamUsage(TPayload, metaclass=TPayloadMeta):
+    """Struct of usage.thrift."""
+
+    thrift_spec = {
+        1: (TType.STRING, "team", False),
+        2: (TType.BYTE, "scope", False),
+        3: (TType.STRING, "origin", False),
+        4: (TType.I64, "requests_milli_per_s", False),
+        5: (TType.I64, "tokens_per_s", False),
+        6: (TType.I32, "in_flight", False),
+        7: (TType.I64, "done_milli_per_s", False),
+    }
+    default_spec = [
+        ("team", None),
+        ("scope", None),
+        ("origin", None),
+        ("requests_milli_per_s", None),
+        ("tokens_per_s", None),
+        ("in_flight", None),
+        ("done_milli_per_s", None),
+    ]
+
+
+class UsageMessage(TPayload, metaclass=TPayloadMeta):
+    """Struct of usage.thrift."""
+
+    thrift_spec = {
+        1: (TType.STRING, "sender", False),
+        2: (TType.I64, "sequence", False),
+        3: (TType.LIST, "usages", (TType.STRUCT, TeamUsage), False),
+    }
+    default_spec = [("sender", None), ("sequence", None), ("usages", None)]
--- a/src/tamarackrill/protocol/usage_codec.py
+++ b/src/tamarackrill/protocol/usage_codec.py
@@ -5,21 +5,17 @@
 keyed digest covers a word of its own, so that no other datagram is taken for one.
 """
 
-from pathlib import Path
 from typing import Any, NamedTuple
 
-import thriftpy2
 from thriftpy2.protocol.compact import TCompactProtocol
 from thriftpy2.transport import TMemoryBuffer
 
 from tamarackrill.decisions.limits import TeamUsage, UsageScope
+from tamarackrill.protocol import structs
 from tamarackrill.protocol.codec import DIGEST_BYTES, need_text, sign, verify
 
 _SCOPES: tuple[UsageScope, ...] = ("router", "zone", "other_routers", "other_zones")
 _CONTEXT = b"usage\0"
-_idl = thriftpy2.load(
-    str(Path(__file__).with_name("usage.thrift")), module_name="usage_thrift"
-)
 
 
 class UsageMessage(NamedTuple):
@@ -44,7 +40,7 @@
     """Return the datagram of a message, signed with the first key."""
     buffer = TMemoryBuffer()
     usages = [_write_usage(usage) for usage in message.usages]
-    struct = _idl.UsageMessage(message.sender, message.sequence, usages)
+    struct = structs.UsageMessage(message.sender, message.sequence, usages)
     struct.write(TCompactProtocol(buffer))
     payload = buffer.getvalue()
     return sign(_CONTEXT + payload, keys[0]) + payload
@@ -55,7 +51,7 @@
     digest, payload = datagram[:DIGEST_BYTES], datagram[DIGEST_BYTES:]
     if not verify(digest, _CONTEXT + payload, keys):
         return None
-    struct = _idl.UsageMessage()
+    struct = structs.UsageMessage()
     try:
         struct.read(TCompactProtocol(TMemoryBuffer(payload)))
         usages = tuple(_read_usage(item) for item in struct.usages)
@@ -67,7 +63,7 @@
 
 
 def _write_usage(usage: TeamUsage) -> Any:
-    return _idl.TeamUsage(
+    return structs.TeamUsage(
         usage.team,
         _SCOPES.index(usage.scope),
         usage.origin,
