Ask routers of other zones before a cut is believed; gauges, peer bytes and store calls as metrics

A service whose endpoints all lose power at once looks like a cut from every zone, and all routers would have gone unready together. Two routers of each other zone are asked with the first failed connection, and one that answers tells that there is no cut.

Metrics now show what a router believes (manifest, endpoints by state, routers, repeats left, age of its evidence), bytes between routers, and the store's calls by kind and outcome.

--- a/src/tamarackrill/decisions/isolation.py
+++ b/src/tamarackrill/decisions/isolation.py
@@ -6,11 +6,13 @@
 routers of other zones could serve it.  A balancer that finds no router of a zone ready
 sends the zone's new connections to the next zones.
 
-So a router that is cut off from all endpoints outside its zone, and knows no endpoint
+So a router that is cut off from all that is outside its zone, and knows no endpoint
 that it can reach for some service, is not ready.  Both are asked: a service all of
 whose endpoints have ended is out of reach for every router, and were they all to go
-unready for it, nobody would serve the other services.  A cut zone that has an endpoint
-of each service goes on by itself.
+unready for it, nobody would serve the other services, nor tell clients when to come
+back.  So some routers of the other zones are asked as well, as witnesses: one that
+answers tells that there is no cut.  A cut zone that has an endpoint of each service
+goes on by itself.
 """
 
 from collections.abc import Collection, Iterable, Sequence
@@ -22,10 +24,15 @@
 BALANCER_NOTICES_S = 2.2
 # A single endpoint that can't be reached tells nothing of the path to its zone.
 OUTSIDE_MIN = 2
+# Routers of each other zone that are asked: one of them may be restarting.
+WITNESSES_PER_ZONE = 2
 
 
 def is_isolated(
-    zone: str, pools: Iterable[Sequence[Endpoint]], doubtful: Collection[str]
+    zone: str,
+    pools: Iterable[Sequence[Endpoint]],
+    witnesses: Iterable[Endpoint],
+    doubtful: Collection[str],
 ) -> bool:
     """Return whether a router is cut off from what its clients ask for.
 
@@ -35,16 +42,29 @@
         Availability zone of the router.
     pools : iterable of sequence of Endpoint
         Live endpoints of each service.
+    witnesses : iterable of Endpoint
+        Routers of other zones.
     doubtful : collection of str
         Names of those that can't be reached.
     """
     known = [pool for pool in pools if pool]
     outside = {e.name for pool in known for e in pool if e.zone != zone}
+    outside.update(witness.name for witness in witnesses)
     if len(outside) < OUTSIDE_MIN or not outside.issubset(doubtful):
         return False
     return any(all(e.name in doubtful for e in pool) for pool in known)
 
 
+def choose_witnesses(zone: str, routers: Iterable[Endpoint]) -> list[Endpoint]:
+    """Return the routers to be asked, some of each zone but `zone`."""
+    chosen: dict[str, list[Endpoint]] = {}
+    for router in sorted(routers):
+        found = chosen.setdefault(router.zone, [])
+        if router.zone != zone and len(found) < WITNESSES_PER_ZONE:
+            found.append(router)
+    return [router for found in chosen.values() for router in found]
+
+
 class Isolation:
     """Since when one router is cut off.
 
@@ -66,12 +86,13 @@
     def observe(
         self,
         pools: Iterable[Sequence[Endpoint]],
+        witnesses: Iterable[Endpoint],
         doubtful: Collection[str],
         now_s: float,
     ) -> bool:
         """Take what can be reached now; return whether that is a change."""
         before = self.is_cut_off
-        if not is_isolated(self._zone, pools, doubtful):
+        if not is_isolated(self._zone, pools, witnesses, doubtful):
             self._since_s = None
         elif self._since_s is None:
             self._since_s = now_s
--- a/src/tamarackrill/decisions/watching.py
+++ b/src/tamarackrill/decisions/watching.py
@@ -143,6 +143,16 @@
         stagger_s = min(STAGGER_MAX_S, STAGGER_S * (self._rank - 1))
         return max(0.0, until_s + stagger_s - now_s)
 
+    def find_ages_s(self, kinds: Iterable[str], now_s: float) -> dict[str, float]:
+        """Return the age of the newest evidence, own or heard, of each kind known."""
+        ages_s = {}
+        for kind in kinds:
+            heard_s = self._trusted_until_s.get(kind, -math.inf) - self._trust_s
+            newest_s = max(heard_s, self._answered_s.get(kind, -math.inf))
+            if newest_s > -math.inf:
+                ages_s[kind] = now_s - newest_s
+        return ages_s
+
     def make_evidence(
         self, digests: Iterable[ConfigurationDigest], now_s: float
     ) -> tuple[Evidence, ...]:
--- a/src/tamarackrill/logs.py
+++ b/src/tamarackrill/logs.py
@@ -58,13 +58,26 @@
 
     def offer(self, event: str, line: bytes, is_urgent: bool, now_s: float) -> None:
         """Take a line, or leave one out and count it."""
+        if self.admit(event, now_s):
+            self.add(event, line, is_urgent)
+
+    def admit(self, event: str, now_s: float) -> bool:
+        """Return whether an event may have a line; one that may not is counted.
+
+        To be asked before the line is made: in a flood most lines are left out, and
+        making one is half of its cost.
+        """
         if int(now_s) != self._second:
             self._second = int(now_s)
             self._counts.clear()
         self._counts[event] += 1
         if self._counts[event] > self._event_lines_per_s:
             self.left_out[event] += 1
-            return
+            return False
+        return True
+
+    def add(self, event: str, line: bytes, is_urgent: bool) -> None:
+        """Take a line that was admitted; older ones make room for it."""
         queue = self._urgent if is_urgent else self._routine
         queue.append((event, line))
         self.size_bytes += len(line)
@@ -113,17 +126,17 @@
     def emit(self, record: LogRecord) -> None:
         """Take a record."""
         event = getattr(record, "event", None)
+        name = event.name if isinstance(event, events.Event) else "text"
+        if not self.buffer.admit(name, record.created):
+            return
         fields: dict[str, object] = {"time_s": round(record.created, 4)}
         if isinstance(event, events.Event):
-            fields |= {"event": event.number, "name": event.name}
+            fields |= {"event": event.number, "name": name}
             fields |= getattr(record, "event_fields", {})
-            name = event.name
         else:
-            name = "text"
             fields |= {"level": record.levelname, "text": record.getMessage()}
         line = json.dumps(fields, default=str).encode() + b"\n"
-        is_urgent = record.levelno >= WARNING
-        self.buffer.offer(name, line, is_urgent, record.created)
+        self.buffer.add(name, line, record.levelno >= WARNING)
 
     def flush(self) -> None:
         """Write what the descriptor takes at once."""
--- a/src/tamarackrill/router/datagrams.py
+++ b/src/tamarackrill/router/datagrams.py
@@ -12,9 +12,17 @@
 
     A handler gets a datagram and its source, and returns whether it was for it.  They
     are asked in the order of `handlers`.
+
+    Parameters
+    ----------
+    count : callable, optional
+        Called with a counter's name, a label and what to add.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, count: Callable[[str, str, int], None] = lambda name, label, by: None
+    ) -> None:
+        self._count = count
         self.handlers: list[Handler] = []
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -31,6 +39,7 @@
         """Send a datagram; one that can't be sent is lost, as on the network."""
         host, _, port = peer_address.rpartition(":")
         if self._transport is not None and port.isdigit():
+            self._count("peer_bytes", "sent", len(datagram))
             self._transport.sendto(datagram, (host.strip("[]"), int(port)))
 
     def stop(self) -> None:
@@ -41,6 +50,7 @@
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
         """Hand a datagram on."""
+        self._count("peer_bytes", "received", len(data))
         source = f"{addr[0]}:{addr[1]}"
         for handler in self.handlers:
             if handler(data, source):
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -2,18 +2,20 @@
 
 import asyncio
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
+from tamarackrill.contracts import Endpoint
 from tamarackrill.decisions.configuration import (
     Changes,
     ConfigurationStore,
     ObjectVersion,
 )
-from tamarackrill.decisions.isolation import Isolation
+from tamarackrill.decisions.isolation import Isolation, choose_witnesses
 from tamarackrill.decisions.members import Entries, MemberRecord, MemberState
 from tamarackrill.decisions.membership import PeerHeard
 from tamarackrill.decisions.poison import CrashCount
@@ -128,6 +130,7 @@
         )
         self._fleet_size = FleetSize()
         self.isolation = Isolation(settings.zone)
+        self.placer.list_witnesses = self._list_witnesses
         self.flow = EdgeFlow(
             self.placer,
             settings.retry_budget,
@@ -143,7 +146,7 @@
     async def start(self) -> None:
         """Open the sockets and start the tasks."""
         settings = self.settings
-        self._peer_socket = PeerSocket()
+        self._peer_socket = PeerSocket(self.metrics.count)
         await self._peer_socket.start(settings.ip, settings.peer_port)
         self._store_client = CurlAsyncHTTPClient(force_instance=True)
         self._router_client = make_client()
@@ -151,6 +154,7 @@
         self._listen_readiness()
         self._make_configurer()
         await self._start_gossip()
+        self._add_gauges()
         await self.configurer.start()
         self.server.listen(settings.callers_address)
         self._tasks.append(asyncio.create_task(self._keep_house()))
@@ -162,6 +166,28 @@
             peer_address=self.members.own.peer_address,
         )
 
+    def _add_gauges(self) -> None:
+        metrics, view = self.metrics, self.view
+        metrics.add_gauge("ready", lambda: {"": float(self.is_ready())})
+        metrics.add_gauge("in_flight", lambda: {"": len(self.server.in_flight)})
+        metrics.add_gauge("repeats_left", self.flow.count_repeats_left)
+        metrics.add_gauge("endpoints", self._count_endpoints)
+        metrics.add_gauge("routers", lambda: {"": len(self.members.list_live())})
+        metrics.add_gauge(
+            "manifest_version",
+            lambda: {"": view.routes.manifest.version} if view.routes else {},
+        )
+        metrics.add_gauge(
+            "evidence_age_seconds",
+            lambda: self.zone_news.find_ages_s(self.clock()),
+        )
+
+    def _count_endpoints(self) -> dict[str, float]:
+        endpoints = self.view.list_endpoints()
+        found: Counter[str] = Counter(endpoint.state for endpoint in endpoints)
+        found["unreached"] = len(self.placer.reach.find_doubtful(endpoints))
+        return dict(found)
+
     def _listen_routers(self) -> None:
         bound = {
             "store": self.store,
@@ -212,6 +238,7 @@
             STORE_PAUSE_S,
         )
         self.configurer.on_store = self._note_store
+        platform.on_call = self.metrics.record_store_call
 
     def _pull(self, address: str, kind: str, since: int) -> Awaitable[Changes]:
         return pull_changes(self._router_client, address, kind, since, self._peer_keys)
@@ -292,7 +319,9 @@
 
     async def _keep_house(self) -> None:
         while True:
+            due_s = self.clock() + HOUSEKEEPING_EVERY_S
             await asyncio.sleep(HOUSEKEEPING_EVERY_S)
+            self.metrics.record_loop_lag(self.clock() - due_s)
             self.view.expire(self.clock())
             self.flow.paths.ask_due()
             self._watch_isolation()
@@ -306,14 +335,23 @@
         if table is None:
             return
         pools = [self.view.list_live(name) for name in table.services]
-        doubtful = self.placer.reach.find_doubtful(self.view.list_endpoints())
-        if not self.isolation.observe(pools, doubtful, self.clock()):
+        witnesses = self._list_witnesses()
+        known = [*self.view.list_endpoints(), *witnesses]
+        doubtful = self.placer.reach.find_doubtful(known)
+        if not self.isolation.observe(pools, witnesses, doubtful, self.clock()):
             return
         # A kept connection stays with its router, whatever the balancer does.
         self.server.sends_elsewhere = self.isolation.is_cut_off
         event = ROUTER_CUT_OFF if self.isolation.is_cut_off else ROUTER_REJOINED
         log_event(event, zone=self.settings.zone, unreached=len(doubtful))
 
+    def _list_witnesses(self) -> list[Endpoint]:
+        routers = [
+            Endpoint(f"router {m.name}", "service", (), m.peer_address, m.zone)
+            for m in self.members.list_live()
+        ]
+        return choose_witnesses(self.settings.zone, routers)
+
     def is_ready(self) -> bool:
         """Return whether the balancer may send new connections here."""
         if self.server.is_leaving or self.isolation.is_cut_off:
--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -124,10 +124,24 @@
         self._retries: dict[str, RetryShare] = {}
         self._checks: set[asyncio.Task[None]] = set()
         self.pool = ChannelPool()
-        self.paths = Paths(placer.reach, placer.list_endpoints, self.pool.drop, clock)
+        self.paths = Paths(
+            placer.reach,
+            placer.list_endpoints,
+            lambda: placer.list_witnesses(),
+            self.pool.drop,
+            clock,
+        )
         self.tell_crash: Callable[[int], None] = lambda fingerprint: None
         self.find_elsewhere_s: Callable[[], float | None] = lambda: None
 
+    def count_repeats_left(self) -> dict[str, float]:
+        """Return what this router may still repeat, by service; for metrics."""
+        routers, now_s = self._count_routers(), self._clock()
+        return {
+            service: share.count_left(routers, now_s)
+            for service, share in self._retries.items()
+        }
+
     async def serve(self, call: EdgeCall, reply: EdgeReply) -> None:
         """Give a request its final answer.
 
@@ -321,6 +335,7 @@
         # Half an event of an endpoint that was lost may be held, also where the client
         # has got nothing yet.
         stream.resume()
+        last_s: float | None = None
         while True:
             piece = await self._read_piece(progress, channel)
             events = stream.take(piece) if piece else stream.finish()
@@ -329,6 +344,10 @@
                     await reply.begin(head.status, list_passed_back(head.headers))
                 if events:
                     await reply.write(events)
+                    now_s = self._clock()
+                    if last_s is not None:
+                        self._metrics.record_gap(now_s - last_s)
+                    last_s = now_s
             if not piece:
                 reply.finish()
                 return
--- a/src/tamarackrill/router/edge_placing.py
+++ b/src/tamarackrill/router/edge_placing.py
@@ -1,6 +1,6 @@
 """Places requests of the platform's interface: asks the decisions for an endpoint."""
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from typing import NamedTuple
 
 from tamarackrill.contracts import Endpoint
@@ -66,6 +66,7 @@
         self.reach = Reach()
         self.copies = PrefixCopies()
         self.list_endpoints = view.list_endpoints
+        self.list_witnesses: Callable[[], list[Endpoint]] = list
 
     def choose(
         self, call: EdgeCall, avoid: Collection[str], now_s: float
@@ -202,7 +203,7 @@
     def take_endpoints(self, now_s: float) -> None:
         """Forget what is known of endpoints that are gone."""
         known = {endpoint.name for endpoint in self._view.list_endpoints()}
-        self.reach.retain(known)
+        self.reach.retain(known.union(e.name for e in self.list_witnesses()))
         self.copies.observe_endpoints(known, now_s)
 
 
--- a/src/tamarackrill/router/metrics.py
+++ b/src/tamarackrill/router/metrics.py
@@ -1,6 +1,7 @@
 """Counters and hdrhistogram quantiles of one router, as text for scraping."""
 
 from collections import Counter, defaultdict
+from collections.abc import Callable, Mapping
 
 from hdrh.histogram import HdrHistogram
 
@@ -15,9 +16,10 @@
 
 
 class Metrics:
-    """What one router has counted and timed."""
+    """What one router has counted and timed, and what it believes now."""
 
     def __init__(self) -> None:
+        self._gauges: dict[str, Callable[[], Mapping[str, float]]] = {}
         self._counters: Counter[tuple[str, str]] = Counter()
         self._times: dict[tuple[str, str], HdrHistogram] = defaultdict(_make_histogram)
 
@@ -25,9 +27,13 @@
         """Count a refusal by its code."""
         self._counters["refusals", code] += 1
 
-    def count(self, name: str, label: str = "") -> None:
-        """Count an event of some other sort."""
-        self._counters[name, label] += 1
+    def count(self, name: str, label: str = "", by: int = 1) -> None:
+        """Count an event of some other sort, or what it adds."""
+        self._counters[name, label] += by
+
+    def add_gauge(self, name: str, read: Callable[[], Mapping[str, float]]) -> None:
+        """Show what `read` returns at each scrape: a value for each label."""
+        self._gauges[name] = read
 
     def record_wait(self, kind: str, wait_s: float) -> None:
         """Record how long a call waited for an endpoint."""
@@ -41,6 +47,15 @@
         """Record the time between two events of a stream, as the caller gets them."""
         self._record("token_gap", "engine", gap_s)
 
+    def record_store_call(self, kind: str, outcome: str, duration_s: float) -> None:
+        """Record a call to the platform's store: its kind, how it ended, how long."""
+        self._counters["store_calls", f"{kind} {outcome}"] += 1
+        self._record("store_call", kind, duration_s)
+
+    def record_loop_lag(self, lag_s: float) -> None:
+        """Record by how much the event loop was late with a task of its own."""
+        self._record("loop_lag", "", lag_s)
+
     def _record(self, name: str, label: str, duration_s: float) -> None:
         value_us = min(HIGHEST_US, max(LOWEST_US, round(duration_s * 1e6)))
         self._times[name, label].record_value(value_us)
@@ -48,6 +63,9 @@
     def format_text(self) -> str:
         """Return all metrics in the text form that scrapers read."""
         lines = []
+        for name, read in sorted(self._gauges.items()):
+            for label, number in sorted(read().items()):
+                lines.append(f'tamarackrill_{name}{{label="{label}"}} {number:g}')
         for (name, label), value in sorted(self._counters.items()):
             lines.append(f'tamarackrill_{name}_total{{label="{label}"}} {value}')
         for (name, label), histogram in sorted(self._times.items()):
--- a/src/tamarackrill/router/paths.py
+++ b/src/tamarackrill/router/paths.py
@@ -23,6 +23,9 @@
         What is known.
     list_endpoints : callable
         Returns all endpoints known now.
+    list_witnesses : callable
+        Returns routers of other zones, whose paths tell a cut from endpoints that have
+        ended.
     drop_idle : callable
         Closes the idle connections to an endpoint by its name.
     clock : callable
@@ -33,11 +36,13 @@
         self,
         reach: Reach,
         list_endpoints: Callable[[], list[Endpoint]],
+        list_witnesses: Callable[[], list[Endpoint]],
         drop_idle: Callable[[str], None],
         clock: Callable[[], float],
     ) -> None:
         self._reach = reach
         self._list_endpoints = list_endpoints
+        self._list_witnesses = list_witnesses
         self._drop_idle = drop_idle
         self._clock = clock
         self._asked: dict[str, asyncio.Task[None]] = {}
@@ -58,6 +63,7 @@
             endpoints = self._list_endpoints()
             suspects = self._reach.list_suspects(endpoint, endpoints)
             suspects += self._reach.list_elsewhere(endpoint, endpoints)
+            suspects += self._list_witnesses()
             for suspect in suspects:
                 self.ask(suspect)
 
@@ -68,7 +74,7 @@
 
     def ask_due(self) -> None:
         """Ask those whose pause is over."""
-        endpoints = self._list_endpoints()
+        endpoints = [*self._list_endpoints(), *self._list_witnesses()]
         for endpoint in self._reach.list_due(endpoints, self._clock()):
             self.ask(endpoint)
 
--- a/src/tamarackrill/router/platform_client.py
+++ b/src/tamarackrill/router/platform_client.py
@@ -8,6 +8,7 @@
 import json
 import os
 import socket
+import time
 from collections.abc import Callable
 from typing import Any, NamedTuple, TypeVar
 from urllib.parse import quote
@@ -136,6 +137,11 @@
         How the store spells its calls; that of our stand-in by default.
     timing : StoreTiming, optional
         Timeouts.
+
+    Attributes
+    ----------
+    on_call : callable
+        Called after each call with its kind, how it ended, and how long it took.
     """
 
     def __init__(
@@ -151,6 +157,7 @@
         self._base = f"http://{address}{self._form.base}"
         self._headers = {"Zone": zone}
         self._client = client
+        self.on_call: Callable[[str, str, float], None] = lambda *call: None
 
     async def get(self, kind: str, name: str) -> PlatformObject | None:
         """Return one object, or None if there is none.
@@ -273,6 +280,24 @@
         timeout_s: float | None = None,
         headers: dict[str, str] | None = None,
         text: str | None = None,
+    ) -> tuple[int, Any]:
+        began_s = time.monotonic()
+        kind = "watch" if timeout_s else "read" if method == "GET" else "write"
+        outcome = "unanswered"
+        try:
+            code, body = await self._ask(method, path, timeout_s, headers, text)
+            outcome = str(code)
+            return code, body
+        finally:
+            self.on_call(kind, outcome, time.monotonic() - began_s)
+
+    async def _ask(
+        self,
+        method: str,
+        path: str,
+        timeout_s: float | None,
+        headers: dict[str, str] | None,
+        text: str | None,
     ) -> tuple[int, Any]:
         begun = asyncio.Event()
         first_byte_s = timeout_s or self._timing.call_s
--- a/src/tamarackrill/router/zone_news.py
+++ b/src/tamarackrill/router/zone_news.py
@@ -55,6 +55,11 @@
     def _watching_answer(self, kind: str) -> None:
         self._watching.observe_answer(kind, self._clock())
 
+    def find_ages_s(self, now_s: float) -> dict[str, float]:
+        """Return how old the newest evidence of the store is, by kind of objects."""
+        kinds = [digest.kind for digest in self._configurer.digest()]
+        return self._watching.find_ages_s(kinds, now_s)
+
     def take_members(self) -> None:
         """Take who lives in the zone."""
         own = self._members.own
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -3,7 +3,9 @@
 from tamarackrill.contracts import Endpoint
 from tamarackrill.decisions.isolation import (
     BALANCER_NOTICES_S,
+    WITNESSES_PER_ZONE,
     Isolation,
+    choose_witnesses,
     is_isolated,
 )
 
@@ -18,41 +20,65 @@
 WRITERS = make_pool("writer", "b", "c", "d")
 DESKS = make_pool("desk", "a", "b", "c", "d")
 POOLS = [WRITERS, DESKS]
+ROUTERS = [
+    Endpoint(f"router-{zone}{number}", "service", (), "h:1", zone)
+    for zone in "abc"
+    for number in range(3)
+]
+WITNESSES = choose_witnesses("a", ROUTERS)
 OUTSIDE = {e.name for pool in POOLS for e in pool if e.zone != "a"}
+OUTSIDE |= {witness.name for witness in WITNESSES}
 
 
 def test_zone_without_an_endpoint_of_a_service_is_isolated_by_a_cut():
     # The zone loses its lines. It has a desk of its own and no writer, so each client
     # that wants a draft is refused until the cut heals, though every other zone could
     # serve it.
-    assert is_isolated("a", POOLS, OUTSIDE)
+    assert is_isolated("a", POOLS, WITNESSES, OUTSIDE)
 
 
 def test_zone_with_endpoints_of_all_services_goes_on_by_itself():
-    assert not is_isolated("a", [make_pool("writer", "a", "b", "c"), DESKS], OUTSIDE)
+    pools = [make_pool("writer", "a", "b", "c"), DESKS]
+    assert not is_isolated("a", pools, WITNESSES, OUTSIDE)
 
 
 def test_service_whose_endpoints_have_all_ended_leaves_routers_ready():
     # All writers crash at once. Were the routers of all zones to go unready for it,
     # nobody would reach the desks, which are well.
-    assert not is_isolated("a", POOLS, {e.name for e in WRITERS})
+    assert not is_isolated("a", POOLS, WITNESSES, {e.name for e in WRITERS})
+
+
+def test_only_service_whose_endpoints_all_fall_silent_leaves_routers_ready():
+    # The deployment has one service, and all of its endpoints lose power. Routers of
+    # other zones still answer, so there is no cut; clients have to be told when to come
+    # back, which takes a router that they reach.
+    silent = {endpoint.name for endpoint in WRITERS}
+    assert not is_isolated("a", [WRITERS], WITNESSES, silent)
+
+
+def test_witnesses_are_some_routers_of_each_other_zone():
+    found = sorted(witness.zone for witness in WITNESSES)
+    assert found == sorted("bc" * WITNESSES_PER_ZONE)
 
 
 @pytest.mark.parametrize("reached", sorted(OUTSIDE))
 def test_one_endpoint_outside_that_can_be_reached_tells_that_there_is_no_cut(reached):
-    assert not is_isolated("a", POOLS, OUTSIDE - {reached})
+    assert not is_isolated("a", POOLS, WITNESSES, OUTSIDE - {reached})
 
 
 @pytest.mark.parametrize("pools", [[], [[]], [make_pool("writer", "b")]])
 def test_too_little_is_known_to_tell_a_cut(pools):
     doubtful = {endpoint.name for pool in pools for endpoint in pool}
-    assert not is_isolated("a", pools, doubtful)
+    assert not is_isolated("a", pools, [], doubtful)
 
 
 def test_cut_is_told_once_and_its_end_once():
     isolation = Isolation("a")
     seen = [(POOLS, set()), (POOLS, OUTSIDE), (POOLS, OUTSIDE), (POOLS, set())]
-    changes = [isolation.observe(*view, now_s) for now_s, view in enumerate(seen)]
+    changes = [
+        isolation.observe(pools, WITNESSES, doubtful, now_s)
+        for now_s, (pools, doubtful) in enumerate(seen)
+    ]
     assert changes == [False, True, False, True]
     assert not isolation.is_cut_off
 
@@ -62,6 +88,6 @@
     # again, and has no attempt left; one that comes back much later is late.
     isolation = Isolation("a")
     assert isolation.find_elsewhere_s(1.0) is None
-    isolation.observe(POOLS, OUTSIDE, 1.0)
+    isolation.observe(POOLS, WITNESSES, OUTSIDE, 1.0)
     assert isolation.find_elsewhere_s(1.5) == pytest.approx(BALANCER_NOTICES_S - 0.5)
     assert isolation.find_elsewhere_s(60.0) == 0.0
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,51 @@
+import asyncio
+
+from tornado.httpclient import AsyncHTTPClient
+
+from tamarackrill.router.metrics import Metrics
+from tamarackrill.testing.edge import EdgeFleet, ask, make_route
+from tamarackrill.testing.worker import make_streaming
+
+
+def test_gauge_is_read_at_each_scrape():
+    metrics, believed = Metrics(), {"live": 2.0}
+    metrics.add_gauge("endpoints", lambda: believed)
+    assert 'tamarackrill_endpoints{label="live"} 2\n' in metrics.format_text()
+    believed["live"] = 1
+    assert 'tamarackrill_endpoints{label="live"} 1\n' in metrics.format_text()
+
+
+def test_on_call_engineer_finds_what_a_router_believes():
+    # Users complain of refusals, and all that the engineer has is the metrics address:
+    # it has to tell which manifest is in force, which endpoints are known and out of
+    # reach, how fresh that is, and what the store and the other routers cost.
+    async def run():
+        async with EdgeFleet() as fleet:
+            route = make_route("/s/", "streaming", stream_resume=True)
+            await fleet.put_manifest(7, route)
+            await fleet.add_worker("w1", make_streaming(3))
+            gone = await fleet.add_worker("w2", make_streaming(3))
+            await fleet.add_router("first")
+            router = await fleet.add_router("second")
+            await fleet.wait(lambda: len(router.view.list_live("desk")) == 2)
+            await fleet.wait(lambda: len(router.members.list_live()) == 2)
+            await gone.stop()
+            for number in range(8):
+                await ask(router, "/s/a", f"id-{number}")
+            address = f"127.0.0.1:{router._metrics_port}"
+            answer = await AsyncHTTPClient().fetch(f"http://{address}/metrics")
+            return answer.body.decode()
+
+    lines = dict(line.rsplit(" ", 1) for line in asyncio.run(run()).splitlines())
+    shown = {name.removeprefix("tamarackrill_"): value for name, value in lines.items()}
+    assert shown['ready{label=""}'] == "1"
+    assert shown['manifest_version{label=""}'] == "7"
+    assert shown['endpoints{label="live"}'] == "2"
+    assert shown['endpoints{label="unreached"}'] == "1"
+    assert shown['routers{label=""}'] == "2"
+    assert float(shown['repeats_left{label="desk"}']) > 0
+    assert float(shown['evidence_age_seconds{label="config"}']) >= 0
+    assert int(shown['peer_bytes_total{label="received"}']) > 0
+    assert int(shown['store_calls_total{label="read 200"}']) > 0
+    assert shown['calls_answered_total{label="streaming"}'] == "8"
+    assert 'token_gap_seconds{label="engine",quantile="0.95"}' in shown
