--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -251,6 +251,9 @@
         for item in taken:
             self.view.take(item, now_s)
         self._forget_gone()
+        table = self.view.routes
+        if table is not None:
+            self.server.limit_idle(table.manifest.limits.idle_timeout_s)
         self.zone_news.tell()
 
     def _forget_gone(self) -> None:
--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -28,9 +28,8 @@
 # below that, and its connection is closed above it.
 HEADERS_READ_MAX_BYTES = 64 * 1024
 UNLIMITED_BYTES = 1 << 40
-# Longer than the manifests seen so far let clients stay idle, so that no request
-# crosses the router's close; a client that sends its head or body byte by byte is ended
-# by it.
+# Until the manifest says how long clients may stay idle: what browsers and proxies
+# commonly keep a connection for, so that no request crosses the router's close.
 IDLE_TIMEOUT_S = 75.0
 # A router that knows no manifest has been started within the last second or two.
 NO_MANIFEST_RETURN_S = 0.5
@@ -98,6 +97,15 @@
             idle_connection_timeout=IDLE_TIMEOUT_S,
         )
 
+    def limit_idle(self, idle_s: float) -> None:
+        """End connections on which no whole head has come for so long.
+
+        Each idle connection holds a descriptor and some 50 kB, and clients that have
+        gone without a word would fill the router up with them.
+        """
+        # Read by the server for each request that it waits for.
+        self.server.conn_params.header_timeout = idle_s
+
     def listen(self, address: str) -> None:
         """Accept clients at ``host:port``."""
         host, _, port = address.rpartition(":")
--- a/src/tamarackrill/testing/edge.py
+++ b/src/tamarackrill/testing/edge.py
@@ -117,9 +117,14 @@
         version: int,
         *routes: dict[str, Any],
         engine: dict[str, Any] | None = None,
+        limits: dict[str, Any] | None = None,
     ) -> None:
-        """Write a manifest; with `engine`, its service is one of model engines."""
+        """Write a manifest.
+
+        With `engine` its service is one of model engines; `limits` replaces some.
+        """
         manifest = make_manifest(version, *routes)
+        manifest["limits"] |= limits or {}
         if engine is not None:
             manifest["services"][0]["engine"] = engine
         await self.store.write("config", "main", manifest)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -607,3 +607,22 @@
         assert (await ask(router, "/lookup/a", "id-3")).status == 200
 
     play(act)
+
+
+def test_idle_connection_ends_when_the_manifest_says_so():
+    # Clients disappear without a word and leave their connections behind. Each holds a
+    # descriptor, and a router whose descriptors are used up takes no new clients.
+    async def act(fleet):
+        await fleet.add_worker("w1")
+        router = await fleet.add_router()
+        idle = await EdgeClient.connect(router)
+        idle.send("/lookup/a")
+        assert (await idle.read()).status == 200
+        await fleet.put_manifest(2, *ROUTES, limits={"idle_timeout_ms": 100})
+        await fleet.wait(lambda: router.view.routes.manifest.version == 2)
+        later = await EdgeClient.connect(router)
+        later.send("/lookup/b", "id-2")
+        assert (await later.read()).status == 200
+        assert await later.reader.read() == b""
+
+    play(act)
