--- a/bench/log_lines.py
+++ b/bench/log_lines.py
@@ -22,6 +22,7 @@
     "load": 5,
     "bound": 17,
     "time_left_s": 2.9997,
+    "copy_from": "",
 }
 
 
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -145,8 +145,18 @@
     2202,
     "call_sent",
     _INFO,
-    ("request", "route", "endpoint", "reason", "load", "bound", "time_left_s"),
-    "A request was sent to an endpoint: why there, and the load that was known.",
+    (
+        "request",
+        "route",
+        "endpoint",
+        "reason",
+        "load",
+        "bound",
+        "time_left_s",
+        "copy_from",
+    ),
+    "A request was sent to an endpoint: why there, the load that was known, and the "
+    "engine from which it copies cached parts of the prompt.",
 )
 CALL_ATTEMPT_FAILED = Event(
     2203,
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -258,7 +258,7 @@
 
     def _forget_gone(self) -> None:
         self.placer.take_endpoints(self.clock())
-        self.flow.pool.retain(e.name for e in self.view.list_endpoints())
+        self.flow.attempts.pool.retain(e.name for e in self.view.list_endpoints())
 
     async def _start_gossip(self) -> None:
         # Above that of any earlier process of this name, as nothing is kept.
@@ -298,7 +298,7 @@
         self.gossiper.subscribe(self.configurer.hear_peer)
         self.gossiper.subscribe(self._hear_peer)
         self.gossiper.add_source(self._collect_entries)
-        self.flow.tell_crash = self._tell_crash
+        self.flow.attempts.tell_crash = self._tell_crash
         self._peer_socket.handlers.append(self.zone_news.take_datagram)
         self._peer_socket.handlers.append(self.gossiper.take_datagram)
         await self.gossiper.start()
@@ -326,7 +326,7 @@
             await asyncio.sleep(HOUSEKEEPING_EVERY_S)
             self.metrics.record_loop_lag(self.clock() - due_s)
             self.view.expire(self.clock())
-            self.flow.paths.ask_due()
+            self.flow.attempts.paths.ask_due()
             self._watch_isolation()
             self._fleet_size.observe(len(self.members.list_live()), self.clock())
             self.zone_news.take_members()
@@ -386,8 +386,8 @@
         await self.gossiper.stop()
         await self.configurer.stop()
         self._peer_socket.stop()
-        await self.flow.paths.stop()
-        self.flow.pool.close()
+        await self.flow.attempts.paths.stop()
+        self.flow.attempts.pool.close()
         close_client(self._store_client)
         close_client(self._router_client)
         log_event(
