Ask for the likely holder of a prompt's parts only when no holder is known; forget calls of a stopped router

A call to the store that was under way when a router stopped left a traceback in the log of the process.

--- a/src/tamarackrill/decisions/prefix_copies.py
+++ b/src/tamarackrill/decisions/prefix_copies.py
@@ -90,9 +90,12 @@
             holders = self._list_holders(prefix, now_s)
             if chosen in holders:
                 return None
-            for name in (*holders, self._find_elder(part, names, now_s)):
+            for name in holders:
                 if name in sources:
                     return sources[name]
+            guess = self._find_elder(part, names, now_s)
+            if guess in sources:
+                return sources[guess]
         return None
 
     def _list_holders(self, prefix: str, now_s: float) -> list[str]:
--- a/src/tamarackrill/router/platform_client.py
+++ b/src/tamarackrill/router/platform_client.py
@@ -332,13 +332,11 @@
         such a link would read it over and over and never have it in force.
         """
         fetching = asyncio.ensure_future(self._client.fetch(request, raise_error=False))
-        try:
-            async with asyncio.timeout(first_byte_s):
-                await _wait_begun(fetching, begun)
-        except TimeoutError:
-            # What the client still does for it ends at its own timeout.
-            fetching.add_done_callback(_forget)
-            raise
+        # Whoever gives up, here or by stopping the router, leaves the client to end the
+        # call at its own timeout; its error would be reported as one nobody looked at.
+        fetching.add_done_callback(_forget)
+        async with asyncio.timeout(first_byte_s):
+            await _wait_begun(fetching, begun)
         return await fetching
 
 
