Send each call to an endpoint on a connection of its own on the product's interface

On a new connection the two cases differ by themselves: one that is ending refuses it, one that lives takes it. Calls that may not repeat did so already. Ruled out: counting no crash where a kept connection ends without a byte (a request that does crash engines then takes them all).

tests/test_upstream.py has the case alone and failed before ('cut' for 'not_sent').

--- a/src/tamarackrill/router/attempts.py
+++ b/src/tamarackrill/router/attempts.py
@@ -148,7 +148,10 @@
         _build_headers(call, have_chunks),
         call.body,
         max(0.001, call.deadline_s - sent_s),
-        call.idempotent,
+        # Not even one that may run twice goes out on a kept connection: that of an
+        # engine which is just ending would take it down too, as lost and as suspected
+        # of the crash.  A new one is refused by then, and costs a millisecond else.
+        repeatable=False,
     )
     reply.when_abandoned(exchange.cancel)
     first_byte_s: float | None = None
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -1,9 +1,14 @@
 import asyncio
+import time
 
 import pytest
 from tornado.web import Application, RequestHandler
 
+from tamarackrill.contracts import Contract, Endpoint
+from tamarackrill.router.attempts import attempt_call
+from tamarackrill.router.calls import Call
 from tamarackrill.router.outlets import Outlet
+from tamarackrill.router.replies import Reply
 from tamarackrill.router.upstream import (
     UNREAD_MAX_BYTES,
     Exchange,
@@ -153,3 +158,61 @@
             await asyncio.gather(*serving, return_exceptions=True)
 
     assert asyncio.run(run()) is True
+
+
+def make_call():
+    return Call(
+        request_id="id",
+        contract=Contract("t", ()),
+        kind="engine",
+        pool="m",
+        method="POST",
+        path="/v1/chat/completions",
+        headers={},
+        body=b"{}",
+        chat="",
+        sequence=None,
+        key="",
+        idempotent=True,
+        stream=False,
+        after_event=0,
+        deadline_s=time.monotonic() + 30.0,
+        size_tokens=1,
+        priority=0,
+        fingerprint="00",
+    )
+
+
+def test_innocent_request_is_not_blamed_for_an_engine_that_is_ending():
+    # An engine crashes and its process is closing its sockets: nobody listens any more,
+    # and a connection that was kept from a load report is still open. A request that
+    # went out on it would be lost with the engine and counted as what crashed it;
+    # after two such engines its caller would be refused for good.
+    async def run():
+        def serve(reader, writer):
+            serving.append(asyncio.ensure_future(_end_after_one(reader, writer)))
+
+        async def _end_after_one(reader, writer):
+            await _answer_once_and_end(reader, writer)
+            writer.transport.abort()
+
+        serving = []
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        client = make_client()
+        try:
+            report = Exchange(client, "GET", f"http://{address}/", {}, b"", 30.0, True)
+            assert (await report.head()).status == 200
+            await report.close()
+            server.close()
+            engine = Endpoint("e", "engine", ("m",), address, "z")
+            attempt = await attempt_call(
+                client, make_call(), engine, Reply(False), 0, False, time.monotonic
+            )
+            return attempt.outcome
+        finally:
+            client.close()
+            for task in serving:
+                task.cancel()
+
+    assert asyncio.run(run()) == "not_sent"
