--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -472,30 +472,3 @@
 
     def __str__(self) -> str:
         return _formatter[0](self._event, self._fields)
-
-
-_LEVEL_NAMES = {_INFO: "info", _WARNING: "warning", _ERROR: "error"}
-
-
-def format_catalogue() -> str:
-    """Return docs/EVENTS.md."""
-    lines = [
-        "# Log events",
-        "",
-        "Made by `python -m tamarackrill.events`; a test compares it with the code.",
-        "",
-        "| number | name | level | fields | meaning | what to do |",
-        "| --- | --- | --- | --- | --- | --- |",
-    ]
-    for event in list_events():
-        fields = ", ".join(f"`{name}`" for name in event.fields) or "none"
-        level = _LEVEL_NAMES[event.level]
-        lines.append(
-            f"| {event.number} | {event.name} | {level} | {fields} "
-            f"| {event.meaning} | {event.action} |"
-        )
-    return "\n".join(lines) + "\n"
-
-
-if __name__ == "__main__":
-    print(format_catalogue(), end="")
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -3,6 +3,7 @@
 import pytest
 
 from tamarackrill import events
+from tamarackrill.event_catalogue import format_catalogue
 
 
 def test_numbers_and_names_are_unique():
@@ -25,6 +26,6 @@
 
 
 def test_catalogue_is_the_one_in_the_docs():
-    # Regenerate it: .venv/bin/python -m tamarackrill.events > docs/EVENTS.md
+    # Regenerate it: .venv/bin/python -m tamarackrill.event_catalogue > docs/EVENTS.md
     path = Path(__file__).parent.parent / "docs" / "EVENTS.md"
-    assert path.read_text(encoding="utf-8") == events.format_catalogue()
+    assert path.read_text(encoding="utf-8") == format_catalogue()
