Let a resend in a chat have the answer that another router holds

Ruled out: that the booking ran twice (it never did), and that only the test's wait is at fault: the new test has no wait and failed each time.

Before: test_resend_in_a_chat_gets_the_answer_that_another_home_holds failed, 409 for 200.

Conclusion: where only another router can answer a resend out of turn, the home remembers that for as long as it keeps answers.

--- a/src/tamarackrill/decisions/answers.py
+++ b/src/tamarackrill/decisions/answers.py
@@ -83,13 +83,11 @@
     answers: Answers,
     identity: Identity,
     size_bytes: int,
-    is_whole: bool,
+    is_kept: bool,
     expires_s: float,
 ) -> list[Identity]:
     """Take the end of a run and return the identities to forget.
 
-    A cut answer is never kept: a resend would take it for the whole.
-
     Parameters
     ----------
     answers : Answers
@@ -98,13 +96,14 @@
         Of the request.
     size_bytes : int
         Size of the answer.
-    is_whole : bool
-        Whether all of it can still be read.
+    is_kept : bool
+        Whether a resend gets this answer.  A cut one is never kept: a resend would
+        take it for the whole.
     expires_s : float
         Until when it is kept.
     """
     record = answers.records.pop(identity, None)
-    if record is None or not is_whole:
+    if record is None or not is_kept:
         return [identity]
     size_bytes += RECORD_BYTES
     answers.records[identity] = Record(record.fingerprint, size_bytes, expires_s)
--- a/src/tamarackrill/router/chats.py
+++ b/src/tamarackrill/router/chats.py
@@ -30,6 +30,7 @@
 from tamarackrill.events import REQUEST_JOINED, log_event
 from tamarackrill.exceptions import Refusal
 from tamarackrill.router.calls import Call
+from tamarackrill.router.claiming import HeldElsewhere
 from tamarackrill.router.replies import Reply
 
 EXPIRY_S = 1.0
@@ -117,14 +118,9 @@
         identity = _identify(call)
         if identity is not None:
             expires_s = now_s + call.contract.answers_kept_s
+            is_kept = reply.is_whole or _is_held_out_of_turn(call, reply)
             self._forget(
-                keep(
-                    self._answers,
-                    identity,
-                    reply.size_bytes,
-                    reply.is_whole,
-                    expires_s,
-                )
+                keep(self._answers, identity, reply.size_bytes, is_kept, expires_s)
             )
 
     async def run(self) -> None:
@@ -159,6 +155,17 @@
     return identify(call.team, call.key, call.chat, call.sequence)
 
 
+def _is_held_out_of_turn(call: Call, reply: Reply) -> bool:
+    """Return whether only another router can answer a resend.
+
+    A call whose claim another router holds gives up its place in the chat, as it may
+    have run.  A resend that comes after that would be refused for its place, though
+    the other router has its answer; that it is there has to be remembered.
+    """
+    is_held = isinstance(reply.refusal, HeldElsewhere)
+    return is_held and call.sequence is not None
+
+
 _REFUSALS = {
     "sequence_passed": (409, "a later request of the chat has run"),
     "sequence_taken": (409, "another request has this place in the chat"),
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -77,6 +77,13 @@
                 return f"key-{number}"
         raise AssertionError
 
+    def find_chat(self, home):
+        names = [router.name for router in self.routers]
+        for number in itertools.count():
+            if rendezvous_order(f"t\nchat-{number}", names, 1) == [home.name]:
+                return f"chat-{number}"
+        raise AssertionError
+
     def forget(self, router):
         """Take a router off the VM list and wait until the others know."""
         self.routers.remove(router)
@@ -133,6 +140,24 @@
     assert desk.count("quote-1") == 1
 
 
+def test_resend_in_a_chat_gets_the_answer_that_another_home_holds(open_desk):
+    # A caller books without a chat and sends the booking again in one, whose home has
+    # to ask the router that runs it.  Once that has answered, the caller, whose
+    # connection flapped, sends it in the chat a third time.  It would be told that a
+    # later request of the chat has run, though the family's confirmation is there.
+    desk = open_desk("a", "b")
+    holder, other = desk.routers
+    key, chat = desk.find_key(holder), desk.find_chat(other)
+    first = desk.send(holder, key)
+    assert first.result() == (200, None, None)
+    for router in desk.routers:
+        again = desk.send(router, key, Chat_Id=chat, Chat_Sequence="1")
+        assert again.result() == (200, None, None)
+    later = desk.send(other, "next", Chat_Id=chat, Chat_Sequence="2")
+    assert later.result() == (200, None, None)
+    assert desk.count(key) == 1
+
+
 @pytest.mark.parametrize("end", ["kill", "freeze"])
 @pytest.mark.parametrize("moment", ["before claim", "after claim", "during answer"])
 def test_router_that_stops_at_any_step_does_not_double_a_booking(
