Give up a silent endpoint only if there is another one to go to

Cause: a resumable stream that was silent for a second was given up for another engine although no other was there, and so ended for its client in the middle; a lookup was given up after two and a half objectives for a worker that did not exist.

Before: test_stream_of_the_only_engine_goes_on_after_a_long_silence (cut) and test_lookup_waits_for_the_only_worker_that_is_left (502 for 200) failed. After: both pass. A stream that has been silent asks again each second whether there is another engine.

--- a/src/tamarackrill/decisions/waits.py
+++ b/src/tamarackrill/decisions/waits.py
@@ -6,10 +6,10 @@
 that gives up too early sends its request twice, just when endpoints are slow because
 they have too much to do.
 
-So only a request that may run twice, has an attempt left and finds the budget of
-repeats open is given up early, and only after a multiple of the time in which its
-answer is expected.  All others wait for as long as their client does: an answer that
-is late still serves it.
+So only a request that may run twice, has an attempt left, finds the budget of repeats
+open and another endpoint to go to is given up early, and only after a multiple of the
+time in which its answer is expected.  All others wait for as long as their client does:
+an answer that is late still serves it.
 """
 
 from tamarackrill.decisions.manifests import Route
@@ -25,7 +25,12 @@
 
 
 def find_head_limit_s(
-    route: Route, sent: int, repeats_left: float, started_s: float, limit_s: float
+    route: Route,
+    sent: int,
+    has_other: bool,
+    repeats_left: float,
+    started_s: float,
+    limit_s: float,
 ) -> float:
     """Return until when the head of an answer is waited for.
 
@@ -35,6 +40,8 @@
         Route of the request.
     sent : int
         Endpoints that it was sent to before this one.
+    has_other : bool
+        Whether there is another endpoint that it could go to.
     repeats_left : float
         What the budget still allows.
     started_s : float
@@ -43,8 +50,8 @@
         When the client's deadline or the route's timeout is reached.
     """
     last_s = limit_s + ANSWER_SLACK_S
-    has_another = sent + 1 < route.attempts_max and repeats_left >= 1.0
-    if route.kind != "idempotent" or not has_another:
+    may_repeat = sent + 1 < route.attempts_max and repeats_left >= 1.0
+    if route.kind != "idempotent" or not may_repeat or not has_other:
         return last_s
     return min(last_s, started_s + SILENT_OBJECTIVES * route.objective_s)
 
@@ -52,6 +59,9 @@
 def find_piece_wait_s(route: Route, sent: int, has_begun: bool) -> float | None:
     """Return how long the next piece of a stream is waited for; None for its limit.
 
+    A stream that has been silent for so long goes on elsewhere if there is another
+    endpoint then, and else waits as long again.
+
     Parameters
     ----------
     route : Route
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -184,6 +184,7 @@
         limit_s = find_head_limit_s(
             call.route,
             progress.tried.sent,
+            self._has_other(progress, placed),
             self._count_repeats_left(call),
             started_s,
             call.limit_s,
@@ -199,7 +200,7 @@
                     placed.endpoint.name, facts.load, now_s, now_s
                 )
             async with asyncio.timeout_at(call.limit_s + ANSWER_SLACK_S):
-                result = await self._take(progress, channel, head, facts)
+                result = await self._take(progress, placed, channel, head, facts)
         except TimeoutError:
             return Result("lost", "silent")
         except (ChannelBroken, EventStreamFault) as error:
@@ -243,6 +244,7 @@
     async def _take(
         self,
         progress: Progress,
+        placed: EdgePlaced,
         channel: Channel,
         head: AnswerHead,
         facts: AnswerHeaders,
@@ -255,7 +257,7 @@
         if is_ok and (not facts.is_signed or facts.is_encoded):
             raise ChannelBroken("an answer without proof or with an encoding")
         if is_ok and facts.is_event_stream:
-            await self._relay(progress, channel, head)
+            await self._relay(progress, placed, channel, head)
             return Result("answered")
         body = await _read_body(channel)
         whole = WholeAnswer(head, body)
@@ -267,7 +269,11 @@
         return Result("answered")
 
     async def _relay(
-        self, progress: Progress, channel: Channel, head: AnswerHead
+        self,
+        progress: Progress,
+        placed: EdgePlaced,
+        channel: Channel,
+        head: AnswerHead,
     ) -> None:
         reply, stream = progress.reply, progress.stream
         # Half an event of an endpoint that was lost may be held, also where the client
@@ -275,7 +281,7 @@
         stream.resume()
         last_s: float | None = None
         while True:
-            piece = await self._read_piece(progress, channel)
+            piece = await self._read_piece(progress, placed, channel)
             events = stream.take(piece) if piece else stream.finish()
             if events or not piece:
                 if not reply.has_begun:
@@ -290,11 +296,24 @@
                 reply.finish()
                 return
 
-    async def _read_piece(self, progress: Progress, channel: Channel) -> bytes:
+    async def _read_piece(
+        self, progress: Progress, placed: EdgePlaced, channel: Channel
+    ) -> bytes:
         has_begun = progress.reply.has_begun
         wait_s = find_piece_wait_s(progress.call.route, progress.tried.sent, has_begun)
-        async with asyncio.timeout(wait_s):
-            return await channel.read_piece()
+        while True:
+            try:
+                async with asyncio.timeout(wait_s):
+                    return await channel.read_piece()
+            except TimeoutError:
+                # Given up with nobody to go on, the stream would end for its client in
+                # the middle, where the engine may only be slow.
+                if self._has_other(progress, placed):
+                    raise
+
+    def _has_other(self, progress: Progress, placed: EdgePlaced) -> bool:
+        avoid = progress.avoid | {placed.endpoint.name}
+        return self._placer.has_endpoint(progress.call, avoid)
 
     def _judge(self, call: EdgeCall, placed: EdgePlaced, result: Result) -> None:
         now_s = self._clock()
--- a/src/tamarackrill/router/edge_placing.py
+++ b/src/tamarackrill/router/edge_placing.py
@@ -105,6 +105,11 @@
                 )
         return None
 
+    def has_endpoint(self, call: EdgeCall, avoid: Collection[str]) -> bool:
+        """Return whether an endpoint besides those to avoid can be reached."""
+        pool = self._view.find_pool(call.service)
+        return bool(len(pool.leave_out(self.reach.doubtful | set(avoid))))
+
     def _find_source(
         self, call: EdgeCall, chosen: Endpoint, avoid: Collection[str], now_s: float
     ) -> Endpoint | None:
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tamarackrill.decisions import waits
 from tamarackrill.testing.edge import (
     KEY,
     TEAM,
@@ -15,10 +16,12 @@
 )
 from tamarackrill.testing.worker import (
     SIGNATURE,
+    answer_ok,
     in_turn,
     make_answer,
     make_chunk,
     make_event,
+    make_stream_head,
     make_streaming,
     refuse_full,
 )
@@ -384,6 +387,51 @@
     play(act)
 
 
+def pause_before(seconds, behave):
+    async def act(request, writer):
+        await asyncio.sleep(seconds)
+        await behave(request, writer)
+
+    return act
+
+
+def test_stream_of_the_only_engine_goes_on_after_a_long_silence(monkeypatch):
+    # All engines but one are gone, and that one stalls a stream for longer than a
+    # client of an idle deployment would be left waiting.  There is nobody to go on
+    # elsewhere; given up, the client would have half an answer instead of a late one.
+    monkeypatch.setattr(waits, "STREAM_SILENT_S", 0.05)
+
+    async def stall(request, writer):
+        writer.write(make_stream_head(request) + make_chunk(make_event(1)))
+        await asyncio.sleep(0.4)
+        writer.write(make_chunk(make_event(2)) + make_chunk(b""))
+
+    async def act(fleet):
+        worker = await fleet.add_worker("w1", stall)
+        router = await fleet.add_router()
+        answer = await ask(router, "/stream/a", body=b"x")
+        assert answer.is_whole
+        assert answer.body == make_event(1) + make_event(2)
+        assert len(worker.requests) == 1
+
+    play(act)
+
+
+def test_lookup_waits_for_the_only_worker_that_is_left():
+    # All workers of a service but one are gone, and that one is slow.  Given up for
+    # another one that isn't there, the client would get nothing instead of an answer.
+    async def act(fleet):
+        await fleet.put_manifest(2, {**LOOKUP, "target_latency_ms": 20})
+        worker = await fleet.add_worker("w1", pause_before(0.4, answer_ok))
+        router = await fleet.add_router()
+        await fleet.wait(lambda: router.view.routes.manifest.version == 2)
+        answer = await ask(router, "/lookup/a")
+        assert (answer.status, answer.body) == (200, b"ok")
+        assert len(worker.requests) == 1
+
+    play(act)
+
+
 def test_worker_stops_when_its_client_leaves():
     # A client gives up.  A worker that went on would spend its slots on an answer that
     # nobody reads.
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -2,7 +2,7 @@
 
 from tamarackrill.contracts import Endpoint
 from tamarackrill.decisions.hashing import rank
-from tamarackrill.decisions.pools import NARROWED_KEPT, EndpointPool, make_pool
+from tamarackrill.decisions.pools import EndpointPool, make_pool
 
 NAMES = [f"engine-{number}" for number in range(12)]
 
--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -30,9 +30,11 @@
     )
 
 
-def find_limit(kind, sent=0, repeats_left=5.0, attempts_max=2, limit_s=LIMIT_S):
+def find_limit(
+    kind, sent=0, has_other=True, repeats_left=5.0, attempts_max=2, limit_s=LIMIT_S
+):
     route = make_route(kind, attempts_max)
-    return find_head_limit_s(route, sent, repeats_left, STARTED_S, limit_s)
+    return find_head_limit_s(route, sent, has_other, repeats_left, STARTED_S, limit_s)
 
 
 def test_lookup_leaves_a_silent_endpoint_in_time_for_another():
@@ -52,6 +54,11 @@
     assert find_limit("idempotent", sent=1) == LAST_S
 
 
+def test_lookup_without_another_endpoint_is_waited_for():
+    # All others are gone or can't be reached.  One given up for them gets no answer.
+    assert find_limit("idempotent", has_other=False) == LAST_S
+
+
 def test_lookups_are_waited_for_when_the_budget_is_spent():
     # All endpoints of a service are slow. Each lookup that gave up early would be sent
     # once more, and make them slower.
