Send no work to entries of another form, and forget what was known of endpoints that started anew

Two faults followed from what stood here. What was believed of a process (cached parts, load, health, crashes, waits, kept connections) went on for the next one of its name. An entry that could no longer be read left the one before in use, and one object of a list without contents, or with bytes that are no text, made the whole list unreadable.

Ruled out: to tell a restart by a sequence that falls; it counts accepted changes, and a worker that starts again may pass its old figure between two entries that we see.

The manifest before a faulty one stays.

--- a/src/tamarackrill/contracts.py
+++ b/src/tamarackrill/contracts.py
@@ -108,6 +108,9 @@
         serves now.
     vm : str
         Name of its VM on the platform's list; empty if it is the endpoint's own.
+    started_ms : int or None
+        Start of its process in ms since the epoch, by its own clock; None if it does
+        not tell.
     """
 
     name: str
@@ -119,6 +122,7 @@
     slots: int = 8
     models_max: int = 1
     vm: str = ""
+    started_ms: int | None = None
 
 
 class Vm(NamedTuple):
--- a/src/tamarackrill/decisions/poison.py
+++ b/src/tamarackrill/decisions/poison.py
@@ -140,6 +140,17 @@
         crashes = self._find(fingerprint, now_s)
         return {crash.endpoint for crash in crashes if crash.endpoint}
 
+    def forget_endpoint(self, endpoint: str) -> None:
+        """Take that an endpoint has started anew; its crashes stay counted.
+
+        The next crash there is a new one, however soon it comes.
+        """
+        for crashes in self._crashes.values():
+            crashes[:] = [
+                crash._replace(endpoint="") if crash.endpoint == endpoint else crash
+                for crash in crashes
+            ]
+
     def digest(self, now_s: float, limit: int = DIGEST_ENTRIES_MAX) -> list[CrashCount]:
         """Return what this router saw itself, for the next digest; newest first."""
         entries = []
--- a/src/tamarackrill/decisions/prefix_copies.py
+++ b/src/tamarackrill/decisions/prefix_copies.py
@@ -58,6 +58,11 @@
         joined_s = -math.inf if is_first else now_s
         self._joined_s = {name: known.get(name, joined_s) for name in names}
 
+    def forget_engine(self, name: str, now_s: float) -> None:
+        """Take that an engine has started anew, and holds nothing."""
+        self._index.forget_endpoint(name, now_s)
+        self._joined_s[name] = now_s
+
     def record_send(
         self, prefixes: Sequence[Prefix], engine: str, now_s: float
     ) -> list[Held]:
--- a/src/tamarackrill/decisions/reach.py
+++ b/src/tamarackrill/decisions/reach.py
@@ -60,6 +60,10 @@
         """Take that an endpoint has answered; return whether that is news."""
         return self._marks.pop(endpoint.name, None) is not None
 
+    def remove(self, name: str) -> None:
+        """Forget an endpoint; its path is tried like that of a new one."""
+        self._marks.pop(name, None)
+
     def retain(self, names: Iterable[str]) -> None:
         """Forget endpoints that are not among `names`."""
         kept = set(names)
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -188,7 +188,6 @@
     ("request", "route", "after_s"),
     "A client closed its connection before its answer had ended.",
 )
-
 # 3000: membership and configuration
 CONFIGURATION_TAKEN = Event(
     3001,
@@ -403,6 +402,14 @@
     ("endpoint", "zone"),
     "An endpoint that could not be reached can be again.",
 )
+ENDPOINT_RESTARTED = Event(
+    5026,
+    "endpoint_restarted",
+    _INFO,
+    ("endpoint",),
+    "An endpoint has started anew under the name that it had; what was believed of it "
+    "is forgotten.",
+)
 
 # 6000: objects of the platform
 OBJECT_FAULTY = Event(
@@ -410,7 +417,8 @@
     "object_faulty",
     _ERROR,
     ("kind", "name", "version", "message"),
-    "An object of the platform can't be read; the version before it stays in force.",
+    "An object of the platform can't be read.  The version before it stays in force, "
+    "but for entries on the users' platform, which then name no endpoint to use.",
     "Mend the object: `tamarackrill contract apply`, or the endpoint that wrote it.",
 )
 
--- a/src/tamarackrill/platform/objects.py
+++ b/src/tamarackrill/platform/objects.py
@@ -1,9 +1,10 @@
 """Objects of the platform's store that routers read: the manifest and the endpoints."""
 
 from collections.abc import Mapping
-from typing import Any
+from ipaddress import ip_address
+from typing import Any, TypeVar
 
-from tamarackrill.contracts import Endpoint
+from tamarackrill.contracts import Endpoint, EndpointState
 from tamarackrill.decisions.manifests import (
     ClientLimits,
     Manifest,
@@ -17,6 +18,11 @@
 MANIFEST_NAME = "main"
 ENDPOINT_KIND = "servers"
 
+# `draining` says that it takes no new work, not that it still has some.
+_STATES: Mapping[str, EndpointState] = {"ready": "live", "draining": "leaving"}
+_T = TypeVar("_T")
+_PORTS = 1 << 16
+
 
 def read_manifest(spec: Mapping[str, Any]) -> Manifest:
     """Return the manifest of the object `config/main`.
@@ -115,15 +121,48 @@
     Raises
     ------
     KeyError, TypeError, ValueError
-        If it is not of the published form.
+        If it is not of the published form.  Others than workers may write such objects,
+        so that fields are checked which are not used: work must not be sent to what
+        merely looks like a worker.
     """
+    _need(spec, "version", str)
+    _need(spec, "sequence", int)
+    _need_number(spec, "cold_remaining_ms")
     return Endpoint(
         name=name,
-        kind="engine" if spec.get("models") else "service",
-        serves=(spec["service"],),
-        address=spec["address"],
-        zone=spec["zone"],
-        # `draining` says that it takes no new work, not that it still has some.
-        state="leaving" if spec["state"] == "draining" else "live",
-        slots=int(spec["slots"]),
+        kind="engine" if _read_optional(spec, "models", list) else "service",
+        serves=(_need(spec, "service", str),),
+        address=_need_address(spec),
+        zone=_need(spec, "zone", str),
+        state=_STATES[_need(spec, "state", str)],
+        slots=_need(spec, "slots", int),
+        # Workers on older releases don't tell.
+        started_ms=_read_optional(spec, "born", int),
     )
+
+
+def _need(spec: Mapping[str, Any], field: str, kind: type[_T]) -> _T:
+    value = spec[field]
+    # A bool is an int to `isinstance`.
+    if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
+        raise TypeError(f"{field} is no {kind.__name__}")
+    return value
+
+
+def _read_optional(spec: Mapping[str, Any], field: str, kind: type[_T]) -> _T | None:
+    return _need(spec, field, kind) if field in spec else None
+
+
+def _need_number(spec: Mapping[str, Any], field: str) -> None:
+    if not isinstance(spec[field], float):
+        _need(spec, field, int)
+
+
+def _need_address(spec: Mapping[str, Any]) -> str:
+    address = _need(spec, "address", str)
+    host, _, port = address.rpartition(":")
+    if not 0 < int(port) < _PORTS:
+        raise ValueError("address has no port")
+    # Names are not looked up: it would hold up the request that asks first.
+    ip_address(host)
+    return address
--- a/src/tamarackrill/platform/store.py
+++ b/src/tamarackrill/platform/store.py
@@ -1,8 +1,10 @@
 """Calls of the platform's object store: paths, status codes and fields of answers."""
 
+from collections.abc import Callable, Iterable
 from typing import Any
 from urllib.parse import quote, urlencode
 
+from tamarackrill.events import OBJECT_FAULTY, log_event
 from tamarackrill.router.platform_client import (
     Listing,
     ObjectPage,
@@ -28,26 +30,48 @@
 
 def _read_object(kind: str, fields: dict[str, Any], is_removed: bool) -> PlatformObject:
     metadata = fields["metadata"]
-    value = None if is_removed else fields["spec"]
-    return PlatformObject(kind, metadata["name"], metadata["revision"], value)
+    name, revision = metadata["name"], metadata["revision"]
+    if not isinstance(name, str) or not isinstance(revision, int):
+        raise TypeError("metadata without a name or a revision")
+    value = None if is_removed else fields.get("spec")
+    if value is None and not is_removed:
+        # An object without contents still stands there; None would tell of its end.
+        value = {}
+    return PlatformObject(kind, name, revision, value)
+
+
+def _read_event(kind: str, event: dict[str, Any]) -> PlatformObject:
+    item = _read_object(kind, event["object"], event["removed"])
+    if not event["removed"]:
+        return item
+    # The object comes with the revision of its last change, which its end must outrank.
+    return item._replace(version=item.version + 1)
+
+
+def _read_each(
+    kind: str, read: Callable[[Any], PlatformObject], found: Iterable[Any]
+) -> tuple[PlatformObject, ...]:
+    """Return what can be read; one object that can't be must not hide the others."""
+    items = []
+    for fields in found:
+        try:
+            items.append(read(fields))
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            log_event(OBJECT_FAULTY, kind=kind, name="", version=0, message=repr(error))
+    return tuple(items)
 
 
 def _read_page(kind: str, body: dict[str, Any]) -> ObjectPage:
-    items = tuple(_read_object(kind, item, False) for item in body["items"])
+    items = _read_each(
+        kind, lambda fields: _read_object(kind, fields, False), body["items"]
+    )
     after = items[-1].name if body.get("has_more") and items else ""
     return ObjectPage(items, body["store_revision"], after)
 
 
 def _read_events(kind: str, body: dict[str, Any]) -> Listing:
-    events = []
-    for event in body["events"]:
-        item = _read_object(kind, event["object"], event["removed"])
-        if event["removed"]:
-            # The object comes with the revision of its last change, which its end
-            # must outrank.
-            item = item._replace(version=item.version + 1)
-        events.append(item)
-    return Listing(tuple(events), body["store_revision"])
+    events = _read_each(kind, lambda event: _read_event(kind, event), body["events"])
+    return Listing(events, body["store_revision"])
 
 
 STORE_FORM = StoreForm(
--- a/src/tamarackrill/router/deployment_view.py
+++ b/src/tamarackrill/router/deployment_view.py
@@ -71,7 +71,8 @@
             self._take(item, now_s)
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             # Were a malformed object to end the task that follows the store, no later
-            # change would come into force here.  The version before it stays.
+            # change would come into force here.  The manifest before it stays; an
+            # endpoint's entry that can't be read names none to send work to.
             log_event(
                 OBJECT_FAULTY,
                 kind=item.kind,
@@ -79,6 +80,8 @@
                 version=item.version,
                 message=repr(error),
             )
+            if item.kind == self._readers.endpoint_kind:
+                self._drop(item.name)
 
     def _take(self, item: ObjectVersion, now_s: float) -> None:
         readers = self._readers
@@ -110,7 +113,8 @@
                 state=endpoint.state,
                 revision=item.version,
             )
-        self._put(name, endpoint)
+        self._endpoints[name] = endpoint
+        self._pools = None
 
     def _remove(self, name: str, now_s: float) -> None:
         known = self._endpoints.get(name)
@@ -119,15 +123,17 @@
         if known.state == "live" and self._lapses.observe_removed(name, now_s):
             log_event(ENDPOINT_HELD, endpoint=name)
             return
-        self._put(name, None)
-        log_event(ENDPOINT_GONE, endpoint=name)
+        self._drop(name)
 
     def expire(self, now_s: float) -> None:
         """Take entries as gone that have not come back in time."""
         for name in self._lapses.expire(now_s):
-            if name in self._endpoints:
-                self._put(name, None)
-                log_event(ENDPOINT_GONE, endpoint=name)
+            self._drop(name)
+
+    def _drop(self, name: str) -> None:
+        if self._endpoints.pop(name, None) is not None:
+            self._pools = None
+            log_event(ENDPOINT_GONE, endpoint=name)
 
     def list_endpoints(self) -> list[Endpoint]:
         """Return all endpoints known now."""
@@ -154,13 +160,6 @@
         """Return the endpoints of a service that may take new work."""
         return list(self.find_pool(service).by_name.values())
 
-    def _put(self, name: str, endpoint: Endpoint | None) -> None:
-        if endpoint is None:
-            self._endpoints.pop(name, None)
-        else:
-            self._endpoints[name] = endpoint
-        self._pools = None
-
 
 class _Pools(NamedTuple):
     """Endpoints of one service: those that take new work, and all."""
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -278,7 +278,8 @@
         self.zone_news.tell()
 
     def _forget_gone(self) -> None:
-        self.placer.take_endpoints(self.clock())
+        for name in self.placer.take_endpoints(self.clock()):
+            self.flow.attempts.pool.drop(name)
         self.flow.attempts.pool.retain(e.name for e in self.view.list_endpoints())
 
     async def _start_gossip(self) -> None:
--- a/src/tamarackrill/router/edge_placing.py
+++ b/src/tamarackrill/router/edge_placing.py
@@ -6,13 +6,19 @@
 from tamarackrill.contracts import Endpoint
 from tamarackrill.decisions.cache_index import CacheIndex
 from tamarackrill.decisions.health import Health
+from tamarackrill.decisions.incarnations import Incarnations
 from tamarackrill.decisions.placement_news import Held
 from tamarackrill.decisions.poison import Poison
 from tamarackrill.decisions.pools import EndpointPool
 from tamarackrill.decisions.prefix_copies import COPY_TOKEN_MAX_S, PrefixCopies
 from tamarackrill.decisions.reach import Reach
 from tamarackrill.decisions.routing import Choice, Placement, PlacementRequest
-from tamarackrill.events import ENDPOINT_EJECTED, ENDPOINT_RETURNED, log_event
+from tamarackrill.events import (
+    ENDPOINT_EJECTED,
+    ENDPOINT_RESTARTED,
+    ENDPOINT_RETURNED,
+    log_event,
+)
 from tamarackrill.exceptions import Refusal
 from tamarackrill.router.deployment_view import DeploymentView
 from tamarackrill.router.edge_calls import EdgeCall
@@ -77,6 +83,7 @@
         self.poison = Poison()
         self.reach = Reach()
         self.copies = PrefixCopies(self.index)
+        self._incarnations = Incarnations()
         self.list_endpoints = view.list_endpoints
         self.list_witnesses: Callable[[], list[Endpoint]] = list
         self.tell: Callable[[list[Held], bool], None] = lambda found, expected: None
@@ -208,12 +215,31 @@
             return True
         return False
 
-    def take_endpoints(self, now_s: float) -> None:
-        """Forget what is known of endpoints that are gone."""
-        known = {endpoint.name for endpoint in self._view.list_endpoints()}
+    def take_endpoints(self, now_s: float) -> list[str]:
+        """Forget what is known of endpoints that are gone or have started anew.
+
+        Returns
+        -------
+        list of str
+            Those that have started anew.
+        """
+        endpoints = self._view.list_endpoints()
+        known = {endpoint.name for endpoint in endpoints}
         self.reach.retain(known.union(e.name for e in self.list_witnesses()))
         self.health.retain(known)
         self.copies.observe_endpoints(known, now_s)
+        restarted = self._incarnations.observe(endpoints)
+        for name in restarted:
+            self._forget(name, now_s)
+        return restarted
+
+    def _forget(self, name: str, now_s: float) -> None:
+        log_event(ENDPOINT_RESTARTED, endpoint=name)
+        self.copies.forget_engine(name, now_s)
+        self.placement.loads.remove(name)
+        self.health.remove(name)
+        self.poison.forget_endpoint(name)
+        self.reach.remove(name)
 
 
 def _make_request(call: EdgeCall, zone: str) -> PlacementRequest:
--- a/src/tamarackrill/router/platform_client.py
+++ b/src/tamarackrill/router/platform_client.py
@@ -385,8 +385,9 @@
 
 def _load(body: bytes) -> Any:
     try:
-        return json.loads(body or b"null")
-    except ValueError as error:
+        # One object with bytes that are no text must not hide all others of its list.
+        return json.loads(body.decode(errors="replace") or "null")
+    except (ValueError, RecursionError) as error:
         raise PlatformUnavailable("platform: the answer is no JSON") from error
 
 
--- /dev/null
+++ b/tests/test_entries.py
@@ -0,0 +1,144 @@
+"""Entries of endpoints in the store, whoever wrote them."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tamarackrill.decisions.configuration import ObjectVersion
+from tamarackrill.platform.objects import read_endpoint
+from tamarackrill.platform.store import STORE_FORM
+from tamarackrill.router.deployment_view import DeploymentView
+from tamarackrill.router.edge_app import READERS
+
+ENTRY = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "sequence": 4,
+}
+
+
+@pytest.mark.parametrize(
+    ("state", "found"), [("ready", "live"), ("draining", "leaving")]
+)
+def test_endpoint_is_read(state, found):
+    endpoint = read_endpoint("i-1", {**ENTRY, "state": state})
+    assert (endpoint.name, endpoint.state, endpoint.slots) == ("i-1", found, 6)
+    assert endpoint.kind == "service"
+    assert endpoint.started_ms is None
+
+
+def test_start_of_an_endpoint_is_read():
+    assert read_endpoint("i-1", {**ENTRY, "born": 1_700_000_000_123}).started_ms == (
+        1_700_000_000_123
+    )
+
+
+UNREADABLE_FIELDS = [
+    ("service", None),
+    ("service", 7),
+    ("address", "10.0.0.1"),
+    ("address", "10.0.0.1:0"),
+    ("address", "10.0.0.1:http"),
+    ("address", "worker.example:80"),
+    ("address", ["10.0.0.1", 80]),
+    ("zone", {}),
+    ("version", 1),
+    ("slots", "6"),
+    ("slots", True),
+    ("slots", 6.5),
+    ("state", "resting"),
+    ("state", ["ready"]),
+    ("sequence", "1"),
+    ("cold_remaining_ms", None),
+    ("born", "1700000000123"),
+    ("born", 1.5),
+    ("born", True),
+    ("models", "m"),
+]
+
+
+@pytest.mark.parametrize(("field", "value"), UNREADABLE_FIELDS)
+def test_entry_of_another_form_names_no_endpoint(field, value):
+    # Something else than a worker writes an entry that merely looks like a worker's.
+    # A router that took what it could read of it would send clients' requests there.
+    with pytest.raises((KeyError, TypeError, ValueError)):
+        read_endpoint("i-1", {**ENTRY, field: value})
+
+
+@pytest.mark.parametrize("field", sorted(ENTRY))
+def test_entry_that_lacks_a_field_names_no_endpoint(field):
+    entry = {name: value for name, value in ENTRY.items() if name != field}
+    with pytest.raises((KeyError, TypeError, ValueError)):
+        read_endpoint("i-1", entry)
+
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.sampled_from([*ENTRY, "born", "models"]), inner)
+    ),
+    max_leaves=12,
+)
+
+
+@given(spec=JSON_VALUES)
+def test_no_entry_ends_the_task_that_follows_the_store(spec):
+    # Whatever another writer puts into an entry, the router goes on to follow the store
+    # and sends nothing to that entry; the sound ones stay in use.
+    view = DeploymentView(READERS)
+    view.take(ObjectVersion("servers", "sound", 1, ENTRY), 0.0)
+    view.take(ObjectVersion("servers", "odd", 2, spec), 0.0)
+    assert "sound" in view.find_pool("s").by_name
+    for endpoint in view.list_endpoints():
+        assert isinstance(endpoint.slots, int) and ":" in endpoint.address
+
+
+def test_entry_that_can_no_longer_be_read_names_no_endpoint():
+    # An entry is written over by something that is no worker.  Going on with what it
+    # said before would send requests to an endpoint of which nothing is known.
+    view = DeploymentView(READERS)
+    view.take(ObjectVersion("servers", "w", 1, ENTRY), 0.0)
+    view.take(ObjectVersion("servers", "w", 2, {**ENTRY, "state": "resting"}), 0.0)
+    assert view.list_endpoints() == []
+    view.take(ObjectVersion("servers", "w", 3, ENTRY), 0.0)
+    assert [endpoint.name for endpoint in view.list_endpoints()] == ["w"]
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        None,
+        "text",
+        {},
+        {"metadata": None, "spec": {}},
+        {"metadata": {"name": "x"}, "spec": {}},
+        {"metadata": {"name": 7, "revision": 3}, "spec": {}},
+        {"metadata": {"name": "x", "revision": "3"}, "spec": {}},
+    ],
+)
+def test_object_that_cannot_be_read_hides_no_other(odd):
+    # One object of a list is not of the published form.  Were the whole list refused,
+    # the router would hear of no change of any endpoint any more.
+    sound = {"metadata": {"name": "w", "revision": 2}, "spec": ENTRY}
+    page = STORE_FORM.read_page(
+        "servers", {"items": [odd, sound], "has_more": False, "store_revision": 3}
+    )
+    assert [item.name for item in page.items] == ["w"]
+    events = [{"object": odd, "removed": False}, {"object": sound, "removed": False}]
+    listing = STORE_FORM.read_events("servers", {"events": events, "store_revision": 3})
+    assert [item.name for item in listing.items] == ["w"]
+
+
+@pytest.mark.parametrize("fields", [{}, {"spec": None}])
+def test_object_without_contents_is_not_taken_for_its_end(fields):
+    # An entry without contents stands in the store.  Taken for the end of an endpoint,
+    # it would be held as one that lapsed while the store is away.
+    item = {"metadata": {"name": "w", "revision": 2}, **fields}
+    page = STORE_FORM.read_page("servers", {"items": [item], "store_revision": 3})
+    assert page.items[0].value == {}
