Refuse a prompt at once where others wait too long at all engines

Cause: when engines are taken away or a burst comes, prompts arrive faster than those left can read them. An engine took them all, each waited longer than the last, and all reached their deadlines.

Ruled out: a count of requests as the limit (one prompt may be a hundred times another).

Change: decisions/engine_waits.py; an engine takes a prompt only while others wait less there than the prompt tolerates, four objectives if it is held and most urgent, a quarter of that if it has to be read; engines are told a rank, held prompts first.

--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -188,6 +188,17 @@
     ("request", "route", "after_s"),
     "A client closed its connection before its answer had ended.",
 )
+CALL_OVERLOADED = Event(
+    2207,
+    "call_overloaded",
+    _WARNING,
+    ("request", "route", "urgency", "objective_s", "engines", "least_wait_s"),
+    "A request was refused because others wait too long at all engines; `engines` are "
+    "those that were looked at, `least_wait_s` the wait at the fastest of them, "
+    "`urgency` 0 the most urgent.",
+    "Add engines, or see who sends so much: docs/OPERATIONS.md.",
+)
+
 # 3000: membership and configuration
 CONFIGURATION_TAKEN = Event(
     3001,
--- a/src/tamarackrill/platform/headers.py
+++ b/src/tamarackrill/platform/headers.py
@@ -156,6 +156,7 @@
     body_bytes: int | None,
     last_event_id: int | None,
     copy_from: str | None = None,
+    priority: int | None = None,
 ) -> list[tuple[str, str]]:
     """Return the headers of a request to an endpoint.
 
@@ -176,6 +177,8 @@
     copy_from : str or None, default=None
         Address of an engine from which the endpoint copies what it lacks of the
         prompt's cached parts.
+    priority : int or None, default=None
+        Rank among the requests of an engine, 0 to 9; the first is served first.
     """
     headers = list(call.forwarded)
     headers.append(("X-Deadline-Ms", str(max(1, int(time_left_s * 1000)))))
@@ -186,6 +189,8 @@
         headers.append(("Last-Event-Id", str(last_event_id)))
     if copy_from is not None:
         headers.append(("Kv-Fetch", copy_from))
+    if priority is not None:
+        headers.append(("X-Request-Priority", str(priority)))
     if body_bytes is not None:
         headers.append(("Content-Length", str(body_bytes)))
     return headers
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -193,6 +193,7 @@
             async with asyncio.timeout_at(limit_s):
                 head, facts = await self._read_own_head(call, channel)
             first_s = self._clock() - started_s
+            self._placer.observe_first(call, placed.endpoint, self._clock())
             self.paths.note_answer(placed.endpoint)
             if facts.load is not None:
                 now_s = self._clock()
@@ -223,6 +224,7 @@
             len(call.body) if has_body else None,
             progress.stream.last_id,
             None if source is None else source.address,
+            placed.priority,
         )
         channel.send(call.method, call.target, headers, call.body)
 
--- a/src/tamarackrill/router/edge_calls.py
+++ b/src/tamarackrill/router/edge_calls.py
@@ -35,6 +35,8 @@
         The manifest that decided all this.
     prefixes : tuple of Prefix
         Beginnings of its prompt that other requests share, the longest first.
+    urgency : int
+        0 is the most urgent; see `engine_waits.rank_urgency`.
     """
 
     method: str
@@ -48,6 +50,12 @@
     limit_s: float
     manifest_version: int
     prefixes: tuple[Prefix, ...]
+    urgency: int
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether its answer is a stream of events, which an engine generates."""
+        return self.route.kind == "streaming"
 
     @property
     def request_id(self) -> str:
--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -15,6 +15,7 @@
     CALL_ANSWERED,
     CALL_ATTEMPT_FAILED,
     CALL_CUT,
+    CALL_OVERLOADED,
     CALL_REFUSED,
     log_event,
 )
@@ -25,7 +26,7 @@
 )
 from tamarackrill.router.edge_attempts import EdgeAttempts, Progress, Result
 from tamarackrill.router.edge_calls import EdgeCall
-from tamarackrill.router.edge_placing import EdgePlaced, EdgePlacer
+from tamarackrill.router.edge_placing import EdgePlaced, EdgePlacer, Overloaded
 from tamarackrill.router.edge_reply import EdgeReply
 from tamarackrill.router.metrics import Metrics
 
@@ -87,7 +88,13 @@
         while True:
             now_s = self._clock()
             try:
-                placed = self._placer.choose(call, progress.avoid, now_s)
+                placed = self._placer.choose(
+                    call, progress.avoid, now_s, may_refuse=not progress.tried.sent
+                )
+            except Overloaded as overloaded:
+                _log_overloaded(call, overloaded)
+                await self._end(progress, overloaded.code)
+                return
             except Refusal as refusal:
                 await self._end(progress, "poison", refusal.retry_after_s)
                 return
@@ -218,6 +225,18 @@
         self._metrics.count_refusal(reason)
 
 
+def _log_overloaded(call: EdgeCall, overloaded: Overloaded) -> None:
+    log_event(
+        CALL_OVERLOADED,
+        request=call.request_id,
+        route=call.route.name,
+        urgency=call.urgency,
+        objective_s=call.route.objective_s,
+        engines=len(overloaded.waits_s),
+        least_wait_s=min(overloaded.waits_s.values()),
+    )
+
+
 async def refuse(
     call: EdgeCall,
     reply: EdgeReply,
--- a/src/tamarackrill/router/edge_placing.py
+++ b/src/tamarackrill/router/edge_placing.py
@@ -1,10 +1,11 @@
 """Places requests of the platform's interface: asks the decisions for an endpoint."""
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from typing import NamedTuple
 
 from tamarackrill.contracts import Endpoint
 from tamarackrill.decisions.cache_index import CacheIndex
+from tamarackrill.decisions.engine_waits import EngineWaits, choose_priority
 from tamarackrill.decisions.health import Health
 from tamarackrill.decisions.incarnations import Incarnations
 from tamarackrill.decisions.placement_news import Held
@@ -33,15 +34,31 @@
 # moved 154 GB with 1 and 113 GB with 2.  What nobody may exceed is 3 beyond twice the
 # mean, which 2 beyond one and a half times it keeps away from.
 LOAD_SLACK = 2
+OVERLOADED_STATUS = 503
 # Requests at an endpoint beyond its slots, in multiples of them, before a router looks
 # on it as full: a lookup of 20 ms behind three others is still on time.
 QUEUE_MULTIPLE = 4
 
 
+class Overloaded(Refusal):
+    """All engines are too slow for a prompt.
+
+    Parameters
+    ----------
+    waits_s : mapping of str to float
+        How long others wait there for their first event.
+    """
+
+    def __init__(self, waits_s: Mapping[str, float]) -> None:
+        super().__init__("overloaded", OVERLOADED_STATUS, "all engines are too slow")
+        self.waits_s = waits_s
+
+
 class EdgePlaced(NamedTuple):
     """An endpoint that was chosen, why, and what was known of its load.
 
-    `copy_from` is the engine that probably holds what the chosen one lacks.
+    `copy_from` is the engine that probably holds what the chosen one lacks, `priority`
+    the request's rank at an engine.
     """
 
     endpoint: Endpoint
@@ -49,6 +66,7 @@
     load: int
     bound: int
     copy_from: Endpoint | None = None
+    priority: int | None = None
 
 
 class EdgePlacer:
@@ -83,35 +101,76 @@
         self.poison = Poison()
         self.reach = Reach()
         self.copies = PrefixCopies(self.index)
+        self.waits = EngineWaits()
         self._incarnations = Incarnations()
         self.list_endpoints = view.list_endpoints
         self.list_witnesses: Callable[[], list[Endpoint]] = list
         self.tell: Callable[[list[Held], bool], None] = lambda found, expected: None
 
     def choose(
-        self, call: EdgeCall, avoid: Collection[str], now_s: float
+        self,
+        call: EdgeCall,
+        avoid: Collection[str],
+        now_s: float,
+        may_refuse: bool = True,
     ) -> EdgePlaced | None:
         """Return where a request goes, or None if nothing can take it.
 
+        Parameters
+        ----------
+        call : EdgeCall
+            The request.
+        avoid : collection of str
+            Endpoints that have failed it.
+        now_s : float
+            The present time.
+        may_refuse : bool, default=True
+            Whether it may be refused because all engines are too slow for it.  One
+            whose stream its client has begun to read is served however late.
+
         Raises
         ------
+        Overloaded
+            If all engines are too slow for it.
         Refusal
-            If the request has crashed too many endpoints.
+            If it has crashed too many endpoints.
         """
         self.poison.check(call.fingerprint, now_s)
         pool = self._view.find_pool(call.service)
         probed = self._choose_probe(call, pool.leave_out(avoid), now_s)
         if probed is not None:
             return probed
-        for narrowed in self._list_pools(pool, call, avoid, now_s):
-            choice = self._choose_among(call, narrowed, now_s)
+        slow = self._find_slow(call, now_s) if may_refuse else {}
+        pools = self._list_pools(pool, call, avoid, now_s)
+        for narrowed in pools:
+            choice = self._choose_among(call, narrowed, slow, now_s)
             if choice is not None:
-                source = self._find_source(call, choice.endpoint, avoid, now_s)
-                return EdgePlaced(
-                    choice.endpoint, choice.reason, choice.load, choice.bound, source
-                )
+                return self._place(call, choice, avoid, now_s)
+        if slow.keys() & pools[-1].by_name.keys():
+            raise Overloaded(slow)
         return None
 
+    def _find_slow(self, call: EdgeCall, now_s: float) -> dict[str, float]:
+        if not call.is_stream:
+            return {}
+        holders = [h.endpoint for h in self.index.holders(call.session, now_s)]
+        return self.waits.find_slow(
+            call.route.objective_s, call.urgency, holders, now_s
+        )
+
+    def _place(
+        self, call: EdgeCall, choice: Choice, avoid: Collection[str], now_s: float
+    ) -> EdgePlaced:
+        is_held = choice.reason == "cached"
+        return EdgePlaced(
+            choice.endpoint,
+            choice.reason,
+            choice.load,
+            choice.bound,
+            self._find_source(call, choice.endpoint, avoid, now_s),
+            choose_priority(call.urgency, is_held) if call.is_stream else None,
+        )
+
     def has_endpoint(self, call: EdgeCall, avoid: Collection[str]) -> bool:
         """Return whether an endpoint besides those to avoid can be reached."""
         pool = self._view.find_pool(call.service)
@@ -149,12 +208,16 @@
         return [pool.leave_out(names) for names in (suspected, unsound, doubtful)]
 
     def _choose_among(
-        self, call: EdgeCall, pool: EndpointPool, now_s: float
+        self,
+        call: EdgeCall,
+        pool: EndpointPool,
+        slow: Collection[str],
+        now_s: float,
     ) -> Choice | None:
         request = _make_request(call, self._zone)
         for multiple in (1, QUEUE_MULTIPLE):
             choice = self.placement.choose(
-                request, pool, now_s, slots_multiple=multiple
+                request, pool, now_s, refused=slow, slots_multiple=multiple
             )
             if choice is not None:
                 return choice
@@ -180,9 +243,16 @@
         self.tell(found, placed.reason == "hashed")
         self.placement.start(name, request, now_s)
         self.poison.start(call.fingerprint, name, now_s)
+        if call.is_stream:
+            self.waits.start(name, call.request_id, now_s)
+
+    def observe_first(self, call: EdgeCall, endpoint: Endpoint, now_s: float) -> None:
+        """Take the beginning of an answer."""
+        self.waits.answer(endpoint.name, call.request_id, now_s)
 
     def finish(self, call: EdgeCall, endpoint: Endpoint, now_s: float) -> None:
         """Count a request as over at an endpoint."""
+        self.waits.finish(endpoint.name, call.request_id)
         self.placement.finish(endpoint.name, now_s)
         self.poison.finish(call.fingerprint, endpoint.name)
 
@@ -240,6 +310,7 @@
         self.health.remove(name)
         self.poison.forget_endpoint(name)
         self.reach.remove(name)
+        self.waits.remove(name)
 
 
 def _make_request(call: EdgeCall, zone: str) -> PlacementRequest:
--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -15,7 +15,13 @@
 )
 from tornado.iostream import StreamClosedError
 
-from tamarackrill.decisions.manifests import Route, RouteTable, choose_service
+from tamarackrill.decisions.engine_waits import rank_urgency
+from tamarackrill.decisions.manifests import (
+    Route,
+    RouteTable,
+    TeamKeys,
+    choose_service,
+)
 from tamarackrill.events import CALL_LEFT, CALL_REFUSED, TASK_FAILED, log_event
 from tamarackrill.platform.headers import CallHeaders, read_call, write_refusal
 from tamarackrill.router.deployment_view import DeploymentView
@@ -167,21 +173,26 @@
             body=body,
             route=route,
             service=service,
-            team=team,
+            team=None if team is None else team.name,
             arrived_s=arrived_s,
             limit_s=arrived_s + waits_s,
             manifest_version=table.manifest.version,
             prefixes=find_shared_prefixes(route, headers),
+            urgency=rank_urgency(
+                None if team is None else team.priority, route.priority
+            ),
         )
 
 
-def _find_team(table: RouteTable, route: Route, headers: CallHeaders) -> str | None:
+def _find_team(
+    table: RouteTable, route: Route, headers: CallHeaders
+) -> TeamKeys | None:
     if not table.needs_keys:
         return None
     found = table.find_team(headers.key) if headers.key else None
     if found is None and not route.is_anonymous:
         raise _Denied(401, "unknown_key")
-    return found.name if found is not None else None
+    return found
 
 
 class _Request(HTTPMessageDelegate):
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tamarackrill.decisions import waits
+from tamarackrill.decisions import engine_waits, waits
 from tamarackrill.testing.edge import (
     KEY,
     TEAM,
@@ -73,6 +73,83 @@
     play(act)
 
 
+async def hang(request, writer):
+    await asyncio.Event().wait()
+
+
+OBJECTIVE_S = 0.04
+CHAT = make_route(
+    "/chat/",
+    "streaming",
+    attempts=1,
+    session_affinity=True,
+    target_latency_ms=1000 * OBJECTIVE_S,
+)
+TOO_LONG_S = engine_waits.find_tolerated_s(OBJECTIVE_S, urgency=0, is_held=True)
+
+
+def test_prompt_goes_past_an_engine_at_which_others_wait_too_long():
+    # An engine has been given more prompts than it can read, and answers nobody.  Its
+    # sessions go on at another one; sent after the others, they would wait as long.
+    async def act(fleet):
+        await fleet.put_manifest(2, CHAT)
+        engines = [await fleet.add_worker(name, hang) for name in ("w1", "w2")]
+        router = await fleet.add_router()
+        first = asyncio.create_task(ask(router, "/chat/a", X_Prompt_Prefix=PROMPT))
+        await fleet.wait(lambda: any(engine.requests for engine in engines))
+        (slow,) = [engine for engine in engines if engine.requests]
+        (other,) = [engine for engine in engines if engine is not slow]
+        other.behave = make_streaming(1)
+        await fleet.wait(
+            lambda: (
+                router.placer.waits.find_wait_s(slow.name, router.clock()) > TOO_LONG_S
+            )
+        )
+        answer = await ask(router, "/chat/a", "id-2", X_Prompt_Prefix=PROMPT)
+        assert answer.is_whole
+        assert len(other.requests) == len(slow.requests) == 1
+        first.cancel()
+
+    play(act)
+
+
+def test_prompt_is_refused_at_once_when_all_engines_are_too_slow():
+    # All engines have more than they can read.  One more prompt would wait for longer
+    # than its client does, and keep those behind it waiting as well.
+    async def act(fleet):
+        await fleet.put_manifest(2, CHAT)
+        engine = await fleet.add_worker("w1", hang)
+        router = await fleet.add_router()
+        first = asyncio.create_task(ask(router, "/chat/a", X_Prompt_Prefix=PROMPT))
+        await fleet.wait(
+            lambda: router.placer.waits.find_wait_s("w1", router.clock()) > TOO_LONG_S
+        )
+        answer = await ask(router, "/chat/a", "id-2", X_Prompt_Prefix=PROMPT)
+        assert (answer.status, read_reason(answer)) == (503, "overloaded")
+        assert float(answer.headers["retry-after"]) > 0
+        assert len(engine.requests) == 1
+        first.cancel()
+
+    play(act)
+
+
+def test_engine_is_told_which_prompts_are_urgent_and_services_nothing():
+    async def act(fleet):
+        await fleet.put_manifest(2, CHAT, LOOKUP)
+        worker = await fleet.add_worker("w1", make_streaming(1))
+        router = await fleet.add_router()
+        for number in range(2):
+            await ask(router, "/chat/a", f"id-{number}", X_Prompt_Prefix=PROMPT)
+        await ask(router, "/lookup/a", "id-3", X_Request_Priority="0")
+        unread, held, lookup = (
+            request.headers.get("x-request-priority") for request in worker.requests
+        )
+        assert int(held) < int(unread)
+        assert lookup is None
+
+    play(act)
+
+
 async def break_off(request, writer):
     writer.transport.abort()
 
