Tell operators from logs where requests were lost

`tamarackrill losses FILE...` counts how requests ended by route, by cause with the endpoints concerned, and by moment.

Ruled out: the same from metrics; they have no moments and no endpoints.

--- a/src/tamarackrill/cli.py
+++ b/src/tamarackrill/cli.py
@@ -5,6 +5,7 @@
 
 import argparse
 import asyncio
+import math
 import os
 import sys
 from collections.abc import Awaitable, Callable, Sequence
@@ -32,10 +33,13 @@
 from tamarackrill.queries.explain import EXPLAINED, ask_home, format_explanation
 from tamarackrill.queries.explain_log import find_lines, format_lines
 from tamarackrill.queries.fleet import list_endpoints, list_routers, pick_router
+from tamarackrill.queries.losses import find_endings, format_losses, summarize
 from tamarackrill.router.platform_client import PlatformClient
 
 PLATFORM_VARIABLE = "TAMARACKRILL_PLATFORM"
 WAIT_MAX_S = 30.0
+# Faults last seconds, and a span of so long still holds enough requests to compare.
+LOSSES_WINDOW_S = 5.0
 EXIT_INTERRUPTED = 130
 
 _EPILOG = "exit codes:\n" + "\n".join(
@@ -168,6 +172,21 @@
     explain_log.add_argument("request", metavar="ID", help="id of the client's attempt")
     explain_log.add_argument("files", nargs="+", metavar="FILE")
     explain_log.set_defaults(action=_explain_log, is_offline=True)
+    losses = groups.add_parser(
+        "losses",
+        help="tell from the logs of routers where requests were lost",
+        description="Counts how requests ended, by route, by cause and by moment; "
+        "explain-log tells of a single one.",
+    )
+    losses.add_argument("files", nargs="+", metavar="FILE")
+    losses.add_argument(
+        "--window-s",
+        metavar="SECONDS",
+        type=_read_window_s,
+        default=LOSSES_WINDOW_S,
+        help="length of a moment (default: %(default)s)",
+    )
+    losses.set_defaults(action=_show_losses, is_offline=True)
     check = groups.add_parser(
         "check-settings",
         help="check a settings file of the platform",
@@ -179,10 +198,23 @@
 
 
 def _explain_log(options: argparse.Namespace) -> None:
-    lines: list[str] = []
-    for name in options.files:
-        lines += _read_text(name).splitlines()
-    print(format_lines(find_lines(options.request, lines)))
+    print(format_lines(find_lines(options.request, _read_lines(options.files))))
+
+
+def _show_losses(options: argparse.Namespace) -> None:
+    endings = find_endings(_read_lines(options.files))
+    print(format_losses(summarize(endings, options.window_s)))
+
+
+def _read_window_s(text: str) -> float:
+    window_s = float(text)
+    if not 0.0 < window_s < math.inf:
+        raise ValueError("must be above 0")
+    return window_s
+
+
+def _read_lines(names: Sequence[str]) -> list[str]:
+    return [line for name in names for line in _read_text(name).splitlines()]
 
 
 def _check_settings(options: argparse.Namespace) -> None:
--- a/src/tamarackrill/queries/explain_log.py
+++ b/src/tamarackrill/queries/explain_log.py
@@ -27,7 +27,7 @@
         The request's own lines, and those of the endpoints that it was sent to within
         `NEAR_S` of them that name no other request.
     """
-    parsed = [line for text in lines if (line := _parse(text)) is not None]
+    parsed = [line for text in lines if (line := parse_line(text)) is not None]
     own = [line for line in parsed if line.get(REQUEST_FIELD) == request_id]
     endpoints = {line[ENDPOINT_FIELD] for line in own if ENDPOINT_FIELD in line}
     times = [line[TIME_FIELD] for line in own]
@@ -41,7 +41,8 @@
     return sorted([*own, *near], key=lambda line: line[TIME_FIELD])
 
 
-def _parse(text: str) -> dict[str, Any] | None:
+def parse_line(text: str) -> dict[str, Any] | None:
+    """Return the fields of a log line, or None if it is none of ours."""
     # A log may hold lines that are not ours, such as a traceback of the interpreter,
     # and the platform may put its own words before each line.
     start = text.find("{")
