Remove what only tests called; keep how an event is written apart from the events

Cause: `hashing.weighted_order` and the summaries of peers in `Health` (`digest`, `observe_peer`) were written for a use that never came; nothing but their tests ran them.

Ruled out: to wire the summaries in; they are verdicts of one router with shares of few answers, which docs/design/endpoint-news.md weighs against counts of failures.

Change: removed with their three tests, which checked nothing that runs; event_log.py holds the type of an event and how it becomes a line. No behaviour changes.

--- a/src/tamarackrill/decisions/hashing.py
+++ b/src/tamarackrill/decisions/hashing.py
@@ -15,8 +15,7 @@
 
 import hashlib
 import heapq
-import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Sequence
 from functools import lru_cache
 from typing import NamedTuple
 
@@ -105,32 +104,3 @@
 def rank(key: str, members: Sequence[str]) -> list[str]:
     """Return all members in the order in which `key` prefers them."""
     return rendezvous_order(key, members, len(members))
-
-
-def weighted_order(key: str, weights: Mapping[str, float], count: int) -> list[str]:
-    """Return the members that `key` prefers, each chosen in proportion to its weight.
-
-    Parameters
-    ----------
-    key : str
-        Name of a chat.
-    weights : mapping of str to float
-        Weight of each member; a member of weight 0 or less is never chosen.
-    count : int
-        How many to return at most.
-
-    Returns
-    -------
-    list of str
-        At most `count` members.  A member whose weight grows only gains keys, and
-        one whose weight shrinks only loses them.
-    """
-    members = [member for member, weight in weights.items() if weight > 0]
-    # Half a step keeps the quotient inside (0, 1), where the logarithm is finite.
-    scored = [
-        (weights[member] / -math.log((score + 0.5) / (_MASK + 2)), member)
-        for score, member in zip(
-            _score(key, _remember_members(tuple(members))), members, strict=True
-        )
-    ]
-    return [member for _, member in heapq.nlargest(count, scored)]
--- a/src/tamarackrill/decisions/health.py
+++ b/src/tamarackrill/decisions/health.py
@@ -14,7 +14,7 @@
 before an ejected endpoint gets work, and it returns through a slow start.
 """
 
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Sequence
 from statistics import median_low
 from typing import NamedTuple
 
@@ -54,13 +54,10 @@
 # An engine's cache fills within some ten steps of its chats.
 SLOW_START_S = 10.0
 SLOW_START_SHARE = 0.1
-# Another router's summary is dropped after this time.
-SUMMARY_KEPT_S = 30.0
-DIGEST_ENTRIES_MAX = 8
 
 
 class EndpointHealth(NamedTuple):
-    """Summary of an endpoint's answers; also a digest's entry.
+    """Summary of an endpoint's answers.
 
     Parameters
     ----------
@@ -142,7 +139,6 @@
 
     def __init__(self) -> None:
         self._states: dict[str, _State] = {}
-        self._peers: dict[str, tuple[float, EndpointHealth]] = {}
         self._probed_s = float("-inf")
         # Endpoints that may be stopped or ejected; all others need not be looked at.
         self._suspects: set[str] = set()
@@ -177,7 +173,6 @@
     def remove(self, endpoint: str) -> None:
         """Forget an endpoint that has left for good."""
         self._states.pop(endpoint, None)
-        self._peers.pop(endpoint, None)
         self._suspects.discard(endpoint)
 
     def retain(self, names: Collection[str]) -> None:
@@ -217,7 +212,7 @@
         """
         state = self._states.setdefault(endpoint, _State(now_s))
         _add_sample(state, is_ok, first_token_s)
-        if state.ejected_s is not None or not self._is_outlier(endpoint, pool, now_s):
+        if state.ejected_s is not None or not self._is_outlier(endpoint, pool):
             return False
         if not self._may_eject(pool, now_s):
             return False
@@ -235,25 +230,6 @@
             state.penalty_s = now_s
             state.is_stopped = state.is_stopped and state.penalty >= PENALTY_STOP
 
-    def observe_peer(self, entries: Iterable[EndpointHealth], now_s: float) -> None:
-        """Take a peer's summaries of the endpoints that it owns."""
-        for entry in entries:
-            self._peers[entry.endpoint] = (now_s, entry)
-
-    def digest(
-        self, owned: Iterable[str], limit: int = DIGEST_ENTRIES_MAX
-    ) -> list[EndpointHealth]:
-        """Return summaries for the next digest, the worst first."""
-        entries = [
-            EndpointHealth(
-                name, state.samples, state.failure_share, state.first_token_s
-            )
-            for name in owned
-            if (state := self._states.get(name)) is not None and state.samples
-        ]
-        entries.sort(key=lambda entry: (-entry.failure_share, -entry.first_token_s))
-        return entries[:limit]
-
     def find_allowed(self, pool: Sequence[str], now_s: float) -> list[str]:
         """Return the endpoints of `pool` that may take new work.
 
@@ -341,7 +317,7 @@
         if state is None or state.ejected_s is None:
             return False
         state.is_probing = False
-        limit_s = RECOVERED_MULTIPLE * self._find_median(endpoint, pool, now_s)
+        limit_s = RECOVERED_MULTIPLE * self._find_median(endpoint, pool)
         is_slow = first_token_s is None or first_token_s > max(limit_s, SLOW_MIN_S)
         if not is_ok or is_slow:
             state.probes_passed = 0
@@ -374,7 +350,7 @@
         ramp = (now_s - state.joined_s) / SLOW_START_S
         return min(1.0, SLOW_START_SHARE + (1.0 - SLOW_START_SHARE) * ramp)
 
-    def _is_outlier(self, endpoint: str, pool: Collection[str], now_s: float) -> bool:
+    def _is_outlier(self, endpoint: str, pool: Collection[str]) -> bool:
         own = self._states[endpoint]
         # Most answers tell of no fault, and then the others need not be looked at.
         if own.in_a_row < FAILURES_IN_A_ROW and (
@@ -382,7 +358,7 @@
             or (own.failure_share < FAILURES_SHARE and own.first_token_s <= SLOW_MIN_S)
         ):
             return False
-        peers = self._list_peers(endpoint, pool, now_s)
+        peers = self._list_peers(endpoint, pool)
         failing = median_low([peer.failure_share for peer in peers]) if peers else 0.0
         if own.in_a_row >= FAILURES_IN_A_ROW and failing < FAILURES_SHARE:
             return True
@@ -393,28 +369,21 @@
         usual_s = median_low([peer.first_token_s for peer in peers])
         return own.first_token_s > max(SLOW_MIN_S, SLOW_MULTIPLE * usual_s)
 
-    def _find_median(self, endpoint: str, pool: Collection[str], now_s: float) -> float:
-        peers = self._list_peers(endpoint, pool, now_s)
+    def _find_median(self, endpoint: str, pool: Collection[str]) -> float:
+        peers = self._list_peers(endpoint, pool)
         return median_low([peer.first_token_s for peer in peers]) if peers else 0.0
 
-    def _list_peers(
-        self, endpoint: str, pool: Collection[str], now_s: float
-    ) -> list[EndpointHealth]:
-        """Return summaries of the others, own ones where they are long enough."""
+    def _list_peers(self, endpoint: str, pool: Collection[str]) -> list[EndpointHealth]:
+        """Return summaries of the others that are long enough."""
         found = []
         for name in pool:
-            if name == endpoint:
-                continue
             state = self._states.get(name)
-            heard_s, entry = self._peers.get(name, (float("-inf"), None))
-            if state is not None and state.samples >= SAMPLES_MIN:
+            if name != endpoint and state is not None and state.samples >= SAMPLES_MIN:
                 found.append(
                     EndpointHealth(
                         name, state.samples, state.failure_share, state.first_token_s
                     )
                 )
-            elif entry is not None and heard_s > now_s - SUMMARY_KEPT_S:
-                found.append(entry)
         return found
 
 
--- a/src/tamarackrill/logs.py
+++ b/src/tamarackrill/logs.py
@@ -18,7 +18,7 @@
 
 from absl import flags, logging
 
-from tamarackrill import events
+from tamarackrill import event_log, events
 
 # Lines that wait for the reader: a second of a loaded router, 1,000 lines of 200 bytes.
 BUFFER_MAX_BYTES = 256 * 1024
@@ -180,5 +180,5 @@
     logging.set_verbosity(logging.INFO)
     logging.set_stderrthreshold(logging.INFO)
     if log_format == "json":
-        events.use_formatter(events.format_json)
+        event_log.use_formatter(event_log.format_json)
         logging.get_absl_handler().setFormatter(Formatter("%(message)s"))
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tamarackrill import events
+from tamarackrill import event_log, events
 from tamarackrill.event_catalogue import format_catalogue
 
 
@@ -16,7 +16,7 @@
     # A caller chooses the chat's name.  Were a line break written as it is, the
     # caller could write log lines that look like the router's.
     event = events.REQUEST_FORWARDED
-    line = events.format_key_value(event, {"chat": "a\nE1001 router_started"})
+    line = event_log.format_key_value(event, {"chat": "a\nE1001 router_started"})
     assert "\n" not in line
 
 
--- a/tests/test_hashing.py
+++ b/tests/test_hashing.py
@@ -36,22 +36,6 @@
     assert all(abs(count - expected) < 5 * expected**0.5 for count in counts.values())
 
 
-def test_keys_follow_the_weights():
-    weights = {"one": 1.0, "two": 2.0, "none": 0.0}
-    chosen = Counter(hashing.weighted_order(key, weights, 1)[0] for key in KEYS)
-    assert chosen["none"] == 0
-    assert abs(chosen["two"] / chosen["one"] - 2.0) < 0.2
-
-
-def test_growing_weight_only_gains_keys():
-    low = {name: 1.0 for name in NAMES}
-    high = {**low, "engine-3": 1.5}
-    for key in KEYS[:500]:
-        before = hashing.weighted_order(key, low, 1)
-        after = hashing.weighted_order(key, high, 1)
-        assert after in (before, ["engine-3"])
-
-
 @given(st.text(), st.sets(st.text(), min_size=1, max_size=12), st.integers(0, 14))
 def test_order_is_a_prefix_of_the_whole_ranking(key, members, count):
     whole = hashing.rank(key, sorted(members))
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -4,7 +4,7 @@
 
 from tamarackrill.contracts import Endpoint
 from tamarackrill.decisions import health as h
-from tamarackrill.decisions.health import EndpointHealth, Health
+from tamarackrill.decisions.health import Health
 from tamarackrill.decisions.routing import Placement, PlacementRequest
 
 POOL = [f"engine-{i}" for i in range(5)]
@@ -132,17 +132,3 @@
     health.observe_present("engine-1", 52.0)
     assert health.find_shares(POOL, 52.0) == {"engine-1": h.SLOW_START_SHARE}
     assert health.find_shares(POOL, 52.0 + h.SLOW_START_S) == {}
-
-
-def test_summaries_of_peers_stand_in_for_own_answers():
-    # A router of hundreds sends too little to each engine to know what is usual.
-    # Alone, it would go on sending its callers to the slow one.
-    health = Health()
-    entries = [EndpointHealth(name, 50, 0.0, 0.1) for name in POOL[1:]]
-    health.observe_peer(entries, 0.0)
-    ejected = [
-        health.observe_answer("engine-0", True, 3.0, POOL, float(second))
-        for second in range(h.SAMPLES_MIN)
-    ]
-    assert ejected == [False] * (h.SAMPLES_MIN - 1) + [True]
-    assert [entry.endpoint for entry in health.digest(POOL)] == ["engine-0"]
