Ask a peer at once for the manifest while holding none

Three routers are stopped and started while the store is silent; each knew from its peers within 0.11 s where prompts lie, but waited 1 s for the store before it asked them for the manifest, and refused its clients meanwhile (22 refusals `no_manifest`, clients come back once). The wait spares peers where a watch brings the change a moment later; a router that holds nothing has no watch that could.

Ruled out: readiness that comes too soon (it was not ready; in a zone with less than half of its routers in rotation the balancer uses all).

Change: a router that holds no object of a kind pulls it from the first peer that has some. The new test fails without the change.

--- a/src/tamarackrill/router/configuring.py
+++ b/src/tamarackrill/router/configuring.py
@@ -133,7 +133,12 @@
                 continue
             now_s = self._clock()
             since_s = self._behind_since_s.setdefault(digest.kind, now_s)
-            waited = self._lost or now_s - since_s >= PULL_AFTER_S
+            # A router that has just started holds nothing and serves nobody.  Were it
+            # to wait for a store that is silent, it would refuse its clients for a
+            # second; a store that answers has done so before any peer is heard.
+            holds_nothing = self._store.get_complete(digest.kind) == 0
+            is_late = now_s - since_s >= PULL_AFTER_S
+            waited = holds_nothing or self._lost or is_late
             if waited and digest.kind not in self._pulls:
                 task = asyncio.create_task(self._pull_from(heard, digest.kind))
                 self._pulls[digest.kind] = task
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tamarackrill.decisions import engine_waits, waits
+from tamarackrill.router import configuring, edge_app
 from tamarackrill.testing.edge import (
     KEY,
     TEAM,
@@ -656,6 +657,30 @@
     play(act)
 
 
+def test_router_started_while_the_store_is_silent_asks_a_router_at_once(monkeypatch):
+    # The store answers nothing, and routers are restarted.  Their balancer sends them
+    # clients, whom they refuse for as long as they know no manifest; any other router
+    # could give it to them.
+    async def act(fleet):
+        async def say_nothing(reader, writer):
+            await asyncio.Event().wait()
+
+        await fleet.add_worker("w1")
+        await fleet.add_router("first")
+        silent = await asyncio.start_server(say_nothing, "127.0.0.1", 0)
+        port = silent.sockets[0].getsockname()[1]
+        fleet.store_address = f"127.0.0.1:{port}"
+        # Neither time may be what brings the manifest.
+        monkeypatch.setattr(configuring, "PULL_AFTER_S", 3600.0)
+        monkeypatch.setattr(edge_app, "STORE_CALL_MAX_S", 3600.0)
+        monkeypatch.setattr(edge_app, "STORE_CALL_SHARE", 1800.0)
+        second = await fleet.add_router("second")
+        assert (await ask(second, "/lookup/a")).status == 200
+        silent.close()
+
+    play(act)
+
+
 def test_stopping_router_finishes_what_it_has_read():
     # A router is told to stop while a worker is at work.  The answer must still come,
     # whole, and tell the client that the connection ends.
