--- a/bench/endpoint_news.py
+++ b/bench/endpoint_news.py
@@ -5,9 +5,11 @@
 time until nine in ten routers leave it out, with every hundredth datagram lost: the
 median and the most of five seeds.  Then all is well but for one router whose own
 requests all fail: *wrong* counts endpoints that routers leave out in ten minutes.
-*B/s* is what a router sends for the news while the endpoint fails, mean and most.
+*B/s* is what a router sends for the news while the endpoint fails, mean and most;
+*loads* is what it sends for loads alone, drawn around a mean of five requests.
 """
 
+import math
 import random
 from collections.abc import Iterator
 from typing import NamedTuple
@@ -15,12 +17,16 @@
 from tamarackrill.decisions.endpoint_news import EndpointNews, Failures, hash_teller
 from tamarackrill.decisions.fleet_health import FleetHealth
 from tamarackrill.decisions.placement_news import TICK_S, PlacementNews, SendNews
+from tamarackrill.decisions.routing import compute_bound
 from tamarackrill.protocol.news_codec import encode_news
 
 HEADERS_BYTES = 28
 KEYS = ("key",)
 SEEDS = 5
 PLAY_MAX_S = 60.0
+LOADS_S = 5.0
+LOAD_MEAN = 5
+LOAD_FACTOR, LOAD_SLACK = 1.5, 2
 QUIET_S = 600.0
 FAILING = "e0"
 LOST_SHARE = 0.01
@@ -147,17 +153,46 @@
     return len(wrong)
 
 
+def draw_load(chance: random.Random) -> int:
+    """Return a load, Poisson distributed around the mean."""
+    count, product = 0, chance.random()
+    while product > math.exp(-LOAD_MEAN):
+        count += 1
+        product *= chance.random()
+    return count
+
+
+def count_load_bytes(size: Size, seed: int) -> tuple[float, float]:
+    """Return the bytes a second that routers send to tell loads, mean and most."""
+    fleet = Fleet(size, seed)
+    bound = compute_bound(LOAD_FACTOR, LOAD_MEAN, 1, LOAD_SLACK)
+    tick_s = 0.0
+    for now_s, router, endpoint in list_arrivals(fleet, LOADS_S):
+        load = draw_load(fleet.chance)
+        fleet.news[router].observe_load(endpoint, load, bound)
+        if now_s >= tick_s:
+            tick_s += TICK_S
+            fleet.tick(now_s)
+    sent = [count / LOADS_S for count in fleet.sent_bytes.values()]
+    return sum(sent) / len(sent), max(sent)
+
+
 def main() -> None:
     """Print a row for each size."""
-    print("routers  endpoints  seconds  most s  B/s mean  B/s most  wrong (10 min)")
+    print(
+        "routers  endpoints  seconds  most s  B/s mean  B/s most  "
+        "loads mean  loads most  wrong (10 min)"
+    )
     for size in SIZES:
         rows = [find_seconds(size, seed) for seed in range(SEEDS)]
         seconds = sorted(row[0] for row in rows)
+        loads_mean, loads_most = count_load_bytes(size, 1)
         wrong = count_wrong(size, 1) if size.calls_per_s < 1_000 else "not run"
         print(
             f"{size.routers:7}  {size.endpoints:9}  {seconds[SEEDS // 2]:7.2f}  "
             f"{seconds[-1]:6.2f}  {sum(r[1] for r in rows) / SEEDS:8.0f}  "
-            f"{max(r[2] for r in rows):8.0f}  {wrong}"
+            f"{max(r[2] for r in rows):8.0f}  "
+            f"{loads_mean:10.0f}  {loads_most:10.0f}  {wrong}"
         )
 
 
