Log how long the store's answers took, what routers pull, and late loops

Cause: a router that had a manifest in force too late left no line from which to tell whether the store was slow, its link was full, or its process got no time. The fields `name` of events 3001 and 6001 also took the place of the event's own name in each line of JSON, so that a search for `configuration_taken` found nothing on the users' platform.

Ruled out: a line for each call (a watch that ends without a change is the rule).

Change: store_call_ended (first byte, whole, size; for answers from 16 KiB on and failed calls), configuration_pulled and configuration_served, router_late from 0.15 s on; bytes of the store as a counter; the field is `object`. tests/test_fleet.py reads the field by its new name, its check is the same. The new tests fail without the change.

--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -79,6 +79,15 @@
     ("zone", "unreached"),
     "Endpoints outside the zone can be reached again; the router is ready.",
 )
+ROUTER_LATE = Event(
+    1009,
+    "router_late",
+    _WARNING,
+    ("lag_s",),
+    "The event loop ran a task of its own so much later than planned: the process got "
+    "no processor time, or one step took long.  What arrived meanwhile waited.",
+    "See the processor's load, and which lines came right before.",
+)
 
 # 2000: requests, routing and admission
 REQUEST_ROUTED = Event(
@@ -192,7 +201,7 @@
     3001,
     "configuration_taken",
     _INFO,
-    ("kind", "name", "version", "source"),
+    ("kind", "object", "version", "source"),
     "A newer version of an object came into force at this router.",
 )
 PLATFORM_LOST = Event(
@@ -238,6 +247,32 @@
     "A peer holds newer configuration and could not be asked for it; another is asked.",
     "None if it does not repeat; see docs/operations/cut-zone.md.",
 )
+CONFIGURATION_PULLED = Event(
+    3015,
+    "configuration_pulled",
+    _INFO,
+    ("kind", "peer", "since", "duration_s", "size_bytes", "objects"),
+    "A peer told what it holds after a revision; `size_bytes` came over the links of "
+    "both.",
+    "None.  Pulls that configuration_taken doesn't follow load the links for nothing.",
+)
+CONFIGURATION_SERVED = Event(
+    3016,
+    "configuration_served",
+    _INFO,
+    ("kind", "peer", "since", "size_bytes"),
+    "A peer asked for what this router holds after a revision.",
+    "None.",
+)
+STORE_CALL_ENDED = Event(
+    3017,
+    "store_call_ended",
+    _INFO,
+    ("call", "path", "outcome", "first_byte_s", "duration_s", "size_bytes"),
+    "A call to the store brought a large answer, or none.  `first_byte_s` tells a slow "
+    "store or a waiting watch from a full link, on which the bytes after it take long.",
+    "Compare with router_late: a process without processor time is late with both.",
+)
 
 # 4000: claims, answers and order
 CLAIM_GRANTED = Event(
@@ -433,7 +468,7 @@
     6001,
     "object_faulty",
     _ERROR,
-    ("kind", "name", "version", "message"),
+    ("kind", "object", "version", "message"),
     "An object of the platform can't be read.  The version before it stays in force, "
     "but for entries on the users' platform, which then name no endpoint to use.",
     "Mend the object: `tamarackrill contract apply`, or the endpoint that wrote it.",
--- a/src/tamarackrill/platform/store.py
+++ b/src/tamarackrill/platform/store.py
@@ -57,7 +57,9 @@
         try:
             items.append(read(fields))
         except (KeyError, TypeError, ValueError, AttributeError) as error:
-            log_event(OBJECT_FAULTY, kind=kind, name="", version=0, message=repr(error))
+            log_event(
+                OBJECT_FAULTY, kind=kind, object="", version=0, message=repr(error)
+            )
     return tuple(items)
 
 
--- a/src/tamarackrill/router/configuring.py
+++ b/src/tamarackrill/router/configuring.py
@@ -241,7 +241,7 @@
             log_event(
                 CONFIGURATION_TAKEN,
                 kind=item.kind,
-                name=item.name,
+                object=item.name,
                 version=item.version,
                 source=source,
             )
--- a/src/tamarackrill/router/deployment_view.py
+++ b/src/tamarackrill/router/deployment_view.py
@@ -76,7 +76,7 @@
             log_event(
                 OBJECT_FAULTY,
                 kind=item.kind,
-                name=item.name,
+                object=item.name,
                 version=item.version,
                 message=repr(error),
             )
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -25,10 +25,12 @@
 from tamarackrill.decisions.watching import SETTLE_S, Watching
 from tamarackrill.events import (
     ROUTER_CUT_OFF,
+    ROUTER_LATE,
     ROUTER_LEAVING,
     ROUTER_REJOINED,
     ROUTER_STARTED,
     ROUTER_STOPPED,
+    STORE_CALL_ENDED,
     log_event,
 )
 from tamarackrill.platform.objects import (
@@ -56,7 +58,12 @@
     pull_changes,
 )
 from tamarackrill.router.placement_telling import PlacementTeller
-from tamarackrill.router.platform_client import PlatformClient, StoreTiming
+from tamarackrill.router.platform_client import (
+    UNANSWERED,
+    PlatformClient,
+    StoreCall,
+    StoreTiming,
+)
 from tamarackrill.router.upstream import close_client, make_client
 from tamarackrill.router.zone_news import ZoneNews
 
@@ -82,6 +89,11 @@
 # A balancer asks once a second and takes a router out after two misses; until then new
 # connections still arrive and are served.
 STILL_SERVED_S = 2.6
+# A call that brings no more than a few entries is not worth a line.
+LARGE_ANSWER_BYTES = 16 * 1024
+# As long as an endpoint is given to take a connection: a router that is late by this
+# much takes endpoints for unreached that are not.
+LATE_LOGGED_S = 0.15
 # Left of the time between SIGTERM and SIGKILL when what is still in flight is cut.
 STOP_SLACK_S = 0.3
 
@@ -254,7 +266,24 @@
             STORE_PAUSE_S,
         )
         self.configurer.on_store = self._note_store
-        platform.on_call = self.metrics.record_store_call
+        platform.on_call = self._note_store_call
+
+    def _note_store_call(self, call: StoreCall) -> None:
+        self.metrics.record_store_call(
+            call.kind, call.outcome, call.duration_s, call.size_bytes
+        )
+        # A watch that ends without a change is the rule, and tells nothing.
+        if call.outcome != UNANSWERED and call.size_bytes < LARGE_ANSWER_BYTES:
+            return
+        log_event(
+            STORE_CALL_ENDED,
+            call=call.kind,
+            path=call.path,
+            outcome=call.outcome,
+            first_byte_s=round(call.first_byte_s, 4),
+            duration_s=round(call.duration_s, 4),
+            size_bytes=call.size_bytes,
+        )
 
     def _pull(self, address: str, kind: str, since: int) -> Awaitable[Changes]:
         return pull_changes(self._router_client, address, kind, since, self._peer_keys)
@@ -363,7 +392,7 @@
         while True:
             due_s = self.clock() + HOUSEKEEPING_EVERY_S
             await asyncio.sleep(HOUSEKEEPING_EVERY_S)
-            self.metrics.record_loop_lag(self.clock() - due_s)
+            self._note_lag(self.clock() - due_s)
             self.view.expire(self.clock())
             self.flow.attempts.paths.ask_due()
             self._watch_isolation()
@@ -375,6 +404,11 @@
             self.zone_news.tell()
             self._flush_log()
 
+    def _note_lag(self, lag_s: float) -> None:
+        self.metrics.record_loop_lag(lag_s)
+        if lag_s >= LATE_LOGGED_S:
+            log_event(ROUTER_LATE, lag_s=round(lag_s, 4))
+
     def _watch_isolation(self) -> None:
         table = self.view.routes
         # Without a path that has failed there is nothing to work out, and this is asked
--- a/src/tamarackrill/router/known_objects.py
+++ b/src/tamarackrill/router/known_objects.py
@@ -70,7 +70,13 @@
             message = "; ".join(finding.show() for finding in error.findings)
             faulty = FaultyObject(item.kind, item.name, item.version, message)
             self._faulty[item.kind, item.name] = faulty
-            log_event(OBJECT_FAULTY, **faulty._asdict())
+            log_event(
+                OBJECT_FAULTY,
+                kind=item.kind,
+                object=item.name,
+                version=item.version,
+                message=message,
+            )
 
     def find_contract(self, team: str) -> Contract | None:
         """Return the contract of a team, or None if there is none in force."""
--- a/src/tamarackrill/router/metrics.py
+++ b/src/tamarackrill/router/metrics.py
@@ -47,9 +47,22 @@
         """Record the time between two events of a stream, as the caller gets them."""
         self._record("token_gap", "engine", gap_s)
 
-    def record_store_call(self, kind: str, outcome: str, duration_s: float) -> None:
-        """Record a call to the platform's store: its kind, how it ended, how long."""
+    def record_store_call(
+        self, kind: str, outcome: str, duration_s: float, size_bytes: int
+    ) -> None:
+        """Record a call to the platform's store.
+
+        Parameters
+        ----------
+        kind, outcome : str
+            What was asked, and how it ended.
+        duration_s : float
+            From the call to its end.
+        size_bytes : int
+            Size of the answer.
+        """
         self._counters["store_calls", f"{kind} {outcome}"] += 1
+        self._counters["store_bytes", kind] += size_bytes
         self._record("store_call", kind, duration_s)
 
     def record_loop_lag(self, lag_s: float) -> None:
--- a/src/tamarackrill/router/peer_api.py
+++ b/src/tamarackrill/router/peer_api.py
@@ -10,6 +10,7 @@
 import hmac
 import json
 import secrets
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -22,6 +23,11 @@
     ConfigurationStore,
     ObjectVersion,
 )
+from tamarackrill.events import (
+    CONFIGURATION_PULLED,
+    CONFIGURATION_SERVED,
+    log_event,
+)
 from tamarackrill.exceptions import TamarackrillError
 
 CONFIGURATION_PATH = "/internal/v1/configuration"
@@ -107,9 +113,16 @@
             since = int(handler.get_argument("since"))
         except ValueError:
             raise HTTPError(400) from None
-        return json.dumps(
-            store.changes_since(handler.get_argument("kind"), since)
-        ).encode()
+        kind = handler.get_argument("kind")
+        text = json.dumps(store.changes_since(kind, since)).encode()
+        log_event(
+            CONFIGURATION_SERVED,
+            kind=kind,
+            peer=handler.request.remote_ip,
+            since=since,
+            size_bytes=len(text),
+        )
+        return text
 
     answers = {CONFIGURATION_PATH: find_changes}
     if find_news is not None:
@@ -156,7 +169,19 @@
         If the peer did not answer, or its answer was not proved.
     """
     uri = f"{CONFIGURATION_PATH}?kind={kind}&since={since}"
-    return _read_changes(await pull(client, address, uri, peer_keys))
+    began_s = time.monotonic()
+    text = await pull(client, address, uri, peer_keys)
+    changes = _read_changes(text)
+    log_event(
+        CONFIGURATION_PULLED,
+        kind=kind,
+        peer=address,
+        since=since,
+        duration_s=round(time.monotonic() - began_s, 4),
+        size_bytes=len(text),
+        objects=len(changes.objects),
+    )
+    return changes
 
 
 async def pull(
--- a/src/tamarackrill/router/platform_client.py
+++ b/src/tamarackrill/router/platform_client.py
@@ -116,6 +116,36 @@
     current: PlatformObject | None
 
 
+class StoreCall(NamedTuple):
+    """One call to a store, as it ended.
+
+    Parameters
+    ----------
+    kind : {"read", "watch", "write"}
+        What was asked.
+    path : str
+        Path and query of the call.
+    outcome : str
+        Status of the answer, or why there was none.
+    first_byte_s : float
+        From the call to the first byte of the answer; to the end if none came.
+    duration_s : float
+        From the call to its end.
+    size_bytes : int
+        Size of the answer.
+    """
+
+    kind: str
+    path: str
+    outcome: str
+    first_byte_s: float
+    duration_s: float
+    size_bytes: int
+
+
+UNANSWERED = "unanswered"
+
+
 class WatchLost(PlatformUnavailable):
     """The platform no longer knows the revision asked for; list again."""
 
@@ -141,7 +171,7 @@
     Attributes
     ----------
     on_call : callable
-        Called after each call with its kind, how it ended, and how long it took.
+        Called with each `StoreCall` that has ended.
     """
 
     def __init__(
@@ -157,7 +187,7 @@
         self._base = f"http://{address}{self._form.base}"
         self._headers = {"Zone": zone}
         self._client = client
-        self.on_call: Callable[[str, str, float], None] = lambda *call: None
+        self.on_call: Callable[[StoreCall], None] = lambda call: None
 
     async def get(self, kind: str, name: str) -> PlatformObject | None:
         """Return one object, or None if there is none.
@@ -283,13 +313,27 @@
     ) -> tuple[int, Any]:
         began_s = time.monotonic()
         kind = "watch" if timeout_s else "read" if method == "GET" else "write"
-        outcome = "unanswered"
+        progress = _Progress()
+        outcome = UNANSWERED
         try:
-            code, body = await self._ask(method, path, timeout_s, headers, text)
+            code, body = await self._ask(
+                method, path, timeout_s, headers, text, progress
+            )
             outcome = str(code)
             return code, body
         finally:
-            self.on_call(kind, outcome, time.monotonic() - began_s)
+            ended_s = time.monotonic()
+            first_byte_s = (progress.begun_s or ended_s) - began_s
+            self.on_call(
+                StoreCall(
+                    kind,
+                    path,
+                    outcome,
+                    first_byte_s,
+                    ended_s - began_s,
+                    progress.size_bytes,
+                )
+            )
 
     async def _ask(
         self,
@@ -298,8 +342,8 @@
         timeout_s: float | None,
         headers: dict[str, str] | None,
         text: str | None,
+        progress: "_Progress",
     ) -> tuple[int, Any]:
-        begun = asyncio.Event()
         first_byte_s = timeout_s or self._timing.call_s
         request = HTTPRequest(
             self._base + path,
@@ -310,12 +354,14 @@
             connect_timeout=self._timing.call_s,
             allow_nonstandard_methods=True,
             prepare_curl_callback=_watch_over,
-            header_callback=lambda line: begun.set(),
+            header_callback=progress.begin,
         )
         try:
-            response = await self._fetch(request, begun, first_byte_s)
+            response = await self._fetch(request, progress.begun, first_byte_s)
         except (HTTPClientError, OSError) as error:
-            raise PlatformUnavailable(f"platform: {error}") from error
+            # A timeout of the first byte has no text.
+            raise PlatformUnavailable(f"platform: {error or repr(error)}") from error
+        progress.size_bytes = len(response.body or b"")
         if response.code in (*CONFLICTS, NOT_FOUND, GONE):
             return response.code, _load(response.body)
         if response.error is not None:
@@ -340,6 +386,21 @@
         return await fetching
 
 
+class _Progress:
+    """How far one call has come."""
+
+    def __init__(self) -> None:
+        self.begun = asyncio.Event()
+        self.begun_s: float | None = None
+        self.size_bytes = 0
+
+    def begin(self, line: str) -> None:
+        """Take a line of the answer's head."""
+        if self.begun_s is None:
+            self.begun_s = time.monotonic()
+            self.begun.set()
+
+
 def _forget(fetching: asyncio.Future[Any]) -> None:
     if not fetching.cancelled():
         fetching.exception()
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -12,6 +12,15 @@
     assert len({event.name for event in listed}) == len(listed)
 
 
+def test_no_field_hides_what_says_which_event_a_line_is():
+    # A line of JSON holds the fields beside its own time, number and name.  A field of
+    # one of these names takes its place: whoever searches the log for an event by its
+    # name finds none, as if it had not come about.
+    own = {"time_s", "event", "name"}
+    hidden = [e.name for e in events.list_events() if own & set(e.fields)]
+    assert not hidden
+
+
 def test_value_cannot_start_a_line_of_its_own():
     # A caller chooses the chat's name.  Were a line break written as it is, the
     # caller could write log lines that look like the router's.
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -27,7 +27,7 @@
 
 def taken(router, name):
     """Return version and source of each version of a contract, in order."""
-    marks = (" configuration_taken ", f" name={name} ")
+    marks = (" configuration_taken ", f" object={name} ")
     lines = [line for line in router.lines if all(mark in line for mark in marks)]
     fields = [dict(w.split("=", 1) for w in line.split() if "=" in w) for line in lines]
     return [(int(f["version"]), f["source"]) for f in fields]
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -2,6 +2,7 @@
 
 from tornado.httpclient import AsyncHTTPClient
 
+from tamarackrill.events import STORE_CALL_ENDED
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.testing.edge import EdgeFleet, ask, make_route
 from tamarackrill.testing.worker import make_streaming
@@ -47,5 +48,30 @@
     assert float(shown['evidence_age_seconds{label="config"}']) >= 0
     assert int(shown['peer_bytes_total{label="received"}']) > 0
     assert int(shown['store_calls_total{label="read 200"}']) > 0
+    assert int(shown['store_bytes_total{label="read"}']) > 0
     assert shown['calls_answered_total{label="streaming"}'] == "8"
     assert 'token_gap_seconds{label="engine",quantile="0.95"}' in shown
+
+
+def test_on_call_engineer_finds_why_a_manifest_came_late(caplog):
+    # A key was taken away, and a router went on serving it for seconds.  From its log
+    # it has to be told apart whether the store was slow, the router's link was full, or
+    # its process got no time: how long the answer took to begin and to end, and how
+    # many bytes it had.
+    async def run():
+        async with EdgeFleet() as fleet:
+            await fleet.put_manifest(1, make_route("/s/", "streaming"))
+            await fleet.add_worker("w1")
+            router = await fleet.add_router()
+            fleet.store.body_s = 0.1
+            many = [make_route(f"/s{n}/", "streaming") for n in range(100)]
+            await fleet.put_manifest(2, *many)
+            await fleet.wait(lambda: router.view.routes.manifest.version == 2)
+
+    with caplog.at_level("INFO"):
+        asyncio.run(run())
+    lines = [r for r in caplog.records if getattr(r, "event", None) == STORE_CALL_ENDED]
+    answered = [r.event_fields for r in lines if r.event_fields["outcome"] == "200"]
+    assert len(answered) == 1
+    assert answered[0]["size_bytes"] > 16 * 1024
+    assert answered[0]["duration_s"] > answered[0]["first_byte_s"]
