--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -214,7 +214,7 @@
     # Routers that followed it would fail; they keep what they have and say so.
     version = fleet.put_contract(make_contract(rate_per_s="fast"))
     for router in fleet.routers.values():
-        line = router.wait_line(" object_faulty kind=contract name=hall ")
+        line = router.wait_line(" object_faulty kind=contract object=hall ")
         assert "rate_per_s" in line
         assert router.status()["faulty"][0]["version"] == version
     fleet.put_contract(make_contract())
--- a/tests/test_cut_zone.py
+++ b/tests/test_cut_zone.py
@@ -62,7 +62,7 @@
         fleet.platform.set_faults()
         far.send(signal.SIGCONT)
         for router in [far, *near]:
-            router.wait_line(f" kind=contract name=t version={version} ")
+            router.wait_line(f" kind=contract object=t version={version} ")
             wait_for(
                 lambda router=router: len(_list_live(router)) == 3, "views agree again"
             )
--- a/tests/test_golden.py
+++ b/tests/test_golden.py
@@ -44,7 +44,7 @@
     def apply(self, **fields):
         version = self.fleet.put_contract({**CONTRACT, **fields})
         for router in self.fleet.routers.values():
-            router.wait_line(f" kind=contract name=t version={version} ")
+            router.wait_line(f" kind=contract object=t version={version} ")
 
     def note(self, title, value):
         self.lines.append(f"# {title}\n{value}\n")
