Leave the time that a long manifest takes to read when waiting for news of it

A change has 3 s to be in force. Routers believed another's word, or their own last answer, for 2.0 to 2.4 s of them, whatever the read takes. A manifest of 1,411 routes is 281 KB, 0.5 s over a link of 10 Mbit/s that does nothing else; the answer of a watch holds every version since, so that whoever had rested for two seconds in a storm of changes read two to four, 1.1 to 3.2 s. Five restarted routers asked one survivor at once (configuration_served five times in 0.2 s, 309 KB each): it refused 14 requests and heard of no change for 4 s; - a router without time gave answers up that had come (first_byte_s 0.88 of a timeout of 0.5, router_late 0.37 s), asked again, and read four versions (1.1 MB, 3.2 s).

Change: what the last reads took is set aside before trust and watches are measured out (decisions/news_shares.py); the first router of a zone watches the manifest from its start; who knows that it has missed something lists, which is one version, and a watch that would bring several is not read (decisions/reading.py); evidence is as of the first byte; the store has 0.15 s before a peer is asked, and none is once its answer has begun; an answer that came while the loop stood still is taken.

--- a/src/tamarackrill/router/configuring.py
+++ b/src/tamarackrill/router/configuring.py
@@ -14,6 +14,7 @@
 )
 from tamarackrill.decisions.members import Entries
 from tamarackrill.decisions.membership import PeerHeard
+from tamarackrill.decisions.reading import Reading
 from tamarackrill.events import (
     CONFIGURATION_PULL_FAILED,
     CONFIGURATION_TAKEN,
@@ -24,7 +25,12 @@
 from tamarackrill.exceptions import PlatformUnavailable
 from tamarackrill.router.background import log_failure
 from tamarackrill.router.peer_api import PeerUnavailable
-from tamarackrill.router.platform_client import Listing, PlatformClient, WatchLost
+from tamarackrill.router.platform_client import (
+    AnswerTooLong,
+    Listing,
+    PlatformClient,
+    WatchLost,
+)
 
 KINDS = (CONTRACT_KIND, ENDPOINT_KIND)
 # 370 routers that ask again every 5 s for two kinds are 148 reads a second, of about
@@ -36,6 +42,10 @@
 FIRST_RETRY_S = 0.02
 # A watch brings a change within milliseconds; a peer is asked only if it did not.
 PULL_AFTER_S = 1.0
+# A router that has just started gives the platform so long to begin its answer before
+# it asks a peer as well.  A platform that is well begins within 5 ms, over a loaded
+# link within some tens.
+HEAD_START_S = 0.15
 
 PullChanges = Callable[[str, str, int], Awaitable[Changes]]
 
@@ -60,7 +70,8 @@
     retry_max_s : float, optional
         Longest pause between two calls that fail.
     read_directly : tuple of str, optional
-        Kinds whose changes are too large to come from a peer.
+        Kinds whose changes are too large to come from a peer while the platform
+        answers, or to read more of them than the newest.
     pause_s : float, optional
         Between an answer and the next call, so that changes that come together cost
         one call.
@@ -70,7 +81,14 @@
     on_store : callable
         Called with whether the platform is lost, at each outcome of a call.
     on_answer : callable
-        Called with the kind that the platform has answered about.
+        Called with the kind that the platform has answered about, and when the answer
+        began.
+    on_read : callable
+        Called with a kind of which a change was read, and how long that took from the
+        answer's first byte to its being in force.
+    find_watch_s : callable
+        ``find_watch_s(kind)`` returns the longest wait of a watch; None for the
+        client's own.
     find_rest_s : callable
         ``find_rest_s(kind, now_s)`` returns for how long the platform need not be
         asked, since another router's evidence is fresh.
@@ -89,11 +107,12 @@
         pause_s: float = 0.0,
     ) -> None:
         self._pause_s = pause_s
-        self._read_directly = read_directly
         self._kinds = kinds
         self._retry_max_s = retry_max_s
         self.on_store: Callable[[bool], None] = lambda is_lost: None
-        self.on_answer: Callable[[str], None] = lambda kind: None
+        self.on_answer: Callable[[str, float], None] = lambda kind, as_of_s: None
+        self.on_read: Callable[[str, float], None] = lambda kind, read_s: None
+        self.find_watch_s: Callable[[str], float | None] = lambda kind: None
         self.find_rest_s: Callable[[str, float], float] = lambda kind, now_s: 0.0
         self._wanted = {kind: asyncio.Event() for kind in kinds}
         self._store = store
@@ -104,6 +123,11 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._pulls: dict[str, asyncio.Task[None]] = {}
         self._behind_since_s: dict[str, float] = {}
+        self._readings = {kind: Reading() for kind in read_directly}
+        # When the first byte came of the answers that are being read.
+        self._begun_s: dict[str, float] = {}
+        # Kinds that the platform has been asked for.
+        self._asking: set[str] = set()
         self._lost = False
 
     async def start(self) -> None:
@@ -131,17 +155,17 @@
                 continue
             if not needs_changes(self._store.digest(digest.kind), digest):
                 continue
+            if digest.kind in self._readings:
+                self._note_news(digest)
             now_s = self._clock()
             since_s = self._behind_since_s.setdefault(digest.kind, now_s)
             # A router that has just started holds nothing and serves nobody.  Were it
-            # to wait for a store that is silent, it would refuse its clients for a
-            # second; a store that answers has done so before any peer is heard.
+            # to wait for a platform that is silent, it would refuse its clients for a
+            # second.
             holds_nothing = self._store.get_complete(digest.kind) == 0
             is_late = now_s - since_s >= PULL_AFTER_S
-            waited = holds_nothing or self._lost or is_late
-            if waited and digest.kind not in self._pulls:
-                task = asyncio.create_task(self._pull_from(heard, digest.kind))
-                self._pulls[digest.kind] = task
+            if holds_nothing or self._lost or is_late:
+                self._start_pull(heard, digest.kind)
 
     def hear_news(self, sender: str, address: str, digest: ConfigurationDigest) -> None:
         """Take what a router holds that the platform has just answered.
@@ -160,12 +184,45 @@
         if not needs_changes(self._store.digest(digest.kind), digest):
             self._store.adopt_complete(digest)
             return
-        if digest.kind in self._read_directly and not was_lost:
-            self._wanted[digest.kind].set()
-        elif digest.kind not in self._pulls:
+        if digest.kind in self._readings:
+            self._note_news(digest)
+        if digest.kind not in self._readings or was_lost:
             heard = PeerHeard(sender, address, (digest,), Entries())
-            task = asyncio.create_task(self._pull_from(heard, digest.kind))
-            self._pulls[digest.kind] = task
+            self._start_pull(heard, digest.kind)
+
+    def has_news(self, kind: str) -> bool:
+        """Return whether another router is known to hold what this one doesn't yet."""
+        reading = self._readings.get(kind)
+        return reading is not None and reading.has_news(self._store.digest(kind))
+
+    def _note_news(self, digest: ConfigurationDigest) -> None:
+        self._readings[digest.kind].hear(digest)
+        self._wanted[digest.kind].set()
+
+    def _start_pull(self, heard: PeerHeard, kind: str) -> None:
+        # An answer of the store that has begun is on its way.  The same from a peer
+        # would share the link with it, and both would come later; of a manifest that
+        # is half a second, at this router and at the peer.
+        if kind in self._pulls or kind in self._begun_s:
+            return
+        task = asyncio.create_task(self._pull_when_due(heard, kind))
+        self._pulls[kind] = task
+
+    async def _pull_when_due(self, heard: PeerHeard, kind: str) -> None:
+        try:
+            if self._is_first_answer_due(kind):
+                await asyncio.sleep(HEAD_START_S)
+            if kind not in self._begun_s:
+                await self._pull_from(heard, kind)
+        finally:
+            del self._pulls[kind]
+
+    def _is_first_answer_due(self, kind: str) -> bool:
+        # Half of a fleet may start at once.  Each of them hears of a peer before the
+        # platform's first byte is there, most of the same few that were left: these had
+        # to send a manifest to five routers, and their own callers were refused for two
+        # seconds.
+        return kind in self._asking and self._store.get_complete(kind) == 0
 
     async def _pull_from(self, heard: PeerHeard, kind: str) -> None:
         since = self._store.get_complete(kind)
@@ -179,8 +236,6 @@
                 peer=heard.sender,
                 reason=error.message,
             )
-        finally:
-            del self._pulls[kind]
 
     async def _follow(self, kind: str) -> None:
         must_list = True
@@ -188,12 +243,13 @@
         retry_s = FIRST_RETRY_S
         while True:
             wait_s = 0.0 if await self._rest(kind) else wait_s
+            must_list = must_list or self._must_list(kind)
             try:
                 await (self._list(kind) if must_list else self._watch(kind, wait_s))
                 must_list, wait_s, retry_s = False, None, FIRST_RETRY_S
                 self._report(lost=False)
                 await asyncio.sleep(self._pause_s)
-            except WatchLost:
+            except (WatchLost, AnswerTooLong):
                 must_list = True
             except PlatformUnavailable as error:
                 self._report(lost=True, reason=error.message)
@@ -206,10 +262,17 @@
                 await asyncio.sleep(retry_s * random.uniform(0.5, 1.0))
                 retry_s = min(self._retry_max_s, max(RETRY_MIN_S, retry_s * 2))
 
+    def _must_list(self, kind: str) -> bool:
+        reading = self._readings.get(kind)
+        return reading is not None and reading.must_list(self._store.digest(kind))
+
     async def _rest(self, kind: str) -> bool:
         """Wait as long as others' evidence is enough; return whether that was so."""
         has_rested = False
         wanted = self._wanted[kind]
+        if not self.has_news(kind):
+            # What was wanted has come with the answer before.
+            wanted.clear()
         while not wanted.is_set() and self._store.get_complete(kind):
             rest_s = self.find_rest_s(kind, self._clock())
             if rest_s <= 0.0:
@@ -224,17 +287,58 @@
         return has_rested
 
     async def _list(self, kind: str) -> None:
-        listing = await self._platform.list(kind)
-        self.on_answer(kind)
-        self._take(_to_changes(kind, listing, whole=True), "list")
+        await self._read(kind, self._platform.list, whole=True)
 
     async def _watch(self, kind: str, wait_s: float | None) -> None:
         since = self._store.get_complete(kind)
-        listing = await self._platform.watch(kind, since, wait_s)
-        self.on_answer(kind)
-        self._take(_to_changes(kind, listing, whole=False), "watch")
+        if wait_s is None:
+            wait_s = self.find_watch_s(kind)
+
+        reading = self._readings.get(kind)
+        max_bytes = None if reading is None else reading.watch_max_bytes
+
+        def ask(kind: str, on_begin: Callable[[], None]) -> Awaitable[Listing]:
+            return self._platform.watch(kind, since, wait_s, on_begin, max_bytes)
+
+        await self._read(kind, ask, whole=False)
+
+    async def _read(
+        self,
+        kind: str,
+        ask: Callable[[str, Callable[[], None]], Awaitable[Listing]],
+        whole: bool,
+    ) -> None:
+        is_over = False
+
+        def begin() -> None:
+            # A call that was given up may still be answered; taken for one that is
+            # being read, it would keep this router from asking its peers for good.
+            if not is_over:
+                self._begun_s.setdefault(kind, self._clock())
+
+        self._asking.add(kind)
+        try:
+            listing = await ask(kind, begin)
+            # What the store says holds when its answer begins.  A long answer over a
+            # thin link ends a second later, and counted from there a router would tell
+            # others of evidence that is fresher than it is.
+            begun_s = self._begun_s.get(kind, self._clock())
+        finally:
+            is_over = True
+            self._asking.discard(kind)
+            self._begun_s.pop(kind, None)
+        self.on_answer(kind, begun_s)
+        source = "list" if whole else "watch"
+        taken = self._take(_to_changes(kind, listing, whole), source)
+        if listing.items:
+            self.on_read(kind, self._clock() - begun_s)
+        reading = self._readings.get(kind)
+        if reading is not None and whole:
+            reading.observe_list(bool(taken), listing.size_bytes)
+        elif reading is not None:
+            reading.observe_watch(item.name for item in listing.items)
 
-    def _take(self, changes: Changes, source: str) -> None:
+    def _take(self, changes: Changes, source: str) -> list[ObjectVersion]:
         self._behind_since_s.pop(changes.kind, None)
         taken = self._store.take_changes(changes)
         for item in taken:
@@ -247,6 +351,7 @@
             )
         if taken:
             self._on_taken(taken)
+        return taken
 
     def _report(self, lost: bool, reason: str = "") -> None:
         if lost and not self._lost:
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -19,6 +19,7 @@
 from tamarackrill.decisions.isolation import Isolation, choose_witnesses
 from tamarackrill.decisions.members import Entries, MemberRecord, MemberState
 from tamarackrill.decisions.membership import PeerHeard
+from tamarackrill.decisions.news_shares import TRUST_MAX_SHARE, WATCH_MAX_SHARE
 from tamarackrill.decisions.placement_news import PlacementNews
 from tamarackrill.decisions.poison import CrashCount
 from tamarackrill.decisions.retry_shares import FleetSize
@@ -67,19 +68,11 @@
 from tamarackrill.router.upstream import close_client, make_client
 from tamarackrill.router.zone_news import ZoneNews
 
-# A watch can fall silent though its connection lives: a store that drops its history
-# may neither report a change that was made meanwhile nor end the watch.  So a watch
-# waits for half of the time in which a change has to be in force, and is given up after
-# three quarters of it at most.
-WATCH_SHARE = 0.5
 # The store answers in 4 ms, and in a quarter of a second when it is slow.
 STORE_CALL_MAX_S = 0.5
 STORE_CALL_SHARE = 0.25
 # A store that was away is found back within this time; each call has its price.
 STORE_RETRY_MAX_S = 0.8
-# Evidence of another router is as old as its watch waits, and its bulletin may be lost
-# once; whoever then asks the store itself still has a change in force in time.
-TRUST_SHARE = 0.8
 # Endpoints that are replaced one after the other change their entries in pairs.
 STORE_PAUSE_S = 0.1
 # Named in the deploy file as well, which knows no ports of the day.
@@ -251,7 +244,7 @@
             STORE_FORM,
             StoreTiming(
                 call_s=min(STORE_CALL_MAX_S, STORE_CALL_SHARE * news_max_s),
-                watch_wait_s=WATCH_SHARE * news_max_s,
+                watch_wait_s=WATCH_MAX_SHARE * news_max_s,
             ),
         )
         self.configurer = Configurer(
@@ -333,8 +326,10 @@
             Watching(
                 self.settings.name,
                 self.settings.zone,
-                TRUST_SHARE * self.settings.news_max_s,
+                TRUST_MAX_SHARE * self.settings.news_max_s,
                 self.clock() + SETTLE_S,
+                self.settings.news_max_s,
+                (MANIFEST_KIND,),
             ),
             self.members,
             self.configurer,
--- a/src/tamarackrill/router/platform_client.py
+++ b/src/tamarackrill/router/platform_client.py
@@ -45,10 +45,11 @@
 
 
 class Listing(NamedTuple):
-    """Objects of a kind, and the revision up to which they are known."""
+    """Objects of a kind, the revision up to which they are known, and their size."""
 
     items: tuple[PlatformObject, ...]
     revision: int
+    size_bytes: int = 0
 
 
 class ObjectPage(NamedTuple):
@@ -144,6 +145,15 @@
 
 
 UNANSWERED = "unanswered"
+TOO_LONG = "too long"
+
+
+class _Answer(NamedTuple):
+    """Status, contents and size of an answer."""
+
+    code: int
+    body: Any
+    size_bytes: int
 
 
 class WatchLost(PlatformUnavailable):
@@ -152,6 +162,12 @@
     code = "watch_lost"
 
 
+class AnswerTooLong(PlatformUnavailable):
+    """The answer is longer than was asked for; it was not read."""
+
+    code = "answer_too_long"
+
+
 class PlatformClient:
     """Calls of the object API.
 
@@ -197,29 +213,46 @@
         PlatformUnavailable
             If the platform did not answer.
         """
-        code, body = await self._call("GET", self._form.object_path(kind, name))
-        if code == NOT_FOUND:
+        answer = await self._call("GET", self._form.object_path(kind, name))
+        if answer.code == NOT_FOUND:
             return None
-        return _read(self._form.read_object, kind, body)
+        return _read(self._form.read_object, kind, answer.body)
 
-    async def list(self, kind: str) -> Listing:
+    async def list(
+        self, kind: str, on_begin: Callable[[], None] = lambda: None
+    ) -> Listing:
         """Return all objects of a kind, page by page.
 
         The revision is that of the first page: what changes between two pages is then
         reported once more by the next watch, and nothing is missed.
+
+        Parameters
+        ----------
+        kind : str
+            Kind of objects.
+        on_begin : callable, optional
+            Called when the answer begins.
         """
-        _, body = await self._call("GET", self._form.list_path(kind, ""))
-        page = _read(self._form.read_page, kind, body)
+        path = self._form.list_path(kind, "")
+        answer = await self._call("GET", path, on_begin=on_begin)
+        page = _read(self._form.read_page, kind, answer.body)
         revision = page.revision
         items = list(page.items)
+        size_bytes = answer.size_bytes
         while page.after:
-            _, body = await self._call("GET", self._form.list_path(kind, page.after))
-            page = _read(self._form.read_page, kind, body)
+            answer = await self._call("GET", self._form.list_path(kind, page.after))
+            page = _read(self._form.read_page, kind, answer.body)
             items += page.items
-        return Listing(tuple(items), revision)
+            size_bytes += answer.size_bytes
+        return Listing(tuple(items), revision, size_bytes)
 
     async def watch(
-        self, kind: str, since: int, wait_s: float | None = None
+        self,
+        kind: str,
+        since: int,
+        wait_s: float | None = None,
+        on_begin: Callable[[], None] = lambda: None,
+        max_bytes: int | None = None,
     ) -> Listing:
         """Return what changed after a revision; waits for a change.
 
@@ -231,26 +264,36 @@
             Revision.
         wait_s : float, optional
             Longest wait for a change; 0 asks for what there is.
+        on_begin : callable, optional
+            Called when the answer begins.
+        max_bytes : int, optional
+            Longest answer that is read.
 
         Raises
         ------
         WatchLost
             If the platform has forgotten that revision.
+        AnswerTooLong
+            If the answer is longer than `max_bytes`.
         PlatformUnavailable
             If the platform did not answer.
         """
         wait_s = self._timing.watch_wait_s if wait_s is None else wait_s
         path = self._form.watch_path(kind, since, wait_s)
-        code, body = await self._call("GET", path, wait_s + self._timing.call_s)
-        if code == GONE:
+        timeout_s = wait_s + self._timing.call_s
+        answer = await self._call(
+            "GET", path, timeout_s, on_begin=on_begin, max_bytes=max_bytes
+        )
+        if answer.code == GONE:
             raise WatchLost(f"revision {since} of {kind} is gone")
-        return _read(self._form.read_events, kind, body)
+        listing = _read(self._form.read_events, kind, answer.body)
+        return listing._replace(size_bytes=answer.size_bytes)
 
     async def list_vms(self) -> tuple[Vm, ...]:
         """Return the VM list."""
-        _, body = await self._call("GET", "/vms")
-        _check_form(body, "vms")
-        return tuple(Vm(**vm) for vm in body["vms"])
+        answer = await self._call("GET", "/vms")
+        _check_form(answer.body, "vms")
+        return tuple(Vm(**vm) for vm in answer.body["vms"])
 
     async def put(
         self, kind: str, name: str, value: Any, expected_version: int | None
@@ -297,11 +340,11 @@
         else:
             condition = {"If-Match": str(expected_version)}
         path = self._form.object_path(kind, name)
-        code, body = await self._call(method, path, None, condition, text)
-        if code in CONFLICTS:
-            current = body["current"]
+        answer = await self._call(method, path, None, condition, text)
+        if answer.code in CONFLICTS:
+            current = answer.body["current"]
             return WriteResult(None, PlatformObject(**current) if current else None)
-        return WriteResult(body["version"], None)
+        return WriteResult(answer.body["version"], None)
 
     async def _call(
         self,
@@ -310,17 +353,22 @@
         timeout_s: float | None = None,
         headers: dict[str, str] | None = None,
         text: str | None = None,
-    ) -> tuple[int, Any]:
+        on_begin: Callable[[], None] = lambda: None,
+        max_bytes: int | None = None,
+    ) -> _Answer:
         began_s = time.monotonic()
         kind = "watch" if timeout_s else "read" if method == "GET" else "write"
-        progress = _Progress()
+        progress = _Progress(on_begin)
         outcome = UNANSWERED
         try:
-            code, body = await self._ask(
-                method, path, timeout_s, headers, text, progress
+            answer = await self._ask(
+                method, path, timeout_s, headers, text, progress, max_bytes
             )
-            outcome = str(code)
-            return code, body
+            outcome = str(answer.code)
+            return answer
+        except AnswerTooLong:
+            outcome = TOO_LONG
+            raise
         finally:
             ended_s = time.monotonic()
             first_byte_s = (progress.begun_s or ended_s) - began_s
@@ -343,7 +391,8 @@
         headers: dict[str, str] | None,
         text: str | None,
         progress: "_Progress",
-    ) -> tuple[int, Any]:
+        max_bytes: int | None,
+    ) -> _Answer:
         first_byte_s = timeout_s or self._timing.call_s
         request = HTTPRequest(
             self._base + path,
@@ -353,20 +402,21 @@
             request_timeout=first_byte_s + BODY_MAX_S,
             connect_timeout=self._timing.call_s,
             allow_nonstandard_methods=True,
-            prepare_curl_callback=_watch_over,
+            prepare_curl_callback=_make_preparation(max_bytes),
             header_callback=progress.begin,
         )
         try:
             response = await self._fetch(request, progress.begun, first_byte_s)
         except (HTTPClientError, OSError) as error:
+            if getattr(error, "errno", None) == pycurl.E_FILESIZE_EXCEEDED:
+                raise AnswerTooLong("the answer is longer than asked for") from error
             # A timeout of the first byte has no text.
             raise PlatformUnavailable(f"platform: {error or repr(error)}") from error
         progress.size_bytes = len(response.body or b"")
-        if response.code in (*CONFLICTS, NOT_FOUND, GONE):
-            return response.code, _load(response.body)
-        if response.error is not None:
+        is_told = response.code in (*CONFLICTS, NOT_FOUND, GONE)
+        if response.error is not None and not is_told:
             raise PlatformUnavailable(f"platform: {response.error}")
-        return response.code, _load(response.body)
+        return _Answer(response.code, _load(response.body), progress.size_bytes)
 
     async def _fetch(
         self, request: HTTPRequest, begun: asyncio.Event, first_byte_s: float
@@ -381,15 +431,23 @@
         # Whoever gives up, here or by stopping the router, leaves the client to end the
         # call at its own timeout; its error would be reported as one nobody looked at.
         fetching.add_done_callback(_forget)
-        async with asyncio.timeout(first_byte_s):
-            await _wait_begun(fetching, begun)
+        try:
+            async with asyncio.timeout(first_byte_s):
+                await _wait_begun(fetching, begun)
+        except TimeoutError:
+            # A process that got no time finds the timeout and the answer together.
+            # Were it to give up then, it would ask again and again while it is busy,
+            # and hear of nothing.
+            if not begun.is_set() and not fetching.done():
+                raise
         return await fetching
 
 
 class _Progress:
     """How far one call has come."""
 
-    def __init__(self) -> None:
+    def __init__(self, on_begin: Callable[[], None]) -> None:
+        self._on_begin = on_begin
         self.begun = asyncio.Event()
         self.begun_s: float | None = None
         self.size_bytes = 0
@@ -399,6 +457,7 @@
         if self.begun_s is None:
             self.begun_s = time.monotonic()
             self.begun.set()
+            self._on_begin()
 
 
 def _forget(fetching: asyncio.Future[Any]) -> None:
@@ -414,10 +473,15 @@
         waiting.cancel()
 
 
-def _watch_over(curl: Any) -> None:
-    # A watch on a connection that has fallen silent would hear of no change until it
-    # times out; pycurl has no option for the number of the kernel's questions.
-    curl.setopt(pycurl.SOCKOPTFUNCTION, _set_socket_options)
+def _make_preparation(max_bytes: int | None) -> Callable[[Any], None]:
+    def prepare(curl: Any) -> None:
+        # A watch on a connection that has fallen silent would hear of no change until
+        # it times out; pycurl has no option for the number of the kernel's questions.
+        curl.setopt(pycurl.SOCKOPTFUNCTION, _set_socket_options)
+        # Handles are used again, with the limit of the call before; 0 is none.
+        curl.setopt(pycurl.MAXFILESIZE_LARGE, max_bytes or 0)
+
+    return prepare
 
 
 def _set_socket_options(fd: int, purpose: int) -> int:
--- a/src/tamarackrill/router/zone_news.py
+++ b/src/tamarackrill/router/zone_news.py
@@ -49,11 +49,10 @@
         self._clock = clock
         self._sequence = 0
         self._was_watcher = True
-        configurer.on_answer = self._watching_answer
+        configurer.on_answer = watching.observe_answer
+        configurer.on_read = watching.observe_read
         configurer.find_rest_s = watching.find_wait_s
-
-    def _watching_answer(self, kind: str) -> None:
-        self._watching.observe_answer(kind, self._clock())
+        configurer.find_watch_s = lambda kind: watching.find_shares(kind).watch_s
 
     def find_ages_s(self, now_s: float) -> dict[str, float]:
         """Return how old the newest evidence of the store is, by kind of objects."""
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -248,6 +248,32 @@
     play(act)
 
 
+def test_router_that_was_away_reads_the_newest_manifest_alone():
+    # The store is away for a router while operators change a long manifest four times.
+    # It then read four manifests over its thin link, one after the other, and refused
+    # requests on new routes until the last byte was there.
+    async def act(fleet):
+        many = [make_route(f"/s{n}/", "streaming") for n in range(200)]
+        await fleet.put_manifest(1, *many)
+        await fleet.add_worker("w1")
+        router = await fleet.add_router()
+        versions = []
+        take = router._take_objects
+        router.configurer._on_taken = lambda taken: (
+            versions.extend(item.version for item in taken if item.kind == "config"),
+            take(taken),
+        )
+        fleet.store.status = 503
+        await fleet.wait(lambda: router.configurer._lost)
+        for version in (2, 3, 4, 5):
+            await fleet.put_manifest(version, *many)
+        fleet.store.status = 200
+        await fleet.wait(lambda: router.view.routes.manifest.version == 5)
+        assert versions == [fleet.store.state.revision]
+
+    play(act)
+
+
 def test_lookup_that_fails_at_one_worker_is_served_by_another():
     async def act(fleet):
         async def fail(request, writer):
--- /dev/null
+++ b/tests/test_news_in_time.py
@@ -0,0 +1,225 @@
+"""A changed manifest is in force everywhere in time, however thin the links are.
+
+Zones of routers are played in virtual time over the pure modules that decide who asks
+the store, when, and how.  A read takes a time for each version in the answer, as over a
+thin link.
+"""
+
+import math
+
+import pytest
+
+from tamarackrill.decisions.configuration import ConfigurationDigest
+from tamarackrill.decisions.news_shares import TRUST_MAX_SHARE, share_news_time
+from tamarackrill.decisions.reading import Reading
+from tamarackrill.decisions.watching import SETTLE_S, Bulletin, Watching
+
+KIND = "config"
+NEWS_MAX_S = 3.0
+STEP_S = 0.01
+TELL_EVERY_S = 0.25
+CALL_S = 0.02
+PAUSE_S = 0.1
+# A manifest of 281 kB over a link of 10 Mbit/s that callers use as well.
+THIN_READ_S = 0.55
+ROUTERS = [f"router-{number}" for number in range(4)]
+
+
+class Store:
+    """Versions of one object, and when they were acknowledged."""
+
+    def __init__(self, acked_s):
+        self.acked_s = acked_s
+
+    def newest(self, now_s):
+        return sum(acked_s <= now_s for acked_s in self.acked_s)
+
+
+def make_digest(version):
+    return ConfigurationDigest(KIND, version, version, version)
+
+
+class Router:
+    """One router: what it holds, and the call to the store that it waits for."""
+
+    def __init__(self, name, read_s, now_s, settled_s):
+        self.name = name
+        self.started_s = now_s
+        self.read_s = read_s
+        self.watching = Watching(
+            name,
+            "zone",
+            TRUST_MAX_SHARE * NEWS_MAX_S,
+            settled_s,
+            NEWS_MAX_S,
+            (KIND,),
+        )
+        self.watching.set_members(ROUTERS)
+        self.reading = Reading()
+        self.version = 0
+        self.held_since_s = {}
+        self.sequence = 0
+        self.free_s = now_s
+        self.has_rested = False
+        self.asking_until_s = math.inf
+        self.is_watching = False
+        self.answer = None
+
+    def step(self, store, now_s):
+        if self.answer is not None:
+            self._end_read(now_s)
+        elif self.asking_until_s < math.inf:
+            self._wait(store, now_s)
+        elif now_s >= self.free_s:
+            self._ask(now_s)
+
+    def _ask(self, now_s):
+        own = make_digest(self.version)
+        must_list = self.version == 0 or self.reading.must_list(own)
+        rest_s = self.watching.find_wait_s(KIND, now_s)
+        if not must_list and rest_s > 0.0:
+            self.has_rested = True
+            return
+        watch_s = self.watching.find_shares(KIND).watch_s
+        has_rested, self.has_rested = self.has_rested, False
+        wait_s = 0.0 if must_list or has_rested else watch_s
+        self.is_watching = not must_list
+        self.asking_until_s = now_s + CALL_S + wait_s
+
+    def _wait(self, store, now_s):
+        newest = store.newest(now_s)
+        has_changed = self.is_watching and newest > self.version
+        if not has_changed and now_s < self.asking_until_s:
+            return
+        versions = newest - self.version if self.is_watching else 1
+        self.asking_until_s = math.inf
+        self.answer = (newest, now_s, versions)
+
+    def _end_read(self, now_s):
+        newest, begun_s, versions = self.answer
+        if now_s < begun_s + versions * self.read_s:
+            return
+        self.answer = None
+        self.free_s = now_s + PAUSE_S
+        self.watching.observe_answer(KIND, begun_s)
+        is_changed = newest > self.version
+        if is_changed:
+            self.watching.observe_read(KIND, now_s - begun_s)
+        if self.is_watching:
+            self.reading.observe_watch(["main"] * versions)
+        else:
+            self.reading.observe_list(is_changed)
+        self.version = newest
+        self.held_since_s.setdefault(newest, now_s)
+
+    def tell(self, now_s):
+        digests = [make_digest(self.version)]
+        evidence = self.watching.make_evidence(digests, now_s)
+        self.sequence += 1
+        session = round(self.started_s * 1000)
+        return Bulletin(self.name, session, self.sequence, evidence)
+
+    def hear(self, bulletin, now_s):
+        if not self.watching.hear(bulletin, now_s):
+            return
+        for evidence in bulletin.evidence:
+            self.reading.hear(evidence.digest)
+
+    def find_delay_s(self, version, acked_s):
+        """Return when a version or a later one was in force, from its acknowledgement.
+
+        A router that was started later has as long from its start.
+        """
+        held_s = [s for v, s in self.held_since_s.items() if v >= version]
+        return min(held_s, default=math.inf) - max(acked_s, self.started_s)
+
+
+def play(store, read_s, until_s, killed_s=math.inf, killed=(), down_s=0.6):
+    """Play a zone; routers of `killed` end at `killed_s` and start again."""
+    routers = {name: Router(name, read_s, 0.0, 0.0) for name in ROUTERS}
+    told_s = 0.0
+    now_s = 0.0
+    has_restarted = False
+    while now_s < until_s:
+        now_s += STEP_S
+        is_down = killed_s <= now_s < killed_s + down_s
+        if now_s >= killed_s + down_s and not has_restarted:
+            has_restarted = True
+            for name in killed:
+                routers[name] = Router(name, read_s, now_s, now_s + SETTLE_S)
+        live = [r for r in routers.values() if not (is_down and r.name in killed)]
+        for router in live:
+            router.step(store, now_s)
+        if now_s >= told_s + TELL_EVERY_S:
+            told_s = now_s
+            for sender in live:
+                bulletin = sender.tell(now_s)
+                for other in live:
+                    if other is not sender and bulletin.evidence:
+                        other.hear(bulletin, now_s)
+    return routers
+
+
+def check_in_time(routers, store, until_s):
+    for router in routers.values():
+        for version, acked_s in enumerate(store.acked_s, 1):
+            if acked_s + NEWS_MAX_S < until_s:
+                assert router.find_delay_s(version, acked_s) <= NEWS_MAX_S
+
+
+def find_watcher():
+    routers = {name: Router(name, 0.0, 0.0, 0.0) for name in ROUTERS}
+    return next(n for n, router in routers.items() if router.watching.is_watcher)
+
+
+@pytest.mark.parametrize("killed_s", [10.0, 10.3, 10.6, 11.0, 11.4])
+@pytest.mark.parametrize("read_s", [0.01, 0.3, THIN_READ_S])
+def test_routers_hear_of_changes_in_time_after_their_watcher_is_killed(
+    killed_s, read_s
+):
+    # Operators change the manifest each second or so, and the router that watches the
+    # store for its zone is killed.  The others went on believing its last word for most
+    # of the time in which a change has to be in force, and then had to read two or
+    # three long manifests over a thin link.  Users got 404 on routes that had been
+    # added four seconds before, and keys that were taken away still worked.
+    store = Store([0.0, 5.0] + [10.0 + 1.15 * number for number in range(5)])
+    routers = play(store, read_s, 22.0, killed_s, {find_watcher()}, down_s=30.0)
+    del routers[find_watcher()]
+    check_in_time(routers, store, 22.0)
+
+
+@pytest.mark.parametrize("killed_s", [10.0, 10.3, 10.6, 11.0, 11.4])
+@pytest.mark.parametrize("killed", [ROUTERS, ROUTERS[1:], ROUTERS[:3]])
+def test_zone_that_starts_anew_hears_of_changes_in_time(killed_s, killed):
+    # Most processes of a zone are killed and started again while operators change the
+    # manifest.  None of the new ones watched the store for its first seconds, each
+    # relied on what the others had last asked, and all asked together after two
+    # seconds.  Users got 404 on new routes for almost four seconds.
+    store = Store([0.0, 5.0] + [10.0 + 1.15 * number for number in range(7)])
+    routers = play(store, THIN_READ_S, 24.0, killed_s, killed)
+    check_in_time(routers, store, 24.0)
+
+
+def test_versions_that_come_faster_than_they_can_be_read_do_not_pile_up():
+    # Operators change a long manifest ten times a second.  A router that reads each
+    # version over its thin link has read the third when the last was written long ago,
+    # and falls further behind with each answer.
+    store = Store([0.0, 5.0] + [10.0 + 0.1 * number for number in range(20)])
+    routers = play(store, 0.2, 20.0)
+    check_in_time(routers, store, 20.0)
+
+
+@pytest.mark.parametrize("news_max_s", [1.0, 2.0, 3.0, 12.0])
+@pytest.mark.parametrize("read_s", [0.0, 0.02, 0.2, 0.5])
+def test_what_a_read_takes_is_left_when_trust_ends(news_max_s, read_s):
+    shares = share_news_time(news_max_s, read_s)
+    assert shares.watch_s > 0.0
+    assert shares.trust_s <= TRUST_MAX_SHARE * news_max_s
+    if read_s <= 0.2 * news_max_s:
+        assert shares.trust_s + read_s < news_max_s
+
+
+def test_short_manifests_are_waited_for_as_long_as_ever():
+    # Each call to the store is paid for; time is set aside only for what takes time.
+    assert share_news_time(2.0, 0.02).trust_s == TRUST_MAX_SHARE * 2.0
+    assert share_news_time(2.0, 0.02).watch_s == 1.0
--- /dev/null
+++ b/tests/test_platform_client.py
@@ -0,0 +1,121 @@
+"""How long a client waits for the store, and how much of an answer it reads."""
+
+import asyncio
+import socket
+import threading
+import time
+
+import pytest
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+
+from tamarackrill.platform.store import STORE_FORM
+from tamarackrill.router.platform_client import (
+    AnswerTooLong,
+    PlatformClient,
+    PlatformUnavailable,
+    StoreTiming,
+)
+from tamarackrill.testing.daemon import listen
+from tamarackrill.testing.object_store import ObjectStore
+
+CALL_S = 0.3
+BODY = b'{"metadata": {"name": "main", "revision": 7}, "spec": {}}'
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(BODY), BODY)
+
+
+class SlowStore:
+    """A store in a thread of its own, which answers its only call when it may."""
+
+    def __init__(self):
+        self._socket = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
+        self.has_asked = threading.Event()
+        self.may_answer = threading.Event()
+        self.has_answered = threading.Event()
+        self._thread = threading.Thread(target=self._serve)
+        self._thread.start()
+
+    def _serve(self):
+        connection, _ = self._socket.accept()
+        with connection:
+            connection.recv(65536)
+            self.has_asked.set()
+            self.may_answer.wait()
+            connection.sendall(ANSWER)
+            self.has_answered.set()
+            connection.recv(65536)
+
+    def close(self):
+        self.may_answer.set()
+        self._thread.join()
+        self._socket.close()
+
+
+def make_platform(address, client):
+    return PlatformClient(address, "z", client, STORE_FORM, StoreTiming(CALL_S, 1.0))
+
+
+def test_busy_router_takes_an_answer_that_came_while_it_had_no_time():
+    # A router has so much to do that its loop stands still past the timeout of a call.
+    # The store has answered long before.  Given up, the call is made again and again
+    # while the router is busy, and it hears of no change.
+    store = SlowStore()
+
+    async def run():
+        client = CurlAsyncHTTPClient(force_instance=True)
+        platform = make_platform(store.address, client)
+        asking = asyncio.create_task(platform.get("config", "main"))
+        while not store.has_asked.is_set():
+            await asyncio.sleep(0.001)
+        store.may_answer.set()
+        store.has_answered.wait()
+        time.sleep(2 * CALL_S)
+        try:
+            return await asking
+        finally:
+            client.close()
+
+    try:
+        assert asyncio.run(run()).version == 7
+    finally:
+        store.close()
+
+
+def test_store_that_is_silent_is_given_up():
+    store = SlowStore()
+
+    async def run():
+        client = CurlAsyncHTTPClient(force_instance=True)
+        platform = make_platform(store.address, client)
+        with pytest.raises(PlatformUnavailable):
+            await platform.get("config", "main")
+        client.close()
+
+    try:
+        asyncio.run(run())
+    finally:
+        store.close()
+
+
+def test_answer_that_is_longer_than_asked_for_is_not_read():
+    async def run():
+        store = ObjectStore()
+        server, address = listen(store.make_application())
+        client = CurlAsyncHTTPClient(force_instance=True)
+        platform = make_platform(address, client)
+        calls = []
+        platform.on_call = calls.append
+        for number in range(3):
+            await store.write("config", "main", {"text": "x" * 10_000, "n": number})
+        with pytest.raises(AnswerTooLong):
+            await platform.watch("config", 0, 0.0, max_bytes=15_000)
+        assert calls[-1].outcome == "too long"
+        # The limit is that of one call and not of its connection.
+        listing = await platform.watch("config", 0, 0.0)
+        assert len(listing.items) == 3
+        assert listing.size_bytes > 30_000
+        client.close()
+        server.stop()
+        await server.close_all_connections()
+
+    asyncio.run(run())
