Deny no route or key by a manifest that may be outdated

Cause: a router that holds an old manifest answers 404 or 401 on routes and keys that have been added, and clients take both for final.

Ruled out: to answer by the old manifest while nothing newer is known and the evidence is young enough: that stays, a 404 is then as good as any.

Requests that the manifest allows are served.

Figures: two tests, which fail without it.

--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -1,6 +1,7 @@
 """The application object of a router on the platform: owns its resources."""
 
 import asyncio
+import math
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -259,8 +260,15 @@
             STORE_PAUSE_S,
         )
         self.configurer.on_store = self._note_store
+        self.server.is_outdated = self._is_outdated
         platform.on_call = self._note_store_call
 
+    def _is_outdated(self) -> bool:
+        if self.configurer.has_news(MANIFEST_KIND):
+            return True
+        ages_s = self.zone_news.find_ages_s(self.clock())
+        return ages_s.get(MANIFEST_KIND, math.inf) > self.settings.news_max_s
+
     def _note_store_call(self, call: StoreCall) -> None:
         self.metrics.record_store_call(
             call.kind, call.outcome, call.duration_s, call.size_bytes
--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -39,6 +39,9 @@
 IDLE_TIMEOUT_S = 75.0
 # A router that knows no manifest has been started within the last second or two.
 NO_MANIFEST_RETURN_S = 0.5
+# Time in which a router reads a newer manifest that others already hold: half a second
+# over a thin link.
+OUTDATED_RETURN_S = 0.5
 # A balancer takes a router out within two seconds of SIGTERM, and a client that comes
 # back reaches another one then.
 LEAVING_RETURN_S = 0.2
@@ -79,6 +82,8 @@
         served by other routers; new ones are served all the same.
     takes_work : bool
         Whether requests are still served.
+    is_outdated : callable
+        Returns whether another manifest may be in force elsewhere by now.
     """
 
     def __init__(
@@ -95,6 +100,7 @@
         self.is_leaving = False
         self.sends_elsewhere = False
         self.takes_work = True
+        self.is_outdated: Callable[[], bool] = lambda: False
         self.in_flight: set[asyncio.Task[None]] = set()
         self.server = HTTPServer(
             self,
@@ -152,8 +158,8 @@
             raise _Denied(503, "no_manifest", NO_MANIFEST_RETURN_S)
         route = table.find_route(host, line.path.partition("?")[0])
         if route is None:
-            raise _Denied(404, "no_route")
-        team = _find_team(table, route, headers)
+            raise self._deny_unknown(404, "no_route")
+        team = self._find_team(table, route, headers)
         if len(body) > table.manifest.limits.body_max_bytes:
             raise _Denied(413, "body_too_long")
         if not self.takes_work:
@@ -183,16 +189,26 @@
             ),
         )
 
-
-def _find_team(
-    table: RouteTable, route: Route, headers: CallHeaders
-) -> TeamKeys | None:
-    if not table.needs_keys:
-        return None
-    found = table.find_team(headers.key) if headers.key else None
-    if found is None and not route.is_anonymous:
-        raise _Denied(401, "unknown_key")
-    return found
+    def _find_team(
+        self, table: RouteTable, route: Route, headers: CallHeaders
+    ) -> TeamKeys | None:
+        if not table.needs_keys:
+            return None
+        found = table.find_team(headers.key) if headers.key else None
+        if found is None and not route.is_anonymous:
+            raise self._deny_unknown(401, "unknown_key")
+        return found
+
+    def _deny_unknown(self, status: int, reason: str) -> _Denied:
+        """Return the denial of a route or key that the manifest doesn't name.
+
+        Clients take 404 and 401 for final.  A router that knows of a newer manifest,
+        or has not heard of the store for longer than a change may take, would turn
+        away for good those who may be served; told to come back, they find out.
+        """
+        if self.is_outdated():
+            return _Denied(503, "manifest_outdated", OUTDATED_RETURN_S)
+        return _Denied(status, reason)
 
 
 class _Request(HTTPMessageDelegate):
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tamarackrill.decisions import engine_waits, waits
+from tamarackrill.decisions.configuration import ConfigurationDigest
 from tamarackrill.router import configuring, edge_app
 from tamarackrill.testing.edge import (
     KEY,
@@ -248,6 +249,51 @@
     play(act)
 
 
+def test_router_that_knows_of_a_newer_manifest_denies_nothing_by_its_own():
+    # Operators add a route and a key, and a router hears of the new manifest before it
+    # has read it over its thin link.  By the old one it would answer 404 or 401, which
+    # clients take for final, though every other router serves them.
+    async def act(fleet):
+        await fleet.add_worker("w1")
+        router = await fleet.add_router()
+        await router.configurer.stop()
+        await fleet.put_manifest(2, LOOKUP)
+        revision = fleet.store.state.revision
+        newer = ConfigurationDigest("config", revision, revision, 7)
+        router.configurer._note_news(newer)
+        for target, fields in (("/new/a", {}), ("/lookup/a", {"X_Api_Key": "new"})):
+            answer = await ask(router, target, **fields)
+            assert answer.status == 503
+            assert read_reason(answer) == "manifest_outdated"
+            assert float(answer.headers["retry-after"]) > 0
+        assert (await ask(router, "/lookup/a")).status == 200
+        await router.configurer._list("config")
+        assert (await ask(router, "/new/a")).status == 404
+
+    play(act)
+
+
+def test_router_that_has_not_heard_of_the_store_in_time_denies_nothing_for_good():
+    # A router is so busy that it does not hear of the store for longer than a change
+    # may take.  A route may have been added meanwhile; a 404 would send its users away
+    # for good.
+    async def act(fleet):
+        await fleet.add_worker("w1")
+        router = await fleet.add_router()
+        assert (await ask(router, "/new/a")).status == 404
+        fleet.store.status = 503
+        await fleet.wait(router._is_outdated)
+        answer = await ask(router, "/new/a")
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0
+        assert (await ask(router, "/lookup/a")).status == 200
+        fleet.store.status = 200
+        await fleet.wait(lambda: not router._is_outdated())
+        assert (await ask(router, "/new/a")).status == 404
+
+    play(act)
+
+
 def test_router_that_was_away_reads_the_newest_manifest_alone():
     # The store is away for a router while operators change a long manifest four times.
     # It then read four manifests over its thin link, one after the other, and refused
