Ask no peer for what the store has told during its head start

Cause: reading the mend again: a router that starts waits 0.15 s for the store before it asks a peer, and then asked it even if the store's whole answer had come and gone. Ruled out: harm beyond a needless small call; the peer answers with what is newer than held. Change: what is held by then is not asked for.

--- a/src/tamarackrill/router/configuring.py
+++ b/src/tamarackrill/router/configuring.py
@@ -212,8 +212,9 @@
         try:
             if self._is_first_answer_due(kind):
                 await asyncio.sleep(HEAD_START_S)
-            if kind not in self._begun_s:
-                await self._pull_from(heard, kind)
+                if kind in self._begun_s or self._store.get_complete(kind):
+                    return
+            await self._pull_from(heard, kind)
         finally:
             del self._pulls[kind]
 
@@ -293,7 +294,6 @@
         since = self._store.get_complete(kind)
         if wait_s is None:
             wait_s = self.find_watch_s(kind)
-
         reading = self._readings.get(kind)
         max_bytes = None if reading is None else reading.watch_max_bytes
 
--- a/tests/test_configuring.py
+++ b/tests/test_configuring.py
@@ -132,6 +132,20 @@
     play(act)
 
 
+def test_router_that_has_started_asks_no_peer_for_what_the_store_has_told():
+    async def act(follower):
+        follower.store.may_begin.clear()
+        await follower.configurer.start()
+        await follower.wait(lambda: follower.store.asked)
+        follower.hear(1)
+        follower.store.may_begin.set()
+        await follower.wait(lambda: follower.held.get(KIND, "main"))
+        await follower.wait(lambda: not follower.configurer._pulls)
+        assert not follower.pulled
+
+    play(act)
+
+
 def test_router_that_holds_nothing_asks_a_peer_while_the_store_is_silent():
     async def act(follower):
         follower.store.may_begin.clear()
