Leave the logger as it was after the tests of the bounded log

Cause: test_metrics.py (why a manifest came late) failed once in a run of all tests in three processes, 0 lines for 1. Traced: after test_logs.py in the same process, whose way back to the earlier verbosity left the logger at WARNING; every time so, in the files' order. The same hid what test_edge.py looks for (a key in a log line), which would have passed whatever was logged. Ruled out: load (it fails alone in that order), the product's log. Change: the level is restored; the new test records the events themselves.

--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -14,6 +14,7 @@
     handler = BoundedHandler(fd)
     logger = logging.get_absl_logger()
     before = logging.get_verbosity()
+    level = logger.level
     logging.set_verbosity(logging.INFO)
     logger.addHandler(handler)
     try:
@@ -21,6 +22,10 @@
     finally:
         logger.removeHandler(handler)
         logging.set_verbosity(before)
+        # Setting the verbosity back sets a level that the logger didn't have.  Lines of
+        # information would be lost to later tests of this process, and one that looks
+        # for a key in the log would find none whatever the log held.
+        logger.setLevel(level)
 
 
 def refuse(number):
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -3,6 +3,7 @@
 from tornado.httpclient import AsyncHTTPClient
 
 from tamarackrill.events import STORE_CALL_ENDED
+from tamarackrill.router import edge_app
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.testing.edge import EdgeFleet, ask, make_route
 from tamarackrill.testing.worker import make_streaming
@@ -53,11 +54,19 @@
     assert 'token_gap_seconds{label="engine",quantile="0.95"}' in shown
 
 
-def test_on_call_engineer_finds_why_a_manifest_came_late(caplog):
+def test_on_call_engineer_finds_why_a_manifest_came_late(monkeypatch):
     # A key was taken away, and a router went on serving it for seconds.  From its log
     # it has to be told apart whether the store was slow, the router's link was full, or
     # its process got no time: how long the answer took to begin and to end, and how
     # many bytes it had.
+    lines = []
+
+    def record(event, **fields):
+        lines.append((event, fields))
+
+    # Another test of the same process may have sent the log elsewhere.
+    monkeypatch.setattr(edge_app, "log_event", record)
+
     async def run():
         async with EdgeFleet() as fleet:
             await fleet.put_manifest(1, make_route("/s/", "streaming"))
@@ -68,10 +77,9 @@
             await fleet.put_manifest(2, *many)
             await fleet.wait(lambda: router.view.routes.manifest.version == 2)
 
-    with caplog.at_level("INFO"):
-        asyncio.run(run())
-    lines = [r for r in caplog.records if getattr(r, "event", None) == STORE_CALL_ENDED]
-    answered = [r.event_fields for r in lines if r.event_fields["outcome"] == "200"]
+    asyncio.run(run())
+    calls = [fields for event, fields in lines if event == STORE_CALL_ENDED]
+    answered = [fields for fields in calls if fields["outcome"] == "200"]
     assert len(answered) == 1
     assert answered[0]["size_bytes"] > 16 * 1024
     assert answered[0]["duration_s"] > answered[0]["first_byte_s"]
