Keep one call to a store and the pages of the edge router in modules of their own

Ruled out: to split the types of the store off, which many modules import from where they are. Change: store_fetch.py (one call over libcurl, how far it has come), edge_pages.py (what the balancer and scrapers are answered); moved, not changed. An answer that is too long to be read is logged like one that didn't come.

--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -269,7 +269,8 @@
     "store_call_ended",
     _INFO,
     ("call", "path", "outcome", "first_byte_s", "duration_s", "size_bytes"),
-    "A call to the store brought a large answer, or none.  `first_byte_s` tells a slow "
+    "A call to the store brought a large answer, none, or one too long to be worth "
+    "reading, after which the newest is listed.  `first_byte_s` tells a slow "
     "store or a waiting watch from a full link, on which the bytes after it take long.",
     "Compare with router_late: a process without processor time is late with both.",
 )
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -8,7 +8,7 @@
 
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpserver import HTTPServer
-from tornado.web import Application, RequestHandler
+from tornado.web import Application
 
 from tamarackrill.contracts import Endpoint
 from tamarackrill.decisions.configuration import (
@@ -48,6 +48,7 @@
 from tamarackrill.router.datagrams import PeerSocket
 from tamarackrill.router.deployment_view import DeploymentView, ObjectReaders
 from tamarackrill.router.edge_flow import EdgeFlow
+from tamarackrill.router.edge_pages import make_metrics_page, make_readiness_page
 from tamarackrill.router.edge_placing import EdgePlacer
 from tamarackrill.router.edge_server import EdgeServer
 from tamarackrill.router.gossip import Gossiper
@@ -61,6 +62,7 @@
 )
 from tamarackrill.router.placement_telling import PlacementTeller
 from tamarackrill.router.platform_client import (
+    TOO_LONG,
     UNANSWERED,
     PlatformClient,
     StoreCall,
@@ -218,15 +220,11 @@
         )
         peers = Application(handlers)
         self._listen(peers, f"{self.settings.ip}:{self.settings.peer_port}")
-        metrics = Application(
-            [("/metrics", _MetricsHandler, {"metrics": self.metrics})]
-        )
+        metrics = make_metrics_page(self.metrics)
         self._listen(metrics, f"{self.settings.ip}:{self._metrics_port}")
 
     def _listen_readiness(self) -> None:
-        question = Application(
-            [("/readiness", _ReadinessHandler, {"is_ready": self.is_ready})]
-        )
+        question = make_readiness_page(self.is_ready)
         self._listen(question, self.settings.readiness_address)
 
     def _listen(self, application: Application, address: str) -> None:
@@ -274,7 +272,8 @@
             call.kind, call.outcome, call.duration_s, call.size_bytes
         )
         # A watch that ends without a change is the rule, and tells nothing.
-        if call.outcome != UNANSWERED and call.size_bytes < LARGE_ANSWER_BYTES:
+        is_read = call.outcome not in (UNANSWERED, TOO_LONG)
+        if is_read and call.size_bytes < LARGE_ANSWER_BYTES:
             return
         log_event(
             STORE_CALL_ENDED,
@@ -480,21 +479,3 @@
             in_flight=len(self.server.in_flight),
         )
         self._flush_log()
-
-
-class _ReadinessHandler(RequestHandler):
-    def initialize(self, is_ready) -> None:  # type: ignore[no-untyped-def]
-        self._is_ready = is_ready
-
-    def get(self) -> None:
-        self.set_status(200 if self._is_ready() else 503)
-        self.finish()
-
-
-class _MetricsHandler(RequestHandler):
-    def initialize(self, metrics: Metrics) -> None:
-        self._metrics = metrics
-
-    def get(self) -> None:
-        self.set_header("Content-Type", "text/plain; version=0.0.4")
-        self.finish(self._metrics.format_text())
--- /dev/null
+++ b/src/tamarackrill/router/edge_pages.py
@@ -0,0 +1,35 @@
+"""What a router on the platform answers to its balancer and to scrapers."""
+
+from collections.abc import Callable
+
+from tornado.web import Application, RequestHandler
+
+from tamarackrill.router.metrics import Metrics
+
+
+def make_readiness_page(is_ready: Callable[[], bool]) -> Application:
+    """Return what answers the balancer: 200 if it may send new connections."""
+    return Application([("/readiness", _ReadinessHandler, {"is_ready": is_ready})])
+
+
+def make_metrics_page(metrics: Metrics) -> Application:
+    """Return what answers scrapers, with all metrics as text."""
+    return Application([("/metrics", _MetricsHandler, {"metrics": metrics})])
+
+
+class _ReadinessHandler(RequestHandler):
+    def initialize(self, is_ready: Callable[[], bool]) -> None:
+        self._is_ready = is_ready
+
+    def get(self) -> None:
+        self.set_status(200 if self._is_ready() else 503)
+        self.finish()
+
+
+class _MetricsHandler(RequestHandler):
+    def initialize(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    def get(self) -> None:
+        self.set_header("Content-Type", "text/plain; version=0.0.4")
+        self.finish(self._metrics.format_text())
--- a/src/tamarackrill/router/platform_client.py
+++ b/src/tamarackrill/router/platform_client.py
@@ -4,10 +4,7 @@
 fields) is passed as a `StoreForm`.
 """
 
-import asyncio
 import json
-import os
-import socket
 import time
 from collections.abc import Callable
 from typing import Any, NamedTuple, TypeVar
@@ -18,12 +15,11 @@
     AsyncHTTPClient,
     HTTPClientError,
     HTTPRequest,
-    HTTPResponse,
 )
 
 from tamarackrill.contracts import Vm
 from tamarackrill.exceptions import PlatformUnavailable
-from tamarackrill.router.sockets import probe_silence
+from tamarackrill.router.store_fetch import Progress, fetch, make_preparation
 
 _T = TypeVar("_T")
 CALL_TIMEOUT_S = 2.0
@@ -358,7 +354,7 @@
     ) -> _Answer:
         began_s = time.monotonic()
         kind = "watch" if timeout_s else "read" if method == "GET" else "write"
-        progress = _Progress(on_begin)
+        progress = Progress(on_begin)
         outcome = UNANSWERED
         try:
             answer = await self._ask(
@@ -390,7 +386,7 @@
         timeout_s: float | None,
         headers: dict[str, str] | None,
         text: str | None,
-        progress: "_Progress",
+        progress: Progress,
         max_bytes: int | None,
     ) -> _Answer:
         first_byte_s = timeout_s or self._timing.call_s
@@ -402,11 +398,11 @@
             request_timeout=first_byte_s + BODY_MAX_S,
             connect_timeout=self._timing.call_s,
             allow_nonstandard_methods=True,
-            prepare_curl_callback=_make_preparation(max_bytes),
+            prepare_curl_callback=make_preparation(max_bytes),
             header_callback=progress.begin,
         )
         try:
-            response = await self._fetch(request, progress.begun, first_byte_s)
+            response = await fetch(self._client, request, progress.begun, first_byte_s)
         except (HTTPClientError, OSError) as error:
             if getattr(error, "errno", None) == pycurl.E_FILESIZE_EXCEEDED:
                 raise AnswerTooLong("the answer is longer than asked for") from error
@@ -418,77 +414,6 @@
             raise PlatformUnavailable(f"platform: {response.error}")
         return _Answer(response.code, _load(response.body), progress.size_bytes)
 
-    async def _fetch(
-        self, request: HTTPRequest, begun: asyncio.Event, first_byte_s: float
-    ) -> HTTPResponse:
-        """Fetch, and give up if the answer has not begun in time.
-
-        A manifest of a thousand routes takes most of a second over a link of 5 Mbit/s.
-        Were the whole answer to come within the time of a first byte, a router behind
-        such a link would read it over and over and never have it in force.
-        """
-        fetching = asyncio.ensure_future(self._client.fetch(request, raise_error=False))
-        # Whoever gives up, here or by stopping the router, leaves the client to end the
-        # call at its own timeout; its error would be reported as one nobody looked at.
-        fetching.add_done_callback(_forget)
-        try:
-            async with asyncio.timeout(first_byte_s):
-                await _wait_begun(fetching, begun)
-        except TimeoutError:
-            # A process that got no time finds the timeout and the answer together.
-            # Were it to give up then, it would ask again and again while it is busy,
-            # and hear of nothing.
-            if not begun.is_set() and not fetching.done():
-                raise
-        return await fetching
-
-
-class _Progress:
-    """How far one call has come."""
-
-    def __init__(self, on_begin: Callable[[], None]) -> None:
-        self._on_begin = on_begin
-        self.begun = asyncio.Event()
-        self.begun_s: float | None = None
-        self.size_bytes = 0
-
-    def begin(self, line: str) -> None:
-        """Take a line of the answer's head."""
-        if self.begun_s is None:
-            self.begun_s = time.monotonic()
-            self.begun.set()
-            self._on_begin()
-
-
-def _forget(fetching: asyncio.Future[Any]) -> None:
-    if not fetching.cancelled():
-        fetching.exception()
-
-
-async def _wait_begun(fetching: asyncio.Future[Any], begun: asyncio.Event) -> None:
-    waiting = asyncio.ensure_future(begun.wait())
-    try:
-        await asyncio.wait([fetching, waiting], return_when=asyncio.FIRST_COMPLETED)
-    finally:
-        waiting.cancel()
-
-
-def _make_preparation(max_bytes: int | None) -> Callable[[Any], None]:
-    def prepare(curl: Any) -> None:
-        # A watch on a connection that has fallen silent would hear of no change until
-        # it times out; pycurl has no option for the number of the kernel's questions.
-        curl.setopt(pycurl.SOCKOPTFUNCTION, _set_socket_options)
-        # Handles are used again, with the limit of the call before; 0 is none.
-        curl.setopt(pycurl.MAXFILESIZE_LARGE, max_bytes or 0)
-
-    return prepare
-
-
-def _set_socket_options(fd: int, purpose: int) -> int:
-    with socket.socket(fileno=os.dup(fd)) as connection:
-        probe_silence(connection)
-    return int(pycurl.SOCKOPT_OK)
-
 
 def _read(read: Callable[[str, Any], _T], kind: str, body: Any) -> _T:
     # The address may be that of something else, such as a router, which answers JSON
