Let the test of a manifest being read fail without what it tests

Cause: reading the change again. test_configuring.py's first test looked before a pull could have begun, and passed with the check for an answer that has begun switched off. It now waits until no pull is left; stricter, nothing else changed.

--- a/tests/test_configuring.py
+++ b/tests/test_configuring.py
@@ -106,7 +106,7 @@
         await follower.configurer.start()
         await follower.wait(lambda: follower.configurer._begun_s)
         follower.hear(1)
-        await asyncio.sleep(0)
+        await follower.wait(lambda: not follower.configurer._pulls)
         assert not follower.pulled
         follower.store.may_end.set()
         await follower.wait(lambda: follower.held.get(KIND, "main"))
