Answer the first request of a connection that was made while the router stopped

A caller that had just connected sent its first call, and the connection ended without an answer (RemoteDisconnected) or was reset, so that it could not know whether its confirmation had run.

Cause: drain() counts calls whose head has been read; stop() then closed the listener, which resets what waits in its queue, and every connection, also those on which the request had not come yet. Both interfaces did so.

Change: EndingServer accepts what waits, closes the listener in the same step, and gives each connection without an answer a second for its first request, which is refused as not run. On the product's own interface answers while leaving now end their connection.

--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 from tornado.curl_httpclient import CurlAsyncHTTPClient
-from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 
@@ -34,6 +33,7 @@
 from tamarackrill.router.claiming import Claimer
 from tamarackrill.router.configuring import KINDS, Configurer
 from tamarackrill.router.datagrams import PeerSocket
+from tamarackrill.router.ending_server import EndingServer
 from tamarackrill.router.explaining import Question, explain
 from tamarackrill.router.flow import Flow
 from tamarackrill.router.front import Front, OpenCalls
@@ -243,7 +243,7 @@
             self._faulty_task = task.get_name()
 
     def _serve_callers(self, sockets: list[socket.socket]) -> None:
-        self._server = HTTPServer(
+        self._server = EndingServer(
             self._make_web_application(),
             # The handler itself refuses a body that is too long, with a code.
             max_body_size=UNLIMITED_BYTES,
@@ -262,6 +262,7 @@
     async def drain(self) -> None:
         """Refuse new work; return when nothing is in flight, or after the limit."""
         self._leaving = True
+        self._server.leave()
         self.members.own = self.members.own._replace(state="leaving")
         self.gossiper.leave()
         log_event(
@@ -276,7 +277,7 @@
 
     async def stop(self) -> None:
         """Close all that `start` opened."""
-        self._server.stop()
+        await self._server.finish()
         await self._server.close_all_connections()
         for task in self._tasks:
             task.cancel()
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -452,8 +452,9 @@
         log_event(ROUTER_LEAVING, router=self.settings.name, in_flight=in_flight)
         await asyncio.sleep(min(STILL_SERVED_S, self.settings.grace_s / 2))
         self.server.takes_work = False
-        self.server.server.stop()
-        left_s = began_s + self.settings.grace_s - STOP_SLACK_S - self.clock()
+        until_s = began_s + self.settings.grace_s - STOP_SLACK_S
+        await self.server.server.finish(until_s - self.clock())
+        left_s = until_s - self.clock()
         if self.server.in_flight and left_s > 0:
             await asyncio.wait(self.server.in_flight, timeout=left_s)
 
--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -4,7 +4,6 @@
 from collections.abc import Awaitable, Callable
 
 from tornado.http1connection import HTTP1Connection
-from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
     HTTPHeaders,
@@ -28,6 +27,7 @@
 from tamarackrill.router.edge_calls import EdgeCall, find_shared_prefixes
 from tamarackrill.router.edge_flow import EdgeFlow
 from tamarackrill.router.edge_reply import EdgeReply
+from tamarackrill.router.ending_server import EndingServer
 from tamarackrill.router.metrics import Metrics
 
 # Twice what the manifests seen so far allow; a longer header is refused by its length
@@ -102,7 +102,7 @@
         self.takes_work = True
         self.is_outdated: Callable[[], bool] = lambda: False
         self.in_flight: set[asyncio.Task[None]] = set()
-        self.server = HTTPServer(
+        self.server = EndingServer(
             self,
             max_header_size=HEADERS_READ_MAX_BYTES,
             max_body_size=UNLIMITED_BYTES,
@@ -126,7 +126,7 @@
     def leave(self) -> None:
         """End each connection with its next answer."""
         self.is_leaving = True
-        self.server.conn_params.no_keep_alive = True
+        self.server.leave()
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
