Let one router watch the store for all, and tell the others through the heads of zones

Cause, from a small twin with each call logged (18 routers, 1,026 calls): 550 watches of six watchers, one a zone; 172 reads of the manifest, one a router and change; 195 by routers that the store turned away, each for itself; the rest starts. In the large fleet two more: until gossip has told of all others, which takes 7 s at 60 routers and 16 at 195 (simulated: 139 of 195 take themselves for their zone's watcher after 1 s, 42 after 3, 12 after 7), each watches; and whom the watcher doesn't know yet it tells nothing. Ruled out: bulletins lost for want of room.

Change: one watcher, the first live router in an order of the whole fleet; heads of zones ask a little before the others of their zone when its word grows old. Evidence is passed on with its origin and its age, by whoever holds all of it, three hops at most, 50 ms older at each. A router that hears nothing asks its seeds to be told, and one that took itself for the watcher yields to evidence of a router that comes before it. A watcher that is turned away rests while it hears by others. While the store is silent the first in the order ask often, the others seldom, for one kind alone. Changed manifests are handed on, packed, as far as half of the sender's link bears it; refused or not answered in 0.3 s, the store is asked. All calls to the store are logged now.

--- a/src/tamarackrill/decisions/watching.py
+++ b/src/tamarackrill/decisions/watching.py
@@ -1,33 +1,39 @@
-"""Which routers of a zone watch the store, and when the others do so themselves.
+"""Which routers ask the store, and who tells whom what it has said.
 
 Load pattern: every router has to hear of each change within seconds, and every call to
 the store has its price, a waiting watch included.  Were each router to watch, 60 of
-them would make some 6,600 calls in a minute in which little changes, and the calls
-would grow with the fleet, which the store's rates do not.
-
-So the first router of a zone, in an order that all of its members compute alike,
-watches, and tells the others what it holds and how fresh its evidence is: when the
-store last answered it.  The others believe it only for as long as that evidence is
-younger than a time that leaves enough to read a change (see `news_shares`).  Whether
-the watcher is killed, frozen, cut off, deaf or its datagrams are lost, they see the
-same thing, evidence that grows old, and ask the store themselves.  They start one after
-the other, so that a watcher's loss is not sixty calls at once: whoever is first has
-evidence to tell the others.
-
-A router that has just started doesn't know yet who lives in its zone, and at the start
-of a whole fleet all of them would take themselves for the watcher, just while every
-endpoint writes its entry and ends all their watches.  So for the entries of endpoints a
-new router believes its own evidence as long as that of others, and asks again when it
-has grown old.  A manifest is another matter: it changes seldom, so that a watch costs
-no more than to ask again; and if all routers of a zone start at once, nobody would hear
-of a change but by asking.
-
-Nothing is ever taken to be newer than the store said: news is only a reason to ask.
+them would make some 6,600 calls in a minute in which little changes; with one watcher
+a zone and a fleet that doesn't know its members yet, 195 made 21,000.  The store's
+rates grow more slowly than the fleet.
+
+So one router watches for all: the first of those that live, in an order that all
+compute alike.  It tells the head of each zone, the first of its zone in such an order,
+what it holds and how old its evidence is, that is, when the store answered.  Heads pass
+that on inside their zones, and anyone passes it on to whoever asks for it.
+
+The others believe evidence only for as long as it is younger than a time that leaves
+enough to read a change (see `news_shares`).  Whether the watcher or a head is killed,
+frozen, cut off, deaf or its datagrams are lost, they see the same thing, evidence that
+grows old, and ask the store themselves: heads a little before the others, and each
+group one after the other, so that a watcher's loss is not 195 calls at once.  Whoever
+has asked tells the others at once.  A watcher that the store turns away leaves the
+work to whoever still hears it.
+
+A router that has just started knows nobody, and takes itself for the watcher.  It asks
+the routers that its settings name to be told, and yields to evidence of a router that
+comes before it in the order.  Until then, for the entries of endpoints, which all
+change when a fleet starts, it believes its own evidence as long as that of others, and
+asks again when it has grown old.  A manifest changes seldom, so that a watch costs no
+more than to ask again.
+
+Nothing is ever taken to be newer than the store said: news is only a reason to ask, and
+evidence that is passed on grows older on its way, is passed on only by those who hold
+all that it tells of, and only a few times.
 """
 
 import math
 from collections import defaultdict
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from tamarackrill.decisions import hashing
@@ -47,6 +53,19 @@
 SETTLE_S = 7.0
 # A new router asks again a little before its own evidence is too old to be believed.
 OWN_TRUST_SHARE = 0.85
+# A head asks before the other routers of its zone do, and tells them.
+HEAD_LEAD_S = 0.3
+# Added to evidence that is passed on, for its time on the way and in queues.
+HOP_AGE_S = 0.05
+# From the watcher to a head, to a router of its zone, and to one that asked that one.
+HOPS_MAX = 3
+# A watcher that the store turned away tries again after this time, while it hears of
+# the store by others.
+REFUSED_REST_S = 3.0
+# A router that hears nothing asks to be told this long before its trust ends.
+ASK_LEAD_S = 0.6
+
+_FLEET = "fleet"
 
 
 class Evidence(NamedTuple):
@@ -57,15 +76,21 @@
     age_s : float
         Time since the store answered it.
     digest : ConfigurationDigest
-        What it holds.
+        What the sender holds.
+    origin : str, optional
+        Router that the store answered; empty for the sender.
+    hops : int, optional
+        How often the evidence was passed on.
     """
 
     age_s: float
     digest: ConfigurationDigest
+    origin: str = ""
+    hops: int = 0
 
 
 class Bulletin(NamedTuple):
-    """A message from a router that asks the store to the others of its zone.
+    """What one router tells others of the store.
 
     Parameters
     ----------
@@ -77,12 +102,22 @@
         Rises with each bulletin of a session.
     evidence : tuple of Evidence
         One for each kind.
+    asks : bool, optional
+        Whether the sender hears nothing and asks to be told.
     """
 
     sender: str
     session: int
     sequence: int
     evidence: tuple[Evidence, ...]
+    asks: bool = False
+
+
+class _Heard(NamedTuple):
+    """Newest evidence of others: what it is as of, and where it comes from."""
+
+    as_of_s: float
+    evidence: Evidence
 
 
 class Watching:
@@ -119,27 +154,59 @@
         self._trust_s = trust_s
         self._news_max_s = news_max_s
         self._watched_at_once = watched_at_once
-        self._rank = 0
+        # Places in the orders of the fleet, of the heads of zones and of its zone.
+        self._fleet_rank = 0
+        self._head_rank = 0
+        self._zone_rank = 0
         self._answered_s: dict[str, float] = {}
+        self._refused_s: dict[str, float] = {}
         self._reads: dict[str, ReadTimes] = defaultdict(ReadTimes)
-        self._heard: dict[str, tuple[int, int]] = {}
-        # What the newest evidence of others is as of.
-        self._heard_of_s: dict[str, float] = {}
+        self._marks: dict[str, tuple[int, int]] = {}
+        self._heard: dict[str, _Heard] = {}
+        # What the newest evidence is as of that stems from a router that comes before
+        # this one in the order of the fleet.
+        self._heard_before_s: dict[str, float] = {}
+        self._precedes: dict[str, bool] = {}
 
     @property
     def is_watcher(self) -> bool:
-        """Whether this router is the one that watches for its zone."""
-        return self._rank == 0
+        """Whether this router is the one that watches for all."""
+        return self._fleet_rank == 0
 
-    def set_members(self, names: Iterable[str]) -> None:
-        """Take the live routers of the zone, this one among them."""
-        members = sorted({*names, self._own})
-        order = hashing.rank(self._zone, members)
-        self._rank = order.index(self._own)
+    @property
+    def is_head(self) -> bool:
+        """Whether this router tells the others of its zone."""
+        return self._zone_rank == 0
+
+    def set_members(
+        self, names: Iterable[str], others: Mapping[str, Sequence[str]] | None = None
+    ) -> None:
+        """Take the live routers.
+
+        Parameters
+        ----------
+        names : iterable of str
+            Those of this zone, this one among them.
+        others : mapping of str to sequence of str, optional
+            Those of each other zone.
+        """
+        zones: dict[str, Sequence[str]] = dict(others or {})
+        zones[self._zone] = sorted({*names, self._own})
+        fleet = [name for members in zones.values() for name in members]
+        self._fleet_rank = hashing.rank(_FLEET, fleet).index(self._own)
+        self._zone_rank = hashing.rank(self._zone, zones[self._zone]).index(self._own)
+        heads = {find_head(zone, members) for zone, members in zones.items()}
+        order = hashing.rank(_FLEET, sorted({*heads, self._own}))
+        self._head_rank = order.index(self._own)
 
     def observe_answer(self, kind: str, as_of_s: float) -> None:
         """Take that the store has told this router what held at `as_of_s`."""
         self._answered_s[kind] = as_of_s
+        self._refused_s.pop(kind, None)
+
+    def observe_refusal(self, kind: str, now_s: float) -> None:
+        """Take that the store has not answered this router."""
+        self._refused_s[kind] = now_s
 
     def observe_read(self, kind: str, read_s: float) -> None:
         """Take how long a change took from its first byte to being in force."""
@@ -153,34 +220,82 @@
     def hear(self, bulletin: Bulletin, now_s: float) -> bool:
         """Take a bulletin; return whether it is news and not a late or double one."""
         mark = (bulletin.session, bulletin.sequence)
-        if mark <= self._heard.get(bulletin.sender, (-1, -1)):
+        if mark <= self._marks.get(bulletin.sender, (-1, -1)):
             return False
-        self._heard[bulletin.sender] = mark
+        self._marks[bulletin.sender] = mark
         for evidence in bulletin.evidence:
-            kind = evidence.digest.kind
-            as_of_s = now_s - max(0.0, evidence.age_s)
-            known_s = self._heard_of_s.get(kind, -math.inf)
-            self._heard_of_s[kind] = max(known_s, as_of_s)
+            origin = evidence.origin or bulletin.sender
+            if origin != self._own:
+                self._take(evidence._replace(origin=origin), now_s)
         return True
 
+    def _take(self, evidence: Evidence, now_s: float) -> None:
+        kind = evidence.digest.kind
+        as_of_s = now_s - max(0.0, evidence.age_s)
+        if as_of_s > self._find_heard_s(kind):
+            self._heard[kind] = _Heard(as_of_s, evidence)
+        if self._comes_first(evidence.origin):
+            known_s = self._heard_before_s.get(kind, -math.inf)
+            self._heard_before_s[kind] = max(known_s, as_of_s)
+
+    def _find_heard_s(self, kind: str) -> float:
+        heard = self._heard.get(kind)
+        return -math.inf if heard is None else heard.as_of_s
+
+    def _comes_first(self, origin: str) -> bool:
+        """Return whether a router comes before this one in the order of the fleet."""
+        if origin not in self._precedes:
+            order = hashing.rank(_FLEET, sorted({origin, self._own}))
+            self._precedes[origin] = order[0] == origin != self._own
+        return self._precedes[origin]
+
     def find_wait_s(self, kind: str, now_s: float) -> float:
         """Return for how long the evidence of others is still enough; 0 to ask now."""
         trust_s = self.find_shares(kind).trust_s
-        until_s = self._heard_of_s.get(kind, -math.inf) + trust_s
+        heard_s = self._find_heard_s(kind)
         if now_s < self._settled_s and kind not in self._watched_at_once:
             answered_s = self._answered_s.get(kind, -math.inf)
             own_until_s = answered_s + OWN_TRUST_SHARE * trust_s
-            return max(0.0, max(until_s, own_until_s) - now_s)
+            return max(0.0, max(heard_s + trust_s, own_until_s) - now_s)
         if self.is_watcher:
-            return 0.0
-        stagger_s = min(STAGGER_MAX_S, STAGGER_S * (self._rank - 1))
-        return max(0.0, until_s + stagger_s - now_s)
+            refused_s = self._refused_s.get(kind, -math.inf)
+            if now_s >= refused_s + REFUSED_REST_S:
+                heard_s = self._heard_before_s.get(kind, -math.inf)
+            return max(0.0, heard_s + trust_s - now_s)
+        if self.is_head:
+            trust_s = max(trust_s - HEAD_LEAD_S, trust_s / 2)
+            stagger_s = STAGGER_S * max(0, self._head_rank - 1)
+        else:
+            stagger_s = STAGGER_S * (self._zone_rank - 1)
+        return max(0.0, heard_s + trust_s + min(STAGGER_MAX_S, stagger_s) - now_s)
+
+    def find_retry_max_s(self, retry_max_s: float) -> float:
+        """Return the longest pause between calls that the store doesn't answer.
+
+        The first few in the order find a store that is back within about `retry_max_s`
+        and tell the others.  These ask too, more seldom, as they may be the only ones
+        that reach it; the more they are, the sooner one of them finds out.
+        """
+        if self.is_watcher or self.is_head:
+            later_s = retry_max_s * (1 + self._head_rank)
+        else:
+            later_s = math.inf
+        return max(retry_max_s, min(self._news_max_s, later_s))
+
+    def must_ask_peers(self, kind: str, now_s: float) -> bool:
+        """Return whether to ask other routers to be told of the store."""
+        if self.is_watcher:
+            # Nobody is to tell the watcher; who has just started may not be it.
+            return now_s < self._settled_s
+        trust_s = self.find_shares(kind).trust_s
+        lead_s = min(ASK_LEAD_S + HEAD_LEAD_S, trust_s / 2)
+        return now_s > self._find_heard_s(kind) + trust_s - lead_s
 
     def find_ages_s(self, kinds: Iterable[str], now_s: float) -> dict[str, float]:
         """Return the age of the newest evidence, own or heard, of each kind known."""
         ages_s = {}
         for kind in kinds:
-            heard_s = self._heard_of_s.get(kind, -math.inf)
+            heard_s = self._find_heard_s(kind)
             newest_s = max(heard_s, self._answered_s.get(kind, -math.inf))
             if newest_s > -math.inf:
                 ages_s[kind] = now_s - newest_s
@@ -189,7 +304,7 @@
     def make_evidence(
         self, digests: Iterable[ConfigurationDigest], now_s: float
     ) -> tuple[Evidence, ...]:
-        """Return this router's own evidence; that of others is never passed on."""
+        """Return this router's own evidence."""
         found = []
         for digest in digests:
             answered_s = self._answered_s.get(digest.kind, -math.inf)
@@ -197,3 +312,43 @@
             if age_s < self._trust_s:
                 found.append(Evidence(age_s, digest))
         return tuple(found)
+
+    def make_relayed(
+        self, digests: Iterable[ConfigurationDigest], now_s: float
+    ) -> tuple[Evidence, ...]:
+        """Return the evidence to pass on: of others where it is newer than one's own.
+
+        Parameters
+        ----------
+        digests : iterable of ConfigurationDigest
+            What this router holds.
+        now_s : float
+            Present time.
+        """
+        own = {e.digest.kind: e for e in self.make_evidence(digests, now_s)}
+        found = []
+        for digest in digests:
+            passed_on = self._pass_on(digest, now_s)
+            known = own.get(digest.kind)
+            if known is None or (passed_on and passed_on.age_s < known.age_s):
+                known = passed_on
+            if known is not None:
+                found.append(known)
+        return tuple(found)
+
+    def _pass_on(self, digest: ConfigurationDigest, now_s: float) -> Evidence | None:
+        heard = self._heard.get(digest.kind)
+        if heard is None or heard.evidence.hops >= HOPS_MAX:
+            return None
+        age_s = now_s - heard.as_of_s + HOP_AGE_S
+        # Whoever is told asks this router for what it lacks.
+        holds_all = heard.evidence.digest.content == digest.content
+        if age_s >= self._trust_s or not holds_all:
+            return None
+        hops = heard.evidence.hops + 1
+        return Evidence(age_s, digest, heard.evidence.origin, hops)
+
+
+def find_head(zone: str, names: Iterable[str]) -> str:
+    """Return the router that tells the others of a zone."""
+    return hashing.rank(zone, sorted(names))[0]
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -269,9 +269,10 @@
     "store_call_ended",
     _INFO,
     ("call", "path", "outcome", "first_byte_s", "duration_s", "size_bytes"),
-    "A call to the store brought a large answer, none, or one too long to be worth "
-    "reading, after which the newest is listed.  `first_byte_s` tells a slow "
-    "store or a waiting watch from a full link, on which the bytes after it take long.",
+    "A call to the store ended; the path tells what was asked, and how long a watch "
+    "was to wait.  One too long to be worth reading is given up, and the newest is "
+    "listed.  `first_byte_s` tells a slow store or a waiting watch from a full link, "
+    "on which the bytes after it take long.",
     "Compare with router_late: a process without processor time is late with both.",
 )
 
@@ -375,9 +376,9 @@
     3012,
     "watch_role_changed",
     _INFO,
-    ("is_watcher", "routers"),
-    "This router has become the one that watches the store for its zone, or another "
-    "one has; `routers` live in the zone.",
+    ("role", "routers", "zones"),
+    "What this router does for the others from now on: the watcher asks the store for "
+    "all, a head tells its zone, a member only hears; `routers` live in the zone.",
 )
 PLACEMENTS_LEARNED = Event(
     3013,
--- a/src/tamarackrill/platform/settings_file.py
+++ b/src/tamarackrill/platform/settings_file.py
@@ -9,6 +9,8 @@
 from tamarackrill.exceptions import Finding, FindingsError
 
 PATH_VARIABLE = "TAMARACKRILL_SETTINGS"
+BYTES_PER_MBIT = 125_000.0
+DEFAULT_LINK_MBPS = 1000.0
 _MISSING = object()
 
 
@@ -37,6 +39,8 @@
         Multiple of the mean load that no endpoint may exceed.
     retry_budget : BudgetTerms
         Shared by all routers, for each service.
+    link_bytes_per_s : float
+        What the link of this VM carries.
     """
 
     name: str
@@ -51,6 +55,7 @@
     news_max_s: float
     load_cap: float
     retry_budget: BudgetTerms
+    link_bytes_per_s: float = DEFAULT_LINK_MBPS * BYTES_PER_MBIT
 
 
 class _Reader:
@@ -123,6 +128,8 @@
             reader.read("bounds.budget_window_s", float, 10.0),
             reader.read("bounds.budget_slack", float, 0.0),
         ),
+        link_bytes_per_s=BYTES_PER_MBIT
+        * reader.read("limits.link_mbps", float, DEFAULT_LINK_MBPS),
     )
 
 
--- a/src/tamarackrill/protocol/bulletin_codec.py
+++ b/src/tamarackrill/protocol/bulletin_codec.py
@@ -26,6 +26,7 @@
         session=bulletin.session,
         sequence=bulletin.sequence,
         evidence=[_write_evidence(evidence) for evidence in bulletin.evidence],
+        asks=bulletin.asks,
     )
     buffer = TMemoryBuffer()
     struct.write(TCompactProtocol(buffer))
@@ -43,7 +44,11 @@
         struct.read(TCompactProtocol(TMemoryBuffer(payload)))
         evidence = tuple(_read_evidence(item) for item in struct.evidence)
         return Bulletin(
-            str(struct.sender), int(struct.session), int(struct.sequence), evidence
+            str(struct.sender),
+            int(struct.session),
+            int(struct.sequence),
+            evidence,
+            bool(struct.asks),
         )
     # The parser raises whatever the bytes lead it to; a peer of a later release must
     # not be able to end the task that reads the socket.
@@ -59,6 +64,8 @@
         complete=digest.complete,
         newest=digest.newest,
         content=to_signed(digest.content),
+        origin=evidence.origin,
+        hops=evidence.hops,
     )
 
 
@@ -69,4 +76,6 @@
         int(struct.newest),
         from_signed(struct.content),
     )
-    return Evidence(struct.age_ms / 1000, digest)
+    # A router of the release before neither passes evidence on nor asks for it.
+    origin, hops = str(struct.origin or ""), int(struct.hops or 0)
+    return Evidence(struct.age_ms / 1000, digest, origin, hops)
--- a/src/tamarackrill/protocol/bulletins.thrift
+++ b/src/tamarackrill/protocol/bulletins.thrift
@@ -1,4 +1,4 @@
-// Bulletins from the routers of a zone that watch the store to the others, in Thrift's
+// Bulletins between routers about what the store has answered, in Thrift's
 // compact form over UDP.  Field numbers are never used again.
 
 struct Evidence {
@@ -7,6 +7,8 @@
   3: i64 complete
   4: i64 newest
   5: i64 content
+  6: string origin
+  7: i32 hops
 }
 
 struct Bulletin {
@@ -14,4 +16,5 @@
   2: i64 session
   3: i64 sequence
   4: list<Evidence> evidence
+  5: bool asks
 }
--- a/src/tamarackrill/protocol/structs.py
+++ b/src/tamarackrill/protocol/structs.py
@@ -105,6 +105,8 @@
         3: (TType.I64, "complete", False),
         4: (TType.I64, "newest", False),
         5: (TType.I64, "content", False),
+        6: (TType.STRING, "origin", False),
+        7: (TType.I32, "hops", False),
     }
     default_spec = [
         ("kind", None),
@@ -112,6 +114,8 @@
         ("complete", None),
         ("newest", None),
         ("content", None),
+        ("origin", None),
+        ("hops", None),
     ]
 
 
@@ -123,12 +127,14 @@
         2: (TType.I64, "session", False),
         3: (TType.I64, "sequence", False),
         4: (TType.LIST, "evidence", (TType.STRUCT, Evidence), False),
+        5: (TType.BOOL, "asks", False),
     }
     default_spec = [
         ("sender", None),
         ("session", None),
         ("sequence", None),
         ("evidence", None),
+        ("asks", None),
     ]
 
 
--- a/src/tamarackrill/router/configuring.py
+++ b/src/tamarackrill/router/configuring.py
@@ -1,6 +1,7 @@
 """Keeps the configuration of this router at the newest versions known."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Awaitable, Callable
 
@@ -46,6 +47,9 @@
 # it asks a peer as well.  A platform that is well begins within 5 ms, over a loaded
 # link within some tens.
 HEAD_START_S = 0.15
+# A peer that tells of a change has so long to send it before the platform is asked.  It
+# may be frozen, or its link full.
+HAND_ON_MAX_S = 0.3
 
 PullChanges = Callable[[str, str, int], Awaitable[Changes]]
 
@@ -70,8 +74,8 @@
     retry_max_s : float, optional
         Longest pause between two calls that fail.
     read_directly : tuple of str, optional
-        Kinds whose changes are too large to come from a peer while the platform
-        answers, or to read more of them than the newest.
+        Kinds whose changes may be too large to come from a peer, or to read more of
+        them than the newest; the platform is asked if a peer doesn't send them soon.
     pause_s : float, optional
         Between an answer and the next call, so that changes that come together cost
         one call.
@@ -83,12 +87,16 @@
     on_answer : callable
         Called with the kind that the platform has answered about, and when the answer
         began.
+    on_refused : callable
+        Called with the kind that the platform has not answered about, and when.
     on_read : callable
         Called with a kind of which a change was read, and how long that took from the
         answer's first byte to its being in force.
     find_watch_s : callable
         ``find_watch_s(kind)`` returns the longest wait of a watch; None for the
         client's own.
+    find_retry_max_s : callable
+        Returns the longest pause between two calls that fail.
     find_rest_s : callable
         ``find_rest_s(kind, now_s)`` returns for how long the platform need not be
         asked, since another router's evidence is fresh.
@@ -108,9 +116,10 @@
     ) -> None:
         self._pause_s = pause_s
         self._kinds = kinds
-        self._retry_max_s = retry_max_s
+        self.find_retry_max_s: Callable[[], float] = lambda: retry_max_s
         self.on_store: Callable[[bool], None] = lambda is_lost: None
         self.on_answer: Callable[[str, float], None] = lambda kind, as_of_s: None
+        self.on_refused: Callable[[str, float], None] = lambda kind, now_s: None
         self.on_read: Callable[[str, float], None] = lambda kind, read_s: None
         self.find_watch_s: Callable[[str], float | None] = lambda kind: None
         self.find_rest_s: Callable[[str, float], float] = lambda kind, now_s: 0.0
@@ -122,6 +131,8 @@
         self._clock = clock
         self._tasks: list[asyncio.Task[None]] = []
         self._pulls: dict[str, asyncio.Task[None]] = {}
+        # Who told last of what this router lacks.
+        self._tellers: dict[str, PeerHeard] = {}
         self._behind_since_s: dict[str, float] = {}
         self._readings = {kind: Reading() for kind in read_directly}
         # When the first byte came of the answers that are being read.
@@ -129,6 +140,7 @@
         # Kinds that the platform has been asked for.
         self._asking: set[str] = set()
         self._lost = False
+        self._back = asyncio.Event()
 
     async def start(self) -> None:
         """Start the watches."""
@@ -157,6 +169,8 @@
                 continue
             if digest.kind in self._readings:
                 self._note_news(digest)
+                self._start_pull(heard, digest.kind)
+                continue
             now_s = self._clock()
             since_s = self._behind_since_s.setdefault(digest.kind, now_s)
             # A router that has just started holds nothing and serves nobody.  Were it
@@ -174,11 +188,7 @@
         no longer asks itself would otherwise count it as lost for ever, and take each
         endpoint that ends for one whose entry has lapsed.
 
-        A manifest may be hundreds of kilobytes, which one router of a zone could not
-        send to all others in time; so the platform itself is asked for what is new.
-        Changes of endpoints are small, and come from the peer.
         """
-        was_lost = self._lost
         if self.find_rest_s(digest.kind, self._clock()) > 0.0:
             self._report(lost=False)
         if not needs_changes(self._store.digest(digest.kind), digest):
@@ -186,9 +196,8 @@
             return
         if digest.kind in self._readings:
             self._note_news(digest)
-        if digest.kind not in self._readings or was_lost:
-            heard = PeerHeard(sender, address, (digest,), Entries())
-            self._start_pull(heard, digest.kind)
+        heard = PeerHeard(sender, address, (digest,), Entries())
+        self._start_pull(heard, digest.kind)
 
     def has_news(self, kind: str) -> bool:
         """Return whether another router is known to hold what this one doesn't yet."""
@@ -197,12 +206,12 @@
 
     def _note_news(self, digest: ConfigurationDigest) -> None:
         self._readings[digest.kind].hear(digest)
-        self._wanted[digest.kind].set()
 
     def _start_pull(self, heard: PeerHeard, kind: str) -> None:
         # An answer of the store that has begun is on its way.  The same from a peer
         # would share the link with it, and both would come later; of a manifest that
         # is half a second, at this router and at the peer.
+        self._tellers[kind] = heard
         if kind in self._pulls or kind in self._begun_s:
             return
         task = asyncio.create_task(self._pull_when_due(heard, kind))
@@ -214,10 +223,24 @@
                 await asyncio.sleep(HEAD_START_S)
                 if kind in self._begun_s or self._store.get_complete(kind):
                     return
-            await self._pull_from(heard, kind)
+            await self._pull_in_time(heard, kind)
         finally:
             del self._pulls[kind]
 
+    async def _pull_in_time(self, heard: PeerHeard, kind: str) -> None:
+        pulling = asyncio.ensure_future(self._pull_from(heard, kind))
+        try:
+            await asyncio.wait([pulling], timeout=HAND_ON_MAX_S)
+            newest = self._tellers[kind]
+            if pulling.done() and newest is not heard and self.has_news(kind):
+                # Another change came meanwhile.
+                await self._pull_from(newest, kind)
+            if self.has_news(kind):
+                self._wanted[kind].set()
+            await pulling
+        finally:
+            pulling.cancel()
+
     def _is_first_answer_due(self, kind: str) -> bool:
         # Half of a fleet may start at once.  Each of them hears of a peer before the
         # platform's first byte is there, most of the same few that were left: these had
@@ -254,14 +277,25 @@
                 must_list = True
             except PlatformUnavailable as error:
                 self._report(lost=True, reason=error.message)
+                self.on_refused(kind, self._clock())
                 # After an outage a router that has the configuration asks what
                 # changed.  Were all to list everything at once, the platform, just
                 # back, would have to send 370 times a megabyte.  It asks without
                 # waiting, so that the platform counts as back at once.
                 must_list = self._store.get_complete(kind) == 0
                 wait_s = 0.0
-                await asyncio.sleep(retry_s * random.uniform(0.5, 1.0))
-                retry_s = min(self._retry_max_s, max(RETRY_MIN_S, retry_s * 2))
+                await self._pause_before_retry(kind, retry_s * random.uniform(0.5, 1.0))
+                retry_s = min(self.find_retry_max_s(), max(RETRY_MIN_S, retry_s * 2))
+
+    async def _pause_before_retry(self, kind: str, retry_s: float) -> None:
+        if kind == self._kinds[0] or retry_s < RETRY_MIN_S / 2:
+            await asyncio.sleep(retry_s)
+            return
+        # Whether the platform is back is found out with the first kind alone.
+        self._back.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(retry_s, self.find_retry_max_s())):
+                await self._back.wait()
 
     def _must_list(self, kind: str) -> bool:
         reading = self._readings.get(kind)
@@ -358,6 +392,7 @@
             log_event(PLATFORM_LOST, reason=reason)
         elif self._lost and not lost:
             log_event(PLATFORM_BACK)
+            self._back.set()
         self._lost = lost
         self.on_store(lost)
 
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -17,6 +17,7 @@
     ObjectVersion,
 )
 from tamarackrill.decisions.endpoint_news import EndpointNews, hash_teller
+from tamarackrill.decisions.handing_on import HandOnBudget
 from tamarackrill.decisions.isolation import Isolation, choose_witnesses
 from tamarackrill.decisions.members import Entries, MemberRecord, MemberState
 from tamarackrill.decisions.membership import PeerHeard
@@ -62,14 +63,12 @@
 )
 from tamarackrill.router.placement_telling import PlacementTeller
 from tamarackrill.router.platform_client import (
-    TOO_LONG,
-    UNANSWERED,
     PlatformClient,
     StoreCall,
     StoreTiming,
 )
+from tamarackrill.router.store_news import StoreNews
 from tamarackrill.router.upstream import close_client, make_client
-from tamarackrill.router.zone_news import ZoneNews
 
 # The store answers in 4 ms, and in a quarter of a second when it is slow.
 STORE_CALL_MAX_S = 0.5
@@ -85,8 +84,6 @@
 # A balancer asks once a second and takes a router out after two misses; until then new
 # connections still arrive and are served.
 STILL_SERVED_S = 2.6
-# A call that brings no more than a few entries is not worth a line.
-LARGE_ANSWER_BYTES = 16 * 1024
 # As long as an endpoint is given to take a connection: a router that is late by this
 # much takes endpoints for unreached that are not.
 LATE_LOGGED_S = 0.15
@@ -150,6 +147,7 @@
             Member(settings.name, address, settings.zone, peer_address=address)
         )
         self._teller_zones: dict[int, str] = {}
+        self._hand_on = HandOnBudget(settings.link_bytes_per_s)
         self._fleet_size = FleetSize()
         self.isolation = Isolation(settings.zone)
         self.placer.list_witnesses = self._list_witnesses
@@ -202,7 +200,7 @@
         )
         metrics.add_gauge(
             "evidence_age_seconds",
-            lambda: self.zone_news.find_ages_s(self.clock()),
+            lambda: self.store_news.find_ages_s(self.clock()),
         )
 
     def _count_endpoints(self) -> dict[str, float]:
@@ -217,6 +215,7 @@
             self._peer_keys,
             self.metrics.count,
             self.placement_teller.encode_known,
+            lambda size_bytes: self._hand_on.take(size_bytes, self.clock()),
         )
         peers = Application(handlers)
         self._listen(peers, f"{self.settings.ip}:{self.settings.peer_port}")
@@ -264,17 +263,13 @@
     def _is_outdated(self) -> bool:
         if self.configurer.has_news(MANIFEST_KIND):
             return True
-        ages_s = self.zone_news.find_ages_s(self.clock())
+        ages_s = self.store_news.find_ages_s(self.clock())
         return ages_s.get(MANIFEST_KIND, math.inf) > self.settings.news_max_s
 
     def _note_store_call(self, call: StoreCall) -> None:
         self.metrics.record_store_call(
             call.kind, call.outcome, call.duration_s, call.size_bytes
         )
-        # A watch that ends without a change is the rule, and tells nothing.
-        is_read = call.outcome not in (UNANSWERED, TOO_LONG)
-        if is_read and call.size_bytes < LARGE_ANSWER_BYTES:
-            return
         log_event(
             STORE_CALL_ENDED,
             call=call.kind,
@@ -320,7 +315,7 @@
         table = self.view.routes
         if table is not None:
             self.server.limit_idle(table.manifest.limits.idle_timeout_s)
-        self.zone_news.tell()
+        self.store_news.tell()
 
     def _forget_gone(self) -> None:
         for name in self.placer.take_endpoints(self.clock()):
@@ -329,7 +324,9 @@
 
     async def _start_gossip(self) -> None:
         session = self._session
-        self.zone_news = ZoneNews(
+        own_address = self.members.own.peer_address
+        seeds = tuple(s for s in self.settings.seeds if s != own_address)
+        self.store_news = StoreNews(
             Watching(
                 self.settings.name,
                 self.settings.zone,
@@ -344,6 +341,7 @@
             self._peer_keys,
             session,
             self.clock,
+            seeds,
         )
         own = MemberRecord(
             self.settings.name,
@@ -353,7 +351,6 @@
             self.members.own.address,
             self.members.own.peer_address,
         )
-        seeds = tuple(s for s in self.settings.seeds if s != own.peer_address)
         self.gossiper = Gossiper(
             own,
             self._peer_socket.send,
@@ -367,7 +364,7 @@
         self.gossiper.subscribe(self._hear_peer)
         self.gossiper.add_source(self._collect_entries)
         self.flow.attempts.tell_crash = self._tell_crash
-        self._peer_socket.handlers.append(self.zone_news.take_datagram)
+        self._peer_socket.handlers.append(self.store_news.take_datagram)
         self._peer_socket.handlers.append(self.placement_teller.take_datagram)
         self._peer_socket.handlers.append(self.gossiper.take_datagram)
         await self.gossiper.start()
@@ -399,11 +396,11 @@
             self.flow.attempts.paths.ask_due()
             self._watch_isolation()
             self._fleet_size.observe(len(self.members.list_live()), self.clock())
-            self.zone_news.take_members()
+            self.store_news.take_members()
             self._teller_zones = {
                 hash_teller(m.name): m.zone for m in self.members.list_live()
             }
-            self.zone_news.tell()
+            self.store_news.keep_telling()
             self._flush_log()
 
     def _note_lag(self, lag_s: float) -> None:
--- a/src/tamarackrill/router/peer_api.py
+++ b/src/tamarackrill/router/peer_api.py
@@ -11,6 +11,7 @@
 import json
 import secrets
 import time
+import zlib
 from collections.abc import Callable
 from typing import Any
 
@@ -33,6 +34,10 @@
 CONFIGURATION_PATH = "/internal/v1/configuration"
 PLACEMENTS_PATH = "/internal/v1/placements"
 PULL_TIMEOUT_S = 3.0
+# A manifest of 281 kB becomes a tenth of that within a few ms.
+PACK_LEVEL = 1
+# Answers to routers that lack the same; a few revisions of two kinds.
+PACKED_KEPT = 8
 NONCE = "Tamarackrill-Nonce"
 PROOF = "Tamarackrill-Proof"
 
@@ -88,11 +93,35 @@
         self.finish(body)
 
 
+class _PackedChanges:
+    """Answers to peers, packed once for all that ask for the same.
+
+    A manifest changes, and all routers of a zone ask for it.
+    """
+
+    def __init__(self, store: ConfigurationStore) -> None:
+        self._store = store
+        self._kept: dict[tuple[str, int], tuple[int, bytes]] = {}
+
+    def find(self, kind: str, since: int) -> bytes:
+        digest = self._store.digest(kind)
+        mark = hash(digest)
+        kept = self._kept.get((kind, since))
+        if kept is None or kept[0] != mark:
+            text = json.dumps(self._store.changes_since(kind, since)).encode()
+            kept = (mark, zlib.compress(text, PACK_LEVEL))
+            if len(self._kept) >= PACKED_KEPT:
+                self._kept.clear()
+            self._kept[kind, since] = kept
+        return kept[1]
+
+
 def list_handlers(
     store: ConfigurationStore,
     peer_keys: tuple[str, ...],
     count: Callable[[str, str], None],
     find_news: Callable[[], bytes] | None = None,
+    may_hand_on: Callable[[int], bool] = lambda size_bytes: True,
 ) -> list[tuple[str, type[RequestHandler], dict[str, Any]]]:
     """Return what a router answers its peers over HTTP.
 
@@ -106,7 +135,10 @@
         Counts requests that no peer sent.
     find_news : callable, optional
         Returns what this router knows of placements, encoded.
+    may_hand_on : callable, optional
+        Returns whether the link bears an answer of so many bytes now.
     """
+    packed = _PackedChanges(store)
 
     def find_changes(handler: RequestHandler) -> bytes:
         try:
@@ -114,7 +146,10 @@
         except ValueError:
             raise HTTPError(400) from None
         kind = handler.get_argument("kind")
-        text = json.dumps(store.changes_since(kind, since)).encode()
+        text = packed.find(kind, since)
+        if not may_hand_on(len(text)):
+            count("peer_requests_dropped", "link full")
+            raise HTTPError(503)
         log_event(
             CONFIGURATION_SERVED,
             kind=kind,
@@ -215,8 +250,8 @@
 def _read_changes(text: bytes) -> Changes:
     # A peer of another release may prove an answer of another form.
     try:
-        kind, objects, complete, whole = json.loads(text)
+        kind, objects, complete, whole = json.loads(zlib.decompress(text))
         items = tuple(ObjectVersion(*item) for item in objects)
-    except (TypeError, ValueError) as error:
+    except (TypeError, ValueError, zlib.error) as error:
         raise PeerUnavailable("the answer holds no changes") from error
     return Changes(kind, items, complete, whole)
--- /dev/null
+++ b/src/tamarackrill/router/store_news.py
@@ -0,0 +1,227 @@
+"""Bulletins between routers about what the store has answered."""
+
+import random
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+
+from tamarackrill.decisions.watching import (
+    Bulletin,
+    Evidence,
+    Watching,
+    find_head,
+)
+from tamarackrill.events import WATCH_ROLE_CHANGED, log_event
+from tamarackrill.protocol.bulletin_codec import decode_bulletin, encode_bulletin
+from tamarackrill.router.configuring import Configurer
+from tamarackrill.router.members import Member, Members
+
+# A router that asked is told for so long, unless it asks again: by then gossip has told
+# those whose task it is of it.
+LISTENER_KEPT_S = 5.0
+# What is told twice is lost only if two datagrams are.
+REPEATS = 1
+# Evidence that is newer by less is not worth a datagram to each router of a zone.
+EVIDENCE_STEP_S = 0.2
+
+
+class StoreNews:
+    """Tells other routers what the store has said, and hears them.
+
+    Parameters
+    ----------
+    watching : Watching
+        Decides who asks the store.
+    members : Members
+        Live routers, this one among them.
+    configurer : Configurer
+        Asks the store, and takes what others hold.
+    send : callable
+        Sends a datagram to a peer address.
+    peer_keys : tuple of str
+        The first signs, all verify.
+    session : int
+        Start of this process, in ms since the epoch.
+    clock : callable
+        Returns the present time.
+    contacts : tuple of str, optional
+        Peer addresses of some routers, asked by one that knows no others yet.
+    """
+
+    def __init__(
+        self,
+        watching: Watching,
+        members: Members,
+        configurer: Configurer,
+        send: Callable[[str, bytes], None],
+        peer_keys: tuple[str, ...],
+        session: int,
+        clock: Callable[[], float],
+        contacts: tuple[str, ...] = (),
+    ) -> None:
+        self._watching = watching
+        self._members = members
+        self._configurer = configurer
+        self._send = send
+        self._peer_keys = peer_keys
+        self._session = session
+        self._clock = clock
+        self._contacts = contacts
+        self._sequence = 0
+        self._role = ""
+        self._zones: dict[str, dict[str, Member]] = {}
+        self._heads: list[Member] = []
+        # Until when routers that asked are told, by peer address.
+        self._listeners: dict[str, float] = {}
+        self._told: dict[str, Evidence] = {}
+        self._told_s = 0.0
+        self._repeats_left = 0
+        configurer.on_answer = self._take_answer
+        configurer.on_refused = watching.observe_refusal
+        configurer.on_read = watching.observe_read
+        configurer.find_rest_s = watching.find_wait_s
+        retry_max_s = configurer.find_retry_max_s()
+        configurer.find_retry_max_s = lambda: watching.find_retry_max_s(retry_max_s)
+        configurer.find_watch_s = lambda kind: watching.find_shares(kind).watch_s
+
+    def find_ages_s(self, now_s: float) -> dict[str, float]:
+        """Return how old the newest evidence of the store is, by kind of objects."""
+        kinds = [digest.kind for digest in self._configurer.digest()]
+        return self._watching.find_ages_s(kinds, now_s)
+
+    def take_members(self) -> None:
+        """Take who lives, and where."""
+        zones: dict[str, dict[str, Member]] = defaultdict(dict)
+        for member in (*self._members.list_live(), self._members.own):
+            zones[member.zone][member.name] = member
+        if zones == self._zones:
+            return
+        self._zones = zones
+        own_zone = self._members.own.zone
+        others = {z: list(names) for z, names in zones.items() if z != own_zone}
+        self._watching.set_members(zones[own_zone], others)
+        self._heads = [
+            names[find_head(zone, list(names))] for zone, names in zones.items()
+        ]
+        role = _name_role(self._watching)
+        if role != self._role:
+            self._role = role
+            log_event(
+                WATCH_ROLE_CHANGED,
+                role=role,
+                routers=len(zones[own_zone]),
+                zones=len(zones),
+            )
+
+    def keep_telling(self) -> None:
+        """Repeat what was told last, and ask to be told if nothing is heard."""
+        self._tell(is_repeated=True)
+        self._ask_peers()
+
+    def tell(self) -> None:
+        """Tell what is new since it was told last."""
+        self._tell(is_repeated=False)
+
+    def _take_answer(self, kind: str, as_of_s: float) -> None:
+        self._watching.observe_answer(kind, as_of_s)
+        self.tell()
+
+    def _tell(self, is_repeated: bool) -> None:
+        now_s = self._clock()
+        digests = self._configurer.digest()
+        known = self._watching.make_relayed(digests, now_s)
+        if self._is_news(known, now_s):
+            self._repeats_left = REPEATS
+        elif is_repeated and self._repeats_left:
+            self._repeats_left -= 1
+        else:
+            return
+        self._told = {evidence.digest.kind: evidence for evidence in known}
+        self._told_s = now_s
+        self._tell_heads(known)
+        if self._watching.is_head or _is_own(known):
+            zone = self._zones.get(self._members.own.zone, {})
+            self._send_bulletin(zone.values(), known)
+        self._tell_listeners(known, now_s)
+
+    def _is_news(self, known: Iterable[Evidence], now_s: float) -> bool:
+        for evidence in known:
+            told = self._told.get(evidence.digest.kind)
+            if told is None or told.digest != evidence.digest:
+                return True
+            told_age_s = now_s - self._told_s + told.age_s
+            if evidence.age_s < told_age_s - EVIDENCE_STEP_S:
+                return True
+        return False
+
+    def _tell_heads(self, known: tuple[Evidence, ...]) -> None:
+        own = tuple(evidence for evidence in known if not evidence.hops)
+        if own and (self._watching.is_watcher or self._watching.is_head):
+            self._send_bulletin(self._heads, own)
+
+    def _tell_listeners(self, known: tuple[Evidence, ...], now_s: float) -> None:
+        self._listeners = {a: s for a, s in self._listeners.items() if s > now_s}
+        if known and self._listeners:
+            datagram = self._encode(known)
+            for address in self._listeners:
+                self._send(address, datagram)
+
+    def _send_bulletin(
+        self, members: Iterable[Member], evidence: tuple[Evidence, ...]
+    ) -> None:
+        own = self._members.own
+        others = [member for member in members if member.name != own.name]
+        if not others or not evidence:
+            return
+        datagram = self._encode(evidence)
+        for member in others:
+            self._send(member.peer_address, datagram)
+
+    def _encode(self, evidence: tuple[Evidence, ...], asks: bool = False) -> bytes:
+        self._sequence += 1
+        own = self._members.own.name
+        bulletin = Bulletin(own, self._session, self._sequence, evidence, asks)
+        return encode_bulletin(bulletin, self._peer_keys)
+
+    def _ask_peers(self) -> None:
+        now_s = self._clock()
+        kinds = [digest.kind for digest in self._configurer.digest()]
+        if not any(self._watching.must_ask_peers(kind, now_s) for kind in kinds):
+            return
+        zone = self._zones.get(self._members.own.zone, {}).values()
+        own = self._members.own
+        near = [m.peer_address for m in zone if m.name != own.name]
+        asked = [*self._contacts, *near]
+        if asked:
+            self._send(random.choice(asked), self._encode((), asks=True))
+
+    def take_datagram(self, datagram: bytes, source: str) -> bool:
+        """Take a datagram; return whether it was a bulletin."""
+        bulletin = decode_bulletin(datagram, self._peer_keys)
+        if bulletin is None:
+            return False
+        now_s = self._clock()
+        if not self._watching.hear(bulletin, now_s):
+            return True
+        if bulletin.asks:
+            self._answer_listener(source, now_s)
+        for evidence in bulletin.evidence:
+            self._configurer.hear_news(bulletin.sender, source, evidence.digest)
+        if bulletin.evidence:
+            self.tell()
+        return True
+
+    def _answer_listener(self, address: str, now_s: float) -> None:
+        self._listeners[address] = now_s + LISTENER_KEPT_S
+        known = self._watching.make_relayed(self._configurer.digest(), now_s)
+        if known:
+            self._send(address, self._encode(known))
+
+
+def _is_own(known: Iterable[Evidence]) -> bool:
+    return any(not evidence.hops for evidence in known)
+
+
+def _name_role(watching: Watching) -> str:
+    if watching.is_watcher:
+        return "watcher"
+    return "head" if watching.is_head else "member"
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -79,7 +79,12 @@
 
     asyncio.run(run())
     calls = [fields for event, fields in lines if event == STORE_CALL_ENDED]
-    answered = [fields for fields in calls if fields["outcome"] == "200"]
+    # Each call has a line; that of the long manifest is the only long one.
+    assert {fields["path"].partition("?")[0] for fields in calls} == {
+        "/objects/config",
+        "/objects/servers",
+    }
+    answered = [fields for fields in calls if fields["size_bytes"] > 16 * 1024]
     assert len(answered) == 1
-    assert answered[0]["size_bytes"] > 16 * 1024
+    assert answered[0]["outcome"] == "200"
     assert answered[0]["duration_s"] > answered[0]["first_byte_s"]
