Ask a silent store by few routers, and believe it back only by newer evidence

The log showed platform_lost and platform_back every 0.25 s at each router: bulletins go on with evidence of before the loss, each was taken for news that the store is back, and the router asked again. Then each router asked each 0.5 to 0.8 s for each kind by itself.

Change: only what the store said after it was lost tells that it is back. Those who are neither watcher nor head ask seldom and are told; heads the more seldom the later they stand in the order; the second kind waits for the first. Changed manifests have tests of their way: from who tells, from the store if that one doesn't send in 0.3 s, the next change after a pull.

--- a/src/tamarackrill/decisions/watching.py
+++ b/src/tamarackrill/decisions/watching.py
@@ -62,6 +62,8 @@
 # A watcher that the store turned away tries again after this time, while it hears of
 # the store by others.
 REFUSED_REST_S = 3.0
+# Between two calls of a router that leaves it to others to find the store back.
+RETRY_SELDOM_S = 6.0
 # A router that hears nothing asks to be told this long before its trust ends.
 ASK_LEAD_S = 0.6
 
@@ -269,18 +271,23 @@
             stagger_s = STAGGER_S * (self._zone_rank - 1)
         return max(0.0, heard_s + trust_s + min(STAGGER_MAX_S, stagger_s) - now_s)
 
-    def find_retry_max_s(self, retry_max_s: float) -> float:
-        """Return the longest pause between calls that the store doesn't answer.
+    def find_retry_s(self, usual_s: float, retry_max_s: float) -> float:
+        """Return the pause after a call that the store didn't answer.
 
         The first few in the order find a store that is back within about `retry_max_s`
         and tell the others.  These ask too, more seldom, as they may be the only ones
         that reach it; the more they are, the sooner one of them finds out.
+
+        Parameters
+        ----------
+        usual_s : float
+            What a router that is alone would pause.
+        retry_max_s : float
+            Most that it would pause.
         """
         if self.is_watcher or self.is_head:
-            later_s = retry_max_s * (1 + self._head_rank)
-        else:
-            later_s = math.inf
-        return max(retry_max_s, min(self._news_max_s, later_s))
+            return min(self._news_max_s, usual_s * (1 + self._head_rank))
+        return max(retry_max_s, min(self._news_max_s, RETRY_SELDOM_S))
 
     def must_ask_peers(self, kind: str, now_s: float) -> bool:
         """Return whether to ask other routers to be told of the store."""
--- a/src/tamarackrill/router/configuring.py
+++ b/src/tamarackrill/router/configuring.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 from collections.abc import Awaitable, Callable
 
@@ -38,6 +39,8 @@
 # 2,000 that the platform takes.
 RETRY_MIN_S = 0.5
 RETRY_MAX_S = 5.0
+# Whoever waits for another kind to find the platform back waits longer than that one.
+BACK_SOON_FACTOR = 2.0
 # A call that fails at once after a good one is most often a connection that was closed;
 # waiting first would only make the next change late.
 FIRST_RETRY_S = 0.02
@@ -95,8 +98,9 @@
     find_watch_s : callable
         ``find_watch_s(kind)`` returns the longest wait of a watch; None for the
         client's own.
-    find_retry_max_s : callable
-        Returns the longest pause between two calls that fail.
+    find_retry_s : callable
+        ``find_retry_s(before_s)`` returns the pause after a call that failed, from the
+        one before it.
     find_rest_s : callable
         ``find_rest_s(kind, now_s)`` returns for how long the platform need not be
         asked, since another router's evidence is fresh.
@@ -116,7 +120,9 @@
     ) -> None:
         self._pause_s = pause_s
         self._kinds = kinds
-        self.find_retry_max_s: Callable[[], float] = lambda: retry_max_s
+        self.find_retry_s: Callable[[float], float] = lambda before_s: min(
+            retry_max_s, max(RETRY_MIN_S, before_s * 2)
+        )
         self.on_store: Callable[[bool], None] = lambda is_lost: None
         self.on_answer: Callable[[str, float], None] = lambda kind, as_of_s: None
         self.on_refused: Callable[[str, float], None] = lambda kind, now_s: None
@@ -140,6 +146,7 @@
         # Kinds that the platform has been asked for.
         self._asking: set[str] = set()
         self._lost = False
+        self._lost_s = -math.inf
         self._back = asyncio.Event()
 
     async def start(self) -> None:
@@ -181,15 +188,21 @@
             if holds_nothing or self._lost or is_late:
                 self._start_pull(heard, digest.kind)
 
-    def hear_news(self, sender: str, address: str, digest: ConfigurationDigest) -> None:
+    def hear_news(
+        self,
+        sender: str,
+        address: str,
+        digest: ConfigurationDigest,
+        as_of_s: float,
+    ) -> None:
         """Take what a router holds that the platform has just answered.
 
         It also tells that the platform answers.  A router that once was turned away and
         no longer asks itself would otherwise count it as lost for ever, and take each
-        endpoint that ends for one whose entry has lapsed.
-
+        endpoint that ends for one whose entry has lapsed.  What it answered before this
+        router lost it tells nothing of that.
         """
-        if self.find_rest_s(digest.kind, self._clock()) > 0.0:
+        if as_of_s > self._lost_s:
             self._report(lost=False)
         if not needs_changes(self._store.digest(digest.kind), digest):
             self._store.adopt_complete(digest)
@@ -285,7 +298,7 @@
                 must_list = self._store.get_complete(kind) == 0
                 wait_s = 0.0
                 await self._pause_before_retry(kind, retry_s * random.uniform(0.5, 1.0))
-                retry_s = min(self.find_retry_max_s(), max(RETRY_MIN_S, retry_s * 2))
+                retry_s = self.find_retry_s(retry_s)
 
     async def _pause_before_retry(self, kind: str, retry_s: float) -> None:
         if kind == self._kinds[0] or retry_s < RETRY_MIN_S / 2:
@@ -294,7 +307,7 @@
         # Whether the platform is back is found out with the first kind alone.
         self._back.clear()
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(max(retry_s, self.find_retry_max_s())):
+            async with asyncio.timeout(BACK_SOON_FACTOR * retry_s):
                 await self._back.wait()
 
     def _must_list(self, kind: str) -> bool:
@@ -389,6 +402,7 @@
 
     def _report(self, lost: bool, reason: str = "") -> None:
         if lost and not self._lost:
+            self._lost_s = self._clock()
             log_event(PLATFORM_LOST, reason=reason)
         elif self._lost and not lost:
             log_event(PLATFORM_BACK)
--- a/src/tamarackrill/router/store_news.py
+++ b/src/tamarackrill/router/store_news.py
@@ -1,5 +1,6 @@
 """Bulletins between routers about what the store has answered."""
 
+import math
 import random
 from collections import defaultdict
 from collections.abc import Callable, Iterable
@@ -79,8 +80,10 @@
         configurer.on_refused = watching.observe_refusal
         configurer.on_read = watching.observe_read
         configurer.find_rest_s = watching.find_wait_s
-        retry_max_s = configurer.find_retry_max_s()
-        configurer.find_retry_max_s = lambda: watching.find_retry_max_s(retry_max_s)
+        find_usual_s = configurer.find_retry_s
+        configurer.find_retry_s = lambda before_s: watching.find_retry_s(
+            find_usual_s(before_s), find_usual_s(math.inf)
+        )
         configurer.find_watch_s = lambda kind: watching.find_shares(kind).watch_s
 
     def find_ages_s(self, now_s: float) -> dict[str, float]:
@@ -205,7 +208,9 @@
         if bulletin.asks:
             self._answer_listener(source, now_s)
         for evidence in bulletin.evidence:
-            self._configurer.hear_news(bulletin.sender, source, evidence.digest)
+            as_of_s = now_s - evidence.age_s
+            digest = evidence.digest
+            self._configurer.hear_news(bulletin.sender, source, digest, as_of_s)
         if bulletin.evidence:
             self.tell()
         return True
--- a/tests/test_configuring.py
+++ b/tests/test_configuring.py
@@ -1,11 +1,15 @@
 """How a router reads the configuration: from the store, from peers, and how much."""
 
 import asyncio
+import math
+
+import pytest
 
 from tamarackrill.decisions.configuration import (
     Changes,
     ConfigurationDigest,
     ConfigurationStore,
+    ObjectVersion,
 )
 from tamarackrill.decisions.members import Entries
 from tamarackrill.decisions.membership import PeerHeard
@@ -49,6 +53,12 @@
         return Listing(items, revision)
 
 
+def make_digest(version):
+    held = ConfigurationStore()
+    held.take(KIND, "main", version, {"v": version})
+    return held.digest(KIND)._replace(complete=version)
+
+
 class Follower:
     """A configurer with stand-ins around it."""
 
@@ -57,6 +67,9 @@
         self.held = ConfigurationStore()
         self.now_s = 100.0
         self.pulled = []
+        self.peer_version = 0
+        self.may_send = asyncio.Event()
+        self.may_send.set()
         self.answers = []
         self.configurer = Configurer(
             self.held,
@@ -72,13 +85,22 @@
 
     async def _pull(self, address, kind, since):
         self.pulled.append(address)
-        return Changes(kind, (), since, False)
+        version = self.peer_version
+        await self.may_send.wait()
+        if version <= since:
+            return Changes(kind, (), since, False)
+        item = ObjectVersion(kind, "main", version, {"v": version})
+        return Changes(kind, (item,), version, False)
 
     def hear(self, version):
         digest = ConfigurationDigest(KIND, version, version, version + 1000)
         heard = PeerHeard("peer", "peer:1", (digest,), Entries())
         self.configurer.hear_peer(heard)
 
+    def hear_news(self, version, as_of_s=math.inf):
+        digest = make_digest(version)
+        self.configurer.hear_news("peer", "peer:1", digest, as_of_s)
+
     async def wait(self, condition):
         async with asyncio.timeout(PATIENCE_S):
             while not condition():
@@ -226,3 +248,85 @@
         assert answered[seen + 1 : seen + 3] == ["list of 1", "watch of 0"]
 
     play(act)
+
+
+async def start_and_rest(follower):
+    follower.configurer.find_rest_s = lambda kind, now_s: 3600.0
+    await follower.configurer.start()
+    await follower.wait(lambda: follower.held.get(KIND, "main"))
+
+
+def test_changed_manifest_comes_from_the_router_that_tells_of_it():
+    # Guards against a call to the store by each router for each change.
+    async def act(follower):
+        await start_and_rest(follower)
+        follower.peer_version = 2
+        follower.hear_news(2)
+        await follower.wait(lambda: follower.held.get_complete(KIND) == 2)
+        assert follower.store.asked == ["list"]
+
+    play(act)
+
+
+@pytest.mark.parametrize("sends", ["nothing new", "nothing at all"])
+def test_store_is_asked_if_the_router_that_tells_does_not_send(sends):
+    # Guards against waiting for a router that is frozen, or that has lost what it told.
+    async def act(follower):
+        await start_and_rest(follower)
+        follower.store.version = 2
+        if sends == "nothing at all":
+            follower.may_send.clear()
+        follower.hear_news(2)
+        await follower.wait(lambda: follower.held.get_complete(KIND) == 2)
+        assert follower.store.asked == ["list", "list"]
+
+    play(act)
+
+
+def test_another_change_during_a_pull_is_pulled_next():
+    # Guards against a call to the store by each router when changes come quickly.
+    async def act(follower):
+        await start_and_rest(follower)
+        follower.may_send.clear()
+        follower.peer_version = 2
+        follower.hear_news(2)
+        await follower.wait(lambda: follower.pulled)
+        follower.peer_version = 3
+        follower.hear_news(3)
+        follower.may_send.set()
+        await follower.wait(lambda: follower.held.get_complete(KIND) == 3)
+        assert follower.store.asked == ["list"]
+
+    play(act)
+
+
+def test_what_the_store_said_before_it_was_lost_does_not_tell_that_it_is_back():
+    # Guards against calls again and again to a store that is down, since bulletins from
+    # before go on arriving.
+    async def act(follower):
+        lost = []
+        follower.configurer.on_store = lost.append
+        await start_and_rest(follower)
+        follower.now_s = 110.0
+        follower.configurer._report(lost=True, reason="silent")
+        follower.hear_news(1, as_of_s=109.0)
+        assert lost[-1]
+        follower.hear_news(1, as_of_s=110.5)
+        assert not lost[-1]
+
+    play(act)
+
+
+def test_store_that_is_lost_is_found_back_with_one_kind_alone():
+    # Guards against twice the calls to a store that is down.
+    async def act(follower):
+        configurer = follower.configurer
+        configurer._report(lost=True, reason="silent")
+        waiting = asyncio.create_task(
+            configurer._pause_before_retry("endpoint", 3600.0)
+        )
+        await asyncio.sleep(0)
+        configurer._report(lost=False)
+        await asyncio.wait_for(waiting, PATIENCE_S)
+
+    play(act)
--- a/tests/test_store_news.py
+++ b/tests/test_store_news.py
@@ -62,7 +62,7 @@
         self.retry_s = 0.0
         self.pull = None
         self.told_s = started_s + random.Random(name).uniform(0, HOUSEKEEPING_S)
-        self.find_retry_max_s = lambda: 0.8
+        self.find_retry_s = lambda before_s: min(0.8, max(0.5, 2 * before_s))
         settled_s = started_s if knows_all else started_s + SETTLE_S
         self.watching = Watching(
             name, zone, TRUST_MAX_SHARE * NEWS_MAX_S, settled_s, NEWS_MAX_S, (KIND,)
@@ -89,7 +89,7 @@
     def digest(self):
         return (ConfigurationDigest(KIND, self.revision, self.revision, self.revision),)
 
-    def hear_news(self, sender, address, digest):
+    def hear_news(self, sender, address, digest, as_of_s):
         if digest.newest > self.revision and self.pull is None:
             self.pull = (self.fleet.now_s + PULL_S, address)
 
@@ -132,7 +132,7 @@
         if not store.answers(self.name):
             if now_s >= self.asked_s + CALL_S:
                 self.asked_s = None
-                self.retry_s = min(self.find_retry_max_s(), max(0.5, 2 * self.retry_s))
+                self.retry_s = self.find_retry_s(self.retry_s)
                 self.free_s = now_s + self.retry_s
                 self.on_refused(KIND, now_s)
             return
