Listen for callers before the modules of a router are loaded

Cause, by the import times: 0.24 s of processor time from exec to the first answer are modules (tornado with curl 45 ms, asyncio 40, absl 31, thriftpy2 16, yaml 15, importlib.resources 15 by contracts, the package's public names 53), and the socket came last.

Change: the daemon reads its settings and listens with what the interpreter has, 41 ms of processor time after exec instead of some 270; everything else is loaded after that, while callers are connected and wait. Settings come as JSON by a template, so that no parser for YAML is loaded; public names, schemas and difflib are loaded when asked for. Callers that wait are answered once the first manifest and endpoints are there, or 0.3 s after the rest is up.

Tests: test_starting.py. What may not be loaded before the socket listens is a list; callers that connect early are served, those that left cost no work.

--- a/src/tamarackrill/__init__.py
+++ b/src/tamarackrill/__init__.py
@@ -4,18 +4,21 @@
 for the stand-ins of `tamarackrill.testing`.
 """
 
-from typing import Any
+import importlib
+from typing import TYPE_CHECKING, Any
 
-from tamarackrill.contracts import CallPattern, Contract, hash_key, read_contract
-from tamarackrill.exceptions import (
-    Finding,
-    FindingsError,
-    PlatformUnavailable,
-    Refusal,
-    TamarackrillError,
-    VersionConflict,
-)
-from tamarackrill.settings import Settings, load_settings
+if TYPE_CHECKING:
+    from tamarackrill.contracts import CallPattern, Contract, hash_key, read_contract
+    from tamarackrill.exceptions import (
+        Finding,
+        FindingsError,
+        PlatformUnavailable,
+        Refusal,
+        TamarackrillError,
+        VersionConflict,
+    )
+    from tamarackrill.router.app import RouterApplication
+    from tamarackrill.settings import Settings, load_settings
 
 __all__ = [
     "CallPattern",
@@ -33,12 +36,25 @@
     "read_contract",
 ]
 
+# Loaded when they are asked for: a router that starts needs few of them, and until it
+# has started its callers wait.
+_MODULES = {
+    "contracts": ("CallPattern", "Contract", "hash_key", "read_contract"),
+    "exceptions": (
+        "Finding",
+        "FindingsError",
+        "PlatformUnavailable",
+        "Refusal",
+        "TamarackrillError",
+        "VersionConflict",
+    ),
+    "router.app": ("RouterApplication",),
+    "settings": ("Settings", "load_settings"),
+}
 
-def __getattr__(name: str) -> Any:
-    # The daemon brings its server and clients with it, which someone who only wants
-    # a decision or a contract does not need; so it is loaded when it is asked for.
-    if name == "RouterApplication":
-        from tamarackrill.router.app import RouterApplication
 
-        return RouterApplication
+def __getattr__(name: str) -> Any:
+    for module, names in _MODULES.items():
+        if name in names:
+            return getattr(importlib.import_module(f"tamarackrill.{module}"), name)
     raise AttributeError(f"module 'tamarackrill' has no attribute {name!r}")
--- a/src/tamarackrill/contracts.py
+++ b/src/tamarackrill/contracts.py
@@ -9,12 +9,10 @@
 an upgrade can read what a newer command line wrote.
 """
 
-import difflib
 import hashlib
 import json
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from functools import cache
-from importlib import resources
 from typing import Any, Literal, NamedTuple
 
 from tamarackrill.documents import Document, FieldPath
@@ -245,6 +243,9 @@
 
 def load_schema(kind: str) -> dict[str, Any]:
     """Return the published schema of ``"contract"`` or ``"endpoint"``."""
+    # Takes 15 ms to load, which a router that reads no contracts is spared.
+    from importlib import resources
+
     file = resources.files("tamarackrill").joinpath(f"{kind}.schema.json")
     return json.loads(file.read_text(encoding="utf-8"))
 
@@ -261,6 +262,13 @@
     return Contract(**fields)
 
 
+def _find_nearest(name: str, known: Iterable[str]) -> list[str]:
+    # Needed for a file with faults alone.
+    import difflib
+
+    return difflib.get_close_matches(name, list(known), n=1)
+
+
 @cache
 def _make_validator(kind: str) -> Any:
     # Loading it takes 60 ms and 9 MB, which a router that reads no contracts is spared.
@@ -287,7 +295,7 @@
     for name in error.instance:
         if name in known:
             continue
-        nearest = difflib.get_close_matches(name, known, n=1)
+        nearest = _find_nearest(name, known)
         hint = f"did you mean {nearest[0]!r}?" if nearest else ""
         place = document.place((*error.absolute_path, name))
         yield Finding(place, "unknown field", hint)
@@ -348,7 +356,7 @@
     for number, pattern in enumerate(contract.non_idempotent):
         if pattern.service not in contract.services:
             path = ("non_idempotent", number, "service")
-            nearest = difflib.get_close_matches(pattern.service, contract.services, 1)
+            nearest = _find_nearest(pattern.service, contract.services)
             hint = f"did you mean {nearest[0]!r}?" if nearest else "add it to services"
             yield find(path, f"{pattern.service!r} is not among services", hint)
 
--- a/src/tamarackrill/platform/settings_file.py
+++ b/src/tamarackrill/platform/settings_file.py
@@ -1,10 +1,9 @@
-"""The settings file that the platform writes for each process, in YAML."""
+"""The settings file that the platform writes for each process, in JSON or YAML."""
 
+import json
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
-import yaml
-
 from tamarackrill.decisions.retry_shares import BudgetTerms
 from tamarackrill.exceptions import Finding, FindingsError
 
@@ -90,10 +89,7 @@
     FindingsError
         With every field that is missing or of a wrong type.
     """
-    try:
-        fields = yaml.safe_load(text)
-    except yaml.YAMLError as error:
-        raise FindingsError([Finding(source, f"is no YAML: {error}")]) from error
+    fields = _load(source, text)
     if not isinstance(fields, Mapping):
         raise FindingsError([Finding(source, "holds no fields")])
     reader = _Reader(source, fields)
@@ -103,6 +99,18 @@
     return settings
 
 
+def _load(source: str, text: str) -> Any:
+    try:
+        return json.loads(text)
+    except ValueError:
+        # Not each file is JSON, and a process that reads one that is starts sooner.
+        import yaml
+    try:
+        return yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        raise FindingsError([Finding(source, f"is no YAML: {error}")]) from error
+
+
 def _read(reader: _Reader) -> PlatformSettings:
     # The ports from the first to the second are free; the second one is included.
     ports = reader.read("internal_ports", list)
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -1,7 +1,9 @@
 """The application object of a router on the platform: owns its resources."""
 
 import asyncio
+import contextlib
 import math
+import socket
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -48,6 +50,7 @@
 from tamarackrill.router.configuring import Configurer
 from tamarackrill.router.datagrams import PeerSocket
 from tamarackrill.router.deployment_view import DeploymentView, ObjectReaders
+from tamarackrill.router.early_listener import open_listener
 from tamarackrill.router.edge_flow import EdgeFlow
 from tamarackrill.router.edge_pages import make_metrics_page, make_readiness_page
 from tamarackrill.router.edge_placing import EdgePlacer
@@ -77,8 +80,9 @@
 STORE_RETRY_MAX_S = 0.8
 # Endpoints that are replaced one after the other change their entries in pairs.
 STORE_PAUSE_S = 0.1
-# Named in the deploy file as well, which knows no ports of the day.
-METRICS_PORT = 9464
+# A new router lets callers wait so long for its first manifest and endpoints, which a
+# store that is well tells within some tens of ms.
+FIRST_NEWS_MAX_S = 0.3
 # A bulletin a time costs a router of a zone of fifteen 9 KB/s inside the zone.
 HOUSEKEEPING_EVERY_S = 0.25
 # A balancer asks once a second and takes a router out after two misses; until then new
@@ -104,7 +108,7 @@
         Checked settings.
     peer_keys : tuple of str
         Prove the messages between routers; the first signs, all verify.
-    metrics_port : int, optional
+    metrics_port : int
         Where metrics are served.
     flush_log : callable, optional
         Writes what the log holds back, as far as its reader takes it.
@@ -119,7 +123,7 @@
         self,
         settings: PlatformSettings,
         peer_keys: tuple[str, ...],
-        metrics_port: int = METRICS_PORT,
+        metrics_port: int,
         flush_log: Callable[[], None] = lambda: None,
     ) -> None:
         self._flush_log = flush_log
@@ -128,6 +132,7 @@
         self.clock = time.monotonic
         self._peer_keys = peer_keys
         self._tasks: list[asyncio.Task[None]] = []
+        self._knows_all = asyncio.Event()
         self._servers: list[HTTPServer] = []
         self.metrics = Metrics()
         self.store = ConfigurationStore()
@@ -163,8 +168,14 @@
         )
         self.server = EdgeServer(self.view, self.flow, self.metrics, self.clock)
 
-    async def start(self) -> None:
-        """Open the sockets and start the tasks."""
+    async def start(self, listener: socket.socket | None = None) -> None:
+        """Open the sockets and start the tasks.
+
+        Parameters
+        ----------
+        listener : socket.socket, optional
+            Listens for callers already; opened here otherwise.
+        """
         settings = self.settings
         self._peer_socket = PeerSocket(self.metrics.count)
         await self._peer_socket.start(settings.ip, settings.peer_port)
@@ -177,7 +188,11 @@
         await self._start_gossip()
         self._add_gauges()
         await self.configurer.start()
-        self.server.listen(settings.callers_address)
+        listener = listener or open_listener(settings.callers_address)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_NEWS_MAX_S):
+                await self._knows_all.wait()
+        self.server.server.add_sockets([listener])
         self._tasks.append(asyncio.create_task(self._keep_house()))
         log_event(
             ROUTER_STARTED,
@@ -312,6 +327,8 @@
         for item in taken:
             self.view.take(item, now_s)
         self._forget_gone()
+        if self.view.is_complete:
+            self._knows_all.set()
         table = self.view.routes
         if table is not None:
             self.server.limit_idle(table.manifest.limits.idle_timeout_s)
--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -118,11 +118,6 @@
         # Read by the server for each request that it waits for.
         self.server.conn_params.header_timeout = idle_s
 
-    def listen(self, address: str) -> None:
-        """Accept clients at ``host:port``."""
-        host, _, port = address.rpartition(":")
-        self.server.listen(int(port), host)
-
     def leave(self) -> None:
         """End each connection with its next answer."""
         self.is_leaving = True
--- /dev/null
+++ b/tests/test_starting.py
@@ -0,0 +1,128 @@
+"""A router that starts while callers already connect."""
+
+import asyncio
+import json
+import subprocess
+import sys
+
+import pytest
+
+from tamarackrill.platform.settings_file import parse_settings
+from tamarackrill.router.early_listener import open_listener
+from tamarackrill.testing.edge import EdgeClient, EdgeFleet, make_route, read_reason
+
+LOOKUP = make_route("/lookup/", "idempotent")
+# Each takes some ten ms and more to load, of a whole core.
+LOADED_LATER = (
+    "absl",
+    "asyncio",
+    "h11",
+    "hdrh",
+    "jsonschema",
+    "logging",
+    "pycurl",
+    "ssl",
+    "thriftpy2",
+    "tornado",
+    "yaml",
+)
+
+
+def list_loaded(statement):
+    code = f"{statement}\nimport json, sys\nprint(json.dumps(list(sys.modules)))"
+    done = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    )
+    return {name.partition(".")[0] for name in json.loads(done.stdout)}
+
+
+@pytest.mark.parametrize("module", LOADED_LATER)
+def test_what_takes_long_to_load_is_not_loaded_before_callers_can_connect(module):
+    # Guards against callers that find nobody for seconds after a loss of all.
+    assert module not in list_loaded("import tamarackrill.router.edge_daemon")
+
+
+def test_settings_in_json_are_read_without_a_parser_for_yaml():
+    text = json.dumps({"node_name": "edge-1", "bounds": {"config_ms": 2000}})
+    statement = (
+        "from tamarackrill.exceptions import FindingsError\n"
+        "from tamarackrill.platform.settings_file import parse_settings\n"
+        f"try:\n    parse_settings('s', {text!r})\nexcept FindingsError:\n    pass"
+    )
+    assert "yaml" not in list_loaded(statement)
+
+
+def test_settings_mean_the_same_in_json_and_in_yaml():
+    fields = {
+        "node_name": "edge-1",
+        "zone": "z",
+        "ip": "10.1.0.1",
+        "listen": {"front": "10.1.0.1:80", "ready": "10.1.0.1:81"},
+        "internal_ports": [7000, 7010],
+        "platform": {"address": "10.9.0.1:90"},
+        "bounds": {"grace_s": 8, "config_ms": 4000, "drain_ms": 4000},
+        "limits": {"link_mbps": 20.0},
+    }
+    as_json = parse_settings("s", json.dumps(fields))
+    as_yaml = parse_settings("s", "# not JSON\n" + json.dumps(fields))
+    assert as_json == as_yaml
+    assert as_json.link_bytes_per_s == 2_500_000.0
+
+
+def play(act):
+    async def run():
+        async with EdgeFleet() as fleet:
+            await fleet.put_manifest(1, LOOKUP)
+            worker = await fleet.add_worker("w1")
+            router = fleet.make_router("router")
+            address = router.settings.callers_address
+            await act(fleet, router, worker, open_listener(address), address)
+
+    asyncio.run(run())
+
+
+def test_caller_who_connects_before_the_router_has_started_is_served():
+    # Guards against callers that find nobody listening and spend their only retry.
+    async def act(fleet, router, worker, listener, address):
+        client = await EdgeClient.connect(address)
+        client.send("/lookup/a")
+        await router.start(listener)
+        answer = await client.read()
+        assert answer.status == 200
+        client.close()
+
+    play(act)
+
+
+def test_caller_who_has_left_before_the_router_started_costs_no_work():
+    # Guards against requests at workers whose callers are long gone.
+    async def act(fleet, router, worker, listener, address):
+        left = await EdgeClient.connect(address)
+        left.send("/lookup/left", "id-left")
+        left.close()
+        await left.writer.wait_closed()
+        client = await EdgeClient.connect(address)
+        client.send("/lookup/stays", "id-stays")
+        await router.start(listener)
+        assert (await client.read()).status == 200
+        client.close()
+        assert [r.target for r in worker.requests] == ["/lookup/stays"]
+
+    play(act)
+
+
+def test_caller_is_told_to_come_back_while_no_manifest_can_be_had():
+    # Guards against callers that are held until their deadline by a router that knows
+    # of no manifest.
+    async def act(fleet, router, worker, listener, address):
+        fleet.store.status = 503
+        client = await EdgeClient.connect(address)
+        client.send("/lookup/a")
+        await router.start(listener)
+        answer = await client.read()
+        assert answer.status == 503
+        assert read_reason(answer) == "no_manifest"
+        assert float(answer.headers["retry-after"]) > 0
+        client.close()
+
+    play(act)
