Tell a zone along a tree, and ask to be told only when an answer is overdue

Change: each router of a zone tells the next eight in the zone's order. Only changes are told twice. Whoever hears nothing asks half-way between the time at which the next answer is due and the end of its trust, inside its zone where it knows anyone there; so the loss of an inner router costs some datagrams and no call.

--- a/src/tamarackrill/decisions/watching.py
+++ b/src/tamarackrill/decisions/watching.py
@@ -9,7 +9,8 @@
 So one router watches for all: the first of those that live, in an order that all
 compute alike.  It tells the head of each zone, the first of its zone in such an order,
 what it holds and how old its evidence is, that is, when the store answered.  Heads pass
-that on inside their zones, and anyone passes it on to whoever asks for it.
+that on inside their zones along a tree whose fan-out bounds what each router sends, and
+anyone passes it on to whoever asks for it.
 
 The others believe evidence only for as long as it is younger than a time that leaves
 enough to read a change (see `news_shares`).  Whether the watcher or a head is killed,
@@ -57,15 +58,15 @@
 HEAD_LEAD_S = 0.3
 # Added to evidence that is passed on, for its time on the way and in queues.
 HOP_AGE_S = 0.05
-# From the watcher to a head, to a router of its zone, and to one that asked that one.
-HOPS_MAX = 3
+# From the watcher to a head, along the tree of a large zone, and to one that asked.
+HOPS_MAX = 6
+# Routers of its zone that each tells: 46 are two hops from their head.
+FAN_OUT = 8
 # A watcher that the store turned away tries again after this time, while it hears of
 # the store by others.
 REFUSED_REST_S = 3.0
 # Between two calls of a router that leaves it to others to find the store back.
 RETRY_SELDOM_S = 6.0
-# A router that hears nothing asks to be told this long before its trust ends.
-ASK_LEAD_S = 0.6
 
 _FLEET = "fleet"
 
@@ -139,6 +140,11 @@
         Time in which a change has to be in force; trust ends early enough to read it.
     watched_at_once : collection of str, optional
         Kinds that are watched before the members of the zone are known.
+
+    Attributes
+    ----------
+    children : tuple of str
+        Routers of its zone that this one tells.
     """
 
     def __init__(
@@ -160,6 +166,7 @@
         self._fleet_rank = 0
         self._head_rank = 0
         self._zone_rank = 0
+        self.children: tuple[str, ...] = ()
         self._answered_s: dict[str, float] = {}
         self._refused_s: dict[str, float] = {}
         self._reads: dict[str, ReadTimes] = defaultdict(ReadTimes)
@@ -196,7 +203,10 @@
         zones[self._zone] = sorted({*names, self._own})
         fleet = [name for members in zones.values() for name in members]
         self._fleet_rank = hashing.rank(_FLEET, fleet).index(self._own)
-        self._zone_rank = hashing.rank(self._zone, zones[self._zone]).index(self._own)
+        zone_order = hashing.rank(self._zone, zones[self._zone])
+        self._zone_rank = zone_order.index(self._own)
+        first = self._zone_rank * FAN_OUT + 1
+        self.children = tuple(zone_order[first : first + FAN_OUT])
         heads = {find_head(zone, members) for zone, members in zones.items()}
         order = hashing.rank(_FLEET, sorted({*heads, self._own}))
         self._head_rank = order.index(self._own)
@@ -291,12 +301,13 @@
 
     def must_ask_peers(self, kind: str, now_s: float) -> bool:
         """Return whether to ask other routers to be told of the store."""
-        if self.is_watcher:
+        if self.is_watcher and now_s >= self._settled_s:
             # Nobody is to tell the watcher; who has just started may not be it.
-            return now_s < self._settled_s
-        trust_s = self.find_shares(kind).trust_s
-        lead_s = min(ASK_LEAD_S + HEAD_LEAD_S, trust_s / 2)
-        return now_s > self._find_heard_s(kind) + trust_s - lead_s
+            return False
+        # By then the next answer should have been told of, and there is time left.
+        shares = self.find_shares(kind)
+        due_s = (shares.watch_s + shares.trust_s) / 2
+        return now_s > self._find_heard_s(kind) + due_s
 
     def find_ages_s(self, kinds: Iterable[str], now_s: float) -> dict[str, float]:
         """Return the age of the newest evidence, own or heard, of each kind known."""
--- a/src/tamarackrill/router/store_news.py
+++ b/src/tamarackrill/router/store_news.py
@@ -19,7 +19,7 @@
 # A router that asked is told for so long, unless it asks again: by then gossip has told
 # those whose task it is of it.
 LISTENER_KEPT_S = 5.0
-# What is told twice is lost only if two datagrams are.
+# A change that is told twice is lost only if two datagrams are.
 REPEATS = 1
 # Evidence that is newer by less is not worth a datagram to each router of a zone.
 EVIDENCE_STEP_S = 0.2
@@ -132,30 +132,44 @@
         now_s = self._clock()
         digests = self._configurer.digest()
         known = self._watching.make_relayed(digests, now_s)
-        if self._is_news(known, now_s):
+        if self._has_changed(known):
             self._repeats_left = REPEATS
         elif is_repeated and self._repeats_left:
             self._repeats_left -= 1
-        else:
+        elif not self._is_newer(known, now_s):
             return
         self._told = {evidence.digest.kind: evidence for evidence in known}
         self._told_s = now_s
         self._tell_heads(known)
-        if self._watching.is_head or _is_own(known):
-            zone = self._zones.get(self._members.own.zone, {})
-            self._send_bulletin(zone.values(), known)
+        self._tell_zone(known)
         self._tell_listeners(known, now_s)
 
-    def _is_news(self, known: Iterable[Evidence], now_s: float) -> bool:
+    def _has_changed(self, known: Iterable[Evidence]) -> bool:
         for evidence in known:
             told = self._told.get(evidence.digest.kind)
-            if told is None or told.digest != evidence.digest:
+            if told is None or told.digest.content != evidence.digest.content:
                 return True
+        return False
+
+    def _is_newer(self, known: Iterable[Evidence], now_s: float) -> bool:
+        for evidence in known:
+            told = self._told[evidence.digest.kind]
             told_age_s = now_s - self._told_s + told.age_s
             if evidence.age_s < told_age_s - EVIDENCE_STEP_S:
                 return True
         return False
 
+    def _tell_zone(self, known: tuple[Evidence, ...]) -> None:
+        zone = self._zones.get(self._members.own.zone, {})
+        watching = self._watching
+        if _is_own(known) and not (watching.is_watcher or watching.is_head):
+            # Whoever asks the store though it need not has not heard of it, and others
+            # may not have either.
+            self._send_bulletin(zone.values(), known)
+        else:
+            children = (zone[name] for name in watching.children if name in zone)
+            self._send_bulletin(children, known)
+
     def _tell_heads(self, known: tuple[Evidence, ...]) -> None:
         own = tuple(evidence for evidence in known if not evidence.hops)
         if own and (self._watching.is_watcher or self._watching.is_head):
@@ -190,10 +204,11 @@
         kinds = [digest.kind for digest in self._configurer.digest()]
         if not any(self._watching.must_ask_peers(kind, now_s) for kind in kinds):
             return
-        zone = self._zones.get(self._members.own.zone, {}).values()
         own = self._members.own
+        zone = self._zones.get(own.zone, {}).values()
         near = [m.peer_address for m in zone if m.name != own.name]
-        asked = [*self._contacts, *near]
+        # Bytes between zones are dear, and most routers of this one hear of the store.
+        asked = self._contacts if self._watching.is_watcher or not near else near
         if asked:
             self._send(random.choice(asked), self._encode((), asks=True))
 
--- a/tests/test_store_news.py
+++ b/tests/test_store_news.py
@@ -6,6 +6,7 @@
 
 import math
 import random
+from collections import Counter
 
 import pytest
 
@@ -25,6 +26,8 @@
 PULL_S = 0.04
 # How long gossip takes to tell of a router's end.
 REMOVED_S = 7.0
+# Of a datagram, below what is encoded.
+HEADERS_BYTES = 28
 KEYS = ("a key of this test",)
 
 
@@ -163,6 +166,7 @@
         self.frozen = set()
         self.learns_s = {}
         self.queue = []
+        self.bytes = Counter()
         for name in self.names:
             self.start(name, knows_all)
 
@@ -191,6 +195,8 @@
         return len(zones) == 1 or not zones & self.cut_zones
 
     def send(self, name, address, datagram):
+        for who in (name, address):
+            self.bytes[who] += HEADERS_BYTES + len(datagram)
         if self.random.random() >= self.loss and self.reaches(name, address):
             self.queue.append((name, address, datagram))
 
@@ -239,6 +245,17 @@
     assert fleet.count_calls(5.0, 25.0) <= 20 * CALLS_PER_S + 4
 
 
+@pytest.mark.parametrize("count", [8, 76, 195, 370])
+def test_no_router_sends_and_hears_more_than_its_share(count):
+    # Guards against a head that tells each router of a large zone by itself.  Control
+    # may take 3 kB/s of a node, of which gossip takes half a kilobyte.
+    fleet = Fleet(count, Store([30.0]))
+    fleet.run(5.0)
+    fleet.bytes.clear()
+    fleet.run(25.0)
+    assert max(fleet.bytes.values()) / 20.0 <= 2_500
+
+
 @pytest.mark.parametrize("count", [8, 76, 195])
 def test_fleet_that_starts_at_once_finds_one_watcher_before_it_knows_itself(count):
     # Guards against each router taking itself for the watcher until gossip has told of
