Introduce newcomers to other routers, whatever the budget for gossip

What it did to users: at 195 routers there was no fleet. 192 of 195 knew the three seeds of their settings and nobody else, for good (simulation of the gossip as the platform starts it, 60 ticks; 370: 367 of 370). The simulations before gave each router the whole VM list, which the platform has not.

Cause: all ask the same three, four times a second while they are behind; these spend 42 kB/s (simulated) on answers of the least size, are in debt for good, and an answer to whoever is in debt has no room for a record. Ruled out: lost datagrams, a task that had ended (no such line).

Change: an answer to a router that knows far less names six others, other ones each time, half of its zone. Who knows few pings few. Debt ends at 5 kB. 850 B/s and 38 kB saved up in place of 1,250 and 14: the same in a minute, and a start gets more of it.

--- a/src/tamarackrill/decisions/membership.py
+++ b/src/tamarackrill/decisions/membership.py
@@ -11,6 +11,11 @@
 is removed unless it refutes the suspicion by a higher incarnation.  Routers whose
 views differ ask one another for the rest, page by page.
 
+When a fleet starts at once, all know the same few routers by their settings and ask
+these alone.  Their budgets are spent within a second, and answers without room for
+records would leave hundreds of routers knowing three others for good.  So whoever knows
+far less is introduced to a few others by each answer, whatever the budget.
+
 Nothing that must always hold may rest on these views being the same everywhere.
 docs/design/membership.md has what was weighed and the measured figures.
 """
@@ -53,12 +58,16 @@
 CATCH_UP_PINGS = 4
 # A router that knows fewer than this share of its peer's routers is catching up.
 CATCH_UP_SHARE = 0.9
+# Routers that one who is catching up is told of in any case, half of them of its zone.
+INTRODUCED = 6
 ANNOUNCE_PINGS = 6
 
 # Sent and received together stay below 3 KB/s in any minute, as each message sent is
 # received once and the burst is what a quiet router has not spent.
-SENT_BYTES_PER_S = 1_250
-SENT_BURST_BYTES = 14_000
+SENT_BYTES_PER_S = 850
+SENT_BURST_BYTES = 38_000
+# What is sent beyond that in a start of all, the budget makes up for in some seconds.
+DEBT_MAX_BYTES = 5_000
 MESSAGE_MIN_BYTES = 300
 MESSAGE_MAX_BYTES = 1_200
 ENTRIES_MAX_BYTES = 300
@@ -147,6 +156,7 @@
         self._behind = False
         self._ticked_s: float | None = None
         self._allowance_bytes = float(SENT_BURST_BYTES)
+        self._introductions = 0
 
     @property
     def own(self) -> MemberRecord:
@@ -356,7 +366,10 @@
 
     def _count_pings(self) -> int:
         affordable = int(self._allowance_bytes) // MESSAGE_MAX_BYTES
-        return max(1, min(CATCH_UP_PINGS, affordable)) if self._behind else 1
+        # Not all to the few routers that every new one knows.
+        others = (self._view.known - 1) // 2
+        catch_up = min(CATCH_UP_PINGS, affordable, others)
+        return max(1, catch_up) if self._behind else 1
 
     def _probe_absent(self, pick: Pick) -> list[Action]:
         """Ping one that is gone or was never heard, more often the more there are.
@@ -387,9 +400,21 @@
         if not message.buckets or self._allowance_bytes < MESSAGE_MAX_BYTES:
             # Half of a small page would be the message around it, so a router that is
             # short of its budget sends none.
-            return self._build(sender, Purpose.ACK, after=message.after)
+            is_behind = message.known < self._view.known * CATCH_UP_SHARE
+            page = self._introduce(sender) if is_behind else []
+            return self._build(sender, Purpose.ACK, after=message.after, page=page)
         return self._build(sender, Purpose.ACK, asked=message)
 
+    def _introduce(self, newcomer: MemberRecord) -> list[MemberRecord]:
+        """Return some routers, other ones each time, half of them of its own zone."""
+        others = [r for r in self.list_members() if r not in (self.own, newcomer)]
+        near = [r for r in others if r.zone == newcomer.zone]
+        far = [r for r in others if r.zone != newcomer.zone]
+        half = INTRODUCED // 2
+        start = self._introductions * half
+        self._introductions += 1
+        return [*_take_turn(near, start, half), *_take_turn(far, start, half)]
+
     def _take_record(
         self, record: MemberRecord, now_s: float, is_news: bool
     ) -> list[Action]:
@@ -418,6 +443,7 @@
         after: str = "",
         asked: Gossip | None = None,
         entries: Entries | None = None,
+        page: list[MemberRecord] | None = None,
     ) -> Send:
         asks = purpose == Purpose.PING and self._differs
         after = self._after if asks else after
@@ -427,14 +453,14 @@
         room = min(ENTRIES_MAX_BYTES, max(0, left) // 2)
         chosen, entries_bytes = choose_entries(entries or self.entries, room)
         left -= entries_bytes
-        page: list[MemberRecord] = []
+        page = page or []
         if asked is not None:
             page, after = self._view.list_differing(asked.buckets, asked.after, left)
             left -= sum(weigh_record(record) for record in page)
         rumours = self._view.take_rumours(left)
         members += [r for r in rumours if r.name not in (self.own.name, peer.name)]
         weight = self._weigh(after, buckets, [*members, *page]) + entries_bytes
-        self._allowance_bytes -= weight
+        self._allowance_bytes = max(-DEBT_MAX_BYTES, self._allowance_bytes - weight)
         self._sequence += 1
         message = Gossip(
             self.own.name,
@@ -467,3 +493,11 @@
         if held is None or held.state in SUSPECTED:
             return []
         return [held]
+
+
+def _take_turn(
+    records: list[MemberRecord], start: int, count: int
+) -> list[MemberRecord]:
+    """Return `count` records from `start` on, beginning anew after the last."""
+    begin = start % len(records) if records else 0
+    return [*records[begin:], *records[:begin]][:count]
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,9 +7,12 @@
 from tamarackrill.decisions.members import Entries, MemberState, Purpose
 from tamarackrill.decisions.membership import (
     FREEZE_GAP_S,
+    SENT_BURST_BYTES,
+    SENT_BYTES_PER_S,
     SUSPICION_S,
     Froze,
     MemberChanged,
+    Membership,
     Send,
     StaleDropped,
 )
@@ -207,3 +210,37 @@
     both = suspected.keys() & removed.keys()
     assert both
     assert all(removed[name] - suspected[name] < SUSPICION_S / 2 for name in both)
+
+
+def start_with_contacts(count):
+    """Start routers that know of three by their settings and nothing else."""
+    network = GossipNetwork(seed=1)
+    names = [f"router-{number:03d}" for number in range(count)]
+    digests = tuple(
+        ConfigurationDigest(kind, 9, 9, 1 << 60) for kind in ("config", "servers")
+    )
+    for number, name in enumerate(names):
+        state = network.start(name, f"zone-{number % 6}")
+        contacts = tuple(contact for contact in names[:3] if contact != name)
+        network.states[name] = Membership(state.own, contacts)
+        network.states[name].configuration = digests
+    return network
+
+
+@pytest.mark.parametrize("count", [18, 76, 195])
+def test_fleet_that_starts_at_once_with_three_contacts_gets_to_know_itself(count):
+    # Guards against contacts whose budget is spent within a second, so that all others
+    # know these three and nobody else for good.
+    network = start_with_contacts(count)
+    network.run(20)
+    known = [len(state.live_members()) for state in network.states.values()]
+    assert min(known) >= 0.9 * count
+
+
+def test_bytes_of_a_start_stay_within_the_budget_of_a_minute():
+    # Guards against introductions that fill the links of the few contacts for long.
+    network = start_with_contacts(76)
+    network.run(60)
+    sent = sorted(network.sent_bytes.values())
+    assert sent[len(sent) // 2] <= SENT_BURST_BYTES + 60 * SENT_BYTES_PER_S
+    assert sent[-1] <= 2 * (SENT_BURST_BYTES + 60 * SENT_BYTES_PER_S)
