Put the types of a store's calls below both its client and the adapter

Cause: platform/store.py imported the client from router/ for four types, so that the folder of the platform's words could not be read or replaced without the routers. Ruled out: moving the client into platform/, which would bring decisions about time limits there. Change: PlatformObject, Listing, ObjectPage and StoreForm stand in store_form.py; a test holds that platform/ imports nothing of router/ (it fails before).

--- a/src/tamarackrill/commands/contracts.py
+++ b/src/tamarackrill/commands/contracts.py
@@ -8,7 +8,8 @@
 from tamarackrill.differences import Change, find_changes
 from tamarackrill.documents import Document
 from tamarackrill.exceptions import Finding, FindingsError, NotFound, VersionConflict
-from tamarackrill.router.platform_client import PlatformClient, PlatformObject
+from tamarackrill.router.platform_client import PlatformClient
+from tamarackrill.store_form import PlatformObject
 
 Outcome = Literal["created", "changed", "unchanged", "deleted"]
 
--- a/src/tamarackrill/commands/writes.py
+++ b/src/tamarackrill/commands/writes.py
@@ -13,11 +13,8 @@
 from typing import Any, NamedTuple
 
 from tamarackrill.exceptions import PlatformUnavailable
-from tamarackrill.router.platform_client import (
-    PlatformClient,
-    PlatformObject,
-    WriteResult,
-)
+from tamarackrill.router.platform_client import PlatformClient, WriteResult
+from tamarackrill.store_form import PlatformObject
 
 TRIES_MAX = 4
 # Pauses between tries; together with the timeouts of the calls they span an outage of
--- a/src/tamarackrill/platform/store.py
+++ b/src/tamarackrill/platform/store.py
@@ -5,12 +5,7 @@
 from urllib.parse import quote, urlencode
 
 from tamarackrill.events import OBJECT_FAULTY, log_event
-from tamarackrill.router.platform_client import (
-    Listing,
-    ObjectPage,
-    PlatformObject,
-    StoreForm,
-)
+from tamarackrill.store_form import Listing, ObjectPage, PlatformObject, StoreForm
 
 
 def _object_path(kind: str, name: str) -> str:
--- a/src/tamarackrill/queries/contracts.py
+++ b/src/tamarackrill/queries/contracts.py
@@ -2,7 +2,8 @@
 
 from tamarackrill.contracts import CONTRACT_KIND
 from tamarackrill.exceptions import NotFound
-from tamarackrill.router.platform_client import PlatformClient, PlatformObject
+from tamarackrill.router.platform_client import PlatformClient
+from tamarackrill.store_form import PlatformObject
 
 
 async def get_contract(platform: PlatformClient, team: str) -> PlatformObject:
--- a/src/tamarackrill/router/claiming.py
+++ b/src/tamarackrill/router/claiming.py
@@ -43,8 +43,9 @@
 from tamarackrill.events import CLAIM_GRANTED, CLAIM_HELD, CLAIM_UNANSWERED, log_event
 from tamarackrill.exceptions import PlatformUnavailable, Refusal
 from tamarackrill.router.calls import Call
-from tamarackrill.router.platform_client import PlatformClient, PlatformObject
+from tamarackrill.router.platform_client import PlatformClient
 from tamarackrill.router.replies import Reply
+from tamarackrill.store_form import PlatformObject
 
 # A clock that was set back must not put off the timer by as much.
 TIMER_MAX_S = 1.0
--- a/tests/test_configuring.py
+++ b/tests/test_configuring.py
@@ -15,7 +15,7 @@
 from tamarackrill.decisions.membership import PeerHeard
 from tamarackrill.exceptions import PlatformUnavailable
 from tamarackrill.router.configuring import Configurer
-from tamarackrill.router.platform_client import Listing, PlatformObject
+from tamarackrill.store_form import Listing, PlatformObject
 
 KIND = "config"
 PATIENCE_S = 10.0
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -44,6 +44,13 @@
 """
 
 
+def test_adapter_imports_nothing_of_the_routers():
+    # Guards against an adapter that can't be read, or replaced, without the router.
+    for path in (SOURCE / "platform").glob("*.py"):
+        text = path.read_text(encoding="utf-8")
+        assert "tamarackrill.router" not in text, path.name
+
+
 def test_words_of_the_platform_stand_in_the_adapter_alone():
     for path in SOURCE.rglob("*.py"):
         if path.parent.name in ("platform", "testing"):
