--- a/src/tamarackrill/decisions/watching.py
+++ b/src/tamarackrill/decisions/watching.py
@@ -1,10 +1,9 @@
 """Which routers ask the store, and who tells whom what it has said.
 
 Load pattern: every router has to hear of each change within seconds, and every call to
-the store has its price, a waiting watch included.  Were each router to watch, 60 of
-them would make some 6,600 calls in a minute in which little changes; with one watcher
-a zone and a fleet that doesn't know its members yet, 195 made 21,000.  The store's
-rates grow more slowly than the fleet.
+the store has its price, a waiting watch included.  Were each router to watch, the calls
+would grow with the fleet, and at each change all would ask anew, which the store's
+rates don't bear.
 
 So one router watches for all: the first of those that live, in an order that all
 compute alike.  It tells the head of each zone, the first of its zone in such an order,
--- a/src/tamarackrill/router/configuring.py
+++ b/src/tamarackrill/router/configuring.py
@@ -217,10 +217,10 @@
         self._readings[digest.kind].hear(digest)
 
     def _start_pull(self, heard: PeerHeard, kind: str) -> None:
+        self._tellers[kind] = heard
         # An answer of the store that has begun is on its way.  The same from a peer
         # would share the link with it, and both would come later; of a manifest that
         # is half a second, at this router and at the peer.
-        self._tellers[kind] = heard
         if kind in self._pulls or kind in self._begun_s:
             return
         task = asyncio.create_task(self._pull_when_due(heard, kind))
--- a/src/tamarackrill/router/store_news.py
+++ b/src/tamarackrill/router/store_news.py
@@ -16,10 +16,10 @@
 from tamarackrill.router.configuring import Configurer
 from tamarackrill.router.members import Member, Members
 
-# A router that asked is told for so long, unless it asks again: by then gossip has told
-# those whose task it is of it.
+# How long a router that asked is told.  By then gossip has made it known to the one
+# whose task that is.
 LISTENER_KEPT_S = 5.0
-# A change that is told twice is lost only if two datagrams are.
+# A change is told once more, as a datagram may be lost.
 REPEATS = 1
 # Evidence that is newer by less is not worth a datagram to each router of a zone.
 EVIDENCE_STEP_S = 0.2
