--- a/src/tamarackrill/decisions/membership.py
+++ b/src/tamarackrill/decisions/membership.py
@@ -38,7 +38,7 @@
     weigh_base,
     weigh_record,
 )
-from tamarackrill.decisions.views import View
+from tamarackrill.decisions.views import View, take_turn
 
 TICK_S = 1.0
 # Below a tick, so that a tick that comes a little early still sees the timeout.
@@ -413,7 +413,7 @@
         half = INTRODUCED // 2
         start = self._introductions * half
         self._introductions += 1
-        return [*_take_turn(near, start, half), *_take_turn(far, start, half)]
+        return [*take_turn(near, start, half), *take_turn(far, start, half)]
 
     def _take_record(
         self, record: MemberRecord, now_s: float, is_news: bool
@@ -493,11 +493,3 @@
         if held is None or held.state in SUSPECTED:
             return []
         return [held]
-
-
-def _take_turn(
-    records: list[MemberRecord], start: int, count: int
-) -> list[MemberRecord]:
-    """Return `count` records from `start` on, beginning anew after the last."""
-    begin = start % len(records) if records else 0
-    return [*records[begin:], *records[:begin]][:count]
--- a/src/tamarackrill/decisions/views.py
+++ b/src/tamarackrill/decisions/views.py
@@ -209,3 +209,11 @@
 
 def _find_bucket(name: str) -> int:
     return zlib.crc32(name.encode()) % BUCKETS
+
+
+def take_turn(
+    records: list[MemberRecord], start: int, count: int
+) -> list[MemberRecord]:
+    """Return `count` records from `start` on, beginning anew after the last."""
+    begin = start % len(records) if records else 0
+    return [*records[begin:], *records[:begin]][:count]
