--- a/src/tamarackrill/router/early_listener.py
+++ b/src/tamarackrill/router/early_listener.py
@@ -2,8 +2,8 @@
 
 import socket
 
-# All callers of a router come back at once after a loss of all; a connection beyond
-# these is tried again by its kernel after a second.
+# All callers of a router come back at once after a loss of all; the kernel of a caller
+# beyond these repeats its handshake only after a second.
 BACKLOG = 1024
 
 
