Let both daemons do the same with their signals

Seen: SIGHUP ended tamarackrilld at any time (exit -1), with calls in flight cut without an answer, also while it drained after SIGTERM. A second SIGTERM between the end of the loop and the exit of the process gave exit -15.

Cause: the daemon set handlers for SIGTERM and SIGINT alone; the one for SIGHUP stood in the platform's daemon only, which had the same code a second time.

The limit of a drain counts from the signal.

--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -29,6 +29,7 @@
 from tamarackrill.exceptions import PlatformUnavailable
 from tamarackrill.router.admitting import Admitter
 from tamarackrill.router.background import log_failure
+from tamarackrill.router.binding import report_unusable
 from tamarackrill.router.chats import Chats
 from tamarackrill.router.claiming import Claimer
 from tamarackrill.router.configuring import KINDS, Configurer
@@ -97,7 +98,10 @@
 
     async def start(self) -> None:
         """Open the sockets and start the tasks."""
-        sockets = bind_sockets(self.settings.port, self.settings.address)
+        settings = self.settings
+        address = f"{settings.address}:{settings.port}"
+        with report_unusable("--address, --port", address):
+            sockets = bind_sockets(settings.port, settings.address)
         self.address = f"{self.settings.address}:{sockets[0].getsockname()[1]}"
         await self._open_peer_socket()
         self._make_clients()
@@ -119,9 +123,11 @@
     async def _open_peer_socket(self) -> None:
         settings = self.settings
         self._peer_socket = PeerSocket()
-        self.peer_address = await self._peer_socket.start(
-            settings.address, settings.peer_port
-        )
+        address = f"{settings.address}:{settings.peer_port}"
+        with report_unusable("--address, --peer-port", address):
+            self.peer_address = await self._peer_socket.start(
+                settings.address, settings.peer_port
+            )
         self.members = Members(
             Member(
                 settings.name,
@@ -259,8 +265,16 @@
         has_contracts = bool(self.known.list_contracts())
         return has_contracts and not self._leaving and not self._faulty_task
 
-    async def drain(self) -> None:
-        """Refuse new work; return when nothing is in flight, or after the limit."""
+    async def drain(self, told_s: float | None = None) -> None:
+        """Refuse new work; return when nothing is in flight, or after the limit.
+
+        Parameters
+        ----------
+        told_s : float, optional
+            When the router was told to stop, from which the limit counts; now by
+            default.
+        """
+        waited_s = 0.0 if told_s is None else self.clock() - told_s
         self._leaving = True
         self._server.leave()
         self.members.own = self.members.own._replace(state="leaving")
@@ -269,7 +283,7 @@
             ROUTER_LEAVING, router=self.settings.name, in_flight=self.open_calls.count
         )
         try:
-            async with asyncio.timeout(self.settings.drain_max_s):
+            async with asyncio.timeout(self.settings.drain_max_s - waited_s):
                 await self.flow.drain()
                 await self.open_calls.wait_none()
         except TimeoutError:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -6,9 +6,14 @@
 
 import pytest
 
+from tamarackrill.contracts import hash_key
+from tamarackrill.testing.daemon import listen
 from tamarackrill.testing.edge import EdgeClient, EdgeFleet, make_route
 from tamarackrill.testing.edge_processes import EdgeProcess
 from tamarackrill.testing.held_process import HeldProcess
+from tamarackrill.testing.platform import PlatformState, make_platform
+from tamarackrill.testing.ports import find_free_port
+from tamarackrill.testing.processes import FleetProcesses, wait_for
 from tamarackrill.testing.worker import answer_ok
 
 LOOKUP = make_route("/lookup/", "idempotent")
@@ -142,3 +147,120 @@
     answer, code = asyncio.run(act())
     assert (answer.status, answer.is_whole) == (200, True)
     assert code == 0
+
+
+NATIVE_CONTRACT = {
+    "format": "tamarackrill/contract/v1",
+    "team": "t",
+    "key_hashes": [hash_key("k")],
+    "models": ["m"],
+    "services": ["s"],
+}
+NATIVE_REQUEST = (
+    b"POST /services/s/look HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer k\r\n"
+    b"Content-Length: 2\r\n\r\n{}"
+)
+NATIVE_STEPS = ("tamarackrill.exceptions", "asyncio", "tornado", "pycurl")
+
+
+@contextlib.asynccontextmanager
+async def start_held_native(step, folder):
+    state = PlatformState()
+    server, platform = listen(make_platform(state))
+    await state.write("contract", "t", NATIVE_CONTRACT)
+    flags = ["--name=a", "--zone=z", f"--platform={platform}", "--log-format=json"]
+    flags += [f"--port={find_free_port()}", "--peer-port=0"]
+    process = HeldProcess(
+        "tamarackrill.router.daemon",
+        flags,
+        {"TAMARACKRILL_PEER_KEYS": "a key that is long enough"},
+        step,
+        folder / "held.log",
+    )
+    try:
+        await process.wait_held()
+        yield flags[4].removeprefix("--port="), process
+    finally:
+        process.close()
+        server.stop()
+        await server.close_all_connections()
+
+
+async def read_refusal(port, process):
+    reader, writer = await asyncio.open_connection("127.0.0.1", int(port))
+    writer.write(NATIVE_REQUEST)
+    head = await reader.readuntil(b"\r\n\r\n")
+    writer.close()
+    return head.decode()
+
+
+@pytest.mark.parametrize("step", NATIVE_STEPS)
+def test_native_router_runs_on_whatever_reloads_it_is_told(step, tmp_path):
+    # Guards against SIGHUP ending the product's own daemon, at its start or later.
+    async def act():
+        async with start_held_native(step, tmp_path) as (port, process):
+            process.signal(HUP, HUP)
+            process.release()
+            await process.wait_logged('"router_reload"')
+            await process.wait_logged('"router_started"')
+            process.signal(HUP)
+            head = await read_refusal(port, process)
+            process.signal(TERM)
+            return head, await process.wait_ended()
+
+    head, code = asyncio.run(act())
+    assert head.startswith("HTTP/1.1 ")
+    assert code == 0
+
+
+@pytest.mark.parametrize("step", NATIVE_STEPS)
+@pytest.mark.parametrize("signals", [(TERM,), (HUP, TERM, TERM), (TERM, HUP)])
+def test_native_router_told_to_stop_while_it_starts_ends_as_stopped(
+    step, signals, tmp_path
+):
+    # Guards against a stop that looks like a failure, and so is answered by a restart.
+    async def act():
+        async with start_held_native(step, tmp_path) as (_, process):
+            process.signal(*signals)
+            process.release()
+            return await process.wait_ended()
+
+    assert asyncio.run(act()) == 0
+
+
+def knows(router, version):
+    status = router.status()
+    return status["complete"]["contract"] >= version and status["endpoints"]
+
+
+@pytest.mark.parametrize("signals", [(HUP,), (TERM,), (HUP, TERM, HUP, TERM)])
+def test_native_router_that_leaves_answers_its_caller_whatever_signals_come(
+    signals, tmp_path
+):
+    # Guards against a second signal that ends a router under the call that it finishes.
+    async def act():
+        with FleetProcesses() as fleet:
+            service = fleet.add_service("s1")
+            service.set_faults(hold=True)
+            router = fleet.add_router("a")
+            version = fleet.put_contract(NATIVE_CONTRACT)
+            wait_for(lambda: knows(router, version), "contract and worker are known")
+            host, _, port = router.address.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(NATIVE_REQUEST)
+            wait_for(lambda: service.look()["total"], "the call has arrived")
+            router.send(TERM)
+            router.wait_line(" router_leaving ")
+            for number in signals:
+                router.send(number)
+            service.set_faults()
+            answer = await reader.read()
+            writer.close()
+            router.wait_line(" router_stopped ")
+            for number in signals:
+                router.send(number)
+            return answer.decode(), router.wait()
+
+    answer, code = asyncio.run(act())
+    assert answer.startswith("HTTP/1.1 200 ")
+    assert code == 0
