Tell no long stream as a failure of its engine

Cause: an attempt without an answer after four objectives is told to the other routers as a failure. The timer was cancelled at the end of the attempt instead of the beginning of the answer, so each long stream counted against an engine that was well.

Ruled out: that the failures were not told (they were, by all routers), and too few tellers (8 routers, each below the limit of 3 in most ticks).

Change: the timer ends with the head of the answer.

Shown: the new case of tests/test_edge.py fails before.

--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -151,7 +151,9 @@
             find_suspect_s(call.route), self._placer.observe_silence, endpoint
         )
         try:
-            result = await self._exchange(progress, placed, channel, started_s)
+            result = await self._exchange(
+                progress, placed, channel, started_s, suspecting.cancel
+            )
             is_clean = result.outcome in ("answered", "failed", "not_run", "misplaced")
         finally:
             suspecting.cancel()
@@ -185,6 +187,7 @@
         placed: EdgePlaced,
         channel: Channel,
         started_s: float,
+        note_first: Callable[[], None],
     ) -> Result:
         call = progress.call
         self._send(progress, placed, channel)
@@ -199,6 +202,8 @@
         try:
             async with asyncio.timeout_at(limit_s):
                 head, facts = await self._read_own_head(call, channel)
+            # How long a stream goes on after this says nothing against its engine.
+            note_first()
             first_s = self._clock() - started_s
             self._placer.observe_first(call, placed.endpoint, self._clock())
             self.paths.note_answer(placed.endpoint)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -6,6 +6,7 @@
 
 from tamarackrill.decisions import engine_waits, waits
 from tamarackrill.decisions.configuration import ConfigurationDigest
+from tamarackrill.decisions.endpoint_news import Failures
 from tamarackrill.router import configuring, edge_app
 from tamarackrill.testing.edge import (
     KEY,
@@ -567,6 +568,36 @@
     play(act)
 
 
+async def send_slowly(request, writer):
+    writer.write(make_stream_head(request))
+    for number in range(1, 6):
+        writer.write(make_chunk(make_event(number)))
+        await writer.drain()
+        await asyncio.sleep(0.06)
+    writer.write(make_chunk(b""))
+
+
+@pytest.mark.parametrize(
+    ("behave", "is_told"), [(send_slowly, False), (pause_before(0.3, answer_ok), True)]
+)
+def test_stream_that_goes_on_for_long_is_no_failure_of_its_engine(behave, is_told):
+    # Guards against engines that are well and take part in long streams being told as
+    # failing, among which one that fails is not seen.
+    route = make_route("/chat/", "streaming", target_latency_ms=20)
+
+    async def act(fleet):
+        await fleet.put_manifest(2, route)
+        await fleet.add_worker("w1", behave)
+        router = await fleet.add_router()
+        answer = await ask(router.settings.callers_address, "/chat/a")
+        assert answer.is_whole
+        waiting = [f for f in router._endpoint_news.take() if isinstance(f, Failures)]
+        was_told = bool(waiting) or not router.placer.fleet_health.is_quiet
+        assert was_told is is_told
+
+    play(act)
+
+
 def test_lookup_waits_for_the_only_worker_that_is_left():
     # All workers of a service but one are gone, and that one is slow.  Given up for
     # another one that isn't there, the client would get nothing instead of an answer.
