Divide a pool into those that fail and those that are well

Seen: by FleetHealth alone (195 senders, each failure told at once, 45 in 100 fail) 60 of 79 endpoints kept their work for good, so did 4 of 6 and 36 of 40, and at two requests a second to each all but 2 of 40.

Cause: what is usual was the mean of the two thirds of a pool with the fewest failures, so a larger part that fails is usual; and each endpoint had to have five failures in three seconds.

Change: failure_clusters.find_failing divides the pool at the count at which that is likeliest, and believes it only against chance and against half as many requests, each weighed with the number of ways to choose such a part. Endpoints that joined or came back within the window are no evidence. A line pool_failing tells a pool that fails as a whole from one whose failures aren't told.

Tried and dropped: the likelihood of two means alone (with requests spread from half to one and a half times the mean it left out 38 of 40 endpoints of a pool that failed as a whole), and the comparison with half as many requests alone (left single endpoints out by chance).

--- a/src/tamarackrill/decisions/fleet_health.py
+++ b/src/tamarackrill/decisions/fleet_health.py
@@ -8,9 +8,11 @@
 
 Failures are compared with those of the other endpoints of the pool, never with a
 threshold alone: where all fail alike, because requests are at fault or the network is,
-leaving some out would only push the rest.  All endpoints get about as many requests, as
-their loads are bounded, so that failures alone can be compared, and of answers that are
-well nothing need be told.
+leaving some out would only push the rest.  Any part of a pool may fail together; see
+`failure_clusters`.  All endpoints get about as many requests, as their loads are
+bounded, so that failures alone can be compared, and of answers that are well nothing
+need be told.  An endpoint that has just joined, or gets work again, has not had its
+share of them, so that its few failures say nothing of the others.
 
 One router whose own link is bad fails everywhere and must not have endpoints left out
 by all: what one router tells counts up to a limit, and at least two must tell.  An
@@ -22,24 +24,15 @@
 """
 
 import math
-from collections.abc import Callable, Collection, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping
 from typing import NamedTuple
 
 from tamarackrill.decisions.endpoint_news import Failures
+from tamarackrill.decisions.failure_clusters import FAILED_MIN as FAILED_MIN
+from tamarackrill.decisions.failure_clusters import Failed, find_failing
 
 # Failures of one endpoint within this time are looked at together.
-WINDOW_S = 3.0
-# What is usual is also taken from a longer time, as chance spares most of a pool for
-# three seconds now and then.
-USUAL_WINDOW_S = 15.0
-# Failures at least, beyond a multiple of what is usual.  Endpoints lose a few answers
-# in a hundred for seconds, and some of these come together.  Of six engines that lose
-# one answer in twenty at 8 requests a second, none is left out in ten minutes.
-FAILED_MIN = 5
-PEERS_MULTIPLE = 4.0
-# Part of the peers with the most failures that is not looked at to find what is usual:
-# a third of a pool may fail together, as when they share a release.
-PEERS_TRIMMED = 0.34
+WINDOW_S = 5.0
 # Of one router no more than this counts for an endpoint, within one window.
 TELLER_MAX = 3
 TELLERS_MIN = 2
@@ -58,6 +51,28 @@
 HEARD_KEPT_S = 30.0
 
 
+class PoolFailures(NamedTuple):
+    """What is known of the failures of a pool.
+
+    Parameters
+    ----------
+    endpoints : int
+        Endpoints of the pool.
+    failing : int
+        Those with failures enough to be left out, if others are well.
+    paused : int
+        Those that are left out, as far as the others have room.
+    failed_most, failed_mean : float
+        Failures of one endpoint that is not paused.
+    """
+
+    endpoints: int
+    failing: int
+    paused: int
+    failed_most: int
+    failed_mean: float
+
+
 class _Count(NamedTuple):
     heard_s: float
     teller: int
@@ -69,6 +84,9 @@
     pause_s: float
 
 
+_NONE_FAILED = Failed(0, 0)
+
+
 class FleetHealth:
     """Failures of endpoints, as all routers tell them.
 
@@ -86,6 +104,15 @@
         self._counts: dict[str, list[_Count]] = {}
         self._heard_s: dict[tuple[str, int, int], float] = {}
         self._pauses: dict[str, _Pause] = {}
+        # When endpoints joined; those that this router found when it started, never.
+        self._joined_s: dict[str, float] = {}
+
+    def observe_endpoints(self, names: Collection[str], now_s: float) -> None:
+        """Take the endpoints that there are, and forget the others."""
+        self.retain(names)
+        joined_s = now_s if self._joined_s else -math.inf
+        for name in names:
+            self._joined_s.setdefault(name, joined_s)
 
     def observe(self, told: Failures, now_s: float) -> None:
         """Take what a router tells; the second time it is passed over."""
@@ -100,26 +127,14 @@
         """Forget an endpoint that is gone or has started anew."""
         self._counts.pop(endpoint, None)
         self._pauses.pop(endpoint, None)
+        self._joined_s.pop(endpoint, None)
 
     def retain(self, names: Collection[str]) -> None:
         """Forget endpoints that are not among `names`."""
-        for name in [*self._counts, *self._pauses]:
+        for name in {*self._counts, *self._pauses, *self._joined_s}:
             if name not in names:
                 self.remove(name)
 
-    def _is_failing(self, name: str, pool: Collection[str], oldest_s: float) -> bool:
-        failed = self._count_believed(name, oldest_s)
-        if failed < FAILED_MIN:
-            return False
-        # Of the peers everything counts.  Where each zone sends to its own endpoints,
-        # their failures are told by one other zone alone, and are no fewer for that.
-        peers = [peer for peer in pool if peer != name]
-        now = [sum(self._sum_by_teller(peer, oldest_s).values()) for peer in peers]
-        long = [sum(self._sum_by_teller(peer, -math.inf).values()) for peer in peers]
-        long_share = WINDOW_S / USUAL_WINDOW_S
-        usual = max(_find_usual(now), long_share * _find_usual(long))
-        return failed >= FAILED_MIN + PEERS_MULTIPLE * usual
-
     @property
     def is_quiet(self) -> bool:
         """Whether nothing was told of late, so that there is nothing to work out."""
@@ -128,17 +143,36 @@
     def pause_failing(self, pool: Collection[str], now_s: float) -> list[str]:
         """Pause the endpoints of a pool that fail; return those that are new."""
         self._forget(now_s)
-        oldest_s = now_s - WINDOW_S
-        found = [
-            name
-            for name in self._counts
-            if name in pool
-            and not self._is_paused(name, now_s)
-            and self._is_failing(name, pool, oldest_s)
-        ]
-        for name in found:
+        failed = {name: self._count(name) for name in pool if name in self._counts}
+        if not any(counts.believed >= FAILED_MIN for counts in failed.values()):
+            return []
+        compared = {
+            name: failed.get(name, _NONE_FAILED)
+            for name in pool
+            if not self._is_paused(name, now_s)
+        }
+        found = find_failing(
+            {
+                name: counts
+                for name, counts in compared.items()
+                if counts.believed >= FAILED_MIN or self._had_share(name, now_s)
+            }
+        )
+        for name in sorted(found):
             self._pause(name, now_s)
-        return found
+        return sorted(found)
+
+    def describe(self, pool: Collection[str], now_s: float) -> PoolFailures:
+        """Return what is known of a pool, for the log."""
+        unpaused = [name for name in pool if not self._is_paused(name, now_s)]
+        counts = [self._count(name) for name in unpaused if name in self._counts]
+        return PoolFailures(
+            len(pool),
+            sum(count.believed >= FAILED_MIN for count in counts),
+            len(pool) - len(unpaused),
+            max((count.told for count in counts), default=0),
+            sum(count.told for count in counts) / max(1, len(unpaused)),
+        )
 
     def find_left_out(
         self, slots: Mapping[str, int], in_flight: int, now_s: float
@@ -170,16 +204,25 @@
         # What was told before the pause says nothing of the endpoint after it.
         self._counts.pop(name, None)
 
-    def _sum_by_teller(self, name: str, oldest_s: float) -> dict[int, int]:
+    def _had_share(self, name: str, now_s: float) -> bool:
+        """Return whether an endpoint was sent requests for the whole window."""
+        pause = self._pauses.get(name)
+        began_s = self._joined_s.get(name, -math.inf)
+        if pause is not None:
+            began_s = max(began_s, pause.until_s)
+        return began_s <= now_s - WINDOW_S
+
+    def _count(self, name: str) -> Failed:
         by_teller: dict[int, int] = {}
-        for count in self._counts.get(name, ()):
-            if count.heard_s > oldest_s:
-                by_teller[count.teller] = by_teller.get(count.teller, 0) + count.failed
-        return by_teller
-
-    def _count_believed(self, name: str, oldest_s: float) -> int:
-        """Return the failures of an endpoint that count, 0 if too few tell of them."""
-        by_teller = self._sum_by_teller(name, oldest_s)
+        for count in self._counts[name]:
+            by_teller[count.teller] = by_teller.get(count.teller, 0) + count.failed
+        # Of the endpoints that others are compared with everything counts.  Where each
+        # zone sends to its own endpoints, their failures are told by one other zone
+        # alone, and are no fewer for that.
+        return Failed(self._sum_believed(by_teller), sum(by_teller.values()))
+
+    def _sum_believed(self, by_teller: Mapping[int, int]) -> int:
+        """Return the failures that count, 0 if too few tell of them."""
         zones = {teller: self._find_zone(teller) for teller in by_teller}
         elsewhere = set(zones.values()) - {self._own_zone, None}
         counts_all = len(elsewhere) >= ZONES_MIN
@@ -192,7 +235,7 @@
         return sum(counted) if len(counted) >= TELLERS_MIN else 0
 
     def _forget(self, now_s: float) -> None:
-        oldest_s = now_s - USUAL_WINDOW_S
+        oldest_s = now_s - WINDOW_S
         for name, counts in list(self._counts.items()):
             kept = [count for count in counts if count.heard_s > oldest_s]
             if kept:
@@ -210,12 +253,6 @@
                 del self._pauses[name]
 
 
-def _find_usual(failed: Sequence[float]) -> float:
-    """Return the mean of most; there is none to compare with without peers."""
-    kept = sorted(failed)[: len(failed) - int(PEERS_TRIMMED * len(failed))]
-    return sum(kept) / len(kept) if kept else math.inf
-
-
 def _take_while_room(
     names: Collection[str], slots: Mapping[str, int], in_flight: int
 ) -> set[str]:
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -450,7 +450,7 @@
     5027,
     "endpoint_paused",
     _WARNING,
-    ("endpoint",),
+    ("endpoint", "service"),
     "Routers together saw an endpoint fail more often than its peers; it gets no work "
     "for some seconds.",
     "See docs/operations/endpoints.md.",
@@ -465,6 +465,18 @@
     "None if its entry ends soon; else look who writes it.",
 )
 
+POOL_FAILING = Event(
+    5029,
+    "pool_failing",
+    _WARNING,
+    ("service", "endpoints", "failing", "paused", "failed_most", "failed_mean"),
+    "Endpoints of a service fail, as routers together see it; one line a second at "
+    "most.  `failing` have failures enough to get no work if others are well, `paused` "
+    "get none now; the failures are those of the others within some seconds.  Many "
+    "that fail and none that is paused: all fail alike.",
+    "See docs/operations/endpoints.md.",
+)
+
 # 6000: objects of the platform
 OBJECT_FAULTY = Event(
     6001,
--- a/src/tamarackrill/router/edge_placing.py
+++ b/src/tamarackrill/router/edge_placing.py
@@ -1,5 +1,6 @@
 """Places requests of the platform's interface: asks the decisions for an endpoint."""
 
+import math
 from collections.abc import Callable, Collection, Mapping
 from typing import NamedTuple
 
@@ -29,6 +30,7 @@
     ENDPOINT_PAUSED,
     ENDPOINT_RESTARTED,
     ENDPOINT_RETURNED,
+    POOL_FAILING,
     log_event,
 )
 from tamarackrill.exceptions import Refusal
@@ -49,6 +51,9 @@
 # Requests at an endpoint beyond its slots, in multiples of them, before a router looks
 # on it as full: a lookup of 20 ms behind three others is still on time.
 QUEUE_MULTIPLE = 4
+# News of failures comes in batches, twice as far apart.
+JUDGE_EVERY_S = 0.05
+POOL_LOGGED_EVERY_S = 1.0
 
 
 class Overloaded(Refusal):
@@ -128,6 +133,9 @@
         self.fleet_health = FleetHealth(find_zone, zone)
         self._news = news
         self._incarnations = Incarnations()
+        # When the failures of a service's endpoints were last judged, and logged.
+        self._judged_s: dict[str, float] = {}
+        self._told_s: dict[str, float] = {}
         self.list_endpoints = view.list_endpoints
         self.list_witnesses: Callable[[], list[Endpoint]] = list
         self.tell: Callable[[list[Held], bool], None] = lambda found, expected: None
@@ -235,19 +243,37 @@
         """
         doubtful = self._find_barred(avoid, now_s)
         unsound = doubtful | self.health.find_kept_out(pool.by_name, now_s)
-        unsound |= self._find_failing(pool, now_s)
+        unsound |= self._find_failing(call.service, pool, now_s)
         suspected = unsound | self.poison.find_avoided(call.fingerprint, now_s)
         return [pool.leave_out(names) for names in (suspected, unsound, doubtful)]
 
-    def _find_failing(self, pool: EndpointPool, now_s: float) -> set[str]:
+    def _find_failing(self, service: str, pool: EndpointPool, now_s: float) -> set[str]:
         if self.fleet_health.is_quiet:
             return set()
-        for name in self.fleet_health.pause_failing(pool.by_name, now_s):
-            log_event(ENDPOINT_PAUSED, endpoint=name)
+        if now_s >= self._judged_s.get(service, -math.inf) + JUDGE_EVERY_S:
+            self._judged_s[service] = now_s
+            self._judge(service, pool, now_s)
         slots = {name: endpoint.slots for name, endpoint in pool.by_name.items()}
         in_flight = self.placement.loads.summarize(slots, now_s).total
         return self.fleet_health.find_left_out(slots, in_flight, now_s)
 
+    def _judge(self, service: str, pool: EndpointPool, now_s: float) -> None:
+        known = self.fleet_health.describe(pool.by_name, now_s)
+        for name in self.fleet_health.pause_failing(pool.by_name, now_s):
+            log_event(ENDPOINT_PAUSED, endpoint=name, service=service)
+        is_due = now_s >= self._told_s.get(service, -math.inf) + POOL_LOGGED_EVERY_S
+        if known.failing and is_due:
+            self._told_s[service] = now_s
+            log_event(
+                POOL_FAILING,
+                service=service,
+                endpoints=known.endpoints,
+                failing=known.failing,
+                paused=known.paused,
+                failed_most=known.failed_most,
+                failed_mean=round(known.failed_mean, 2),
+            )
+
     def _choose_among(
         self,
         call: EdgeCall,
@@ -371,7 +397,7 @@
         known = {endpoint.name for endpoint in endpoints}
         self.reach.retain(known.union(e.name for e in self.list_witnesses()))
         self.health.retain(known)
-        self.fleet_health.retain(known)
+        self.fleet_health.observe_endpoints(known, now_s)
         self.misplaced.retain(known)
         self.copies.observe_endpoints(known, now_s)
         restarted = self._incarnations.observe(endpoints)
--- /dev/null
+++ b/tests/test_failure_clusters.py
@@ -0,0 +1,154 @@
+"""Parts of a pool that fail together, and pools that fail as a whole."""
+
+import math
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tamarackrill.decisions.endpoint_news import Failures
+from tamarackrill.decisions.failure_clusters import FAILED_MIN, Failed, find_failing
+from tamarackrill.decisions.fleet_health import FleetHealth
+
+SLOTS = 12
+STEP_S = 0.1
+REQUESTS_PER_S = 8.0
+GREY, OUTRIGHT = 0.4, 1.0
+
+
+class Play:
+    """A pool under load, whose senders tell each failure at once.
+
+    Requests go to the endpoints that are not left out, evenly.
+    """
+
+    def __init__(self, endpoints, failing, share, senders, zones, in_flight=0):
+        self.pool = {f"e{number}": SLOTS for number in range(endpoints)}
+        self.failing = {f"e{number}" for number in range(failing)}
+        self.in_flight = in_flight
+        self.now_s = 0.0
+        self.ever_left_out = set()
+        self.failed = self.sent = 0
+        self._share = share
+        self._senders = senders
+        self._chance = random.Random(1)
+        self._health = FleetHealth(lambda teller: f"z{teller % zones}", "z0")
+
+    def run(self, for_s):
+        until_s = self.now_s + for_s
+        while self.now_s < until_s:
+            self.now_s += STEP_S
+            self._health.pause_failing(self.pool, self.now_s)
+            left_out = self.find_left_out()
+            self.ever_left_out |= left_out
+            takers = [name for name in self.pool if name not in left_out]
+            for _ in range(round(REQUESTS_PER_S * len(self.pool) * STEP_S)):
+                self._send(self._chance.choice(takers))
+
+    def find_left_out(self):
+        return self._health.find_left_out(self.pool, self.in_flight, self.now_s)
+
+    def _send(self, name):
+        self.sent += 1
+        if name in self.failing and self._chance.random() < self._share:
+            self.failed += 1
+            teller = self._chance.randrange(self._senders)
+            self._health.observe(Failures(name, teller, self.sent, 1), self.now_s)
+
+
+# Endpoints, and those of them that fail: a third, a half, two thirds, nine in ten.
+PARTS = [(6, 2), (6, 3), (6, 4), (40, 13), (40, 20), (40, 27), (40, 36)]
+PARTS += [(79, 27), (79, 40), (79, 53), (79, 71)]
+
+
+@pytest.mark.parametrize(("senders", "zones"), [(6, 1), (6, 3), (195, 1), (195, 6)])
+@pytest.mark.parametrize("share", [GREY, OUTRIGHT])
+@pytest.mark.parametrize(("endpoints", "failing"), PARTS)
+def test_part_of_a_pool_that_fails_together_loses_its_work(
+    endpoints, failing, share, senders, zones
+):
+    # Guards against a part of a pool so large that its failures look usual.
+    play = Play(endpoints, failing, share, senders, zones)
+    play.run(4.0)
+    assert play.ever_left_out == play.failing
+
+
+@pytest.mark.parametrize(("endpoints", "failing"), PARTS)
+def test_part_that_fails_for_long_costs_few_requests(endpoints, failing):
+    # Guards against endpoints that get all their work back after each pause.
+    play = Play(endpoints, failing, GREY, 195, 6)
+    play.run(30.0)
+    assert play.failed < 0.5 * GREY * play.sent * failing / endpoints
+
+
+@pytest.mark.parametrize(("senders", "zones"), [(6, 1), (6, 3), (195, 1), (195, 6)])
+@pytest.mark.parametrize("share", [0.05, GREY, OUTRIGHT])
+@pytest.mark.parametrize("endpoints", [2, 6, 40, 79])
+def test_pool_that_fails_as_a_whole_keeps_its_work(endpoints, share, senders, zones):
+    # Guards against load that is pushed from failing endpoints to others that fail.
+    play = Play(endpoints, endpoints, share, senders, zones)
+    play.run(20.0)
+    assert play.ever_left_out == set()
+
+
+@pytest.mark.parametrize(("endpoints", "failing"), PARTS)
+@pytest.mark.parametrize("filled", [0.2, 0.5, 0.9])
+def test_rest_of_a_pool_gets_no_more_than_it_has_room_for(endpoints, failing, filled):
+    # Guards against a well rest that is filled with the work of a larger failing part.
+    play = Play(endpoints, failing, GREY, 195, 6, int(filled * endpoints * SLOTS))
+    for _ in range(40):
+        play.run(STEP_S)
+        left = SLOTS * (endpoints - len(play.find_left_out()))
+        assert not play.find_left_out() or 2 * play.in_flight <= left
+
+
+def test_one_of_two_endpoints_that_fails_loses_its_work():
+    play = Play(2, 1, OUTRIGHT, 6, 3)
+    play.run(4.0)
+    assert play.ever_left_out == {"e0"}
+
+
+def test_endpoint_that_has_just_joined_is_no_proof_that_others_are_worse():
+    # Guards against a pool that fails as a whole and loses its endpoints to the few
+    # that have not had their requests yet.
+    health = FleetHealth(lambda teller: "z0", "z0")
+    old = {f"e{number}": SLOTS for number in range(8)}
+    pool = {**old, **{f"new{number}": SLOTS for number in range(8)}}
+    health.observe_endpoints(old, 0.0)
+    health.observe_endpoints(pool, 100.0)
+    for number, name in enumerate(old):
+        for teller in range(6):
+            health.observe(Failures(name, teller, number, 2), 100.5)
+    assert health.pause_failing(pool, 100.6) == []
+
+
+def test_endpoint_that_gets_work_again_is_no_proof_that_others_are_worse():
+    # Guards against one wrong pause that makes all the others look worse at its end.
+    health = FleetHealth(lambda teller: "z0", "z0")
+    pool = {f"e{number}": SLOTS for number in range(4)}
+    for teller in range(6):
+        health.observe(Failures("e0", teller, 0, 3), 0.0)
+    assert health.pause_failing(pool, 0.1) == ["e0"]
+    for name in ("e1", "e2", "e3"):
+        for teller in range(6):
+            health.observe(Failures(name, teller, 1, 3), 2.7)
+    assert not health.find_left_out(pool, 0, 2.7)
+    assert health.pause_failing(pool, 2.8) == []
+
+
+COUNTS = st.integers(0, 200).map(lambda count: Failed(count, count))
+
+
+@given(st.dictionaries(st.integers(0, 99).map(str), COUNTS, max_size=40))
+def test_what_fails_has_failed_often_and_more_than_all_others(failed):
+    found = find_failing(failed)
+    least = min((failed[name].believed for name in found), default=math.inf)
+    assert least >= FAILED_MIN
+    assert all(failed[name].believed < least for name in failed.keys() - found)
+    assert not found or found != failed.keys()
+
+
+@given(COUNTS, st.integers(1, 200))
+def test_endpoints_of_one_count_are_never_divided(counts, size):
+    assert find_failing({str(number): counts for number in range(size)}) == set()
