Count the time that a bulletin was on its way in the age of its evidence

Cause: evidence was taken to be as old as its sender had said, and 50 ms for each hop. Time on a full link, in queues, and in the socket of a late or stopped router was not counted. Own evidence was as of the first byte read.

Weighed: the least difference of two clocks seen (what is always late looks punctual), a question for each belief (a message for each router in each time of trust), the lateness of the own loop (sees no link).

Change: bulletins carry their sender's steady clock, answers that of the question (transit.TransitTimes); evidence of a sender whose clock isn't known is only a reason to ask, and it is asked. A suspension, which no steady clock counts, drops what was known. Own evidence is as of the call, of an empty watch as of the end of its wait (answer_times). The played fleet gives each router a clock of its own, delivers late, out of order, and what a stopped router was sent.

--- a/src/tamarackrill/decisions/watching.py
+++ b/src/tamarackrill/decisions/watching.py
@@ -27,8 +27,9 @@
 more than to ask again.
 
 Nothing is ever taken to be newer than the store said: news is only a reason to ask, and
-evidence that is passed on grows older on its way, is passed on only by those who hold
-all that it tells of, and only a few times.
+evidence that is passed on grows older on its way by all the time that it takes (see
+`transit`), is passed on only by those who hold all that it tells of, and only a few
+times.
 """
 
 import math
@@ -55,8 +56,6 @@
 OWN_TRUST_SHARE = 0.85
 # A head asks before the other routers of its zone do, and tells them.
 HEAD_LEAD_S = 0.3
-# Added to evidence that is passed on, for its time on the way and in queues.
-HOP_AGE_S = 0.05
 # From the watcher to a head, along the tree of a large zone, and to one that asked.
 HOPS_MAX = 6
 # Routers of its zone that each tells: 46 are two hops from their head.
@@ -106,6 +105,12 @@
         One for each kind.
     asks : bool, optional
         Whether the sender hears nothing and asks to be told.
+    sent_s : float or None, optional
+        The sender's steady clock; None from a router of an earlier release.
+    asked_s : float or None, optional
+        Clock of the question that this answers; None if it answers none.
+    asks_time : bool, optional
+        Whether the sender asks for an answer with the receiver's clock.
     """
 
     sender: str
@@ -113,6 +118,9 @@
     sequence: int
     evidence: tuple[Evidence, ...]
     asks: bool = False
+    sent_s: float | None = None
+    asked_s: float | None = None
+    asks_time: bool = False
 
 
 class _Heard(NamedTuple):
@@ -240,6 +248,12 @@
                 self._take(evidence._replace(origin=origin), now_s)
         return True
 
+    def forget_evidence(self) -> None:
+        """Drop all evidence, own and heard, as when its age is no longer known."""
+        self._answered_s.clear()
+        self._heard.clear()
+        self._heard_before_s.clear()
+
     def _take(self, evidence: Evidence, now_s: float) -> None:
         kind = evidence.digest.kind
         as_of_s = now_s - max(0.0, evidence.age_s)
@@ -357,7 +371,7 @@
         heard = self._heard.get(digest.kind)
         if heard is None or heard.evidence.hops >= HOPS_MAX:
             return None
-        age_s = now_s - heard.as_of_s + HOP_AGE_S
+        age_s = now_s - heard.as_of_s
         # Whoever is told asks this router for what it lacks.
         holds_all = not needs_changes(digest, heard.evidence.digest)
         if age_s >= self._trust_s or not holds_all:
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -264,6 +264,15 @@
     "A peer asked for what this router holds after a revision.",
     "None.",
 )
+EVIDENCE_DROPPED = Event(
+    3018,
+    "evidence_dropped",
+    _WARNING,
+    ("suspended_s",),
+    "This VM was suspended for so long, which no steady clock counts: what was known "
+    "of the store is older than it seems, and the store is asked.",
+    "Look for a host that suspends its VMs.",
+)
 STORE_CALL_ENDED = Event(
     3017,
     "store_call_ended",
--- a/src/tamarackrill/protocol/bulletin_codec.py
+++ b/src/tamarackrill/protocol/bulletin_codec.py
@@ -1,5 +1,6 @@
 """Encoding and proof of origin of bulletins; see `decisions.watching`."""
 
+import math
 from typing import Any
 
 from thriftpy2.protocol.compact import TCompactProtocol
@@ -27,6 +28,9 @@
         sequence=bulletin.sequence,
         evidence=[_write_evidence(evidence) for evidence in bulletin.evidence],
         asks=bulletin.asks,
+        sent_ms=_to_ms(bulletin.sent_s),
+        asked_ms=_to_ms(bulletin.asked_s),
+        asks_time=bulletin.asks_time or None,
     )
     buffer = TMemoryBuffer()
     struct.write(TCompactProtocol(buffer))
@@ -49,6 +53,9 @@
             int(struct.sequence),
             evidence,
             bool(struct.asks),
+            _from_ms(struct.sent_ms),
+            _from_ms(struct.asked_ms),
+            bool(struct.asks_time),
         )
     # The parser raises whatever the bytes lead it to; a peer of a later release must
     # not be able to end the task that reads the socket.
@@ -56,6 +63,14 @@
         return None
 
 
+def _to_ms(time_s: float | None) -> int | None:
+    return None if time_s is None else math.floor(time_s * 1000)
+
+
+def _from_ms(time_ms: int | None) -> float | None:
+    return None if time_ms is None else time_ms / 1000
+
+
 def _write_evidence(evidence: Evidence) -> Any:
     digest = evidence.digest
     return structs.Evidence(
--- a/src/tamarackrill/protocol/bulletins.thrift
+++ b/src/tamarackrill/protocol/bulletins.thrift
@@ -17,4 +17,8 @@
   3: i64 sequence
   4: list<Evidence> evidence
   5: bool asks
+  // The sender's steady clock; of an answer also that of the question.
+  6: i64 sent_ms
+  7: optional i64 asked_ms
+  8: optional bool asks_time
 }
--- a/src/tamarackrill/protocol/structs.py
+++ b/src/tamarackrill/protocol/structs.py
@@ -128,6 +128,9 @@
         3: (TType.I64, "sequence", False),
         4: (TType.LIST, "evidence", (TType.STRUCT, Evidence), False),
         5: (TType.BOOL, "asks", False),
+        6: (TType.I64, "sent_ms", False),
+        7: (TType.I64, "asked_ms", False),
+        8: (TType.BOOL, "asks_time", False),
     }
     default_spec = [
         ("sender", None),
@@ -135,6 +138,9 @@
         ("sequence", None),
         ("evidence", None),
         ("asks", None),
+        ("sent_ms", None),
+        ("asked_ms", None),
+        ("asks_time", None),
     ]
 
 
--- a/src/tamarackrill/router/configuring.py
+++ b/src/tamarackrill/router/configuring.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 from tamarackrill.contracts import CONTRACT_KIND, ENDPOINT_KIND
+from tamarackrill.decisions.answer_times import AnswerTimes, StoreAnswer
 from tamarackrill.decisions.configuration import (
     Changes,
     ConfigurationDigest,
@@ -84,8 +85,7 @@
     on_store : callable
         Called with whether the platform is lost, at each outcome of a call.
     on_answer : callable
-        Called with the kind that the platform has answered about, and when the answer
-        began.
+        Called with the kind that the platform has answered about, and as of when.
     on_refused : callable
         Called with the kind that the platform has not answered about, and when.
     on_read : callable
@@ -141,6 +141,7 @@
         self._begun_s: dict[str, float] = {}
         # Kinds that the platform has been asked for.
         self._asking: set[str] = set()
+        self._answer_times = AnswerTimes()
         self._lost = False
         self._lost_s = -math.inf
         self._back = asyncio.Event()
@@ -331,27 +332,29 @@
         return has_rested
 
     async def _list(self, kind: str) -> None:
-        await self._read(kind, self._platform.list, whole=True)
+        await self._read(kind, self._platform.list, 0.0, whole=True)
 
     async def _watch(self, kind: str, wait_s: float | None) -> None:
         since = self._store.get_complete(kind)
         if wait_s is None:
-            wait_s = self.find_watch_s(kind)
+            wait_s = self.find_watch_s(kind) or self._platform.watch_wait_s
         reading = self._readings.get(kind)
         max_bytes = None if reading is None else reading.watch_max_bytes
 
         def ask(kind: str, on_begin: Callable[[], None]) -> Awaitable[Listing]:
             return self._platform.watch(kind, since, wait_s, on_begin, max_bytes)
 
-        await self._read(kind, ask, whole=False)
+        await self._read(kind, ask, wait_s, whole=False)
 
     async def _read(
         self,
         kind: str,
         ask: Callable[[str, Callable[[], None]], Awaitable[Listing]],
+        wait_s: float,
         whole: bool,
     ) -> None:
         is_over = False
+        asked_s = self._clock()
 
         def begin() -> None:
             # A call that was given up may still be answered; taken for one that is
@@ -362,9 +365,6 @@
         self._asking.add(kind)
         try:
             listing = await ask(kind, begin)
-            # What the store says holds when its answer begins.  A long answer over a
-            # thin link ends a second later, and counted from there a router would tell
-            # others of evidence that is fresher than it is.
             begun_s = self._begun_s.get(kind, self._clock())
         finally:
             is_over = True
@@ -374,7 +374,9 @@
         taken = self._take(_to_changes(kind, listing, whole), source)
         # Told before, others would take what this router held until now for what the
         # platform has just said.
-        self.on_answer(kind, begun_s)
+        answer = StoreAnswer(asked_s, begun_s, wait_s, not listing.items)
+        self.on_answer(kind, self._answer_times.find_as_of_s(answer))
+        self._answer_times.observe(answer)
         if listing.items:
             self.on_read(kind, self._clock() - begun_s)
         reading = self._readings.get(kind)
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -71,6 +71,7 @@
     StoreTiming,
 )
 from tamarackrill.router.store_news import StoreNews
+from tamarackrill.router.suspension import find_suspended_s
 from tamarackrill.router.upstream import close_client, make_client
 
 # The store answers in 4 ms, and in a quarter of a second when it is slow.
@@ -359,6 +360,7 @@
             session,
             self.clock,
             seeds,
+            find_suspended_s=find_suspended_s,
         )
         own = MemberRecord(
             self.settings.name,
--- a/src/tamarackrill/router/platform_client.py
+++ b/src/tamarackrill/router/platform_client.py
@@ -155,6 +155,11 @@
         self._client = client
         self.on_call: Callable[[StoreCall], None] = lambda call: None
 
+    @property
+    def watch_wait_s(self) -> float:
+        """Longest wait of a watch that is not told otherwise."""
+        return self._timing.watch_wait_s
+
     async def get(self, kind: str, name: str) -> PlatformObject | None:
         """Return one object, or None if there is none.
 
--- a/src/tamarackrill/router/store_news.py
+++ b/src/tamarackrill/router/store_news.py
@@ -5,13 +5,14 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 
+from tamarackrill.decisions.transit import TransitTimes
 from tamarackrill.decisions.watching import (
     Bulletin,
     Evidence,
     Watching,
     find_head,
 )
-from tamarackrill.events import WATCH_ROLE_CHANGED, log_event
+from tamarackrill.events import EVIDENCE_DROPPED, WATCH_ROLE_CHANGED, log_event
 from tamarackrill.protocol.bulletin_codec import decode_bulletin, encode_bulletin
 from tamarackrill.router.configuring import Configurer
 from tamarackrill.router.members import Member, Members
@@ -23,6 +24,8 @@
 REPEATS = 1
 # Evidence that is newer by less is not worth a datagram to each router of a zone.
 EVIDENCE_STEP_S = 0.2
+# A suspension of less changes no age that matters.
+SUSPENDED_MIN_S = 0.05
 
 
 class StoreNews:
@@ -48,6 +51,9 @@
         Peer addresses of some routers, asked by one that knows no others yet.
     pick : callable, optional
         ``pick(n)`` returns a random number from 0 to n - 1.
+    find_suspended_s : callable, optional
+        Returns for how long this VM was suspended in all, which the clock doesn't
+        count.
     """
 
     def __init__(
@@ -61,6 +67,7 @@
         clock: Callable[[], float],
         contacts: tuple[str, ...] = (),
         pick: Callable[[int], int] = random.randrange,
+        find_suspended_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._watching = watching
         self._members = members
@@ -71,6 +78,10 @@
         self._clock = clock
         self._contacts = contacts
         self._pick = pick
+        self._find_suspended_s = find_suspended_s
+        self._suspended_s = find_suspended_s()
+        self._transit = TransitTimes()
+        self._started_s = clock()
         self._sequence = 0
         self._role = ""
         self._zones: dict[str, dict[str, Member]] = {}
@@ -121,6 +132,7 @@
 
     def keep_telling(self) -> None:
         """Repeat what was told last, and ask to be told if nothing is heard."""
+        self._note_suspension()
         self._tell(is_repeated=True)
         self._ask_peers()
 
@@ -145,8 +157,8 @@
             return
         self._told = {evidence.digest.kind: evidence for evidence in known}
         self._told_s = now_s
-        self._tell_heads(known)
-        self._tell_zone(known)
+        self._tell_heads(known, now_s)
+        self._tell_zone(known, now_s)
         self._tell_listeners(known, now_s)
 
     def _has_changed(self, known: Iterable[Evidence]) -> bool:
@@ -164,47 +176,67 @@
                 return True
         return False
 
-    def _tell_zone(self, known: tuple[Evidence, ...]) -> None:
+    def _tell_zone(self, known: tuple[Evidence, ...], now_s: float) -> None:
         zone = self._zones.get(self._members.own.zone, {})
         watching = self._watching
         if _is_own(known) and not (watching.is_watcher or watching.is_head):
             # Whoever asks the store though it need not has not heard of it, and others
             # may not have either.
-            self._send_bulletin(zone.values(), known)
+            self._send_bulletin(zone.values(), known, now_s)
         else:
             children = (zone[name] for name in watching.children if name in zone)
-            self._send_bulletin(children, known)
+            self._send_bulletin(children, known, now_s)
 
-    def _tell_heads(self, known: tuple[Evidence, ...]) -> None:
+    def _tell_heads(self, known: tuple[Evidence, ...], now_s: float) -> None:
         if not (self._watching.is_watcher or self._watching.is_head):
             return
         # What a router of this zone was told by the store, no other head can tell.
         zone = self._zones.get(self._members.own.zone, {})
         near = tuple(e for e in known if not e.hops or e.origin in zone)
-        self._send_bulletin(self._heads, near)
+        self._send_bulletin(self._heads, near, now_s)
 
     def _tell_listeners(self, known: tuple[Evidence, ...], now_s: float) -> None:
         self._listeners = {a: s for a, s in self._listeners.items() if s > now_s}
         if known and self._listeners:
-            datagram = self._encode(known)
+            datagram = self._encode(known, now_s)
             for address in self._listeners:
                 self._send(address, datagram)
 
     def _send_bulletin(
-        self, members: Iterable[Member], evidence: tuple[Evidence, ...]
+        self, members: Iterable[Member], evidence: tuple[Evidence, ...], now_s: float
     ) -> None:
         own = self._members.own
         others = [member for member in members if member.name != own.name]
         if not others or not evidence:
             return
-        datagram = self._encode(evidence)
+        datagram = self._encode(evidence, now_s)
         for member in others:
             self._send(member.peer_address, datagram)
 
-    def _encode(self, evidence: tuple[Evidence, ...], asks: bool = False) -> bytes:
+    def _encode(
+        self,
+        evidence: tuple[Evidence, ...],
+        now_s: float,
+        asks: bool = False,
+        asks_time: bool = False,
+        asked_s: float | None = None,
+    ) -> bytes:
+        """Return the datagram of a bulletin; see `Bulletin` for the parameters.
+
+        Its time is that of which the ages in it are, so that whatever comes between
+        that and the sending counts as time on the way.
+        """
         self._sequence += 1
-        own = self._members.own.name
-        bulletin = Bulletin(own, self._session, self._sequence, evidence, asks)
+        bulletin = Bulletin(
+            self._members.own.name,
+            self._session,
+            self._sequence,
+            evidence,
+            asks,
+            now_s,
+            asked_s,
+            asks_time,
+        )
         return encode_bulletin(bulletin, self._peer_keys)
 
     def _ask_peers(self) -> None:
@@ -219,31 +251,76 @@
         asked = self._contacts if self._watching.is_watcher or not near else near
         if asked:
             address = asked[self._pick(len(asked))]
-            self._send(address, self._encode((), asks=True))
+            self._send(address, self._encode((), now_s, asks=True))
 
     def take_datagram(self, datagram: bytes, source: str) -> bool:
         """Take a datagram; return whether it was a bulletin."""
         bulletin = decode_bulletin(datagram, self._peer_keys)
         if bulletin is None:
             return False
+        self._note_suspension()
         now_s = self._clock()
-        if not self._watching.hear(bulletin, now_s):
+        transit_s = self._find_transit_s(bulletin, now_s)
+        believed = () if transit_s is None else bulletin.evidence
+        aged = tuple(e._replace(age_s=e.age_s + (transit_s or 0.0)) for e in believed)
+        is_wanted = self._is_wanted(bulletin, now_s)
+        if not self._watching.hear(bulletin._replace(evidence=aged), now_s):
             return True
+        if is_wanted and bulletin.sent_s is not None:
+            self._ask_time(bulletin, transit_s, source, now_s)
         if bulletin.asks:
-            self._answer_listener(source, now_s)
-        for evidence in bulletin.evidence:
-            as_of_s = now_s - evidence.age_s
+            self._listeners[source] = now_s + LISTENER_KEPT_S
+        if bulletin.asks or bulletin.asks_time:
+            self._answer(source, bulletin.sent_s, now_s)
+        for evidence in aged or bulletin.evidence:
+            as_of_s = now_s - evidence.age_s if aged else -math.inf
             digest = evidence.digest
             self._configurer.hear_news(bulletin.sender, source, digest, as_of_s)
         if bulletin.evidence:
             self.tell()
         return True
 
-    def _answer_listener(self, address: str, now_s: float) -> None:
-        self._listeners[address] = now_s + LISTENER_KEPT_S
+    def _find_transit_s(self, bulletin: Bulletin, now_s: float) -> float | None:
+        if bulletin.sent_s is None:
+            # A router of an earlier release can't be asked.
+            return 0.0
+        sender, session, sent_s = bulletin.sender, bulletin.session, bulletin.sent_s
+        asked_s = bulletin.asked_s
+        # What another process on this address asked is no question of this one.
+        if asked_s is not None and self._started_s <= asked_s <= now_s:
+            self._transit.observe_answer(sender, session, asked_s, sent_s, now_s)
+        return self._transit.find_transit_s(sender, session, sent_s, now_s)
+
+    def _is_wanted(self, bulletin: Bulletin, now_s: float) -> bool:
+        """Return whether evidence, if it came without delay, would be news."""
+        kinds = [evidence.digest.kind for evidence in bulletin.evidence]
+        known_s = self._watching.find_ages_s(kinds, now_s)
+        return any(
+            evidence.age_s < known_s.get(evidence.digest.kind, math.inf)
+            for evidence in bulletin.evidence
+        )
+
+    def _ask_time(
+        self, bulletin: Bulletin, transit_s: float | None, source: str, now_s: float
+    ) -> None:
+        sender, session = bulletin.sender, bulletin.session
+        if self._transit.must_ask(sender, session, transit_s, now_s):
+            self._transit.observe_question(sender, session, now_s)
+            self._send(source, self._encode((), now_s, asks_time=True))
+
+    def _answer(self, address: str, asked_s: float | None, now_s: float) -> None:
         known = self._watching.make_relayed(self._configurer.digest(), now_s)
-        if known:
-            self._send(address, self._encode(known))
+        self._send(address, self._encode(known, now_s, asked_s=asked_s))
+
+    def _note_suspension(self) -> None:
+        suspended_s = self._find_suspended_s() - self._suspended_s
+        if suspended_s < SUSPENDED_MIN_S:
+            return
+        self._suspended_s += suspended_s
+        # All ages are short by that time.
+        self._watching.forget_evidence()
+        self._transit.forget()
+        log_event(EVIDENCE_DROPPED, suspended_s=round(suspended_s, 3))
 
 
 def _is_own(known: Iterable[Evidence]) -> bool:
--- a/src/tamarackrill/testing/store_fleet.py
+++ b/src/tamarackrill/testing/store_fleet.py
@@ -9,6 +9,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Collection, Iterable, Sequence
+from typing import NamedTuple
 
 from tamarackrill.decisions.configuration import ConfigurationDigest
 from tamarackrill.decisions.news_shares import TRUST_MAX_SHARE
@@ -28,11 +29,21 @@
 REMOVED_S = 7.0
 KNOWN_S = (3.0, 9.0)
 CONTACTS = 3
+CLOCK_OFFSET_MAX_S = 1_000_000.0
 KEYS = ("a key of this fleet",)
 # Of a datagram, below what is encoded.
 HEADERS_BYTES = 28
 
 
+class _Sent(NamedTuple):
+    """A datagram on its way."""
+
+    due_s: float
+    sender: str
+    address: str
+    datagram: bytes
+
+
 class PlayedStore:
     """Revisions of one object, when they were acknowledged, and who is turned away.
 
@@ -74,7 +85,11 @@
         self._has_rested = False
         self._retry_s = 0.0
         self._pull: tuple[float, str] | None = None
-        self._told_s = fleet.now_s + random.Random(name).uniform(0, HOUSEKEEPING_S)
+        chance = random.Random(name)
+        self._told_s = fleet.now_s + chance.uniform(0, HOUSEKEEPING_S)
+        # No two routers have a clock in common.
+        self.clock_offset_s = chance.uniform(0, CLOCK_OFFSET_MAX_S)
+        self.suspended_s = 0.0
         self.on_answer: Callable[[str, float], None] = lambda kind, as_of_s: None
         self.on_refused: Callable[[str, float], None] = lambda kind, now_s: None
         self.on_read: Callable[[str, float], None] = lambda kind, read_s: None
@@ -88,7 +103,7 @@
             name,
             zone,
             TRUST_MAX_SHARE * fleet.news_max_s,
-            fleet.now_s + settle_s,
+            self.clock() + settle_s,
             fleet.news_max_s,
             (KIND,),
         )
@@ -100,11 +115,21 @@
             lambda address, datagram: fleet.send(name, address, datagram),
             KEYS,
             round(fleet.now_s * 1000) + 1,
-            lambda: fleet.now_s,
+            self.clock,
             tuple(contact for contact in fleet.contacts if contact != name),
             fleet.pick,
+            lambda: self.suspended_s,
         )
 
+    def clock(self) -> float:
+        """Return this router's own time."""
+        return self._fleet.now_s + self.clock_offset_s
+
+    def suspend(self, for_s: float) -> None:
+        """Let time pass that the clock doesn't count."""
+        self.suspended_s += for_s
+        self.clock_offset_s -= for_s
+
     def learn(self, members: list[Member]) -> None:
         """Take the routers that live."""
         self._members.replace(members)
@@ -145,7 +170,7 @@
             self.held_s[revision] = now_s
 
     def _ask(self, now_s: float) -> None:
-        if self.revision and self.find_rest_s(KIND, now_s) > 0.0:
+        if self.revision and self.find_rest_s(KIND, self.clock()) > 0.0:
             self._has_rested = True
             return
         waits = bool(self.revision) and not self._has_rested and not self._retry_s
@@ -163,7 +188,7 @@
             self._asked_s = None
             self._retry_s = self.find_retry_s(self._retry_s)
             self._free_s = now_s + self._retry_s
-            self.on_refused(KIND, now_s)
+            self.on_refused(KIND, self.clock())
             return
         newest = store.find_newest(now_s)
         if newest == self.revision and now_s < self._asked_until_s:
@@ -172,12 +197,15 @@
         self._retry_s = 0.0
         self._free_s = now_s + PAUSE_S
         self._take(newest, now_s)
-        self.on_answer(KIND, now_s)
+        self.on_answer(KIND, self.clock())
 
 
 class PlayedFleet:
     """Routers in zones, the datagrams between them, and a store.
 
+    A datagram takes one step, and more to or from a router that is late.  What is sent
+    to a frozen router waits in its socket, and is read when it runs again.
+
     Parameters
     ----------
     count : int
@@ -194,6 +222,19 @@
         Share of the datagrams that are lost.
     seed : int, optional
         Of all that is random.
+
+    Attributes
+    ----------
+    frozen : set of str
+        Routers that don't run.
+    suspended : set of str
+        Routers that don't run, and whose clocks stand still.
+    cut_zones : set of str
+        Zones that neither send to others nor hear them.
+    late_s : dict of str to float
+        Time that each datagram to a router takes longer.
+    jitter_s : float
+        Longest time that any datagram takes longer, by chance; later ones overtake it.
     """
 
     def __init__(
@@ -213,14 +254,17 @@
         self.contacts = self.names[:CONTACTS]
         self.routers: dict[str, PlayedRouter] = {}
         self.frozen: set[str] = set()
+        self.suspended: set[str] = set()
         self.cut_zones: set[str] = set()
+        self.late_s: dict[str, float] = {}
+        self.jitter_s = 0.0
         self.bytes: Counter[str] = Counter()
         self._zones = {n: f"zone-{i % zones}" for i, n in enumerate(self.names)}
         self._loss = loss
         self._random = random.Random(seed)
         self.pick = self._random.randrange
         self._learns_s: dict[str, float] = {}
-        self._queue: list[tuple[str, str, bytes]] = []
+        self._queue: list[_Sent] = []
         for name in self.names:
             router = PlayedRouter(self, name, self._zones[name], knows_all)
             self.routers[name] = router
@@ -242,8 +286,14 @@
         return [n for n, router in self.routers.items() if is_wanted(router.watching)]
 
     def reaches(self, name: str, other: str) -> bool:
-        """Return whether one router reaches another."""
-        if other not in self.routers or other in self.frozen:
+        """Return whether one router reaches another that runs."""
+        return not self._is_stopped(other) and self._has_path(name, other)
+
+    def _is_stopped(self, name: str) -> bool:
+        return name in self.frozen or name in self.suspended
+
+    def _has_path(self, name: str, other: str) -> bool:
+        if other not in self.routers:
             return False
         zones = {self._zones.get(name), self._zones[other]}
         return len(zones) == 1 or not zones & self.cut_zones
@@ -252,22 +302,34 @@
         """Carry a datagram; the address of a router is its name."""
         for who in (name, address):
             self.bytes[who] += HEADERS_BYTES + len(datagram)
-        if self._random.random() >= self._loss and self.reaches(name, address):
-            self._queue.append((name, address, datagram))
+        if self._random.random() < self._loss or not self._has_path(name, address):
+            return
+        due_s = self.now_s + self.late_s.get(address, 0.0)
+        if self.jitter_s:
+            due_s += self._random.uniform(0.0, self.jitter_s)
+        self._queue.append(_Sent(due_s, name, address, datagram))
 
     def run(self, until_s: float) -> None:
         """Let time pass."""
         while self.now_s < until_s:
             self.now_s += STEP_S
-            sent, self._queue = self._queue, []
-            for name, address, datagram in sent:
-                if address in self.routers and address not in self.frozen:
-                    self.routers[address].news.take_datagram(datagram, name)
+            self._deliver()
             for name, router in self.routers.items():
-                if name not in self.frozen:
+                if name in self.suspended:
+                    router.suspend(STEP_S)
+                elif name not in self.frozen:
                     self._learn_if_due(name, router)
                     router.step(self.now_s)
 
+    def _deliver(self) -> None:
+        sent, self._queue = self._queue, []
+        for item in sent:
+            if item.due_s >= self.now_s or self._is_stopped(item.address):
+                self._queue.append(item)
+            elif item.address in self.routers:
+                router = self.routers[item.address]
+                router.news.take_datagram(item.datagram, item.sender)
+
     def _learn_if_due(self, name: str, router: PlayedRouter) -> None:
         if self.now_s >= self._learns_s.get(name, math.inf):
             del self._learns_s[name]
