Time the lease of orders by a clock that counts a suspension

Cause: the steady clock stands still while a VM is suspended, so that its lease seems valid after another router has taken it over. Engines that ignore fencing numbers would follow its next order.

Change: the task that orders engines reads the clock that goes on. Everything that it times uses that clock alone.

Shown: the new test of test_app.py fails before.

--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -27,6 +27,7 @@
     log_event,
 )
 from tamarackrill.exceptions import PlatformUnavailable
+from tamarackrill.router import suspension
 from tamarackrill.router.admitting import Admitter
 from tamarackrill.router.background import log_failure
 from tamarackrill.router.binding import report_unusable
@@ -216,7 +217,8 @@
             Fleet(self.members, self.list_contracts, self.list_endpoints),
             self.platform,
             self._router_client,
-            self.clock,
+            # A lease lapses while its holder is suspended.
+            suspension.read_clock,
             LeaseTiming(self.settings.lease_s, self.settings.lease_s / 2),
         )
         await self.orderer.start()
--- a/src/tamarackrill/router/suspension.py
+++ b/src/tamarackrill/router/suspension.py
@@ -1,8 +1,13 @@
-"""For how long this VM stood still without its steady clock counting it."""
+"""Time that a VM stood still, which its steady clock doesn't count."""
 
 import time
 
 
+def read_clock() -> float:
+    """Return a steady time that goes on while the VM is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def find_suspended_s() -> float:
-    """Return the time since the start of the VM that the steady clock lacks."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
+    """Return for how long the VM was suspended in all, since its start."""
+    return read_clock() - time.monotonic()
--- a/tests/test_app.py
+++ b/tests/test_app.py
@@ -1,4 +1,5 @@
 import asyncio
+import time
 
 import pytest
 
@@ -54,6 +55,27 @@
     assert asyncio.run(run()) is ready
 
 
+def test_router_that_was_suspended_does_not_order_by_its_lapsed_lease(monkeypatch):
+    # Guards against orders of a router whose successor has ordered meanwhile.
+    async def run():
+        server, platform = listen(make_platform(PlatformState()))
+        router = RouterApplication(
+            load_settings([*FLAGS, f"--platform={platform}"], {})
+        )
+        await router.start()
+        orderer = router.orderer
+        while not orderer._lease.may_order(orderer._clock()):
+            await asyncio.sleep(0)
+        read = time.clock_gettime
+        monkeypatch.setattr(time, "clock_gettime", lambda clock: read(clock) + 60.0)
+        found = orderer._lease.may_order(orderer._clock())
+        await router.stop()
+        server.stop()
+        return found
+
+    assert asyncio.run(run()) is False
+
+
 def test_stopped_router_leaves_nothing_behind_in_its_process(caplog):
     # A library user stops a router while it waits for the platform, and goes on.  A
     # timeout that libcurl asked for last used to run on the closed client, and the
