Tell unusable settings of the platform's daemon as findings

Seen: no file, a directory or bytes that are no text at the path, an address in use or of another VM, port 99999, a metrics port in use: exit 1 and a traceback. Broken JSON showed the YAML parser's text. With an address in use callers were let in before the router ended, at each restart.

Cause: only fields of a readable file were checked; errors of files and sockets were passed on as they came.

Broken JSON is told with its line.

--- a/src/tamarackrill/cli.py
+++ b/src/tamarackrill/cli.py
@@ -9,7 +9,6 @@
 import os
 import sys
 from collections.abc import Awaitable, Callable, Sequence
-from pathlib import Path
 from typing import Any, NamedTuple
 
 from tornado.httpclient import AsyncHTTPClient
@@ -35,6 +34,7 @@
 from tamarackrill.queries.fleet import list_endpoints, list_routers, pick_router
 from tamarackrill.queries.losses import find_endings, format_losses, summarize
 from tamarackrill.router.platform_client import PlatformClient
+from tamarackrill.text_files import read_text
 
 PLATFORM_VARIABLE = "TAMARACKRILL_PLATFORM"
 WAIT_MAX_S = 30.0
@@ -214,23 +214,15 @@
 
 
 def _read_lines(names: Sequence[str]) -> list[str]:
-    return [line for name in names for line in _read_text(name).splitlines()]
+    return [line for name in names for line in read_text(name, "replace").splitlines()]
 
 
 def _check_settings(options: argparse.Namespace) -> None:
-    settings = parse_settings(options.file, _read_text(options.file))
+    settings = parse_settings(options.file, read_text(options.file))
     for name, value in settings._asdict().items():
         print(f"{name} = {value}")
 
 
-def _read_text(name: str) -> str:
-    try:
-        return Path(name).read_text(encoding="utf-8", errors="replace")
-    except OSError as error:
-        message = error.strerror or str(error)
-        raise FindingsError([Finding(name, message)]) from error
-
-
 def _add_queries(groups: Any) -> None:
     fleet = groups.add_parser("fleet", help="look at the routers").add_subparsers(
         metavar="QUERY", required=True
--- a/src/tamarackrill/documents.py
+++ b/src/tamarackrill/documents.py
@@ -7,10 +7,10 @@
 
 import json
 from json import decoder, scanner
-from pathlib import Path
 from typing import Any, NamedTuple
 
 from tamarackrill.exceptions import Finding, FindingsError
+from tamarackrill.text_files import read_text
 
 FieldPath = tuple[str | int, ...]
 
@@ -133,13 +133,7 @@
     FindingsError
         If the file can't be read or is no JSON.
     """
-    try:
-        text = Path(path).read_text(encoding="utf-8")
-    except OSError as error:
-        raise FindingsError([Finding(path, error.strerror or str(error))]) from error
-    except UnicodeDecodeError as error:
-        raise FindingsError([Finding(path, "is no UTF-8 text")]) from error
-    return parse_document(path, text)
+    return parse_document(path, read_text(path))
 
 
 def _unwrap(
--- a/src/tamarackrill/platform/settings_file.py
+++ b/src/tamarackrill/platform/settings_file.py
@@ -10,7 +10,14 @@
 PATH_VARIABLE = "TAMARACKRILL_SETTINGS"
 BYTES_PER_MBIT = 125_000.0
 DEFAULT_LINK_MBPS = 1000.0
+PORT_MAX = 65535
 _MISSING = object()
+# Where the file holds what a process listens at.
+_KEYS = {
+    "callers_address": "listen.front",
+    "readiness_address": "listen.ready",
+    "peer_port": "internal_ports",
+}
 
 
 class PlatformSettings(NamedTuple):
@@ -40,6 +47,8 @@
         Shared by all routers, for each service.
     link_bytes_per_s : float
         What the link of this VM carries.
+    source : str
+        Name of the file.
     """
 
     name: str
@@ -55,16 +64,31 @@
     load_cap: float
     retry_budget: BudgetTerms
     link_bytes_per_s: float = DEFAULT_LINK_MBPS * BYTES_PER_MBIT
+    source: str = ""
+
+    def find_place(self, field: str) -> str:
+        """Return where the file holds the address of a field."""
+        return f"{self.source}: {_KEYS[field]}"
 
 
 class _Reader:
     """Reads fields by their dotted names and collects what is wrong."""
 
     def __init__(self, source: str, fields: Mapping[str, Any]) -> None:
-        self._source = source
+        self.source = source
         self._fields = fields
         self.findings: list[Finding] = []
 
+    def report(self, path: str, message: str) -> None:
+        self.findings.append(Finding(f"{self.source}: {path}", message))
+
+    def read_address(self, path: str) -> str:
+        text = str(self.read(path, str))
+        host, _, port = text.rpartition(":")
+        if text and not (host and port.isdigit() and 0 < int(port) <= PORT_MAX):
+            self.report(path, f"{text!r} is no host:port")
+        return text
+
     def read(self, path: str, kind: type, default: Any = _MISSING) -> Any:
         value: Any = self._fields
         for name in path.split("."):
@@ -77,7 +101,7 @@
         ):
             return kind(value)
         said = "is missing" if value is None else f"{value!r} is no {kind.__name__}"
-        self.findings.append(Finding(f"{self._source}: {path}", said))
+        self.report(path, said)
         return kind()
 
 
@@ -102,32 +126,46 @@
 def _load(source: str, text: str) -> Any:
     try:
         return json.loads(text)
-    except ValueError:
+    except ValueError as error:
         # Not each file is JSON, and a process that reads one that is starts sooner.
-        import yaml
+        return _load_yaml(source, text, error)
+
+
+def _load_yaml(source: str, text: str, json_error: ValueError) -> Any:
+    import yaml
+
     try:
         return yaml.safe_load(text)
     except yaml.YAMLError as error:
-        raise FindingsError([Finding(source, f"is no YAML: {error}")]) from error
+        if text.lstrip().startswith("{"):
+            # What a parser of YAML says of broken JSON names the wrong place.
+            line = getattr(json_error, "lineno", 1)
+            message = f"is no JSON: {getattr(json_error, 'msg', json_error)}"
+        else:
+            mark = getattr(error, "problem_mark", None)
+            line = 1 if mark is None else mark.line + 1
+            message = f"is no YAML: {getattr(error, 'problem', None) or error}"
+        raise FindingsError([Finding(f"{source}:{line}", message)]) from error
 
 
 def _read(reader: _Reader) -> PlatformSettings:
     # The ports from the first to the second are free; the second one is included.
     ports = reader.read("internal_ports", list)
-    first, last = ports if len(ports) == 2 else (0, 0)
-    if last <= first:
-        reader.findings.append(Finding("internal_ports", "is no range of two ports"))
+    is_range = len(ports) == 2 and all(isinstance(port, int) for port in ports)
+    first, last = ports if is_range else (0, 0)
+    if not 0 < first < last <= PORT_MAX:
+        reader.report("internal_ports", f"{ports!r} is no range of two ports")
     # `seeds` are addresses of the control port; routers talk on the internal one.
     seeds = [str(seed).rpartition(":")[0] for seed in reader.read("seeds", list, [])]
     return PlatformSettings(
         name=reader.read("node_name", str),
         zone=reader.read("zone", str),
         ip=reader.read("ip", str),
-        callers_address=reader.read("listen.front", str),
-        readiness_address=reader.read("listen.ready", str),
+        callers_address=reader.read_address("listen.front"),
+        readiness_address=reader.read_address("listen.ready"),
         peer_port=first,
         seeds=tuple(f"{host}:{first}" for host in seeds),
-        store_address=reader.read("platform.address", str),
+        store_address=reader.read_address("platform.address"),
         grace_s=reader.read("bounds.grace_s", float),
         news_max_s=_read_news_max_s(reader),
         load_cap=reader.read("bounds.cap_x", float, 2.0),
@@ -138,6 +176,7 @@
         ),
         link_bytes_per_s=BYTES_PER_MBIT
         * reader.read("limits.link_mbps", float, DEFAULT_LINK_MBPS),
+        source=reader.source,
     )
 
 
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -47,6 +47,7 @@
 )
 from tamarackrill.platform.settings_file import PlatformSettings
 from tamarackrill.platform.store import STORE_FORM
+from tamarackrill.router.binding import report_unusable
 from tamarackrill.router.configuring import Configurer
 from tamarackrill.router.datagrams import PeerSocket
 from tamarackrill.router.deployment_view import DeploymentView, ObjectReaders
@@ -179,7 +180,9 @@
         """
         settings = self.settings
         self._peer_socket = PeerSocket(self.metrics.count)
-        await self._peer_socket.start(settings.ip, settings.peer_port)
+        peer_address = f"{settings.ip}:{settings.peer_port}"
+        with report_unusable(settings.find_place("peer_port"), peer_address):
+            await self._peer_socket.start(settings.ip, settings.peer_port)
         self._store_client = CurlAsyncHTTPClient(force_instance=True)
         self._router_client = make_client()
         self._make_placement_teller()
@@ -234,19 +237,23 @@
             lambda size_bytes: self._hand_on.take(size_bytes, self.clock()),
         )
         peers = Application(handlers)
-        self._listen(peers, f"{self.settings.ip}:{self.settings.peer_port}")
+        settings = self.settings
+        peer_address = f"{settings.ip}:{settings.peer_port}"
+        self._listen(peers, peer_address, settings.find_place("peer_port"))
         metrics = make_metrics_page(self.metrics)
-        self._listen(metrics, f"{self.settings.ip}:{self._metrics_port}")
+        self._listen(metrics, f"{settings.ip}:{self._metrics_port}", "metrics port")
 
     def _listen_readiness(self) -> None:
         question = make_readiness_page(self.is_ready)
-        self._listen(question, self.settings.readiness_address)
+        place = self.settings.find_place("readiness_address")
+        self._listen(question, self.settings.readiness_address, place)
 
-    def _listen(self, application: Application, address: str) -> None:
+    def _listen(self, application: Application, address: str, place: str) -> None:
         host, _, port = address.rpartition(":")
         application.settings["log_function"] = lambda handler: None
         server = HTTPServer(application)
-        server.listen(int(port), host)
+        with report_unusable(place, address):
+            server.listen(int(port), host)
         self._servers.append(server)
 
     def _make_configurer(self) -> None:
