Soak routers in zones, the network between them, their starts, and the product's own daemon

The soak had one zone and, as found now, no fleet at all: a router takes the hosts of its seeds and its own peer port, as ports are the same on all VMs, and on one address of loopback that is itself. Its three routers never knew each other; the logs have no member_changed. A router that ended untold was started again without a word.

Change: each router of a soak has an address of loopback of its own. In the shapes two, three (4 and 8 routers) and many (60) a proxy stands at the address at which others reach each router, and has its datagrams come late or not, or cuts zones one way. Routers are signalled in series within the first second after they listen. It is a broken promise when a router ends untold, when one told to stop ends with another code than 0, and when one lacks a manifest 4 s after it was written once all has healed. soak/native.py does the same with tamarackrilld. The daemon gets TAMARACKRILL_PEER_ADDRESS for addresses that are translated, which the proxy needs.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: setup demo demo-platform example test soak lint format capacity bench clean
+.PHONY: setup demo demo-platform example test soak soak-native lint format capacity bench clean
 
 setup: $(READY)
 
@@ -29,8 +29,12 @@
 
 SEED ?= 1
 SEEDS ?= 50
+SHAPE ?= three
 soak: setup
-	$(BIN)/python -m soak.run --seed $(SEED) --seeds $(SEEDS)
+	$(BIN)/python -m soak.run --seed $(SEED) --seeds $(SEEDS) --shape $(SHAPE)
+
+soak-native: setup
+	$(BIN)/python -m soak.native --seed $(SEED) --seeds $(SEEDS)
 
 lint: setup
 	$(BIN)/ruff format --check src tests bench soak
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,6 +15,10 @@
     ----------
     target : str
         ``host:port`` behind it.
+    ip : str, optional
+        Where it listens.
+    port : int, optional
+        Where it listens; a free one by default.
 
     Attributes
     ----------
@@ -24,8 +28,10 @@
         what goes to the target; ``"refuse"`` resets new connections.
     """
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, ip: str = "127.0.0.1", port: int = 0) -> None:
         self.target = target
+        self._ip = ip
+        self._port = port
         self.mode: Mode = "pass"
         self.address = ""
         self._server: asyncio.Server | None = None
@@ -33,8 +39,8 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        """Listen."""
+        self._server = await asyncio.start_server(self._serve, self._ip, self._port)
         host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
--- a/src/tamarackrill/platform/settings_file.py
+++ b/src/tamarackrill/platform/settings_file.py
@@ -84,8 +84,7 @@
 
     def read_address(self, path: str) -> str:
         text = str(self.read(path, str))
-        host, _, port = text.rpartition(":")
-        if text and not (host and port.isdigit() and 0 < int(port) <= PORT_MAX):
+        if text and not is_address(text):
             self.report(path, f"{text!r} is no host:port")
         return text
 
@@ -105,6 +104,12 @@
         return kind()
 
 
+def is_address(text: str) -> bool:
+    """Return whether a text is ``host:port``."""
+    host, _, port = text.rpartition(":")
+    return bool(host) and port.isdigit() and 0 < int(port) <= PORT_MAX
+
+
 def parse_settings(source: str, text: str) -> PlatformSettings:
     """Return the settings of a file's text; fields that are not known are passed over.
 
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -114,6 +114,9 @@
         Where metrics are served.
     flush_log : callable, optional
         Writes what the log holds back, as far as its reader takes it.
+    peer_address : str, optional
+        ``host:port`` at which other routers reach this one, if it isn't what it listens
+        at.
 
     Notes
     -----
@@ -127,6 +130,7 @@
         peer_keys: tuple[str, ...],
         metrics_port: int,
         flush_log: Callable[[], None] = lambda: None,
+        peer_address: str = "",
     ) -> None:
         self._flush_log = flush_log
         self.settings = settings
@@ -149,7 +153,7 @@
             self._endpoint_news,
             self._find_teller_zone,
         )
-        address = f"{settings.ip}:{settings.peer_port}"
+        address = peer_address or f"{settings.ip}:{settings.peer_port}"
         self.members = Members(
             Member(settings.name, address, settings.zone, peer_address=address)
         )
--- a/src/tamarackrill/router/edge_daemon.py
+++ b/src/tamarackrill/router/edge_daemon.py
@@ -11,6 +11,8 @@
 
 PEER_KEYS_VARIABLE = "TAMARACKRILL_PEER_KEYS"
 METRICS_PORT_VARIABLE = "TAMARACKRILL_METRICS_PORT"
+# Where other routers reach this one, if addresses are translated on the way.
+PEER_ADDRESS_VARIABLE = "TAMARACKRILL_PEER_ADDRESS"
 # Named in the deploy file as well, which knows no ports of the day.
 METRICS_PORT = 9464
 
@@ -27,6 +29,7 @@
     from tamarackrill.platform.settings_file import (
         PATH_VARIABLE,
         PORT_MAX,
+        is_address,
         parse_settings,
     )
     from tamarackrill.router.binding import check_usable, report_unusable
@@ -44,6 +47,10 @@
     if not port.isdigit() or not 0 < int(port) <= PORT_MAX:
         message = f"{port!r} is no port"
         raise FindingsError([Finding(METRICS_PORT_VARIABLE, message)])
+    peer_address = os.environ.get(PEER_ADDRESS_VARIABLE, "")
+    if peer_address and not is_address(peer_address):
+        message = f"{peer_address!r} is no host:port"
+        raise FindingsError([Finding(PEER_ADDRESS_VARIABLE, message)])
     settings = parse_settings(path, read_text(path))
     if signals.stop_told_s is not None:
         return
@@ -54,7 +61,7 @@
     # Loading it takes far longer than all before, while callers already connect.
     from tamarackrill.router.edge_process import run
 
-    run(settings, peer_keys, int(port), listener, signals)
+    run(settings, peer_keys, int(port), listener, signals, peer_address)
 
 
 def _list_uses(settings: "PlatformSettings", metrics_port: int) -> "list[Use]":
--- a/src/tamarackrill/router/edge_process.py
+++ b/src/tamarackrill/router/edge_process.py
@@ -16,6 +16,7 @@
     metrics_port: int,
     listener: socket.socket,
     signals: Signals,
+    peer_address: str = "",
 ) -> None:
     """Run one router, then drain and stop it.
 
@@ -31,6 +32,8 @@
         Listens for callers already.
     signals : Signals
         Those of this process.
+    peer_address : str, optional
+        Where other routers reach this one, if it isn't what it listens at.
     """
     log = set_up_bounded_logs()
 
@@ -38,7 +41,9 @@
         log.report_left_out()
         log.flush()
 
-    application = EdgeApplication(settings, peer_keys, metrics_port, flush_log)
+    application = EdgeApplication(
+        settings, peer_keys, metrics_port, flush_log, peer_address
+    )
     asyncio.run(
         run_until_told(
             application, lambda: application.start(listener), signals, settings.name
--- a/src/tamarackrill/testing/edge_processes.py
+++ b/src/tamarackrill/testing/edge_processes.py
@@ -23,14 +23,27 @@
     callers: str
     readiness: str
     peers: str
-    metrics_port: int
+    metrics: str
 
 
-def choose_addresses() -> RouterAddresses:
-    """Return addresses of loopback that no other process is given."""
-    ports = [find_free_port() for _ in range(4)]
-    callers, readiness, peers = (f"127.0.0.1:{port}" for port in ports[:3])
-    return RouterAddresses(callers, readiness, peers, ports[3])
+def choose_addresses(
+    ip: str = "127.0.0.1", peer_port: int | None = None
+) -> RouterAddresses:
+    """Return addresses of loopback that no other process is given.
+
+    Parameters
+    ----------
+    ip : str, optional
+        Address of the VM.
+    peer_port : int, optional
+        Port for other routers; all of a fleet have the same one.
+    """
+    ports = [find_free_port() for _ in range(3)]
+    if peer_port is None:
+        peer_port = find_free_port()
+    return RouterAddresses(
+        *(f"{ip}:{port}" for port in (*ports[:2], peer_port, ports[2]))
+    )
 
 
 class EdgeProcess:
@@ -43,11 +56,19 @@
     store_address : str
         ``host:port`` of the store, or of a proxy before it.
     seeds : list of str
-        Peer addresses of other routers.
+        Addresses of other routers; their ports are this one's own peer port, since all
+        routers of a fleet have the same.
     folder : Path
         Gets the settings file and the log.
     grace_s : int, optional
         From SIGTERM to the end.
+    addresses : RouterAddresses, optional
+        Where it listens; chosen by default.
+
+    Attributes
+    ----------
+    peer_address : str
+        Where other routers reach it, if not where it listens.
     """
 
     def __init__(
@@ -58,17 +79,21 @@
         seeds: list[str],
         folder: Path,
         grace_s: int = 4,
+        addresses: RouterAddresses | None = None,
     ) -> None:
         self.name = name
-        self.addresses = choose_addresses()
+        self.addresses = addresses or choose_addresses()
+        self.peer_address = ""
+        self._told: set[signal.Signals] = set()
         self.log_path = folder / f"{name}.log"
         self._settings_path = folder / f"{name}.yaml"
         self._process: subprocess.Popen[bytes] | None = None
-        peer_port = int(self.addresses.peers.rpartition(":")[2])
+        ip, _, port = self.addresses.peers.rpartition(":")
+        peer_port = int(port)
         settings = {
             "node_name": name,
             "zone": zone,
-            "ip": "127.0.0.1",
+            "ip": ip,
             "listen": {
                 "front": self.addresses.callers,
                 "ready": self.addresses.readiness,
@@ -82,6 +107,7 @@
 
     def start(self) -> None:
         """Start the process; its log is appended to."""
+        self._told.clear()
         with self.log_path.open("ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "tamarackrill.router.edge_daemon"],
@@ -96,7 +122,8 @@
         return {
             "TAMARACKRILL_SETTINGS": str(self._settings_path),
             "TAMARACKRILL_PEER_KEYS": "key-of-tests",
-            "TAMARACKRILL_METRICS_PORT": str(self.addresses.metrics_port),
+            "TAMARACKRILL_METRICS_PORT": self.addresses.metrics.rpartition(":")[2],
+            "TAMARACKRILL_PEER_ADDRESS": self.peer_address,
         }
 
     @property
@@ -107,8 +134,18 @@
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it lives."""
         if self._process is not None and self._process.poll() is None:
+            self._told.add(number)
             self._process.send_signal(number)
 
+    def find_fault(self) -> str:
+        """Return how the process ended otherwise than it was told, "" if it did not."""
+        code = None if self._process is None else self._process.poll()
+        if code is None or signal.SIGKILL in self._told:
+            return ""
+        if signal.SIGTERM not in self._told:
+            return f"{self.name} ended by itself with {code}"
+        return f"{self.name} was told to stop and ended with {code}" if code else ""
+
     async def wait_ended(self) -> int:
         """Return the exit code once the process has ended."""
         # Whoever else waits for it may start the next process meanwhile.
@@ -131,6 +168,32 @@
             return False
         return bool(answer.code == 200)
 
+    async def wait_listening(self) -> None:
+        """Wait until a caller could connect."""
+        host, _, port = self.addresses.callers.rpartition(":")
+        async with asyncio.timeout(PATIENCE_S):
+            while True:
+                try:
+                    _, writer = await asyncio.open_connection(host, int(port))
+                except ConnectionRefusedError:
+                    await asyncio.sleep(ASK_EVERY_S)
+                    continue
+                writer.close()
+                return
+
+    async def read_metric(self, name: str) -> float | None:
+        """Return a gauge without a label, None if it isn't there."""
+        url = f"http://{self.addresses.metrics}/metrics"
+        try:
+            answer = await AsyncHTTPClient().fetch(url, request_timeout=1.0)
+        except (OSError, HTTPClientError):
+            return None
+        begin = f'tamarackrill_{name}{{label=""}} '
+        for line in answer.body.decode().splitlines():
+            if line.startswith(begin):
+                return float(line.removeprefix(begin))
+        return None
+
     async def wait_ready(self) -> None:
         """Wait until the router is ready."""
         async with asyncio.timeout(PATIENCE_S):
@@ -147,5 +210,6 @@
         """End the process at once, and wait for its end."""
         if self._process is not None:
             self.signal(signal.SIGCONT)
+            self._told.add(signal.SIGKILL)
             self._process.kill()
             self._process.wait()
