--- a/bench/starting.py
+++ b/bench/starting.py
@@ -14,9 +14,8 @@
 import time
 began_s = time.process_time()
 import tamarackrill.router.edge_daemon
-import tamarackrill.exceptions
-import tamarackrill.platform.settings_file
 import tamarackrill.router.early_listener
+import tamarackrill.router.edge_options
 listens_s = time.process_time()
 import tamarackrill.router.edge_process
 print(began_s, listens_s, time.process_time())
--- a/src/tamarackrill/__init__.py
+++ b/src/tamarackrill/__init__.py
@@ -5,9 +5,12 @@
 """
 
 import importlib
-from typing import TYPE_CHECKING, Any
 
+# The module `typing` takes longer to load than a daemon has before its first signal.
+TYPE_CHECKING = False
 if TYPE_CHECKING:
+    from typing import Any
+
     from tamarackrill.contracts import CallPattern, Contract, hash_key, read_contract
     from tamarackrill.exceptions import (
         Finding,
@@ -53,7 +56,7 @@
 }
 
 
-def __getattr__(name: str) -> Any:
+def __getattr__(name: str) -> "Any":
     for module, names in _MODULES.items():
         if name in names:
             return getattr(importlib.import_module(f"tamarackrill.{module}"), name)
--- /dev/null
+++ b/src/tamarackrill/router/cut_off.py
@@ -0,0 +1,78 @@
+"""Watches whether this router is cut off from a service, for its balancer to know."""
+
+from collections.abc import Callable
+
+from tamarackrill.contracts import Endpoint
+from tamarackrill.decisions.isolation import Isolation, choose_witnesses
+from tamarackrill.events import ROUTER_CUT_OFF, ROUTER_REJOINED, log_event
+from tamarackrill.router.deployment_view import DeploymentView
+from tamarackrill.router.edge_placing import EdgePlacer
+from tamarackrill.router.members import Members
+
+
+class CutOffWatch:
+    """Whether endpoints outside the zone can be reached.
+
+    Parameters
+    ----------
+    zone : str
+        Availability zone of this router.
+    view : DeploymentView
+        Services and endpoints in force.
+    placer : EdgePlacer
+        Knows which paths have failed.
+    members : Members
+        Live routers; those of other zones are witnesses.
+    clock : callable
+        Returns the present time.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        view: DeploymentView,
+        placer: EdgePlacer,
+        members: Members,
+        clock: Callable[[], float],
+    ) -> None:
+        self._zone = zone
+        self._view = view
+        self._placer = placer
+        self._members = members
+        self._clock = clock
+        self._isolation = Isolation(zone)
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether this router reaches no endpoint of some service."""
+        return self._isolation.is_cut_off
+
+    def find_elsewhere_s(self) -> float | None:
+        """Return when clients will be sent to other zones, if that is foreseen."""
+        return self._isolation.find_elsewhere_s(self._clock())
+
+    def list_witnesses(self) -> list[Endpoint]:
+        """Return routers of other zones that are asked before a cut is believed."""
+        routers = [
+            Endpoint(f"router {m.name}", "service", (), m.peer_address, m.zone)
+            for m in self._members.list_live()
+        ]
+        return choose_witnesses(self._zone, routers)
+
+    def look(self) -> bool:
+        """Work out whether this router is cut off; return whether that has changed."""
+        table = self._view.routes
+        reach = self._placer.reach
+        # Without a path that has failed there is nothing to work out, and this is asked
+        # four times a second, over thousands of endpoints in a large deployment.
+        if table is None or not (reach.doubtful or self.is_cut_off):
+            return False
+        pools = [self._view.list_live(name) for name in table.services]
+        witnesses = self.list_witnesses()
+        known = [*self._view.list_endpoints(), *witnesses]
+        doubtful = reach.find_doubtful(known)
+        if not self._isolation.observe(pools, witnesses, doubtful, self._clock()):
+            return False
+        event = ROUTER_CUT_OFF if self.is_cut_off else ROUTER_REJOINED
+        log_event(event, zone=self._zone, unreached=len(doubtful))
+        return True
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -12,7 +12,6 @@
 from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
-from tamarackrill.contracts import Endpoint
 from tamarackrill.decisions.configuration import (
     Changes,
     ConfigurationStore,
@@ -20,7 +19,6 @@
 )
 from tamarackrill.decisions.endpoint_news import EndpointNews, hash_teller
 from tamarackrill.decisions.handing_on import HandOnBudget
-from tamarackrill.decisions.isolation import Isolation, choose_witnesses
 from tamarackrill.decisions.members import Entries, MemberRecord, MemberState
 from tamarackrill.decisions.membership import PeerHeard
 from tamarackrill.decisions.news_shares import TRUST_MAX_SHARE, WATCH_MAX_SHARE
@@ -29,10 +27,8 @@
 from tamarackrill.decisions.retry_shares import FleetSize
 from tamarackrill.decisions.watching import SETTLE_S, Watching
 from tamarackrill.events import (
-    ROUTER_CUT_OFF,
     ROUTER_LATE,
     ROUTER_LEAVING,
-    ROUTER_REJOINED,
     ROUTER_STARTED,
     ROUTER_STOPPED,
     STORE_CALL_ENDED,
@@ -49,6 +45,7 @@
 from tamarackrill.platform.store import STORE_FORM
 from tamarackrill.router.binding import report_unusable
 from tamarackrill.router.configuring import Configurer
+from tamarackrill.router.cut_off import CutOffWatch
 from tamarackrill.router.datagrams import PeerSocket
 from tamarackrill.router.deployment_view import DeploymentView, ObjectReaders
 from tamarackrill.router.early_listener import open_listener
@@ -160,8 +157,10 @@
         self._teller_zones: dict[int, str] = {}
         self._hand_on = HandOnBudget(settings.link_bytes_per_s)
         self._fleet_size = FleetSize()
-        self.isolation = Isolation(settings.zone)
-        self.placer.list_witnesses = self._list_witnesses
+        self.cut_off = CutOffWatch(
+            settings.zone, self.view, self.placer, self.members, self.clock
+        )
+        self.placer.list_witnesses = self.cut_off.list_witnesses
         self.flow = EdgeFlow(
             self.placer,
             settings.retry_budget,
@@ -169,9 +168,7 @@
             self.metrics,
             self.clock,
         )
-        self.flow.find_elsewhere_s = lambda: self.isolation.find_elsewhere_s(
-            self.clock()
-        )
+        self.flow.find_elsewhere_s = self.cut_off.find_elsewhere_s
         self.server = EdgeServer(self.view, self.flow, self.metrics, self.clock)
 
     async def start(self, listener: socket.socket | None = None) -> None:
@@ -424,7 +421,9 @@
             self._note_lag(self.clock() - due_s)
             self.view.expire(self.clock())
             self.flow.attempts.paths.ask_due()
-            self._watch_isolation()
+            if self.cut_off.look():
+                # A kept connection stays with its router, whatever the balancer does.
+                self.server.sends_elsewhere = self.cut_off.is_cut_off
             self._fleet_size.observe(len(self.members.list_live()), self.clock())
             self.store_news.take_members()
             self._teller_zones = {
@@ -438,35 +437,9 @@
         if lag_s >= LATE_LOGGED_S:
             log_event(ROUTER_LATE, lag_s=round(lag_s, 4))
 
-    def _watch_isolation(self) -> None:
-        table = self.view.routes
-        # Without a path that has failed there is nothing to work out, and this is asked
-        # four times a second, over thousands of endpoints in a large deployment.
-        if table is None or not (
-            self.placer.reach.doubtful or self.isolation.is_cut_off
-        ):
-            return
-        pools = [self.view.list_live(name) for name in table.services]
-        witnesses = self._list_witnesses()
-        known = [*self.view.list_endpoints(), *witnesses]
-        doubtful = self.placer.reach.find_doubtful(known)
-        if not self.isolation.observe(pools, witnesses, doubtful, self.clock()):
-            return
-        # A kept connection stays with its router, whatever the balancer does.
-        self.server.sends_elsewhere = self.isolation.is_cut_off
-        event = ROUTER_CUT_OFF if self.isolation.is_cut_off else ROUTER_REJOINED
-        log_event(event, zone=self.settings.zone, unreached=len(doubtful))
-
-    def _list_witnesses(self) -> list[Endpoint]:
-        routers = [
-            Endpoint(f"router {m.name}", "service", (), m.peer_address, m.zone)
-            for m in self.members.list_live()
-        ]
-        return choose_witnesses(self.settings.zone, routers)
-
     def is_ready(self) -> bool:
         """Return whether the balancer may send new connections here."""
-        if self.server.is_leaving or self.isolation.is_cut_off:
+        if self.server.is_leaving or self.cut_off.is_cut_off:
             return False
         return self.view.is_complete
 
--- a/tests/test_daemon_settings.py
+++ b/tests/test_daemon_settings.py
@@ -119,9 +119,9 @@
         socket.create_server(("127.0.0.1", 0)) as metrics,
         socket.socket(type=socket.SOCK_DGRAM) as peers,
     ):
-        peers.bind(("127.0.0.1", 0))
+        peer_port = find_free_port()
+        peers.bind(("127.0.0.1", peer_port))
         port = readiness.getsockname()[1]
-        peer_port = peers.getsockname()[1]
         changes = {
             "listen.ready": f"127.0.0.1:{port}",
             "internal_ports": [peer_port, peer_port + 1],
