Grant at once what a changed contract adds to a burst

Cause: buckets kept their level and filled at the new rate, so that a used-up burst refused for another 1 / rate, 10 ms there. By the module alone a request 1 ms after the change is refused each time. The part of a burst that a router may spend was worked out from the burst of when the team was first seen.

Ruled out: the sum over the fleet (100 a second allowed, 1.5 counted).

Change: what a contract adds is granted at once, what it takes away leaves no debt.

Shown: the new case of test_limits.py for requests fails before, the one for tokens passed; golden, limits and limiting pass.

--- a/src/tamarackrill/decisions/limits.py
+++ b/src/tamarackrill/decisions/limits.py
@@ -133,6 +133,7 @@
         self.done = Meter()
         self.in_flight = 0
         self.burst = contract.rate_burst
+        self.tokens_burst = contract.tokens_burst
         self.updated_s = now_s
         # What this router itself may still admit, and what the whole fleet may.
         self.own_requests = _Bucket(contract.rate_burst)
@@ -146,6 +147,21 @@
         self.others: TeamUsage | None = None
         self.others_at_s = -math.inf
 
+    def take_bursts(self, contract: Contract) -> None:
+        """Grant at once what a changed contract adds to the bursts.
+
+        Filled at the new rate alone, a burst that was used up would have the team
+        refused after its contract allows it more.
+        """
+        more = max(0.0, contract.rate_burst - self.burst)
+        more_tokens = max(0.0, contract.tokens_burst - self.tokens_burst)
+        self.burst = contract.rate_burst
+        self.tokens_burst = contract.tokens_burst
+        for bucket in (self.own_requests, self.fleet_requests):
+            bucket.level += more
+        for bucket in (self.own_tokens, self.fleet_tokens):
+            bucket.level += more_tokens
+
 
 class FleetLimits:
     """Limits of all teams at one router.
@@ -182,6 +198,7 @@
             team = self._teams[contract.team] = _Team(contract, now_s, phase)
         if now_s - team.others_at_s > HOLD_S:
             team.others = None
+        team.take_bursts(contract)
         # Before this request is counted: the burst was used by what came since the
         # last one, and a request after a pause must not pay for the pause.
         _fill(team, contract, self._sum_fleet(team, contract.team, now_s), now_s)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -166,6 +166,31 @@
     assert len(told) > 450
 
 
+@pytest.mark.parametrize(
+    ("before", "after"),
+    [
+        ({"rate_burst": 2.0, "rate_per_s": 0.01}, {"rate_burst": 100.0}),
+        ({"tokens_burst": 20.0, "tokens_per_s": 0.01}, {"tokens_burst": 900.0}),
+    ],
+)
+def test_burst_that_a_contract_adds_is_granted_at_once(before, after):
+    # Guards against a team that is refused after its contract was changed to allow it
+    # more, for as long as the larger burst takes to fill.
+    limits = FleetLimits("r")
+    contract = LOOSE._replace(**before)
+    assert [limits.admit(contract, 10.0, 1.0).admitted for _ in range(3)] == [1, 1, 0]
+    assert limits.admit(contract._replace(**after), 10.0, 1.001).admitted
+
+
+def test_burst_that_a_contract_takes_away_leaves_no_debt():
+    limits = FleetLimits("r")
+    contract = LOOSE._replace(rate_burst=100.0, rate_per_s=0.01)
+    for _ in range(101):
+        limits.admit(contract, 0.0, 1.0)
+    fewer = contract._replace(rate_burst=2.0, rate_per_s=1.0)
+    assert limits.admit(fewer, 0.0, 3.0).admitted
+
+
 def test_burst_after_a_pause_is_admitted():
     # A team that was quiet sends as much at once as its contract allows.  Were the
     # pause counted as use, its burst would be refused after each pause.
