--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -474,6 +474,15 @@
     "None if its entry ends soon; else look who writes it.",
 )
 
+OWNER_SILENT = Event(
+    5030,
+    "owner_silent",
+    _WARNING,
+    ("endpoint", "owner", "waited_s"),
+    "The router that counts an endpoint's calls did not answer in time; the call goes "
+    "by this router's own estimate, so that the bound of loads may be exceeded.",
+    "Compare with router_late, and look at the processors of both VMs.",
+)
 POOL_FAILING = Event(
     5029,
     "pool_failing",
--- a/src/tamarackrill/router/owners.py
+++ b/src/tamarackrill/router/owners.py
@@ -15,6 +15,7 @@
     Reservations,
     find_owner,
 )
+from tamarackrill.events import OWNER_SILENT, log_event
 from tamarackrill.protocol.owner_codec import (
     Answer,
     Ask,
@@ -122,6 +123,12 @@
         try:
             return await asyncio.wait_for(future, ASK_TIMEOUT_S), ticket
         except TimeoutError:
+            log_event(
+                OWNER_SILENT,
+                endpoint=endpoint.name,
+                owner=owner.name,
+                waited_s=ASK_TIMEOUT_S,
+            )
             # The ask may have been granted and only its answer lost.
             self.release(ticket)
             return None, UNCOUNTED
