Signal only routers of the soak that listen

Two harms overlapped; one had killed the router and started it anew, and the SIGHUP that the other meant for the process before hit the interpreter while it started.

Change: a signal goes to the process that it was meant for, once callers can connect to it.

--- a/soak/run.py
+++ b/soak/run.py
@@ -236,11 +236,9 @@
         if router.is_running:
             return
         router.start()
-        await router.wait_listening()
-        for number in numbers:
-            await asyncio.sleep(self._chance.random() / count)
-            router.signal(number)
-        if signal.SIGTERM in numbers:
+        over_s = self._chance.random()
+        are_sent = await router.signal_listening(*numbers, over_s=over_s)
+        if are_sent and signal.SIGTERM in numbers:
             await router.wait_ended()
             if not router.is_running:
                 router.start()
@@ -273,13 +271,16 @@
         kind = self._chance.choice(["kill", "stop", "pause", "hup"])
         self.faults.append(f"{router.name} {kind}")
         if kind == "hup":
-            router.signal(signal.SIGHUP)
+            await router.signal_listening(signal.SIGHUP)
         elif kind == "pause":
             router.signal(signal.SIGSTOP)
             await asyncio.sleep(self._chance.random() * PAUSE_MAX_S)
             router.signal(signal.SIGCONT)
         else:
-            router.signal(signal.SIGKILL if kind == "kill" else signal.SIGTERM)
+            if kind == "kill":
+                router.signal(signal.SIGKILL)
+            elif not await router.signal_listening(signal.SIGTERM):
+                return
             await router.wait_ended()
             if not router.is_running:
                 router.start()
--- a/src/tamarackrill/testing/edge_processes.py
+++ b/src/tamarackrill/testing/edge_processes.py
@@ -85,6 +85,7 @@
         self.addresses = addresses or choose_addresses()
         self.peer_address = ""
         self._told: set[signal.Signals] = set()
+        self._starts = 0
         self.log_path = folder / f"{name}.log"
         self._settings_path = folder / f"{name}.yaml"
         self._process: subprocess.Popen[bytes] | None = None
@@ -108,6 +109,7 @@
     def start(self) -> None:
         """Start the process; its log is appended to."""
         self._told.clear()
+        self._starts += 1
         with self.log_path.open("ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "tamarackrill.router.edge_daemon"],
@@ -131,6 +133,33 @@
         """Whether the process lives, stopped or not."""
         return self._process is not None and self._process.poll() is None
 
+    async def signal_listening(
+        self, *numbers: signal.Signals, over_s: float = 0
+    ) -> bool:
+        """Send signals to the process that runs now, once callers can connect to it.
+
+        Parameters
+        ----------
+        *numbers : signal.Signals
+            Sent in their order.
+        over_s : float, optional
+            Time over which they are spread.
+
+        Returns
+        -------
+        bool
+            Whether all were sent, and the process has not been started anew meanwhile.
+        """
+        starts = self._starts
+        await self.wait_listening()
+        for number in numbers:
+            await asyncio.sleep(over_s / len(numbers))
+            # Until the interpreter runs the daemon, signals have their default effect.
+            if self._starts != starts:
+                return False
+            self.signal(number)
+        return True
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it lives."""
         if self._process is not None and self._process.poll() is None:
