Leave the rest of a pool within the multiple of the mean load

The number that is left out was bounded by free slots alone, and the bound of a placement by the mean of those that are left, which rises as others are left out.

Ruled out: that they were left out by mistake (each had 8 to 12 failures in 5 s, the other two none).

Change: no more are left out than leaves the rest within the multiple, and the mean of a placement's bound is that of all that can be reached.

--- a/src/tamarackrill/decisions/fleet_health.py
+++ b/src/tamarackrill/decisions/fleet_health.py
@@ -19,8 +19,10 @@
 endpoint that is out of order for the callers of one zone only is left out there alone:
 what other zones tell counts only where two of them do.
 
-How many are left out follows from the room that the rest has.  An endpoint that was
-left out gets work again after a pause, which doubles while it fails again.
+How many are left out follows from the room that the rest has, and from the multiple of
+the mean load that none of them may carry: with twice the mean, half of a pool at most.
+An endpoint that was left out gets work again after a pause, which doubles while it
+fails again.
 """
 
 import math
@@ -44,6 +46,7 @@
 PAUSE_MAX_S = 20.0
 # One that fails again so soon after its pause has not recovered.
 RELAPSE_S = 6.0
+LOAD_CAP_DEFAULT = 2.0
 # Part of the slots of those that are left that may be taken by all requests.
 ROOM_SHARE = 0.5
 # What was told is remembered for so long, so that it counts once however late it comes
@@ -96,9 +99,17 @@
         Returns the availability zone of a teller, None if it is not known.
     own_zone : str
         Availability zone of this router.
+    load_cap : float, optional
+        Multiple of the mean load that no endpoint may exceed.
     """
 
-    def __init__(self, find_zone: Callable[[int], str | None], own_zone: str) -> None:
+    def __init__(
+        self,
+        find_zone: Callable[[int], str | None],
+        own_zone: str,
+        load_cap: float = LOAD_CAP_DEFAULT,
+    ) -> None:
+        self._load_cap = load_cap
         self._find_zone = find_zone
         self._own_zone = own_zone
         self._counts: dict[str, list[_Count]] = {}
@@ -191,7 +202,8 @@
         paused = [name for name in slots if self._is_paused(name, now_s)]
         # Those that were paused for longest have failed most often.
         paused.sort(key=lambda name: (-self._pauses[name].pause_s, name))
-        return _take_while_room(paused, slots, in_flight)
+        most = len(slots) - math.ceil(len(slots) / self._load_cap)
+        return _take_while_room(paused[:most], slots, in_flight)
 
     def _is_paused(self, name: str, now_s: float) -> bool:
         pause = self._pauses.get(name)
--- a/src/tamarackrill/decisions/routing.py
+++ b/src/tamarackrill/decisions/routing.py
@@ -135,6 +135,7 @@
         shares: Mapping[str, float] | None = None,
         refused: Collection[str] = (),
         slots_multiple: int = 1,
+        bounded_by: EndpointPool | None = None,
     ) -> Choice | None:
         """Return where `request` goes, or None if all endpoints are full.
 
@@ -152,6 +153,10 @@
             Endpoints whose owner has refused this request.
         slots_multiple : int, default=1
             Requests in flight at which an endpoint is full, in multiples of its slots.
+        bounded_by : EndpointPool, optional
+            Those whose mean load bounds the load of each; `endpoints` by default.  The
+            ones that are left out by choice belong to it: the others are not to carry
+            all that was theirs.
 
         Returns
         -------
@@ -161,7 +166,9 @@
         pool = make_pool(endpoints)
         if not len(pool):
             return None
-        look = self._look(pool, now_s, shares or {}, refused, slots_multiple)
+        look = self._look(
+            pool, bounded_by or pool, now_s, shares or {}, refused, slots_multiple
+        )
         if request.chat:
             choice = self._choose_for_chat(request, pool, look, now_s)
         else:
@@ -198,15 +205,17 @@
     def _look(
         self,
         pool: EndpointPool,
+        bounded_by: EndpointPool,
         now_s: float,
         shares: Mapping[str, float],
         refused: Collection[str],
         slots_multiple: int,
     ) -> "_Look":
         summary = self.loads.summarize(pool.by_name, now_s)
-        bound = compute_bound(
-            self.load_factor, summary.total + 1, len(pool), self.slack
-        )
+        total = summary.total
+        if bounded_by is not pool:
+            total = self.loads.summarize(bounded_by.by_name, now_s).total
+        bound = compute_bound(self.load_factor, total + 1, len(bounded_by), self.slack)
 
         def find_load(name: str) -> int:
             return self.loads.estimate_one(name, summary, now_s)
--- a/src/tamarackrill/router/edge_placing.py
+++ b/src/tamarackrill/router/edge_placing.py
@@ -130,7 +130,7 @@
         self.copies = PrefixCopies(self.index)
         self.waits = EngineWaits()
         self.misplaced = MisplacedEndpoints()
-        self.fleet_health = FleetHealth(find_zone, zone)
+        self.fleet_health = FleetHealth(find_zone, zone, load_cap)
         self._news = news
         self._incarnations = Incarnations()
         # When the failures of a service's endpoints were last judged, and logged.
@@ -176,7 +176,7 @@
         slow = self._find_slow(call, now_s) if may_refuse else {}
         pools = self._list_pools(pool, call, avoid, now_s)
         for narrowed in pools:
-            choice = self._choose_among(call, narrowed, slow, now_s)
+            choice = self._choose_among(call, narrowed, pools[-1], slow, now_s)
             if choice is not None:
                 return self._place(call, choice, avoid, now_s)
         if slow.keys() & pools[-1].by_name.keys():
@@ -278,13 +278,19 @@
         self,
         call: EdgeCall,
         pool: EndpointPool,
+        reached: EndpointPool,
         slow: Collection[str],
         now_s: float,
     ) -> Choice | None:
         request = _make_request(call, self._zone)
         for multiple in (1, QUEUE_MULTIPLE):
             choice = self.placement.choose(
-                request, pool, now_s, refused=slow, slots_multiple=multiple
+                request,
+                pool,
+                now_s,
+                refused=slow,
+                slots_multiple=multiple,
+                bounded_by=reached,
             )
             if choice is not None:
                 return choice
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -7,6 +7,7 @@
 from tamarackrill.decisions import reservations as owners
 from tamarackrill.decisions.cache_index import CacheEvent
 from tamarackrill.decisions.loads import EndpointLoad, Loads
+from tamarackrill.decisions.pools import EndpointPool
 from tamarackrill.decisions.reservations import Reservations, find_owner
 from tamarackrill.decisions.routing import Placement, PlacementRequest, compute_bound
 
@@ -51,6 +52,29 @@
     assert compute_bound(load_factor, total, count) == bound
 
 
+@pytest.mark.parametrize("left_out", [1, 3, 5])
+def test_endpoints_that_are_left_out_raise_no_bound(left_out):
+    # Guards against a few engines that carry several times the mean because the others
+    # are left out for their failures.
+    placement, engines = Placement(1.5), EndpointPool(make_pool(6))
+    names = list(engines.by_name)
+    well = engines.leave_out(names[:left_out])
+    for name in names:
+        for _ in range(4):
+            placement.start(name, ask(name), 0.0)
+    placed = 0
+    while True:
+        request = ask(f"chat-{placed}")
+        choice = placement.choose(request, well, 0.0, bounded_by=engines)
+        if choice is None:
+            break
+        placement.start(choice.endpoint.name, request, 0.0)
+        placed += 1
+        most = max(placement.loads.estimate(names, 0.0))
+        assert most <= compute_bound(1.5, 24 + placed, 6)
+    assert placed >= 2 * len(well)
+
+
 def test_hot_chat_does_not_fill_its_engine():
     # One chat (a shared pattern sheet that all fitters open) is asked for far more
     # often than the rest.  Sent to its own engine each time, it would fill that engine,
