Send calls of silent owners to the least loaded endpoint

Provoked without load by a test of Placer and Owners in which the owner's answers are lost: 8 at engine-1 before (bound 7), passes after.

Ways weighed: refuse (costs answers in each pause of an owner); a share of each bound set aside for routers that can't ask (costs slots at all other times); the least loaded endpoint by the router's own estimate (costs a cached prompt now and then). The last is taken.

--- a/src/tamarackrill/decisions/reservations.py
+++ b/src/tamarackrill/decisions/reservations.py
@@ -11,9 +11,11 @@
 failed, or when it expires.  A new owner has not counted its predecessor's grants: until
 those requests end it sees them in the endpoint's own reports.
 
-When the owner doesn't answer (partition, crash), the home router relies on its estimate
-alone: availability takes precedence over the bound, and the endpoint's reports show the
-owner the requests that it did not grant.
+When the owner doesn't answer (partition, crash, no CPU time), availability takes
+precedence over the bound: the home router sends the request to the endpoint that has
+the least load by its own estimate, so that an engine of hot chats isn't filled by each
+router up to its own bound.  The endpoint's reports show the owner the requests that it
+did not grant.
 """
 
 from collections.abc import Iterable, Sequence
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -493,8 +493,9 @@
     "owner_silent",
     _WARNING,
     ("endpoint", "owner", "waited_s"),
-    "The router that counts an endpoint's calls did not answer in time; the call is "
-    "placed by this router's own estimate, so the load bound may be exceeded.",
+    "The router that counts an endpoint's calls did not answer in time; the call goes "
+    "to the least loaded endpoint by this router's own estimate, so the load bound may "
+    "be exceeded.",
     "Compare with router_late, and check the CPU load of both VMs.",
 )
 POOL_FAILING = Event(
--- a/src/tamarackrill/router/placing.py
+++ b/src/tamarackrill/router/placing.py
@@ -130,6 +130,8 @@
                     choice.endpoint, choice.reason, choice.runners_up
                 )
             placed = await self._reserve(call, choice, now_s)
+            if placed is not None and placed.ticket == UNCOUNTED:
+                return self._place_without_owner(allowed, placed, avoid, now_s)
             if placed is not None:
                 return placed
             refused.add(choice.endpoint.name)
@@ -201,6 +203,28 @@
         ]
         return EndpointChoice(min(available)[2], "emptiest") if available else None
 
+    def _place_without_owner(
+        self,
+        allowed: list[Endpoint],
+        placed: PlacementResult,
+        avoid: Collection[str],
+        now_s: float,
+    ) -> PlacementResult:
+        """Return the least loaded endpoint, for a call whose owner did not answer.
+
+        A silent owner still grants its own calls.  If each router filled the engine of
+        a hot chat up to its own bound meanwhile, the engine would get a multiple of
+        the bound; spread evenly, the calls of each router stay within its share.
+        """
+        least = self._choose_least_loaded(allowed, avoid, now_s)
+        if least is None:
+            return placed
+        names = [placed.endpoint.name, least.endpoint.name]
+        load, least_load = self.placement.loads.estimate(names, now_s)
+        if load <= least_load:
+            return placed
+        return PlacementResult(least.endpoint, least.reason, (names[0],))
+
     def _needs_reservation(self, choice: EndpointChoice, pool_size: int) -> bool:
         is_engine = choice.endpoint.kind == "engine"
         return (
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -1,15 +1,18 @@
 import asyncio
+import hashlib
+from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
 from itertools import islice
 
 import pytest
 
-from tamarackrill.contracts import Endpoint, hash_key
+from tamarackrill.contracts import Endpoint, hash_key, read_contract
 from tamarackrill.decisions.hashing import rendezvous_order
 from tamarackrill.decisions.reservations import find_owner
 from tamarackrill.decisions.routing import compute_bound
 from tamarackrill.protocol import owner_codec as codec
 from tamarackrill.protocol.codec import MAC_BYTES, sign
+from tamarackrill.router.calls import Call
 from tamarackrill.router.load_reports import LoadReader
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.owners import UNCOUNTED, Owners
@@ -107,6 +110,37 @@
     asyncio.run(run())
 
 
+def test_bound_holds_while_the_owner_is_silent():
+    # Twenty chats of one engine return at once, half of them through each of two
+    # routers, and the owner answers the other router too late: its process gets no CPU
+    # time for a tenth of a second.  If that router then went by its own requests alone,
+    # each of the two would fill the engine up to the bound of its own half.
+    async def run():
+        network = Network()
+        network.lost = (codec.Answer,)
+        contract = read_contract(CONTRACT)
+        placers = {
+            name: Placer(lambda: POOL, BOUND, "zone-a", owners)
+            for name, owners in network.routers.items()
+        }
+        placed = []
+
+        async def place(name, placer, number):
+            chat = _find_chats(["a", "b"], name, number + 1)[number]
+            call = make_call(contract, chat)
+            choice = await placer.place(call, (), 0.0)
+            placer.start(call, choice.endpoint, 0.0)
+            placed.append(choice.endpoint.name)
+
+        await asyncio.gather(
+            *(place(*item, n) for n in range(10) for item in placers.items())
+        )
+        bound = compute_bound(BOUND, len(placed), len(POOL))
+        assert max(Counter(placed).values()) <= bound
+
+    asyncio.run(run())
+
+
 def test_reservations_last_while_a_router_leaves_but_end_when_it_is_gone():
     # A router that is stopping finishes its calls for minutes.  If their reservations
     # ended at once, engines would get twice their load; if those of a failed router
@@ -126,6 +160,29 @@
     asyncio.run(run())
 
 
+def make_call(contract, chat):
+    return Call(
+        request_id=chat,
+        contract=contract,
+        kind="engine",
+        pool="m",
+        method="POST",
+        path="/v1/chat/completions",
+        headers={},
+        body=b"",
+        chat=chat,
+        sequence=None,
+        key="",
+        idempotent=True,
+        stream=True,
+        last_event_id=0,
+        deadline_s=9.0,
+        size_tokens=1,
+        priority=0,
+        fingerprint=hashlib.sha256(chat.encode()).hexdigest(),
+    )
+
+
 def _find_chats(routers, home, count):
     """Return chats with the given home router and engine-1 as their first engine."""
     engines = [endpoint.name for endpoint in POOL]
