Keep requests away from the zones that operators evacuate

Evacuations are a third kind of ConfigurationSync: watched by one router, relayed as evidence, pulled from peers, never older than what is held. Their bound counts among those that set how old evidence may be. Endpoints of an evacuated zone are in no pool: no new request, retry, resumed stream, copied prompt or path probe goes there, and requests that run there end as usual. Until a router knows the evacuated zones, from the store or from a peer, it is not ready and uses no endpoint. Deployments whose settings have no 'evacuate_ms' don't read the kind.

--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -425,6 +425,29 @@
     ("version", "revision", "routes"),
     "A manifest is in force at this router, since this revision of the store.",
 )
+EVACUATION_IN_FORCE = Event(
+    3019,
+    "evacuation_in_force",
+    _WARNING,
+    ("zone", "revision", "endpoints"),
+    "An availability zone is evacuated, since this revision of the store: its "
+    "endpoints get no new requests from this router.",
+)
+EVACUATION_ENDED = Event(
+    3020,
+    "evacuation_ended",
+    _INFO,
+    ("zone", "revision"),
+    "An availability zone is no longer evacuated; its endpoints get requests again.",
+)
+EVACUATION_UNKNOWN_ZONE = Event(
+    3021,
+    "evacuation_unknown_zone",
+    _ERROR,
+    ("zone", "revision"),
+    "An evacuated availability zone is not in the settings of this router.",
+    "Remove the object, and write one with the name of the zone that was meant.",
+)
 ENDPOINT_KNOWN = Event(
     5021,
     "endpoint_known",
--- a/src/tamarackrill/platform/objects.py
+++ b/src/tamarackrill/platform/objects.py
@@ -17,6 +17,7 @@
 MANIFEST_KIND = "config"
 MANIFEST_NAME = "main"
 ENDPOINT_KIND = "servers"
+EVACUATION_KIND = "evacuations"
 
 # A draining endpoint accepts no new requests; it may or may not have requests left.
 _STATES: Mapping[str, EndpointState] = {"ready": "live", "draining": "leaving"}
@@ -141,6 +142,26 @@
     )
 
 
+def read_evacuation(name: str, spec: Mapping[str, Any]) -> str:
+    """Parse an object of kind `evacuations`; return the availability zone.
+
+    Parameters
+    ----------
+    name : str
+        Name of the object: that of the zone.
+    spec : mapping
+        Its contents, which have no fields.
+
+    Raises
+    ------
+    TypeError
+        If the contents are not an object.
+    """
+    if not isinstance(spec, Mapping):
+        raise TypeError(f"spec: expected an object, got {type(spec).__name__}")
+    return name
+
+
 def _read_required(spec: Mapping[str, Any], field: str, kind: type[_T]) -> _T:
     value = spec[field]
     # `isinstance` treats a bool as an int.
--- a/src/tamarackrill/platform/settings_file.py
+++ b/src/tamarackrill/platform/settings_file.py
@@ -42,13 +42,18 @@
     grace_s : float
         Time between SIGTERM and SIGKILL.
     news_max_s : float
-        Time in which a change of the manifest or of an endpoint has to take effect.
+        Time in which a change of the manifest, of an endpoint or of the evacuated zones
+        has to take effect.
     load_cap : float
         Upper bound of an endpoint's load, as a multiple of the mean load.
     retry_budget : BudgetTerms
         Budget of each service, shared by all routers.
     link_bytes_per_s : float
         Bandwidth of this VM's network link.
+    zones : tuple of str
+        Availability zones of the deployment.
+    has_evacuations : bool
+        Whether operators may evacuate zones.
     source : str
         Path of the file.
     """
@@ -66,6 +71,8 @@
     load_cap: float
     retry_budget: BudgetTerms
     link_bytes_per_s: float = DEFAULT_LINK_MBPS * BYTES_PER_MBIT
+    zones: tuple[str, ...] = ()
+    has_evacuations: bool = False
     source: str = ""
 
     def get_field_location(self, field: str) -> str:
@@ -187,6 +194,9 @@
         ),
         link_bytes_per_s=BYTES_PER_MBIT
         * reader.read("limits.link_mbps", float, DEFAULT_LINK_MBPS),
+        # Names of zones with their regions.
+        zones=tuple(reader.read("zones", dict, {})),
+        has_evacuations=_read_evacuation_ms(reader) is not None,
         source=reader.source,
     )
 
@@ -195,4 +205,13 @@
     manifest_ms = reader.read("bounds.config_ms", float, 2000.0)
     # Counted from when a worker announces that it drains, not from its exit.
     leaving_ms = reader.read("bounds.drain_ms", float, 2000.0)
-    return float(min(manifest_ms, leaving_ms)) / 1000
+    evacuation_ms = _read_evacuation_ms(reader)
+    bounds_ms = [manifest_ms, leaving_ms]
+    if evacuation_ms is not None:
+        bounds_ms.append(evacuation_ms)
+    return float(min(bounds_ms)) / 1000
+
+
+def _read_evacuation_ms(reader: _Reader) -> float | None:
+    evacuation_ms: float | None = reader.read("bounds.evacuate_ms", float, None)
+    return evacuation_ms
--- a/src/tamarackrill/router/configuring.py
+++ b/src/tamarackrill/router/configuring.py
@@ -65,7 +65,8 @@
     platform : PlatformClient
         Not owned.
     on_applied : callable
-        Called with the list of objects that came into force.
+        Called with the list of objects that came into force; with an empty one when a
+        kind turns out to have no objects.
     pull : callable
         ``await pull(address, kind, since)`` returns a peer's `ChangeSet`.
     clock : callable
@@ -203,7 +204,10 @@
         if as_of_s > self._lost_s:
             self._set_platform_lost(lost=False)
         if not needs_changes(self._store.digest(digest.kind), digest):
+            held_before = self._store.get_complete(digest.kind)
             self._store.adopt_complete_revision(digest)
+            if not held_before and self._store.get_complete(digest.kind):
+                self._on_applied([])
             return
         if digest.kind in self._read_planners:
             self._note_newer_version(digest)
@@ -396,6 +400,7 @@
 
     def _apply(self, changes: ChangeSet, source: str) -> list[ObjectVersion]:
         self._behind_since_s.pop(changes.kind, None)
+        is_first = not self._store.get_complete(changes.kind)
         applied = self._store.apply_changes(changes)
         for item in applied:
             log_event(
@@ -405,7 +410,7 @@
                 version=item.version,
                 source=source,
             )
-        if applied:
+        if applied or is_first:
             self._on_applied(applied)
         return applied
 
--- a/src/tamarackrill/router/deployment_view.py
+++ b/src/tamarackrill/router/deployment_view.py
@@ -1,6 +1,6 @@
-"""The manifest and endpoints currently known to this router, from the store."""
+"""Manifest, endpoints and evacuated zones that this router knows from the store."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from typing import Any, NamedTuple
 
 from tamarackrill.contracts import Endpoint
@@ -12,6 +12,9 @@
     ENDPOINT_GONE,
     ENDPOINT_HELD,
     ENDPOINT_KNOWN,
+    EVACUATION_ENDED,
+    EVACUATION_IN_FORCE,
+    EVACUATION_UNKNOWN_ZONE,
     MANIFEST_IN_FORCE,
     OBJECT_FAULTY,
     log_event,
@@ -23,9 +26,10 @@
 
     Parameters
     ----------
-    manifest_kind, manifest_name, endpoint_kind : str
-        Kind and name of the manifest object, and kind of the endpoint objects.
-    read_manifest, read_endpoint : callable
+    manifest_kind, manifest_name, endpoint_kind, evacuation_kind : str
+        Kind and name of the manifest object, and kinds of the objects of endpoints and
+        of evacuated zones.
+    read_manifest, read_endpoint, read_evacuation : callable
         Parse an object; KeyError, TypeError, ValueError or AttributeError mean that it
         is malformed.
     """
@@ -33,21 +37,36 @@
     manifest_kind: str
     manifest_name: str
     endpoint_kind: str
+    evacuation_kind: str
     read_manifest: Callable[[Mapping[str, Any]], Manifest]
     read_endpoint: Callable[[str, Mapping[str, Any]], Endpoint]
+    read_evacuation: Callable[[str, Mapping[str, Any]], str]
 
 
 class DeploymentView:
-    """The manifest and endpoints according to the latest well-formed objects.
+    """The deployment according to the latest well-formed objects.
 
     Parameters
     ----------
     readers : ObjectReaders
         Names and parsers of the objects.
+    knows_evacuations : callable, optional
+        Returns whether all evacuated zones are known.  Until then no endpoint may be
+        used, as its zone may be evacuated.
+    zones : collection of str, optional
+        Availability zones of the deployment; others can't be evacuated.
     """
 
-    def __init__(self, readers: ObjectReaders) -> None:
+    def __init__(
+        self,
+        readers: ObjectReaders,
+        knows_evacuations: Callable[[], bool] = lambda: True,
+        zones: Collection[str] = (),
+    ) -> None:
         self._readers = readers
+        self._knows_evacuations = knows_evacuations
+        self._zones = frozenset(zones)
+        self._evacuated: dict[str, str] = {}
         self._endpoints: dict[str, Endpoint] = {}
         # Cache, None after a change.  Rebuilt on the next lookup, not on each change: a
         # list of thousands of endpoints arrives as one change per endpoint.
@@ -58,8 +77,14 @@
 
     @property
     def is_complete(self) -> bool:
-        """Whether the manifest and any endpoint object have been received."""
-        return self.routes is not None and self.has_endpoint_data
+        """Whether the manifest, any endpoint and all evacuated zones are known."""
+        has_objects = self.routes is not None and self.has_endpoint_data
+        return has_objects and self._knows_evacuations()
+
+    @property
+    def evacuated_zones(self) -> frozenset[str]:
+        """Availability zones whose endpoints get no new requests."""
+        return frozenset(self._evacuated.values())
 
     def observe_store(self, is_lost: bool, now_s: float) -> None:
         """Record whether the store is unreachable."""
@@ -88,6 +113,8 @@
         if item.kind == readers.endpoint_kind:
             self.has_endpoint_data = True
             self._take_endpoint(item, now_s)
+        elif item.kind == readers.evacuation_kind:
+            self._take_evacuation(item)
         elif item.name == readers.manifest_name and item.value is not None:
             manifest = readers.read_manifest(item.value)
             self.routes = RouteTable(manifest)
@@ -98,6 +125,25 @@
                 routes=len(manifest.routes),
             )
 
+    def _take_evacuation(self, item: ObjectVersion) -> None:
+        if item.value is None:
+            zone = self._evacuated.pop(item.name, None)
+            if zone is not None:
+                log_event(EVACUATION_ENDED, zone=zone, revision=item.version)
+        else:
+            zone = self._readers.read_evacuation(item.name, item.value)
+            if self._zones and zone not in self._zones:
+                log_event(EVACUATION_UNKNOWN_ZONE, zone=zone, revision=item.version)
+            self._evacuated[item.name] = zone
+            endpoints = sum(e.zone == zone for e in self._endpoints.values())
+            log_event(
+                EVACUATION_IN_FORCE,
+                zone=zone,
+                revision=item.version,
+                endpoints=endpoints,
+            )
+        self._pools = None
+
     def _take_endpoint(self, item: ObjectVersion, now_s: float) -> None:
         name = item.name
         if item.value is None:
@@ -139,18 +185,30 @@
         """Return all known endpoints."""
         return list(self._endpoints.values())
 
+    def list_usable_endpoints(self) -> list[Endpoint]:
+        """Return the known endpoints outside the evacuated zones."""
+        if not self._knows_evacuations():
+            return []
+        evacuated = self.evacuated_zones
+        return [e for e in self._endpoints.values() if e.zone not in evacuated]
+
     def find_pool(self, service: str) -> EndpointPool:
         """Return the endpoints of a service that may take new work."""
         return self._find_pools(service).live
 
     def find_full_pool(self, service: str) -> EndpointPool:
-        """Return all endpoints of a service, including those that are leaving."""
+        """Return the endpoints of a service, including those that are leaving.
+
+        Those of evacuated zones are missing: engines may not copy from them either.
+        """
         return self._find_pools(service).all
 
     def _find_pools(self, service: str) -> "_Pools":
+        if not self._knows_evacuations():
+            return _NO_POOLS
         if self._pools is None:
             found: dict[str, list[Endpoint]] = {}
-            for endpoint in self._endpoints.values():
+            for endpoint in self.list_usable_endpoints():
                 for name in endpoint.serves:
                     found.setdefault(name, []).append(endpoint)
             self._pools = {name: _make_pools(all_) for name, all_ in found.items()}
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -36,9 +36,11 @@
 )
 from tamarackrill.platform.objects import (
     ENDPOINT_KIND,
+    EVACUATION_KIND,
     MANIFEST_KIND,
     MANIFEST_NAME,
     read_endpoint,
+    read_evacuation,
     read_manifest,
 )
 from tamarackrill.platform.settings_file import PlatformSettings
@@ -97,7 +99,13 @@
 STOP_MARGIN_S = 0.3
 
 READERS = ObjectReaders(
-    MANIFEST_KIND, MANIFEST_NAME, ENDPOINT_KIND, read_manifest, read_endpoint
+    MANIFEST_KIND,
+    MANIFEST_NAME,
+    ENDPOINT_KIND,
+    EVACUATION_KIND,
+    read_manifest,
+    read_endpoint,
+    read_evacuation,
 )
 
 
@@ -143,7 +151,7 @@
         self._servers: list[HTTPServer] = []
         self.metrics = Metrics()
         self.store = ConfigurationStore()
-        self.view = DeploymentView(READERS)
+        self.view = DeploymentView(READERS, self._knows_evacuations, settings.zones)
         # No state survives a restart, so the wall clock makes this number higher than
         # that of any earlier process of the same name.
         self._session = int(time.time() * 1000)
@@ -218,6 +226,9 @@
         metrics.add_gauge("in_flight", lambda: {"": len(self.server.in_flight)})
         metrics.add_gauge("repeats_left", self.flow.list_retries_left)
         metrics.add_gauge("endpoints", self._count_endpoints)
+        metrics.add_gauge(
+            "evacuated", lambda: {zone: 1.0 for zone in view.evacuated_zones}
+        )
         metrics.add_gauge("routers", lambda: {"": len(self.members.list_live())})
         metrics.add_gauge(
             "manifest_version",
@@ -282,7 +293,7 @@
             self._apply_objects,
             self._pull,
             self.clock,
-            (MANIFEST_KIND, ENDPOINT_KIND),
+            self._list_kinds(),
             STORE_RETRY_BACKOFF_MAX_S,
             (MANIFEST_KIND,),
             STORE_CALL_PAUSE_S,
@@ -291,6 +302,15 @@
         self.server.is_outdated = self._is_outdated
         platform.on_call = self._record_store_call
 
+    def _list_kinds(self) -> tuple[str, ...]:
+        kinds = (MANIFEST_KIND, ENDPOINT_KIND)
+        return (*kinds, EVACUATION_KIND) if self.settings.has_evacuations else kinds
+
+    def _knows_evacuations(self) -> bool:
+        if not self.settings.has_evacuations:
+            return True
+        return self.store.get_complete(EVACUATION_KIND) > 0
+
     def _is_outdated(self) -> bool:
         if self.configuration_sync.knows_newer_version(MANIFEST_KIND):
             return True
--- a/src/tamarackrill/router/edge_placing.py
+++ b/src/tamarackrill/router/edge_placing.py
@@ -140,7 +140,7 @@
         # When the failures of a service's endpoints were last evaluated, and logged.
         self._evaluated_s: dict[str, float] = {}
         self._logged_s: dict[str, float] = {}
-        self.list_endpoints = view.list_endpoints
+        self.list_endpoints = view.list_usable_endpoints
         self.list_witnesses: Callable[[], list[Endpoint]] = list
         self.tell: Callable[[list[Holding], bool], None] = lambda found, expected: None
 
--- a/src/tamarackrill/testing/edge.py
+++ b/src/tamarackrill/testing/edge.py
@@ -130,21 +130,35 @@
             manifest["services"][0]["engine"] = engine
         await self.store.write("config", "main", manifest)
 
+    async def evacuate(self, zone: str, is_evacuated: bool = True) -> None:
+        """Evacuate a zone, or take it back into use."""
+        await self.store.write("evacuations", zone, {} if is_evacuated else None)
+
     async def add_router(
-        self, name: str = "router", zone: str = "z"
+        self, name: str = "router", zone: str = "z", **settings: Any
     ) -> EdgeApplication:
-        """Start a router and wait until it is ready."""
-        router = self.make_router(name, zone)
+        """Start a router and wait until it is ready; see `make_router`."""
+        router = self.make_router(name, zone, **settings)
         await router.start()
         await self.wait(router.is_ready)
         return router
 
-    def make_router(self, name: str, zone: str = "z") -> EdgeApplication:
-        """Create a router without starting it."""
+    def make_router(
+        self, name: str, zone: str = "z", **settings: Any
+    ) -> EdgeApplication:
+        """Create a router without starting it.
+
+        Parameters
+        ----------
+        name, zone : str
+            Name of the router and its availability zone.
+        **settings : Any
+            Fields of `PlatformSettings` that differ from the defaults.
+        """
         seeds = tuple(
             f"127.0.0.1:{router.settings.peer_port}" for router in self.routers
         )
-        settings = PlatformSettings(
+        default = PlatformSettings(
             name=name,
             zone=zone,
             ip="127.0.0.1",
@@ -158,7 +172,9 @@
             load_cap=2.0,
             retry_budget=BUDGET,
         )
-        router = EdgeApplication(settings, PEER_KEYS, find_free_port())
+        router = EdgeApplication(
+            default._replace(**settings), PEER_KEYS, find_free_port()
+        )
         self.routers.append(router)
         return router
 
