--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -73,7 +73,7 @@
             await fleet.evacuate(zone)
         await fleet.add_router("first", "a", **SETTINGS)
         second = fleet.make_router(
-            "second", "b", store_address="127.0.0.1:1", **SETTINGS
+            "second", "a", store_address="127.0.0.1:1", **SETTINGS
         )
         await second.start()
         await fleet.wait(second.is_ready)
