Let an owner permit requests to cold endpoints

Cause: what a worker says of being cold was checked and dropped, and no router knew what the others send to it.

Each cold endpoint has an owner, a router of its zone in rendezvous order, that permits single requests by a token bucket: half of what the endpoint tolerates, since two routers may permit at once while a zone's majority and the fleet's majority disagree. Others ask it by datagram, and send elsewhere when it refuses or is silent. An endpoint is cold by its entry, and for two seconds after it was unreachable or its zone was evacuated.

--- a/src/tamarackrill/contracts.py
+++ b/src/tamarackrill/contracts.py
@@ -109,6 +109,9 @@
     started_ms : int or None
         Start time of its process in ms since the epoch, by its own clock; None if
         not reported.
+    cold_s : float
+        How long it remained cold, so that it tolerates few requests per second, when
+        its entry was written.
     """
 
     name: str
@@ -121,6 +124,7 @@
     models_max: int = 1
     vm: str = ""
     started_ms: int | None = None
+    cold_s: float = 0.0
 
 
 class Vm(NamedTuple):
--- a/src/tamarackrill/decisions/manifests.py
+++ b/src/tamarackrill/decisions/manifests.py
@@ -96,6 +96,11 @@
     copy_token_s : float or None
         Time to copy one cached token from another engine; None if engines do not
         copy.
+    cold_s : float
+        How long its endpoints are cold after their start; 0 if they aren't.
+    cold_rate_per_s : float
+        Requests per second that a cold endpoint tolerates from all routers together; 0
+        if there is no limit.
     """
 
     name: str
@@ -103,6 +108,8 @@
     connections_max: int
     is_engine: bool
     copy_token_s: float | None = None
+    cold_s: float = 0.0
+    cold_rate_per_s: float = 0.0
 
 
 class ClientLimits(NamedTuple):
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -521,6 +521,31 @@
     "be exceeded.",
     "Compare with router_late, and check the CPU load of both VMs.",
 )
+ENDPOINT_COLD = Event(
+    5031,
+    "endpoint_cold",
+    _INFO,
+    ("endpoint", "cold_s", "source"),
+    "An endpoint is cold and gets only requests that its owner permits: by its entry, "
+    "because it was unreachable, or because its zone was evacuated.",
+)
+ENDPOINT_COLD_TOO_LONG = Event(
+    5032,
+    "endpoint_cold_too_long",
+    _WARNING,
+    ("endpoint", "cold_s", "cold_max_s"),
+    "An endpoint's entry says that it is cold for longer than its service states; it "
+    "counts as cold for `cold_max_s`.",
+    "Correct the endpoint's entry, or `cold_s` of its service.",
+)
+PERMIT_REFUSED = Event(
+    5033,
+    "permit_refused",
+    _INFO,
+    ("request", "endpoint", "owner", "outcome"),
+    "A request was not sent to a cold endpoint: its owner refused a permit, did not "
+    "answer (`silent`), or there is none.  The request goes to another endpoint.",
+)
 POOL_FAILING = Event(
     5029,
     "pool_failing",
--- a/src/tamarackrill/platform/objects.py
+++ b/src/tamarackrill/platform/objects.py
@@ -1,5 +1,6 @@
 """Parses the manifest and the endpoint entries from the platform's object store."""
 
+import math
 from collections.abc import Mapping
 from ipaddress import ip_address
 from typing import Any, TypeVar
@@ -79,9 +80,18 @@
         connections_max=int(service.get("max_connections", 0)),
         is_engine=bool(engine),
         copy_token_s=_read_copy_token_s(engine),
+        cold_s=_read_positive(service, "cold_s"),
+        cold_rate_per_s=_read_positive(service, "cold_per_s"),
     )
 
 
+def _read_positive(service: Mapping[str, Any], field: str) -> float:
+    number = float(service.get(field, 0.0))
+    if not 0.0 <= number < math.inf:
+        raise ValueError(f"service {service['name']!r}: {field} is {number}")
+    return number
+
+
 def _read_copy_token_s(engine: Mapping[str, Any]) -> float | None:
     token_bytes = float(engine.get("kv_token_bytes", 0))
     # Link between engines, in Mbit/s; unrelated to `limits.link_mbps` of a router's VM.
@@ -128,7 +138,6 @@
     """
     _read_required(spec, "version", str)
     _read_required(spec, "sequence", int)
-    _check_number(spec, "cold_remaining_ms")
     return Endpoint(
         name=name,
         kind="engine" if _read_optional(spec, "models", list) else "service",
@@ -139,6 +148,7 @@
         slots=_read_required(spec, "slots", int),
         # Missing from workers of older releases.
         started_ms=_read_optional(spec, "born", int),
+        cold_s=max(0.0, _read_number(spec, "cold_remaining_ms")) / 1000,
     )
 
 
@@ -174,9 +184,11 @@
     return _read_required(spec, field, kind) if field in spec else None
 
 
-def _check_number(spec: Mapping[str, Any], field: str) -> None:
-    if not isinstance(spec[field], float):
-        _read_required(spec, field, int)
+def _read_number(spec: Mapping[str, Any], field: str) -> float:
+    number = spec[field]
+    if isinstance(number, float) and math.isfinite(number):
+        return number
+    return _read_required(spec, field, int)
 
 
 def _read_address(spec: Mapping[str, Any]) -> str:
--- a/src/tamarackrill/platform/settings_file.py
+++ b/src/tamarackrill/platform/settings_file.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
+from tamarackrill.decisions.cold_endpoints import ColdTolerance
 from tamarackrill.decisions.retry_shares import BudgetTerms
 from tamarackrill.exceptions import Finding, FindingsError
 
@@ -50,6 +51,8 @@
         Budget of each service, shared by all routers.
     link_bytes_per_s : float
         Bandwidth of this VM's network link.
+    cold_tolerance : ColdTolerance
+        How far the request rate at a cold endpoint may exceed what its service states.
     zones : tuple of str
         Availability zones of the deployment.
     has_evacuations : bool
@@ -71,6 +74,7 @@
     load_cap: float
     retry_budget: BudgetTerms
     link_bytes_per_s: float = DEFAULT_LINK_MBPS * BYTES_PER_MBIT
+    cold_tolerance: ColdTolerance = ColdTolerance()
     zones: tuple[str, ...] = ()
     has_evacuations: bool = False
     source: str = ""
@@ -194,6 +198,10 @@
         ),
         link_bytes_per_s=BYTES_PER_MBIT
         * reader.read("limits.link_mbps", float, DEFAULT_LINK_MBPS),
+        cold_tolerance=ColdTolerance(
+            reader.read("bounds.cold_over", float, 1.0),
+            reader.read("bounds.cold_slack", float, 0.0),
+        ),
         # Names of zones with their regions.
         zones=tuple(reader.read("zones", dict, {})),
         has_evacuations=_read_evacuation_ms(reader) is not None,
--- a/src/tamarackrill/protocol/owner_codec.py
+++ b/src/tamarackrill/protocol/owner_codec.py
@@ -4,7 +4,7 @@
 being accepted as these messages.
 """
 
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from thriftpy2.protocol.compact import TCompactProtocol
 from thriftpy2.transport import TMemoryBuffer
@@ -54,7 +54,31 @@
     ticket: int
 
 
-OwnerMessage = Ask | Answer | Release
+class PermitRequest(NamedTuple):
+    """Request for one permit; see `decisions.cold_endpoints`.
+
+    Parameters
+    ----------
+    ticket : int
+        Identifies the request at its sender.
+    endpoint : str
+        Name of the cold endpoint.
+    """
+
+    ticket: int
+    endpoint: str
+
+
+class PermitReply(NamedTuple):
+    """Response of the owner of a cold endpoint."""
+
+    ticket: int
+    is_granted: bool
+
+
+OwnerMessage = Ask | Answer | Release | PermitRequest | PermitReply
+
+_KINDS: tuple[type[Any], ...] = (Ask, Answer, Release, PermitRequest, PermitReply)
 
 
 def encode_owner_message(message: OwnerMessage, keys: tuple[str, ...]) -> bytes:
@@ -75,7 +99,7 @@
     struct = structs.OwnerMessage()
     try:
         struct.read(TCompactProtocol(TMemoryBuffer(payload)))
-        for kind in (Ask, Answer, Release):
+        for kind in _KINDS:
             found = getattr(struct, kind.__name__.lower())
             if found is not None:
                 fields = {name: getattr(found, name) for name in kind._fields}
--- a/src/tamarackrill/protocol/owners.thrift
+++ b/src/tamarackrill/protocol/owners.thrift
@@ -1,4 +1,4 @@
-// Messages between the home router of a request and the owner of an endpoint, in
+// Messages between a router with a request and the owner of an endpoint, in
 // Thrift's compact protocol over UDP.  Field numbers are never reused.
 
 struct Ask {
@@ -20,8 +20,21 @@
   2: i64 ticket
 }
 
+// Requests one permit to send a request to a cold endpoint.
+struct PermitRequest {
+  1: i64 ticket
+  2: string endpoint
+}
+
+struct PermitReply {
+  1: i64 ticket
+  2: bool is_granted
+}
+
 union OwnerMessage {
   1: Ask ask
   2: Answer answer
   3: Release release
+  4: PermitRequest permitrequest
+  5: PermitReply permitreply
 }
--- a/src/tamarackrill/protocol/structs.py
+++ b/src/tamarackrill/protocol/structs.py
@@ -181,6 +181,26 @@
     default_spec = [("sender", None), ("ticket", None)]
 
 
+class PermitRequest(TPayload, metaclass=TPayloadMeta):
+    """Struct of owners.thrift."""
+
+    thrift_spec = {
+        1: (TType.I64, "ticket", False),
+        2: (TType.STRING, "endpoint", False),
+    }
+    default_spec = [("ticket", None), ("endpoint", None)]
+
+
+class PermitReply(TPayload, metaclass=TPayloadMeta):
+    """Struct of owners.thrift."""
+
+    thrift_spec = {
+        1: (TType.I64, "ticket", False),
+        2: (TType.BOOL, "is_granted", False),
+    }
+    default_spec = [("ticket", None), ("is_granted", None)]
+
+
 class OwnerMessage(TPayload, metaclass=TPayloadMeta):
     """Struct of owners.thrift."""
 
@@ -188,8 +208,16 @@
         1: (TType.STRUCT, "ask", Ask, False),
         2: (TType.STRUCT, "answer", Answer, False),
         3: (TType.STRUCT, "release", Release, False),
+        4: (TType.STRUCT, "permitrequest", PermitRequest, False),
+        5: (TType.STRUCT, "permitreply", PermitReply, False),
     }
-    default_spec = [("ask", None), ("answer", None), ("release", None)]
+    default_spec = [
+        ("ask", None),
+        ("answer", None),
+        ("release", None),
+        ("permitrequest", None),
+        ("permitreply", None),
+    ]
 
 
 class EngineHoldings(TPayload, metaclass=TPayloadMeta):
--- a/src/tamarackrill/router/deployment_view.py
+++ b/src/tamarackrill/router/deployment_view.py
@@ -185,6 +185,10 @@
         """Return all known endpoints."""
         return list(self._endpoints.values())
 
+    def find_endpoint(self, name: str) -> Endpoint | None:
+        """Return an endpoint by its name, None if it is unknown."""
+        return self._endpoints.get(name)
+
     def list_usable_endpoints(self) -> list[Endpoint]:
         """Return the known endpoints outside the evacuated zones."""
         if not self._knows_evacuations():
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -46,6 +46,8 @@
 from tamarackrill.platform.settings_file import PlatformSettings
 from tamarackrill.platform.store import STORE_FORM
 from tamarackrill.router.binding import report_bind_error
+from tamarackrill.router.cold_monitor import ColdMonitor
+from tamarackrill.router.cold_permits import ColdPermits
 from tamarackrill.router.configuring import ConfigurationSync
 from tamarackrill.router.cut_off import CutOffMonitor
 from tamarackrill.router.datagrams import PeerSocket
@@ -181,6 +183,8 @@
             self.metrics,
             self.clock,
         )
+        self.cold = ColdMonitor(self.view, settings.cold_tolerance, self.clock)
+        self.flow.attempts.paths.on_reached = self.cold.observe_reached
         self.flow.compute_failover_s = self.cut_off.compute_failover_s
         self.server = EdgeServer(self.view, self.flow, self.metrics, self.clock)
 
@@ -371,6 +375,7 @@
         self.store_news.tell()
 
     def _drop_removed_endpoints(self) -> None:
+        self.cold.update()
         for name in self.placer.update_endpoints(self.clock()):
             self.flow.attempts.pool.drop(name)
         self.flow.attempts.pool.retain(e.name for e in self.view.list_endpoints())
@@ -414,6 +419,15 @@
             self.clock,
             seeds,
         )
+        self.permits = ColdPermits(
+            self.members,
+            self.cold,
+            self._peer_socket.send,
+            self._peer_keys,
+            self.metrics.count,
+            self.clock,
+        )
+        self.flow.permits = self.permits
         self.gossiper.subscribe(self.configuration_sync.observe_peer_state)
         self.gossiper.subscribe(self._observe_peer)
         self.gossiper.add_source(self._collect_entries)
@@ -421,6 +435,7 @@
         self._peer_socket.handlers.append(self.store_news.handle_datagram)
         self._peer_socket.handlers.append(self.placement_gossip.handle_datagram)
         self._peer_socket.handlers.append(self.gossiper.handle_datagram)
+        self._peer_socket.handlers.append(self.permits.handle_datagram)
         await self.gossiper.start()
         await self.placement_gossip.start()
 
@@ -456,6 +471,7 @@
                 self.server.sheds_connections = self.cut_off.is_cut_off
             self._fleet_size.observe(len(self.members.list_live()), self.clock())
             self.store_news.update_members()
+            self.permits.update_members()
             self._reporter_zones = {
                 hash_reporter(m.name): m.zone for m in self.members.list_live()
             }
--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -24,6 +24,7 @@
     build_error_headers,
     filter_response_headers,
 )
+from tamarackrill.router.cold_permits import ColdPermits
 from tamarackrill.router.edge_attempts import (
     AttemptResult,
     EdgeAttempts,
@@ -34,6 +35,18 @@
 from tamarackrill.router.edge_reply import EdgeReply
 from tamarackrill.router.metrics import Metrics
 
+UNAVAILABLE_STATUS = 503
+# Cold endpoints for which a request asks permits before it goes to one that isn't cold:
+# an answer takes a few milliseconds, and a silent owner ten times that.
+PERMIT_REQUESTS_MAX = 2
+
+
+class _AllCold(Refusal):
+    """All endpoints that could take a request are cold and get enough already."""
+
+    def __init__(self) -> None:
+        super().__init__("cold", UNAVAILABLE_STATUS, "all endpoints are starting")
+
 
 class EdgeFlow:
     """Serves requests: chooses endpoints, retries failed attempts, sends the response.
@@ -50,6 +63,11 @@
         Records counters and durations.
     clock : callable
         Returns the present time.
+
+    Attributes
+    ----------
+    permits : ColdPermits or None
+        Permits requests to cold endpoints; None permits all of them.
     """
 
     def __init__(
@@ -70,6 +88,7 @@
             placer, self._count_retries_left, self._record_sent, metrics, clock
         )
         self.compute_failover_s: Callable[[], float | None] = lambda: None
+        self.permits: ColdPermits | None = None
 
     def list_retries_left(self) -> dict[str, float]:
         """Return the retries left in this router's budget by service, for metrics."""
@@ -92,13 +111,14 @@
         while True:
             now_s = self._clock()
             try:
-                placed = self._placer.choose(
-                    call, progress.avoid, now_s, may_refuse=not progress.history.sent
-                )
+                placed = await self._place(progress)
             except Overloaded as overloaded:
                 _log_overloaded(call, overloaded)
                 await self._send_final_answer(progress, overloaded.code)
                 return
+            except _AllCold as cold:
+                await self._send_final_answer(progress, cold.code)
+                return
             except Refusal as refusal:
                 await self._send_final_answer(progress, "poison", refusal.retry_after_s)
                 return
@@ -113,6 +133,39 @@
             if await self._handle_failed_attempt(progress, placed, result):
                 return
 
+    async def _place(self, progress: RequestProgress) -> EdgePlacement | None:
+        """Choose an endpoint that may get the request; None if none can take it.
+
+        Raises
+        ------
+        Refusal
+            If no endpoint may get it now.
+        """
+        call, permits = progress.call, self.permits
+        refused: set[str] = set()
+        asked = 0
+        while True:
+            placed = self._placer.choose(
+                call,
+                progress.avoid | refused,
+                self._clock(),
+                may_refuse=not progress.history.sent,
+            )
+            if placed is None and refused:
+                raise _AllCold
+            if placed is None or permits is None:
+                return placed
+            if not permits.must_request(placed.endpoint):
+                return placed
+            if asked < PERMIT_REQUESTS_MAX:
+                asked += 1
+                if await permits.request(call.request_id, placed.endpoint):
+                    return placed
+                refused |= permits.find_refused()
+            else:
+                refused |= permits.find_cold()
+            refused.add(placed.endpoint.name)
+
     def _find_share(self, service: str) -> RetryShare:
         share = self._retries.get(service)
         if share is None:
@@ -214,7 +267,7 @@
             self._metrics.count("calls_failed", "endpoint")
             return
         if not history.may_have_run:
-            status = 503
+            status = UNAVAILABLE_STATUS
             is_unreachable = reason in ("no_endpoint", "not_sent")
             wait_s = retry_after_s or choose_retry_after_s(
                 call.request_id,
--- a/src/tamarackrill/router/paths.py
+++ b/src/tamarackrill/router/paths.py
@@ -30,6 +30,11 @@
         Closes the idle connections to an endpoint by its name.
     clock : callable
         Returns the current time.
+
+    Attributes
+    ----------
+    on_reached : callable
+        Called with each endpoint that can be reached again.
     """
 
     def __init__(
@@ -45,6 +50,7 @@
         self._list_witnesses = list_witnesses
         self._drop_idle = drop_idle
         self._clock = clock
+        self.on_reached: Callable[[Endpoint], None] = lambda endpoint: None
         self._probes: dict[str, asyncio.Task[None]] = {}
 
     def record_failure(self, endpoint: Endpoint, error: Exception) -> None:
@@ -72,6 +78,7 @@
         """Record that an endpoint has answered."""
         if self._reach.observe_answer(endpoint):
             log_event(ENDPOINT_REACHED, endpoint=endpoint.name, zone=endpoint.zone)
+            self.on_reached(endpoint)
 
     def probe_due(self) -> None:
         """Probe the unreachable endpoints whose backoff has passed."""
--- a/src/tamarackrill/testing/edge.py
+++ b/src/tamarackrill/testing/edge.py
@@ -118,13 +118,15 @@
         *routes: dict[str, Any],
         engine: dict[str, Any] | None = None,
         limits: dict[str, Any] | None = None,
+        service: dict[str, Any] | None = None,
     ) -> None:
         """Write a manifest to the store.
 
         `engine` makes its service one of model engines; `limits` overrides the default
-        limits.
+        limits, and `service` fields of the service.
         """
         manifest = make_manifest(version, *routes)
+        manifest["services"][0] |= service or {}
         manifest["limits"] |= limits or {}
         if engine is not None:
             manifest["services"][0]["engine"] = engine
--- /dev/null
+++ b/tests/test_cold_permits.py
@@ -0,0 +1,99 @@
+"""Permits for cold endpoints, between routers over sockets."""
+
+import asyncio
+
+import pytest
+
+from tamarackrill.decisions.cold_endpoints import ColdTolerance
+from tamarackrill.router import cold_permits
+from tamarackrill.testing.edge import EdgeFleet, ask, make_route, read_reason
+
+LOOKUP = make_route("/lookup/", "idempotent")
+COLD = {"cold_s": 30.0, "cold_per_s": 8.0}
+REQUESTS = 24
+
+
+@pytest.fixture(autouse=True)
+def settled_owners(monkeypatch):
+    monkeypatch.setattr(cold_permits, "OWNER_SETTLE_S", 0.0)
+
+
+def run_in_fleet(act, routers=3):
+    async def run():
+        async with EdgeFleet() as fleet:
+            await fleet.put_manifest(1, LOOKUP, service=COLD)
+            await fleet.add_worker("cold", cold_remaining_ms=30_000)
+            for number in range(routers):
+                await fleet.add_router(
+                    f"router-{number}", cold_tolerance=ColdTolerance(1.5, 4.0)
+                )
+            for router in fleet.routers:
+                await fleet.wait(lambda r=router: len(r.members.list_live()) == routers)
+                router.permits.update_members()
+            await act(fleet)
+
+    asyncio.run(run())
+
+
+async def send_all(fleet):
+    asked = [
+        ask(router, "/lookup/x", f"{router.settings.name}-{number}")
+        for router in fleet.routers
+        for number in range(REQUESTS)
+    ]
+    return await asyncio.gather(*asked)
+
+
+def test_requests_to_a_cold_endpoint_stay_within_its_limit_over_all_routers():
+    # Guards against a cold endpoint that crashes, because each of many routers sends it
+    # what would be fine if it were the only one.
+    async def act(fleet):
+        await fleet.add_worker("warm", slots=100)
+        for router in fleet.routers:
+            await fleet.wait(lambda r=router: len(r.view.list_live("desk")) == 2)
+        answers = await send_all(fleet)
+        assert {answer.status for answer in answers} == {200}
+        cold, warm = fleet.workers
+        # Half of 1.5 times 8, plus 4, in the first moment.
+        assert len(cold.requests) <= 8
+        assert len(cold.requests) + len(warm.requests) == len(answers)
+
+    run_in_fleet(act)
+
+
+def test_requests_are_refused_truthfully_if_all_endpoints_are_cold():
+    # Guards against requests that wait until their deadline for an endpoint that may
+    # not get them, and against refusals that don't say when to come back.
+    async def act(fleet):
+        answers = await send_all(fleet)
+        refused = [answer for answer in answers if answer.status != 200]
+        assert {(a.status, read_reason(a)) for a in refused} == {(503, "cold")}
+        assert all(float(a.headers["retry-after"]) > 0 for a in refused)
+        (cold,) = fleet.workers
+        assert len(cold.requests) == len(answers) - len(refused) <= 8
+
+    run_in_fleet(act)
+
+
+def test_silent_owner_permits_nothing(caplog):
+    # Guards against a router that can't reach the owner and sends all the same: the
+    # owner goes on permitting requests of others.
+    async def act(fleet):
+        for router in fleet.routers:
+            router._peer_socket.handlers.remove(router.permits.handle_datagram)
+        await send_all(fleet)
+        assert "permit_refused" in caplog.text
+        assert "outcome=silent" in caplog.text
+        assert len(fleet.workers[0].requests) <= 8
+
+    run_in_fleet(act)
+
+
+def test_services_without_terms_need_no_permit():
+    async def act(fleet):
+        await fleet.put_manifest(2, LOOKUP)
+        for router in fleet.routers:
+            await fleet.wait(lambda r=router: r.view.routes.manifest.version == 2)
+            assert router.cold.find_terms("cold") is None
+
+    run_in_fleet(act, routers=1)
