--- a/tests/test_cold_permits.py
+++ b/tests/test_cold_permits.py
@@ -1,6 +1,7 @@
 """Permits for cold endpoints, between routers over sockets."""
 
 import asyncio
+import logging
 
 import pytest
 
@@ -78,6 +79,8 @@
 def test_silent_owner_permits_nothing(caplog):
     # Guards against a router that can't reach the owner and sends all the same: the
     # owner goes on permitting requests of others.
+    caplog.set_level(logging.INFO, logger="absl")
+
     async def act(fleet):
         for router in fleet.routers:
             router._peer_socket.handlers.remove(router.permits.handle_datagram)
