Hand requests for permits to their handler before gossip

The tests saw only that the limit holds. A new test waits until each of three routers is served by the only, cold endpoint; it never is with the order of before.

--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -434,8 +434,8 @@
         self.flow.attempts.on_crash = self._broadcast_crash
         self._peer_socket.handlers.append(self.store_news.handle_datagram)
         self._peer_socket.handlers.append(self.placement_gossip.handle_datagram)
-        self._peer_socket.handlers.append(self.gossiper.handle_datagram)
         self._peer_socket.handlers.append(self.permits.handle_datagram)
+        self._peer_socket.handlers.append(self.gossiper.handle_datagram)
         await self.gossiper.start()
         await self.placement_gossip.start()
 
--- a/tests/test_cold_permits.py
+++ b/tests/test_cold_permits.py
@@ -8,7 +8,13 @@
 
 from tamarackrill.decisions.cold_endpoints import ColdTolerance
 from tamarackrill.router import cold_permits
-from tamarackrill.testing.edge import EdgeFleet, ask, make_route, read_reason
+from tamarackrill.testing.edge import (
+    WAIT_TIMEOUT_S,
+    EdgeFleet,
+    ask,
+    make_route,
+    read_reason,
+)
 from tamarackrill.testing.worker import answer_ok
 
 LOOKUP = make_route("/lookup/", "idempotent")
@@ -84,6 +90,18 @@
     run_in_fleet(act)
 
 
+def test_routers_that_are_not_the_owner_get_permits_too():
+    # Guards against requests for permits that never reach the owner: a cold endpoint
+    # would get the requests of one router only, and stay idle.
+    async def act(fleet):
+        for router in fleet.routers:
+            async with asyncio.timeout(WAIT_TIMEOUT_S):
+                while (await ask(router, "/lookup/x")).status != 200:
+                    pass
+
+    run_in_fleet(act)
+
+
 def test_silent_owner_permits_nothing(caplog):
     # Guards against a router that can't reach the owner and sends all the same: the
     # owner goes on permitting requests of others.
