Evacuate availability zones of the native product by command

Cause: only the users' platform knew evacuations. An operator of the native product had to write the state of each endpoint of a zone.

Objects of kind 'evacuation', named like zones, are synchronized like contracts and endpoints; endpoints of an evacuated zone are listed as leaving, so that placement, reservations and retries need no second rule. 'tamarackrill zone evacuate', 'restore' and 'list' write and show them: since when, at how many routers, what still runs there. Tested with two routers as processes; a call is refused as not run while the only engine is evacuated, and served after 'restore'.

--- a/src/tamarackrill/cli.py
+++ b/src/tamarackrill/cli.py
@@ -19,7 +19,8 @@
     delete_contract,
 )
 from tamarackrill.commands.rollout import RolloutStatus, wait_for_rollout
-from tamarackrill.contracts import check_contracts
+from tamarackrill.commands.zones import ZoneResult, evacuate_zone, restore_zone
+from tamarackrill.contracts import CONTRACT_KIND, EVACUATION_KIND, check_contracts
 from tamarackrill.display import format_json, format_table
 from tamarackrill.documents import Document, read_document
 from tamarackrill.exceptions import (
@@ -41,6 +42,7 @@
 from tamarackrill.queries.explain_log import find_lines, format_lines
 from tamarackrill.queries.fleet import list_endpoints, list_routers, pick_router
 from tamarackrill.queries.losses import find_outcomes, format_losses, summarize
+from tamarackrill.queries.zones import list_zones
 from tamarackrill.router.platform_client import PlatformClient
 from tamarackrill.text_files import read_text
 
@@ -106,12 +108,14 @@
     """Return the parser for all commands."""
     parser = argparse.ArgumentParser(
         prog="tamarackrill",
-        description="Manage the contracts of a fleet of routers and inspect the fleet.",
+        description="Manage the contracts and availability zones of a fleet of "
+        "routers, and inspect the fleet.",
         epilog=_EPILOG,
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
     groups = parser.add_subparsers(metavar="COMMAND", required=True)
     _add_contract_commands(groups)
+    _add_zone_commands(groups)
     _add_query_commands(groups)
     _add_file_commands(groups)
     bench = groups.add_parser(
@@ -173,6 +177,33 @@
     _add_json(_add_online_command(contract, "list", _list, "list all contracts"))
 
 
+def _add_zone_commands(groups: Any) -> None:
+    zone = groups.add_parser(
+        "zone", help="evacuate availability zones and take them back"
+    ).add_subparsers(metavar="COMMAND", required=True)
+    evacuate = _add_online_command(
+        zone,
+        "evacuate",
+        _zone_evacuate,
+        "keep new work away from a zone's endpoints",
+        "Calls that run there end as usual; see 'zone list' for what still runs.",
+    )
+    restore = _add_online_command(
+        zone, "restore", _zone_restore, "let a zone's endpoints take new work again"
+    )
+    for parser in (evacuate, restore):
+        parser.add_argument("zone", metavar="ZONE")
+        _add_wait(parser)
+    _add_json(
+        _add_online_command(
+            zone,
+            "list",
+            _zone_list,
+            "list zones: since when evacuated, at how many routers, what still runs",
+        )
+    )
+
+
 def _add_file_commands(groups: Any) -> None:
     explain_log = groups.add_parser(
         "explain-log",
@@ -362,8 +393,35 @@
         print(f"  {change.show()}")
 
 
+async def _zone_evacuate(options: argparse.Namespace, clients: _Clients) -> None:
+    rows = await list_endpoints(clients.platform)
+    zones = frozenset(row.zone for row in rows if row.state != "faulty")
+    result = await evacuate_zone(clients.platform, options.zone, zones)
+    await _report_zone(options, clients, result)
+
+
+async def _zone_restore(options: argparse.Namespace, clients: _Clients) -> None:
+    result = await restore_zone(clients.platform, options.zone)
+    await _report_zone(options, clients, result)
+
+
+async def _report_zone(
+    options: argparse.Namespace, clients: _Clients, result: ZoneResult
+) -> None:
+    print(f"{result.zone}: {result.outcome} (version {result.version})")
+    await _wait_for_rollout(options, clients, result.version, EVACUATION_KIND)
+
+
+async def _zone_list(options: argparse.Namespace, clients: _Clients) -> None:
+    rows = await list_zones(clients.platform, clients.http)
+    print(format_json(rows) if options.json else format_table(rows))
+
+
 async def _wait_for_rollout(
-    options: argparse.Namespace, clients: _Clients, version: int
+    options: argparse.Namespace,
+    clients: _Clients,
+    version: int,
+    kind: str = CONTRACT_KIND,
 ) -> None:
     if options.no_wait:
         print("Written; not waiting for the routers.")
@@ -375,7 +433,9 @@
         # The bare error would suggest that nothing was written.
         message = f"written, but the VM list can't be read ({error.message})"
         raise NotInForce(message, hint) from error
-    rollout = await wait_for_rollout(clients.http, vms, version, options.wait_max_s)
+    rollout = await wait_for_rollout(
+        clients.http, vms, version, options.wait_max_s, kind
+    )
     if not rollout.is_complete:
         raise NotInForce(_describe_incomplete_rollout(rollout), hint)
     print(
--- a/src/tamarackrill/commands/rollout.py
+++ b/src/tamarackrill/commands/rollout.py
@@ -10,7 +10,7 @@
 
 from tornado.httpclient import AsyncHTTPClient
 
-from tamarackrill.contracts import Vm
+from tamarackrill.contracts import CONTRACT_KIND, Vm
 from tamarackrill.router_client import (
     Statuses,
     fetch_statuses,
@@ -51,7 +51,11 @@
 
 
 async def wait_for_rollout(
-    client: AsyncHTTPClient, vms: tuple[Vm, ...], version: int, wait_max_s: float
+    client: AsyncHTTPClient,
+    vms: tuple[Vm, ...],
+    version: int,
+    wait_max_s: float,
+    kind: str = CONTRACT_KIND,
 ) -> RolloutStatus:
     """Wait until all known routers apply a version, for at most `wait_max_s`.
 
@@ -65,6 +69,8 @@
         Version of the object that was written.
     wait_max_s : float
         Maximum wait.
+    kind : str, optional
+        Kind of the object.
 
     Returns
     -------
@@ -83,7 +89,7 @@
             a for status in statuses.values() for a in list_live_members(status)
         }
         waited_s = time.monotonic() - start_s
-        rollout = _classify_routers(statuses, version, waited_s)
+        rollout = _classify_routers(statuses, version, kind, waited_s)
         new_addresses = member_addresses - known_addresses
         if (rollout.is_complete and not new_addresses) or waited_s >= wait_max_s:
             return rollout
@@ -93,13 +99,13 @@
 
 
 def _classify_routers(
-    statuses: Statuses, version: int, waited_s: float
+    statuses: Statuses, version: int, kind: str, waited_s: float
 ) -> RolloutStatus:
     reached, behind, silent = [], [], []
     for address, status in statuses.items():
         if status is None:
             silent.append(address)
-        elif _has_applied(status, version):
+        elif _has_applied(status, version, kind):
             reached.append(address)
         else:
             behind.append(address)
@@ -108,8 +114,8 @@
     )
 
 
-def _has_applied(status: dict[str, Any], version: int) -> bool:
-    # A router that finds the new contract faulty keeps applying the previous one.
+def _has_applied(status: dict[str, Any], version: int, kind: str) -> bool:
+    # A router that finds the new object faulty keeps applying the previous one.
     if any(item["version"] == version for item in status.get("faulty", ())):
         return False
-    return get_complete_revision(status) >= version
+    return get_complete_revision(status, kind) >= version
--- a/src/tamarackrill/contracts.py
+++ b/src/tamarackrill/contracts.py
@@ -1,7 +1,7 @@
-"""Platform objects that the fleet reads: contracts, endpoints and VMs.
+"""Platform objects that the fleet reads: contracts, endpoints, evacuations, VMs.
 
-Operators write only contracts; every limit that the fleet applies to a team is
-derived from its contract.  Endpoints register themselves, and the platform maintains
+Operators write contracts, from which every limit that the fleet applies to a team is
+derived, and evacuations of availability zones.  Endpoints register themselves, and the platform maintains
 the VM list.
 
 The published schemas are contract.schema.json and endpoint.schema.json, next to this
@@ -22,6 +22,8 @@
 CONTRACT_KIND = "contract"
 ENDPOINT_KIND = "endpoint"
 CLAIM_KIND = "claim"
+# Objects named like availability zones; their values have no fields.
+EVACUATION_KIND = "evacuation"
 CONTRACT_FORMAT = "tamarackrill/contract/v1"
 
 EndpointKind = Literal["engine", "service"]
--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -336,6 +336,7 @@
             # of all kinds also rises with an endpoint, before the contract arrives.
             "complete": {kind: self.store.get_complete(kind) for kind in KINDS},
             "faulty": [faulty._asdict() for faulty in self.known.list_faulty()],
+            "evacuated": self.known.list_evacuated(),
             "state": "leaving" if self._leaving else "alive",
             "in_flight": self.open_calls.count,
             "waiting": self.admitter.describe(),
--- a/src/tamarackrill/router/configuring.py
+++ b/src/tamarackrill/router/configuring.py
@@ -6,7 +6,7 @@
 import random
 from collections.abc import Awaitable, Callable
 
-from tamarackrill.contracts import CONTRACT_KIND, ENDPOINT_KIND
+from tamarackrill.contracts import CONTRACT_KIND, ENDPOINT_KIND, EVACUATION_KIND
 from tamarackrill.decisions.answer_times import AnswerTimes, StoreAnswer
 from tamarackrill.decisions.configuration import (
     ChangeSet,
@@ -31,8 +31,8 @@
 from tamarackrill.router.platform_client import AnswerTooLong, PlatformClient, WatchLost
 from tamarackrill.store_api import Listing
 
-KINDS = (CONTRACT_KIND, ENDPOINT_KIND)
-# 370 routers that retry two kinds every 5 s make 148 reads a second; the platform
+KINDS = (CONTRACT_KIND, ENDPOINT_KIND, EVACUATION_KIND)
+# 370 routers that retry three kinds every 5 s make 222 reads a second; the platform
 # handles about 2,000.
 RETRY_MIN_S = 0.5
 RETRY_MAX_S = 5.0
--- a/src/tamarackrill/router/known_objects.py
+++ b/src/tamarackrill/router/known_objects.py
@@ -1,4 +1,4 @@
-"""Contracts and endpoints in force at this router, read from the platform's objects."""
+"""Contracts, endpoints and evacuated zones in force at this router."""
 
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -6,6 +6,7 @@
 from tamarackrill.contracts import (
     CONTRACT_KIND,
     ENDPOINT_KIND,
+    EVACUATION_KIND,
     Contract,
     Endpoint,
     Vm,
@@ -14,8 +15,14 @@
 )
 from tamarackrill.decisions.configuration import ObjectVersion
 from tamarackrill.decisions.leaving import LeavingEndpoints, LeavingReport
-from tamarackrill.events import ENDPOINT_LEAVING, OBJECT_FAULTY, log_event
-from tamarackrill.exceptions import FindingsError
+from tamarackrill.events import (
+    ENDPOINT_LEAVING,
+    EVACUATION_ENDED,
+    EVACUATION_IN_FORCE,
+    OBJECT_FAULTY,
+    log_event,
+)
+from tamarackrill.exceptions import Finding, FindingsError
 
 _READERS = {CONTRACT_KIND: read_contract, ENDPOINT_KIND: read_endpoint}
 
@@ -30,7 +37,7 @@
 
 
 class KnownObjects:
-    """Contracts and endpoints by their newest readable versions.
+    """Contracts, endpoints and evacuated zones by their newest readable versions.
 
     An object that was not written with the command line may be malformed.  If it ended
     the task that watches the platform, no later change would come into force at any
@@ -41,6 +48,8 @@
     def __init__(self) -> None:
         self._contracts: dict[str, Contract] = {}
         self._endpoints: dict[str, Endpoint] = {}
+        # Versions of the objects that evacuate availability zones, by zone.
+        self._evacuated: dict[str, int] = {}
         self._faulty: dict[tuple[str, str], FaultyObject] = {}
         self._leaving = LeavingEndpoints()
         # Cached result of `list_endpoints`; None after a change.
@@ -50,24 +59,16 @@
 
     def take(self, item: ObjectVersion) -> None:
         """Put a newer version of an object, or its deletion, in force."""
-        reader = _READERS.get(item.kind)
-        if reader is None:
+        if item.kind not in (*_READERS, EVACUATION_KIND):
             return
         self._contract_by_key_hash = None
         self._listed = None
-        objects: dict = (
-            self._contracts if item.kind == CONTRACT_KIND else self._endpoints
-        )
         self._faulty.pop((item.kind, item.name), None)
-        if item.value is None:
-            objects.pop(item.name, None)
-            if item.kind == ENDPOINT_KIND:
-                self._leaving.remove(item.name)
-            return
         try:
-            objects[item.name] = reader(item.value)
-            if item.kind == ENDPOINT_KIND:
-                self._observe_object_state(objects[item.name])
+            if item.kind == EVACUATION_KIND:
+                self._take_evacuation(item)
+            else:
+                self._take_object(item)
         except FindingsError as error:
             message = "; ".join(finding.show() for finding in error.findings)
             faulty = FaultyObject(item.kind, item.name, item.version, message)
@@ -80,6 +81,39 @@
                 message=message,
             )
 
+    def _take_object(self, item: ObjectVersion) -> None:
+        objects: dict = (
+            self._contracts if item.kind == CONTRACT_KIND else self._endpoints
+        )
+        if item.value is None:
+            objects.pop(item.name, None)
+            if item.kind == ENDPOINT_KIND:
+                self._leaving.remove(item.name)
+            return
+        objects[item.name] = _READERS[item.kind](item.value)
+        if item.kind == ENDPOINT_KIND:
+            self._observe_object_state(objects[item.name])
+
+    def _take_evacuation(self, item: ObjectVersion) -> None:
+        zone = item.name
+        if item.value is None:
+            if self._evacuated.pop(zone, None) is not None:
+                log_event(EVACUATION_ENDED, zone=zone, revision=item.version)
+            return
+        if not isinstance(item.value, dict):
+            raise FindingsError([Finding(zone, "expected an object")])
+        self._evacuated[zone] = item.version
+        log_event(
+            EVACUATION_IN_FORCE,
+            zone=zone,
+            revision=item.version,
+            endpoints=sum(e.zone == zone for e in self._endpoints.values()),
+        )
+
+    def list_evacuated(self) -> dict[str, int]:
+        """Return the evacuated zones, with the versions of their objects."""
+        return dict(self._evacuated)
+
     def find_contract(self, team: str) -> Contract | None:
         """Return the contract of a team, or None if there is none in force."""
         return self._contracts.get(team)
@@ -103,11 +137,16 @@
         return list(self._contracts.values())
 
     def list_endpoints(self) -> list[Endpoint]:
-        """Return the endpoints, as leaving if any source reports them so."""
+        """Return the endpoints.
+
+        Those that any source reports as leaving, or whose zone is evacuated, are
+        leaving: they get no new work, and what they run goes on.
+        """
         if self._listed is None:
             self._listed = [
                 endpoint._replace(state="leaving")
                 if self._leaving.is_leaving(endpoint.name)
+                or endpoint.zone in self._evacuated
                 else endpoint
                 for endpoint in self._endpoints.values()
             ]
--- a/src/tamarackrill/router_client.py
+++ b/src/tamarackrill/router_client.py
@@ -48,9 +48,9 @@
     return {member["address"] for member in members if member["state"] == ALIVE}
 
 
-def get_complete_revision(status: dict[str, Any]) -> int:
-    """Return the revision up to which a router has received all contracts."""
-    return int(status.get("complete", {}).get(CONTRACT_KIND, 0))
+def get_complete_revision(status: dict[str, Any], kind: str = CONTRACT_KIND) -> int:
+    """Return the revision up to which a router has received all objects of a kind."""
+    return int(status.get("complete", {}).get(kind, 0))
 
 
 async def fetch_explanation(
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -233,6 +233,31 @@
     assert "engine-1" in run("endpoint", "list")[1]
 
 
+def test_evacuated_zone_gets_no_call_until_it_is_restored(fleet, run):
+    # Guards against an operator who stops an availability zone's endpoints while some
+    # router still sends calls there.
+    (engine,) = (e for e in json.loads(run("endpoint", "list", "--json")[1]))
+    zone = engine["zone"]
+    code, out, _ = run("zone", "evacuate", zone)
+    assert (code, "In force at 2 router(s)" in out) == (0, True)
+    assert "unchanged" in run("zone", "evacuate", zone)[1]
+    (row,) = json.loads(run("zone", "list", "--json")[1])
+    assert (row["in_force_at"], row["routers"], row["running"]) == (2, 2, 0)
+    assert row["evacuated_since"] > 0
+    headers = {"Authorization": "Bearer k", "Request-Timeout-Ms": "300"}
+    body = {"model": "m", "messages": [{"role": "user", "content": "x"}]}
+    for router in fleet.routers.values():
+        path = "/v1/chat/completions"
+        answer = call(router.address, path, body, headers=headers)
+        assert (answer.status, answer.json()["run"]) == (503, "not_run")
+    assert run("zone", "restore", zone)[0] == 0
+    (row,) = json.loads(run("zone", "list", "--json")[1])
+    assert (row["in_force_at"], row["evacuated_since"]) == (0, None)
+    for router in fleet.routers.values():
+        answer = call(router.address, path, body, headers=headers)
+        assert answer.status == 200
+
+
 @pytest.mark.parametrize("router", ["router-1", "router-2"])
 def test_explanation_is_that_of_the_home_router(fleet, run, router):
     address = fleet.routers[router].address
@@ -255,6 +280,8 @@
         (("explain", "--team", "hall", "--service", "s"), 1, "does not allow 's'"),
         (("contract", "show", "nobody"), 1, "there is no contract 'nobody'"),
         (("contract", "delete", "nobody"), 1, "Hint: see: contract list"),
+        (("zone", "evacuate", "nowhere"), 1, "no endpoint is in zone 'nowhere'"),
+        (("zone", "restore", "zone-a"), 1, "Hint: see: zone list"),
         (("contract", "apply", "no-such-file.json"), 2, "No such file"),
         (("contract", "apply", "a", "b", "--based-on", "1"), 2, "exactly one FILE"),
         (("explain", "--team", "t", "--model", "m", "--router", "127.0.0.1:1"), 4, ""),
