--- a/src/tamarackrill/contracts.py
+++ b/src/tamarackrill/contracts.py
@@ -1,4 +1,4 @@
-"""Platform objects that the fleet reads: contracts, endpoints, evacuations, VMs.
+"""Objects that the fleet reads: contracts, endpoints, evacuations and VMs.
 
 Operators write contracts, from which every limit that the fleet applies to a team is
 derived, and evacuations of availability zones.  Endpoints register themselves, and the platform maintains
