--- a/src/tamarackrill/contracts.py
+++ b/src/tamarackrill/contracts.py
@@ -1,8 +1,8 @@
 """Objects that the fleet reads: contracts, endpoints, evacuations and VMs.
 
 Operators write contracts, from which every limit that the fleet applies to a team is
-derived, and evacuations of availability zones.  Endpoints register themselves, and the platform maintains
-the VM list.
+derived, and evacuations of availability zones.  Endpoints register themselves, and the
+platform maintains the VM list.
 
 The published schemas are contract.schema.json and endpoint.schema.json, next to this
 module.  An operator's file is validated strictly (`check_contract`).  A router ignores
