Query the evacuated zones only if other kinds' answers leave them open

The store numbers the changes of all kinds together. An answer for another kind whose revision is accounted for by known changes of other kinds shows that no zone was evacuated or taken back. The kind is polled only if that is open, at most every 1.3 watches.

--- a/src/tamarackrill/decisions/configuration.py
+++ b/src/tamarackrill/decisions/configuration.py
@@ -195,6 +195,45 @@
         if peer.content == self._content.get(peer.kind, 0):
             self._advance(peer.kind, peer.complete)
 
+    def advance_if_unchanged(
+        self, kind: str, kinds: Iterable[str], revision: int
+    ) -> bool:
+        """Advance a kind to a revision if all changes since are of other kinds.
+
+        The platform numbers the changes of all kinds together.  If each number since
+        the `complete` revision of `kind` is that of a known object of another kind,
+        then no object of this one has changed, and the platform needs no query.
+
+        Parameters
+        ----------
+        kind : str
+            Kind of objects.
+        kinds : iterable of str
+            All kinds that are held.
+        revision : int
+            Revision of the platform at some time.
+
+        Returns
+        -------
+        bool
+            Whether this store holds all objects of `kind` as of `revision`.
+        """
+        complete = self.get_complete(kind)
+        if not complete or revision < complete:
+            return False
+        known = sum(
+            complete < item.version <= revision
+            for other in kinds
+            if other != kind and revision > complete
+            for item in self._held.get(other, {}).values()
+            # The number of a deletion is not known exactly.
+            if item.value is not None
+        )
+        if known != revision - complete:
+            return False
+        self._advance(kind, revision)
+        return True
+
     def _delete_missing(self, changes: ChangeSet) -> list[ObjectVersion]:
         listed = {item.name for item in changes.objects if item.value is not None}
         gone = [
--- a/src/tamarackrill/router/configuring.py
+++ b/src/tamarackrill/router/configuring.py
@@ -52,6 +52,11 @@
 # peer may be frozen, or its link saturated.
 PLATFORM_FALLBACK_S = 0.3
 
+# Interval of queries for a polled kind, as a multiple of the time for which other kinds
+# are watched: their answers come slightly later than that, and make most of them
+# needless.
+POLL_INTERVAL_FACTOR = 1.3
+
 PullChanges = Callable[[str, str, int], Awaitable[ChangeSet]]
 
 
@@ -79,6 +84,9 @@
         Kinds whose objects may be too large to transfer from a peer, or to read more
         versions than the newest; the platform is asked if a peer doesn't send them
         within `PLATFORM_FALLBACK_S`.
+    polled_kinds : tuple of str, optional
+        Kinds that change seldom.  They are queried without waiting for a change, and
+        only if the answers for other kinds leave open whether they have changed.
     pause_s : float, optional
         Pause between an answer and the next call, so that changes close together need
         only one call.
@@ -89,6 +97,9 @@
         Called after each call with whether the platform is unavailable.
     on_answer : callable
         Called with the kind of an answer and the time as of which the answer is valid.
+    on_unchanged : callable
+        Called likewise with each polled kind that an answer for another kind shows to
+        be unchanged, before `on_answer`.
     on_unavailable : callable
         Called with the kind and the time of a call that failed.
     on_read : callable
@@ -116,7 +127,11 @@
         retry_max_s: float = RETRY_MAX_S,
         large_kinds: tuple[str, ...] = (),
         pause_s: float = 0.0,
+        polled_kinds: tuple[str, ...] = (),
     ) -> None:
+        self._polled_kinds = polled_kinds
+        # As of when each polled kind was last known.
+        self._known_as_of_s: dict[str, float] = {}
         self._pause_s = pause_s
         self._kinds = kinds
         self.find_retry_s: Callable[[float], float] = lambda before_s: min(
@@ -124,6 +139,7 @@
         )
         self.on_platform_state: Callable[[bool], None] = lambda is_lost: None
         self.on_answer: Callable[[str, float], None] = lambda kind, as_of_s: None
+        self.on_unchanged: Callable[[str, float], None] = lambda kind, as_of_s: None
         self.on_unavailable: Callable[[str, float], None] = lambda kind, now_s: None
         self.on_read: Callable[[str, float], None] = lambda kind, read_s: None
         self.find_watch_s: Callable[[str], float | None] = lambda kind: None
@@ -332,7 +348,7 @@
             # The previous answer has delivered the requested version.
             read_requested.clear()
         while not read_requested.is_set() and self._store.get_complete(kind):
-            poll_delay_s = self.find_poll_delay_s(kind, self._clock())
+            poll_delay_s = self._find_poll_delay_s(kind)
             if poll_delay_s <= 0.0:
                 break
             has_waited = True
@@ -344,13 +360,27 @@
         read_requested.clear()
         return has_waited
 
+    def _find_poll_delay_s(self, kind: str) -> float:
+        now_s = self._clock()
+        delay_s = self.find_poll_delay_s(kind, now_s)
+        if kind in self._polled_kinds:
+            known_s = self._known_as_of_s.get(kind, -math.inf)
+            interval_s = POLL_INTERVAL_FACTOR * self._find_watch_s(kind)
+            delay_s = max(delay_s, known_s + interval_s - now_s)
+        return delay_s
+
+    def _find_watch_s(self, kind: str) -> float:
+        return self.find_watch_s(kind) or self._platform.watch_wait_s
+
     async def _list(self, kind: str) -> None:
         await self._read(kind, self._platform.list, 0.0, is_snapshot=True)
 
     async def _watch(self, kind: str, wait_s: float | None) -> None:
         since = self._store.get_complete(kind)
         if wait_s is None:
-            wait_s = self.find_watch_s(kind) or self._platform.watch_wait_s
+            wait_s = self._find_watch_s(kind)
+        if kind in self._polled_kinds:
+            wait_s = 0.0
         planner = self._read_planners.get(kind)
         max_bytes = None if planner is None else planner.watch_max_bytes
 
@@ -388,7 +418,9 @@
         # Reported only after the changes are applied; otherwise other routers would
         # take the previous configuration for the platform's latest answer.
         answer = StoreAnswer(asked_s, begun_s, wait_s, not listing.items)
-        self.on_answer(kind, self._answer_times.find_as_of_s(answer))
+        as_of_s = self._answer_times.find_as_of_s(answer)
+        self._record_polled(kind, listing.revision, as_of_s)
+        self.on_answer(kind, as_of_s)
         self._answer_times.observe(answer)
         if listing.items:
             self.on_read(kind, self._clock() - begun_s)
@@ -398,6 +430,15 @@
         elif planner is not None:
             planner.observe_watch(item.name for item in listing.items)
 
+    def _record_polled(self, answered: str, revision: int, as_of_s: float) -> None:
+        """Record which polled kinds an answer of any kind shows to be known."""
+        for kind in self._polled_kinds:
+            if kind == answered:
+                self._known_as_of_s[kind] = as_of_s
+            elif self._store.advance_if_unchanged(kind, self._kinds, revision):
+                self._known_as_of_s[kind] = as_of_s
+                self.on_unchanged(kind, as_of_s)
+
     def _apply(self, changes: ChangeSet, source: str) -> list[ObjectVersion]:
         self._behind_since_s.pop(changes.kind, None)
         is_first = not self._store.get_complete(changes.kind)
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -301,6 +301,7 @@
             STORE_RETRY_BACKOFF_MAX_S,
             (MANIFEST_KIND,),
             STORE_CALL_PAUSE_S,
+            (EVACUATION_KIND,),
         )
         self.configuration_sync.on_platform_state = self._observe_store
         self.server.is_outdated = self._is_outdated
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -232,3 +232,31 @@
     )
     behind.adopt_complete_revision(ahead.digest("contract"))
     assert behind.get_complete("contract") == 0
+
+
+@pytest.mark.parametrize(
+    "changes, revision, wanted",
+    [
+        ([], 5, True),
+        ([], 6, False),
+        ([("a", "x", 6, {})], 6, True),
+        ([("a", "x", 6, {}), ("c", "y", 7, {})], 7, True),
+        # The change at 6 is not known: it was followed by another one of its object.
+        ([("a", "x", 7, {})], 7, False),
+        # The number of a deletion may be that of another change.
+        ([("a", "x", 6, None)], 6, False),
+        ([("b", "z", 6, {})], 6, False),
+        ([("a", "x", 4, {})], 4, False),
+    ],
+)
+def test_kind_is_unchanged_only_if_all_changes_are_known_to_be_others(
+    changes, revision, wanted
+):
+    # Guards against a change that is never read, because the platform's revision rose
+    # by changes of other kinds at the same time.
+    store = ConfigurationStore()
+    store.apply_changes(ChangeSet("b", (), 5, True))
+    for change in changes:
+        store.apply_version(*change)
+    assert store.advance_if_unchanged("b", ("a", "b", "c"), revision) == wanted
+    assert store.get_complete("b") == (revision if wanted else 5)
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -117,3 +117,22 @@
     view = DeploymentView(READERS, zones=ZONES)
     view.take(ObjectVersion("evacuations", "aa", 1, {}), 0.0)
     assert "evacuation_unknown_zone zone=aa" in caplog.text
+
+
+def test_evacuations_cost_no_query_while_the_store_does_not_change():
+    # Guards against one more watch for a kind that changes a few times a year: each
+    # query of the store is paid for.
+    async def act(fleet):
+        router = await fleet.add_router(zone="a", **SETTINGS)
+
+        def count(kind):
+            return sum(f"/objects/{kind}" in path for path in fleet.store.calls)
+
+        await fleet.wait(lambda: count("config") > 12)
+        assert count("evacuations") <= 3
+        # A change of another kind doesn't hide that of this one.
+        await fleet.evacuate("b")
+        await fleet.add_worker("worker-c", zone="a")
+        await fleet.wait(lambda: router.view.evacuated_zones == {"b"})
+
+    run_in_fleet(act)
