Evacuate zones in a soak of routers under faults

Zones are evacuated at random beside kills, pauses, cuts and a store that fails, and once more after all faults: every router has to have it in force within twice its bound, and no worker there may get a request after that. Other topologies and their seeds are unchanged.

--- a/soak/run.py
+++ b/soak/run.py
@@ -59,22 +59,34 @@
     has_peer_faults : bool
         Whether to inject faults into the traffic between routers too, and to send
         signals to routers while they start.
+    has_evacuations : bool, optional
+        Whether to evacuate zones of workers.
     """
 
     zones: tuple[str, ...]
     has_peer_faults: bool
+    has_evacuations: bool = False
 
 
 ONE_ZONE = Topology(("z", "z", "z"), has_peer_faults=False)
 TWO_ZONES = Topology(("a", "a", "b", "b"), has_peer_faults=True)
 THREE_ZONES = Topology(("a", "a", "a", "b", "b", "b", "c", "c"), has_peer_faults=True)
 SIXTY_ROUTERS = Topology(tuple("abcdef") * 10, has_peer_faults=True)
+EVACUATED_ZONES = Topology(
+    ("a", "a", "b", "b"), has_peer_faults=True, has_evacuations=True
+)
 TOPOLOGIES = {
     "one": ONE_ZONE,
     "two": TWO_ZONES,
     "three": THREE_ZONES,
     "many": SIXTY_ROUTERS,
+    "evacuated": EVACUATED_ZONES,
 }
+# Zones of the workers of each service, if zones are evacuated.
+WORKER_ZONES = ("a", "b", "c")
+# Twice the time in which the settings demand an evacuation to be in force.
+EVACUATION_BOUND_S = 2.0
+EVACUATION_APPLY_MAX_S = 2 * EVACUATION_BOUND_S
 # Limit for applying a manifest change: twice the normal one, since all routers share
 # one machine.
 MANIFEST_APPLY_MAX_S = 4.0
@@ -98,6 +110,7 @@
         self._proxies: list[Proxy] = []
         self._store_proxies: list[Proxy] = []
         self._version = 1
+        self._worker_zones: dict[str, str] = {}
         self.faults: list[str] = []
         self.exchanges: list[Exchange] = []
 
@@ -148,6 +161,9 @@
             seeds,
             self._folder,
             addresses=addresses,
+            bounds={"evacuate_ms": 1000 * EVACUATION_BOUND_S}
+            if self._topology.has_evacuations
+            else None,
         )
         if self._topology.has_peer_faults:
             advertised_address = f"127.0.2.{number + 1}:{peer_port}"
@@ -165,7 +181,11 @@
         proxy = Proxy(worker.address)
         await proxy.start()
         self._proxies.append(proxy)
-        spec = worker.describe(service, address=proxy.address)
+        zone = "z"
+        if self._topology.has_evacuations:
+            zone = WORKER_ZONES[len(self._worker_zones) // 2 % len(WORKER_ZONES)]
+        spec = worker.describe(service, zone, address=proxy.address)
+        self._worker_zones[name] = zone
         await fleet.store.write("servers", name, spec)
 
     async def _run_scenario(self, fleet: EdgeFleet) -> list[str]:
@@ -191,6 +211,8 @@
             if self._topology.has_peer_faults
             else []
         )
+        if self._topology.has_evacuations:
+            outdated += await self._check_evacuation(fleet, caller_tasks)
         await asyncio.gather(*caller_tasks)
         watch_task.cancel()
         violations = [
@@ -229,6 +251,39 @@
             await asyncio.sleep(WATCH_POLL_S)
         return [f"{name} lacks version {self._version}" for name in sorted(outdated)]
 
+    async def _check_evacuation(
+        self, fleet: EdgeFleet, caller_tasks: list[asyncio.Task[None]]
+    ) -> list[str]:
+        """Evacuate a zone; report routers that don't apply it in time, and requests."""
+        zone = self._rng.choice(WORKER_ZONES)
+        evacuated = [w for w in fleet.workers if self._worker_zones[w.name] == zone]
+        await fleet.evacuate(zone)
+        late = {router.name for router in self._routers}
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + EVACUATION_APPLY_MAX_S
+        while late and loop.time() < until_s:
+            for router in self._routers:
+                if await router.read_metric("evacuated", zone):
+                    late.discard(router.name)
+            await asyncio.sleep(WATCH_POLL_S)
+        if late:
+            return [f"{name} sends to evacuated zone {zone}" for name in sorted(late)]
+        counts = [len(worker.requests) for worker in evacuated]
+        await asyncio.gather(*caller_tasks)
+        return [
+            f"{worker.name} got requests in evacuated zone {zone}"
+            for worker, count in zip(evacuated, counts, strict=True)
+            if len(worker.requests) > count
+        ]
+
+    async def _evacuate_zone(self, fleet: EdgeFleet) -> None:
+        """Evacuate a zone for a while."""
+        zone = self._rng.choice(WORKER_ZONES)
+        self.faults.append(f"zone {zone} evacuated")
+        await fleet.evacuate(zone)
+        await asyncio.sleep(self._rng.random() * 2 * PAUSE_MAX_S)
+        await fleet.evacuate(zone, False)
+
     async def _inject_fault(self, fleet: EdgeFleet) -> None:
         injectors: tuple[FaultInjector, ...] = (
             self._fault_router,
@@ -243,6 +298,8 @@
                 self._fault_peer_datagrams,
                 self._partition_zone,
             )
+        if self._topology.has_evacuations:
+            injectors += (self._evacuate_zone,)
         await self._rng.choice(injectors)(fleet)
 
     async def _fault_startup(self, fleet: EdgeFleet) -> None:
--- a/src/tamarackrill/testing/edge_processes.py
+++ b/src/tamarackrill/testing/edge_processes.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Mapping
 from pathlib import Path
 from typing import NamedTuple
 
@@ -64,6 +65,8 @@
         Time limit from SIGTERM to exit.
     addresses : RouterAddresses, optional
         Addresses on which it listens; unused ones by default.
+    bounds : mapping of str to float, optional
+        Bounds in its settings, in addition to the default ones.
 
     Attributes
     ----------
@@ -80,6 +83,7 @@
         folder: Path,
         grace_s: int = 4,
         addresses: RouterAddresses | None = None,
+        bounds: Mapping[str, float] | None = None,
     ) -> None:
         self.name = name
         self.addresses = addresses or choose_addresses()
@@ -101,7 +105,7 @@
             },
             "internal_ports": [peer_port, peer_port + 1],
             "seeds": seeds,
-            "bounds": {"grace_s": grace_s, "budget_slack": 56},
+            "bounds": {"grace_s": grace_s, "budget_slack": 56, **(bounds or {})},
             "platform": {"address": store_address},
         }
         self._settings_path.write_text(yaml.safe_dump(settings), encoding="utf-8")
@@ -211,14 +215,14 @@
                 writer.close()
                 return
 
-    async def read_metric(self, name: str) -> float | None:
-        """Return a gauge with an empty label, None if it isn't available."""
+    async def read_metric(self, name: str, label: str = "") -> float | None:
+        """Return a gauge with a label, None if it isn't available."""
         url = f"http://{self.addresses.metrics}/metrics"
         try:
             answer = await AsyncHTTPClient().fetch(url, request_timeout=1.0)
         except (OSError, HTTPClientError):
             return None
-        begin = f'tamarackrill_{name}{{label=""}} '
+        begin = f'tamarackrill_{name}{{label="{label}"}} '
         for line in answer.body.decode().splitlines():
             if line.startswith(begin):
                 return float(line.removeprefix(begin))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,7 +2,7 @@
 
 import pytest
 from soak import native
-from soak.run import THREE_ZONES, TWO_ZONES, run_seed
+from soak.run import EVACUATED_ZONES, THREE_ZONES, TWO_ZONES, run_seed
 
 
 # Regression seeds 3 and 5: a worker crashed in the middle of its first event, and the
@@ -25,5 +25,11 @@
     assert run_seed(seed, tmp_path, topology) == []
 
 
+def test_evacuated_zones_get_no_request_after_faults(tmp_path):
+    # Guards against routers that miss an evacuation because they were killed, paused or
+    # cut off from the store and from each other, and go on sending to the zone.
+    assert run_seed(3, tmp_path, EVACUATED_ZONES) == []
+
+
 def test_native_routers_keep_guarantees_while_they_come_and_go():
     assert native.run_seed(1) == []
