Take entries that arrive before the manifest for cold too

Found by reading: a router that starts may get the entries of endpoints before the manifest, which holds what their services say of cold endpoints. Each entry was looked at once, so that these endpoints counted as warm. The test fails without the change.

--- a/src/tamarackrill/router/cold_monitor.py
+++ b/src/tamarackrill/router/cold_monitor.py
@@ -41,6 +41,9 @@
 
     def update(self) -> None:
         """Process the current entries and evacuated zones."""
+        if self._view.routes is None:
+            # The entries may arrive before the manifest, which says what they mean.
+            return
         now_s = self._clock()
         terms = self._list_terms()
         endpoints = self._view.list_endpoints()
--- a/tests/test_cold_permits.py
+++ b/tests/test_cold_permits.py
@@ -7,15 +7,20 @@
 import pytest
 
 from tamarackrill.decisions.cold_endpoints import ColdTolerance
+from tamarackrill.decisions.configuration import ObjectVersion
 from tamarackrill.router import cold_permits
+from tamarackrill.router.cold_monitor import ColdMonitor
+from tamarackrill.router.deployment_view import DeploymentView
+from tamarackrill.router.edge_app import READERS
 from tamarackrill.testing.edge import (
     WAIT_TIMEOUT_S,
     EdgeFleet,
     ask,
+    make_manifest,
     make_route,
     read_reason,
 )
-from tamarackrill.testing.worker import answer_ok
+from tamarackrill.testing.worker import Worker, answer_ok
 
 LOOKUP = make_route("/lookup/", "idempotent")
 COLD = {"cold_s": 30.0, "cold_per_s": 8.0}
@@ -117,6 +122,23 @@
     run_in_fleet(act)
 
 
+def test_entries_that_arrive_before_the_manifest_count():
+    # Guards against a router that has just started, knows cold endpoints before it
+    # knows their services, and then takes them for warm.
+    view = DeploymentView(READERS)
+    monitor = ColdMonitor(view, TOLERANCE, lambda: 10.0)
+    worker = Worker("cold", answer_ok)
+    worker.address = "127.0.0.1:8000"
+    spec = worker.describe("desk", cold_remaining_ms=2000)
+    view.take(ObjectVersion("servers", "cold", 1, spec), 10.0)
+    monitor.update()
+    manifest = make_manifest(1, LOOKUP)
+    manifest["services"][0] |= COLD
+    view.take(ObjectVersion("config", "main", 2, manifest), 10.0)
+    monitor.update()
+    assert monitor.find_cold() == {"cold"}
+
+
 def test_services_without_terms_need_no_permit():
     async def act(fleet):
         await fleet.put_manifest(2, LOOKUP)
