Report an empty first answer for polled kinds only

Suspected: a router whose first list of endpoints is empty told its peers once more. Only the polled kind needs that report.

--- a/src/tamarackrill/router/configuring.py
+++ b/src/tamarackrill/router/configuring.py
@@ -71,7 +71,7 @@
         Not owned.
     on_applied : callable
         Called with the list of objects that came into force; with an empty one when a
-        kind turns out to have no objects.
+        polled kind turns out to have no objects.
     pull : callable
         ``await pull(address, kind, since)`` returns a peer's `ChangeSet`.
     clock : callable
@@ -220,9 +220,9 @@
         if as_of_s > self._lost_s:
             self._set_platform_lost(lost=False)
         if not needs_changes(self._store.digest(digest.kind), digest):
-            held_before = self._store.get_complete(digest.kind)
+            is_first = self._is_first(digest.kind)
             self._store.adopt_complete_revision(digest)
-            if not held_before and self._store.get_complete(digest.kind):
+            if is_first and self._store.get_complete(digest.kind):
                 self._on_applied([])
             return
         if digest.kind in self._read_planners:
@@ -441,7 +441,7 @@
 
     def _apply(self, changes: ChangeSet, source: str) -> list[ObjectVersion]:
         self._behind_since_s.pop(changes.kind, None)
-        is_first = not self._store.get_complete(changes.kind)
+        is_first = self._is_first(changes.kind)
         applied = self._store.apply_changes(changes)
         for item in applied:
             log_event(
@@ -455,6 +455,10 @@
             self._on_applied(applied)
         return applied
 
+    def _is_first(self, kind: str) -> bool:
+        """Return whether a polled kind is not known yet."""
+        return kind in self._polled_kinds and not self._store.get_complete(kind)
+
     def _set_platform_lost(self, lost: bool, reason: str = "") -> None:
         if lost and not self._is_lost:
             self._lost_s = self._clock()
