Log what an endpoint's answer says of the endpoint

Change: the adapter parses both headers; call_answered and call_attempt_failed log them. No decision uses them yet.

--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -161,16 +161,37 @@
     2203,
     "call_attempt_failed",
     _WARNING,
-    ("request", "endpoint", "outcome", "detail", "next", "repeats_left", "after_s"),
-    "An attempt returned no usable response; `next` is what the router does next.",
+    (
+        "request",
+        "endpoint",
+        "outcome",
+        "detail",
+        "next",
+        "repeats_left",
+        "after_s",
+        "is_leaving",
+        "retry_after_s",
+    ),
+    "An attempt returned no usable response; `next` is what the router does next.  "
+    "`is_leaving` and `retry_after_s` are what a complete response said of its "
+    "endpoint.",
     "See docs/OPERATIONS.md: from a request to its cause.",
 )
 CALL_ANSWERED = Event(
     2204,
     "call_answered",
     _INFO,
-    ("request", "endpoint", "status", "attempts", "first_s", "total_s"),
-    "A client received the complete response of an endpoint.",
+    (
+        "request",
+        "endpoint",
+        "status",
+        "attempts",
+        "first_s",
+        "total_s",
+        "is_leaving",
+    ),
+    "A client received the complete response of an endpoint; `is_leaving` tells "
+    "whether the response said that its endpoint is leaving.",
 )
 CALL_CUT = Event(
     2205,
--- a/src/tamarackrill/platform/headers.py
+++ b/src/tamarackrill/platform/headers.py
@@ -93,6 +93,11 @@
         Idle timeout of the connection; None if not given.
     is_event_stream : bool
         Whether the body is an event stream.
+    is_leaving : bool
+        Whether the endpoint states that it is leaving.
+    retry_after_s : float or None
+        How long the endpoint asks for no further requests of this router; None if it
+        doesn't.
     """
 
     request_id: str
@@ -102,6 +107,8 @@
     load: int | None
     idle_max_s: float | None
     is_event_stream: bool
+    is_leaving: bool
+    retry_after_s: float | None
 
 
 def parse_request_headers(headers: HTTPHeaders) -> RequestHeaders:
@@ -212,6 +219,9 @@
         load=_read_load(headers.get("x-instance-load", "")),
         idle_max_s=_read_idle_timeout(headers.get("keep-alive", "")),
         is_event_stream=content_type.startswith("text/event-stream"),
+        is_leaving=headers.get("server-leaving", "") == "1",
+        # In seconds; a date, which HTTP allows too, is not used on the platform.
+        retry_after_s=_read_number(headers.get("retry-after")),
     )
 
 
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -51,7 +51,8 @@
 class AttemptResult(NamedTuple):
     """Outcome of an attempt.
 
-    `is_broken` tells that the connection broke or the response was invalid.
+    `is_broken` tells that the connection broke or the response was invalid;
+    `is_leaving` and `retry_after_s` are what a complete response said of its endpoint.
     """
 
     outcome: Outcome
@@ -60,6 +61,8 @@
     first_s: float | None = None
     status: int = 0
     is_broken: bool = False
+    is_leaving: bool = False
+    retry_after_s: float | None = None
 
 
 class RequestProgress:
@@ -228,7 +231,12 @@
             self.pool.give_back(
                 placed.endpoint.name, channel, answer_headers.idle_max_s, self._clock()
             )
-        return result._replace(first_s=first_s, status=head.status)
+        return result._replace(
+            first_s=first_s,
+            status=head.status,
+            is_leaving=answer_headers.is_leaving,
+            retry_after_s=answer_headers.retry_after_s,
+        )
 
     def _send(
         self, progress: RequestProgress, placed: EdgePlacement, channel: Channel
--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -208,6 +208,8 @@
             next=next_step,
             repeats_left=retries_left,
             after_s=now_s - call.arrived_s,
+            is_leaving=result.is_leaving,
+            retry_after_s=result.retry_after_s,
         )
         self._metrics.count("attempts_failed", result.outcome)
         if result.answer is not None:
@@ -232,6 +234,7 @@
             attempts=progress.history.sent + 1,
             first_s=result.first_s,
             total_s=total_s,
+            is_leaving=result.is_leaving,
         )
 
     def _find_client_time_left_s(self, call: EdgeCall) -> float:
--- /dev/null
+++ b/tests/test_endpoint_requests.py
@@ -0,0 +1,61 @@
+"""Tests of what endpoints ask for in their answers: to leave, or not to be sent to."""
+
+import asyncio
+import logging
+
+from tamarackrill.testing.edge import EdgeFleet, ask, make_route
+from tamarackrill.testing.worker import make_answer
+
+LOOKUP = make_route("/lookup/", "idempotent")
+CONFIRM = make_route("/confirm/", "non_idempotent", attempts=1)
+
+
+def run_in_fleet(act):
+    async def run():
+        async with EdgeFleet() as fleet:
+            await fleet.put_manifest(1, LOOKUP, CONFIRM)
+            await act(fleet)
+
+    asyncio.run(run())
+
+
+async def answer_leaving(request, writer):
+    writer.write(make_answer(request, Server_Leaving="1"))
+
+
+def make_busy(retry_after_s):
+    async def act(request, writer):
+        writer.write(
+            make_answer(
+                request,
+                b"",
+                503,
+                X_Not_Executed="1",
+                X_Response_Signature="",
+                Retry_After=str(retry_after_s),
+            )
+        )
+
+    return act
+
+
+def test_log_tells_what_an_answer_says_of_its_endpoint(caplog):
+    caplog.set_level(logging.INFO)
+
+    async def act(fleet):
+        await fleet.add_worker("w1", answer_leaving)
+        await fleet.add_worker("w2", make_busy(30), service="desk-2")
+        other = make_route("/busy/", "idempotent", service="desk-2", attempts=1)
+        await fleet.put_manifest(2, LOOKUP, other)
+        router = await fleet.add_router()
+        await fleet.wait(lambda: router.view.list_live("desk-2"))
+        await ask(router, "/lookup/a", "id-1")
+        await ask(router, "/busy/a", "id-2")
+
+    run_in_fleet(act)
+    answered, failed = (
+        next(line for line in caplog.text.splitlines() if f" {name} " in line)
+        for name in ("call_answered", "call_attempt_failed")
+    )
+    assert "endpoint=w1" in answered and "is_leaving=True" in answered
+    assert "endpoint=w2" in failed and "retry_after_s=30" in failed
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -254,3 +254,20 @@
     assert STORE_FORM.list_path("servers", page.after).endswith("?after_revision=a")
     body["has_more"] = False
     assert STORE_FORM.read_page("servers", body).after == ""
+
+
+@pytest.mark.parametrize(
+    ("headers", "expected"),
+    [
+        ({}, (False, None)),
+        ({"server-leaving": "1"}, (True, None)),
+        ({"server-leaving": "0"}, (False, None)),
+        ({"retry-after": "3"}, (False, 3.0)),
+        ({"retry-after": "0.25"}, (False, 0.25)),
+        ({"retry-after": "Thu, 03 Dec 2026 10:00:00 GMT"}, (False, None)),
+        ({"retry-after": "inf"}, (False, None)),
+    ],
+)
+def test_response_headers_tell_of_leaving_and_retry_after(headers, expected):
+    parsed = parse_response_headers(headers)
+    assert (parsed.is_leaving, parsed.retry_after_s) == expected
