Fail on requests at an endpoint whose answer said that it leaves

The test makes the store unavailable, lets one of two endpoints answer with the header, and sends six more requests. It fails on this code: the first endpoint gets some of them.

--- a/tests/test_endpoint_requests.py
+++ b/tests/test_endpoint_requests.py
@@ -4,7 +4,7 @@
 import logging
 
 from tamarackrill.testing.edge import EdgeFleet, ask, make_route
-from tamarackrill.testing.worker import make_answer
+from tamarackrill.testing.worker import answer_ok, make_answer
 
 LOOKUP = make_route("/lookup/", "idempotent")
 CONFIRM = make_route("/confirm/", "non_idempotent", attempts=1)
@@ -59,3 +59,29 @@
     )
     assert "endpoint=w1" in answered and "is_leaving=True" in answered
     assert "endpoint=w2" in failed and "retry_after_s=30" in failed
+
+
+async def find_first_asked(fleet, target="/lookup/a"):
+    """Ask once; return the worker that got the request, and the others."""
+    await ask(fleet.routers[0], target, "id-first")
+    (first,) = [worker for worker in fleet.workers if worker.requests]
+    return first, [worker for worker in fleet.workers if worker is not first]
+
+
+def test_endpoint_gets_no_request_after_an_answer_that_says_it_leaves():
+    # Guards against requests at a leaving endpoint while the store is unavailable, whose
+    # entry for it stays as it was.
+    async def act(fleet):
+        for name in ("w1", "w2"):
+            await fleet.add_worker(name, answer_leaving)
+        router = await fleet.add_router()
+        await fleet.wait(lambda: len(router.view.list_live("desk")) == 2)
+        fleet.store.status = 503
+        first, (other,) = await find_first_asked(fleet)
+        other.behave = answer_ok
+        for number in range(6):
+            answer = await ask(router, "/lookup/a", f"id-{number}")
+            assert answer.status == 200
+        assert len(first.requests) == 1
+
+    run_in_fleet(act)
