Send no requests to an endpoint whose answer said that it leaves

Cause: only the store's entries told a router that an endpoint leaves. What the endpoint says in its answers was no evidence, although decisions/leaving.py has a source for it; on the users' platform that module wasn't used at all.

Change: DeploymentView merges entries and answers by LeavingEndpoints. Each head that is read on a connection counts: successes, failures, refusals, surplus answers and answers that break off later; but not 421, which another endpoint gives. Heartbeats that still say ready and entries that lapse and return don't withdraw it, a restart does (by its start time). Reports are kept for 4096 endpoints, also after their entries' end.

--- a/src/tamarackrill/decisions/leaving.py
+++ b/src/tamarackrill/decisions/leaving.py
@@ -2,15 +2,22 @@
 
 Load pattern: an endpoint is drained while the platform's VM list still shows its VM as
 live, or the list shows the VM as leaving while the endpoint's object has not changed
-yet.  Without merging the sources, a router that reads only one of them keeps sending
-requests, and the endpoint is removed with answers half written.
+yet, or the store is unavailable and the endpoint's answers alone tell that it is
+leaving.  Without merging the sources, a router that reads only one of them keeps
+sending requests, and the endpoint is removed with answers half written.
 
 Any source is enough to stop new work.  Only the source that reported it can withdraw
 it, because the others merely lag; a restart of the endpoint withdraws all reports.
 """
 
+from collections import OrderedDict
 from typing import Literal, NamedTuple
 
+# Endpoints remembered, also after their removal: an entry that expires while the store
+# is unavailable comes back, and its endpoint is still leaving then.  Five times as many
+# as one fleet is expected to have.
+ENDPOINTS_KEPT = 4096
+
 Source = Literal["vm_list", "endpoint", "object"]
 
 
@@ -22,7 +29,7 @@
     endpoint : str
         Name of the endpoint.
     source : {"vm_list", "endpoint", "object"}
-        The platform's VM list, the endpoint's own status, or its object.
+        The platform's VM list, the endpoint's own answers, or its object.
     is_leaving : bool
         Whether it must get no new work.
     incarnation : int, default=0
@@ -39,31 +46,42 @@
     """The endpoints that are leaving, by any source."""
 
     def __init__(self) -> None:
-        self._sources: dict[str, set[Source]] = {}
-        self._incarnations: dict[str, int] = {}
+        self._known: OrderedDict[str, _KnownReports] = OrderedDict()
 
     def observe(self, report: LeavingReport) -> bool:
         """Apply a report; return whether the endpoint's leaving state has changed."""
         before = self.is_leaving(report.endpoint)
-        known = self._incarnations.get(report.endpoint, 0)
+        known = self._known.get(report.endpoint, _NO_REPORTS)
         # A late report on an earlier process would drain an endpoint that has just
         # restarted, which would stay idle while the others are full.
-        if report.incarnation and report.incarnation < known:
+        if report.incarnation and report.incarnation < known.incarnation:
             return False
-        if report.incarnation > known:
-            self._incarnations[report.endpoint] = report.incarnation
-            self._sources.pop(report.endpoint, None)
-        if report.is_leaving:
-            self._sources.setdefault(report.endpoint, set()).add(report.source)
-        else:
-            self._sources.get(report.endpoint, set()).discard(report.source)
+        if report.incarnation > known.incarnation:
+            known = _KnownReports(report.incarnation)
+        source = {report.source}
+        sources = (
+            known.sources | source if report.is_leaving else known.sources - source
+        )
+        self._known[report.endpoint] = known._replace(sources=sources)
+        self._known.move_to_end(report.endpoint)
+        if len(self._known) > ENDPOINTS_KEPT:
+            self._known.popitem(last=False)
         return self.is_leaving(report.endpoint) != before
 
     def is_leaving(self, endpoint: str) -> bool:
         """Return whether `endpoint` must get no new work."""
-        return bool(self._sources.get(endpoint))
+        return bool(self._known.get(endpoint, _NO_REPORTS).sources)
 
     def remove(self, endpoint: str) -> None:
-        """Forget an endpoint whose object has been deleted."""
-        self._sources.pop(endpoint, None)
-        self._incarnations.pop(endpoint, None)
+        """Forget an endpoint whose object has been deleted for good."""
+        self._known.pop(endpoint, None)
+
+
+class _KnownReports(NamedTuple):
+    """Newest known start of an endpoint, and the sources that report it as leaving."""
+
+    incarnation: int
+    sources: frozenset[Source] = frozenset()
+
+
+_NO_REPORTS = _KnownReports(0)
--- a/src/tamarackrill/router/deployment_view.py
+++ b/src/tamarackrill/router/deployment_view.py
@@ -6,12 +6,14 @@
 from tamarackrill.contracts import Endpoint
 from tamarackrill.decisions.configuration import ObjectVersion
 from tamarackrill.decisions.lapses import ExpiryGrace
+from tamarackrill.decisions.leaving import LeavingEndpoints, LeavingReport, Source
 from tamarackrill.decisions.manifests import Manifest, RouteTable
 from tamarackrill.decisions.pools import EndpointPool, make_pool
 from tamarackrill.events import (
     ENDPOINT_GONE,
     ENDPOINT_HELD,
     ENDPOINT_KNOWN,
+    ENDPOINT_LEAVING,
     EVACUATION_ENDED,
     EVACUATION_IN_FORCE,
     EVACUATION_UNKNOWN_ZONE,
@@ -68,6 +70,7 @@
         self._zones = frozenset(zones)
         self._evacuated: dict[str, str] = {}
         self._endpoints: dict[str, Endpoint] = {}
+        self._leaving = LeavingEndpoints()
         # Cache, None after a change.  Rebuilt on the next lookup, not on each change: a
         # list of thousands of endpoints arrives as one change per endpoint.
         self._pools: dict[str, _Pools] | None = None
@@ -151,6 +154,9 @@
             return
         endpoint = self._readers.read_endpoint(name, item.value)
         self._expiry_grace.observe_present(name)
+        self._leaving.observe(_make_report(endpoint, "object"))
+        if self._leaving.is_leaving(name):
+            endpoint = endpoint._replace(state="leaving")
         if self._endpoints.get(name) != endpoint:
             log_event(
                 ENDPOINT_KNOWN,
@@ -162,6 +168,24 @@
         self._endpoints[name] = endpoint
         self._pools = None
 
+    def observe_leaving_answer(self, endpoint: Endpoint) -> None:
+        """Record that an endpoint's answer says that it is leaving.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+            The endpoint as it was known when its request was sent.
+        """
+        stated = endpoint._replace(state="leaving")
+        report = _make_report(stated, "endpoint")
+        if not self._leaving.observe(report):
+            return
+        log_event(ENDPOINT_LEAVING, **report._asdict())
+        known = self._endpoints.get(endpoint.name)
+        if known is not None:
+            self._endpoints[known.name] = known._replace(state="leaving")
+            self._pools = None
+
     def _remove(self, name: str, now_s: float) -> None:
         known = self._endpoints.get(name)
         if known is None:
@@ -230,6 +254,11 @@
     all: EndpointPool
 
 
+def _make_report(endpoint: Endpoint, source: Source) -> LeavingReport:
+    is_leaving = endpoint.state == "leaving"
+    return LeavingReport(endpoint.name, source, is_leaving, endpoint.started_ms or 0)
+
+
 def _make_pools(endpoints: list[Endpoint]) -> _Pools:
     live = make_pool(endpoints)
     is_same = len(live) == len(endpoints)
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -211,7 +211,9 @@
         )
         try:
             async with asyncio.timeout_at(header_deadline_s):
-                head, answer_headers = await self._read_matching_head(call, channel)
+                head, answer_headers = await self._read_matching_head(
+                    call, placed, channel
+                )
             # The duration of a stream after this is no sign that its engine has failed.
             on_first_byte()
             first_s = self._clock() - started_s
@@ -257,11 +259,12 @@
         channel.send(call.method, call.target, headers, call.body)
 
     async def _read_matching_head(
-        self, call: EdgeCall, channel: Channel
+        self, call: EdgeCall, placed: EdgePlacement, channel: Channel
     ) -> tuple[ResponseHead, ResponseHeaders]:
         for _ in range(MISMATCHED_ANSWERS_MAX + 1):
             head = await channel.read_head()
             answer_headers = parse_response_headers(head.by_name)
+            self._observe_endpoint(placed, head, answer_headers)
             if answer_headers.request_id == call.request_id:
                 return head, answer_headers
             # On a new connection, a refusal without an id belongs to this request.
@@ -275,6 +278,15 @@
             await channel.skip_response()
         raise ChannelError("responses belong to other requests")
 
+    def _observe_endpoint(
+        self, placed: EdgePlacement, head: ResponseHead, answer_headers: ResponseHeaders
+    ) -> None:
+        # A misdirected request was answered by another endpoint at the same address.
+        if head.status == MISDIRECTED_REQUEST:
+            return
+        if answer_headers.is_leaving:
+            self._placer.observe_leaving(placed.endpoint)
+
     async def _handle_answer(
         self,
         progress: RequestProgress,
--- a/src/tamarackrill/router/edge_placing.py
+++ b/src/tamarackrill/router/edge_placing.py
@@ -141,6 +141,7 @@
         self._evaluated_s: dict[str, float] = {}
         self._logged_s: dict[str, float] = {}
         self.list_endpoints = view.list_usable_endpoints
+        self.observe_leaving = view.observe_leaving_answer
         self.list_witnesses: Callable[[], list[Endpoint]] = list
         self.tell: Callable[[list[Holding], bool], None] = lambda found, expected: None
 
--- a/tests/test_endpoint_requests.py
+++ b/tests/test_endpoint_requests.py
@@ -3,7 +3,9 @@
 import asyncio
 import logging
 
-from tamarackrill.testing.edge import EdgeFleet, ask, make_route
+import pytest
+
+from tamarackrill.testing.edge import EdgeFleet, ask, make_route, read_reason
 from tamarackrill.testing.worker import answer_ok, make_answer
 
 LOOKUP = make_route("/lookup/", "idempotent")
@@ -69,8 +71,8 @@
 
 
 def test_endpoint_gets_no_request_after_an_answer_that_says_it_leaves():
-    # Guards against requests at a leaving endpoint while the store is unavailable, whose
-    # entry for it stays as it was.
+    # Guards against requests at a leaving endpoint while the store is unavailable and
+    # its entry stays as it was.
     async def act(fleet):
         for name in ("w1", "w2"):
             await fleet.add_worker(name, answer_leaving)
@@ -85,3 +87,56 @@
         assert len(first.requests) == 1
 
     run_in_fleet(act)
+
+
+async def break_off_leaving(request, writer):
+    answer = make_answer(request, b"whole", Server_Leaving="1")
+    writer.write(answer[:-1])
+    await writer.drain()
+    writer.close()
+
+
+def answer_leaving_with(status, **headers):
+    async def act(request, writer):
+        answer = make_answer(request, b"", status, Server_Leaving="1", **headers)
+        writer.write(answer)
+
+    return act
+
+
+@pytest.mark.parametrize(
+    "behave",
+    [
+        answer_leaving_with(404),
+        answer_leaving_with(500),
+        answer_leaving_with(503, X_Not_Executed="1", X_Response_Signature=""),
+        break_off_leaving,
+    ],
+)
+def test_failed_answers_tell_too_that_their_endpoint_leaves(behave):
+    # Guards against taking the state of an endpoint from its successes alone.
+    async def act(fleet):
+        leaving = await fleet.add_worker("w1", behave)
+        await fleet.add_worker("w2", service="desk-2")
+        router = await fleet.add_router()
+        await fleet.wait(lambda: router.view.list_live("desk"))
+        await ask(router, "/confirm/a")
+        answer = await ask(router, "/confirm/b", "id-2")
+        assert (answer.status, read_reason(answer)) == (503, "no_endpoint")
+        assert "retry-after" in answer.headers
+        assert len(leaving.requests) == 1
+
+    run_in_fleet(act)
+
+
+def test_misdirected_request_tells_nothing_about_the_endpoint_it_was_meant_for():
+    # Guards against draining an endpoint because another one, which answers at its
+    # address, is leaving.
+    async def act(fleet):
+        await fleet.add_worker("w1", answer_leaving_with(421, X_Not_Executed="1"))
+        router = await fleet.add_router()
+        await fleet.wait(lambda: router.view.list_live("desk"))
+        await ask(router, "/confirm/a")
+        assert router.view.find_endpoint("w1").state == "live"
+
+    run_in_fleet(act)
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -145,3 +145,50 @@
     item = {"metadata": {"name": "w", "revision": 2}, **fields}
     page = STORE_FORM.read_page("servers", {"items": [item], "store_revision": 3})
     assert page.items[0].value == {}
+
+
+def make_entry(version, state="ready", born=1):
+    spec = {**ENTRY, "state": state, "born": born} if version else None
+    return ObjectVersion("servers", "w1", version or 9, spec)
+
+
+@pytest.mark.parametrize(
+    ("later", "is_live"),
+    [
+        ([make_entry(3)], False),
+        ([make_entry(0), make_entry(10)], False),
+        ([make_entry(3, born=2)], True),
+    ],
+    ids=["heartbeat", "lapsed and back", "restarted"],
+)
+def test_endpoint_that_said_it_leaves_gets_work_only_after_a_restart(later, is_live):
+    # Guards against an old entry, or one that lapses with the store and returns, which
+    # would bring a leaving endpoint back into use.
+    view = DeploymentView(READERS)
+    view.take(make_entry(2), 0.0)
+    view.observe_leaving_answer(view.find_endpoint("w1"))
+    for item in later:
+        view.take(item, 1.0)
+    assert bool(view.list_live("s")) is is_live
+
+
+def test_late_answer_of_an_earlier_process_drains_no_restarted_endpoint():
+    # Guards against an idle endpoint: it has restarted before its predecessor's last
+    # answer, which says that it leaves, has arrived.
+    view = DeploymentView(READERS)
+    view.take(make_entry(2), 0.0)
+    predecessor = view.find_endpoint("w1")
+    view.take(make_entry(3, born=2), 1.0)
+    view.observe_leaving_answer(predecessor)
+    assert view.list_live("s")
+
+
+def test_leaving_endpoint_is_not_kept_when_its_entry_ends_in_an_outage():
+    # Guards against the grace period for entries that lapse in an outage of the store:
+    # the end of a leaving endpoint is expected.
+    view = DeploymentView(READERS)
+    view.take(make_entry(2), 0.0)
+    view.observe_leaving_answer(view.find_endpoint("w1"))
+    view.observe_store(True, 1.0)
+    view.take(make_entry(0), 2.0)
+    assert view.find_endpoint("w1") is None
