Fail on requests at an endpoint within its Retry-After

The test fills one endpoint, so that the other one, which answers 503 with Retry-After: 60, gets some requests, and sends twenty more afterwards. It fails on this code: the second endpoint gets some of these.

--- a/tests/test_endpoint_requests.py
+++ b/tests/test_endpoint_requests.py
@@ -140,3 +140,24 @@
         assert router.view.find_endpoint("w1").state == "live"
 
     run_in_fleet(act)
+
+
+def test_endpoint_gets_no_request_until_its_retry_after_has_passed():
+    # Guards against requests and retries at an endpoint that sheds load and has said
+    # for how long it wants none.
+    async def act(fleet):
+        busy = await fleet.add_worker("w1", make_busy(60), slots=100)
+        await fleet.add_worker("w2", slots=1)
+        router = await fleet.add_router()
+        await fleet.wait(lambda: len(router.view.list_live("desk")) == 2)
+        async with asyncio.TaskGroup() as group:
+            for number in range(20):
+                group.create_task(ask(router, "/lookup/a", f"id-{number}"))
+        assert busy.requests
+        before = len(busy.requests)
+        for number in range(20):
+            answer = await ask(router, "/lookup/a", f"later-{number}")
+            assert answer.status == 200
+        assert len(busy.requests) == before
+
+    run_in_fleet(act)
