Send no requests to an endpoint until its Retry-After has passed

Cause: an endpoint's Retry-After was no evidence; each request chose its endpoint as if the one before had not been turned away, and its retry went to the next engine that shed.

Change: decisions/backoff.py keeps the endpoints that asked for a pause; the placer excludes them like unreachable ones, from first choices, retries and probes (probes of ejected endpoints also skip unreachable and misplaced ones now). It is this router's own knowledge, as an endpoint asks one router at a time; it outlasts an entry that lapses. If all endpoints that can be reached are in backoff, a request is refused at once, and its Retry-After is the end of the shortest backoff, but at most the share of its client's time after which clients still retry. 429 puts no endpoint in backoff: it speaks to one caller.

--- a/src/tamarackrill/decisions/attempts.py
+++ b/src/tamarackrill/decisions/attempts.py
@@ -38,9 +38,9 @@
 # not retry at all.
 UNREACHABLE_RETRY_AFTER_SHARE = 0.22
 UNREACHABLE_JITTER_SHARE = 0.1
-# Jitter for clients that the load balancer will send to other zones, so that their
-# retries don't arrive together at routers that also serve their own zone.
-FAILOVER_JITTER_S = 0.2
+# Jitter for clients that come back once another zone's routers or an endpoint can serve
+# them, so that their retries don't arrive together.
+AVAILABLE_JITTER_S = 0.2
 
 
 class AttemptHistory(NamedTuple):
@@ -144,7 +144,10 @@
 
 
 def choose_retry_after_s(
-    key: str, is_unreachable: bool, time_left_s: float, failover_s: float | None = None
+    key: str,
+    is_unreachable: bool,
+    time_left_s: float,
+    available_in_s: float | None = None,
 ) -> float:
     """Return when a refused client should retry, with jitter by request.
 
@@ -153,11 +156,12 @@
     key : str
         Identifies the request.
     is_unreachable : bool
-        Whether the endpoints are unreachable rather than full.
+        Whether the endpoints are unreachable or in backoff, rather than full.
     time_left_s : float
         Time until the client's deadline.
-    failover_s : float or None, default=None
-        Expected time until the client reaches a router in another zone, if known.
+    available_in_s : float or None, default=None
+        Expected time until an endpoint can be reached, if known: one in backoff, or
+        another one through a router in another zone.
     """
     jitter = hashing.hash_name(key) % 1000 / 1000
     busy_retry_s = RETRY_AFTER_MIN_S + jitter * RETRY_AFTER_JITTER_S
@@ -165,6 +169,6 @@
         return busy_retry_s
     retry_share = UNREACHABLE_RETRY_AFTER_SHARE + jitter * UNREACHABLE_JITTER_SHARE
     retry_s = retry_share * time_left_s
-    if failover_s is not None:
-        retry_s = min(retry_s, failover_s + jitter * FAILOVER_JITTER_S)
+    if available_in_s is not None:
+        retry_s = min(retry_s, available_in_s + jitter * AVAILABLE_JITTER_S)
     return max(RETRY_AFTER_MIN_S, retry_s)
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -567,6 +567,14 @@
     "A request was not sent to a cold endpoint: its owner refused a permit, did not "
     "answer (`silent`), or there is none.  The request goes to another endpoint.",
 )
+ENDPOINT_BACKOFF = Event(
+    5034,
+    "endpoint_backoff",
+    _INFO,
+    ("endpoint", "retry_after_s"),
+    "An endpoint has turned a request away and asked for a pause; it gets no requests "
+    "from this router until then.",
+)
 POOL_FAILING = Event(
     5029,
     "pool_failing",
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -36,6 +36,7 @@
 MISMATCHED_ANSWERS_MAX = 2
 OK_MIN, OK_MAX = 200, 299
 SERVER_ERROR_MIN = 500
+SERVICE_UNAVAILABLE = 503
 # Reports that the request's deadline has passed, not that the endpoint is faulty.
 GATEWAY_TIMEOUT = 504
 MISDIRECTED_REQUEST = 421
@@ -286,6 +287,11 @@
             return
         if answer_headers.is_leaving:
             self._placer.observe_leaving(placed.endpoint)
+        retry_after_s = answer_headers.retry_after_s
+        if head.status == SERVICE_UNAVAILABLE and retry_after_s is not None:
+            self._placer.observe_retry_after(
+                placed.endpoint, retry_after_s, self._clock()
+            )
 
     async def _handle_answer(
         self,
--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -271,19 +271,24 @@
             return
         if not history.may_have_run:
             status = UNAVAILABLE_STATUS
-            is_unreachable = reason in ("no_endpoint", "not_sent")
-            wait_s = retry_after_s or choose_retry_after_s(
-                call.request_id,
-                is_unreachable,
-                self._find_client_time_left_s(call),
-                self.compute_failover_s(),
-            )
+            wait_s = retry_after_s or self._choose_retry_after_s(call, reason)
         else:
             is_late = self._clock() >= call.deadline_s
             status, wait_s = (504 if is_late else 502), None
         await send_refusal(call, reply, status, reason, wait_s, history.sent)
         self._metrics.count_refusal(reason)
 
+    def _choose_retry_after_s(self, call: EdgeCall, reason: str) -> float:
+        backoff_s = self._placer.compute_backoff_s(call, self._clock())
+        is_unreachable = reason in ("no_endpoint", "not_sent") or backoff_s is not None
+        times_s = [backoff_s, self.compute_failover_s()]
+        return choose_retry_after_s(
+            call.request_id,
+            is_unreachable,
+            self._find_client_time_left_s(call),
+            min((time_s for time_s in times_s if time_s is not None), default=None),
+        )
+
 
 def _log_overloaded(call: EdgeCall, overloaded: Overloaded) -> None:
     log_event(
--- a/src/tamarackrill/router/edge_placing.py
+++ b/src/tamarackrill/router/edge_placing.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from tamarackrill.contracts import Endpoint
+from tamarackrill.decisions.backoff import Backoffs
 from tamarackrill.decisions.cache_index import CacheIndex
 from tamarackrill.decisions.endpoint_news import (
     EndpointNews,
@@ -29,6 +30,7 @@
     PlacementRequest,
 )
 from tamarackrill.events import (
+    ENDPOINT_BACKOFF,
     ENDPOINT_EJECTED,
     ENDPOINT_MISPLACED,
     ENDPOINT_PAUSED,
@@ -134,6 +136,7 @@
         self.copies = PrefixCopies(self.index)
         self.waits = EngineWaits()
         self.misplaced = MisplacedEndpoints()
+        self.backoffs = Backoffs()
         self.fleet_health = FleetHealth(find_zone, zone, load_cap)
         self._news = news
         self._incarnations = Incarnations()
@@ -175,7 +178,8 @@
         """
         self.poison.check(call.fingerprint, now_s)
         pool = self._view.find_pool(call.service)
-        probed = self._choose_probe(call, pool.exclude(avoid), now_s)
+        available = pool.exclude(self._find_unavailable(avoid, now_s))
+        probed = self._choose_probe(call, available, now_s)
         if probed is not None:
             return probed
         slow = self._find_slow_engines(call, now_s) if may_refuse else {}
@@ -214,8 +218,13 @@
         )
 
     def _find_unavailable(self, avoid: Collection[str], now_s: float) -> set[str]:
-        """Return the endpoints that are unreachable, misplaced or to be avoided."""
-        return {*self.reach.unreachable, *self.misplaced.find(now_s), *avoid}
+        """Return the endpoints that can't or don't want to take a request now."""
+        return {
+            *self.reach.unreachable,
+            *self.misplaced.find(now_s),
+            *self.backoffs.find(now_s),
+            *avoid,
+        }
 
     def has_endpoint(
         self, call: EdgeCall, avoid: Collection[str], now_s: float
@@ -224,6 +233,21 @@
         pool = self._view.find_pool(call.service)
         return bool(len(pool.exclude(self._find_unavailable(avoid, now_s))))
 
+    def compute_backoff_s(self, call: EdgeCall, now_s: float) -> float | None:
+        """Return how long until an endpoint takes requests of a service again.
+
+        Returns
+        -------
+        float or None
+            None unless all endpoints that could take the request are in backoff.
+        """
+        pool = self._view.find_pool(call.service)
+        at_address = pool.exclude(
+            {*self.reach.unreachable, *self.misplaced.find(now_s)}
+        )
+        backoff_s = self.backoffs.compute_shortest_s(at_address.by_name, now_s)
+        return backoff_s if 0.0 < backoff_s < math.inf else None
+
     def _find_copy_source(
         self, call: EdgeCall, chosen: Endpoint, avoid: Collection[str], now_s: float
     ) -> Endpoint | None:
@@ -344,6 +368,15 @@
         self.placement.observe_report(name, load, now_s, now_s)
         self._news.observe_load(name, load, placed.bound)
 
+    def observe_retry_after(
+        self, endpoint: Endpoint, retry_after_s: float, now_s: float
+    ) -> None:
+        """Record that an endpoint has asked for no requests for a while."""
+        if self.backoffs.observe(endpoint.name, retry_after_s, now_s):
+            log_event(
+                ENDPOINT_BACKOFF, endpoint=endpoint.name, retry_after_s=retry_after_s
+            )
+
     def observe_overdue(self, endpoint: Endpoint) -> None:
         """Report a failure of an endpoint whose response is long overdue."""
         self._news.observe_failure(endpoint.name)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -1,8 +1,8 @@
 import pytest
 
 from tamarackrill.decisions.attempts import (
+    AVAILABLE_JITTER_S,
     CONNECT_ATTEMPTS_MAX,
-    FAILOVER_JITTER_S,
     MISPLACED_MAX,
     RETRY_AFTER_JITTER_S,
     RETRY_AFTER_MIN_S,
@@ -102,6 +102,6 @@
     # another zone in half a second. A Retry-After computed from its remaining time
     # would be too late.
     delays = [choose_retry_after_s(f"r-{n}", True, 15.0, 0.5) for n in range(200)]
-    assert min(delays) >= 0.5 and max(delays) <= 0.5 + FAILOVER_JITTER_S
+    assert min(delays) >= 0.5 and max(delays) <= 0.5 + AVAILABLE_JITTER_S
     short_delays = [choose_retry_after_s(f"r-{n}", True, 3.0, 2.0) for n in range(200)]
     assert max(short_delays) < 3.0 / 3
--- a/tests/test_endpoint_requests.py
+++ b/tests/test_endpoint_requests.py
@@ -4,7 +4,11 @@
 import logging
 
 import pytest
+from tornado.httputil import HTTPHeaders
 
+from tamarackrill.decisions.health import CONSECUTIVE_FAILURES, EJECTED_MIN_S
+from tamarackrill.platform.headers import parse_request_headers
+from tamarackrill.router.edge_calls import EdgeCall
 from tamarackrill.testing.edge import EdgeFleet, ask, make_route, read_reason
 from tamarackrill.testing.worker import answer_ok, make_answer
 
@@ -12,6 +16,26 @@
 CONFIRM = make_route("/confirm/", "non_idempotent", attempts=1)
 
 
+def make_call(router):
+    """Return a lookup that has just arrived at a router."""
+    now_s = router.clock()
+    (route, _) = router.view.routes.manifest.routes
+    return EdgeCall(
+        method="GET",
+        target="/lookup/a",
+        headers=parse_request_headers(HTTPHeaders()),
+        body=b"",
+        route=route,
+        service="desk",
+        team=None,
+        arrived_s=now_s,
+        deadline_s=now_s + 60.0,
+        manifest_version=1,
+        prefixes=(),
+        urgency=0,
+    )
+
+
 def run_in_fleet(act):
     async def run():
         async with EdgeFleet() as fleet:
@@ -161,3 +185,58 @@
         assert len(busy.requests) == before
 
     run_in_fleet(act)
+
+
+def test_request_is_refused_at_once_while_all_endpoints_are_in_backoff():
+    # Guards against attempts that can't succeed, and against clients that use up their
+    # retries before any endpoint takes requests.
+    async def act(fleet):
+        workers = [await fleet.add_worker(n, make_busy(60)) for n in ("w1", "w2")]
+        router = await fleet.add_router()
+        await fleet.wait(lambda: len(router.view.list_live("desk")) == 2)
+        for request_id, reason in (("id-1", "not_run"), ("id-2", "no_endpoint")):
+            refused = await ask(router, "/lookup/a", request_id, X_Deadline_Ms="60000")
+            assert (refused.status, read_reason(refused)) == (503, reason)
+            # Within the third of its time that a client waits at most.
+            assert 10.0 < float(refused.headers["retry-after"]) < 20.0
+        assert [len(worker.requests) for worker in workers] == [1, 1]
+
+    run_in_fleet(act)
+
+
+def test_only_a_refusal_for_overload_puts_an_endpoint_in_backoff():
+    # Guards against an endpoint left idle because one answer, of another kind, tells
+    # its own caller when to come back.
+    async def act(fleet):
+        async def limit_caller(request, writer):
+            writer.write(make_answer(request, b"", 429, Retry_After="60"))
+
+        worker = await fleet.add_worker("w1", limit_caller)
+        router = await fleet.add_router()
+        await fleet.wait(lambda: router.view.list_live("desk"))
+        await ask(router, "/confirm/a")
+        worker.behave = answer_ok
+        assert (await ask(router, "/confirm/b", "id-2")).status == 200
+
+    run_in_fleet(act)
+
+
+def test_probe_of_an_ejected_endpoint_waits_for_its_backoff():
+    # Guards against requests that reach an endpoint in backoff as probes.
+    async def act(fleet):
+        await fleet.add_worker("w1")
+        await fleet.add_worker("w2")
+        router = await fleet.add_router()
+        await fleet.wait(lambda: len(router.view.list_live("desk")) == 2)
+        placer = router.placer
+        endpoint = router.view.find_endpoint("w1")
+        now_s = router.clock()
+        for _ in range(CONSECUTIVE_FAILURES):
+            placer.health.observe_answer("w1", False, None, ("w1", "w2"), now_s)
+        probe_s = now_s + EJECTED_MIN_S
+        placer.observe_retry_after(endpoint, EJECTED_MIN_S + 1.0, now_s)
+        call = make_call(router)
+        assert placer.choose(call, (), probe_s).endpoint.name == "w2"
+        assert placer.choose(call, (), probe_s + 1.0).reason == "probe"
+
+    run_in_fleet(act)
