Heed Retry-After of endpoints on the product's own interface too

Change: Placer uses the same decisions/backoff.py. Calls that all endpoints of a pool have asked to hold back are refused with no_endpoint before they enter a queue, and told when the first pause ends; calls that wait already are admitted then.

Elsewhere: that a native endpoint leaves is read from its object and the VM list; the form of its own status is not known (docs/design/health.md), so nothing is to be read there.

--- a/src/tamarackrill/router/attempts.py
+++ b/src/tamarackrill/router/attempts.py
@@ -1,5 +1,6 @@
 """One attempt of a call: sends it to an endpoint and writes the answer to a reply."""
 
+import math
 from collections.abc import Callable
 from typing import Literal, NamedTuple
 
@@ -46,12 +47,15 @@
         Chunks written to the reply.
     reason : str
         Why the attempt failed, or empty.
+    retry_after_s : float
+        How long the endpoint asked for no further calls; 0 if it didn't.
     """
 
     outcome: Outcome
     first_byte_s: float | None = None
     chunks: int = 0
     reason: str = ""
+    retry_after_s: float = 0.0
 
 
 class _EventStreamOutlet(Outlet):
@@ -173,8 +177,20 @@
         return Attempt(outcome, first_byte_s, reply.count - chunks_before, error.reason)
     finally:
         await exchange.close()
-    outcome = "overloaded" if is_overloaded else "answered"
-    return Attempt(outcome, first_byte_s, reply.count - chunks_before)
+    chunks = reply.count - chunks_before
+    if is_overloaded:
+        retry_after_s = _read_retry_after_s(head)
+        return Attempt("overloaded", first_byte_s, chunks, retry_after_s=retry_after_s)
+    return Attempt("answered", first_byte_s, chunks)
+
+
+def _read_retry_after_s(head: Head) -> float:
+    """Return the seconds that an endpoint asks to wait; 0 for a date or nonsense."""
+    try:
+        retry_after_s = float(head.headers.get("Retry-After", "0"))
+    except ValueError:
+        return 0.0
+    return max(0.0, retry_after_s) if math.isfinite(retry_after_s) else 0.0
 
 
 async def _cancel_at_engine(
--- a/src/tamarackrill/router/flow.py
+++ b/src/tamarackrill/router/flow.py
@@ -204,6 +204,7 @@
         arrived_s = self._clock()
         reply.set_abandoned_callback(lambda: self._admitter.cancel(call))
         while True:
+            self._check_backoff(call, may_have_run)
             await self._wait_for_admission(call, may_have_run)
             attempt = Attempt("not_sent")
             placed: PlacementResult | None = None
@@ -225,6 +226,14 @@
                 run: RunState = "unknown" if may_have_run else "not_run"
                 raise Refusal("cancelled", 499, "the caller went away", run)
 
+    def _check_backoff(self, call: Call, may_have_run: bool) -> None:
+        """Refuse a call that would wait until an endpoint's backoff ends."""
+        backoff_s = self._placer.compute_backoff_s(call, self._clock())
+        if backoff_s:
+            message = "all endpoints have asked for a pause"
+            run: RunState = "unknown" if may_have_run else "not_run"
+            raise Refusal("no_endpoint", 503, message, run, backoff_s)
+
     async def _wait_for_admission(self, call: Call, may_have_run: bool) -> None:
         try:
             await self._admitter.acquire_slot(call, self._clock())
@@ -286,4 +295,14 @@
             self._placer.finish(
                 call, endpoint, attempt.outcome, attempt.first_byte_s, self._clock()
             )
+        if attempt.retry_after_s:
+            self._start_backoff(call, endpoint, attempt.retry_after_s)
         return attempt
+
+    def _start_backoff(
+        self, call: Call, endpoint: Endpoint, retry_after_s: float
+    ) -> None:
+        self._placer.observe_retry_after(endpoint, retry_after_s, self._clock())
+        # Calls that wait for the endpoint's slots are admitted when it ends.
+        loop = asyncio.get_running_loop()
+        loop.call_later(retry_after_s, self._admitter.admit_waiting, call.pool)
--- a/src/tamarackrill/router/placing.py
+++ b/src/tamarackrill/router/placing.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from tamarackrill.contracts import Endpoint
+from tamarackrill.decisions.backoff import Backoffs
 from tamarackrill.decisions.health import Health
 from tamarackrill.decisions.poison import (
     CRASHES_MAX,
@@ -19,6 +20,7 @@
     PlacementRequest,
 )
 from tamarackrill.events import (
+    ENDPOINT_BACKOFF,
     ENDPOINT_CRASHED,
     ENDPOINT_EJECTED,
     ENDPOINT_RETURNED,
@@ -77,6 +79,7 @@
         self._known_names: set[str] = set()
         self.placement = LoadBalancer(load_factor)
         self.health = Health()
+        self.backoffs = Backoffs()
         self.poison = PoisonTracker()
         self.tell_crash: Callable[[CrashCount], None] = lambda count: None
 
@@ -166,6 +169,26 @@
         """
         return any(e.name not in avoid for e in self._list_allowed(call, now_s))
 
+    def compute_backoff_s(self, call: Call, now_s: float) -> float:
+        """Return how long until an endpoint takes calls of a pool again.
+
+        Returns
+        -------
+        float
+            Zero unless all endpoints that serve the call are in backoff.
+        """
+        names = [endpoint.name for endpoint in self.list_candidates(call)]
+        return self.backoffs.compute_shortest_s(names, now_s) if names else 0.0
+
+    def observe_retry_after(
+        self, endpoint: Endpoint, retry_after_s: float, now_s: float
+    ) -> None:
+        """Record that an endpoint has asked for no calls for a while."""
+        if self.backoffs.observe(endpoint.name, retry_after_s, now_s):
+            log_event(
+                ENDPOINT_BACKOFF, endpoint=endpoint.name, retry_after_s=retry_after_s
+            )
+
     def release(self, placed: PlacementResult) -> None:
         """End the reservation of a call after its attempt."""
         if self._owners is not None and placed.ticket != UNCOUNTED:
@@ -335,6 +358,7 @@
         candidates = self.list_candidates(call)
         names = [endpoint.name for endpoint in candidates]
         allowed = set(self.health.find_allowed(names, now_s))
+        allowed -= self.backoffs.find(now_s)
         return [endpoint for endpoint in candidates if endpoint.name in allowed]
 
     def _record_crash(self, fingerprint: int, endpoint: str, now_s: float) -> None:
--- a/src/tamarackrill/testing/service.py
+++ b/src/tamarackrill/testing/service.py
@@ -16,7 +16,7 @@
 from collections import Counter, deque
 from typing import NamedTuple
 
-from tornado.web import Application, HTTPError, RequestHandler
+from tornado.web import Application, RequestHandler
 
 SENDINGS_MAX = 1000
 
@@ -35,12 +35,15 @@
         Status of every response, after the call is counted; 0 injects no fault.
     delay_s : float
         Delay of every response.
+    retry_after_s : float
+        ``Retry-After`` of responses with `status`; 0 leaves it out.
     """
 
     hold: bool = False
     close: int = 0
     status: int = 0
     delay_s: float = 0.0
+    retry_after_s: float = 0.0
 
 
 class ServiceState:
@@ -77,7 +80,11 @@
             self._finished = True
             return
         if state.faults.status:
-            raise HTTPError(state.faults.status)
+            if state.faults.retry_after_s:
+                self.set_header("Retry-After", f"{state.faults.retry_after_s:g}")
+            self.set_status(state.faults.status)
+            self.finish()
+            return
         self.finish(
             {
                 "worker": state.name,
--- a/tests/test_backoff.py
+++ b/tests/test_backoff.py
@@ -4,8 +4,12 @@
 
 import pytest
 
+from tamarackrill.contracts import hash_key
 from tamarackrill.decisions.backoff import Backoffs
+from tamarackrill.testing.processes import FleetProcesses, call
 
+KEY = {"Authorization": "Bearer the-key"}
+CONTRACT = {"team": "t", "key_hashes": [hash_key("the-key")], "services": ["s"]}
 ANSWER_S = 0.005
 REQUESTS_PER_S = 40
 # What the platform's pages allow after the first half second of a backoff.
@@ -73,3 +77,26 @@
         if name in names[:shedding]:
             answers.append((now_s + ANSWER_S, name))
     assert len(asked_s) == shedding
+
+
+@pytest.mark.parametrize("others", [0, 1])
+def test_router_leaves_an_overloaded_service_worker_alone(others):
+    # Guards against calls that a router sends to a worker which has answered 503 and
+    # asked for a pause, while another worker is free or while callers could be told.
+    with FleetProcesses() as fleet:
+        busy = fleet.add_service("busy")
+        for number in range(others):
+            fleet.add_service(f"free-{number}")
+        fleet.put_contract(CONTRACT)
+        router = fleet.add_router("a")
+        fleet.wait_ready()
+        busy.set_faults(status=503, retry_after_s=60)
+        answers = [
+            call(router.address, "/services/s/look", headers=KEY) for _ in range(20)
+        ]
+        assert busy.look()["total"] == 1
+        refused = [answer for answer in answers if answer.status == 503]
+        assert len(refused) == (1 if others else len(answers))
+        if not others:
+            assert refused[-1].json()["code"] == "no_endpoint"
+        assert 30 < float(refused[-1].headers["Retry-After"]) <= 60
