Log the store's era with each call, and restore the stand-in store from a copy

Change: the client reads Store-Era from every answer; store_call_ended logs it and Listing carries it. No decision uses it yet. The stand-in store sends the header, can go back to an earlier revision in a new era, and answers 410 to a watch from a revision that it doesn't have.

Measured: test_era_of_the_store_is_read_from_every_answer; tests that start with e, and those of configuring, starting, store news and the client pass.

--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -303,11 +303,12 @@
     3017,
     "store_call_ended",
     _INFO,
-    ("call", "path", "outcome", "first_byte_s", "duration_s", "size_bytes"),
+    ("call", "path", "outcome", "first_byte_s", "duration_s", "size_bytes", "era"),
     "A call to the store ended; `path` shows what was requested, and the timeout of a "
     "watch.  A response that is too large to be worth reading is aborted, and the "
     "newest objects are listed instead.  A long `first_byte_s` indicates a slow store "
-    "or a waiting watch; a long transfer after it, a saturated link.",
+    "or a waiting watch; a long transfer after it, a saturated link.  `era` counts how "
+    "often the store was restored from a copy; 0 if it was not told.",
     "Compare with router_late: without CPU time, a process is late in both.",
 )
 
--- a/src/tamarackrill/platform/store.py
+++ b/src/tamarackrill/platform/store.py
@@ -80,4 +80,5 @@
     read_page=_read_page,
     read_events=_read_events,
     read_object=lambda kind, body: _read_object(kind, body, False),
+    era_header="Store-Era",
 )
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -334,6 +334,7 @@
             first_byte_s=round(call.first_byte_s, 4),
             duration_s=round(call.duration_s, 4),
             size_bytes=call.size_bytes,
+            era=call.era,
         )
 
     def _pull(self, address: str, kind: str, since: int) -> Awaitable[ChangeSet]:
--- a/src/tamarackrill/router/platform_client.py
+++ b/src/tamarackrill/router/platform_client.py
@@ -84,6 +84,8 @@
         Time from the call to its end.
     size_bytes : int
         Size of the answer.
+    era : int
+        Era of the store according to the answer; 0 if unknown.
     """
 
     kind: str
@@ -92,6 +94,7 @@
     first_byte_s: float
     duration_s: float
     size_bytes: int
+    era: int
 
 
 UNANSWERED = "unanswered"
@@ -99,11 +102,12 @@
 
 
 class _Answer(NamedTuple):
-    """Status, parsed body and size of an answer."""
+    """Status, parsed body, size and era of an answer."""
 
     code: int
     body: Any
     size_bytes: int
+    era: int
 
 
 class WatchLost(PlatformUnavailable):
@@ -191,7 +195,7 @@
         path = self._form.list_path(kind, "")
         answer = await self._call("GET", path, on_first_byte=on_first_byte)
         page = _parse(self._form.read_page, kind, answer.body)
-        revision = page.revision
+        revision, era = page.revision, answer.era
         items = list(page.items)
         size_bytes = answer.size_bytes
         while page.after:
@@ -199,7 +203,7 @@
             page = _parse(self._form.read_page, kind, answer.body)
             items += page.items
             size_bytes += answer.size_bytes
-        return Listing(tuple(items), revision, size_bytes)
+        return Listing(tuple(items), revision, size_bytes, era)
 
     async def watch(
         self,
@@ -242,7 +246,7 @@
         if answer.code == GONE:
             raise WatchLost(f"revision {since} of {kind} is gone")
         listing = _parse(self._form.read_events, kind, answer.body)
-        return listing._replace(size_bytes=answer.size_bytes)
+        return listing._replace(size_bytes=answer.size_bytes, era=answer.era)
 
     async def list_vms(self) -> tuple[Vm, ...]:
         """Return the VM list."""
@@ -314,12 +318,12 @@
         started_s = time.monotonic()
         kind = "watch" if timeout_s else "read" if method == "GET" else "write"
         progress = CallProgress(on_first_byte)
-        outcome = UNANSWERED
+        outcome, era = UNANSWERED, 0
         try:
             answer = await self._send(
                 method, path, timeout_s, headers, text, progress, max_bytes
             )
-            outcome = str(answer.code)
+            outcome, era = str(answer.code), answer.era
             return answer
         except AnswerTooLong:
             outcome = TOO_LONG
@@ -335,6 +339,7 @@
                     first_byte_s,
                     ended_s - started_s,
                     progress.size_bytes,
+                    era,
                 )
             )
 
@@ -373,7 +378,13 @@
         is_expected = response.code in (*CONFLICTS, NOT_FOUND, GONE)
         if response.error is not None and not is_expected:
             raise PlatformUnavailable(f"platform: {response.error}")
-        return _Answer(response.code, _parse_json(response.body), progress.size_bytes)
+        era = _parse_era(response.headers.get(self._form.era_header, ""))
+        body = _parse_json(response.body)
+        return _Answer(response.code, body, progress.size_bytes, era)
+
+
+def _parse_era(text: str) -> int:
+    return int(text) if text.isascii() and text.isdecimal() else 0
 
 
 def _parse(read: Callable[[str, Any], _T], kind: str, body: Any) -> _T:
--- a/src/tamarackrill/store_api.py
+++ b/src/tamarackrill/store_api.py
@@ -17,11 +17,16 @@
 
 
 class Listing(NamedTuple):
-    """Objects of a kind, the revision they are current to, and their size."""
+    """Objects of a kind, the revision they are current to, and their size.
+
+    `era` counts how often the store was restored from a copy; revisions of different
+    eras can't be compared.  It is 0 for a store that doesn't tell.
+    """
 
     items: tuple[PlatformObject, ...]
     revision: int
     size_bytes: int = 0
+    era: int = 0
 
 
 class ObjectPage(NamedTuple):
@@ -48,6 +53,8 @@
     read_page, read_events, read_object : callable
         ``read(kind, body)`` parses a response body; raises KeyError, TypeError or
         ValueError if it is not in the expected format.
+    era_header : str, default=""
+        Header of all responses that has the era; empty if there is none.
     """
 
     base: str
@@ -57,3 +64,4 @@
     read_page: Callable[[str, Any], ObjectPage]
     read_events: Callable[[str, Any], Listing]
     read_object: Callable[[str, Any], PlatformObject]
+    era_header: str = ""
--- a/src/tamarackrill/testing/object_store.py
+++ b/src/tamarackrill/testing/object_store.py
@@ -33,6 +33,8 @@
         Watches from an earlier revision are answered with 410.
     body_delay_s : float
         Delay between the headers and the body of a list or watch response.
+    era : int
+        Value of the header ``Store-Era``; 0 leaves it out.
     calls : list of str
         Path and query of each request.
     """
@@ -43,6 +45,7 @@
         self.watches_hang = False
         self.compacted_revision = 0
         self.body_delay_s = 0.0
+        self.era = 1
         self.calls: list[str] = []
 
     async def write(self, kind: str, name: str, spec: Any) -> int:
@@ -53,6 +56,11 @@
         """Drop the history without notifying the watches that wait."""
         self.compacted_revision = self.state.revision
 
+    async def restore(self, revision: int) -> None:
+        """Come back from a copy made at a revision, in a new era."""
+        self.era += 1
+        await self.state.restore(revision)
+
     def make_application(self) -> Application:
         """Return the tornado application that serves the store."""
         bound = {"store": self}
@@ -76,6 +84,8 @@
 
     def prepare(self) -> None:
         self.store.calls.append(self.request.uri or "")
+        if self.store.era:
+            self.set_header("Store-Era", str(self.store.era))
         if self.store.status != 200:
             self.set_status(self.store.status)
             self.finish({"error": "unavailable"})
@@ -112,7 +122,8 @@
 
     async def _watch(self, kind: str, since: int, wait_s: float) -> None:
         state = self.store.state
-        if since < self.store.compacted_revision:
+        is_unknown = since > state.revision
+        if since < self.store.compacted_revision or is_unknown:
             self.set_status(410)
             self.finish({"store_revision": state.revision})
             return
--- a/src/tamarackrill/testing/platform.py
+++ b/src/tamarackrill/testing/platform.py
@@ -90,6 +90,14 @@
             self.changed.notify_all()
         return stored
 
+    async def restore(self, revision: int) -> None:
+        """Go back to the state at a revision; later revisions are given out again."""
+        self.revision = revision
+        self.history = [item for item in self.history if item.version <= revision]
+        self.objects = {(item.kind, item.name): item for item in self.history}
+        async with self.changed:
+            self.changed.notify_all()
+
     def read(self, kind: str, name: str) -> StoredObject | None:
         """Return the newest version visible to a read under `Faults.stale_reads`."""
         if not self.faults.stale_reads:
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -14,6 +14,7 @@
     PlatformClient,
     PlatformUnavailable,
     StoreTiming,
+    WatchLost,
 )
 from tamarackrill.testing.daemon import listen
 from tamarackrill.testing.object_store import ObjectStore
@@ -119,3 +120,26 @@
         await server.close_all_connections()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(("sent", "era"), [(0, 0), (1, 1), (7, 7)])
+def test_era_of_the_store_is_read_from_every_answer(sent, era):
+    async def run():
+        store = ObjectStore()
+        store.era = sent
+        server, address = listen(store.make_application())
+        client = CurlAsyncHTTPClient(force_instance=True)
+        platform = make_platform(address, client)
+        calls = []
+        platform.on_call = calls.append
+        await store.write("config", "main", {})
+        assert (await platform.list("config")).era == era
+        assert (await platform.watch("config", 0, 0.0)).era == era
+        with pytest.raises(WatchLost):
+            await platform.watch("config", 9, 0.0)
+        assert [call.era for call in calls] == [era] * 3
+        client.close()
+        server.stop()
+        await server.close_all_connections()
+
+    asyncio.run(run())
