Don't send to endpoints whose ended entries are back with a restored store

The copy that a store comes back from has entries that have ended since, and each router would take them for new endpoints until the store removes them after three silent heartbeats.

Change: entries that had ended before a restore are put aside when they come back; they are used once they change, which their endpoints alone do, or when the store has kept them for 4 s.

Measured: with the check switched off the three cases of test_endpoint_that_has_ended_since_the_copy_gets_no_requests fail.

--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -502,6 +502,15 @@
     ("endpoint",),
     "An entry disappeared around a store outage; it is kept for two seconds.",
 )
+ENDPOINT_SUSPECT = Event(
+    5035,
+    "endpoint_suspect",
+    _WARNING,
+    ("endpoint", "revision"),
+    "An entry that had ended is back after the store came back from a copy; its "
+    "endpoint gets no requests until the entry changes or the store has kept it for "
+    "four seconds.",
+)
 ENDPOINT_GONE = Event(
     5023,
     "endpoint_gone",
--- a/src/tamarackrill/router/deployment_view.py
+++ b/src/tamarackrill/router/deployment_view.py
@@ -5,7 +5,7 @@
 
 from tamarackrill.contracts import Endpoint
 from tamarackrill.decisions.configuration import ObjectVersion
-from tamarackrill.decisions.lapses import ExpiryGrace
+from tamarackrill.decisions.lapses import EndedEntries, ExpiryGrace
 from tamarackrill.decisions.leaving import LeavingEndpoints, LeavingReport, Source
 from tamarackrill.decisions.manifests import Manifest, RouteTable
 from tamarackrill.decisions.pools import EndpointPool, make_pool
@@ -14,6 +14,7 @@
     ENDPOINT_HELD,
     ENDPOINT_KNOWN,
     ENDPOINT_LEAVING,
+    ENDPOINT_SUSPECT,
     EVACUATION_ENDED,
     EVACUATION_IN_FORCE,
     EVACUATION_UNKNOWN_ZONE,
@@ -77,6 +78,7 @@
         self._pools: dict[str, _Pools] | None = None
         self._expiry_grace = ExpiryGrace()
         self._evacuation_grace = ExpiryGrace()
+        self._ended_entries = EndedEntries()
         self.routes: RouteTable | None = None
         self.has_endpoint_data = False
 
@@ -103,6 +105,7 @@
         """
         if kind == self._readers.endpoint_kind:
             self._expiry_grace.observe_restored(now_s)
+            self._ended_entries.observe_restored(now_s)
             for endpoint in self._endpoints.values():
                 # The copy's entry may say that an endpoint is live that was leaving.
                 if endpoint.state == "leaving":
@@ -190,6 +193,9 @@
             self._remove(name, now_s)
             return
         endpoint = self._readers.read_endpoint(name, item.value)
+        if self._ended_entries.must_hold(item, now_s):
+            log_event(ENDPOINT_SUSPECT, endpoint=name, revision=item.version)
+            return
         self._expiry_grace.observe_present(name)
         self._leaving.observe(_make_report(endpoint, "object"))
         if self._leaving.is_leaving(name):
@@ -226,6 +232,7 @@
     def _remove(self, name: str, now_s: float) -> None:
         known = self._endpoints.get(name)
         if known is None:
+            self._ended_entries.observe_ended(name)
             return
         if known.state == "live" and self._expiry_grace.observe_removed(name, now_s):
             log_event(ENDPOINT_HELD, endpoint=name)
@@ -233,13 +240,16 @@
         self._drop(name)
 
     def expire(self, now_s: float) -> None:
-        """Remove endpoints and evacuations whose grace period is over."""
+        """Apply the ends of all grace periods."""
+        for item in self._ended_entries.release(now_s):
+            self.take(item, now_s)
         for name in self._expiry_grace.expire(now_s):
             self._drop(name)
         for name in self._evacuation_grace.expire(now_s):
             self._end_evacuation(name)
 
     def _drop(self, name: str) -> None:
+        self._ended_entries.observe_ended(name)
         if self._endpoints.pop(name, None) is not None:
             self._pools = None
             log_event(ENDPOINT_GONE, endpoint=name)
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tamarackrill.decisions.configuration import ObjectVersion
-from tamarackrill.decisions.lapses import EXPIRY_GRACE_S
+from tamarackrill.decisions.lapses import EXPIRY_GRACE_S, SILENT_ENTRY_S
 from tamarackrill.router import edge_app
 from tamarackrill.router.deployment_view import DeploymentView
 from tamarackrill.router.edge_app import READERS
@@ -160,3 +160,42 @@
     view = make_view(ObjectVersion("evacuations", "a", 9, {}))
     view.take(ObjectVersion("evacuations", "a", 10, None), 1.0)
     assert not view.evacuated_zones
+
+
+@pytest.mark.parametrize(
+    ("later", "is_used"),
+    [
+        ([], True),
+        ([make_entry(8, "ready")], True),
+        ([ObjectVersion("servers", "w1", 8, None)], False),
+    ],
+    ids=["kept by the store", "written again", "ended again"],
+)
+def test_endpoint_that_has_ended_since_the_copy_gets_no_requests(later, is_used):
+    # Guards against requests at an endpoint that has ended, because its entry is in the
+    # copy that the store came back from.
+    view = make_view(make_entry(6), ObjectVersion("servers", "w1", 9, None))
+    view.observe_restored("servers", 1.0)
+    view.take(make_entry(6), 1.0)
+    assert not view.list_live("desk")
+    for item in later:
+        view.take(item, 2.0)
+    view.expire(1.0 + SILENT_ENTRY_S)
+    assert bool(view.list_live("desk")) == is_used
+
+
+def test_endpoint_that_comes_back_without_a_restore_is_used_at_once():
+    view = make_view(make_entry(6), ObjectVersion("servers", "w1", 9, None))
+    view.take(make_entry(10), 1.0)
+    assert view.list_live("desk")
+
+
+def test_endpoint_that_the_copy_lacks_is_used_when_it_writes_its_entry_again():
+    # Guards against taking an endpoint for one that had ended, because its entry was
+    # missing in the copy.
+    view = make_view(make_entry(9))
+    view.observe_restored("servers", 1.0)
+    view.take(ObjectVersion("servers", "w1", 8, None), 1.0)
+    view.expire(1.0 + EXPIRY_GRACE_S)
+    view.take(make_entry(10), 1.1 + EXPIRY_GRACE_S)
+    assert view.list_live("desk")
