Restore the store from a copy in a soak of routers under faults

The new shape 'restored' lets the stand-in store lose up to six revisions among the other faults, writes manifest and entries again, and ends with a restore below what all routers hold, after which a change has to be in force everywhere in time.

--- a/soak/run.py
+++ b/soak/run.py
@@ -14,7 +14,7 @@
 import tempfile
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from soak.callers import EVENTS, Caller, Exchange, find_violations
 from soak.faults import Proxy
@@ -61,11 +61,14 @@
         signals to routers while they start.
     has_evacuations : bool, optional
         Whether to evacuate zones of workers.
+    has_restores : bool, optional
+        Whether the store goes back to an earlier revision.
     """
 
     zones: tuple[str, ...]
     has_peer_faults: bool
     has_evacuations: bool = False
+    has_restores: bool = False
 
 
 ONE_ZONE = Topology(("z", "z", "z"), has_peer_faults=False)
@@ -75,12 +78,16 @@
 EVACUATED_ZONES = Topology(
     ("a", "a", "b", "b"), has_peer_faults=True, has_evacuations=True
 )
+RESTORED_STORE = Topology(
+    ("a", "a", "a", "b", "b"), has_peer_faults=True, has_restores=True
+)
 TOPOLOGIES = {
     "one": ONE_ZONE,
     "two": TWO_ZONES,
     "three": THREE_ZONES,
     "many": SIXTY_ROUTERS,
     "evacuated": EVACUATED_ZONES,
+    "restored": RESTORED_STORE,
 }
 # Zones of the workers of each service, if zones are evacuated.
 WORKER_ZONES = ("a", "b", "c")
@@ -91,6 +98,8 @@
 # one machine.
 MANIFEST_APPLY_MAX_S = 4.0
 WATCH_POLL_S = 0.02
+# Most revisions that a restore of the store loses.
+REVISIONS_LOST_MAX = 6
 
 
 async def _lose_answer(request: object, writer: asyncio.StreamWriter) -> None:
@@ -111,6 +120,7 @@
         self._store_proxies: list[Proxy] = []
         self._version = 1
         self._worker_zones: dict[str, str] = {}
+        self._entries: dict[str, dict[str, Any]] = {}
         self.faults: list[str] = []
         self.exchanges: list[Exchange] = []
 
@@ -186,6 +196,7 @@
             zone = WORKER_ZONES[len(self._worker_zones) // 2 % len(WORKER_ZONES)]
         spec = worker.describe(service, zone, address=proxy.address)
         self._worker_zones[name] = zone
+        self._entries[name] = spec
         await fleet.store.write("servers", name, spec)
 
     async def _run_scenario(self, fleet: EdgeFleet) -> list[str]:
@@ -211,6 +222,8 @@
             if self._topology.has_peer_faults
             else []
         )
+        if self._topology.has_restores:
+            outdated += await self._check_restore(fleet)
         if self._topology.has_evacuations:
             outdated += await self._check_evacuation(fleet, caller_tasks)
         await asyncio.gather(*caller_tasks)
@@ -251,6 +264,14 @@
             await asyncio.sleep(WATCH_POLL_S)
         return [f"{name} lacks version {self._version}" for name in sorted(outdated)]
 
+    async def _check_restore(self, fleet: EdgeFleet) -> list[str]:
+        """Restore the store below what routers hold, and change the manifest."""
+        for _ in range(REVISIONS_LOST_MAX):
+            await self._change_manifest(fleet)
+        outdated = await self._find_outdated_routers(fleet)
+        await fleet.store.restore(fleet.store.state.revision - REVISIONS_LOST_MAX)
+        return outdated + await self._find_outdated_routers(fleet)
+
     async def _check_evacuation(
         self, fleet: EdgeFleet, caller_tasks: list[asyncio.Task[None]]
     ) -> list[str]:
@@ -369,7 +390,10 @@
         await self._fault_proxy(self._rng.choice(self._proxies), "worker")
 
     async def _fault_store(self, fleet: EdgeFleet) -> None:
-        kind = self._rng.choice(["path", "busy", "history"])
+        kinds = ["path", "busy", "history"]
+        if self._topology.has_restores:
+            kinds += ["restore", "restore"]
+        kind = self._rng.choice(kinds)
         if kind == "path":
             await self._fault_proxy(self._rng.choice(self._store_proxies), "store")
             return
@@ -377,10 +401,24 @@
         if kind == "history":
             await fleet.store.compact_history()
             return
+        if kind == "restore":
+            await self._restore_store(fleet)
+            return
         fleet.store.status = 503
         await asyncio.sleep(self._rng.random() * PAUSE_MAX_S)
         fleet.store.status = 200
 
+    async def _restore_store(self, fleet: EdgeFleet) -> None:
+        """Let the store lose its last revisions; workers and operator write again."""
+        lost = self._rng.randint(1, REVISIONS_LOST_MAX)
+        await fleet.store.restore(max(1, fleet.store.state.revision - lost))
+        await asyncio.sleep(self._rng.random() * PAUSE_MAX_S)
+        for name, spec in self._entries.items():
+            held = fleet.store.state.read("servers", name)
+            if held is None or held.value is None:
+                await fleet.store.write("servers", name, spec)
+        await fleet.put_manifest(self._version, *ROUTES)
+
     async def _fault_proxy(self, proxy: Proxy, what: str) -> None:
         modes = ["delay", "silence", "one_way", "refuse", "reset"]
         mode = self._rng.choice(modes)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,7 +2,13 @@
 
 import pytest
 from soak import native
-from soak.run import EVACUATED_ZONES, THREE_ZONES, TWO_ZONES, run_seed
+from soak.run import (
+    EVACUATED_ZONES,
+    RESTORED_STORE,
+    THREE_ZONES,
+    TWO_ZONES,
+    run_seed,
+)
 
 
 # Regression seeds 3 and 5: a worker crashed in the middle of its first event, and the
@@ -31,5 +37,11 @@
     assert run_seed(3, tmp_path, EVACUATED_ZONES) == []
 
 
+def test_restored_store_costs_no_manifest_and_no_endpoint(tmp_path):
+    # Guards against routers that ignore what a store writes after it has come back from
+    # a copy, while routers and paths fail.
+    assert run_seed(1, tmp_path, RESTORED_STORE) == []
+
+
 def test_native_routers_keep_guarantees_while_they_come_and_go():
     assert native.run_seed(1) == []
