--- a/src/tamarackrill/decisions/event_stream.py
+++ b/src/tamarackrill/decisions/event_stream.py
@@ -30,11 +30,17 @@
     ----------
     last_id : int or None
         Id after which the client asked to resume.
+
+    Attributes
+    ----------
+    partial_bytes : int
+        Bytes received after the last complete event.
     """
 
     def __init__(self, last_id: int | None = None) -> None:
         self.last_id = last_id
         self.events = 0
+        self.partial_bytes = 0
         self._partial = b""
         self._is_resumed = False
 
@@ -55,6 +61,7 @@
             if self._should_forward(event):
                 events.append(event)
         self._partial = data[start:]
+        self.partial_bytes = len(self._partial)
         if len(self._partial) > EVENT_MAX_BYTES:
             raise EventStreamError("event exceeds the allowed size")
         self.events += len(events)
@@ -68,6 +75,7 @@
     def resume(self) -> None:
         """Drop a partial event; the next bytes come from another endpoint."""
         self._partial = b""
+        self.partial_bytes = 0
         self._is_resumed = True
 
     def _should_forward(self, event: bytes) -> bool:
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -171,12 +171,15 @@
         "next",
         "repeats_left",
         "after_s",
+        "framing",
+        "partial_bytes",
         "is_leaving",
         "retry_after_s",
     ),
     "An attempt returned no usable response; `next` is what the router does next.  "
-    "`is_leaving` and `retry_after_s` are what a complete response said of its "
-    "endpoint.",
+    "`framing` is how the response states where its body ends, `partial_bytes` what "
+    "came of a stream after its last complete event; `is_leaving` and "
+    "`retry_after_s` are what a complete response said of its endpoint.",
     "See docs/OPERATIONS.md: from a request to its cause.",
 )
 CALL_ANSWERED = Event(
@@ -190,10 +193,14 @@
         "attempts",
         "first_s",
         "total_s",
+        "framing",
+        "partial_bytes",
         "is_leaving",
     ),
-    "A client received the complete response of an endpoint; `is_leaving` tells "
-    "whether the response said that its endpoint is leaving.",
+    "A client received the complete response of an endpoint.  `framing` is how the "
+    "endpoint stated where the body ends, `partial_bytes` what came of a stream after "
+    "its last complete event; `is_leaving` tells whether the response said that its "
+    "endpoint is leaving.",
 )
 CALL_CUT = Event(
     2205,
@@ -214,7 +221,7 @@
     2208,
     "attempt_relayed",
     _INFO,
-    ("request", "endpoint", "outcome", "status", "total_s"),
+    ("request", "endpoint", "outcome", "status", "framing", "total_s"),
     "An attempt of a router that can't reach an endpoint was forwarded to it.",
 )
 CALL_OVERLOADED = Event(
--- a/src/tamarackrill/router/channels.py
+++ b/src/tamarackrill/router/channels.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple
+from typing import Literal, NamedTuple
 
 import h11
 
@@ -15,6 +15,7 @@
 from tamarackrill.router.sockets import enable_keepalive
 
 Headers = list[tuple[str, str]]
+Framing = Literal["none", "length", "chunked", "close"]
 
 # Bytes of a response buffered for a slow client before reading from the endpoint is
 # paused: two socket reads of asyncio, which keep the path full.
@@ -26,11 +27,24 @@
 
 
 class ResponseHead(NamedTuple):
-    """Status and headers of a response; `by_name` has lowercase header names."""
+    """Status and headers of a response.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status code.
+    headers : tuple of (str, str)
+        All headers, in order.
+    by_name : dict of str to str
+        Headers, with names in lower case.
+    framing : {"none", "length", "chunked", "close"}
+        What tells where the body ends; ``"none"`` if there is no body.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     by_name: dict[str, str]
+    framing: Framing
 
 
 class Channel(asyncio.Protocol):
@@ -114,7 +128,7 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
-                return _read_head(event)
+                return _read_head(event, self._is_head_request())
             if not isinstance(event, h11.InformationalResponse):
                 raise ChannelError("the connection ended before an answer")
 
@@ -177,6 +191,9 @@
 
     # Internals
 
+    def _is_head_request(self) -> bool:
+        return self._request is not None and self._request.method == b"HEAD"
+
     def _is_write_buffer_empty(self) -> bool:
         # An endpoint may respond before it has read all of a long request.  The bytes
         # still to be written would be read as the next request.
@@ -236,16 +253,26 @@
             self._transport.resume_reading()
 
 
+# No content, not modified.
+_STATUSES_WITHOUT_BODY = (204, 304)
 _BOTH_DONE = {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
 
 
-def _read_head(response: h11.Response) -> ResponseHead:
+def _read_head(response: h11.Response, is_head_request: bool) -> ResponseHead:
     headers = tuple(
         (name.decode("latin-1"), value.decode("latin-1"))
         for name, value in response.headers.raw_items()
     )
     by_name = {name.lower(): value for name, value in headers}
-    return ResponseHead(response.status_code, headers, by_name)
+    status = response.status_code
+    framing: Framing
+    if is_head_request or status in _STATUSES_WITHOUT_BODY:
+        framing = "none"
+    elif "transfer-encoding" in by_name:
+        framing = "chunked"
+    else:
+        framing = "length" if "content-length" in by_name else "close"
+    return ResponseHead(status, headers, by_name, framing)
 
 
 Connect = Callable[[str, float], Awaitable[Channel]]
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -66,7 +66,8 @@
 
     `is_broken` tells that the connection broke or the response was invalid;
     `is_leaving` and `retry_after_s` are what a complete response said of its endpoint;
-    `relay` is the router through which an attempt was sent.
+    `relay` is the router through which an attempt was sent; `framing` is how the
+    response states where its body ends, empty without a response.
     """
 
     outcome: Outcome
@@ -78,6 +79,7 @@
     is_leaving: bool = False
     retry_after_s: float | None = None
     relay: str = ""
+    framing: str = ""
 
 
 class _RelayRefused(Exception):
@@ -282,6 +284,7 @@
         on_first_byte: Callable[[], None],
     ) -> AttemptResult:
         call = progress.call
+        framing = ""
         self._send(progress, placed, relay, channel)
         header_deadline_s = find_header_deadline_s(
             call.route,
@@ -296,6 +299,7 @@
                 head, answer_headers = await self.read_matching_head(
                     call.request_id, placed.endpoint, channel, relay
                 )
+            framing = head.framing
             # The duration of a stream after this is no sign that its engine has failed.
             on_first_byte()
             first_s = self._clock() - started_s
@@ -309,11 +313,11 @@
                     progress, placed, channel, head, answer_headers
                 )
         except TimeoutError:
-            return AttemptResult("lost", "silent")
+            return AttemptResult("lost", "silent", framing=framing)
         except _RelayRefused:
             return AttemptResult("not_sent", "not forwarded", relay=relay)
         except (ChannelError, EventStreamError) as error:
-            return AttemptResult("lost", str(error), is_broken=True)
+            return AttemptResult("lost", str(error), is_broken=True, framing=framing)
         if channel.finish():
             pool, name = self.pool, placed.endpoint.name
             if relay and self.relays is not None:
@@ -321,6 +325,7 @@
             pool.give_back(name, channel, answer_headers.idle_max_s, self._clock())
         return result._replace(
             relay=relay,
+            framing=framing,
             first_s=first_s,
             status=head.status,
             is_leaving=answer_headers.is_leaving,
--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -276,6 +276,8 @@
             next=next_step,
             repeats_left=retries_left,
             after_s=now_s - call.arrived_s,
+            framing=result.framing,
+            partial_bytes=progress.stream.partial_bytes,
             is_leaving=result.is_leaving,
             retry_after_s=result.retry_after_s,
         )
@@ -302,6 +304,8 @@
             attempts=progress.history.sent + 1,
             first_s=result.first_s,
             total_s=total_s,
+            framing=result.framing,
+            partial_bytes=progress.stream.partial_bytes,
             is_leaving=result.is_leaving,
         )
 
--- a/src/tamarackrill/router/relay_server.py
+++ b/src/tamarackrill/router/relay_server.py
@@ -23,7 +23,7 @@
     read_request_id,
     shorten_deadline,
 )
-from tamarackrill.router.channels import Channel, ChannelError
+from tamarackrill.router.channels import Channel, ChannelError, ResponseHead
 from tamarackrill.router.deployment_view import DeploymentView
 from tamarackrill.router.edge_attempts import EdgeAttempts
 from tamarackrill.router.edge_placing import EdgePlacer
@@ -154,11 +154,11 @@
             return
         endpoint, channel = opened
         is_clean = False
-        status = 0
+        head: ResponseHead | None = None
         try:
             headers = shorten_deadline(attempt.headers, self.clock() - arrived_s)
             channel.send(attempt.method, attempt.target, headers, attempt.body)
-            status = await self._forward_response(attempt, endpoint, channel, reply)
+            head = await self._forward_response(attempt, endpoint, channel, reply)
             is_clean = True
         except ChannelError:
             # The other router sees that the response is incomplete, as it would on a
@@ -174,7 +174,8 @@
                 request=read_request_id(attempt.headers),
                 endpoint=attempt.endpoint,
                 outcome=outcome,
-                status=status,
+                status=0 if head is None else head.status,
+                framing="" if head is None else head.framing,
                 total_s=round(self.clock() - arrived_s, 4),
             )
 
@@ -198,7 +199,7 @@
         endpoint: Endpoint,
         channel: Channel,
         reply: EdgeReply,
-    ) -> int:
+    ) -> ResponseHead:
         request_id = read_request_id(attempt.headers)
         head, answer_headers = await self._attempts.read_matching_head(
             request_id, endpoint, channel
@@ -213,7 +214,7 @@
             self._attempts.pool.give_back(
                 endpoint.name, channel, answer_headers.idle_max_s, self.clock()
             )
-        return head.status
+        return head
 
 
 class _RelayedRequest(HTTPMessageDelegate):
