--- a/src/tamarackrill/testing/worker.py
+++ b/src/tamarackrill/testing/worker.py
@@ -1,9 +1,11 @@
 """Simulated worker of the users' platform, with full control of the bytes it sends."""
 
 import asyncio
+import socket
+import struct
 from collections import deque
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple
+from typing import Literal, NamedTuple
 
 HEAD_END = b"\r\n\r\n"
 SIGNATURE = "made-by-a-worker"
@@ -24,6 +26,7 @@
 
 
 Behave = Callable[[WorkerRequest, asyncio.StreamWriter], Awaitable[None]]
+Framing = Literal["length", "chunked", "close"]
 
 
 class Worker:
@@ -60,6 +63,10 @@
         host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
+    async def crash(self) -> None:
+        """End like a process that crashes: connections close and new ones fail."""
+        await Worker.stop(self)
+
     async def stop(self) -> None:
         """Stop listening and close all open connections."""
         if self._server is not None:
@@ -257,6 +264,43 @@
     return "\r\n".join(lines).encode() + HEAD_END
 
 
+def frame_answer(
+    request: WorkerRequest,
+    framing: Framing,
+    body: bytes,
+    **headers: str,
+) -> bytes:
+    """Return a complete response in the given framing.
+
+    Parameters
+    ----------
+    request : WorkerRequest
+        The request.
+    framing : {"length", "chunked", "close"}
+        How the response states where its body ends; with ``"close"`` by the end of its
+        connection alone.
+    body : bytes
+        Complete body.
+    **headers : str
+        Further headers; `X_Y` is sent as ``X-Y``.
+    """
+    if framing == "length":
+        return make_answer(request, body, **headers)
+    headers |= {"Content_Length": ""}
+    if framing == "chunked":
+        headers |= {"Transfer_Encoding": "chunked"}
+        body = make_chunk(body) + make_chunk(b"")
+    return make_answer(request, body, **headers)
+
+
+async def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Send what is buffered, then reset the connection."""
+    await writer.drain()
+    connection: socket.socket = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 def make_chunk(data: bytes) -> bytes:
     """Return an HTTP chunk; an empty one ends the body."""
     return b"%x\r\n%s\r\n" % (len(data), data)
--- /dev/null
+++ b/tests/test_broken_off.py
@@ -0,0 +1,340 @@
+"""Answers that end with their connection, and answers that were broken off."""
+
+import asyncio
+import contextlib
+
+import pytest
+from soak.links import EndpointLinks
+
+from tamarackrill.testing.edge import (
+    HOST,
+    KEY,
+    EdgeClient,
+    EdgeFleet,
+    ask,
+    make_route,
+    read_reason,
+)
+from tamarackrill.testing.worker import (
+    frame_answer,
+    in_turn,
+    make_answer,
+    make_event,
+    make_stream_head,
+    make_streaming,
+    reset_connection,
+)
+
+ROUTES = (
+    make_route("/stream/", "streaming", stream_resume=True),
+    make_route("/once/", "streaming", attempts=1),
+    make_route("/lookup/", "idempotent"),
+    make_route("/confirm/", "non_idempotent", attempts=1),
+)
+EVENTS = 6
+WHOLE = b"".join(make_event(number) for number in range(1, EVENTS + 1))
+THREE = b"".join(make_event(number) for number in range(1, 4))
+FRAMINGS = ("length", "chunked", "close")
+# Where the body of an endpoint that has crashed ends, and what of it is complete.
+CUTS = {
+    "in_first_event": (make_event(1)[:5], b""),
+    "in_event": (THREE + make_event(4)[:5], THREE),
+    "in_event_of_crlf": (
+        (THREE + make_event(4)[:-1]).replace(b"\n", b"\r\n"),
+        THREE.replace(b"\n", b"\r\n"),
+    ),
+    "before_its_blank_line": (THREE + make_event(4)[:-1], THREE),
+}
+
+
+def run_in_fleet(act):
+    async def run():
+        async with EdgeFleet() as fleet:
+            await fleet.put_manifest(1, *ROUTES)
+            await act(fleet)
+
+    asyncio.run(run())
+
+
+def stream_of(framing, body):
+    """Return a behaviour that answers with this body and closes the connection."""
+
+    async def act(request, writer):
+        headers = {"Content_Type": "text/event-stream"}
+        writer.write(frame_answer(request, framing, body, **headers))
+        await writer.drain()
+        writer.close()
+
+    return act
+
+
+def body_of(framing, body):
+    async def act(request, writer):
+        writer.write(frame_answer(request, framing, body))
+        await writer.drain()
+        writer.close()
+
+    return act
+
+
+def crash_after(worker, body, **headers):
+    """Return a behaviour that sends a body without framing and crashes the worker."""
+
+    async def act(request, writer):
+        writer.write(frame_answer(request, "close", body, **headers))
+        await writer.drain()
+        await worker.crash()
+
+    return act
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("sent, complete", CUTS.values(), ids=CUTS)
+def test_stream_that_ends_inside_an_event_does_not_look_complete(
+    sent, complete, framing
+):
+    # Guards against a partial answer that its client takes for the whole one, because
+    # the end of a connection or a frame is taken for the end of the stream.
+    async def act(fleet):
+        await fleet.add_worker("w1", stream_of(framing, sent))
+        router = await fleet.add_router()
+        answer = await ask(router, "/once/a", body=b"x")
+        if complete:
+            assert (answer.body, answer.is_whole) == (complete, False)
+        else:
+            assert (answer.status, read_reason(answer)) == (502, "lost")
+
+    run_in_fleet(act)
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("sent", [cut for cut, _ in CUTS.values()], ids=CUTS)
+def test_stream_that_ends_inside_an_event_is_resumed_elsewhere(sent, framing):
+    # Guards against a stream that is cut although another endpoint could go on with it.
+    async def act(fleet):
+        behave = in_turn(stream_of(framing, sent), make_streaming(EVENTS))
+        for name in ("w1", "w2"):
+            await fleet.add_worker(name, behave)
+        router = await fleet.add_router()
+        answer = await ask(router, "/stream/a", body=b"x")
+        assert answer.is_whole
+        assert answer.body.replace(b"\r", b"") == WHOLE
+
+    run_in_fleet(act)
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("rest", [b"", b"\n", b"\r\n", b": end\n", b": end"])
+def test_whole_stream_is_complete_in_any_framing(framing, rest):
+    async def act(fleet):
+        worker = await fleet.add_worker("w1", stream_of(framing, WHOLE + rest))
+        router = await fleet.add_router()
+        answer = await ask(router, "/once/a", body=b"x")
+        assert (answer.body, answer.is_whole) == (WHOLE + rest, True)
+        assert len(worker.requests) == 1
+
+    run_in_fleet(act)
+
+
+def test_stream_without_framing_that_is_reset_does_not_look_complete():
+    async def act(fleet):
+        async def reset(request, writer):
+            head = make_stream_head(request)
+            writer.write(head.replace(b"Transfer-Encoding: chunked\r\n", b"") + THREE)
+            await reset_connection(writer)
+
+        await fleet.add_worker("w1", reset)
+        router = await fleet.add_router()
+        answer = await ask(router, "/once/a", body=b"x")
+        assert answer.status == 502 or not answer.is_whole
+
+    run_in_fleet(act)
+
+
+def test_stream_without_framing_and_events_is_no_answer():
+    # Guards against an empty stream that is forwarded as complete, if an endpoint
+    # crashes after the head of a response that ends with its connection.
+    async def act(fleet):
+        behave = in_turn(stream_of("close", b""), make_streaming(EVENTS))
+        for name in ("w1", "w2"):
+            await fleet.add_worker(name, behave)
+        router = await fleet.add_router()
+        answer = await ask(router, "/stream/a", body=b"x")
+        assert (answer.body, answer.is_whole) == (WHOLE, True)
+
+    run_in_fleet(act)
+
+
+def test_stream_taken_up_after_its_last_event_may_be_empty():
+    async def act(fleet):
+        await fleet.add_worker("w1", stream_of("close", b""))
+        router = await fleet.add_router()
+        answer = await ask(router, "/stream/a", body=b"x", Last_Event_Id="6")
+        assert (answer.status, answer.body, answer.is_whole) == (200, b"", True)
+
+    run_in_fleet(act)
+
+
+def test_crash_between_events_is_no_end_of_a_stream_without_framing():
+    # Guards against a partial answer that is forwarded as complete, if an endpoint
+    # crashes between two events of a stream that ends with its connection.
+    async def act(fleet):
+        worker = await fleet.add_worker("w1")
+        headers = {"Content_Type": "text/event-stream"}
+        worker.behave = crash_after(worker, THREE, **headers)
+        router = await fleet.add_router()
+        answer = await ask(router, "/once/a", body=b"x")
+        assert (answer.body, answer.is_whole) == (THREE, False)
+
+    run_in_fleet(act)
+
+
+def test_crash_within_a_body_without_framing_is_no_end_of_it():
+    # Guards against half an answer that is forwarded with a length as if it were whole.
+    async def act(fleet):
+        worker = await fleet.add_worker("w1")
+        worker.behave = crash_after(worker, b"half an ans")
+        router = await fleet.add_router()
+        answer = await ask(router, "/confirm/a", body=b"x")
+        assert (answer.status, read_reason(answer)) == (502, "lost")
+
+    run_in_fleet(act)
+
+
+def test_leaving_endpoint_may_end_with_its_last_answer():
+    async def act(fleet):
+        worker = await fleet.add_worker("w1")
+        headers = {"Content_Type": "text/event-stream", "Server_Leaving": "1"}
+        worker.behave = crash_after(worker, WHOLE, **headers)
+        router = await fleet.add_router()
+        answer = await ask(router, "/once/a", body=b"x")
+        assert (answer.body, answer.is_whole) == (WHOLE, True)
+
+    run_in_fleet(act)
+
+
+def test_answers_without_framing_cost_no_second_connection_each():
+    # Guards against twice the connections to an endpoint whose answers have no framing.
+    async def act(fleet):
+        worker = await fleet.add_worker("w1", body_of("close", b"whole"))
+        router = await fleet.add_router()
+        for number in range(5):
+            answer = await ask(router, "/lookup/a", f"id-{number}")
+            assert (answer.status, answer.body) == (200, b"whole")
+        assert worker.connections <= 6
+
+    run_in_fleet(act)
+
+
+@pytest.mark.parametrize("method, status", [("HEAD", 200), ("GET", 204), ("GET", 304)])
+def test_answer_without_a_body_is_complete(method, status):
+    async def act(fleet):
+        async def no_body(request, writer):
+            headers = {"Content_Length": "", "Content_Type": "text/event-stream"}
+            writer.write(make_answer(request, b"", status, **headers))
+
+        await fleet.add_worker("w1", no_body)
+        router = await fleet.add_router()
+        client = await EdgeClient.connect(router)
+        client.send("/lookup/a", method=method, Connection="close")
+        answer = await client.reader.read()
+        client.close()
+        head, _, body = answer.partition(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 %d " % status)
+        assert body == b""
+
+    run_in_fleet(act)
+
+
+def test_client_of_http_1_0_sees_that_a_stream_was_cut():
+    # Guards against a cut stream that looks complete to a client without chunks, for
+    # which the end of its connection is the end of the answer.
+    async def act(fleet):
+        await fleet.add_worker("w1", make_streaming(3, is_cut=True))
+        router = await fleet.add_router()
+        client = await EdgeClient.connect(router)
+        lines = ("POST /once/a HTTP/1.0", f"Host: {HOST}", f"X-Api-Key: {KEY}")
+        client.writer.write("\r\n".join(lines).encode())
+        client.writer.write(b"\r\nX-Request-Attempt-Id: id-1\r\nContent-Length: 0\r\n")
+        client.writer.write(b"X-Deadline-Ms: 3000\r\n\r\n")
+        with pytest.raises(ConnectionResetError):
+            while await client.reader.read(100):
+                pass
+        client.close()
+
+    run_in_fleet(act)
+
+
+@contextlib.asynccontextmanager
+async def run_cut_off_router(fleet):
+    """Start a router that reaches endpoints only through another one."""
+    links = EndpointLinks()
+    router = await fleet.add_router("cut-off", connect=links.connect)
+    await fleet.add_router("helper", "y")
+    await fleet.wait(lambda: len(router.members.list_live()) == 2)
+    links.cut("reset", [worker.address for worker in fleet.workers])
+    names = {worker.name for worker in fleet.workers}
+    await ask(router, "/lookup/a", "id-0")
+    await fleet.wait(lambda: names <= set(router.relays.paths.reachable))
+    for worker in fleet.workers:
+        worker.requests.clear()
+    yield router
+    await links.stop()
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("sent, complete", CUTS.values(), ids=CUTS)
+def test_broken_off_stream_through_another_router_does_not_look_complete(
+    sent, complete, framing
+):
+    # Guards against a partial answer that a router forwards for another one, which takes
+    # the framing of that router for the endpoint's.
+    async def act(fleet):
+        worker = await fleet.add_worker("w1")
+        async with run_cut_off_router(fleet) as router:
+            worker.behave = stream_of(framing, sent)
+            answer = await ask(router, "/once/a", body=b"x")
+            assert len(worker.requests) == 1
+            if complete:
+                assert (answer.body, answer.is_whole) == (complete, False)
+            else:
+                assert (answer.status, read_reason(answer)) == (502, "lost")
+
+    run_in_fleet(act)
+
+
+EVENT_STREAM = {"Content_Type": "text/event-stream"}
+
+
+@pytest.mark.parametrize(
+    "target, sent, headers",
+    [
+        ("/once/a", THREE, EVENT_STREAM),
+        ("/once/a", b"", EVENT_STREAM),
+        ("/confirm/a", b"half an ans", {}),
+    ],
+    ids=["between_events", "before_first_event", "no_stream"],
+)
+def test_crash_through_another_router_is_no_end_of_an_answer(target, sent, headers):
+    # Guards against half an answer without framing that another router frames as whole.
+    async def act(fleet):
+        worker = await fleet.add_worker("w1")
+        async with run_cut_off_router(fleet) as router:
+            worker.behave = crash_after(worker, sent, **headers)
+            answer = await ask(router, target, body=b"x")
+            assert len(worker.requests) == 1
+            assert answer.status == 502 or not answer.is_whole
+
+    run_in_fleet(act)
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_whole_answer_through_another_router_is_complete(framing):
+    async def act(fleet):
+        worker = await fleet.add_worker("w1")
+        async with run_cut_off_router(fleet) as router:
+            worker.behave = stream_of(framing, WHOLE)
+            answer = await ask(router, "/once/a", body=b"x")
+            assert (answer.body, answer.is_whole) == (WHOLE, True)
+
+    run_in_fleet(act)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -215,3 +215,67 @@
                 task.cancel()
 
     assert asyncio.run(run()) == "not_sent"
+
+
+async def _attempt_at(call, answer):
+    """Return the outcome of an attempt at an endpoint that answers with these bytes."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    endpoint = Endpoint("e", call.kind, (call.pool,), address, "z")
+    client = make_client()
+    try:
+        reply = Reply(False)
+        attempt = await attempt_call(
+            client, call, endpoint, reply, 0, False, time.monotonic
+        )
+        return attempt.outcome, reply.count
+    finally:
+        client.close()
+        server.close()
+
+
+UNFRAMED_STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+EVENT = b"id: 1\ndata: word\n\n"
+DONE = b"data: [DONE]\n\n"
+
+
+@pytest.mark.parametrize(
+    "body, outcome",
+    [
+        (EVENT + DONE, "answered"),
+        (EVENT, "cut"),
+        (EVENT + b"id: 2", "cut"),
+        (EVENT + DONE[:-1], "cut"),
+        (b"", "cut"),
+    ],
+    ids=["whole", "between_events", "in_event", "in_final_event", "empty"],
+)
+def test_engine_stream_without_framing_ends_with_its_final_event(body, outcome):
+    # Guards against a partial answer of an engine that crashed, if its response has no
+    # framing and the end of its connection is taken for the end of the stream.
+    call = make_call()._replace(stream=True)
+    assert asyncio.run(_attempt_at(call, UNFRAMED_STREAM + body))[0] == outcome
+
+
+@pytest.mark.parametrize(
+    "body, expected",
+    [
+        (EVENT + EVENT, ("answered", 1)),
+        (EVENT + b": end", ("answered", 1)),
+        (EVENT + b"id: 2", ("cut", 0)),
+        (EVENT + EVENT[:-1], ("cut", 0)),
+    ],
+    ids=["whole", "comment", "in_event", "before_its_blank_line"],
+)
+def test_event_stream_of_a_service_does_not_end_inside_an_event(body, expected):
+    # Guards against an event stream of a plain service that was broken off and is
+    # forwarded as complete.
+    call = make_call()._replace(kind="service", method="GET", body=b"")
+    assert asyncio.run(_attempt_at(call, UNFRAMED_STREAM + body)) == expected
