--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -31,6 +31,7 @@
 from tamarackrill.router.edge_calls import EdgeCall
 from tamarackrill.router.edge_placing import EdgePlacement, EdgePlacer
 from tamarackrill.router.edge_reply import EdgeReply
+from tamarackrill.router.endpoint_checks import EndpointChecks
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.paths import CONNECT_TIMEOUT_S, PathProber
 from tamarackrill.router.relay_client import RelayClient
@@ -42,8 +43,6 @@
     remove_relay_headers,
 )
 
-# Endpoints with which one that seems to have crashed is compared.
-COMPARED_ENDPOINTS_MAX = 3
 # Responses to earlier requests that are skipped before the connection is closed.
 MISMATCHED_ANSWERS_MAX = 2
 OK_MIN, OK_MAX = 200, 299
@@ -119,6 +118,8 @@
 
     Attributes
     ----------
+    checks : EndpointChecks
+        Checks whether endpoints still live.
     on_crash : callable
         Called with the fingerprint of a request that crashed an endpoint.
     relays : RelayClient or None
@@ -151,6 +152,7 @@
             clock,
             connect,
         )
+        self.checks = EndpointChecks(placer, self.paths)
         self.on_crash: Callable[[int], None] = lambda fingerprint: None
         self.relays: RelayClient | None = None
         self._peer_key = ""
@@ -166,6 +168,7 @@
             Signs the attempts.
         """
         self.relays = relays
+        self.checks.relays = relays
         self._peer_key = peer_key
 
     async def run(
@@ -566,7 +569,7 @@
             self._report_result(call, placed, result._replace(is_broken=False))
         else:
             relays.observe_refused(relay, endpoint.name)
-            if result.is_broken and await self._has_crashed(call, endpoint):
+            if result.is_broken and await self.checks.has_crashed(endpoint):
                 self._record_crash(call, endpoint.name)
 
     def _start_check(self, check: Coroutine[Any, Any, None]) -> None:
@@ -583,28 +586,11 @@
             self.paths.record_failure(placed.endpoint, error)
             if not isinstance(error, ConnectionRefusedError):
                 return
-            if await self._has_crashed(call, placed.endpoint):
+            if await self.checks.has_crashed(placed.endpoint):
                 self._record_crash(call, placed.endpoint.name)
         else:
             channel.close()
 
-    async def _has_crashed(self, call: EdgeCall, endpoint: Endpoint) -> bool:
-        """Return whether an endpoint that refuses connections has crashed alone.
-
-        The links of this router may be cut, or those of the routers that it asks.  So a
-        crash counts only if some router reaches other endpoints of the service, and
-        none of those asked reaches this one.
-        """
-        others = self._placer.list_others(call, endpoint)[:COMPARED_ENDPOINTS_MAX]
-        replies = []
-        if self.relays is not None:
-            replies = await self.relays.ask_reached(endpoint, others)
-        if any(endpoint.name in reached for reached in replies):
-            return False
-        if not others or any(replies):
-            return True
-        return bool(await self.paths.confirm_reached(others, is_fresh=True))
-
     def _record_crash(self, call: EdgeCall, name: str) -> None:
         if self._placer.poison.observe_crash(call.fingerprint, name, self._clock()):
             self.on_crash(call.fingerprint)
--- a/src/tamarackrill/router/edge_placing.py
+++ b/src/tamarackrill/router/edge_placing.py
@@ -260,9 +260,9 @@
         pool = self._view.find_pool(call.service)
         return bool(len(pool.exclude(self._find_unavailable(avoid, now_s))))
 
-    def list_others(self, call: EdgeCall, endpoint: Endpoint) -> list[Endpoint]:
-        """Return the live endpoints of a request's service but one."""
-        pool = self._view.find_pool(call.service)
+    def list_others(self, endpoint: Endpoint) -> list[Endpoint]:
+        """Return the other live endpoints of an endpoint's service."""
+        pool = self._view.find_pool(endpoint.serves[0])
         return [e for name, e in pool.by_name.items() if name != endpoint.name]
 
     def compute_backoff_s(self, call: EdgeCall, now_s: float) -> float | None:
--- a/tests/test_broken_off.py
+++ b/tests/test_broken_off.py
@@ -287,8 +287,8 @@
 def test_broken_off_stream_through_another_router_does_not_look_complete(
     sent, complete, framing
 ):
-    # Guards against a partial answer that a router forwards for another one, which takes
-    # the framing of that router for the endpoint's.
+    # Guards against a partial answer that a router forwards for another one, which
+    # takes the framing of that router for the endpoint's.
     async def act(fleet):
         worker = await fleet.add_worker("w1")
         async with run_cut_off_router(fleet) as router:
