Tell a broken-off answer from one that ends with its connection

The answer had no framing, or the frame was completed for a crashed endpoint; the router took the end of the body for the end of the answer, and forwarded what had come of the last event with the final chunk.

A stream that ends inside an event is now a lost attempt, whatever its framing, and so is one without framing that ends before its first event: it is resumed elsewhere if the route allows it, gets a status that says that it may have run if nothing was sent, and is cut otherwise. Between events, and in bodies that are no streams, the content can't tell. There a body without framing counts as whole only if its endpoint still takes a connection, or was leaving anyway; that connection is kept for the next request, so that it costs none. A refused connection counts only if other routers don't reach the endpoint either, as with crashes.

--- a/src/tamarackrill/decisions/event_stream.py
+++ b/src/tamarackrill/decisions/event_stream.py
@@ -5,6 +5,11 @@
 to the other endpoint's first event, and the client would read a corrupt event. So only
 complete events are forwarded; a partial one is dropped when its endpoint is lost.
 
+The end of a body is no proof that its stream is complete.  A body without framing ends
+with its connection, also if the endpoint has crashed, and an intermediary may complete
+the frame of a partial body.  A client that takes a partial stream for a complete one
+never asks for the rest.  So a stream that ends inside an event has been broken off.
+
 The other endpoint is asked to continue after the last forwarded id. If it starts
 earlier, events that the client already has are dropped, so that it does not see them
 twice.
@@ -20,7 +25,16 @@
 
 
 class EventStreamError(Exception):
-    """An endpoint sent data that is not a valid event stream."""
+    """An endpoint sent data that is not a valid event stream, or only part of one."""
+
+
+def ends_inside_event(rest: bytes) -> bool:
+    """Return whether the bytes after the last complete event belong to another one.
+
+    Blank lines and comments are no part of an event.
+    """
+    lines = rest.splitlines()
+    return any(line and not line.startswith(b":") for line in lines)
 
 
 class EventStream:
@@ -67,8 +81,23 @@
         self.events += len(events)
         return b"".join(events)
 
-    def finish(self) -> bytes:
-        """Return the bytes after the last event of a stream that ended normally."""
+    def finish(self, is_framed: bool = True) -> bytes:
+        """Return the bytes after the last event of a stream whose body has ended.
+
+        Parameters
+        ----------
+        is_framed : bool, default=True
+            Whether the body's end was stated, rather than the connection's end.
+
+        Raises
+        ------
+        EventStreamError
+            If the stream was broken off.
+        """
+        if ends_inside_event(self._partial):
+            raise EventStreamError("the stream ended inside an event")
+        if not is_framed and self.last_id is None and not self.events:
+            raise EventStreamError("the connection ended before the first event")
         rest, self._partial = self._partial, b""
         return rest
 
--- a/src/tamarackrill/router/attempts.py
+++ b/src/tamarackrill/router/attempts.py
@@ -5,6 +5,7 @@
 from typing import Literal, NamedTuple
 
 from tamarackrill.contracts import Endpoint
+from tamarackrill.decisions.event_stream import EventStream, EventStreamError
 from tamarackrill.router.calls import Call
 from tamarackrill.router.outlets import Outlet
 from tamarackrill.router.replies import Reply
@@ -94,13 +95,28 @@
         self._reply = reply
         self._head = head
         reply.on_writable = lambda: self.on_writable()
+        self._events = EventStream() if _is_event_stream(head) else None
 
     def take(self, piece: bytes) -> bool:
         """Buffer bytes of the answer; write them once there are too many."""
+        if self._events is not None:
+            self._events.take(piece)
         self._buffered.append(piece)
         self._size_bytes += len(piece)
         return self._size_bytes <= PIECE_MAX_BYTES or self.write()
 
+    def finish(self) -> None:
+        """Write the rest of the answer, which has ended.
+
+        Raises
+        ------
+        EventStreamError
+            If it is an event stream that was broken off.
+        """
+        if self._events is not None:
+            self._events.finish()
+        self.write()
+
     def write(self) -> bool:
         """Write the buffered bytes to the reply; return whether it can take more."""
         if not self._reply.started:
@@ -244,5 +260,8 @@
 
 async def _pump_buffered(exchange: Exchange, head: Head, reply: Reply) -> None:
     outlet = _BufferingOutlet(reply, head)
-    await exchange.pump(outlet)
-    outlet.write()
+    try:
+        await exchange.pump(outlet)
+        outlet.finish()
+    except EventStreamError as error:
+        raise UpstreamError(str(error), sent=True) from error
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -152,7 +152,7 @@
             clock,
             connect,
         )
-        self.checks = EndpointChecks(placer, self.paths)
+        self.checks = EndpointChecks(placer, self.paths, self.pool, clock, connect)
         self.on_crash: Callable[[int], None] = lambda fingerprint: None
         self.relays: RelayClient | None = None
         self._peer_key = ""
@@ -454,6 +454,7 @@
             await self._relay(progress, placed, channel, head)
             return AttemptResult("answered")
         body = await _read_body(channel)
+        await self.checks.confirm_end(placed.endpoint, head)
         answer = CompleteAnswer(head, body)
         if head.status >= SERVER_ERROR_MIN:
             return AttemptResult("failed", f"status {head.status}", answer)
@@ -478,7 +479,11 @@
         last_s: float | None = None
         while True:
             piece = await self._read_piece(progress, placed, channel)
-            events = stream.take(piece) if piece else stream.finish()
+            if piece:
+                events = stream.take(piece)
+            else:
+                events = stream.finish(is_framed=head.framing != "close")
+                await self.checks.confirm_end(placed.endpoint, head)
             if events or not piece:
                 if not reply.has_begun:
                     await reply.begin(
--- a/src/tamarackrill/router/edge_placing.py
+++ b/src/tamarackrill/router/edge_placing.py
@@ -260,6 +260,11 @@
         pool = self._view.find_pool(call.service)
         return bool(len(pool.exclude(self._find_unavailable(avoid, now_s))))
 
+    def is_leaving(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint is known to be leaving, or to be gone."""
+        known = self._view.find_endpoint(endpoint.name)
+        return known is None or known.state == "leaving"
+
     def list_others(self, endpoint: Endpoint) -> list[Endpoint]:
         """Return the other live endpoints of an endpoint's service."""
         pool = self._view.find_pool(endpoint.serves[0])
--- a/src/tamarackrill/router/endpoint_checks.py
+++ b/src/tamarackrill/router/endpoint_checks.py
@@ -1,12 +1,19 @@
 """Checks whether an endpoint still lives, by new connections to it."""
 
+from collections.abc import Callable
+
 from tamarackrill.contracts import Endpoint
+from tamarackrill.router.channel_pool import ChannelPool
+from tamarackrill.router.channels import ChannelError, Connect, ResponseHead
 from tamarackrill.router.edge_placing import EdgePlacer
 from tamarackrill.router.paths import PathProber
 from tamarackrill.router.relay_client import RelayClient
 
 # Endpoints with which one that seems to have crashed is compared.
 COMPARED_ENDPOINTS_MAX = 3
+# An endpoint in another zone accepts a connection within a few milliseconds; without an
+# answer, the end of a response is not held back for longer.
+CONFIRM_TIMEOUT_S = 0.25
 
 
 class EndpointChecks:
@@ -18,6 +25,12 @@
         Knows the other endpoints of a service.
     paths : PathProber
         Probes endpoints over this router's links.
+    pool : ChannelPool
+        Idle connections to endpoints.
+    clock : callable
+        Returns the current time.
+    connect : callable
+        Opens connections to endpoints.
 
     Attributes
     ----------
@@ -25,10 +38,47 @@
         Other routers, which are asked what they reach.
     """
 
-    def __init__(self, placer: EdgePlacer, paths: PathProber) -> None:
+    def __init__(
+        self,
+        placer: EdgePlacer,
+        paths: PathProber,
+        pool: ChannelPool,
+        clock: Callable[[], float],
+        connect: Connect,
+    ) -> None:
         self.relays: RelayClient | None = None
         self._placer = placer
         self._paths = paths
+        self._pool = pool
+        self._clock = clock
+        self._connect = connect
+
+    async def confirm_end(self, endpoint: Endpoint, head: ResponseHead) -> None:
+        """Check that a body without framing did not end because its endpoint crashed.
+
+        A process that ends closes its connections in the same way as one that has sent
+        all of a response.  Only an endpoint that isn't about to leave, and takes no
+        connection afterwards, has crashed.
+
+        Raises
+        ------
+        ChannelError
+            If the endpoint has crashed.
+        """
+        if head.framing != "close" or self._placer.is_leaving(endpoint):
+            return
+        try:
+            channel = await self._connect(endpoint.address, CONFIRM_TIMEOUT_S)
+        except ConnectionRefusedError as error:
+            if await self.has_crashed(endpoint):
+                message = "the endpoint ended with its response"
+                raise ChannelError(message) from error
+        except OSError as error:
+            # Nothing is known of the endpoint; its response ended without a fault.
+            self._paths.record_failure(endpoint, error)
+        else:
+            # The next request finds a connection in place of the one that has ended.
+            self._pool.give_back(endpoint.name, channel, None, self._clock())
 
     async def has_crashed(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint that refuses connections has crashed alone.
--- a/src/tamarackrill/router/relay_server.py
+++ b/src/tamarackrill/router/relay_server.py
@@ -207,8 +207,14 @@
         self._attempts.paths.record_answer(endpoint)
         fields = remove_relay_headers(filter_response_headers(head.headers))
         await reply.begin(head.status, [*fields, (OUTCOME_HEADER, ANSWERED)])
+        has_body = False
         while chunk := await channel.read_chunk():
+            has_body = True
             await reply.write(chunk)
+        # The other router sees a frame in any case, so it can't tell.
+        if head.framing == "close" and not has_body and answer_headers.is_event_stream:
+            raise ChannelError("the connection ended before the first event")
+        await self._attempts.checks.confirm_end(endpoint, head)
         reply.finish()
         if channel.finish():
             self._attempts.pool.give_back(
--- a/src/tamarackrill/testing/worker.py
+++ b/src/tamarackrill/testing/worker.py
@@ -285,12 +285,12 @@
         Further headers; `X_Y` is sent as ``X-Y``.
     """
     if framing == "length":
-        return make_answer(request, body, **headers)
+        return make_answer(request, body, 200, **headers)
     headers |= {"Content_Length": ""}
     if framing == "chunked":
         headers |= {"Transfer_Encoding": "chunked"}
         body = make_chunk(body) + make_chunk(b"")
-    return make_answer(request, body, **headers)
+    return make_answer(request, body, 200, **headers)
 
 
 async def reset_connection(writer: asyncio.StreamWriter) -> None:
