--- a/src/tamarackrill/router/edge_reply.py
+++ b/src/tamarackrill/router/edge_reply.py
@@ -6,6 +6,8 @@
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, ResponseStartLine
 
+from tamarackrill.router.sockets import reset_on_close
+
 
 class EdgeReply:
     """Writes one response.
@@ -16,6 +18,8 @@
         The client's connection, from which the request was read.
     must_close : bool
         Whether the connection is closed after this response.
+    takes_chunks : bool, default=True
+        Whether the client reads chunks, which HTTP/1.0 doesn't have.
 
     Attributes
     ----------
@@ -25,9 +29,15 @@
         Whether the response is complete or aborted.
     """
 
-    def __init__(self, connection: HTTP1Connection, must_close: bool) -> None:
+    def __init__(
+        self,
+        connection: HTTP1Connection,
+        must_close: bool,
+        takes_chunks: bool = True,
+    ) -> None:
         self._connection = connection
         self._must_close = must_close
+        self._takes_chunks = takes_chunks
         self.has_begun = False
         self.is_over = False
 
@@ -81,4 +91,6 @@
     def abort(self) -> None:
         """Close the connection so that a partial response can't pass for complete."""
         self.is_over = True
+        if not self._takes_chunks and not self._connection.stream.closed():
+            reset_on_close(self._connection.stream.socket)
         self._connection.close()
--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -270,7 +270,8 @@
     async def _serve(self) -> None:
         server = self._server
         must_close = server.is_leaving or server.sheds_connections
-        reply = EdgeReply(self._connection, must_close)
+        takes_chunks = self._start_line.version != "HTTP/1.0"
+        reply = EdgeReply(self._connection, must_close, takes_chunks)
         try:
             await self._match_and_serve(reply)
         except StreamClosedError:
--- a/src/tamarackrill/router/front.py
+++ b/src/tamarackrill/router/front.py
@@ -14,6 +14,7 @@
 from tamarackrill.router.flow import CallRunner
 from tamarackrill.router.members import Members
 from tamarackrill.router.metrics import Metrics
+from tamarackrill.router.sockets import reset_on_close
 from tamarackrill.router.upstream import (
     CurlAsyncHTTPClient,
 )
@@ -145,7 +146,10 @@
             return
         connection = self.request.connection
         if connection is not None:
-            connection.detach().close()
+            stream = connection.detach()
+            if self.request.version == "HTTP/1.0" and not stream.closed():
+                reset_on_close(stream.socket)
+            stream.close()
 
 
 def _build_refusal(status: int, reason: str) -> Refusal:
--- a/src/tamarackrill/router/sockets.py
+++ b/src/tamarackrill/router/sockets.py
@@ -1,6 +1,7 @@
 """Socket options that detect dead connections."""
 
 import socket
+import struct
 
 # A network path can fail without closing its connections, and a reader would wait
 # forever.  After this idle time, in seconds, the kernel sends TCP keepalive probes, and
@@ -13,6 +14,18 @@
 USER_TIMEOUT_MS = 700
 
 
+_LINGER_NOT = struct.pack("ii", 1, 0)
+
+
+def reset_on_close(sock: socket.socket) -> None:
+    """Let the close of a connection reset it; data that is not yet sent is dropped.
+
+    Without chunks or a length, the end of its connection ends a response, so only a
+    reset tells that part of it is missing.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NOT)
+
+
 def enable_keepalive(
     sock: socket.socket, user_timeout_ms: int = USER_TIMEOUT_MS
 ) -> None:
