--- a/src/tamarackrill/contracts.py
+++ b/src/tamarackrill/contracts.py
@@ -114,6 +114,8 @@
     cold_s : float
         How long it remained cold, so that it tolerates few requests per second, when
         its entry was written.
+    software_version : str
+        Version of its software, not of a model's weights; empty if not reported.
     """
 
     name: str
@@ -127,6 +129,7 @@
     vm: str = ""
     started_ms: int | None = None
     cold_s: float = 0.0
+    software_version: str = ""
 
 
 class Vm(NamedTuple):
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -154,10 +154,14 @@
         "time_left_s",
         "copy_from",
         "relay",
+        "software_version",
+        "last_event",
+        "resumed",
     ),
     "A request was sent to an endpoint; the fields give the reason for the choice, "
-    "the known load, the engine from which cached parts of the prompt are copied, and "
-    "the router that forwards it, if any.",
+    "the known load, the engine from which cached parts of the prompt are copied, the "
+    "router that forwards it, if any, the version of the endpoint's software, and, of "
+    "a stream that goes on, its last event and the client's attempt that began it.",
 )
 CALL_ATTEMPT_FAILED = Event(
     2203,
@@ -508,7 +512,7 @@
     5021,
     "endpoint_known",
     _INFO,
-    ("endpoint", "address", "state", "revision"),
+    ("endpoint", "address", "state", "software_version", "revision"),
     "The entry of an endpoint is new or has changed.",
 )
 ENDPOINT_HELD = Event(
--- a/src/tamarackrill/platform/headers.py
+++ b/src/tamarackrill/platform/headers.py
@@ -57,6 +57,9 @@
         API key of the team; empty if not given.
     last_event_id : int or None
         Last event of the stream that the client has received.
+    resumed_id : str
+        The client's attempt that brought the first event of the stream that this one
+        takes up; empty if not given.
     prompt_parts : tuple of PromptPart
         Parts of the prompt, in order; the last is specific to this request.
     prompt_tokens : int
@@ -69,6 +72,7 @@
     wait_s: float | None
     key: str
     last_event_id: int | None
+    resumed_id: str
     prompt_parts: tuple[PromptPart, ...]
     prompt_tokens: int
     forwarded_headers: tuple[tuple[str, str], ...]
@@ -124,6 +128,7 @@
         wait_s=None if wait_ms is None else wait_ms / 1000,
         key=headers.get("X-Api-Key", ""),
         last_event_id=None if last_id is None else int(last_id),
+        resumed_id=headers.get("Resumes", ""),
         prompt_parts=_read_parts(headers.get("X-Prompt-Prefix", "")),
         # The first number is the length of the prompt, the second the maximum length of
         # the answer.
--- a/src/tamarackrill/platform/objects.py
+++ b/src/tamarackrill/platform/objects.py
@@ -136,7 +136,6 @@
         programs other than workers may write such objects, and requests must not be
         sent to something that merely resembles a worker.
     """
-    _read_required(spec, "version", str)
     _read_required(spec, "sequence", int)
     return Endpoint(
         name=name,
@@ -149,6 +148,8 @@
         # Missing from workers of older releases.
         started_ms=_read_optional(spec, "born", int),
         cold_s=max(0.0, _read_number(spec, "cold_remaining_ms")) / 1000,
+        # The `version` in `models` is that of the weights.
+        software_version=_read_required(spec, "version", str),
     )
 
 
--- a/src/tamarackrill/router/deployment_view.py
+++ b/src/tamarackrill/router/deployment_view.py
@@ -206,6 +206,7 @@
                 endpoint=name,
                 address=endpoint.address,
                 state=endpoint.state,
+                software_version=endpoint.software_version,
                 revision=item.version,
             )
         self._endpoints[name] = endpoint
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -200,6 +200,9 @@
             time_left_s=call.deadline_s - started_s,
             copy_from="" if placed.copy_from is None else placed.copy_from.name,
             relay=relay,
+            software_version=endpoint.software_version,
+            last_event=progress.stream.last_id,
+            resumed=call.headers.resumed_id,
         )
         self._on_sent(call, progress.history.was_delivered)
         self._placer.start(call, placed, started_s)
