--- a/src/tamarackrill/testing/edge.py
+++ b/src/tamarackrill/testing/edge.py
@@ -149,6 +149,12 @@
         await self.wait(router.is_ready)
         return router
 
+    async def kill_router(self, router: EdgeApplication) -> None:
+        """End a router without telling the others."""
+        router._peer_socket.stop()
+        await router.stop()
+        self.routers.remove(router)
+
     def make_router(
         self,
         name: str,
