Don't end a stream of tamarackrilld with the error page of its engine

An engine that is asked to go on with a stream it doesn't know, as after its restart, answers 404, and a full one 503. The router appended that body to the stream's events and ended the answer as complete. Anything but an event stream with status 200 now leaves the stream cut, and the caller gets the error event.

--- a/src/tamarackrill/router/attempts.py
+++ b/src/tamarackrill/router/attempts.py
@@ -23,6 +23,7 @@
 # Longest event of a stream; a longer answer that is not a stream is no longer buffered
 # until it is complete.
 PIECE_MAX_BYTES = 1024 * 1024
+OK = 200
 SERVER_ERROR = 500
 OVERLOADED = 503
 CANCEL_PATH = "/v1/cancel/"
@@ -180,10 +181,15 @@
     try:
         head = await exchange.head()
         first_byte_s = clock() - sent_s
+        is_stream = call.stream and _is_event_stream(head)
+        if reply.count and not (is_stream and head.status == OK):
+            # An engine that has restarted doesn't know the stream.  Its error page would
+            # follow the events that the caller has, as if the answer were complete.
+            reason = f"stream resumed with status {head.status}"
+            return Attempt("cut", first_byte_s, 0, reason)
         is_overloaded = head.status == OVERLOADED
         if head.status >= SERVER_ERROR and not is_overloaded and not accept_errors:
             return Attempt("refused", first_byte_s, 0, f"status {head.status}")
-        is_stream = call.stream and _is_event_stream(head)
         pump = _pump_events if is_stream else _pump_buffered
         await pump(exchange, _strip_head(head), reply)
     except UpstreamError as error:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -12,6 +12,7 @@
 from tamarackrill.router.upstream import (
     UNREAD_MAX_BYTES,
     Exchange,
+    Head,
     UpstreamError,
     make_client,
 )
@@ -217,8 +218,14 @@
     assert asyncio.run(run()) == "not_sent"
 
 
-async def _attempt_at(call, answer):
-    """Return the outcome of an attempt at an endpoint that answers with these bytes."""
+async def _attempt_at(call, answer, events=()):
+    """Return the outcome of an attempt at an endpoint that answers with these bytes.
+
+    Parameters
+    ----------
+    events : sequence of bytes
+        Events that the caller has from an earlier attempt.
+    """
 
     async def serve(reader, writer):
         await reader.readuntil(b"\r\n\r\n")
@@ -232,8 +239,11 @@
     client = make_client()
     try:
         reply = Reply(False)
+        if events:
+            reply.start(Head(200, {"Content-Type": "text/event-stream"}))
+            reply.extend(list(events))
         attempt = await attempt_call(
-            client, call, endpoint, reply, 0, False, time.monotonic
+            client, call, endpoint, reply, len(events), False, time.monotonic
         )
         return attempt.outcome, reply.count
     finally:
@@ -279,3 +289,12 @@
     # forwarded as complete.
     call = make_call()._replace(kind="service", method="GET", body=b"")
     assert asyncio.run(_attempt_at(call, UNFRAMED_STREAM + body)) == expected
+
+
+@pytest.mark.parametrize("status", [200, 404, 503])
+def test_answer_that_is_no_stream_does_not_continue_one(status):
+    # Guards against a stream that ends as complete with an error page, if its engine has
+    # restarted, or is full, when it is asked to go on.
+    call = make_call()._replace(stream=True)
+    answer = b"HTTP/1.1 %d Status\r\nContent-Length: 4\r\n\r\ngone" % status
+    assert asyncio.run(_attempt_at(call, answer, [EVENT])) == ("cut", 1)
