Let streams go on only at the software version that began them

The router read neither the version of an endpoint nor Resumes, and placed a stream that a client takes up, or whose endpoint is lost within an answer, like any other.

Within an answer the router goes on only at endpoints of the version that sent the first event. For streams that clients take up, the router that forwards the first event tells two keepers, routers of two zones found by hashing the client's attempt, if the service has had more than one version for as long as a stream lasts; a router that such a client comes to asks them. Streams that began before the second version served are told once it does. With one version nothing is told or asked. A stream stays at the service of its first attempt on routes with several.

A state machine over eight routers that restart while versions change found that a fleet most of which had just started took the only version it had seen for that of older streams: replies tell whether their router has been there for long enough, and further routers are asked if none has.

--- /dev/null
+++ b/src/tamarackrill/decisions/stream_versions.py
@@ -0,0 +1,242 @@
+"""Which software version a stream began at, known to more than its first router.
+
+Load pattern: endpoints of several versions serve side by side for minutes, a router or
+a whole zone of routers fails, and its clients take hundreds of streams up at other
+routers within milliseconds.  What two versions write doesn't fit together, and
+endpoints don't check that.  Without this a router continues such a stream at any
+endpoint, and the client joins parts of two answers.
+
+While a service has several versions, the router that forwards a stream's first event
+tells the version to two keepers: routers of different zones that any router finds by
+hashing the client's attempt.  A router that a client comes back to asks them.  If
+nobody knows, the stream is refused, as a client can begin it again but can't tell the
+parts of two answers from each other.  While all endpoints have had one version for
+longer than any stream lasts, nothing is told and nothing is asked.
+"""
+
+import math
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from tamarackrill.contracts import Endpoint
+from tamarackrill.decisions import hashing
+
+# Two keepers in different zones survive the loss of a zone.  Three would take a router
+# of a fleet of 370 over 3 KB/s at the 18 streams that it begins per second.
+KEEPERS = 2
+# Routers that are asked: those that become keepers if two of the fleet are lost, which
+# may have happened to the list of either router.
+ASKED_KEEPERS = 4
+# Routers that are asked next, if all of these have just started: among eight further
+# ones, half of a fleet that has lost the other half is missed once in 256 times.
+ASKED_NEXT = 8
+# Keepers are chosen for groups of streams, so that their order is computed seldom.
+KEEPER_GROUPS = 256
+# A client comes back until its deadline, and then some while it is on its way.
+RETURN_SLACK_S = 2.0
+
+
+class StreamRecord(NamedTuple):
+    """Software version at which a stream began.
+
+    Parameters
+    ----------
+    stream : int
+        Hash of the client's attempt that brought the first event.
+    software_version : str
+        The version.
+    """
+
+    stream: int
+    software_version: str
+
+
+class Router(NamedTuple):
+    """A live router, as a possible keeper."""
+
+    name: str
+    zone: str
+
+
+def identify_stream(attempt_id: str) -> int:
+    """Return the number of a stream, from the attempt that brought its first event."""
+    # Thrift has signed integers only.
+    return hashing.hash_name(attempt_id) >> 1
+
+
+def order_keepers(stream: int, routers: Iterable[Router], count: int) -> list[str]:
+    """Return the routers that keep a stream's version, the first ones first.
+
+    The first two are in different zones if there are any.
+    """
+    zones = {router.name: router.zone for router in routers}
+    ranked = hashing.rank(f"stream/{stream % KEEPER_GROUPS}", sorted(zones))
+    if not ranked:
+        return []
+    first = ranked[0]
+    other = next((n for n in ranked if zones[n] != zones[first]), None)
+    if other is not None:
+        ranked.remove(other)
+        ranked.insert(1, other)
+    return ranked[:count]
+
+
+class StreamVersions:
+    """What one router knows of the versions of services and streams.
+
+    Parameters
+    ----------
+    started_s : float
+        When this router began to know the endpoints.
+    """
+
+    def __init__(self, started_s: float) -> None:
+        self._started_s = started_s
+        self._lifetime_s = math.inf
+        # When each version of a service was last seen.
+        self._seen_s: dict[str, dict[str, float]] = {}
+        # Services whose streams are told to keepers.
+        self._told: set[str] = set()
+        # Services whose history before the start of this router is known from others.
+        self._learned: set[str] = set()
+        self._own: dict[int, tuple[str, str, float]] = {}
+        self._kept: dict[int, tuple[str, float]] = {}
+
+    def observe_endpoints(
+        self, endpoints: Iterable[Endpoint], lifetime_s: float, now_s: float
+    ) -> list[StreamRecord]:
+        """Update the versions of all services.
+
+        Parameters
+        ----------
+        endpoints : iterable of Endpoint
+            All known endpoints, including those that are leaving.
+        lifetime_s : float
+            How long a stream lasts at most, over all attempts of its client.
+        now_s : float
+            Current time.
+
+        Returns
+        -------
+        list of StreamRecord
+            Streams of services that have a second version now, to be told to keepers.
+        """
+        self._lifetime_s = lifetime_s + RETURN_SLACK_S
+        for endpoint in endpoints:
+            for service in endpoint.serves:
+                seen_s = self._seen_s.setdefault(service, {})
+                seen_s[endpoint.software_version] = now_s
+        several = {
+            name for name in self._seen_s if len(self.list_versions(name, now_s)) > 1
+        }
+        began = several - self._told
+        self._told = several
+        return [
+            StreamRecord(stream, version)
+            for stream, (service, version, _) in self._own.items()
+            if service in began
+        ]
+
+    def list_versions(self, service: str, now_s: float) -> list[str]:
+        """Return the versions that streams may have begun at."""
+        oldest_s = now_s - self._lifetime_s
+        seen_s = self._seen_s.get(service, {})
+        return [name for name, last_s in seen_s.items() if last_s >= oldest_s]
+
+    def has_history(self, service: str, now_s: float) -> bool:
+        """Return whether `list_versions` reaches back to the start of all streams."""
+        if now_s - self._started_s >= self._lifetime_s:
+            return True
+        return service in self._learned
+
+    def learn(
+        self, service: str, replies: Iterable["KeeperReply"], now_s: float
+    ) -> None:
+        """Take over the history of routers that have been there for longer."""
+        for reply in replies:
+            if reply.has_history:
+                self._learned.add(service)
+                seen_s = self._seen_s.setdefault(service, {})
+                seen_s |= dict.fromkeys(reply.versions, now_s)
+
+    def begin(
+        self, stream: int, service: str, software_version: str, now_s: float
+    ) -> bool:
+        """Record a stream that this router begins or continues.
+
+        Returns
+        -------
+        bool
+            Whether its keepers have to know.
+        """
+        self._own[stream] = (service, software_version, now_s + self._lifetime_s)
+        return service in self._told
+
+    def keep(self, record: StreamRecord, now_s: float) -> None:
+        """Record what another router tells."""
+        expires_s = now_s + self._lifetime_s
+        self._kept[record.stream] = (record.software_version, expires_s)
+
+    def end(self, stream: int) -> None:
+        """Forget a stream that its client has received completely."""
+        self._own.pop(stream, None)
+
+    def find(self, stream: int) -> str | None:
+        """Return the version of a stream; None if it isn't known here."""
+        own = self._own.get(stream)
+        if own is not None:
+            return own[1]
+        kept = self._kept.get(stream)
+        return None if kept is None else kept[0]
+
+    def expire(self, now_s: float) -> None:
+        """Forget the streams that no client takes up any more."""
+        for stream in [s for s, (_, _, end_s) in self._own.items() if end_s <= now_s]:
+            del self._own[stream]
+        for stream in [s for s, (_, end_s) in self._kept.items() if end_s <= now_s]:
+            del self._kept[stream]
+
+    def count(self) -> Mapping[str, float]:
+        """Return the numbers of streams known, for metrics."""
+        return {"own": len(self._own), "kept": len(self._kept)}
+
+
+def conclude(known: Iterable[str], replies: Iterable["KeeperReply"]) -> str | None:
+    """Return the version of a stream from the replies of its keepers.
+
+    Parameters
+    ----------
+    known : iterable of str
+        Versions of the service that the asking router knows.
+    replies : iterable of KeeperReply
+        Replies to its questions.
+
+    Returns
+    -------
+    str or None
+        None if the stream may have begun at more than one version.
+    """
+    versions = set(known)
+    for reply in replies:
+        if reply.software_version:
+            return reply.software_version
+        versions.update(reply.versions)
+    return versions.pop() if len(versions) == 1 else None
+
+
+class KeeperReply(NamedTuple):
+    """What a keeper knows of a stream.
+
+    Parameters
+    ----------
+    software_version : str
+        The stream's version; empty if it isn't known.
+    versions : tuple of str
+        Versions of the service that streams may have begun at.
+    has_history : bool
+        Whether no stream can have begun at a version that is missing.
+    """
+
+    software_version: str
+    versions: tuple[str, ...]
+    has_history: bool
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -221,6 +221,16 @@
     ("request", "route", "after_s"),
     "A client closed its connection before the response was complete.",
 )
+STREAM_TAKEN_UP = Event(
+    2209,
+    "stream_taken_up",
+    _INFO,
+    ("request", "resumed", "service", "software_version", "source"),
+    "A client takes up a stream that an earlier attempt of it, `resumed`, began.  It "
+    "may go on only at `software_version`, which this router knows itself (`own`), "
+    "from a `keeper`, or because no other serves (`only`); if it is `unknown`, the "
+    "request is refused.",
+)
 ATTEMPT_RELAYED = Event(
     2208,
     "attempt_relayed",
--- a/src/tamarackrill/protocol/owner_codec.py
+++ b/src/tamarackrill/protocol/owner_codec.py
@@ -1,4 +1,6 @@
-"""Encoding and authentication of the messages to and from owners of endpoints.
+"""Encoding and authentication of the messages to and from owners and keepers.
+
+Owners count the requests at endpoints, keepers know the versions of streams.
 
 Gossip uses the same socket and keys; the domain separator prevents its datagrams from
 being accepted as these messages.
@@ -9,6 +11,7 @@
 from thriftpy2.protocol.compact import TCompactProtocol
 from thriftpy2.transport import TMemoryBuffer
 
+from tamarackrill.decisions.stream_versions import StreamRecord
 from tamarackrill.protocol import structs
 from tamarackrill.protocol.codec import MAC_BYTES, sign, verify
 
@@ -76,9 +79,44 @@
     is_granted: bool
 
 
-OwnerMessage = Ask | Answer | Release | PermitRequest | PermitReply
+class VersionQuestion(NamedTuple):
+    """Question for the version of a stream of a service."""
+
+    ticket: int
+    stream: int
+    service_name: str
+
+
+class VersionReply(NamedTuple):
+    """Reply of a keeper; see `KeeperReply`."""
 
-_KINDS: tuple[type[Any], ...] = (Ask, Answer, Release, PermitRequest, PermitReply)
+    ticket: int
+    software_version: str
+    versions: list[str]
+    has_history: bool
+
+
+OwnerMessage = (
+    Ask
+    | Answer
+    | Release
+    | PermitRequest
+    | PermitReply
+    | StreamRecord
+    | VersionQuestion
+    | VersionReply
+)
+
+_KINDS: tuple[type[Any], ...] = (
+    Ask,
+    Answer,
+    Release,
+    PermitRequest,
+    PermitReply,
+    StreamRecord,
+    VersionQuestion,
+    VersionReply,
+)
 
 
 def encode_owner_message(message: OwnerMessage, keys: tuple[str, ...]) -> bytes:
--- a/src/tamarackrill/protocol/owners.thrift
+++ b/src/tamarackrill/protocol/owners.thrift
@@ -1,5 +1,6 @@
-// Messages between a router with a request and the owner of an endpoint, in
-// Thrift's compact protocol over UDP.  Field numbers are never reused.
+// Messages between a router with a request and the owner of an endpoint or the keeper
+// of a stream's version, in Thrift's compact protocol over UDP.  Field numbers are never
+// reused.
 
 struct Ask {
   1: string sender
@@ -31,10 +32,32 @@
   2: bool is_granted
 }
 
+// Tells a keeper the software version at which a stream began.
+struct StreamRecord {
+  1: i64 stream
+  2: string software_version
+}
+
+struct VersionQuestion {
+  1: i64 ticket
+  2: i64 stream
+  3: string service_name
+}
+
+struct VersionReply {
+  1: i64 ticket
+  2: string software_version
+  3: list<string> versions
+  4: bool has_history
+}
+
 union OwnerMessage {
   1: Ask ask
   2: Answer answer
   3: Release release
   4: PermitRequest permitrequest
   5: PermitReply permitreply
+  6: StreamRecord streamrecord
+  7: VersionQuestion versionquestion
+  8: VersionReply versionreply
 }
--- a/src/tamarackrill/protocol/structs.py
+++ b/src/tamarackrill/protocol/structs.py
@@ -205,6 +205,44 @@
     default_spec = [("ticket", None), ("is_granted", None)]
 
 
+class StreamRecord(TPayload, metaclass=TPayloadMeta):
+    """Struct of owners.thrift."""
+
+    thrift_spec = {
+        1: (TType.I64, "stream", False),
+        2: (TType.STRING, "software_version", False),
+    }
+    default_spec = [("stream", None), ("software_version", None)]
+
+
+class VersionQuestion(TPayload, metaclass=TPayloadMeta):
+    """Struct of owners.thrift."""
+
+    thrift_spec = {
+        1: (TType.I64, "ticket", False),
+        2: (TType.I64, "stream", False),
+        3: (TType.STRING, "service_name", False),
+    }
+    default_spec = [("ticket", None), ("stream", None), ("service_name", None)]
+
+
+class VersionReply(TPayload, metaclass=TPayloadMeta):
+    """Struct of owners.thrift."""
+
+    thrift_spec = {
+        1: (TType.I64, "ticket", False),
+        2: (TType.STRING, "software_version", False),
+        3: (TType.LIST, "versions", TType.STRING, False),
+        4: (TType.BOOL, "has_history", False),
+    }
+    default_spec = [
+        ("ticket", None),
+        ("software_version", None),
+        ("versions", None),
+        ("has_history", None),
+    ]
+
+
 class OwnerMessage(TPayload, metaclass=TPayloadMeta):
     """Struct of owners.thrift."""
 
@@ -214,6 +252,9 @@
         3: (TType.STRUCT, "release", Release, False),
         4: (TType.STRUCT, "permitrequest", PermitRequest, False),
         5: (TType.STRUCT, "permitreply", PermitReply, False),
+        6: (TType.STRUCT, "streamrecord", StreamRecord, False),
+        7: (TType.STRUCT, "versionquestion", VersionQuestion, False),
+        8: (TType.STRUCT, "versionreply", VersionReply, False),
     }
     default_spec = [
         ("ask", None),
@@ -221,6 +262,9 @@
         ("release", None),
         ("permitrequest", None),
         ("permitreply", None),
+        ("streamrecord", None),
+        ("versionquestion", None),
+        ("versionreply", None),
     ]
 
 
--- a/src/tamarackrill/router/attempts.py
+++ b/src/tamarackrill/router/attempts.py
@@ -183,8 +183,8 @@
         first_byte_s = clock() - sent_s
         is_stream = call.stream and _is_event_stream(head)
         if reply.count and not (is_stream and head.status == OK):
-            # An engine that has restarted doesn't know the stream.  Its error page would
-            # follow the events that the caller has, as if the answer were complete.
+            # An engine that has restarted doesn't know the stream.  Its error page
+            # would follow the caller's events, as if the answer were complete.
             reason = f"stream resumed with status {head.status}"
             return Attempt("cut", first_byte_s, 0, reason)
         is_overloaded = head.status == OVERLOADED
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -80,6 +80,7 @@
 from tamarackrill.router.store_news import EvidenceExchange
 from tamarackrill.router.suspension import find_suspended_s
 from tamarackrill.router.upstream import close_client, make_client
+from tamarackrill.router.version_keepers import VersionKeepers
 
 # Timeout of a store call: at most this long, and this share of `news_max_s`. The store
 # responds in 4 ms, and in 250 ms when it is slow.
@@ -257,6 +258,8 @@
         metrics.add_gauge("in_flight", lambda: {"": len(self.server.in_flight)})
         metrics.add_gauge("repeats_left", self.flow.list_retries_left)
         metrics.add_gauge("endpoints", self._count_endpoints)
+        metrics.add_gauge("streams_known", lambda: dict(self.keepers.versions.count()))
+        metrics.add_gauge("stream_versions", lambda: dict(self.keepers.counts))
         metrics.add_gauge(
             "probes", lambda: dict(self.flow.attempts.paths.probe_outcomes)
         )
@@ -365,6 +368,10 @@
         ages_s = self.store_news.find_ages_s(self.clock())
         return ages_s.get(MANIFEST_KIND, math.inf) > self.settings.news_max_s
 
+    def _knows_current_endpoints(self) -> bool:
+        ages_s = self.store_news.find_ages_s(self.clock())
+        return ages_s.get(ENDPOINT_KIND, math.inf) <= self.settings.news_max_s
+
     def _record_store_call(self, call: StoreCall) -> None:
         self.metrics.record_store_call(
             call.kind, call.outcome, call.duration_s, call.size_bytes
@@ -422,6 +429,7 @@
         if table is not None:
             self.server.set_idle_timeout(table.manifest.limits.idle_timeout_s)
         self.store_news.tell()
+        self.keepers.update()
 
     def _drop_removed_endpoints(self) -> None:
         self.cold.update()
@@ -488,6 +496,16 @@
             lambda: self._fleet_size.largest,
         )
         self.flow.slots = self.slots
+        self.keepers = VersionKeepers(
+            self.view,
+            self.members,
+            self._peer_socket.send,
+            self._peer_keys,
+            self.clock,
+            self._knows_current_endpoints,
+        )
+        self.flow.keepers = self.keepers
+        self.flow.attempts.on_first_event = self.keepers.record_begin
         self.gossiper.subscribe(self.configuration_sync.observe_peer_state)
         self.gossiper.subscribe(self._observe_peer)
         self.gossiper.add_source(self._collect_entries)
@@ -495,6 +513,7 @@
         self._peer_socket.handlers.append(self.store_news.handle_datagram)
         self._peer_socket.handlers.append(self.placement_gossip.handle_datagram)
         self._peer_socket.handlers.append(self.permits.handle_datagram)
+        self._peer_socket.handlers.append(self.keepers.handle_datagram)
         self._peer_socket.handlers.append(self.slots.handle_datagram)
         self._peer_socket.handlers.append(self.gossiper.handle_datagram)
         await self.gossiper.start()
@@ -537,6 +556,7 @@
             self._fleet_size.observe(len(self.members.list_live()), self.clock())
             self.store_news.update_members()
             self.permits.update_members()
+            self.keepers.update()
             self.slots.expire()
             self._reporter_zones = {
                 hash_reporter(m.name): m.zone for m in self.members.list_live()
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -94,6 +94,9 @@
         self.history = AttemptHistory()
         self.avoid: set[str] = set()
         self.stream = EventStream(call.headers.last_event_id)
+        # The stream may only go on at this version; empty before its first event.
+        self.software_version = ""
+        self.has_events = False
         self.last_endpoint = ""
         self.failed_answer: CompleteAnswer | None = None
 
@@ -122,6 +125,9 @@
         Checks whether endpoints still live.
     on_crash : callable
         Called with the fingerprint of a request that crashed an endpoint.
+    on_first_event : callable
+        Called with a request and its endpoint's software version before the first event
+        of its stream is forwarded.
     relays : RelayClient or None
         Other routers through which endpoints are reached.
     """
@@ -152,6 +158,9 @@
             clock,
             connect,
         )
+        self.on_first_event: Callable[[EdgeCall, str], None] = lambda call, version: (
+            None
+        )
         self.checks = EndpointChecks(placer, self.paths, self.pool, clock, connect)
         self.on_crash: Callable[[int], None] = lambda fingerprint: None
         self.relays: RelayClient | None = None
@@ -493,6 +502,7 @@
                         head.status, filter_response_headers(head.headers)
                     )
                 if events:
+                    self._observe_events(progress, placed.endpoint)
                     await reply.write(events)
                     now_s = self._clock()
                     if last_s is not None:
@@ -502,6 +512,12 @@
                 reply.finish()
                 return
 
+    def _observe_events(self, progress: RequestProgress, endpoint: Endpoint) -> None:
+        if not progress.has_events:
+            progress.has_events = True
+            progress.software_version = endpoint.software_version
+            self.on_first_event(progress.call, endpoint.software_version)
+
     async def _read_piece(
         self, progress: RequestProgress, placed: EdgePlacement, channel: Channel
     ) -> bytes:
@@ -521,6 +537,9 @@
 
     def _has_other(self, progress: RequestProgress, placed: EdgePlacement) -> bool:
         avoid = progress.avoid | {placed.endpoint.name}
+        avoid |= self._placer.find_other_versions(
+            progress.call.service, progress.software_version
+        )
         return self._placer.has_endpoint(progress.call, avoid, self._clock())
 
     def _report_result(
--- a/src/tamarackrill/router/edge_calls.py
+++ b/src/tamarackrill/router/edge_calls.py
@@ -57,6 +57,11 @@
         """Whether the response is an event stream, which an engine generates."""
         return self.route.kind == "streaming"
 
+    @property
+    def is_taken_up(self) -> bool:
+        """Whether the client has received part of the stream by an earlier attempt."""
+        return self.is_stream and self.headers.last_event_id is not None
+
     @property
     def request_id(self) -> str:
         """Identifier of one attempt of the client."""
--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -37,6 +37,7 @@
 from tamarackrill.router.edge_placing import EdgePlacement, EdgePlacer, Overloaded
 from tamarackrill.router.edge_reply import EdgeReply
 from tamarackrill.router.metrics import Metrics
+from tamarackrill.router.version_keepers import VersionKeepers
 
 UNAVAILABLE_STATUS = 503
 # Cold endpoints for which a request asks permits before it goes to one that isn't cold:
@@ -61,6 +62,14 @@
         super().__init__("full", UNAVAILABLE_STATUS, "all endpoints are full")
 
 
+class _VersionUnknown(Refusal):
+    """A stream may have begun at another version than any endpoint has."""
+
+    def __init__(self) -> None:
+        message = "the software version that began the stream is not known"
+        super().__init__("version_unknown", UNAVAILABLE_STATUS, message)
+
+
 class EdgeFlow:
     """Serves requests: chooses endpoints, retries failed attempts, sends the response.
 
@@ -85,6 +94,8 @@
         Permits requests to cold endpoints; None permits all of them.
     slots : BrittleSlots or None
         Reserves slots of brittle endpoints; None reserves none.
+    keepers : VersionKeepers or None
+        Know the software versions of streams; None lets a stream go on anywhere.
     """
 
     def __init__(
@@ -108,6 +119,7 @@
         self.compute_failover_s: Callable[[], float | None] = lambda: None
         self.permits: ColdPermits | None = None
         self.slots: BrittleSlots | None = None
+        self.keepers: VersionKeepers | None = None
 
     def list_retries_left(self) -> dict[str, float]:
         """Return the retries left in this router's budget by service, for metrics."""
@@ -129,12 +141,13 @@
         self._find_share(call.service).note_request(self._clock())
         while True:
             try:
+                await self._restrict_version(progress)
                 placed = await self._place(progress)
             except Overloaded as overloaded:
                 _log_overloaded(call, overloaded)
                 await self._send_final_answer(progress, overloaded.code)
                 return
-            except (_AllCold, _AllFull) as refusal:
+            except (_AllCold, _AllFull, _VersionUnknown) as refusal:
                 await self._send_final_answer(progress, refusal.code)
                 return
             except Refusal as refusal:
@@ -160,6 +173,23 @@
             if await self._handle_failed_attempt(progress, placed, result):
                 return
 
+    async def _restrict_version(self, progress: RequestProgress) -> None:
+        """Find the version that a stream which a client takes up may go on at.
+
+        Raises
+        ------
+        _VersionUnknown
+            If it may have begun at more than one.
+        """
+        call = progress.call
+        is_known = bool(progress.software_version)
+        if is_known or not call.is_taken_up or self.keepers is None:
+            return
+        version = await self.keepers.find_version(call)
+        if version is None:
+            raise _VersionUnknown
+        progress.software_version = version
+
     async def _place(self, progress: RequestProgress) -> EdgePlacement | None:
         """Choose an endpoint for the request, and reserve a slot if it is brittle.
 
@@ -200,12 +230,15 @@
             If no endpoint may get it now.
         """
         call, permits = progress.call, self.permits
+        others = self._placer.find_other_versions(
+            call.service, progress.software_version
+        )
         refused: set[str] = set()
         permit_requests = relay_questions = 0
         while True:
             placed = self._placer.choose(
                 call,
-                progress.avoid.union(refused, full),
+                progress.avoid.union(refused, full, others),
                 self._clock(),
                 may_refuse=not progress.history.sent,
             )
@@ -293,6 +326,8 @@
         self, progress: RequestProgress, placed: EdgePlacement, result: AttemptResult
     ) -> None:
         call = progress.call
+        if progress.has_events and self.keepers is not None:
+            self.keepers.record_end(call)
         total_s = self._clock() - call.arrived_s
         self._metrics.count("calls_answered", call.route.kind)
         self._metrics.record_first_byte(call.route.kind, result.first_s or 0.0)
--- a/src/tamarackrill/router/edge_placing.py
+++ b/src/tamarackrill/router/edge_placing.py
@@ -260,6 +260,25 @@
         pool = self._view.find_pool(call.service)
         return bool(len(pool.exclude(self._find_unavailable(avoid, now_s))))
 
+    def find_other_versions(self, service: str, software_version: str) -> set[str]:
+        """Return the endpoints of a service whose software has another version.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        software_version : str
+            The version that a stream began at; empty if it may go to any.
+        """
+        if not software_version:
+            return set()
+        pool = self._view.find_full_pool(service)
+        return {
+            name
+            for name, endpoint in pool.by_name.items()
+            if endpoint.software_version != software_version
+        }
+
     def is_leaving(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint is known to be leaving, or to be gone."""
         known = self._view.find_endpoint(endpoint.name)
--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -165,7 +165,8 @@
             raise _Denied(503, "leaving", LEAVING_RETRY_AFTER_S)
         if not headers.request_id:
             raise _Denied(400, "no_request_id")
-        service = choose_service(route.shares, headers.request_id)
+        # A stream stays at the service that began it.
+        service = choose_service(route.shares, headers.resumed_id or headers.request_id)
         if service is None:
             raise _Denied(503, "no_service", NO_MANIFEST_RETRY_AFTER_S)
         timeout_s = route.timeout_s
--- /dev/null
+++ b/src/tamarackrill/router/version_keepers.py
@@ -0,0 +1,247 @@
+"""Tells the versions of streams to their keepers, and asks these for them."""
+
+import asyncio
+import itertools
+import secrets
+from collections import Counter
+from collections.abc import Callable, Iterable
+
+from tamarackrill.decisions.stream_versions import (
+    ASKED_KEEPERS,
+    ASKED_NEXT,
+    KEEPERS,
+    KeeperReply,
+    Router,
+    StreamRecord,
+    StreamVersions,
+    conclude,
+    identify_stream,
+    order_keepers,
+)
+from tamarackrill.events import STREAM_TAKEN_UP, log_event
+from tamarackrill.protocol.owner_codec import (
+    OwnerMessage,
+    VersionQuestion,
+    VersionReply,
+    decode_owner_message,
+    encode_owner_message,
+)
+from tamarackrill.router.deployment_view import DeploymentView
+from tamarackrill.router.edge_calls import EdgeCall
+from tamarackrill.router.members import Members
+
+# Two round trips between availability zones, and a late event loop on either side.
+REPLY_TIMEOUT_S = 0.04
+# Streams without a limit in the manifest last no longer than this.
+LIFETIME_DEFAULT_S = 60.0
+TICKET_BITS = 48
+
+
+class VersionKeepers:
+    """Client and server of the versions of streams; see `decisions.stream_versions`.
+
+    Parameters
+    ----------
+    view : DeploymentView
+        Current endpoints and routes.
+    members : Members
+        Live routers, including this one.
+    send : callable
+        Sends a datagram to a peer address.
+    peer_keys : tuple of str
+        The first key signs; all of them verify.
+    clock : callable
+        Returns the current time.
+    is_current : callable
+        Returns whether the known endpoints are as the platform has them now.
+
+    Attributes
+    ----------
+    counts : Counter
+        Records told and kept, and streams taken up by how their version was found.
+    """
+
+    def __init__(
+        self,
+        view: DeploymentView,
+        members: Members,
+        send: Callable[[str, bytes], None],
+        peer_keys: tuple[str, ...],
+        clock: Callable[[], float],
+        is_current: Callable[[], bool],
+    ) -> None:
+        self.counts: Counter[str] = Counter()
+        self.versions = StreamVersions(clock())
+        self._view = view
+        self._members = members
+        self._send = send
+        self._peer_keys = peer_keys
+        self._clock = clock
+        self._is_current = is_current
+        # Random, so that no reply to an earlier process on this address is accepted.
+        self._tickets = itertools.count(secrets.randbits(TICKET_BITS))
+        self._pending: dict[int, asyncio.Future[KeeperReply]] = {}
+
+    def update(self) -> None:
+        """Update the versions of all services, and forget streams that have ended."""
+        now_s = self._clock()
+        self.versions.expire(now_s)
+        endpoints = self._view.list_endpoints()
+        lifetime_s = self._find_lifetime_s()
+        for record in self.versions.observe_endpoints(endpoints, lifetime_s, now_s):
+            self._tell(record)
+
+    def record_begin(self, call: EdgeCall, software_version: str) -> None:
+        """Record the version of a stream before its first event is forwarded."""
+        stream = identify_stream(call.headers.resumed_id or call.request_id)
+        now_s = self._clock()
+        if self.versions.begin(stream, call.service, software_version, now_s):
+            self._tell(StreamRecord(stream, software_version))
+
+    def record_end(self, call: EdgeCall) -> None:
+        """Forget a stream that its client has received completely."""
+        self.versions.end(identify_stream(call.headers.resumed_id or call.request_id))
+
+    async def find_version(self, call: EdgeCall) -> str | None:
+        """Return the version that a stream may go on at, None if that isn't known.
+
+        Parameters
+        ----------
+        call : EdgeCall
+            Request of a client that takes a stream up.
+        """
+        version, source = await self._find(call)
+        self.counts[source] += 1
+        log_event(
+            STREAM_TAKEN_UP,
+            request=call.request_id,
+            resumed=call.headers.resumed_id,
+            service=call.service,
+            software_version=version or "",
+            source=source,
+        )
+        return version
+
+    async def _find(self, call: EdgeCall) -> tuple[str | None, str]:
+        """Return the version of a stream, and who knows it."""
+        stream = identify_stream(call.headers.resumed_id)
+        known = self.versions.find(stream)
+        if known is not None:
+            return known, "own"
+        now_s = self._clock()
+        versions = self.versions.list_versions(call.service, now_s)
+        is_current = self._is_current()
+        has_history = self.versions.has_history(call.service, now_s)
+        if len(versions) == 1 and is_current and has_history:
+            return versions[0], "only"
+        replies = await self._ask_in_turn(stream, call.service)
+        self.versions.learn(call.service, replies, self._clock())
+        if any(reply.software_version for reply in replies):
+            return conclude(versions, replies), "keeper"
+        # A router that hears of no change and reaches nobody can't tell that another
+        # version serves.
+        found = conclude(versions, replies) if is_current or replies else None
+        return found, "unknown" if found is None else "only"
+
+    async def _ask_in_turn(self, stream: int, service: str) -> list[KeeperReply]:
+        """Ask keepers until one knows the stream, then others for the versions."""
+        own = self._members.own.name
+        order = self._order_keepers(stream, ASKED_KEEPERS + ASKED_NEXT + 1)
+        others = [name for name in order if name != own]
+        keepers, further = others[:ASKED_KEEPERS], others[ASKED_KEEPERS:]
+        has_history = self.versions.has_history(service, self._clock())
+        replies: list[KeeperReply] = []
+        for asked in (keepers, keepers if has_history else further):
+            replies += await self._ask(asked, stream, service)
+            if any(reply.software_version for reply in replies):
+                break
+            versions = self.versions.list_versions(service, self._clock())
+            has_history = has_history or any(reply.has_history for reply in replies)
+            if has_history and replies and conclude(versions, replies) is not None:
+                break
+        return replies
+
+    async def _ask(
+        self, asked: Iterable[str], stream: int, service: str
+    ) -> list[KeeperReply]:
+        addresses = {m.name: m.peer_address for m in self._members.list_live()}
+        questions = {
+            next(self._tickets): addresses[name] for name in asked if name in addresses
+        }
+        if not questions:
+            return []
+        loop = asyncio.get_running_loop()
+        replies = {ticket: loop.create_future() for ticket in questions}
+        self._pending |= replies
+        for ticket, address in questions.items():
+            self._send_message(address, VersionQuestion(ticket, stream, service))
+        try:
+            async with asyncio.timeout(REPLY_TIMEOUT_S):
+                for reply in asyncio.as_completed(list(replies.values())):
+                    if (await reply).software_version:
+                        break
+        except TimeoutError:
+            # Those that have replied are enough, or are asked again.
+            self.counts["keepers_silent"] += 1
+        finally:
+            for ticket in replies:
+                del self._pending[ticket]
+        return [reply.result() for reply in replies.values() if reply.done()]
+
+    def _order_keepers(self, stream: int, count: int) -> list[str]:
+        routers = [Router(m.name, m.zone) for m in self._members.list_live()]
+        return order_keepers(stream, routers, count)
+
+    def _tell(self, record: StreamRecord) -> None:
+        own = self._members.own.name
+        addresses = {m.name: m.peer_address for m in self._members.list_live()}
+        for name in self._order_keepers(record.stream, KEEPERS):
+            if name == own:
+                self.versions.keep(record, self._clock())
+            else:
+                self.counts["told"] += 1
+                self._send_message(addresses[name], record)
+
+    def _send_message(self, address: str, message: OwnerMessage) -> None:
+        if address:
+            self._send(address, encode_owner_message(message, self._peer_keys))
+
+    def handle_datagram(self, datagram: bytes, source: str) -> bool:
+        """Process a datagram; return whether it was about versions of streams."""
+        message = decode_owner_message(datagram, self._peer_keys)
+        if isinstance(message, StreamRecord):
+            self.counts["kept"] += 1
+            self.versions.keep(message, self._clock())
+        elif isinstance(message, VersionQuestion):
+            self._reply(message, source)
+        elif isinstance(message, VersionReply):
+            pending = self._pending.get(message.ticket)
+            if pending is not None and not pending.done():
+                pending.set_result(
+                    KeeperReply(
+                        message.software_version,
+                        tuple(message.versions),
+                        message.has_history,
+                    )
+                )
+        else:
+            return False
+        return True
+
+    def _reply(self, question: VersionQuestion, source: str) -> None:
+        service, now_s = question.service_name, self._clock()
+        reply = VersionReply(
+            question.ticket,
+            self.versions.find(question.stream) or "",
+            self.versions.list_versions(service, now_s),
+            self.versions.has_history(service, now_s),
+        )
+        self._send_message(source, reply)
+
+    def _find_lifetime_s(self) -> float:
+        table = self._view.routes
+        routes = () if table is None else table.manifest.routes
+        return max(
+            (route.timeout_s for route in routes if route.kind == "streaming"),
+            default=LIFETIME_DEFAULT_S,
+        )
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -277,3 +277,12 @@
         assert not fleet.list_resumed()
 
     run_fleet(act, versions=("v1", "v2"), is_cut=True)
+
+
+def test_nothing_is_told_while_all_endpoints_have_one_version():
+    # Guards against a cost for each stream while nobody needs to know its version.
+    async def act(fleet):
+        await begin_all(fleet, fleet.routers[0])
+        assert not any(router.keepers.counts["told"] for router in fleet.routers)
+
+    run_fleet(act, versions=("v1", "v1"))
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -293,8 +293,8 @@
 
 @pytest.mark.parametrize("status", [200, 404, 503])
 def test_answer_that_is_no_stream_does_not_continue_one(status):
-    # Guards against a stream that ends as complete with an error page, if its engine has
-    # restarted, or is full, when it is asked to go on.
+    # Guards against a stream that ends as complete with an error page, if its engine
+    # has restarted, or is full, when it is asked to go on.
     call = make_call()._replace(stream=True)
     answer = b"HTTP/1.1 %d Status\r\nContent-Length: 4\r\n\r\ngone" % status
     assert asyncio.run(_attempt_at(call, answer, [EVENT])) == ("cut", 1)
