Keep the version of a stream in its own zone and in another one

The router that tells a version now chooses one keeper in its own zone and one in another; a router that asks takes the first routers of each zone. The state machine and the tests over sockets pass as before.

--- a/src/tamarackrill/decisions/stream_versions.py
+++ b/src/tamarackrill/decisions/stream_versions.py
@@ -7,29 +7,27 @@
 endpoint, and the client joins parts of two answers.
 
 While a service has several versions, the router that forwards a stream's first event
-tells the version to two keepers: routers of different zones that any router finds by
-hashing the client's attempt.  A router that a client comes back to asks them.  If
-nobody knows, the stream is refused, as a client can begin it again but can't tell the
-parts of two answers from each other.  While all endpoints have had one version for
-longer than any stream lasts, nothing is told and nothing is asked.
+tells the version to two keepers: routers of its own zone and of another one, which any
+router finds by hashing the client's attempt.  A router that a client comes back to asks
+them.  If nobody knows, the stream is refused, as a client can begin it again but can't
+tell the parts of two answers from each other.  While all endpoints have had one version
+for longer than any stream lasts, nothing is told and nothing is asked.
 """
 
 import math
 from collections.abc import Iterable, Mapping
+from functools import lru_cache
 from typing import NamedTuple
 
 from tamarackrill.contracts import Endpoint
 from tamarackrill.decisions import hashing
 
-# Two keepers in different zones survive the loss of a zone.  Three would take a router
-# of a fleet of 370 over 3 KB/s at the 18 streams that it begins per second.
+# With three, a router of a fleet of 370 would send over 3 KB/s for the 18 streams that
+# it begins per second.
 KEEPERS = 2
-# Routers that are asked: those that become keepers if two of the fleet are lost, which
-# may have happened to the list of either router.
-ASKED_KEEPERS = 4
-# Routers that are asked next, if all of these have just started: among eight further
-# ones, half of a fleet that has lost the other half is missed once in 256 times.
-ASKED_NEXT = 8
+# Routers that are asked in each zone; one more in the own one, whose first may have
+# been the router that began the stream.
+ASKED_PER_ZONE = 2
 # Keepers are chosen for groups of streams, so that their order is computed seldom.
 KEEPER_GROUPS = 256
 # A client comes back until its deadline, and then some while it is on its way.
@@ -64,21 +62,54 @@
     return hashing.hash_name(attempt_id) >> 1
 
 
-def order_keepers(stream: int, routers: Iterable[Router], count: int) -> list[str]:
-    """Return the routers that keep a stream's version, the first ones first.
+@lru_cache(maxsize=KEEPER_GROUPS)
+def _rank_zones(group: int, routers: tuple[Router, ...]) -> dict[str, list[str]]:
+    """Return the routers of each zone in their order as keepers; zones are ordered."""
+    key = f"stream/{group}"
+    names: dict[str, list[str]] = {}
+    for router in routers:
+        names.setdefault(router.zone, []).append(router.name)
+    return {
+        zone: hashing.rank(key, names[zone]) for zone in hashing.rank(key, [*names])
+    }
 
-    The first two are in different zones if there are any.
+
+def choose_keepers(
+    stream: int, routers: tuple[Router, ...], teller: Router
+) -> list[str]:
+    """Return the routers that are told the version of a stream.
+
+    One is in the zone of the router that tells it, so that a zone that is cut off still
+    knows its own streams, and one is in another zone.
+
+    Parameters
+    ----------
+    stream : int
+        The stream.
+    routers : tuple of Router
+        Live routers.
+    teller : Router
+        The router that knows the version.
+    """
+    ranked = _rank_zones(stream % KEEPER_GROUPS, routers)
+    own_zone = [n for n in ranked.get(teller.zone, ()) if n != teller.name]
+    elsewhere = [names[0] for zone, names in ranked.items() if zone != teller.zone]
+    return [*own_zone[:1], *elsewhere, *own_zone[1:]][:KEEPERS]
+
+
+def choose_asked(stream: int, routers: tuple[Router, ...], asker: Router) -> list[str]:
+    """Return the routers that are asked for the version of a stream.
+
+    They are the keepers whatever zone the stream began in, and those that became
+    keepers in their place if the router that told them knew a router more or less.
     """
-    zones = {router.name: router.zone for router in routers}
-    ranked = hashing.rank(f"stream/{stream % KEEPER_GROUPS}", sorted(zones))
-    if not ranked:
-        return []
-    first = ranked[0]
-    other = next((n for n in ranked if zones[n] != zones[first]), None)
-    if other is not None:
-        ranked.remove(other)
-        ranked.insert(1, other)
-    return ranked[:count]
+    ranked = _rank_zones(stream % KEEPER_GROUPS, routers)
+    asked = [
+        name
+        for zone, names in ranked.items()
+        for name in names[: ASKED_PER_ZONE + (zone == asker.zone)]
+    ]
+    return [name for name in asked if name != asker.name]
 
 
 class StreamVersions:
--- a/src/tamarackrill/router/version_keepers.py
+++ b/src/tamarackrill/router/version_keepers.py
@@ -7,16 +7,14 @@
 from collections.abc import Callable, Iterable
 
 from tamarackrill.decisions.stream_versions import (
-    ASKED_KEEPERS,
-    ASKED_NEXT,
-    KEEPERS,
     KeeperReply,
     Router,
     StreamRecord,
     StreamVersions,
+    choose_asked,
+    choose_keepers,
     conclude,
     identify_stream,
-    order_keepers,
 )
 from tamarackrill.events import STREAM_TAKEN_UP, log_event
 from tamarackrill.protocol.owner_codec import (
@@ -32,6 +30,8 @@
 
 # Two round trips between availability zones, and a late event loop on either side.
 REPLY_TIMEOUT_S = 0.04
+# A datagram may be lost.
+QUESTIONS_MAX = 2
 # Streams without a limit in the manifest last no longer than this.
 LIFETIME_DEFAULT_S = 60.0
 TICKET_BITS = 48
@@ -81,10 +81,16 @@
         # Random, so that no reply to an earlier process on this address is accepted.
         self._tickets = itertools.count(secrets.randbits(TICKET_BITS))
         self._pending: dict[int, asyncio.Future[KeeperReply]] = {}
+        self._own = Router(members.own.name, members.own.zone)
+        self._routers: tuple[Router, ...] = ()
+        self._addresses: dict[str, str] = {}
 
     def update(self) -> None:
-        """Update the versions of all services, and forget streams that have ended."""
+        """Update routers and versions, and forget streams that have ended."""
         now_s = self._clock()
+        live = self._members.list_live()
+        self._routers = tuple(Router(member.name, member.zone) for member in live)
+        self._addresses = {member.name: member.peer_address for member in live}
         self.versions.expire(now_s)
         endpoints = self._view.list_endpoints()
         lifetime_s = self._find_lifetime_s()
@@ -134,7 +140,7 @@
         has_history = self.versions.has_history(call.service, now_s)
         if len(versions) == 1 and is_current and has_history:
             return versions[0], "only"
-        replies = await self._ask_in_turn(stream, call.service)
+        replies = await self._ask_keepers(stream, call.service)
         self.versions.learn(call.service, replies, self._clock())
         if any(reply.software_version for reply in replies):
             return conclude(versions, replies), "keeper"
@@ -143,38 +149,29 @@
         found = conclude(versions, replies) if is_current or replies else None
         return found, "unknown" if found is None else "only"
 
-    async def _ask_in_turn(self, stream: int, service: str) -> list[KeeperReply]:
-        """Ask keepers until one knows the stream, then others for the versions."""
-        own = self._members.own.name
-        order = self._order_keepers(stream, ASKED_KEEPERS + ASKED_NEXT + 1)
-        others = [name for name in order if name != own]
-        keepers, further = others[:ASKED_KEEPERS], others[ASKED_KEEPERS:]
-        has_history = self.versions.has_history(service, self._clock())
-        replies: list[KeeperReply] = []
-        for asked in (keepers, keepers if has_history else further):
-            replies += await self._ask(asked, stream, service)
-            if any(reply.software_version for reply in replies):
+    async def _ask_keepers(self, stream: int, service: str) -> list[KeeperReply]:
+        """Ask all possible keepers, and once more those that are silent."""
+        asked = choose_asked(stream, self._routers, self._own)
+        replies: dict[str, KeeperReply] = {}
+        for _ in range(QUESTIONS_MAX):
+            silent = [name for name in asked if name not in replies]
+            replies |= await self._ask(silent, stream, service)
+            if any(reply.software_version for reply in replies.values()):
                 break
-            versions = self.versions.list_versions(service, self._clock())
-            has_history = has_history or any(reply.has_history for reply in replies)
-            if has_history and replies and conclude(versions, replies) is not None:
-                break
-        return replies
+        return list(replies.values())
 
     async def _ask(
         self, asked: Iterable[str], stream: int, service: str
-    ) -> list[KeeperReply]:
-        addresses = {m.name: m.peer_address for m in self._members.list_live()}
-        questions = {
-            next(self._tickets): addresses[name] for name in asked if name in addresses
-        }
+    ) -> dict[str, KeeperReply]:
+        """Return the replies that come in time, by the router that sends them."""
+        questions = {next(self._tickets): name for name in asked}
         if not questions:
-            return []
+            return {}
         loop = asyncio.get_running_loop()
         replies = {ticket: loop.create_future() for ticket in questions}
         self._pending |= replies
-        for ticket, address in questions.items():
-            self._send_message(address, VersionQuestion(ticket, stream, service))
+        for ticket, name in questions.items():
+            self._send_message(name, VersionQuestion(ticket, stream, service))
         try:
             async with asyncio.timeout(REPLY_TIMEOUT_S):
                 for reply in asyncio.as_completed(list(replies.values())):
@@ -186,23 +183,19 @@
         finally:
             for ticket in replies:
                 del self._pending[ticket]
-        return [reply.result() for reply in replies.values() if reply.done()]
-
-    def _order_keepers(self, stream: int, count: int) -> list[str]:
-        routers = [Router(m.name, m.zone) for m in self._members.list_live()]
-        return order_keepers(stream, routers, count)
+        return {
+            questions[ticket]: reply.result()
+            for ticket, reply in replies.items()
+            if reply.done()
+        }
 
     def _tell(self, record: StreamRecord) -> None:
-        own = self._members.own.name
-        addresses = {m.name: m.peer_address for m in self._members.list_live()}
-        for name in self._order_keepers(record.stream, KEEPERS):
-            if name == own:
-                self.versions.keep(record, self._clock())
-            else:
-                self.counts["told"] += 1
-                self._send_message(addresses[name], record)
-
-    def _send_message(self, address: str, message: OwnerMessage) -> None:
+        for name in choose_keepers(record.stream, self._routers, self._own):
+            self.counts["told"] += 1
+            self._send_message(name, record)
+
+    def _send_message(self, router: str, message: OwnerMessage) -> None:
+        address = self._addresses.get(router)
         if address:
             self._send(address, encode_owner_message(message, self._peer_keys))
 
@@ -236,7 +229,7 @@
             self.versions.list_versions(service, now_s),
             self.versions.has_history(service, now_s),
         )
-        self._send_message(source, reply)
+        self._send(source, encode_owner_message(reply, self._peer_keys))
 
     def _find_lifetime_s(self) -> float:
         table = self._view.routes
