--- a/bench/stream_versions.py
+++ b/bench/stream_versions.py
@@ -145,7 +145,8 @@
         routers = tuple(Router(f"r{n}", f"z{n % zone_count}") for n in range(count))
         print(f"{count} routers in {zone_count} zones")
         for way in WAYS:
-                shares = [
+            told = len(set(way.told(1, routers, routers[0])))
+            shares = [
                 find_share(way, fault, routers, random.Random(SEED)) for fault in FAULTS
             ]
             cells = "  ".join(
