Soak streams over two software versions, with answers that are broken off

Routers as processes, workers of two versions that change, half of the answers without framing, a tenth ended inside an event (framed as complete or not), kills of some or all routers; callers take streams up at any router. The first run found the soak's own proxy: its resets were orderly closes, so that a stream cut between two events at a live endpoint looked whole; they are resets now, as their name says.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,6 +3,8 @@
 import asyncio
 from typing import Literal
 
+from tamarackrill.router.sockets import reset_on_close
+
 Mode = Literal["pass", "delay", "silence", "one_way", "refuse"]
 DELAY_S = 0.15
 CHUNK_BYTES = 65536
@@ -47,7 +49,7 @@
     def reset(self) -> None:
         """Reset all open connections."""
         for writer in list(self._writers):
-            writer.transport.abort()
+            _reset(writer)
 
     async def stop(self) -> None:
         """Stop listening and reset all open connections."""
@@ -83,7 +85,8 @@
             )
         except (OSError, asyncio.CancelledError):
             # Either side may disconnect at any time, and `stop` cancels open relays.
-            return
+            for each in both:
+                _reset(each)
         finally:
             self._writers -= both
             for each in both:
@@ -104,3 +107,10 @@
             await writer.drain()
         if writer.can_write_eof():
             writer.write_eof()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection; closed without that, it would seem to end properly."""
+    if not writer.transport.is_closing():
+        reset_on_close(writer.get_extra_info("socket"))
+    writer.transport.abort()
--- a/soak/run.py
+++ b/soak/run.py
@@ -139,12 +139,15 @@
                     await proxy.stop()
         return violations
 
-    async def _start(self, fleet: EdgeFleet) -> None:
+    async def _start_workers(self, fleet: EdgeFleet) -> None:
         for number in range(WORKERS):
             await self._add_worker(fleet, f"desk-{number}", "desk", answer_ok)
             await self._add_worker(
                 fleet, f"writer-{number}", "writer", make_streaming(EVENTS)
             )
+
+    async def _start(self, fleet: EdgeFleet) -> None:
+        await self._start_workers(fleet)
         peer_port = find_free_port()
         for number, zone in enumerate(self._topology.zones):
             await self._add_router(fleet, number, zone, peer_port)
@@ -183,7 +186,12 @@
         self._routers.append(router)
 
     async def _add_worker(
-        self, fleet: EdgeFleet, name: str, service: str, behave: Behave
+        self,
+        fleet: EdgeFleet,
+        name: str,
+        service: str,
+        behave: Behave,
+        version: str = "v1",
     ) -> None:
         worker = Worker(name, behave)
         await worker.start()
@@ -194,7 +202,7 @@
         zone = "z"
         if self._topology.has_evacuations:
             zone = WORKER_ZONES[len(self._worker_zones) // 2 % len(WORKER_ZONES)]
-        spec = worker.describe(service, zone, address=proxy.address)
+        spec = worker.describe(service, zone, address=proxy.address, version=version)
         self._worker_zones[name] = zone
         self._entries[name] = spec
         await fleet.store.write("servers", name, spec)
@@ -204,7 +212,7 @@
         until_s = loop.time() + FAULTS_S + RECOVERY_S
         addresses = [router.addresses.callers for router in self._routers]
         callers = [
-            Caller(f"caller-{number}", addresses, self._rng, self.exchanges)
+            self._make_caller(f"caller-{number}", addresses)
             for number in range(CALLERS)
         ]
         caller_tasks = [asyncio.create_task(caller.run(until_s)) for caller in callers]
@@ -231,7 +239,7 @@
         violations = [
             *self._unexpected_exits,
             *outdated,
-            *find_violations(self.exchanges, fleet.workers),
+            *self._find_violations(fleet),
         ]
         late = [a for a in self.exchanges if a.sent_s > recovered_s + RECOVERY_S / 2]
         served = [
@@ -241,6 +249,12 @@
             violations.append(f"{len(served)} of {len(late)} served after recovery")
         return violations
 
+    def _make_caller(self, name: str, addresses: list[str]) -> Caller:
+        return Caller(name, addresses, self._rng, self.exchanges)
+
+    def _find_violations(self, fleet: EdgeFleet) -> list[str]:
+        return find_violations(self.exchanges, fleet.workers)
+
     async def _watch_exits(self) -> None:
         """Record unexpected exits of routers, and restart these routers."""
         while True:
@@ -306,6 +320,9 @@
         await fleet.evacuate(zone, False)
 
     async def _inject_fault(self, fleet: EdgeFleet) -> None:
+        await self._rng.choice(self._list_injectors())(fleet)
+
+    def _list_injectors(self) -> tuple[FaultInjector, ...]:
         injectors: tuple[FaultInjector, ...] = (
             self._fault_router,
             self._fault_worker_path,
@@ -321,7 +338,7 @@
             )
         if self._topology.has_evacuations:
             injectors += (self._evacuate_zone,)
-        await self._rng.choice(injectors)(fleet)
+        return injectors
 
     async def _fault_startup(self, fleet: EdgeFleet) -> None:
         """Restart a router, and send it one to three signals while it starts."""
@@ -462,7 +479,11 @@
 
 def run_seed(seed: int, folder: Path, topology: Topology = ONE_ZONE) -> list[str]:
     """Run one seed, and return a description of each violated guarantee."""
-    soak = Soak(seed, folder, topology)
+    return report(seed, Soak(seed, folder, topology))
+
+
+def report(seed: int, soak: Soak) -> list[str]:
+    """Run a soak test, print its result, and return the violated guarantees."""
     violations = asyncio.run(soak.run())
     statuses: dict[str, int] = {}
     for item in soak.exchanges:
--- a/src/tamarackrill/testing/worker.py
+++ b/src/tamarackrill/testing/worker.py
@@ -1,12 +1,12 @@
 """Simulated worker of the users' platform, with full control of the bytes it sends."""
 
 import asyncio
-import socket
-import struct
 from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import Literal, NamedTuple
 
+from tamarackrill.router.sockets import reset_on_close
+
 HEAD_END = b"\r\n\r\n"
 SIGNATURE = "made-by-a-worker"
 
@@ -296,8 +296,7 @@
 async def reset_connection(writer: asyncio.StreamWriter) -> None:
     """Send what is buffered, then reset the connection."""
     await writer.drain()
-    connection: socket.socket = writer.get_extra_info("socket")
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    reset_on_close(writer.get_extra_info("socket"))
     writer.transport.abort()
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,7 +1,7 @@
 """Short soak test runs, including seeds that once failed."""
 
 import pytest
-from soak import cuts, native
+from soak import cuts, native, versions
 from soak.run import (
     EVACUATED_ZONES,
     RESTORED_STORE,
@@ -53,3 +53,10 @@
     # some routers are cut off from all of these, and against paths that are kept after
     # the cuts.
     assert cuts.run_seed(seed) == []
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_streams_hold_one_version_and_end_whole_or_cut(seed):
+    # Guards against streams of two software versions, and against broken-off ones that
+    # look complete, while routers are killed and workers change their version.
+    assert versions.run_seed(seed) == []
