Ignore the reply of a router that has gone when looking for paths

A router that is suspected while it is asked is removed from the list; its reply then added a path through it, and the request that took the path found no address for it. The reply is ignored now. The new test failed before; it needs no load.

--- a/src/tamarackrill/decisions/relays.py
+++ b/src/tamarackrill/decisions/relays.py
@@ -185,6 +185,9 @@
             Endpoints that are now reachable through this router.
         """
         self._unanswered.discard(router)
+        if router not in self._zones:
+            # It left the list of routers while it was asked.
+            return []
         found = [
             name
             for name in reached
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -204,3 +204,14 @@
             carried[paths.choose("e", own.zone, f"{own.name}-{number}")] += 1
     mean = sum(carried.values()) / (len(routers) - len(cut))
     assert max(carried.values()) <= 4 * mean
+
+
+def test_reply_of_a_router_that_has_gone_gives_no_path():
+    # Guards against requests that end without an answer, as there is no address for
+    # the router through which they should go.
+    paths = make_paths()
+    (question, *_) = paths.list_questions(0.0)
+    left = [router for router in ROUTERS if router.name != question.router]
+    paths.observe_routers(left)
+    assert paths.observe_reply(question.router, question.endpoints, 0.1) == []
+    assert not paths.reachable
