Deliver an answer without framing by its deadline

The check now ends at the deadline, and the answer counts as complete. A connection that times out starts a probe, as a short time limit says little about the path. The new test failed before (504 in place of 200).

--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -466,7 +466,7 @@
             await self._relay(progress, placed, channel, head)
             return AttemptResult("answered")
         body = await _read_body(channel)
-        await self.checks.confirm_end(placed.endpoint, head)
+        await self.checks.confirm_end(placed.endpoint, head, progress.call.deadline_s)
         answer = CompleteAnswer(head, body)
         if head.status >= SERVER_ERROR_MIN:
             return AttemptResult("failed", f"status {head.status}", answer)
@@ -495,7 +495,9 @@
                 events = stream.take(piece)
             else:
                 events = stream.finish(is_framed=head.framing != "close")
-                await self.checks.confirm_end(placed.endpoint, head)
+                await self.checks.confirm_end(
+                    placed.endpoint, head, progress.call.deadline_s
+                )
             if events or not piece:
                 if not reply.has_begun:
                     await reply.begin(
--- a/src/tamarackrill/router/endpoint_checks.py
+++ b/src/tamarackrill/router/endpoint_checks.py
@@ -1,19 +1,17 @@
 """Checks whether an endpoint still lives, by new connections to it."""
 
+import math
 from collections.abc import Callable
 
 from tamarackrill.contracts import Endpoint
 from tamarackrill.router.channel_pool import ChannelPool
 from tamarackrill.router.channels import ChannelError, Connect, ResponseHead
 from tamarackrill.router.edge_placing import EdgePlacer
-from tamarackrill.router.paths import PathProber
+from tamarackrill.router.paths import CONNECT_TIMEOUT_S, PathProber
 from tamarackrill.router.relay_client import RelayClient
 
 # Endpoints with which one that seems to have crashed is compared.
 COMPARED_ENDPOINTS_MAX = 3
-# An endpoint in another zone accepts a connection within a few milliseconds; without an
-# answer, the end of a response is not held back for longer.
-CONFIRM_TIMEOUT_S = 0.25
 
 
 class EndpointChecks:
@@ -53,12 +51,24 @@
         self._clock = clock
         self._connect = connect
 
-    async def confirm_end(self, endpoint: Endpoint, head: ResponseHead) -> None:
+    async def confirm_end(
+        self, endpoint: Endpoint, head: ResponseHead, deadline_s: float = math.inf
+    ) -> None:
         """Check that a body without framing did not end because its endpoint crashed.
 
         A process that ends closes its connections in the same way as one that has sent
         all of a response.  Only an endpoint that isn't about to leave, and takes no
-        connection afterwards, has crashed.
+        connection afterwards, has crashed.  Without an answer by the deadline nothing
+        is known, and the response counts as complete.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+            The endpoint.
+        head : ResponseHead
+            Head of its response.
+        deadline_s : float, optional
+            When the client gives up.
 
         Raises
         ------
@@ -67,15 +77,18 @@
         """
         if head.framing != "close" or self._placer.is_leaving(endpoint):
             return
+        timeout_s = min(CONNECT_TIMEOUT_S, deadline_s - self._clock())
+        if timeout_s <= 0:
+            return
         try:
-            channel = await self._connect(endpoint.address, CONFIRM_TIMEOUT_S)
+            channel = await self._connect(endpoint.address, timeout_s)
         except ConnectionRefusedError as error:
             if await self.has_crashed(endpoint):
                 message = "the endpoint ended with its response"
                 raise ChannelError(message) from error
-        except OSError as error:
+        except OSError:
             # Nothing is known of the endpoint; its response ended without a fault.
-            self._paths.record_failure(endpoint, error)
+            self._paths.probe(endpoint)
         else:
             # The next request finds a connection in place of the one that has ended.
             self._pool.give_back(endpoint.name, channel, None, self._clock())
--- a/tests/test_broken_off.py
+++ b/tests/test_broken_off.py
@@ -213,6 +213,29 @@
     run_in_fleet(act)
 
 
+def test_whole_answer_is_delivered_if_its_endpoint_can_no_longer_be_reached():
+    # Guards against an answer that is ready and is lost at its deadline, while the
+    # router tries to learn whether the endpoint has crashed.
+    async def act(fleet):
+        links = EndpointLinks()
+        worker = await fleet.add_worker("w1")
+        router = await fleet.add_router(connect=links.connect)
+
+        async def answer_and_fall_silent(request, writer):
+            links.cut("new", [worker.address])
+            links.mode = "silent"
+            writer.write(frame_answer(request, "close", b"whole"))
+            await writer.drain()
+            writer.close()
+
+        worker.behave = answer_and_fall_silent
+        answer = await ask(router, "/confirm/a", body=b"x", X_Deadline_Ms="100")
+        assert (answer.status, answer.body) == (200, b"whole")
+        await links.stop()
+
+    run_in_fleet(act)
+
+
 def test_answers_without_framing_cost_no_second_connection_each():
     # Guards against twice the connections to an endpoint whose answers have no framing.
     async def act(fleet):
