Ask keepers only once if one knows that all streams began at one version

A router that has just started asked those that are silent a second time even if the others had settled the question, 40 ms more for the first event of each stream that its clients take up after several routers have been killed.

--- a/src/tamarackrill/router/version_keepers.py
+++ b/src/tamarackrill/router/version_keepers.py
@@ -150,7 +150,12 @@
         return found, "unknown" if found is None else "only"
 
     async def _ask_keepers(self, stream: int, service: str) -> list[KeeperReply]:
-        """Ask all possible keepers, and once more those that are silent."""
+        """Ask all possible keepers, and once more those that are silent.
+
+        Routers that have just ended are silent.  The others are enough if one of them
+        knows all versions that streams began at, and these are one.
+        """
+        known = self.versions.list_versions(service, self._clock())
         asked = choose_asked(stream, self._routers, self._own)
         replies: dict[str, KeeperReply] = {}
         for _ in range(QUESTIONS_MAX):
@@ -158,6 +163,9 @@
             replies |= await self._ask(silent, stream, service)
             if any(reply.software_version for reply in replies.values()):
                 break
+            has_history = any(reply.has_history for reply in replies.values())
+            if has_history and conclude(known, replies.values()) is not None:
+                break
         return list(replies.values())
 
     async def _ask(
