--- a/src/tamarackrill/platform/headers.py
+++ b/src/tamarackrill/platform/headers.py
@@ -224,10 +224,16 @@
 
 def read_request_id(headers: Iterable[tuple[str, str]]) -> str:
     """Return the id of a request to an endpoint; empty if it has none."""
-    for name, value in headers:
-        if name.lower() == "x-request-attempt-id":
-            return value
-    return ""
+    return _find_header(headers, "x-request-attempt-id")
+
+
+def is_resumption(headers: Iterable[tuple[str, str]]) -> bool:
+    """Return whether a request to an endpoint asks for the rest of a stream."""
+    return bool(_find_header(headers, "last-event-id"))
+
+
+def _find_header(headers: Iterable[tuple[str, str]], lowered: str) -> str:
+    return next((value for name, value in headers if name.lower() == lowered), "")
 
 
 def shorten_deadline(
--- a/src/tamarackrill/router/relay_server.py
+++ b/src/tamarackrill/router/relay_server.py
@@ -20,6 +20,7 @@
 from tamarackrill.events import ATTEMPT_RELAYED, TASK_FAILED, log_event
 from tamarackrill.platform.headers import (
     filter_response_headers,
+    is_resumption,
     read_request_id,
     shorten_deadline,
 )
@@ -212,7 +213,8 @@
             has_body = True
             await reply.write(chunk)
         # The other router sees a frame in any case, so it can't tell.
-        if head.framing == "close" and not has_body and answer_headers.is_event_stream:
+        is_unframed_stream = head.framing == "close" and answer_headers.is_event_stream
+        if is_unframed_stream and not has_body and not is_resumption(attempt.headers):
             raise ChannelError("the connection ended before the first event")
         await self._attempts.checks.confirm_end(endpoint, head)
         reply.finish()
--- a/tests/test_broken_off.py
+++ b/tests/test_broken_off.py
@@ -326,6 +326,19 @@
     run_in_fleet(act)
 
 
+def test_rest_of_a_stream_through_another_router_may_be_empty():
+    # Guards against a stream that is cut after its last event because the router that
+    # forwards its rest expects an event.
+    async def act(fleet):
+        worker = await fleet.add_worker("w1")
+        async with run_cut_off_router(fleet) as router:
+            worker.behave = stream_of("close", b"")
+            answer = await ask(router, "/stream/a", body=b"x", Last_Event_Id="6")
+            assert (answer.status, answer.body, answer.is_whole) == (200, b"", True)
+
+    run_in_fleet(act)
+
+
 EVENT_STREAM = {"Content_Type": "text/event-stream"}
 
 
