Give the streams that a router knows a type

Two dictionaries held tuples of different shapes. A record that came before the first manifest was kept for ever, as no lifetime was known; it is 60 s by default now.

--- a/src/tamarackrill/decisions/stream_versions.py
+++ b/src/tamarackrill/decisions/stream_versions.py
@@ -14,7 +14,6 @@
 for longer than any stream lasts, nothing is told and nothing is asked.
 """
 
-import math
 from collections.abc import Iterable, Mapping
 from functools import lru_cache
 from typing import NamedTuple
@@ -30,6 +29,8 @@
 ASKED_PER_ZONE = 2
 # Keepers are chosen for groups of streams, so that their order is computed seldom.
 KEEPER_GROUPS = 256
+# Longest duration of a stream while no manifest is known.
+LIFETIME_DEFAULT_S = 60.0
 # A client comes back until its deadline, and then some while it is on its way.
 RETURN_SLACK_S = 2.0
 
@@ -49,6 +50,17 @@
     software_version: str
 
 
+class _KnownStream(NamedTuple):
+    """A stream until no client takes it up any more.
+
+    `service` is empty if another router told it.
+    """
+
+    service: str
+    software_version: str
+    expires_s: float
+
+
 class Router(NamedTuple):
     """A live router, as a possible keeper."""
 
@@ -123,15 +135,15 @@
 
     def __init__(self, started_s: float) -> None:
         self._started_s = started_s
-        self._lifetime_s = math.inf
+        self._lifetime_s = LIFETIME_DEFAULT_S
         # When each version of a service was last seen.
         self._seen_s: dict[str, dict[str, float]] = {}
         # Services whose streams are told to keepers.
         self._told: set[str] = set()
         # Services whose history before the start of this router is known from others.
         self._learned: set[str] = set()
-        self._own: dict[int, tuple[str, str, float]] = {}
-        self._kept: dict[int, tuple[str, float]] = {}
+        self._own: dict[int, _KnownStream] = {}
+        self._kept: dict[int, _KnownStream] = {}
 
     def observe_endpoints(
         self, endpoints: Iterable[Endpoint], lifetime_s: float, now_s: float
@@ -163,9 +175,9 @@
         began = several - self._told
         self._told = several
         return [
-            StreamRecord(stream, version)
-            for stream, (service, version, _) in self._own.items()
-            if service in began
+            StreamRecord(stream, known.software_version)
+            for stream, known in self._own.items()
+            if known.service in began
         ]
 
     def list_versions(self, service: str, now_s: float) -> list[str]:
@@ -200,13 +212,14 @@
         bool
             Whether its keepers have to know.
         """
-        self._own[stream] = (service, software_version, now_s + self._lifetime_s)
+        expires_s = now_s + self._lifetime_s
+        self._own[stream] = _KnownStream(service, software_version, expires_s)
         return service in self._told
 
     def keep(self, record: StreamRecord, now_s: float) -> None:
         """Record what another router tells."""
         expires_s = now_s + self._lifetime_s
-        self._kept[record.stream] = (record.software_version, expires_s)
+        self._kept[record.stream] = _KnownStream("", record.software_version, expires_s)
 
     def end(self, stream: int) -> None:
         """Forget a stream that its client has received completely."""
@@ -214,18 +227,14 @@
 
     def find(self, stream: int) -> str | None:
         """Return the version of a stream; None if it isn't known here."""
-        own = self._own.get(stream)
-        if own is not None:
-            return own[1]
-        kept = self._kept.get(stream)
-        return None if kept is None else kept[0]
+        known = self._own.get(stream) or self._kept.get(stream)
+        return None if known is None else known.software_version
 
     def expire(self, now_s: float) -> None:
         """Forget the streams that no client takes up any more."""
-        for stream in [s for s, (_, _, end_s) in self._own.items() if end_s <= now_s]:
-            del self._own[stream]
-        for stream in [s for s, (_, end_s) in self._kept.items() if end_s <= now_s]:
-            del self._kept[stream]
+        for streams in (self._own, self._kept):
+            for stream in [s for s, k in streams.items() if k.expires_s <= now_s]:
+                del streams[stream]
 
     def count(self) -> Mapping[str, float]:
         """Return the numbers of streams known, for metrics."""
--- a/src/tamarackrill/router/version_keepers.py
+++ b/src/tamarackrill/router/version_keepers.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable
 
 from tamarackrill.decisions.stream_versions import (
+    LIFETIME_DEFAULT_S,
     KeeperReply,
     Router,
     StreamRecord,
@@ -32,8 +33,6 @@
 REPLY_TIMEOUT_S = 0.04
 # A datagram may be lost.
 QUESTIONS_MAX = 2
-# Streams without a limit in the manifest last no longer than this.
-LIFETIME_DEFAULT_S = 60.0
 TICKET_BITS = 48
 
 
