Search the manifest for the longest stream only when it changes

Each quarter of a second, and with each change of an endpoint, the longest timeout was searched among all routes, which may be thousands. Tests of versions pass as before.

--- a/src/tamarackrill/router/version_keepers.py
+++ b/src/tamarackrill/router/version_keepers.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 
+from tamarackrill.decisions.manifests import RouteTable
 from tamarackrill.decisions.stream_versions import (
     LIFETIME_DEFAULT_S,
     KeeperReply,
@@ -83,6 +84,9 @@
         self._own = Router(members.own.name, members.own.zone)
         self._routers: tuple[Router, ...] = ()
         self._addresses: dict[str, str] = {}
+        # A manifest may have thousands of routes, and seldom changes.
+        self._table: RouteTable | None = None
+        self._lifetime_s = LIFETIME_DEFAULT_S
 
     def update(self) -> None:
         """Update routers and versions, and forget streams that have ended."""
@@ -91,9 +95,13 @@
         self._routers = tuple(Router(member.name, member.zone) for member in live)
         self._addresses = {member.name: member.peer_address for member in live}
         self.versions.expire(now_s)
+        if self._view.routes is not self._table:
+            self._table = self._view.routes
+            self._lifetime_s = _find_lifetime_s(self._table)
         endpoints = self._view.list_endpoints()
-        lifetime_s = self._find_lifetime_s()
-        for record in self.versions.observe_endpoints(endpoints, lifetime_s, now_s):
+        for record in self.versions.observe_endpoints(
+            endpoints, self._lifetime_s, now_s
+        ):
             self._tell(record)
 
     def record_begin(self, call: EdgeCall, software_version: str) -> None:
@@ -238,10 +246,11 @@
         )
         self._send(source, encode_owner_message(reply, self._peer_keys))
 
-    def _find_lifetime_s(self) -> float:
-        table = self._view.routes
-        routes = () if table is None else table.manifest.routes
-        return max(
-            (route.timeout_s for route in routes if route.kind == "streaming"),
-            default=LIFETIME_DEFAULT_S,
-        )
+
+def _find_lifetime_s(table: RouteTable | None) -> float:
+    """Return how long a stream lasts at most."""
+    routes = () if table is None else table.manifest.routes
+    return max(
+        (route.timeout_s for route in routes if route.kind == "streaming"),
+        default=LIFETIME_DEFAULT_S,
+    )
