Take a stream for one that goes on only if its client says where

Found while reading the change: a client that names another attempt in Resumes without Last-Event-Id begins a new stream, and its version was recorded as that of the other one, which could then go on at the wrong version; so could any client that names another's attempt. The new stream has its own id now. The new test failed before (events of v1 and v2).

--- a/src/tamarackrill/router/edge_calls.py
+++ b/src/tamarackrill/router/edge_calls.py
@@ -62,6 +62,11 @@
         """Whether the client has received part of the stream by an earlier attempt."""
         return self.is_stream and self.headers.last_event_id is not None
 
+    @property
+    def stream_id(self) -> str:
+        """The client's attempt that began the stream, this one if it is new."""
+        return find_first_attempt(self.headers)
+
     @property
     def request_id(self) -> str:
         """Identifier of one attempt of the client."""
@@ -81,6 +86,13 @@
         return int.from_bytes(digest.digest())
 
 
+def find_first_attempt(headers: RequestHeaders) -> str:
+    """Return the client's attempt that began a stream, or the request's own."""
+    if headers.last_event_id is None:
+        return headers.request_id
+    return headers.resumed_id or headers.request_id
+
+
 def find_shared_prefixes(route: Route, headers: RequestHeaders) -> tuple[Prefix, ...]:
     """Return the prefixes of a prompt that other requests share.
 
--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -63,7 +63,7 @@
 
 
 class _VersionUnknown(Refusal):
-    """A stream may have begun at another version than any endpoint has."""
+    """It is not known at which software version a stream began."""
 
     def __init__(self) -> None:
         message = "the software version that began the stream is not known"
--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -29,7 +29,11 @@
 )
 from tamarackrill.router.deployment_view import DeploymentView
 from tamarackrill.router.draining_server import DrainingServer
-from tamarackrill.router.edge_calls import EdgeCall, find_shared_prefixes
+from tamarackrill.router.edge_calls import (
+    EdgeCall,
+    find_first_attempt,
+    find_shared_prefixes,
+)
 from tamarackrill.router.edge_flow import EdgeFlow
 from tamarackrill.router.edge_reply import EdgeReply
 from tamarackrill.router.metrics import Metrics
@@ -166,7 +170,7 @@
         if not headers.request_id:
             raise _Denied(400, "no_request_id")
         # A stream stays at the service that began it.
-        service = choose_service(route.shares, headers.resumed_id or headers.request_id)
+        service = choose_service(route.shares, find_first_attempt(headers))
         if service is None:
             raise _Denied(503, "no_service", NO_MANIFEST_RETRY_AFTER_S)
         timeout_s = route.timeout_s
--- a/src/tamarackrill/router/version_keepers.py
+++ b/src/tamarackrill/router/version_keepers.py
@@ -106,14 +106,14 @@
 
     def record_begin(self, call: EdgeCall, software_version: str) -> None:
         """Record the version of a stream before its first event is forwarded."""
-        stream = identify_stream(call.headers.resumed_id or call.request_id)
+        stream = identify_stream(call.stream_id)
         now_s = self._clock()
         if self.versions.begin(stream, call.service, software_version, now_s):
             self._tell(StreamRecord(stream, software_version))
 
     def record_end(self, call: EdgeCall) -> None:
         """Forget a stream that its client has received completely."""
-        self.versions.end(identify_stream(call.headers.resumed_id or call.request_id))
+        self.versions.end(identify_stream(call.stream_id))
 
     async def find_version(self, call: EdgeCall) -> str | None:
         """Return the version that a stream may go on at, None if that isn't known.
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -80,10 +80,10 @@
             )
         )
 
-    async def begin(self, router, request_id):
+    async def begin(self, router, request_id, **headers):
         """Begin a stream, and return its client after the first events."""
         client = await EdgeClient.connect(router)
-        client.send("/stream/a", request_id, b"x", X_Deadline_Ms="20000")
+        client.send("/stream/a", request_id, b"x", X_Deadline_Ms="20000", **headers)
         body = b""
         while body.count(b"data: ") < BEGUN:
             body += await client.reader.read(1000)
@@ -286,3 +286,17 @@
         assert not any(router.keepers.counts["told"] for router in fleet.routers)
 
     run_fleet(act, versions=("v1", "v1"))
+
+
+def test_new_stream_does_not_change_the_version_of_the_one_that_it_names():
+    # Guards against a client that names another attempt without taking a stream up, so
+    # that the version of its new stream is taken for that of the other one.
+    async def act(fleet):
+        router = fleet.routers[0]
+        begun = await begin_all(fleet, router)
+        for number, name in enumerate(begun):
+            client, _ = await fleet.begin(router, f"new-{number}", Resumes=name)
+            client.close()
+        assert await take_up_all(fleet, router, begun) == STREAMS
+
+    run_fleet(act)
