--- a/src/tamarackrill/decisions/stream_versions.py
+++ b/src/tamarackrill/decisions/stream_versions.py
@@ -27,7 +27,7 @@
 # Routers that are asked in each zone; one more in the own one, whose first may have
 # been the router that began the stream.
 ASKED_PER_ZONE = 2
-# Keepers are chosen for groups of streams, so that their order is computed seldom.
+# A group of streams shares its keepers, so that their order is computed seldom.
 KEEPER_GROUPS = 256
 # Longest duration of a stream while no manifest is known.
 LIFETIME_DEFAULT_S = 60.0
