--- a/tests/test_broken_off.py
+++ b/tests/test_broken_off.py
@@ -137,6 +137,7 @@
 
 
 def test_stream_without_framing_that_is_reset_does_not_look_complete():
+    # Guards against a reset that is taken for the end of a body without framing.
     async def act(fleet):
         async def reset(request, writer):
             head = make_stream_head(request)
@@ -166,6 +167,7 @@
 
 
 def test_stream_taken_up_after_its_last_event_may_be_empty():
+    # Guards against a stream that fails for a client that has all of its events.
     async def act(fleet):
         await fleet.add_worker("w1", stream_of("close", b""))
         router = await fleet.add_router()
@@ -202,6 +204,7 @@
 
 
 def test_leaving_endpoint_may_end_with_its_last_answer():
+    # Guards against a complete stream that is cut because its endpoint ends after it.
     async def act(fleet):
         worker = await fleet.add_worker("w1")
         headers = {"Content_Type": "text/event-stream", "Server_Leaving": "1"}
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -201,6 +201,7 @@
 
 
 def test_stream_of_a_version_that_has_left_is_refused():
+    # Guards against a stream that is joined to another version's for want of its own.
     async def act(fleet):
         begun = await begin_all(fleet, fleet.routers[0])
         for worker in fleet.workers[:2]:
@@ -269,6 +270,7 @@
 
 
 def test_stream_without_another_endpoint_of_its_version_is_cut():
+    # Guards against a stream that is resumed at the only endpoint left, of any version.
     async def act(fleet):
         for number in range(STREAMS):
             answer = await ask(fleet.routers[0], "/stream/a", f"id-{number}", b"x")
