Log the parts of prompts, and what broken attempts are taken for

call_sent has the hashes of the parts that prompts share, and broken_attempt_checked (5040) says what the check of the endpoint found.

--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -157,11 +157,13 @@
         "software_version",
         "last_event",
         "resumed",
+        "parts",
     ),
     "A request was sent to an endpoint; the fields give the reason for the choice, "
     "the known load, the engine from which cached parts of the prompt are copied, the "
-    "router that forwards it, if any, the version of the endpoint's software, and, of "
-    "a stream that goes on, its last event and the client's attempt that began it.",
+    "router that forwards it, if any, the version of the endpoint's software, of a "
+    "stream that goes on its last event and the client's attempt that began it, and "
+    "the hashes of the parts of the prompt that other requests may share.",
 )
 CALL_ATTEMPT_FAILED = Event(
     2203,
@@ -684,6 +686,17 @@
     "An endpoint has turned a request away and asked for a pause; it gets no requests "
     "from this router until then.",
 )
+BROKEN_ATTEMPT_CHECKED = Event(
+    5040,
+    "broken_attempt_checked",
+    _INFO,
+    ("request", "endpoint", "events", "finding", "fingerprint"),
+    "The connection of an attempt broke after `events` events, and its endpoint was "
+    "checked: `crashed`, `alive` (it takes connections), `reached` (by another "
+    "router), `unreached` (nothing is known).  A crash counts against the request's "
+    "fingerprint.",
+    "See docs/operations/poison.md.",
+)
 POOL_FAILING = Event(
     5029,
     "pool_failing",
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -13,7 +13,7 @@
 )
 from tamarackrill.decisions.attempts import AttemptHistory, Outcome
 from tamarackrill.decisions.event_stream import EventStream, EventStreamError
-from tamarackrill.events import CALL_SENT, log_event
+from tamarackrill.events import BROKEN_ATTEMPT_CHECKED, CALL_SENT, log_event
 from tamarackrill.platform.headers import (
     ResponseHeaders,
     build_request_headers,
@@ -66,7 +66,8 @@
     `is_broken` tells that the connection broke or the response was invalid;
     `is_leaving` and `retry_after_s` are what a complete response said of its endpoint;
     `relay` is the router through which an attempt was sent; `framing` is how the
-    response states where its body ends, empty without a response.
+    response states where its body ends, empty without a response; `events` is the
+    number of events of a stream that the endpoint sent.
     """
 
     outcome: Outcome
@@ -79,6 +80,7 @@
     retry_after_s: float | None = None
     relay: str = ""
     framing: str = ""
+    events: int = 0
 
 
 class _RelayRefused(Exception):
@@ -194,6 +196,7 @@
         endpoint = placed.endpoint
         progress.last_endpoint = endpoint.name
         started_s = self._clock()
+        events_before = progress.stream.events
         relay = self._choose_relay(call, endpoint)
         channel = await self._open_channel(call, endpoint, relay)
         if isinstance(channel, AttemptResult):
@@ -212,6 +215,7 @@
             software_version=endpoint.software_version,
             last_event=progress.stream.last_id,
             resumed=call.headers.resumed_id,
+            parts=[f"{part:016x}" for part in call.parts],
         )
         self._on_sent(call, progress.history.was_delivered)
         self._placer.start(call, placed, started_s)
@@ -229,6 +233,7 @@
             self._placer.finish(call, endpoint, self._clock())
             if not is_clean:
                 channel.close()
+        result = result._replace(events=progress.stream.events - events_before)
         if relay:
             await self._report_relayed(call, placed, relay, result)
         else:
@@ -549,7 +554,7 @@
     ) -> None:
         now_s = self._clock()
         if result.is_broken:
-            self._start_check(self._check_crashed(call, placed))
+            self._start_check(self._check_crashed(call, placed, result))
         if result.outcome == "misplaced":
             self._placer.observe_misplaced(placed.endpoint, now_s)
         if result.outcome == "answered":
@@ -600,31 +605,51 @@
             relays.observe_refused(relay, endpoint.name)
             if result.is_broken and await self.checks.has_crashed(endpoint):
                 self._record_crash(call, endpoint.name)
+                _log_check(call, endpoint, result, "crashed")
 
     def _start_check(self, check: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(check)
         self._crash_checks.add(task)
         task.add_done_callback(self._crash_checks.discard)
 
-    async def _check_crashed(self, call: EdgeCall, placed: EdgePlacement) -> None:
+    async def _check_crashed(
+        self, call: EdgeCall, placed: EdgePlacement, result: AttemptResult
+    ) -> None:
         # A response may break off although the endpoint is alive.  Only a refused
         # connection shows that its process may have ended, because of the request.
+        finding = "alive"
         try:
             channel = await self._connect(placed.endpoint.address, CONNECT_TIMEOUT_S)
         except OSError as error:
             self.paths.record_failure(placed.endpoint, error)
-            if not isinstance(error, ConnectionRefusedError):
-                return
-            if await self.checks.has_crashed(placed.endpoint):
-                self._record_crash(call, placed.endpoint.name)
+            finding = "unreached"
+            if isinstance(error, ConnectionRefusedError):
+                finding = "reached"
+                if await self.checks.has_crashed(placed.endpoint):
+                    finding = "crashed"
+                    self._record_crash(call, placed.endpoint.name)
         else:
             channel.close()
+        _log_check(call, placed.endpoint, result, finding)
 
     def _record_crash(self, call: EdgeCall, name: str) -> None:
         if self._placer.poison.observe_crash(call.fingerprint, name, self._clock()):
             self.on_crash(call.fingerprint)
 
 
+def _log_check(
+    call: EdgeCall, endpoint: Endpoint, result: AttemptResult, finding: str
+) -> None:
+    log_event(
+        BROKEN_ATTEMPT_CHECKED,
+        request=call.request_id,
+        endpoint=endpoint.name,
+        events=result.events,
+        finding=finding,
+        fingerprint=f"{call.fingerprint:016x}",
+    )
+
+
 async def _read_body(channel: Channel) -> bytes:
     pieces = []
     while piece := await channel.read_chunk():
--- a/src/tamarackrill/router/edge_calls.py
+++ b/src/tamarackrill/router/edge_calls.py
@@ -3,11 +3,15 @@
 import hashlib
 from typing import NamedTuple
 
+from tamarackrill.decisions.hashing import hash_name
 from tamarackrill.decisions.manifests import Route
 from tamarackrill.decisions.prompts import Prefix, list_prefixes
 from tamarackrill.platform.headers import RequestHeaders
 
 FINGERPRINT_BYTES = 8
+# Parts of one prompt that are told apart.  A client chooses how many it sends, and each
+# takes memory here and bytes in messages to other routers.
+PARTS_MAX = 64
 
 
 class EdgeCall(NamedTuple):
@@ -37,6 +41,8 @@
         Prefixes of the prompt that other requests share, the longest first.
     urgency : int
         0 is the most urgent; see `engine_waits.rank_urgency`.
+    parts : tuple of int
+        Hashes of the parts of the prompt that other requests may share, in order.
     """
 
     method: str
@@ -51,6 +57,7 @@
     manifest_version: int
     prefixes: tuple[Prefix, ...]
     urgency: int
+    parts: tuple[int, ...] = ()
 
     @property
     def is_stream(self) -> bool:
@@ -93,6 +100,12 @@
     return headers.resumed_id or headers.request_id
 
 
+def hash_shared_parts(headers: RequestHeaders) -> tuple[int, ...]:
+    """Return the hashes of a prompt's parts but the last, which no other has."""
+    shared = headers.prompt_parts[:-1][:PARTS_MAX]
+    return tuple(hash_name(part.id) for part in shared)
+
+
 def find_shared_prefixes(route: Route, headers: RequestHeaders) -> tuple[Prefix, ...]:
     """Return the prefixes of a prompt that other requests share.
 
--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -33,6 +33,7 @@
     EdgeCall,
     find_first_attempt,
     find_shared_prefixes,
+    hash_shared_parts,
 )
 from tamarackrill.router.edge_flow import EdgeFlow
 from tamarackrill.router.edge_reply import EdgeReply
@@ -188,6 +189,7 @@
             deadline_s=arrived_s + timeout_s,
             manifest_version=table.manifest.version,
             prefixes=find_shared_prefixes(route, headers),
+            parts=hash_shared_parts(headers),
             urgency=rank_urgency(
                 None if team is None else team.priority, route.priority
             ),
