--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -687,7 +687,7 @@
     "from this router until then.",
 )
 BROKEN_ATTEMPT_CHECKED = Event(
-    5040,
+    5042,
     "broken_attempt_checked",
     _INFO,
     ("request", "endpoint", "events", "finding", "fingerprint"),
--- a/src/tamarackrill/testing/crashing_worker.py
+++ b/src/tamarackrill/testing/crashing_worker.py
@@ -37,6 +37,9 @@
     down_s: float = 1.0
 
 
+DEFAULT_BEHAVIOR = CrashBehavior()
+
+
 class CrashingWorker(Worker):
     """Worker that ends when it begins to answer a prompt with a bad part.
 
@@ -70,7 +73,7 @@
         is_bad: Callable[[str, str], bool],
         on_start: Callable[["CrashingWorker"], Awaitable[None]],
         on_end: Callable[[str], Awaitable[None]],
-        behavior: CrashBehavior = CrashBehavior(),
+        behavior: CrashBehavior = DEFAULT_BEHAVIOR,
     ) -> None:
         super().__init__(name, self._act)
         self.arrived: list[tuple[float, WorkerRequest]] = []
--- a/tests/test_prompt_parts.py
+++ b/tests/test_prompt_parts.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tamarackrill.testing.crashing_worker import CrashBehavior, CrashingWorker
+from tamarackrill.testing.crashing_worker import DEFAULT_BEHAVIOR, CrashingWorker
 from tamarackrill.testing.edge import EdgeFleet, ask, make_route
 
 ENGINE = {"weights": "m", "slots": 8, "kv_capacity": 100_000}
@@ -45,7 +45,7 @@
 class Fleet(EdgeFleet):
     """Routers and workers, of which each crashes on the parts in `bad_parts`."""
 
-    def __init__(self, behavior=CrashBehavior()):
+    def __init__(self, behavior=DEFAULT_BEHAVIOR):
         super().__init__()
         self.behavior = behavior
         self.bad_parts = {BAD}
