Keep parts of prompts that crash endpoints away from these

Now each router takes the attempts whose answers had not begun when an endpoint crashed for suspects, with all parts of their prompts but the last, and tells all others at once. An answer that goes on past its first event clears its parts. Blocked requests are refused at once with 503 and the time of the next trial.

--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -697,6 +697,43 @@
     "fingerprint.",
     "See docs/operations/poison.md.",
 )
+PROMPT_CRASHED = Event(
+    5043,
+    "prompt_crashed",
+    _WARNING,
+    ("process", "scope", "parts", "team", "source"),
+    "An endpoint crashed before the answer to a prompt had begun: all parts of the "
+    "prompt that others share are suspects.  `process` and `team` are hashes; `scope` "
+    "is that of the service, model and software version; `source` is the router that "
+    "tells it.",
+    "See docs/operations/poison.md.",
+)
+PART_BLOCKED = Event(
+    5044,
+    "part_blocked",
+    _WARNING,
+    ("scope", "parts", "teams", "trials", "source"),
+    "Requests whose prompts have all of some parts crash endpoints, and get no "
+    "endpoint: those of `teams` teams, of all teams from two on.  `trials` requests "
+    "have been let through since, and crashed endpoints too.",
+    "Find out what the parts are, and mend the endpoints' software; see "
+    "docs/operations/poison.md.",
+)
+PART_CLEARED = Event(
+    5045,
+    "part_cleared",
+    _INFO,
+    ("scope", "parts", "source"),
+    "Parts that were suspect or blocked were answered soundly.",
+)
+PART_TRIAL = Event(
+    5046,
+    "part_trial",
+    _INFO,
+    ("request", "scope", "parts"),
+    "A request is sent to an endpoint although parts of its prompt are suspect or "
+    "blocked, to find out whether they still crash endpoints.",
+)
 POOL_FAILING = Event(
     5029,
     "pool_failing",
--- a/src/tamarackrill/platform/headers.py
+++ b/src/tamarackrill/platform/headers.py
@@ -64,6 +64,8 @@
         Parts of the prompt, in order; the last is specific to this request.
     prompt_tokens : int
         Length of the prompt in tokens.
+    model : str
+        Model that is to answer; empty if not given.
     forwarded_headers : tuple of (str, str)
         Headers that the endpoint receives unchanged.
     """
@@ -75,6 +77,7 @@
     resumed_id: str
     prompt_parts: tuple[PromptPart, ...]
     prompt_tokens: int
+    model: str
     forwarded_headers: tuple[tuple[str, str], ...]
 
 
@@ -135,6 +138,7 @@
         prompt_tokens=int(
             _read_number(headers.get("X-Token-Count", "").partition(",")[0]) or 0
         ),
+        model=headers.get("X-Model", ""),
         forwarded_headers=tuple(_list_forwarded(headers)),
     )
 
--- a/src/tamarackrill/protocol/structs.py
+++ b/src/tamarackrill/protocol/structs.py
@@ -348,6 +348,97 @@
     ]
 
 
+class PromptCrash(TPayload, metaclass=TPayloadMeta):
+    """Struct of prompts.thrift."""
+
+    thrift_spec = {
+        1: (TType.I64, "scope", False),
+        2: (TType.I64, "process", False),
+        3: (TType.I64, "team", False),
+        4: (TType.BINARY, "parts", False),
+        5: (TType.I32, "sent_ms", False),
+        6: (TType.I32, "crashed_ms", False),
+    }
+    default_spec = [
+        ("scope", None),
+        ("process", None),
+        ("team", None),
+        ("parts", None),
+        ("sent_ms", None),
+        ("crashed_ms", None),
+    ]
+
+
+class SoundPrompt(TPayload, metaclass=TPayloadMeta):
+    """Struct of prompts.thrift."""
+
+    thrift_spec = {
+        1: (TType.I64, "scope", False),
+        2: (TType.BINARY, "parts", False),
+        3: (TType.I32, "seen_ms", False),
+    }
+    default_spec = [("scope", None), ("parts", None), ("seen_ms", None)]
+
+
+class PartTrial(TPayload, metaclass=TPayloadMeta):
+    """Struct of prompts.thrift."""
+
+    thrift_spec = {
+        1: (TType.I64, "scope", False),
+        2: (TType.BINARY, "parts", False),
+        3: (TType.I32, "began_ms", False),
+        4: (TType.BOOL, "is_over", False),
+    }
+    default_spec = [
+        ("scope", None),
+        ("parts", None),
+        ("began_ms", None),
+        ("is_over", None),
+    ]
+
+
+class PartBlock(TPayload, metaclass=TPayloadMeta):
+    """Struct of prompts.thrift."""
+
+    thrift_spec = {
+        1: (TType.I64, "scope", False),
+        2: (TType.BINARY, "parts", False),
+        3: (TType.BINARY, "teams", False),
+        4: (TType.I32, "blocked_ms", False),
+        5: (TType.I32, "trials", False),
+    }
+    default_spec = [
+        ("scope", None),
+        ("parts", None),
+        ("teams", None),
+        ("blocked_ms", None),
+        ("trials", None),
+    ]
+
+
+class PromptNews(TPayload, metaclass=TPayloadMeta):
+    """Struct of prompts.thrift."""
+
+    thrift_spec = {
+        1: (TType.STRING, "sender", False),
+        2: (TType.BOOL, "asks", False),
+        3: (TType.BOOL, "is_reply", False),
+        4: (TType.LIST, "crashes", (TType.STRUCT, PromptCrash), False),
+        5: (TType.LIST, "sound", (TType.STRUCT, SoundPrompt), False),
+        6: (TType.LIST, "trials", (TType.STRUCT, PartTrial), False),
+        7: (TType.LIST, "blocks", (TType.STRUCT, PartBlock), False),
+    }
+    default_spec = [
+        ("sender", None),
+        ("asks", None),
+        ("is_reply", None),
+        ("crashes", None),
+        ("sound", None),
+        ("trials", None),
+        ("blocks", None),
+    ]
+
+
 class TeamUsage(TPayload, metaclass=TPayloadMeta):
     """Struct of usage.thrift."""
 
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -75,6 +75,7 @@
     StoreCall,
     StoreTiming,
 )
+from tamarackrill.router.prompt_guard import PromptGuard
 from tamarackrill.router.relay_client import RelayClient
 from tamarackrill.router.relay_server import RelayedRequestMatcher, RelayServer
 from tamarackrill.router.store_news import EvidenceExchange
@@ -260,6 +261,7 @@
         metrics.add_gauge("endpoints", self._count_endpoints)
         metrics.add_gauge("streams_known", lambda: dict(self.keepers.versions.count()))
         metrics.add_gauge("stream_versions", lambda: dict(self.keepers.counts))
+        metrics.add_gauge("prompt_parts", lambda: dict(self.guard.faults.count()))
         metrics.add_gauge(
             "probes", lambda: dict(self.flow.attempts.paths.probe_outcomes)
         )
@@ -433,8 +435,10 @@
 
     def _drop_removed_endpoints(self) -> None:
         self.cold.update()
-        for name in self.placer.update_endpoints(self.clock()):
+        restarted = self.placer.update_endpoints(self.clock())
+        for name in restarted:
             self.flow.attempts.pool.drop(name)
+        self.guard.observe_endpoints(restarted)
         self.flow.attempts.pool.retain(e.name for e in self.view.list_endpoints())
 
     async def _start_gossip(self) -> None:
@@ -505,6 +509,15 @@
             self._knows_current_endpoints,
         )
         self.flow.keepers = self.keepers
+        self.guard = PromptGuard(
+            self.view,
+            self.members,
+            self._peer_socket.send,
+            self._peer_keys,
+            self.metrics,
+            self.clock,
+        )
+        self.flow.use_guard(self.guard)
         self.flow.attempts.on_first_event = self.keepers.record_begin
         self.gossiper.subscribe(self.configuration_sync.observe_peer_state)
         self.gossiper.subscribe(self._observe_peer)
@@ -515,6 +528,7 @@
         self._peer_socket.handlers.append(self.permits.handle_datagram)
         self._peer_socket.handlers.append(self.keepers.handle_datagram)
         self._peer_socket.handlers.append(self.slots.handle_datagram)
+        self._peer_socket.handlers.append(self.guard.handle_datagram)
         self._peer_socket.handlers.append(self.gossiper.handle_datagram)
         await self.gossiper.start()
         await self.placement_gossip.start()
@@ -558,6 +572,7 @@
             self.permits.update_members()
             self.keepers.update()
             self.slots.expire()
+            self.guard.update()
             self._reporter_zones = {
                 hash_reporter(m.name): m.zone for m in self.members.list_live()
             }
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -1,7 +1,7 @@
 """Single attempts to serve a request on the platform's interface at an endpoint."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Collection, Coroutine
 from typing import Any, NamedTuple
 
 from tamarackrill.contracts import Endpoint
@@ -13,6 +13,7 @@
 )
 from tamarackrill.decisions.attempts import AttemptHistory, Outcome
 from tamarackrill.decisions.event_stream import EventStream, EventStreamError
+from tamarackrill.decisions.prompt_faults import TrialReport
 from tamarackrill.events import BROKEN_ATTEMPT_CHECKED, CALL_SENT, log_event
 from tamarackrill.platform.headers import (
     ResponseHeaders,
@@ -34,6 +35,7 @@
 from tamarackrill.router.endpoint_checks import EndpointChecks
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.paths import CONNECT_TIMEOUT_S, PathProber
+from tamarackrill.router.prompt_guard import Exposure, PromptGuard
 from tamarackrill.router.relay_client import RelayClient
 from tamarackrill.router.relay_messages import (
     ANSWERED,
@@ -51,6 +53,12 @@
 # Reports that the request's deadline has passed, not that the endpoint is faulty.
 GATEWAY_TIMEOUT = 504
 MISDIRECTED_REQUEST = 421
+# Events after which an answer has begun soundly: an endpoint that a prompt crashes ends
+# as it begins to write, at times within its first event.
+SOUND_EVENTS_MIN = 2
+# How long a request waits to learn whether it broke off because its endpoint crashed,
+# before it goes to the next one.  Other routers answer in a few milliseconds.
+CRASH_CHECK_WAIT_S = 0.05
 
 
 class CompleteAnswer(NamedTuple):
@@ -67,7 +75,9 @@
     `is_leaving` and `retry_after_s` are what a complete response said of its endpoint;
     `relay` is the router through which an attempt was sent; `framing` is how the
     response states where its body ends, empty without a response; `events` is the
-    number of events of a stream that the endpoint sent.
+    number of events of a stream that the endpoint sent; `exposure` is what the endpoint
+    was exposed to, None if the answer went on past its beginning; `ended_s` is when the
+    attempt ended.
     """
 
     outcome: Outcome
@@ -81,6 +91,8 @@
     relay: str = ""
     framing: str = ""
     events: int = 0
+    exposure: Exposure | None = None
+    ended_s: float = 0.0
 
 
 class _RelayRefused(Exception):
@@ -100,6 +112,12 @@
         self.software_version = ""
         self.has_events = False
         self.last_endpoint = ""
+        # What the present attempt exposes its endpoint to, until the answer is sound.
+        self.exposure: Exposure | None = None
+        self.events_before = 0
+        # Endpoints that must not get the prompt, and the trial that the request is.
+        self.closed: Collection[str] = frozenset()
+        self.trial: TrialReport | None = None
         self.failed_answer: CompleteAnswer | None = None
 
 
@@ -132,6 +150,8 @@
         of its stream is forwarded.
     relays : RelayClient or None
         Other routers through which endpoints are reached.
+    guard : PromptGuard or None
+        Is told which parts of prompts crash endpoints.
     """
 
     def __init__(
@@ -166,6 +186,7 @@
         self.checks = EndpointChecks(placer, self.paths, self.pool, clock, connect)
         self.on_crash: Callable[[int], None] = lambda fingerprint: None
         self.relays: RelayClient | None = None
+        self.guard: PromptGuard | None = None
         self._peer_key = ""
 
     def use_relays(self, relays: RelayClient, peer_key: str) -> None:
@@ -196,7 +217,7 @@
         endpoint = placed.endpoint
         progress.last_endpoint = endpoint.name
         started_s = self._clock()
-        events_before = progress.stream.events
+        progress.events_before = progress.stream.events
         relay = self._choose_relay(call, endpoint)
         channel = await self._open_channel(call, endpoint, relay)
         if isinstance(channel, AttemptResult):
@@ -219,6 +240,9 @@
         )
         self._on_sent(call, progress.history.was_delivered)
         self._placer.start(call, placed, started_s)
+        progress.exposure = None
+        if self.guard is not None:
+            progress.exposure = self.guard.record_sent(call, endpoint)
         is_clean = False
         suspecting = asyncio.get_running_loop().call_later(
             find_suspicion_timeout_s(call.route), self._observe_overdue, endpoint, relay
@@ -233,13 +257,26 @@
             self._placer.finish(call, endpoint, self._clock())
             if not is_clean:
                 channel.close()
-        result = result._replace(events=progress.stream.events - events_before)
+        if result.outcome == "answered" and result.status <= OK_MAX:
+            self._record_sound(progress)
+        result = result._replace(
+            events=progress.stream.events - progress.events_before,
+            exposure=progress.exposure,
+            ended_s=self._clock(),
+        )
         if relay:
             await self._report_relayed(call, placed, relay, result)
         else:
-            self._report_result(call, placed, result)
+            checking = self._report_result(call, placed, result)
+            if checking is not None and result.exposure is not None:
+                await asyncio.wait([checking], timeout=CRASH_CHECK_WAIT_S)
         return result
 
+    def _record_sound(self, progress: RequestProgress) -> None:
+        if self.guard is not None and progress.exposure is not None:
+            self.guard.record_sound(progress.exposure)
+            progress.exposure = None
+
     def _choose_relay(self, call: EdgeCall, endpoint: Endpoint) -> str:
         """Return the router through which to send an attempt; empty for none."""
         is_reached = endpoint.name not in self._placer.reach.unreachable
@@ -510,6 +547,8 @@
                     )
                 if events:
                     self._observe_events(progress, placed.endpoint)
+                    if stream.events >= progress.events_before + SOUND_EVENTS_MIN:
+                        self._record_sound(progress)
                     await reply.write(events)
                     now_s = self._clock()
                     if last_s is not None:
@@ -551,12 +590,18 @@
 
     def _report_result(
         self, call: EdgeCall, placed: EdgePlacement, result: AttemptResult
-    ) -> None:
+    ) -> asyncio.Task[None] | None:
+        """Record a result; return the task that checks an endpoint, if any does."""
         now_s = self._clock()
+        checking = None
         if result.is_broken:
-            self._start_check(self._check_crashed(call, placed, result))
+            checking = self._start_check(self._check_crashed(call, placed, result))
+        elif result.outcome == "lost":
+            self._record_broken(placed.endpoint, result)
         if result.outcome == "misplaced":
             self._placer.observe_misplaced(placed.endpoint, now_s)
+            if self.guard is not None:
+                self.guard.record_replaced(placed.endpoint)
         if result.outcome == "answered":
             is_ok = result.status < SERVER_ERROR_MIN
             self._placer.observe_result(call, placed, is_ok, result.first_s, now_s)
@@ -566,6 +611,7 @@
             and now_s < call.deadline_s
         ):
             self._placer.observe_result(call, placed, False, None, now_s)
+        return checking
 
     def _observe_overdue(self, endpoint: Endpoint, relay: str) -> None:
         # The other router may be the one that is late.
@@ -604,13 +650,14 @@
         else:
             relays.observe_refused(relay, endpoint.name)
             if result.is_broken and await self.checks.has_crashed(endpoint):
-                self._record_crash(call, endpoint.name)
+                self._record_crash(call, endpoint, result)
                 _log_check(call, endpoint, result, "crashed")
 
-    def _start_check(self, check: Coroutine[Any, Any, None]) -> None:
+    def _start_check(self, check: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(check)
         self._crash_checks.add(task)
         task.add_done_callback(self._crash_checks.discard)
+        return task
 
     async def _check_crashed(
         self, call: EdgeCall, placed: EdgePlacement, result: AttemptResult
@@ -627,15 +674,29 @@
                 finding = "reached"
                 if await self.checks.has_crashed(placed.endpoint):
                     finding = "crashed"
-                    self._record_crash(call, placed.endpoint.name)
+                    self._record_crash(call, placed.endpoint, result)
         else:
             channel.close()
+        if finding != "crashed":
+            self._record_broken(placed.endpoint, result)
         _log_check(call, placed.endpoint, result, finding)
 
-    def _record_crash(self, call: EdgeCall, name: str) -> None:
-        if self._placer.poison.observe_crash(call.fingerprint, name, self._clock()):
+    def _record_crash(
+        self, call: EdgeCall, endpoint: Endpoint, result: AttemptResult
+    ) -> None:
+        if self.guard is not None and result.exposure is not None:
+            self.guard.record_crash(result.exposure, result.ended_s)
+        now_s = self._clock()
+        if self._placer.poison.observe_crash(call.fingerprint, endpoint.name, now_s):
             self.on_crash(call.fingerprint)
 
+    def _record_broken(self, endpoint: Endpoint, result: AttemptResult) -> None:
+        if self.guard is None or result.exposure is None:
+            return
+        # An endpoint that leaves may end its connections, and another follows it.
+        if not self._placer.is_leaving(endpoint):
+            self.guard.record_broken(result.exposure, result.ended_s)
+
 
 def _log_check(
     call: EdgeCall, endpoint: Endpoint, result: AttemptResult, finding: str
--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -37,6 +37,7 @@
 from tamarackrill.router.edge_placing import EdgePlacement, EdgePlacer, Overloaded
 from tamarackrill.router.edge_reply import EdgeReply
 from tamarackrill.router.metrics import Metrics
+from tamarackrill.router.prompt_guard import PART_BLOCKED_CODE, PromptGuard
 from tamarackrill.router.version_keepers import VersionKeepers
 
 UNAVAILABLE_STATUS = 503
@@ -48,6 +49,10 @@
 RELAY_QUESTIONS_MAX = 3
 
 
+# Reasons that clients are told, by the code of a refusal.
+_REASONS = {"poison_request": "poison", PART_BLOCKED_CODE: PART_BLOCKED_CODE}
+
+
 class _AllCold(Refusal):
     """All endpoints that could take a request are cold and get enough already."""
 
@@ -96,6 +101,8 @@
         Reserves slots of brittle endpoints; None reserves none.
     keepers : VersionKeepers or None
         Know the software versions of streams; None lets a stream go on anywhere.
+    guard : PromptGuard or None
+        Keeps parts of prompts that crash endpoints away from these; None keeps none.
     """
 
     def __init__(
@@ -120,6 +127,12 @@
         self.permits: ColdPermits | None = None
         self.slots: BrittleSlots | None = None
         self.keepers: VersionKeepers | None = None
+        self.guard: PromptGuard | None = None
+
+    def use_guard(self, guard: PromptGuard) -> None:
+        """Keep parts of prompts that crash endpoints away from these."""
+        self.guard = guard
+        self.attempts.guard = guard
 
     def list_retries_left(self) -> dict[str, float]:
         """Return the retries left in this router's budget by service, for metrics."""
@@ -139,6 +152,13 @@
         """
         progress = RequestProgress(call, reply)
         self._find_share(call.service).note_request(self._clock())
+        try:
+            await self._serve(progress)
+        finally:
+            self._end_trial(progress)
+
+    async def _serve(self, progress: RequestProgress) -> None:
+        call = progress.call
         while True:
             try:
                 await self._restrict_version(progress)
@@ -151,7 +171,9 @@
                 await self._send_final_answer(progress, refusal.code)
                 return
             except Refusal as refusal:
-                await self._send_final_answer(progress, "poison", refusal.retry_after_s)
+                await self._send_final_answer(
+                    progress, _REASONS[refusal.code], refusal.retry_after_s
+                )
                 return
             is_late = call.deadline_s <= self._clock()
             if placed is not None and is_late and self.slots is not None:
@@ -167,12 +189,31 @@
             finally:
                 if self.slots is not None:
                     self.slots.finish(placed, is_rejected)
+            self._end_trial(progress)
             if result.outcome == "answered":
                 self._record_answered(progress, placed, result)
                 return
             if await self._handle_failed_attempt(progress, placed, result):
                 return
 
+    def _find_closed(self, progress: RequestProgress) -> Collection[str]:
+        """Return the endpoints that must not get the request's prompt.
+
+        Raises
+        ------
+        Refusal
+            If these are all endpoints of its service.
+        """
+        if self.guard is not None and progress.trial is None:
+            found = self.guard.find_closed(progress.call)
+            progress.closed, progress.trial = found
+        return progress.closed
+
+    def _end_trial(self, progress: RequestProgress) -> None:
+        if self.guard is not None and progress.trial is not None:
+            self.guard.end_trial(progress.trial)
+            progress.trial = None
+
     async def _restrict_version(self, progress: RequestProgress) -> None:
         """Find the version that a stream which a client takes up may go on at.
 
@@ -233,6 +274,7 @@
         others = self._placer.find_other_versions(
             call.service, progress.software_version
         )
+        others.update(self._find_closed(progress))
         refused: set[str] = set()
         permit_requests = relay_questions = 0
         while True:
