Blame no stream that has begun for the crash of its endpoint

Callers saw: sound streams refused with 503 poison, or cut, after two endpoints that served them had crashed for other reasons. Cause: each attempt that broke off with its endpoint counted against its fingerprint, however long its answer had gone on, while an endpoint that a request crashes ends as it begins to run it.

Now an attempt counts only before its second event. A stream that crashes endpoints at some later event still counts when it is resumed there.

--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -686,6 +686,8 @@
     ) -> None:
         if self.guard is not None and result.exposure is not None:
             self.guard.record_crash(result.exposure, result.ended_s)
+        if result.events >= SOUND_EVENTS_MIN:
+            return
         now_s = self._clock()
         if self._placer.poison.observe_crash(call.fingerprint, endpoint.name, now_s):
             self.on_crash(call.fingerprint)
--- a/src/tamarackrill/testing/crashing_worker.py
+++ b/src/tamarackrill/testing/crashing_worker.py
@@ -65,6 +65,8 @@
         Requests for the present process, with the time of their arrival.
     crashed_s : list of float
         Times of its crashes, by the event loop's clock.
+    events_sent : int
+        Events that it has sent.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         super().__init__(name, self._act)
         self.arrived: list[tuple[float, WorkerRequest]] = []
         self.crashed_s: list[float] = []
+        self.events_sent = 0
         self.software_version = "v1"
         self._is_bad = is_bad
         self._on_start = on_start
@@ -124,6 +127,7 @@
         start = int(request.headers.get("last-event-id", 0)) + 1
         for number in range(start, behavior.events + 1):
             writer.write(make_chunk(make_event(number)))
+            self.events_sent += 1
             await asyncio.sleep(behavior.event_s)
         writer.write(make_chunk(b""))
 
