Weigh crashes of a part against those of other prompts

A part is now blocked only if its crashes are unlikely, given how many other prompts had one in the same time: crashes are known of the whole fleet, sound answers of the own router, and are multiplied by its size. Prompts that tell equally suspect parts apart go one at a time too, and pauses of trials grow by three.

--- a/src/tamarackrill/decisions/prompt_faults.py
+++ b/src/tamarackrill/decisions/prompt_faults.py
@@ -14,7 +14,8 @@
 count: each of a request that was sent after the crash before was over.  After
 `CRASHES_SUSPECTED` of them without a sound answer a part is on trial: one request at a
 time, with growing pauses, so that a failure of many endpoints at once has passed before
-the part is blocked, at `CRASHES_BLOCKED`.
+the part is blocked, at `CRASHES_BLOCKED`.  While prompts without the part have crashes
+as well, more are needed: see `CHANCE_MAX`.
 
 Where several parts are equally suspect, only prompts with all of them are held back:
 any other prompt tells them apart.  That also keeps one team from getting a part blocked
@@ -26,7 +27,7 @@
 """
 
 import math
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Iterable, Sequence
 from typing import Literal, NamedTuple
 
@@ -34,8 +35,19 @@
 
 CRASHES_SUSPECTED = 2
 CRASHES_BLOCKED = 4
-# Pause from a crash to the next trial of a part that is not blocked, doubled each time.
+# Largest probability that a sound part has had that many crashes by chance, given how
+# many other prompts had one at the same time.
+CHANCE_MAX = 1e-4
+# Prompts with and without a crash that are assumed besides those seen: with none seen,
+# one prompt of ten is taken to have had a crash for another reason.
+PRIOR_CRASHED = 0.5
+PRIOR_SOUND = 4.5
+# Newest crashes, and newest sound answers, that are kept for that.
+REPORTS_KEPT = 512
+# Pause from a crash to the next trial of a part that is not blocked, and its factor
+# from each trial to the next.
 TRIAL_WAIT_S = 0.25
+TRIAL_FACTOR = 3.0
 # A trial counts as over after this time, if its router tells nothing of its end.
 TRIAL_MAX_S = 2.0
 # Pause from a block to its first trial, and the factor from each trial to the next.
@@ -158,13 +170,25 @@
 
 
 class PromptFaults:
-    """What one router knows of parts that crash endpoints."""
+    """What one router knows of parts that crash endpoints.
+
+    Attributes
+    ----------
+    routers : int
+        Size of the fleet.  A router hears of the crashes of all prompts, but sees sound
+        answers to its own only.
+    """
 
     def __init__(self) -> None:
+        self.routers = 1
         self._crashes: OrderedDict[_Key, list[CrashReport]] = OrderedDict()
         self._sound_s: OrderedDict[_Key, float] = OrderedDict()
         self._trials: dict[_Key, float] = {}
         self._blocks: dict[int, list[BlockReport]] = {}
+        # All crashes by process and parts, and this router's own sound answers.
+        self._reports: OrderedDict[tuple[int, tuple[int, ...]], CrashReport]
+        self._reports = OrderedDict()
+        self._answers: deque[SoundReport] = deque(maxlen=REPORTS_KEPT)
 
     @property
     def is_idle(self) -> bool:
@@ -185,13 +209,16 @@
 
     def list_crashes(self, since_s: float) -> list[CrashReport]:
         """Return the crashes that are held against any part, the newest first."""
-        reports = {
+        return [
             report
-            for crashes in self._crashes.values()
-            for report in crashes
+            for report in reversed(self._reports.values())
             if report.crashed_s >= since_s
-        }
-        return sorted(reports, key=lambda report: -report.crashed_s)
+            and any((report.scope, part) in self._crashes for part in report.parts)
+        ]
+
+    def knows(self, report: CrashReport) -> bool:
+        """Return whether a crash has been told before."""
+        return (report.process, report.parts) in self._reports
 
     def check(
         self,
@@ -253,9 +280,10 @@
         if len(chain) < CRASHES_SUSPECTED:
             return FREE
         if not self._find_equals(part, chain, now_s).issubset(parts):
-            return FREE
+            # It tells the equally suspect parts apart: no pause, but one at a time.
+            return self._make_trial((scope, part), now_s, "wait", now_s)
         newest_s = max(r.crashed_s for r in self._crashes[scope, part])
-        factor = 2.0 ** (len(chain) - CRASHES_SUSPECTED)
+        factor = TRIAL_FACTOR ** (len(chain) - CRASHES_SUSPECTED)
         due_s = newest_s + factor * TRIAL_WAIT_S + stagger_s
         return self._make_trial((scope, part), due_s, "wait", now_s)
 
@@ -283,12 +311,11 @@
     def _make_trial(
         self, key: _Key, due_s: float, otherwise: State, now_s: float
     ) -> Clearance:
-        began_s = self._trials.get(key)
-        if began_s is not None:
-            due_s = max(due_s, began_s + TRIAL_MAX_S)
-        if now_s >= due_s:
+        began_s = self._trials.get(key, -math.inf)
+        if now_s >= max(due_s, began_s + TRIAL_MAX_S):
             return Clearance("trial")
-        return Clearance(otherwise, due_s - now_s)
+        # A trial that is running is over sooner, as a rule.
+        return Clearance(otherwise, max(due_s - now_s, TRIAL_WAIT_S))
 
     def _is_sound(self, key: _Key) -> bool:
         return key in self._sound_s and key not in self._crashes
@@ -308,6 +335,7 @@
 
     def observe_crash(self, report: CrashReport, now_s: float) -> list[BlockReport]:
         """Record a crash; return the blocks that are new or were renewed."""
+        self._remember(report)
         if self._is_explained(report):
             return []
         renewed = self._observe_failed_trial(report)
@@ -318,7 +346,7 @@
         guilty = {
             part
             for part in report.parts
-            if self.count_crashes(report.scope, part, now_s) >= CRASHES_BLOCKED
+            if self._is_guilty((report.scope, part), now_s)
         }
         if not guilty:
             return []
@@ -338,6 +366,29 @@
         self._add_block(block)
         return [block]
 
+    def _remember(self, report: CrashReport) -> None:
+        # Reports are sent several times, each time with a slightly later crash.
+        if not self.knows(report):
+            self._reports[report.process, report.parts] = report
+            if len(self._reports) > REPORTS_KEPT:
+                self._reports.popitem(last=False)
+
+    def _is_guilty(self, key: _Key, now_s: float) -> bool:
+        """Return whether a part has had too many crashes to be sound."""
+        chain = self._find_independent(key, now_s)
+        if len(chain) < CRASHES_BLOCKED:
+            return False
+        scope, part = key
+        since_s = chain[0].sent_s
+        crashed, sound = PRIOR_CRASHED, PRIOR_SOUND
+        for report in self._reports.values():
+            if report.scope == scope and report.crashed_s >= since_s:
+                crashed += part not in report.parts
+        for answer in self._answers:
+            if answer.scope == scope and answer.seen_s >= since_s:
+                sound += self.routers * (part not in answer.parts)
+        return (crashed / (crashed + sound)) ** len(chain) <= CHANCE_MAX
+
     def _is_explained(self, report: CrashReport) -> bool:
         """Return whether a request crashed an endpoint that was sent before a block."""
         return any(
@@ -443,15 +494,26 @@
         else:
             self._crashes.pop(key, None)
 
-    def observe_sound(self, report: SoundReport) -> dict[int, float]:
+    def observe_sound(
+        self, report: SoundReport, is_own: bool = False
+    ) -> dict[int, float]:
         """Clear the parts of a prompt.
 
+        Parameters
+        ----------
+        report : SoundReport
+            The parts.
+        is_own : bool, default=False
+            Whether this router had sent the request.
+
         Returns
         -------
         dict of int to float
             Parts that were suspect or blocked, by the time of the newest crash that is
             no longer held against them.
         """
+        if is_own:
+            self._answers.append(report)
         cleared = {part: self._clear(report, part) for part in report.parts}
         return {part: s for part, s in cleared.items() if s is not None}
 
--- a/src/tamarackrill/router/prompt_guard.py
+++ b/src/tamarackrill/router/prompt_guard.py
@@ -225,7 +225,7 @@
     def record_sound(self, exposure: Exposure) -> None:
         """Record that an answer has gone on past its beginning."""
         report = SoundReport(exposure.scope, exposure.parts, self._clock())
-        cleared = self.faults.observe_sound(report)
+        cleared = self.faults.observe_sound(report, is_own=True)
         if not cleared:
             return
         _log_cleared(report, cleared, self._members.own.name)
@@ -295,6 +295,7 @@
     def update(self) -> None:
         """Repeat reports, exchange what is known, and forget what is too old."""
         now_s = self._clock()
+        self.faults.routers = len(self._members.list_live())
         while self._broken and self._broken[0].broken_s < now_s - BROKEN_KEPT_S:
             self._broken.popleft()
         for _ in range(len(self._repeats)):
@@ -382,11 +383,7 @@
 
     def _observe(self, report: Report, source: str, now_s: float) -> None:
         if isinstance(report, CrashReport):
-            is_known = report.process in {
-                known.process
-                for known in self.faults.list_crashes(report.crashed_s - 1)
-            }
-            if not is_known:
+            if not self.faults.knows(report):
                 _log_crash(report, source)
             _log_blocks(self.faults.observe_crash(report, now_s), source)
         elif isinstance(report, SoundReport):
--- a/src/tamarackrill/testing/crashing_worker.py
+++ b/src/tamarackrill/testing/crashing_worker.py
@@ -29,12 +29,15 @@
         Number of events of a stream.
     down_s : float
         Time from a crash until the worker is back.
+    sent_before_crash : int
+        Events of a stream that it still sends before it crashes.
     """
 
     prefill_s: float = 0.03
     event_s: float = 0.01
     events: int = 6
     down_s: float = 1.0
+    sent_before_crash: int = 0
 
 
 DEFAULT_BEHAVIOR = CrashBehavior()
@@ -118,6 +121,8 @@
         if is_stream:
             writer.write(make_stream_head(request))
         if any(self._is_bad(self.software_version, part) for part in _parts(request)):
+            for number in range(1, behavior.sent_before_crash + 1):
+                writer.write(make_chunk(make_event(number)))
             await writer.drain()
             self._begin_crash()
             return
