Check broken attempts in a module of their own

Whether an endpoint that broke a response off has crashed, and who is told, stands in crash_checks.py; an attempt that waits for the check does so as before. Types of testing/part_fleet.py are right. Tests of edge, recover, relays, broken-off answers and prompts hold.

--- /dev/null
+++ b/src/tamarackrill/router/crash_checks.py
@@ -0,0 +1,152 @@
+"""Finds out whether an endpoint that broke a response off has crashed, and tells it."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any, NamedTuple
+
+from tamarackrill.contracts import Endpoint
+from tamarackrill.events import BROKEN_ATTEMPT_CHECKED, log_event
+from tamarackrill.router.channels import Connect
+from tamarackrill.router.edge_calls import EdgeCall
+from tamarackrill.router.edge_placing import EdgePlacer
+from tamarackrill.router.endpoint_checks import EndpointChecks
+from tamarackrill.router.paths import CONNECT_TIMEOUT_S, PathProber
+from tamarackrill.router.prompt_guard import Exposure, PromptGuard
+
+# Events after which an answer has begun soundly: an endpoint that a prompt crashes ends
+# as it begins to write, at times within its first event.
+SOUND_EVENTS_MIN = 2
+# How long a request waits to learn whether it broke off because its endpoint crashed,
+# before it goes to the next one.  Other routers answer in a few milliseconds.
+CRASH_CHECK_WAIT_S = 0.05
+
+
+class AttemptEnding(NamedTuple):
+    """What crash checks need to know of an attempt that has ended.
+
+    Parameters
+    ----------
+    call : EdgeCall
+        The request.
+    endpoint : Endpoint
+        The endpoint that it was sent to.
+    events : int
+        Events of a stream that the endpoint sent.
+    exposure : Exposure or None
+        What the endpoint was exposed to; None if the answer went on past its beginning.
+    ended_s : float
+        When the attempt ended.
+    """
+
+    call: EdgeCall
+    endpoint: Endpoint
+    events: int
+    exposure: Exposure | None
+    ended_s: float
+
+
+class CrashChecks:
+    """Checks endpoints whose responses have broken off.
+
+    Parameters
+    ----------
+    placer : EdgePlacer
+        Counts the crashes of each request.
+    paths : PathProber
+        Is told which endpoints take no connections.
+    checks : EndpointChecks
+        Asks other routers.
+    clock : callable
+        Returns the current time.
+    connect : callable
+        Opens connections to endpoints.
+
+    Attributes
+    ----------
+    on_crash : callable
+        Called with the fingerprint of a request that crashed an endpoint.
+    guard : PromptGuard or None
+        Is told which prompts crash endpoints.
+    tasks : set of asyncio.Task
+        Checks that are running.
+    """
+
+    def __init__(
+        self,
+        placer: EdgePlacer,
+        paths: PathProber,
+        checks: EndpointChecks,
+        clock: Callable[[], float],
+        connect: Connect,
+    ) -> None:
+        self.on_crash: Callable[[int], None] = lambda fingerprint: None
+        self.guard: PromptGuard | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
+        self._placer = placer
+        self._paths = paths
+        self._checks = checks
+        self._clock = clock
+        self._connect = connect
+
+    def start(self, check: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Run a check in the background."""
+        task = asyncio.create_task(check)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def check(self, ending: AttemptEnding) -> None:
+        """Check an endpoint; return when the request may go to the next one."""
+        task = self.start(self._check(ending))
+        if ending.exposure is not None:
+            await asyncio.wait([task], timeout=CRASH_CHECK_WAIT_S)
+
+    async def _check(self, ending: AttemptEnding) -> None:
+        # A response may break off although the endpoint is alive.  Only a refused
+        # connection shows that its process may have ended, because of the request.
+        endpoint, finding = ending.endpoint, "alive"
+        try:
+            channel = await self._connect(endpoint.address, CONNECT_TIMEOUT_S)
+        except OSError as error:
+            self._paths.record_failure(endpoint, error)
+            finding = "unreached"
+            if isinstance(error, ConnectionRefusedError):
+                has_crashed = await self._checks.has_crashed(endpoint)
+                finding = "crashed" if has_crashed else "reached"
+        else:
+            channel.close()
+        if finding == "crashed":
+            self.record_crash(ending)
+            return
+        self.record_broken(ending)
+        _log_check(ending, finding)
+
+    def record_crash(self, ending: AttemptEnding) -> None:
+        """Record that an endpoint ended while it ran a request."""
+        _log_check(ending, "crashed")
+        if self.guard is not None and ending.exposure is not None:
+            self.guard.record_crash(ending.exposure, ending.ended_s)
+        if ending.events >= SOUND_EVENTS_MIN:
+            return
+        fingerprint, name = ending.call.fingerprint, ending.endpoint.name
+        if self._placer.poison.observe_crash(fingerprint, name, self._clock()):
+            self.on_crash(fingerprint)
+
+    def record_broken(self, ending: AttemptEnding) -> None:
+        """Record that an attempt got no answer, though its endpoint may be alive."""
+        if self.guard is None or ending.exposure is None:
+            return
+        # An endpoint that leaves may end its connections, and another follows it.
+        if not self._placer.is_leaving(ending.endpoint):
+            self.guard.record_broken(ending.exposure, ending.ended_s)
+
+
+def _log_check(ending: AttemptEnding, finding: str) -> None:
+    log_event(
+        BROKEN_ATTEMPT_CHECKED,
+        request=ending.call.request_id,
+        endpoint=ending.endpoint.name,
+        events=ending.events,
+        finding=finding,
+        fingerprint=f"{ending.call.fingerprint:016x}",
+    )
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -522,7 +522,7 @@
         self.gossiper.subscribe(self.configuration_sync.observe_peer_state)
         self.gossiper.subscribe(self._observe_peer)
         self.gossiper.add_source(self._collect_entries)
-        self.flow.attempts.on_crash = self._broadcast_crash
+        self.flow.attempts.crashes.on_crash = self._broadcast_crash
         self._peer_socket.handlers.append(self.store_news.handle_datagram)
         self._peer_socket.handlers.append(self.placement_gossip.handle_datagram)
         self._peer_socket.handlers.append(self.permits.handle_datagram)
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -1,8 +1,8 @@
 """Single attempts to serve a request on the platform's interface at an endpoint."""
 
 import asyncio
-from collections.abc import Callable, Collection, Coroutine
-from typing import Any, NamedTuple
+from collections.abc import Callable, Collection
+from typing import NamedTuple
 
 from tamarackrill.contracts import Endpoint
 from tamarackrill.decisions.attempt_timeouts import (
@@ -14,7 +14,7 @@
 from tamarackrill.decisions.attempts import AttemptHistory, Outcome
 from tamarackrill.decisions.event_stream import EventStream, EventStreamError
 from tamarackrill.decisions.prompt_faults import TrialReport
-from tamarackrill.events import BROKEN_ATTEMPT_CHECKED, CALL_SENT, log_event
+from tamarackrill.events import CALL_SENT, log_event
 from tamarackrill.platform.headers import (
     ResponseHeaders,
     build_request_headers,
@@ -29,6 +29,11 @@
     ResponseHead,
     open_channel,
 )
+from tamarackrill.router.crash_checks import (
+    SOUND_EVENTS_MIN,
+    AttemptEnding,
+    CrashChecks,
+)
 from tamarackrill.router.edge_calls import EdgeCall
 from tamarackrill.router.edge_placing import EdgePlacement, EdgePlacer
 from tamarackrill.router.edge_reply import EdgeReply
@@ -53,12 +58,6 @@
 # Reports that the request's deadline has passed, not that the endpoint is faulty.
 GATEWAY_TIMEOUT = 504
 MISDIRECTED_REQUEST = 421
-# Events after which an answer has begun soundly: an endpoint that a prompt crashes ends
-# as it begins to write, at times within its first event.
-SOUND_EVENTS_MIN = 2
-# How long a request waits to learn whether it broke off because its endpoint crashed,
-# before it goes to the next one.  Other routers answer in a few milliseconds.
-CRASH_CHECK_WAIT_S = 0.05
 
 
 class CompleteAnswer(NamedTuple):
@@ -74,10 +73,8 @@
     `is_broken` tells that the connection broke or the response was invalid;
     `is_leaving` and `retry_after_s` are what a complete response said of its endpoint;
     `relay` is the router through which an attempt was sent; `framing` is how the
-    response states where its body ends, empty without a response; `events` is the
-    number of events of a stream that the endpoint sent; `exposure` is what the endpoint
-    was exposed to, None if the answer went on past its beginning; `ended_s` is when the
-    attempt ended.
+    response states where its body ends, empty without a response; `ending` is what
+    crash checks need to know, once the attempt has ended.
     """
 
     outcome: Outcome
@@ -90,9 +87,7 @@
     retry_after_s: float | None = None
     relay: str = ""
     framing: str = ""
-    events: int = 0
-    exposure: Exposure | None = None
-    ended_s: float = 0.0
+    ending: AttemptEnding | None = None
 
 
 class _RelayRefused(Exception):
@@ -143,8 +138,8 @@
     ----------
     checks : EndpointChecks
         Checks whether endpoints still live.
-    on_crash : callable
-        Called with the fingerprint of a request that crashed an endpoint.
+    crashes : CrashChecks
+        Finds out whether endpoints that broke a response off have crashed.
     on_first_event : callable
         Called with a request and its endpoint's software version before the first event
         of its stream is forwarded.
@@ -169,8 +164,6 @@
         self._on_sent = on_sent
         self._metrics = metrics
         self._clock = clock
-        # Checks of whether an endpoint or a forwarding router has ended.
-        self._crash_checks: set[asyncio.Task[None]] = set()
         self.pool = ChannelPool()
         self.paths = PathProber(
             placer.reach,
@@ -184,7 +177,7 @@
             None
         )
         self.checks = EndpointChecks(placer, self.paths, self.pool, clock, connect)
-        self.on_crash: Callable[[int], None] = lambda fingerprint: None
+        self.crashes = CrashChecks(placer, self.paths, self.checks, clock, connect)
         self.relays: RelayClient | None = None
         self.guard: PromptGuard | None = None
         self._peer_key = ""
@@ -203,6 +196,11 @@
         self.checks.relays = relays
         self._peer_key = peer_key
 
+    def use_guard(self, guard: PromptGuard) -> None:
+        """Tell the guard which prompts crash endpoints, and which are answered."""
+        self.guard = guard
+        self.crashes.guard = guard
+
     async def run(
         self, progress: RequestProgress, placed: EdgePlacement
     ) -> AttemptResult:
@@ -259,17 +257,15 @@
                 channel.close()
         if result.outcome == "answered" and result.status <= OK_MAX:
             self._record_sound(progress)
-        result = result._replace(
-            events=progress.stream.events - progress.events_before,
-            exposure=progress.exposure,
-            ended_s=self._clock(),
-        )
+        events = progress.stream.events - progress.events_before
+        ending = AttemptEnding(call, endpoint, events, progress.exposure, self._clock())
+        result = result._replace(ending=ending)
         if relay:
             await self._report_relayed(call, placed, relay, result)
         else:
-            checking = self._report_result(call, placed, result)
-            if checking is not None and result.exposure is not None:
-                await asyncio.wait([checking], timeout=CRASH_CHECK_WAIT_S)
+            self._report_result(call, placed, result)
+            if result.is_broken:
+                await self.crashes.check(ending)
         return result
 
     def _record_sound(self, progress: RequestProgress) -> None:
@@ -590,14 +586,10 @@
 
     def _report_result(
         self, call: EdgeCall, placed: EdgePlacement, result: AttemptResult
-    ) -> asyncio.Task[None] | None:
-        """Record a result; return the task that checks an endpoint, if any does."""
+    ) -> None:
         now_s = self._clock()
-        checking = None
-        if result.is_broken:
-            checking = self._start_check(self._check_crashed(call, placed, result))
-        elif result.outcome == "lost":
-            self._record_broken(placed.endpoint, result)
+        if result.outcome == "lost" and not result.is_broken and result.ending:
+            self.crashes.record_broken(result.ending)
         if result.outcome == "misplaced":
             self._placer.observe_misplaced(placed.endpoint, now_s)
             if self.guard is not None:
@@ -611,7 +603,6 @@
             and now_s < call.deadline_s
         ):
             self._placer.observe_result(call, placed, False, None, now_s)
-        return checking
 
     def _observe_overdue(self, endpoint: Endpoint, relay: str) -> None:
         # The other router may be the one that is late.
@@ -633,7 +624,7 @@
             # The next attempt has to know of a crash.
             await self._check_lost(call, placed, relay, result)
         elif result.outcome == "lost":
-            self._start_check(self._check_lost(call, placed, relay, result))
+            self.crashes.start(self._check_lost(call, placed, relay, result))
         else:
             self._report_result(call, placed, result)
 
@@ -649,68 +640,10 @@
             self._report_result(call, placed, result._replace(is_broken=False))
         else:
             relays.observe_refused(relay, endpoint.name)
-            if result.is_broken and await self.checks.has_crashed(endpoint):
-                self._record_crash(call, endpoint, result)
-                _log_check(call, endpoint, result, "crashed")
-
-    def _start_check(self, check: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        task = asyncio.create_task(check)
-        self._crash_checks.add(task)
-        task.add_done_callback(self._crash_checks.discard)
-        return task
-
-    async def _check_crashed(
-        self, call: EdgeCall, placed: EdgePlacement, result: AttemptResult
-    ) -> None:
-        # A response may break off although the endpoint is alive.  Only a refused
-        # connection shows that its process may have ended, because of the request.
-        finding = "alive"
-        try:
-            channel = await self._connect(placed.endpoint.address, CONNECT_TIMEOUT_S)
-        except OSError as error:
-            self.paths.record_failure(placed.endpoint, error)
-            finding = "unreached"
-            if isinstance(error, ConnectionRefusedError):
-                finding = "reached"
-                if await self.checks.has_crashed(placed.endpoint):
-                    finding = "crashed"
-                    self._record_crash(call, placed.endpoint, result)
-        else:
-            channel.close()
-        if finding != "crashed":
-            self._record_broken(placed.endpoint, result)
-        _log_check(call, placed.endpoint, result, finding)
-
-    def _record_crash(
-        self, call: EdgeCall, endpoint: Endpoint, result: AttemptResult
-    ) -> None:
-        if self.guard is not None and result.exposure is not None:
-            self.guard.record_crash(result.exposure, result.ended_s)
-        if result.events >= SOUND_EVENTS_MIN:
-            return
-        now_s = self._clock()
-        if self._placer.poison.observe_crash(call.fingerprint, endpoint.name, now_s):
-            self.on_crash(call.fingerprint)
-
-    def _record_broken(self, endpoint: Endpoint, result: AttemptResult) -> None:
-        if self.guard is None or result.exposure is None:
-            return
-        # An endpoint that leaves may end its connections, and another follows it.
-        if not self._placer.is_leaving(endpoint):
-            self.guard.record_broken(result.exposure, result.ended_s)
-
-
-def _log_check(
-    call: EdgeCall, endpoint: Endpoint, result: AttemptResult, finding: str
-) -> None:
-    log_event(
-        BROKEN_ATTEMPT_CHECKED,
-        request=call.request_id,
-        endpoint=endpoint.name,
-        events=result.events,
-        finding=finding,
-        fingerprint=f"{call.fingerprint:016x}",
-    )
+            if not result.is_broken or result.ending is None:
+                return
+            if await self.checks.has_crashed(endpoint):
+                self.crashes.record_crash(result.ending)
 
 
 async def _read_body(channel: Channel) -> bytes:
--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -132,7 +132,7 @@
     def use_guard(self, guard: PromptGuard) -> None:
         """Keep parts of prompts that crash endpoints away from these."""
         self.guard = guard
-        self.attempts.guard = guard
+        self.attempts.use_guard(guard)
 
     def list_retries_left(self) -> dict[str, float]:
         """Return the retries left in this router's budget by service, for metrics."""
--- a/src/tamarackrill/testing/part_fleet.py
+++ b/src/tamarackrill/testing/part_fleet.py
@@ -8,6 +8,7 @@
 import itertools
 import random
 from collections.abc import Callable, Sequence
+from functools import partial
 from typing import NamedTuple, Protocol
 
 from tamarackrill.decisions.prompt_faults import (
@@ -178,7 +179,7 @@
         """Play requests for some time; return what came of them."""
         self._schedule(0.0, self._arrive)
         for kill_s, count in self.load.kills:
-            self._schedule(kill_s, lambda count=count: self._kill(count))
+            self._schedule(kill_s, partial(self._kill, count))
         while self._events and self._events[0][0] <= duration_s:
             self.now_s, _, act = heapq.heappop(self._events)
             act()
@@ -193,7 +194,7 @@
         self._schedule(chance.expovariate(load.rate_per_s), self._arrive)
         shared = 100 + chance.randrange(load.shared_parts)
         session = 1000 + chance.randrange(load.session_parts)
-        parts = (shared, session)
+        parts: tuple[int, ...] = (shared, session)
         if chance.random() < load.bad_share:
             parts = (shared, BAD, session)
         else:
@@ -257,7 +258,7 @@
             report = CrashReport(
                 SCOPE, endpoint, TEAM, attempt.parts, attempt.sent_s, crashed_s
             )
-            self._schedule(CHECK_S, lambda a=attempt, r=report: self._observe(a, r))
+            self._schedule(CHECK_S, partial(self._observe, attempt, report))
         self._schedule(self.load.down_s, self._start_endpoint)
 
     def _start_endpoint(self) -> None:
@@ -267,8 +268,9 @@
         if not attempt.has_begun:
             faults = self.faults[attempt.router]
             blocks = faults.observe_crash(report, self.now_s)
-            for told in (report, *blocks):
-                self._tell(attempt.router, told, SENDS)
+            told: list[Report] = [report, *blocks]
+            for news in told:
+                self._tell(attempt.router, news, SENDS)
         self._end_trial(attempt)
         if attempt.number < ATTEMPTS_MAX:
             self._send(attempt.router, attempt.parts, attempt.number + 1)
@@ -280,7 +282,7 @@
                     delay_s = self._chance.random() * self.load.delay_s
                     self._schedule(
                         number * SEND_INTERVAL_S + delay_s,
-                        lambda o=other: self._hear(o, report),
+                        partial(self._hear, other, report),
                     )
 
     def _hear(self, router: int, report: Report) -> None:
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -831,7 +831,7 @@
         router = await fleet.add_router()
         for number in range(6):
             await ask(router, "/confirm/a", f"id-{number}", body=b"poison")
-            await asyncio.gather(*router.flow.attempts._crash_checks)
+            await asyncio.gather(*router.flow.attempts.crashes.tasks)
         assert sum(len(worker.requests) for worker in fleet.workers) == 2
         answer = await ask(router, "/confirm/a", "id-9", body=b"poison")
         assert (answer.status, read_reason(answer)) == (503, "poison")
--- a/tests/test_recover.py
+++ b/tests/test_recover.py
@@ -253,7 +253,7 @@
         async with run_fleet(("a", "a", "b")) as fleet:
             router = fleet.routers[0]
             crashes = []
-            router.flow.attempts.on_crash = crashes.append
+            router.flow.attempts.crashes.on_crash = crashes.append
             desks = [w for w in fleet.workers if w.name.startswith("desk")]
             for worker in desks:
                 worker.behave = hang
@@ -264,7 +264,7 @@
             for number in numbers:
                 fleet.links[number].cut("reset", [w.address for w in desks])
             assert ((await asking).status == 200) == (numbers == (0,))
-            await fleet.wait(lambda: not router.flow.attempts._crash_checks)
+            await fleet.wait(lambda: not router.flow.attempts.crashes.tasks)
             assert crashes == []
 
     asyncio.run(run())
@@ -293,7 +293,7 @@
                 worker.behave = crash
             for number in range(6):
                 await ask(router, "/lookup/a", f"poison-{number}", b"poison")
-                await fleet.wait(lambda: not router.flow.attempts._crash_checks)
+                await fleet.wait(lambda: not router.flow.attempts.crashes.tasks)
             assert len(crashed) <= 2
             answer = await ask(router, "/lookup/a", "harmless", b"x")
             assert answer.status == 200
@@ -316,7 +316,7 @@
                     for n in range(6)
                 )
             )
-            await fleet.wait(lambda: not router.flow.attempts._crash_checks)
+            await fleet.wait(lambda: not router.flow.attempts.crashes.tasks)
             assert len(router.relays.paths.reachable) == len(fleet.workers)
 
     asyncio.run(run())
