Keep messages that crash engines away from them on the product's own interface

The same cause as on the users' platform: tamarackrilld counted crashes by team, path and body, so that a message in many chats, no two alike, crashed one engine after another. All messages of a chat but the last are its parts now, and the same guard holds for both interfaces; it takes the candidates of a prompt from its owner. A stream that broke off after its second event is no longer blamed here either.

--- a/src/tamarackrill/decisions/prompts.py
+++ b/src/tamarackrill/decisions/prompts.py
@@ -10,6 +10,10 @@
 
 from tamarackrill.decisions.hashing import hash_name
 
+# Parts of one prompt that are told apart.  A client chooses how many it sends, and each
+# takes memory and bytes in messages between routers.
+PARTS_MAX = 64
+
 
 class PromptPart(NamedTuple):
     """A part of a prompt; its ID is the same in all prompts that share it."""
@@ -33,6 +37,28 @@
     tokens: int
 
 
+class Prompt(NamedTuple):
+    """A request for an answer to a prompt.
+
+    Parameters
+    ----------
+    request_id : str
+        Identifies the request.
+    service, model : str
+        What is to answer it; the model is empty if the service has only one.
+    team : str
+        Who sends it; empty if unknown.
+    parts : tuple of int
+        Hashes of the parts that other prompts may share, in order.
+    """
+
+    request_id: str
+    service: str
+    model: str
+    team: str
+    parts: tuple[int, ...]
+
+
 def list_prefixes(parts: Sequence[PromptPart]) -> tuple[Prefix, ...]:
     """Return the prefixes of a prompt, longest first."""
     prefixes = []
--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -20,6 +20,7 @@
 )
 from tamarackrill.decisions.leases import LeaseTiming
 from tamarackrill.decisions.members import MemberRecord, MemberState
+from tamarackrill.decisions.prompts import Prompt
 from tamarackrill.events import (
     ROUTER_LEAVING,
     ROUTER_STARTED,
@@ -55,6 +56,7 @@
 from tamarackrill.router.placing import Placer
 from tamarackrill.router.platform_client import PlatformClient
 from tamarackrill.router.probing import Prober
+from tamarackrill.router.prompt_guard import PromptGuard
 from tamarackrill.router.upstream import close_client, make_client
 from tamarackrill.router.views import make_front_application
 from tamarackrill.settings import Settings
@@ -159,6 +161,16 @@
         self.placer = Placer(
             self.list_endpoints, settings.load_bound, settings.zone, self.owners
         )
+        self.guard = PromptGuard(
+            self._list_candidates,
+            self.list_endpoints,
+            self.members,
+            self._peer_socket.send,
+            settings.peer_keys,
+            self.metrics,
+            self.clock,
+        )
+        self.placer.guard = self.guard
         self.admitter = Admitter(
             lambda call: self.placer.count_free(call, self.clock()),
             settings.queue_max,
@@ -173,6 +185,7 @@
         )
         self._peer_socket.handlers.append(self.owners.handle_datagram)
         self._peer_socket.handlers.append(self.limiter.handle_datagram)
+        self._peer_socket.handlers.append(self.guard.handle_datagram)
 
     def _make_call_runner(self) -> None:
         self.chats = ChatCoordinator(self.clock)
@@ -241,6 +254,7 @@
         self._start_task("vm_list", self._poll_vm_list())
         self._start_task("admitter", self.admitter.run())
         self._start_task("limiter", self.limiter.run())
+        self._start_task("guard", self.guard.run())
         self._start_task("chats", self.chats.run())
         self._start_task("prober", prober.run())
         self._start_task("load_reader", reader.run())
@@ -326,6 +340,13 @@
         """Return the endpoints that are known now."""
         return self.known.list_endpoints()
 
+    def _list_candidates(self, prompt: Prompt) -> list[Endpoint]:
+        return [
+            endpoint
+            for endpoint in self.list_endpoints()
+            if prompt.service in endpoint.serves and endpoint.state == "live"
+        ]
+
     def describe(self) -> dict[str, Any]:
         """Return the status of this router, for `/v1/status`."""
         return {
@@ -422,6 +443,7 @@
         for item in taken:
             self.known.take(item)
         self.placer.update_endpoints(self.clock())
+        self.guard.observe_endpoints(())
         for endpoint in self.list_endpoints():
             self._wake_waiting(endpoint)
 
--- a/src/tamarackrill/router/calls.py
+++ b/src/tamarackrill/router/calls.py
@@ -9,6 +9,8 @@
 
 from tamarackrill.contracts import Contract, EndpointKind, hash_key
 from tamarackrill.decisions.claim_buckets import find_bucket, hash_claim_key
+from tamarackrill.decisions.hashing import hash_name
+from tamarackrill.decisions.prompts import PARTS_MAX, Prompt
 from tamarackrill.exceptions import Refusal
 
 CHAT_PATH = "/v1/chat/completions"
@@ -86,6 +88,8 @@
         Requests of the same team with a higher priority go first.
     fingerprint : str
         Hash of team, pool, method, path and body.
+    parts : tuple of int
+        Hashes of the messages of a chat but the last, which other calls may share.
     """
 
     request_id: str
@@ -106,6 +110,12 @@
     size_tokens: int
     priority: int
     fingerprint: str
+    parts: tuple[int, ...] = ()
+
+    @property
+    def prompt(self) -> Prompt:
+        """The prompt, as far as other calls may share it."""
+        return Prompt(self.request_id, self.pool, "", self.team, self.parts)
 
     @property
     def team(self) -> str:
@@ -222,6 +232,7 @@
         size_tokens=size_tokens,
         priority=_read_priority(contract, headers),
         fingerprint=_hash_request(contract.team, pool, method, endpoint_path, body),
+        parts=_hash_messages(fields),
     )
 
 
@@ -250,6 +261,11 @@
     return all(isinstance(item, dict) and "content" in item for item in messages)
 
 
+def _hash_messages(fields: dict[str, Any]) -> tuple[int, ...]:
+    messages = fields.get("messages", ())[:-1][:PARTS_MAX]
+    return tuple(hash_name(json.dumps(item, sort_keys=True)) for item in messages)
+
+
 def _read_max_tokens(fields: dict[str, Any]) -> int:
     size = fields.get("max_tokens", MAX_TOKENS_DEFAULT)
     if not isinstance(size, int) or isinstance(size, bool) or size < 1:
--- a/src/tamarackrill/router/crash_checks.py
+++ b/src/tamarackrill/router/crash_checks.py
@@ -11,11 +11,8 @@
 from tamarackrill.router.edge_placing import EdgePlacer
 from tamarackrill.router.endpoint_checks import EndpointChecks
 from tamarackrill.router.paths import CONNECT_TIMEOUT_S, PathProber
-from tamarackrill.router.prompt_guard import Exposure, PromptGuard
+from tamarackrill.router.prompt_guard import SOUND_EVENTS_MIN, Exposure, PromptGuard
 
-# Events after which an answer has begun soundly: an endpoint that a prompt crashes ends
-# as it begins to write, at times within its first event.
-SOUND_EVENTS_MIN = 2
 # How long a request waits to learn whether it broke off because its endpoint crashed,
 # before it goes to the next one.  Other routers answer in a few milliseconds.
 CRASH_CHECK_WAIT_S = 0.05
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -510,7 +510,8 @@
         )
         self.flow.keepers = self.keepers
         self.guard = PromptGuard(
-            self.view,
+            lambda prompt: self.view.list_live(prompt.service),
+            self.view.list_endpoints,
             self.members,
             self._peer_socket.send,
             self._peer_keys,
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -29,18 +29,14 @@
     ResponseHead,
     open_channel,
 )
-from tamarackrill.router.crash_checks import (
-    SOUND_EVENTS_MIN,
-    AttemptEnding,
-    CrashChecks,
-)
+from tamarackrill.router.crash_checks import AttemptEnding, CrashChecks
 from tamarackrill.router.edge_calls import EdgeCall
 from tamarackrill.router.edge_placing import EdgePlacement, EdgePlacer
 from tamarackrill.router.edge_reply import EdgeReply
 from tamarackrill.router.endpoint_checks import EndpointChecks
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.paths import CONNECT_TIMEOUT_S, PathProber
-from tamarackrill.router.prompt_guard import Exposure, PromptGuard
+from tamarackrill.router.prompt_guard import SOUND_EVENTS_MIN, Exposure, PromptGuard
 from tamarackrill.router.relay_client import RelayClient
 from tamarackrill.router.relay_messages import (
     ANSWERED,
@@ -240,7 +236,7 @@
         self._placer.start(call, placed, started_s)
         progress.exposure = None
         if self.guard is not None:
-            progress.exposure = self.guard.record_sent(call, endpoint)
+            progress.exposure = self.guard.record_sent(call.prompt, endpoint)
         is_clean = False
         suspecting = asyncio.get_running_loop().call_later(
             find_suspicion_timeout_s(call.route), self._observe_overdue, endpoint, relay
--- a/src/tamarackrill/router/edge_calls.py
+++ b/src/tamarackrill/router/edge_calls.py
@@ -5,13 +5,10 @@
 
 from tamarackrill.decisions.hashing import hash_name
 from tamarackrill.decisions.manifests import Route
-from tamarackrill.decisions.prompts import Prefix, list_prefixes
+from tamarackrill.decisions.prompts import PARTS_MAX, Prefix, Prompt, list_prefixes
 from tamarackrill.platform.headers import RequestHeaders
 
 FINGERPRINT_BYTES = 8
-# Parts of one prompt that are told apart.  A client chooses how many it sends, and each
-# takes memory here and bytes in messages to other routers.
-PARTS_MAX = 64
 
 
 class EdgeCall(NamedTuple):
@@ -84,6 +81,17 @@
         """Key of the longest shared prefix; empty if there is none."""
         return self.prefixes[0].key if self.prefixes else ""
 
+    @property
+    def prompt(self) -> Prompt:
+        """The prompt, as far as other requests may share it."""
+        return Prompt(
+            self.request_id,
+            self.service,
+            self.headers.model,
+            self.team or "",
+            self.parts,
+        )
+
     @property
     def fingerprint(self) -> int:
         """Hash of target, API key and body, the same for each retry by the client."""
--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -205,7 +205,7 @@
             If these are all endpoints of its service.
         """
         if self.guard is not None and progress.trial is None:
-            found = self.guard.find_closed(progress.call)
+            found = self.guard.find_closed(progress.call.prompt)
             progress.closed, progress.trial = found
         return progress.closed
 
--- a/src/tamarackrill/router/flow.py
+++ b/src/tamarackrill/router/flow.py
@@ -252,7 +252,12 @@
         run: RunState = "unknown" if may_have_run else "not_run"
         if now_s >= call.deadline_s:
             raise Refusal("too_late", 504, "the deadline has passed", run)
-        placed = await self._placer.place(call, avoid, now_s)
+        try:
+            placed = await self._placer.place(call, avoid, now_s)
+        except Refusal as refusal:
+            # This attempt was not sent, but an earlier one may have run.
+            refusal.run = "unknown" if may_have_run else refusal.run
+            raise
         if placed is None:
             if self._placer.is_servable(call, avoid, now_s):
                 return None
@@ -293,7 +298,12 @@
                 self._metrics.record_first_byte(call.kind, attempt.first_byte_s)
         finally:
             self._placer.finish(
-                call, endpoint, attempt.outcome, attempt.first_byte_s, self._clock()
+                call,
+                endpoint,
+                attempt.outcome,
+                attempt.first_byte_s,
+                self._clock(),
+                attempt.chunks if call.stream else 0,
             )
         if attempt.retry_after_s:
             self._start_backoff(call, endpoint, attempt.retry_after_s)
--- a/src/tamarackrill/router/placing.py
+++ b/src/tamarackrill/router/placing.py
@@ -12,6 +12,7 @@
     PoisonTracker,
     shorten_fingerprint,
 )
+from tamarackrill.decisions.prompt_faults import TrialReport
 from tamarackrill.decisions.reservations import RESERVATION_ATTEMPTS_MAX, must_reserve
 from tamarackrill.decisions.routing import (
     LOAD_FACTOR_DEFAULT,
@@ -28,6 +29,7 @@
 )
 from tamarackrill.router.calls import Call
 from tamarackrill.router.owners import UNCOUNTED, Owners, Ticket
+from tamarackrill.router.prompt_guard import SOUND_EVENTS_MIN, Exposure, PromptGuard
 
 # Prompts are mostly English or Welsh text, at about four bytes per token.  The result
 # only needs the right order of magnitude, to compare two engines that cache parts of
@@ -64,6 +66,8 @@
     ----------
     tell_crash : callable
         Called with the crash count to send to peers when an endpoint has crashed.
+    guard : PromptGuard or None
+        Keeps parts of prompts that crash endpoints away from these; None keeps none.
     """
 
     def __init__(
@@ -82,6 +86,10 @@
         self.backoffs = Backoffs()
         self.poison = PoisonTracker()
         self.tell_crash: Callable[[CrashCount], None] = lambda count: None
+        self.guard: PromptGuard | None = None
+        # Trials of parts, and what endpoints are exposed to, by request.
+        self._trials: dict[str, TrialReport] = {}
+        self._exposures: dict[str, Exposure] = {}
 
     def update_endpoints(self, now_s: float) -> None:
         """Update health tracking for endpoints that have joined or left."""
@@ -120,8 +128,37 @@
         Raises
         ------
         Refusal
-            If the call has crashed too many endpoints.
+            If the call has crashed too many endpoints, or a part of its prompt has.
         """
+        avoid = {*avoid, *self._find_closed(call)}
+        placed = await self._place(call, avoid, now_s)
+        if placed is None:
+            self._end_trial(call)
+        return placed
+
+    def _find_closed(self, call: Call) -> Collection[str]:
+        """Return the endpoints that must not get a call's prompt.
+
+        Raises
+        ------
+        Refusal
+            If these are all endpoints that serve the call.
+        """
+        if self.guard is None:
+            return ()
+        closed, trial = self.guard.find_closed(call.prompt)
+        if trial is not None:
+            self._trials[call.request_id] = trial
+        return closed
+
+    def _end_trial(self, call: Call) -> None:
+        trial = self._trials.pop(call.request_id, None)
+        if trial is not None and self.guard is not None:
+            self.guard.end_trial(trial)
+
+    async def _place(
+        self, call: Call, avoid: Collection[str], now_s: float
+    ) -> PlacementResult | None:
         allowed = self._list_allowed(call, now_s)
         refused = set(avoid)
         for _ in range(RESERVATION_ATTEMPTS_MAX - 1):
@@ -284,6 +321,10 @@
         self.placement.start(endpoint.name, request, now_s)
         fingerprint = shorten_fingerprint(call.fingerprint)
         self.poison.start(fingerprint, endpoint.name, now_s)
+        if self.guard is not None:
+            exposure = self.guard.record_sent(call.prompt, endpoint)
+            if exposure is not None:
+                self._exposures[call.request_id] = exposure
 
     def finish(
         self,
@@ -292,6 +333,7 @@
         outcome: str,
         first_byte_s: float | None,
         now_s: float,
+        chunks: int = 0,
     ) -> None:
         """Count a call as ended and record its outcome.
 
@@ -307,14 +349,21 @@
             Time from sending to the first byte of the response.
         now_s : float
             Current time.
+        chunks : int, default=0
+            Events of a stream that the endpoint sent.
         """
         self.placement.finish(endpoint.name, now_s)
+        has_begun = outcome == "answered" or chunks >= SOUND_EVENTS_MIN
+        is_cut = outcome == "cut" and now_s < call.deadline_s - DEADLINE_SLACK_S
+        self._tell_guard(call, has_begun, is_cut, now_s)
         fingerprint = shorten_fingerprint(call.fingerprint)
         self.poison.finish(fingerprint, endpoint.name)
         if outcome == "cancelled":
             return
-        if outcome == "cut" and now_s < call.deadline_s - DEADLINE_SLACK_S:
-            self._record_crash(fingerprint, endpoint.name, now_s)
+        if is_cut:
+            self.health.observe_crash(endpoint.name, now_s)
+            if not has_begun:
+                self._record_crash(fingerprint, endpoint.name, now_s)
             return
         if outcome == "answered":
             self.poison.observe_success(fingerprint)
@@ -361,8 +410,18 @@
         allowed -= self.backoffs.find(now_s)
         return [endpoint for endpoint in candidates if endpoint.name in allowed]
 
+    def _tell_guard(
+        self, call: Call, has_begun: bool, is_cut: bool, now_s: float
+    ) -> None:
+        exposure = self._exposures.pop(call.request_id, None)
+        if self.guard is not None and exposure is not None:
+            if has_begun:
+                self.guard.record_sound(exposure)
+            elif is_cut:
+                self.guard.record_crash(exposure, now_s)
+        self._end_trial(call)
+
     def _record_crash(self, fingerprint: int, endpoint: str, now_s: float) -> None:
-        self.health.observe_crash(endpoint, now_s)
         if not self.poison.observe_crash(fingerprint, endpoint, now_s):
             return
         crashed = self.poison.find_crashed_endpoints(fingerprint, now_s)
--- a/src/tamarackrill/router/prompt_guard.py
+++ b/src/tamarackrill/router/prompt_guard.py
@@ -17,6 +17,7 @@
     TrialReport,
     hash_scope,
 )
+from tamarackrill.decisions.prompts import Prompt
 from tamarackrill.events import (
     PART_BLOCKED,
     PART_CLEARED,
@@ -31,13 +32,16 @@
     decode_prompt_news,
     encode_prompt_news,
 )
-from tamarackrill.router.deployment_view import DeploymentView
-from tamarackrill.router.edge_calls import EdgeCall
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.metrics import Metrics
 
+# Events after which an answer has begun soundly: an endpoint that a prompt crashes ends
+# as it begins to write, at times within its first event.
+SOUND_EVENTS_MIN = 2
 PART_BLOCKED_CODE = "prompt_part"
 BLOCKED_STATUS = 503
+# Time between two rounds of housekeeping.
+UPDATE_INTERVAL_S = 0.25
 # A datagram may be lost, so reports are sent again in the next rounds of housekeeping.
 REPEATS = 2
 # Between rounds in which all that is known goes to a few routers, among them such as
@@ -107,8 +111,10 @@
 
     Parameters
     ----------
-    view : DeploymentView
-        Current endpoints.
+    list_candidates : callable
+        Returns the endpoints that may answer a prompt.
+    list_endpoints : callable
+        Returns all known endpoints.
     members : Members
         Live routers, including this one.
     send : callable
@@ -128,7 +134,8 @@
 
     def __init__(
         self,
-        view: DeploymentView,
+        list_candidates: Callable[[Prompt], Iterable[Endpoint]],
+        list_endpoints: Callable[[], Iterable[Endpoint]],
         members: Members,
         send: Callable[[str, bytes], None],
         peer_keys: tuple[str, ...],
@@ -136,7 +143,8 @@
         clock: Callable[[], float],
     ) -> None:
         self.faults = PromptFaults()
-        self._view = view
+        self._list_candidates = list_candidates
+        self._list_endpoints = list_endpoints
         self._members = members
         self._send = send
         self._peer_keys = peer_keys
@@ -149,7 +157,7 @@
         # Parts that some router has just told to be sound.
         self._told_sound_s: dict[tuple[int, int], float] = {}
 
-    def find_closed(self, call: EdgeCall) -> tuple[set[str], TrialReport | None]:
+    def find_closed(self, prompt: Prompt) -> tuple[set[str], TrialReport | None]:
         """Return the endpoints that must not get a prompt, and the trial it begins.
 
         Raises
@@ -157,12 +165,12 @@
         PartBlocked
             If these are all endpoints of its service.
         """
-        if not call.parts or self.faults.is_idle:
+        if not prompt.parts or self.faults.is_idle:
             return set(), None
         now_s = self._clock()
-        endpoints = self._view.find_pool(call.service).by_name
-        versions = {endpoint.software_version for endpoint in endpoints.values()}
-        clearances = {v: self._check(call, v, now_s) for v in versions}
+        endpoints = list(self._list_candidates(prompt))
+        versions = {endpoint.software_version for endpoint in endpoints}
+        clearances = {v: self._check(prompt, v, now_s) for v in versions}
         opened = {v for v, found in clearances.items() if found.state == "free"}
         if opened == versions:
             return set(), None
@@ -172,33 +180,29 @@
             if best.state != "trial":
                 raise PartBlocked(best)
             opened.add(version)
-            scope = hash_scope(call.service, call.headers.model, version)
+            scope = hash_scope(prompt.service, prompt.model, version)
             trial = TrialReport(scope, best.parts, now_s, False)
-            self._begin_trial(call, trial)
-        closed = {
-            name
-            for name, endpoint in endpoints.items()
-            if endpoint.software_version not in opened
-        }
+            self._begin_trial(prompt, trial)
+        closed = {e.name for e in endpoints if e.software_version not in opened}
         return closed, trial
 
-    def _check(self, call: EdgeCall, software_version: str, now_s: float) -> Clearance:
-        scope = hash_scope(call.service, call.headers.model, software_version)
-        team = hash_name(call.team or "")
-        stagger_s = self._spread(call.parts[-1], TRIAL_SPREAD_S, TRIAL_SPREAD_MAX_S)
-        return self.faults.check(scope, team, call.parts, now_s, stagger_s)
+    def _check(self, prompt: Prompt, software_version: str, now_s: float) -> Clearance:
+        scope = hash_scope(prompt.service, prompt.model, software_version)
+        team = hash_name(prompt.team)
+        stagger_s = self._spread(prompt.parts[-1], TRIAL_SPREAD_S, TRIAL_SPREAD_MAX_S)
+        return self.faults.check(scope, team, prompt.parts, now_s, stagger_s)
 
     def _spread(self, part: int, each_s: float, max_s: float) -> float:
         """Return this router's own share of a time over which routers spread."""
         share = hash_name(f"{self._members.own.name} {part}") % 1000 / 1000
         return share * min(max_s, each_s * len(self._members.list_live()))
 
-    def _begin_trial(self, call: EdgeCall, trial: TrialReport) -> None:
+    def _begin_trial(self, prompt: Prompt, trial: TrialReport) -> None:
         self.faults.begin_trial(trial)
         self._metrics.count("part_trials", "")
         log_event(
             PART_TRIAL,
-            request=call.request_id,
+            request=prompt.request_id,
             scope=_format_hash(trial.scope),
             parts=_format_hashes(trial.parts),
         )
@@ -209,15 +213,15 @@
         self.faults.end_trial(trial)
         self._tell((trial._replace(is_over=True),))
 
-    def record_sent(self, call: EdgeCall, endpoint: Endpoint) -> Exposure | None:
+    def record_sent(self, prompt: Prompt, endpoint: Endpoint) -> Exposure | None:
         """Return what an attempt exposes an endpoint to; None if it shares no part."""
-        if not call.parts:
+        if not prompt.parts:
             return None
         return Exposure(
-            hash_scope(call.service, call.headers.model, endpoint.software_version),
+            hash_scope(prompt.service, prompt.model, endpoint.software_version),
             hash_name(f"{endpoint.name}\n{endpoint.started_ms}"),
-            hash_name(call.team or ""),
-            call.parts,
+            hash_name(prompt.team),
+            prompt.parts,
             self._clock(),
             endpoint,
         )
@@ -273,7 +277,7 @@
         if not self._broken:
             return
         restarted = set(restarted)
-        names = {e.address: e.name for e in self._view.list_endpoints()}
+        names = {e.address: e.name for e in self._list_endpoints()}
 
         def is_replaced(exposure: Exposure) -> bool:
             endpoint = exposure.endpoint
@@ -292,6 +296,12 @@
                 kept.append(broken)
         self._broken = kept
 
+    async def run(self) -> None:
+        """Update until cancelled."""
+        while True:
+            await asyncio.sleep(UPDATE_INTERVAL_S)
+            self.update()
+
     def update(self) -> None:
         """Repeat reports, exchange what is known, and forget what is too old."""
         now_s = self._clock()
--- a/src/tamarackrill/testing/engine.py
+++ b/src/tamarackrill/testing/engine.py
@@ -27,6 +27,8 @@
 from tornado.web import Application, HTTPError, RequestHandler
 
 CRASH_WORD = "crash-the-engine"
+# Crashes the engine in any message but the last.
+CRASH_PART = "part-that-crashes-the-engine"
 STREAMS_MAX = 1000
 RESUME_GRACE_S = 5.0
 
@@ -226,7 +228,8 @@
             await self.state.faults_changed.wait_for(lambda: not self.state.faults.hold)
         if self.state.faults.status:
             raise HTTPError(self.state.faults.status)
-        if CRASH_WORD in str(body["messages"][-1]["content"]):
+        *shared, last = (str(message["content"]) for message in body["messages"])
+        if CRASH_WORD in last or any(CRASH_PART in text for text in shared):
             self.state.crash()
             self._cut()
             return
