--- a/tests/test_prompt_parts.py
+++ b/tests/test_prompt_parts.py
@@ -1,28 +1,13 @@
 """Parts of prompts that crash each endpoint that begins to answer them."""
 
 import asyncio
-import itertools
-from typing import NamedTuple
 
 import pytest
 from soak.links import EndpointLinks
 
-from tamarackrill.router.channels import open_channel
-from tamarackrill.testing.crashing_worker import DEFAULT_BEHAVIOR, CrashingWorker
-from tamarackrill.testing.edge import EdgeFleet, ask, make_route
-
-ENGINE = {"weights": "m", "slots": 8, "kv_capacity": 100_000}
-ROUTES = (
-    make_route(
-        "/stream/",
-        "streaming",
-        stream_resume=True,
-        attempts=3,
-        session_affinity=True,
-    ),
-    make_route("/plain/", "idempotent", attempts=3, session_affinity=True),
-)
-BAD = "bad0"
+from tamarackrill.testing.crashing_fleet import BAD, CrashingFleet, make_prompts
+from tamarackrill.testing.crashing_worker import DEFAULT_BEHAVIOR
+
 # Time after which routers in touch know of what happened before.
 STABLE_WINDOW_S = 3.0
 # Requests that may still reach workers once the part has crashed five of them.
@@ -32,126 +17,12 @@
 SERVED_MIN = 0.9
 WORKERS = 12
 ZONES = ("a", "a", "b", "c")
-REQUEST_INTERVAL_S = 0.05
-BAD_EVERY = 4
-
-
-class Asked(NamedTuple):
-    """A request that a client has sent, and whether its first attempt was served."""
-
-    sent_s: float
-    is_bad: bool
-    is_served: bool
-
-
-class Fleet(EdgeFleet):
-    """Routers and workers, of which each crashes on the parts in `bad_parts`."""
-
-    def __init__(self, behavior=DEFAULT_BEHAVIOR):
-        super().__init__()
-        self.behavior = behavior
-        self.bad_parts = {BAD}
-        self.bad_versions = {"v1"}
-        self.asked = []
-
-    async def start(self, zones=ZONES, workers=WORKERS, connect=open_channel):
-        await self.put_manifest(1, *ROUTES)
-        for number in range(workers):
-            await self.add_crashing_worker(f"w{number}", "abc"[number % 3])
-        for number, zone in enumerate(zones):
-            # Only the links of the first router to the workers can be cut.
-            chosen = connect if number == 0 else open_channel
-            await self.add_router(f"router-{number}", zone, connect=chosen)
-        await self.wait(
-            lambda: all(len(r.members.list_live()) == len(zones) for r in self.routers)
-        )
-
-    async def add_crashing_worker(self, name, zone):
-        async def write_entry(worker):
-            await self.store.write(
-                "servers", worker.name, worker.describe("desk", zone)
-            )
-
-        async def remove_entry(name):
-            await self.store.write("servers", name, None)
-
-        def is_bad(version, part):
-            return part in self.bad_parts and version in self.bad_versions
-
-        worker = CrashingWorker(name, is_bad, write_entry, remove_entry, self.behavior)
-        await self.register_worker(worker, zone=zone)
-        return worker
-
-    async def change_version(self, worker, version):
-        worker.software_version = version
-        await self.store.write("servers", worker.name, worker.describe("desk"))
-
-    async def wait_versions(self, versions):
-        def has_versions(router):
-            endpoints = router.view.list_live("desk")
-            return {e.software_version for e in endpoints} == versions
-
-        await self.wait(lambda: all(map(has_versions, self.routers)))
-
-    def list_crashes_s(self):
-        return sorted(s for worker in self.workers for s in worker.crashed_s)
-
-    def count_sends(self, since_s, part=BAD):
-        return sum(
-            arrived_s >= since_s and part in request.headers["x-prompt-prefix"]
-            for worker in self.workers
-            for arrived_s, request in worker.arrived
-        )
-
-    async def ask_for(self, duration_s, make_prompts, target="/stream/", label="a"):
-        """Send requests to the routers in turn, at a fixed rate."""
-        loop = asyncio.get_running_loop()
-        end_s = loop.time() + duration_s
-        tasks = []
-        for number in itertools.count():
-            if loop.time() >= end_s:
-                break
-            router = self.routers[number % len(self.routers)]
-            prompt = make_prompts(number)
-            asking = self._ask(router, f"{target}{number}", f"{label}-{number}", prompt)
-            tasks.append(asyncio.create_task(asking))
-            await asyncio.sleep(REQUEST_INTERVAL_S)
-        await asyncio.gather(*tasks)
-
-    async def _ask(self, router, target, request_id, prompt):
-        sent_s = asyncio.get_running_loop().time()
-        text = ",".join(f"{part}:100" for part in prompt)
-        answer = await ask(
-            router, target, request_id, body=b"x", X_Prompt_Prefix=text, X_Model="m"
-        )
-        is_served = answer.status == 200 and answer.is_whole
-        self.asked.append(Asked(sent_s, bool(self.bad_parts & {*prompt}), is_served))
-
-    def find_served_share(self, since_s):
-        sound = [a.is_served for a in self.asked if not a.is_bad and a.sent_s > since_s]
-        assert sound
-        return sum(sound) / len(sound)
-
-
-def make_prompts(position):
-    """Return a function that makes prompts, of which some have a bad part.
-
-    The others share all parts but that and the last one with these.
-    """
-
-    def make(number):
-        prompt = ["shared0", f"shared{1 + number % 3}", "shared9"]
-        if number % BAD_EVERY == BAD_EVERY - 1:
-            prompt.insert(position, BAD)
-        return [*prompt, f"own{number}"]
-
-    return make
 
 
 def run_fleet(act, **options):
     async def run():
-        async with Fleet(**options) as fleet:
-            await fleet.start()
+        async with CrashingFleet(**options) as fleet:
+            await fleet.start(ZONES, WORKERS)
             await act(fleet)
 
     asyncio.run(run())
@@ -193,7 +64,7 @@
     # that have nothing to do with their prompts.
     async def act(fleet):
         asking = asyncio.create_task(fleet.ask_for(6.0, make_sound_prompt))
-        for worker in fleet.workers[:10]:
+        for worker in fleet.crashing[:10]:
             await asyncio.sleep(0.4)
             await worker.crash()
         await asking
@@ -215,7 +86,10 @@
         await fleet.wait(late.guard.faults.list_blocks)
         prompt = ["shared0", BAD, "own"]
         await asyncio.gather(
-            *(fleet._ask(late, f"/stream/{n}", f"late-{n}", prompt) for n in range(20))
+            *(
+                fleet.ask_router(late, f"/stream/{n}", f"late-{n}", prompt)
+                for n in range(20)
+            )
         )
         assert fleet.count_sends(0.0) == sends
 
@@ -226,7 +100,7 @@
     # Guards against requests that are refused, or crash endpoints, while endpoints of
     # another software version would serve them.
     async def act(fleet):
-        for worker in fleet.workers[::2]:
+        for worker in fleet.crashing[::2]:
             await fleet.change_version(worker, "v2")
         await fleet.wait_versions({"v1", "v2"})
         await fleet.ask_for(5.0, make_prompts(1))
@@ -261,9 +135,9 @@
     # Guards against a router that is cut off from endpoints, and sends them a bad part
     # through others without counting the crashes.
     async def run():
-        async with Fleet() as fleet:
+        async with CrashingFleet() as fleet:
             links = EndpointLinks()
-            await fleet.start(zones=("a", "b", "c"), connect=links.connect)
+            await fleet.start(("a", "b", "c"), WORKERS, links.connect)
             links.cut("silent", [worker.address for worker in fleet.workers])
             cut = fleet.routers[0]
             others = fleet.routers
@@ -274,3 +148,25 @@
             await links.stop()
 
     asyncio.run(run())
+
+
+def test_router_that_was_cut_off_from_the_others_learns_what_is_blocked():
+    # Guards against a router that comes back from a network partition, and sends parts
+    # to endpoints that the others have found to crash these meanwhile.
+    async def act(fleet):
+        cut, *others = fleet.routers
+        handlers = cut._peer_socket.handlers
+        cut._peer_socket.handlers = []
+        fleet.routers = others
+        await fleet.ask_for(3.0, make_prompts(1))
+        await fleet.wait(others[0].guard.faults.list_blocks)
+        assert not cut.guard.faults.list_blocks()
+        cut._peer_socket.handlers = handlers
+        await fleet.wait(cut.guard.faults.list_blocks)
+        sends = fleet.count_sends(0.0)
+        prompt = ["shared0", BAD, "own"]
+        await fleet.ask_router(cut, "/stream/a", "late", prompt)
+        assert fleet.count_sends(0.0) == sends
+        fleet.routers = [cut, *others]
+
+    run_fleet(act)
