Soak test of parts of prompts that crash endpoints

Routers start and end without a word, links of one are cut, workers end for other reasons and are back at once or later, all at random. Late sends count from the fifth crash that the part caused: seed 22 had 4 from the fifth crash of any cause, which the rule doesn't count.

--- a/src/tamarackrill/testing/crashing_fleet.py
+++ b/src/tamarackrill/testing/crashing_fleet.py
@@ -115,6 +115,10 @@
         """Return the times of all crashes."""
         return sorted(s for worker in self.crashing for s in worker.crashed_s)
 
+    def list_part_crashes_s(self) -> list[float]:
+        """Return the times of the crashes that a part caused."""
+        return sorted(s for worker in self.crashing for s in worker.crashed_by_part_s)
+
     def count_sends(self, since_s: float, part: str = BAD) -> int:
         """Return how many requests with a part have reached workers since a time."""
         return sum(
@@ -152,10 +156,13 @@
         """Send one request, and record whether it was served."""
         sent_s = asyncio.get_running_loop().time()
         text = ",".join(f"{part}:100" for part in prompt)
-        answer = await ask(
-            router, target, request_id, body=b"x", X_Prompt_Prefix=text, X_Model="m"
-        )
-        is_served = answer.status == 200 and answer.is_whole
+        headers = {"X_Prompt_Prefix": text, "X_Model": "m"}
+        try:
+            answer = await ask(router, target, request_id, body=b"x", **headers)
+            is_served = answer.status == 200 and answer.is_whole
+        except (OSError, asyncio.IncompleteReadError):
+            # The router has ended.
+            is_served = False
         self.asked.append(Asked(sent_s, bool(self.bad_parts & {*prompt}), is_served))
 
     def find_served_share(self, since_s: float) -> float:
--- a/src/tamarackrill/testing/crashing_worker.py
+++ b/src/tamarackrill/testing/crashing_worker.py
@@ -66,8 +66,8 @@
     ----------
     arrived : list of (float, WorkerRequest)
         Requests for the present process, with the time of their arrival.
-    crashed_s : list of float
-        Times of its crashes, by the event loop's clock.
+    crashed_s, crashed_by_part_s : list of float
+        Times of its crashes, and of those that a part caused.
     events_sent : int
         Events that it has sent.
     """
@@ -83,6 +83,7 @@
         super().__init__(name, self._act)
         self.arrived: list[tuple[float, WorkerRequest]] = []
         self.crashed_s: list[float] = []
+        self.crashed_by_part_s: list[float] = []
         self.events_sent = 0
         self.software_version = "v1"
         self._is_bad = is_bad
@@ -124,7 +125,8 @@
             for number in range(1, behavior.sent_before_crash + 1):
                 writer.write(make_chunk(make_event(number)))
             await writer.drain()
-            self._begin_crash()
+            if self._begin_crash():
+                self.crashed_by_part_s.append(self.crashed_s[-1])
             return
         if not is_stream:
             writer.write(make_answer(request))
@@ -136,10 +138,13 @@
             await asyncio.sleep(behavior.event_s)
         writer.write(make_chunk(b""))
 
-    def _begin_crash(self) -> None:
-        if self._crash_task is None or self._crash_task.done():
-            self.crashed_s.append(asyncio.get_running_loop().time())
-            self._crash_task = asyncio.create_task(self._crash())
+    def _begin_crash(self) -> bool:
+        """Crash, unless it is down already; return whether it does."""
+        if self._crash_task is not None and not self._crash_task.done():
+            return False
+        self.crashed_s.append(asyncio.get_running_loop().time())
+        self._crash_task = asyncio.create_task(self._crash())
+        return True
 
     async def _crash(self) -> None:
         await super().stop()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,7 +1,7 @@
 """Short soak test runs, including seeds that once failed."""
 
 import pytest
-from soak import cuts, native, versions
+from soak import cuts, native, parts, versions
 from soak.run import (
     EVACUATED_ZONES,
     RESTORED_STORE,
@@ -60,3 +60,11 @@
     # Guards against streams of two software versions, and against broken-off ones that
     # look complete, while routers are killed and workers change their version.
     assert versions.run_seed(seed) == []
+
+
+@pytest.mark.parametrize("seed", [1, 22])
+def test_part_that_crashes_workers_is_kept_from_them_while_routers_come_and_go(seed):
+    # Guards against a bad part that reaches workers again and again, and against sound
+    # parts that are blocked, while workers end for other reasons, links are cut and
+    # routers start and end.
+    assert parts.run_seed(seed) == []
