--- a/soak/cuts.py
+++ b/soak/cuts.py
@@ -5,13 +5,13 @@
 clients, the store and the other routers reach it.
 """
 
-import argparse
 import asyncio
 import random
 import sys
 from collections.abc import Awaitable, Callable
 
 from soak.callers import EVENTS, Caller, Exchange, find_violations
+from soak.command import run_seeds
 from soak.links import CutMode, EndpointLinks
 from tamarackrill.testing.edge import EdgeFleet, make_route
 from tamarackrill.testing.worker import BrittleWorker, make_streaming
@@ -167,17 +167,5 @@
     return violations
 
 
-def main() -> int:
-    """Run the seeds of the command line; return 0 if all passed, else 1."""
-    parser = argparse.ArgumentParser(description="Soak test of cut links.")
-    parser.add_argument("--seed", type=int, default=1, help="first seed")
-    parser.add_argument("--seeds", type=int, default=1, help="number of seeds")
-    options = parser.parse_args()
-    seeds = range(options.seed, options.seed + options.seeds)
-    failed = sum(bool(run_seed(seed)) for seed in seeds)
-    print(f"{options.seeds - failed} seeds passed, {failed} failed")
-    return 1 if failed else 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_seeds("Soak test of cut links.", run_seed))
--- a/soak/native.py
+++ b/soak/native.py
@@ -4,7 +4,6 @@
 and goes to a random router.
 """
 
-import argparse
 import random
 import signal
 import sys
@@ -12,6 +11,7 @@
 import time
 from collections import Counter
 
+from soak.command import run_seeds
 from tamarackrill.contracts import hash_key
 from tamarackrill.testing.processes import FleetProcesses, RouterProcess, call
 
@@ -161,17 +161,5 @@
     return violations
 
 
-def main() -> int:
-    """Run the seeds of the command line; return 0 if all passed, else 1."""
-    parser = argparse.ArgumentParser(description="Soak test of the native daemon.")
-    parser.add_argument("--seed", type=int, default=1, help="first seed")
-    parser.add_argument("--seeds", type=int, default=1, help="number of seeds")
-    options = parser.parse_args()
-    seeds = range(options.seed, options.seed + options.seeds)
-    failed = sum(bool(run_seed(seed)) for seed in seeds)
-    print(f"{options.seeds - failed} seeds passed, {failed} failed")
-    return 1 if failed else 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_seeds("Soak test of the native daemon.", run_seed))
--- a/soak/versions.py
+++ b/soak/versions.py
@@ -6,7 +6,6 @@
 some inside an event.  Callers take streams up at any router, as often as it takes.
 """
 
-import argparse
 import asyncio
 import random
 import sys
@@ -15,6 +14,7 @@
 from typing import NamedTuple
 
 from soak.callers import ANSWER_MAX_S, CONNECTION_ERRORS, Caller
+from soak.command import run_seeds
 from soak.run import TWO_ZONES, FaultInjector, Soak, report
 from tamarackrill.testing.edge import EdgeAnswer, EdgeClient, EdgeFleet
 from tamarackrill.testing.worker import (
@@ -231,19 +231,6 @@
         return violations
 
 
-def main() -> int:
-    """Run the seeds of the command line; return 0 if all passed, else 1."""
-    parser = argparse.ArgumentParser(description="Soak test of streams over versions.")
-    parser.add_argument("--seed", type=int, default=1, help="first seed")
-    parser.add_argument("--seeds", type=int, default=1, help="number of seeds")
-    options = parser.parse_args()
-    failed = 0
-    for seed in range(options.seed, options.seed + options.seeds):
-        failed += bool(run_seed(seed))
-    print(f"{options.seeds - failed} seeds passed, {failed} failed")
-    return 1 if failed else 0
-
-
 def run_seed(seed: int) -> list[str]:
     """Run one seed, and return a description of each violated guarantee."""
     with tempfile.TemporaryDirectory() as name:
@@ -251,4 +238,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_seeds("Soak test of streams over versions.", run_seed))
--- a/src/tamarackrill/router/placing.py
+++ b/src/tamarackrill/router/placing.py
@@ -131,9 +131,12 @@
             If the call has crashed too many endpoints, or a part of its prompt has.
         """
         avoid = {*avoid, *self._find_closed(call)}
-        placed = await self._place(call, avoid, now_s)
-        if placed is None:
-            self._end_trial(call)
+        placed = None
+        try:
+            placed = await self._place(call, avoid, now_s)
+        finally:
+            if placed is None:
+                self._end_trial(call)
         return placed
 
     def _find_closed(self, call: Call) -> Collection[str]:
--- a/src/tamarackrill/router/prompt_guard.py
+++ b/src/tamarackrill/router/prompt_guard.py
@@ -48,6 +48,9 @@
 # have just started or were cut off.
 EXCHANGE_INTERVAL_S = 1.0
 EXCHANGE_PEERS = 3
+# Rounds in which a router that has just started asks for what is known: there may be no
+# router of a release that answers.
+QUESTIONS_MAX = 20
 # Crashes that these rounds tell: older ones have reached all routers or have expired.
 EXCHANGE_CRASHES_MAX = 32
 EXCHANGE_CRASHES_AGE_S = 30.0
@@ -153,7 +156,7 @@
         self._broken: deque[_Broken] = deque(maxlen=BROKEN_MAX)
         self._repeats: deque[tuple[int, tuple[Report, ...]]] = deque()
         self._exchanged_s = clock()
-        self._is_informed = False
+        self._questions_left = QUESTIONS_MAX
         # Parts that some router has just told to be sound.
         self._told_sound_s: dict[tuple[int, int], float] = {}
 
@@ -313,7 +316,8 @@
             self._tell(reports)
             if left > 1:
                 self._repeats.append((left - 1, reports))
-        if not self._is_informed:
+        if self._questions_left and self._list_peers():
+            self._questions_left -= 1
             self._exchange((), asks=True)
         if now_s >= self._exchanged_s + EXCHANGE_INTERVAL_S:
             self._exchanged_s = now_s
@@ -384,7 +388,8 @@
         news = decode_prompt_news(datagram, self._peer_keys, now_s)
         if news is None:
             return False
-        self._is_informed |= news.is_reply
+        if news.is_reply:
+            self._questions_left = 0
         if news.asks:
             self._send_reports(source, self._list_known(now_s), is_reply=True)
         for report in news.reports:
