--- a/soak/parts.py
+++ b/soak/parts.py
@@ -95,6 +95,8 @@
         name = f"router-{len(self.faults)}-later"
         self.faults.append(f"{name} starts")
         await fleet.add_router(name, self._rng.choice("abc"))
+        started_s = asyncio.get_running_loop().time()
+        fleet.in_touch_s[name] = started_s + STABLE_WINDOW_S
         if len(fleet.routers) > 2:
             ended = fleet.routers[1]
             self.faults.append(f"{ended.settings.name} ends")
--- a/src/tamarackrill/decisions/prompt_faults.py
+++ b/src/tamarackrill/decisions/prompt_faults.py
@@ -421,7 +421,12 @@
                 continue
             if not set(block.parts).intersection(report.parts):
                 continue
-            failed = block._replace(blocked_s=report.crashed_s, trials=block.trials + 1)
+            # A request that was sent right after may have come from a router that had
+            # not heard of the block.
+            is_trial = report.sent_s >= block.blocked_s + OTHER_TRIAL_WAIT_S
+            failed = block._replace(
+                blocked_s=report.crashed_s, trials=block.trials + is_trial
+            )
             if is_complete:
                 teams = {*block.teams, report.team}
                 failed = failed._replace(teams=tuple(sorted(teams)))
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -532,6 +532,7 @@
         self._peer_socket.handlers.append(self.guard.handle_datagram)
         self._peer_socket.handlers.append(self.gossiper.handle_datagram)
         await self.gossiper.start()
+        self.guard.ask(seeds)
         await self.placement_gossip.start()
 
     def _collect_entries(self) -> PiggybackedEntries:
--- a/src/tamarackrill/router/prompt_guard.py
+++ b/src/tamarackrill/router/prompt_guard.py
@@ -305,6 +305,11 @@
             await asyncio.sleep(UPDATE_INTERVAL_S)
             self.update()
 
+    def ask(self, addresses: Iterable[str]) -> None:
+        """Ask routers at some addresses for what is known."""
+        for address in addresses:
+            self._send_reports(address, (), asks=True)
+
     def update(self) -> None:
         """Repeat reports, exchange what is known, and forget what is too old."""
         now_s = self._clock()
--- a/src/tamarackrill/testing/crashing_fleet.py
+++ b/src/tamarackrill/testing/crashing_fleet.py
@@ -53,6 +53,8 @@
         Parts that crash workers, and the software versions whose workers they crash.
     asked : list of Asked
         Requests that have been answered.
+    in_touch_s : dict of str to float
+        When routers that have started later know what the others do.
     """
 
     def __init__(self, behavior: CrashBehavior = DEFAULT_BEHAVIOR) -> None:
@@ -62,6 +64,7 @@
         self.bad_versions = {"v1"}
         self.crashing: list[CrashingWorker] = []
         self.asked: list[Asked] = []
+        self.in_touch_s: dict[str, float] = {}
 
     async def start(
         self, zones: tuple[str, ...], workers: int, connect: Connect = open_channel
@@ -120,13 +123,20 @@
         return sorted(s for worker in self.crashing for s in worker.crashed_by_part_s)
 
     def count_sends(self, since_s: float, part: str = BAD) -> int:
-        """Return how many requests with a part have reached workers since a time."""
+        """Return how many requests with a part have reached workers since a time.
+
+        Those of routers that were not in touch yet don't count.
+        """
         return sum(
-            arrived_s >= since_s and part in request.headers["x-prompt-prefix"]
+            arrived_s >= max(since_s, self._find_in_touch_s(request.request_id))
+            and part in request.headers["x-prompt-prefix"]
             for worker in self.crashing
             for arrived_s, request in worker.arrived
         )
 
+    def _find_in_touch_s(self, request_id: str) -> float:
+        return self.in_touch_s.get(request_id.partition(" ")[0], 0.0)
+
     async def ask_for(
         self,
         duration_s: float,
@@ -153,7 +163,11 @@
     async def ask_router(
         self, router: EdgeApplication, target: str, request_id: str, prompt: list[str]
     ) -> None:
-        """Send one request, and record whether it was served."""
+        """Send one request, and record whether it was served.
+
+        Its id begins with the name of the router.
+        """
+        request_id = f"{router.settings.name} {request_id}"
         sent_s = asyncio.get_running_loop().time()
         text = ",".join(f"{part}:100" for part in prompt)
         headers = {"X_Prompt_Prefix": text, "X_Model": "m"}
--- a/src/tamarackrill/testing/edge.py
+++ b/src/tamarackrill/testing/edge.py
@@ -151,9 +151,9 @@
 
     async def kill_router(self, router: EdgeApplication) -> None:
         """End a router without telling the others."""
+        self.routers.remove(router)
         router._peer_socket.stop()
         await router.stop()
-        self.routers.remove(router)
 
     def make_router(
         self,
