Take no attempt over a cut link for a crash of its endpoint

Now an attempt is kept for 2 s, and only if its connection broke and the router could connect right after, or another router reaches the endpoint.

A block that is told again with a slightly other time is not logged again.

--- a/src/tamarackrill/router/crash_checks.py
+++ b/src/tamarackrill/router/crash_checks.py
@@ -115,7 +115,8 @@
         if finding == "crashed":
             self.record_crash(ending)
             return
-        self.record_broken(ending)
+        if finding == "alive":
+            self.record_broken(ending)
         _log_check(ending, finding)
 
     def record_crash(self, ending: AttemptEnding) -> None:
@@ -130,7 +131,11 @@
             self.on_crash(fingerprint)
 
     def record_broken(self, ending: AttemptEnding) -> None:
-        """Record that an attempt got no answer, though its endpoint may be alive."""
+        """Record that an attempt broke off, though its endpoint takes connections.
+
+        Only then has another process at its address taken over within moments.  An
+        attempt over a link that is cut ends in the same way, and so says nothing.
+        """
         if self.guard is None or ending.exposure is None:
             return
         # An endpoint that leaves may end its connections, and another follows it.
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -584,8 +584,6 @@
         self, call: EdgeCall, placed: EdgePlacement, result: AttemptResult
     ) -> None:
         now_s = self._clock()
-        if result.outcome == "lost" and not result.is_broken and result.ending:
-            self.crashes.record_broken(result.ending)
         if result.outcome == "misplaced":
             self._placer.observe_misplaced(placed.endpoint, now_s)
             if self.guard is not None:
@@ -633,6 +631,8 @@
         if is_reached is None:
             relays.observe_lost(relay, endpoint.name, result.detail)
         elif is_reached:
+            if result.is_broken and result.ending is not None:
+                self.crashes.record_broken(result.ending)
             self._report_result(call, placed, result._replace(is_broken=False))
         else:
             relays.observe_refused(relay, endpoint.name)
--- a/src/tamarackrill/router/prompt_guard.py
+++ b/src/tamarackrill/router/prompt_guard.py
@@ -62,8 +62,9 @@
 TRIAL_SPREAD_S = 0.01
 TRIAL_SPREAD_MAX_S = 0.5
 # Broken attempts are remembered this long: if a new process takes over the address of
-# their endpoint, it has crashed, though it took connections right after.
-BROKEN_KEPT_S = 10.0
+# their endpoint, it has crashed, though it took connections right after.  Its entry
+# comes within some tenths of a second; later it may have crashed for another request.
+BROKEN_KEPT_S = 2.0
 BROKEN_MAX = 256
 
 
@@ -412,10 +413,10 @@
             if cleared := self.faults.observe_sound(report):
                 _log_cleared(report, cleared, source)
         elif isinstance(report, BlockReport):
-            known = self.faults.list_blocks()
+            known = {_strip_time(block) for block in self.faults.list_blocks()}
             contradictions = self.faults.observe_block(report)
-            added = [b for b in self.faults.list_blocks() if b not in known]
-            _log_blocks(added, source)
+            blocks = self.faults.list_blocks()
+            _log_blocks((b for b in blocks if _strip_time(b) not in known), source)
             if contradictions:
                 self._tell(tuple(contradictions))
         elif report.is_over:
@@ -424,6 +425,11 @@
             self.faults.begin_trial(report)
 
 
+def _strip_time(block: BlockReport) -> BlockReport:
+    """Return a block without its time, which differs a little at each router."""
+    return block._replace(blocked_s=0.0)
+
+
 def _rank_clearance(item: tuple[str, Clearance]) -> tuple[bool, float, str]:
     software_version, clearance = item
     return clearance.state != "trial", clearance.wait_s, software_version
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -62,7 +62,8 @@
     assert versions.run_seed(seed) == []
 
 
-@pytest.mark.parametrize("seed", [1, 22])
+# Regression seed 207: attempts over links that were cut counted as crashes.
+@pytest.mark.parametrize("seed", [1, 207])
 def test_part_that_crashes_workers_is_kept_from_them_while_routers_come_and_go(seed):
     # Guards against a bad part that reaches workers again and again, and against sound
     # parts that are blocked, while workers end for other reasons, links are cut and
