--- a/src/tamarackrill/router/crash_checks.py
+++ b/src/tamarackrill/router/crash_checks.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from typing import Any, NamedTuple
+from typing import Any, Literal, NamedTuple
 
 from tamarackrill.contracts import Endpoint
 from tamarackrill.events import BROKEN_ATTEMPT_CHECKED, log_event
@@ -18,6 +18,9 @@
 CRASH_CHECK_WAIT_S = 0.05
 
 
+Finding = Literal["crashed", "alive", "reached", "unreached"]
+
+
 class AttemptEnding(NamedTuple):
     """What crash checks need to know of an attempt that has ended.
 
@@ -99,19 +102,7 @@
             await asyncio.wait([task], timeout=CRASH_CHECK_WAIT_S)
 
     async def _check(self, ending: AttemptEnding) -> None:
-        # A response may break off although the endpoint is alive.  Only a refused
-        # connection shows that its process may have ended, because of the request.
-        endpoint, finding = ending.endpoint, "alive"
-        try:
-            channel = await self._connect(endpoint.address, CONNECT_TIMEOUT_S)
-        except OSError as error:
-            self._paths.record_failure(endpoint, error)
-            finding = "unreached"
-            if isinstance(error, ConnectionRefusedError):
-                has_crashed = await self._checks.has_crashed(endpoint)
-                finding = "crashed" if has_crashed else "reached"
-        else:
-            channel.close()
+        finding = await self._find(ending.endpoint)
         if finding == "crashed":
             self.record_crash(ending)
             return
@@ -119,6 +110,29 @@
             self.record_broken(ending)
         _log_check(ending, finding)
 
+    async def _find(self, endpoint: Endpoint) -> Finding:
+        # A response may break off although the endpoint is alive.  Only a refused
+        # connection shows that its process may have ended, because of the request.
+        error = await self._try_connect(endpoint)
+        if error is None:
+            return "alive"
+        self._paths.record_failure(endpoint, error)
+        if not isinstance(error, ConnectionRefusedError):
+            return "unreached"
+        if await self._checks.has_crashed(endpoint):
+            return "crashed"
+        # Either this router's link is cut, or another process has just started there.
+        return "reached" if await self._try_connect(endpoint) else "alive"
+
+    async def _try_connect(self, endpoint: Endpoint) -> OSError | None:
+        """Return why an endpoint takes no connection, None if it does."""
+        try:
+            channel = await self._connect(endpoint.address, CONNECT_TIMEOUT_S)
+        except OSError as error:
+            return error
+        channel.close()
+        return None
+
     def record_crash(self, ending: AttemptEnding) -> None:
         """Record that an endpoint ended while it ran a request."""
         _log_check(ending, "crashed")
@@ -143,7 +157,7 @@
             self.guard.record_broken(ending.exposure, ending.ended_s)
 
 
-def _log_check(ending: AttemptEnding, finding: str) -> None:
+def _log_check(ending: AttemptEnding, finding: Finding) -> None:
     log_event(
         BROKEN_ATTEMPT_CHECKED,
         request=ending.call.request_id,
--- a/src/tamarackrill/router/prompt_guard.py
+++ b/src/tamarackrill/router/prompt_guard.py
@@ -255,6 +255,8 @@
     def record_broken(self, exposure: Exposure, broken_s: float) -> None:
         """Record that an attempt broke off, though its endpoint seems to live."""
         self._broken.append(_Broken(exposure, broken_s))
+        # The news of the new process may have come before.
+        self.observe_endpoints(())
 
     def record_crash(self, exposure: Exposure, crashed_s: float) -> None:
         """Record that an endpoint crashed before an answer had begun."""
