Suspect no attempt that was sent after another one broke off at its endpoint

The soak's router connects to workers directly now unless its links are cut, as an endpoint that has ended refuses connections.

--- a/soak/parts.py
+++ b/soak/parts.py
@@ -32,7 +32,10 @@
 
     def __init__(self, seed: int) -> None:
         self._rng = random.Random(seed)
+        # A proxy accepts connections to an endpoint that has ended, so that crashes
+        # look like cut links.
         self._links = EndpointLinks()
+        self._links.is_direct = True
         behavior = CrashBehavior(
             down_s=self._rng.choice([0.0, 0.5, 2.0]),
             sent_before_crash=self._rng.randint(0, 1),
--- a/src/tamarackrill/router/prompt_guard.py
+++ b/src/tamarackrill/router/prompt_guard.py
@@ -155,6 +155,8 @@
         self._metrics = metrics
         self._clock = clock
         self._broken: deque[_Broken] = deque(maxlen=BROKEN_MAX)
+        # When the first attempt at each process broke off, lately.
+        self._first_broken_s: dict[int, float] = {}
         self._repeats: deque[tuple[int, tuple[Report, ...]]] = deque()
         self._exchanged_s = clock()
         self._questions_left = QUESTIONS_MAX
@@ -254,6 +256,10 @@
 
     def record_broken(self, exposure: Exposure, broken_s: float) -> None:
         """Record that an attempt broke off, though its endpoint seems to live."""
+        # What was sent after an earlier attempt broke off there didn't end it.
+        first_s = self._first_broken_s.setdefault(exposure.process, broken_s)
+        if exposure.sent_s > first_s:
+            return
         self._broken.append(_Broken(exposure, broken_s))
         # The news of the new process may have come before.
         self.observe_endpoints(())
@@ -330,6 +336,11 @@
         if now_s >= self._exchanged_s + EXCHANGE_INTERVAL_S:
             self._exchanged_s = now_s
             self.faults.expire(now_s)
+            self._first_broken_s = {
+                process: broken_s
+                for process, broken_s in self._first_broken_s.items()
+                if broken_s > now_s - EXCHANGE_CRASHES_AGE_S
+            }
             self._told_sound_s = {
                 key: told_s
                 for key, told_s in self._told_sound_s.items()
