--- a/src/tamarackrill/decisions/prompt_faults.py
+++ b/src/tamarackrill/decisions/prompt_faults.py
@@ -65,8 +65,8 @@
 # started again under the same identity takes longer to crash again.
 CRASH_DEDUP_S = 1.0
 # Parts with crashes, crashes of one part, parts with sound answers, and blocks that are
-# remembered.  Clients choose the parts of their prompts, so that all are bounded; the
-# first three take 4 MB at most.
+# remembered.  Clients choose the parts of their prompts, so that all are bounded; full,
+# they take 8 MB with prompts of four parts.
 SUSPECTS_MAX = 4096
 CRASHES_KEPT = 8
 SOUND_MAX = 16_384
