Try further endpoints after three that refuse connections, on the product's own interface

Trace: the call was routed to engines 2, 3 and 1, which had crashed under calls of the other router; this one had not noticed, each refused the connection, and three attempts were all it had, with four engines alive.

--- a/src/tamarackrill/router/flow.py
+++ b/src/tamarackrill/router/flow.py
@@ -24,6 +24,9 @@
 from tamarackrill.router.upstream import CurlAsyncHTTPClient
 
 ATTEMPTS_MAX = 3
+# Endpoints that refuse a connection before a call is given up.  Several may have ended
+# without this router having noticed; each costs a millisecond, and nothing was sent.
+UNCONNECTED_MAX = 8
 # Delay before a call queues again that found all endpoints full: some tens of steps
 # of an engine, in which a slot may become free.
 FULL_RETRY_DELAY_S = 0.05
@@ -135,12 +138,18 @@
     async def _serve(self, call: Call, reply: Reply) -> None:
         avoid: list[str] = []
         may_have_run = False
-        for attempt_number in range(ATTEMPTS_MAX):
-            is_last = attempt_number == ATTEMPTS_MAX - 1
+        sent = unconnected = 0
+        while True:
+            is_last = sent == ATTEMPTS_MAX - 1
             placed, attempt = await self._admit_and_attempt(
                 call, reply, avoid, is_last, may_have_run
             )
-            may_have_run = may_have_run or attempt.outcome != "not_sent"
+            if attempt.outcome == "not_sent":
+                unconnected += 1
+                is_last = unconnected == UNCONNECTED_MAX
+            else:
+                sent += 1
+                may_have_run = True
             if attempt.outcome == "cut" and reply.started:
                 attempt = await self._resume_stream(call, reply, placed)
             if attempt.outcome in ("answered", "overloaded"):
