--- a/bench/prompt_parts.py
+++ b/bench/prompt_parts.py
@@ -11,10 +11,12 @@
 from tamarackrill.decisions.prompt_faults import (
     FREE,
     SUSPECTS_MAX,
-    BlockReport,
     Clearance,
-    CrashReport,
     PromptFaults,
+)
+from tamarackrill.decisions.prompt_reports import (
+    BlockReport,
+    CrashReport,
     SoundReport,
     TrialReport,
 )
--- a/src/tamarackrill/protocol/prompt_codec.py
+++ b/src/tamarackrill/protocol/prompt_codec.py
@@ -9,7 +9,7 @@
 from thriftpy2.protocol.compact import TCompactProtocol
 from thriftpy2.transport import TMemoryBuffer
 
-from tamarackrill.decisions.prompt_faults import (
+from tamarackrill.decisions.prompt_reports import (
     BlockReport,
     CrashReport,
     SoundReport,
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -13,7 +13,9 @@
 )
 from tamarackrill.decisions.attempts import AttemptHistory, Outcome
 from tamarackrill.decisions.event_stream import EventStream, EventStreamError
-from tamarackrill.decisions.prompt_faults import TrialReport
+from tamarackrill.decisions.prompt_reports import (
+    TrialReport,
+)
 from tamarackrill.events import CALL_SENT, log_event
 from tamarackrill.platform.headers import (
     ResponseHeaders,
--- a/src/tamarackrill/router/placing.py
+++ b/src/tamarackrill/router/placing.py
@@ -12,7 +12,9 @@
     PoisonTracker,
     shorten_fingerprint,
 )
-from tamarackrill.decisions.prompt_faults import TrialReport
+from tamarackrill.decisions.prompt_reports import (
+    TrialReport,
+)
 from tamarackrill.decisions.reservations import RESERVATION_ATTEMPTS_MAX, must_reserve
 from tamarackrill.decisions.routing import (
     LOAD_FACTOR_DEFAULT,
--- a/src/tamarackrill/router/prompt_guard.py
+++ b/src/tamarackrill/router/prompt_guard.py
@@ -8,11 +8,10 @@
 
 from tamarackrill.contracts import Endpoint
 from tamarackrill.decisions.hashing import hash_name
-from tamarackrill.decisions.prompt_faults import (
+from tamarackrill.decisions.prompt_faults import Clearance, PromptFaults
+from tamarackrill.decisions.prompt_reports import (
     BlockReport,
-    Clearance,
     CrashReport,
-    PromptFaults,
     SoundReport,
     TrialReport,
     hash_scope,
--- a/src/tamarackrill/testing/part_fleet.py
+++ b/src/tamarackrill/testing/part_fleet.py
@@ -11,11 +11,10 @@
 from functools import partial
 from typing import NamedTuple, Protocol
 
-from tamarackrill.decisions.prompt_faults import (
+from tamarackrill.decisions.prompt_faults import Clearance, PromptFaults
+from tamarackrill.decisions.prompt_reports import (
     BlockReport,
-    Clearance,
     CrashReport,
-    PromptFaults,
     SoundReport,
     TrialReport,
 )
--- a/tests/test_prompt_codec.py
+++ b/tests/test_prompt_codec.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tamarackrill.decisions.prompt_faults import (
+from tamarackrill.decisions.prompt_reports import (
     BlockReport,
     CrashReport,
     SoundReport,
--- a/tests/test_prompt_faults.py
+++ b/tests/test_prompt_faults.py
@@ -16,9 +16,11 @@
     SUSPECTS_MAX,
     TRIAL_MAX_S,
     TRIAL_WAIT_S,
+    PromptFaults,
+)
+from tamarackrill.decisions.prompt_reports import (
     BlockReport,
     CrashReport,
-    PromptFaults,
     SoundReport,
     TrialReport,
 )
