--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -847,6 +847,18 @@
     "See docs/operations/endpoints.md.",
 )
 
+BRITTLE_REJECTION = Event(
+    5047,
+    "brittle_rejection",
+    _WARNING,
+    ("endpoint", "basis", "owner"),
+    "A brittle endpoint has turned away a request of this router.  `basis` tells why "
+    "it was sent: `owner` has `granted` a slot, this router is the `own` owner, the "
+    "owner is silent (`unreserved`), or the service was not known to be brittle "
+    "(`uncounted`).",
+    "Many `granted` ones after a router has joined or left: compare the owners.",
+)
+
 # 6000: platform objects
 OBJECT_FAULTY = Event(
     6001,
--- a/src/tamarackrill/router/brittle_slots.py
+++ b/src/tamarackrill/router/brittle_slots.py
@@ -11,6 +11,7 @@
     REJECTED_HOLD_S,
     compute_own_limit,
 )
+from tamarackrill.events import BRITTLE_REJECTION, log_event
 from tamarackrill.router.deployment_view import DeploymentView
 from tamarackrill.router.edge_calls import EdgeCall
 from tamarackrill.router.edge_placing import EdgePlacement, EdgePlacer
@@ -113,6 +114,8 @@
 
     def finish(self, placed: EdgePlacement, is_rejected: bool) -> None:
         """End the reservation of a placement, later if its request was turned away."""
+        if is_rejected:
+            self._record_rejected(placed)
         if placed.ticket == UNCOUNTED:
             return
         if is_rejected:
@@ -122,6 +125,22 @@
         else:
             self._release(placed)
 
+    def _record_rejected(self, placed: EdgePlacement) -> None:
+        services, now_s = placed.endpoint.serves, self._clock()
+        if not any(self._placer.brittle.is_brittle(name, now_s) for name in services):
+            return
+        basis = self._find_basis(placed.ticket)
+        self._metrics.count("slots_rejected", basis)
+        owner = placed.ticket.owner
+        log_event(
+            BRITTLE_REJECTION, endpoint=placed.endpoint.name, basis=basis, owner=owner
+        )
+
+    def _find_basis(self, ticket: Ticket) -> str:
+        if ticket.owner:
+            return "own" if self.owners.owns(ticket) else "granted"
+        return "uncounted" if ticket == UNCOUNTED else "unreserved"
+
     def _release(self, placed: EdgePlacement) -> None:
         name = placed.endpoint.name
         if placed.ticket == _UNRESERVED:
--- a/src/tamarackrill/router/owners.py
+++ b/src/tamarackrill/router/owners.py
@@ -147,6 +147,10 @@
         finally:
             del self._pending[number]
 
+    def owns(self, ticket: Ticket) -> bool:
+        """Return whether this router has granted a reservation itself."""
+        return ticket.owner == self._members.own.name
+
     def release(self, ticket: Ticket) -> None:
         """End a reservation."""
         own = self._members.own.name
--- /dev/null
+++ b/src/tamarackrill/testing/drain_fleet.py
@@ -0,0 +1,164 @@
+"""Routers of three zones that get requests while a worker leaves, in one process."""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Awaitable, Callable, Iterable
+
+from tamarackrill.router.edge_app import EdgeApplication
+from tamarackrill.testing.edge import EdgeFleet, ask, make_route
+from tamarackrill.testing.peer_links import PeerLinks
+from tamarackrill.testing.worker import (
+    Worker,
+    WorkerRequest,
+    make_answer,
+)
+
+ROUTE = make_route("/lookup/", "idempotent", attempts=3)
+ZONES = ("a", "b", "c")
+WORKERS = 4
+REQUESTS_PER_S = 60.0
+# Time after the acknowledgement of a worker's leaving from which it gets no requests.
+DRAIN_S = 2.0
+ANSWER_MAX_S = 5.0
+
+
+class DrainFleet:
+    """Routers, workers and a store; the first worker leaves during a test.
+
+    Parameters
+    ----------
+    fleet : EdgeFleet
+        Fleet to which routers and workers are added.
+    links : PeerLinks
+        Links between the routers.
+    seed : int
+        Seed of the arrivals.
+
+    Attributes
+    ----------
+    copied_revision : int
+        Revision of the store before the worker began to leave.
+    answers : list of int
+        Status of each answer; 0 if there was none.
+    """
+
+    def __init__(self, fleet: EdgeFleet, links: PeerLinks, seed: int) -> None:
+        self.fleet = fleet
+        self.links = links
+        self.random = random.Random(seed)
+        self.copied_revision = 0
+        self.answers: list[int] = []
+        self._arrivals_s: list[float] = []
+        self._drained_s = 0.0
+        self._leaving = Worker("w0", self._record)
+
+    async def start(self, routers: int = 9) -> None:
+        """Start workers and routers, and wait until the routers know one another."""
+        fleet = self.fleet
+        await fleet.put_manifest(1, ROUTE)
+        await fleet.register_worker(self._leaving, zone=ZONES[0])
+        for number in range(1, WORKERS):
+            await fleet.add_worker(f"w{number}", zone=ZONES[number % len(ZONES)])
+        for number in range(routers):
+            await fleet.add_router(f"r{number}", ZONES[number % len(ZONES)])
+        await fleet.wait(
+            lambda: all(len(r.members.list_live()) == routers for r in fleet.routers)
+        )
+
+    async def _record(
+        self, request: WorkerRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        self._arrivals_s.append(asyncio.get_running_loop().time())
+        writer.write(make_answer(request))
+
+    async def drain_worker(self) -> None:
+        """Let the first worker report that it leaves."""
+        self.copied_revision = self.fleet.store.state.revision
+        await self.write_draining()
+        self._drained_s = asyncio.get_running_loop().time()
+
+    async def write_draining(self, sequence: int = 2) -> None:
+        """Write the entry of the first worker, which is leaving."""
+        entry = self._leaving.describe(
+            "desk", ZONES[0], state="draining", sequence=sequence
+        )
+        await self.fleet.store.write("servers", self._leaving.name, entry)
+
+    async def restore_store(self, away_s: float = 0.7) -> None:
+        """Let the store come back from the copy made before the worker left."""
+        self.fleet.store.status = 503
+        await asyncio.sleep(away_s)
+        await self.fleet.store.restore(self.copied_revision)
+        self.fleet.store.status = 200
+
+    async def replace_routers(self, routers: Iterable[EdgeApplication]) -> None:
+        """Kill routers at the same time, and start them again."""
+
+        async def replace(router: EdgeApplication) -> None:
+            await self.fleet.kill_router(router)
+            await self.fleet.add_router(router.settings.name, router.settings.zone)
+
+        await asyncio.gather(*(replace(router) for router in list(routers)))
+
+    def choose_routers(self, count: int) -> list[EdgeApplication]:
+        """Return some routers."""
+        return self.random.sample(self.fleet.routers, count)
+
+    async def load(self, for_s: float) -> None:
+        """Let callers arrive at any router, and await them."""
+        loop = asyncio.get_running_loop()
+        arrival_s = loop.time()
+        end_s = arrival_s + for_s
+        callers: set[asyncio.Task[None]] = set()
+        while arrival_s < end_s:
+            arrival_s += self.random.expovariate(REQUESTS_PER_S)
+            await asyncio.sleep(arrival_s - loop.time())
+            callers.add(asyncio.create_task(self._call(len(callers))))
+        await asyncio.gather(*callers)
+
+    async def _call(self, number: int) -> None:
+        router, status = self.random.choice(self.fleet.routers), 0
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            async with asyncio.timeout(ANSWER_MAX_S):
+                name = f"call-{number}"
+                status = (await ask(router, "/lookup/a", name, name.encode())).status
+        self.answers.append(status)
+
+    def find_late_s(self) -> list[float]:
+        """Return how long after it began to leave the worker got its late requests."""
+        after_s = [at_s - self._drained_s for at_s in self._arrivals_s]
+        return [late_s for late_s in after_s if late_s > DRAIN_S]
+
+
+Disturbance = Callable[[DrainFleet], Awaitable[None]]
+
+
+async def run_drain(disturb: Disturbance, seed: int = 1) -> DrainFleet:
+    """Let a worker leave, with a disturbance from then on.
+
+    Parameters
+    ----------
+    disturb : callable
+        ``await disturb(fleet)`` begins right after the acknowledgement.
+    seed : int, optional
+        Seed of the arrivals.
+
+    Returns
+    -------
+    DrainFleet
+        What callers and the worker have seen; its routers have stopped.
+    """
+    links = PeerLinks()
+    async with EdgeFleet() as fleet:
+        with links.intercept():
+            drained = DrainFleet(fleet, links, seed)
+            await drained.start()
+
+            async def act() -> None:
+                await asyncio.sleep(1.0)
+                await drained.drain_worker()
+                await disturb(drained)
+
+            await asyncio.gather(drained.load(8.0), act())
+            return drained
--- /dev/null
+++ b/tests/test_leaving_at_start.py
@@ -0,0 +1,28 @@
+"""Routers that start while the store doesn't have the entry of a leaving worker."""
+
+import asyncio
+
+import pytest
+
+from tamarackrill.testing.drain_fleet import run_drain
+
+
+@pytest.mark.parametrize(
+    ("restored_after_s", "replaced", "written_after_s"),
+    [(1.0, 4, 2.6), (0.0, 3, 2.6), (1.0, 2, 1.0)],
+)
+def test_router_that_starts_after_a_restore_knows_who_is_leaving(
+    restored_after_s, replaced, written_after_s
+):
+    # Guards against requests to a leaving worker by routers that start from the store's
+    # copy, which was made before the worker reported that it leaves.
+    async def disturb(fleet):
+        await asyncio.sleep(restored_after_s)
+        await fleet.restore_store()
+        await fleet.replace_routers(fleet.choose_routers(replaced))
+        await asyncio.sleep(written_after_s)
+        await fleet.write_draining()
+
+    fleet = asyncio.run(run_drain(disturb, seed=1))
+    assert fleet.find_late_s() == []
+    assert fleet.answers.count(200) >= 0.9 * len(fleet.answers)
