--- a/src/tamarackrill/testing/peer_links.py
+++ b/src/tamarackrill/testing/peer_links.py
@@ -39,7 +39,7 @@
         receive = PeerSocket.datagram_received
 
         def deliver(peer_socket: PeerSocket, data: bytes, addr: Any) -> None:
-            own = _find_port(peer_socket)
+            own = peer_socket.port
             if self.groups and not self._is_connected(addr[1], own):
                 return
             latency_s = self.latency_s + max(
@@ -59,8 +59,3 @@
 
     def _is_connected(self, port: int, other: int) -> bool:
         return any(port in group and other in group for group in self.groups)
-
-
-def _find_port(peer_socket: PeerSocket) -> int:
-    transport = peer_socket._transport
-    return 0 if transport is None else int(transport.get_extra_info("sockname")[1])
