Send to brittle endpoints on proof while nobody counts for the fleet

Cause: a router without an answer of the owner took its part of the slots, one at least. All routers miss an owner at the same moment, and there are more routers than slots. A new owner besides granted all slots beside its predecessor's grants, an owner that was none granted too, and 50 ms counted as silence on any link. Class: what nobody knows is assumed by each to be so, by all at once.

Change: decisions/slot_ceilings. A slot is used on proof (a request just ended there) or by a trial, rationed over the fleet to a quarter of the rejections allowed. Owners grant without proof only once they have settled and miss no router; routers tell them of requests that they have not granted; who isn't the owner refuses; timeouts follow the owner's round trips. compute_own_limit is gone, with its test: the share it gave is now the upper bound in SlotTerms.most, tested there.

--- a/src/tamarackrill/decisions/brittle.py
+++ b/src/tamarackrill/decisions/brittle.py
@@ -17,9 +17,8 @@
 which no endpoint is left is refused, which costs its caller less than an endpoint that
 is down.
 
-A router that gets no answer from an owner holds at most its part of the endpoint's
-slots, so that a partition doesn't make routers with the same load report fill it
-together.
+What a router may send without an answer of the owner, and an owner may grant that has
+just become one, is in `slot_ceilings`.
 """
 
 import math
@@ -66,6 +65,7 @@
         # Times and numbers of rejections by endpoint.
         self._rejections: dict[str, list[tuple[float, int]]] = {}
         self._endpoint_limits: dict[str, int] = {}
+        self._service_limits: dict[str, int] = {}
 
     def observe(
         self, services: Iterable[str], endpoint: str, limit: int, now_s: float
@@ -91,6 +91,7 @@
         new = [name for name in services if not self.is_brittle(name, now_s)]
         for name in services:
             self._until_s[name] = now_s + BRITTLE_TTL_S
+            self._service_limits[name] = limit
         self._endpoint_limits[endpoint] = limit
         return new
 
@@ -98,6 +99,14 @@
         """Return whether the endpoints of a service are brittle."""
         return now_s < self._until_s.get(service, -math.inf)
 
+    def find_limit(self, endpoint: str, services: Iterable[str]) -> int:
+        """Return how many requests an endpoint may turn away per second.
+
+        An endpoint that hasn't said so yet has the limit of another one of a service.
+        """
+        limits = [self._service_limits.get(name, 0) for name in services]
+        return self._endpoint_limits.get(endpoint, min(limits, default=0))
+
     def must_tell(self, service: str, now_s: float) -> bool:
         """Return whether to tell other routers of a service, and record that."""
         if now_s < self._told_s.get(service, -math.inf) + TOLD_INTERVAL_S:
@@ -146,8 +155,3 @@
         for known in (self._rejections, self._endpoint_limits):
             for name in [name for name in known if name not in kept]:
                 del known[name]
-
-
-def compute_own_limit(slots: int, routers: int) -> int:
-    """Return how many requests one router may have without asking the owner."""
-    return max(1, math.ceil(slots / max(1, routers)))
--- a/src/tamarackrill/decisions/reservations.py
+++ b/src/tamarackrill/decisions/reservations.py
@@ -18,7 +18,7 @@
 did not grant.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple
 
 from tamarackrill.contracts import Endpoint
@@ -99,10 +99,26 @@
 
 
 class Reservations:
-    """Reservations granted by one router for the endpoints that it owns."""
+    """Reservations granted by one router for the endpoints that it owns.
 
-    def __init__(self, load_factor: float) -> None:
+    Parameters
+    ----------
+    load_factor : float
+        Multiple of the mean load that no endpoint exceeds.
+    may_grant : callable, optional
+        ``may_grant(endpoint, load, now_s)`` returns whether a further request may be
+        granted that is within the bound.
+    """
+
+    def __init__(
+        self,
+        load_factor: float,
+        may_grant: Callable[[Endpoint, int, float], bool] = (
+            lambda endpoint, load, now_s: True
+        ),
+    ) -> None:
         self.load_factor = load_factor
+        self._may_grant = may_grant
         self.loads = Loads()
         self._active: dict[str, _Reservation] = {}
 
@@ -155,15 +171,19 @@
         bound = compute_bound(self.load_factor, total, len(names))
         if load >= (endpoint.slots if is_last else min(bound, endpoint.slots)):
             return ReservationReply(False, load)
+        if not self._may_grant(endpoint, load, now_s):
+            return ReservationReply(False, load)
         self._active[request] = _Reservation(endpoint.name, router, expires_s)
         self.loads.start(endpoint.name, now_s)
         return ReservationReply(True, load + 1)
 
-    def release(self, request: str, now_s: float) -> None:
-        """End a reservation; does nothing if it has already ended."""
+    def release(self, request: str, now_s: float) -> str | None:
+        """End a reservation; return its endpoint, None if it has already ended."""
         reservation = self._active.pop(request, None)
-        if reservation is not None:
-            self.loads.finish(reservation.endpoint, now_s)
+        if reservation is None:
+            return None
+        self.loads.finish(reservation.endpoint, now_s)
+        return reservation.endpoint
 
     def release_router(self, router: str, now_s: float) -> None:
         """End all reservations of a failed router."""
--- a/src/tamarackrill/decisions/retry_shares.py
+++ b/src/tamarackrill/decisions/retry_shares.py
@@ -25,9 +25,16 @@
 
 
 class FleetSize:
-    """Maximum number of live routers over a recent period."""
+    """Maximum number of live routers over a recent period.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    retention_s : float, optional
+        How long a departed router still counts.
+    """
+
+    def __init__(self, retention_s: float = ROUTER_RETENTION_S) -> None:
+        self._retention_s = retention_s
         self._seen: deque[tuple[float, int]] = deque()
 
     def observe(self, live: int, now_s: float) -> None:
@@ -35,7 +42,7 @@
         while self._seen and self._seen[-1][1] <= live:
             self._seen.pop()
         self._seen.append((now_s, live))
-        while self._seen[0][0] < now_s - ROUTER_RETENTION_S:
+        while self._seen[0][0] < now_s - self._retention_s:
             self._seen.popleft()
 
     @property
--- a/src/tamarackrill/protocol/owner_codec.py
+++ b/src/tamarackrill/protocol/owner_codec.py
@@ -43,18 +43,34 @@
 
 
 class Answer(NamedTuple):
-    """Response of an owner; see `ReservationReply`."""
+    """Response of an owner; see `ReservationReply`.
+
+    `session` is the owner's process, 0 if unknown, as of an earlier release.
+    """
 
     ticket: int
     is_granted: bool
     in_flight: int
+    session: int = 0
 
 
 class Release(NamedTuple):
-    """Notice of a home router that it no longer needs a reservation."""
+    """Notice of a home router that it no longer needs a reservation.
+
+    `is_served` tells whether the endpoint had accepted the request.
+    """
 
     sender: str
     ticket: int
+    is_served: bool = False
+
+
+class Told(NamedTuple):
+    """Number of a router's requests at an endpoint that the owner hasn't granted."""
+
+    sender: str
+    endpoint: str
+    requests: int
 
 
 class PermitRequest(NamedTuple):
@@ -100,6 +116,7 @@
     Ask
     | Answer
     | Release
+    | Told
     | PermitRequest
     | PermitReply
     | StreamRecord
@@ -111,6 +128,7 @@
     Ask,
     Answer,
     Release,
+    Told,
     PermitRequest,
     PermitReply,
     StreamRecord,
@@ -140,7 +158,13 @@
         for kind in _KINDS:
             found = getattr(struct, kind.__name__.lower())
             if found is not None:
-                fields = {name: getattr(found, name) for name in kind._fields}
+                received = {name: getattr(found, name) for name in kind._fields}
+                defaults = kind._field_defaults
+                # A field that an earlier release doesn't send has its default.
+                fields = {
+                    name: defaults.get(name) if value is None else value
+                    for name, value in received.items()
+                }
                 return None if None in fields.values() else kind(**fields)
     # The parser may raise any exception; a message from a peer of a later release must
     # not end the task that reads the socket.
--- a/src/tamarackrill/protocol/owners.thrift
+++ b/src/tamarackrill/protocol/owners.thrift
@@ -14,11 +14,22 @@
   1: i64 ticket
   2: bool is_granted
   3: i32 in_flight
+  // The owner's process; another one knows nothing of earlier reservations.
+  4: optional i64 session
 }
 
 struct Release {
   1: string sender
   2: i64 ticket
+  // Whether the endpoint had accepted the request.
+  3: optional bool is_served
+}
+
+// Tells an owner of requests at an endpoint that it has not granted.
+struct Told {
+  1: string sender
+  2: string endpoint
+  3: i32 requests
 }
 
 // Requests one permit to send a request to a cold endpoint.
@@ -60,4 +71,5 @@
   6: StreamRecord streamrecord
   7: VersionQuestion versionquestion
   8: VersionReply versionreply
+  9: Told told
 }
--- a/src/tamarackrill/protocol/structs.py
+++ b/src/tamarackrill/protocol/structs.py
@@ -174,15 +174,36 @@
         1: (TType.I64, "ticket", False),
         2: (TType.BOOL, "is_granted", False),
         3: (TType.I32, "in_flight", False),
+        4: (TType.I64, "session", False),
     }
-    default_spec = [("ticket", None), ("is_granted", None), ("in_flight", None)]
+    default_spec = [
+        ("ticket", None),
+        ("is_granted", None),
+        ("in_flight", None),
+        ("session", None),
+    ]
 
 
 class Release(TPayload, metaclass=TPayloadMeta):
     """Struct of owners.thrift."""
 
-    thrift_spec = {1: (TType.STRING, "sender", False), 2: (TType.I64, "ticket", False)}
-    default_spec = [("sender", None), ("ticket", None)]
+    thrift_spec = {
+        1: (TType.STRING, "sender", False),
+        2: (TType.I64, "ticket", False),
+        3: (TType.BOOL, "is_served", False),
+    }
+    default_spec = [("sender", None), ("ticket", None), ("is_served", None)]
+
+
+class Told(TPayload, metaclass=TPayloadMeta):
+    """Struct of owners.thrift."""
+
+    thrift_spec = {
+        1: (TType.STRING, "sender", False),
+        2: (TType.STRING, "endpoint", False),
+        3: (TType.I32, "requests", False),
+    }
+    default_spec = [("sender", None), ("endpoint", None), ("requests", None)]
 
 
 class PermitRequest(TPayload, metaclass=TPayloadMeta):
@@ -255,6 +276,7 @@
         6: (TType.STRUCT, "streamrecord", StreamRecord, False),
         7: (TType.STRUCT, "versionquestion", VersionQuestion, False),
         8: (TType.STRUCT, "versionreply", VersionReply, False),
+        9: (TType.STRUCT, "told", Told, False),
     }
     default_spec = [
         ("ask", None),
@@ -265,6 +287,7 @@
         ("streamrecord", None),
         ("versionquestion", None),
         ("versionreply", None),
+        ("told", None),
     ]
 
 
--- a/src/tamarackrill/router/brittle_slots.py
+++ b/src/tamarackrill/router/brittle_slots.py
@@ -6,10 +6,14 @@
 
 from tamarackrill.contracts import Endpoint
 from tamarackrill.decisions import hashing
-from tamarackrill.decisions.brittle import (
-    OWNER_PAUSE_S,
-    REJECTED_HOLD_S,
-    compute_own_limit,
+from tamarackrill.decisions.brittle import OWNER_PAUSE_S, REJECTED_HOLD_S
+from tamarackrill.decisions.retry_shares import FleetSize
+from tamarackrill.decisions.slot_ceilings import (
+    ROUTER_RETENTION_S,
+    GrantedRequests,
+    SlotCeilings,
+    SlotTerms,
+    Tenures,
 )
 from tamarackrill.events import BRITTLE_REJECTION, log_event
 from tamarackrill.router.deployment_view import DeploymentView
@@ -21,6 +25,8 @@
 
 # Ticket of a request that this router counts itself because the owner is silent.
 _UNRESERVED = Ticket("", 1)
+# Longest time to wait for an owner that answers late, as over a loaded link.
+OWNER_TIMEOUT_MAX_S = 0.4
 
 
 def choose_owner(endpoint: Endpoint, pool_size: int, routers: Sequence[str]) -> str:
@@ -47,8 +53,6 @@
         Receives the counts of reservations by outcome.
     clock : callable
         Returns the current time.
-    count_routers : callable
-        Returns how many routers share the endpoints.
     """
 
     def __init__(
@@ -60,25 +64,65 @@
         peer_keys: tuple[str, ...],
         metrics: Metrics,
         clock: Callable[[], float],
-        count_routers: Callable[[], int],
     ) -> None:
-        self._count_routers = count_routers
-        self._unreserved: Counter[str] = Counter()
+        self._view = view
         self._placer = placer
+        self._members = members
         self._metrics = metrics
         self._clock = clock
+        self._fleet_size = FleetSize(ROUTER_RETENTION_S)
+        self._ceilings = SlotCeilings(members.own.name)
+        self._tenures = Tenures()
+        self._granted = GrantedRequests()
+        # Requests in flight that no owner has granted.
+        self._unreserved: Counter[str] = Counter()
         self._paused_until_s: dict[str, float] = {}
         self.owners = Owners(
-            members, 1.0, view.list_endpoints, send, peer_keys, clock, choose_owner
+            members,
+            1.0,
+            view.list_endpoints,
+            send,
+            peer_keys,
+            clock,
+            choose_owner,
+            self._may_grant,
+            OWNER_TIMEOUT_MAX_S,
         )
+        self.owners.on_served = self._observe_served
+        self.owners.on_late_answer = self._end_pause
         self.handle_datagram = self.owners.handle_datagram
 
-    def expire(self) -> None:
-        """End expired reservations and pauses; call a few times per second."""
+    def update(self) -> None:
+        """End what has expired, and tell owners; call a few times per second."""
         self.owners.expire()
         now_s = self._clock()
         for name in [n for n, at_s in self._paused_until_s.items() if at_s <= now_s]:
             del self._paused_until_s[name]
+        live = len(self._members.list_live())
+        self._fleet_size.observe(live, now_s)
+        owned = [endpoint.name for endpoint in self.owners.list_owned()]
+        self._tenures.observe(owned, live >= self._fleet_size.largest, now_s)
+        self._ceilings.retain([e.name for e in self._view.list_endpoints()])
+        self._tell_owners(now_s)
+
+    def _tell_owners(self, now_s: float) -> None:
+        """Tell owners of the requests at their endpoints that they haven't granted."""
+        for endpoint in self._view.list_endpoints():
+            name = endpoint.name
+            in_flight = self._placer.placement.loads.own(name)
+            if not in_flight or not self._is_brittle(endpoint, now_s):
+                continue
+            owner = self.owners.find_owner(endpoint).name
+            session = self.owners.find_session(owner)
+            count = self._granted.count_untold(name, owner, session, in_flight)
+            if owner == self._members.own.name:
+                self.owners.told.observe(owner, name, count, now_s)
+            elif count:
+                self.owners.tell(owner, name, count)
+
+    def _is_brittle(self, endpoint: Endpoint, now_s: float) -> bool:
+        is_brittle = self._placer.brittle.is_brittle
+        return any(is_brittle(service, now_s) for service in endpoint.serves)
 
     def must_reserve(self, call: EdgeCall) -> bool:
         """Return whether the endpoints that serve a request are brittle."""
@@ -89,7 +133,8 @@
     ) -> EdgePlacement | None:
         """Return the placement with its reservation; None if it must not be used."""
         name, now_s = placed.endpoint.name, self._clock()
-        if now_s < self._paused_until_s.get(name, now_s):
+        owner = self.owners.find_owner(placed.endpoint).name
+        if owner in self._paused_until_s:
             return self._use_unreserved(placed)
         reply, ticket = await self.owners.reserve(
             placed.endpoint,
@@ -97,37 +142,69 @@
             is_last=True,
         )
         if reply is None:
-            self._paused_until_s[name] = self._clock() + OWNER_PAUSE_S
+            self._paused_until_s[owner] = self._clock() + OWNER_PAUSE_S
             return self._use_unreserved(placed)
         self._metrics.count("slots", "granted" if reply.is_granted else "refused")
-        return placed._replace(ticket=ticket) if reply.is_granted else None
+        if not reply.is_granted:
+            return None
+        self._granted.start(name, ticket.owner, ticket.session)
+        return placed._replace(ticket=ticket)
 
     def _use_unreserved(self, placed: EdgePlacement) -> EdgePlacement | None:
-        endpoint = placed.endpoint
-        limit = compute_own_limit(endpoint.slots, self._count_routers())
-        may_send = self._unreserved[endpoint.name] < limit
+        """Use a slot for which this router itself has evidence."""
+        endpoint, now_s = placed.endpoint, self._clock()
+        terms = self._make_terms(endpoint, 1, is_established=False)
+        in_use = self._unreserved[endpoint.name]
+        may_send = self._ceilings.may_start(endpoint.name, in_use, terms, now_s)
         self._metrics.count("slots", "unreserved" if may_send else "owner_silent")
         if not may_send:
             return None
         self._unreserved[endpoint.name] += 1
         return placed._replace(ticket=_UNRESERVED)
 
+    def _make_terms(
+        self, endpoint: Endpoint, routers: int, is_established: bool
+    ) -> SlotTerms:
+        known = max(self._fleet_size.largest, routers)
+        rejections_max = self._placer.brittle.find_limit(endpoint.name, endpoint.serves)
+        share = routers / known
+        return SlotTerms(endpoint.slots, rejections_max, share, is_established)
+
+    def _may_grant(self, endpoint: Endpoint, load: int, now_s: float) -> bool:
+        """Return whether this router may grant a request as the owner."""
+        own = self._members.own.name
+        if self.owners.find_owner(endpoint).name != own:
+            return False
+        in_use = load + self.owners.told.count(endpoint.name, now_s)
+        live = len(self._members.list_live())
+        is_established = self._tenures.is_established(endpoint.name)
+        terms = self._make_terms(endpoint, live, is_established)
+        return self._ceilings.may_start(endpoint.name, in_use, terms, now_s)
+
+    def _observe_served(self, name: str) -> None:
+        self._ceilings.observe_served(name, self._clock())
+
+    def _end_pause(self, owner: str) -> None:
+        self._paused_until_s.pop(owner, None)
+
     def finish(self, placed: EdgePlacement, is_rejected: bool) -> None:
         """End the reservation of a placement, later if its request was turned away."""
+        ticket = placed.ticket
         if is_rejected:
             self._record_rejected(placed)
-        if placed.ticket == UNCOUNTED:
+        if ticket == UNCOUNTED:
             return
+        if ticket.owner:
+            self._granted.finish(placed.endpoint.name, ticket.owner, ticket.session)
         if is_rejected:
             asyncio.get_running_loop().call_later(
-                REJECTED_HOLD_S, self._release, placed
+                REJECTED_HOLD_S, self._release, placed, False
             )
         else:
-            self._release(placed)
+            self._release(placed, True)
 
     def _record_rejected(self, placed: EdgePlacement) -> None:
-        services, now_s = placed.endpoint.serves, self._clock()
-        if not any(self._placer.brittle.is_brittle(name, now_s) for name in services):
+        if not self._is_brittle(placed.endpoint, self._clock()):
             return
         basis = self._find_basis(placed.ticket)
         self._metrics.count("slots_rejected", basis)
@@ -141,11 +218,15 @@
             return "own" if self.owners.owns(ticket) else "granted"
         return "uncounted" if ticket == UNCOUNTED else "unreserved"
 
-    def _release(self, placed: EdgePlacement) -> None:
-        name = placed.endpoint.name
-        if placed.ticket == _UNRESERVED:
+    def _release(self, placed: EdgePlacement, is_served: bool) -> None:
+        name, ticket = placed.endpoint.name, placed.ticket
+        if ticket == _UNRESERVED:
             self._unreserved[name] -= 1
             if not self._unreserved[name]:
                 del self._unreserved[name]
-        else:
-            self.owners.release(placed.ticket)
+        is_silent = ticket.owner in self._paused_until_s
+        if is_served and (ticket == _UNRESERVED or is_silent):
+            # The slot stays with this router, as its owner can't grant it to another.
+            self._observe_served(name)
+        elif ticket != _UNRESERVED:
+            self.owners.release(ticket, is_served)
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -496,7 +496,6 @@
             self._peer_keys,
             self.metrics,
             self.clock,
-            lambda: self._fleet_size.largest,
         )
         self.flow.reserver.slots = self.slots
         self.keepers = VersionKeepers(
@@ -573,7 +572,7 @@
             self.store_news.update_members()
             self.permits.update_members()
             self.keepers.update()
-            self.slots.expire()
+            self.slots.update()
             self.guard.update()
             self._reporter_zones = {
                 hash_reporter(m.name): m.zone for m in self.members.list_live()
--- a/src/tamarackrill/router/owners.py
+++ b/src/tamarackrill/router/owners.py
@@ -15,26 +15,34 @@
     Reservations,
     find_owner,
 )
+from tamarackrill.decisions.slot_ceilings import RoundTrips, ToldRequests
 from tamarackrill.events import OWNER_SILENT, log_event
 from tamarackrill.protocol.owner_codec import (
     Answer,
     Ask,
     OwnerMessage,
     Release,
+    Told,
     decode_owner_message,
     encode_owner_message,
 )
 from tamarackrill.router.members import Member, Members
 
 EXPIRE_EVERY_S = 1.0
+# How long the answer of a silent owner shows that it is only late.
+LATE_ANSWER_MAX_S = 2.0
 TICKET_BITS = 48
 
 
 class Ticket(NamedTuple):
-    """Identifies a reservation at its owner; `owner` is empty if there is none."""
+    """Identifies a reservation at its owner; `owner` is empty if there is none.
+
+    `session` is the owner's process that has granted it, 0 if unknown.
+    """
 
     owner: str
     number: int
+    session: int = 0
 
 
 UNCOUNTED = Ticket("", 0)
@@ -62,6 +70,19 @@
         Returns the current time.
     choose_owner : callable, optional
         Returns the owner of an endpoint; see `find_owner` for its arguments.
+    may_grant : callable, optional
+        Returns whether this router may grant a request; see `Reservations`.
+    timeout_max_s : float, optional
+        Longest time to wait for an owner whose answers take long.
+
+    Attributes
+    ----------
+    told : ToldRequests
+        Requests that this router has not granted.
+    on_served : callable
+        Called with the endpoint of a reservation whose request it had accepted.
+    on_late_answer : callable
+        Called with the name of an owner that has answered after the timeout.
     """
 
     def __init__(
@@ -73,6 +94,8 @@
         peer_keys: tuple[str, ...],
         clock: Callable[[], float],
         choose_owner: Callable[[Endpoint, int, Sequence[str]], str] = find_owner,
+        may_grant: Callable[[Endpoint, int, float], bool] | None = None,
+        timeout_max_s: float = RESERVATION_TIMEOUT_S,
     ) -> None:
         self._choose_owner = choose_owner
         self._members = members
@@ -90,7 +113,18 @@
             [],
         )
         self._owner_names: dict[str, str] = {}
-        self.reservations = Reservations(load_factor)
+        self._round_trips = RoundTrips(RESERVATION_TIMEOUT_S, timeout_max_s)
+        self._asked: dict[int, tuple[str, float]] = {}
+        self.session = secrets.randbits(TICKET_BITS)
+        self._sessions: dict[str, int] = {}
+        self.told = ToldRequests()
+        self.on_served: Callable[[str], None] = lambda endpoint: None
+        self.on_late_answer: Callable[[str], None] = lambda owner: None
+        self.reservations = (
+            Reservations(load_factor, may_grant)
+            if may_grant is not None
+            else Reservations(load_factor)
+        )
 
     async def run(self) -> None:
         """Expire reservations once a second until cancelled."""
@@ -107,6 +141,11 @@
             self.reservations.release_router(name, now_s)
         self._known_routers = present
         self.reservations.expire(now_s)
+        self.told.expire(now_s)
+        self._round_trips.retain(present)
+        for number, (_, sent_s) in list(self._asked.items()):
+            if sent_s <= now_s - LATE_ANSWER_MAX_S:
+                del self._asked[number]
 
     async def reserve(
         self, endpoint: Endpoint, lifetime_s: float, is_last: bool
@@ -121,25 +160,28 @@
             To be passed to `release`.
         """
         number = next(self._numbers)
-        owner = self._find_owner(endpoint)
+        owner = self.find_owner(endpoint)
         own = self._members.own.name
         ask = Ask(own, number, endpoint.name, int(lifetime_s * 1000), is_last)
         if owner.name == own:
-            return self._decide(ask), Ticket(own, number)
+            return self._decide(ask), Ticket(own, number, self.session)
         future: asyncio.Future[ReservationReply] = (
             asyncio.get_running_loop().create_future()
         )
         self._pending[number] = future
+        self._asked[number] = (owner.name, self._clock())
         self._send_message(owner, ask)
         ticket = Ticket(owner.name, number)
+        timeout_s = self._round_trips.compute_timeout_s(owner.name)
         try:
-            return await asyncio.wait_for(future, RESERVATION_TIMEOUT_S), ticket
+            reply = await asyncio.wait_for(future, timeout_s)
+            return reply, ticket._replace(session=self.find_session(owner.name))
         except TimeoutError:
             log_event(
                 OWNER_SILENT,
                 endpoint=endpoint.name,
                 owner=owner.name,
-                waited_s=RESERVATION_TIMEOUT_S,
+                waited_s=timeout_s,
             )
             # The owner may have granted it and only the reply was lost.
             self.release(ticket)
@@ -151,15 +193,23 @@
         """Return whether this router has granted a reservation itself."""
         return ticket.owner == self._members.own.name
 
-    def release(self, ticket: Ticket) -> None:
-        """End a reservation."""
-        own = self._members.own.name
-        if ticket.owner == own:
-            self.reservations.release(_name_request(own, ticket.number), self._clock())
-            return
-        for member in self._members.list_all():
-            if member.name == ticket.owner:
-                self._send_message(member, Release(own, ticket.number))
+    def release(self, ticket: Ticket, is_served: bool = False) -> None:
+        """End a reservation; `is_served` if its endpoint had accepted the request."""
+        release = Release(self._members.own.name, ticket.number, is_served)
+        if self.owns(ticket):
+            self._end_reservation(release)
+        else:
+            self._send_to(ticket.owner, release)
+
+    def tell(self, owner: str, endpoint: str, count: int) -> None:
+        """Tell an owner how many requests it has not granted this router has."""
+        self._send_to(owner, Told(self._members.own.name, endpoint, count))
+
+    def find_session(self, owner: str) -> int:
+        """Return the process of an owner that was last heard of, 0 if unknown."""
+        if owner == self._members.own.name:
+            return self.session
+        return self._sessions.get(owner, 0)
 
     def handle_datagram(self, datagram: bytes, source: str) -> bool:
         """Process a datagram; return whether it was a reservation message."""
@@ -167,16 +217,31 @@
         if isinstance(message, Ask):
             self._answer(message)
         elif isinstance(message, Answer):
-            future = self._pending.get(message.ticket)
-            if future is not None and not future.done():
-                future.set_result(
-                    ReservationReply(message.is_granted, message.in_flight)
-                )
+            self._take_answer(message)
         elif isinstance(message, Release):
-            request = _name_request(message.sender, message.ticket)
-            self.reservations.release(request, self._clock())
+            self._end_reservation(message)
+        elif isinstance(message, Told):
+            self.told.observe(*message, self._clock())
         return message is not None
 
+    def _take_answer(self, answer: Answer) -> None:
+        owner, sent_s = self._asked.pop(answer.ticket, ("", 0.0))
+        if not owner:
+            return
+        self._round_trips.observe(owner, self._clock() - sent_s)
+        self._sessions[owner] = answer.session
+        future = self._pending.get(answer.ticket)
+        if future is None:
+            self.on_late_answer(owner)
+        elif not future.done():
+            future.set_result(ReservationReply(answer.is_granted, answer.in_flight))
+
+    def _end_reservation(self, release: Release) -> None:
+        request = _name_request(release.sender, release.ticket)
+        endpoint = self.reservations.release(request, self._clock())
+        if endpoint is not None and release.is_served:
+            self.on_served(endpoint)
+
     def list_owned(self) -> list[Endpoint]:
         """Return the endpoints that this router owns."""
         own = self._members.own.name
@@ -193,7 +258,8 @@
         grant = self._decide(ask)
         for member in self._members.list_live():
             if member.name == ask.sender and grant is not None:
-                self._send_message(member, Answer(ask.ticket, *grant))
+                answer = Answer(ask.ticket, *grant, session=self.session)
+                self._send_message(member, answer)
 
     def _decide(self, ask: Ask) -> ReservationReply | None:
         now_s = self._clock()
@@ -220,7 +286,8 @@
             if other.kind == endpoint.kind and set(other.serves) & set(endpoint.serves)
         ]
 
-    def _find_owner(self, endpoint: Endpoint) -> Member:
+    def find_owner(self, endpoint: Endpoint) -> Member:
+        """Return the owner of an endpoint, as this router sees the fleet."""
         routers = {member.name: member for member in self._members.list_live()}
         owner = self._list_owners(sorted(routers)).get(endpoint.name, "")
         return routers.get(owner, self._members.own)
@@ -248,6 +315,11 @@
             }
         return self._owner_names
 
+    def _send_to(self, name: str, message: OwnerMessage) -> None:
+        for member in self._members.list_all():
+            if member.name == name:
+                self._send_message(member, message)
+
     def _send_message(self, member: Member, message: OwnerMessage) -> None:
         if member.peer_address:
             datagram = encode_owner_message(message, self._peer_keys)
