Ask other routers which endpoints are leaving after a start or a restore

What callers saw: requests reached a worker up to 4.3 s after the store had acknowledged that it leaves (DRAIN), from routers that had started after the store came back from a copy.

Cause: what a router knows from before a restore lives in its process alone, and a copy is a list like any other to a router that starts. Class: knowledge that the store has lost is kept by each process for itself; a router that was cut off meanwhile has it too.

Change: leaving and ended endpoints are asked for at a start and after a restore, from three routers, until one answers that knows; a new router takes no new connections before that, for a second at most.

--- a/src/tamarackrill/decisions/leaving.py
+++ b/src/tamarackrill/decisions/leaving.py
@@ -10,6 +10,7 @@
 it, because the others merely lag; a restart of the endpoint withdraws all reports.
 """
 
+import json
 from collections import OrderedDict
 from typing import Literal, NamedTuple
 
@@ -18,6 +19,9 @@
 # as one fleet is expected to have.
 ENDPOINTS_KEPT = 4096
 
+# Endpoints that one router tells another one of: several rolling replacements.
+TOLD_MAX = 256
+
 Source = Literal["vm_list", "endpoint", "object"]
 
 
@@ -42,6 +46,40 @@
     incarnation: int = 0
 
 
+class LeavingNews(NamedTuple):
+    """What a router knows of endpoints that must get no new work.
+
+    Parameters
+    ----------
+    leaving : tuple of (str, int)
+        Names of leaving endpoints, and when their processes started, 0 if unknown.
+    ended : tuple of str
+        Names of endpoints whose entries have ended.
+    is_complete : bool, default=False
+        Whether the router has run for long enough to know, or has been told.
+    """
+
+    leaving: tuple[tuple[str, int], ...]
+    ended: tuple[str, ...]
+    is_complete: bool = False
+
+    @classmethod
+    def parse(cls, text: bytes) -> "LeavingNews":
+        """Parse the JSON form.
+
+        Raises
+        ------
+        ValueError
+            If it isn't valid, as from a router of another release.
+        """
+        try:
+            leaving, ended, is_complete, *_ = json.loads(text)
+            pairs = tuple((str(name), int(started)) for name, started in leaving)
+            return cls(pairs, tuple(map(str, ended)), bool(is_complete))
+        except TypeError as error:
+            raise ValueError("not a list of leaving endpoints") from error
+
+
 class LeavingEndpoints:
     """The endpoints that are leaving, by any source."""
 
@@ -72,6 +110,11 @@
         """Return whether `endpoint` must get no new work."""
         return bool(self._known.get(endpoint, _NO_REPORTS).sources)
 
+    def list_recent(self) -> tuple[tuple[str, int], ...]:
+        """Return the endpoints lately reported as leaving, with their incarnations."""
+        found = [(n, k.incarnation) for n, k in self._known.items() if k.sources]
+        return tuple(found[-TOLD_MAX:])
+
     def remove(self, endpoint: str) -> None:
         """Forget an endpoint whose object has been deleted for good."""
         self._known.pop(endpoint, None)
--- a/src/tamarackrill/router/deployment_view.py
+++ b/src/tamarackrill/router/deployment_view.py
@@ -6,7 +6,12 @@
 from tamarackrill.contracts import Endpoint
 from tamarackrill.decisions.configuration import ObjectVersion
 from tamarackrill.decisions.lapses import EndedEntries, ExpiryGrace
-from tamarackrill.decisions.leaving import LeavingEndpoints, LeavingReport, Source
+from tamarackrill.decisions.leaving import (
+    LeavingEndpoints,
+    LeavingNews,
+    LeavingReport,
+    Source,
+)
 from tamarackrill.decisions.manifests import Manifest, RouteTable
 from tamarackrill.decisions.pools import EndpointPool, make_pool
 from tamarackrill.events import (
@@ -113,6 +118,39 @@
         elif kind == self._readers.evacuation_kind:
             self._evacuation_grace.observe_restored(now_s)
 
+    def list_leaving_news(self) -> LeavingNews:
+        """Return the endpoints that must get no new work, for other routers."""
+        return LeavingNews(
+            self._leaving.list_recent(), self._ended_entries.list_recent()
+        )
+
+    def observe_leaving_news(
+        self,
+        news: LeavingNews,
+        find_item: Callable[[str], ObjectVersion | None],
+        now_s: float,
+    ) -> None:
+        """Apply what another router knows of endpoints that must get no new work.
+
+        Parameters
+        ----------
+        news : LeavingNews
+            What the other router knows.
+        find_item : callable
+            Returns the store's entry of an endpoint, None if it has none.
+        now_s : float
+            Current time.
+        """
+        for name, incarnation in news.leaving:
+            self._observe_leaving(LeavingReport(name, "endpoint", True, incarnation))
+        known = [name for name in news.ended if name in self._endpoints]
+        self._ended_entries.observe_told(news.ended, now_s)
+        for name in known:
+            item = find_item(name)
+            if item is not None and self._ended_entries.must_hold(item, now_s):
+                self._forget_endpoint(name)
+                log_event(ENDPOINT_SUSPECT, endpoint=name, revision=item.version)
+
     def take(self, item: ObjectVersion, now_s: float) -> None:
         """Apply a newer version of an object, or its deletion."""
         try:
@@ -221,11 +259,13 @@
             The endpoint as it was known when its request was sent.
         """
         stated = endpoint._replace(state="leaving")
-        report = _make_report(stated, "endpoint")
+        self._observe_leaving(_make_report(stated, "endpoint"))
+
+    def _observe_leaving(self, report: LeavingReport) -> None:
         if not self._leaving.observe(report):
             return
         log_event(ENDPOINT_LEAVING, **report._asdict())
-        known = self._endpoints.get(endpoint.name)
+        known = self._endpoints.get(report.endpoint)
         if known is not None:
             self._endpoints[known.name] = known._replace(state="leaving")
             self._pools = None
@@ -251,10 +291,15 @@
 
     def _drop(self, name: str) -> None:
         self._ended_entries.observe_ended(name)
-        if self._endpoints.pop(name, None) is not None:
-            self._pools = None
+        if self._forget_endpoint(name):
             log_event(ENDPOINT_GONE, endpoint=name)
 
+    def _forget_endpoint(self, name: str) -> bool:
+        if self._endpoints.pop(name, None) is None:
+            return False
+        self._pools = None
+        return True
+
     def list_endpoints(self) -> list[Endpoint]:
         """Return all known endpoints."""
         return list(self._endpoints.values())
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -23,6 +23,7 @@
     EndpointReport,
     hash_reporter,
 )
+from tamarackrill.decisions.leaving import LeavingNews
 from tamarackrill.decisions.loads import EndpointLoad
 from tamarackrill.decisions.manifest_relay import RelayBudget
 from tamarackrill.decisions.members import MemberRecord, MemberState, PiggybackedEntries
@@ -72,6 +73,7 @@
 from tamarackrill.router.edge_placing import EdgePlacer
 from tamarackrill.router.edge_server import EdgeServer
 from tamarackrill.router.gossip import Gossiper
+from tamarackrill.router.leaving_news import LeavingExchange
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.peer_api import (
@@ -240,18 +242,21 @@
             await self._peer_socket.start(settings.ip, settings.peer_port)
         self._store_client = CurlAsyncHTTPClient(force_instance=True)
         self._router_client = make_client()
-        self.relays.pull = self._pull_reach
+        self.relays.pull = self._pull_from_peer
         self._make_placement_gossip()
+        self._make_leaving_exchange()
         self._listen_for_peers()
         self._listen_readiness()
         self._make_configurer()
         await self._start_gossip()
         add_gauges(self)
+        self.leaving.start()
         await self.configuration_sync.start()
         listener = listener or open_listener(settings.callers_address)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(INITIAL_CONFIG_WAIT_S):
                 await self._configured.wait()
+                await self.leaving.first_answer.wait()
         self.server.server.add_sockets([listener])
         self._tasks.append(asyncio.create_task(self._run_housekeeping()))
         log_event(
@@ -270,6 +275,7 @@
             self.placement_gossip.encode_snapshot,
             lambda size_bytes: self._relay_budget.take(size_bytes, self.clock()),
             self.relay_server.find_reached,
+            self.leaving.encode_news,
         )
         pages = make_silent(Application(handlers))
         peers = RuleRouter(
@@ -323,9 +329,7 @@
             (EVACUATION_KIND,),
         )
         self.configuration_sync.on_platform_state = self._observe_store
-        self.configuration_sync.on_restored = lambda kind: self.view.observe_restored(
-            kind, self.clock()
-        )
+        self.configuration_sync.on_restored = self._observe_restored
         self.server.is_outdated = self._is_outdated
         platform.on_call = self._record_store_call
 
@@ -405,7 +409,9 @@
         self.flow.reserver.capacity = self.capacity.client
         self._peer_socket.handlers.append(self.capacity.handle_datagram)
 
-    def _pull_reach(self, address: str, uri: str, timeout_s: float) -> Awaitable[bytes]:
+    def _pull_from_peer(
+        self, address: str, uri: str, timeout_s: float
+    ) -> Awaitable[bytes]:
         return pull(self._router_client, address, uri, self._peer_keys, timeout_s)
 
     def _pull_placements(self, address: str) -> Awaitable[bytes]:
@@ -414,6 +420,27 @@
     def _find_reporter_zone(self, reporter: int) -> str | None:
         return self._reporter_zones.get(reporter)
 
+    def _make_leaving_exchange(self) -> None:
+        own_address = self.members.own.peer_address
+        self.leaving = LeavingExchange(
+            self.members,
+            (seed for seed in self.settings.seeds if seed != own_address),
+            self.view.list_leaving_news,
+            self._observe_leaving_news,
+            self._pull_from_peer,
+            self.clock,
+        )
+
+    def _observe_leaving_news(self, news: LeavingNews) -> None:
+        self.view.observe_leaving_news(
+            news, lambda name: self.store.get(ENDPOINT_KIND, name), self.clock()
+        )
+
+    def _observe_restored(self, kind: str) -> None:
+        self.view.observe_restored(kind, self.clock())
+        if kind == ENDPOINT_KIND:
+            self.leaving.ask_again()
+
     def _observe_store(self, is_lost: bool) -> None:
         self.view.observe_store(is_lost, self.clock())
 
@@ -589,7 +616,7 @@
         """Return whether the balancer may send new connections to this router."""
         if self.server.is_leaving or self.cut_off.is_cut_off:
             return False
-        return self.view.is_complete
+        return self.view.is_complete and self.leaving.may_serve
 
     async def drain(self, stop_requested_s: float | None = None) -> None:
         """Let requests in flight complete within the platform's grace period.
@@ -630,6 +657,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         if self.capacity is not None:
             self.capacity.server.stop()
+        await self.leaving.stop()
         await self.placement_gossip.stop()
         await self.gossiper.stop()
         await self.configuration_sync.stop()
--- /dev/null
+++ b/src/tamarackrill/router/leaving_news.py
@@ -0,0 +1,144 @@
+"""Asks other routers which endpoints are leaving or gone.
+
+The store may not say it: it may be away while this router starts, or have come back
+from a copy that was made before.  Routers that have seen it remember it.
+"""
+
+import asyncio
+import json
+import random
+from collections.abc import Awaitable, Callable, Iterable
+
+from tamarackrill.decisions.leaving import LeavingNews
+from tamarackrill.events import LEAVING_LEARNED, LEAVING_NOT_LEARNED, log_event
+from tamarackrill.router.background import log_task_failure
+from tamarackrill.router.members import Members
+from tamarackrill.router.peer_api import LEAVING_PATH, PeerUnavailable
+
+Pull = Callable[[str, str, float], Awaitable[bytes]]
+
+# How long an answer is waited for, and for all of them a new router keeps new
+# connections away.
+ANSWER_TIMEOUT_S = 1.0
+# Routers asked at a time.
+ASKED_MAX = 3
+# A router that has run for this long without hearing of others knows what they know.
+KNOWS_AFTER_S = 10.0
+# Pauses between the questions of a router that nobody could answer yet.
+RETRIES_S = (0.25, 0.5, 1.0, 2.0, 4.0)
+# Time over which the routers of a fleet ask after the store has been restored.
+SPREAD_S = 0.2
+
+
+class LeavingExchange:
+    """Learns from other routers which endpoints are leaving, and tells them.
+
+    Parameters
+    ----------
+    members : Members
+        Live routers, including this one.
+    contacts : iterable of str
+        Peer addresses of some routers that may run when this one starts.
+    list_news : callable
+        Returns what this router knows, without the field `is_complete`.
+    observe_news : callable
+        Called with what another router knows.
+    pull : callable
+        ``await pull(address, uri, timeout_s)`` returns an answer of another router.
+    clock : callable
+        Returns the current time.
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        contacts: Iterable[str],
+        list_news: Callable[[], LeavingNews],
+        observe_news: Callable[[LeavingNews], None],
+        pull: Pull,
+        clock: Callable[[], float],
+    ) -> None:
+        self._members = members
+        self._contacts = tuple(contacts)
+        self._list_news = list_news
+        self._observe_news = observe_news
+        self._pull = pull
+        self._clock = clock
+        self._started_s = clock()
+        self._was_told = False
+        self._tasks: set[asyncio.Task[None]] = set()
+        # Set once another router has answered, or none of the contacts could.
+        self.first_answer = asyncio.Event()
+
+    def start(self) -> None:
+        """Ask other routers until one that knows has answered."""
+        self._start_task(self._ask_until_told())
+
+    def ask_again(self) -> None:
+        """Ask some routers, as the store has been restored."""
+        self._start_task(self._ask_after_restore())
+
+    async def stop(self) -> None:
+        """Cancel all questions."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    @property
+    def may_serve(self) -> bool:
+        """Whether new connections may come."""
+        is_late = self._clock() >= self._started_s + ANSWER_TIMEOUT_S
+        return self.first_answer.is_set() or is_late
+
+    async def encode_news(self) -> bytes:
+        """Return what this router knows, as the answer to another one."""
+        ran_s = self._clock() - self._started_s
+        is_complete = self._was_told or ran_s >= KNOWS_AFTER_S
+        return json.dumps(self._list_news()._replace(is_complete=is_complete)).encode()
+
+    def _start_task(self, asking: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(asking)
+        task.add_done_callback(log_task_failure)
+        task.add_done_callback(self._tasks.discard)
+        self._tasks.add(task)
+
+    async def _ask_until_told(self) -> None:
+        await self._ask(self._contacts)
+        self.first_answer.set()
+        for retry_s in RETRIES_S:
+            if self._was_told:
+                return
+            await asyncio.sleep(retry_s)
+            await self._ask(self._list_addresses())
+
+    async def _ask_after_restore(self) -> None:
+        await asyncio.sleep(random.uniform(0.0, SPREAD_S))
+        await self._ask(self._list_addresses())
+
+    def _list_addresses(self) -> list[str]:
+        own = self._members.own.name
+        return [m.peer_address for m in self._members.list_live() if m.name != own]
+
+    async def _ask(self, addresses: Iterable[str]) -> None:
+        known = list(addresses)
+        asked = random.sample(known, min(ASKED_MAX, len(known)))
+        await asyncio.gather(*(self._ask_one(address) for address in asked))
+
+    async def _ask_one(self, address: str) -> None:
+        try:
+            text = await self._pull(address, LEAVING_PATH, ANSWER_TIMEOUT_S)
+            news = LeavingNews.parse(text)
+        except (PeerUnavailable, ValueError) as error:
+            log_event(LEAVING_NOT_LEARNED, peer=address, reason=str(error))
+            return
+        self._observe_news(news)
+        if news.is_complete:
+            self._was_told = True
+            self.first_answer.set()
+        log_event(
+            LEAVING_LEARNED,
+            peer=address,
+            leaving=len(news.leaving),
+            ended=len(news.ended),
+            is_complete=news.is_complete,
+        )
--- a/src/tamarackrill/router/peer_api.py
+++ b/src/tamarackrill/router/peer_api.py
@@ -32,6 +32,7 @@
 
 CONFIGURATION_PATH = "/internal/v1/configuration"
 REACH_PATH = "/internal/v1/reach"
+LEAVING_PATH = "/internal/v1/leaving"
 FRESH_ARGUMENT = "fresh"
 PLACEMENTS_PATH = "/internal/v1/placements"
 PULL_TIMEOUT_S = 3.0
@@ -128,6 +129,7 @@
     find_placements: Callable[[], bytes] | None = None,
     has_link_capacity: Callable[[int], bool] = lambda size_bytes: True,
     find_reached: Callable[[list[str], bool], Awaitable[list[str]]] | None = None,
+    find_leaving: Callable[[], Awaitable[bytes]] | None = None,
 ) -> list[tuple[str, type[RequestHandler], dict[str, Any]]]:
     """Return the HTTP handlers for requests of peers.
 
@@ -146,6 +148,8 @@
     find_reached : callable, optional
         ``await find_reached(names, is_fresh)`` returns the endpoints that this router
         reaches, by probes of all of them if `is_fresh`.
+    find_leaving : callable, optional
+        Returns the endpoints that are leaving or gone, encoded.
     """
     compressed = _CompressedChanges(store)
 
@@ -179,12 +183,18 @@
         is_fresh = bool(handler.get_argument(FRESH_ARGUMENT, ""))
         return json.dumps(await find_reached(names, is_fresh)).encode()
 
+    async def find_news(handler: RequestHandler) -> bytes:
+        assert find_leaving is not None
+        return await find_leaving()
+
     answers: dict[str, Callable[[RequestHandler], Awaitable[bytes]]]
     answers = {CONFIGURATION_PATH: find_changes}
     if find_placements is not None:
         answers[PLACEMENTS_PATH] = find_snapshot
     if find_reached is not None:
         answers[REACH_PATH] = find_reach
+    if find_leaving is not None:
+        answers[LEAVING_PATH] = find_news
     return [
         (
             path,
--- a/src/tamarackrill/testing/drain_fleet.py
+++ b/src/tamarackrill/testing/drain_fleet.py
@@ -4,7 +4,9 @@
 import contextlib
 import random
 from collections.abc import Awaitable, Callable, Iterable
+from unittest import mock
 
+from tamarackrill.router import edge_app
 from tamarackrill.router.edge_app import EdgeApplication
 from tamarackrill.testing.edge import EdgeFleet, ask, make_route
 from tamarackrill.testing.peer_links import PeerLinks
@@ -150,8 +152,11 @@
         What callers and the worker have seen; its routers have stopped.
     """
     links = PeerLinks()
+    # A fleet that has just started polls the store, and may not have read the entry
+    # when the store goes away; then no router can know of it.
+    has_settled = mock.patch.object(edge_app, "SETTLE_S", 0.0)
     async with EdgeFleet() as fleet:
-        with links.intercept():
+        with links.intercept(), has_settled:
             drained = DrainFleet(fleet, links, seed)
             await drained.start()
 
--- /dev/null
+++ b/tests/test_leaving_news.py
@@ -0,0 +1,167 @@
+"""What routers tell one another of leaving and ended endpoints."""
+
+import asyncio
+
+import pytest
+
+from tamarackrill.decisions.configuration import ObjectVersion
+from tamarackrill.decisions.lapses import SILENT_ENTRY_S
+from tamarackrill.decisions.leaving import TOLD_MAX, LeavingEndpoints, LeavingNews
+from tamarackrill.decisions.leaving import LeavingReport as Report
+from tamarackrill.router import leaving_news
+from tamarackrill.router.deployment_view import DeploymentView
+from tamarackrill.router.edge_app import READERS
+from tamarackrill.router.leaving_news import (
+    ANSWER_TIMEOUT_S,
+    KNOWS_AFTER_S,
+    LeavingExchange,
+)
+from tamarackrill.router.members import Member, Members
+from tamarackrill.router.peer_api import PeerUnavailable
+from tamarackrill.testing.worker import Worker, answer_ok
+
+NEWS = LeavingNews((("w1", 3),), ("w2",), True)
+
+
+def make_entry(name, state="ready", born=3, revision=5):
+    spec = Worker(name, answer_ok).describe("desk", state=state, born=born)
+    return ObjectVersion("servers", name, revision, {**spec, "address": "10.0.0.1:80"})
+
+
+@pytest.mark.parametrize("is_listed_first", [False, True])
+def test_entries_of_a_copy_do_not_hide_what_another_router_knows(is_listed_first):
+    # Guards against a router that starts from a copy in which a leaving endpoint is
+    # ready, and one that has ended is still there.
+    view = DeploymentView(READERS)
+    entries = {name: make_entry(name) for name in ("w1", "w2", "w3")}
+
+    def take_all():
+        for entry in entries.values():
+            view.take(entry, 1.0)
+
+    def learn():
+        view.observe_leaving_news(NEWS, entries.get, 1.0)
+
+    for act in (take_all, learn) if is_listed_first else (learn, take_all):
+        act()
+    assert [e.name for e in view.list_live("desk")] == ["w3"]
+    # An ended endpoint that the store keeps is alive, and one that restarts is new.
+    view.expire(1.0 + SILENT_ENTRY_S)
+    view.take(make_entry("w1", born=4, revision=6), 6.0)
+    assert sorted(e.name for e in view.list_live("desk")) == ["w1", "w2", "w3"]
+
+
+def test_view_tells_what_it_was_told():
+    view = DeploymentView(READERS)
+    view.observe_leaving_news(NEWS, lambda name: None, 1.0)
+    assert view.list_leaving_news().leaving == NEWS.leaving
+    view.take(make_entry("w2"), 1.5)
+    assert view.list_leaving_news().ended == ("w2",)
+
+
+def test_only_the_latest_leaving_endpoints_are_told():
+    leaving = LeavingEndpoints()
+    for number in range(TOLD_MAX + 1):
+        leaving.observe(Report(f"w{number}", "object", True))
+    leaving.observe(Report("w2", "object", False))
+    told = [name for name, _ in leaving.list_recent()]
+    assert len(told) == TOLD_MAX
+    assert "w2" not in told
+
+
+@pytest.mark.parametrize("text", [b"", b"{}", b"[1, 2, 3]", b'[[["w", "x"]], [], 1]'])
+def test_malformed_answer_is_refused(text):
+    with pytest.raises(ValueError):
+        LeavingNews.parse(text)
+
+
+class Peers:
+    """Other routers, and an exchange that asks them."""
+
+    def __init__(self, monkeypatch, answers, contacts=("a:1", "b:1")):
+        monkeypatch.setattr(leaving_news, "RETRIES_S", (0.0, 0.0))
+        monkeypatch.setattr(leaving_news, "SPREAD_S", 0.0)
+        self.answers = answers
+        self.asked = []
+        self.learned = []
+        self.now_s = 100.0
+        self.members = Members(Member("own", "own:1", "z", peer_address="own:1"))
+        self.exchange = LeavingExchange(
+            self.members,
+            contacts,
+            lambda: NEWS._replace(is_complete=False),
+            self.learned.append,
+            self.pull,
+            lambda: self.now_s,
+        )
+
+    async def pull(self, address, uri, timeout_s):
+        self.asked.append(address)
+        if address not in self.answers:
+            raise PeerUnavailable("no answer")
+        return self.answers[address]
+
+    async def let_ask(self):
+        for _ in range(30):
+            await asyncio.sleep(0)
+
+
+ENCODED = b'[[["w1", 3]], ["w2"], true]'
+
+
+def test_router_is_told_by_the_contact_that_knows(monkeypatch):
+    async def run():
+        peers = Peers(monkeypatch, {"b:1": ENCODED})
+        assert not peers.exchange.may_serve
+        peers.exchange.start()
+        await peers.let_ask()
+        assert peers.learned == [NEWS]
+        assert peers.exchange.may_serve
+        assert sorted(peers.asked) == ["a:1", "b:1"]
+        assert LeavingNews.parse(await peers.exchange.encode_news()).is_complete
+        await peers.exchange.stop()
+
+    asyncio.run(run())
+
+
+def test_router_asks_members_if_no_contact_knows(monkeypatch):
+    # Guards against a router whose contacts have just started too.
+    async def run():
+        peers = Peers(monkeypatch, {"a:1": ENCODED.replace(b"true", b"false")})
+        peers.members.replace([Member("c", "c:1", "z", peer_address="c:1")])
+        peers.answers["c:1"] = ENCODED
+        peers.exchange.start()
+        await peers.let_ask()
+        assert peers.asked[-1] == "c:1"
+        assert peers.learned[-1] == NEWS
+        await peers.exchange.stop()
+
+    asyncio.run(run())
+
+
+def test_router_that_nobody_answers_serves_after_a_while(monkeypatch):
+    async def run():
+        peers = Peers(monkeypatch, {})
+        peers.exchange.start()
+        peers.now_s += ANSWER_TIMEOUT_S
+        assert peers.exchange.may_serve
+        assert not LeavingNews.parse(await peers.exchange.encode_news()).is_complete
+        peers.now_s += KNOWS_AFTER_S
+        assert LeavingNews.parse(await peers.exchange.encode_news()).is_complete
+        await peers.exchange.stop()
+
+    asyncio.run(run())
+
+
+def test_router_asks_again_after_a_restore(monkeypatch):
+    # Guards against a router that was cut off while an endpoint began to leave, and
+    # then reads the copy.
+    async def run():
+        peers = Peers(monkeypatch, {"c:1": ENCODED}, contacts=())
+        peers.members.replace([Member("c", "c:1", "z", peer_address="c:1")])
+        peers.exchange.ask_again()
+        await peers.let_ask()
+        assert peers.learned == [NEWS]
+        await peers.exchange.stop()
+
+    asyncio.run(run())
