Share the room of endpoints to which sessions overflow among all routers

Cause: while nearly all engines have more requests than slots, each session of every router overflows to the one that has last reported free slots, until its next report: 110 requests in 0.4 s, 88 of them overflow, with a known load of 10. Class: each uses all of what is there for everyone.

Change: a router uses its part of an endpoint's room for sessions that it has no prefix of, drawn for each report; others wait at their own engine within the bound.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: setup demo demo-platform example test soak soak-cuts soak-native soak-versions soak-parts soak-shares lint format capacity bench clean
+.PHONY: setup demo demo-platform example test soak soak-cuts soak-native soak-versions soak-parts soak-shares soak-surges lint format capacity bench clean
 
 setup: $(READY)
 
@@ -48,6 +48,9 @@
 soak-shares: setup
 	$(BIN)/python -m soak.shares --seed $(SEED) --seeds $(SEEDS)
 
+soak-surges: setup
+	$(BIN)/python -m soak.surges --seed $(SEED) --seeds $(SEEDS)
+
 lint: setup
 	$(BIN)/ruff format --check src tests bench soak
 	$(BIN)/ruff check src tests bench soak
--- a/src/tamarackrill/decisions/loads.py
+++ b/src/tamarackrill/decisions/loads.py
@@ -19,6 +19,8 @@
 from collections.abc import Collection, Iterable, Sequence
 from typing import NamedTuple
 
+from tamarackrill.decisions import hashing
+
 # Endpoints report about once a second, with about a second of delay.  The last report
 # expires only after three reports in a row are lost.
 REPORT_TTL_S = 5.0
@@ -80,6 +82,10 @@
         while self.changes[0][0] < now_s - REPORT_TTL_S:
             self.changes.popleft()
 
+    def count_started_since(self, time_s: float) -> int:
+        """Return the number of requests that began since a recent time."""
+        return sum(by > 0 for changed_s, by in self.changes if changed_s > time_s)
+
     def is_idle(self, now_s: float) -> bool:
         """Return whether no request is in flight or may be part of a late report."""
         return not self.in_flight and self.changes[-1][0] < now_s - REPORT_TTL_S
@@ -244,6 +250,48 @@
             return self.own(endpoint) + summary.typical
         return self.own(endpoint) + observation.others
 
+    def find_part(
+        self,
+        endpoint: str,
+        room: int,
+        router: str,
+        routers: int,
+        now_s: float,
+    ) -> int:
+        """Return this router's part of the requests that an endpoint has room for.
+
+        All routers learn of the same observation, and each would use all of its room
+        before the next one.
+
+        Parameters
+        ----------
+        endpoint : str
+            Name of the endpoint.
+        room : int
+            Requests that it may get beyond those that were observed.
+        router : str
+            Name of this router.
+        routers : int
+            Routers that use the room.
+        now_s : float
+            Current time.
+
+        Returns
+        -------
+        int
+            Requests that this router may still send there.  Fractions are rounded up
+            or down at random, so that the parts of all routers add up to the room.
+        """
+        observation = self._observations.get(endpoint)
+        if observation is None or observation.expires_s < now_s:
+            since_s = math.floor(now_s / NEWS_TTL_S) * NEWS_TTL_S
+        else:
+            since_s = observation.counted_s
+        own = self._own.get(endpoint)
+        started = own.count_started_since(since_s) if own is not None else 0
+        drawn = hashing.hash_name(f"{router} {endpoint} {since_s:.3f}") % 1000 / 1000
+        return math.floor((room + started) / max(1, routers) + drawn) - started
+
     def _drop_expired(self, now_s: float) -> None:
         """Delete outdated state, at most once per `CLEANUP_INTERVAL_S`.
 
--- a/src/tamarackrill/decisions/routing.py
+++ b/src/tamarackrill/decisions/routing.py
@@ -76,6 +76,13 @@
     bound: int = 0
 
 
+class RoomSharing(NamedTuple):
+    """Routers that overflow to the same endpoints, and this one's name."""
+
+    router: str
+    routers: int
+
+
 def compute_bound(load_factor: float, total: int, count: int, slack: int = 0) -> int:
     """Return the maximum number of requests in flight at one of `count` endpoints.
 
@@ -143,6 +150,7 @@
         refused: Collection[str] = (),
         slots_multiple: int = 1,
         bounded_by: EndpointPool | None = None,
+        sharing: "RoomSharing | None" = None,
     ) -> EndpointChoice | None:
         """Select the endpoint for `request`, or return None if all are full.
 
@@ -165,6 +173,9 @@
             Endpoints whose mean load defines the bound; `endpoints` by default.  It
             includes endpoints that are excluded deliberately, so that the remaining
             ones don't take over their whole load.
+        sharing : RoomSharing, optional
+            Routers that share the room of endpoints to which sessions overflow; by
+            default this router uses all of it.
 
         Returns
         -------
@@ -175,7 +186,13 @@
         if not len(pool):
             return None
         snapshot = self._snapshot_loads(
-            pool, bounded_by or pool, now_s, shares or {}, refused, slots_multiple
+            pool,
+            bounded_by or pool,
+            now_s,
+            shares or {},
+            refused,
+            slots_multiple,
+            sharing,
         )
         if request.chat:
             choice = self._choose_for_chat(request, pool, snapshot, now_s)
@@ -218,6 +235,7 @@
         shares: Mapping[str, float],
         refused: Collection[str],
         slots_multiple: int,
+        sharing: "RoomSharing | None",
     ) -> "_LoadSnapshot":
         summary = self.loads.summarize(pool.by_name, now_s)
         total = summary.total
@@ -228,18 +246,26 @@
         def find_load(name: str) -> int:
             return self.loads.estimate_one(name, summary, now_s)
 
-        def is_free(name: str) -> bool:
-            if name in refused:
-                return False
+        def find_room(name: str) -> int:
             share = shares.get(name, 1.0)
             limit = bound if share >= 1.0 else max(1, int(bound * share))
             slots = pool.by_name[name].slots * slots_multiple
-            return find_load(name) < min(limit, slots)
+            return min(limit, slots) - find_load(name)
+
+        def is_free(name: str) -> bool:
+            return name not in refused and find_room(name) > 0
+
+        def has_part(name: str) -> bool:
+            if sharing is None:
+                return True
+            room = find_room(name)
+            part = self.loads.find_part(name, room, *sharing, now_s)
+            return part > 0
 
         def find_slowdown(name: str) -> float | None:
             return self.slowdowns.find(name, now_s)
 
-        return _LoadSnapshot(bound, find_load, is_free, find_slowdown)
+        return _LoadSnapshot(bound, find_load, is_free, has_part, find_slowdown)
 
     def _choose_for_chat(
         self,
@@ -252,10 +278,15 @@
         holders = self._rank_holders(request.chat, order[0], now_s)
         holders = [name for name in holders if name in pool.by_name]
         candidates = [*holders, *(name for name in order if name not in holders)]
-        available = [name for name in candidates if snapshot.is_free(name)]
+        known = {*holders, order[0]}
+
+        def is_available(name: str) -> bool:
+            return snapshot.is_free(name) and (name in known or snapshot.has_part(name))
+
+        available = [name for name in candidates if is_available(name)]
         if not available:
             full_order = pool.rank(request.chat, len(pool))
-            available = [name for name in full_order if snapshot.is_free(name)]
+            available = [name for name in full_order if is_available(name)]
         if not available:
             return None
         chosen = available[0]
@@ -290,6 +321,9 @@
         Returns the estimated number of requests in flight at an endpoint.
     is_free : callable
         Returns whether an endpoint may take one more request.
+    has_part : callable
+        Returns whether this router may use an endpoint's room for a session that it
+        has no prefix of.
     find_slowdown : callable
         Returns the slowdown that an endpoint reports; None if unknown.
     """
@@ -297,6 +331,7 @@
     bound: int
     find_load: Callable[[str], int]
     is_free: Callable[[str], bool]
+    has_part: Callable[[str], bool]
     find_slowdown: Callable[[str], float | None]
 
 
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -200,6 +200,7 @@
         self.cut_off = CutOffMonitor(
             settings.zone, self.view, self.placer, self.members, self.clock
         )
+        self.placer.count_routers = lambda: len(self.members.list_live())
         self.placer.list_witnesses = self.cut_off.list_witnesses
         self.flow = EdgeFlow(
             self.placer,
--- a/src/tamarackrill/router/edge_placing.py
+++ b/src/tamarackrill/router/edge_placing.py
@@ -32,6 +32,7 @@
     EndpointChoice,
     LoadBalancer,
     PlacementRequest,
+    RoomSharing,
 )
 from tamarackrill.events import (
     ENDPOINT_BACKOFF,
@@ -124,6 +125,8 @@
         `Slowdowns.is_reported`.
     relayed : set of str
         Endpoints that this router can reach only through other routers.
+    count_routers : callable
+        Returns how many routers send requests to the endpoints.
     tell : callable
         Called with prefixes that an engine has newly cached, and whether other routers
         expect them there.
@@ -141,6 +144,7 @@
         find_zone: Callable[[int], str | None],
     ) -> None:
         self._view = view
+        self._router = router
         self._zone = zone
         self.index = CacheIndex()
         self.placement = LoadBalancer(
@@ -165,6 +169,7 @@
         self.list_witnesses: Callable[[], list[Endpoint]] = list
         self.tell: Callable[[list[Holding], bool], None] = lambda found, expected: None
         self.send_brittle: Callable[[], None] = lambda: None
+        self.count_routers: Callable[[], int] = lambda: 1
         self._last_sequences: dict[int, int] = {}
 
     def choose(
@@ -366,7 +371,14 @@
         now_s: float,
     ) -> EndpointChoice | None:
         request = _make_request(call, self._zone)
-        for multiple in (1, QUEUE_MULTIPLE):
+        sharing = RoomSharing(self._router, self.count_routers())
+        # A session waits at the endpoint that has its prefix rather than overflow to
+        # one whose last room all routers know of.
+        for multiple, shared in (
+            (1, sharing),
+            (QUEUE_MULTIPLE, sharing),
+            (QUEUE_MULTIPLE, None),
+        ):
             choice = self.placement.choose(
                 request,
                 pool,
@@ -374,6 +386,7 @@
                 refused=slow,
                 slots_multiple=multiple,
                 bounded_by=reachable,
+                sharing=shared,
             )
             if choice is not None:
                 return choice
--- /dev/null
+++ b/tests/test_room_sharing.py
@@ -0,0 +1,77 @@
+"""Sessions that overflow to endpoints whose room all routers know of."""
+
+import pytest
+
+from tamarackrill.contracts import Endpoint
+from tamarackrill.decisions.loads import Loads
+from tamarackrill.decisions.pools import EndpointPool
+from tamarackrill.decisions.routing import LoadBalancer, PlacementRequest, RoomSharing
+
+ENDPOINTS = 40
+SLOTS = 16
+POOL = EndpointPool(
+    [
+        Endpoint(f"e{n}", "engine", ("m",), f"h:{n}", "z", slots=SLOTS)
+        for n in range(ENDPOINTS)
+    ]
+)
+
+
+def overflow_once_each(routers, is_shared):
+    """Return the sessions that reach the one endpoint with free slots.
+
+    All others have more requests than slots, and each router places one session.
+    """
+    reached = 0
+    for number in range(routers):
+        balancer = LoadBalancer(1.5, slack=2)
+        for endpoint in POOL.by_name:
+            load = 10 if endpoint == "e0" else 2 * SLOTS
+            balancer.observe_report(endpoint, load, 1.0, 1.0)
+        sharing = RoomSharing(f"r{number}", routers) if is_shared else None
+        session = f"session-{number}"
+        if POOL.rank(session, 1)[0] == "e0":
+            continue
+        choice = balancer.choose(
+            PlacementRequest(session, session), POOL, 1.1, sharing=sharing
+        )
+        reached += choice is not None and choice.endpoint.name == "e0"
+    return reached
+
+
+@pytest.mark.parametrize("routers", [8, 60, 370])
+def test_routers_share_the_room_of_the_only_endpoint_with_free_slots(routers):
+    # Guards against routers that all fill one endpoint at the same moment because each
+    # of them knows that it alone has free slots.
+    room = SLOTS - 10
+    assert overflow_once_each(routers, is_shared=False) > 0.9 * routers
+    assert overflow_once_each(routers, is_shared=True) <= 2.5 * room
+
+
+@pytest.mark.parametrize(("room", "routers"), [(6, 60), (35, 60), (100, 60), (6, 8)])
+def test_parts_of_all_routers_add_up_to_the_room(room, routers):
+    loads = Loads()
+    loads.observe_report("e", 10, 1.0, 1.0)
+    parts = [loads.find_part("e", room, f"r{n}", routers, 1.1) for n in range(routers)]
+    assert abs(sum(parts) - room) <= 0.25 * room + 4
+    assert max(parts) - min(parts) <= 1
+
+
+def test_part_shrinks_by_what_was_sent_until_the_next_observation():
+    loads = Loads()
+    loads.observe_report("e", 10, 1.0, 1.0)
+    before = loads.find_part("e", 120, "r", 10, 1.1)
+    loads.start("e", 1.1)
+    assert loads.find_part("e", 119, "r", 10, 1.2) == before - 1
+    loads.observe_report("e", 11, 1.3, 1.3)
+    assert loads.find_part("e", 119, "r", 10, 1.4) >= before - 1
+
+
+def test_session_goes_to_its_own_endpoint_whatever_the_others_may_use():
+    balancer = LoadBalancer(1.5, slack=2)
+    sharing = RoomSharing("r", 10_000)
+    for number in range(50):
+        request = PlacementRequest(f"q{number}", f"session-{number}")
+        choice = balancer.choose(request, POOL, 1.0, sharing=sharing)
+        assert choice is not None
+        assert choice.reason == "hashed"
