Count a slot as proven only if the endpoint had accepted the request

Cause: a request whose connection was refused, or that was not sent, ended like a served one, and proved a slot of an endpoint that had just fallen over.

Change: only answered and failed attempts prove a slot; sessions of owners that are gone are forgotten; ownership is observed once a second.

--- a/src/tamarackrill/router/brittle_slots.py
+++ b/src/tamarackrill/router/brittle_slots.py
@@ -1,6 +1,7 @@
 """Reserves slots of brittle endpoints at the routers that own these."""
 
 import asyncio
+import math
 from collections import Counter
 from collections.abc import Callable, Sequence
 
@@ -27,6 +28,8 @@
 _UNRESERVED = Ticket("", 1)
 # Longest time to wait for an owner that answers late, as over a loaded link.
 OWNER_TIMEOUT_MAX_S = 0.4
+# Ranking 370 routers for each of 780 endpoints takes too long for each housekeeping.
+OBSERVE_EVERY_S = 1.0
 
 
 def choose_owner(endpoint: Endpoint, pool_size: int, routers: Sequence[str]) -> str:
@@ -70,6 +73,7 @@
         self._members = members
         self._metrics = metrics
         self._clock = clock
+        self._observed_s = -math.inf
         self._fleet_size = FleetSize(ROUTER_RETENTION_S)
         self._ceilings = SlotCeilings(members.own.name)
         self._tenures = Tenures()
@@ -98,12 +102,15 @@
         now_s = self._clock()
         for name in [n for n, at_s in self._paused_until_s.items() if at_s <= now_s]:
             del self._paused_until_s[name]
+        self._tell_owners(now_s)
+        if now_s < self._observed_s + OBSERVE_EVERY_S:
+            return
+        self._observed_s = now_s
         live = len(self._members.list_live())
         self._fleet_size.observe(live, now_s)
         owned = [endpoint.name for endpoint in self.owners.list_owned()]
         self._tenures.observe(owned, live >= self._fleet_size.largest, now_s)
         self._ceilings.retain([e.name for e in self._view.list_endpoints()])
-        self._tell_owners(now_s)
 
     def _tell_owners(self, now_s: float) -> None:
         """Tell owners of the requests at their endpoints that they haven't granted."""
@@ -187,8 +194,18 @@
     def _end_pause(self, owner: str) -> None:
         self._paused_until_s.pop(owner, None)
 
-    def finish(self, placed: EdgePlacement, is_rejected: bool) -> None:
-        """End the reservation of a placement, later if its request was turned away."""
+    def finish(self, placed: EdgePlacement, is_rejected: bool, is_served: bool) -> None:
+        """End the reservation of a placement, later if its request was turned away.
+
+        Parameters
+        ----------
+        placed : EdgePlacement
+            The placement.
+        is_rejected : bool
+            Whether the endpoint has turned the request away.
+        is_served : bool
+            Whether it had accepted it; neither if it wasn't reached.
+        """
         ticket = placed.ticket
         if is_rejected:
             self._record_rejected(placed)
@@ -201,7 +218,7 @@
                 REJECTED_HOLD_S, self._release, placed, False
             )
         else:
-            self._release(placed, True)
+            self._release(placed, is_served)
 
     def _record_rejected(self, placed: EdgePlacement) -> None:
         if not self._is_brittle(placed.endpoint, self._clock()):
--- a/src/tamarackrill/router/edge_reserving.py
+++ b/src/tamarackrill/router/edge_reserving.py
@@ -161,11 +161,11 @@
         result : AttemptResult or None
             Result of the attempt; None if it was not made or its client disconnected.
         """
+        has_run = result is not None and result.outcome in ("answered", "failed")
         if self.slots is not None:
             is_rejected = result is not None and result.outcome == "not_run"
-            self.slots.finish(placed, is_rejected)
+            self.slots.finish(placed, is_rejected, has_run)
         if self.capacity is not None:
-            has_run = result is not None and result.outcome in ("answered", "failed")
             took_s = result.first_s if result is not None and has_run else None
             self.capacity.finish(placed, result.load if result else None, took_s)
 
--- a/src/tamarackrill/router/leaving_news.py
+++ b/src/tamarackrill/router/leaving_news.py
@@ -25,7 +25,7 @@
 # A router that has run for this long without hearing of others knows what they know.
 KNOWS_AFTER_S = 10.0
 # Pauses between the questions of a router that nobody could answer yet.
-RETRIES_S = (0.25, 0.5, 1.0, 2.0, 4.0)
+RETRIES_S = (0.25, 1.0, 4.0)
 # Time over which the routers of a fleet ask after the store has been restored.
 SPREAD_S = 0.2
 
--- a/src/tamarackrill/router/owners.py
+++ b/src/tamarackrill/router/owners.py
@@ -143,6 +143,7 @@
         self.reservations.expire(now_s)
         self.told.expire(now_s)
         self._round_trips.retain(present)
+        self._sessions = {n: s for n, s in self._sessions.items() if n in present}
         for number, (_, sent_s) in list(self._asked.items()):
             if sent_s <= now_s - LATE_ANSWER_MAX_S:
                 del self._asked[number]
