Tell routers that start which services are brittle, and how many routers there are

Cause: a trace of each rejection shows 2 to 4 uncounted ones in the second before most of these falls: a router that has just started sends requests until an endpoint's first answer says that it is brittle, and takes itself for the whole fleet. Class: that of the leaving endpoints: what is known from answers alone lives in each process for itself.

Change: the answer that a router gets at its start and after a restore has the brittle services, their limits, and the size of the fleet too; FleetNews is its name now.

--- a/src/tamarackrill/decisions/brittle.py
+++ b/src/tamarackrill/decisions/brittle.py
@@ -95,6 +95,19 @@
         self._endpoint_limits[endpoint] = limit
         return new
 
+    def list_services(self, now_s: float) -> tuple[tuple[str, int], ...]:
+        """Return the brittle services, and the limits of their endpoints."""
+        return tuple(
+            (name, limit)
+            for name, limit in self._service_limits.items()
+            if self.is_brittle(name, now_s)
+        )
+
+    def observe_service(self, service: str, limit: int, now_s: float) -> None:
+        """Record that another router knows a service to be brittle."""
+        self._until_s[service] = now_s + BRITTLE_TTL_S
+        self._service_limits.setdefault(service, limit)
+
     def is_brittle(self, service: str, now_s: float) -> bool:
         """Return whether the endpoints of a service are brittle."""
         return now_s < self._until_s.get(service, -math.inf)
--- a/src/tamarackrill/decisions/leaving.py
+++ b/src/tamarackrill/decisions/leaving.py
@@ -46,8 +46,8 @@
     incarnation: int = 0
 
 
-class LeavingNews(NamedTuple):
-    """What a router knows of endpoints that must get no new work.
+class FleetNews(NamedTuple):
+    """What a router knows that one which has just started can't learn elsewhere.
 
     Parameters
     ----------
@@ -57,14 +57,20 @@
         Names of endpoints whose entries have ended.
     is_complete : bool, default=False
         Whether the router has run for long enough to know, or has been told.
+    brittle : tuple of (str, int), default=()
+        Brittle services, and the requests that an endpoint may turn away per second.
+    routers : int, default=1
+        Routers that the fleet has had lately.
     """
 
     leaving: tuple[tuple[str, int], ...]
     ended: tuple[str, ...]
     is_complete: bool = False
+    brittle: tuple[tuple[str, int], ...] = ()
+    routers: int = 1
 
     @classmethod
-    def parse(cls, text: bytes) -> "LeavingNews":
+    def parse(cls, text: bytes) -> "FleetNews":
         """Parse the JSON form.
 
         Raises
@@ -73,11 +79,16 @@
             If it isn't valid, as from a router of another release.
         """
         try:
-            leaving, ended, is_complete, *_ = json.loads(text)
-            pairs = tuple((str(name), int(started)) for name, started in leaving)
-            return cls(pairs, tuple(map(str, ended)), bool(is_complete))
+            leaving, ended, is_complete, brittle, routers, *_ = json.loads(text)
+            return cls(
+                tuple((str(name), int(started)) for name, started in leaving),
+                tuple(map(str, ended)),
+                bool(is_complete),
+                tuple((str(name), int(limit)) for name, limit in brittle),
+                int(routers),
+            )
         except TypeError as error:
-            raise ValueError("not a list of leaving endpoints") from error
+            raise ValueError("not the news of a router") from error
 
 
 class LeavingEndpoints:
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -859,22 +859,23 @@
     "Many `granted` ones after a router has joined or left: compare the owners.",
 )
 
-LEAVING_LEARNED = Event(
+FLEET_NEWS_LEARNED = Event(
     5048,
-    "leaving_learned",
+    "fleet_news_learned",
     _INFO,
-    ("peer", "leaving", "ended", "is_complete"),
-    "Another router has told this one of endpoints that must get no new work, after "
-    "this one started or the store was restored.  `is_complete` unless the other one "
-    "has just started too.",
+    ("peer", "leaving", "ended", "brittle", "is_complete"),
+    "Another router has told this one of endpoints that must get no new work, and of "
+    "brittle services, after this one started or the store was restored.  "
+    "`is_complete` unless the other one has just started too.",
 )
-LEAVING_NOT_LEARNED = Event(
+FLEET_NEWS_NOT_LEARNED = Event(
     5049,
-    "leaving_not_learned",
+    "fleet_news_not_learned",
     _WARNING,
     ("peer", "reason"),
-    "Another router did not tell this one which endpoints are leaving; others are "
-    "asked.  Without an answer this router knows only what the store has.",
+    "Another router did not tell this one which endpoints are leaving and which "
+    "services are brittle; others are asked.  Without an answer this router knows only "
+    "what the store has.",
 )
 
 # 6000: platform objects
--- a/src/tamarackrill/router/brittle_slots.py
+++ b/src/tamarackrill/router/brittle_slots.py
@@ -8,6 +8,7 @@
 from tamarackrill.contracts import Endpoint
 from tamarackrill.decisions import hashing
 from tamarackrill.decisions.brittle import OWNER_PAUSE_S, REJECTED_HOLD_S
+from tamarackrill.decisions.leaving import FleetNews
 from tamarackrill.decisions.retry_shares import FleetSize
 from tamarackrill.decisions.slot_ceilings import (
     ROUTER_RETENTION_S,
@@ -131,6 +132,17 @@
         is_brittle = self._placer.brittle.is_brittle
         return any(is_brittle(service, now_s) for service in endpoint.serves)
 
+    def count_fleet(self) -> int:
+        """Return how many routers may be sending requests to the endpoints."""
+        return max(self._fleet_size.largest, len(self._members.list_live()))
+
+    def observe_news(self, news: FleetNews) -> None:
+        """Apply what another router knows of brittle services and of the fleet."""
+        now_s = self._clock()
+        for service, limit in news.brittle:
+            self._placer.brittle.observe_service(service, limit, now_s)
+        self._fleet_size.observe(news.routers, now_s)
+
     def must_reserve(self, call: EdgeCall) -> bool:
         """Return whether the endpoints that serve a request are brittle."""
         return self._placer.brittle.is_brittle(call.service, self._clock())
@@ -172,7 +184,7 @@
     def _make_terms(
         self, endpoint: Endpoint, routers: int, is_established: bool
     ) -> SlotTerms:
-        known = max(self._fleet_size.largest, routers)
+        known = max(self.count_fleet(), routers)
         rejections_max = self._placer.brittle.find_limit(endpoint.name, endpoint.serves)
         share = routers / known
         return SlotTerms(endpoint.slots, rejections_max, share, is_established)
--- a/src/tamarackrill/router/deployment_view.py
+++ b/src/tamarackrill/router/deployment_view.py
@@ -7,8 +7,8 @@
 from tamarackrill.decisions.configuration import ObjectVersion
 from tamarackrill.decisions.lapses import EndedEntries, ExpiryGrace
 from tamarackrill.decisions.leaving import (
+    FleetNews,
     LeavingEndpoints,
-    LeavingNews,
     LeavingReport,
     Source,
 )
@@ -118,15 +118,13 @@
         elif kind == self._readers.evacuation_kind:
             self._evacuation_grace.observe_restored(now_s)
 
-    def list_leaving_news(self) -> LeavingNews:
+    def list_leaving_news(self) -> FleetNews:
         """Return the endpoints that must get no new work, for other routers."""
-        return LeavingNews(
-            self._leaving.list_recent(), self._ended_entries.list_recent()
-        )
+        return FleetNews(self._leaving.list_recent(), self._ended_entries.list_recent())
 
     def observe_leaving_news(
         self,
-        news: LeavingNews,
+        news: FleetNews,
         find_item: Callable[[str], ObjectVersion | None],
         now_s: float,
     ) -> None:
@@ -134,7 +132,7 @@
 
         Parameters
         ----------
-        news : LeavingNews
+        news : FleetNews
             What the other router knows.
         find_item : callable
             Returns the store's entry of an endpoint, None if it has none.
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -23,7 +23,7 @@
     EndpointReport,
     hash_reporter,
 )
-from tamarackrill.decisions.leaving import LeavingNews
+from tamarackrill.decisions.leaving import FleetNews
 from tamarackrill.decisions.loads import EndpointLoad
 from tamarackrill.decisions.manifest_relay import RelayBudget
 from tamarackrill.decisions.members import MemberRecord, MemberState, PiggybackedEntries
@@ -72,8 +72,8 @@
 )
 from tamarackrill.router.edge_placing import EdgePlacer
 from tamarackrill.router.edge_server import EdgeServer
+from tamarackrill.router.fleet_news import FleetNewsExchange
 from tamarackrill.router.gossip import Gossiper
-from tamarackrill.router.leaving_news import LeavingExchange
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.peer_api import (
@@ -245,19 +245,29 @@
         self._router_client = make_client()
         self.relays.pull = self._pull_from_peer
         self._make_placement_gossip()
-        self._make_leaving_exchange()
+        self.slots = BrittleSlots(
+            self.view,
+            self.placer,
+            self.members,
+            self._peer_socket.send,
+            self._peer_keys,
+            self.metrics,
+            self.clock,
+        )
+        self.flow.reserver.slots = self.slots
+        self._make_fleet_news_exchange()
         self._listen_for_peers()
         self._listen_readiness()
         self._make_configurer()
         await self._start_gossip()
         add_gauges(self)
-        self.leaving.start()
+        self.fleet_news.start()
         await self.configuration_sync.start()
         listener = listener or open_listener(settings.callers_address)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(INITIAL_CONFIG_WAIT_S):
                 await self._configured.wait()
-                await self.leaving.first_answer.wait()
+                await self.fleet_news.first_answer.wait()
         self.server.server.add_sockets([listener])
         self._tasks.append(asyncio.create_task(self._run_housekeeping()))
         log_event(
@@ -276,7 +286,7 @@
             self.placement_gossip.encode_snapshot,
             lambda size_bytes: self._relay_budget.take(size_bytes, self.clock()),
             self.relay_server.find_reached,
-            self.leaving.encode_news,
+            self.fleet_news.encode_news,
         )
         pages = make_silent(Application(handlers))
         peers = RuleRouter(
@@ -421,18 +431,25 @@
     def _find_reporter_zone(self, reporter: int) -> str | None:
         return self._reporter_zones.get(reporter)
 
-    def _make_leaving_exchange(self) -> None:
+    def _make_fleet_news_exchange(self) -> None:
         own_address = self.members.own.peer_address
-        self.leaving = LeavingExchange(
+        self.fleet_news = FleetNewsExchange(
             self.members,
             (seed for seed in self.settings.seeds if seed != own_address),
-            self.view.list_leaving_news,
-            self._observe_leaving_news,
+            self._list_fleet_news,
+            self._observe_fleet_news,
             self._pull_from_peer,
             self.clock,
         )
 
-    def _observe_leaving_news(self, news: LeavingNews) -> None:
+    def _list_fleet_news(self) -> FleetNews:
+        return self.view.list_leaving_news()._replace(
+            brittle=self.placer.brittle.list_services(self.clock()),
+            routers=self.slots.count_fleet(),
+        )
+
+    def _observe_fleet_news(self, news: FleetNews) -> None:
+        self.slots.observe_news(news)
         self.view.observe_leaving_news(
             news, lambda name: self.store.get(ENDPOINT_KIND, name), self.clock()
         )
@@ -440,7 +457,7 @@
     def _observe_restored(self, kind: str) -> None:
         self.view.observe_restored(kind, self.clock())
         if kind == ENDPOINT_KIND:
-            self.leaving.ask_again()
+            self.fleet_news.ask_again()
 
     def _observe_store(self, is_lost: bool) -> None:
         self.view.observe_store(is_lost, self.clock())
@@ -516,16 +533,6 @@
             self.clock,
         )
         self.flow.reserver.permits = self.permits
-        self.slots = BrittleSlots(
-            self.view,
-            self.placer,
-            self.members,
-            self._peer_socket.send,
-            self._peer_keys,
-            self.metrics,
-            self.clock,
-        )
-        self.flow.reserver.slots = self.slots
         self.keepers = VersionKeepers(
             self.view,
             self.members,
@@ -617,7 +624,7 @@
         """Return whether the balancer may send new connections to this router."""
         if self.server.is_leaving or self.cut_off.is_cut_off:
             return False
-        return self.view.is_complete and self.leaving.may_serve
+        return self.view.is_complete and self.fleet_news.may_serve
 
     async def drain(self, stop_requested_s: float | None = None) -> None:
         """Let requests in flight complete within the platform's grace period.
@@ -658,7 +665,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         if self.capacity is not None:
             self.capacity.server.stop()
-        await self.leaving.stop()
+        await self.fleet_news.stop()
         await self.placement_gossip.stop()
         await self.gossiper.stop()
         await self.configuration_sync.stop()
--- a/src/tamarackrill/router/leaving_news.py
+++ b/src/tamarackrill/router/fleet_news.py
@@ -1,7 +1,9 @@
-"""Asks other routers which endpoints are leaving or gone.
+"""Asks other routers what a router that has just started can't learn elsewhere.
 
-The store may not say it: it may be away while this router starts, or have come back
-from a copy that was made before.  Routers that have seen it remember it.
+The store may not say which endpoints are leaving or gone: it may be away while this
+router starts, or have come back from a copy that was made before.  That a service is
+brittle is known from answers alone, of which this router has had none.  Routers that
+have seen it remember it.
 """
 
 import asyncio
@@ -9,11 +11,11 @@
 import random
 from collections.abc import Awaitable, Callable, Iterable
 
-from tamarackrill.decisions.leaving import LeavingNews
-from tamarackrill.events import LEAVING_LEARNED, LEAVING_NOT_LEARNED, log_event
+from tamarackrill.decisions.leaving import FleetNews
+from tamarackrill.events import FLEET_NEWS_LEARNED, FLEET_NEWS_NOT_LEARNED, log_event
 from tamarackrill.router.background import log_task_failure
 from tamarackrill.router.members import Members
-from tamarackrill.router.peer_api import LEAVING_PATH, PeerUnavailable
+from tamarackrill.router.peer_api import NEWS_PATH, PeerUnavailable
 
 Pull = Callable[[str, str, float], Awaitable[bytes]]
 
@@ -30,8 +32,8 @@
 SPREAD_S = 0.2
 
 
-class LeavingExchange:
-    """Learns from other routers which endpoints are leaving, and tells them.
+class FleetNewsExchange:
+    """Learns from other routers what they know, and tells them.
 
     Parameters
     ----------
@@ -53,8 +55,8 @@
         self,
         members: Members,
         contacts: Iterable[str],
-        list_news: Callable[[], LeavingNews],
-        observe_news: Callable[[LeavingNews], None],
+        list_news: Callable[[], FleetNews],
+        observe_news: Callable[[FleetNews], None],
         pull: Pull,
         clock: Callable[[], float],
     ) -> None:
@@ -126,19 +128,20 @@
 
     async def _ask_one(self, address: str) -> None:
         try:
-            text = await self._pull(address, LEAVING_PATH, ANSWER_TIMEOUT_S)
-            news = LeavingNews.parse(text)
+            text = await self._pull(address, NEWS_PATH, ANSWER_TIMEOUT_S)
+            news = FleetNews.parse(text)
         except (PeerUnavailable, ValueError) as error:
-            log_event(LEAVING_NOT_LEARNED, peer=address, reason=str(error))
+            log_event(FLEET_NEWS_NOT_LEARNED, peer=address, reason=str(error))
             return
         self._observe_news(news)
         if news.is_complete:
             self._was_told = True
             self.first_answer.set()
         log_event(
-            LEAVING_LEARNED,
+            FLEET_NEWS_LEARNED,
             peer=address,
             leaving=len(news.leaving),
             ended=len(news.ended),
+            brittle=len(news.brittle),
             is_complete=news.is_complete,
         )
--- a/src/tamarackrill/router/peer_api.py
+++ b/src/tamarackrill/router/peer_api.py
@@ -32,7 +32,7 @@
 
 CONFIGURATION_PATH = "/internal/v1/configuration"
 REACH_PATH = "/internal/v1/reach"
-LEAVING_PATH = "/internal/v1/leaving"
+NEWS_PATH = "/internal/v1/news"
 FRESH_ARGUMENT = "fresh"
 PLACEMENTS_PATH = "/internal/v1/placements"
 PULL_TIMEOUT_S = 3.0
@@ -129,7 +129,7 @@
     find_placements: Callable[[], bytes] | None = None,
     has_link_capacity: Callable[[int], bool] = lambda size_bytes: True,
     find_reached: Callable[[list[str], bool], Awaitable[list[str]]] | None = None,
-    find_leaving: Callable[[], Awaitable[bytes]] | None = None,
+    find_fleet_news: Callable[[], Awaitable[bytes]] | None = None,
 ) -> list[tuple[str, type[RequestHandler], dict[str, Any]]]:
     """Return the HTTP handlers for requests of peers.
 
@@ -148,7 +148,7 @@
     find_reached : callable, optional
         ``await find_reached(names, is_fresh)`` returns the endpoints that this router
         reaches, by probes of all of them if `is_fresh`.
-    find_leaving : callable, optional
+    find_fleet_news : callable, optional
         Returns the endpoints that are leaving or gone, encoded.
     """
     compressed = _CompressedChanges(store)
@@ -184,8 +184,8 @@
         return json.dumps(await find_reached(names, is_fresh)).encode()
 
     async def find_news(handler: RequestHandler) -> bytes:
-        assert find_leaving is not None
-        return await find_leaving()
+        assert find_fleet_news is not None
+        return await find_fleet_news()
 
     answers: dict[str, Callable[[RequestHandler], Awaitable[bytes]]]
     answers = {CONFIGURATION_PATH: find_changes}
@@ -193,8 +193,8 @@
         answers[PLACEMENTS_PATH] = find_snapshot
     if find_reached is not None:
         answers[REACH_PATH] = find_reach
-    if find_leaving is not None:
-        answers[LEAVING_PATH] = find_news
+    if find_fleet_news is not None:
+        answers[NEWS_PATH] = find_news
     return [
         (
             path,
--- a/tests/test_brittle.py
+++ b/tests/test_brittle.py
@@ -43,6 +43,19 @@
     assert services.observe(["desk"], "f", LIMIT, 0.1) == []
 
 
+def test_router_that_has_just_started_is_told_of_brittle_services():
+    # Guards against a new router that sends requests uncounted until an endpoint's
+    # first answer says that it is brittle.
+    told = make_services().list_services(1.0)
+    assert told == (("desk", LIMIT),)
+    services = BrittleServices("new")
+    for service, limit in told:
+        services.observe_service(service, limit, 1.0)
+    assert services.is_brittle("desk", 1.0)
+    assert services.find_limit("e", ["desk"]) == LIMIT
+    assert make_services().list_services(BRITTLE_TTL_S) == ()
+
+
 def test_other_routers_are_told_at_intervals():
     services = make_services()
     told = [services.must_tell("desk", now_s) for now_s in (0.0, 0.1, TOLD_INTERVAL_S)]
--- a/tests/test_leaving_news.py
+++ b/tests/test_fleet_news.py
@@ -6,21 +6,21 @@
 
 from tamarackrill.decisions.configuration import ObjectVersion
 from tamarackrill.decisions.lapses import SILENT_ENTRY_S
-from tamarackrill.decisions.leaving import TOLD_MAX, LeavingEndpoints, LeavingNews
+from tamarackrill.decisions.leaving import TOLD_MAX, FleetNews, LeavingEndpoints
 from tamarackrill.decisions.leaving import LeavingReport as Report
-from tamarackrill.router import leaving_news
+from tamarackrill.router import fleet_news
 from tamarackrill.router.deployment_view import DeploymentView
 from tamarackrill.router.edge_app import READERS
-from tamarackrill.router.leaving_news import (
+from tamarackrill.router.fleet_news import (
     ANSWER_TIMEOUT_S,
     KNOWS_AFTER_S,
-    LeavingExchange,
+    FleetNewsExchange,
 )
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.peer_api import PeerUnavailable
 from tamarackrill.testing.worker import Worker, answer_ok
 
-NEWS = LeavingNews((("w1", 3),), ("w2",), True)
+NEWS = FleetNews((("w1", 3),), ("w2",), True, (("desk", 6),), 16)
 
 
 def make_entry(name, state="ready", born=3, revision=5):
@@ -69,24 +69,26 @@
     assert "w2" not in told
 
 
-@pytest.mark.parametrize("text", [b"", b"{}", b"[1, 2, 3]", b'[[["w", "x"]], [], 1]'])
+@pytest.mark.parametrize(
+    "text", [b"", b"{}", b"[1, 2, 3]", b'[[["w", "x"]], [], 1, [], 1]']
+)
 def test_malformed_answer_is_refused(text):
     with pytest.raises(ValueError):
-        LeavingNews.parse(text)
+        FleetNews.parse(text)
 
 
 class Peers:
     """Other routers, and an exchange that asks them."""
 
     def __init__(self, monkeypatch, answers, contacts=("a:1", "b:1")):
-        monkeypatch.setattr(leaving_news, "RETRIES_S", (0.0, 0.0))
-        monkeypatch.setattr(leaving_news, "SPREAD_S", 0.0)
+        monkeypatch.setattr(fleet_news, "RETRIES_S", (0.0, 0.0))
+        monkeypatch.setattr(fleet_news, "SPREAD_S", 0.0)
         self.answers = answers
         self.asked = []
         self.learned = []
         self.now_s = 100.0
         self.members = Members(Member("own", "own:1", "z", peer_address="own:1"))
-        self.exchange = LeavingExchange(
+        self.exchange = FleetNewsExchange(
             self.members,
             contacts,
             lambda: NEWS._replace(is_complete=False),
@@ -106,7 +108,7 @@
             await asyncio.sleep(0)
 
 
-ENCODED = b'[[["w1", 3]], ["w2"], true]'
+ENCODED = b'[[["w1", 3]], ["w2"], true, [["desk", 6]], 16]'
 
 
 def test_router_is_told_by_the_contact_that_knows(monkeypatch):
@@ -118,7 +120,7 @@
         assert peers.learned == [NEWS]
         assert peers.exchange.may_serve
         assert sorted(peers.asked) == ["a:1", "b:1"]
-        assert LeavingNews.parse(await peers.exchange.encode_news()).is_complete
+        assert FleetNews.parse(await peers.exchange.encode_news()).is_complete
         await peers.exchange.stop()
 
     asyncio.run(run())
@@ -145,9 +147,9 @@
         peers.exchange.start()
         peers.now_s += ANSWER_TIMEOUT_S
         assert peers.exchange.may_serve
-        assert not LeavingNews.parse(await peers.exchange.encode_news()).is_complete
+        assert not FleetNews.parse(await peers.exchange.encode_news()).is_complete
         peers.now_s += KNOWS_AFTER_S
-        assert LeavingNews.parse(await peers.exchange.encode_news()).is_complete
+        assert FleetNews.parse(await peers.exchange.encode_news()).is_complete
         await peers.exchange.stop()
 
     asyncio.run(run())
