Try only the first endpoints of a session's order while their room is shared

Cause: a session without a part of any room had all endpoints ranked for it twice.

Change: the shared passes try holders and the shortlist; the last one ranks all.

--- a/src/tamarackrill/decisions/loads.py
+++ b/src/tamarackrill/decisions/loads.py
@@ -84,7 +84,12 @@
 
     def count_started_since(self, time_s: float) -> int:
         """Return the number of requests that began since a recent time."""
-        return sum(by > 0 for changed_s, by in self.changes if changed_s > time_s)
+        started = 0
+        for changed_s, by in reversed(self.changes):
+            if changed_s <= time_s:
+                break
+            started += by > 0
+        return started
 
     def is_idle(self, now_s: float) -> bool:
         """Return whether no request is in flight or may be part of a late report."""
--- a/src/tamarackrill/decisions/routing.py
+++ b/src/tamarackrill/decisions/routing.py
@@ -18,6 +18,7 @@
 
 import math
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+from itertools import islice
 from typing import NamedTuple
 
 from tamarackrill.contracts import Endpoint
@@ -256,16 +257,19 @@
             return name not in refused and find_room(name) > 0
 
         def has_part(name: str) -> bool:
-            if sharing is None:
-                return True
+            if name in refused:
+                return False
             room = find_room(name)
-            part = self.loads.find_part(name, room, *sharing, now_s)
-            return part > 0
+            if sharing is None or room <= 0:
+                return room > 0
+            return self.loads.find_part(name, room, *sharing, now_s) > 0
 
         def find_slowdown(name: str) -> float | None:
             return self.slowdowns.find(name, now_s)
 
-        return _LoadSnapshot(bound, find_load, is_free, has_part, find_slowdown)
+        return _LoadSnapshot(
+            bound, find_load, is_free, has_part, find_slowdown, sharing is not None
+        )
 
     def _choose_for_chat(
         self,
@@ -281,12 +285,13 @@
         known = {*holders, order[0]}
 
         def is_available(name: str) -> bool:
-            return snapshot.is_free(name) and (name in known or snapshot.has_part(name))
+            return snapshot.is_free(name) if name in known else snapshot.has_part(name)
 
-        available = [name for name in candidates if is_available(name)]
-        if not available:
+        # The chosen one and two runners-up; in a surge this runs for each request.
+        available = list(islice(filter(is_available, candidates), 3))
+        if not available and not snapshot.is_shared:
             full_order = pool.rank(request.chat, len(pool))
-            available = [name for name in full_order if is_available(name)]
+            available = list(islice(filter(is_available, full_order), 3))
         if not available:
             return None
         chosen = available[0]
@@ -322,10 +327,13 @@
     is_free : callable
         Returns whether an endpoint may take one more request.
     has_part : callable
-        Returns whether this router may use an endpoint's room for a session that it
-        has no prefix of.
+        Returns whether an endpoint is free, and this router may use its room for a
+        session that it has no prefix of.
     find_slowdown : callable
         Returns the slowdown that an endpoint reports; None if unknown.
+    is_shared : bool
+        Whether routers share the room; then only the first endpoints of a session's
+        order are tried, as ranking all of them for each request takes too long.
     """
 
     bound: int
@@ -333,6 +341,7 @@
     is_free: Callable[[str], bool]
     has_part: Callable[[str], bool]
     find_slowdown: Callable[[str], float | None]
+    is_shared: bool
 
 
 def _choose_less_loaded_of_two(
