Don't tell other routers of entries that have ended

Cause: the news that a router asks for had ended entries too, those put aside after a restore among them. A router that is told puts them aside as well, though it has just listed them, and tells the next one: the log has 6 endpoints suspect at a time, at several routers in turn, and no_endpoint for all callers meanwhile.

Change: only leaving endpoints are told, which the endpoint's own start takes back. An ended endpoint in a copy is left open in the postmortem.

--- a/src/tamarackrill/decisions/lapses.py
+++ b/src/tamarackrill/decisions/lapses.py
@@ -22,10 +22,8 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Iterable
 
 from tamarackrill.decisions.configuration import ObjectVersion
-from tamarackrill.decisions.leaving import TOLD_MAX
 
 # Time in which entries are written again once the store is back, plus the delay of the
 # list by one heartbeat.
@@ -102,18 +100,6 @@
         if len(self._ended) > ENDED_KEPT:
             self._ended.popitem(last=False)
 
-    def list_recent(self) -> tuple[str, ...]:
-        """Return the entries that ended lately, and those that are put aside."""
-        return tuple([*self._ended, *self._held][-TOLD_MAX:])
-
-    def observe_told(self, names: Iterable[str], now_s: float) -> None:
-        """Record entries that ended before this router knew of them.
-
-        The store may have them still, or again, if it came back from a copy.
-        """
-        self._suspects.update(names)
-        self._suspect_until_s = max(self._suspect_until_s, now_s + SILENT_ENTRY_S)
-
     def must_hold(self, item: ObjectVersion, now_s: float) -> bool:
         """Return whether to put an entry aside, as its endpoint has ended before.
 
--- a/src/tamarackrill/decisions/leaving.py
+++ b/src/tamarackrill/decisions/leaving.py
@@ -53,8 +53,6 @@
     ----------
     leaving : tuple of (str, int)
         Names of leaving endpoints, and when their processes started, 0 if unknown.
-    ended : tuple of str
-        Names of endpoints whose entries have ended.
     is_complete : bool, default=False
         Whether the router has run for long enough to know, or has been told.
     brittle : tuple of (str, int), default=()
@@ -64,7 +62,6 @@
     """
 
     leaving: tuple[tuple[str, int], ...]
-    ended: tuple[str, ...]
     is_complete: bool = False
     brittle: tuple[tuple[str, int], ...] = ()
     routers: int = 1
@@ -79,10 +76,9 @@
             If it isn't valid, as from a router of another release.
         """
         try:
-            leaving, ended, is_complete, brittle, routers, *_ = json.loads(text)
+            leaving, is_complete, brittle, routers, *_ = json.loads(text)
             return cls(
                 tuple((str(name), int(started)) for name, started in leaving),
-                tuple(map(str, ended)),
                 bool(is_complete),
                 tuple((str(name), int(limit)) for name, limit in brittle),
                 int(routers),
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -863,7 +863,7 @@
     5048,
     "fleet_news_learned",
     _INFO,
-    ("peer", "leaving", "ended", "brittle", "is_complete"),
+    ("peer", "leaving", "brittle", "is_complete"),
     "Another router has told this one of endpoints that must get no new work, and of "
     "brittle services, after this one started or the store was restored.  "
     "`is_complete` unless the other one has just started too.",
--- a/src/tamarackrill/router/deployment_view.py
+++ b/src/tamarackrill/router/deployment_view.py
@@ -120,34 +120,12 @@
 
     def list_leaving_news(self) -> FleetNews:
         """Return the endpoints that must get no new work, for other routers."""
-        return FleetNews(self._leaving.list_recent(), self._ended_entries.list_recent())
+        return FleetNews(self._leaving.list_recent())
 
-    def observe_leaving_news(
-        self,
-        news: FleetNews,
-        find_item: Callable[[str], ObjectVersion | None],
-        now_s: float,
-    ) -> None:
-        """Apply what another router knows of endpoints that must get no new work.
-
-        Parameters
-        ----------
-        news : FleetNews
-            What the other router knows.
-        find_item : callable
-            Returns the store's entry of an endpoint, None if it has none.
-        now_s : float
-            Current time.
-        """
+    def observe_leaving_news(self, news: FleetNews) -> None:
+        """Apply what another router knows of endpoints that must get no new work."""
         for name, incarnation in news.leaving:
             self._observe_leaving(LeavingReport(name, "endpoint", True, incarnation))
-        known = [name for name in news.ended if name in self._endpoints]
-        self._ended_entries.observe_told(news.ended, now_s)
-        for name in known:
-            item = find_item(name)
-            if item is not None and self._ended_entries.must_hold(item, now_s):
-                self._forget_endpoint(name)
-                log_event(ENDPOINT_SUSPECT, endpoint=name, revision=item.version)
 
     def take(self, item: ObjectVersion, now_s: float) -> None:
         """Apply a newer version of an object, or its deletion."""
@@ -289,15 +267,10 @@
 
     def _drop(self, name: str) -> None:
         self._ended_entries.observe_ended(name)
-        if self._forget_endpoint(name):
+        if self._endpoints.pop(name, None) is not None:
+            self._pools = None
             log_event(ENDPOINT_GONE, endpoint=name)
 
-    def _forget_endpoint(self, name: str) -> bool:
-        if self._endpoints.pop(name, None) is None:
-            return False
-        self._pools = None
-        return True
-
     def list_endpoints(self) -> list[Endpoint]:
         """Return all known endpoints."""
         return list(self._endpoints.values())
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -450,9 +450,7 @@
 
     def _observe_fleet_news(self, news: FleetNews) -> None:
         self.slots.observe_news(news)
-        self.view.observe_leaving_news(
-            news, lambda name: self.store.get(ENDPOINT_KIND, name), self.clock()
-        )
+        self.view.observe_leaving_news(news)
 
     def _observe_restored(self, kind: str) -> None:
         self.view.observe_restored(kind, self.clock())
--- a/src/tamarackrill/router/fleet_news.py
+++ b/src/tamarackrill/router/fleet_news.py
@@ -1,6 +1,6 @@
 """Asks other routers what a router that has just started can't learn elsewhere.
 
-The store may not say which endpoints are leaving or gone: it may be away while this
+The store may not say which endpoints are leaving: it may be away while this
 router starts, or have come back from a copy that was made before.  That a service is
 brittle is known from answers alone, of which this router has had none.  Routers that
 have seen it remember it.
@@ -141,7 +141,6 @@
             FLEET_NEWS_LEARNED,
             peer=address,
             leaving=len(news.leaving),
-            ended=len(news.ended),
             brittle=len(news.brittle),
             is_complete=news.is_complete,
         )
