--- a/src/tamarackrill/router/peer_api.py
+++ b/src/tamarackrill/router/peer_api.py
@@ -149,7 +149,7 @@
         ``await find_reached(names, is_fresh)`` returns the endpoints that this router
         reaches, by probes of all of them if `is_fresh`.
     find_fleet_news : callable, optional
-        Returns the endpoints that are leaving or gone, encoded.
+        Returns what a router that has just started asks for, encoded.
     """
     compressed = _CompressedChanges(store)
 
