--- a/soak/surges.py
+++ b/soak/surges.py
@@ -124,7 +124,7 @@
         await asyncio.sleep(rng.random())
     await restoring
     await asyncio.sleep(rng.uniform(0.5, 2.0))
-    await fleet.write_draining()
+    await fleet.write_leaving()
 
 
 def _run_drain_seed(seed: int) -> list[str]:
--- a/src/tamarackrill/testing/drain_fleet.py
+++ b/src/tamarackrill/testing/drain_fleet.py
@@ -36,6 +36,9 @@
         Links between the routers.
     seed : int
         Seed of the arrivals.
+    is_deleted : bool, default=False
+        Whether the worker's entry is deleted, instead of stating that it leaves; the
+        worker runs on in both cases.
 
     Attributes
     ----------
@@ -45,9 +48,12 @@
         Status of each answer; 0 if there was none.
     """
 
-    def __init__(self, fleet: EdgeFleet, links: PeerLinks, seed: int) -> None:
+    def __init__(
+        self, fleet: EdgeFleet, links: PeerLinks, seed: int, is_deleted: bool = False
+    ) -> None:
         self.fleet = fleet
         self.links = links
+        self._is_deleted = is_deleted
         self.random = random.Random(seed)
         self.copied_revision = 0
         self.answers: list[int] = []
@@ -75,17 +81,17 @@
         writer.write(make_answer(request))
 
     async def drain_worker(self) -> None:
-        """Let the first worker report that it leaves."""
+        """Let the first worker leave."""
         self.copied_revision = self.fleet.store.state.revision
-        await self.write_draining()
+        await self.write_leaving()
         self._drained_s = asyncio.get_running_loop().time()
 
-    async def write_draining(self, sequence: int = 2) -> None:
-        """Write the entry of the first worker, which is leaving."""
-        entry = self._leaving.describe(
-            "desk", ZONES[0], state="draining", sequence=sequence
+    async def write_leaving(self) -> None:
+        """Write that the first worker leaves, or delete its entry."""
+        entry = self._leaving.describe("desk", ZONES[0], state="draining", sequence=2)
+        await self.fleet.store.write(
+            "servers", self._leaving.name, None if self._is_deleted else entry
         )
-        await self.fleet.store.write("servers", self._leaving.name, entry)
 
     async def restore_store(self, away_s: float = 0.7) -> None:
         """Let the store come back from the copy made before the worker left."""
@@ -136,7 +142,9 @@
 Disturbance = Callable[[DrainFleet], Awaitable[None]]
 
 
-async def run_drain(disturb: Disturbance, seed: int = 1) -> DrainFleet:
+async def run_drain(
+    disturb: Disturbance, seed: int = 1, is_deleted: bool = False
+) -> DrainFleet:
     """Let a worker leave, with a disturbance from then on.
 
     Parameters
@@ -145,6 +153,8 @@
         ``await disturb(fleet)`` begins right after the acknowledgement.
     seed : int, optional
         Seed of the arrivals.
+    is_deleted : bool, default=False
+        Whether the worker's entry is deleted; see `DrainFleet`.
 
     Returns
     -------
@@ -157,7 +167,7 @@
     has_settled = mock.patch.object(edge_app, "SETTLE_S", 0.0)
     async with EdgeFleet() as fleet:
         with links.intercept(), has_settled:
-            drained = DrainFleet(fleet, links, seed)
+            drained = DrainFleet(fleet, links, seed, is_deleted)
             await drained.start()
 
             async def act() -> None:
--- a/tests/test_leaving_at_start.py
+++ b/tests/test_leaving_at_start.py
@@ -21,8 +21,26 @@
         await fleet.restore_store()
         await fleet.replace_routers(fleet.choose_routers(replaced))
         await asyncio.sleep(written_after_s)
-        await fleet.write_draining()
+        await fleet.write_leaving()
 
     fleet = asyncio.run(run_drain(disturb, seed=1))
     assert fleet.find_late_s() == []
     assert fleet.answers.count(200) >= 0.9 * len(fleet.answers)
+
+
+@pytest.mark.parametrize(("restored_after_s", "seed"), [(0.3, 1), (1.0, 1), (1.0, 3)])
+def test_router_that_starts_after_a_restore_knows_whose_entry_was_deleted(
+    restored_after_s, seed
+):
+    # Guards against requests to a worker that is gone from the list, by routers that
+    # start from the store's copy, which was made before its entry was deleted.
+    async def disturb(fleet):
+        await asyncio.sleep(restored_after_s)
+        await fleet.restore_store()
+        await fleet.replace_routers(fleet.choose_routers(4))
+        await asyncio.sleep(2.6)
+        await fleet.write_leaving()
+
+    fleet = asyncio.run(run_drain(disturb, seed, is_deleted=True))
+    assert fleet.find_late_s() == []
+    assert fleet.answers.count(200) >= 0.9 * len(fleet.answers)
