Log how old the choice of an endpoint is when its request is sent

The log had the latter only.

call_sent has choice_age_s. Tests of events and of the edge pass (the log's fields only).

--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -165,6 +165,7 @@
         "reason",
         "load",
         "bound",
+        "choice_age_s",
         "time_left_s",
         "copy_from",
         "relay",
@@ -173,11 +174,12 @@
         "resumed",
         "parts",
     ),
-    "A request was sent to an endpoint; the fields give the reason for the choice, "
-    "the known load, the engine from which cached parts of the prompt are copied, the "
-    "router that forwards it, if any, the version of the endpoint's software, of a "
-    "stream that goes on its last event and the client's attempt that began it, and "
-    "the hashes of the parts of the prompt that other requests may share.",
+    "A request was sent to an endpoint; the fields give the reason for the choice and "
+    "its age, the known load, the engine from which cached parts of the prompt are "
+    "copied, the router that forwards it, if any, the version of the endpoint's "
+    "software, of a stream that goes on its last event and the client's attempt that "
+    "began it, and the hashes of the parts of the prompt that other requests may "
+    "share.",
 )
 CALL_ATTEMPT_FAILED = Event(
     2203,
--- a/src/tamarackrill/router/capacity/slot_client.py
+++ b/src/tamarackrill/router/capacity/slot_client.py
@@ -337,9 +337,12 @@
         if endpoint is None or name not in usable.get(endpoint.zone, ()):
             self._asks.cancel(granted)
             return None
-        load = self._placer.placement.loads.estimate([name], self._clock())[0]
+        now_s = self._clock()
+        load = self._placer.placement.loads.estimate([name], now_s)[0]
         bound = endpoint.slots if placed is None else placed.bound
-        return EdgePlacement(endpoint, "granted", load, bound, grant=granted.grant)
+        return EdgePlacement(
+            endpoint, "granted", load, bound, now_s, grant=granted.grant
+        )
 
     def _give_up(self, sent: SentAsk) -> None:
         self._asks.observe_timeout(sent)
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -233,6 +233,7 @@
             reason=placed.reason,
             load=placed.load,
             bound=placed.bound,
+            choice_age_s=round(self._clock() - placed.chosen_s, 4),
             time_left_s=call.deadline_s - started_s,
             copy_from="" if placed.copy_from is None else placed.copy_from.name,
             relay=relay,
--- a/src/tamarackrill/router/edge_placing.py
+++ b/src/tamarackrill/router/edge_placing.py
@@ -87,13 +87,14 @@
     `copy_from` is the engine that most likely caches the prefixes that the selected one
     lacks, `priority` the request's priority in an engine's queue, `ticket` identifies
     its reservation at the owner of a brittle endpoint, `grant` the slot that an
-    allocator has granted.
+    allocator has granted, `chosen_s` is the time of the choice.
     """
 
     endpoint: Endpoint
     reason: str
     load: int
     bound: int
+    chosen_s: float
     copy_from: Endpoint | None = None
     priority: int | None = None
     ticket: Ticket = UNCOUNTED
@@ -237,6 +238,7 @@
             choice.reason,
             choice.load,
             choice.bound,
+            now_s,
             self._find_copy_source(call, choice.endpoint, avoid, now_s),
             choose_priority(call.urgency, is_cached) if call.is_stream else None,
         )
@@ -402,7 +404,7 @@
         due = self.health.next_probe(now_s, pool.by_name)
         if due is None:
             return None
-        return EdgePlacement(pool.by_name[due], "probe", 0, 0)
+        return EdgePlacement(pool.by_name[due], "probe", 0, 0, now_s)
 
     def start(self, call: EdgeCall, placed: EdgePlacement, now_s: float) -> None:
         """Count a request that is being sent to an endpoint."""
