Don't send requests to endpoints that left while the requests waited

Cause: an endpoint is chosen, and then the request waits: for a slot (up to its deadline), a permit, a reservation, its connection, or the connection of another router that forwards it. The choice was carried out after the wait without another look. Class: a decision made before a wait is carried out after it.

Change: a request is sent only if its endpoint still takes work at the moment of sending, at the same address; else it is placed again. The router that forwards an attempt looks again too. A request whose allocator doesn't decide is placed anew instead of being sent by the choice of before its wait. tamarackrilld checks after it has asked an endpoint's owner, and lists its candidates anew.

Nothing can be checked between tamarackrilld's libcurl connecting and sending.

--- a/src/tamarackrill/router/capacity/slot_client.py
+++ b/src/tamarackrill/router/capacity/slot_client.py
@@ -113,9 +113,7 @@
     async def acquire(
         self, call: EdgeCall, placed: EdgePlacement | None, avoid: Collection[str]
     ) -> EdgePlacement | None:
-        """Return the placement to use, with its grant.
-
-        Without an answer this is `placed`: the request is then sent without a grant.
+        """Return the placement with its grant, None if no allocator has decided.
 
         Parameters
         ----------
@@ -135,7 +133,7 @@
         zone = self._choose_zone(call, placed, usable)
         sent = None if zone is None else self._ask(call, zone, avoid, False)
         if sent is None:
-            return placed
+            return None
         granted = None
         try:
             granted = await self._wait(call, sent, usable, avoid)
@@ -144,8 +142,8 @@
             if granted is not sent:
                 self._asks.cancel(sent)
         if granted is None:
-            return placed
-        return self._use(call, granted, usable, placed) or placed
+            return None
+        return self._use(call, granted, usable, placed)
 
     def finish(
         self, placed: EdgePlacement, load: LoadReport | None, took_s: float | None
--- a/src/tamarackrill/router/deployment_view.py
+++ b/src/tamarackrill/router/deployment_view.py
@@ -279,6 +279,20 @@
         """Return an endpoint by its name, None if it is unknown."""
         return self._endpoints.get(name)
 
+    def takes_work(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint may still get requests where it was known to be.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+            The endpoint as it was when a request was placed.
+        """
+        known = self._endpoints.get(endpoint.name)
+        if known is None or known.state != "live":
+            return False
+        is_there = known.address == endpoint.address
+        return is_there and known.zone not in self.evacuated_zones
+
     def list_usable_endpoints(self) -> list[Endpoint]:
         """Return the known endpoints outside the evacuated zones."""
         if not self._knows_evacuations():
--- a/src/tamarackrill/router/edge_placing.py
+++ b/src/tamarackrill/router/edge_placing.py
@@ -166,6 +166,7 @@
         self.relayed: AbstractSet[str] = frozenset()
         self.reports_slowdown = self.placement.slowdowns.is_reported
         self.list_endpoints = view.list_usable_endpoints
+        self.takes_work = view.takes_work
         self.observe_leaving = view.observe_leaving_answer
         self.list_witnesses: Callable[[], list[Endpoint]] = list
         self.tell: Callable[[list[Holding], bool], None] = lambda found, expected: None
--- a/src/tamarackrill/router/edge_reserving.py
+++ b/src/tamarackrill/router/edge_reserving.py
@@ -188,7 +188,11 @@
             if placed is not None and permits.must_request(placed.endpoint):
                 return placed
             avoid += permits.find_cold()
-        return await capacity.acquire(call, placed, avoid)
+        granted = await capacity.acquire(call, placed, avoid)
+        if granted is not None:
+            return granted
+        # Without a grant, as loads and endpoints are known after the wait.
+        return await self._choose(progress, frozenset())
 
     async def _choose(
         self, progress: RequestProgress, full: Collection[str]
--- a/src/tamarackrill/router/placing.py
+++ b/src/tamarackrill/router/placing.py
@@ -112,6 +112,12 @@
             and endpoint.state == "live"
         ]
 
+    def _takes_work(self, call: Call, endpoint: Endpoint) -> bool:
+        return any(
+            (known.name, known.address) == (endpoint.name, endpoint.address)
+            for known in self.list_candidates(call)
+        )
+
     def count_free(self, call: Call, now_s: float) -> int:
         """Return the number of free slots in the pool of a call."""
         allowed = self._list_allowed(call, now_s)
@@ -164,9 +170,9 @@
     async def _place(
         self, call: Call, avoid: Collection[str], now_s: float
     ) -> PlacementResult | None:
-        allowed = self._list_allowed(call, now_s)
         refused = set(avoid)
         for _ in range(RESERVATION_ATTEMPTS_MAX - 1):
+            allowed = self._list_allowed(call, now_s)
             choice = self._choose(call, allowed, refused, now_s)
             if choice is None:
                 break
@@ -176,6 +182,7 @@
                 )
             placed = await self._reserve(call, choice, now_s)
             if placed is not None and placed.ticket == UNCOUNTED:
+                allowed = self._list_allowed(call, now_s)
                 return self._place_without_owner(allowed, placed, avoid, now_s)
             if placed is not None:
                 return placed
@@ -184,6 +191,7 @@
             return None
         # All owners that were asked refused, based on mean loads that lag behind a
         # burst.
+        allowed = self._list_allowed(call, now_s)
         last = self._choose_least_loaded(allowed, avoid, now_s)
         return await self._reserve(call, last, now_s, is_last=True) if last else None
 
@@ -311,6 +319,11 @@
             )
         finally:
             self.placement.loads.finish(name, now_s)
+        if not self._takes_work(call, choice.endpoint):
+            # It has begun to leave while its owner was asked.
+            if grant is not None and grant.is_granted:
+                self._owners.release(ticket)
+            return None
         if grant is not None:
             others = grant.in_flight - grant.is_granted
             self.placement.observe_report(name, others, now_s, now_s)
--- a/src/tamarackrill/router/relay_server.py
+++ b/src/tamarackrill/router/relay_server.py
@@ -192,6 +192,9 @@
         except OSError as error:
             self._attempts.paths.record_failure(endpoint, error)
             return None
+        if not self._placer.takes_work(endpoint):
+            channel.close()
+            return None
         return endpoint, channel
 
     async def _forward_response(
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -141,6 +141,33 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("is_owner_silent", [False, True])
+def test_engine_that_leaves_while_its_owner_is_asked_gets_no_call(is_owner_silent):
+    # Guards against calls at an engine that was chosen before a wait, and has begun to
+    # leave since.
+    async def run():
+        network = Network()
+        network.lost = (codec.Answer,) if is_owner_silent else ()
+        home = find_home_of_other(POOL[1])
+        pool = list(POOL)
+        placer = Placer(lambda: pool, BOUND, "zone-a", network.routers[home])
+        chat = _find_chats(["a", "b"], home, 1)[0]
+        placing = asyncio.create_task(
+            placer.place(make_call(read_contract(CONTRACT), chat), (), 0.0)
+        )
+        await asyncio.sleep(0)
+        pool[1] = pool[1]._replace(state="leaving")
+        placed = await placing
+        assert placed.endpoint.name != "engine-1"
+
+    asyncio.run(run())
+
+
+def find_home_of_other(endpoint):
+    """Return the router that doesn't own an endpoint."""
+    return "ab".replace(find_owner(endpoint, len(POOL), ["a", "b"]), "")
+
+
 def test_reservations_last_while_a_router_leaves_but_end_when_it_is_gone():
     # A router that is stopping finishes its calls for minutes.  If their reservations
     # ended at once, engines would get twice their load; if those of a failed router
