Tell routers that start which entries had ended before the store was restored

Some workers never report that they drain: their entry is removed, and the rule is the same for them.

What a router had seen confirmed and what it had put aside because of the restore were one set.

Change: an end is confirmed if the store was undisturbed as it was seen; only those are told, with the era in which they were. A router that is told puts such an entry aside if its own list is of a later era and the entry isn't known to have been written in it, for as long as the one that told it still does, 4 s after the restore at most. Telling on doesn't prolong it. Entries written after a restore are used at once, also by routers that had seen them end.

--- a/src/tamarackrill/decisions/configuration.py
+++ b/src/tamarackrill/decisions/configuration.py
@@ -102,6 +102,8 @@
         self._content: dict[str, int] = {}
         self._newest: dict[str, int] = {}
         self._eras: dict[str, int] = {}
+        # Revision of the list with which the era began here.
+        self._listed: dict[str, int] = {}
         # Kinds that were held in an earlier era.
         self._restored: set[str] = set()
 
@@ -131,6 +133,14 @@
         """Return the era of the revisions of `kind`, 0 if unknown."""
         return self._eras.get(kind, 0)
 
+    def is_of_era(self, item: ObjectVersion) -> bool:
+        """Return whether a version is known to have been written in the current era.
+
+        Others may be, too, or come from the copy of an earlier one.
+        """
+        listed = self._listed.get(item.kind)
+        return listed is not None and item.version > listed
+
     def is_comparable(self, other: ConfigurationDigest | ChangeSet) -> bool:
         """Return whether a digest or changes may tell of something newer.
 
@@ -240,6 +250,7 @@
         for known in (self._complete, self._content, self._newest, self._history_from):
             known.pop(kind, None)
         self._eras[kind] = changes.era
+        self._listed[kind] = changes.complete
         self.apply_changes(changes)
         names = previous.keys() | self._held.get(kind, {}).keys()
         return [
--- a/src/tamarackrill/decisions/leaving.py
+++ b/src/tamarackrill/decisions/leaving.py
@@ -14,14 +14,13 @@
 from collections import OrderedDict
 from typing import Literal, NamedTuple
 
+from tamarackrill.decisions.lapses import TOLD_MAX, EndedNews
+
 # Endpoints remembered, also after their removal: an entry that expires while the store
 # is unavailable comes back, and its endpoint is still leaving then.  Five times as many
 # as one fleet is expected to have.
 ENDPOINTS_KEPT = 4096
 
-# Endpoints that one router tells another one of: several rolling replacements.
-TOLD_MAX = 256
-
 Source = Literal["vm_list", "endpoint", "object"]
 
 
@@ -59,12 +58,15 @@
         Brittle services, and the requests that an endpoint may turn away per second.
     routers : int, default=1
         Routers that the fleet has had lately.
+    ended : EndedNews
+        Entries whose end the router has seen confirmed.
     """
 
     leaving: tuple[tuple[str, int], ...]
     is_complete: bool = False
     brittle: tuple[tuple[str, int], ...] = ()
     routers: int = 1
+    ended: EndedNews = EndedNews()
 
     @classmethod
     def parse(cls, text: bytes) -> "FleetNews":
@@ -76,12 +78,19 @@
             If it isn't valid, as from a router of another release.
         """
         try:
-            leaving, is_complete, brittle, routers, *_ = json.loads(text)
+            leaving, is_complete, brittle, routers, *more = json.loads(text)
+            # A router of an earlier release tells of no ended entries.
+            names, era, suspect_s = more[0] if more else EndedNews()
             return cls(
                 tuple((str(name), int(started)) for name, started in leaving),
                 bool(is_complete),
                 tuple((str(name), int(limit)) for name, limit in brittle),
                 int(routers),
+                EndedNews(
+                    tuple((str(name), int(ended_era)) for name, ended_era in names),
+                    int(era),
+                    float(suspect_s),
+                ),
             )
         except TypeError as error:
             raise ValueError("not the news of a router") from error
--- a/src/tamarackrill/router/deployment_view.py
+++ b/src/tamarackrill/router/deployment_view.py
@@ -4,7 +4,7 @@
 from typing import Any, NamedTuple
 
 from tamarackrill.contracts import Endpoint
-from tamarackrill.decisions.configuration import ObjectVersion
+from tamarackrill.decisions.configuration import ConfigurationStore, ObjectVersion
 from tamarackrill.decisions.lapses import EndedEntries, ExpiryGrace
 from tamarackrill.decisions.leaving import (
     FleetNews,
@@ -64,6 +64,8 @@
         used, as its zone may be evacuated.
     zones : collection of str, optional
         Availability zones of the deployment; others can't be evacuated.
+    store : ConfigurationStore, optional
+        Holds the objects.  Without it their eras are unknown.
     """
 
     def __init__(
@@ -71,8 +73,10 @@
         readers: ObjectReaders,
         knows_evacuations: Callable[[], bool] = lambda: True,
         zones: Collection[str] = (),
+        store: ConfigurationStore | None = None,
     ) -> None:
         self._readers = readers
+        self._store = store or ConfigurationStore()
         self._knows_evacuations = knows_evacuations
         self._zones = frozenset(zones)
         self._evacuated: dict[str, str] = {}
@@ -118,14 +122,34 @@
         elif kind == self._readers.evacuation_kind:
             self._evacuation_grace.observe_restored(now_s)
 
-    def list_leaving_news(self) -> FleetNews:
+    def list_leaving_news(self, now_s: float) -> FleetNews:
         """Return the endpoints that must get no new work, for other routers."""
-        return FleetNews(self._leaving.list_recent())
+        ended = self._ended_entries.list_confirmed(self._find_era(), now_s)
+        return FleetNews(self._leaving.list_recent(), ended=ended)
 
-    def observe_leaving_news(self, news: FleetNews) -> None:
+    def observe_leaving_news(self, news: FleetNews, now_s: float) -> None:
         """Apply what another router knows of endpoints that must get no new work."""
         for name, incarnation in news.leaving:
             self._observe_leaving(LeavingReport(name, "endpoint", True, incarnation))
+        for name, ended_era in news.ended.names:
+            known = self._store.get(self._readers.endpoint_kind, name)
+            if known is None or name not in self._endpoints:
+                self._ended_entries.observe_told(name, news.ended, now_s)
+            elif ended_era < self._find_era() and not self._store.is_of_era(known):
+                self._ended_entries.observe_told(name, news.ended, now_s)
+                if self._must_hold(known, now_s):
+                    del self._endpoints[name]
+                    self._pools = None
+
+    def _find_era(self) -> int:
+        return self._store.get_era(self._readers.endpoint_kind)
+
+    def _must_hold(self, item: ObjectVersion, now_s: float) -> bool:
+        is_new = self._store.is_of_era(item)
+        must_hold = self._ended_entries.must_hold(item, now_s, self._find_era(), is_new)
+        if must_hold:
+            log_event(ENDPOINT_SUSPECT, endpoint=item.name, revision=item.version)
+        return must_hold
 
     def take(self, item: ObjectVersion, now_s: float) -> None:
         """Apply a newer version of an object, or its deletion."""
@@ -207,8 +231,7 @@
             self._remove(name, now_s)
             return
         endpoint = self._readers.read_endpoint(name, item.value)
-        if self._ended_entries.must_hold(item, now_s):
-            log_event(ENDPOINT_SUSPECT, endpoint=name, revision=item.version)
+        if self._must_hold(item, now_s):
             return
         self._expiry_grace.observe_present(name)
         self._leaving.observe(_make_report(endpoint, "object"))
@@ -248,13 +271,15 @@
 
     def _remove(self, name: str, now_s: float) -> None:
         known = self._endpoints.get(name)
+        is_confirmed = self._expiry_grace.is_settled(now_s)
+        confirmed_era = self._find_era() if is_confirmed else None
         if known is None:
-            self._ended_entries.observe_ended(name)
+            self._ended_entries.observe_ended(name, confirmed_era)
             return
         if known.state == "live" and self._expiry_grace.observe_removed(name, now_s):
             log_event(ENDPOINT_HELD, endpoint=name)
             return
-        self._drop(name)
+        self._drop(name, confirmed_era)
 
     def expire(self, now_s: float) -> None:
         """Apply the ends of all grace periods."""
@@ -265,8 +290,8 @@
         for name in self._evacuation_grace.expire(now_s):
             self._end_evacuation(name)
 
-    def _drop(self, name: str) -> None:
-        self._ended_entries.observe_ended(name)
+    def _drop(self, name: str, confirmed_era: int | None = None) -> None:
+        self._ended_entries.observe_ended(name, confirmed_era)
         if self._endpoints.pop(name, None) is not None:
             self._pools = None
             log_event(ENDPOINT_GONE, endpoint=name)
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -177,7 +177,9 @@
         self._servers: list[HTTPServer] = []
         self.metrics = Metrics()
         self.store = ConfigurationStore()
-        self.view = DeploymentView(READERS, self._knows_evacuations, settings.zones)
+        self.view = DeploymentView(
+            READERS, self._knows_evacuations, settings.zones, self.store
+        )
         # No state survives a restart, so the wall clock makes this number higher than
         # that of any earlier process of the same name.
         self._session = int(time.time() * 1000)
@@ -443,14 +445,14 @@
         )
 
     def _list_fleet_news(self) -> FleetNews:
-        return self.view.list_leaving_news()._replace(
+        return self.view.list_leaving_news(self.clock())._replace(
             brittle=self.placer.brittle.list_services(self.clock()),
             routers=self.slots.count_fleet(),
         )
 
     def _observe_fleet_news(self, news: FleetNews) -> None:
         self.slots.observe_news(news)
-        self.view.observe_leaving_news(news)
+        self.view.observe_leaving_news(news, self.clock())
 
     def _observe_restored(self, kind: str) -> None:
         self.view.observe_restored(kind, self.clock())
