Ask further routers for the fleet's news until one that knows has answered

A router that starts asked three of its contacts, and a router that had read a copy asked three others once.

Each of three questions goes on to the next router until one that knows has answered, nine in all, and after a restore it is repeated like after a start. Two tests, of which the one of a router that is cut off fails on the code before.

The soak's leaving workers have their entry deleted in every fourth seed.

--- a/soak/surges.py
+++ b/soak/surges.py
@@ -1,7 +1,8 @@
 """Randomized soak test of surges and leaving workers while the fleet changes.
 
 ``python -m soak.surges --seed 1 --seeds 50`` runs seeds one after the other: odd ones a
-surge on brittle workers, even ones a worker that leaves and a store that is restored.
+surge on brittle workers, even ones a worker that leaves and a store that is restored;
+with every fourth the worker's entry is deleted.
 All routers of a seed run in one process, whose datagrams can be lost or late.
 """
 
@@ -129,10 +130,14 @@
 
 def _run_drain_seed(seed: int) -> list[str]:
     rng = random.Random(seed)
-    fleet = asyncio.run(run_drain(lambda fleet: _disturb_drain(fleet, rng), seed))
+    is_deleted = seed % 4 == 0
+    fleet = asyncio.run(
+        run_drain(lambda fleet: _disturb_drain(fleet, rng), seed, is_deleted)
+    )
     late_s, answered = fleet.find_late_s(), fleet.answers.count(200)
     print(
-        f"seed {seed}: {len(late_s)} late, {answered} of {len(fleet.answers)} served",
+        f"seed {seed}: {'deleted' if is_deleted else 'draining'}, {len(late_s)} late, "
+        f"{answered} of {len(fleet.answers)} served",
         flush=True,
     )
     violations = []
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -865,9 +865,10 @@
     5048,
     "fleet_news_learned",
     _INFO,
-    ("peer", "leaving", "brittle", "is_complete"),
-    "Another router has told this one of endpoints that must get no new work, and of "
-    "brittle services, after this one started or the store was restored.  "
+    ("peer", "leaving", "ended", "brittle", "is_complete"),
+    "Another router has told this one of endpoints that must get no new work, of ended "
+    "entries, and of brittle services, after this one started or the store was "
+    "restored.  "
     "`is_complete` unless the other one has just started too.",
 )
 FLEET_NEWS_NOT_LEARNED = Event(
--- a/src/tamarackrill/router/fleet_news.py
+++ b/src/tamarackrill/router/fleet_news.py
@@ -22,8 +22,9 @@
 # How long an answer is waited for, and for all of them a new router keeps new
 # connections away.
 ANSWER_TIMEOUT_S = 1.0
-# Routers asked at a time.
+# Routers asked at a time, each until one that knows has answered, and in all.
 ASKED_MAX = 3
+ASKED_IN_ALL_MAX = 9
 # A router that has run for this long without hearing of others knows what they know.
 KNOWS_AFTER_S = 10.0
 # Pauses between the questions of a router that nobody could answer yet.
@@ -74,7 +75,7 @@
 
     def start(self) -> None:
         """Ask other routers until one that knows has answered."""
-        self._start_task(self._ask_until_told())
+        self._start_task(self._ask_at_start())
 
     def ask_again(self) -> None:
         """Ask some routers, as the store has been restored."""
@@ -104,35 +105,49 @@
         task.add_done_callback(self._tasks.discard)
         self._tasks.add(task)
 
-    async def _ask_until_told(self) -> None:
-        await self._ask(self._contacts)
+    async def _ask_at_start(self) -> None:
+        was_told = await self._ask(self._contacts)
         self.first_answer.set()
-        for retry_s in RETRIES_S:
-            if self._was_told:
-                return
-            await asyncio.sleep(retry_s)
-            await self._ask(self._list_addresses())
+        if not was_told:
+            await self._ask_until_told()
 
     async def _ask_after_restore(self) -> None:
         await asyncio.sleep(random.uniform(0.0, SPREAD_S))
-        await self._ask(self._list_addresses())
+        # This router may be cut off from the others.
+        if not await self._ask(self._list_addresses()):
+            await self._ask_until_told()
+
+    async def _ask_until_told(self) -> None:
+        for retry_s in RETRIES_S:
+            await asyncio.sleep(retry_s)
+            if await self._ask(self._list_addresses()):
+                return
 
     def _list_addresses(self) -> list[str]:
         own = self._members.own.name
         return [m.peer_address for m in self._members.list_live() if m.name != own]
 
-    async def _ask(self, addresses: Iterable[str]) -> None:
+    async def _ask(self, addresses: Iterable[str]) -> bool:
+        """Ask some routers; return whether one that knows has answered."""
         known = list(addresses)
-        asked = random.sample(known, min(ASKED_MAX, len(known)))
-        await asyncio.gather(*(self._ask_one(address) for address in asked))
+        asked = iter(random.sample(known, min(ASKED_IN_ALL_MAX, len(known))))
+
+        async def ask_in_turn() -> bool:
+            for address in asked:
+                if await self._ask_one(address):
+                    return True
+            return False
+
+        return any(await asyncio.gather(*(ask_in_turn() for _ in range(ASKED_MAX))))
 
-    async def _ask_one(self, address: str) -> None:
+    async def _ask_one(self, address: str) -> bool:
+        """Ask a router; return whether it knows."""
         try:
             text = await self._pull(address, NEWS_PATH, ANSWER_TIMEOUT_S)
             news = FleetNews.parse(text)
         except (PeerUnavailable, ValueError) as error:
             log_event(FLEET_NEWS_NOT_LEARNED, peer=address, reason=str(error))
-            return
+            return False
         self._observe_news(news)
         if news.is_complete:
             self._was_told = True
@@ -141,6 +156,8 @@
             FLEET_NEWS_LEARNED,
             peer=address,
             leaving=len(news.leaving),
+            ended=len(news.ended.names),
             brittle=len(news.brittle),
             is_complete=news.is_complete,
         )
+        return news.is_complete
--- a/tests/test_fleet_news.py
+++ b/tests/test_fleet_news.py
@@ -21,6 +21,7 @@
 from tamarackrill.router.edge_app import READERS
 from tamarackrill.router.fleet_news import (
     ANSWER_TIMEOUT_S,
+    ASKED_IN_ALL_MAX,
     KNOWS_AFTER_S,
     FleetNewsExchange,
 )
@@ -412,6 +413,20 @@
     asyncio.run(run())
 
 
+def test_router_asks_further_contacts_if_the_first_are_gone(monkeypatch):
+    # Guards against a router that starts while many others are replaced, and serves
+    # without having been told what the rest of them know.
+    async def run():
+        contacts = [f"{number}:1" for number in range(ASKED_IN_ALL_MAX)]
+        peers = Peers(monkeypatch, {contacts[0]: ENCODED}, contacts)
+        peers.exchange.start()
+        await peers.let_ask()
+        assert peers.learned == [NEWS]
+        await peers.exchange.stop()
+
+    asyncio.run(run())
+
+
 def test_router_that_nobody_answers_serves_after_a_while(monkeypatch):
     async def run():
         peers = Peers(monkeypatch, {})
@@ -426,6 +441,23 @@
     asyncio.run(run())
 
 
+def test_router_that_is_cut_off_asks_until_it_is_told_of_a_restore(monkeypatch):
+    # Guards against a router that reaches nobody in the moment in which it reads the
+    # copy, and never learns what left before.
+    async def run():
+        peers = Peers(monkeypatch, {}, contacts=())
+        peers.members.replace([Member("c", "c:1", "z", peer_address="c:1")])
+        peers.exchange.ask_again()
+        while not peers.asked:
+            await asyncio.sleep(0)
+        peers.answers["c:1"] = ENCODED
+        await peers.let_ask()
+        assert peers.learned == [NEWS]
+        await peers.exchange.stop()
+
+    asyncio.run(run())
+
+
 def test_router_asks_again_after_a_restore(monkeypatch):
     # Guards against a router that was cut off while an endpoint began to leave, and
     # then reads the copy.
