Put ended entries aside from the restore on, not from the time of being told

Now the time counts from the router's own first list of the later era. A unit test fails on the code before.

--- a/soak/surges.py
+++ b/soak/surges.py
@@ -30,6 +30,8 @@
 LIVE_MIN = 4
 # Least share of the callers that is served; 0.4 fit in at most.
 SERVED_SHARE_MIN = 0.15
+# Time after which the platform removes the entry of a worker that doesn't write it.
+HEARTBEATS_S = 3.6
 # Share of the requests answered while a worker leaves and the store is restored.
 ANSWERED_SHARE_MIN = 0.9
 
@@ -118,14 +120,19 @@
 
 async def _disturb_drain(fleet: DrainFleet, rng: random.Random) -> None:
     """Restore the store, and replace routers before, while and after it is away."""
+    away_s, again_s = rng.uniform(0.2, 1.2), rng.uniform(0.5, HEARTBEATS_S)
+
+    async def restore() -> None:
+        await fleet.restore_store(away_s)
+        await asyncio.sleep(again_s)
+        await fleet.write_leaving()
+
     await asyncio.sleep(rng.uniform(0.5, 1.5))
-    restoring = asyncio.ensure_future(fleet.restore_store(rng.uniform(0.2, 1.2)))
+    restoring = asyncio.ensure_future(restore())
     for _ in range(rng.randint(1, 3)):
         await fleet.replace_routers(fleet.choose_routers(rng.randint(1, 4)))
         await asyncio.sleep(rng.random())
     await restoring
-    await asyncio.sleep(rng.uniform(0.5, 2.0))
-    await fleet.write_leaving()
 
 
 def _run_drain_seed(seed: int) -> list[str]:
--- a/src/tamarackrill/decisions/lapses.py
+++ b/src/tamarackrill/decisions/lapses.py
@@ -104,15 +104,14 @@
 
 
 class _ToldEnd(NamedTuple):
-    """The end of an entry of which another router has told, and until when it counts.
+    """The end of an entry of which another router of some era has told.
 
-    `until_s` holds in the other router's era, `later_until_s` in a later one.
+    In that era, the entry is put aside until `until_s`.
     """
 
     ended_era: int
     era: int
     until_s: float
-    later_until_s: float
 
 
 class _HeldEntry(NamedTuple):
@@ -180,7 +179,6 @@
             ended_era,
             news.era,
             now_s + min(news.suspect_s, SILENT_ENTRY_S),
-            now_s + SILENT_ENTRY_S,
         )
         self._remember(name, ended_era)
 
@@ -218,20 +216,21 @@
         """
         confirmed_era = self._ended.pop(item.name, None)
         self._held.pop(item.name, None)
-        until_s = self._find_suspect_until_s(item.name, era)
+        until_s = self._find_suspect_until_s(item.name, now_s, era)
         if is_new or now_s >= until_s:
             return False
         self._held[item.name] = _HeldEntry(item, until_s, confirmed_era)
         return True
 
-    def _find_suspect_until_s(self, name: str, era: int) -> float:
+    def _find_suspect_until_s(self, name: str, now_s: float, era: int) -> float:
         told = self._told.pop(name, None)
         if name in self._suspects:
             del self._suspects[name]
             return self._suspect_until_s
         if told is None or told.ended_era >= era:
             return -math.inf
-        return told.until_s if told.era >= era else told.later_until_s
+        # The store may have come back only after this router was told.
+        return told.until_s if told.era >= era else now_s + SILENT_ENTRY_S
 
     def release(self, now_s: float) -> list[ObjectVersion]:
         """Return, once each, the entries put aside that the store has kept."""
--- a/tests/test_fleet_news.py
+++ b/tests/test_fleet_news.py
@@ -235,6 +235,22 @@
     assert not old.list_used() | new.list_used()
 
 
+def test_router_told_while_the_store_is_away_holds_the_entry_after_its_return():
+    # Guards against a router that starts during an outage, and counts the time in which
+    # the entry must end from its start instead of from the restore.
+    listing, old, new = Listing(), StoreRouter(), StoreRouter()
+    listing.write("w1")
+    old.list_all(listing, 0.0)
+    copy = listing.copy()
+    listing.write("w1", is_deleted=True)
+    old.list_all(listing, 1.0)
+    new.learn(old, 2.0)
+    listing.restore(copy)
+    for now_s in (3.0, 3.0 + SILENT_ENTRY_S - 0.1):
+        new.list_all(listing, now_s)
+        assert not new.list_used()
+
+
 NAMES = st.sampled_from(["w1", "w2", "w3"])
 
 
