Keep sums of failure reports instead of adding up the window for each evaluation

With 60 routers a window has over a thousand reports of an endpoint, and all are added up.

Change: sums by reporter are kept as reports come and expire; the summary for the log is made when a line is due; and if no endpoint is paused, its pool isn't looked through.

The state machine checks the sums against the reports.

--- a/src/tamarackrill/decisions/fleet_health.py
+++ b/src/tamarackrill/decisions/fleet_health.py
@@ -25,6 +25,7 @@
 """
 
 import math
+from collections import Counter, deque
 from collections.abc import Callable, Collection, Mapping
 from typing import NamedTuple
 
@@ -88,6 +89,45 @@
 _NO_FAILURES = FailureCounts(0, 0)
 
 
+class _EndpointFailures:
+    """Reports on one endpoint within the window, and their sums by reporter.
+
+    The sums are kept up to date, as 60 routers that report in each tick make over a
+    thousand reports of a window.
+    """
+
+    __slots__ = ("_reports", "_sizes", "by_reporter", "total")
+
+    def __init__(self) -> None:
+        self._reports: deque[_Report] = deque()
+        # Reports by reporter.
+        self._sizes: Counter[int] = Counter()
+        self.by_reporter: dict[int, int] = {}
+        self.total = 0
+
+    def __len__(self) -> int:
+        return len(self._reports)
+
+    def add(self, report: _Report) -> None:
+        self._reports.append(report)
+        failed = self.by_reporter.get(report.reporter, 0) + report.failed
+        self.by_reporter[report.reporter] = failed
+        self._sizes[report.reporter] += 1
+        self.total += report.failed
+
+    def expire(self, oldest_s: float) -> bool:
+        """Drop reports up to a time; return whether any are left."""
+        reports = self._reports
+        while reports and reports[0].received_s <= oldest_s:
+            report = reports.popleft()
+            self.total -= report.failed
+            self.by_reporter[report.reporter] -= report.failed
+            self._sizes[report.reporter] -= 1
+            if not self._sizes[report.reporter]:
+                del self._sizes[report.reporter], self.by_reporter[report.reporter]
+        return bool(reports)
+
+
 class FleetHealth:
     """Failures of endpoints, from the reports of all routers.
 
@@ -110,7 +150,7 @@
         self._load_cap = load_cap
         self._find_zone = find_zone
         self._own_zone = own_zone
-        self._counts: dict[str, list[_Report]] = {}
+        self._counts: dict[str, _EndpointFailures] = {}
         self._received_s: dict[tuple[str, int, int], float] = {}
         self._pauses: dict[str, _Pause] = {}
         # When endpoints joined; minus infinity if before this router started.
@@ -129,8 +169,10 @@
         if key in self._received_s:
             return
         self._received_s[key] = now_s
-        counts = self._counts.setdefault(reported.endpoint, [])
-        counts.append(_Report(now_s, reported.reporter, reported.failed))
+        if reported.endpoint not in self._counts:
+            self._counts[reported.endpoint] = _EndpointFailures()
+        report = _Report(now_s, reported.reporter, reported.failed)
+        self._counts[reported.endpoint].add(report)
 
     def remove(self, endpoint: str) -> None:
         """Forget an endpoint that is gone or has restarted."""
@@ -149,9 +191,21 @@
         """Whether there are neither recent failures nor pauses."""
         return not self._counts and not self._pauses
 
+    @property
+    def has_evidence(self) -> bool:
+        """Whether any endpoint has enough failures to be paused."""
+        return any(f.total >= FAILED_MIN for f in self._counts.values())
+
+    @property
+    def has_no_pauses(self) -> bool:
+        """Whether no endpoint is paused, or was until lately."""
+        return not self._pauses
+
     def pause_failing(self, pool: Collection[str], now_s: float) -> list[str]:
         """Pause the failing endpoints of a pool; return the newly paused ones."""
         self._expire(now_s)
+        if not self.has_evidence:
+            return []
         failed = {name: self._count(name) for name in pool if name in self._counts}
         if not any(counts.accepted >= FAILED_MIN for counts in failed.values()):
             return []
@@ -223,36 +277,32 @@
         return since_s <= now_s - WINDOW_S
 
     def _count(self, name: str) -> FailureCounts:
-        by_reporter: dict[int, int] = {}
-        for count in self._counts[name]:
-            by_reporter[count.reporter] = (
-                by_reporter.get(count.reporter, 0) + count.failed
-            )
+        failures = self._counts[name]
         # As a base of comparison all reports count.  If each zone sends to its own
         # endpoints, those of another zone are reported by that zone alone, which must
         # not make them look healthier.
-        return FailureCounts(self._sum_accepted(by_reporter), sum(by_reporter.values()))
+        accepted = self._sum_accepted(failures.by_reporter)
+        return FailureCounts(accepted, failures.total)
 
     def _sum_accepted(self, by_reporter: Mapping[int, int]) -> int:
         """Return the failures that count, 0 if too few routers report."""
-        zones = {reporter: self._find_zone(reporter) for reporter in by_reporter}
-        elsewhere = set(zones.values()) - {self._own_zone, None}
-        counts_all = len(elsewhere) >= ZONES_MIN
-        counted = [
-            min(REPORTER_FAILURES_MAX, failed)
-            for reporter, failed in by_reporter.items()
-            if zones[reporter] == self._own_zone
-            or (counts_all and zones[reporter] is not None)
-        ]
+        here: list[int] = []
+        elsewhere: list[int] = []
+        other_zones: set[str] = set()
+        for reporter, failed in by_reporter.items():
+            zone = self._find_zone(reporter)
+            if zone == self._own_zone:
+                here.append(min(REPORTER_FAILURES_MAX, failed))
+            elif zone is not None:
+                elsewhere.append(min(REPORTER_FAILURES_MAX, failed))
+                other_zones.add(zone)
+        counted = here + elsewhere if len(other_zones) >= ZONES_MIN else here
         return sum(counted) if len(counted) >= REPORTERS_MIN else 0
 
     def _expire(self, now_s: float) -> None:
         oldest_s = now_s - WINDOW_S
-        for name, counts in list(self._counts.items()):
-            kept = [count for count in counts if count.received_s > oldest_s]
-            if kept:
-                self._counts[name] = kept
-            else:
+        for name, failures in list(self._counts.items()):
+            if not failures.expire(oldest_s):
                 del self._counts[name]
         received_s = now_s - REPORT_KEPT_S
         while self._received_s:
--- a/src/tamarackrill/router/endpoint_pauses.py
+++ b/src/tamarackrill/router/endpoint_pauses.py
@@ -37,16 +37,22 @@
         if now_s >= self._evaluated_s.get(service, -math.inf) + EVALUATION_INTERVAL_S:
             self._evaluated_s[service] = now_s
             self._evaluate(service, pool, now_s)
+        if self._fleet_health.has_no_pauses:
+            return set()
         slots = {name: endpoint.slots for name, endpoint in pool.by_name.items()}
         in_flight = self._loads.summarize(slots, now_s).total
         return self._fleet_health.find_paused(slots, in_flight, now_s)
 
     def _evaluate(self, service: str, pool: EndpointPool, now_s: float) -> None:
-        known = self._fleet_health.describe(pool.by_name, now_s)
+        is_due = now_s >= self._logged_s.get(service, -math.inf) + POOL_LOG_INTERVAL_S
+        if is_due and self._fleet_health.has_evidence:
+            self._log_failing(service, pool, now_s)
         for name in self._fleet_health.pause_failing(pool.by_name, now_s):
             log_event(ENDPOINT_PAUSED, endpoint=name, service=service)
-        is_due = now_s >= self._logged_s.get(service, -math.inf) + POOL_LOG_INTERVAL_S
-        if known.failing and is_due:
+
+    def _log_failing(self, service: str, pool: EndpointPool, now_s: float) -> None:
+        known = self._fleet_health.describe(pool.by_name, now_s)
+        if known.failing:
             self._logged_s[service] = now_s
             log_event(
                 POOL_FAILING,
--- a/tests/test_fleet_health.py
+++ b/tests/test_fleet_health.py
@@ -216,6 +216,15 @@
             left = sum(s for n, s in POOL.items() if n not in left_out)
             assert not left_out or in_flight <= left
 
+    @invariant()
+    def sums_are_those_of_the_reports(self):
+        for failures in self.health._counts.values():
+            sums = {}
+            for told in failures._reports:
+                sums[told.reporter] = sums.get(told.reporter, 0) + told.failed
+            assert failures.by_reporter == sums
+            assert failures.total == sum(sums.values())
+
     @invariant()
     def pauses_end(self):
         late_s = self.now_s + PAUSE_MAX_S + 0.1
