Soak: a worker leaves while requests wait for slots, and routers that grant them are killed

Every sixth seed of the surge soak has two-slot workers whose slots four routers share, requests that may wait six seconds, and one or two routers killed within 1.5 s of each other.

--- a/soak/surges.py
+++ b/soak/surges.py
@@ -2,7 +2,8 @@
 
 ``python -m soak.surges --seed 1 --seeds 50`` runs seeds one after the other: odd ones a
 surge on brittle workers, even ones a worker that leaves and a store that is restored;
-with every fourth the worker's entry is deleted.
+with every fourth the worker's entry is deleted.  In every sixth, routers are killed
+while requests wait for slots and the worker leaves.
 All routers of a seed run in one process, whose datagrams can be lost or late.
 """
 
@@ -135,6 +136,33 @@
     await restoring
 
 
+async def _kill_routers(fleet: DrainFleet, rng: random.Random) -> None:
+    """Kill some routers, those that grant slots among them, while requests wait."""
+    for _ in range(rng.randint(1, LIVE_MIN - 2)):
+        await asyncio.sleep(rng.uniform(0.0, 1.5))
+        await fleet.fleet.kill_router(rng.choice(fleet.fleet.routers))
+
+
+def _run_waiting_seed(seed: int) -> list[str]:
+    rng = random.Random(seed)
+    fleet = asyncio.run(
+        run_drain(
+            lambda fleet: _kill_routers(fleet, rng),
+            seed,
+            is_deleted=rng.random() < 0.5,
+            is_waiting=True,
+            routers=LIVE_MIN,
+        )
+    )
+    late_s, answered = fleet.find_late_s(), fleet.answers.count(200)
+    print(
+        f"seed {seed}: waiting, {len(late_s)} late, "
+        f"{answered} of {len(fleet.answers)} served",
+        flush=True,
+    )
+    return [f"{len(late_s)} requests reached the worker late: {late_s}"] * bool(late_s)
+
+
 def _run_drain_seed(seed: int) -> list[str]:
     rng = random.Random(seed)
     is_deleted = seed % 4 == 0
@@ -157,7 +185,11 @@
 
 def run_seed(seed: int) -> list[str]:
     """Run one seed, and return a description of each violated guarantee."""
-    violations = _run_surge_seed(seed) if seed % 2 else _run_drain_seed(seed)
+    if seed % 2:
+        violations = _run_surge_seed(seed)
+    else:
+        run = _run_waiting_seed if seed % 6 == 0 else _run_drain_seed
+        violations = run(seed)
     for line in violations:
         print(f"  BROKEN {line}", flush=True)
     return violations
--- a/src/tamarackrill/testing/drain_fleet.py
+++ b/src/tamarackrill/testing/drain_fleet.py
@@ -8,18 +8,28 @@
 
 from tamarackrill.router import edge_app
 from tamarackrill.router.edge_app import EdgeApplication
-from tamarackrill.testing.edge import EdgeFleet, ask, make_route
-from tamarackrill.testing.peer_links import PeerLinks
-from tamarackrill.testing.worker import (
-    Worker,
-    WorkerRequest,
-    make_answer,
+from tamarackrill.testing.edge import (
+    EdgeFleet,
+    ask,
+    connect_patiently,
+    make_route,
 )
+from tamarackrill.testing.peer_links import PeerLinks
+from tamarackrill.testing.slot_worker import SlotWorker
+from tamarackrill.testing.worker import Worker, WorkerRequest, answer_ok
 
 ROUTE = make_route("/lookup/", "idempotent", attempts=3)
+# Requests wait for up to six seconds at workers of two slots, which run 32 a second.
+WAIT_S = 6.0
+WAITING_ROUTE = make_route(
+    "/lookup/", "idempotent", attempts=3, target_latency_ms=3000, timeout_ms=6000
+)
+SLOTS, QUEUE_MAX, WORK_S = 2, 8, 0.25
 ZONES = ("a", "b", "c")
 WORKERS = 4
 REQUESTS_PER_S = 60.0
+# When requests wait everywhere for slots.
+WAITING_AFTER_S = 2.5
 # Time after the acknowledgement of a worker's leaving from which it gets no requests.
 DRAIN_S = 2.0
 ANSWER_MAX_S = 5.0
@@ -39,6 +49,8 @@
     is_deleted : bool, default=False
         Whether the worker's entry is deleted, instead of stating that it leaves; the
         worker runs on in both cases.
+    is_waiting : bool, default=False
+        Whether routers share the slots of the workers, for which requests wait.
 
     Attributes
     ----------
@@ -49,36 +61,65 @@
     """
 
     def __init__(
-        self, fleet: EdgeFleet, links: PeerLinks, seed: int, is_deleted: bool = False
+        self,
+        fleet: EdgeFleet,
+        links: PeerLinks,
+        seed: int,
+        is_deleted: bool = False,
+        is_waiting: bool = False,
     ) -> None:
         self.fleet = fleet
         self.links = links
         self._is_deleted = is_deleted
+        self._is_waiting = is_waiting
         self.random = random.Random(seed)
         self.copied_revision = 0
         self.answers: list[int] = []
         self._arrivals_s: list[float] = []
         self._drained_s = 0.0
-        self._leaving = Worker("w0", self._record)
+        self._leaving = self._make_worker(0)
 
     async def start(self, routers: int = 9) -> None:
         """Start workers and routers, and wait until the routers know one another."""
         fleet = self.fleet
-        await fleet.put_manifest(1, ROUTE)
+        await fleet.put_manifest(1, WAITING_ROUTE if self._is_waiting else ROUTE)
+        self._record_arrivals()
         await fleet.register_worker(self._leaving, zone=ZONES[0])
         for number in range(1, WORKERS):
-            await fleet.add_worker(f"w{number}", zone=ZONES[number % len(ZONES)])
+            worker = self._make_worker(number)
+            await fleet.register_worker(worker, zone=self._find_zone(number))
         for number in range(routers):
-            await fleet.add_router(f"r{number}", ZONES[number % len(ZONES)])
+            await self._add_router(f"r{number}", self._find_zone(number))
         await fleet.wait(
             lambda: all(len(r.members.list_live()) == routers for r in fleet.routers)
         )
 
-    async def _record(
-        self, request: WorkerRequest, writer: asyncio.StreamWriter
-    ) -> None:
-        self._arrivals_s.append(asyncio.get_running_loop().time())
-        writer.write(make_answer(request))
+    def _find_zone(self, number: int) -> str:
+        # With two workers in each zone, slots are given to either of them.
+        zones = ZONES[:2] if self._is_waiting else ZONES
+        return zones[number % len(zones)]
+
+    def _make_worker(self, number: int) -> Worker:
+        if self._is_waiting:
+            return SlotWorker(f"w{number}", SLOTS, QUEUE_MAX, WORK_S)
+        return Worker(f"w{number}", answer_ok)
+
+    async def _add_router(self, name: str, zone: str) -> None:
+        if self._is_waiting:
+            await self.fleet.add_router(
+                name, zone, connect=connect_patiently, capacity_sharing="on"
+            )
+        else:
+            await self.fleet.add_router(name, zone)
+
+    def _record_arrivals(self) -> None:
+        behave = self._leaving.behave
+
+        async def record(request: WorkerRequest, writer: asyncio.StreamWriter) -> None:
+            self._arrivals_s.append(asyncio.get_running_loop().time())
+            await behave(request, writer)
+
+        self._leaving.behave = record
 
     async def drain_worker(self) -> None:
         """Let the first worker leave."""
@@ -105,7 +146,7 @@
 
         async def replace(router: EdgeApplication) -> None:
             await self.fleet.kill_router(router)
-            await self.fleet.add_router(router.settings.name, router.settings.zone)
+            await self._add_router(router.settings.name, router.settings.zone)
 
         await asyncio.gather(*(replace(router) for router in list(routers)))
 
@@ -127,10 +168,13 @@
 
     async def _call(self, number: int) -> None:
         router, status = self.random.choice(self.fleet.routers), 0
+        name, headers = f"call-{number}", {}
+        if self._is_waiting:
+            headers["X_Deadline_Ms"] = f"{1000 * WAIT_S:.0f}"
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            async with asyncio.timeout(ANSWER_MAX_S):
-                name = f"call-{number}"
-                status = (await ask(router, "/lookup/a", name, name.encode())).status
+            async with asyncio.timeout(WAIT_S + ANSWER_MAX_S):
+                answer = await ask(router, "/lookup/a", name, name.encode(), **headers)
+                status = answer.status
         self.answers.append(status)
 
     def find_late_s(self) -> list[float]:
@@ -143,7 +187,11 @@
 
 
 async def run_drain(
-    disturb: Disturbance, seed: int = 1, is_deleted: bool = False
+    disturb: Disturbance,
+    seed: int = 1,
+    is_deleted: bool = False,
+    is_waiting: bool = False,
+    routers: int = 9,
 ) -> DrainFleet:
     """Let a worker leave, with a disturbance from then on.
 
@@ -153,8 +201,10 @@
         ``await disturb(fleet)`` begins right after the acknowledgement.
     seed : int, optional
         Seed of the arrivals.
-    is_deleted : bool, default=False
-        Whether the worker's entry is deleted; see `DrainFleet`.
+    is_deleted, is_waiting : bool, default=False
+        See `DrainFleet`.
+    routers : int, default=9
+        Routers at the start.
 
     Returns
     -------
@@ -167,11 +217,11 @@
     has_settled = mock.patch.object(edge_app, "SETTLE_S", 0.0)
     async with EdgeFleet() as fleet:
         with links.intercept(), has_settled:
-            drained = DrainFleet(fleet, links, seed, is_deleted)
-            await drained.start()
+            drained = DrainFleet(fleet, links, seed, is_deleted, is_waiting)
+            await drained.start(routers)
 
             async def act() -> None:
-                await asyncio.sleep(1.0)
+                await asyncio.sleep(WAITING_AFTER_S if is_waiting else 1.0)
                 await drained.drain_worker()
                 await disturb(drained)
 
