Choose endpoints with fewer passes over the whole pool

Cause: a choice in a pool over its slots added up the loads of all endpoints up to six times for the same moment, worked out the decayed wait of each engine also where none is long, and asked two functions for the zone of each reporting router.

Change: sums of loads are kept while nothing changes; only engines with a wait above the limit are looked at; zones are looked up in a dict.

--- a/src/tamarackrill/decisions/engine_waits.py
+++ b/src/tamarackrill/decisions/engine_waits.py
@@ -153,12 +153,27 @@
             Current time.
         """
         self._drop_expired(now_s)
-        slow = {}
-        for engine in self._sent_s.keys() | self._last_wait.keys():
-            wait_s = self.find_wait_s(engine, now_s)
-            if wait_s > compute_wait_limit_s(objective_s, urgency, engine in holders):
-                slow[engine] = wait_s
-        return slow
+        limit_s = compute_wait_limit_s(objective_s, urgency, is_cached=False)
+        cached_limit_s = compute_wait_limit_s(objective_s, urgency, is_cached=True)
+        found = {
+            engine: self.find_wait_s(engine, now_s)
+            for engine in self._find_waiting(limit_s, now_s)
+        }
+        return {
+            engine: wait_s
+            for engine, wait_s in found.items()
+            if wait_s > (cached_limit_s if engine in holders else limit_s)
+        }
+
+    def _find_waiting(self, limit_s: float, now_s: float) -> set[str]:
+        """Return the engines at which a prompt waits, or has waited, for longer."""
+        waiting = {
+            engine
+            for engine, sent_s in self._sent_s.items()
+            if now_s - next(iter(sent_s.values())) > limit_s
+        }
+        waited = {e for e, (_, s) in self._last_wait.items() if s > limit_s}
+        return waiting | waited
 
     def _drop_expired(self, now_s: float) -> None:
         expired = [
--- a/src/tamarackrill/decisions/fleet_health.py
+++ b/src/tamarackrill/decisions/fleet_health.py
@@ -289,9 +289,10 @@
         here: list[int] = []
         elsewhere: list[int] = []
         other_zones: set[str] = set()
+        find_zone, own_zone = self._find_zone, self._own_zone
         for reporter, failed in by_reporter.items():
-            zone = self._find_zone(reporter)
-            if zone == self._own_zone:
+            zone = find_zone(reporter)
+            if zone == own_zone:
                 here.append(min(REPORTER_FAILURES_MAX, failed))
             elif zone is not None:
                 elsewhere.append(min(REPORTER_FAILURES_MAX, failed))
--- a/src/tamarackrill/decisions/loads.py
+++ b/src/tamarackrill/decisions/loads.py
@@ -27,6 +27,9 @@
 # Older observations are deleted; no message is in transit for this long.
 OBSERVATION_KEPT_S = 2 * REPORT_TTL_S
 CLEANUP_INTERVAL_S = 1.0
+# Summaries kept for one point in time: of a pool, of its reachable part, and the same
+# of another service.
+SUMMARIES_KEPT = 4
 # Entries of one digest.  A router owns 2 endpoints with 370 routers and 780 workers,
 # and 5 while half of 7 routers are being replaced; 24 entries take about 0.4 KB.
 DIGEST_ENTRIES_MAX = 24
@@ -133,13 +136,19 @@
         self._own: dict[str, _OwnRequests] = {}
         self._observations: dict[str, _Observation] = {}
         self._next_cleanup_s = -math.inf
+        # Summaries of the sets that were asked for, as long as nothing changes: a
+        # choice asks several times for the same.
+        self._summaries: list[tuple[Collection[str], LoadSummary]] = []
+        self._summarized_s = -math.inf
 
     def start(self, endpoint: str, now_s: float) -> None:
         """Count a request that is being sent to `endpoint`."""
+        self._summaries.clear()
         self._own.setdefault(endpoint, _OwnRequests()).change(1, now_s)
 
     def finish(self, endpoint: str, now_s: float) -> None:
         """Count a request that has ended at `endpoint`, regardless of its outcome."""
+        self._summaries.clear()
         self._own[endpoint].change(-1, now_s)
 
     def own(self, endpoint: str) -> int:
@@ -197,6 +206,7 @@
             self._store(entry.endpoint, observation)
 
     def _store(self, endpoint: str, observation: _Observation) -> None:
+        self._summaries.clear()
         known = self._observations.get(endpoint)
         # Reports can arrive out of order: accepting an older one would restore an
         # outdated load, so that requests are sent to a full endpoint.
@@ -205,6 +215,7 @@
 
     def remove(self, endpoint: str) -> None:
         """Delete the observation of an endpoint that has left."""
+        self._summaries.clear()
         self._observations.pop(endpoint, None)
         if not self.own(endpoint):
             self._own.pop(endpoint, None)
@@ -223,10 +234,23 @@
         Parameters
         ----------
         endpoints : collection of str
-            Distinct names; membership tests should be fast.
+            Distinct names; membership tests should be fast.  Must not change between
+            calls with the same time.
         now_s : float
             Current time.
         """
+        if now_s != self._summarized_s:
+            self._summaries.clear()
+            self._summarized_s = now_s
+        for known, summary in self._summaries:
+            if known is endpoints:
+                return summary
+        summary = self._summarize(endpoints, now_s)
+        self._summaries.append((endpoints, summary))
+        del self._summaries[:-SUMMARIES_KEPT]
+        return summary
+
+    def _summarize(self, endpoints: Collection[str], now_s: float) -> LoadSummary:
         self._drop_expired(now_s)
         fresh = [
             observation
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -184,19 +184,19 @@
         # that of any earlier process of the same name.
         self._session = int(time.time() * 1000)
         self._endpoint_news = EndpointNews(hash_reporter(settings.name), self._session)
+        self._reporter_zones: dict[int, str] = {}
         self.placer = EdgePlacer(
             self.view,
             settings.name,
             settings.zone,
             settings.load_cap,
             self._endpoint_news,
-            self._find_reporter_zone,
+            self._reporter_zones.get,
         )
         address = peer_address or f"{settings.ip}:{settings.peer_port}"
         self.members = Members(
             Member(settings.name, address, settings.zone, peer_address=address)
         )
-        self._reporter_zones: dict[int, str] = {}
         self._relay_budget = RelayBudget(settings.link_bytes_per_s)
         self._fleet_size = FleetSize()
         self.cut_off = CutOffMonitor(
@@ -430,9 +430,6 @@
     def _pull_placements(self, address: str) -> Awaitable[bytes]:
         return pull(self._router_client, address, PLACEMENTS_PATH, self._peer_keys)
 
-    def _find_reporter_zone(self, reporter: int) -> str | None:
-        return self._reporter_zones.get(reporter)
-
     def _make_fleet_news_exchange(self) -> None:
         own_address = self.members.own.peer_address
         self.fleet_news = FleetNewsExchange(
@@ -609,12 +606,15 @@
             self.keepers.update()
             self.slots.update()
             self.guard.update()
-            self._reporter_zones = {
-                hash_reporter(m.name): m.zone for m in self.members.list_live()
-            }
+            self._update_reporter_zones()
             self.store_news.repeat_evidence()
             self._flush_log()
 
+    def _update_reporter_zones(self) -> None:
+        self._reporter_zones.clear()
+        for member in self.members.list_live():
+            self._reporter_zones[hash_reporter(member.name)] = member.zone
+
     def _record_loop_lag(self, lag_s: float) -> None:
         self.metrics.record_loop_lag(lag_s)
         if lag_s >= LOOP_LAG_LOGGED_S:
