--- a/src/tamarackrill/router/edge_placing.py
+++ b/src/tamarackrill/router/edge_placing.py
@@ -196,8 +196,9 @@
         now_s : float
             Current time.
         may_refuse : bool, default=True
-            Whether it may be refused because all engines are too slow.  If its client
-            has received part of the stream, the request is served however late.
+            Whether it may be refused because all engines are too slow, or the last
+            room of a full pool is shared.  If its client has received part of the
+            stream, the request is served however late.
 
         Raises
         ------
@@ -215,7 +216,9 @@
         slow = self._find_slow_engines(call, now_s) if may_refuse else {}
         pools = self._list_pools(pool, call, avoid, now_s)
         for narrowed in pools:
-            choice = self._choose_among(call, narrowed, pools[-1], slow, now_s)
+            choice = self._choose_among(
+                call, narrowed, pools[-1], slow, may_refuse, now_s
+            )
             if choice is not None:
                 return self._place(call, choice, avoid, now_s)
         if slow.keys() & pools[-1].by_name.keys():
@@ -375,18 +378,20 @@
         pool: EndpointPool,
         reachable: EndpointPool,
         slow: Collection[str],
+        may_refuse: bool,
         now_s: float,
     ) -> EndpointChoice | None:
         request = _make_request(call, self._zone)
         sharing = RoomSharing(self._router, self.count_routers())
         in_flight = self.placement.loads.summarize(pool.by_name, now_s).total
         is_full = in_flight >= NEARLY_FULL_SHARE * QUEUE_MULTIPLE * pool.slots
+        last_sharing = sharing if is_full and may_refuse else None
         # A session waits at the endpoint that has its prefix rather than overflow to
         # one whose last room all routers know of.
         for multiple, shared, ranks_all in (
             (1, sharing, False),
             (QUEUE_MULTIPLE, sharing, False),
-            (QUEUE_MULTIPLE, sharing if is_full else None, True),
+            (QUEUE_MULTIPLE, last_sharing, True),
         ):
             choice = self.placement.choose(
                 request,
--- a/tests/test_room_sharing.py
+++ b/tests/test_room_sharing.py
@@ -4,11 +4,23 @@
 from itertools import islice, product
 
 import pytest
+from tornado.httputil import HTTPHeaders
 
 from tamarackrill.contracts import Endpoint
+from tamarackrill.decisions.configuration import ObjectVersion
+from tamarackrill.decisions.endpoint_news import EndpointNews
 from tamarackrill.decisions.loads import Loads
 from tamarackrill.decisions.pools import EndpointPool
+from tamarackrill.decisions.prompts import Prefix
 from tamarackrill.decisions.routing import LoadBalancer, PlacementRequest, RoomSharing
+from tamarackrill.platform.headers import parse_request_headers
+from tamarackrill.platform.objects import read_manifest
+from tamarackrill.router.deployment_view import DeploymentView
+from tamarackrill.router.edge_app import READERS
+from tamarackrill.router.edge_calls import EdgeCall
+from tamarackrill.router.edge_placing import QUEUE_MULTIPLE, EdgePlacer
+from tamarackrill.testing.edge import make_manifest, make_route
+from tamarackrill.testing.worker import Worker, answer_ok
 
 ENDPOINTS = 40
 SLOTS = 16
@@ -110,3 +122,48 @@
                 sent[is_shared] += 1
     assert sent[False] >= 3 * room
     assert 0.5 * room <= sent[True] <= 1.5 * room
+
+
+def make_session_call(number):
+    (route, *_) = read_manifest(
+        make_manifest(1, make_route("/chat/", "streaming", session_affinity=True))
+    ).routes
+    return EdgeCall(
+        method="POST",
+        target="/chat/a",
+        headers=parse_request_headers(HTTPHeaders()),
+        body=b"",
+        route=route,
+        service="desk",
+        team=None,
+        arrived_s=1.0,
+        deadline_s=9.0,
+        manifest_version=1,
+        prefixes=(Prefix(f"session-{number}", 100),),
+        urgency=0,
+    )
+
+
+@pytest.mark.parametrize(("room", "is_refused"), [(1, True), (4 * SLOTS, False)])
+def test_only_new_requests_are_refused_for_the_room_of_other_routers(room, is_refused):
+    # Guards against streams that are cut in a full pool though an endpoint has room,
+    # and against requests that are refused by their router's part while there is much.
+    view = DeploymentView(READERS)
+    for number in range(ENDPOINTS):
+        worker = Worker(f"w{number}", answer_ok)
+        worker.address = f"10.0.0.1:{number + 1}"
+        spec = worker.describe("desk", slots=SLOTS)
+        view.take(ObjectVersion("servers", worker.name, number + 1, spec), 0.0)
+    placer = EdgePlacer(view, "r", "z", 2.0, EndpointNews(1, 1), lambda reporter: "z")
+    placer.count_routers = lambda: 60
+    # One endpoint that has room; sessions that prefer another one overflow to it.
+    for name in view.find_pool("desk").by_name:
+        load = QUEUE_MULTIPLE * SLOTS - (room if name == "w0" else 0)
+        placer.placement.observe_report(name, load, 1.0, 1.0)
+    calls = [make_session_call(number) for number in range(60)]
+    pool = view.find_pool("desk")
+    calls = [call for call in calls if pool.rank(call.session, 1)[0] != "w0"]
+    new = [placer.choose(call, (), 1.1) for call in calls]
+    begun = [placer.choose(call, (), 1.1, may_refuse=False) for call in calls]
+    assert all(begun)
+    assert (sum(placed is None for placed in new) > len(calls) / 2) == is_refused
