Drop an entry that is kept after a restore if another router saw its end

What callers saw: requests at a worker up to 3.3 s after its entry was deleted, from routers that had run all the while (a play of three routers cut off from the store and the others as the worker left, the store away 0.4 s later and back at 0.7 s from a copy without the entry; two of the late ones weren't cut off, but their zone's head was).

Cause: a router that reads the copy keeps an entry that it lacks for 2.2 s, as it may only be written again. Others had seen it deleted while the store was undisturbed.

Change: what another router tells of a confirmed end ends the grace period, too.

Result: a case of test_leaving_at_start and a test of two routers fail before and pass.

--- a/src/tamarackrill/decisions/lapses.py
+++ b/src/tamarackrill/decisions/lapses.py
@@ -75,6 +75,10 @@
         """Record that an entry is present."""
         self._expires_s.pop(name, None)
 
+    def is_kept(self, name: str) -> bool:
+        """Return whether a missing entry is kept for now."""
+        return name in self._expires_s
+
     def expire(self, now_s: float) -> list[str]:
         """Return, once each, the entries whose grace period is over."""
         expired = [
--- a/src/tamarackrill/router/deployment_view.py
+++ b/src/tamarackrill/router/deployment_view.py
@@ -133,7 +133,11 @@
             self._observe_leaving(LeavingReport(name, "endpoint", True, incarnation))
         for name, ended_era in news.ended.names:
             known = self._store.get(self._readers.endpoint_kind, name)
-            if known is None or name not in self._endpoints:
+            if self._expiry_grace.is_kept(name):
+                # Its entry isn't only missing in a copy.
+                self._expiry_grace.observe_present(name)
+                self._drop(name, ended_era)
+            elif known is None or name not in self._endpoints:
                 self._ended_entries.observe_told(name, news.ended, now_s)
             elif ended_era < self._find_era() and not self._store.is_of_era(known):
                 self._ended_entries.observe_told(name, news.ended, now_s)
--- a/src/tamarackrill/testing/drain_fleet.py
+++ b/src/tamarackrill/testing/drain_fleet.py
@@ -3,11 +3,13 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Iterator
 from unittest import mock
 
+from tamarackrill.exceptions import PlatformUnavailable
 from tamarackrill.router import edge_app
 from tamarackrill.router.edge_app import EdgeApplication
+from tamarackrill.router.peer_api import PeerUnavailable
 from tamarackrill.testing.edge import (
     EdgeFleet,
     ask,
@@ -150,6 +152,32 @@
 
         await asyncio.gather(*(replace(router) for router in list(routers)))
 
+    @contextlib.contextmanager
+    def cut_off(self, routers: Iterable[EdgeApplication]) -> Iterator[None]:
+        """Cut routers off from the store and from all others; callers reach them."""
+        cut = list(routers)
+        others = [r for r in self.fleet.routers if r not in cut]
+        self.links.groups = [[r.settings.peer_port for r in others]]
+
+        async def fail(*args: object, **kwargs: object) -> None:
+            raise PeerUnavailable("cut off")
+
+        async def fail_store(*args: object, **kwargs: object) -> None:
+            raise PlatformUnavailable("cut off")
+
+        with contextlib.ExitStack() as patches:
+            for router in cut:
+                sync = router.configuration_sync
+                for owner, name, act in (
+                    (sync, "_pull", fail),
+                    (router.fleet_news, "_pull", fail),
+                    (sync._platform, "list", fail_store),
+                    (sync._platform, "watch", fail_store),
+                ):
+                    patches.enter_context(mock.patch.object(owner, name, act))
+            yield
+        self.links.restore()
+
     def choose_routers(self, count: int) -> list[EdgeApplication]:
         """Return some routers."""
         return self.random.sample(self.fleet.routers, count)
@@ -192,6 +220,7 @@
     is_deleted: bool = False,
     is_waiting: bool = False,
     routers: int = 9,
+    prepare: Callable[[DrainFleet], None] = lambda fleet: None,
 ) -> DrainFleet:
     """Let a worker leave, with a disturbance from then on.
 
@@ -205,6 +234,8 @@
         See `DrainFleet`.
     routers : int, default=9
         Routers at the start.
+    prepare : callable, optional
+        Called right before the worker leaves.
 
     Returns
     -------
@@ -222,6 +253,7 @@
 
             async def act() -> None:
                 await asyncio.sleep(WAITING_AFTER_S if is_waiting else 1.0)
+                prepare(drained)
                 await drained.drain_worker()
                 await disturb(drained)
 
--- a/tests/test_fleet_news.py
+++ b/tests/test_fleet_news.py
@@ -195,6 +195,23 @@
     assert not router.view.list_leaving_news(21.0).ended.names
 
 
+def test_entry_that_is_kept_after_a_restore_ends_if_another_router_saw_its_end():
+    # Guards against a router that had not read a deletion when the store went away, and
+    # keeps the entry for the grace period because the copy lacks it.
+    listing, old, late = Listing(), StoreRouter(), StoreRouter()
+    listing.write("w1")
+    for router in (old, late):
+        router.list_all(listing, 0.0)
+    listing.write("w1", is_deleted=True)
+    old.list_all(listing, 1.0)
+    listing.restore(listing.copy())
+    for router in (old, late):
+        router.list_all(listing, 2.0)
+    assert late.list_used() == {"w1"}
+    late.learn(old, 2.0)
+    assert not late.list_used()
+
+
 def test_endpoint_that_registers_again_after_a_restore_is_used_at_once():
     # Guards against a router that is told of an end in an earlier era, and takes the
     # entry that is written afterwards for one of the copy.
--- a/tests/test_leaving_at_start.py
+++ b/tests/test_leaving_at_start.py
@@ -1,6 +1,7 @@
 """Routers that start while the store doesn't have the entry of a leaving worker."""
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -44,3 +45,30 @@
     fleet = asyncio.run(run_drain(disturb, seed, is_deleted=True))
     assert fleet.find_late_s() == []
     assert fleet.answers.count(200) >= 0.9 * len(fleet.answers)
+
+
+@pytest.mark.parametrize("is_deleted", [False, True])
+@pytest.mark.parametrize("is_in_copy", [False, True])
+def test_router_that_was_cut_off_learns_after_a_restore_who_has_left(
+    is_deleted, is_in_copy
+):
+    # Guards against requests to a worker that left while routers were cut off from the
+    # store and the others, or had not been told of it before the store went away.
+    with contextlib.ExitStack() as cuts:
+
+        def cut_off(fleet):
+            cuts.enter_context(fleet.cut_off(fleet.choose_routers(3)))
+
+        async def disturb(fleet):
+            if not is_in_copy:
+                fleet.copied_revision = fleet.fleet.store.state.revision
+            await asyncio.sleep(0.4)
+            await fleet.restore_store(0.3)
+            cuts.close()
+            await asyncio.sleep(2.6)
+            await fleet.write_leaving()
+
+        drain = run_drain(disturb, seed=1, is_deleted=is_deleted, prepare=cut_off)
+        fleet = asyncio.run(drain)
+    assert fleet.find_late_s() == []
+    assert fleet.answers.count(200) >= 0.9 * len(fleet.answers)
