Read a manifest that the store has lost from other routers

Change: with its news a router tells the version of the manifest in force, the era of its store, and whether that store has an older one. A router whose own manifest is older reads it from there if the store is of a later era, or is known to have an older one; in the same era the store's own manifest counts, so that starts read nothing twice.

--- a/src/tamarackrill/decisions/leaving.py
+++ b/src/tamarackrill/decisions/leaving.py
@@ -15,6 +15,7 @@
 from typing import Literal, NamedTuple
 
 from tamarackrill.decisions.lapses import TOLD_MAX, EndedNews
+from tamarackrill.decisions.lost_manifests import ToldManifest
 
 # Endpoints remembered, also after their removal: an entry that expires while the store
 # is unavailable comes back, and its endpoint is still leaving then.  Five times as many
@@ -60,6 +61,8 @@
         Routers that the fleet has had lately.
     ended : EndedNews
         Entries whose end the router has seen confirmed.
+    manifest : ToldManifest
+        The manifest in force at the router.
     """
 
     leaving: tuple[tuple[str, int], ...]
@@ -67,6 +70,7 @@
     brittle: tuple[tuple[str, int], ...] = ()
     routers: int = 1
     ended: EndedNews = EndedNews()
+    manifest: ToldManifest = ToldManifest()
 
     @classmethod
     def parse(cls, text: bytes) -> "FleetNews":
@@ -79,8 +83,10 @@
         """
         try:
             leaving, is_complete, brittle, routers, *more = json.loads(text)
-            # A router of an earlier release tells of no ended entries.
-            names, era, suspect_s = more[0] if more else EndedNews()
+            # A router of an earlier release tells of neither.
+            names, era, suspect_s, *_ = more[0] if more else EndedNews()
+            manifest = more[1] if len(more) > 1 else ToldManifest()
+            version, manifest_era, is_lost, *_ = manifest
             return cls(
                 tuple((str(name), int(started)) for name, started in leaving),
                 bool(is_complete),
@@ -91,6 +97,7 @@
                     int(era),
                     float(suspect_s),
                 ),
+                ToldManifest(int(version), int(manifest_era), bool(is_lost)),
             )
         except TypeError as error:
             raise ValueError("not the news of a router") from error
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -590,6 +590,23 @@
     "The newer one stays in force.",
     "Write the newest manifest again, if the operator's tool doesn't.",
 )
+MANIFEST_RECOVERED = Event(
+    3024,
+    "manifest_recovered",
+    _WARNING,
+    ("peer", "version"),
+    "Another router has sent a manifest that the store has lost; it is in force.",
+    "Write the newest manifest again, if the operator's tool doesn't.",
+)
+MANIFEST_NOT_RECOVERED = Event(
+    3025,
+    "manifest_not_recovered",
+    _WARNING,
+    ("peer", "reason"),
+    "Another router has a newer manifest than the store, and did not send it; the next "
+    "one that has it is asked.",
+    "None, unless no `manifest_recovered` follows: write the newest manifest again.",
+)
 EVACUATION_IN_FORCE = Event(
     3019,
     "evacuation_in_force",
--- a/src/tamarackrill/router/deployment_view.py
+++ b/src/tamarackrill/router/deployment_view.py
@@ -12,6 +12,7 @@
     LeavingReport,
     Source,
 )
+from tamarackrill.decisions.lost_manifests import ToldManifest
 from tamarackrill.decisions.manifests import Manifest, RouteTable
 from tamarackrill.decisions.pools import EndpointPool, make_pool
 from tamarackrill.events import (
@@ -89,6 +90,9 @@
         self._evacuation_grace = ExpiryGrace()
         self._ended_entries = EndedEntries()
         self.routes: RouteTable | None = None
+        # The object of the manifest in force, and whether the store has an older one.
+        self.manifest_item: ObjectVersion | None = None
+        self._is_manifest_lost = False
         self.has_endpoint_data = False
 
     @property
@@ -181,9 +185,28 @@
         elif item.kind == readers.evacuation_kind:
             self._take_evacuation(item, now_s)
         elif item.name == readers.manifest_name and item.value is not None:
-            self._take_manifest(readers.read_manifest(item.value), item.version)
+            self._take_manifest(readers.read_manifest(item.value), item)
 
-    def _take_manifest(self, manifest: Manifest, revision: int) -> None:
+    def tell_manifest(self) -> ToldManifest:
+        """Return the version of the manifest in force, for other routers."""
+        version = 0 if self.routes is None else self.routes.manifest.version
+        era = self._store.get_era(self._readers.manifest_kind)
+        return ToldManifest(version, era, self._is_manifest_lost)
+
+    def recover_manifest(self, item: ObjectVersion) -> None:
+        """Put a manifest in force that another router has, if it is newer.
+
+        Raises
+        ------
+        KeyError, TypeError, ValueError, AttributeError
+            If it is malformed.
+        """
+        manifest = self._readers.read_manifest(item.value or {})
+        if self.routes is None or manifest.version > self.routes.manifest.version:
+            self._take_manifest(manifest, item)
+            self._is_manifest_lost = True
+
+    def _take_manifest(self, manifest: Manifest, item: ObjectVersion) -> None:
         known = None if self.routes is None else self.routes.manifest
         # Operators number manifests themselves, so that these numbers outlast a restore
         # of the store from a copy, in which an older manifest is the current one.
@@ -192,14 +215,16 @@
                 MANIFEST_IGNORED,
                 version=manifest.version,
                 version_in_force=known.version,
-                revision=revision,
+                revision=item.version,
             )
+            self._is_manifest_lost = True
             return
         self.routes = RouteTable(manifest)
+        self.manifest_item, self._is_manifest_lost = item, False
         log_event(
             MANIFEST_IN_FORCE,
             version=manifest.version,
-            revision=revision,
+            revision=item.version,
             routes=len(manifest.routes),
         )
 
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -74,6 +74,7 @@
 from tamarackrill.router.edge_server import EdgeServer
 from tamarackrill.router.fleet_news import FleetNewsExchange
 from tamarackrill.router.gossip import Gossiper
+from tamarackrill.router.manifest_recovery import ManifestRecovery
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.peer_api import (
@@ -289,6 +290,7 @@
             lambda size_bytes: self._relay_budget.take(size_bytes, self.clock()),
             self.relay_server.find_reached,
             self.fleet_news.encode_news,
+            self.manifest_recovery.encode,
         )
         pages = make_silent(Application(handlers))
         peers = RuleRouter(
@@ -440,11 +442,16 @@
             self._pull_from_peer,
             self.clock,
         )
+        self.manifest_recovery = ManifestRecovery(
+            self.view, self._pull_from_peer, lambda: self._apply_objects([])
+        )
+        self.fleet_news.observe_manifest = self.manifest_recovery.observe
 
     def _list_fleet_news(self) -> FleetNews:
         return self.view.list_leaving_news(self.clock())._replace(
             brittle=self.placer.brittle.list_services(self.clock()),
             routers=self.slots.count_fleet(),
+            manifest=self.view.tell_manifest(),
         )
 
     def _observe_fleet_news(self, news: FleetNews) -> None:
@@ -469,6 +476,7 @@
         table = self.view.routes
         if table is not None:
             self.server.set_idle_timeout(table.manifest.limits.idle_timeout_s)
+        self.manifest_recovery.update()
         self.store_news.tell()
         self.keepers.update()
 
@@ -666,6 +674,7 @@
         if self.capacity is not None:
             self.capacity.server.stop()
         await self.fleet_news.stop()
+        await self.manifest_recovery.stop()
         await self.placement_gossip.stop()
         await self.gossiper.stop()
         await self.configuration_sync.stop()
--- a/src/tamarackrill/router/fleet_news.py
+++ b/src/tamarackrill/router/fleet_news.py
@@ -12,6 +12,7 @@
 from collections.abc import Awaitable, Callable, Iterable
 
 from tamarackrill.decisions.leaving import FleetNews
+from tamarackrill.decisions.lost_manifests import ToldManifest
 from tamarackrill.events import FLEET_NEWS_LEARNED, FLEET_NEWS_NOT_LEARNED, log_event
 from tamarackrill.router.background import log_task_failure
 from tamarackrill.router.members import Members
@@ -50,6 +51,11 @@
         ``await pull(address, uri, timeout_s)`` returns an answer of another router.
     clock : callable
         Returns the current time.
+
+    Attributes
+    ----------
+    observe_manifest : callable
+        Called with the address of a router and what it tells of its manifest.
     """
 
     def __init__(
@@ -67,6 +73,9 @@
         self._observe_news = observe_news
         self._pull = pull
         self._clock = clock
+        self.observe_manifest: Callable[[str, ToldManifest], None] = (
+            lambda address, told: None
+        )
         self._started_s = clock()
         self._was_told = False
         self._tasks: set[asyncio.Task[None]] = set()
@@ -149,6 +158,7 @@
             log_event(FLEET_NEWS_NOT_LEARNED, peer=address, reason=str(error))
             return False
         self._observe_news(news)
+        self.observe_manifest(address, news.manifest)
         if news.is_complete:
             self._was_told = True
             self.first_answer.set()
--- a/src/tamarackrill/router/peer_api.py
+++ b/src/tamarackrill/router/peer_api.py
@@ -34,6 +34,7 @@
 REACH_PATH = "/internal/v1/reach"
 NEWS_PATH = "/internal/v1/news"
 FRESH_ARGUMENT = "fresh"
+MANIFEST_PATH = "/internal/v1/manifest"
 PLACEMENTS_PATH = "/internal/v1/placements"
 PULL_TIMEOUT_S = 3.0
 # Compresses a manifest of 281 kB to a tenth within a few ms.
@@ -130,6 +131,7 @@
     has_link_capacity: Callable[[int], bool] = lambda size_bytes: True,
     find_reached: Callable[[list[str], bool], Awaitable[list[str]]] | None = None,
     find_fleet_news: Callable[[], Awaitable[bytes]] | None = None,
+    find_manifest: Callable[[], bytes] | None = None,
 ) -> list[tuple[str, type[RequestHandler], dict[str, Any]]]:
     """Return the HTTP handlers for requests of peers.
 
@@ -150,6 +152,8 @@
         reaches, by probes of all of them if `is_fresh`.
     find_fleet_news : callable, optional
         Returns what a router that has just started asks for, encoded.
+    find_manifest : callable, optional
+        Returns the manifest in force, encoded.
     """
     compressed = _CompressedChanges(store)
 
@@ -187,14 +191,27 @@
         assert find_fleet_news is not None
         return await find_fleet_news()
 
+    async def find_manifest_in_force(handler: RequestHandler) -> bytes:
+        assert find_manifest is not None
+        text = find_manifest()
+        if not has_link_capacity(len(text)):
+            count("peer_requests_dropped", "link full")
+            raise HTTPError(503)
+        return text
+
     answers: dict[str, Callable[[RequestHandler], Awaitable[bytes]]]
     answers = {CONFIGURATION_PATH: find_changes}
-    if find_placements is not None:
-        answers[PLACEMENTS_PATH] = find_snapshot
-    if find_reached is not None:
-        answers[REACH_PATH] = find_reach
-    if find_fleet_news is not None:
-        answers[NEWS_PATH] = find_news
+    optional = {
+        PLACEMENTS_PATH: (find_placements, find_snapshot),
+        REACH_PATH: (find_reached, find_reach),
+        NEWS_PATH: (find_fleet_news, find_news),
+        MANIFEST_PATH: (find_manifest, find_manifest_in_force),
+    }
+    answers |= {
+        path: answer
+        for path, (source, answer) in optional.items()
+        if source is not None
+    }
     return [
         (
             path,
--- a/tests/test_fleet_news.py
+++ b/tests/test_fleet_news.py
@@ -375,6 +375,8 @@
         b"[[], true, [], 1, 7]",
         b'[[], true, [], 1, [[["w"]], 1, 0.0]]',
         b'[[], true, [], 1, [[["w", 1]], 1, "x"]]',
+        b"[[], true, [], 1, [[], 1, 0.0], 7]",
+        b'[[], true, [], 1, [[], 1, 0.0], ["x", 1, false]]',
     ],
 )
 def test_malformed_answer_is_refused(text):
