--- a/src/tamarackrill/decisions/lapses.py
+++ b/src/tamarackrill/decisions/lapses.py
@@ -164,19 +164,22 @@
             forgotten, _ = self._ended.popitem(last=False)
             self._told.pop(forgotten, None)
 
-    def observe_told(self, name: str, news: EndedNews, now_s: float) -> None:
+    def observe_told(
+        self, name: str, ended_era: int, news: EndedNews, now_s: float
+    ) -> None:
         """Record that another router has seen the end of an entry confirmed.
 
         Parameters
         ----------
         name : str
-            One of the names of `news`; must not be in use.
+            Name of the entry, which must not be in use.
+        ended_era : int
+            Era in which it has ended.
         news : EndedNews
             What the other router knows.
         now_s : float
             Current time.
         """
-        ended_era = dict(news.names)[name]
         if name in self._ended or name in self._held:
             return
         self._told[name] = _ToldEnd(
--- a/src/tamarackrill/router/deployment_view.py
+++ b/src/tamarackrill/router/deployment_view.py
@@ -142,9 +142,9 @@
                 self._expiry_grace.observe_present(name)
                 self._drop(name, ended_era)
             elif known is None or name not in self._endpoints:
-                self._ended_entries.observe_told(name, news.ended, now_s)
+                self._ended_entries.observe_told(name, ended_era, news.ended, now_s)
             elif ended_era < self._find_era() and not self._store.is_of_era(known):
-                self._ended_entries.observe_told(name, news.ended, now_s)
+                self._ended_entries.observe_told(name, ended_era, news.ended, now_s)
                 if self._must_hold(known, now_s):
                     del self._endpoints[name]
                     self._pools = None
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -57,7 +57,7 @@
 MISMATCHED_ANSWERS_MAX = 2
 OK_MIN, OK_MAX = 200, 299
 SERVER_ERROR_MIN = 500
-LEFT = "the endpoint takes no more work"
+_LEFT = "the endpoint takes no more work"
 # Reports that the request's deadline has passed, not that the endpoint is faulty.
 GATEWAY_TIMEOUT = 504
 
@@ -230,7 +230,7 @@
         # The choice is as old as all that the request has waited for since.
         if not self._placer.takes_work(endpoint):
             channel.close()
-            return AttemptResult("not_sent", LEFT, relay=relay)
+            return AttemptResult("not_sent", _LEFT, relay=relay)
         log_event(
             CALL_SENT,
             **describe_call(call),
@@ -296,7 +296,7 @@
     ) -> Channel | AttemptResult:
         may_repeat = call.route.may_repeat
         if not self._placer.takes_work(endpoint):
-            return AttemptResult("not_sent", LEFT, relay=relay)
+            return AttemptResult("not_sent", _LEFT, relay=relay)
         if relay:
             assert self.relays is not None
             try:
