Ask no further router for news after one that has answered

At a start of the whole fleet nobody knows yet. Since each of three questions went on to the next router until one that knows had answered, nine in all, and three times again: at 300 routers 10,800 requests instead of 3,600.

A question goes on only if the router doesn't answer. The new test fails before (nine asked).

--- a/src/tamarackrill/router/fleet_news.py
+++ b/src/tamarackrill/router/fleet_news.py
@@ -23,7 +23,7 @@
 # How long an answer is waited for, and for all of them a new router keeps new
 # connections away.
 ANSWER_TIMEOUT_S = 1.0
-# Routers asked at a time, each until one that knows has answered, and in all.
+# Routers asked at a time, and in all if some of them don't answer.
 ASKED_MAX = 3
 ASKED_IN_ALL_MAX = 9
 # A router that has run for this long without hearing of others knows what they know.
@@ -143,20 +143,21 @@
 
         async def ask_in_turn() -> bool:
             for address in asked:
-                if await self._ask_one(address):
-                    return True
+                knows = await self._ask_one(address)
+                if knows is not None:
+                    return knows
             return False
 
         return any(await asyncio.gather(*(ask_in_turn() for _ in range(ASKED_MAX))))
 
-    async def _ask_one(self, address: str) -> bool:
-        """Ask a router; return whether it knows."""
+    async def _ask_one(self, address: str) -> bool | None:
+        """Ask a router; return whether it knows, None if it doesn't answer."""
         try:
             text = await self._pull(address, NEWS_PATH, ANSWER_TIMEOUT_S)
             news = FleetNews.parse(text)
         except (PeerUnavailable, ValueError) as error:
             log_event(FLEET_NEWS_NOT_LEARNED, peer=address, reason=str(error))
-            return False
+            return None
         self._observe_news(news)
         self.observe_manifest(address, news.manifest)
         if news.is_complete:
--- a/tests/test_fleet_news.py
+++ b/tests/test_fleet_news.py
@@ -22,6 +22,7 @@
 from tamarackrill.router.fleet_news import (
     ANSWER_TIMEOUT_S,
     ASKED_IN_ALL_MAX,
+    ASKED_MAX,
     KNOWS_AFTER_S,
     FleetNewsExchange,
 )
@@ -462,6 +463,21 @@
     asyncio.run(run())
 
 
+def test_fleet_that_starts_as_a_whole_asks_no_more_than_three_each(monkeypatch):
+    # Guards against hundreds of routers that start together and spend their time asking
+    # each other, as none of them knows.
+    async def run():
+        contacts = [f"{number}:1" for number in range(ASKED_IN_ALL_MAX)]
+        unaware = ENCODED.replace(b"true", b"false")
+        peers = Peers(monkeypatch, dict.fromkeys(contacts, unaware), contacts)
+        peers.exchange.start()
+        await peers.let_ask()
+        assert len(peers.asked) == ASKED_MAX
+        await peers.exchange.stop()
+
+    asyncio.run(run())
+
+
 def test_router_that_nobody_answers_serves_after_a_while(monkeypatch):
     async def run():
         peers = Peers(monkeypatch, {})
