Take an object that is created again by the change after its removal

In the same way, a worker whose entry was removed and written again by the next change of the store never got a request again.

Cause: a removal event may carry the revision R of the removal or that of the object's last write; the API doesn't say which. The adapter gives the tombstone that revision plus one, and a version had to be above the tombstone's. With R in the event the tombstone has R + 1, which is the revision of a creation by the next change.

Fix: a tombstone's version is a bound. No older version exists any longer, and an equal one was created after the removal. This holds for either reading and leaves what routers exchange as it was. Removals are selected for peers by the revision of the answer that told them, since with the revision of the last write a peer was not sent a removal.

The stand-in's store gives either revision.

--- a/src/tamarackrill/decisions/configuration.py
+++ b/src/tamarackrill/decisions/configuration.py
@@ -10,7 +10,10 @@
 an object are totally ordered without a clock.  An object is stored only if its version
 is above the one held.
 
-A deletion leaves a tombstone, or a late copy of the object would look new.  In
+A deletion leaves a tombstone, or a late copy of the object would look new.  Platforms
+don't all tell the revision of a deletion; some tell that of the object's last write.
+The version of a tombstone is therefore a bound: no version of the object below it
+exists any longer, and one that is equal to it was created after the deletion.  In
 addition each kind has a ``complete`` revision: the store holds everything that
 happened up to it, so an unknown object at or below it must have been deleted.
 Tombstones at or below it can therefore be dropped; `TOMBSTONES_MAX` of them are kept,
@@ -101,6 +104,8 @@
         self._history_from: dict[str, int] = {}
         self._content: dict[str, int] = {}
         self._newest: dict[str, int] = {}
+        # By kind and name of a tombstone: a revision at or above that of the deletion.
+        self._deleted_by: dict[str, dict[str, int]] = {}
         self._eras: dict[str, int] = {}
         # Revision of the list with which the era began here.
         self._listed: dict[str, int] = {}
@@ -174,7 +179,11 @@
         """Return what a peer lacks if its `complete` revision is `revision`."""
         held = self._held.get(kind, {}).values()
         is_snapshot = revision < self._history_from.get(kind, 0) or revision == 0
-        lacking = (item for item in held if is_snapshot or item.version > revision)
+        lacking = (
+            item
+            for item in held
+            if is_snapshot or self._find_newest_revision(item) > revision
+        )
         ordered = tuple(sorted(lacking, key=lambda item: item.version))
         complete, era = self.get_complete(kind), self.get_era(kind)
         return ChangeSet(kind, ordered, complete, is_snapshot, era)
@@ -189,7 +198,8 @@
         kind, name : str
             The object.
         version : int
-            Global revision of the write or deletion.
+            Global revision of the write; of a deletion, a revision above that of the
+            last version deleted and at or below that of the next creation.
         value : dict or None
             None for a deletion.
 
@@ -205,8 +215,10 @@
             # The tombstone may have been dropped, or may be of an earlier deletion.
             # A peer that was frozen would bring a deleted contract back here, and its
             # customer would be served again.
-            deleted = held.version if held is not None else 0
-            newer = version > max(deleted, self.get_complete(kind))
+            newer = version > self.get_complete(kind)
+            if held is not None:
+                is_created = value is not None and version == held.version
+                newer = newer and (version > held.version or is_created)
         if newer:
             self._store_version(ObjectVersion(kind, name, version, value), held)
         return newer
@@ -239,7 +251,10 @@
             # store's last update.  A peer that still holds one would keep it for good
             # if it were sent changes from before the list.
             self._drop_history(changes.kind, changes.complete)
-        self._advance(changes.kind, changes.complete)
+        complete = max(self.get_complete(changes.kind), changes.complete)
+        for item in applied:
+            self._bound_deletion(item, complete)
+        self._advance(changes.kind, complete)
         return applied
 
     def _start_era(self, changes: ChangeSet) -> list[ObjectVersion]:
@@ -249,6 +264,7 @@
             self._restored.add(kind)
         for known in (self._complete, self._content, self._newest, self._history_from):
             known.pop(kind, None)
+        self._deleted_by.pop(kind, None)
         self._eras[kind] = changes.era
         self._listed[kind] = changes.complete
         self.apply_changes(changes)
@@ -338,13 +354,14 @@
         held = self._held.get(kind, {})
         complete = self.get_complete(kind)
         tombstones = sorted(
-            (item.version, item.name)
+            (self._find_newest_revision(item), item.name)
             for item in held.values()
             if item.value is None and item.version <= complete
         )
-        for version, name in tombstones[: max(0, len(tombstones) - TOMBSTONES_MAX)]:
+        for revision, name in tombstones[: max(0, len(tombstones) - TOMBSTONES_MAX)]:
             del held[name]
-            self._drop_history(kind, version)
+            del self._deleted_by[kind][name]
+            self._drop_history(kind, revision)
 
     def _drop_history(self, kind: str, revision: int) -> None:
         known = self._history_from.get(kind, 0)
@@ -357,9 +374,22 @@
         content += _hash_items([item]) - _hash_items([replaced] if replaced else [])
         self._content[item.kind] = content % _HASH_MODULUS
         self._held[item.kind][item.name] = item
+        self._deleted_by.setdefault(item.kind, {}).pop(item.name, None)
+        self._bound_deletion(item, self.get_complete(item.kind))
         newest = self._newest.get(item.kind, 0)
         self._newest[item.kind] = max(newest, item.version)
 
+    def _bound_deletion(self, item: ObjectVersion, complete: int) -> None:
+        """Record a revision by which a deletion that is stored had happened."""
+        if item.value is None and self._held[item.kind].get(item.name) == item:
+            self._deleted_by[item.kind][item.name] = max(item.version, complete)
+
+    def _find_newest_revision(self, item: ObjectVersion) -> int:
+        """Return the revision of a write, or one at or above that of a deletion."""
+        if item.value is not None:
+            return item.version
+        return self._deleted_by[item.kind][item.name]
+
 
 def needs_changes(own: ConfigurationDigest, peer: ConfigurationDigest) -> bool:
     """Return whether a router should request changes from this peer.
--- a/src/tamarackrill/platform/store.py
+++ b/src/tamarackrill/platform/store.py
@@ -40,7 +40,8 @@
     item = _read_object(kind, event["object"], event["removed"])
     if not event["removed"]:
         return item
-    # The event has the revision of the last change; a deletion must replace it.
+    # The event has the revision of the deletion or of the object's last write; both are
+    # below that of its next creation.
     return item._replace(version=item.version + 1)
 
 
--- a/src/tamarackrill/testing/object_store.py
+++ b/src/tamarackrill/testing/object_store.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import enum
 from typing import Any
 
 from tornado.web import Application, RequestHandler
@@ -18,6 +19,14 @@
 HANG_S = 3600.0
 
 
+class RemovalRevision(enum.Enum):
+    """Revision that the event of a removal carries; the API doesn't specify it."""
+
+    REMOVAL = "removal"
+    BEFORE_REMOVAL = "before removal"
+    LAST_WRITE = "last write"
+
+
 class ObjectStore:
     """Stored objects and the faults to inject.
 
@@ -33,6 +42,8 @@
         Watches from an earlier revision are answered with 410.
     body_delay_s : float
         Delay between the headers and the body of a list or watch response.
+    removal_revision : RemovalRevision
+        Revision in the events of removals.
     era : int
         Value of the header ``Store-Era``; 0 leaves it out.
     calls : list of str
@@ -45,6 +56,7 @@
         self.watches_hang = False
         self.compacted_revision = 0
         self.body_delay_s = 0.0
+        self.removal_revision = RemovalRevision.BEFORE_REMOVAL
         self.era = 1
         self.calls: list[str] = []
 
@@ -138,23 +150,34 @@
             except TimeoutError:
                 pass
         events = [
-            {"object": _write_event(item), "removed": item.value is None}
+            {"object": self._write_event(item), "removed": item.value is None}
             for item in state.events_since(kind, since)
         ]
         body = {"events": events, "store_revision": state.revision}
         await self._finish_slowly(body)
 
+    def _write_event(self, item: StoredObject) -> dict[str, Any]:
+        written = _write_object(item)
+        if item.value is None:
+            written["metadata"]["revision"] = self._find_removal_revision(item)
+        return written
+
+    def _find_removal_revision(self, removal: StoredObject) -> int:
+        told = self.store.removal_revision
+        if told is RemovalRevision.REMOVAL:
+            return removal.version
+        if told is RemovalRevision.BEFORE_REMOVAL:
+            return removal.version - 1
+        earlier = (
+            item.version
+            for item in self.store.state.history
+            if (item.kind, item.name) == (removal.kind, removal.name)
+            and item.version < removal.version
+        )
+        return max(earlier, default=0)
+
     async def _finish_slowly(self, body: dict[str, Any]) -> None:
         if self.store.body_delay_s:
             await self.flush()
             await asyncio.sleep(self.store.body_delay_s)
         self.finish(body)
-
-
-def _write_event(item: StoredObject) -> dict[str, Any]:
-    written = _write_object(item)
-    if item.value is None:
-        # A removal event carries the revision of the object's last change, which is
-        # lower than that of its removal.
-        written["metadata"]["revision"] = item.version - 1
-    return written
