Count crashes of endpoints after a response has begun

Cause: a crash wasn't counted if the attempt had brought two events or more.

Fix: such crashes count by half, at all routers and in tamarackrilld. Broken attempts are checked before the next one starts. A suspect waits for a second before the run that decides. What a router tells of its counts is bounded.

--- a/src/tamarackrill/decisions/poison.py
+++ b/src/tamarackrill/decisions/poison.py
@@ -10,6 +10,10 @@
 identifies the cause; a suspect that completes is cleared. A request that has caused
 `CRASHES_MAX` crashes is refused before it reaches another endpoint.
 
+Most crashes of a poison request come before its response has begun. A crash in the
+middle of a stream says less: long streams are running in most crashes that have other
+causes. Of these late crashes `LATE_CRASHES_MAX` are needed, or a share of both.
+
 Counts are kept by request fingerprint and shared: each router tells its peers how many
 crashes it observed itself, and adds up the counts of its peers. Counts of other routers
 are never forwarded, so gossip alone cannot keep a count alive. The endpoints are not
@@ -24,8 +28,16 @@
 # Crashes after which a request is refused. With a limit of one, an endpoint that fails
 # for an unrelated reason would block all requests it was running.
 CRASHES_MAX = 2
+# The same for crashes after the response had begun. A sound stream meets that many in a
+# row only if endpoints keep crashing wherever it runs.
+LATE_CRASHES_MAX = 4
 # Broken responses of one endpoint this close together count as one crash.
 CRASH_DEDUP_S = 5.0
+# Blame from which a request waits before it runs again, and for how long after its last
+# crash.  Otherwise a poison request could crash a small pool in less time than one
+# endpoint takes to start; clients wait two seconds for the next event of a stream.
+PAUSED_BLAME = 0.75
+SUSPECT_PAUSE_S = 1.0
 # How long a crash counts. A crashed endpoint takes minutes to load its weights, the
 # caller may resend the request for that long, and a fixed release takes at least as
 # long to roll out.
@@ -38,16 +50,28 @@
 
 
 class CrashCount(NamedTuple):
-    """Crashes that one router attributes to a request; also a digest entry."""
+    """Crashes that one router attributes to a request; also a digest entry.
+
+    Parameters
+    ----------
+    fingerprint : int
+        Fingerprint of the request.
+    crashes : int
+        Crashes before the response had begun.
+    late_crashes : int, default=0
+        Crashes in the middle of the response.
+    """
 
     fingerprint: int
     crashes: int
+    late_crashes: int = 0
 
 
 class _Crash(NamedTuple):
     crashed_s: float
     endpoint: str
     peer: str
+    is_late: bool = False
 
 
 def shorten_fingerprint(fingerprint: str) -> int:
@@ -65,23 +89,43 @@
     def __len__(self) -> int:
         return len(self._crashes)
 
-    def observe_crash(self, fingerprint: int, endpoint: str, now_s: float) -> bool:
-        """Count a crash observed by this router; return whether it was a new one."""
+    def observe_crash(
+        self, fingerprint: int, endpoint: str, now_s: float, is_late: bool = False
+    ) -> bool:
+        """Count a crash observed by this router; return whether it was a new one.
+
+        Parameters
+        ----------
+        fingerprint : int
+            Fingerprint of a request that ran there.
+        endpoint : str
+            The endpoint that crashed.
+        now_s : float
+            Current time.
+        is_late : bool, default=False
+            Whether the response had begun.
+        """
         for crash in self._list_recent(fingerprint, now_s):
             if crash.endpoint == endpoint and now_s - crash.crashed_s < CRASH_DEDUP_S:
                 return False
-        self._add(fingerprint, _Crash(now_s, endpoint, ""), now_s)
+        self._add(fingerprint, _Crash(now_s, endpoint, "", is_late), now_s)
         return True
 
     def observe_peer(
-        self, peer: str, fingerprint: int, crashes: int, now_s: float
+        self,
+        peer: str,
+        fingerprint: int,
+        crashes: int,
+        late_crashes: int,
+        now_s: float,
     ) -> None:
         """Update the number of crashes by a request that a peer observed itself."""
-        known = sum(
-            crash.peer == peer for crash in self._list_recent(fingerprint, now_s)
-        )
-        for _ in range(known, min(crashes, CRASHES_MAX)):
+        known = [c for c in self._list_recent(fingerprint, now_s) if c.peer == peer]
+        known_late = sum(crash.is_late for crash in known)
+        for _ in range(len(known) - known_late, min(crashes, CRASHES_MAX)):
             self._add(fingerprint, _Crash(now_s, "", peer), now_s)
+        for _ in range(known_late, min(late_crashes, LATE_CRASHES_MAX)):
+            self._add(fingerprint, _Crash(now_s, "", peer, is_late=True), now_s)
 
     def observe_success(self, fingerprint: int) -> None:
         """Clear a request that completed."""
@@ -97,7 +141,7 @@
             send of the same request reached an endpoint.
         """
         crashes = self._list_recent(fingerprint, now_s)
-        if len(crashes) >= CRASHES_MAX:
+        if self.is_poison(fingerprint, now_s):
             newest_s = max(crash.crashed_s for crash in crashes)
             raise Refusal(
                 "poison_request",
@@ -107,6 +151,24 @@
                 retry_after_s=newest_s + CRASH_TTL_S - now_s,
             )
 
+    def is_poison(self, fingerprint: int, now_s: float) -> bool:
+        """Return whether a request must not reach another endpoint."""
+        return self._find_blame(fingerprint, now_s) >= 1.0
+
+    def find_pause_s(self, fingerprint: int, now_s: float) -> float:
+        """Return how long a request has to wait before it may run, 0 if not at all."""
+        if self._find_blame(fingerprint, now_s) < PAUSED_BLAME:
+            return 0.0
+        crashes = self._list_recent(fingerprint, now_s)
+        newest_s = max(crash.crashed_s for crash in crashes)
+        return max(0.0, newest_s + SUSPECT_PAUSE_S - now_s)
+
+    def _find_blame(self, fingerprint: int, now_s: float) -> float:
+        """Return the share of the crashes for which a request is refused."""
+        crashes = self._list_recent(fingerprint, now_s)
+        late = sum(crash.is_late for crash in crashes)
+        return (len(crashes) - late) / CRASHES_MAX + late / LATE_CRASHES_MAX
+
     def find_endpoints_to_avoid(self, fingerprint: int, now_s: float) -> set[str]:
         """Return the endpoints that must not run a suspect next.
 
@@ -155,13 +217,25 @@
                 for crash in crashes
             ]
 
+    def count_own(self, fingerprint: int, now_s: float) -> CrashCount:
+        """Return the crashes by a request that this router observed itself."""
+        crashes = self._list_recent(fingerprint, now_s)
+        own = [crash for crash in crashes if not crash.peer]
+        late = sum(crash.is_late for crash in own)
+        # Peers count no more than these, and a message has a byte for each.
+        return CrashCount(
+            fingerprint,
+            min(len(own) - late, CRASHES_MAX),
+            min(late, LATE_CRASHES_MAX),
+        )
+
     def digest(self, now_s: float, limit: int = DIGEST_ENTRIES_MAX) -> list[CrashCount]:
         """Return this router's own counts for the next digest, newest first."""
         entries = []
         for fingerprint in reversed(self._crashes):
-            own = sum(not crash.peer for crash in self._list_recent(fingerprint, now_s))
-            if own:
-                entries.append(CrashCount(fingerprint, own))
+            own = self.count_own(fingerprint, now_s)
+            if own.crashes or own.late_crashes:
+                entries.append(own)
             if len(entries) == limit:
                 break
         return entries
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -268,6 +268,13 @@
     ("request", "endpoint", "outcome", "status", "framing", "total_s"),
     "An attempt of a router that can't reach an endpoint was forwarded to it.",
 )
+CALL_PAUSED = Event(
+    2210,
+    "call_paused",
+    _INFO,
+    ("request", "route", "service", "team", "wait_s"),
+    "A request that has crashed several endpoints waits before it runs again.",
+)
 CALL_OVERLOADED = Event(
     2207,
     "call_overloaded",
--- a/src/tamarackrill/protocol/codec.py
+++ b/src/tamarackrill/protocol/codec.py
@@ -135,7 +135,9 @@
 def _write_entries(entries: PiggybackedEntries) -> dict[str, Any]:
     loads = [structs.EndpointLoad(*item) for item in entries.loads]
     crashes = [
-        structs.CrashCount(to_signed(item.fingerprint), item.crashes)
+        structs.CrashCount(
+            to_signed(item.fingerprint), item.crashes, item.late_crashes or None
+        )
         for item in entries.crashes
     ]
     lists = {"loads": loads, "crashes": crashes}
@@ -186,7 +188,9 @@
         for item in struct.loads or ()
     ]
     crashes = [
-        CrashCount(from_signed(item.fingerprint), item.crashes + 0)
+        CrashCount(
+            from_signed(item.fingerprint), item.crashes + 0, item.late_crashes or 0
+        )
         for item in struct.crashes or ()
     ]
     return PiggybackedEntries(tuple(crashes), tuple(loads))
--- a/src/tamarackrill/protocol/peer.thrift
+++ b/src/tamarackrill/protocol/peer.thrift
@@ -27,6 +27,7 @@
 struct CrashCount {
   1: i64 fingerprint
   2: byte crashes
+  3: optional byte late_crashes
 }
 
 struct Gossip {
--- a/src/tamarackrill/protocol/structs.py
+++ b/src/tamarackrill/protocol/structs.py
@@ -59,8 +59,13 @@
     thrift_spec = {
         1: (TType.I64, "fingerprint", False),
         2: (TType.BYTE, "crashes", False),
+        3: (TType.BYTE, "late_crashes", False),
     }
-    default_spec = [("fingerprint", None), ("crashes", None)]
+    default_spec = [
+        ("fingerprint", None),
+        ("crashes", None),
+        ("late_crashes", None),
+    ]
 
 
 class Gossip(TPayload, metaclass=TPayloadMeta):
--- a/src/tamarackrill/router/crash_checks.py
+++ b/src/tamarackrill/router/crash_checks.py
@@ -98,8 +98,7 @@
     async def check(self, ending: AttemptEnding) -> None:
         """Check an endpoint; return when the request may go to the next one."""
         task = self.start(self._check(ending))
-        if ending.exposure is not None:
-            await asyncio.wait([task], timeout=CRASH_CHECK_WAIT_S)
+        await asyncio.wait([task], timeout=CRASH_CHECK_WAIT_S)
 
     async def _check(self, ending: AttemptEnding) -> None:
         finding = await self._find(ending.endpoint)
@@ -138,10 +137,10 @@
         _log_check(ending, "crashed")
         if self.guard is not None and ending.exposure is not None:
             self.guard.record_crash(ending.exposure, ending.ended_s)
-        if ending.events >= SOUND_EVENTS_MIN:
-            return
+        is_late = ending.events >= SOUND_EVENTS_MIN
         fingerprint, name = ending.call.fingerprint, ending.endpoint.name
-        if self._placer.poison.observe_crash(fingerprint, name, self._clock()):
+        poison, now_s = self._placer.poison, self._clock()
+        if poison.observe_crash(fingerprint, name, now_s, is_late):
             self.on_crash(fingerprint)
 
     def record_broken(self, ending: AttemptEnding) -> None:
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -30,7 +30,6 @@
 from tamarackrill.decisions.membership import PeerStateReceived
 from tamarackrill.decisions.news_shares import EVIDENCE_AGE_MAX_SHARE, WATCH_MAX_SHARE
 from tamarackrill.decisions.placement_news import PlacementNews
-from tamarackrill.decisions.poison import CrashCount
 from tamarackrill.decisions.retry_shares import FleetSize
 from tamarackrill.decisions.watching import SETTLE_S, WatchPolicy
 from tamarackrill.events import (
@@ -585,13 +584,10 @@
     def _broadcast_crash(self, fingerprint: int) -> None:
         # Gossip takes seconds to reach all routers, and the client of a request that
         # crashes endpoints retries at once, at any router.
-        crashes = len(
-            self.placer.poison.find_crashed_endpoints(fingerprint, self.clock())
-        )
+        count = self.placer.poison.count_own(fingerprint, self.clock())
         for member in self.members.list_live():
             if member.name != self.members.own.name:
-                entries = PiggybackedEntries((CrashCount(fingerprint, crashes),))
-                self.gossiper.report(member.name, entries)
+                self.gossiper.report(member.name, PiggybackedEntries((count,)))
 
     async def _run_housekeeping(self) -> None:
         while True:
--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -1,5 +1,6 @@
 """Serves requests on the platform's interface, from route to final response."""
 
+import asyncio
 from collections.abc import Callable
 
 from tornado.iostream import StreamClosedError
@@ -16,6 +17,7 @@
     CALL_ATTEMPT_FAILED,
     CALL_CUT,
     CALL_OVERLOADED,
+    CALL_PAUSED,
     CALL_REFUSED,
     log_event,
 )
@@ -128,6 +130,7 @@
     async def _serve(self, progress: RequestProgress) -> None:
         call = progress.call
         while True:
+            await self._pause_suspect(call)
             try:
                 placed = await self.reserver.place(progress)
             except Overloaded as overloaded:
@@ -162,6 +165,14 @@
             if await self._handle_failed_attempt(progress, placed, result):
                 return
 
+    async def _pause_suspect(self, call: EdgeCall) -> None:
+        """Wait until endpoints that a request has crashed may have come back."""
+        now_s = self._clock()
+        pause_s = self._placer.poison.find_pause_s(call.fingerprint, now_s)
+        if pause_s and not self._placer.is_poison(call, now_s):
+            log_event(CALL_PAUSED, **describe_call(call), wait_s=pause_s)
+            await asyncio.sleep(min(pause_s, max(0.0, call.deadline_s - now_s)))
+
     def _find_share(self, service: str) -> RetryShare:
         if service not in self._retries:
             self._retries[service] = RetryShare(self._terms)
--- a/src/tamarackrill/router/placing.py
+++ b/src/tamarackrill/router/placing.py
@@ -7,7 +7,6 @@
 from tamarackrill.decisions.backoff import Backoffs
 from tamarackrill.decisions.health import Health
 from tamarackrill.decisions.poison import (
-    CRASHES_MAX,
     CrashCount,
     PoisonTracker,
     shorten_fingerprint,
@@ -380,8 +379,7 @@
             return
         if is_cut:
             self.health.observe_crash(endpoint.name, now_s)
-            if not has_begun:
-                self._record_crash(fingerprint, endpoint.name, now_s)
+            self._record_crash(fingerprint, endpoint.name, now_s, is_late=has_begun)
             return
         if outcome == "answered":
             self.poison.observe_success(fingerprint)
@@ -439,8 +437,10 @@
                 self.guard.record_crash(exposure, now_s)
         self._end_trial(call)
 
-    def _record_crash(self, fingerprint: int, endpoint: str, now_s: float) -> None:
-        if not self.poison.observe_crash(fingerprint, endpoint, now_s):
+    def _record_crash(
+        self, fingerprint: int, endpoint: str, now_s: float, is_late: bool
+    ) -> None:
+        if not self.poison.observe_crash(fingerprint, endpoint, now_s, is_late):
             return
         crashed = self.poison.find_crashed_endpoints(fingerprint, now_s)
         log_event(
@@ -449,8 +449,8 @@
             fingerprint=f"{fingerprint:016x}",
             crashed=sorted(crashed),
         )
-        self.tell_crash(CrashCount(fingerprint, len(crashed)))
-        if len(crashed) >= CRASHES_MAX:
+        self.tell_crash(self.poison.count_own(fingerprint, now_s))
+        if self.poison.is_poison(fingerprint, now_s):
             for name in crashed:
                 self.health.retract_crash(name, now_s)
 
--- a/src/tamarackrill/testing/crashing_worker.py
+++ b/src/tamarackrill/testing/crashing_worker.py
@@ -118,11 +118,12 @@
         behavior = self._behavior
         self.arrived.append((asyncio.get_running_loop().time(), request))
         await asyncio.sleep(behavior.prefill_s)
+        start = int(request.headers.get("last-event-id", 0)) + 1
         is_stream = request.target.startswith("/stream")
         if is_stream:
             writer.write(make_stream_head(request))
         if any(self._is_bad(self.software_version, part) for part in _parts(request)):
-            for number in range(1, behavior.sent_before_crash + 1):
+            for number in range(start, start + behavior.sent_before_crash):
                 writer.write(make_chunk(make_event(number)))
             await writer.drain()
             if self._begin_crash():
@@ -131,7 +132,6 @@
         if not is_stream:
             writer.write(make_answer(request))
             return
-        start = int(request.headers.get("last-event-id", 0)) + 1
         for number in range(start, behavior.events + 1):
             writer.write(make_chunk(make_event(number)))
             self.events_sent += 1
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -43,7 +43,12 @@
     complete=numbers,
     era=small,
 ).flatmap(lambda digest: hashes.map(lambda value: digest._replace(content=value)))
-crashes = build(members.CrashCount, fingerprint=hashes, crashes=st.integers(0, 100))
+crashes = build(
+    members.CrashCount,
+    fingerprint=hashes,
+    crashes=st.integers(0, 100),
+    late_crashes=st.integers(0, 100),
+)
 loads = build(EndpointLoad, endpoint=names, in_flight=small)
 messages = build(
     members.Gossip,
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -128,3 +128,46 @@
     digest = poison.digest(11.0)
     assert len(digest) == p.DIGEST_ENTRIES_MAX
     assert digest[0] == CrashCount(p.FINGERPRINTS_MAX + 9, 1)
+
+
+@pytest.mark.parametrize(
+    ("early", "late", "is_refused"),
+    [
+        (0, 3, False),
+        (0, 4, True),
+        (1, 1, False),
+        (1, 2, True),
+        (2, 0, True),
+    ],
+)
+def test_late_crashes_count_half_of_early_ones_at_every_router(early, late, is_refused):
+    # Guards against a request that crashes one endpoint after another, each only after
+    # its response has begun.
+    one, other = Router("one"), Router("other")
+    for number in range(early + late):
+        is_late = number >= early
+        one.poison.observe_crash(POISON, f"engine-{number}", 0.0, is_late)
+    other.receive_digest(one, 1.0)
+    other.receive_digest(one, 2.0)
+    for router in (one, other):
+        assert router.poison.is_poison(POISON, 3.0) == is_refused
+
+
+def test_count_of_many_crashes_fits_into_a_message():
+    # Guards against a router whose messages to others can't be encoded any more.
+    poison = PoisonTracker()
+    for number in range(300):
+        poison.observe_crash(POISON, f"e{number}", 0.0, is_late=number % 2 == 0)
+    count = poison.count_own(POISON, 1.0)
+    assert count == CrashCount(POISON, p.CRASHES_MAX, p.LATE_CRASHES_MAX)
+
+
+def test_suspect_waits_before_the_run_that_decides():
+    # Guards against a pool of which all endpoints crash before the first is back.
+    poison = PoisonTracker()
+    for number in range(2):
+        poison.observe_crash(POISON, f"e{number}", number / 10, is_late=True)
+    assert poison.find_pause_s(POISON, 0.2) == 0.0
+    poison.observe_crash(POISON, "e2", 0.2, is_late=True)
+    assert poison.find_pause_s(POISON, 0.3) == pytest.approx(0.9)
+    assert poison.find_pause_s(POISON, 1.3) == 0.0
