Read each object of the store by itself, so that one can't hide the others

Cause: an answer was decoded as a whole by a strict parser. A name with half of a surrogate pair ended the task that follows the store.

Fix: answers are decoded leniently, and each object is checked by itself, also in what routers hand on. An object whose value can't be used is replaced by one that readers reject; one without a usable name is skipped. Names and addresses of endpoints that can't be sent in a header are rejected.

--- /dev/null
+++ b/src/tamarackrill/lenient_json.py
@@ -0,0 +1,96 @@
+"""Decodes JSON in which some values can't be used, and finds these values.
+
+Load pattern: one object of a list holds bytes of another program, such as control
+characters, an integer of thousands of digits, or arrays nested thousands deep.  A
+strict parser refuses the whole list for it, and a router would learn of no further
+change.
+"""
+
+import json
+import math
+import re
+from typing import Any
+
+# Levels of nested arrays and objects that a value may have; a manifest has four.
+DEPTH_MAX = 64
+# The same for a text that holds such values.
+_TEXT_DEPTH_MAX = 2 * DEPTH_MAX
+# Digits of an integer that fits into 64 bits.
+_DIGITS_MAX = 18
+_TOKEN = re.compile(r'"[^"\\]*(?:\\.[^"\\]*)*"|[\[\]{}]', re.DOTALL)
+# Control characters, halves of surrogate pairs, and what replaces invalid UTF-8.
+_UNREADABLE = re.compile("[\x00-\x1f\x7f\ud800-\udfff\ufffd]")
+# Stands for a value that can't be decoded.
+_NOT_DECODED = "NaN"
+
+
+def decode(text: bytes) -> Any:
+    """Decode JSON as far as its syntax allows.
+
+    Invalid UTF-8 becomes U+FFFD, control characters in strings are kept, and an integer
+    that doesn't fit into 64 bits, or a value nested too deep, becomes a float that is
+    not finite.  `is_sound` finds all of these.
+
+    Raises
+    ------
+    ValueError
+        If the text isn't JSON.
+    """
+    content = text.decode(errors="replace")
+    try:
+        return _load(content)
+    except RecursionError:
+        return _load(_replace_deep_values(content))
+
+
+def is_sound(value: Any) -> bool:
+    """Return whether a decoded value can be used, with all values in it.
+
+    Strings must have no control characters and be encodable, numbers finite, and the
+    value must not be nested deeper than `DEPTH_MAX`.
+    """
+    texts: list[str] = []
+    levels: list[tuple[Any, int]] = [([value], 0)]
+    while levels:
+        container, depth = levels.pop()
+        if depth > DEPTH_MAX:
+            return False
+        if type(container) is dict:
+            texts.extend(container)
+            container = container.values()
+        for child in container:
+            kind = type(child)
+            if kind is str:
+                texts.append(child)
+            elif kind is dict or kind is list:
+                levels.append((child, depth + 1))
+            elif kind is float and not math.isfinite(child):
+                return False
+    return _UNREADABLE.search("".join(texts)) is None
+
+
+def _load(content: str) -> Any:
+    return json.loads(content or "null", strict=False, parse_int=_parse_integer)
+
+
+def _parse_integer(digits: str) -> int | float:
+    return int(digits) if len(digits) <= _DIGITS_MAX else math.inf
+
+
+def _replace_deep_values(content: str) -> str:
+    """Replace all arrays and objects below `_TEXT_DEPTH_MAX` levels."""
+    kept = []
+    start = depth = 0
+    for token in _TOKEN.finditer(content):
+        if token[0] in "[{":
+            depth += 1
+            if depth == _TEXT_DEPTH_MAX + 1:
+                kept.append(content[start : token.start()])
+        elif token[0] in "]}":
+            if depth == _TEXT_DEPTH_MAX + 1:
+                kept.append(_NOT_DECODED)
+                start = token.end()
+            depth -= 1
+    if depth > _TEXT_DEPTH_MAX:
+        raise ValueError("an array or object has no end")
+    return "".join([*kept, content[start:]])
--- a/src/tamarackrill/platform/objects.py
+++ b/src/tamarackrill/platform/objects.py
@@ -136,6 +136,9 @@
         programs other than workers may write such objects, and requests must not be
         sent to something that merely resembles a worker.
     """
+    # The name and the address are sent in headers.
+    if not name.isascii() or name != name.strip():
+        raise ValueError("the name can't be sent in a header")
     _read_required(spec, "sequence", int)
     return Endpoint(
         name=name,
@@ -197,6 +200,8 @@
     host, _, port = address.rpartition(":")
     if not 0 < int(port) < _PORT_COUNT:
         raise ValueError("address has no valid port")
+    if not address.isascii():
+        raise ValueError("address can't be sent in a header")
     # Host names are rejected: a DNS lookup would delay the first request that needs it.
     ip_address(host)
     return address
--- a/src/tamarackrill/platform/store.py
+++ b/src/tamarackrill/platform/store.py
@@ -1,11 +1,17 @@
 """API of the platform's object store: paths and fields of its responses."""
 
-from collections.abc import Callable, Iterable
 from typing import Any
 from urllib.parse import quote, urlencode
 
-from tamarackrill.events import OBJECT_FAULTY, log_event
-from tamarackrill.store_api import Listing, ObjectPage, PlatformObject, StoreApi
+from tamarackrill.store_api import (
+    Listing,
+    ObjectPage,
+    PlatformObject,
+    StoreApi,
+    make_object,
+    read_each,
+    read_revision,
+)
 
 
 def _object_path(kind: str, name: str) -> str:
@@ -15,7 +21,8 @@
 def _list_path(kind: str, after: str) -> str:
     # `after_revision` takes not a revision but the name of the last object of the
     # previous page.
-    query = f"?{urlencode({'after_revision': after})}" if after else ""
+    fields = {"after_revision": after}
+    query = f"?{urlencode(fields, errors='surrogatepass')}" if after else ""
     return f"/objects/{kind}{query}"
 
 
@@ -26,14 +33,11 @@
 
 def _read_object(kind: str, fields: dict[str, Any], is_removed: bool) -> PlatformObject:
     metadata = fields["metadata"]
-    name, revision = metadata["name"], metadata["revision"]
-    if not isinstance(name, str) or not isinstance(revision, int):
-        raise TypeError("metadata without a name or a revision")
     value = None if is_removed else fields.get("spec")
     if value is None and not is_removed:
         # An object without contents exists; a value of None would mean its deletion.
         value = {}
-    return PlatformObject(kind, name, revision, value)
+    return make_object(kind, metadata["name"], metadata["revision"], value)
 
 
 def _read_event(kind: str, event: dict[str, Any]) -> PlatformObject:
@@ -45,32 +49,20 @@
     return item._replace(version=item.version + 1)
 
 
-def _read_valid(
-    kind: str, parse: Callable[[Any], PlatformObject], entries: Iterable[Any]
-) -> tuple[PlatformObject, ...]:
-    """Parse entries; malformed ones are logged and skipped."""
-    items = []
-    for fields in entries:
-        try:
-            items.append(parse(fields))
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
-            log_event(
-                OBJECT_FAULTY, kind=kind, object="", version=0, message=repr(error)
-            )
-    return tuple(items)
-
-
 def _read_page(kind: str, body: dict[str, Any]) -> ObjectPage:
-    items = _read_valid(
+    items = read_each(
         kind, lambda fields: _read_object(kind, fields, False), body["items"]
     )
-    after = items[-1].name if body.get("has_more") and items else ""
-    return ObjectPage(items, body["store_revision"], after)
+    after = ""
+    if body.get("has_more"):
+        # A page may have no object with a name that can be used.
+        after = items[-1].name if items else body["items"][-1]["metadata"]["name"]
+    return ObjectPage(items, read_revision(body["store_revision"]), after)
 
 
 def _read_events(kind: str, body: dict[str, Any]) -> Listing:
-    events = _read_valid(kind, lambda event: _read_event(kind, event), body["events"])
-    return Listing(events, body["store_revision"])
+    events = read_each(kind, lambda event: _read_event(kind, event), body["events"])
+    return Listing(events, read_revision(body["store_revision"]))
 
 
 STORE_FORM = StoreApi(
--- a/src/tamarackrill/router/deployment_view.py
+++ b/src/tamarackrill/router/deployment_view.py
@@ -163,7 +163,7 @@
         """Apply a newer version of an object, or its deletion."""
         try:
             self._take(item, now_s)
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
+        except Exception as error:
             # A malformed object must not end the task that follows the store, or this
             # router would get no later change.  The previous manifest stays in force;
             # an endpoint with a malformed entry gets no work.
--- a/src/tamarackrill/router/known_objects.py
+++ b/src/tamarackrill/router/known_objects.py
@@ -69,8 +69,10 @@
                 self._take_evacuation(item)
             else:
                 self._take_object(item)
-        except FindingsError as error:
-            message = "; ".join(finding.show() for finding in error.findings)
+        except Exception as error:
+            message = repr(error)
+            if isinstance(error, FindingsError):
+                message = "; ".join(finding.show() for finding in error.findings)
             faulty = FaultyObject(item.kind, item.name, item.version, message)
             self._faulty[item.kind, item.name] = faulty
             log_event(
--- a/src/tamarackrill/router/manifest_recovery.py
+++ b/src/tamarackrill/router/manifest_recovery.py
@@ -8,6 +8,7 @@
 from tamarackrill.decisions.configuration import ObjectVersion
 from tamarackrill.decisions.lost_manifests import LostManifests, ToldManifest
 from tamarackrill.events import MANIFEST_NOT_RECOVERED, MANIFEST_RECOVERED, log_event
+from tamarackrill.lenient_json import decode
 from tamarackrill.router.background import log_task_failure
 from tamarackrill.router.deployment_view import DeploymentView
 from tamarackrill.router.peer_api import (
@@ -16,9 +17,17 @@
     PULL_TIMEOUT_S,
     PeerUnavailable,
 )
+from tamarackrill.store_api import make_object
 
 # What a malformed answer, or a malformed manifest in it, raises.
-_INVALID = (AttributeError, KeyError, TypeError, ValueError, zlib.error)
+_INVALID = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    TypeError,
+    ValueError,
+    zlib.error,
+)
 
 Pull = Callable[[str, str, float], Awaitable[bytes]]
 
@@ -90,5 +99,5 @@
 
 def _parse(text: bytes) -> ObjectVersion:
     """Parse the answer of another router; raises one of `_INVALID`."""
-    kind, name, version, value = json.loads(zlib.decompress(text))
-    return ObjectVersion(str(kind), str(name), int(version), dict(value))
+    kind, name, version, value = decode(zlib.decompress(text))
+    return ObjectVersion(*make_object(str(kind), name, version, dict(value)))
--- a/src/tamarackrill/router/peer_api.py
+++ b/src/tamarackrill/router/peer_api.py
@@ -29,6 +29,8 @@
     log_event,
 )
 from tamarackrill.exceptions import TamarackrillError
+from tamarackrill.lenient_json import decode
+from tamarackrill.store_api import make_object, read_each, read_revision
 
 CONFIGURATION_PATH = "/internal/v1/configuration"
 REACH_PATH = "/internal/v1/reach"
@@ -305,10 +307,17 @@
 
 
 def _parse_changes(text: bytes) -> ChangeSet:
-    # A peer of another release may send a signed answer in another format.
+    # A peer of another release may send a signed answer in another format, and objects
+    # that it has not checked.
     try:
-        kind, objects, *rest = json.loads(zlib.decompress(text))
-        items = tuple(ObjectVersion(*item) for item in objects)
-        return ChangeSet(kind, items, *rest)
+        kind, objects, complete, is_snapshot, *rest = decode(zlib.decompress(text))
+        items = read_each(str(kind), lambda fields: make_object(*fields), objects)
+        return ChangeSet(
+            str(kind),
+            tuple(ObjectVersion(*item) for item in items),
+            read_revision(complete),
+            bool(is_snapshot),
+            *map(read_revision, rest),
+        )
     except (TypeError, ValueError, zlib.error) as error:
         raise PeerUnavailable("the answer is not a valid set of changes") from error
--- a/src/tamarackrill/router/platform_client.py
+++ b/src/tamarackrill/router/platform_client.py
@@ -19,12 +19,16 @@
 
 from tamarackrill.contracts import Vm
 from tamarackrill.exceptions import PlatformUnavailable
+from tamarackrill.lenient_json import decode, is_sound
 from tamarackrill.router.store_fetch import CallProgress, fetch, make_curl_setup
 from tamarackrill.store_api import (
     Listing,
     ObjectPage,
     PlatformObject,
     StoreApi,
+    make_object,
+    read_each,
+    read_revision,
 )
 
 _T = TypeVar("_T")
@@ -32,6 +36,8 @@
 # The largest value that the store holds, a megabyte, takes 1.7 s over 5 Mbit/s.
 BODY_MAX_S = 3.0
 WATCH_WAIT_S = 25.0
+# Digits of a number that fits into 64 bits.
+_ERA_DIGITS_MAX = 18
 CONFLICTS = (409, 412)
 NOT_FOUND = 404
 GONE = 410
@@ -202,7 +208,9 @@
             answer = await self._call("GET", self._form.list_path(kind, page.after))
             if answer.era != era:
                 raise WatchLost(f"the store was restored while {kind} was listed")
-            page = _parse(self._form.read_page, kind, answer.body)
+            before, page = page.after, _parse(self._form.read_page, kind, answer.body)
+            if page.after == before:
+                raise PlatformUnavailable(f"platform: the list of {kind} has no end")
             items += page.items
             size_bytes += answer.size_bytes
         return Listing(tuple(items), revision, size_bytes, era)
@@ -254,7 +262,10 @@
         """Return the VM list."""
         answer = await self._call("GET", "/vms")
         _check_field(answer.body, "vms")
-        return tuple(Vm(**vm) for vm in answer.body["vms"])
+        try:
+            return tuple(Vm(**vm) for vm in answer.body["vms"] if is_sound(vm))
+        except TypeError as error:
+            raise PlatformUnavailable("platform: the VM list is malformed") from error
 
     async def put(
         self, kind: str, name: str, value: Any, expected_version: int | None
@@ -386,14 +397,15 @@
 
 
 def _parse_era(text: str) -> int:
-    return int(text) if text.isascii() and text.isdecimal() else 0
+    is_number = text.isascii() and text.isdecimal()
+    return int(text) if is_number and len(text) <= _ERA_DIGITS_MAX else 0
 
 
 def _parse(read: Callable[[str, Any], _T], kind: str, body: Any) -> _T:
     # The address may belong to another service, such as a router, whose JSON differs.
     try:
         return read(kind, body)
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, IndexError, TypeError, ValueError) as error:
         raise PlatformUnavailable(
             "platform: the answer is not one of an object API"
         ) from error
@@ -407,14 +419,21 @@
 
 def _parse_json(body: bytes) -> Any:
     try:
-        # Invalid UTF-8 in one object must not make the whole list unreadable.
-        return json.loads(body.decode(errors="replace") or "null")
-    except (ValueError, RecursionError) as error:
+        return decode(body)
+    except ValueError as error:
         raise PlatformUnavailable("platform: the answer is not valid JSON") from error
 
 
-def _parse_objects(body: Any, field: str) -> tuple[PlatformObject, ...]:
-    return tuple(PlatformObject(**item) for item in body[field])
+def _parse_object(kind: str, fields: Any) -> PlatformObject:
+    return make_object(kind, fields["name"], fields["version"], fields["value"])
+
+
+def _parse_objects(
+    kind: str, body: Any, field: str
+) -> tuple[tuple[PlatformObject, ...], int]:
+    """Return the objects of an answer, and its revision."""
+    objects = read_each(kind, lambda fields: _parse_object(kind, fields), body[field])
+    return objects, read_revision(body["revision"])
 
 
 STAND_IN_FORM = StoreApi(
@@ -424,11 +443,7 @@
         f"/watch/{kind}?since={since}&wait_s={wait_s}"
     ),
     object_path=lambda kind, name: f"/objects/{kind}/{quote(name, safe='')}",
-    read_page=lambda kind, body: ObjectPage(
-        _parse_objects(body, "items"), body["revision"]
-    ),
-    read_events=lambda kind, body: Listing(
-        _parse_objects(body, "events"), body["revision"]
-    ),
-    read_object=lambda kind, body: PlatformObject(**body),
+    read_page=lambda kind, body: ObjectPage(*_parse_objects(kind, body, "items")),
+    read_events=lambda kind, body: Listing(*_parse_objects(kind, body, "events")),
+    read_object=_parse_object,
 )
--- a/src/tamarackrill/store_api.py
+++ b/src/tamarackrill/store_api.py
@@ -3,9 +3,16 @@
 The store client and the adapters for each store build on these types.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
+from tamarackrill.events import OBJECT_FAULTY, log_event
+from tamarackrill.lenient_json import is_sound
+
+# Replaces a value that can't be used.  No kind of object has arrays as values, so that
+# each reader rejects it, while the object and its version are still known.
+UNREADABLE_VALUE: list[Any] = []
+
 
 class PlatformObject(NamedTuple):
     """One version of an object; a value of None marks a deletion."""
@@ -37,6 +44,51 @@
     after: str = ""
 
 
+def make_object(kind: str, name: Any, version: Any, value: Any) -> PlatformObject:
+    """Check what a store tells of an object; a value that can't be used is replaced.
+
+    Raises
+    ------
+    TypeError, ValueError
+        If the name or the version can't be used.
+    """
+    if not isinstance(name, str) or type(version) is not int:
+        raise TypeError("an object has no name or no version")
+    if not is_sound(name):
+        raise ValueError(f"name {name!r} can't be encoded, or has control characters")
+    return PlatformObject(
+        kind, name, version, value if is_sound(value) else UNREADABLE_VALUE
+    )
+
+
+def read_revision(revision: Any) -> int:
+    """Return the revision of an answer.
+
+    Raises
+    ------
+    TypeError
+        If it isn't one.
+    """
+    if type(revision) is not int:
+        raise TypeError("the revision of the answer is not an integer")
+    return revision
+
+
+def read_each(
+    kind: str, parse: Callable[[Any], PlatformObject], entries: Iterable[Any]
+) -> tuple[PlatformObject, ...]:
+    """Parse the entries of an answer; malformed ones are logged and skipped."""
+    items = []
+    for fields in entries:
+        try:
+            items.append(parse(fields))
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            log_event(
+                OBJECT_FAULTY, kind=kind, object="", version=0, message=repr(error)
+            )
+    return tuple(items)
+
+
 class StoreApi(NamedTuple):
     """Paths and response parsers of one store's HTTP API.
 
--- a/src/tamarackrill/testing/object_store.py
+++ b/src/tamarackrill/testing/object_store.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import enum
+import json
 from typing import Any
 
 from tornado.web import Application, RequestHandler
@@ -44,6 +45,8 @@
         Delay between the headers and the body of a list or watch response.
     removal_revision : RemovalRevision
         Revision in the events of removals.
+    substitutes : dict of str to bytes
+        Strings, and the bytes that lists and watches have in place of their JSON.
     era : int
         Value of the header ``Store-Era``; 0 leaves it out.
     calls : list of str
@@ -57,6 +60,7 @@
         self.compacted_revision = 0
         self.body_delay_s = 0.0
         self.removal_revision = RemovalRevision.BEFORE_REMOVAL
+        self.substitutes: dict[str, bytes] = {}
         self.era = 1
         self.calls: list[str] = []
 
@@ -180,4 +184,8 @@
         if self.store.body_delay_s:
             await self.flush()
             await asyncio.sleep(self.store.body_delay_s)
-        self.finish(body)
+        text = json.dumps(body).encode()
+        for written, substitute in self.store.substitutes.items():
+            text = text.replace(json.dumps(written).encode(), substitute)
+        self.set_header("Content-Type", "application/json")
+        self.finish(text)
