Start tasks again that follow the store, keep house and spread news

Cause: an unexpected error ended such a task for good; the router went on serving by what it knew, with one line task_failed in its log. A name that can't be encoded did that to the task that follows the entries of workers.

Fix: these tasks run again half a second after the error, which is logged as task_restarted. tests/test_restarted_tasks.py; its test with a router failed before.

--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -47,6 +47,15 @@
     "Restart the router and report this line to the maintainers.",
 )
 
+TASK_RESTARTED = Event(
+    1010,
+    "task_restarted",
+    _ERROR,
+    ("task", "error"),
+    "A background task of the router raised an unexpected error, and is started again "
+    "after half a second.",
+    "Report this line to the maintainers.",
+)
 LINES_LEFT_OUT = Event(
     1005,
     "lines_left_out",
--- a/src/tamarackrill/router/background.py
+++ b/src/tamarackrill/router/background.py
@@ -1,8 +1,31 @@
 """Failure handling of long-running background tasks."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
-from tamarackrill.events import TASK_FAILED, log_event
+from tamarackrill.events import TASK_FAILED, TASK_RESTARTED, log_event
+
+# Between a failure of a task and its restart.  A task that fails at once again would
+# otherwise take all of the processor time.
+RESTART_PAUSE_S = 0.5
+
+
+async def run_restarting(name: str, run: Callable[[], Awaitable[None]]) -> None:
+    """Await ``run()``, again and again if it raises.
+
+    Parameters
+    ----------
+    name : str
+        Name of the task, for the log.
+    run : callable
+        Starts the work from its beginning.
+    """
+    while True:
+        try:
+            return await run()
+        except Exception as error:
+            log_event(TASK_RESTARTED, task=name, error=repr(error))
+        await asyncio.sleep(RESTART_PAUSE_S)
 
 
 def log_task_failure(task: asyncio.Task[None]) -> bool:
--- a/src/tamarackrill/router/configuring.py
+++ b/src/tamarackrill/router/configuring.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import math
 import random
 from collections.abc import Awaitable, Callable
@@ -27,7 +28,7 @@
     log_event,
 )
 from tamarackrill.exceptions import PlatformUnavailable
-from tamarackrill.router.background import log_task_failure
+from tamarackrill.router.background import run_restarting
 from tamarackrill.router.peer_api import PeerUnavailable
 from tamarackrill.router.platform_client import AnswerTooLong, PlatformClient, WatchLost
 from tamarackrill.store_api import Listing
@@ -173,9 +174,11 @@
     async def start(self) -> None:
         """Start the watches."""
         for kind in self._kinds:
-            task = asyncio.create_task(self._sync(kind), name=f"follow {kind}")
-            task.add_done_callback(log_task_failure)
-            self._tasks.append(task)
+            name = f"follow {kind}"
+            run = functools.partial(self._sync, kind)
+            self._tasks.append(
+                asyncio.create_task(run_restarting(name, run), name=name)
+            )
 
     async def stop(self) -> None:
         """Stop the watches and pulls."""
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -51,6 +51,7 @@
 )
 from tamarackrill.platform.settings_file import PlatformSettings
 from tamarackrill.platform.store import STORE_FORM
+from tamarackrill.router.background import run_restarting
 from tamarackrill.router.binding import report_bind_error
 from tamarackrill.router.brittle_slots import BrittleSlots
 from tamarackrill.router.capacity.slot_sharing import SlotSharing
@@ -271,7 +272,9 @@
                 await self._configured.wait()
                 await self.fleet_news.first_answer.wait()
         self.server.server.add_sockets([listener])
-        self._tasks.append(asyncio.create_task(self._run_housekeeping()))
+        self._tasks.append(
+            asyncio.create_task(run_restarting("housekeeping", self._run_housekeeping))
+        )
         log_event(
             ROUTER_STARTED,
             router=settings.name,
--- a/src/tamarackrill/router/gossip.py
+++ b/src/tamarackrill/router/gossip.py
@@ -26,6 +26,7 @@
     log_event,
 )
 from tamarackrill.protocol.codec import InvalidMessage, decode_gossip, encode_gossip
+from tamarackrill.router.background import run_restarting
 from tamarackrill.router.members import Member, Members
 
 _STATE_NAMES = {state: state.name.lower() for state in MemberState}
@@ -85,7 +86,7 @@
 
     async def start(self) -> None:
         """Start the periodic tick."""
-        self._tick_task = asyncio.create_task(self._run_ticks())
+        self._tick_task = asyncio.create_task(run_restarting("gossip", self._run_ticks))
 
     async def stop(self) -> None:
         """Announce that this router has left; the socket must still be open."""
--- a/src/tamarackrill/router/orders.py
+++ b/src/tamarackrill/router/orders.py
@@ -34,6 +34,7 @@
     log_event,
 )
 from tamarackrill.exceptions import PlatformUnavailable
+from tamarackrill.router.background import run_restarting
 from tamarackrill.router.members import Members
 from tamarackrill.router.platform_client import PlatformClient
 from tamarackrill.router.upstream import (
@@ -105,7 +106,7 @@
 
     async def start(self) -> None:
         """Start the task."""
-        self._task = asyncio.create_task(self._run())
+        self._task = asyncio.create_task(run_restarting("orders", self._run))
 
     async def stop(self) -> None:
         """Stop the task; the lease is left to expire."""
--- a/src/tamarackrill/router/placement_gossip.py
+++ b/src/tamarackrill/router/placement_gossip.py
@@ -28,7 +28,7 @@
     encode_news,
     serialize_news,
 )
-from tamarackrill.router.background import log_task_failure
+from tamarackrill.router.background import log_task_failure, run_restarting
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.peer_api import PeerUnavailable
@@ -100,7 +100,8 @@
 
     async def start(self) -> None:
         """Start the gossip, and load a snapshot from a peer."""
-        for work in (self._run_ticks(), self._load_snapshot()):
+        ticks = run_restarting("placement gossip", self._run_ticks)
+        for work in (ticks, self._load_snapshot()):
             task = asyncio.create_task(work)
             task.add_done_callback(log_task_failure)
             self._tasks.append(task)
--- /dev/null
+++ b/tests/test_restarted_tasks.py
@@ -0,0 +1,44 @@
+"""Background tasks of a router that raise an unexpected error."""
+
+import asyncio
+import logging
+from unittest import mock
+
+from tamarackrill.router.background import run_restarting
+from tamarackrill.testing.edge import EdgeFleet, make_route
+
+LOOKUP = make_route("/lookup/", "idempotent")
+
+
+def test_task_that_follows_the_store_is_started_again(caplog):
+    # Guards against a router that gets no change any more after one unexpected error.
+    async def act():
+        async with EdgeFleet() as fleet:
+            await fleet.put_manifest(1, LOOKUP)
+            await fleet.add_worker("w", zone="a")
+            router = await fleet.add_router(zone="a")
+            sync = router.configuration_sync
+            with mock.patch.object(sync, "_check_era", side_effect=RuntimeError("odd")):
+                await fleet.put_manifest(2, LOOKUP)
+                await fleet.wait(lambda: "task_restarted" in caplog.text)
+            await fleet.wait(lambda: router.view.routes.manifest.version == 2)
+
+    caplog.set_level(logging.INFO)
+    asyncio.run(act())
+
+
+def test_task_that_fails_is_started_again_until_it_ends():
+    # Guards against a task of a router that ends for good by an exception.
+    async def act():
+        runs = []
+
+        async def run():
+            runs.append(1)
+            if len(runs) < 3:
+                raise OSError("odd")
+
+        with mock.patch("tamarackrill.router.background.RESTART_PAUSE_S", 0.0):
+            await run_restarting("odd", run)
+        assert len(runs) == 3
+
+    asyncio.run(act())
