Search each byte of an event stream once, and bound events at 64 KB

Cause: EventStream.take joined and searched the whole partial event again with each chunk, up to 1 MB, so that its time grew with the square. The outlet of tamarackrilld did the same.

Fix: one splitter for both, which searches what has arrived and keeps the rest. An event of a few tokens needs no megabyte. An id of more than 18 digits, which int() may refuse, is none; it ended the request without a response.

The new tests failed before: the first for lack of the splitter (what the former code searched wasn't measured), the second with ValueError for 5,000 digits.

--- a/src/tamarackrill/decisions/event_stream.py
+++ b/src/tamarackrill/decisions/event_stream.py
@@ -18,10 +18,13 @@
 import re
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
-_ID = re.compile(rb"^id:[ ]?(\d+)[ \r]*$", re.MULTILINE)
+# Bytes of the longest end of an event that may have arrived without its last one.
+_END_PARTIAL_BYTES = 3
+# A number of more digits is no id: ids count events.
+_ID = re.compile(rb"^id:[ ]?(\d{1,18})[ \r]*$", re.MULTILINE)
 # An event holds a few tokens, far below a kilobyte; an endpoint that never ends one is
 # faulty and must not exhaust the router's memory.
-EVENT_MAX_BYTES = 1 << 20
+EVENT_MAX_BYTES = 1 << 16
 
 
 class EventStreamError(Exception):
@@ -37,6 +40,43 @@
     return any(line and not line.startswith(b":") for line in lines)
 
 
+class EventSplitter:
+    """Splits a stream into events; its work is linear in the bytes that arrive."""
+
+    def __init__(self) -> None:
+        self._partial = bytearray()
+
+    @property
+    def partial(self) -> bytes:
+        """Bytes after the last complete event."""
+        return bytes(self._partial)
+
+    @property
+    def partial_bytes(self) -> int:
+        """Number of bytes after the last complete event."""
+        return len(self._partial)
+
+    def take(self, chunk: bytes) -> list[bytes]:
+        """Add bytes and return the events that are complete, with their ends."""
+        # What was there before has been searched, but for a partial end of an event.
+        searched = max(0, len(self._partial) - _END_PARTIAL_BYTES)
+        self._partial += chunk
+        ends = [found.end() for found in _EVENT_END.finditer(self._partial, searched)]
+        if not ends:
+            return []
+        starts = [0, *ends[:-1]]
+        events = [
+            bytes(self._partial[start:end])
+            for start, end in zip(starts, ends, strict=True)
+        ]
+        del self._partial[: ends[-1]]
+        return events
+
+    def clear(self) -> None:
+        """Drop the bytes after the last complete event."""
+        self._partial.clear()
+
+
 class EventStream:
     """One client's event stream across all endpoints that supply it.
 
@@ -45,19 +85,19 @@
     last_id : int or None
         Id after which the client asked to resume.
 
-    Attributes
-    ----------
-    partial_bytes : int
-        Bytes received after the last complete event.
     """
 
     def __init__(self, last_id: int | None = None) -> None:
         self.last_id = last_id
         self.events = 0
-        self.partial_bytes = 0
-        self._partial = b""
+        self._splitter = EventSplitter()
         self._is_resumed = False
 
+    @property
+    def partial_bytes(self) -> int:
+        """Bytes received after the last complete event."""
+        return self._splitter.partial_bytes
+
     def take(self, chunk: bytes) -> bytes:
         """Add bytes from an endpoint and return the complete events to forward.
 
@@ -66,17 +106,8 @@
         EventStreamError
             If an event exceeds `EVENT_MAX_BYTES` without ending.
         """
-        data = self._partial + chunk
-        events = []
-        start = 0
-        for boundary in _EVENT_END.finditer(data):
-            event = data[start : boundary.end()]
-            start = boundary.end()
-            if self._should_forward(event):
-                events.append(event)
-        self._partial = data[start:]
-        self.partial_bytes = len(self._partial)
-        if len(self._partial) > EVENT_MAX_BYTES:
+        events = [e for e in self._splitter.take(chunk) if self._should_forward(e)]
+        if self.partial_bytes > EVENT_MAX_BYTES:
             raise EventStreamError("event exceeds the allowed size")
         self.events += len(events)
         return b"".join(events)
@@ -94,17 +125,17 @@
         EventStreamError
             If the stream was broken off.
         """
-        if ends_inside_event(self._partial):
+        rest = self._splitter.partial
+        if ends_inside_event(rest):
             raise EventStreamError("the stream ended inside an event")
         if not is_framed and self.last_id is None and not self.events:
             raise EventStreamError("the connection ended before the first event")
-        rest, self._partial = self._partial, b""
+        self._splitter.clear()
         return rest
 
     def resume(self) -> None:
         """Drop a partial event; the next bytes come from another endpoint."""
-        self._partial = b""
-        self.partial_bytes = 0
+        self._splitter.clear()
         self._is_resumed = True
 
     def _should_forward(self, event: bytes) -> bool:
--- a/src/tamarackrill/router/attempts.py
+++ b/src/tamarackrill/router/attempts.py
@@ -5,7 +5,11 @@
 from typing import Literal, NamedTuple
 
 from tamarackrill.contracts import Endpoint
-from tamarackrill.decisions.event_stream import EventStream, EventStreamError
+from tamarackrill.decisions.event_stream import (
+    EventSplitter,
+    EventStream,
+    EventStreamError,
+)
 from tamarackrill.router.calls import Call
 from tamarackrill.router.outlets import Outlet
 from tamarackrill.router.replies import Reply
@@ -18,7 +22,6 @@
 
 Outcome = Literal["answered", "overloaded", "refused", "not_sent", "cut", "cancelled"]
 
-EVENT_TERMINATOR = b"\n\n"
 DONE_EVENT = b"data: [DONE]"
 # Longest event of a stream; a longer answer that is not a stream is no longer buffered
 # until it is complete.
@@ -66,20 +69,19 @@
     def __init__(self, reply: Reply) -> None:
         super().__init__()
         self.is_complete = False
-        self._partial_event = b""
+        self._splitter = EventSplitter()
         self._reply = reply
         reply.on_writable = lambda: self.on_writable()
 
     def take(self, piece: bytes) -> bool:
         """Pass on the events that are complete; keep the rest for the next piece."""
-        rest = self._partial_event + piece.replace(b"\r\n", b"\n")
-        *events, self._partial_event = rest.split(EVENT_TERMINATOR)
-        if len(self._partial_event) > PIECE_MAX_BYTES:
+        events = self._splitter.take(piece.replace(b"\r\n", b"\n"))
+        if self._splitter.partial_bytes > PIECE_MAX_BYTES:
             raise UpstreamError("an event of the stream is too long", sent=True)
         if not events:
             return True
         self.is_complete = events[-1].startswith(DONE_EVENT)
-        return self._reply.extend([event + EVENT_TERMINATOR for event in events])
+        return self._reply.extend(events)
 
 
 class _BufferingOutlet(Outlet):
--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -2,6 +2,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from tamarackrill.decisions import event_stream
 from tamarackrill.decisions.event_stream import (
     EVENT_MAX_BYTES,
     EventStream,
@@ -90,3 +91,33 @@
         first = 0
     out += stream.take(b"".join(events[first:]))
     assert out == b"".join(events)
+
+
+def test_work_is_linear_in_the_bytes_of_an_event_without_end(monkeypatch):
+    # Guards against one endpoint whose event never ends, and that takes so much of the
+    # router's time that the requests to all others fail.
+    searched = []
+
+    class Searching:
+        def finditer(self, data, start=0):
+            searched.append(len(data) - start)
+            return event_end.finditer(data, start)
+
+    event_end = event_stream._EVENT_END
+    monkeypatch.setattr(event_stream, "_EVENT_END", Searching())
+    splitter = event_stream.EventSplitter()
+    for _ in range(256):
+        assert splitter.take(b"x" * 4096) == []
+    assert splitter.partial_bytes == 256 * 4096
+    assert sum(searched) <= 2 * splitter.partial_bytes
+    assert splitter.take(b"\n\n")[0].endswith(b"x\n\n")
+
+
+@pytest.mark.parametrize("digits", [19, 5000])
+def test_number_of_too_many_digits_is_no_id(digits):
+    # Guards against a request that ends without a response, because an endpoint sends
+    # an id that can't be converted.
+    stream = EventStream(last_id=4)
+    event = b"id: " + b"7" * digits + b"\ndata: x\n\n"
+    assert stream.take(event) == event
+    assert stream.last_id == 4
