Don't hold the lateness of a router's own loop against endpoints

What callers saw: requests refused with no_endpoint by a router whose loop was late, though its endpoints were there.

Fix: a timer that fires late waits on, ten times at most. It is used where a timeout decides about endpoints and other routers: connections, first bytes and pieces of responses, overdue responses, replies of owners and keepers.

--- a/src/tamarackrill/router/channels.py
+++ b/src/tamarackrill/router/channels.py
@@ -13,6 +13,7 @@
 
 from tamarackrill.decisions.attempt_timeouts import SILENCE_MAX_S
 from tamarackrill.decisions.capacity.buffers import ReadPauses
+from tamarackrill.router import lateness
 from tamarackrill.router.sockets import enable_keepalive
 
 Headers = list[tuple[str, str]]
@@ -295,6 +296,6 @@
     """
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
-    async with asyncio.timeout(timeout_s):
+    async with lateness.timeout(timeout_s):
         _, channel = await loop.create_connection(Channel, host, int(port))
     return channel
--- a/src/tamarackrill/router/cold_permits.py
+++ b/src/tamarackrill/router/cold_permits.py
@@ -22,6 +22,7 @@
     decode_owner_message,
     encode_owner_message,
 )
+from tamarackrill.router import lateness
 from tamarackrill.router.cold_monitor import ColdMonitor
 from tamarackrill.router.members import Members
 
@@ -139,7 +140,7 @@
         datagram = encode_owner_message(request, self._peer_keys)
         self._send(self._addresses[owner], datagram)
         try:
-            async with asyncio.timeout(PERMIT_TIMEOUT_S):
+            async with lateness.timeout(PERMIT_TIMEOUT_S):
                 return "granted" if await reply else "refused"
         except TimeoutError:
             return "silent"
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -24,6 +24,7 @@
     filter_response_headers,
     parse_response_headers,
 )
+from tamarackrill.router import lateness
 from tamarackrill.router.answer_headers import (
     MISDIRECTED_REQUEST,
     AnswerHeaderObserver,
@@ -253,8 +254,9 @@
         if self.guard is not None:
             progress.exposure = self.guard.record_sent(call.prompt, endpoint)
         is_clean = False
-        suspecting = asyncio.get_running_loop().call_later(
-            find_suspicion_timeout_s(call.route), self._observe_overdue, endpoint, relay
+        suspecting = lateness.LateTimer(
+            asyncio.get_running_loop().time() + find_suspicion_timeout_s(call.route),
+            lambda: self._observe_overdue(endpoint, relay),
         )
         try:
             result = await self._exchange(
@@ -361,7 +363,7 @@
             call.deadline_s,
         )
         try:
-            async with asyncio.timeout_at(header_deadline_s):
+            async with lateness.timeout_at(header_deadline_s):
                 head, answer_headers = await self.read_matching_head(
                     call.request_id, placed.endpoint, channel, relay
                 )
@@ -564,7 +566,7 @@
         )
         while True:
             try:
-                async with asyncio.timeout(wait_s):
+                async with lateness.timeout(wait_s):
                     return await channel.read_chunk()
             except TimeoutError:
                 # Without another endpoint, giving up would cut the client's stream,
--- /dev/null
+++ b/src/tamarackrill/router/lateness.py
@@ -0,0 +1,75 @@
+"""Timeouts that don't take the lateness of this process for that of others.
+
+Load pattern: a router's event loop is busy for longer than a timeout.  The timer and
+the answer, which arrived in time, are both due when the loop goes on, and the timer
+wins.  The router would take all endpoints for unreachable, and refuse requests for it.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable
+
+# A timer that fires this much after it was due shows that the loop was late.
+LATE_S = 0.01
+# Time that the loop then has for what arrived meanwhile.
+CATCH_UP_S = 0.05
+# Times in a row.  In a router that is always late, every timeout ends at last.
+CATCH_UPS_MAX = 10
+
+
+class LateTimer:
+    """Timer that waits on if it was due while the loop was late.
+
+    Parameters
+    ----------
+    due_s : float
+        When it is due, by the loop's clock.
+    on_due : callable
+        Called once.
+    """
+
+    def __init__(self, due_s: float, on_due: Callable[[], None]) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._on_due = on_due
+        self._catch_ups = 0
+        self._start(due_s)
+
+    def cancel(self) -> None:
+        """Stop the timer."""
+        self._timer.cancel()
+
+    def _start(self, due_s: float) -> None:
+        self._timer = self._loop.call_at(due_s, self._fire, due_s)
+
+    def _fire(self, due_s: float) -> None:
+        now_s = self._loop.time()
+        if now_s < due_s + LATE_S or self._catch_ups >= CATCH_UPS_MAX:
+            self._on_due()
+            return
+        self._catch_ups += 1
+        self._start(now_s + CATCH_UP_S)
+
+
+@contextlib.asynccontextmanager
+async def timeout_at(due_s: float) -> AsyncIterator[None]:
+    """Like ``asyncio.timeout_at``, but wait on while the loop is late.
+
+    Raises
+    ------
+    TimeoutError
+        If the body did not end in time.
+    """
+    async with asyncio.timeout(None) as scope:
+        # Rescheduled to now, it expires in the next iteration.
+        timer = LateTimer(due_s, lambda: scope.reschedule(due_s))
+        try:
+            yield
+        finally:
+            timer.cancel()
+
+
+def timeout(timeout_s: float | None) -> contextlib.AbstractAsyncContextManager[None]:
+    """Like ``asyncio.timeout``, but wait on while the loop is late."""
+    if timeout_s is None:
+        return contextlib.nullcontext()
+    return timeout_at(asyncio.get_running_loop().time() + timeout_s)
--- a/src/tamarackrill/router/version_keepers.py
+++ b/src/tamarackrill/router/version_keepers.py
@@ -26,6 +26,7 @@
     decode_owner_message,
     encode_owner_message,
 )
+from tamarackrill.router import lateness
 from tamarackrill.router.deployment_view import DeploymentView
 from tamarackrill.router.edge_calls import EdgeCall
 from tamarackrill.router.members import Members
@@ -188,7 +189,7 @@
         for ticket, name in questions.items():
             self._send_message(name, VersionQuestion(ticket, stream, service))
         try:
-            async with asyncio.timeout(REPLY_TIMEOUT_S):
+            async with lateness.timeout(REPLY_TIMEOUT_S):
                 for reply in asyncio.as_completed(list(replies.values())):
                     if (await reply).software_version:
                         break
