--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: setup demo demo-platform example test soak soak-cuts soak-native soak-versions soak-parts soak-shares soak-surges lint format capacity bench clean
+.PHONY: setup demo demo-platform example test soak soak-cuts soak-native soak-versions soak-parts soak-shares soak-surges soak-entries lint format capacity bench clean
 
 setup: $(READY)
 
@@ -51,6 +51,9 @@
 soak-surges: setup
 	$(BIN)/python -m soak.surges --seed $(SEED) --seeds $(SEEDS)
 
+soak-entries: setup
+	$(BIN)/python -m soak.entries --seed $(SEED) --seeds $(SEEDS)
+
 lint: setup
 	$(BIN)/ruff format --check src tests bench soak
 	$(BIN)/ruff check src tests bench soak
--- /dev/null
+++ b/soak/entries.py
@@ -0,0 +1,167 @@
+"""Randomized soak test of the store's objects: replaced, unreadable, evacuated again.
+
+``python -m soak.entries --seed 1 --seeds 50`` runs seeds one after the other.  To the
+faults of ``soak.run`` come entries that are removed and written again at once, objects
+of other programs that can't be read, zones that are evacuated twice, and workers whose
+events have no end.  Seeds differ in the revision that the events of removals carry.
+"""
+
+import asyncio
+import itertools
+import sys
+import tempfile
+from pathlib import Path
+
+from soak.callers import Caller
+from soak.command import run_seeds
+from soak.run import (
+    EVENTS,
+    PAUSE_MAX_S,
+    WORKER_ZONES,
+    FaultInjector,
+    Soak,
+    Topology,
+    report,
+)
+from tamarackrill.testing.edge import EdgeFleet
+from tamarackrill.testing.object_store import RemovalRevision
+from tamarackrill.testing.worker import (
+    WorkerRequest,
+    make_chunk,
+    make_stream_head,
+    make_streaming,
+)
+
+TOPOLOGY = Topology(("a", "a", "b", "b"), has_peer_faults=True, has_evacuations=True)
+REPLACEMENTS_MAX = 3
+# Bytes that stand in the store in place of a value.
+UNREADABLE = (
+    b'"\x8f\x02\xfe\x00\x1b"',
+    b'"\\ud800"',
+    b"7" * 5000,
+    b"[" * 20000 + b"]" * 20000,
+    b"NaN",
+    b"1e999",
+)
+NAMES = ("import-%d", "import-\ud800%d", "import-\x02%d")
+KINDS = ("servers", "evacuations", "config")
+PIECE = b"x" * 4096
+PIECE_INTERVAL_S = 0.005
+# Time for a worker that was ejected to be tried again, and to get a request.
+USED_MAX_S = 15.0
+USED_POLL_S = 0.5
+
+
+async def _send_event_without_end(
+    request: WorkerRequest, writer: asyncio.StreamWriter
+) -> None:
+    writer.write(make_stream_head(request))
+    while not writer.transport.is_closing():
+        writer.write(make_chunk(PIECE))
+        await asyncio.sleep(PIECE_INTERVAL_S)
+
+
+class EntrySoak(Soak):
+    """Soak test of one seed with faults of the store's objects."""
+
+    def __init__(self, seed: int, folder: Path) -> None:
+        super().__init__(seed, folder, TOPOLOGY)
+        self._removal_revision = list(RemovalRevision)[seed % len(RemovalRevision)]
+        self._imports = 0
+
+    async def _start_workers(self, fleet: EdgeFleet) -> None:
+        fleet.store.removal_revision = self._removal_revision
+        await super()._start_workers(fleet)
+
+    def _list_injectors(self) -> tuple[FaultInjector, ...]:
+        return (
+            *super()._list_injectors(),
+            self._replace_entry,
+            self._replace_entry,
+            self._write_unreadable,
+            self._evacuate_twice,
+            self._start_endless_events,
+        )
+
+    async def _replace_entry(self, fleet: EdgeFleet) -> None:
+        """Remove a worker's entry and write it again, up to three times."""
+        name = self._rng.choice(list(self._entries))
+        self.faults.append(f"entry of {name} replaced")
+        for _ in range(self._rng.randint(1, REPLACEMENTS_MAX)):
+            await fleet.store.write("servers", name, None)
+            await asyncio.sleep(self._rng.choice([0.0, 0.1, PAUSE_MAX_S]))
+            await fleet.store.write("servers", name, self._entries[name])
+
+    async def _write_unreadable(self, fleet: EdgeFleet) -> None:
+        """Write an object that can't be read; half of them are removed again."""
+        self._imports += 1
+        placeholder = f"bytes of import {self._imports}"
+        fleet.store.substitutes[placeholder] = self._rng.choice(UNREADABLE)
+        kind = self._rng.choice(KINDS)
+        name = self._rng.choice(NAMES) % self._imports
+        self.faults.append(f"unreadable object of {kind}")
+        spec = {"service": "desk", "address": placeholder, "state": "ready"}
+        await fleet.store.write(kind, name, spec)
+        if self._rng.random() < 0.5:
+            await asyncio.sleep(self._rng.random() * PAUSE_MAX_S)
+            await fleet.store.write(kind, name, None)
+
+    async def _evacuate_twice(self, fleet: EdgeFleet) -> None:
+        """Evacuate a zone, take it back, and evacuate it again at once."""
+        await self._evacuate_zone(fleet)
+        await self._evacuate_zone(fleet)
+
+    async def _start_endless_events(self, fleet: EdgeFleet) -> None:
+        """Let a worker begin an event that never ends in each stream for a while."""
+        writers = [w for w in fleet.workers if w.name.startswith("writer")]
+        worker = self._rng.choice(writers)
+        self.faults.append(f"{worker.name} sends events without end")
+        worker.behave = _send_event_without_end
+        await asyncio.sleep(self._rng.random() * PAUSE_MAX_S)
+        worker.behave = make_streaming(EVENTS)
+
+    async def _check_evacuation(
+        self, fleet: EdgeFleet, caller_tasks: list[asyncio.Task[None]]
+    ) -> list[str]:
+        """Check that all workers are used, and that second evacuations hold."""
+        unused = await self._find_unused_workers(fleet)
+        for zone in WORKER_ZONES:
+            await fleet.evacuate(zone)
+            await asyncio.sleep(self._rng.random())
+            await fleet.evacuate(zone, False)
+        return unused + await super()._check_evacuation(fleet, caller_tasks)
+
+    async def _find_unused_workers(self, fleet: EdgeFleet) -> list[str]:
+        """Send requests until each worker has got one; report those that get none.
+
+        Routers prefer workers of their own zones, so only these must get some.
+        """
+        loop = asyncio.get_running_loop()
+        counts = {worker.name: len(worker.requests) for worker in fleet.workers}
+        addresses = [router.addresses.callers for router in self._routers]
+        unused: list[str] = []
+        end_s = loop.time() + USED_MAX_S
+        for number in itertools.count():
+            if loop.time() >= end_s:
+                break
+            caller = Caller(f"check-{number}", addresses, self._rng, self.exchanges)
+            await caller.run(loop.time() + USED_POLL_S)
+            unused = [
+                f"{worker.name} gets no request"
+                for worker in fleet.workers
+                if self._worker_zones[worker.name] in self._topology.zones
+                and len(worker.requests) == counts[worker.name]
+            ]
+            if not unused:
+                break
+        return unused
+
+
+def run_seed(seed: int, folder: Path | None = None) -> list[str]:
+    """Run one seed, and return a description of each violated guarantee."""
+    with tempfile.TemporaryDirectory() as name:
+        return report(seed, EntrySoak(seed, folder or Path(name)))
+
+
+if __name__ == "__main__":
+    sys.exit(run_seeds(__doc__, run_seed))
