Discard a body as a whole once it has exceeded its limit

Cause: chunks beyond the limit of the moment were dropped, and later ones kept once a manifest had raised the limit; at the end the size was within it.

Fix: a body that has exceeded the limit is discarded.

--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -56,6 +56,8 @@
 # A balancer removes a router within two seconds of SIGTERM; a client that retries after
 # that reaches another one.
 LEAVING_RETRY_AFTER_S = 0.2
+# Other routers put a manifest in force within this time of this one.
+LIMIT_RAISED_RETRY_AFTER_S = 0.5
 # Time in which a client has to take the router's own response, some hundred bytes, also
 # if its deadline has passed.
 REFUSAL_DELIVERY_S = 1.0
@@ -234,6 +236,8 @@
         self._connection = connection
         self._chunks: list[bytes] = []
         self._size_bytes = 0
+        # Whether the body was beyond the limit when some of it arrived.
+        self._is_discarded = False
         self._task: asyncio.Task[None] | None = None
         self._call: EdgeCall | None = None
         self._arrived_s = 0.0
@@ -251,10 +255,13 @@
         return None
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
-        """Store a chunk of the body; chunks beyond the size limit are discarded."""
+        """Store a chunk of the body; a body beyond the size limit is discarded."""
         self._size_bytes += len(chunk)
         table = self._server.view.routes
-        if table is None or self._size_bytes <= table.manifest.limits.body_max_bytes:
+        if table and self._size_bytes > table.manifest.limits.body_max_bytes:
+            self._is_discarded = True
+            self._chunks.clear()
+        if not self._is_discarded:
             self._chunks.append(chunk)
         return None
 
@@ -338,6 +345,9 @@
             raise _Denied(431, "head_too_long")
         if self._size_bytes > limits.body_max_bytes:
             raise _Denied(413, "body_too_long")
+        if self._is_discarded:
+            # A newer manifest allows the body, which is gone by now.
+            raise _Denied(503, "limit_raised", LIMIT_RAISED_RETRY_AFTER_S)
 
     async def _deny(self, reply: EdgeReply, request_id: str, denied: _Denied) -> None:
         table = self._server.view.routes
