Look whether an endpoint still lives at the end of a body without framing

Cause: the check was left out for endpoints that leave. And a connection that a process took while it ended was taken for a sign of life.

Fix: if the request may run again, the end is checked for endpoints that leave too; a connection has to be open 10 ms later. A crash of a draining endpoint isn't counted against what it ran.

--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -827,9 +827,9 @@
     _INFO,
     ("request", "endpoint", "events", "finding", "fingerprint"),
     "The connection of an attempt broke after `events` events, and its endpoint was "
-    "checked: `crashed`, `alive` (it takes connections), `reached` (by another "
-    "router), `unreached` (nothing is known).  A crash counts against the request's "
-    "fingerprint.",
+    "checked: `crashed`, `left` (it was draining), `alive` (it takes connections), "
+    "`reached` (by another router), `unreached` (nothing is known).  A crash counts "
+    "against the request's fingerprint.",
     "See docs/operations/poison.md.",
 )
 PROMPT_CRASHED = Event(
--- a/src/tamarackrill/router/crash_checks.py
+++ b/src/tamarackrill/router/crash_checks.py
@@ -18,7 +18,7 @@
 CRASH_CHECK_WAIT_S = 0.05
 
 
-Finding = Literal["crashed", "alive", "reached", "unreached"]
+Finding = Literal["crashed", "left", "alive", "reached", "unreached"]
 
 
 class AttemptEnding(NamedTuple):
@@ -134,6 +134,10 @@
 
     def record_crash(self, ending: AttemptEnding) -> None:
         """Record that an endpoint ended while it ran a request."""
+        if self._placer.is_draining(ending.endpoint):
+            # It has exited as planned, for no fault of the request.
+            _log_check(ending, "left")
+            return
         _log_check(ending, "crashed")
         if self.guard is not None and ending.exposure is not None:
             self.guard.record_crash(ending.exposure, ending.ended_s)
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -501,7 +501,7 @@
             await self._relay(progress, placed, channel, head)
             return AttemptResult("answered")
         body = await read_body(channel, progress.reply)
-        await self.checks.confirm_end(placed.endpoint, head, progress.call.deadline_s)
+        await self._confirm_end(progress.call, placed.endpoint, head)
         answer = CompleteAnswer(head, body)
         if head.status >= SERVER_ERROR_MIN:
             return AttemptResult("failed", f"status {head.status}", answer)
@@ -512,6 +512,12 @@
         )
         return AttemptResult("answered")
 
+    async def _confirm_end(
+        self, call: EdgeCall, endpoint: Endpoint, head: ResponseHead
+    ) -> None:
+        may_repeat = call.route.may_repeat
+        await self.checks.confirm_end(endpoint, head, may_repeat, call.deadline_s)
+
     async def _relay(
         self,
         progress: RequestProgress,
@@ -530,9 +536,7 @@
                 events = stream.take(piece)
             else:
                 events = stream.finish(is_framed=head.framing != "close")
-                await self.checks.confirm_end(
-                    placed.endpoint, head, progress.call.deadline_s
-                )
+                await self._confirm_end(progress.call, placed.endpoint, head)
             if events or not piece:
                 if not reply.has_begun:
                     await reply.begin(
--- a/src/tamarackrill/router/edge_placing.py
+++ b/src/tamarackrill/router/edge_placing.py
@@ -310,6 +310,11 @@
         known = self._view.find_endpoint(endpoint.name)
         return known is None or known.state == "leaving"
 
+    def is_draining(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint is known to be leaving, and still there."""
+        known = self._view.find_endpoint(endpoint.name)
+        return known is not None and known.state == "leaving"
+
     def list_others(self, endpoint: Endpoint) -> list[Endpoint]:
         """Return the other live endpoints of an endpoint's service."""
         pool = self._view.find_pool(endpoint.serves[0])
--- a/src/tamarackrill/router/endpoint_checks.py
+++ b/src/tamarackrill/router/endpoint_checks.py
@@ -1,5 +1,6 @@
 """Checks whether an endpoint still lives, by new connections to it."""
 
+import asyncio
 import math
 from collections.abc import Callable
 
@@ -12,6 +13,9 @@
 
 # Endpoints with which one that seems to have crashed is compared.
 COMPARED_ENDPOINTS_MAX = 3
+# A process that ends closes its connections one after the other, and may take another
+# one until it has closed its listening socket.
+ENDING_S = 0.01
 
 
 class EndpointChecks:
@@ -52,14 +56,19 @@
         self._connect = connect
 
     async def confirm_end(
-        self, endpoint: Endpoint, head: ResponseHead, deadline_s: float = math.inf
+        self,
+        endpoint: Endpoint,
+        head: ResponseHead,
+        may_repeat: bool,
+        deadline_s: float = math.inf,
     ) -> None:
         """Check that a body without framing did not end because its endpoint crashed.
 
         A process that ends closes its connections in the same way as one that has sent
-        all of a response.  Only an endpoint that isn't about to leave, and takes no
-        connection afterwards, has crashed.  Without an answer by the deadline nothing
-        is known, and the response counts as complete.
+        all of a response.  An endpoint that takes no connection afterwards has ended
+        with it.  One that leaves may do so right after its last response, so that the
+        response counts as complete unless another endpoint can repeat or resume it.
+        Without an answer by the deadline nothing is known, and it counts as complete.
 
         Parameters
         ----------
@@ -67,31 +76,42 @@
             The endpoint.
         head : ResponseHead
             Head of its response.
+        may_repeat : bool
+            Whether the request may run again.
         deadline_s : float, optional
             When the client gives up.
 
         Raises
         ------
         ChannelError
-            If the endpoint has crashed.
+            If the endpoint has ended.
         """
-        if head.framing != "close" or self._placer.is_leaving(endpoint):
+        if head.framing != "close":
+            return
+        if self._placer.is_leaving(endpoint) and not may_repeat:
             return
         timeout_s = min(CONNECT_TIMEOUT_S, deadline_s - self._clock())
         if timeout_s <= 0:
             return
         try:
             channel = await self._connect(endpoint.address, timeout_s)
-        except ConnectionRefusedError as error:
-            if await self.has_crashed(endpoint):
-                message = "the endpoint ended with its response"
-                raise ChannelError(message) from error
+        except ConnectionRefusedError:
+            await self._check_ended(endpoint)
+            return
         except OSError:
             # Nothing is known of the endpoint; its response ended without a fault.
             self._paths.probe(endpoint)
-        else:
-            # The next request finds a connection in place of the one that has ended.
-            self._pool.give_back(endpoint.name, channel, None, self._clock())
+            return
+        await asyncio.sleep(ENDING_S)
+        if not channel.is_open:
+            await self._check_ended(endpoint)
+            return
+        # The next request finds a connection in place of the one that has ended.
+        self._pool.give_back(endpoint.name, channel, None, self._clock())
+
+    async def _check_ended(self, endpoint: Endpoint) -> None:
+        if await self.has_crashed(endpoint):
+            raise ChannelError("the endpoint ended with its response")
 
     async def has_crashed(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint that refuses connections has crashed alone.
--- a/src/tamarackrill/router/relay_server.py
+++ b/src/tamarackrill/router/relay_server.py
@@ -219,7 +219,7 @@
         is_unframed_stream = head.framing == "close" and answer_headers.is_event_stream
         if is_unframed_stream and not has_body and not is_resumption(attempt.headers):
             raise ChannelError("the connection ended before the first event")
-        await self._attempts.checks.confirm_end(endpoint, head)
+        await self._attempts.checks.confirm_end(endpoint, head, attempt.is_repeatable)
         reply.finish()
         if channel.finish():
             self._attempts.pool.give_back(
--- a/tests/test_broken_off.py
+++ b/tests/test_broken_off.py
@@ -216,6 +216,57 @@
     run_in_fleet(act)
 
 
+def test_connection_taken_while_the_endpoint_ends_is_no_sign_of_life():
+    # Guards against a partial stream that is forwarded as complete, because its process
+    # closes its listening socket after its connections.
+    async def act(fleet):
+        worker = await fleet.add_worker("w1")
+
+        async def end_slowly(request, writer):
+            headers = {"Content_Type": "text/event-stream"}
+            writer.write(frame_answer(request, "close", THREE, **headers))
+            await writer.drain()
+            writer.close()
+
+        async def end_at_the_second_connection():
+            while worker.connections < 2:
+                await asyncio.sleep(0.001)
+            await worker.crash()
+
+        worker.behave = end_slowly
+        router = await fleet.add_router()
+        ending = asyncio.create_task(end_at_the_second_connection())
+        answer = await ask(router, "/once/a", body=b"x")
+        assert (answer.body, answer.is_whole) == (THREE, False)
+        await ending
+
+    run_in_fleet(act)
+
+
+@pytest.mark.parametrize("sent", [THREE, WHOLE])
+def test_stream_of_an_endpoint_that_leaves_is_resumed_when_it_exits(sent):
+    # Guards against part of a stream that is forwarded as complete, because the process
+    # that sends it without framing exits as planned.
+    async def act(fleet):
+        leaving = await fleet.add_worker("w1")
+        router = await fleet.add_router()
+        crash = crash_after(leaving, sent, Content_Type="text/event-stream")
+
+        async def leave(request, writer):
+            await fleet.add_worker("w2", make_streaming(EVENTS))
+            entry = leaving.describe("desk", state="draining", sequence=2)
+            await fleet.store.write("servers", "w1", entry)
+            await fleet.wait(lambda: len(router.view.list_endpoints()) == 2)
+            await fleet.wait(lambda: len(router.view.list_live("desk")) == 1)
+            await crash(request, writer)
+
+        leaving.behave = leave
+        answer = await ask(router, "/stream/a", body=b"x")
+        assert (answer.body, answer.is_whole) == (WHOLE, True)
+
+    run_in_fleet(act)
+
+
 def test_whole_answer_is_delivered_if_its_endpoint_can_no_longer_be_reached():
     # Guards against an answer that is ready and is lost at its deadline, while the
     # router tries to learn whether the endpoint has crashed.
--- a/tests/test_unreadable_objects.py
+++ b/tests/test_unreadable_objects.py
@@ -64,7 +64,7 @@
     for router in fleet.routers:
         await fleet.wait(lambda r=router: "b" in r.view.evacuated_zones)
         assert "a" not in router.view.evacuated_zones
-        await fleet.wait(lambda r=router: r.view.routes.manifest.version == 2)
+        await fleet.wait(lambda r=router: r.view.tell_manifest().version == 2)
         await fleet.wait(lambda r=router: is_leaving(r, draining.name))
         known = {endpoint.name for endpoint in router.view.list_endpoints()}
         assert known == {draining.name, ready.name}
