--- a/src/tamarackrill/router/endpoint_checks.py
+++ b/src/tamarackrill/router/endpoint_checks.py
@@ -102,8 +102,13 @@
             # Nothing is known of the endpoint; its response ended without a fault.
             self._paths.probe(endpoint)
             return
-        await asyncio.sleep(ENDING_S)
+        try:
+            await asyncio.sleep(ENDING_S)
+        except asyncio.CancelledError:
+            channel.close()
+            raise
         if not channel.is_open:
+            channel.close()
             await self._check_ended(endpoint)
             return
         # The next request finds a connection in place of the one that has ended.
--- a/src/tamarackrill/router/lateness.py
+++ b/src/tamarackrill/router/lateness.py
@@ -60,7 +60,7 @@
         If the body did not end in time.
     """
     async with asyncio.timeout(None) as scope:
-        # Rescheduled to now, it expires in the next iteration.
+        # A time that has passed lets it expire in the next iteration.
         timer = LateTimer(due_s, lambda: scope.reschedule(due_s))
         try:
             yield
