Log from what the version of a stream that is taken up was concluded

It has the versions that the router knows now, whether they reach back to the start of all streams, and how many keepers replied. No logic is changed: tests of stream versions and of the event catalogue pass.

--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -264,11 +264,22 @@
     2209,
     "stream_taken_up",
     _INFO,
-    ("request", "resumed", "service", "software_version", "source"),
+    (
+        "request",
+        "resumed",
+        "service",
+        "software_version",
+        "source",
+        "versions",
+        "has_history",
+        "replies",
+    ),
     "A client takes up a stream that an earlier attempt of it, `resumed`, began.  It "
     "may go on only at `software_version`, which this router knows itself (`own`), "
     "from a `keeper`, or because no other serves (`only`); if it is `unknown`, the "
-    "request is refused.",
+    "request is refused.  `versions` are those of the service that the router knows "
+    "itself, `has_history` tells whether they reach back to the start of all streams, "
+    "and `replies` how many keepers replied.",
 )
 ATTEMPT_RELAYED = Event(
     2208,
--- a/src/tamarackrill/router/version_keepers.py
+++ b/src/tamarackrill/router/version_keepers.py
@@ -5,6 +5,7 @@
 import secrets
 from collections import Counter
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 from tamarackrill.decisions.manifests import RouteTable
 from tamarackrill.decisions.stream_versions import (
@@ -38,6 +39,20 @@
 TICKET_BITS = 48
 
 
+class _FoundVersion(NamedTuple):
+    """Version that a stream may go on at, None if it isn't known, and how it was found.
+
+    `versions` are those of the service that this router knows, `has_history` tells
+    whether no other can have begun a stream, and `replies` how many keepers replied.
+    """
+
+    software_version: str | None
+    source: str
+    versions: list[str]
+    has_history: bool
+    replies: int = 0
+
+
 class VersionKeepers:
     """Client and server of the versions of streams; see `decisions.stream_versions`.
 
@@ -124,38 +139,47 @@
         call : EdgeCall
             Request of a client that takes a stream up.
         """
-        version, source = await self._find(call)
-        self.counts[source] += 1
+        found = await self._find(call)
+        self.counts[found.source] += 1
         log_event(
             STREAM_TAKEN_UP,
             request=call.request_id,
             resumed=call.headers.resumed_id,
             service=call.service,
-            software_version=version or "",
-            source=source,
+            software_version=found.software_version or "",
+            source=found.source,
+            versions=found.versions,
+            has_history=found.has_history,
+            replies=found.replies,
         )
-        return version
+        return found.software_version
 
-    async def _find(self, call: EdgeCall) -> tuple[str | None, str]:
+    async def _find(self, call: EdgeCall) -> _FoundVersion:
         """Return the version of a stream, and who knows it."""
         stream = identify_stream(call.headers.resumed_id)
-        known = self.versions.find(stream)
-        if known is not None:
-            return known, "own"
         now_s = self._clock()
         versions = self.versions.list_versions(call.service, now_s)
-        is_current = self._is_current()
         has_history = self.versions.has_history(call.service, now_s)
+        found = _FoundVersion(None, "unknown", versions, has_history)
+        known = self.versions.find(stream)
+        if known is not None:
+            return found._replace(software_version=known, source="own")
+        is_current = self._is_current()
         if len(versions) == 1 and is_current and has_history:
-            return versions[0], "only"
+            return found._replace(software_version=versions[0], source="only")
         replies = await self._ask_keepers(stream, call.service)
+        found = found._replace(replies=len(replies))
         self.versions.learn(call.service, replies, self._clock())
         if any(reply.software_version for reply in replies):
-            return conclude(versions, replies), "keeper"
+            return found._replace(
+                software_version=conclude(versions, replies), source="keeper"
+            )
         # A router that hears of no change and reaches nobody can't tell that another
         # version serves.
-        found = conclude(versions, replies) if is_current or replies else None
-        return found, "unknown" if found is None else "only"
+        only = conclude(versions, replies) if is_current or replies else None
+        if only is None:
+            return found
+        return found._replace(software_version=only, source="only")
 
     async def _ask_keepers(self, stream: int, service: str) -> list[KeeperReply]:
         """Ask all possible keepers, and once more those that are silent.
