Write objects to the platform's store

Routers could only read that store: `PlatformClient.put` and `delete` knew the stand-in's form of a write. `StoreApi` now describes writes too, so that both methods serve both stores. Results carry the era, and `read` returns it with an object.

A write has a connection of its own.

A 404 means a missing object only with a JSON object as its body. A 410 for a delete, and malformed answers to writes, raise PlatformUnavailable (before: a KeyError or TypeError). `delete` needs a version; nothing called it without.

The simulated store takes POST, PUT and DELETE, loses or delays their answers, and counts them by kind.

--- a/src/tamarackrill/commands/writes.py
+++ b/src/tamarackrill/commands/writes.py
@@ -13,8 +13,8 @@
 from typing import Any, NamedTuple
 
 from tamarackrill.exceptions import PlatformUnavailable
-from tamarackrill.router.platform_client import PlatformClient, WriteResult
-from tamarackrill.store_api import PlatformObject
+from tamarackrill.router.platform_client import PlatformClient
+from tamarackrill.store_api import PlatformObject, WriteResult
 
 ATTEMPTS_MAX = 4
 # Delays between attempts; with the call timeouts they cover an outage of a few seconds,
--- a/src/tamarackrill/platform/store.py
+++ b/src/tamarackrill/platform/store.py
@@ -1,5 +1,6 @@
-"""API of the platform's object store: paths and fields of its responses."""
+"""API of the platform's object store: paths, and fields of requests and responses."""
 
+import json
 from typing import Any
 from urllib.parse import quote, urlencode
 
@@ -8,6 +9,7 @@
     ObjectPage,
     PlatformObject,
     StoreApi,
+    WriteRequest,
     make_object,
     read_each,
     read_revision,
@@ -31,6 +33,36 @@
     return f"/objects/{kind}?{query}"
 
 
+def _make_put(
+    kind: str, name: str, value: Any, expected_version: int | None
+) -> WriteRequest:
+    metadata: dict[str, Any] = {"name": name}
+    method, path = "POST", f"/objects/{kind}"
+    if expected_version is not None:
+        metadata["revision"] = expected_version
+        method, path = "PUT", _object_path(kind, name)
+    return WriteRequest(
+        method,
+        path,
+        {"Content-Type": "application/json"},
+        json.dumps({"metadata": metadata, "spec": value}),
+        lambda body: read_revision(body["metadata"]["revision"]),
+    )
+
+
+def _make_delete(kind: str, name: str, expected_version: int) -> WriteRequest:
+    query = urlencode({"revision": expected_version})
+    path = f"{_object_path(kind, name)}?{query}"
+
+    def read_version(body: Any) -> int:
+        # The API doesn't specify which revision the answer has, if any.
+        if not isinstance(body, dict):
+            raise TypeError("the answer is not a JSON object")
+        return expected_version + 1
+
+    return WriteRequest("DELETE", path, {}, None, read_version)
+
+
 def _read_object(kind: str, fields: dict[str, Any], is_removed: bool) -> PlatformObject:
     metadata = fields["metadata"]
     value = None if is_removed else fields.get("spec")
@@ -70,8 +102,11 @@
     list_path=_list_path,
     watch_path=_watch_path,
     object_path=_object_path,
+    make_put=_make_put,
+    make_delete=_make_delete,
     read_page=_read_page,
     read_events=_read_events,
     read_object=lambda kind, body: _read_object(kind, body, False),
+    read_conflict=lambda kind, body: _read_object(kind, body, False),
     era_header="Store-Era",
 )
--- a/src/tamarackrill/router/platform_client.py
+++ b/src/tamarackrill/router/platform_client.py
@@ -25,7 +25,10 @@
     Listing,
     ObjectPage,
     PlatformObject,
+    Reading,
     StoreApi,
+    WriteRequest,
+    WriteResult,
     make_object,
     read_each,
     read_revision,
@@ -58,21 +61,6 @@
     watch_wait_s: float = WATCH_WAIT_S
 
 
-class WriteResult(NamedTuple):
-    """Outcome of a conditional write that got an answer.
-
-    Parameters
-    ----------
-    version : int or None
-        Version written, or None if the condition failed.
-    current : PlatformObject or None
-        Existing object, if the condition failed.
-    """
-
-    version: int | None
-    current: PlatformObject | None
-
-
 class StoreCall(NamedTuple):
     """A completed call to a store.
 
@@ -173,6 +161,16 @@
     async def get(self, kind: str, name: str) -> PlatformObject | None:
         """Return one object, or None if there is none.
 
+        Raises
+        ------
+        PlatformUnavailable
+            If the platform did not answer.
+        """
+        return (await self.read(kind, name)).found
+
+    async def read(self, kind: str, name: str) -> Reading:
+        """Return one object, or None if there is none, and the era of the answer.
+
         Raises
         ------
         PlatformUnavailable
@@ -180,8 +178,9 @@
         """
         answer = await self._call("GET", self._form.object_path(kind, name))
         if answer.code == NOT_FOUND:
-            return None
-        return _parse(self._form.read_object, kind, answer.body)
+            _check_missing(answer.body)
+            return Reading(None, answer.era)
+        return Reading(_parse(self._form.read_object, kind, answer.body), answer.era)
 
     async def list(
         self, kind: str, on_first_byte: Callable[[], None] = lambda: None
@@ -290,33 +289,29 @@
         PlatformUnavailable
             If there was no answer; the write may have taken effect.
         """
-        text = json.dumps(value)
-        return await self._write("PUT", kind, name, expected_version, text)
+        request = self._form.make_put(kind, name, value, expected_version)
+        return await self._write(kind, request, is_new=expected_version is None)
 
-    async def delete(
-        self, kind: str, name: str, expected_version: int | None
-    ) -> WriteResult:
+    async def delete(self, kind: str, name: str, expected_version: int) -> WriteResult:
         """Delete an object if it still has the expected version."""
-        return await self._write("DELETE", kind, name, expected_version, None)
+        request = self._form.make_delete(kind, name, expected_version)
+        return await self._write(kind, request, is_new=False)
 
     async def _write(
-        self,
-        method: str,
-        kind: str,
-        name: str,
-        expected_version: int | None,
-        text: str | None,
+        self, kind: str, request: WriteRequest, is_new: bool
     ) -> WriteResult:
-        if expected_version is None:
-            condition = {"If-None-Match": "*"}
-        else:
-            condition = {"If-Match": str(expected_version)}
-        path = self._form.object_path(kind, name)
-        answer = await self._call(method, path, None, condition, text)
+        method, path, headers, text, read_version = request
+        answer = await self._call(method, path, None, headers, text)
         if answer.code in CONFLICTS:
-            current = answer.body["current"]
-            return WriteResult(None, PlatformObject(**current) if current else None)
-        return WriteResult(answer.body["version"], None)
+            current = _parse(self._form.read_conflict, kind, answer.body)
+            return WriteResult(None, current, answer.era)
+        if answer.code == NOT_FOUND and not is_new:
+            _check_missing(answer.body)
+            return WriteResult(None, None, answer.era)
+        if answer.code in (NOT_FOUND, GONE):
+            raise PlatformUnavailable(f"platform: status {answer.code} for a write")
+        version = _parse(lambda kind, body: read_version(body), kind, answer.body)
+        return WriteResult(version, None, answer.era)
 
     async def _call(
         self,
@@ -375,7 +370,7 @@
             request_timeout=first_byte_s + BODY_MAX_S,
             connect_timeout=self._timing.call_s,
             allow_nonstandard_methods=True,
-            prepare_curl_callback=make_curl_setup(max_bytes),
+            prepare_curl_callback=make_curl_setup(max_bytes, method != "GET"),
             header_callback=progress.handle_header_line,
         )
         try:
@@ -411,6 +406,12 @@
         ) from error
 
 
+def _check_missing(body: Any) -> None:
+    # A server that isn't a store has a 404 of its own, often without JSON.
+    if not isinstance(body, dict):
+        raise PlatformUnavailable("platform: the 404 is not one of an object API")
+
+
 def _check_field(body: Any, field: str) -> None:
     # The address may belong to another service, such as a router, whose JSON differs.
     if not isinstance(body, dict) or field not in body:
@@ -428,6 +429,31 @@
     return make_object(kind, fields["name"], fields["version"], fields["value"])
 
 
+def _parse_conflict(kind: str, body: Any) -> PlatformObject | None:
+    return _parse_object(kind, body["current"]) if body["current"] else None
+
+
+def _make_write(
+    method: str, kind: str, name: str, text: str | None, expected_version: int | None
+) -> WriteRequest:
+    condition = (
+        {"If-None-Match": "*"}
+        if expected_version is None
+        else {"If-Match": str(expected_version)}
+    )
+    return WriteRequest(
+        method,
+        _object_path(kind, name),
+        condition,
+        text,
+        lambda body: read_revision(body["version"]),
+    )
+
+
+def _object_path(kind: str, name: str) -> str:
+    return f"/objects/{kind}/{quote(name, safe='')}"
+
+
 def _parse_objects(
     kind: str, body: Any, field: str
 ) -> tuple[tuple[PlatformObject, ...], int]:
@@ -442,8 +468,15 @@
     watch_path=lambda kind, since, wait_s: (
         f"/watch/{kind}?since={since}&wait_s={wait_s}"
     ),
-    object_path=lambda kind, name: f"/objects/{kind}/{quote(name, safe='')}",
+    object_path=_object_path,
+    make_put=lambda kind, name, value, expected_version: _make_write(
+        "PUT", kind, name, json.dumps(value), expected_version
+    ),
+    make_delete=lambda kind, name, expected_version: _make_write(
+        "DELETE", kind, name, None, expected_version
+    ),
     read_page=lambda kind, body: ObjectPage(*_parse_objects(kind, body, "items")),
     read_events=lambda kind, body: Listing(*_parse_objects(kind, body, "events")),
     read_object=_parse_object,
+    read_conflict=_parse_conflict,
 )
--- a/src/tamarackrill/router/store_fetch.py
+++ b/src/tamarackrill/router/store_fetch.py
@@ -69,13 +69,16 @@
     return await fetching
 
 
-def make_curl_setup(max_bytes: int | None) -> Callable[[Any], None]:
+def make_curl_setup(max_bytes: int | None, is_write: bool) -> Callable[[Any], None]:
     """Return a callback that sets the options of a call's curl handle.
 
     Parameters
     ----------
     max_bytes : int or None
         Size above which an answer is not read; None for no limit.
+    is_write : bool
+        Whether the call writes.  It then has a connection of its own: libcurl sends a
+        call again by itself if a reused one closes without an answer.
     """
 
     def set_options(curl: Any) -> None:
@@ -84,6 +87,8 @@
         curl.setopt(pycurl.SOCKOPTFUNCTION, _set_socket_options)
         # Handles are reused and keep the previous call's limit; 0 means none.
         curl.setopt(pycurl.MAXFILESIZE_LARGE, max_bytes or 0)
+        curl.setopt(pycurl.FRESH_CONNECT, is_write)
+        curl.setopt(pycurl.FORBID_REUSE, is_write)
 
     return set_options
 
--- a/src/tamarackrill/store_api.py
+++ b/src/tamarackrill/store_api.py
@@ -36,6 +36,46 @@
     era: int = 0
 
 
+class Reading(NamedTuple):
+    """An object, or None if there is none, and the era of the answer."""
+
+    found: PlatformObject | None
+    era: int
+
+
+class WriteResult(NamedTuple):
+    """Outcome of a conditional write that got an answer.
+
+    Parameters
+    ----------
+    version : int or None
+        Version written, or None if the condition failed.  For a deletion, a version
+        above that of the deleted object.
+    current : PlatformObject or None
+        Existing object, if the condition failed.
+    era : int, default=0
+        Era of the answer; 0 if unknown.
+    """
+
+    version: int | None
+    current: PlatformObject | None
+    era: int = 0
+
+
+class WriteRequest(NamedTuple):
+    """HTTP request of a conditional write.
+
+    `read_version` returns the version from the body of an answer that confirms the
+    write; it raises KeyError, TypeError or ValueError for any other body.
+    """
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    text: str | None
+    read_version: Callable[[Any], int]
+
+
 class ObjectPage(NamedTuple):
     """One page of a list; `after` is the next page's start, empty on the last page."""
 
@@ -90,7 +130,7 @@
 
 
 class StoreApi(NamedTuple):
-    """Paths and response parsers of one store's HTTP API.
+    """Paths, writes and response parsers of one store's HTTP API.
 
     Parameters
     ----------
@@ -102,9 +142,17 @@
         ``watch_path(kind, since, wait_s)``.
     object_path : callable
         ``object_path(kind, name)``.
+    make_put : callable
+        ``make_put(kind, name, value, expected_version)``; a version of None means that
+        the object must not exist.
+    make_delete : callable
+        ``make_delete(kind, name, expected_version)``.
     read_page, read_events, read_object : callable
         ``read(kind, body)`` parses a response body; raises KeyError, TypeError or
         ValueError if it is not in the expected format.
+    read_conflict : callable
+        The same for the answer to a write whose condition failed; returns the existing
+        object, or None.
     era_header : str, default=""
         Header of all responses that has the era; empty if there is none.
     """
@@ -113,7 +161,10 @@
     list_path: Callable[[str, str], str]
     watch_path: Callable[[str, int, float], str]
     object_path: Callable[[str, str], str]
+    make_put: Callable[[str, str, Any, int | None], WriteRequest]
+    make_delete: Callable[[str, str, int], WriteRequest]
     read_page: Callable[[str, Any], ObjectPage]
     read_events: Callable[[str, Any], Listing]
     read_object: Callable[[str, Any], PlatformObject]
+    read_conflict: Callable[[str, Any], PlatformObject | None]
     era_header: str = ""
--- a/src/tamarackrill/testing/object_store.py
+++ b/src/tamarackrill/testing/object_store.py
@@ -3,13 +3,20 @@
 ====== ============================ ==========================================
 GET    /objects/<kind>              a page of the list; with ``watch`` and
                                     ``wait_ms``, a long poll for changes
+POST   /objects/<kind>              creates the object named in ``metadata``
 GET    /objects/<kind>/<name>       one object, or 404
+PUT    /objects/<kind>/<name>       replaces the ``spec``
+DELETE /objects/<kind>/<name>       removes the object
 ====== ============================ ==========================================
+
+A write is answered with the object.  One that creates an existing object, or carries a
+``revision`` that isn't the object's, is answered with 409 and the existing object.
 """
 
 import asyncio
 import enum
 import json
+from collections import Counter
 from typing import Any
 
 from tornado.web import Application, RequestHandler
@@ -47,6 +54,13 @@
         Revision in the events of removals.
     substitutes : dict of str to bytes
         Strings, and the bytes that lists and watches have in place of their JSON.
+    writes_lost : int
+        Number of next writes that take effect and whose connection is closed without
+        an answer.
+    write_delay_s : float
+        Delay of the answer to a write after it took effect.
+    write_calls : Counter
+        Write calls by kind, including refused ones.
     era : int
         Value of the header ``Store-Era``; 0 leaves it out.
     calls : list of str
@@ -61,6 +75,9 @@
         self.body_delay_s = 0.0
         self.removal_revision = RemovalRevision.BEFORE_REMOVAL
         self.substitutes: dict[str, bytes] = {}
+        self.writes_lost = 0
+        self.write_delay_s = 0.0
+        self.write_calls: Counter[str] = Counter()
         self.era = 1
         self.calls: list[str] = []
 
@@ -100,24 +117,79 @@
 
     def prepare(self) -> None:
         self.store.calls.append(self.request.uri or "")
+        if self.request.method != "GET":
+            self.store.write_calls[self.path_args[0]] += 1
         if self.store.era:
             self.set_header("Store-Era", str(self.store.era))
         if self.store.status != 200:
             self.set_status(self.store.status)
             self.finish({"error": "unavailable"})
 
+    def find(self, kind: str, name: str) -> StoredObject | None:
+        """Return an object, or None if there is none."""
+        found = self.store.state.read(kind, name)
+        return found if found is not None and found.value is not None else None
+
+    async def finish_write(self, written: StoredObject) -> None:
+        """Answer a write that took effect."""
+        await asyncio.sleep(self.store.write_delay_s)
+        if self.store.writes_lost:
+            self.store.writes_lost -= 1
+            self.detach().close()
+            return
+        self.finish(_write_object(written))
+
+    def finish_conflict(self, current: StoredObject) -> None:
+        """Answer a write whose condition failed."""
+        self.set_status(409)
+        self.finish(_write_object(current))
+
 
 class _ObjectHandler(_Handler):
     def get(self, kind: str, name: str) -> None:
-        found = self.store.state.read(kind, name)
-        if found is None or found.value is None:
-            self.set_status(404)
-            self.finish({})
+        found = self.find(kind, name)
+        if found is None:
+            self._finish_missing()
             return
         self.finish(_write_object(found))
 
+    async def put(self, kind: str, name: str) -> None:
+        body = json.loads(self.request.body)
+        await self._replace(kind, name, body["spec"], body["metadata"].get("revision"))
+
+    async def delete(self, kind: str, name: str) -> None:
+        revision = self.get_query_argument("revision", None)
+        await self._replace(kind, name, None, int(revision) if revision else None)
+
+    async def _replace(
+        self, kind: str, name: str, spec: Any, revision: int | None
+    ) -> None:
+        current = self.find(kind, name)
+        if current is None:
+            self._finish_missing()
+        elif revision not in (None, current.version):
+            self.finish_conflict(current)
+        elif spec == current.value:
+            await self.finish_write(current)
+        else:
+            await self.finish_write(await self.store.state.write(kind, name, spec))
+
+    def _finish_missing(self) -> None:
+        self.set_status(404)
+        self.finish({})
+
 
 class _KindHandler(_Handler):
+    async def post(self, kind: str) -> None:
+        body = json.loads(self.request.body)
+        name = body["metadata"]["name"]
+        current = self.find(kind, name)
+        if current is not None:
+            self.finish_conflict(current)
+            return
+        written = await self.store.state.write(kind, name, body["spec"])
+        await self.finish_write(written)
+
     async def get(self, kind: str) -> None:
         since = self.get_argument("watch", None)
         if since is not None:
