Tests of streams that are taken up after all routers have ended

Cause: after all routers that knew a stream's version have ended, a router that starts takes the only version it sees for that of each stream, so that clients join parts of two versions' answers; while both serve it refuses every stream.

No check of test_stream_versions.py changes.

--- a/src/tamarackrill/testing/edge.py
+++ b/src/tamarackrill/testing/edge.py
@@ -169,6 +169,25 @@
         router._peer_socket.stop()
         await router.stop()
 
+    async def start_routers(self, routers: Iterable[EdgeApplication]) -> None:
+        """Start routers at the same time and wait until they are ready."""
+        routers = list(routers)
+        await asyncio.gather(*(router.start() for router in routers))
+        await self.wait(lambda: all(router.is_ready() for router in routers))
+
+    async def restart_router(self, router: EdgeApplication) -> EdgeApplication:
+        """Kill a router, and start another process with its name and addresses."""
+        await self.kill_router(router)
+        again = self.remake_router(router)
+        await self.start_routers([again])
+        return again
+
+    def remake_router(self, router: EdgeApplication) -> EdgeApplication:
+        """Create a router like one that was killed, without starting it."""
+        again = EdgeApplication(router.settings, PEER_KEYS, router._metrics_port)
+        self.routers.append(again)
+        return again
+
     def make_router(
         self,
         name: str,
