Keep the versions of each service in the platform's store

What callers saw: streams joined from two software versions, answered 200 and whole, after all routers had been killed or replaced while a version left (ORDER).

Cause: a router that has just started took the only version that it saw for that of every stream if nobody whom it asked knew more, and nobody does after all of them have started again. conclude() answered so without anybody's history. Class: the absence of evidence after a restart is taken for evidence.

Change: the store has a record for each service with resumable streams, the versions that streams may have begun at. One router of three writes it when a version joins and when the last stream of a version that left must have ended; a router reads the records as it starts (decisions/version_records.py, router/version_store.py). A version is concluded only with somebody's history: a router that has run for longer than any stream, or that has read a record, complete in the store's present era. A router asks others also if it knows one version only, since its news may be late, and a lower timeout in a manifest doesn't shorten what is remembered of streams that began before.

Why it works: the record outlives all routers, and a version that it lacks can't have begun a stream. The case conclude(['v2'], []) == 'v2' of test_version_keepers.py demanded the fault; it is None now unless somebody has history, and five cases cover that. The state machine had left out moments at which nobody has history; it covers them now, with kills of all routers, restarts in turn, late news, outages and restores of the store.

--- a/src/tamarackrill/decisions/stream_versions.py
+++ b/src/tamarackrill/decisions/stream_versions.py
@@ -9,9 +9,11 @@
 While a service has several versions, the router that forwards a stream's first event
 tells the version to two keepers: routers of its own zone and of another one, which any
 router finds by hashing the client's attempt.  A router that a client comes back to asks
-them.  If nobody knows, the stream is refused, as a client can begin it again but can't
-tell the parts of two answers from each other.  While all endpoints have had one version
-for longer than any stream lasts, nothing is told and nothing is asked.
+them.  What routers remember ends with them, so the versions of each service are in the
+platform's store too; see `version_records`.  If nobody knows, the stream is refused, as
+a client can begin it again but can't tell the parts of two answers from each other.
+While all endpoints have had one version for longer than any stream lasts, nothing is
+told.
 """
 
 from collections.abc import Iterable, Mapping
@@ -131,11 +133,20 @@
     ----------
     started_s : float
         When this router began to know the endpoints.
+
+    Attributes
+    ----------
+    lifetime_s : float
+        For how long a client may come back to a stream after it began.
     """
 
     def __init__(self, started_s: float) -> None:
         self._started_s = started_s
-        self._lifetime_s = LIFETIME_DEFAULT_S
+        self.lifetime_s = LIFETIME_DEFAULT_S
+        # Until when streams that began under a longer lifetime may come back.
+        self._lifetime_until_s = started_s
+        # When the known endpoints were last older than allowed.
+        self._outdated_s = started_s
         # When each version of a service was last seen.
         self._seen_s: dict[str, dict[str, float]] = {}
         # Services whose streams are told to keepers.
@@ -146,7 +157,11 @@
         self._kept: dict[int, _KnownStream] = {}
 
     def observe_endpoints(
-        self, endpoints: Iterable[Endpoint], lifetime_s: float, now_s: float
+        self,
+        endpoints: Iterable[Endpoint],
+        lifetime_s: float,
+        now_s: float,
+        is_current: bool = True,
     ) -> list[StreamRecord]:
         """Update the versions of all services.
 
@@ -158,13 +173,17 @@
             How long a stream lasts at most, over all attempts of its client.
         now_s : float
             Current time.
+        is_current : bool, default=True
+            Whether the endpoints are as the platform has them now.
 
         Returns
         -------
         list of StreamRecord
             Streams of services that have a second version now, to be told to keepers.
         """
-        self._lifetime_s = lifetime_s + RETURN_SLACK_S
+        self._observe_lifetime(lifetime_s + RETURN_SLACK_S, now_s)
+        if not is_current:
+            self._outdated_s = now_s
         for endpoint in endpoints:
             for service in endpoint.serves:
                 seen_s = self._seen_s.setdefault(service, {})
@@ -180,18 +199,46 @@
             if known.service in began
         ]
 
+    def _observe_lifetime(self, lifetime_s: float, now_s: float) -> None:
+        if lifetime_s >= self.lifetime_s:
+            self._lifetime_until_s = now_s + lifetime_s
+        elif now_s < self._lifetime_until_s:
+            return
+        self.lifetime_s = lifetime_s
+
     def list_versions(self, service: str, now_s: float) -> list[str]:
         """Return the versions that streams may have begun at."""
-        oldest_s = now_s - self._lifetime_s
+        oldest_s = now_s - self.lifetime_s
         seen_s = self._seen_s.get(service, {})
         return [name for name, last_s in seen_s.items() if last_s >= oldest_s]
 
     def has_history(self, service: str, now_s: float) -> bool:
         """Return whether `list_versions` reaches back to the start of all streams."""
-        if now_s - self._started_s >= self._lifetime_s:
+        if now_s - self._started_s >= self.lifetime_s:
             return True
         return service in self._learned
 
+    def list_obsolete(
+        self, service: str, recorded: Iterable[str], now_s: float
+    ) -> list[str]:
+        """Return the recorded versions that no stream can go on at any more.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        recorded : iterable of str
+            Versions in the store's record, which `learn_record` has been told of.
+        now_s : float
+            Current time.
+        """
+        seen_s = self._seen_s.get(service, {})
+        return [
+            name
+            for name in recorded
+            if now_s - max(seen_s.get(name, now_s), self._outdated_s) > self.lifetime_s
+        ]
+
     def learn(
         self, service: str, replies: Iterable["KeeperReply"], now_s: float
     ) -> None:
@@ -202,6 +249,28 @@
                 seen_s = self._seen_s.setdefault(service, {})
                 seen_s |= dict.fromkeys(reply.versions, now_s)
 
+    def learn_record(
+        self, service: str, versions: Iterable[str], is_complete: bool, now_s: float
+    ) -> None:
+        """Take over the versions that the store has recorded.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        versions : iterable of str
+            Versions that streams may have begun at.
+        is_complete : bool
+            Whether no stream can have begun at a version that is missing.
+        now_s : float
+            Current time.
+        """
+        seen_s = self._seen_s.setdefault(service, {})
+        for version in versions:
+            seen_s.setdefault(version, now_s)
+        if is_complete:
+            self._learned.add(service)
+
     def begin(
         self, stream: int, service: str, software_version: str, now_s: float
     ) -> bool:
@@ -212,13 +281,13 @@
         bool
             Whether its keepers have to know.
         """
-        expires_s = now_s + self._lifetime_s
+        expires_s = now_s + self.lifetime_s
         self._own[stream] = _KnownStream(service, software_version, expires_s)
         return service in self._told
 
     def keep(self, record: StreamRecord, now_s: float) -> None:
         """Record what another router tells."""
-        expires_s = now_s + self._lifetime_s
+        expires_s = now_s + self.lifetime_s
         self._kept[record.stream] = _KnownStream("", record.software_version, expires_s)
 
     def end(self, stream: int) -> None:
@@ -230,38 +299,50 @@
         known = self._own.get(stream) or self._kept.get(stream)
         return None if known is None else known.software_version
 
-    def expire(self, now_s: float) -> None:
-        """Forget the streams that no client takes up any more."""
-        for streams in (self._own, self._kept):
-            for stream in [s for s, k in streams.items() if k.expires_s <= now_s]:
-                del streams[stream]
+    def expire(self, now_s: float) -> list[int]:
+        """Forget streams that no client takes up any more; return this router's own."""
+        expired = [s for s, known in self._own.items() if known.expires_s <= now_s]
+        for stream in expired:
+            del self._own[stream]
+        for stream in [s for s, k in self._kept.items() if k.expires_s <= now_s]:
+            del self._kept[stream]
+        return expired
 
     def count(self) -> Mapping[str, float]:
         """Return the numbers of streams known, for metrics."""
-        return {"own": len(self._own), "kept": len(self._kept)}
+        return {
+            "own": len(self._own),
+            "kept": len(self._kept),
+        }
 
 
-def conclude(known: Iterable[str], replies: Iterable["KeeperReply"]) -> str | None:
+def conclude(
+    known: Iterable[str], has_history: bool, replies: Iterable["KeeperReply"]
+) -> str | None:
     """Return the version of a stream from the replies of its keepers.
 
     Parameters
     ----------
     known : iterable of str
         Versions of the service that the asking router knows.
+    has_history : bool
+        Whether no stream can have begun at a version that it doesn't know.
     replies : iterable of KeeperReply
         Replies to its questions.
 
     Returns
     -------
     str or None
-        None if the stream may have begun at more than one version.
+        None if the stream may have begun at more than one version, or at one that
+        nobody knows.
     """
     versions = set(known)
     for reply in replies:
         if reply.software_version:
             return reply.software_version
         versions.update(reply.versions)
-    return versions.pop() if len(versions) == 1 else None
+        has_history = has_history or reply.has_history
+    return versions.pop() if has_history and len(versions) == 1 else None
 
 
 class KeeperReply(NamedTuple):
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -276,10 +276,11 @@
     ),
     "A client takes up a stream that an earlier attempt of it, `resumed`, began.  It "
     "may go on only at `software_version`, which this router knows itself (`own`), "
-    "from a `keeper`, or because no other serves (`only`); if it is `unknown`, the "
-    "request is refused.  `versions` are those of the service that the router knows "
-    "itself, `has_history` tells whether they reach back to the start of all streams, "
-    "and `replies` how many keepers replied.",
+    "from a `keeper`, or because no other version has served (`only`); if it is "
+    "`unknown`, the request is refused.  `versions` are those of the service that the "
+    "router knows itself, `has_history` tells whether "
+    "they reach back to the start of all streams, and `replies` how many keepers "
+    "replied.",
 )
 ATTEMPT_RELAYED = Event(
     2208,
@@ -378,6 +379,22 @@
     ("kind", "object", "version", "source"),
     "A newer version of an object is now in force at this router.",
 )
+VERSION_RECORD_WRITTEN = Event(
+    3026,
+    "version_record_written",
+    _INFO,
+    ("service", "versions", "era"),
+    "This router has written to the platform's store at which versions of a service "
+    "streams may have begun, complete as of an era of the store.",
+)
+VERSION_RECORD_INVALID = Event(
+    3028,
+    "version_record_invalid",
+    _WARNING,
+    ("kind", "object", "message"),
+    "An object in the platform's store with the versions of a service can't be read.",
+    "Find out who has written it, and delete it.",
+)
 PLATFORM_LOST = Event(
     3002,
     "platform_lost",
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -31,6 +31,8 @@
 from tamarackrill.decisions.news_shares import EVIDENCE_AGE_MAX_SHARE, WATCH_MAX_SHARE
 from tamarackrill.decisions.placement_news import PlacementNews
 from tamarackrill.decisions.retry_shares import FleetSize
+from tamarackrill.decisions.stream_versions import Router as VersionRouter
+from tamarackrill.decisions.stream_versions import StreamVersions
 from tamarackrill.decisions.watching import SETTLE_S, WatchPolicy
 from tamarackrill.events import (
     ROUTER_LATE,
@@ -97,6 +99,7 @@
 from tamarackrill.router.suspension import find_suspended_s
 from tamarackrill.router.upstream import close_client, make_client
 from tamarackrill.router.version_keepers import VersionKeepers
+from tamarackrill.router.version_store import VersionStore
 
 # Timeout of a store call: at most this long, and this share of `news_max_s`. The store
 # responds in 4 ms, and in 250 ms when it is slow.
@@ -265,6 +268,7 @@
         await self._start_gossip()
         add_gauges(self)
         self.fleet_news.start()
+        self.keepers.store.start()
         await self.configuration_sync.start()
         listener = listener or open_listener(settings.callers_address)
         with contextlib.suppress(TimeoutError):
@@ -321,7 +325,7 @@
 
     def _make_configurer(self) -> None:
         news_max_s = self.settings.news_max_s
-        platform = PlatformClient(
+        self._platform = PlatformClient(
             self.settings.store_address,
             self.settings.zone,
             self._store_client,
@@ -335,7 +339,7 @@
         )
         self.configuration_sync = ConfigurationSync(
             self.store,
-            platform,
+            self._platform,
             self._apply_objects,
             self._pull,
             self.clock,
@@ -348,7 +352,7 @@
         self.configuration_sync.on_platform_state = self._observe_store
         self.configuration_sync.on_restored = self._observe_restored
         self.server.is_outdated = self._is_outdated
-        platform.on_call = self._record_store_call
+        self._platform.on_call = self._record_store_call
 
     def _list_kinds(self) -> tuple[str, ...]:
         kinds = (MANIFEST_KIND, ENDPOINT_KIND)
@@ -464,6 +468,7 @@
         self.view.observe_restored(kind, self.clock())
         if kind == ENDPOINT_KIND:
             self.fleet_news.ask_again()
+            self.keepers.store.observe_restored()
 
     def _observe_store(self, is_lost: bool) -> None:
         self.view.observe_store(is_lost, self.clock())
@@ -547,6 +552,7 @@
             self._peer_keys,
             self.clock,
             self._knows_current_endpoints,
+            self._make_version_store,
         )
         self.flow.reserver.keepers = self.keepers
         self.guard = PromptGuard(
@@ -576,6 +582,17 @@
         self.guard.ask(seeds)
         await self.placement_gossip.start()
 
+    def _make_version_store(
+        self, versions: StreamVersions, own: VersionRouter
+    ) -> VersionStore:
+        return VersionStore(
+            self._platform,
+            versions,
+            own,
+            self._knows_current_endpoints,
+            self.clock,
+        )
+
     def _collect_entries(self) -> PiggybackedEntries:
         return PiggybackedEntries(tuple(self.placer.poison.digest(self.clock())))
 
@@ -677,6 +694,7 @@
         await self.placement_gossip.stop()
         await self.gossiper.stop()
         await self.configuration_sync.stop()
+        await self.keepers.store.stop()
         self._peer_socket.stop()
         await self.relays.stop()
         await self.flow.attempts.paths.stop()
--- a/src/tamarackrill/router/version_keepers.py
+++ b/src/tamarackrill/router/version_keepers.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from tamarackrill.decisions.manifests import RouteTable
+from tamarackrill.decisions.manifests import Route, RouteTable
 from tamarackrill.decisions.stream_versions import (
     LIFETIME_DEFAULT_S,
     KeeperReply,
@@ -31,6 +31,7 @@
 from tamarackrill.router.deployment_view import DeploymentView
 from tamarackrill.router.edge_calls import EdgeCall
 from tamarackrill.router.members import Members
+from tamarackrill.router.version_store import VersionStore
 
 # Two round trips between availability zones, and a late event loop on either side.
 REPLY_TIMEOUT_S = 0.04
@@ -70,11 +71,16 @@
         Returns the current time.
     is_current : callable
         Returns whether the known endpoints are as the platform has them now.
+    make_store : callable
+        Returns the client of what the store keeps, given the versions known here and
+        this router.
 
     Attributes
     ----------
     counts : Counter
         Records told and kept, and streams taken up by how their version was found.
+    store : VersionStore
+        Versions that the platform's store keeps.
     """
 
     def __init__(
@@ -85,6 +91,7 @@
         peer_keys: tuple[str, ...],
         clock: Callable[[], float],
         is_current: Callable[[], bool],
+        make_store: Callable[[StreamVersions, Router], VersionStore],
     ) -> None:
         self.counts: Counter[str] = Counter()
         self.versions = StreamVersions(clock())
@@ -98,6 +105,7 @@
         self._tickets = itertools.count(secrets.randbits(TICKET_BITS))
         self._pending: dict[int, asyncio.Future[KeeperReply]] = {}
         self._own = Router(members.own.name, members.own.zone)
+        self.store = make_store(self.versions, self._own)
         self._routers: tuple[Router, ...] = ()
         self._addresses: dict[str, str] = {}
         # A manifest may have thousands of routes, and seldom changes.
@@ -107,21 +115,38 @@
     def update(self) -> None:
         """Update routers and versions, and forget streams that have ended."""
         now_s = self._clock()
-        live = self._members.list_live()
-        self._routers = tuple(Router(member.name, member.zone) for member in live)
-        self._addresses = {member.name: member.peer_address for member in live}
+        self._update_routers()
         self.versions.expire(now_s)
+        if self._view.routes is None:
+            return
         if self._view.routes is not self._table:
             self._table = self._view.routes
-            self._lifetime_s = _find_lifetime_s(self._table)
+            resumable = _list_resumable(self._table)
+            self._lifetime_s = max(
+                (route.timeout_s for route in resumable), default=LIFETIME_DEFAULT_S
+            )
+            self.store.update_services(
+                tuple(sorted({share.service for r in resumable for share in r.shares}))
+            )
         endpoints = self._view.list_endpoints()
         for record in self.versions.observe_endpoints(
-            endpoints, self._lifetime_s, now_s
+            endpoints, self._lifetime_s, now_s, self._is_current()
         ):
             self._tell(record)
 
+    def _update_routers(self) -> None:
+        live = self._members.list_live()
+        routers = tuple(Router(member.name, member.zone) for member in live)
+        self._addresses = {member.name: member.peer_address for member in live}
+        if routers == self._routers:
+            return
+        self._routers = routers
+        self.store.update_routers(routers)
+
     def record_begin(self, call: EdgeCall, software_version: str) -> None:
         """Record the version of a stream before its first event is forwarded."""
+        if not call.route.is_resumable:
+            return
         stream = identify_stream(call.stream_id)
         now_s = self._clock()
         if self.versions.begin(stream, call.service, software_version, now_s):
@@ -157,29 +182,38 @@
     async def _find(self, call: EdgeCall) -> _FoundVersion:
         """Return the version of a stream, and who knows it."""
         stream = identify_stream(call.headers.resumed_id)
-        now_s = self._clock()
-        versions = self.versions.list_versions(call.service, now_s)
-        has_history = self.versions.has_history(call.service, now_s)
-        found = _FoundVersion(None, "unknown", versions, has_history)
         known = self.versions.find(stream)
         if known is not None:
-            return found._replace(software_version=known, source="own")
-        is_current = self._is_current()
-        if len(versions) == 1 and is_current and has_history:
-            return found._replace(software_version=versions[0], source="only")
+            return self._describe(call.service, known, "own")
+        await self.store.wait_records()
+        # Also if only one version is known here, as another router may know more.
         replies = await self._ask_keepers(stream, call.service)
-        found = found._replace(replies=len(replies))
-        self.versions.learn(call.service, replies, self._clock())
+        now_s = self._clock()
+        self.versions.learn(call.service, replies, now_s)
+        versions = self.versions.list_versions(call.service, now_s)
+        has_history = self.versions.has_history(call.service, now_s)
+        version = conclude(versions, has_history, replies)
         if any(reply.software_version for reply in replies):
-            return found._replace(
-                software_version=conclude(versions, replies), source="keeper"
-            )
+            source = "keeper"
         # A router that hears of no change and reaches nobody can't tell that another
         # version serves.
-        only = conclude(versions, replies) if is_current or replies else None
-        if only is None:
-            return found
-        return found._replace(software_version=only, source="only")
+        elif version is not None and (self._is_current() or replies):
+            source = "only"
+        else:
+            version, source = None, "unknown"
+        return self._describe(call.service, version, source, len(replies))
+
+    def _describe(
+        self, service: str, version: str | None, source: str, replies: int = 0
+    ) -> _FoundVersion:
+        now_s = self._clock()
+        return _FoundVersion(
+            version,
+            source,
+            self.versions.list_versions(service, now_s),
+            self.versions.has_history(service, now_s),
+            replies,
+        )
 
     async def _ask_keepers(self, stream: int, service: str) -> list[KeeperReply]:
         """Ask all possible keepers, and once more those that are silent.
@@ -187,7 +221,9 @@
         Routers that have just ended are silent.  The others are enough if one of them
         knows all versions that streams began at, and these are one.
         """
-        known = self.versions.list_versions(service, self._clock())
+        now_s = self._clock()
+        known = self.versions.list_versions(service, now_s)
+        knows_all = self.versions.has_history(service, now_s)
         asked = choose_asked(stream, self._routers, self._own)
         replies: dict[str, KeeperReply] = {}
         for _ in range(QUESTIONS_MAX):
@@ -195,8 +231,7 @@
             replies |= await self._ask(silent, stream, service)
             if any(reply.software_version for reply in replies.values()):
                 break
-            has_history = any(reply.has_history for reply in replies.values())
-            if has_history and conclude(known, replies.values()) is not None:
+            if conclude(known, knows_all, replies.values()) is not None:
                 break
         return list(replies.values())
 
@@ -272,10 +307,10 @@
         self._send(source, encode_owner_message(reply, self._peer_keys))
 
 
-def _find_lifetime_s(table: RouteTable | None) -> float:
-    """Return how long a stream lasts at most."""
-    routes = () if table is None else table.manifest.routes
-    return max(
-        (route.timeout_s for route in routes if route.kind == "streaming"),
-        default=LIFETIME_DEFAULT_S,
-    )
+def _list_resumable(table: RouteTable) -> list[Route]:
+    """Return the routes whose streams may be resumed."""
+    return [
+        route
+        for route in table.manifest.routes
+        if route.kind == "streaming" and route.is_resumable
+    ]
--- a/tests/test_version_keepers.py
+++ b/tests/test_version_keepers.py
@@ -23,6 +23,11 @@
     conclude,
     identify_stream,
 )
+from tamarackrill.decisions.version_records import (
+    VersionRecord,
+    find_recorder_rank,
+    update_record,
+)
 
 LIFETIME_S = 15.0
 SERVICE = "writer"
@@ -97,22 +102,132 @@
 
 
 @pytest.mark.parametrize(
-    "known, replies, expected",
+    "known, has_history, replies, expected",
     [
         (
             ["v1", "v2"],
+            False,
             [KeeperReply("", ("v1", "v2"), True), KeeperReply("v2", (), False)],
             "v2",
         ),
-        (["v1", "v2"], [KeeperReply("", ("v1",), True)], None),
-        (["v2"], [KeeperReply("", ("v1", "v2"), True)], None),
-        (["v2"], [KeeperReply("", ("v2",), True)], "v2"),
-        (["v2"], [], "v2"),
-        ([], [], None),
+        (["v1", "v2"], True, [KeeperReply("", ("v1",), True)], None),
+        (["v2"], True, [KeeperReply("", ("v1", "v2"), False)], None),
+        (["v2"], False, [KeeperReply("", ("v2",), True)], "v2"),
+        (["v2"], False, [KeeperReply("", ("v2",), False)], None),
+        (["v2"], True, [], "v2"),
+        (["v2"], False, [], None),
+        ([], True, [], None),
     ],
 )
-def test_version_is_concluded_only_if_no_other_is_possible(known, replies, expected):
-    assert conclude(known, replies) == expected
+def test_version_is_concluded_only_if_no_other_is_possible(
+    known, has_history, replies, expected
+):
+    # Guards against streams joined from two versions after all routers have restarted:
+    # the only version that they see need not be the one that began the stream.
+    assert conclude(known, has_history, replies) == expected
+
+
+def test_streams_begun_under_a_longer_timeout_are_remembered():
+    # Guards against versions forgotten too early, once a manifest shortens timeouts.
+    versions = StreamVersions(0.0)
+    versions.observe_endpoints([make_endpoint("v1")], 0.0, 0.0)
+    versions.observe_endpoints([make_endpoint("v1")], LIFETIME_S, 1.0)
+    versions.observe_endpoints([make_endpoint("v2")], 1.0, 2.0)
+    assert versions.list_versions(SERVICE, LIFETIME_S) == ["v1", "v2"]
+    late_s = 1.0 + LIFETIME_S + RETURN_SLACK_S
+    versions.observe_endpoints([make_endpoint("v2")], 1.0, late_s)
+    assert versions.list_versions(SERVICE, late_s) == ["v2"]
+
+
+@pytest.mark.parametrize("value", [None, [], {}, {"streams": 1}, {"streams": {"v": 3}}])
+def test_objects_of_others_are_invalid(value):
+    with pytest.raises(ValueError):
+        VersionRecord.parse(value)
+
+
+class StoreModel:
+    """Store with the record of one service."""
+
+    def __init__(self):
+        self.is_up = True
+        self.era = 1
+        self.record = None
+        self.copy = None
+
+
+class RouterModel:
+    """One process of a router, and what it has read from the store."""
+
+    def __init__(self, router, fleet):
+        self.own = router
+        self.fleet = fleet
+        self.state = StreamVersions(fleet.now_s)
+        self.era = None
+
+    def observe(self):
+        endpoints = [make_endpoint(version) for version in self.fleet.seen_by(self)]
+        is_current = self.own.name not in self.fleet.outdated
+        for record in self.state.observe_endpoints(
+            endpoints, LIFETIME_S, self.fleet.now_s, is_current
+        ):
+            self.tell(record)
+
+    def tell(self, record):
+        routers = self.fleet.list_up()
+        for name in choose_keepers(record.stream, routers, self.own):
+            self.fleet.processes[name].state.keep(record, self.fleet.now_s)
+
+    def read_record(self):
+        store = self.fleet.store
+        self.era = store.era
+        if store.record is not None:
+            self.state.learn_record(
+                SERVICE,
+                store.record.versions,
+                store.record.era == store.era,
+                self.fleet.now_s,
+            )
+
+    def use_store(self):
+        """Do what a router does with the store within a second."""
+        fleet, store = self.fleet, self.fleet.store
+        if self.era != store.era:
+            self.read_record()
+        names = [router.name for router in fleet.list_up()]
+        if find_recorder_rank(self.own.name, names) is not None:
+            is_current = self.own.name not in fleet.outdated
+            if store.record is not None:
+                self.read_record()
+            wanted = update_record(
+                store.record, SERVICE, self.state, store.era, is_current, fleet.now_s
+            )
+            store.record = wanted or store.record
+            self.read_record()
+
+    def find(self, stream):
+        fleet, state, now_s = self.fleet, self.state, self.fleet.now_s
+        known = state.find(stream)
+        if known is not None:
+            return known
+        if fleet.store.is_up and self.era is None:
+            self.read_record()
+        others = choose_asked(stream, fleet.list_up(), self.own)
+        replies = [
+            KeeperReply(
+                other.find(stream) or "",
+                tuple(other.list_versions(SERVICE, now_s)),
+                other.has_history(SERVICE, now_s),
+            )
+            for other in (fleet.processes[name].state for name in others)
+        ]
+        state.learn(SERVICE, replies, now_s)
+        versions = state.list_versions(SERVICE, now_s)
+        found = conclude(versions, state.has_history(SERVICE, now_s), replies)
+        is_told = any(reply.software_version for reply in replies)
+        is_current = self.own.name not in fleet.outdated
+        if found is not None and (is_told or is_current or replies):
+            return found
+        return None
 
 
 class StreamsOfAFleet(RuleBasedStateMachine):
@@ -122,86 +237,122 @@
     def start(self):
         self.now_s = 0.0
         self.serving = ["v1"]
+        self.served = {"v1": 0.0}
+        self.outdated = {}
+        self.store = StoreModel()
         self.routers = make_routers(8, 4)
-        # The routers have been there for longer than any stream.
-        since_s = -LIFETIME_S - RETURN_SLACK_S
-        self.states = {router.name: StreamVersions(since_s) for router in self.routers}
+        self.processes = {}
         self.begun = {}
+        self.start_routers([router.name for router in self.routers])
+        self.wait(1.0)
+
+    def list_up(self):
+        return tuple(r for r in self.routers if r.name in self.processes)
+
+    def seen_by(self, process):
+        return self.outdated.get(process.own.name, self.serving)
+
+    def start_routers(self, names):
+        for router in self.routers:
+            if router.name in names:
+                self.processes[router.name] = RouterModel(router, self)
         self.observe()
 
     def observe(self):
-        endpoints = [make_endpoint(version) for version in self.serving]
-        for name, state in self.states.items():
-            for record in state.observe_endpoints(endpoints, LIFETIME_S, self.now_s):
-                self.tell(name, record)
-
-    def tell(self, sender, record):
-        teller = next(router for router in self.routers if router.name == sender)
-        for name in choose_keepers(record.stream, self.routers, teller):
-            self.states[name].keep(record, self.now_s)
+        for process in self.processes.values():
+            process.observe()
 
     @rule(data=st.data())
     def begin(self, data):
-        name = data.draw(st.sampled_from(sorted(self.states)))
+        process = self.processes[data.draw(st.sampled_from(sorted(self.processes)))]
         version = data.draw(st.sampled_from(self.serving))
+        if version not in self.seen_by(process):
+            return
         stream = identify_stream(f"attempt-{len(self.begun)}")
         self.begun[stream] = (version, self.now_s)
-        if self.states[name].begin(stream, SERVICE, version, self.now_s):
-            self.tell(name, StreamRecord(stream, version))
+        if process.state.begin(stream, SERVICE, version, self.now_s):
+            process.tell(StreamRecord(stream, version))
 
-    @rule(versions=st.sampled_from([["v1"], ["v2"], ["v1", "v2"], ["v2", "v3"]]))
-    def change_versions(self, versions):
+    @rule(
+        versions=st.sampled_from([["v1"], ["v2"], ["v1", "v2"], ["v2", "v3"]]),
+        wait_s=st.sampled_from([0.0, 0.5]),
+    )
+    def change_versions(self, versions, wait_s):
+        if not self.store.is_up:
+            return
         self.serving = versions
         self.observe()
+        # A version joins for longer than it takes to record it.
+        self.wait(1.0 if set(versions) - set(self.served) else wait_s)
 
-    @rule(seconds=st.sampled_from([0.5, 5.0, 20.0]))
+    @rule(seconds=st.sampled_from([0.1, 0.5, 5.0, 20.0]))
     def wait(self, seconds):
-        self.now_s += seconds
-        self.observe()
-        for state in self.states.values():
-            state.expire(self.now_s)
+        for _ in range(max(1, round(seconds))):
+            self.now_s += min(1.0, seconds)
+            self.served |= dict.fromkeys(self.serving, self.now_s)
+            self.observe()
+            for process in list(self.processes.values()):
+                process.state.expire(self.now_s)
+                if self.store.is_up and seconds >= 0.5:
+                    process.use_store()
+
+    @rule(
+        data=st.data(), versions=st.sampled_from([None, ["v1"], ["v2"], ["v2", "v3"]])
+    )
+    def restart_routers(self, data, versions):
+        """Kill some routers, or all; endpoints may be replaced while these are down."""
+        names = data.draw(st.sets(st.sampled_from(sorted(self.processes)), min_size=1))
+        for name in names:
+            del self.processes[name]
+            self.outdated.pop(name, None)
+        if versions and not self.processes:
+            self.serving = versions
+        self.start_routers(names)
+
+    @rule()
+    def restart_in_turn(self):
+        for router in self.routers:
+            del self.processes[router.name]
+            self.outdated.pop(router.name, None)
+            self.start_routers([router.name])
+            self.wait(0.5)
 
-    @precondition(lambda self: len(self.states) > 2)
     @rule(data=st.data())
-    def restart_routers(self, data):
-        names = sorted(self.states)
-        most = len(names) - 1
-        for name in data.draw(st.sets(st.sampled_from(names), max_size=most)):
-            self.states[name] = StreamVersions(self.now_s)
+    def cut_off(self, data):
+        name = data.draw(st.sampled_from(sorted(self.processes)))
+        if self.outdated.pop(name, None) is None:
+            self.outdated[name] = list(self.serving)
         self.observe()
 
+    @rule()
+    def toggle_store(self):
+        self.store.is_up = not self.store.is_up
+
+    @rule()
+    def copy_store(self):
+        self.store.copy = self.store.record
+
+    @rule()
+    def restore_store(self):
+        self.store.record = self.store.copy
+        self.store.era += 1
+
     @precondition(lambda self: self.begun)
     @rule(data=st.data())
     def take_up(self, data):
         stream = data.draw(st.sampled_from(sorted(self.begun)))
         version, begun_s = self.begun[stream]
-        has_history = any(
-            state.has_history(SERVICE, self.now_s) for state in self.states.values()
-        )
-        if self.now_s - begun_s <= LIFETIME_S and has_history:
-            name = data.draw(st.sampled_from(sorted(self.states)))
-            assert self.find(name, stream) in (version, None)
-
-    def find(self, router, stream):
-        state = self.states[router]
-        own = state.find(stream)
-        if own is not None:
-            return own
-        known = state.list_versions(SERVICE, self.now_s)
-        if len(known) == 1 and state.has_history(SERVICE, self.now_s):
-            return known[0]
-        asker = next(r for r in self.routers if r.name == router)
-        asked = choose_asked(stream, self.routers, asker)
-        replies = [
-            KeeperReply(
-                self.states[name].find(stream) or "",
-                tuple(self.states[name].list_versions(SERVICE, self.now_s)),
-                self.states[name].has_history(SERVICE, self.now_s),
-            )
-            for name in asked
-        ]
-        state.learn(SERVICE, replies, self.now_s)
-        return conclude(known, replies)
+        if self.now_s - begun_s > LIFETIME_S:
+            return
+        process = self.processes[data.draw(st.sampled_from(sorted(self.processes)))]
+        found = process.find(stream)
+        assert found in (version, None)
+        oldest_s = self.now_s - 3 * (LIFETIME_S + RETURN_SLACK_S)
+        versions = {v for v, last_s in self.served.items() if last_s >= oldest_s}
+        versions.update(self.serving)
+        is_known = versions == {version}
+        if self.store.is_up and self.store.era == 1 and is_known:
+            assert found == version
 
 
 TestStreamsOfAFleet = StreamsOfAFleet.TestCase
