Archive the versions of streams in the platform's store while there are several

What callers saw: after all routers had been killed, or replaced one after the other, every stream that a client took up was refused (503 version_unknown) while two versions served, for as long as a stream lasts.

Cause: the versions of streams are kept by routers alone, and none of those that were told is left. Class: a fact that a later request depends on is kept only by processes that may all end.

Change: while a service has several versions, one of sixteen routers of a zone, the archiver, writes the streams that begin there to the store in batches, three times a second at most and twelve times in a fleet (decisions/stream_archive.py). A router that finds nobody who knows a stream reads them. With one version nothing is written or read. If a keeper or archiver ends, or a router knew too few others when its stream began, the keepers and the archiver are told anew.

--- a/src/tamarackrill/decisions/stream_versions.py
+++ b/src/tamarackrill/decisions/stream_versions.py
@@ -9,9 +9,10 @@
 While a service has several versions, the router that forwards a stream's first event
 tells the version to two keepers: routers of its own zone and of another one, which any
 router finds by hashing the client's attempt.  A router that a client comes back to asks
-them.  What routers remember ends with them, so the versions of each service are in the
-platform's store too; see `version_records`.  If nobody knows, the stream is refused, as
-a client can begin it again but can't tell the parts of two answers from each other.
+them.  What routers remember ends with them, so the versions of each service and, while
+there are several, those of the streams are in the platform's store too; see
+`version_records` and `stream_archive`.  If nobody knows, the stream is refused, as a
+client can begin it again but can't tell the parts of two answers from each other.
 While all endpoints have had one version for longer than any stream lasts, nothing is
 told.
 """
@@ -46,10 +47,13 @@
         Hash of the client's attempt that brought the first event.
     software_version : str
         The version.
+    must_archive : bool, default=False
+        Whether the router that is told writes the record to the store.
     """
 
     stream: int
     software_version: str
+    must_archive: bool = False
 
 
 class _KnownStream(NamedTuple):
@@ -155,6 +159,9 @@
         self._learned: set[str] = set()
         self._own: dict[int, _KnownStream] = {}
         self._kept: dict[int, _KnownStream] = {}
+        # Streams that the store has, until they are read again or must have ended.
+        self._archived: dict[int, str] = {}
+        self._archived_until_s = started_s
 
     def observe_endpoints(
         self,
@@ -271,6 +278,19 @@
         if is_complete:
             self._learned.add(service)
 
+    def list_own(self) -> list[StreamRecord]:
+        """Return the streams of this router that keepers have to know."""
+        return [
+            StreamRecord(stream, known.software_version)
+            for stream, known in self._own.items()
+            if known.service in self._told
+        ]
+
+    @property
+    def has_several(self) -> bool:
+        """Whether any service has several versions."""
+        return bool(self._told)
+
     def begin(
         self, stream: int, service: str, software_version: str, now_s: float
     ) -> bool:
@@ -290,6 +310,13 @@
         expires_s = now_s + self.lifetime_s
         self._kept[record.stream] = _KnownStream("", record.software_version, expires_s)
 
+    def take_archived(self, records: Iterable[StreamRecord], now_s: float) -> bool:
+        """Replace the streams read from the store; return whether any is new."""
+        before = self._archived
+        self._archived = {record.stream: record.software_version for record in records}
+        self._archived_until_s = now_s + self.lifetime_s
+        return not before.keys() >= self._archived.keys()
+
     def end(self, stream: int) -> None:
         """Forget a stream that its client has received completely."""
         self._own.pop(stream, None)
@@ -297,7 +324,9 @@
     def find(self, stream: int) -> str | None:
         """Return the version of a stream; None if it isn't known here."""
         known = self._own.get(stream) or self._kept.get(stream)
-        return None if known is None else known.software_version
+        if known is None:
+            return self._archived.get(stream)
+        return known.software_version
 
     def expire(self, now_s: float) -> list[int]:
         """Forget streams that no client takes up any more; return this router's own."""
@@ -306,6 +335,8 @@
             del self._own[stream]
         for stream in [s for s, k in self._kept.items() if k.expires_s <= now_s]:
             del self._kept[stream]
+        if self._archived_until_s <= now_s:
+            self._archived = {}
         return expired
 
     def count(self) -> Mapping[str, float]:
@@ -313,6 +344,7 @@
         return {
             "own": len(self._own),
             "kept": len(self._kept),
+            "archived": len(self._archived),
         }
 
 
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -276,9 +276,9 @@
     ),
     "A client takes up a stream that an earlier attempt of it, `resumed`, began.  It "
     "may go on only at `software_version`, which this router knows itself (`own`), "
-    "from a `keeper`, or because no other version has served (`only`); if it is "
-    "`unknown`, the request is refused.  `versions` are those of the service that the "
-    "router knows itself, `has_history` tells whether "
+    "from a `keeper`, from the `archive` in the store, or because no other version has "
+    "served (`only`); if it is `unknown`, the request is refused.  `versions` are "
+    "those of the service that the router knows itself, `has_history` tells whether "
     "they reach back to the start of all streams, and `replies` how many keepers "
     "replied.",
 )
@@ -387,12 +387,21 @@
     "This router has written to the platform's store at which versions of a service "
     "streams may have begun, complete as of an era of the store.",
 )
+STREAM_RECORDS_READ = Event(
+    3027,
+    "stream_records_read",
+    _INFO,
+    ("streams", "objects"),
+    "This router has read the versions of streams from the platform's store, as no "
+    "router knew that of a stream that a client takes up.",
+)
 VERSION_RECORD_INVALID = Event(
     3028,
     "version_record_invalid",
     _WARNING,
     ("kind", "object", "message"),
-    "An object in the platform's store with the versions of a service can't be read.",
+    "An object in the platform's store with versions of services or streams can't be "
+    "read.",
     "Find out who has written it, and delete it.",
 )
 PLATFORM_LOST = Event(
--- a/src/tamarackrill/protocol/owners.thrift
+++ b/src/tamarackrill/protocol/owners.thrift
@@ -47,6 +47,8 @@
 struct StreamRecord {
   1: i64 stream
   2: string software_version
+  // Whether the receiver writes the record to the platform's store.
+  3: optional bool must_archive
 }
 
 struct VersionQuestion {
--- a/src/tamarackrill/protocol/structs.py
+++ b/src/tamarackrill/protocol/structs.py
@@ -237,8 +237,13 @@
     thrift_spec = {
         1: (TType.I64, "stream", False),
         2: (TType.STRING, "software_version", False),
+        3: (TType.BOOL, "must_archive", False),
     }
-    default_spec = [("stream", None), ("software_version", None)]
+    default_spec = [
+        ("stream", None),
+        ("software_version", None),
+        ("must_archive", None),
+    ]
 
 
 class VersionQuestion(TPayload, metaclass=TPayloadMeta):
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -589,6 +589,7 @@
             self._platform,
             versions,
             own,
+            self._session,
             self._knows_current_endpoints,
             self.clock,
         )
--- a/src/tamarackrill/router/version_keepers.py
+++ b/src/tamarackrill/router/version_keepers.py
@@ -1,4 +1,4 @@
-"""Tells the versions of streams to their keepers, and asks these for them."""
+"""Tells the versions of streams to their keepers and the store, and asks for them."""
 
 import asyncio
 import itertools
@@ -8,7 +8,9 @@
 from typing import NamedTuple
 
 from tamarackrill.decisions.manifests import Route, RouteTable
+from tamarackrill.decisions.stream_archive import choose_archiver
 from tamarackrill.decisions.stream_versions import (
+    KEEPERS,
     LIFETIME_DEFAULT_S,
     KeeperReply,
     Router,
@@ -38,6 +40,8 @@
 # A datagram may be lost.
 QUESTIONS_MAX = 2
 TICKET_BITS = 48
+# A client that doesn't name the attempt that began its stream.
+NO_STREAM = identify_stream("")
 
 
 class _FoundVersion(NamedTuple):
@@ -80,7 +84,7 @@
     counts : Counter
         Records told and kept, and streams taken up by how their version was found.
     store : VersionStore
-        Versions that the platform's store keeps.
+        Versions and streams that the platform's store keeps.
     """
 
     def __init__(
@@ -107,6 +111,8 @@
         self._own = Router(members.own.name, members.own.zone)
         self.store = make_store(self.versions, self._own)
         self._routers: tuple[Router, ...] = ()
+        # Routers that know a stream of this one, by stream.
+        self._told: dict[int, tuple[str, ...]] = {}
         self._addresses: dict[str, str] = {}
         # A manifest may have thousands of routes, and seldom changes.
         self._table: RouteTable | None = None
@@ -116,7 +122,8 @@
         """Update routers and versions, and forget streams that have ended."""
         now_s = self._clock()
         self._update_routers()
-        self.versions.expire(now_s)
+        for stream in self.versions.expire(now_s):
+            self._told.pop(stream, None)
         if self._view.routes is None:
             return
         if self._view.routes is not self._table:
@@ -142,6 +149,12 @@
             return
         self._routers = routers
         self.store.update_routers(routers)
+        own = self.versions.list_own()
+        self._told = {r.stream: self._told.get(r.stream, ()) for r in own}
+        for record in own:
+            told = self._told[record.stream]
+            if len(told) < KEEPERS or not self._addresses.keys() >= set(told):
+                self._tell(record)
 
     def record_begin(self, call: EdgeCall, software_version: str) -> None:
         """Record the version of a stream before its first event is forwarded."""
@@ -154,7 +167,9 @@
 
     def record_end(self, call: EdgeCall) -> None:
         """Forget a stream that its client has received completely."""
-        self.versions.end(identify_stream(call.stream_id))
+        stream = identify_stream(call.stream_id)
+        self.versions.end(stream)
+        self._told.pop(stream, None)
 
     async def find_version(self, call: EdgeCall) -> str | None:
         """Return the version that a stream may go on at, None if that isn't known.
@@ -200,9 +215,17 @@
         elif version is not None and (self._is_current() or replies):
             source = "only"
         else:
-            version, source = None, "unknown"
+            version, source = await self._find_archived(stream)
         return self._describe(call.service, version, source, len(replies))
 
+    async def _find_archived(self, stream: int) -> tuple[str | None, str]:
+        """Return the version of a stream that no router knows, and its source."""
+        if stream == NO_STREAM:
+            return None, "unknown"
+        await self.store.read_streams()
+        version = self.versions.find(stream)
+        return version, "unknown" if version is None else "archive"
+
     def _describe(
         self, service: str, version: str | None, source: str, replies: int = 0
     ) -> _FoundVersion:
@@ -265,9 +288,19 @@
         }
 
     def _tell(self, record: StreamRecord) -> None:
-        for name in choose_keepers(record.stream, self._routers, self._own):
+        """Tell a record to all that have to know it and don't yet."""
+        archiver = choose_archiver(record.stream, self._routers, self._own)
+        keepers = choose_keepers(record.stream, self._routers, self._own)
+        before = self._told.get(record.stream, ())
+        self._told[record.stream] = tuple(dict.fromkeys((*keepers, archiver)))
+        for name in self._told[record.stream]:
+            if name in before and name != archiver:
+                continue
             self.counts["told"] += 1
-            self._send_message(name, record)
+            if name == self._own.name:
+                self.store.archive(record)
+            else:
+                self._send_message(name, record._replace(must_archive=name == archiver))
 
     def _send_message(self, router: str, message: OwnerMessage) -> None:
         address = self._addresses.get(router)
@@ -280,6 +313,8 @@
         if isinstance(message, StreamRecord):
             self.counts["kept"] += 1
             self.versions.keep(message, self._clock())
+            if message.must_archive:
+                self.store.archive(message)
         elif isinstance(message, VersionQuestion):
             self._reply(message, source)
         elif isinstance(message, VersionReply):
--- a/src/tamarackrill/router/version_store.py
+++ b/src/tamarackrill/router/version_store.py
@@ -1,11 +1,20 @@
-"""Keeps the versions of services in the platform's store."""
+"""Keeps the versions of services and of streams in the platform's store."""
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from typing import Any
 
+from tamarackrill.decisions.stream_archive import (
+    ArchiveBuffer,
+    Batch,
+    find_write_interval_s,
+    format_streams,
+    parse_streams,
+)
 from tamarackrill.decisions.stream_versions import (
     Router,
+    StreamRecord,
     StreamVersions,
 )
 from tamarackrill.decisions.version_records import (
@@ -16,6 +25,7 @@
     update_record,
 )
 from tamarackrill.events import (
+    STREAM_RECORDS_READ,
     VERSION_RECORD_INVALID,
     VERSION_RECORD_WRITTEN,
     log_event,
@@ -25,8 +35,9 @@
 from tamarackrill.router.platform_client import PlatformClient
 from tamarackrill.store_api import PlatformObject
 
-# Objects of a kind of the system's own.
+# Objects of the system's own kinds: a record for each service, and batches of streams.
 RECORD_KIND = "stream-versions"
+STREAMS_KIND = "stream-records"
 
 # Between two checks of the records, which are decisions without a call.
 CHECK_INTERVAL_S = 0.1
@@ -38,6 +49,15 @@
 SETTLE_S = 0.3
 # How long a request waits for records that are being read.
 READ_WAIT_S = 0.3
+# Between two reads of the streams: what no router knows and is not in the store may be
+# written in the meantime.  Doubled after each read that found nothing new.
+READ_INTERVAL_S = 1.0
+READ_INTERVAL_MAX_S = 8.0
+# Interval between two looks for objects of archivers that have ended, in lifetimes of
+# streams.
+CLEAN_UP_LIFETIMES = 2
+# A write whose answer was lost leaves an object of an unknown version.
+WRITES_MAX = 2
 
 
 class VersionStore:
@@ -51,6 +71,8 @@
         What this router knows; gets what is read.
     own : Router
         This router.
+    session : int
+        Start of this process, in ms since the epoch.
     is_current : callable
         Returns whether the known endpoints are as the platform has them now.
     clock : callable
@@ -63,6 +85,7 @@
         platform: PlatformClient,
         state: StreamVersions,
         own: Router,
+        session: int,
         is_current: Callable[[], bool],
         clock: Callable[[], float],
     ) -> None:
@@ -73,6 +96,7 @@
         self._platform = platform
         self._state = state
         self._own = own
+        self._session = session
         self._is_current = is_current
         self._clock = clock
         self._started_s = clock()
@@ -83,18 +107,32 @@
         self._era = 0
         # When this router is to write the record of a service.
         self._due_s: dict[str, float] = {}
+        self._buffer = ArchiveBuffer()
+        self._has_unwritten = asyncio.Event()
+        self._segment_versions: dict[int, int] = {}
+        self._reading: asyncio.Task[None] | None = None
+        self._next_read_s = 0.0
+        self._read_interval_s = READ_INTERVAL_S
+        # Objects with streams at the last clean-up.
+        self._left: dict[str, int] = {}
+        self._clean_up_s: float | None = None
 
     def start(self) -> None:
         """Start the tasks."""
-        self._tasks.append(
-            asyncio.create_task(run_restarting("version records", self._run_records))
-        )
+        for name, run in (
+            ("version records", self._run_records),
+            ("stream archive", self._run_archive),
+        ):
+            self._tasks.append(
+                asyncio.create_task(run_restarting(name, run), name=name)
+            )
 
     async def stop(self) -> None:
         """Cancel the tasks."""
-        for task in self._tasks:
+        tasks = [*self._tasks, *([self._reading] if self._reading else [])]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def update_services(self, services: tuple[str, ...]) -> None:
         """Set the services whose streams may be resumed."""
@@ -113,12 +151,53 @@
         """Read the records again, as the store has been restored from a copy."""
         self._are_read.clear()
 
+    def archive(self, record: StreamRecord) -> None:
+        """Write the record of a stream with the next batch."""
+        self._buffer.add(record)
+        if self._buffer.has_unwritten:
+            self._has_unwritten.set()
+
     async def wait_records(self) -> None:
         """Wait a moment for the records of the services' versions."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(READ_WAIT_S):
                 await self._are_read.wait()
 
+    async def read_streams(self) -> None:
+        """Read the streams that routers have archived, unless that was just done."""
+        if self._reading is None or self._reading.done():
+            if self._clock() < self._next_read_s:
+                return
+            self._reading = asyncio.create_task(self._read_streams())
+        # Others wait for the same task, so that it must not be cancelled here.
+        await asyncio.wait([self._reading], timeout=READ_WAIT_S)
+
+    async def _read_streams(self) -> None:
+        self._next_read_s = self._clock() + self._read_interval_s
+        try:
+            listing = await self._platform.list(STREAMS_KIND)
+        except PlatformUnavailable:
+            self._next_read_s = self._clock() + FIRST_RETRY_S
+            return
+        records = [
+            record for item in listing.items for record in self._parse_streams(item)
+        ]
+        is_new = self._state.take_archived(records, self._clock())
+        self._read_interval_s = (
+            READ_INTERVAL_S
+            if is_new
+            else min(READ_INTERVAL_MAX_S, 2 * self._read_interval_s)
+        )
+        self._next_read_s = self._clock() + self._read_interval_s
+        log_event(STREAM_RECORDS_READ, streams=len(records), objects=len(listing.items))
+
+    def _parse_streams(self, item: PlatformObject) -> list[StreamRecord]:
+        try:
+            return parse_streams(item.value)
+        except ValueError as error:
+            self._log_invalid(item, error)
+            return []
+
     def _log_invalid(self, item: PlatformObject, error: ValueError) -> None:
         log_event(
             VERSION_RECORD_INVALID, kind=item.kind, object=item.name, message=str(error)
@@ -163,6 +242,8 @@
             return
         for service in self._services:
             await self._update_record(service, self._rank)
+        if self._rank == 0:
+            await self._clean_up()
 
     async def _update_record(self, service: str, rank: int) -> None:
         if self._find_wanted(service) is None:
@@ -212,3 +293,55 @@
             versions=wanted.versions,
             era=wanted.era,
         )
+
+    async def _run_archive(self) -> None:
+        while True:
+            await self._has_unwritten.wait()
+            self._has_unwritten.clear()
+            while self._buffer.has_unwritten:
+                await asyncio.sleep(await self._write_batch())
+
+    async def _write_batch(self) -> float:
+        """Write the unwritten records; return how long to wait before the next."""
+        interval_s = find_write_interval_s(self._routers)
+        batch = self._buffer.take(self._clock())
+        try:
+            await self._write_segment(batch)
+        except PlatformUnavailable:
+            return max(interval_s, RETRY_S)
+        self._buffer.observe_written(batch, self._state.lifetime_s, self._clock())
+        return interval_s
+
+    async def _write_segment(self, batch: Batch) -> None:
+        name = f"{self._own.name}.{self._session}.{batch.segment}"
+        value: Any = format_streams(batch.records)
+        for _ in range(WRITES_MAX):
+            expected = self._segment_versions.pop(batch.segment, None)
+            result = await self._platform.put(STREAMS_KIND, name, value, expected)
+            if result.version is not None:
+                self._segment_versions[batch.segment] = result.version
+                return
+            if result.current is not None:
+                self._segment_versions[batch.segment] = result.current.version
+        raise PlatformUnavailable(f"{name} is written by another process")
+
+    async def _clean_up(self) -> None:
+        """Delete the objects of archivers that have ended."""
+        now_s = self._clock()
+        if self._clean_up_s is None:
+            if not self._state.has_several:
+                return
+            self._clean_up_s = now_s + CLEAN_UP_LIFETIMES * self._state.lifetime_s
+        if now_s < self._clean_up_s:
+            return
+        self._clean_up_s = None
+        listing = await self._platform.list(STREAMS_KIND)
+        await self._delete_unchanged(listing.items)
+        if listing.items:
+            self._clean_up_s = now_s + CLEAN_UP_LIFETIMES * self._state.lifetime_s
+
+    async def _delete_unchanged(self, items: Iterable[PlatformObject]) -> None:
+        before, self._left = self._left, {item.name: item.version for item in items}
+        for name, version in self._left.items():
+            if before.get(name) == version:
+                await self._platform.delete(STREAMS_KIND, name, version)
--- a/tests/test_version_keepers.py
+++ b/tests/test_version_keepers.py
@@ -1,5 +1,7 @@
 """Decisions about the versions of streams, without a network."""
 
+import json
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -11,6 +13,13 @@
 )
 
 from tamarackrill.contracts import Endpoint
+from tamarackrill.decisions.stream_archive import (
+    ArchiveBuffer,
+    choose_archiver,
+    find_write_interval_s,
+    format_streams,
+    parse_streams,
+)
 from tamarackrill.decisions.stream_versions import (
     KEEPERS,
     RETURN_SLACK_S,
@@ -139,20 +148,71 @@
     assert versions.list_versions(SERVICE, late_s) == ["v2"]
 
 
+@pytest.mark.parametrize("count, archivers", [(1, 1), (16, 1), (17, 2), (46, 3)])
+@given(stream=st.integers(0, (1 << 63) - 1))
+def test_archiver_is_one_of_a_few_routers_of_the_zone(count, archivers, stream):
+    routers = make_routers(count * 8, 8)
+    names = {choose_archiver(s, routers, routers[0]) for s in range(8)}
+    assert len(names) <= archivers
+    zones = {router.name: router.zone for router in routers}
+    assert zones[choose_archiver(stream, routers, routers[3])] == routers[3].zone
+
+
+@pytest.mark.parametrize("zones, interval_s", [(4, 1 / 3), (8, 2 / 3)])
+def test_writes_of_a_fleet_are_bounded(zones, interval_s):
+    routers = make_routers(8, zones)
+    assert find_write_interval_s(routers) == pytest.approx(interval_s)
+
+
+@given(
+    st.lists(
+        st.builds(
+            StreamRecord,
+            st.integers(0, (1 << 63) - 1),
+            st.sampled_from(["v1", "v2"]),
+            st.just(False),
+        ),
+        unique_by=lambda record: record.stream,
+    )
+)
+def test_records_of_streams_are_read_as_written(records):
+    value = json.loads(json.dumps(format_streams(records)))
+    assert sorted(parse_streams(value)) == sorted(records)
+
+
 @pytest.mark.parametrize("value", [None, [], {}, {"streams": 1}, {"streams": {"v": 3}}])
 def test_objects_of_others_are_invalid(value):
+    with pytest.raises(ValueError):
+        parse_streams(value)
     with pytest.raises(ValueError):
         VersionRecord.parse(value)
 
 
+def test_archive_keeps_what_clients_may_still_take_up():
+    # Guards against records that are overwritten while their streams may come back.
+    buffer, objects, written_s = ArchiveBuffer(), {}, {}
+    for step in range(200):
+        now_s = step * 0.5
+        buffer.add(StreamRecord(step, "v1"))
+        batch = buffer.take(now_s)
+        objects[batch.segment] = {record.stream for record in batch.records}
+        buffer.observe_written(batch, LIFETIME_S, now_s)
+        assert not buffer.has_unwritten
+        written_s[step] = now_s
+        kept = set().union(*objects.values())
+        assert {s for s in written_s if now_s - written_s[s] <= LIFETIME_S} <= kept
+    assert len(kept) < 2.5 * LIFETIME_S / 0.5
+
+
 class StoreModel:
-    """Store with the record of one service."""
+    """Store with the record of one service, and the streams of archivers."""
 
     def __init__(self):
         self.is_up = True
         self.era = 1
         self.record = None
-        self.copy = None
+        self.streams = {}
+        self.copy = (None, {})
 
 
 class RouterModel:
@@ -162,6 +222,8 @@
         self.own = router
         self.fleet = fleet
         self.state = StreamVersions(fleet.now_s)
+        self.buffer = ArchiveBuffer()
+        self.session = fleet.sessions = fleet.sessions + 1
         self.era = None
 
     def observe(self):
@@ -176,6 +238,8 @@
         routers = self.fleet.list_up()
         for name in choose_keepers(record.stream, routers, self.own):
             self.fleet.processes[name].state.keep(record, self.fleet.now_s)
+        archiver = choose_archiver(record.stream, routers, self.own)
+        self.fleet.processes[archiver].buffer.add(record)
 
     def read_record(self):
         store = self.fleet.store
@@ -203,6 +267,11 @@
             )
             store.record = wanted or store.record
             self.read_record()
+        if self.buffer.has_unwritten:
+            batch = self.buffer.take(fleet.now_s)
+            name = self.own.name, self.session, batch.segment
+            store.streams[name] = list(parse_streams(format_streams(batch.records)))
+            self.buffer.observe_written(batch, self.state.lifetime_s, fleet.now_s)
 
     def find(self, stream):
         fleet, state, now_s = self.fleet, self.state, self.fleet.now_s
@@ -227,7 +296,10 @@
         is_current = self.own.name not in fleet.outdated
         if found is not None and (is_told or is_current or replies):
             return found
-        return None
+        if fleet.store.is_up:
+            records = [r for batch in fleet.store.streams.values() for r in batch]
+            state.take_archived(records, now_s)
+        return state.find(stream)
 
 
 class StreamsOfAFleet(RuleBasedStateMachine):
@@ -236,6 +308,7 @@
     @initialize()
     def start(self):
         self.now_s = 0.0
+        self.sessions = 0
         self.serving = ["v1"]
         self.served = {"v1": 0.0}
         self.outdated = {}
@@ -330,11 +403,12 @@
 
     @rule()
     def copy_store(self):
-        self.store.copy = self.store.record
+        self.store.copy = self.store.record, dict(self.store.streams)
 
     @rule()
     def restore_store(self):
-        self.store.record = self.store.copy
+        self.store.record, self.store.streams = self.store.copy
+        self.store.copy = self.store.record, dict(self.store.streams)
         self.store.era += 1
 
     @precondition(lambda self: self.begun)
@@ -345,12 +419,14 @@
         if self.now_s - begun_s > LIFETIME_S:
             return
         process = self.processes[data.draw(st.sampled_from(sorted(self.processes)))]
+        batches = self.store.streams.values()
+        is_archived = any(r.stream == stream for batch in batches for r in batch)
         found = process.find(stream)
         assert found in (version, None)
         oldest_s = self.now_s - 3 * (LIFETIME_S + RETURN_SLACK_S)
         versions = {v for v, last_s in self.served.items() if last_s >= oldest_s}
         versions.update(self.serving)
-        is_known = versions == {version}
+        is_known = is_archived or versions == {version}
         if self.store.is_up and self.store.era == 1 and is_known:
             assert found == version
 
