Ask for slots of endpoints of the stream's version only

What callers saw: streams joined from two software versions, taken up by a client or resumed within one answer, at a plain service whose capacity is shared.

Cause: the endpoints of other versions were left out of the router's own choice, but not of what it told the allocator, which granted any of them. Class: a restriction that holds at one place where an endpoint is chosen, and not at the next.

Change: they are among the endpoints that an ask leaves out, and that a grant may not name.

Reservations of slots of brittle endpoints, permits for cold ones and relays keep the endpoint that was chosen; no other place chooses one.

--- a/src/tamarackrill/router/edge_reserving.py
+++ b/src/tamarackrill/router/edge_reserving.py
@@ -182,7 +182,7 @@
         call, capacity, permits = progress.call, self.capacity, self.permits
         if capacity is None or not capacity.must_ask(call, placed):
             return placed
-        avoid = [*progress.avoid, *progress.closed]
+        avoid = [*progress.avoid, *progress.closed, *self._find_others(progress)]
         if permits is not None:
             # A request that has a permit for a cold endpoint goes there.
             if placed is not None and permits.must_request(placed.endpoint):
@@ -205,10 +205,7 @@
             If no endpoint may get it now.
         """
         call, permits = progress.call, self.permits
-        others = self._placer.find_other_versions(
-            call.service, progress.software_version
-        )
-        others.update(self._find_closed(progress))
+        others = self._find_others(progress).union(self._find_closed(progress))
         refused: set[str] = set()
         permit_requests = relay_questions = 0
         while True:
@@ -237,6 +234,12 @@
                 refused |= permits.find_cold()
             refused.add(placed.endpoint.name)
 
+    def _find_others(self, progress: RequestProgress) -> set[str]:
+        """Return the endpoints of other versions than the one that began the stream."""
+        return self._placer.find_other_versions(
+            progress.call.service, progress.software_version
+        )
+
     async def _wait_relays(self) -> bool:
         relays = self.relays
         return relays is not None and await relays.wait_replies()
