Count a router's history from its last news of endpoints

What callers saw: streams joined from two versions by routers that were cut off from the store and from other zones while a version joined. And a version that had left was remembered for ever, so that streams were told, archived and refused as if it still served.

Cause: history was claimed for the time that a router had run, with news or without, and routers without news took each other's replies for knowledge. And routers took over each other's versions, as seen now, even with a history of their own. Class: a decision from one's own incomplete view.

Change: history reaches back to the last moment without news, and a router whose news are back reads the store's records again. While the store is away for all, no router hears of a new version: then routers of all zones together conclude from what they knew before (had_history); a zone that is cut off refuses. Routers learn from each other only while they have no history.

--- a/src/tamarackrill/decisions/stream_versions.py
+++ b/src/tamarackrill/decisions/stream_versions.py
@@ -155,8 +155,8 @@
         self._seen_s: dict[str, dict[str, float]] = {}
         # Services whose streams are told to keepers.
         self._told: set[str] = set()
-        # Services whose history before the start of this router is known from others.
-        self._learned: set[str] = set()
+        # When the versions of a service that this router may have missed were learned.
+        self._learned_s: dict[str, float] = {}
         self._own: dict[int, _KnownStream] = {}
         self._kept: dict[int, _KnownStream] = {}
         # Streams that the store has, until they are read again or must have ended.
@@ -220,10 +220,20 @@
         return [name for name, last_s in seen_s.items() if last_s >= oldest_s]
 
     def has_history(self, service: str, now_s: float) -> bool:
-        """Return whether `list_versions` reaches back to the start of all streams."""
-        if now_s - self._started_s >= self.lifetime_s:
+        """Return whether no stream can have begun at a version that isn't listed."""
+        if now_s - self._outdated_s >= self.lifetime_s:
             return True
-        return service in self._learned
+        return self._learned_s.get(service, self._outdated_s) > self._outdated_s
+
+    def describe(self, service: str, stream: int, now_s: float) -> "KeeperReply":
+        """Return what this router tells one that asks for the version of a stream."""
+        has_run = now_s - self._started_s >= self.lifetime_s
+        return KeeperReply(
+            self.find(stream) or "",
+            tuple(self.list_versions(service, now_s)),
+            self.has_history(service, now_s),
+            has_run or service in self._learned_s,
+        )
 
     def list_obsolete(
         self, service: str, recorded: Iterable[str], now_s: float
@@ -249,15 +259,22 @@
     def learn(
         self, service: str, replies: Iterable["KeeperReply"], now_s: float
     ) -> None:
-        """Take over the history of routers that have been there for longer."""
+        """Take over the history of other routers, if this one has none."""
+        if self.has_history(service, now_s):
+            # Routers that took over each other's versions would never forget any.
+            return
         for reply in replies:
             if reply.has_history:
-                self._learned.add(service)
-                seen_s = self._seen_s.setdefault(service, {})
-                seen_s |= dict.fromkeys(reply.versions, now_s)
+                self.learn_record(service, reply.versions, True, now_s, is_news=True)
 
     def learn_record(
-        self, service: str, versions: Iterable[str], is_complete: bool, now_s: float
+        self,
+        service: str,
+        versions: Iterable[str],
+        is_complete: bool,
+        now_s: float,
+        *,
+        is_news: bool = False,
     ) -> None:
         """Take over the versions that the store has recorded.
 
@@ -271,12 +288,15 @@
             Whether no stream can have begun at a version that is missing.
         now_s : float
             Current time.
+        is_news : bool, default=False
+            Whether streams may have begun at these versions without this router's
+            knowledge, as it has just started or its endpoints were outdated.
         """
         seen_s = self._seen_s.setdefault(service, {})
-        for version in versions:
-            seen_s.setdefault(version, now_s)
+        current = self.list_versions(service, now_s) if is_news else seen_s
+        seen_s |= {name: now_s for name in versions if name not in current}
         if is_complete:
-            self._learned.add(service)
+            self._learned_s[service] = now_s
 
     def list_own(self) -> list[StreamRecord]:
         """Return the streams of this router that keepers have to know."""
@@ -348,19 +368,40 @@
         }
 
 
+class KeeperReply(NamedTuple):
+    """What a router knows of a stream.
+
+    Parameters
+    ----------
+    software_version : str
+        The stream's version; empty if it isn't known.
+    versions : tuple of str
+        Versions of the service that streams may have begun at.
+    has_history : bool
+        Whether no stream can have begun at a version that is missing.
+    had_history : bool, default=False
+        Whether that held until the router's news of endpoints became outdated.
+    """
+
+    software_version: str
+    versions: tuple[str, ...]
+    has_history: bool
+    had_history: bool = False
+
+
 def conclude(
-    known: Iterable[str], has_history: bool, replies: Iterable["KeeperReply"]
+    own: KeeperReply, replies: Iterable[KeeperReply], has_all_zones: bool
 ) -> str | None:
-    """Return the version of a stream from the replies of its keepers.
+    """Return the version of a stream from what routers know.
 
     Parameters
     ----------
-    known : iterable of str
-        Versions of the service that the asking router knows.
-    has_history : bool
-        Whether no stream can have begun at a version that it doesn't know.
+    own : KeeperReply
+        What the asking router knows.
     replies : iterable of KeeperReply
         Replies to its questions.
+    has_all_zones : bool
+        Whether routers of all availability zones are among these.
 
     Returns
     -------
@@ -368,28 +409,13 @@
         None if the stream may have begun at more than one version, or at one that
         nobody knows.
     """
-    versions = set(known)
-    for reply in replies:
+    known = (own, *replies)
+    for reply in known:
         if reply.software_version:
             return reply.software_version
-        versions.update(reply.versions)
-        has_history = has_history or reply.has_history
-    return versions.pop() if has_history and len(versions) == 1 else None
-
-
-class KeeperReply(NamedTuple):
-    """What a keeper knows of a stream.
-
-    Parameters
-    ----------
-    software_version : str
-        The stream's version; empty if it isn't known.
-    versions : tuple of str
-        Versions of the service that streams may have begun at.
-    has_history : bool
-        Whether no stream can have begun at a version that is missing.
-    """
-
-    software_version: str
-    versions: tuple[str, ...]
-    has_history: bool
+    versions = {version for reply in known for version in reply.versions}
+    # While the store is away for all zones, no router hears of a new version.
+    is_complete = any(
+        reply.has_history or (has_all_zones and reply.had_history) for reply in known
+    )
+    return versions.pop() if is_complete and len(versions) == 1 else None
--- a/src/tamarackrill/protocol/owner_codec.py
+++ b/src/tamarackrill/protocol/owner_codec.py
@@ -110,6 +110,7 @@
     software_version: str
     versions: list[str]
     has_history: bool
+    had_history: bool = False
 
 
 OwnerMessage = (
--- a/src/tamarackrill/protocol/owners.thrift
+++ b/src/tamarackrill/protocol/owners.thrift
@@ -62,6 +62,8 @@
   2: string software_version
   3: list<string> versions
   4: bool has_history
+  // Whether it had, until its news of endpoints became outdated.
+  5: optional bool had_history
 }
 
 union OwnerMessage {
--- a/src/tamarackrill/protocol/structs.py
+++ b/src/tamarackrill/protocol/structs.py
@@ -265,12 +265,14 @@
         2: (TType.STRING, "software_version", False),
         3: (TType.LIST, "versions", TType.STRING, False),
         4: (TType.BOOL, "has_history", False),
+        5: (TType.BOOL, "had_history", False),
     }
     default_spec = [
         ("ticket", None),
         ("software_version", None),
         ("versions", None),
         ("has_history", None),
+        ("had_history", None),
     ]
 
 
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -468,7 +468,7 @@
         self.view.observe_restored(kind, self.clock())
         if kind == ENDPOINT_KIND:
             self.fleet_news.ask_again()
-            self.keepers.store.observe_restored()
+            self.keepers.store.read_again()
 
     def _observe_store(self, is_lost: bool) -> None:
         self.view.observe_store(is_lost, self.clock())
@@ -552,6 +552,7 @@
             self._peer_keys,
             self.clock,
             self._knows_current_endpoints,
+            self.settings.zones,
             self._make_version_store,
         )
         self.flow.reserver.keepers = self.keepers
--- a/src/tamarackrill/router/version_keepers.py
+++ b/src/tamarackrill/router/version_keepers.py
@@ -4,7 +4,7 @@
 import itertools
 import secrets
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import NamedTuple
 
 from tamarackrill.decisions.manifests import Route, RouteTable
@@ -75,6 +75,8 @@
         Returns the current time.
     is_current : callable
         Returns whether the known endpoints are as the platform has them now.
+    zones : collection of str
+        Availability zones of the deployment; empty if unknown.
     make_store : callable
         Returns the client of what the store keeps, given the versions known here and
         this router.
@@ -95,6 +97,7 @@
         peer_keys: tuple[str, ...],
         clock: Callable[[], float],
         is_current: Callable[[], bool],
+        zones: Collection[str],
         make_store: Callable[[StreamVersions, Router], VersionStore],
     ) -> None:
         self.counts: Counter[str] = Counter()
@@ -105,6 +108,7 @@
         self._peer_keys = peer_keys
         self._clock = clock
         self._is_current = is_current
+        self._zones = frozenset(zones)
         # Random, so that no reply to an earlier process on this address is accepted.
         self._tickets = itertools.count(secrets.randbits(TICKET_BITS))
         self._pending: dict[int, asyncio.Future[KeeperReply]] = {}
@@ -117,6 +121,8 @@
         # A manifest may have thousands of routes, and seldom changes.
         self._table: RouteTable | None = None
         self._lifetime_s = LIFETIME_DEFAULT_S
+        # None until the endpoints have been known.
+        self._was_current: bool | None = None
 
     def update(self) -> None:
         """Update routers and versions, and forget streams that have ended."""
@@ -136,11 +142,23 @@
                 tuple(sorted({share.service for r in resumable for share in r.shares}))
             )
         endpoints = self._view.list_endpoints()
+        is_current = self._observe_current()
         for record in self.versions.observe_endpoints(
-            endpoints, self._lifetime_s, now_s, self._is_current()
+            endpoints, self._lifetime_s, now_s, is_current
         ):
             self._tell(record)
 
+    def _observe_current(self) -> bool:
+        """Return whether the known endpoints aren't outdated."""
+        is_current = self._is_current()
+        if self._was_current is None and not is_current:
+            # This router has just started; what it must know is read anyway.
+            return True
+        if is_current and self._was_current is False:
+            self.store.read_again()
+        self._was_current = is_current
+        return is_current
+
     def _update_routers(self) -> None:
         live = self._members.list_live()
         routers = tuple(Router(member.name, member.zone) for member in live)
@@ -204,20 +222,27 @@
         # Also if only one version is known here, as another router may know more.
         replies = await self._ask_keepers(stream, call.service)
         now_s = self._clock()
-        self.versions.learn(call.service, replies, now_s)
-        versions = self.versions.list_versions(call.service, now_s)
-        has_history = self.versions.has_history(call.service, now_s)
-        version = conclude(versions, has_history, replies)
-        if any(reply.software_version for reply in replies):
+        self.versions.learn(call.service, replies.values(), now_s)
+        version = self._conclude(stream, call.service, replies)
+        if any(reply.software_version for reply in replies.values()):
             source = "keeper"
-        # A router that hears of no change and reaches nobody can't tell that another
-        # version serves.
-        elif version is not None and (self._is_current() or replies):
+        elif version is not None:
             source = "only"
         else:
             version, source = await self._find_archived(stream)
         return self._describe(call.service, version, source, len(replies))
 
+    def _conclude(
+        self, stream: int, service: str, replies: Mapping[str, KeeperReply]
+    ) -> str | None:
+        zones = {router.zone for router in self._routers if router.name in replies}
+        expected = self._zones or {router.zone for router in self._routers}
+        return conclude(
+            self.versions.describe(service, stream, self._clock()),
+            replies.values(),
+            zones | {self._own.zone} >= {*expected},
+        )
+
     async def _find_archived(self, stream: int) -> tuple[str | None, str]:
         """Return the version of a stream that no router knows, and its source."""
         if stream == NO_STREAM:
@@ -238,25 +263,20 @@
             replies,
         )
 
-    async def _ask_keepers(self, stream: int, service: str) -> list[KeeperReply]:
+    async def _ask_keepers(self, stream: int, service: str) -> dict[str, KeeperReply]:
         """Ask all possible keepers, and once more those that are silent.
 
         Routers that have just ended are silent.  The others are enough if one of them
         knows all versions that streams began at, and these are one.
         """
-        now_s = self._clock()
-        known = self.versions.list_versions(service, now_s)
-        knows_all = self.versions.has_history(service, now_s)
         asked = choose_asked(stream, self._routers, self._own)
         replies: dict[str, KeeperReply] = {}
         for _ in range(QUESTIONS_MAX):
             silent = [name for name in asked if name not in replies]
             replies |= await self._ask(silent, stream, service)
-            if any(reply.software_version for reply in replies.values()):
+            if self._conclude(stream, service, replies) is not None:
                 break
-            if conclude(known, knows_all, replies.values()) is not None:
-                break
-        return list(replies.values())
+        return replies
 
     async def _ask(
         self, asked: Iterable[str], stream: int, service: str
@@ -325,6 +345,7 @@
                         message.software_version,
                         tuple(message.versions),
                         message.has_history,
+                        message.had_history,
                     )
                 )
         else:
@@ -332,12 +353,15 @@
         return True
 
     def _reply(self, question: VersionQuestion, source: str) -> None:
-        service, now_s = question.service_name, self._clock()
+        found = self.versions.describe(
+            question.service_name, question.stream, self._clock()
+        )
         reply = VersionReply(
             question.ticket,
-            self.versions.find(question.stream) or "",
-            self.versions.list_versions(service, now_s),
-            self.versions.has_history(service, now_s),
+            found.software_version,
+            list(found.versions),
+            found.has_history,
+            found.had_history,
         )
         self._send(source, encode_owner_message(reply, self._peer_keys))
 
--- a/src/tamarackrill/router/version_store.py
+++ b/src/tamarackrill/router/version_store.py
@@ -147,8 +147,8 @@
         self._rank = find_recorder_rank(self._own.name, names)
         self._due_s.clear()
 
-    def observe_restored(self) -> None:
-        """Read the records again, as the store has been restored from a copy."""
+    def read_again(self) -> None:
+        """Read the records again, as versions may have come and gone unnoticed."""
         self._are_read.clear()
 
     def archive(self, record: StreamRecord) -> None:
@@ -222,10 +222,10 @@
         self._era = listing.era
         self._records.clear()
         for item in listing.items:
-            self._take_record(item)
+            self._take_record(item, is_news=True)
         self._are_read.set()
 
-    def _take_record(self, item: PlatformObject) -> None:
+    def _take_record(self, item: PlatformObject, is_news: bool = False) -> None:
         """Take over a record that was read."""
         try:
             record = VersionRecord.parse(item.value)
@@ -234,7 +234,11 @@
             record = VersionRecord((), UNKNOWN_ERA)
         self._records[item.name] = item.version, record
         self._state.learn_record(
-            item.name, record.versions, record.era == self._era, self._clock()
+            item.name,
+            record.versions,
+            record.era == self._era,
+            self._clock(),
+            is_news=is_news,
         )
 
     async def _update_records(self) -> None:
--- a/tests/test_version_keepers.py
+++ b/tests/test_version_keepers.py
@@ -39,6 +39,8 @@
 )
 
 LIFETIME_S = 15.0
+LATE_MAX_S = 1.5
+NEWS_MAX_S = 2.0
 SERVICE = "writer"
 
 
@@ -110,30 +112,61 @@
     assert versions.list_versions(SERVICE, left_s + 0.1) == ["v2"]
 
 
+UNKNOWING = KeeperReply("", ("v2",), False)
+KNOWING = KeeperReply("", ("v2",), True)
+# A router whose news are outdated.
+CUT = KeeperReply("", ("v2",), False, True)
+BOTH = KeeperReply("", ("v1", "v2"), False)
+
+
 @pytest.mark.parametrize(
-    "known, has_history, replies, expected",
+    "own, replies, has_all_zones, expected",
     [
-        (
-            ["v1", "v2"],
-            False,
-            [KeeperReply("", ("v1", "v2"), True), KeeperReply("v2", (), False)],
-            "v2",
-        ),
-        (["v1", "v2"], True, [KeeperReply("", ("v1",), True)], None),
-        (["v2"], True, [KeeperReply("", ("v1", "v2"), False)], None),
-        (["v2"], False, [KeeperReply("", ("v2",), True)], "v2"),
-        (["v2"], False, [KeeperReply("", ("v2",), False)], None),
-        (["v2"], True, [], "v2"),
-        (["v2"], False, [], None),
-        ([], True, [], None),
+        (BOTH, [KNOWING, KeeperReply("v2", (), False)], False, "v2"),
+        (BOTH, [KNOWING], True, None),
+        (KNOWING, [BOTH], True, None),
+        (KNOWING, [], False, "v2"),
+        (UNKNOWING, [KNOWING], False, "v2"),
+        (UNKNOWING, [UNKNOWING], True, None),
+        (UNKNOWING, [], True, None),
+        (CUT, [CUT], False, None),
+        (CUT, [CUT], True, "v2"),
+        (UNKNOWING, [CUT], True, "v2"),
+        (CUT, [KNOWING], False, "v2"),
+        (KeeperReply("", (), True), [], True, None),
     ],
 )
 def test_version_is_concluded_only_if_no_other_is_possible(
-    known, has_history, replies, expected
+    own, replies, has_all_zones, expected
 ):
     # Guards against streams joined from two versions after all routers have restarted:
     # the only version that they see need not be the one that began the stream.
-    assert conclude(known, has_history, replies) == expected
+    assert conclude(own, replies, has_all_zones) == expected
+
+
+def test_version_that_left_is_forgotten_though_routers_learn_from_each_other():
+    # Guards against routers that tell each other of a version for ever after it left.
+    routers = [StreamVersions(0.0) for _ in range(4)]
+    for now_s in range(120):
+        serving = ["v2"] if now_s >= 20 else ["v1", "v2"]
+        for router in routers:
+            router.observe_endpoints(map(make_endpoint, serving), LIFETIME_S, now_s)
+        asker = routers[now_s % 4]
+        replies = [r.describe(SERVICE, 0, now_s) for r in routers if r is not asker]
+        asker.learn(SERVICE, replies, now_s)
+    assert {*map(tuple, (r.list_versions(SERVICE, 120) for r in routers))} == {("v2",)}
+
+
+def test_router_without_news_has_no_history():
+    # Guards against a router that doesn't know of versions which came and went while it
+    # had no news, and whose knowledge others rely on.
+    versions = StreamVersions(0.0)
+    versions.observe_endpoints([make_endpoint("v1")], LIFETIME_S, 0.0)
+    versions.observe_endpoints([make_endpoint("v1")], LIFETIME_S, 60.0, False)
+    versions.observe_endpoints([make_endpoint("v1")], LIFETIME_S, 61.0)
+    assert versions.describe(SERVICE, 0, 61.0)[2:] == (False, True)
+    versions.learn_record(SERVICE, ["v1", "v2"], True, 62.0, is_news=True)
+    assert versions.describe(SERVICE, 0, 62.0)[1:] == (("v1", "v2"), True, True)
 
 
 def test_streams_begun_under_a_longer_timeout_are_remembered():
@@ -225,10 +258,14 @@
         self.buffer = ArchiveBuffer()
         self.session = fleet.sessions = fleet.sessions + 1
         self.era = None
+        self.was_current = True
 
     def observe(self):
         endpoints = [make_endpoint(version) for version in self.fleet.seen_by(self)]
-        is_current = self.own.name not in self.fleet.outdated
+        is_current = self.fleet.is_current(self)
+        if is_current and not self.was_current:
+            self.era = None
+        self.was_current = is_current
         for record in self.state.observe_endpoints(
             endpoints, LIFETIME_S, self.fleet.now_s, is_current
         ):
@@ -241,7 +278,7 @@
         archiver = choose_archiver(record.stream, routers, self.own)
         self.fleet.processes[archiver].buffer.add(record)
 
-    def read_record(self):
+    def read_record(self, is_news=False):
         store = self.fleet.store
         self.era = store.era
         if store.record is not None:
@@ -250,16 +287,17 @@
                 store.record.versions,
                 store.record.era == store.era,
                 self.fleet.now_s,
+                is_news=is_news,
             )
 
     def use_store(self):
         """Do what a router does with the store within a second."""
         fleet, store = self.fleet, self.fleet.store
         if self.era != store.era:
-            self.read_record()
+            self.read_record(is_news=True)
         names = [router.name for router in fleet.list_up()]
         if find_recorder_rank(self.own.name, names) is not None:
-            is_current = self.own.name not in fleet.outdated
+            is_current = fleet.is_current(self)
             if store.record is not None:
                 self.read_record()
             wanted = update_record(
@@ -279,22 +317,20 @@
         if known is not None:
             return known
         if fleet.store.is_up and self.era is None:
-            self.read_record()
+            self.read_record(is_news=True)
         others = choose_asked(stream, fleet.list_up(), self.own)
         replies = [
-            KeeperReply(
-                other.find(stream) or "",
-                tuple(other.list_versions(SERVICE, now_s)),
-                other.has_history(SERVICE, now_s),
-            )
-            for other in (fleet.processes[name].state for name in others)
+            fleet.processes[name].state.describe(SERVICE, stream, now_s)
+            for name in others
         ]
         state.learn(SERVICE, replies, now_s)
-        versions = state.list_versions(SERVICE, now_s)
-        found = conclude(versions, state.has_history(SERVICE, now_s), replies)
-        is_told = any(reply.software_version for reply in replies)
-        is_current = self.own.name not in fleet.outdated
-        if found is not None and (is_told or is_current or replies):
+        zones = {router.zone for router in fleet.list_up() if router.name in others}
+        found = conclude(
+            state.describe(SERVICE, stream, now_s),
+            replies,
+            zones | {self.own.zone} >= {router.zone for router in fleet.routers},
+        )
+        if found is not None:
             return found
         if fleet.store.is_up:
             records = [r for batch in fleet.store.streams.values() for r in batch]
@@ -311,7 +347,8 @@
         self.sessions = 0
         self.serving = ["v1"]
         self.served = {"v1": 0.0}
-        self.outdated = {}
+        # What routers without news know, and those whose news are on the way.
+        self.outdated, self.late = {}, {}
         self.store = StoreModel()
         self.routers = make_routers(8, 4)
         self.processes = {}
@@ -323,7 +360,12 @@
         return tuple(r for r in self.routers if r.name in self.processes)
 
     def seen_by(self, process):
-        return self.outdated.get(process.own.name, self.serving)
+        name = process.own.name
+        return self.outdated.get(name) or self.late.get(name) or self.serving
+
+    def is_current(self, process):
+        is_heard = self.store.is_up or self.now_s - self.down_s < NEWS_MAX_S
+        return is_heard and process.own.name not in self.outdated
 
     def start_routers(self, names):
         for router in self.routers:
@@ -349,10 +391,13 @@
     @rule(
         versions=st.sampled_from([["v1"], ["v2"], ["v1", "v2"], ["v2", "v3"]]),
         wait_s=st.sampled_from([0.0, 0.5]),
+        data=st.data(),
     )
-    def change_versions(self, versions, wait_s):
+    def change_versions(self, versions, wait_s, data):
         if not self.store.is_up:
             return
+        names = st.sets(st.sampled_from(sorted(self.processes)))
+        self.late = dict.fromkeys(data.draw(names), self.serving)
         self.serving = versions
         self.observe()
         # A version joins for longer than it takes to record it.
@@ -362,6 +407,8 @@
     def wait(self, seconds):
         for _ in range(max(1, round(seconds))):
             self.now_s += min(1.0, seconds)
+            if seconds >= LATE_MAX_S:
+                self.late.clear()
             self.served |= dict.fromkeys(self.serving, self.now_s)
             self.observe()
             for process in list(self.processes.values()):
@@ -369,36 +416,42 @@
                 if self.store.is_up and seconds >= 0.5:
                     process.use_store()
 
-    @rule(
-        data=st.data(), versions=st.sampled_from([None, ["v1"], ["v2"], ["v2", "v3"]])
-    )
-    def restart_routers(self, data, versions):
-        """Kill some routers, or all; endpoints may be replaced while these are down."""
+    @rule(data=st.data())
+    def restart_routers(self, data):
         names = data.draw(st.sets(st.sampled_from(sorted(self.processes)), min_size=1))
+        self.replace_routers(names, self.serving)
+
+    @rule(versions=st.sampled_from([None, ["v1"], ["v2"], ["v2", "v3"]]))
+    def restart_all_routers(self, versions):
+        """Kill all routers; endpoints may be replaced while these are down."""
+        self.replace_routers(set(self.processes), versions or self.serving)
+
+    def replace_routers(self, names, versions):
         for name in names:
             del self.processes[name]
             self.outdated.pop(name, None)
-        if versions and not self.processes:
-            self.serving = versions
+            self.late.pop(name, None)
+        self.serving = versions
         self.start_routers(names)
 
     @rule()
     def restart_in_turn(self):
         for router in self.routers:
-            del self.processes[router.name]
-            self.outdated.pop(router.name, None)
-            self.start_routers([router.name])
+            self.replace_routers([router.name], self.serving)
             self.wait(0.5)
 
     @rule(data=st.data())
     def cut_off(self, data):
         name = data.draw(st.sampled_from(sorted(self.processes)))
         if self.outdated.pop(name, None) is None:
-            self.outdated[name] = list(self.serving)
+            self.outdated[name] = list(self.seen_by(self.processes[name]))
         self.observe()
 
     @rule()
     def toggle_store(self):
+        # What joined has been recorded before.
+        self.wait(LATE_MAX_S)
+        self.down_s = self.now_s
         self.store.is_up = not self.store.is_up
 
     @rule()
