Write a record of versions anew after a write without an answer

What callers saw: after an unanswered write that took effect seconds later, the store's record lacked a version that served again; once all routers had started again its streams could be joined to another version's.

Cause: the router that had written took the record that it read next for the one that stays. Class: an unanswered write is taken for one that didn't happen.

Change: after a write without an answer the record is written once more, and each write gives it a new version, so that the condition of the earlier one fails. Batches of streams were safe: a repeated write names the version that it replaces.

--- a/src/tamarackrill/decisions/version_records.py
+++ b/src/tamarackrill/decisions/version_records.py
@@ -62,9 +62,15 @@
         except (KeyError, TypeError) as error:
             raise ValueError("not the record of a service's versions") from error
 
-    def format(self) -> dict[str, Any]:
-        """Return the JSON value of an object."""
-        return {"versions": list(self.versions), "era": self.era}
+    def format(self, writer: str) -> dict[str, Any]:
+        """Return the JSON value of an object.
+
+        Parameters
+        ----------
+        writer : str
+            Differs between writes, so that each gives the object a new version.
+        """
+        return {"versions": list(self.versions), "era": self.era, "writer": writer}
 
 
 def find_recorder_rank(name: str, routers: Iterable[str]) -> int | None:
--- a/src/tamarackrill/router/version_store.py
+++ b/src/tamarackrill/router/version_store.py
@@ -107,6 +107,9 @@
         self._era = 0
         # When this router is to write the record of a service.
         self._due_s: dict[str, float] = {}
+        # Services with a write that may take effect later, as it got no answer.
+        self._unanswered: set[str] = set()
+        self._writes = 0
         self._buffer = ArchiveBuffer()
         self._has_unwritten = asyncio.Event()
         self._segment_versions: dict[int, int] = {}
@@ -268,9 +271,11 @@
 
     def _find_wanted(self, service: str) -> VersionRecord | None:
         _, record = self._records.get(service, (0, None))
-        return update_record(
+        wanted = update_record(
             record, service, self._state, self._era, self._is_current(), self._clock()
         )
+        # A later write prevents the unanswered one.
+        return wanted or (record if service in self._unanswered else None)
 
     async def _read_record(self, service: str) -> None:
         reading = await self._platform.read(RECORD_KIND, service)
@@ -282,13 +287,17 @@
     async def _write_record(self, service: str, wanted: VersionRecord) -> None:
         # Without an answer, it isn't known which version the record has.
         version, _ = self._records.pop(service, (None, None))
+        self._unanswered.add(service)
+        self._writes += 1
+        writer = f"{self._own.name}.{self._session}.{self._writes}"
         result = await self._platform.put(
-            RECORD_KIND, service, wanted.format(), version
+            RECORD_KIND, service, wanted.format(writer), version
         )
         if result.version is None:
             if result.current is not None:
                 self._take_record(result.current)
             return
+        self._unanswered.discard(service)
         self._records[service] = result.version, wanted
         self._state.learn_record(service, (), wanted.era == result.era, self._clock())
         log_event(
--- a/tests/test_rejoined_streams.py
+++ b/tests/test_rejoined_streams.py
@@ -6,6 +6,9 @@
 
 import pytest
 
+from tamarackrill.exceptions import PlatformUnavailable
+from tamarackrill.router.platform_client import PlatformClient
+from tamarackrill.router.version_store import RECORD_KIND
 from tamarackrill.testing.versioned_fleet import (
     BEGUN,
     LAST,
@@ -286,3 +289,45 @@
     outcomes = count_outcomes(act, versions)
     assert outcomes["went_on"] >= least, outcomes
     assert set(outcomes) <= {"went_on", "refused"}, outcomes
+
+
+def test_late_write_does_not_remove_a_version_that_serves_again(monkeypatch):
+    # Guards against a record without a version that serves, because a write that got
+    # no answer took effect seconds later.
+    late = []
+
+    async def lose(platform, kind, name, value, expected_version):
+        if kind != RECORD_KIND:
+            return await put(platform, kind, name, value, expected_version)
+        late.append((value, expected_version))
+        raise PlatformUnavailable("no answer")
+
+    async def act(fleet):
+        state = fleet.store.state
+
+        def list_recorded():
+            found = state.read(RECORD_KIND, "desk")
+            return found and found.value["versions"]
+
+        await fleet.wait(lambda: list_recorded() == ["v1", "v2"])
+        monkeypatch.setattr(PlatformClient, "put", lose)
+        await let_leave(fleet)
+        await fleet.wait(lambda: ["v2"] in [value["versions"] for value, _ in late])
+        await register(fleet)
+        await fleet.wait_known(fleet.routers)
+        monkeypatch.undo()
+        await asyncio.sleep(2.0)
+        for value, expected_version in late:
+            if expected_version == state.read(RECORD_KIND, "desk").version:
+                await fleet.store.write(RECORD_KIND, "desk", value)
+        await asyncio.sleep(1.0)
+        assert list_recorded() == ["v1", "v2"]
+
+    put = PlatformClient.put
+
+    async def run():
+        async with VersionedFleet() as fleet:
+            await fleet.start(TWO, timeout_ms=300)
+            await act(fleet)
+
+    asyncio.run(run())
