Leave out endpoints of other versions that join while a stream waits

What callers saw: a stream joined from two versions, if an endpoint of another version joined while the request waited for other routers or for a permit.

Cause: the endpoints of other versions were listed before the wait, and the choice was made after it.

Change: they are listed at each choice. A grant of an allocator was safe, as it may name only endpoints that were known and usable before the ask.

--- a/src/tamarackrill/router/edge_reserving.py
+++ b/src/tamarackrill/router/edge_reserving.py
@@ -205,13 +205,15 @@
             If no endpoint may get it now.
         """
         call, permits = progress.call, self.permits
-        others = self._find_others(progress).union(self._find_closed(progress))
+        closed = self._find_closed(progress)
         refused: set[str] = set()
         permit_requests = relay_questions = 0
         while True:
+            # Endpoints may have joined while the request waited.
+            others = self._find_others(progress)
             placed = self._placer.choose(
                 call,
-                progress.avoid.union(refused, full, others),
+                progress.avoid.union(refused, full, closed, others),
                 self._clock(),
                 may_refuse=not progress.history.sent,
             )
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -188,3 +188,31 @@
         assert await take_up_all(fleet, router, begun) == STREAMS
 
     run_fleet(act)
+
+
+def test_version_that_joins_while_a_stream_waits_does_not_get_it(monkeypatch):
+    # Guards against a list of endpoints of other versions that is older than the wait
+    # for routers which reach an endpoint.
+    async def run():
+        async with VersionedFleet() as fleet:
+            await fleet.start(("v1",) * 2, timeout_ms=15_000)
+            taker = fleet.routers[0]
+            _, versions = await fleet.begin(taker, "first")
+            for worker in list(fleet.workers):
+                await fleet.store.write("servers", worker.name, None)
+            await fleet.wait(lambda: not taker.view.list_live("desk"))
+            waits = []
+
+            async def wait_replies():
+                waits.append(True)
+                if len(waits) == 1:
+                    await fleet.add_version("v2")
+                    await fleet.wait(lambda: taker.view.list_live("desk"))
+                return len(waits) == 1
+
+            monkeypatch.setattr(taker.relays, "wait_replies", wait_replies)
+            answer = await fleet.take_up(taker, "take", "first")
+            assert waits
+            assert not find_versions(answer.body) - versions
+
+    asyncio.run(run())
