--- a/src/tamarackrill/decisions/stream_archive.py
+++ b/src/tamarackrill/decisions/stream_archive.py
@@ -29,9 +29,10 @@
 WRITE_INTERVAL_MIN_S = 0.3
 # Objects that an archiver writes in turn, and those of them that cover the lifetime of
 # a stream.  The one that is overwritten next is older than that.
-SEGMENTS = 6
-SEGMENTS_PER_LIFETIME = 4
+SEGMENTS = 15
+SEGMENTS_PER_LIFETIME = 12
 # Streams in an object; at 11 bytes each that is far below the size limit of a value.
+# More are begun only while the store is away, and then the oldest are dropped.
 STREAMS_MAX = 8192
 _STREAM_BYTES = 8
 
@@ -134,8 +135,12 @@
 
     def add(self, record: StreamRecord) -> None:
         """Add a record to the next batch, unless it has been written."""
-        if record.stream in self._records or len(self._records) >= STREAMS_MAX:
+        if record.stream in self._records:
             return
+        if len(self._records) >= STREAMS_MAX:
+            oldest = next(iter(self._records))
+            del self._records[oldest]
+            self._unwritten.discard(oldest)
         self._records[record.stream] = record._replace(must_archive=False)
         self._unwritten.add(record.stream)
 
@@ -164,4 +169,8 @@
             return
         self._segment = (self._segment + 1) % SEGMENTS
         self._opened_s = None
-        self._records = {stream: self._records[stream] for stream in self._unwritten}
+        self._records = {
+            stream: record
+            for stream, record in self._records.items()
+            if stream in self._unwritten
+        }
--- a/src/tamarackrill/router/version_store.py
+++ b/src/tamarackrill/router/version_store.py
@@ -56,6 +56,8 @@
 # Interval between two looks for objects of archivers that have ended, in lifetimes of
 # streams.
 CLEAN_UP_LIFETIMES = 2
+# Objects that are deleted at a time, as records aren't written meanwhile.
+DELETIONS_MAX = 32
 # A write whose answer was lost leaves an object of an unknown version.
 WRITES_MAX = 2
 
@@ -104,6 +106,7 @@
         self._records: dict[str, tuple[int, VersionRecord]] = {}
         self._has_services = asyncio.Event()
         self._are_read = asyncio.Event()
+        self._must_read = True
         self._era = 0
         # When this router is to write the record of a service.
         self._due_s: dict[str, float] = {}
@@ -147,11 +150,14 @@
         """Set the live routers."""
         self._routers = routers
         names = (router.name for router in routers)
-        self._rank = find_recorder_rank(self._own.name, names)
-        self._due_s.clear()
+        rank = find_recorder_rank(self._own.name, names)
+        if rank != self._rank:
+            self._rank = rank
+            self._due_s.clear()
 
     def read_again(self) -> None:
         """Read the records again, as versions may have come and gone unnoticed."""
+        self._must_read = True
         self._are_read.clear()
 
     def archive(self, record: StreamRecord) -> None:
@@ -182,9 +188,11 @@
         except PlatformUnavailable:
             self._next_read_s = self._clock() + FIRST_RETRY_S
             return
-        records = [
-            record for item in listing.items for record in self._parse_streams(item)
-        ]
+        records: list[StreamRecord] = []
+        for item in listing.items:
+            records += self._parse_streams(item)
+            # The requests of this router go on meanwhile.
+            await asyncio.sleep(0)
         is_new = self._state.take_archived(records, self._clock())
         self._read_interval_s = (
             READ_INTERVAL_S
@@ -211,7 +219,7 @@
         while True:
             await self._has_services.wait()
             try:
-                if not self._are_read.is_set():
+                if self._must_read:
                     await self._read_records()
                 await self._update_records()
                 retry_s = FIRST_RETRY_S
@@ -221,12 +229,19 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
 
     async def _read_records(self) -> None:
-        listing = await self._platform.list(RECORD_KIND)
+        # Set again if there is a reason to read while the answer is on its way.
+        self._must_read = False
+        try:
+            listing = await self._platform.list(RECORD_KIND)
+        except PlatformUnavailable:
+            self._must_read = True
+            raise
         self._era = listing.era
         self._records.clear()
         for item in listing.items:
             self._take_record(item, is_news=True)
-        self._are_read.set()
+        if not self._must_read:
+            self._are_read.set()
 
     def _take_record(self, item: PlatformObject, is_news: bool = False) -> None:
         """Take over a record that was read."""
@@ -293,6 +308,7 @@
         result = await self._platform.put(
             RECORD_KIND, service, wanted.format(writer), version
         )
+        self._era = result.era
         if result.version is None:
             if result.current is not None:
                 self._take_record(result.current)
@@ -309,10 +325,10 @@
 
     async def _run_archive(self) -> None:
         while True:
-            await self._has_unwritten.wait()
-            self._has_unwritten.clear()
             while self._buffer.has_unwritten:
                 await asyncio.sleep(await self._write_batch())
+            self._has_unwritten.clear()
+            await self._has_unwritten.wait()
 
     async def _write_batch(self) -> float:
         """Write the unwritten records; return how long to wait before the next."""
@@ -355,6 +371,6 @@
 
     async def _delete_unchanged(self, items: Iterable[PlatformObject]) -> None:
         before, self._left = self._left, {item.name: item.version for item in items}
-        for name, version in self._left.items():
-            if before.get(name) == version:
-                await self._platform.delete(STREAMS_KIND, name, version)
+        unchanged = [n for n, version in self._left.items() if before.get(n) == version]
+        for name in unchanged[:DELETIONS_MAX]:
+            await self._platform.delete(STREAMS_KIND, name, self._left[name])
