Begin streams at a new version only once all routers know it and it is on record

What callers saw: streams joined from two versions by routers of a zone that was cut off right before a version joined, for the two seconds in which their news still count as current. The same was possible if all routers were killed before the store had the record of a version that is gone when they are back.

Cause: streams began at a version as soon as one router knew it, while others, and the store, had still to learn of it. Class: a fact is used before it is where it will be needed.

Change: endpoints of a version that is new to a service get no streams that may be resumed until the news must have reached all routers and the version is on record, for three seconds more at most, as long as the others have half of the service's slots and can take the request. Routers that don't write records read them until they have the version.

--- a/src/tamarackrill/decisions/stream_versions.py
+++ b/src/tamarackrill/decisions/stream_versions.py
@@ -36,6 +36,9 @@
 LIFETIME_DEFAULT_S = 60.0
 # A client comes back until its deadline, and then some while it is on its way.
 RETURN_SLACK_S = 2.0
+# For how long after the news of a new version must have reached all routers its record
+# is waited for, in case the store refuses it.
+RECORD_WAIT_MAX_S = 3.0
 
 
 class StreamRecord(NamedTuple):
@@ -153,6 +156,9 @@
         self._outdated_s = started_s
         # When each version of a service was last seen.
         self._seen_s: dict[str, dict[str, float]] = {}
+        # When versions joined that are new to a service, and those on record.
+        self._joined_s: dict[str, dict[str, float]] = {}
+        self._recorded: dict[str, set[str]] = {}
         # Services whose streams are told to keepers.
         self._told: set[str] = set()
         # When the versions of a service that this router may have missed were learned.
@@ -191,10 +197,12 @@
         self._observe_lifetime(lifetime_s + RETURN_SLACK_S, now_s)
         if not is_current:
             self._outdated_s = now_s
+        seen: dict[str, set[str]] = {}
         for endpoint in endpoints:
             for service in endpoint.serves:
-                seen_s = self._seen_s.setdefault(service, {})
-                seen_s[endpoint.software_version] = now_s
+                seen.setdefault(service, set()).add(endpoint.software_version)
+        for service, versions in seen.items():
+            self._observe_versions(service, versions, now_s)
         several = {
             name for name in self._seen_s if len(self.list_versions(name, now_s)) > 1
         }
@@ -206,6 +214,49 @@
             if known.service in began
         ]
 
+    def _observe_versions(self, service: str, versions: set[str], now_s: float) -> None:
+        # What a router finds as it starts may have been there for long.
+        if service in self._seen_s:
+            joined = versions.difference(self.list_versions(service, now_s))
+            if joined:
+                joined_s = self._joined_s.setdefault(service, {})
+                joined_s |= dict.fromkeys(joined, now_s)
+        seen_s = self._seen_s.setdefault(service, {})
+        seen_s |= dict.fromkeys(sorted(versions), now_s)
+
+    def list_joining(self, service: str, news_max_s: float, now_s: float) -> set[str]:
+        """Return the versions at which streams should not begin yet.
+
+        Other routers may not have heard of them, or they aren't on record, so that a
+        stream could be taken for one of an earlier version.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        news_max_s : float
+            Time in which news of endpoints reach all routers.
+        now_s : float
+            Current time.
+        """
+        joined_s = self._joined_s.get(service)
+        if not joined_s:
+            return set()
+        recorded = self._recorded.get(service, set())
+        joining = set()
+        for version, since_s in list(joined_s.items()):
+            age_s = now_s - since_s
+            is_known = age_s >= news_max_s and version in recorded
+            if is_known or age_s >= news_max_s + RECORD_WAIT_MAX_S:
+                del joined_s[version]
+            else:
+                joining.add(version)
+        return joining
+
+    def observe_recorded(self, service: str, versions: Iterable[str]) -> None:
+        """Process that the store has a record with these versions."""
+        self._recorded[service] = set(versions)
+
     def _observe_lifetime(self, lifetime_s: float, now_s: float) -> None:
         if lifetime_s >= self.lifetime_s:
             self._lifetime_until_s = now_s + lifetime_s
--- a/src/tamarackrill/decisions/version_records.py
+++ b/src/tamarackrill/decisions/version_records.py
@@ -79,6 +79,14 @@
     return recorders.index(name) if name in recorders else None
 
 
+def lacks_version(
+    record: VersionRecord | None, service: str, state: StreamVersions, now_s: float
+) -> bool:
+    """Return whether a router sees a version that isn't on record."""
+    versions = () if record is None else record.versions
+    return not set(versions).issuperset(state.list_versions(service, now_s))
+
+
 def update_record(
     record: VersionRecord | None,
     service: str,
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -553,6 +553,7 @@
             self.clock,
             self._knows_current_endpoints,
             self.settings.zones,
+            self.settings.news_max_s,
             self._make_version_store,
         )
         self.flow.reserver.keepers = self.keepers
--- a/src/tamarackrill/router/edge_reserving.py
+++ b/src/tamarackrill/router/edge_reserving.py
@@ -1,5 +1,6 @@
 """Placement of requests on the platform's interface, with what they must reserve."""
 
+import contextlib
 from collections.abc import Callable, Collection
 
 from tamarackrill.decisions.brittle import RESERVATION_ATTEMPTS_MAX
@@ -8,7 +9,7 @@
 from tamarackrill.router.capacity.slot_client import SlotClient
 from tamarackrill.router.cold_permits import ColdPermits
 from tamarackrill.router.edge_attempts import AttemptResult, RequestProgress
-from tamarackrill.router.edge_placing import EdgePlacement, EdgePlacer
+from tamarackrill.router.edge_placing import EdgePlacement, EdgePlacer, Overloaded
 from tamarackrill.router.prompt_guard import PromptGuard
 from tamarackrill.router.relay_client import RelayClient
 from tamarackrill.router.version_keepers import VersionKeepers
@@ -211,12 +212,8 @@
         while True:
             # Endpoints may have joined while the request waited.
             others = self._find_others(progress)
-            placed = self._placer.choose(
-                call,
-                progress.avoid.union(refused, full, closed, others),
-                self._clock(),
-                may_refuse=not progress.history.sent,
-            )
+            avoid = progress.avoid.union(refused, full, closed, others)
+            placed = self._choose_settled(progress, avoid)
             if placed is None and refused:
                 raise _AllCold
             if placed is None and relay_questions < RELAY_QUESTIONS_MAX:
@@ -236,6 +233,34 @@
                 refused |= permits.find_cold()
             refused.add(placed.endpoint.name)
 
+    def _choose_settled(
+        self, progress: RequestProgress, avoid: Collection[str]
+    ) -> EdgePlacement | None:
+        """Choose an endpoint, if possible of a version that all routers know.
+
+        Raises
+        ------
+        Refusal
+            If no endpoint may get the request now.
+        """
+        call, now_s = progress.call, self._clock()
+        may_refuse = not progress.history.sent
+        joining = self._find_joining(progress)
+        if joining:
+            with contextlib.suppress(Overloaded):
+                settled = joining.union(avoid)
+                placed = self._placer.choose(call, settled, now_s, may_refuse)
+                if placed is not None:
+                    return placed
+        return self._placer.choose(call, avoid, now_s, may_refuse)
+
+    def _find_joining(self, progress: RequestProgress) -> set[str]:
+        call = progress.call
+        is_new = not progress.software_version and not call.is_taken_up
+        if self.keepers is None or not is_new or not call.route.is_resumable:
+            return set()
+        return self.keepers.find_joining(call.service)
+
     def _find_others(self, progress: RequestProgress) -> set[str]:
         """Return the endpoints of other versions than the one that began the stream."""
         return self._placer.find_other_versions(
--- a/src/tamarackrill/router/version_keepers.py
+++ b/src/tamarackrill/router/version_keepers.py
@@ -77,6 +77,8 @@
         Returns whether the known endpoints are as the platform has them now.
     zones : collection of str
         Availability zones of the deployment; empty if unknown.
+    news_max_s : float
+        Time in which news of endpoints reach all routers.
     make_store : callable
         Returns the client of what the store keeps, given the versions known here and
         this router.
@@ -98,6 +100,7 @@
         clock: Callable[[], float],
         is_current: Callable[[], bool],
         zones: Collection[str],
+        news_max_s: float,
         make_store: Callable[[StreamVersions, Router], VersionStore],
     ) -> None:
         self.counts: Counter[str] = Counter()
@@ -109,6 +112,7 @@
         self._clock = clock
         self._is_current = is_current
         self._zones = frozenset(zones)
+        self._news_max_s = news_max_s
         # Random, so that no reply to an earlier process on this address is accepted.
         self._tickets = itertools.count(secrets.randbits(TICKET_BITS))
         self._pending: dict[int, asyncio.Future[KeeperReply]] = {}
@@ -174,6 +178,20 @@
             if len(told) < KEEPERS or not self._addresses.keys() >= set(told):
                 self._tell(record)
 
+    def find_joining(self, service: str) -> set[str]:
+        """Return the endpoints at which streams should not begin yet.
+
+        Empty if the others have less than half of the service's slots.
+        """
+        joining = self.versions.list_joining(service, self._news_max_s, self._clock())
+        if not joining:
+            return set()
+        pool = self._view.find_pool(service).by_name
+        names = {n for n, e in pool.items() if e.software_version in joining}
+        slots = sum(endpoint.slots for endpoint in pool.values())
+        joining_slots = sum(pool[name].slots for name in names)
+        return names if 2 * joining_slots <= slots else set()
+
     def record_begin(self, call: EdgeCall, software_version: str) -> None:
         """Record the version of a stream before its first event is forwarded."""
         if not call.route.is_resumable:
--- a/src/tamarackrill/router/version_store.py
+++ b/src/tamarackrill/router/version_store.py
@@ -19,9 +19,11 @@
 )
 from tamarackrill.decisions.version_records import (
     RECORDER_DELAY_S,
+    RECORDERS,
     UNKNOWN_ERA,
     VersionRecord,
     find_recorder_rank,
+    lacks_version,
     update_record,
 )
 from tamarackrill.events import (
@@ -251,6 +253,7 @@
             self._log_invalid(item, error)
             record = VersionRecord((), UNKNOWN_ERA)
         self._records[item.name] = item.version, record
+        self._state.observe_recorded(item.name, record.versions)
         self._state.learn_record(
             item.name,
             record.versions,
@@ -260,18 +263,18 @@
         )
 
     async def _update_records(self) -> None:
-        if self._rank is None:
-            return
         for service in self._services:
-            await self._update_record(service, self._rank)
+            await self._update_record(service)
         if self._rank == 0:
             await self._clean_up()
 
-    async def _update_record(self, service: str, rank: int) -> None:
-        if self._find_wanted(service) is None:
+    async def _update_record(self, service: str) -> None:
+        """Write the record if it must change, or read what other routers wrote."""
+        if not self._must_update(service):
             self._due_s.pop(service, None)
             return
         now_s = self._clock()
+        rank = RECORDERS if self._rank is None else self._rank
         settled_s = max(now_s, self._started_s + SETTLE_S)
         due_s = self._due_s.setdefault(service, settled_s + rank * RECORDER_DELAY_S)
         if now_s < due_s:
@@ -281,9 +284,15 @@
             # One of the recorders before this one should have written it.
             await self._read_record(service)
         wanted = self._find_wanted(service)
-        if wanted is not None:
+        if wanted is not None and self._rank is not None:
             await self._write_record(service, wanted)
 
+    def _must_update(self, service: str) -> bool:
+        if self._rank is not None:
+            return self._find_wanted(service) is not None
+        _, record = self._records.get(service, (0, None))
+        return lacks_version(record, service, self._state, self._clock())
+
     def _find_wanted(self, service: str) -> VersionRecord | None:
         _, record = self._records.get(service, (0, None))
         wanted = update_record(
@@ -315,6 +324,7 @@
             return
         self._unanswered.discard(service)
         self._records[service] = result.version, wanted
+        self._state.observe_recorded(service, wanted.versions)
         self._state.learn_record(service, (), wanted.era == result.era, self._clock())
         log_event(
             VERSION_RECORD_WRITTEN,
--- a/tests/test_streams_across_a_cut.py
+++ b/tests/test_streams_across_a_cut.py
@@ -10,6 +10,8 @@
 
 STREAMS = 12
 TIMEOUT_MS = 15_000
+# A version that is new gets streams only once all routers know it.
+BEGIN_MAX_S = 10.0
 
 
 def cut_store(router):
@@ -28,6 +30,16 @@
     return restore
 
 
+async def begin_at(fleet, routers, version):
+    """Begin streams until some begin at a version; return these."""
+    async with asyncio.timeout(BEGIN_MAX_S):
+        while True:
+            begun = await fleet.begin_all(STREAMS, *routers)
+            found = {name: v for name, v in begun.items() if v == {version}}
+            if found:
+                return found
+
+
 async def take_up_all(fleet, routers, begun):
     """Return how many streams were joined, and how many went on."""
     answers = await asyncio.gather(
@@ -60,9 +72,7 @@
                 for _ in range(3):
                     await fleet.add_version("v2")
                 await fleet.wait_known(near)
-                begun = await fleet.begin_all(STREAMS, *near)
-                began_new = {n: v for n, v in begun.items() if v == {b"v2"}}
-                assert began_new
+                began_new = await begin_at(fleet, near, b"v2")
                 joined, went_on = await take_up_all(fleet, far, began_new)
                 links.restore()
                 assert not joined, f"{joined} of {len(began_new)} joined, {went_on}"
--- a/tests/test_version_keepers.py
+++ b/tests/test_version_keepers.py
@@ -35,6 +35,7 @@
 from tamarackrill.decisions.version_records import (
     VersionRecord,
     find_recorder_rank,
+    lacks_version,
     update_record,
 )
 
@@ -289,12 +290,17 @@
                 self.fleet.now_s,
                 is_news=is_news,
             )
+            self.state.observe_recorded(SERVICE, store.record.versions)
 
     def use_store(self):
         """Do what a router does with the store within a second."""
         fleet, store = self.fleet, self.fleet.store
         if self.era != store.era:
             self.read_record(is_news=True)
+        if store.record is not None and lacks_version(
+            store.record, SERVICE, self.state, fleet.now_s
+        ):
+            self.read_record()
         names = [router.name for router in fleet.list_up()]
         if find_recorder_rank(self.own.name, names) is not None:
             is_current = fleet.is_current(self)
@@ -348,7 +354,7 @@
         self.serving = ["v1"]
         self.served = {"v1": 0.0}
         # What routers without news know, and those whose news are on the way.
-        self.outdated, self.late = {}, {}
+        self.outdated, self.late, self.cut_s = {}, {}, {}
         self.store = StoreModel()
         self.routers = make_routers(8, 4)
         self.processes = {}
@@ -364,8 +370,10 @@
         return self.outdated.get(name) or self.late.get(name) or self.serving
 
     def is_current(self, process):
-        is_heard = self.store.is_up or self.now_s - self.down_s < NEWS_MAX_S
-        return is_heard and process.own.name not in self.outdated
+        is_cut = process.own.name in self.outdated
+        cut_s = self.cut_s[process.own.name] if is_cut else self.now_s
+        down_s = self.now_s if self.store.is_up else self.down_s
+        return self.now_s - min(cut_s, down_s) < NEWS_MAX_S
 
     def start_routers(self, names):
         for router in self.routers:
@@ -374,15 +382,19 @@
         self.observe()
 
     def observe(self):
+        self.served |= dict.fromkeys(self.serving, self.now_s)
         for process in self.processes.values():
             process.observe()
 
     @rule(data=st.data())
     def begin(self, data):
         process = self.processes[data.draw(st.sampled_from(sorted(self.processes)))]
-        version = data.draw(st.sampled_from(self.serving))
-        if version not in self.seen_by(process):
+        usable = set(self.seen_by(process)).intersection(self.serving)
+        joining = process.state.list_joining(SERVICE, NEWS_MAX_S, self.now_s)
+        # With new versions only, streams begin at once, and may be refused.
+        if not usable.difference(joining):
             return
+        version = data.draw(st.sampled_from(sorted(usable.difference(joining))))
         stream = identify_stream(f"attempt-{len(self.begun)}")
         self.begun[stream] = (version, self.now_s)
         if process.state.begin(stream, SERVICE, version, self.now_s):
@@ -400,8 +412,7 @@
         self.late = dict.fromkeys(data.draw(names), self.serving)
         self.serving = versions
         self.observe()
-        # A version joins for longer than it takes to record it.
-        self.wait(1.0 if set(versions) - set(self.served) else wait_s)
+        self.wait(wait_s)
 
     @rule(seconds=st.sampled_from([0.1, 0.5, 5.0, 20.0]))
     def wait(self, seconds):
@@ -409,7 +420,6 @@
             self.now_s += min(1.0, seconds)
             if seconds >= LATE_MAX_S:
                 self.late.clear()
-            self.served |= dict.fromkeys(self.serving, self.now_s)
             self.observe()
             for process in list(self.processes.values()):
                 process.state.expire(self.now_s)
@@ -445,12 +455,11 @@
         name = data.draw(st.sampled_from(sorted(self.processes)))
         if self.outdated.pop(name, None) is None:
             self.outdated[name] = list(self.seen_by(self.processes[name]))
+            self.cut_s[name] = self.now_s
         self.observe()
 
     @rule()
     def toggle_store(self):
-        # What joined has been recorded before.
-        self.wait(LATE_MAX_S)
         self.down_s = self.now_s
         self.store.is_up = not self.store.is_up
 
