Close the connections that stand-ins and clients of tests leave open

Cause: two tests, test_router_started_while_the_store_hangs_asks_a_peer_at_once and test_request_is_not_blamed_for_an_engine_that_already_crashed, ended their event loop while raw servers of theirs had connections open. (3.12.15 and 3.13.14 only give a ResourceWarning there.) Eighteen further client connections were closed by their finalizer while their loop still ran. No product code uses asyncio's streams.

Change: TcpServer closes each connection when its handler ends, also if that is cancelled before its first step or the connection comes as the server closes. Worker, the soak's proxy and the raw servers of tests use it. EdgeFleet closes the clients that tests connect through it. The tests check what they checked.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,6 +4,7 @@
 from typing import Literal
 
 from tamarackrill.router.sockets import reset_on_close
+from tamarackrill.testing.tcp_server import TcpServer
 
 Mode = Literal["pass", "delay", "silence", "one_way", "refuse"]
 DELAY_S = 0.15
@@ -36,15 +37,13 @@
         self._port = port
         self.mode: Mode = "pass"
         self.address = ""
-        self._server: asyncio.Server | None = None
+        self._server = TcpServer(self._serve)
         self._writers: set[asyncio.StreamWriter] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Start listening."""
-        self._server = await asyncio.start_server(self._serve, self._ip, self._port)
-        host, port = self._server.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
+        await self._server.start(f"{self._ip}:{self._port}")
+        self.address = self._server.address
 
     def reset(self) -> None:
         """Reset all open connections."""
@@ -53,20 +52,12 @@
 
     async def stop(self) -> None:
         """Stop listening and reset all open connections."""
-        if self._server is not None:
-            self._server.close()
         self.reset()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._server.stop()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
         if self.mode == "refuse":
             writer.transport.abort()
             return
--- a/src/tamarackrill/testing/crashing_worker.py
+++ b/src/tamarackrill/testing/crashing_worker.py
@@ -151,8 +151,7 @@
         ended = self.name
         await asyncio.sleep(self._behavior.down_s)
         self.name = f"{self._first_name}.{len(self.crashed_s)}"
-        host, _, port = self.address.rpartition(":")
-        self._server = await asyncio.start_server(self._serve, host, int(port))
+        await self._server.start(self.address)
         await self._on_end(ended)
         await self._on_start(self)
 
--- a/src/tamarackrill/testing/edge.py
+++ b/src/tamarackrill/testing/edge.py
@@ -91,12 +91,13 @@
 
 
 class EdgeFleet:
-    """Store, workers and routers of one test, as an async context manager."""
+    """Store, workers, routers and clients of one test, as an async context manager."""
 
     def __init__(self) -> None:
         self.store = ObjectStore()
         self.workers: list[Worker] = []
         self.routers: list[EdgeApplication] = []
+        self._clients: list[EdgeClient] = []
         self.store_address = ""
 
     async def __aenter__(self) -> "EdgeFleet":
@@ -104,6 +105,8 @@
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
+        for client in self._clients:
+            client.close()
         for router in self.routers:
             await router.stop()
         for worker in self.workers:
@@ -163,6 +166,15 @@
         await self.wait(router.is_ready)
         return router
 
+    async def connect(self, router: EdgeApplication | str) -> "EdgeClient":
+        """Connect a client to a router, given as an application or an address."""
+        return self.add_client(await EdgeClient.connect(router))
+
+    def add_client(self, client: "EdgeClient") -> "EdgeClient":
+        """Take over a client, which is closed before the routers stop."""
+        self._clients.append(client)
+        return client
+
     async def kill_router(self, router: EdgeApplication) -> None:
         """End a router without telling the others."""
         self.routers.remove(router)
--- a/src/tamarackrill/testing/worker.py
+++ b/src/tamarackrill/testing/worker.py
@@ -6,6 +6,7 @@
 from typing import Literal, NamedTuple
 
 from tamarackrill.router.sockets import reset_on_close
+from tamarackrill.testing.tcp_server import TcpServer
 
 HEAD_END = b"\r\n\r\n"
 SIGNATURE = "made-by-a-worker"
@@ -54,14 +55,12 @@
         self.ran: list[WorkerRequest] = []
         self.connections = 0
         self.closed = asyncio.Event()
-        self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._server = TcpServer(self._serve)
 
     async def start(self) -> None:
         """Listen on a free loopback port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
+        await self._server.start()
+        self.address = self._server.address
 
     async def crash(self) -> None:
         """End like a process that crashes: connections close and new ones fail."""
@@ -69,11 +68,7 @@
 
     async def stop(self) -> None:
         """Stop listening and close all open connections."""
-        if self._server is not None:
-            self._server.close()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._server.stop()
 
     def describe(self, service: str, zone: str = "z", **fields: object) -> dict:
         """Return the worker's entry in the store."""
@@ -93,16 +88,10 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
-        task = asyncio.current_task()
-        assert task is not None
-        self._tasks.add(task)
         try:
             await self._answer_all(reader, writer)
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             self.closed.set()
-        finally:
-            self._tasks.discard(task)
-            writer.close()
 
     async def _answer_all(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -221,8 +210,7 @@
         await super().stop()
         self._rejected_s.clear()
         await asyncio.sleep(self._down_s)
-        host, _, port = self.address.rpartition(":")
-        self._server = await asyncio.start_server(self._serve, host, int(port))
+        await self._server.start(self.address)
 
 
 async def _read_request(reader: asyncio.StreamReader) -> WorkerRequest:
--- a/tests/test_body_limits.py
+++ b/tests/test_body_limits.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tamarackrill.testing.edge import EdgeClient, EdgeFleet, make_route, read_reason
+from tamarackrill.testing.edge import EdgeFleet, make_route, read_reason
 
 CONFIRM = make_route("/confirm/", "non_idempotent", attempts=1)
 BODY = bytes(range(256)) * 1600
@@ -31,7 +31,7 @@
             await fleet.put_manifest(1, CONFIRM, limits=limits)
             worker = await fleet.add_worker("w")
             router = await fleet.add_router()
-            client = await EdgeClient.connect(router)
+            client = await fleet.connect(router)
             first = BODY[: int(sent * len(BODY))]
             if is_chunked:
                 fields = {"Content_Length": "", "Transfer_Encoding": "chunked"}
--- a/tests/test_broken_off.py
+++ b/tests/test_broken_off.py
@@ -9,7 +9,6 @@
 from tamarackrill.testing.edge import (
     HOST,
     KEY,
-    EdgeClient,
     EdgeFleet,
     ask,
     make_route,
@@ -312,7 +311,7 @@
 
         await fleet.add_worker("w1", no_body)
         router = await fleet.add_router()
-        client = await EdgeClient.connect(router)
+        client = await fleet.connect(router)
         client.send("/lookup/a", method=method, Connection="close")
         answer = await client.reader.read()
         client.close()
@@ -329,7 +328,7 @@
     async def act(fleet):
         await fleet.add_worker("w1", make_streaming(3, is_cut=True))
         router = await fleet.add_router()
-        client = await EdgeClient.connect(router)
+        client = await fleet.connect(router)
         lines = ("POST /once/a HTTP/1.0", f"Host: {HOST}", f"X-Api-Key: {KEY}")
         client.writer.write("\r\n".join(lines).encode())
         client.writer.write(b"\r\nX-Request-Attempt-Id: id-1\r\nContent-Length: 0\r\n")
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -11,12 +11,12 @@
 from tamarackrill.testing.edge import (
     KEY,
     TEAM,
-    EdgeClient,
     EdgeFleet,
     ask,
     make_route,
     read_reason,
 )
+from tamarackrill.testing.tcp_server import TcpServer
 from tamarackrill.testing.worker import (
     SIGNATURE,
     answer_ok,
@@ -179,7 +179,7 @@
         worker = await fleet.add_worker("w1")
         router = await fleet.add_router()
         chunks = make_chunk(b"one ") + make_chunk(b"two") + make_chunk(b"")
-        client = await EdgeClient.connect(router)
+        client = await fleet.connect(router)
         client.send(
             "/confirm/a", body=b"", Content_Length="", Transfer_Encoding="chunked"
         )
@@ -624,7 +624,7 @@
     async def act(fleet):
         worker = await fleet.add_worker("w1", hang)
         router = await fleet.add_router()
-        client = await EdgeClient.connect(router)
+        client = await fleet.connect(router)
         client.send(target)
         await fleet.wait(lambda: worker.requests)
         client.close()
@@ -647,7 +647,7 @@
 
         worker = await fleet.add_worker("w1", hang)
         router = await fleet.add_router()
-        client = await EdgeClient.connect(router)
+        client = await fleet.connect(router)
         client.send("/confirm/a", body=b"x")
         await begun.wait()
         client.close()
@@ -772,16 +772,14 @@
 
         await fleet.add_worker("w1")
         await fleet.add_router("first")
-        silent = await asyncio.start_server(say_nothing, "127.0.0.1", 0)
-        port = silent.sockets[0].getsockname()[1]
-        fleet.store_address = f"127.0.0.1:{port}"
         # Neither of these times may trigger the read of the manifest.
         monkeypatch.setattr(configuring, "PULL_AFTER_S", 3600.0)
         monkeypatch.setattr(edge_app, "STORE_CALL_TIMEOUT_MAX_S", 3600.0)
         monkeypatch.setattr(edge_app, "STORE_CALL_TIMEOUT_SHARE", 1800.0)
-        second = await fleet.add_router("second")
-        assert (await ask(second, "/lookup/a")).status == 200
-        silent.close()
+        async with TcpServer(say_nothing) as silent:
+            fleet.store_address = silent.address
+            second = await fleet.add_router("second")
+            assert (await ask(second, "/lookup/a")).status == 200
 
     run_in_fleet(act)
 
@@ -799,7 +797,7 @@
 
         await fleet.add_worker("w1", slow)
         router = await fleet.add_router()
-        client = await EdgeClient.connect(router)
+        client = await fleet.connect(router)
         client.send("/confirm/a", body=b"x")
         await begun.wait()
         draining = asyncio.create_task(router.drain())
@@ -863,7 +861,7 @@
         await fleet.wait(lambda: len(router.view.list_endpoints()) == 3)
         for worker in far:
             await worker.stop()
-        client = await EdgeClient.connect(router)
+        client = await fleet.connect(router)
         client.send("/lookup/a")
         refused = await client.read()
         assert (refused.status, read_reason(refused)) == (503, "no_endpoint")
@@ -889,12 +887,12 @@
     async def act(fleet):
         await fleet.add_worker("w1")
         router = await fleet.add_router()
-        idle = await EdgeClient.connect(router)
+        idle = await fleet.connect(router)
         idle.send("/lookup/a")
         assert (await idle.read()).status == 200
         await fleet.put_manifest(2, *ROUTES, limits={"idle_timeout_ms": 100})
         await fleet.wait(lambda: router.view.routes.manifest.version == 2)
-        later = await EdgeClient.connect(router)
+        later = await fleet.connect(router)
         later.send("/lookup/b", "id-2")
         assert (await later.read()).status == 200
         assert await later.reader.read() == b""
--- a/tests/test_recover.py
+++ b/tests/test_recover.py
@@ -7,7 +7,7 @@
 from soak.links import EndpointLinks
 
 from tamarackrill.router.relay_messages import ENDPOINT_HEADER, PROOF_HEADER
-from tamarackrill.testing.edge import TEAM, EdgeClient, EdgeFleet, ask, make_route
+from tamarackrill.testing.edge import TEAM, EdgeFleet, ask, make_route
 from tamarackrill.testing.worker import answer_ok, make_streaming
 
 ROUTES = (
@@ -144,7 +144,7 @@
             (router,) = await start_cut_fleet(fleet)
             for worker in fleet.workers:
                 worker.behave = hang
-            client = await EdgeClient.connect(router)
+            client = await fleet.connect(router)
             client.send(target, "left")
             await fleet.wait(lambda: fleet.routers[1].relay_server.in_flight)
             await fleet.wait(
@@ -174,7 +174,7 @@
             (router,) = await start_cut_fleet(fleet)
             for worker in fleet.workers:
                 worker.behave = hang
-            client = await EdgeClient.connect(router)
+            client = await fleet.connect(router)
             client.send("/confirm/a", "once")
             helpers = fleet.routers[1:]
             await fleet.wait(lambda: any(r.relay_server.in_flight for r in helpers))
--- a/tests/test_slot_sharing.py
+++ b/tests/test_slot_sharing.py
@@ -10,7 +10,6 @@
 from tamarackrill.protocol.slot_codec import SlotAsk, SlotRelease, decode_slot_message
 from tamarackrill.testing.edge import (
     PEER_KEYS,
-    EdgeClient,
     EdgeFleet,
     ask,
     connect_patiently,
@@ -301,7 +300,7 @@
         hold_workers(fleet)
         # One is sent without a grant, and three have one.
         calls = await send_in_turn(fleet, router, 4)
-        client = await EdgeClient.connect(router)
+        client = await fleet.connect(router)
         client.send("/lookup/a", "left", **LONG)
         await fleet.wait(lambda: count_waiting(fleet) == 1)
         client.close()
--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -85,7 +85,9 @@
     writer.write(make_answer(request, body))
 
 
-async def start_slow(router, target, request_id="id-1", key=KEY, deadline_ms=20_000):
+async def start_slow(
+    fleet, router, target, request_id="id-1", key=KEY, deadline_ms=20_000
+):
     """Send a request, and read nothing of the response until told to."""
     host, _, port = router.settings.callers_address.rpartition(":")
     sock = socket.socket()
@@ -93,6 +95,7 @@
     sock.setblocking(False)
     await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
     client = EdgeClient(*await asyncio.open_connection(sock=sock, limit=2048))
+    fleet.add_client(client)
     client.send(target, request_id, X_Deadline_Ms=str(deadline_ms), X_Api_Key=key)
     return client
 
@@ -139,7 +142,7 @@
         workers = [await fleet.add_worker(name, behave) for name in ("w1", "w2")]
         router = await fleet.add_router(has_slow_peers=True)
         blamed = note_blame(router)
-        client = await start_slow(router, "/stream/a")
+        client = await start_slow(fleet, router, "/stream/a")
         await fleet.wait(lambda: behave.aborted)
         assert not (await client.read()).is_whole
         await fleet.wait(lambda: not router.server.in_flight)
@@ -181,7 +184,7 @@
         behave = stream if "stream" in target else answer_long
         worker = await fleet.add_worker("w1", behave)
         router = await fleet.add_router(has_slow_peers=True)
-        client = await start_slow(router, target)
+        client = await start_slow(fleet, router, target)
         await fleet.wait(lambda: router.flow.attempts.pool.take("w1", router.clock()))
         assert not stream.aborted
         assert find_held_bytes(router) > 0
@@ -211,7 +214,7 @@
         behave = make_impatient(LONG_BYTES)
         await fleet.add_worker("w1", behave)
         router = await fleet.add_router(has_slow_peers=True, grace_s=10.0)
-        client = await start_slow(router, "/stream/a")
+        client = await start_slow(fleet, router, "/stream/a")
         await fleet.wait(lambda: behave.completed)
         draining = asyncio.create_task(router.drain())
         await fleet.wait(lambda: not router.server.accepts_requests)
@@ -233,7 +236,7 @@
         router = await fleet.add_router(has_slow_peers=True)
         is_late = how != "leaves"
         client = await start_slow(
-            router, "/stream/a", deadline_ms=1500 if is_late else 20_000
+            fleet, router, "/stream/a", deadline_ms=1500 if is_late else 20_000
         )
         await fleet.wait(lambda: find_held_bytes(router) > LONG_BYTES / 4)
         if not is_late:
@@ -262,7 +265,7 @@
         )
         total_bytes = buffers.TOTAL_SHARE * 64_000_000
         slow = [
-            await start_slow(router, "/stream/a", f"slow-{n}", OTHER_KEY)
+            await start_slow(fleet, router, "/stream/a", f"slow-{n}", OTHER_KEY)
             for n in range(300)
         ]
         team_bound = 'client_buffers_total{label="team"}'
@@ -270,7 +273,7 @@
         worker = await fleet.add_worker("w2", make_impatient(LONG_BYTES))
         await fleet.store.write("servers", "w1", None)
         await fleet.wait(lambda: router.view.find_endpoint("w1") is None)
-        one = await start_slow(router, "/stream/a", "one")
+        one = await start_slow(fleet, router, "/stream/a", "one")
         await fleet.wait(lambda: worker.behave.completed)
         for number in range(20):
             answer = await ask(router, "/stream/a", f"id-{number}")
@@ -292,10 +295,10 @@
     async def act(fleet):
         await fleet.add_worker("w1", make_impatient(ENDLESS_BYTES, 60.0))
         router = await fleet.add_router(has_slow_peers=True, memory_bytes=16_000_000)
-        first = await start_slow(router, "/stream/a", "first")
+        first = await start_slow(fleet, router, "/stream/a", "first")
         team_bound = 'client_buffers_total{label="team"}'
         await fleet.wait(lambda: read_metrics(router).get(team_bound) == 1)
-        second = await start_slow(router, "/stream/a", "second")
+        second = await start_slow(fleet, router, "/stream/a", "second")
         await fleet.wait(lambda: read_metrics(router).get(team_bound) == 2)
         await wait_still(lambda: find_held_bytes(router))
         first.writer.transport.abort()
@@ -315,7 +318,9 @@
 
         await fleet.add_worker("w1", answer)
         router = await fleet.add_router(has_slow_peers=True, memory_bytes=800_000)
-        clients = [await start_slow(router, "/lookup/a", f"{n}-0") for n in range(3)]
+        clients = [
+            await start_slow(fleet, router, "/lookup/a", f"{n}-0") for n in range(3)
+        ]
         for client, number in itertools.product(clients, range(20)):
             client.send("/lookup/a", f"id-{number}", X_Deadline_Ms="20000")
         cut = 'streams_cut_total{label="slow_client"}'
@@ -346,7 +351,7 @@
             return make_reply(connection, *args)
 
         router.server.make_reply = make
-        client = await EdgeClient.connect(router)
+        client = await fleet.connect(router)
         client.send("/stream/a", Connection="close")
         await client.reader.read()
         await fleet.wait(lambda: not router.server.in_flight)
@@ -366,7 +371,7 @@
 
         await fleet.add_worker("w1", fail)
         router = await fleet.add_router(has_slow_peers=True)
-        client = await start_slow(router, "/lookup/a")
+        client = await start_slow(fleet, router, "/lookup/a")
         failed = 'calls_failed_total{label="endpoint"}'
         await fleet.wait(lambda: read_metrics(router).get(failed))
         await wait_still(lambda: find_held_bytes(router))
@@ -422,7 +427,7 @@
             return make_reply(connection, *args)
 
         router.server.make_reply = make
-        client = await EdgeClient.connect(router)
+        client = await fleet.connect(router)
         client.send(target)
         await client.reader.read()
         await fleet.wait(lambda: not router.server.in_flight)
@@ -514,7 +519,7 @@
         for name in ("w1", "w2"):
             await fleet.add_worker(name, stream)
         router = await fleet.add_router(has_slow_peers=True)
-        client = await start_slow(router, "/stream/a")
+        client = await start_slow(fleet, router, "/stream/a")
         body, read_bytes = bytearray(), 0
         while not body.endswith(b"\r\n0\r\n\r\n"):
             piece = await client.reader.read(65536)
--- a/tests/test_starting.py
+++ b/tests/test_starting.py
@@ -10,7 +10,7 @@
 
 from tamarackrill.platform.settings_file import parse_settings
 from tamarackrill.router.early_listener import open_listener
-from tamarackrill.testing.edge import EdgeClient, EdgeFleet, make_route, read_reason
+from tamarackrill.testing.edge import EdgeFleet, make_route, read_reason
 
 LOOKUP = make_route("/lookup/", "idempotent")
 # Each of these takes ten or more ms of a whole core to load.
@@ -120,7 +120,7 @@
 def test_caller_that_connects_before_the_router_has_started_is_served():
     # Guards against callers that use up their only retry on a refused connection.
     async def act(fleet, router, worker, listener, address):
-        client = await EdgeClient.connect(address)
+        client = await fleet.connect(address)
         client.send("/lookup/a")
         await router.start(listener)
         answer = await client.read()
@@ -133,11 +133,11 @@
 def test_request_of_a_caller_that_has_disconnected_is_not_sent():
     # Guards against requests sent to workers after their callers have disconnected.
     async def act(fleet, router, worker, listener, address):
-        left = await EdgeClient.connect(address)
+        left = await fleet.connect(address)
         left.send("/lookup/left", "id-left")
         left.close()
         await left.writer.wait_closed()
-        client = await EdgeClient.connect(address)
+        client = await fleet.connect(address)
         client.send("/lookup/stays", "id-stays")
         await router.start(listener)
         assert (await client.read()).status == 200
@@ -152,7 +152,7 @@
     # manifest.
     async def act(fleet, router, worker, listener, address):
         fleet.store.status = 503
-        client = await EdgeClient.connect(address)
+        client = await fleet.connect(address)
         client.send("/lookup/a")
         await router.start(listener)
         answer = await client.read()
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -6,7 +6,6 @@
 import pytest
 
 from tamarackrill.testing.edge import (
-    EdgeClient,
     EdgeFleet,
     ask,
     make_route,
@@ -82,7 +81,7 @@
 
     async def begin(self, router, request_id, **headers):
         """Begin a stream, and return its client after the first events."""
-        client = await EdgeClient.connect(router)
+        client = await self.connect(router)
         client.send("/stream/a", request_id, b"x", X_Deadline_Ms="20000", **headers)
         body = b""
         while body.count(b"data: ") < BEGUN:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -17,6 +17,7 @@
     make_client,
 )
 from tamarackrill.testing.daemon import listen
+from tamarackrill.testing.tcp_server import TcpServer
 
 CHUNK = b"x" * 8192
 CHUNKS = 2000
@@ -133,30 +134,25 @@
     # request would be reported as not run, and would crash one engine after another
     # without being counted as a suspect.
     async def run():
-        def serve(reader, writer):
-            async def end():
-                await _answer_once_and_crash(reader, writer)
-                server.close()
-                writer.transport.abort()
-
-            serving.append(asyncio.ensure_future(end()))
+        async def serve(reader, writer):
+            await _answer_once_and_crash(reader, writer)
+            server.close()
+            writer.transport.abort()
 
-        serving = []
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}/"
         client = make_client()
         try:
-            first = Exchange(client, "GET", url, {}, b"", 30.0, True)
-            assert (await first.head()).status == 200
-            await first.close()
-            second = Exchange(client, "POST", url, {}, b"order", 30.0, True)
-            with pytest.raises(UpstreamError) as caught:
-                await second.head()
-            await second.close()
-            return caught.value.sent
+            async with TcpServer(serve) as server:
+                url = f"http://{server.address}/"
+                first = Exchange(client, "GET", url, {}, b"", 30.0, True)
+                assert (await first.head()).status == 200
+                await first.close()
+                second = Exchange(client, "POST", url, {}, b"order", 30.0, True)
+                with pytest.raises(UpstreamError) as caught:
+                    await second.head()
+                await second.close()
+                return caught.value.sent
         finally:
             client.close()
-            await asyncio.gather(*serving, return_exceptions=True)
 
     assert asyncio.run(run()) is True
 
@@ -189,31 +185,25 @@
     # load report is still open.  A request sent on it would be lost and counted as the
     # cause of the crash; after two such engines it would be refused permanently.
     async def run():
-        def serve(reader, writer):
-            serving.append(asyncio.ensure_future(_crash_after_one(reader, writer)))
-
-        async def _crash_after_one(reader, writer):
+        async def serve(reader, writer):
             await _answer_once_and_crash(reader, writer)
             writer.transport.abort()
 
-        serving = []
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         client = make_client()
         try:
-            report = Exchange(client, "GET", f"http://{address}/", {}, b"", 30.0, True)
-            assert (await report.head()).status == 200
-            await report.close()
-            server.close()
-            engine = Endpoint("e", "engine", ("m",), address, "z")
-            attempt = await attempt_call(
-                client, make_call(), engine, Reply(False), 0, False, time.monotonic
-            )
-            return attempt.outcome
+            async with TcpServer(serve) as server:
+                url = f"http://{server.address}/"
+                report = Exchange(client, "GET", url, {}, b"", 30.0, True)
+                assert (await report.head()).status == 200
+                await report.close()
+                server.close()
+                engine = Endpoint("e", "engine", ("m",), server.address, "z")
+                attempt = await attempt_call(
+                    client, make_call(), engine, Reply(False), 0, False, time.monotonic
+                )
+                return attempt.outcome
         finally:
             client.close()
-            for task in serving:
-                task.cancel()
 
     assert asyncio.run(run()) == "not_sent"
 
@@ -231,24 +221,21 @@
         await reader.readuntil(b"\r\n\r\n")
         writer.write(answer)
         await writer.drain()
-        writer.close()
 
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-    endpoint = Endpoint("e", call.kind, (call.pool,), address, "z")
     client = make_client()
     try:
-        reply = Reply(False)
-        if events:
-            reply.start(Head(200, {"Content-Type": "text/event-stream"}))
-            reply.extend(list(events))
-        attempt = await attempt_call(
-            client, call, endpoint, reply, len(events), False, time.monotonic
-        )
-        return attempt.outcome, reply.count
+        async with TcpServer(serve) as server:
+            endpoint = Endpoint("e", call.kind, (call.pool,), server.address, "z")
+            reply = Reply(False)
+            if events:
+                reply.start(Head(200, {"Content-Type": "text/event-stream"}))
+                reply.extend(list(events))
+            attempt = await attempt_call(
+                client, call, endpoint, reply, len(events), False, time.monotonic
+            )
+            return attempt.outcome, reply.count
     finally:
         client.close()
-        server.close()
 
 
 UNFRAMED_STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
