--- a/src/tamarackrill/testing/versioned_fleet.py
+++ b/src/tamarackrill/testing/versioned_fleet.py
@@ -8,7 +8,6 @@
 from tamarackrill.router.edge_app import EdgeApplication
 from tamarackrill.testing.edge import (
     EdgeAnswer,
-    EdgeClient,
     EdgeFleet,
     ask,
     make_route,
@@ -143,7 +142,7 @@
         self, router: EdgeApplication, request_id: str, **headers: str
     ) -> tuple[EdgeClient, set[bytes]]:
         """Begin a stream; return its client after the first events, and its version."""
-        client = await EdgeClient.connect(router)
+        client = await self.connect(router)
         fields = {"X_Deadline_Ms": DEADLINE_MS, **headers}
         client.send("/stream/a", request_id, b"x", **fields)
         body = b""
