Take no answer whose head holds the beginning of another one

An endpoint that stops within the head of an answer and writes an error page on the same connection, or an endpoint whose late answer ends within its head before the next one, sends bytes that parse as one head: the reason phrase or a header of the first swallows the status line of the second. Its client got the status of the first, the signature, and the body and length of the second: a 200 with an empty or short body, framed as whole, where the endpoint had failed.

Cause: h11 accepts any visible text in a reason phrase and in values. A head in which one of these holds a status line is no answer now; the attempt counts as lost. The same check covers routers that forward attempts, and heads of status 1xx, behind which the router waited until the deadline.

The 8 cases of the test failed before (200, Content-Length: 0) and pass.

--- a/src/tamarackrill/router/channels.py
+++ b/src/tamarackrill/router/channels.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import re
 from collections.abc import Awaitable, Callable
 from typing import Literal, NamedTuple
 
@@ -133,10 +134,12 @@
         """
         while True:
             event = await self._next_event()
+            if not isinstance(event, h11.Response | h11.InformationalResponse):
+                raise ChannelError("the connection ended before an answer")
+            if _holds_status_line(event):
+                raise ChannelError("another response begins within the head")
             if isinstance(event, h11.Response):
                 return _read_head(event, self._is_head_request())
-            if not isinstance(event, h11.InformationalResponse):
-                raise ChannelError("the connection ended before an answer")
 
     async def read_chunk(self) -> bytes:
         """Return the next bytes of the body, empty at its end.
@@ -264,6 +267,18 @@
 # No content, not modified.
 _STATUSES_WITHOUT_BODY = (204, 304)
 _BOTH_DONE = {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+
+
+def _holds_status_line(response: h11.Response | h11.InformationalResponse) -> bool:
+    """Return whether a response begins in the reason phrase or in a header.
+
+    An endpoint that has stopped within a head may send another response on the same
+    connection.  The two parse as one head, with the status of the first and the body
+    of the second.
+    """
+    texts = [response.reason, *(value for _, value in response.headers)]
+    return any(_STATUS_LINE.search(text) for text in texts)
 
 
 def _read_head(response: h11.Response, is_head_request: bool) -> ResponseHead:
--- /dev/null
+++ b/tests/test_cut_heads.py
@@ -0,0 +1,59 @@
+"""Answers of endpoints that stop within the head of an answer."""
+
+import asyncio
+
+import pytest
+
+from tamarackrill.testing.edge import EdgeFleet, ask, make_route
+from tamarackrill.testing.worker import make_answer
+
+ROUTES = (
+    make_route("/stream/", "streaming", stream_resume=True),
+    make_route("/lookup/", "idempotent", attempts=1),
+    make_route("/confirm/", "non_idempotent", attempts=1),
+)
+
+
+def run_in_fleet(act):
+    async def run():
+        async with EdgeFleet() as fleet:
+            await fleet.put_manifest(1, *ROUTES)
+            await act(fleet)
+
+    asyncio.run(run())
+
+
+def make_head(request, *, has_hints=False, line_end=b"\r\n"):
+    """Return the head of an answer, optionally after an informational one."""
+    head = make_answer(request, b"whole")[: -len(b"whole")]
+    hints = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" if has_hints else b""
+    return (hints + head).replace(b"\r\n", line_end)
+
+
+@pytest.mark.parametrize("target", ["/lookup/a", "/confirm/a"])
+@pytest.mark.parametrize("has_hints", [False, True], ids=["", "after_103"])
+@pytest.mark.parametrize("line_end", [b"\r\n", b"\n"], ids=["crlf", "lf"])
+def test_answer_behind_a_part_of_a_head_does_not_get_its_status(
+    target, has_hints, line_end
+):
+    # Guards against an error page that its client gets with status 200, if an endpoint
+    # stops within a head and answers with the page on the same connection.
+    async def act(fleet):
+        async def stop_and_fail(request, writer):
+            head = make_head(request, has_hints=has_hints, line_end=line_end)
+            page = make_answer(request, b"", 500, Connection="close")
+            writer.write(head[: int(request.headers["cut"])] + page)
+            await writer.drain()
+            writer.close()
+
+        worker = await fleet.add_worker("w1")
+        router = await fleet.add_router()
+        example = await ask(router, target, body=b"x")
+        assert example.status == 200
+        worker.behave = stop_and_fail
+        whole = make_head(worker.requests[0], has_hints=has_hints, line_end=line_end)
+        for cut in range(1, len(whole)):
+            answer = await ask(router, target, body=b"x", Cut=str(cut))
+            assert answer.status in (500, 502), cut
+
+    run_in_fleet(act)
