Take no end of a connection before its first event for the rest of a stream

A stream is broken off after some events and goes on at another endpoint, which sends the head of an answer without framing and ends its connection in order. The client got the events of the first endpoint and the last chunk: half a stream, framed as whole.

Cause: a stream without framing and without events counted as complete as soon as any event was known, because a client may ask for the rest of a stream of which it has everything. It holds now only for what a client asks for; an endpoint that goes on for one that broke off has events to send. A router that forwards an attempt frames what it passes on and can't tell who asked, so the router that resumes expects an event through it in any framing. If the first endpoint broke off after its last event, the stream is cut, and the client that takes it up gets the empty rest.

--- a/src/tamarackrill/decisions/event_stream.py
+++ b/src/tamarackrill/decisions/event_stream.py
@@ -92,6 +92,7 @@
         self.events = 0
         self._splitter = EventSplitter()
         self._is_resumed = False
+        self._events_before = 0
 
     @property
     def partial_bytes(self) -> int:
@@ -128,7 +129,10 @@
         rest = self._splitter.partial
         if ends_inside_event(rest):
             raise EventStreamError("the stream ended inside an event")
-        if not is_framed and self.last_id is None and not self.events:
+        # A client may ask for the rest of a stream of which it has all events.  An
+        # endpoint that goes on for one that broke the stream off has events to send.
+        may_be_empty = self.last_id is not None and not self.events
+        if not is_framed and not may_be_empty and self.events == self._events_before:
             raise EventStreamError("the connection ended before the first event")
         self._splitter.clear()
         return rest
@@ -137,6 +141,7 @@
         """Drop a partial event; the next bytes come from another endpoint."""
         self._splitter.clear()
         self._is_resumed = True
+        self._events_before = self.events
 
     def _should_forward(self, event: bytes) -> bool:
         found = _ID.search(event)
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -377,7 +377,7 @@
             load = self._observer.observe_load(placed, head, answer_headers)
             async with asyncio.timeout_at(call.deadline_s + RESPONSE_TRANSIT_S):
                 result = await self._handle_answer(
-                    progress, placed, channel, head, answer_headers
+                    progress, placed, relay, channel, head, answer_headers
                 )
         except TimeoutError:
             progress.reply.check_unread(channel)
@@ -482,6 +482,7 @@
         self,
         progress: RequestProgress,
         placed: EdgePlacement,
+        relay: str,
         channel: Channel,
         head: ResponseHead,
         answer_headers: ResponseHeaders,
@@ -498,7 +499,7 @@
         ):
             raise ChannelError("response is unsigned or has a content encoding")
         if is_ok and answer_headers.is_event_stream:
-            await self._relay(progress, placed, channel, head)
+            await self._relay(progress, placed, relay, channel, head)
             return AttemptResult("answered")
         body = await read_body(channel, progress.reply)
         await self._confirm_end(progress.call, placed.endpoint, head)
@@ -522,10 +523,14 @@
         self,
         progress: RequestProgress,
         placed: EdgePlacement,
+        relay: str,
         channel: Channel,
         head: ResponseHead,
     ) -> None:
         reply, stream = progress.reply, progress.stream
+        # Another router frames all that it forwards, and can't tell whether the client
+        # asked for the rest of the stream or this router did.
+        is_framed = head.framing != "close" and not (relay and stream.events)
         # The buffer may hold part of an event of an endpoint that failed, even if the
         # client has received nothing yet.
         stream.resume()
@@ -535,7 +540,7 @@
             if piece:
                 events = stream.take(piece)
             else:
-                events = stream.finish(is_framed=head.framing != "close")
+                events = stream.finish(is_framed)
                 await self._confirm_end(progress.call, placed.endpoint, head)
             if events or not piece:
                 if not reply.has_begun:
--- a/tests/test_broken_off.py
+++ b/tests/test_broken_off.py
@@ -177,6 +177,26 @@
     run_in_fleet(act)
 
 
+def end_without_events(framing):
+    """Return a behaviour that breaks a stream off, and then sends no rest of it."""
+    return in_turn(make_streaming(3, is_cut=True), stream_of(framing, b""))
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_connection_that_ends_after_the_head_is_no_rest_of_a_stream(framing):
+    # Guards against half a stream that its client takes for the whole one, because the
+    # endpoint that should go on with it ends its connection after the head.
+    async def act(fleet):
+        behave = end_without_events(framing)
+        workers = [await fleet.add_worker(name, behave) for name in ("w1", "w2")]
+        router = await fleet.add_router()
+        answer = await ask(router, "/stream/a", body=b"x")
+        assert sum(len(worker.requests) for worker in workers) == 2
+        assert (answer.body, answer.is_whole) == (THREE, framing != "close")
+
+    run_in_fleet(act)
+
+
 def test_crash_between_events_is_no_end_of_a_stream_without_framing():
     # Guards against a partial answer that is forwarded as complete, if an endpoint
     # crashes between two events of a stream that ends with its connection.
@@ -393,6 +413,22 @@
     run_in_fleet(act)
 
 
+def test_end_after_the_head_is_no_rest_of_a_stream_through_another_router():
+    # Guards against half a stream that its client takes for the whole one, because the
+    # router that forwards the rest frames what ended with its connection.
+    async def act(fleet):
+        workers = [await fleet.add_worker(name) for name in ("w1", "w2")]
+        async with run_cut_off_router(fleet) as router:
+            behave = end_without_events("close")
+            for worker in workers:
+                worker.behave = behave
+            answer = await ask(router, "/stream/a", body=b"x")
+            assert sum(len(worker.requests) for worker in workers) == 2
+            assert (answer.body, answer.is_whole) == (THREE, False)
+
+    run_in_fleet(act)
+
+
 EVENT_STREAM = {"Content_Type": "text/event-stream"}
 
 
