--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -193,8 +193,10 @@
             serving.append(asyncio.ensure_future(_crash_after_one(reader, writer)))
 
         async def _crash_after_one(reader, writer):
-            await _answer_once_and_crash(reader, writer)
-            writer.transport.abort()
+            try:
+                await _answer_once_and_crash(reader, writer)
+            finally:
+                writer.transport.abort()
 
         serving = []
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
