tamarackrilld: take no answer whose head is incomplete for a whole one

An endpoint stops within the head of its answer and closes the connection. The caller got 200 with an empty body, framed as whole; a missing 404 looked like one that had been sent. Load orders counted as taken, probes as healthy, and an answer of a home router as whole.

Cause: libcurl reports success if a connection ends within a head, with the status and the header lines that had arrived, and passes on part of a last line. The exchange made a head of these. A head is whole now at its blank line only, and an exchange that ends before it raises UpstreamError, sent.

The 12 cases of the test, each cut of six heads, failed before and pass.

--- a/src/tamarackrill/router/upstream.py
+++ b/src/tamarackrill/router/upstream.py
@@ -195,7 +195,6 @@
     def _write(self, chunk: bytes) -> int:
         if self._cancelled:
             return 0
-        self._set_head()
         if self._outlet is not None and not self._is_full:
             self._forward(chunk)
             return 0 if self._cancelled else len(chunk)
@@ -231,6 +230,9 @@
             self._curl.pause(pycurl.PAUSE_CONT)
 
     def _take_header_line(self, raw: bytes) -> None:
+        if not raw.endswith(b"\n"):
+            # libcurl passes on what it has of the last line when the connection ends.
+            return
         line = raw.decode("latin-1").strip()
         if line.startswith("HTTP/"):
             self._status = int(line.split()[1])
@@ -238,11 +240,7 @@
         elif ":" in line:
             name, _, value = line.partition(":")
             self._header_lines[name.strip().title()] = value.strip()
-        elif not line and self._status >= 200:
-            self._set_head()
-
-    def _set_head(self) -> None:
-        if not self._head.done():
+        elif not line and self._status >= 200 and not self._head.done():
             self._head.set_result(Head(self._status, dict(self._header_lines)))
 
     async def _fetch(self, request: HTTPRequest) -> None:
@@ -258,11 +256,12 @@
             self._error = UpstreamError(repr(error), sent=True)
         self._is_finished = True
         self._curl = None
-        if self._error is not None and not self._head.done():
+        if not self._head.done():
+            # libcurl reports success if the connection ends within a head.
+            if self._error is None:
+                self._error = UpstreamError("the head is incomplete", sent=True)
             self._head.set_exception(self._error)
             self._head.exception()
-        elif not self._head.done():
-            self._set_head()
         self._changed.set()
 
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -234,7 +234,9 @@
         writer.write(answer)
         await writer.drain()
         writer.close()
+        served.set()
 
+    served = asyncio.Event()
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
     endpoint = Endpoint("e", call.kind, (call.pool,), address, "z")
@@ -247,12 +249,35 @@
         attempt = await attempt_call(
             client, call, endpoint, reply, len(events), False, time.monotonic
         )
+        await served.wait()
         return attempt.outcome, reply.count
     finally:
         client.close()
         server.close()
 
 
+HEADS = {
+    "length": b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 1234\r\n\r\n",
+    "chunked": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "close": b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n",
+    "bare_lf": b"HTTP/1.1 200 OK\nX-Id: 1\nContent-Length: 1234\n\n",
+    "not_found": b"HTTP/1.1 404 Not Found\r\nContent-Length: 1234\r\n\r\n",
+    "after_103": b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("kind", ["service", "engine"])
+@pytest.mark.parametrize("head", HEADS.values(), ids=HEADS)
+def test_answer_that_ends_within_its_head_is_none(head, kind):
+    # Guards against an empty answer that is forwarded as complete, if an endpoint stops
+    # within the head of its answer and closes the connection.
+    async def run():
+        call = make_call()._replace(kind=kind)
+        return [await _attempt_at(call, head[:cut]) for cut in range(1, len(head))]
+
+    assert set(asyncio.run(run())) == {("cut", 0)}
+
+
 UNFRAMED_STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
 EVENT = b"id: 1\ndata: word\n\n"
 DONE = b"data: [DONE]\n\n"
