tamarackrilld: take no answer whose head holds the beginning of another one

As, in the exchanges over libcurl: an endpoint that stops within a head and writes an error page behind it got its page delivered with status 200, empty or short, framed as whole. libcurl takes any reason phrase and any value without a bare carriage return. A status line that begins after the first byte of a header line ends the exchange now.

--- a/src/tamarackrill/router/channels.py
+++ b/src/tamarackrill/router/channels.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import re
 from collections.abc import Awaitable, Callable
 from typing import Literal, NamedTuple
 
@@ -14,6 +13,7 @@
 
 from tamarackrill.decisions.attempt_timeouts import SILENCE_MAX_S
 from tamarackrill.decisions.capacity.buffers import ReadPauses
+from tamarackrill.decisions.status_lines import holds_status_line
 from tamarackrill.router import lateness
 from tamarackrill.router.sockets import enable_keepalive
 
@@ -136,7 +136,7 @@
             event = await self._next_event()
             if not isinstance(event, h11.Response | h11.InformationalResponse):
                 raise ChannelError("the connection ended before an answer")
-            if _holds_status_line(event):
+            if _is_joined(event):
                 raise ChannelError("another response begins within the head")
             if isinstance(event, h11.Response):
                 return _read_head(event, self._is_head_request())
@@ -267,18 +267,11 @@
 # No content, not modified.
 _STATUSES_WITHOUT_BODY = (204, 304)
 _BOTH_DONE = {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
-_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 
 
-def _holds_status_line(response: h11.Response | h11.InformationalResponse) -> bool:
-    """Return whether a response begins in the reason phrase or in a header.
-
-    An endpoint that has stopped within a head may send another response on the same
-    connection.  The two parse as one head, with the status of the first and the body
-    of the second.
-    """
+def _is_joined(response: h11.Response | h11.InformationalResponse) -> bool:
     texts = [response.reason, *(value for _, value in response.headers)]
-    return any(_STATUS_LINE.search(text) for text in texts)
+    return any(holds_status_line(text) for text in texts)
 
 
 def _read_head(response: h11.Response, is_head_request: bool) -> ResponseHead:
--- a/src/tamarackrill/router/upstream.py
+++ b/src/tamarackrill/router/upstream.py
@@ -15,6 +15,7 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPRequest, HTTPResponse
 
+from tamarackrill.decisions.status_lines import holds_status_line
 from tamarackrill.router.outlets import Outlet
 
 # Unread bytes of a response at which libcurl stops reading from the socket.  Two reads
@@ -90,6 +91,7 @@
         self._changed = asyncio.Event()
         self._head: asyncio.Future[Head] = asyncio.get_running_loop().create_future()
         self._status = 0
+        self._fault = ""
         self._header_lines: dict[str, str] = {}
         self._curl: Any = None
         self._sent_bytes = 0
@@ -229,10 +231,17 @@
             self._paused = False
             self._curl.pause(pycurl.PAUSE_CONT)
 
-    def _take_header_line(self, raw: bytes) -> None:
-        if not raw.endswith(b"\n"):
-            # libcurl passes on what it has of the last line when the connection ends.
-            return
+    def _take_header_line(self, raw: bytes) -> int:
+        if holds_status_line(raw, 1):
+            # libcurl ends the exchange if less is taken than it passes on.
+            self._fault = "another response begins within the head"
+            return 0
+        # At the end of the connection libcurl passes on a part of the last line.
+        if raw.endswith(b"\n"):
+            self._parse_header_line(raw)
+        return len(raw)
+
+    def _parse_header_line(self, raw: bytes) -> None:
         line = raw.decode("latin-1").strip()
         if line.startswith("HTTP/"):
             self._status = int(line.split()[1])
@@ -251,7 +260,7 @@
             # reconnects and fails.  The error then reports only the failed connection,
             # although the request was sent and may have run.
             sent = self._sent_bytes > 0 or error.errno not in _NOTHING_SENT
-            self._error = UpstreamError(str(error), sent)
+            self._error = UpstreamError(self._fault or str(error), sent)
         except Exception as error:  # noqa: BLE001 - the exchange must always end
             self._error = UpstreamError(repr(error), sent=True)
         self._is_finished = True
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -278,6 +278,20 @@
     assert set(asyncio.run(run())) == {("cut", 0)}
 
 
+@pytest.mark.parametrize("head", HEADS.values(), ids=HEADS)
+def test_answer_behind_a_part_of_a_head_does_not_get_its_status(head):
+    # Guards against an error page that its caller gets with status 200, if an endpoint
+    # stops within a head and answers with the page on the same connection.
+    async def run():
+        call = make_call()._replace(kind="service", method="GET", body=b"")
+        page = b"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"
+        cuts = range(1, len(head))
+        return [await _attempt_at(call, head[:cut] + page) for cut in cuts]
+
+    outcomes = {outcome for outcome, _ in asyncio.run(run())}
+    assert outcomes <= {"cut", "refused"}
+
+
 UNFRAMED_STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
 EVENT = b"id: 1\ndata: word\n\n"
 DONE = b"data: [DONE]\n\n"
