Take no answer of the store whose head is incomplete for a whole one

The store stops within the head of an answer and closes the connection. What a 404 or 410 had begun was believed (a lease or claim that doesn't exist, a history that is gone and is listed again), and a write ended with a TypeError instead of PlatformUnavailable, which its task doesn't expect. Lists and watches answered 200 were refused, as their bodies are empty.

Cause: libcurl reports success if a connection ends within a head, and an empty body is read as JSON null. An answer without the blank line of its head, or with that of an informational one only, is no answer now.

--- a/src/tamarackrill/router/platform_client.py
+++ b/src/tamarackrill/router/platform_client.py
@@ -391,6 +391,8 @@
         is_expected = response.code in (*CONFLICTS, NOT_FOUND, GONE)
         if response.error is not None and not is_expected:
             raise PlatformUnavailable(f"platform: {response.error}")
+        if not progress.has_head:
+            raise PlatformUnavailable("platform: the answer ended within its head")
         era = _parse_era(response.headers.get(self._form.era_header, ""))
         body = _parse_json(response.body)
         return _Answer(response.code, body, progress.size_bytes, era)
--- a/src/tamarackrill/router/store_fetch.py
+++ b/src/tamarackrill/router/store_fetch.py
@@ -20,6 +20,12 @@
     ----------
     on_first_byte : callable
         Called when the first byte of the answer arrives.
+
+    Attributes
+    ----------
+    has_head : bool
+        Whether the whole head of the answer has arrived; libcurl reports success also
+        if the connection ends within it.
     """
 
     def __init__(self, on_first_byte: Callable[[], None]) -> None:
@@ -27,9 +33,15 @@
         self.first_byte = asyncio.Event()
         self.first_byte_s: float | None = None
         self.size_bytes = 0
+        self.has_head = False
+        self._is_informational = False
 
     def handle_header_line(self, line: str) -> None:
-        """Record the first byte; called for each header line of the answer."""
+        """Record how far the head is; called for each header line of the answer."""
+        if line.startswith("HTTP/"):
+            self._is_informational = line.partition(" ")[2].startswith("1")
+        elif line in ("\r\n", "\n"):
+            self.has_head = not self._is_informational
         if self.first_byte_s is None:
             self.first_byte_s = time.monotonic()
             self.first_byte.set()
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -1,9 +1,13 @@
-"""Answers of endpoints that stop within the head of an answer."""
+"""Answers of endpoints and of the store that end within their head."""
 
 import asyncio
 
 import pytest
+from tornado.curl_httpclient import CurlAsyncHTTPClient
 
+from tamarackrill.exceptions import PlatformUnavailable
+from tamarackrill.platform.store import STORE_FORM
+from tamarackrill.router.platform_client import PlatformClient
 from tamarackrill.testing.edge import EdgeFleet, ask, make_route
 from tamarackrill.testing.worker import make_answer
 
@@ -57,3 +61,44 @@
             assert answer.status in (500, 502), cut
 
     run_in_fleet(act)
+
+
+STORE_CALLS = {
+    "get": lambda store: store.get("servers", "w1"),
+    "list": lambda store: store.list("servers"),
+    "watch": lambda store: store.watch("servers", 1, 0.0),
+    "put": lambda store: store.put("servers", "w1", {}, 1),
+    "delete": lambda store: store.delete("servers", "w1", 1),
+}
+
+
+@pytest.mark.parametrize("call", STORE_CALLS.values(), ids=STORE_CALLS)
+@pytest.mark.parametrize("status", [200, 404, 409, 410])
+def test_answer_of_the_store_that_ends_within_its_head_is_none(status, call):
+    # Guards against an object that counts as missing, and a task that ends with a
+    # TypeError, if the store stops within the head of its answer.
+    async def run():
+        async def answer(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(sent)
+            await writer.drain()
+            writer.close()
+
+        hints = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+        head = (
+            f"{hints}HTTP/1.1 {status} S\r\nStore-Era: 1\r\nContent-Length: 2\r\n\r\n"
+        )
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        client = CurlAsyncHTTPClient(force_instance=True)
+        store = PlatformClient(f"{host}:{port}", "z", client, STORE_FORM)
+        for start in (0, len(hints)):
+            for end in range(start + 1, len(head)):
+                sent = head[start:end].encode()
+                with pytest.raises(PlatformUnavailable) as caught:
+                    await call(store)
+                assert caught.type is PlatformUnavailable, sent
+        client.close()
+        server.close()
+
+    asyncio.run(run())
