Take a malformed answer to a write as none

An answer to a write that states no version, such as one without a body, raised a TypeError or KeyError. The tasks that write expect PlatformUnavailable, after which they read what the write has done; a claim bucket's write would never end (read from claiming.py, not run).

--- a/src/tamarackrill/router/platform_client.py
+++ b/src/tamarackrill/router/platform_client.py
@@ -313,10 +313,8 @@
             condition = {"If-Match": str(expected_version)}
         path = self._form.object_path(kind, name)
         answer = await self._call(method, path, None, condition, text)
-        if answer.code in CONFLICTS:
-            current = answer.body["current"]
-            return WriteResult(None, PlatformObject(**current) if current else None)
-        return WriteResult(answer.body["version"], None)
+        read = _read_conflict if answer.code in CONFLICTS else _read_written
+        return _parse(read, kind, answer.body)
 
     async def _call(
         self,
@@ -413,6 +411,15 @@
         ) from error
 
 
+def _read_conflict(kind: str, body: Any) -> WriteResult:
+    current = body["current"]
+    return WriteResult(None, PlatformObject(**current) if current else None)
+
+
+def _read_written(kind: str, body: Any) -> WriteResult:
+    return WriteResult(body["version"], None)
+
+
 def _check_field(body: Any, field: str) -> None:
     # The address may belong to another service, such as a router, whose JSON differs.
     if not isinstance(body, dict) or field not in body:
