Answer a HEAD request that fails

A HEAD request that the router answers itself, with 404 or after an endpoint stopped within its head, got no answer: its connection was closed. Cause: the reply gave its error page to tornado, which refuses a body to HEAD and closes the connection. The head is sent without the body now, and the connection stays open.

--- a/src/tamarackrill/router/edge_reply.py
+++ b/src/tamarackrill/router/edge_reply.py
@@ -35,6 +35,8 @@
         Whether the response is complete or aborted.
     team : str
         Team that the request belongs to; empty if not known.
+    takes_body : bool
+        Whether the response has a body, which one to a HEAD request hasn't.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         self.has_begun = False
         self.is_over = False
         self.team = ""
+        self.takes_body = True
 
     async def begin(
         self,
@@ -88,7 +91,8 @@
             fields["Connection"] = "close"
         self.has_begun = True
         line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
-        return self._connection.write_headers(line, fields, body or None)
+        sent = body if body and self.takes_body else None
+        return self._connection.write_headers(line, fields, sent)
 
     async def write(self, chunk: bytes) -> None:
         """Send a chunk; return once the write buffer has room for the next one."""
--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -297,6 +297,7 @@
         must_close = server.is_leaving or server.sheds_connections
         takes_chunks = self._start_line.version != "HTTP/1.0"
         reply = server.make_reply(self._connection, must_close, takes_chunks)
+        reply.takes_body = self._start_line.method != "HEAD"
         try:
             await self._match_and_serve(reply)
             await reply.deliver(self._find_delivery_end_s())
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -1,6 +1,7 @@
 """Answers of endpoints and of the store that end within their head."""
 
 import asyncio
+import contextlib
 
 import pytest
 from tornado.curl_httpclient import CurlAsyncHTTPClient
@@ -8,7 +9,7 @@
 from tamarackrill.exceptions import PlatformUnavailable
 from tamarackrill.platform.store import STORE_FORM
 from tamarackrill.router.platform_client import PlatformClient
-from tamarackrill.testing.edge import EdgeFleet, ask, make_route
+from tamarackrill.testing.edge import EdgeClient, EdgeFleet, ask, make_route
 from tamarackrill.testing.worker import make_answer
 
 ROUTES = (
@@ -63,6 +64,27 @@
     run_in_fleet(act)
 
 
+@pytest.mark.parametrize("target, status", [("/lookup/a", 502), ("/none/a", 404)])
+def test_head_request_that_fails_gets_an_answer_without_a_body(target, status):
+    # Guards against a connection that is closed without an answer, as the body of an
+    # error page can't be sent to a HEAD request.
+    async def act(fleet):
+        async def stop(request, writer):
+            writer.write(make_head(request)[:40])
+            await writer.drain()
+            writer.close()
+
+        await fleet.add_worker("w1", stop)
+        router = await fleet.add_router()
+        with contextlib.closing(await EdgeClient.connect(router)) as client:
+            for number in range(2):
+                client.send(target, f"id-{number}", method="HEAD")
+                head = await client.reader.readuntil(b"\r\n\r\n")
+                assert head.startswith(b"HTTP/1.1 %d " % status)
+
+    run_in_fleet(act)
+
+
 STORE_CALLS = {
     "get": lambda store: store.get("servers", "w1"),
     "list": lambda store: store.list("servers"),
