--- a/tests/test_broken_off.py
+++ b/tests/test_broken_off.py
@@ -454,6 +454,29 @@
     run_in_fleet(act)
 
 
+def test_answer_through_another_router_that_ends_within_its_head_is_lost():
+    # Guards against an empty answer that looks complete, as the router that forwards it
+    # writes a head of its own.
+    async def act(fleet):
+        async def stop(request, writer):
+            whole = make_answer(request, b"")
+            writer.write(whole[: int(request.headers["cut"])])
+            await writer.drain()
+            writer.close()
+
+        worker = await fleet.add_worker("w1")
+        async with run_cut_off_router(fleet) as router:
+            await ask(router, "/confirm/a", body=b"x")
+            size_bytes = len(make_answer(worker.requests[0], b""))
+            worker.behave = stop
+            for cut in range(size_bytes):
+                answer = await ask(router, "/confirm/a", body=b"x", Cut=str(cut))
+                assert (answer.status, read_reason(answer)) == (502, "lost"), cut
+            assert len(worker.requests) == 1 + size_bytes
+
+    run_in_fleet(act)
+
+
 @pytest.mark.parametrize("framing", FRAMINGS)
 def test_whole_answer_through_another_router_is_complete(framing):
     async def act(fleet):
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -9,8 +9,14 @@
 from tamarackrill.exceptions import PlatformUnavailable
 from tamarackrill.platform.store import STORE_FORM
 from tamarackrill.router.platform_client import PlatformClient
-from tamarackrill.testing.edge import EdgeClient, EdgeFleet, ask, make_route
-from tamarackrill.testing.worker import make_answer
+from tamarackrill.testing.edge import (
+    EdgeClient,
+    EdgeFleet,
+    ask,
+    make_route,
+    read_reason,
+)
+from tamarackrill.testing.worker import answer_ok, make_answer, reset_connection
 
 ROUTES = (
     make_route("/stream/", "streaming", stream_resume=True),
@@ -35,6 +41,34 @@
     return (hints + head).replace(b"\r\n", line_end)
 
 
+@pytest.mark.parametrize("late", [0, 1, 2])
+@pytest.mark.parametrize("must_reset", [False, True], ids=["close", "reset"])
+@pytest.mark.parametrize("has_hints", [False, True], ids=["", "after_103"])
+def test_answer_that_ends_within_its_head_is_lost(has_hints, must_reset, late):
+    # Guards against an empty answer that is forwarded as complete, also behind late
+    # answers to other requests, which arrive in the same packet on a kept connection.
+    async def act(fleet):
+        async def stop(request, writer):
+            other = request._replace(headers={"x-request-attempt-id": "another"})
+            head = make_head(request, has_hints=has_hints)
+            cut = int(request.headers["cut"])
+            writer.write(late * make_answer(other) + head[:cut])
+            await writer.drain()
+            await reset_connection(writer) if must_reset else writer.close()
+
+        worker = await fleet.add_worker("w1")
+        router = await fleet.add_router()
+        await ask(router, "/lookup/a", body=b"x")
+        for cut in range(len(make_head(worker.requests[0], has_hints=has_hints))):
+            worker.behave = answer_ok
+            await ask(router, "/lookup/a", body=b"x")
+            worker.behave = stop
+            answer = await ask(router, "/lookup/a", body=b"x", Cut=str(cut))
+            assert (answer.status, read_reason(answer)) == (502, "lost"), cut
+
+    run_in_fleet(act)
+
+
 @pytest.mark.parametrize("target", ["/lookup/a", "/confirm/a"])
 @pytest.mark.parametrize("has_hints", [False, True], ids=["", "after_103"])
 @pytest.mark.parametrize("line_end", [b"\r\n", b"\n"], ids=["crlf", "lf"])
