--- a/src/tamarackrill/router/channels.py
+++ b/src/tamarackrill/router/channels.py
@@ -13,6 +13,7 @@
 
 from tamarackrill.decisions.attempt_timeouts import SILENCE_MAX_S
 from tamarackrill.decisions.capacity.buffers import ReadPauses
+from tamarackrill.decisions.status_lines import holds_status_line
 from tamarackrill.router import lateness
 from tamarackrill.router.sockets import enable_keepalive
 
@@ -133,10 +134,12 @@
         """
         while True:
             event = await self._next_event()
+            if not isinstance(event, h11.Response | h11.InformationalResponse):
+                raise ChannelError("the connection ended before an answer")
+            if _is_joined(event):
+                raise ChannelError("another response begins within the head")
             if isinstance(event, h11.Response):
                 return _read_head(event, self._is_head_request())
-            if not isinstance(event, h11.InformationalResponse):
-                raise ChannelError("the connection ended before an answer")
 
     async def read_chunk(self) -> bytes:
         """Return the next bytes of the body, empty at its end.
@@ -266,6 +269,11 @@
 _BOTH_DONE = {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
 
 
+def _is_joined(response: h11.Response | h11.InformationalResponse) -> bool:
+    texts = [response.reason, *(value for _, value in response.headers)]
+    return any(holds_status_line(text) for text in texts)
+
+
 def _read_head(response: h11.Response, is_head_request: bool) -> ResponseHead:
     headers = tuple(
         (name.decode("latin-1"), value.decode("latin-1"))
--- a/src/tamarackrill/testing/versioned_fleet.py
+++ b/src/tamarackrill/testing/versioned_fleet.py
@@ -8,6 +8,7 @@
 from tamarackrill.router.edge_app import EdgeApplication
 from tamarackrill.testing.edge import (
     EdgeAnswer,
+    EdgeClient,
     EdgeFleet,
     ask,
     make_route,
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -238,6 +238,42 @@
         client.close()
 
 
+HEADS = {
+    "length": b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 1234\r\n\r\n",
+    "chunked": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "close": b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n",
+    "bare_lf": b"HTTP/1.1 200 OK\nX-Id: 1\nContent-Length: 1234\n\n",
+    "not_found": b"HTTP/1.1 404 Not Found\r\nContent-Length: 1234\r\n\r\n",
+    "after_103": b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("kind", ["service", "engine"])
+@pytest.mark.parametrize("head", HEADS.values(), ids=HEADS)
+def test_answer_that_ends_within_its_head_is_none(head, kind):
+    # Guards against an empty answer that is forwarded as complete, if an endpoint stops
+    # within the head of its answer and closes the connection.
+    async def run():
+        call = make_call()._replace(kind=kind)
+        return [await _attempt_at(call, head[:cut]) for cut in range(1, len(head))]
+
+    assert set(asyncio.run(run())) == {("cut", 0)}
+
+
+@pytest.mark.parametrize("head", HEADS.values(), ids=HEADS)
+def test_answer_behind_a_part_of_a_head_does_not_get_its_status(head):
+    # Guards against an error page that its caller gets with status 200, if an endpoint
+    # stops within a head and answers with the page on the same connection.
+    async def run():
+        call = make_call()._replace(kind="service", method="GET", body=b"")
+        page = b"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"
+        cuts = range(1, len(head))
+        return [await _attempt_at(call, head[:cut] + page) for cut in cuts]
+
+    outcomes = {outcome for outcome, _ in asyncio.run(run())}
+    assert outcomes <= {"cut", "refused"}
+
+
 UNFRAMED_STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
 EVENT = b"id: 1\ndata: word\n\n"
 DONE = b"data: [DONE]\n\n"
