Don't complete a resumed stream before an event that had begun

What callers saw: a stream that ends as complete before its last piece. An endpoint broke off inside an event; the next one was asked to go on and ended its answer before that event, in any framing (for one without, by closing its connection after the head).

Cause: resuming drops the partial event, and with it the proof that the stream goes on. The rest of a resumed stream may be empty, for a client that has all of it.

Change: that an event had begun is kept until an event follows; a stream that ends before is a lost attempt, as any other that is broken off.

--- a/src/tamarackrill/decisions/event_stream.py
+++ b/src/tamarackrill/decisions/event_stream.py
@@ -92,6 +92,8 @@
         self.events = 0
         self._splitter = EventSplitter()
         self._is_resumed = False
+        # An endpoint broke off inside an event, so that at least this one is missing.
+        self._is_event_missing = False
 
     @property
     def partial_bytes(self) -> int:
@@ -110,6 +112,8 @@
         if self.partial_bytes > EVENT_MAX_BYTES:
             raise EventStreamError("event exceeds the allowed size")
         self.events += len(events)
+        if self._is_event_missing and any(map(ends_inside_event, events)):
+            self._is_event_missing = False
         return b"".join(events)
 
     def finish(self, is_framed: bool = True) -> bytes:
@@ -128,6 +132,8 @@
         rest = self._splitter.partial
         if ends_inside_event(rest):
             raise EventStreamError("the stream ended inside an event")
+        if self._is_event_missing:
+            raise EventStreamError("the stream ended before an event that had begun")
         if not is_framed and self.last_id is None and not self.events:
             raise EventStreamError("the connection ended before the first event")
         self._splitter.clear()
@@ -135,6 +141,8 @@
 
     def resume(self) -> None:
         """Drop a partial event; the next bytes come from another endpoint."""
+        if ends_inside_event(self._splitter.partial):
+            self._is_event_missing = True
         self._splitter.clear()
         self._is_resumed = True
 
