Don't complete a new stream without an event, whatever its framing

What callers saw: an empty stream that ends as complete, if an endpoint has crashed before its first event and something in front of it has completed its frame.

Cause: a new stream had to have an event only if its body ended with its connection.

Change: any new stream with a body has to. The rest of a stream that is resumed, within an answer or by its client, may still be empty.

The cases of length and chunks of tests/test_stream_order.py fail before and pass; the one without framing passed before.

--- a/src/tamarackrill/decisions/event_stream.py
+++ b/src/tamarackrill/decisions/event_stream.py
@@ -116,13 +116,14 @@
             self._is_event_missing = False
         return b"".join(events)
 
-    def finish(self, is_framed: bool = True) -> bytes:
+    def finish(self, may_be_empty: bool = True) -> bytes:
         """Return the bytes after the last event of a stream whose body has ended.
 
         Parameters
         ----------
-        is_framed : bool, default=True
-            Whether the body's end was stated, rather than the connection's end.
+        may_be_empty : bool, default=True
+            Whether a new stream may end without an event.  The rest of one that is
+            resumed always may.
 
         Raises
         ------
@@ -134,8 +135,8 @@
             raise EventStreamError("the stream ended inside an event")
         if self._is_event_missing:
             raise EventStreamError("the stream ended before an event that had begun")
-        if not is_framed and self.last_id is None and not self.events:
-            raise EventStreamError("the connection ended before the first event")
+        if not may_be_empty and self.last_id is None and not self.events:
+            raise EventStreamError("the stream ended before its first event")
         self._splitter.clear()
         return rest
 
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -535,7 +535,7 @@
             if piece:
                 events = stream.take(piece)
             else:
-                events = stream.finish(is_framed=head.framing != "close")
+                events = stream.finish(may_be_empty=head.framing == "none")
                 await self._confirm_end(progress.call, placed.endpoint, head)
             if events or not piece:
                 if not reply.has_begun:
--- a/tests/test_stream_order.py
+++ b/tests/test_stream_order.py
@@ -207,3 +207,17 @@
         check_whole(await ask(router, "/stream/a", body=b"x"))
 
     run_in_fleet(act)
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_stream_without_events_is_not_complete(framing):
+    # Guards against an empty stream that looks complete, because something in front of
+    # a crashed endpoint has completed its frame.
+    async def act(fleet):
+        behave = in_turn(cut_after(framing, b"", 0, "framed"), go_on(make_events))
+        for name in ("w1", "w2"):
+            await fleet.add_worker(name, behave)
+        router = await fleet.add_router()
+        check_whole(await ask(router, "/stream/a", body=b"x"))
+
+    run_in_fleet(act)
