Take no end for a whole answer because other endpoints have crashed too

What callers saw: a stream without framing that ends as complete between two events, if its endpoint crashed while the others of its service were down: one of two workers whose other one crashed a moment before, or all at once.

Cause: an endpoint that refuses connections counted as crashed only if some router reached another endpoint of the service, and its answer as whole otherwise. That comparison (three endpoints at most) is to keep links that are cut from counting as crashes.

Change: at the end of an answer without framing the endpoint's refusal is enough, unless another router still reaches it; what requests are blamed for stays as it was.

The 4 cases of tests/test_stream_order.py (one or three routers, with or without another service) fail before and pass. The fleet of tests lets connections that have just been opened reach their workers before it ends these.

--- a/src/tamarackrill/router/endpoint_checks.py
+++ b/src/tamarackrill/router/endpoint_checks.py
@@ -66,8 +66,9 @@
 
         A process that ends closes its connections in the same way as one that has sent
         all of a response.  An endpoint that takes no connection afterwards has ended
-        with it.  One that leaves may do so right after its last response, so that the
-        response counts as complete unless another endpoint can repeat or resume it.
+        with it, unless another router still reaches it.  One that leaves may do so
+        right after its last response, so that the response counts as complete unless
+        another endpoint can repeat or resume it.
         Without an answer by the deadline nothing is known, and it counts as complete.
 
         Parameters
@@ -115,15 +116,23 @@
         self._pool.give_back(endpoint.name, channel, None, self._clock())
 
     async def _check_ended(self, endpoint: Endpoint) -> None:
-        if await self.has_crashed(endpoint):
+        if await self.has_crashed(endpoint, if_unknown=True):
             raise ChannelError("the endpoint ended with its response")
 
-    async def has_crashed(self, endpoint: Endpoint) -> bool:
-        """Return whether an endpoint that refuses connections has crashed alone.
+    async def has_crashed(self, endpoint: Endpoint, if_unknown: bool = False) -> bool:
+        """Return whether an endpoint that refuses connections has crashed.
 
         The links of this router may be cut, or those of the routers that it asks.  So a
         crash counts only if some router reaches other endpoints of the service, and
         none of those asked reaches this one.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+            The endpoint.
+        if_unknown : bool, default=False
+            What to return if the other endpoints aren't reached either: they may have
+            crashed too.
         """
         others = self._placer.list_others(endpoint)[:COMPARED_ENDPOINTS_MAX]
         replies = []
@@ -131,6 +140,6 @@
             replies = await self.relays.ask_reached(endpoint, others)
         if any(endpoint.name in reached for reached in replies):
             return False
-        if not others or any(replies):
+        if if_unknown or not others or any(replies):
             return True
         return bool(await self._paths.confirm_reached(others, is_fresh=True))
--- a/src/tamarackrill/testing/edge.py
+++ b/src/tamarackrill/testing/edge.py
@@ -106,6 +106,8 @@
     async def __aexit__(self, *exc_info: object) -> None:
         for router in self.routers:
             await router.stop()
+        # Connections that routers have just opened reach their workers.
+        await asyncio.sleep(POLL_S)
         for worker in self.workers:
             await worker.stop()
         self._server.stop()
--- a/tests/test_stream_order.py
+++ b/tests/test_stream_order.py
@@ -221,3 +221,33 @@
         check_whole(await ask(router, "/stream/a", body=b"x"))
 
     run_in_fleet(act)
+
+
+@pytest.mark.parametrize("has_other_service", [True, False])
+@pytest.mark.parametrize("routers", [1, 3])
+def test_crash_is_no_end_of_a_stream_if_the_other_endpoints_have_crashed_too(
+    routers, has_other_service
+):
+    # Guards against a partial stream that is forwarded as complete, because the
+    # endpoints with which the crashed one is compared have ended before it.
+    async def act(fleet):
+        worker = await fleet.add_worker("w1")
+        other = await fleet.add_worker("w2")
+        if has_other_service:
+            await fleet.add_worker("w3", service="other")
+        for number in range(routers):
+            await fleet.add_router(f"r{number}")
+        router = fleet.routers[0]
+        await fleet.wait(lambda: len(router.members.list_live()) == routers)
+
+        async def crash(request, writer):
+            writer.write(frame_answer(request, "close", make_events(1, 3), **STREAM))
+            await writer.drain()
+            await other.crash()
+            await worker.crash()
+
+        worker.behave = other.behave = crash
+        answer = await ask(router, "/once/a", body=b"x")
+        assert (answer.body, answer.is_whole) == (make_events(1, 3), False)
+
+    run_in_fleet(act)
