--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,6 +1,7 @@
 """A loopback TCP proxy that injects network faults."""
 
 import asyncio
+import socket
 from typing import Literal
 
 from tamarackrill.router.sockets import reset_on_close
@@ -37,6 +38,7 @@
         self.mode: Mode = "pass"
         self.address = ""
         self._server: asyncio.Server | None = None
+        self._reserved = socket.socket()
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -52,18 +54,25 @@
             _reset(writer)
 
     def refuse(self) -> None:
-        """Stop listening, as the target does when it ends."""
-        if self._server is not None:
-            self._server.close()
+        """Stop listening, as a target that ends; no other process gets the port."""
+        self._close()
+        host, _, port = self.address.rpartition(":")
+        self._reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._reserved.bind((host, int(port)))
 
     async def stop(self) -> None:
         """Stop listening and reset all open connections."""
-        self.refuse()
+        self._close()
+        self._reserved.close()
         self.reset()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def _close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/soak/versions.py
+++ b/soak/versions.py
@@ -17,6 +17,7 @@
 
 from soak.callers import CONNECTION_ERRORS, Caller
 from soak.command import run_logged_seeds
+from soak.faults import Proxy
 from soak.run import TWO_ZONES, FaultInjector, Soak, report
 from tamarackrill.router.sockets import reset_on_close
 from tamarackrill.testing.edge import EdgeAnswer, EdgeClient, EdgeFleet
@@ -25,7 +26,7 @@
     Framing,
     WorkerRequest,
     answer_ok,
-    frame_answer,
+    make_answer,
     make_chunk,
     reset_connection,
 )
@@ -48,6 +49,7 @@
 # How long a leaving worker serves on, and how long routers are replaced in turn.
 LEAVE_RANGE_S = (0.3, 1.5)
 TURN_MAX_S = 3.0
+RUN_MAX_S = 90.0
 # Statuses of failures; 503 says that nothing has run, and when to come back.
 UNAVAILABLE = 503
 FAILURES = (502, UNAVAILABLE, 504)
@@ -56,10 +58,7 @@
 
 
 class Attempt(NamedTuple):
-    """An attempt at a stream, and its answer.
-
-    `answer` is None if nothing arrived; `answered_s` is when it had ended.
-    """
+    """An attempt at a stream after event `last_id`; `answer` is None without one."""
 
     name: str
     sent_s: float
@@ -73,25 +72,10 @@
 
 
 class Stream:
-    """What a caller has of a stream after its attempts.
-
-    Parameters
-    ----------
-    events : int
-        Number of its events.
-
-    Attributes
-    ----------
-    attempts : list of Attempt
-        All attempts at it.
-    last_id : int
-        Id of the last event that arrived.
-    version : str
-        Software version of the first event; empty before it.
-    first_name, first_s
-        The attempt that brought the first event, and when it was sent.
-    faults : dict of str to str
-        What was wrong, by kind.
+    """What a caller has of a stream of `events` events after its attempts.
+
+    `version`, `first_name` and `first_s` are the software version of its first event,
+    and the attempt that brought it; `faults` is what was wrong, by kind.
     """
 
     def __init__(self, events: int = EVENTS_DEFAULT) -> None:
@@ -195,16 +179,11 @@
     size = sum(map(len, events))
     is_cut = size > 0 and rng.random() < BREAK_OFF_SHARE
     left = rng.randrange(size) if is_cut else size
-    headers = {"Content_Type": "text/event-stream"}
-    if framing == "length":
-        headers["Content_Length"] = str(size)
-    elif framing == "chunked":
-        headers |= {"Content_Length": "", "Transfer_Encoding": "chunked"}
-    writer.write(
-        frame_answer(
-            request, "close" if framing == "close" else "length", b"", **headers
-        )
-    )
+    headers = {"Content_Length": str(size) if framing == "length" else ""}
+    if framing == "chunked":
+        headers["Transfer_Encoding"] = "chunked"
+    headers["Content_Type"] = "text/event-stream"
+    writer.write(make_answer(request, b"", **headers))
     is_inside = False
     for event in events:
         sent, left = event[:left], left - len(event)
@@ -271,7 +250,8 @@
             if stream.last_id >= stream.events or stream.faults:
                 return
             wait_s = 0.0 if answer is None else find_wait_s(answer)
-            await asyncio.sleep(max(wait_s, self.rng.random() * PAUSE_S))
+            pause_s = max(wait_s, self.rng.random() * PAUSE_S)
+            await asyncio.sleep(min(pause_s, until_s - loop.time()))
 
     async def _ask(
         self, target: str, attempt_name: str, headers: dict[str, str]
@@ -283,7 +263,10 @@
         try:
             async with asyncio.timeout(wait_s):
                 client = await EdgeClient.connect(self.rng.choice(self.addresses))
-                client.send(target, attempt_name, b"x", **headers)
+                # Another body for each stream, so that none is blamed for crashes of
+                # workers that have run others.
+                body = attempt_name.rpartition("-")[0].encode()
+                client.send(target, attempt_name, body, **headers)
                 return await client.read()
         except (TimeoutError, *CONNECTION_ERRORS):
             if client is None or not client.received:
@@ -305,9 +288,19 @@
         self._releasing = asyncio.Lock()
         self._leaving: set[asyncio.Task[None]] = set()
         self._all_killed_s: list[float] = []
+        self._ended: list[Proxy] = []
         # Versions that serve, from when on.
         self._served: list[tuple[float, set[str]]] = []
 
+    async def run(self) -> list[str]:
+        """Run the test, and return a description of each violated guarantee."""
+        try:
+            async with asyncio.timeout(RUN_MAX_S):
+                return await super().run()
+        finally:
+            for proxy in self._ended:
+                await proxy.stop()
+
     async def _start_workers(self, fleet: EdgeFleet) -> None:
         for number in range(3):
             await self._add_worker(fleet, f"desk-{number}", "desk", answer_ok)
@@ -456,8 +449,7 @@
             if self._rng.random() < 0.5:
                 reset_on_close(writer.get_extra_info("socket"))
         await worker.crash()
-        await asyncio.sleep(0.2)
-        await proxy.stop()
+        self._ended.append(proxy)
 
     async def _lose_revisions(self, fleet: EdgeFleet) -> None:
         """Restore the store; entries of writers that have ended are removed again."""
--- a/src/tamarackrill/testing/worker.py
+++ b/src/tamarackrill/testing/worker.py
@@ -113,6 +113,8 @@
             if self.behave is not refuse_full:
                 self.ran.append(request)
             disconnected = asyncio.create_task(reader.read(1))
+            # A reset is an end like any other.
+            disconnected.add_done_callback(lambda t: t.cancelled() or t.exception())
             answering = asyncio.ensure_future(self.behave(request, writer))
             await asyncio.wait(
                 [disconnected, answering], return_when=asyncio.FIRST_COMPLETED
