--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,6 +1,7 @@
 """A loopback TCP proxy that injects network faults."""
 
 import asyncio
+import socket
 from typing import Literal
 
 from tamarackrill.router.sockets import reset_on_close
@@ -38,6 +39,7 @@
         self.mode: Mode = "pass"
         self.address = ""
         self._server = TcpServer(self._serve)
+        self._reserved = socket.socket()
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
@@ -50,8 +52,16 @@
         for writer in list(self._writers):
             _reset(writer)
 
+    def refuse(self) -> None:
+        """Stop listening, as a target that ends; no other process gets the port."""
+        self._server.close()
+        host, _, port = self.address.rpartition(":")
+        self._reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._reserved.bind((host, int(port)))
+
     async def stop(self) -> None:
         """Stop listening and reset all open connections."""
+        self._reserved.close()
         self.reset()
         await self._server.stop()
 
--- a/src/tamarackrill/decisions/event_stream.py
+++ b/src/tamarackrill/decisions/event_stream.py
@@ -93,6 +93,8 @@
         self._splitter = EventSplitter()
         self._is_resumed = False
         self._events_before = 0
+        # An endpoint broke off inside an event, so that at least this one is missing.
+        self._is_event_missing = False
 
     @property
     def partial_bytes(self) -> int:
@@ -111,15 +113,19 @@
         if self.partial_bytes > EVENT_MAX_BYTES:
             raise EventStreamError("event exceeds the allowed size")
         self.events += len(events)
+        if self._is_event_missing and any(map(ends_inside_event, events)):
+            self._is_event_missing = False
         return b"".join(events)
 
-    def finish(self, is_framed: bool = True) -> bytes:
+    def finish(self, is_framed: bool = True, may_be_empty: bool = True) -> bytes:
         """Return the bytes after the last event of a stream whose body has ended.
 
         Parameters
         ----------
         is_framed : bool, default=True
-            Whether the body's end was stated, rather than the connection's end.
+            Whether the response states where its body ends.
+        may_be_empty : bool, default=True
+            Whether a new stream may end without an event.
 
         Raises
         ------
@@ -129,16 +135,22 @@
         rest = self._splitter.partial
         if ends_inside_event(rest):
             raise EventStreamError("the stream ended inside an event")
+        if self._is_event_missing:
+            raise EventStreamError("the stream ended before an event that had begun")
+        if not may_be_empty and self.last_id is None and not self.events:
+            raise EventStreamError("the stream ended before its first event")
         # A client may ask for the rest of a stream of which it has all events.  An
         # endpoint that goes on for one that broke the stream off has events to send.
-        may_be_empty = self.last_id is not None and not self.events
-        if not is_framed and not may_be_empty and self.events == self._events_before:
+        is_asked_rest = self.last_id is not None and not self.events
+        if not is_framed and not is_asked_rest and self.events == self._events_before:
             raise EventStreamError("the connection ended before the first event")
         self._splitter.clear()
         return rest
 
     def resume(self) -> None:
         """Drop a partial event; the next bytes come from another endpoint."""
+        if ends_inside_event(self._splitter.partial):
+            self._is_event_missing = True
         self._splitter.clear()
         self._is_resumed = True
         self._events_before = self.events
