Trust that a record was never written as soon as that is read

In the first half second of a new fleet nobody had history, so that streams taken up then were refused. A recorder trusted the same a moment later anyway; see test_stream_order.py, whose clients come back at once.

--- a/src/tamarackrill/router/version_store.py
+++ b/src/tamarackrill/router/version_store.py
@@ -18,6 +18,7 @@
     StreamVersions,
 )
 from tamarackrill.decisions.version_records import (
+    FIRST_ERA,
     RECORDER_DELAY_S,
     RECORDERS,
     UNKNOWN_ERA,
@@ -242,6 +243,8 @@
         self._records.clear()
         for item in listing.items:
             self._take_record(item, is_news=True)
+        for service in self._services:
+            self._trust_missing(service)
         if not self._must_read:
             self._are_read.set()
 
@@ -307,6 +310,12 @@
         self._records.pop(service, None)
         if reading.found is not None:
             self._take_record(reading.found)
+        self._trust_missing(service)
+
+    def _trust_missing(self, service: str) -> None:
+        """Take a record that was never written for one of a service that is new."""
+        if service not in self._records and self._era <= FIRST_ERA:
+            self._state.learn_record(service, (), True, self._clock())
 
     async def _write_record(self, service: str, wanted: VersionRecord) -> None:
         # Without an answer, it isn't known which version the record has.
