Remember the versions of streams for as long as their clients wait

What callers saw: streams joined from two versions, if a client came back later than the longest timeout of a route with streams.

Cause: the lifetime of a stream was taken from timeouts alone, but a client comes back until its own deadline, over several attempts. Class: a bound taken from one's own settings instead of from what the client says.

Change: the longest wait that clients of such streams state, a minute at most, counts too. And routers that start again under their names are told anew, as they have forgotten what they knew (found by the review).

A new test of test_stream_versions.py failed before and passes.

--- a/src/tamarackrill/router/gossip.py
+++ b/src/tamarackrill/router/gossip.py
@@ -196,6 +196,7 @@
                     record.zone,
                     state,
                     record.peer_address,
+                    record.incarnation,
                 )
             )
         self._members.replace(members)
--- a/src/tamarackrill/router/members.py
+++ b/src/tamarackrill/router/members.py
@@ -4,13 +4,14 @@
 
 
 class Member(NamedTuple):
-    """One router of the fleet."""
+    """One router of the fleet; `incarnation` differs between its processes."""
 
     name: str
     address: str
     zone: str
     state: str = "alive"
     peer_address: str = ""
+    incarnation: int = 0
 
 
 class Members:
--- a/src/tamarackrill/router/version_keepers.py
+++ b/src/tamarackrill/router/version_keepers.py
@@ -119,12 +119,15 @@
         self._own = Router(members.own.name, members.own.zone)
         self.store = make_store(self.versions, self._own)
         self._routers: tuple[Router, ...] = ()
-        # Routers that know a stream of this one, by stream.
-        self._told: dict[int, tuple[str, ...]] = {}
+        self._incarnations: dict[str, int] = {}
+        # Routers that know a stream of this one, with their incarnations.
+        self._told: dict[int, dict[str, int]] = {}
         self._addresses: dict[str, str] = {}
         # A manifest may have thousands of routes, and seldom changes.
         self._table: RouteTable | None = None
         self._lifetime_s = LIFETIME_DEFAULT_S
+        # Longest that a client waits for a stream; it may come back until then.
+        self._wait_max_s = 0.0
         # None until the endpoints have been known.
         self._was_current: bool | None = None
 
@@ -148,7 +151,7 @@
         endpoints = self._view.list_endpoints()
         is_current = self._observe_current()
         for record in self.versions.observe_endpoints(
-            endpoints, self._lifetime_s, now_s, is_current
+            endpoints, max(self._lifetime_s, self._wait_max_s), now_s, is_current
         ):
             self._tell(record)
 
@@ -167,15 +170,19 @@
         live = self._members.list_live()
         routers = tuple(Router(member.name, member.zone) for member in live)
         self._addresses = {member.name: member.peer_address for member in live}
-        if routers == self._routers:
+        incarnations = {member.name: member.incarnation for member in live}
+        if routers == self._routers and incarnations == self._incarnations:
             return
-        self._routers = routers
+        self._routers, self._incarnations = routers, incarnations
         self.store.update_routers(routers)
         own = self.versions.list_own()
-        self._told = {r.stream: self._told.get(r.stream, ()) for r in own}
+        self._told = {r.stream: self._told.get(r.stream, {}) for r in own}
         for record in own:
             told = self._told[record.stream]
-            if len(told) < KEEPERS or not self._addresses.keys() >= set(told):
+            if len(told) < KEEPERS or any(
+                self._incarnations.get(name) != started
+                for name, started in told.items()
+            ):
                 self._tell(record)
 
     def find_joining(self, service: str) -> set[str]:
@@ -196,6 +203,8 @@
         """Record the version of a stream before its first event is forwarded."""
         if not call.route.is_resumable:
             return
+        wait_s = min(call.headers.wait_s or 0.0, LIFETIME_DEFAULT_S)
+        self._wait_max_s = max(self._wait_max_s, wait_s)
         stream = identify_stream(call.stream_id)
         now_s = self._clock()
         if self.versions.begin(stream, call.service, software_version, now_s):
@@ -329,10 +338,11 @@
         """Tell a record to all that have to know it and don't yet."""
         archiver = choose_archiver(record.stream, self._routers, self._own)
         keepers = choose_keepers(record.stream, self._routers, self._own)
-        before = self._told.get(record.stream, ())
-        self._told[record.stream] = tuple(dict.fromkeys((*keepers, archiver)))
-        for name in self._told[record.stream]:
-            if name in before and name != archiver:
+        before = self._told.get(record.stream, {})
+        told = {name: self._incarnations.get(name, 0) for name in (*keepers, archiver)}
+        self._told[record.stream] = told
+        for name, started in told.items():
+            if before.get(name) == started and name != archiver:
                 continue
             self.counts["told"] += 1
             if name == self._own.name:
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -144,6 +144,20 @@
     run_fleet(act)
 
 
+def test_stream_is_remembered_for_as_long_as_its_client_waits():
+    # Guards against streams joined to another version's, if a client comes back later
+    # than after the timeout of the route.
+    async def act(fleet):
+        begun = await fleet.begin_all(STREAMS, fleet.routers[0])
+        for worker in fleet.workers[:2]:
+            await fleet.store.write("servers", worker.name, None)
+        await asyncio.sleep(4.0)
+        left = {name: begun[name] for name in begun if begun[name] == {b"v1"}}
+        assert await take_up_all(fleet, fleet.routers[2], left) == 0
+
+    run_fleet(act, timeout_ms=300)
+
+
 def test_stream_is_resumed_within_an_answer_at_its_version():
     # Guards against a stream that goes on at another version after its endpoint's end.
     async def act(fleet):
