--- a/src/tamarackrill/decisions/stream_archive.py
+++ b/src/tamarackrill/decisions/stream_archive.py
@@ -14,7 +14,9 @@
 """
 
 import base64
-import binascii
+import bisect
+import sys
+from array import array
 from collections import defaultdict
 from collections.abc import Iterable
 from typing import Any, NamedTuple
@@ -25,7 +27,7 @@
 # Routers of a zone for each archiver there.
 ROUTERS_PER_ARCHIVER = 16
 # Writes of all archivers of a fleet together; the store takes several hundred.
-FLEET_WRITES_PER_S = 12.0
+FLEET_WRITES_PER_S = 48.0
 WRITE_INTERVAL_MIN_S = 0.3
 # Objects that an archiver writes in turn, and those of them that cover the lifetime of
 # a stream.  The one that is overwritten next is older than that.
@@ -82,26 +84,49 @@
     }
 
 
-def parse_streams(value: Any) -> list[StreamRecord]:
-    """Parse the JSON value of an object.
+class ArchivedStreams:
+    """Streams read from the store, in a few bytes each."""
 
-    Raises
-    ------
-    ValueError
-        If it isn't valid.
-    """
-    try:
-        found = [
-            (str(version), base64.b64decode(packed, validate=True))
-            for version, packed in value["streams"].items()
-        ]
-    except (AttributeError, KeyError, TypeError, binascii.Error) as error:
-        raise ValueError("not the records of streams") from error
-    return [
-        StreamRecord(int.from_bytes(packed[start : start + _STREAM_BYTES]), version)
-        for version, packed in found
-        for start in range(0, len(packed) - _STREAM_BYTES + 1, _STREAM_BYTES)
-    ]
+    def __init__(self) -> None:
+        self._streams: dict[str, array[int]] = {}
+
+    def __len__(self) -> int:
+        return sum(map(len, self._streams.values()))
+
+    def add(self, value: Any) -> None:
+        """Add the JSON value of an object.
+
+        Raises
+        ------
+        ValueError
+            If it isn't valid.
+        """
+        try:
+            found = {
+                str(version): array("Q", base64.b64decode(packed, validate=True))
+                for version, packed in value["streams"].items()
+            }
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
+            raise ValueError("not the records of streams") from error
+        for version, streams in found.items():
+            if sys.byteorder == "little":
+                streams.byteswap()
+            self._streams.setdefault(version, array("Q")).extend(streams)
+
+    def sort(self) -> None:
+        """Prepare for `find`, after the last object."""
+        self._streams = {
+            version: array("Q", sorted(streams))
+            for version, streams in self._streams.items()
+        }
+
+    def find(self, stream: int) -> str | None:
+        """Return the version of a stream; None if it isn't archived."""
+        for version, streams in self._streams.items():
+            place = bisect.bisect_left(streams, stream)
+            if place < len(streams) and streams[place] == stream:
+                return version
+        return None
 
 
 class Batch(NamedTuple):
--- a/src/tamarackrill/decisions/stream_versions.py
+++ b/src/tamarackrill/decisions/stream_versions.py
@@ -17,7 +17,7 @@
 told.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from functools import lru_cache
 from typing import NamedTuple
 
@@ -166,7 +166,7 @@
         self._own: dict[int, _KnownStream] = {}
         self._kept: dict[int, _KnownStream] = {}
         # Streams that the store has, until they are read again or must have ended.
-        self._archived: dict[int, str] = {}
+        self._find_archived: Callable[[int], str | None] | None = None
         self._archived_until_s = started_s
 
     def observe_endpoints(
@@ -381,12 +381,18 @@
         expires_s = now_s + self.lifetime_s
         self._kept[record.stream] = _KnownStream("", record.software_version, expires_s)
 
-    def take_archived(self, records: Iterable[StreamRecord], now_s: float) -> bool:
-        """Replace the streams read from the store; return whether any is new."""
-        before = self._archived
-        self._archived = {record.stream: record.software_version for record in records}
+    def take_archived(self, find: Callable[[int], str | None], now_s: float) -> None:
+        """Replace the streams read from the store.
+
+        Parameters
+        ----------
+        find : callable
+            Returns the version of a stream, None if it isn't archived.
+        now_s : float
+            Current time.
+        """
+        self._find_archived = find
         self._archived_until_s = now_s + self.lifetime_s
-        return not before.keys() >= self._archived.keys()
 
     def end(self, stream: int) -> None:
         """Forget a stream that its client has received completely."""
@@ -395,9 +401,9 @@
     def find(self, stream: int) -> str | None:
         """Return the version of a stream; None if it isn't known here."""
         known = self._own.get(stream) or self._kept.get(stream)
-        if known is None:
-            return self._archived.get(stream)
-        return known.software_version
+        if known is not None:
+            return known.software_version
+        return self._find_archived(stream) if self._find_archived else None
 
     def expire(self, now_s: float) -> list[int]:
         """Forget streams that no client takes up any more; return this router's own."""
@@ -407,7 +413,7 @@
         for stream in [s for s, k in self._kept.items() if k.expires_s <= now_s]:
             del self._kept[stream]
         if self._archived_until_s <= now_s:
-            self._archived = {}
+            self._find_archived = None
         return expired
 
     def count(self) -> Mapping[str, float]:
@@ -415,7 +421,6 @@
         return {
             "own": len(self._own),
             "kept": len(self._kept),
-            "archived": len(self._archived),
         }
 
 
--- a/src/tamarackrill/router/version_store.py
+++ b/src/tamarackrill/router/version_store.py
@@ -7,10 +7,10 @@
 
 from tamarackrill.decisions.stream_archive import (
     ArchiveBuffer,
+    ArchivedStreams,
     Batch,
     find_write_interval_s,
     format_streams,
-    parse_streams,
 )
 from tamarackrill.decisions.stream_versions import (
     Router,
@@ -122,6 +122,7 @@
         self._reading: asyncio.Task[None] | None = None
         self._next_read_s = 0.0
         self._read_interval_s = READ_INTERVAL_S
+        self._archived_count = 0
         # Objects with streams at the last clean-up.
         self._left: dict[str, int] = {}
         self._clean_up_s: float | None = None
@@ -191,26 +192,28 @@
         except PlatformUnavailable:
             self._next_read_s = self._clock() + FIRST_RETRY_S
             return
-        records: list[StreamRecord] = []
+        archived = ArchivedStreams()
         for item in listing.items:
-            records += self._parse_streams(item)
+            try:
+                archived.add(item.value)
+            except ValueError as error:
+                self._log_invalid(item, error)
             # The requests of this router go on meanwhile.
             await asyncio.sleep(0)
-        is_new = self._state.take_archived(records, self._clock())
+        archived.sort()
+        self._state.take_archived(archived.find, self._clock())
+        # What is in the store changes while streams begin.
+        is_new = len(archived) != self._archived_count
+        self._archived_count = len(archived)
         self._read_interval_s = (
             READ_INTERVAL_S
             if is_new
             else min(READ_INTERVAL_MAX_S, 2 * self._read_interval_s)
         )
         self._next_read_s = self._clock() + self._read_interval_s
-        log_event(STREAM_RECORDS_READ, streams=len(records), objects=len(listing.items))
-
-    def _parse_streams(self, item: PlatformObject) -> list[StreamRecord]:
-        try:
-            return parse_streams(item.value)
-        except ValueError as error:
-            self._log_invalid(item, error)
-            return []
+        log_event(
+            STREAM_RECORDS_READ, streams=len(archived), objects=len(listing.items)
+        )
 
     def _log_invalid(self, item: PlatformObject, error: ValueError) -> None:
         log_event(
--- a/tests/test_version_keepers.py
+++ b/tests/test_version_keepers.py
@@ -15,10 +15,10 @@
 from tamarackrill.contracts import Endpoint
 from tamarackrill.decisions.stream_archive import (
     ArchiveBuffer,
+    ArchivedStreams,
     choose_archiver,
     find_write_interval_s,
     format_streams,
-    parse_streams,
 )
 from tamarackrill.decisions.stream_versions import (
     KEEPERS,
@@ -192,9 +192,9 @@
     assert zones[choose_archiver(stream, routers, routers[3])] == routers[3].zone
 
 
-@pytest.mark.parametrize("zones, interval_s", [(4, 1 / 3), (8, 2 / 3)])
-def test_writes_of_a_fleet_are_bounded(zones, interval_s):
-    routers = make_routers(8, zones)
+@pytest.mark.parametrize("count, interval_s", [(8, 0.3), (370, 0.5)])
+def test_writes_of_a_fleet_are_bounded(count, interval_s):
+    routers = make_routers(count, 8)
     assert find_write_interval_s(routers) == pytest.approx(interval_s)
 
 
@@ -210,14 +210,23 @@
     )
 )
 def test_records_of_streams_are_read_as_written(records):
-    value = json.loads(json.dumps(format_streams(records)))
-    assert sorted(parse_streams(value)) == sorted(records)
+    archived = ArchivedStreams()
+    for half in (records[::2], records[1::2]):
+        archived.add(json.loads(json.dumps(format_streams(half))))
+    archived.sort()
+    assert len(archived) == len(records)
+    assert archived.find(-1) is None
+    for record in records:
+        assert archived.find(record.stream) == record.software_version
 
 
-@pytest.mark.parametrize("value", [None, [], {}, {"streams": 1}, {"streams": {"v": 3}}])
+@pytest.mark.parametrize(
+    "value",
+    [None, [], {}, {"streams": 1}, {"streams": {"v": 3}}, {"streams": {"v": "AA=="}}],
+)
 def test_objects_of_others_are_invalid(value):
     with pytest.raises(ValueError):
-        parse_streams(value)
+        ArchivedStreams().add(value)
     with pytest.raises(ValueError):
         VersionRecord.parse(value)
 
@@ -314,7 +323,7 @@
         if self.buffer.has_unwritten:
             batch = self.buffer.take(fleet.now_s)
             name = self.own.name, self.session, batch.segment
-            store.streams[name] = list(parse_streams(format_streams(batch.records)))
+            store.streams[name] = batch.records
             self.buffer.observe_written(batch, self.state.lifetime_s, fleet.now_s)
 
     def find(self, stream):
@@ -340,7 +349,7 @@
             return found
         if fleet.store.is_up:
             records = [r for batch in fleet.store.streams.values() for r in batch]
-            state.take_archived(records, now_s)
+            state.take_archived(dict(r[:2] for r in records).get, now_s)
         return state.find(stream)
 
 
