--- a/src/tamarackrill/router/version_store.py
+++ b/src/tamarackrill/router/version_store.py
@@ -46,6 +46,7 @@
 CHECK_INTERVAL_S = 0.1
 # After a call that failed.
 RETRY_S = 0.5
+READ_RETRY_MAX_S = 16.0
 FIRST_RETRY_S = 0.1
 # How long a router that has just started waits before it writes a record, as it may not
 # know the other recorders yet.
@@ -82,7 +83,6 @@
         Returns whether the known endpoints are as the platform has them now.
     clock : callable
         Returns the current time.
-
     """
 
     def __init__(
@@ -113,6 +113,7 @@
         self._era = 0
         # When this router is to write the record of a service.
         self._due_s: dict[str, float] = {}
+        self._read_retries_s: dict[str, float] = {}
         # Services with a write that may take effect later, as it got no answer.
         self._unanswered: set[str] = set()
         self._writes = 0
@@ -278,6 +279,7 @@
         """Write the record if it must change, or read what other routers wrote."""
         if not self._must_update(service):
             self._due_s.pop(service, None)
+            self._read_retries_s.pop(service, None)
             return
         now_s = self._clock()
         rank = RECORDERS if self._rank is None else self._rank
@@ -285,7 +287,7 @@
         due_s = self._due_s.setdefault(service, settled_s + rank * RECORDER_DELAY_S)
         if now_s < due_s:
             return
-        self._due_s[service] = now_s + RETRY_S
+        self._due_s[service] = now_s + self._find_retry_s(service)
         if rank:
             # One of the recorders before this one should have written it.
             await self._read_record(service)
@@ -293,6 +295,14 @@
         if wanted is not None and self._rank is not None:
             await self._write_record(service, wanted)
 
+    def _find_retry_s(self, service: str) -> float:
+        if self._rank is not None:
+            return RETRY_S
+        # All routers but a few read what is not on record yet, perhaps for long.
+        retry_s = self._read_retries_s.get(service, RETRY_S)
+        self._read_retries_s[service] = min(READ_RETRY_MAX_S, 2 * retry_s)
+        return retry_s
+
     def _must_update(self, service: str) -> bool:
         if self._rank is not None:
             return self._find_wanted(service) is not None
@@ -323,6 +333,7 @@
     async def _write_record(self, service: str, wanted: VersionRecord) -> None:
         # Without an answer, it isn't known which version the record has.
         version, _ = self._records.pop(service, (None, None))
+        was_unanswered = service in self._unanswered
         self._unanswered.add(service)
         self._writes += 1
         writer = f"{self._own.name}.{self._session}.{self._writes}"
@@ -330,11 +341,12 @@
             RECORD_KIND, service, wanted.format(writer), version
         )
         self._era = result.era
+        if result.version is not None or not was_unanswered:
+            self._unanswered.discard(service)
         if result.version is None:
             if result.current is not None:
                 self._take_record(result.current)
             return
-        self._unanswered.discard(service)
         self._records[service] = result.version, wanted
         self._state.observe_recorded(service, wanted.versions)
         self._state.learn_record(service, (), wanted.era == result.era, self._clock())
