--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -402,7 +402,7 @@
     ("kind", "object", "message"),
     "An object in the platform's store with versions of services or streams can't be "
     "read.",
-    "Find out who has written it, and delete it.",
+    "Find out who has written it; see docs/operations/users-platform.md.",
 )
 PLATFORM_LOST = Event(
     3002,
