--- a/bench/stream_recovery.py
+++ b/bench/stream_recovery.py
@@ -10,8 +10,9 @@
 import math
 import random
 import sys
-from collections import Counter, defaultdict, namedtuple
-from typing import Any
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from typing import Any, NamedTuple
 
 from tamarackrill.decisions import stream_archive, stream_versions, version_records
 from tamarackrill.decisions.hashing import hash_name
@@ -42,18 +43,52 @@
 # Assumed: a report of runs, and runs that an endpoint has given up.
 PROBE_BYTES, GONE_SHARE, GONE_AFTER_S = 2_200, 0.5, 0.5
 
-# Routers, zones, streams that begin, one in how many is played, and endpoints.
-Fleet = namedtuple("Fleet", "routers zones streams_per_s thin endpoints")
+
+class Fleet(NamedTuple):
+    """A fleet; one in `thin` of its streams is played."""
+
+    routers: int
+    zones: int
+    streams_per_s: float
+    thin: int
+    endpoints: int
+
+
 FLEETS = Fleet(8, 4, 20, 1, 6), Fleet(60, 6, 150, 3, 20), Fleet(370, 8, 6500, 100, 34)
-# `position` is the hash of the attempt, between 0 and 1; `picks` are drawn.
-_STREAM = "number begin_s duration_s version position is_exception picks"
-Stream = namedtuple("Stream", _STREAM)
-_Seen = namedtuple("_Seen", "software_version serves")
+
+
+class Stream(NamedTuple):
+    """A stream; `position` is the hash of its attempt, 0 to 1, `picks` are drawn."""
+
+    number: int
+    begin_s: float
+    duration_s: float
+    version: str
+    position: float
+    is_exception: bool
+    picks: tuple[float, ...]
+
+
+class _Seen(NamedTuple):
+    software_version: str
+    serves: tuple[str, ...]
+
+
 # A version and how long it took to find, in ms.
 Found = tuple[str | None, float]
-# What happens; `find_share` gives v1's share some seconds after the kill.
-_DAY = "name find_share has_costs turns is_silent exceptions"
-Day = namedtuple("Day", _DAY, defaults=(lambda s: 0.5, False, "", False, 0.0))
+
+
+class Day(NamedTuple):
+    """What happens; `find_share` gives v1's share some seconds after the kill."""
+
+    name: str
+    find_share: Callable[[float], float] = lambda s: 0.5
+    has_costs: bool = False
+    turns: str = ""
+    is_silent: bool = False
+    exceptions: float = 0.0
+
+
 DAYS = (
     Day("a half", has_costs=True),
     Day("a 1 to 5", lambda s: 1 / 6),
@@ -66,10 +101,18 @@
     Day("f silent", is_silent=True),
     Day("g exceptions", exceptions=0.02),
 )
-# Which router writes a stream to the store, and how to find a version that no router
-# knows.
-_WAY = "name choose_writer find has_records is_before has_hashes hands_on"
-Way = namedtuple("Way", _WAY, defaults=(None, None, False, False, False, False))
+
+
+class Way(NamedTuple):
+    """A way: who writes a stream to the store, and how to find an unknown version."""
+
+    name: str
+    choose_writer: Callable[..., str] | None = None
+    find: Callable[..., Any] | None = None
+    has_records: bool = False
+    is_before: bool = False
+    has_hashes: bool = False
+    hands_on: bool = False
 
 
 def make_streams(fleet: Fleet, day: Day, seed: int, later_s: float) -> list[Stream]:
