--- a/src/tamarackrill/router/version_keepers.py
+++ b/src/tamarackrill/router/version_keepers.py
@@ -251,7 +251,10 @@
         now_s = self._clock()
         self.versions.learn(call.service, replies.values(), now_s)
         version = self._conclude(stream, call.service, replies)
-        if any(reply.software_version for reply in replies.values()):
+        if self.versions.find(stream) is not None:
+            # Its router has told it meanwhile.
+            source = "own"
+        elif any(reply.software_version for reply in replies.values()):
             source = "keeper"
         elif version is not None:
             source = "only"
