Let silent attempts go on beside the one that is to replace them

Callers saw streams that were cut, and 502, 500 or 504 answers to idempotent requests, although their endpoint went on: after 1.5 s of silence (2.5 goals for idempotent requests) its connection was closed and the request was sent elsewhere. If the other endpoint refused, failed or hung, nobody had the answer any more.

Silence now ends no attempt. Another one is sent beside it, within the limits of a retry (attempts of the route, retry budget, poison, slots, permits, versions, prompt guard). The first that brings a whole event, or a whole answer that is no failure, answers; the others' connections are closed in the same turn of the loop. A failure of one leaves the others alone. Each attempt parses its own rest of the stream, so that parts of events are never joined.

--- a/src/tamarackrill/decisions/attempt_timeouts.py
+++ b/src/tamarackrill/decisions/attempt_timeouts.py
@@ -6,25 +6,24 @@
 served it in time.  A router that gives up too early sends its request twice, just when
 endpoints are slow because of overload.
 
-So an attempt ends early only if the request is idempotent, has an attempt left, the
-retry budget allows it and another endpoint is available, and only after a multiple of
-the latency objective.  All other requests wait for as long as the client does, since a
-late answer is still useful.
+So silence ends no attempt.  After a multiple of the latency objective, or a pause
+within a stream, another attempt may be sent beside the silent one; see `attempt_races`.
+All wait for as long as the client does, since a late answer is still useful.
 """
 
 from tamarackrill.decisions.manifests import Route
 
 # Transit time of an answer that an endpoint completes just at its deadline.
 RESPONSE_TRANSIT_S = 0.08
-# An idempotent request is retried elsewhere after this many latency objectives without
+# An idempotent request is sent elsewhere too after this many latency objectives without
 # an answer; failures of such requests arrive within one.
 ATTEMPT_TIMEOUT_OBJECTIVES = 2.5
 # Longest silence of an endpoint that goes on afterwards, for example during a garbage
-# collection or a short loss of its link.  Connections and streams are not given up
-# earlier for silence alone; whole idempotent requests are retried sooner.
+# collection or a short loss of its link.  Connections are not closed earlier for
+# silence alone, and streams not asked for elsewhere; idempotent requests are sooner.
 SILENCE_MAX_S = 1.5
-# A resumable stream moves to another endpoint after this long without data: clients
-# disconnect after two seconds, and the other endpoint has to read the prompt first.
+# A resumable stream is asked for at another endpoint too after this long without data:
+# clients disconnect after two seconds, and the other one has to read the prompt first.
 STREAM_STALL_TIMEOUT_S = SILENCE_MAX_S
 # An endpoint is suspected after this many objectives without an answer, although it may
 # still answer: 95 in 100 answers arrive within one.
@@ -36,45 +35,25 @@
     return SUSPECT_OBJECTIVES * route.objective_s
 
 
-def find_header_deadline_s(
-    route: Route,
-    earlier_attempts: int,
-    has_other: bool,
-    repeats_left: float,
-    started_s: float,
-    limit_s: float,
-) -> float:
-    """Return the time until which to wait for the response headers.
+def find_header_timeout_s(route: Route) -> float | None:
+    """Return the silence before the response headers that starts a race.
 
-    Parameters
-    ----------
-    route : Route
-        Route of the request.
-    earlier_attempts : int
-        Number of earlier attempts.
-    has_other : bool
-        Whether another endpoint is available.
-    repeats_left : float
-        Retries that the retry budget still allows.
-    started_s : float
-        Start of this attempt.
-    limit_s : float
-        The client's deadline or the route's timeout, whichever is earlier.
+    Returns
+    -------
+    float or None
+        None if no other attempt may be sent beside this one.
     """
-    last_s = limit_s + RESPONSE_TRANSIT_S
-    may_repeat = earlier_attempts + 1 < route.attempts_max and repeats_left >= 1.0
-    if route.kind != "idempotent" or not may_repeat or not has_other:
-        return last_s
-    return min(last_s, started_s + ATTEMPT_TIMEOUT_OBJECTIVES * route.objective_s)
+    if route.kind != "idempotent":
+        return None
+    return ATTEMPT_TIMEOUT_OBJECTIVES * route.objective_s
 
 
 def find_chunk_timeout_s(
     route: Route, earlier_attempts: int, has_begun: bool
 ) -> float | None:
-    """Return how long to wait for the next chunk of a stream; None for no timeout.
+    """Return the silence within a stream that starts a race; None if none does.
 
-    After the timeout the stream is resumed at another endpoint if there is one;
-    otherwise it waits for as long again.
+    If no other attempt can be sent then, it is considered again after as long.
 
     Parameters
     ----------
--- a/src/tamarackrill/decisions/event_stream.py
+++ b/src/tamarackrill/decisions/event_stream.py
@@ -13,6 +13,10 @@
 The other endpoint is asked to continue after the last forwarded id. If it starts
 earlier, events that the client already has are dropped, so that it does not see them
 twice.
+
+Two endpoints may supply the rest of a stream at the same time, as a silent one may go
+on.  Each has its own `EventStream`, so that a partial event of one is never joined to
+data of the other; the first one that completes an event supplies all that follows.
 """
 
 import re
@@ -77,30 +81,78 @@
         self._partial.clear()
 
 
+class _Forwarded:
+    """What a client has of its stream, whichever endpoints supplied it."""
+
+    def __init__(self, last_id: int | None) -> None:
+        self.last_id = last_id
+        self.events = 0
+        # An endpoint broke off inside an event, so that at least this one is missing.
+        self.is_event_missing = False
+        self.sources: list[EventStream] = []
+
+
 class EventStream:
-    """One client's event stream across all endpoints that supply it.
+    """One client's event stream, as endpoints supply it one after the other.
 
     Parameters
     ----------
     last_id : int or None
         Id after which the client asked to resume.
 
+    Attributes
+    ----------
+    own_events : int
+        Number of events forwarded of the present endpoint.
     """
 
     def __init__(self, last_id: int | None = None) -> None:
-        self.last_id = last_id
-        self.events = 0
+        self._forwarded = _Forwarded(last_id)
         self._splitter = EventSplitter()
         self._is_resumed = False
-        self._events_before = 0
-        # An endpoint broke off inside an event, so that at least this one is missing.
-        self._is_event_missing = False
+        self._is_ended = False
+        self.own_events = 0
+
+    @property
+    def last_id(self) -> int | None:
+        """Id of the last event that was forwarded, or after which to resume."""
+        return self._forwarded.last_id
+
+    @property
+    def events(self) -> int:
+        """Number of events forwarded, whichever endpoints supplied them."""
+        return self._forwarded.events
 
     @property
     def partial_bytes(self) -> int:
         """Bytes received after the last complete event."""
         return self._splitter.partial_bytes
 
+    def fork(self) -> "EventStream":
+        """Return the rest of the same stream, as another endpoint supplies it."""
+        fork = EventStream()
+        fork._forwarded = self._forwarded
+        fork.resume()
+        self._forwarded.sources.append(fork)
+        return fork
+
+    def end(self) -> None:
+        """End what an endpoint supplies; a partial event of it is dropped."""
+        self._is_ended = True
+        sources = self._forwarded.sources
+        if self in sources:
+            sources.remove(self)
+            self.resume()
+
+    def _end_others(self) -> None:
+        """End all other sources: the client has what they have only part of."""
+        sources = self._forwarded.sources
+        for source in sources:
+            if source is not self:
+                source._is_ended = True
+                source._splitter.clear()
+        sources[:] = [source for source in sources if source is self]
+
     def take(self, chunk: bytes) -> bytes:
         """Add bytes from an endpoint and return the complete events to forward.
 
@@ -109,12 +161,16 @@
         EventStreamError
             If an event exceeds `EVENT_MAX_BYTES` without ending.
         """
+        if self._is_ended:
+            return b""
         events = [e for e in self._splitter.take(chunk) if self._should_forward(e)]
         if self.partial_bytes > EVENT_MAX_BYTES:
             raise EventStreamError("event exceeds the allowed size")
-        self.events += len(events)
-        if self._is_event_missing and any(map(ends_inside_event, events)):
-            self._is_event_missing = False
+        self._forwarded.events += len(events)
+        self.own_events += len(events)
+        if any(map(ends_inside_event, events)):
+            self._forwarded.is_event_missing = False
+            self._end_others()
         return b"".join(events)
 
     def finish(self, is_framed: bool = True, may_be_empty: bool = True) -> bytes:
@@ -135,14 +191,14 @@
         rest = self._splitter.partial
         if ends_inside_event(rest):
             raise EventStreamError("the stream ended inside an event")
-        if self._is_event_missing:
+        if self._is_event_missing():
             raise EventStreamError("the stream ended before an event that had begun")
         if not may_be_empty and self.last_id is None and not self.events:
             raise EventStreamError("the stream ended before its first event")
         # A client may ask for the rest of a stream of which it has all events.  An
         # endpoint that goes on for one that broke the stream off has events to send.
         is_asked_rest = self.last_id is not None and not self.events
-        if not is_framed and not is_asked_rest and self.events == self._events_before:
+        if not is_framed and not is_asked_rest and not self.own_events:
             raise EventStreamError("the connection ended before the first event")
         self._splitter.clear()
         return rest
@@ -150,10 +206,17 @@
     def resume(self) -> None:
         """Drop a partial event; the next bytes come from another endpoint."""
         if ends_inside_event(self._splitter.partial):
-            self._is_event_missing = True
+            self._forwarded.is_event_missing = True
         self._splitter.clear()
         self._is_resumed = True
-        self._events_before = self.events
+        self.own_events = 0
+
+    def _is_event_missing(self) -> bool:
+        """Return whether another endpoint has begun an event that nobody completed."""
+        others = (s for s in self._forwarded.sources if s is not self)
+        return self._forwarded.is_event_missing or any(
+            ends_inside_event(other._splitter.partial) for other in others
+        )
 
     def _should_forward(self, event: bytes) -> bool:
         found = _ID.search(event)
@@ -162,5 +225,5 @@
         number = int(found[1])
         if self._is_resumed and self.last_id is not None and number <= self.last_id:
             return False
-        self.last_id = number
+        self._forwarded.last_id = number
         return True
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -296,6 +296,48 @@
     ("request", "route", "service", "team", "wait_s"),
     "A request that has crashed several endpoints waits before it runs again.",
 )
+CALL_SILENT = Event(
+    2211,
+    "call_silent",
+    _INFO,
+    (
+        "request",
+        "route",
+        "service",
+        "team",
+        "endpoint",
+        "silent_s",
+        "events",
+        "partial_bytes",
+        "next",
+        "attempts",
+        "after_s",
+    ),
+    "An endpoint has been silent in the middle of a stream, or has not answered an "
+    "idempotent request.  The attempt goes on; `next` tells whether another one is "
+    "sent beside it (`race`) or why not: there is no other endpoint (`no_other`), "
+    "`attempts` of the route, retry `budget` or time is used up (`no_time`), or an "
+    "attempt beside it has only just begun (`racing`).",
+    "Many at one endpoint: see docs/OPERATIONS.md, from a request to its cause.",
+)
+CALL_OVERTAKEN = Event(
+    2212,
+    "call_overtaken",
+    _INFO,
+    (
+        "request",
+        "route",
+        "service",
+        "team",
+        "endpoint",
+        "leader",
+        "events",
+        "partial_bytes",
+        "after_s",
+    ),
+    "Another attempt of the same request, at the endpoint `leader`, was the first to "
+    "bring a whole event or answer, so that this one was ended.",
+)
 CALL_OVERLOADED = Event(
     2207,
     "call_overloaded",
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -1,23 +1,19 @@
 """Single attempts to serve a request on the platform's interface at an endpoint."""
 
 import asyncio
-from collections.abc import Callable, Collection
-from typing import NamedTuple
+import contextlib
+from collections.abc import Callable, Iterator
 
 from tamarackrill.contracts import Endpoint
 from tamarackrill.decisions.attempt_timeouts import (
     RESPONSE_TRANSIT_S,
     find_chunk_timeout_s,
-    find_header_deadline_s,
+    find_header_timeout_s,
     find_suspicion_timeout_s,
 )
-from tamarackrill.decisions.attempts import AttemptHistory, Outcome
-from tamarackrill.decisions.capacity.load_reports import LoadReport
-from tamarackrill.decisions.event_stream import EventStream, EventStreamError
-from tamarackrill.decisions.prompt_reports import (
-    TrialReport,
-)
-from tamarackrill.events import CALL_SENT, log_event
+from tamarackrill.decisions.attempts import Outcome
+from tamarackrill.decisions.event_stream import EventStreamError, ends_inside_event
+from tamarackrill.events import CALL_OVERTAKEN, CALL_SENT, log_event
 from tamarackrill.platform.headers import (
     ResponseHeaders,
     build_request_headers,
@@ -29,6 +25,7 @@
     MISDIRECTED_REQUEST,
     AnswerHeaderObserver,
 )
+from tamarackrill.router.attempt_results import AttemptResult, CompleteAnswer
 from tamarackrill.router.channel_pool import ChannelPool
 from tamarackrill.router.channels import (
     Channel,
@@ -40,11 +37,11 @@
 from tamarackrill.router.crash_checks import AttemptEnding, CrashChecks
 from tamarackrill.router.edge_calls import EdgeCall, describe_call
 from tamarackrill.router.edge_placing import EdgePlacement, EdgePlacer
-from tamarackrill.router.edge_reply import EdgeReply, read_body
+from tamarackrill.router.edge_reply import read_body
 from tamarackrill.router.endpoint_checks import EndpointChecks
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.paths import CONNECT_TIMEOUT_S, PathProber
-from tamarackrill.router.prompt_guard import SOUND_EVENTS_MIN, Exposure, PromptGuard
+from tamarackrill.router.prompt_guard import SOUND_EVENTS_MIN, PromptGuard
 from tamarackrill.router.relay_client import RelayClient
 from tamarackrill.router.relay_messages import (
     ANSWERED,
@@ -53,6 +50,7 @@
     add_relay_headers,
     remove_relay_headers,
 )
+from tamarackrill.router.request_progress import RequestAttempt, RequestProgress
 
 # Responses to earlier requests that are skipped before the connection is closed.
 MISMATCHED_ANSWERS_MAX = 2
@@ -63,62 +61,12 @@
 GATEWAY_TIMEOUT = 504
 
 
-class CompleteAnswer(NamedTuple):
-    """Complete response of an endpoint, which is not a stream."""
-
-    head: ResponseHead
-    body: bytes
-
-
-class AttemptResult(NamedTuple):
-    """Outcome of an attempt.
-
-    `is_broken` tells that the connection broke or the response was invalid;
-    `is_leaving` and `retry_after_s` are what a complete response said of its endpoint;
-    `relay` is the router through which an attempt was sent; `framing` is how the
-    response states where its body ends, empty without a response; `ending` is what
-    crash checks need to know, once the attempt has ended; `load` is the valid load that
-    the response stated, also that of a rejection.
-    """
-
-    outcome: Outcome
-    detail: str = ""
-    answer: CompleteAnswer | None = None
-    first_s: float | None = None
-    status: int = 0
-    is_broken: bool = False
-    is_leaving: bool = False
-    retry_after_s: float | None = None
-    relay: str = ""
-    framing: str = ""
-    ending: AttemptEnding | None = None
-    load: LoadReport | None = None
-
-
 class _RelayRefused(Exception):
     """Another router did not forward an attempt, so that no endpoint received it."""
 
 
-class RequestProgress:
-    """State of a request across its attempts."""
-
-    def __init__(self, call: EdgeCall, reply: EdgeReply) -> None:
-        self.call = call
-        self.reply = reply
-        self.history = AttemptHistory()
-        self.avoid: set[str] = set()
-        self.stream = EventStream(call.headers.last_event_id)
-        # The stream may only go on at this version; empty before its first event.
-        self.software_version = ""
-        self.first_event_s: float | None = None
-        self.last_endpoint = ""
-        # What the present attempt exposes its endpoint to, until the answer is sound.
-        self.exposure: Exposure | None = None
-        self.events_before = 0
-        # Endpoints that must not get the prompt, and the trial that the request is.
-        self.closed: Collection[str] = frozenset()
-        self.trial: TrialReport | None = None
-        self.failed_answer: CompleteAnswer | None = None
+class _Overtaken(Exception):
+    """Another attempt of the same request was the first to bring an answer."""
 
 
 class EdgeAttempts:
@@ -145,6 +93,8 @@
         Checks whether endpoints still live.
     crashes : CrashChecks
         Finds out whether endpoints that broke a response off have crashed.
+    on_silent : callable
+        Called with an attempt whose endpoint is silent, and for how long.
     on_first_event : callable
         Called with a request and its endpoint's software version before the first event
         of its stream is forwarded.
@@ -179,6 +129,9 @@
             clock,
             connect,
         )
+        self.on_silent: Callable[[RequestAttempt, float], None] = lambda attempt, s: (
+            None
+        )
         self.on_first_event: Callable[[EdgeCall, str], None] = lambda call, version: (
             None
         )
@@ -208,7 +161,7 @@
         self.crashes.guard = guard
 
     async def run(
-        self, progress: RequestProgress, placed: EdgePlacement
+        self, attempt: RequestAttempt, placed: EdgePlacement
     ) -> AttemptResult:
         """Send a request to an endpoint and forward its response to the client.
 
@@ -219,11 +172,11 @@
         ClientTooSlow
             If the endpoint gave up a response that its client did not read.
         """
+        progress = attempt.progress
         call = progress.call
         endpoint = placed.endpoint
-        progress.last_endpoint = endpoint.name
+        progress.last_endpoint = attempt.endpoint_name = endpoint.name
         started_s = self._clock()
-        progress.events_before = progress.stream.events
         relay = self._choose_relay(call, endpoint)
         channel = await self._open_channel(call, endpoint, relay)
         if isinstance(channel, AttemptResult):
@@ -248,11 +201,12 @@
             resumed=call.headers.resumed_id,
             parts=[f"{part:016x}" for part in call.parts],
         )
-        self._on_sent(call, progress.history.was_delivered)
+        attempt.channel = channel
+        attempt.note_sent()
+        self._on_sent(call, attempt.find_history().was_delivered)
         self._placer.start(call, placed, started_s)
-        progress.exposure = None
         if self.guard is not None:
-            progress.exposure = self.guard.record_sent(call.prompt, endpoint)
+            attempt.exposure = self.guard.record_sent(call.prompt, endpoint)
         is_clean = False
         suspecting = lateness.LateTimer(
             asyncio.get_running_loop().time() + find_suspicion_timeout_s(call.route),
@@ -260,19 +214,27 @@
         )
         try:
             result = await self._exchange(
-                progress, placed, relay, channel, started_s, suspecting.cancel
+                attempt, placed, relay, channel, started_s, suspecting.cancel
             )
             is_clean = result.outcome in ("answered", "failed", "not_run", "misplaced")
         finally:
             suspecting.cancel()
             self._placer.finish(call, endpoint, self._clock())
+            attempt.channel = None
             if not is_clean:
                 channel.close()
         if result.outcome == "answered" and result.status <= OK_MAX:
-            self._record_sound(progress)
-        events = progress.stream.events - progress.events_before
-        ending = AttemptEnding(call, endpoint, events, progress.exposure, self._clock())
+            self._record_sound(attempt)
+        ending = AttemptEnding(
+            call,
+            endpoint,
+            attempt.stream.own_events,
+            attempt.exposure,
+            self._clock(),
+        )
         result = result._replace(ending=ending)
+        if result.is_overtaken and not attempt.is_silent:
+            return result
         if relay:
             await self._report_relayed(call, placed, relay, result)
         else:
@@ -281,10 +243,10 @@
                 await self.crashes.check(ending)
         return result
 
-    def _record_sound(self, progress: RequestProgress) -> None:
-        if self.guard is not None and progress.exposure is not None:
-            self.guard.record_sound(progress.exposure)
-            progress.exposure = None
+    def _record_sound(self, attempt: RequestAttempt) -> None:
+        if self.guard is not None and attempt.exposure is not None:
+            self.guard.record_sound(attempt.exposure)
+            attempt.exposure = None
 
     def _choose_relay(self, call: EdgeCall, endpoint: Endpoint) -> str:
         """Return the router through which to send an attempt; empty for none."""
@@ -344,29 +306,25 @@
 
     async def _exchange(
         self,
-        progress: RequestProgress,
+        attempt: RequestAttempt,
         placed: EdgePlacement,
         relay: str,
         channel: Channel,
         started_s: float,
         on_first_byte: Callable[[], None],
     ) -> AttemptResult:
+        progress = attempt.progress
         call = progress.call
         framing, load = "", None
         self._send(progress, placed, relay, channel)
-        header_deadline_s = find_header_deadline_s(
-            call.route,
-            progress.history.sent,
-            self._has_other(progress, placed),
-            self._count_retries_left(call),
-            started_s,
-            call.deadline_s,
-        )
         try:
-            async with lateness.timeout_at(header_deadline_s):
-                head, answer_headers = await self.read_matching_head(
-                    call.request_id, placed.endpoint, channel, relay
-                )
+            async with lateness.timeout_at(call.deadline_s + RESPONSE_TRANSIT_S):
+                with self._watch_silence(attempt, find_header_timeout_s(call.route)):
+                    head, answer_headers = await self.read_matching_head(
+                        call.request_id, placed.endpoint, channel, relay
+                    )
+            _check_running(attempt)
+            attempt.note_silent(False)
             framing = head.framing
             # The duration of a stream after this is no sign that its engine has failed.
             on_first_byte()
@@ -377,18 +335,21 @@
             load = self._observer.observe_load(placed, head, answer_headers)
             async with asyncio.timeout_at(call.deadline_s + RESPONSE_TRANSIT_S):
                 result = await self._handle_answer(
-                    progress, placed, relay, channel, head, answer_headers
+                    attempt, placed, relay, channel, head, answer_headers
+                )
+        except (TimeoutError, ChannelError, EventStreamError, _Overtaken) as error:
+            if attempt.is_overtaken:
+                return AttemptResult(
+                    "lost", "overtaken", framing=framing, is_overtaken=True
                 )
-        except TimeoutError:
-            progress.reply.check_unread(channel)
-            return AttemptResult("lost", "silent", framing=framing, load=load)
-        except _RelayRefused:
-            return AttemptResult("not_sent", "not forwarded", relay=relay)
-        except (ChannelError, EventStreamError) as error:
             progress.reply.check_unread(channel)
+            if isinstance(error, TimeoutError):
+                return AttemptResult("lost", "silent", framing=framing, load=load)
             return AttemptResult(
                 "lost", str(error), is_broken=True, framing=framing, load=load
             )
+        except _RelayRefused:
+            return AttemptResult("not_sent", "not forwarded", relay=relay)
         if channel.finish():
             pool, name = self.pool, placed.endpoint.name
             if relay and self.relays is not None:
@@ -404,6 +365,54 @@
             load=load,
         )
 
+    @contextlib.contextmanager
+    def _watch_silence(
+        self, attempt: RequestAttempt, timeout_s: float | None
+    ) -> Iterator[None]:
+        """Report an attempt each time that its endpoint has been silent for so long."""
+        if timeout_s is None:
+            yield
+            return
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+
+        period_s = timeout_s
+        timer: lateness.LateTimer
+
+        def observe() -> None:
+            nonlocal timer
+            now_s = loop.time()
+            timer = lateness.LateTimer(now_s + period_s, observe)
+            attempt.note_silent(True)
+            self.on_silent(attempt, now_s - started_s)
+
+        timer = lateness.LateTimer(started_s + period_s, observe)
+        try:
+            yield
+        finally:
+            timer.cancel()
+
+    def _lead(self, attempt: RequestAttempt) -> None:
+        """Let an attempt answer its request, and end the others at once.
+
+        Raises
+        ------
+        _Overtaken
+            If another one does.
+        """
+        _check_running(attempt)
+        call = attempt.progress.call
+        for other in attempt.lead():
+            log_event(
+                CALL_OVERTAKEN,
+                **describe_call(call),
+                endpoint=other.endpoint_name,
+                leader=attempt.endpoint_name,
+                events=attempt.progress.stream.events,
+                partial_bytes=other.stream.partial_bytes,
+                after_s=self._clock() - call.arrived_s,
+            )
+
     def _send(
         self,
         progress: RequestProgress,
@@ -480,15 +489,16 @@
 
     async def _handle_answer(
         self,
-        progress: RequestProgress,
+        attempt: RequestAttempt,
         placed: EdgePlacement,
         relay: str,
         channel: Channel,
         head: ResponseHead,
         answer_headers: ResponseHeaders,
     ) -> AttemptResult:
+        reply = attempt.progress.reply
         if head.status == MISDIRECTED_REQUEST or answer_headers.has_not_run:
-            await read_body(channel, progress.reply)
+            reply.drop_reserved(len(await read_body(channel, reply)))
             outcome: Outcome = (
                 "misplaced" if head.status == MISDIRECTED_REQUEST else "not_run"
             )
@@ -499,18 +509,22 @@
         ):
             raise ChannelError("response is unsigned or has a content encoding")
         if is_ok and answer_headers.is_event_stream:
-            await self._relay(progress, placed, relay, channel, head)
+            await self._relay(attempt, placed, relay, channel, head)
             return AttemptResult("answered")
-        body = await read_body(channel, progress.reply)
-        await self._confirm_end(progress.call, placed.endpoint, head)
-        answer = CompleteAnswer(head, body)
-        if head.status >= SERVER_ERROR_MIN:
-            return AttemptResult("failed", f"status {head.status}", answer)
-        if progress.reply.has_begun:
-            raise ChannelError(f"stream resumed with status {head.status}")
-        await progress.reply.begin(
-            head.status, filter_response_headers(head.headers), body
-        )
+        body = await read_body(channel, reply)
+        try:
+            await self._confirm_end(attempt.progress.call, placed.endpoint, head)
+            if head.status >= SERVER_ERROR_MIN:
+                _check_running(attempt)
+                answer = CompleteAnswer(head, body)
+                return AttemptResult("failed", f"status {head.status}", answer)
+            if reply.has_begun:
+                raise ChannelError(f"stream resumed with status {head.status}")
+            self._lead(attempt)
+        except BaseException:
+            reply.drop_reserved(len(body))
+            raise
+        await reply.begin(head.status, filter_response_headers(head.headers), body)
         return AttemptResult("answered")
 
     async def _confirm_end(
@@ -521,36 +535,35 @@
 
     async def _relay(
         self,
-        progress: RequestProgress,
+        attempt: RequestAttempt,
         placed: EdgePlacement,
         relay: str,
         channel: Channel,
         head: ResponseHead,
     ) -> None:
-        reply, stream = progress.reply, progress.stream
+        progress, stream = attempt.progress, attempt.stream
+        reply = progress.reply
         # Another router frames all that it forwards, and can't tell whether the client
         # asked for the rest of the stream or this router did.
         is_framed = head.framing != "close" and not (relay and stream.events)
-        # The buffer may hold part of an event of an endpoint that failed, even if the
-        # client has received nothing yet.
-        stream.resume()
         last_s: float | None = None
         while True:
-            piece = await self._read_piece(progress, placed, channel)
+            piece = await self._read_piece(attempt, channel)
             if piece:
                 events = stream.take(piece)
             else:
                 events = stream.finish(is_framed, head.framing == "none")
                 await self._confirm_end(progress.call, placed.endpoint, head)
-            if events or not piece:
+            # Only the attempt that leads may write to the client.
+            if self._must_forward(attempt, events, is_end=not piece):
                 if not reply.has_begun:
                     await reply.begin(
                         head.status, filter_response_headers(head.headers)
                     )
                 if events:
                     self._observe_events(progress, placed.endpoint)
-                    if stream.events >= progress.events_before + SOUND_EVENTS_MIN:
-                        self._record_sound(progress)
+                    if stream.own_events >= SOUND_EVENTS_MIN:
+                        self._record_sound(attempt)
                     await reply.write(events)
                     now_s = self._clock()
                     if last_s is not None:
@@ -560,32 +573,44 @@
                 reply.finish()
                 return
 
+    def _must_forward(
+        self, attempt: RequestAttempt, events: bytes, is_end: bool
+    ) -> bool:
+        """Return whether to forward events, with which an attempt takes the lead.
+
+        Raises
+        ------
+        _Overtaken
+            If another attempt leads.
+        """
+        if is_end or ends_inside_event(events):
+            self._lead(attempt)
+            return True
+        # Comments are no answer.
+        return bool(events) and not attempt.progress.race.has_others(attempt.number)
+
     def _observe_events(self, progress: RequestProgress, endpoint: Endpoint) -> None:
         if progress.first_event_s is None:
             progress.first_event_s = self._clock()
             progress.software_version = endpoint.software_version
             self.on_first_event(progress.call, endpoint.software_version)
 
-    async def _read_piece(
-        self, progress: RequestProgress, placed: EdgePlacement, channel: Channel
-    ) -> bytes:
-        has_begun = progress.reply.has_begun
-        wait_s = find_chunk_timeout_s(
-            progress.call.route, progress.history.sent, has_begun
+    async def _read_piece(self, attempt: RequestAttempt, channel: Channel) -> bytes:
+        progress = attempt.progress
+        timeout_s = find_chunk_timeout_s(
+            progress.call.route,
+            progress.history.sent,
+            progress.reply.has_begun,
         )
-        while True:
-            try:
-                async with lateness.timeout(wait_s):
-                    return await channel.read_chunk()
-            except TimeoutError:
-                # Without another endpoint, giving up would cut the client's stream,
-                # though the engine may only be slow.
-                if self._has_other(progress, placed):
-                    raise
-
-    def _has_other(self, progress: RequestProgress, placed: EdgePlacement) -> bool:
-        avoid = progress.avoid | {placed.endpoint.name}
-        avoid |= self._placer.find_other_versions(
+        with self._watch_silence(attempt, timeout_s):
+            piece = await channel.read_chunk()
+        _check_running(attempt)
+        attempt.note_silent(False)
+        return piece
+
+    def has_other(self, progress: RequestProgress) -> bool:
+        """Return whether an endpoint is available that has not got the request."""
+        avoid = progress.find_avoided() | self._placer.find_other_versions(
             progress.call.service, progress.software_version
         )
         return self._placer.has_endpoint(progress.call, avoid, self._clock())
@@ -653,3 +678,8 @@
                 return
             if await self.checks.has_crashed(endpoint):
                 self.crashes.record_crash(result.ending)
+
+
+def _check_running(attempt: RequestAttempt) -> None:
+    if attempt.is_overtaken:
+        raise _Overtaken
--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -5,6 +5,7 @@
 
 from tornado.iostream import StreamClosedError
 
+from tamarackrill.decisions.attempt_races import decide_on_silence, must_await_others
 from tamarackrill.decisions.attempts import (
     NextStep,
     add_attempt,
@@ -19,6 +20,7 @@
     CALL_OVERLOADED,
     CALL_PAUSED,
     CALL_REFUSED,
+    CALL_SILENT,
     log_event,
 )
 from tamarackrill.exceptions import Refusal
@@ -26,12 +28,10 @@
     build_error_headers,
     filter_response_headers,
 )
+from tamarackrill.router.attempt_results import AttemptResult
+from tamarackrill.router.attempt_tasks import SeriesEnd
 from tamarackrill.router.channels import Connect, open_channel
-from tamarackrill.router.edge_attempts import (
-    AttemptResult,
-    EdgeAttempts,
-    RequestProgress,
-)
+from tamarackrill.router.edge_attempts import EdgeAttempts
 from tamarackrill.router.edge_calls import EdgeCall, describe_answer, describe_call
 from tamarackrill.router.edge_placing import EdgePlacement, EdgePlacer, Overloaded
 from tamarackrill.router.edge_reply import ClientTooSlow, EdgeReply
@@ -42,6 +42,7 @@
 )
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.prompt_guard import PART_BLOCKED_CODE, PromptGuard
+from tamarackrill.router.request_progress import RequestAttempt, RequestProgress
 
 # Reasons that clients are told, by the code of a refusal.
 _REASONS = {
@@ -93,6 +94,7 @@
         self.attempts = EdgeAttempts(
             placer, self._count_retries_left, self._record_sent, metrics, clock, connect
         )
+        self.attempts.on_silent = self._handle_silence
         self.compute_failover_s: Callable[[], float | None] = lambda: None
         self.reserver = EdgeReserver(placer, clock)
 
@@ -124,46 +126,117 @@
         except ClientTooSlow:
             progress.history = add_attempt(progress.history, "lost")
             await self._send_final_answer(progress, "slow_client")
-        finally:
-            self.reserver.end_trial(progress)
 
     async def _serve(self, progress: RequestProgress) -> None:
-        call = progress.call
+        try:
+            # Only a race needs tasks of its own.
+            attempt = progress.start_attempt(self._clock())
+            ended = await self._run_series(attempt)
+            ended = await progress.tasks.wait_end(ended)
+        finally:
+            await progress.tasks.cancel()
+        if ended.answer is None or ended.placed is None:
+            await self._send_final_answer(progress, ended.reason, ended.retry_after_s)
+            return
+        await progress.reply.deliver(progress.call.deadline_s)
+        self._record_answered(progress, ended.placed, ended.answer)
+
+    async def _run_series(self, attempt: RequestAttempt) -> SeriesEnd:
+        """Make an attempt, and others that retry it."""
+        progress = attempt.progress
         while True:
-            await self._pause_suspect(call)
-            try:
-                placed = await self.reserver.place(progress)
-            except Overloaded as overloaded:
-                _log_overloaded(call, overloaded)
-                await self._send_final_answer(progress, overloaded.code)
-                return
-            except PlacementRefusal as refusal:
-                await self._send_final_answer(progress, refusal.code)
-                return
-            except Refusal as refusal:
-                await self._send_final_answer(
-                    progress, _REASONS[refusal.code], refusal.retry_after_s
-                )
-                return
-            if placed is None:
-                await self._send_final_answer(progress, "no_endpoint")
-                return
-            result: AttemptResult | None = None
             try:
-                if call.deadline_s > self._clock():
-                    result = await self.attempts.run(progress, placed)
+                ended = await self._run_attempt(attempt)
             finally:
-                self.reserver.finish(placed, result)
-            if result is None:
-                await self._send_final_answer(progress, "deadline")
-                return
-            self.reserver.end_trial(progress)
-            if result.outcome == "answered":
-                await progress.reply.deliver(call.deadline_s)
-                self._record_answered(progress, placed, result)
-                return
-            if await self._handle_failed_attempt(progress, placed, result):
-                return
+                self.reserver.end_trial(attempt)
+                self._end_attempt(attempt)
+            if ended is not None:
+                return ended
+            task = attempt.task
+            if task is None and progress.race.has_others(attempt.number):
+                # An attempt beside others must end as soon as one of them answers.
+                self._start_beside(progress)
+                return SeriesEnd(self._clock(), "retried")
+            attempt = progress.start_attempt(self._clock())
+            attempt.task = task
+
+    def _start_beside(self, progress: RequestProgress) -> None:
+        attempt = progress.start_attempt(self._clock())
+        attempt.task = progress.tasks.start(self._run_series(attempt))
+
+    def _end_attempt(self, attempt: RequestAttempt) -> None:
+        progress = attempt.progress
+        if attempt.is_overtaken and attempt.is_sent:
+            progress.history = add_attempt(progress.history, "lost")
+            if attempt.is_silent:
+                progress.avoid.add(attempt.endpoint_name)
+        attempt.end()
+
+    async def _run_attempt(self, attempt: RequestAttempt) -> SeriesEnd | None:
+        """Make an attempt; return how the series ended, None if it is to be retried."""
+        progress = attempt.progress
+        call = progress.call
+        await self._pause_suspect(call)
+        try:
+            placed = await self.reserver.place(attempt)
+        except Overloaded as overloaded:
+            _log_overloaded(call, overloaded)
+            return SeriesEnd(self._clock(), overloaded.code)
+        except PlacementRefusal as refusal:
+            return SeriesEnd(self._clock(), refusal.code)
+        except Refusal as refusal:
+            reason = _REASONS[refusal.code]
+            return SeriesEnd(self._clock(), reason, refusal.retry_after_s)
+        if placed is None:
+            return SeriesEnd(self._clock(), "no_endpoint")
+        result: AttemptResult | None = None
+        try:
+            if call.deadline_s > self._clock():
+                result = await self.attempts.run(attempt, placed)
+        finally:
+            self.reserver.finish(placed, result)
+        if result is None:
+            return SeriesEnd(self._clock(), "deadline")
+        if result.outcome == "answered":
+            return SeriesEnd(self._clock(), placed=placed, answer=result)
+        if attempt.is_overtaken:
+            return SeriesEnd(self._clock(), "overtaken", is_overtaken=True)
+        if self._must_retry(attempt, placed, result):
+            return None
+        return SeriesEnd(self._clock(), result.outcome)
+
+    def _handle_silence(self, attempt: RequestAttempt, silent_s: float) -> None:
+        """Send another attempt beside one whose endpoint is silent, if that may be."""
+        progress, now_s = attempt.progress, self._clock()
+        if attempt.is_overtaken:
+            return
+        call = progress.call
+        others = progress.race.list_others(attempt.number)
+        history = add_attempt(attempt.find_history(), "lost")
+        step = decide_on_silence(
+            others,
+            silent_s,
+            history,
+            call.route.attempts_max,
+            self._count_retries_left(call),
+            call.deadline_s - now_s,
+            self.attempts.has_other(progress),
+            now_s,
+        )
+        log_event(
+            CALL_SILENT,
+            **describe_call(call),
+            endpoint=attempt.endpoint_name,
+            silent_s=silent_s,
+            events=progress.stream.events,
+            partial_bytes=attempt.stream.partial_bytes,
+            next=step,
+            attempts=history.sent,
+            after_s=now_s - call.arrived_s,
+        )
+        if step == "race":
+            self._metrics.count("attempt_races", call.route.kind)
+            self._start_beside(progress)
 
     async def _pause_suspect(self, call: EdgeCall) -> None:
         """Wait until endpoints that a request has crashed may have come back."""
@@ -186,10 +259,11 @@
         share = self._find_share(call.service)
         return share.count_retries_left(self._count_routers(), self._clock())
 
-    async def _handle_failed_attempt(
-        self, progress: RequestProgress, placed: EdgePlacement, result: AttemptResult
+    def _must_retry(
+        self, attempt: RequestAttempt, placed: EdgePlacement, result: AttemptResult
     ) -> bool:
-        """Process a failed attempt; return whether it was the last one."""
+        """Process a failed attempt; return whether it is retried."""
+        progress = attempt.progress
         call = progress.call
         now_s = self._clock()
         progress.history = add_attempt(progress.history, result.outcome)
@@ -197,37 +271,39 @@
         if result.outcome != "not_sent":
             progress.avoid.add(placed.endpoint.name)
         retries_left = self._count_retries_left(call)
+        history = attempt.find_history()
         next_step: NextStep = decide_next(
             result.outcome,
-            progress.history,
+            history,
             call.route.may_repeat,
             call.route.attempts_max,
             retries_left,
             call.deadline_s - now_s,
         )
         if next_step == "repeat" and self._placer.is_poison(call, now_s):
-            next_step = "give_up" if progress.history.may_have_run else "refuse"
+            next_step = "give_up" if history.may_have_run else "refuse"
+        others = progress.race.list_others(attempt.number)
+        is_awaited = bool(others) and (
+            next_step != "repeat" or must_await_others(others)
+        )
         log_event(
             CALL_ATTEMPT_FAILED,
             **describe_call(call),
             endpoint=placed.endpoint.name,
             outcome=result.outcome,
             detail=result.detail,
-            next=next_step,
+            next="await" if is_awaited else next_step,
             repeats_left=retries_left,
             after_s=now_s - call.arrived_s,
             framing=result.framing,
-            partial_bytes=progress.stream.partial_bytes,
+            partial_bytes=attempt.stream.partial_bytes,
             is_leaving=result.is_leaving,
             retry_after_s=result.retry_after_s,
         )
         self._metrics.count("attempts_failed", result.outcome)
         if result.answer is not None:
-            progress.failed_answer = result.answer
-        if next_step == "repeat":
-            return False
-        await self._send_final_answer(progress, result.outcome)
-        return True
+            progress.keep_failed(result.answer)
+        return next_step == "repeat" and not is_awaited
 
     def _record_answered(
         self, progress: RequestProgress, placed: EdgePlacement, result: AttemptResult
--- a/src/tamarackrill/router/edge_reply.py
+++ b/src/tamarackrill/router/edge_reply.py
@@ -119,8 +119,14 @@
     async def reserve(self, size_bytes: int) -> None:
         """Count bytes of a body that is read; return once more may be read."""
 
-    def drop_reserved(self) -> None:
-        """Release what was counted for a body that is forwarded or given up."""
+    def drop_reserved(self, size_bytes: int | None = None) -> None:
+        """Release what was counted for bodies that are forwarded or given up.
+
+        Parameters
+        ----------
+        size_bytes : int or None, default=None
+            Size of one body that is given up; None for all of them.
+        """
 
     def check_unread(self, channel: Channel) -> None:
         """Raise `ClientTooSlow` if a break of the response is due to the client."""
@@ -143,9 +149,14 @@
     ChannelError
         If the body is incomplete or invalid.
     """
-    reply.drop_reserved()
     pieces = []
-    while piece := await channel.read_chunk():
-        pieces.append(piece)
-        await reply.reserve(len(piece))
+    read_bytes = 0
+    try:
+        while piece := await channel.read_chunk():
+            pieces.append(piece)
+            read_bytes += len(piece)
+            await reply.reserve(len(piece))
+    except BaseException:
+        reply.drop_reserved(read_bytes)
+        raise
     return b"".join(pieces)
--- a/src/tamarackrill/router/edge_reserving.py
+++ b/src/tamarackrill/router/edge_reserving.py
@@ -5,13 +5,14 @@
 
 from tamarackrill.decisions.brittle import RESERVATION_ATTEMPTS_MAX
 from tamarackrill.exceptions import Refusal
+from tamarackrill.router.attempt_results import AttemptResult
 from tamarackrill.router.brittle_slots import BrittleSlots
 from tamarackrill.router.capacity.slot_client import SlotClient
 from tamarackrill.router.cold_permits import ColdPermits
-from tamarackrill.router.edge_attempts import AttemptResult, RequestProgress
 from tamarackrill.router.edge_placing import EdgePlacement, EdgePlacer, Overloaded
 from tamarackrill.router.prompt_guard import PromptGuard
 from tamarackrill.router.relay_client import RelayClient
+from tamarackrill.router.request_progress import RequestAttempt, RequestProgress
 from tamarackrill.router.version_keepers import VersionKeepers
 
 UNAVAILABLE_STATUS = 503
@@ -85,7 +86,7 @@
         self.capacity: SlotClient | None = None
         self.relays: RelayClient | None = None
 
-    def _find_closed(self, progress: RequestProgress) -> Collection[str]:
+    def _find_closed(self, attempt: RequestAttempt) -> Collection[str]:
         """Return the endpoints that must not get the request's prompt.
 
         Raises
@@ -93,16 +94,16 @@
         Refusal
             If these are all endpoints of its service.
         """
-        if self.guard is not None and progress.trial is None:
-            found = self.guard.find_closed(progress.call.prompt)
-            progress.closed, progress.trial = found
-        return progress.closed
+        if self.guard is not None and attempt.trial is None:
+            found = self.guard.find_closed(attempt.progress.call.prompt)
+            attempt.closed, attempt.trial = found
+        return attempt.closed
 
-    def end_trial(self, progress: RequestProgress) -> None:
-        """End the trial that a request is of a suspect part of its prompt."""
-        if self.guard is not None and progress.trial is not None:
-            self.guard.end_trial(progress.trial)
-            progress.trial = None
+    def end_trial(self, attempt: RequestAttempt) -> None:
+        """End the trial that an attempt is of a suspect part of its prompt."""
+        if self.guard is not None and attempt.trial is not None:
+            self.guard.end_trial(attempt.trial)
+            attempt.trial = None
 
     async def _restrict_version(self, progress: RequestProgress) -> None:
         """Find the version that a stream which a client takes up may go on at.
@@ -121,8 +122,8 @@
             raise _VersionUnknown
         progress.software_version = version
 
-    async def place(self, progress: RequestProgress) -> EdgePlacement | None:
-        """Choose an endpoint for the request, and reserve a slot if that is needed.
+    async def place(self, attempt: RequestAttempt) -> EdgePlacement | None:
+        """Choose an endpoint for an attempt, and reserve a slot if that is needed.
 
         Returns
         -------
@@ -134,14 +135,15 @@
         Refusal
             If no endpoint may get it now.
         """
+        progress = attempt.progress
         await self._restrict_version(progress)
         slots = self.slots
         if slots is None or not slots.must_reserve(progress.call):
-            placed = await self._choose(progress, frozenset())
-            return await self._share(progress, placed)
+            placed = await self._choose(attempt, frozenset())
+            return await self._share(attempt, placed)
         refused: set[str] = set()
         while len(refused) < RESERVATION_ATTEMPTS_MAX:
-            placed = await self._choose(progress, refused)
+            placed = await self._choose(attempt, refused)
             if placed is None:
                 break
             reserved = await slots.reserve(progress.call, placed)
@@ -171,7 +173,7 @@
             self.capacity.finish(placed, result.load if result else None, took_s)
 
     async def _share(
-        self, progress: RequestProgress, placed: EdgePlacement | None
+        self, attempt: RequestAttempt, placed: EdgePlacement | None
     ) -> EdgePlacement | None:
         """Ask for a slot if the capacity of the request's service is shared.
 
@@ -180,10 +182,12 @@
         NoCapacity
             If it gets none.
         """
+        progress = attempt.progress
         call, capacity, permits = progress.call, self.capacity, self.permits
         if capacity is None or not capacity.must_ask(call, placed):
             return placed
-        avoid = [*progress.avoid, *progress.closed, *self._find_others(progress)]
+        others = self._find_others(progress)
+        avoid = [*progress.find_avoided(), *attempt.closed, *others]
         if permits is not None:
             # A request that has a permit for a cold endpoint goes there.
             if placed is not None and permits.must_request(placed.endpoint):
@@ -193,10 +197,10 @@
         if granted is not None:
             return granted
         # Without a grant, as loads and endpoints are known after the wait.
-        return await self._choose(progress, frozenset())
+        return await self._choose(attempt, frozenset())
 
     async def _choose(
-        self, progress: RequestProgress, full: Collection[str]
+        self, attempt: RequestAttempt, full: Collection[str]
     ) -> EdgePlacement | None:
         """Choose an endpoint that may get the request; None if none can take it.
 
@@ -205,15 +209,16 @@
         Refusal
             If no endpoint may get it now.
         """
-        call, permits = progress.call, self.permits
-        closed = self._find_closed(progress)
+        progress, permits = attempt.progress, self.permits
+        call = progress.call
+        closed = self._find_closed(attempt)
         refused: set[str] = set()
         permit_requests = relay_questions = 0
         while True:
             # Endpoints may have joined while the request waited.
             others = self._find_others(progress)
-            avoid = progress.avoid.union(refused, full, closed, others)
-            placed = self._choose_settled(progress, avoid)
+            avoid = progress.find_avoided().union(refused, full, closed, others)
+            placed = self._choose_settled(attempt, avoid)
             if placed is None and refused:
                 raise _AllCold
             if placed is None and relay_questions < RELAY_QUESTIONS_MAX:
@@ -234,7 +239,7 @@
             refused.add(placed.endpoint.name)
 
     def _choose_settled(
-        self, progress: RequestProgress, avoid: Collection[str]
+        self, attempt: RequestAttempt, avoid: Collection[str]
     ) -> EdgePlacement | None:
         """Choose an endpoint, if possible of a version that all routers know.
 
@@ -243,9 +248,9 @@
         Refusal
             If no endpoint may get the request now.
         """
-        call, now_s = progress.call, self._clock()
-        may_refuse = not progress.history.sent
-        joining = self._find_joining(progress)
+        call, now_s = attempt.progress.call, self._clock()
+        may_refuse = not attempt.find_history().sent
+        joining = self._find_joining(attempt.progress)
         if joining:
             with contextlib.suppress(Overloaded):
                 settled = joining.union(avoid)
--- a/src/tamarackrill/router/slow_clients.py
+++ b/src/tamarackrill/router/slow_clients.py
@@ -93,6 +93,8 @@
             await reply.wait_change()
         finally:
             waiting.pop(reply, None)
+            # Another attempt may wait for the same reply.
+            reply.wake()
             if not waiting and self._stopped.get(reply.team) is waiting:
                 del self._stopped[reply.team]
 
@@ -174,7 +176,8 @@
         # Bytes held in the write in flight, and all including those staged.
         self._in_flight_bytes = 0
         self._held_bytes = 0
-        self._changed: asyncio.Future[None] | None = None
+        # Two attempts of a request may wait at the same time.
+        self._changes: set[asyncio.Future[None]] = set()
         self._limits: set[Limit] = set()
         if not self._stream.closed():
             # By default the kernel takes up to 4 MB for a client that reads nothing.
@@ -265,10 +268,12 @@
         self._hold(size_bytes)
         await self._wait_room(is_forwarded=False)
 
-    def drop_reserved(self) -> None:
-        """Release what was counted for a body that is forwarded or given up."""
-        self._release(self.reserved_bytes)
-        self.reserved_bytes = 0
+    def drop_reserved(self, size_bytes: int | None = None) -> None:
+        """Release what was counted for bodies that are forwarded or given up."""
+        if size_bytes is None or size_bytes > self.reserved_bytes:
+            size_bytes = self.reserved_bytes
+        self._release(size_bytes)
+        self.reserved_bytes -= size_bytes
         self._owner.end_exemption(self)
 
     def release(self) -> None:
@@ -285,16 +290,18 @@
 
     async def wait_change(self) -> None:
         """Wait until bytes have been written, the client has left, or `wake`."""
-        self._changed = asyncio.get_running_loop().create_future()
+        change = asyncio.get_running_loop().create_future()
+        self._changes.add(change)
         try:
-            await self._changed
+            await change
         finally:
-            self._changed = None
+            self._changes.discard(change)
 
     def wake(self) -> None:
         """End `wait_change`."""
-        if self._changed is not None and not self._changed.done():
-            self._changed.set_result(None)
+        for change in self._changes:
+            if not change.done():
+                change.set_result(None)
 
     async def _wait_room(self, is_forwarded: bool) -> None:
         while (limit := self._find_limit(is_forwarded)) is not None:
--- a/tests/test_take_over.py
+++ b/tests/test_take_over.py
@@ -166,6 +166,8 @@
         answer = await asyncio.wait_for(reading, 9.0)
     finally:
         reading.cancel()
+    # A connection that the router has closed reaches its worker.
+    await asyncio.sleep(0.1)
     return Play(
         answer,
         sum(len(worker.requests) for worker in first),
