--- a/tests/test_take_over.py
+++ b/tests/test_take_over.py
@@ -6,6 +6,7 @@
 import pytest
 from soak.links import EndpointLinks
 
+from tamarackrill.decisions.retry_shares import BudgetTerms
 from tamarackrill.testing.edge import EdgeAnswer, EdgeFleet, make_route
 from tamarackrill.testing.worker import (
     make_answer,
@@ -103,40 +104,64 @@
     return act
 
 
+def note_ended(behave, ended):
+    """Return the same behaviour, which notes requests that the router ends."""
+
+    async def act(request, writer):
+        try:
+            await behave(request, writer)
+        except asyncio.CancelledError:
+            ended.append(request)
+            raise
+
+    return act
+
+
 class Play(NamedTuple):
     """What a client got, and what its request met."""
 
     answer: EdgeAnswer
-    first_requests: int
     other_requests: int
-    # Whether the first endpoint could finish its answer.
-    first_went_on: bool
+    # Answers that the router ended before they were complete.
+    first_ended: int
+    others_ended: int
 
 
-async def play_stream(first, other, attempts=2, is_relayed=False):
-    """Begin a stream at the only endpoint, and let two others join."""
+async def play_stream(first, other, attempts=2, cut_links="", stays_s=None, **settings):
+    """Begin a stream at the only endpoint, and let two others join.
+
+    The router reaches the `others`, or `all` endpoints, only through another router if
+    these links are cut.  The client leaves `stays_s` after the fourth event.
+    """
     route = make_route(
         "/s/", "streaming", stream_resume=True, attempts=attempts, timeout_ms=8000
     )
-    links = EndpointLinks()
+    links, ended, others_ended = EndpointLinks(), [], []
+    first, other = note_ended(first, ended), note_ended(other, others_ended)
     async with EdgeFleet() as fleet:
         await fleet.put_manifest(1, route)
-        settings = {"connect": links.connect_from("router")} if is_relayed else {}
         worker = await fleet.add_worker("w0", first)
-        router = await fleet.add_router(**settings)
-        if is_relayed:
+        router = await fleet.add_router(connect=links.connect, **settings)
+        if cut_links:
             await fleet.add_router("helper", "y")
             await fleet.wait(lambda: len(router.members.list_live()) == 2)
+        if cut_links == "all":
+            links.cut("new", [worker.address])
         client = await fleet.connect(router)
         client.send("/s/a", body=b"x", X_Deadline_Ms=DEADLINE_MS)
         reading = asyncio.create_task(client.read())
         await fleet.wait(lambda: make_event(EVENTS_BEFORE) in client.received)
         others = [await fleet.add_worker(f"w{n}", other) for n in (1, 2)]
         await fleet.wait(lambda: len(router.view.list_endpoints()) == 3)
-        if is_relayed:
-            for endpoint in others:
-                links.cut("router", endpoint.address)
-        return await _end_play(reading, [worker], others)
+        if cut_links:
+            links.cut("new", [w.address for w in fleet.workers])
+        if stays_s is not None:
+            await asyncio.sleep(stays_s)
+            client.close()
+        answer = await _end_play(reading)
+        play = Play(answer, _count_requests(others), len(ended), len(others_ended))
+        await links.stop()
+        return play
 
 
 async def play_lookup(silence_s, other, attempts=2):
@@ -144,12 +169,12 @@
     route = make_route(
         "/l/", "idempotent", attempts=attempts, target_latency_ms=300, timeout_ms=8000
     )
-    asked = []
+    asked, ended = [], []
 
     async def act(request, writer):
         asked.append(request)
         behave = answer_late(silence_s) if len(asked) == 1 else other
-        await behave(request, writer)
+        await note_ended(behave, ended)(request, writer)
 
     async with EdgeFleet() as fleet:
         await fleet.put_manifest(1, route)
@@ -158,31 +183,28 @@
         await fleet.wait(lambda: len(router.view.list_endpoints()) == 3)
         client = await fleet.connect(router)
         client.send("/l/a", method="GET", X_Deadline_Ms=DEADLINE_MS)
-        return await _end_play(asyncio.create_task(client.read()), [], workers)
+        answer = await _end_play(asyncio.create_task(client.read()))
+        return Play(answer, _count_requests(workers) - 1, 0, len(ended))
 
 
-async def _end_play(reading, first, others):
-    try:
-        answer = await asyncio.wait_for(reading, 9.0)
-    finally:
-        reading.cancel()
+async def _end_play(reading):
+    answer = await asyncio.wait_for(reading, 9.0)
     # A connection that the router has closed reaches its worker.
     await asyncio.sleep(0.1)
-    return Play(
-        answer,
-        sum(len(worker.requests) for worker in first),
-        sum(len(worker.requests) for worker in others),
-        not any(worker.closed.is_set() for worker in first),
-    )
+    return answer
+
+
+def _count_requests(workers):
+    return sum(len(worker.requests) for worker in workers)
 
 
 def _make_plays():
     """Return all plays by their names, as coroutines."""
     plays = {}
+    silent, whole = fall_silent(STREAM_SILENCE_S), make_streaming(EVENTS)
     for name, failure in STREAM_FAILURES.items():
         for attempts in (2, 3):
-            first = fall_silent(STREAM_SILENCE_S)
-            plays[f"stream-{name}-{attempts}"] = play_stream(first, failure, attempts)
+            plays[f"stream-{name}-{attempts}"] = play_stream(silent, failure, attempts)
     for name, failure in LOOKUP_FAILURES.items():
         for attempts in (2, 3):
             plays[f"lookup-{name}-{attempts}"] = play_lookup(
@@ -191,10 +213,21 @@
     for name in ("503", "close", "hang"):
         first = fall_silent(STREAM_SILENCE_S, cut_bytes=5)
         plays[f"inside_event-{name}"] = play_stream(first, FAILURES[name])
-    whole = make_streaming(EVENTS)
-    plays["taken_over"] = play_stream(fall_silent(5.0), whole)
-    plays["taken_over_inside_event"] = play_stream(fall_silent(5.0, cut_bytes=5), whole)
+        for cut in ("others", "all"):
+            plays[f"relayed-{name}-{cut}"] = play_stream(
+                silent, FAILURES[name], cut_links=cut
+            )
+        plays[f"slow_peers-{name}"] = play_stream(
+            silent, FAILURES[name], has_slow_peers=True
+        )
+    for name, cut in (("taken_over", ""), ("others", "others"), ("all", "all")):
+        plays[name] = play_stream(fall_silent(5.0), whole, cut_links=cut)
+    plays["inside_event"] = play_stream(fall_silent(5.0, cut_bytes=5), whole)
     plays["lookup_answered_elsewhere"] = play_lookup(5.0, answer_late(0.0))
+    plays["no_budget"] = play_stream(
+        silent, whole, retry_budget=BudgetTerms(ratio=0.0, window_s=10.0, fixed=0.0)
+    )
+    plays["left"] = play_stream(fall_silent(5.0), hang, stays_s=1.8)
     return plays
 
 
@@ -226,7 +259,7 @@
     # given up for silence before another endpoint had it.
     play = find_play(plays, f"stream-{failure}-{attempts}")
     assert (play.answer.body, play.answer.is_whole) == (WHOLE, True)
-    assert play.first_went_on
+    assert not play.first_ended
     assert play.other_requests >= 1
 
 
@@ -235,7 +268,7 @@
     # Guards against a partial event that is joined to the data of another endpoint.
     play = find_play(plays, f"inside_event-{failure}")
     assert (play.answer.body, play.answer.is_whole) == (WHOLE, True)
-    assert play.first_went_on
+    assert not play.first_ended
 
 
 @pytest.mark.parametrize("attempts", [2, 3])
@@ -247,16 +280,57 @@
     assert (play.answer.status, play.answer.body) == (200, b"late")
 
 
-@pytest.mark.parametrize("name", ["taken_over", "taken_over_inside_event"])
+@pytest.mark.parametrize("cut", ["others", "all"])
+@pytest.mark.parametrize("failure", ["503", "close", "hang"])
+def test_stream_goes_on_if_its_take_over_through_another_router_fails(
+    plays, failure, cut
+):
+    # Guards against the same where one or both attempts pass through another router.
+    play = find_play(plays, f"relayed-{failure}-{cut}")
+    assert (play.answer.body, play.answer.is_whole) == (WHOLE, True)
+    assert not play.first_ended
+    assert play.other_requests >= 1
+
+
+@pytest.mark.parametrize("failure", ["503", "close", "hang"])
+def test_buffered_stream_goes_on_if_its_take_over_fails(plays, failure):
+    play = find_play(plays, f"slow_peers-{failure}")
+    assert (play.answer.body, play.answer.is_whole) == (WHOLE, True)
+
+
+@pytest.mark.parametrize("name", ["taken_over", "inside_event", "others", "all"])
 def test_stream_goes_on_elsewhere_if_its_endpoint_stays_silent(plays, name):
-    # Guards against a stream that waits for a dead endpoint, or runs at two.
+    # Guards against a stream that waits for a dead endpoint, or runs on at two.
     play = find_play(plays, name)
     assert (play.answer.body, play.answer.is_whole) == (WHOLE, True)
-    assert not play.first_went_on
+    assert play.first_ended == 1
     assert play.other_requests == 1
 
 
 def test_request_is_answered_elsewhere_if_its_endpoint_stays_silent(plays):
     play = find_play(plays, "lookup_answered_elsewhere")
     assert (play.answer.status, play.answer.body) == (200, b"late")
-    assert play.other_requests == 2
+    assert (play.other_requests, play.others_ended) == (1, 1)
+
+
+@pytest.mark.parametrize("attempts", [2, 3])
+def test_attempt_beside_an_endpoint_that_goes_on_is_ended(plays, attempts):
+    # Guards against two endpoints that work on a stream of which one has gone on.
+    play = find_play(plays, f"stream-hang-{attempts}")
+    assert (play.other_requests, play.others_ended) == (1, 1)
+
+
+def test_client_that_leaves_ends_both_attempts(plays):
+    # Guards against an endpoint that works on for a client that has gone.
+    play = find_play(plays, "left")
+    assert not play.answer.is_whole
+    assert play.first_ended == 1
+    assert (play.other_requests, play.others_ended) == (1, 1)
+
+
+def test_silent_endpoint_is_awaited_if_the_retry_budget_is_spent(plays):
+    # Guards against take-overs beyond the retry budget, and against a stream that is
+    # cut for want of one.
+    play = find_play(plays, "no_budget")
+    assert (play.answer.body, play.answer.is_whole) == (WHOLE, True)
+    assert play.other_requests == 0
