--- a/tests/test_silent_workers.py
+++ b/tests/test_silent_workers.py
@@ -7,13 +7,22 @@
 
 from tamarackrill.router.channels import open_channel
 from tamarackrill.testing.edge import EdgeFleet, ask, make_route
+from tamarackrill.testing.tcp_server import TcpServer
 from tamarackrill.testing.worker import (
+    Worker,
+    WorkerRequest,
+    answer_ok,
+    make_answer,
     make_chunk,
     make_event,
     make_stream_head,
 )
 
 SILENCE_S = 1.2
+# Time in which a worker reads nothing, for example while its machine stands still, and
+# size of a body that fills all buffers on the way.
+READ_PAUSE_S = 2.5
+BODY_BYTES = 2_000_000
 
 
 def test_connection_outlives_a_worker_that_acknowledges_nothing_for_a_second():
@@ -54,3 +63,35 @@
             assert sum(len(worker.requests) for worker in fleet.workers) == 1
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("kind", ["idempotent", "non_idempotent"])
+def test_body_is_sent_on_to_a_worker_that_has_paused(kind):
+    # Guards against a request that is lost because its worker reads no more of its body
+    # for a while: the user timeout also ends connections whose window is closed.
+    async def pause(reader, writer):
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(READ_PAUSE_S)
+            body = await reader.readexactly(BODY_BYTES)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        lines = head.decode().lower().split("\r\n")
+        headers = dict(line.split(": ") for line in lines if ": " in line)
+        request = WorkerRequest("POST", "/a", headers, body)
+        writer.write(make_answer(request, b"%d" % len(body)))
+
+    async def run():
+        async with EdgeFleet() as fleet, TcpServer(pause) as server:
+            limits = {"max_body_bytes": BODY_BYTES}
+            route = make_route("/a/", kind, timeout_ms=8000)
+            await fleet.put_manifest(1, route, limits=limits)
+            worker = Worker("w1", answer_ok)
+            worker.address = server.address
+            await fleet.store.write("servers", "w1", worker.describe("desk"))
+            router = await fleet.add_router()
+            body = b"x" * BODY_BYTES
+            answer = await ask(router, "/a/a", body=body, X_Deadline_Ms="8000")
+            assert (answer.status, answer.body) == (200, b"%d" % BODY_BYTES)
+
+    asyncio.run(run())
