Don't close connections whose requests have arrived before a late timeout

Callers saw kept connections end without an answer: a request had arrived in time, but the event loop was late, and the idle timeout of the connection was due in the same iteration. Tornado's timeout then goes before the request that was just read; a lateness of 0.1 s at the wrong moment is enough.

The timeout is now the server's own. It waits on if the loop was late, and once more if bytes of a request are unread or were read in this iteration.

--- a/src/tamarackrill/router/draining_server.py
+++ b/src/tamarackrill/router/draining_server.py
@@ -10,6 +10,8 @@
 from tornado.httputil import HTTPConnection, HTTPMessageDelegate
 from tornado.iostream import IOStream
 
+from tamarackrill.router.idle_timeouts import IdleTimeout, TimedRequest
+
 # Callers send their first request right after connecting; over a loaded link it takes
 # some hundred ms to arrive.
 FIRST_REQUEST_TIMEOUT_S = 1.0
@@ -20,6 +22,12 @@
 
     A caller that has just connected is about to send a request.  If its connection were
     closed then, the caller could not know whether the request has run.
+
+    Attributes
+    ----------
+    idle_timeout_s : float or None
+        Time in which the next head must arrive on a connection, or the connection is
+        closed; read each time that the server waits for a request.
     """
 
     def initialize(self, *args: Any, **kwargs: Any) -> None:
@@ -31,6 +39,10 @@
         self._unanswered: dict[IOStream, bool] = {}
         self._all_answered = asyncio.Event()
         self._all_answered.set()
+        # Tornado's own timeout closes connections whose request has arrived.
+        self.idle_timeout_s = self.conn_params.header_timeout
+        self.conn_params.header_timeout = None
+        self._idle_timeouts: dict[IOStream, IdleTimeout] = {}
 
     def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
         """Accept connections from listening sockets."""
@@ -54,11 +66,18 @@
             self._mark_answered(stream)
         elif stream in self._unanswered:
             self._unanswered[stream] = True
-        return super().start_request(server_conn, request_conn)
+        self._cancel_idle_timeout(stream)
+        request = super().start_request(server_conn, request_conn)
+        if self.idle_timeout_s is None:
+            return request
+        timeout = IdleTimeout(stream, self.idle_timeout_s)
+        self._idle_timeouts[stream] = timeout
+        return TimedRequest(request, timeout)
 
     def on_close(self, server_conn: object) -> None:
         """Stop tracking a connection that was closed."""
         assert isinstance(server_conn, HTTP1ServerConnection)
+        self._cancel_idle_timeout(server_conn.stream)
         self._mark_answered(server_conn.stream)
         super().on_close(server_conn)
 
@@ -97,6 +116,11 @@
             connection.setblocking(False)
             self.handle_stream(IOStream(connection), address)
 
+    def _cancel_idle_timeout(self, stream: IOStream) -> None:
+        timeout = self._idle_timeouts.pop(stream, None)
+        if timeout is not None:
+            timeout.cancel()
+
     def _mark_answered(self, stream: IOStream) -> None:
         self._unanswered.pop(stream, None)
         if not self._unanswered:
--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -134,8 +134,7 @@
         Each idle connection holds a file descriptor and some 50 kB, so clients that
         vanish without closing would exhaust the router.
         """
-        # The server reads this value each time it waits for a request.
-        self.server.conn_params.header_timeout = idle_s
+        self.server.idle_timeout_s = idle_s
 
     def leave(self) -> None:
         """Close each connection after its next response."""
