Notice a standstill before the next decision, and ask for news

Callers of a router process that had stood still for seconds were served by what it knew before: requests ran at workers that were leaving, deleted or in an evacuated zone, by the service that a route no longer has, and new routes got a 503, as what waits in its sockets is decided before the news there is read.

The first decision after a gap between regular beats, which needs no timer to have fired, now asks the store for all kinds of objects, without a wait for a change. Requests, attempts that were under way and those that other routers send through this one wait for the answers, for 0.3 s at most; a router whose store is away goes on serving by what it knows. A change that waited in a socket during the standstill is dated by its call, not by when it was read, as other routers would take the evidence for newer than it is.

--- a/src/tamarackrill/decisions/answer_times.py
+++ b/src/tamarackrill/decisions/answer_times.py
@@ -6,7 +6,8 @@
 
 The store answers a plain call after the call was sent, and a watch without a change
 after the full wait.  For a watch that returns a change the time of the answer is not
-known; its latency is assumed to equal the last known one.
+known; its latency is assumed to equal the last known one.  If the calling process stood
+still meanwhile, the answer may have waited for that long, and is dated by its call.
 """
 
 from typing import NamedTuple
@@ -25,12 +26,15 @@
         Maximum time the store waits for a change (long polling); 0 for a plain call.
     is_empty : bool
         Whether the answer contains no change.
+    was_held_up : bool, optional
+        Whether the calling process stood still between the call and its answer.
     """
 
     asked_s: float
     begun_s: float
     wait_s: float
     is_empty: bool
+    was_held_up: bool = False
 
     @property
     def waited_in_full(self) -> bool:
@@ -46,6 +50,8 @@
 
     def observe(self, answer: StoreAnswer) -> None:
         """Update the latency from an answer to a plain call or after a full wait."""
+        if answer.was_held_up:
+            return
         if not answer.wait_s or answer.waited_in_full:
             self._latency_s = answer.begun_s - answer.asked_s - answer.wait_s
 
@@ -53,6 +59,6 @@
         """Return a time at which the content of an answer was valid."""
         if answer.waited_in_full:
             return answer.asked_s + answer.wait_s
-        if not answer.wait_s or answer.is_empty:
+        if not answer.wait_s or answer.is_empty or answer.was_held_up:
             return answer.asked_s
         return max(answer.asked_s, answer.begun_s - self._latency_s)
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -99,6 +99,24 @@
     "Check the CPU load and the log lines right before this one.",
 )
 
+ROUTER_RESUMED = Event(
+    1021,
+    "router_resumed",
+    _WARNING,
+    ("gap_s",),
+    "This process stood still for `gap_s`, and notices it before its next decision: it "
+    "asks the store for news, and requests wait up to 0.3 s for that.",
+    "Look for a paused VM, swapping, or a host that is short of CPU time.",
+)
+ROUTER_UP_TO_DATE = Event(
+    1022,
+    "router_up_to_date",
+    _INFO,
+    ("after_s", "waited"),
+    "The store has told a router that stood still what changed meanwhile, `after_s` "
+    "after it went on; `waited` requests waited for that.",
+)
+
 # 2000: requests, routing and admission
 REQUEST_ROUTED = Event(
     2001,
--- a/src/tamarackrill/router/configuring.py
+++ b/src/tamarackrill/router/configuring.py
@@ -113,6 +113,8 @@
     find_watch_s : callable
         ``find_watch_s(kind)`` returns the maximum wait of a watch; None for the
         client's default.
+    find_resumed_s : callable
+        Returns when this process last went on after a standstill.
     find_retry_s : callable
         ``find_retry_s(before_s)`` returns the backoff after a failed call, given the
         previous backoff.
@@ -149,8 +151,11 @@
         self.on_restored: Callable[[str], None] = lambda kind: None
         self.on_read: Callable[[str, float], None] = lambda kind, read_s: None
         self.find_watch_s: Callable[[str], float | None] = lambda kind: None
+        self.find_resumed_s: Callable[[], float] = lambda: -math.inf
         self.find_poll_delay_s: Callable[[str, float], float] = lambda kind, now_s: 0.0
         self._read_requested = {kind: asyncio.Event() for kind in kinds}
+        # Set for the kinds that are read anew without waiting for a change.
+        self._refresh_requested = {kind: asyncio.Event() for kind in kinds}
         self._store = store
         self._platform = platform
         self._on_applied = on_applied
@@ -187,6 +192,12 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def refresh(self) -> None:
+        """Ask the platform for all that has changed, without waiting for a change."""
+        for kind in self._kinds:
+            self._refresh_requested[kind].set()
+            self._read_requested[kind].set()
+
     def digest(self) -> tuple[ConfigurationDigest, ...]:
         """Return the digests of all kinds."""
         return tuple(self._store.digest(kind) for kind in self._kinds)
@@ -320,13 +331,16 @@
         wait_s: float | None = None
         retry_s = FIRST_RETRY_S
         while True:
-            wait_s = 0.0 if await self._wait_while_fresh(kind) else wait_s
+            has_waited = await self._wait_while_fresh(kind)
+            if has_waited or self._refresh_requested[kind].is_set():
+                wait_s = 0.0
+            self._refresh_requested[kind].clear()
             must_list = must_list or self._must_list(kind)
             try:
                 await (self._list(kind) if must_list else self._watch(kind, wait_s))
                 must_list, wait_s, retry_s = False, None, FIRST_RETRY_S
                 self._set_platform_lost(lost=False)
-                await asyncio.sleep(self._pause_s)
+                await self._pause(kind)
             except (WatchLost, AnswerTooLong):
                 must_list = True
             except PlatformUnavailable as error:
@@ -341,6 +355,11 @@
                 await self._pause_before_retry(kind, retry_s * random.uniform(0.5, 1.0))
                 retry_s = self.find_retry_s(retry_s)
 
+    async def _pause(self, kind: str) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._pause_s):
+                await self._refresh_requested[kind].wait()
+
     async def _pause_before_retry(self, kind: str, retry_s: float) -> None:
         if kind == self._kinds[0] or retry_s < RETRY_MIN_S / 2:
             await asyncio.sleep(retry_s)
@@ -359,7 +378,8 @@
         """Wait while other routers' evidence is fresh; return whether it waited."""
         has_waited = False
         read_requested = self._read_requested[kind]
-        if not self.knows_newer_version(kind):
+        must_refresh = self._refresh_requested[kind].is_set()
+        if not self.knows_newer_version(kind) and not must_refresh:
             # The previous answer has delivered the requested version.
             read_requested.clear()
         while not read_requested.is_set() and self._store.get_complete(kind):
@@ -435,7 +455,8 @@
         applied = self._apply(changes, source)
         # Reported only after the changes are applied; otherwise other routers would
         # take the previous configuration for the platform's latest answer.
-        answer = StoreAnswer(asked_s, begun_s, wait_s, not listing.items)
+        was_held_up = asked_s < self.find_resumed_s()
+        answer = StoreAnswer(asked_s, begun_s, wait_s, not listing.items, was_held_up)
         as_of_s = self._answer_times.find_as_of_s(answer)
         self._record_polled(kind, listing.revision, as_of_s)
         self.on_answer(kind, as_of_s)
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -31,6 +31,7 @@
 from tamarackrill.decisions.news_shares import EVIDENCE_AGE_MAX_SHARE, WATCH_MAX_SHARE
 from tamarackrill.decisions.placement_news import PlacementNews
 from tamarackrill.decisions.retry_shares import FleetSize
+from tamarackrill.decisions.standstill import is_outdated
 from tamarackrill.decisions.stream_versions import Router as VersionRouter
 from tamarackrill.decisions.stream_versions import StreamVersions
 from tamarackrill.decisions.watching import SETTLE_S, WatchPolicy
@@ -95,6 +96,7 @@
 from tamarackrill.router.relay_client import RelayClient
 from tamarackrill.router.relay_server import RelayedRequestMatcher, RelayServer
 from tamarackrill.router.slow_clients import choose_replies
+from tamarackrill.router.standstill import StandstillMonitor, chain
 from tamarackrill.router.store_news import EvidenceExchange
 from tamarackrill.router.suspension import find_suspended_s
 from tamarackrill.router.upstream import close_client, make_client
@@ -216,6 +218,10 @@
             self.clock,
             connect,
         )
+        self.standstill = StandstillMonitor(
+            self._list_kinds(), settings.news_max_s, self.clock
+        )
+        self.flow.attempts.wait_current = self.standstill.wait_current
         self.capacity: SlotSharing | None = None
         self.cold = ColdMonitor(self.view, settings.cold_tolerance, self.clock)
         self.flow.attempts.paths.on_reached = self.cold.observe_reached
@@ -231,7 +237,9 @@
             self.metrics,
             self.clock,
         )
+        self.relay_server.wait_current = self.standstill.wait_current
         self.server = EdgeServer(self.view, self.flow, self.metrics, self.clock)
+        self.server.wait_current = self.standstill.wait_current
         self.server.make_reply = choose_replies(settings, self.metrics, self.clock)
 
     async def start(self, listener: socket.socket | None = None) -> None:
@@ -366,8 +374,9 @@
     def _is_outdated(self) -> bool:
         if self.configuration_sync.knows_newer_version(MANIFEST_KIND):
             return True
-        ages_s = self.store_news.find_ages_s(self.clock())
-        return ages_s.get(MANIFEST_KIND, math.inf) > self.settings.news_max_s
+        resumed_s, now_s = self.standstill.find_resumed_s(), self.clock()
+        age_s = self.store_news.find_ages_s(now_s).get(MANIFEST_KIND, math.inf)
+        return is_outdated(age_s, self.settings.news_max_s, resumed_s, now_s)
 
     def _knows_current_endpoints(self) -> bool:
         ages_s = self.store_news.find_ages_s(self.clock())
@@ -519,6 +528,7 @@
             seeds,
             find_suspended_s=find_suspended_s,
         )
+        self._watch_standstills()
         own = MemberRecord(
             self.settings.name,
             session,
@@ -584,6 +594,16 @@
         self.guard.ask(seeds)
         await self.placement_gossip.start()
 
+    def _watch_standstills(self) -> None:
+        sync = self.configuration_sync
+        sync.find_resumed_s = self.standstill.find_resumed_s
+        self.standstill.on_resumed = sync.refresh
+        sync.on_answer = chain(self.standstill.observe_news, sync.on_answer)
+        sync.on_unchanged = chain(self.standstill.observe_news, sync.on_unchanged)
+        self._tasks.append(
+            asyncio.create_task(run_restarting("standstill", self.standstill.run))
+        )
+
     def _make_version_store(
         self, versions: StreamVersions, own: VersionRouter
     ) -> VersionStore:
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -1,7 +1,7 @@
 """Single attempts to serve a request on the platform's interface at an endpoint."""
 
 import asyncio
-from collections.abc import Callable, Collection
+from collections.abc import Awaitable, Callable, Collection
 from typing import NamedTuple
 
 from tamarackrill.contracts import Endpoint
@@ -53,6 +53,7 @@
     add_relay_headers,
     remove_relay_headers,
 )
+from tamarackrill.router.standstill import wait_never
 
 # Responses to earlier requests that are skipped before the connection is closed.
 MISMATCHED_ANSWERS_MAX = 2
@@ -152,6 +153,8 @@
         Other routers through which endpoints are reached.
     guard : PromptGuard or None
         Is told which parts of prompts crash endpoints.
+    wait_current : callable
+        Waits for news if the router has just stood still.
     """
 
     def __init__(
@@ -186,6 +189,7 @@
         self.crashes = CrashChecks(placer, self.paths, self.checks, clock, connect)
         self.relays: RelayClient | None = None
         self.guard: PromptGuard | None = None
+        self.wait_current: Callable[[], Awaitable[None]] = wait_never
         self._peer_key = ""
 
     def use_relays(self, relays: RelayClient, peer_key: str) -> None:
@@ -228,6 +232,7 @@
         channel = await self._open_channel(call, endpoint, relay)
         if isinstance(channel, AttemptResult):
             return channel
+        await self.wait_current()
         # The choice is as old as all that the request has waited for since.
         if not self._placer.takes_work(endpoint):
             channel.close()
--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -40,6 +40,7 @@
 from tamarackrill.router.edge_flow import EdgeFlow
 from tamarackrill.router.edge_reply import ClientTooSlow, EdgeReply, MakeReply
 from tamarackrill.router.metrics import Metrics
+from tamarackrill.router.standstill import wait_never
 
 # Twice the limit of known manifests. Headers above the manifest's limit get a 431; the
 # connection is closed if they exceed this one.
@@ -102,6 +103,8 @@
         Returns the reply to a request, given its connection.
     is_outdated : callable
         Returns whether other routers may already have a newer manifest.
+    wait_current : callable
+        Waits for news if the router has just stood still.
     """
 
     def __init__(
@@ -119,6 +122,7 @@
         self.sheds_connections = False
         self.accepts_requests = True
         self.is_outdated: Callable[[], bool] = lambda: False
+        self.wait_current: Callable[[], Awaitable[None]] = wait_never
         self.make_reply: MakeReply = EdgeReply
         self.in_flight: set[asyncio.Task[None]] = set()
         self.server = DrainingServer(
@@ -171,7 +175,7 @@
             raise _Denied(503, "no_manifest", NO_MANIFEST_RETRY_AFTER_S)
         route = table.find_route(host, line.path.partition("?")[0])
         if route is None:
-            raise self._deny_unmatched(404, "no_route")
+            raise self.deny_unmatched(404, "no_route")
         team = self._find_team(table, route, headers)
         if len(body) > table.manifest.limits.body_max_bytes:
             raise _Denied(413, "body_too_long")
@@ -212,15 +216,15 @@
             return None
         found = table.find_team(headers.key) if headers.key else None
         if found is None and not route.is_anonymous:
-            raise self._deny_unmatched(401, "unknown_key")
+            raise self.deny_unmatched(401, "unknown_key")
         return found
 
-    def _deny_unmatched(self, status: int, reason: str) -> _Denied:
-        """Return the denial for a route or key that is not in the manifest.
+    def deny_unmatched(self, status: int, reason: str) -> _Denied:
+        """Return the denial of a request that the manifest doesn't allow.
 
-        Clients treat 404 and 401 as final. If a newer manifest is known, or nothing has
-        been heard of the store for longer than a change may take to propagate, the
-        route or key may exist by now, so clients get a 503 and retry.
+        Clients treat 401, 404, 413 and 431 as final. If a newer manifest is known, or
+        nothing has been heard of the store for longer than a change may take to
+        propagate, it may be allowed by now, so clients get a 503 and retry.
         """
         if self.is_outdated():
             return _Denied(503, "manifest_outdated", OUTDATED_RETRY_AFTER_S)
@@ -320,6 +324,7 @@
 
     async def _match_and_serve(self, reply: EdgeReply) -> None:
         headers = parse_request_headers(self._headers)
+        await self._server.wait_current()
         try:
             self._check_sizes()
             self._call = self._server.match(
--- a/src/tamarackrill/router/relay_server.py
+++ b/src/tamarackrill/router/relay_server.py
@@ -40,6 +40,7 @@
     read_attempt,
     remove_relay_headers,
 )
+from tamarackrill.router.standstill import wait_never
 
 # Attempts forwarded at the same time.  Each buffers up to 128 KiB for a slow reader.
 RELAYED_MAX = 256
@@ -82,6 +83,8 @@
         Whether further attempts are refused.
     in_flight : set of asyncio.Task
         Attempts being forwarded.
+    wait_current : callable
+        Waits for news if this router has just stood still.
     """
 
     def __init__(
@@ -96,6 +99,7 @@
         self.peer_keys = peer_keys
         self.clock = clock
         self.is_leaving = False
+        self.wait_current: Callable[[], Awaitable[None]] = wait_never
         self.in_flight: set[asyncio.Task[None]] = set()
         self._view = view
         self._placer = placer
@@ -147,6 +151,7 @@
         tornado.iostream.StreamClosedError
             If the router has disconnected.
         """
+        await self.wait_current()
         opened = await self._open(attempt)
         if opened is None:
             self._metrics.count("attempts_relayed", NOT_SENT)
--- /dev/null
+++ b/src/tamarackrill/router/standstill.py
@@ -0,0 +1,121 @@
+"""Notices that this process stood still, before it decides anything."""
+
+import asyncio
+import math
+from collections.abc import Callable, Collection
+
+from tamarackrill.decisions.standstill import (
+    find_gap_s,
+    find_news_wait_s,
+    has_news,
+)
+from tamarackrill.events import ROUTER_RESUMED, ROUTER_UP_TO_DATE, log_event
+from tamarackrill.router import lateness
+
+# Each beat wakes the process up; ten a second take it 0.1% of a processor.
+BEAT_INTERVAL_S = 0.1
+
+
+def chain(
+    first: Callable[[str, float], None], then: Callable[[str, float], None]
+) -> Callable[[str, float], None]:
+    """Return a callback that calls two callbacks of a kind's news."""
+
+    def call(kind: str, as_of_s: float) -> None:
+        first(kind, as_of_s)
+        then(kind, as_of_s)
+
+    return call
+
+
+async def wait_never() -> None:
+    """Don't wait, at a router whose standstills nobody monitors."""
+
+
+class StandstillMonitor:
+    """Notices a standstill at the first decision after it.
+
+    Parameters
+    ----------
+    kinds : collection of str
+        Kinds of objects that decisions depend on.
+    news_max_s : float
+        Time in which a change has to be in force.
+    clock : callable
+        Returns the current time, which goes on while the process stands still.
+
+    Attributes
+    ----------
+    on_resumed : callable
+        Called once after each standstill; asks for news.
+    """
+
+    def __init__(
+        self, kinds: Collection[str], news_max_s: float, clock: Callable[[], float]
+    ) -> None:
+        self._kinds = kinds
+        self._news_max_s = news_max_s
+        self._clock = clock
+        self._last_beat_s = clock()
+        self._resumed_s = -math.inf
+        self._as_of_s: dict[str, float] = {}
+        self._up_to_date = asyncio.Event()
+        self._up_to_date.set()
+        self._waited = 0
+        self.on_resumed: Callable[[], None] = lambda: None
+
+    @property
+    def has_news(self) -> bool:
+        """Whether the store has told all kinds since the last standstill."""
+        return self._up_to_date.is_set()
+
+    def beat(self, now_s: float) -> None:
+        """Show that the process runs; see `find_gap_s` for a beat that is late."""
+        self.find_gap_s(now_s)
+        self._last_beat_s = now_s
+
+    def find_gap_s(self, now_s: float) -> float:
+        """Return the length of a standstill that ends now; 0 if there was none."""
+        gap_s = find_gap_s(self._last_beat_s, now_s, self._news_max_s)
+        if gap_s:
+            self._last_beat_s = self._resumed_s = now_s
+            self._up_to_date.clear()
+            self._waited = 0
+            log_event(ROUTER_RESUMED, gap_s=round(gap_s, 3))
+            self.on_resumed()
+        return gap_s
+
+    def find_resumed_s(self) -> float:
+        """Return when the process last went on; minus infinity if it never stopped."""
+        self.find_gap_s(self._clock())
+        return self._resumed_s
+
+    def observe_news(self, kind: str, as_of_s: float) -> None:
+        """Record that the store has told a kind of objects as of some time."""
+        resumed_s = self.find_resumed_s()
+        self._as_of_s[kind] = max(as_of_s, self._as_of_s.get(kind, -math.inf))
+        if self.has_news:
+            return
+        if has_news(self._kinds, self._as_of_s, resumed_s):
+            after_s = self._clock() - resumed_s
+            log_event(ROUTER_UP_TO_DATE, after_s=round(after_s, 4), waited=self._waited)
+            self._up_to_date.set()
+
+    async def wait_current(self) -> None:
+        """Wait for news, if there was none since a standstill, but not for long."""
+        resumed_s = self.find_resumed_s()
+        wait_s = find_news_wait_s(self.has_news, resumed_s, self._clock())
+        if not wait_s:
+            return
+        self._waited += 1
+        try:
+            async with lateness.timeout(wait_s):
+                await self._up_to_date.wait()
+        except TimeoutError:
+            return
+
+    async def run(self) -> None:
+        """Beat until cancelled."""
+        while True:
+            self.beat(self._clock())
+            await asyncio.sleep(BEAT_INTERVAL_S)
--- /dev/null
+++ b/tests/test_standstill_decisions.py
@@ -0,0 +1,154 @@
+"""Decisions of a router that stood still."""
+
+import asyncio
+import math
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from tamarackrill.decisions.answer_times import AnswerTimes, StoreAnswer
+from tamarackrill.decisions.standstill import (
+    NEWS_WAIT_MAX_S,
+    find_gap_s,
+    find_news_wait_s,
+    has_news,
+    is_outdated,
+)
+from tamarackrill.router.standstill import BEAT_INTERVAL_S, StandstillMonitor
+
+NEWS_MAX_S = 2.0
+KINDS = ("manifest", "endpoints")
+
+
+@pytest.mark.parametrize(
+    ("age_s", "resumed_s", "expected"),
+    [
+        (0.5, -math.inf, False),
+        (2.5, -math.inf, True),
+        (math.inf, -math.inf, True),
+        (1.5, 9.0, True),
+        (0.5, 9.0, False),
+    ],
+)
+def test_evidence_from_before_a_standstill_confirms_nothing(age_s, resumed_s, expected):
+    # Guards against 404 and 401 for good by a manifest replaced during a standstill.
+    assert is_outdated(age_s, NEWS_MAX_S, resumed_s, 10.0) is expected
+
+
+@pytest.mark.parametrize(
+    ("was_held_up", "as_of_s"), [(False, pytest.approx(12.99)), (True, 10.0)]
+)
+def test_change_that_waited_during_a_standstill_is_dated_by_its_call(
+    was_held_up, as_of_s
+):
+    # Guards against evidence that other routers take for newer than it is.
+    times = AnswerTimes()
+    times.observe(StoreAnswer(9.0, 9.01, 0.0, True))
+    answer = StoreAnswer(10.0, 13.0, 1.0, False, was_held_up)
+    assert times.find_as_of_s(answer) == as_of_s
+
+
+def test_requests_wait_for_news_once_and_not_for_long():
+    # Guards against a router that refuses, or waits, as long as its store is away.
+    async def run():
+        loop = asyncio.get_running_loop()
+        offset_s = 0.0
+        monitor = StandstillMonitor(KINDS, NEWS_MAX_S, lambda: loop.time() + offset_s)
+        refreshes = []
+        monitor.on_resumed = lambda: refreshes.append(loop.time())
+        await monitor.wait_current()
+        assert not refreshes
+        offset_s = 3.0
+        begun_s = loop.time()
+        await asyncio.gather(*(monitor.wait_current() for _ in range(5)))
+        waited_s = loop.time() - begun_s
+        assert len(refreshes) == 1
+        assert waited_s >= NEWS_WAIT_MAX_S
+        begun_s = loop.time()
+        await monitor.wait_current()
+        assert loop.time() - begun_s < NEWS_WAIT_MAX_S / 2
+
+    asyncio.run(run())
+
+
+class MonitorMachine(RuleBasedStateMachine):
+    """Beats, standstills, decisions and news in any order.
+
+    The model knows when the process really stood still; the monitor sees only beats.
+    """
+
+    @initialize()
+    def start(self):
+        self.now_s = 100.0
+        self.loop = asyncio.new_event_loop()
+        self.monitor = self.loop.run_until_complete(self._make())
+        self.refreshes = 0
+        self.monitor.on_resumed = self._count
+        self.stopped_s = -math.inf
+        self.expected = 0
+        self.news_s = dict.fromkeys(KINDS, -math.inf)
+
+    async def _make(self):
+        return StandstillMonitor(KINDS, NEWS_MAX_S, lambda: self.now_s)
+
+    def _count(self):
+        self.refreshes += 1
+
+    @rule(beats=st.integers(1, 30))
+    def run(self, beats):
+        for _ in range(beats):
+            self.monitor.beat(self.now_s)
+            self.now_s += BEAT_INTERVAL_S
+        self.monitor.beat(self.now_s)
+
+    @rule(gap_s=st.floats(1.2, 30.0), beats_first=st.booleans())
+    def stand_still(self, gap_s, beats_first):
+        self.now_s += gap_s
+        self.stopped_s = self.now_s
+        self.expected += 1
+        if beats_first:
+            self.monitor.beat(self.now_s)
+        else:
+            self.monitor.find_resumed_s()
+
+    @rule(kind=st.sampled_from(KINDS), age_s=st.floats(0.0, 5.0))
+    def hear(self, kind, age_s):
+        as_of_s = self.now_s - age_s
+        self.news_s[kind] = max(self.news_s[kind], as_of_s)
+        self.monitor.observe_news(kind, as_of_s)
+
+    @invariant()
+    def each_standstill_asks_for_news_once(self):
+        if hasattr(self, "monitor"):
+            assert self.refreshes == self.expected
+            assert self.monitor.find_resumed_s() == self.stopped_s
+
+    @invariant()
+    def requests_wait_only_for_what_is_older_than_the_standstill(self):
+        if not hasattr(self, "monitor"):
+            return
+        is_current = has_news(KINDS, self.news_s, self.stopped_s)
+        wait_s = find_news_wait_s(is_current, self.stopped_s, self.now_s)
+        assert 0.0 <= wait_s <= NEWS_WAIT_MAX_S
+        assert not (is_current and wait_s)
+        assert self.monitor.has_news == is_current
+        for kind, as_of_s in self.news_s.items():
+            if as_of_s < self.stopped_s:
+                age_s = self.now_s - as_of_s
+                assert is_outdated(age_s, NEWS_MAX_S, self.stopped_s, self.now_s), kind
+
+    def teardown(self):
+        if hasattr(self, "loop"):
+            self.loop.close()
+
+
+TestMonitorMachine = MonitorMachine.TestCase
+TestMonitorMachine.settings = settings(max_examples=60, deadline=None)
+
+
+@pytest.mark.parametrize(("gap_s", "expected"), [(0.9, 0.0), (1.0, 1.0), (6.0, 6.0)])
+def test_short_gap_is_no_standstill(gap_s, expected):
+    # Guards against a busy router that asks the store again at each late beat.
+    assert find_gap_s(10.0, 10.0 + gap_s, NEWS_MAX_S) == expected
