Don't deny long requests for good by a manifest that may be replaced

Clients treat 413 and 431 as final, like 404 and 401. These two were given without asking whether the manifest may be outdated: by a router that hadn't heard of the store for longer than a change may take, or that had stood still, 20 of 20 requests got a 413 or 431 after 6 s in which the limits were raised. They now get a 503 and when to come back, as for an unknown route.

--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -178,7 +178,7 @@
             raise self.deny_unmatched(404, "no_route")
         team = self._find_team(table, route, headers)
         if len(body) > table.manifest.limits.body_max_bytes:
-            raise _Denied(413, "body_too_long")
+            raise self.deny_unmatched(413, "body_too_long")
         if not self.accepts_requests:
             raise _Denied(503, "leaving", LEAVING_RETRY_AFTER_S)
         if not headers.request_id:
@@ -347,9 +347,9 @@
         limits = table.manifest.limits
         size_bytes = sum(len(n) + len(v) + 4 for n, v in self._headers.get_all())
         if size_bytes + len(self._start_line.path) > limits.header_max_bytes:
-            raise _Denied(431, "head_too_long")
+            raise self._server.deny_unmatched(431, "head_too_long")
         if self._size_bytes > limits.body_max_bytes:
-            raise _Denied(413, "body_too_long")
+            raise self._server.deny_unmatched(413, "body_too_long")
         if self._is_discarded:
             # A newer manifest allows the body, which is gone by now.
             raise _Denied(503, "limit_raised", LIMIT_RAISED_RETRY_AFTER_S)
