--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 
 from tamarackrill.contracts import Endpoint
 from tamarackrill.decisions.attempt_timeouts import (
@@ -51,6 +51,7 @@
     remove_relay_headers,
 )
 from tamarackrill.router.request_progress import RequestAttempt, RequestProgress
+from tamarackrill.router.standstill import wait_never
 
 # Responses to earlier requests that are skipped before the connection is closed.
 MISMATCHED_ANSWERS_MAX = 2
@@ -102,6 +103,8 @@
         Other routers through which endpoints are reached.
     guard : PromptGuard or None
         Is told which parts of prompts crash endpoints.
+    wait_current : callable
+        Waits for news if the router has just stood still.
     """
 
     def __init__(
@@ -139,6 +142,7 @@
         self.crashes = CrashChecks(placer, self.paths, self.checks, clock, connect)
         self.relays: RelayClient | None = None
         self.guard: PromptGuard | None = None
+        self.wait_current: Callable[[], Awaitable[None]] = wait_never
         self._peer_key = ""
 
     def use_relays(self, relays: RelayClient, peer_key: str) -> None:
@@ -181,6 +185,7 @@
         channel = await self._open_channel(call, endpoint, relay)
         if isinstance(channel, AttemptResult):
             return channel
+        await self.wait_current()
         # The choice is as old as all that the request has waited for since.
         if not self._placer.takes_work(endpoint):
             channel.close()
--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -40,6 +40,7 @@
 from tamarackrill.router.edge_flow import EdgeFlow
 from tamarackrill.router.edge_reply import ClientTooSlow, EdgeReply, MakeReply
 from tamarackrill.router.metrics import Metrics
+from tamarackrill.router.standstill import wait_never
 
 # Twice the limit of known manifests. Headers above the manifest's limit get a 431; the
 # connection is closed if they exceed this one.
@@ -102,6 +103,8 @@
         Returns the reply to a request, given its connection.
     is_outdated : callable
         Returns whether other routers may already have a newer manifest.
+    wait_current : callable
+        Waits for news if the router has just stood still.
     """
 
     def __init__(
@@ -119,6 +122,7 @@
         self.sheds_connections = False
         self.accepts_requests = True
         self.is_outdated: Callable[[], bool] = lambda: False
+        self.wait_current: Callable[[], Awaitable[None]] = wait_never
         self.make_reply: MakeReply = EdgeReply
         self.in_flight: set[asyncio.Task[None]] = set()
         self.server = DrainingServer(
@@ -134,8 +138,7 @@
         Each idle connection holds a file descriptor and some 50 kB, so clients that
         vanish without closing would exhaust the router.
         """
-        # The server reads this value each time it waits for a request.
-        self.server.conn_params.header_timeout = idle_s
+        self.server.idle_timeout_s = idle_s
 
     def leave(self) -> None:
         """Close each connection after its next response."""
@@ -172,10 +175,10 @@
             raise _Denied(503, "no_manifest", NO_MANIFEST_RETRY_AFTER_S)
         route = table.find_route(host, line.path.partition("?")[0])
         if route is None:
-            raise self._deny_unmatched(404, "no_route")
+            raise self.deny_unmatched(404, "no_route")
         team = self._find_team(table, route, headers)
         if len(body) > table.manifest.limits.body_max_bytes:
-            raise _Denied(413, "body_too_long")
+            raise self.deny_unmatched(413, "body_too_long")
         if not self.accepts_requests:
             raise _Denied(503, "leaving", LEAVING_RETRY_AFTER_S)
         if not headers.request_id:
@@ -213,15 +216,15 @@
             return None
         found = table.find_team(headers.key) if headers.key else None
         if found is None and not route.is_anonymous:
-            raise self._deny_unmatched(401, "unknown_key")
+            raise self.deny_unmatched(401, "unknown_key")
         return found
 
-    def _deny_unmatched(self, status: int, reason: str) -> _Denied:
-        """Return the denial for a route or key that is not in the manifest.
+    def deny_unmatched(self, status: int, reason: str) -> _Denied:
+        """Return the denial of a request that the manifest doesn't allow.
 
-        Clients treat 404 and 401 as final. If a newer manifest is known, or nothing has
-        been heard of the store for longer than a change may take to propagate, the
-        route or key may exist by now, so clients get a 503 and retry.
+        Clients treat 401, 404, 413 and 431 as final. If a newer manifest is known, or
+        nothing has been heard of the store for longer than a change may take to
+        propagate, it may be allowed by now, so clients get a 503 and retry.
         """
         if self.is_outdated():
             return _Denied(503, "manifest_outdated", OUTDATED_RETRY_AFTER_S)
@@ -321,6 +324,7 @@
 
     async def _match_and_serve(self, reply: EdgeReply) -> None:
         headers = parse_request_headers(self._headers)
+        await self._server.wait_current()
         try:
             self._check_sizes()
             self._call = self._server.match(
@@ -343,9 +347,9 @@
         limits = table.manifest.limits
         size_bytes = sum(len(n) + len(v) + 4 for n, v in self._headers.get_all())
         if size_bytes + len(self._start_line.path) > limits.header_max_bytes:
-            raise _Denied(431, "head_too_long")
+            raise self._server.deny_unmatched(431, "head_too_long")
         if self._size_bytes > limits.body_max_bytes:
-            raise _Denied(413, "body_too_long")
+            raise self._server.deny_unmatched(413, "body_too_long")
         if self._is_discarded:
             # A newer manifest allows the body, which is gone by now.
             raise _Denied(503, "limit_raised", LIMIT_RAISED_RETRY_AFTER_S)
