Close a connection only after five seconds without a sign of its machine

Callers got 502 when a worker read nothing of a body for 2.5 s, from 0.3 MB on: the kernel's user timeout of 1.5 s also ends connections whose window is closed, whatever their machine acknowledges, and those of machines that stand still.

It is five seconds now, above the silences that sound endpoints go on after. So that streams still leave a dead link: where an endpoint may be silent for any time, which is before the first event of a stream, a router asks the kernel whether an acknowledgement is owed, and after 1.5 s sends another attempt beside the first. Streams that have begun and idempotent requests do that for silence alone.

--- a/src/tamarackrill/decisions/attempt_timeouts.py
+++ b/src/tamarackrill/decisions/attempt_timeouts.py
@@ -18,10 +18,13 @@
 # An idempotent request is sent elsewhere too after this many latency objectives without
 # an answer; failures of such requests arrive within one.
 ATTEMPT_TIMEOUT_OBJECTIVES = 2.5
-# Longest silence of an endpoint that goes on afterwards, for example during a garbage
-# collection or a short loss of its link.  Connections are not closed earlier for
-# silence alone, and streams not asked for elsewhere; idempotent requests are sooner.
+# Usual silence of an endpoint that goes on afterwards, for example during a garbage
+# collection or a short loss of its link.  Streams are not asked for elsewhere earlier;
+# idempotent requests are sooner.
 SILENCE_MAX_S = 1.5
+# Connections on which nothing is acknowledged, or nothing read, for this long are
+# closed.  Sound endpoints whose machine stands still go on after up to four seconds.
+CONNECTION_TIMEOUT_S = 5.0
 # A resumable stream is asked for at another endpoint too after this long without data:
 # clients disconnect after two seconds, and the other one has to read the prompt first.
 STREAM_STALL_TIMEOUT_S = SILENCE_MAX_S
@@ -48,6 +51,20 @@
     return ATTEMPT_TIMEOUT_OBJECTIVES * route.objective_s
 
 
+def find_link_timeout_s(route: Route) -> float | None:
+    """Return the time without an acknowledgement that starts a race.
+
+    It holds until the first event of a stream, which may take any time while the link
+    works.
+
+    Returns
+    -------
+    float or None
+        None if no other attempt may be sent beside this one.
+    """
+    return SILENCE_MAX_S if route.may_repeat else None
+
+
 def find_chunk_timeout_s(
     route: Route, earlier_attempts: int, has_begun: bool
 ) -> float | None:
--- a/src/tamarackrill/router/channels.py
+++ b/src/tamarackrill/router/channels.py
@@ -11,11 +11,11 @@
 
 import h11
 
-from tamarackrill.decisions.attempt_timeouts import SILENCE_MAX_S
+from tamarackrill.decisions.attempt_timeouts import CONNECTION_TIMEOUT_S
 from tamarackrill.decisions.capacity.buffers import ReadPauses
 from tamarackrill.decisions.status_lines import holds_status_line
 from tamarackrill.router import lateness
-from tamarackrill.router.sockets import enable_keepalive
+from tamarackrill.router.sockets import enable_keepalive, find_unacknowledged_s
 
 Headers = list[tuple[str, str]]
 Framing = Literal["none", "length", "chunked", "close"]
@@ -86,7 +86,8 @@
         """Store the transport and enable TCP keepalive."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        enable_keepalive(transport.get_extra_info("socket"), int(1000 * SILENCE_MAX_S))
+        user_timeout_ms = int(1000 * CONNECTION_TIMEOUT_S)
+        enable_keepalive(transport.get_extra_info("socket"), user_timeout_ms)
 
     def data_received(self, data: bytes) -> None:
         """Process data; without a request in flight, mark the connection unusable."""
@@ -112,6 +113,12 @@
         is_live = self._transport is not None and not self._transport.is_closing()
         return is_live and not self._is_ended and not self._has_unexpected_data
 
+    def find_unacknowledged_s(self) -> float:
+        """Return for how long the endpoint's machine has owed an acknowledgement."""
+        if self._transport is None or self._transport.is_closing():
+            return 0.0
+        return find_unacknowledged_s(self._transport.get_extra_info("socket"))
+
     def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
         """Send a complete request."""
         self._request = h11.Request(method=method, target=target, headers=headers)
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -9,6 +9,7 @@
     RESPONSE_TRANSIT_S,
     find_chunk_timeout_s,
     find_header_timeout_s,
+    find_link_timeout_s,
     find_suspicion_timeout_s,
 )
 from tamarackrill.decisions.attempts import Outcome
@@ -319,7 +320,8 @@
         self._send(progress, placed, relay, channel)
         try:
             async with lateness.timeout_at(call.deadline_s + RESPONSE_TRANSIT_S):
-                with self._watch_silence(attempt, find_header_timeout_s(call.route)):
+                timeout_s = find_header_timeout_s(call.route)
+                with self._watch_answer(attempt, channel, timeout_s):
                     head, answer_headers = await self.read_matching_head(
                         call.request_id, placed.endpoint, channel, relay
                     )
@@ -365,9 +367,25 @@
             load=load,
         )
 
+    def _watch_answer(
+        self, attempt: RequestAttempt, channel: Channel, timeout_s: float | None
+    ) -> contextlib.AbstractContextManager[None]:
+        """Watch an endpoint's silence, or its link if it may be silent for any time."""
+        if timeout_s is not None:
+            return self._watch_silence(attempt, timeout_s)
+        link_timeout_s = find_link_timeout_s(attempt.progress.call.route)
+        return self._watch_silence(
+            attempt,
+            link_timeout_s,
+            lambda: channel.find_unacknowledged_s() >= (link_timeout_s or 0.0),
+        )
+
     @contextlib.contextmanager
     def _watch_silence(
-        self, attempt: RequestAttempt, timeout_s: float | None
+        self,
+        attempt: RequestAttempt,
+        timeout_s: float | None,
+        is_suspect: Callable[[], bool] = lambda: True,
     ) -> Iterator[None]:
         """Report an attempt each time that its endpoint has been silent for so long."""
         if timeout_s is None:
@@ -383,6 +401,8 @@
             nonlocal timer
             now_s = loop.time()
             timer = lateness.LateTimer(now_s + period_s, observe)
+            if not is_suspect():
+                return
             attempt.note_silent(True)
             self.on_silent(attempt, now_s - started_s)
 
@@ -602,7 +622,7 @@
             progress.history.sent,
             progress.reply.has_begun,
         )
-        with self._watch_silence(attempt, timeout_s):
+        with self._watch_answer(attempt, channel, timeout_s):
             piece = await channel.read_chunk()
         _check_running(attempt)
         attempt.note_silent(False)
--- a/src/tamarackrill/router/sockets.py
+++ b/src/tamarackrill/router/sockets.py
@@ -26,6 +26,21 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NOT)
 
 
+# Of ``struct tcp_info``: keepalive and window probes without a reply, segments that are
+# not acknowledged, and the time since the last acknowledgement.
+_TCP_INFO = struct.Struct("=3xB20xI28xI")
+
+
+def find_unacknowledged_s(sock: socket.socket) -> float:
+    """Return for how long a peer's machine has owed an acknowledgement, 0 if not.
+
+    A machine acknowledges data and probes also while its process is silent.
+    """
+    data = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size)
+    probes, unacked, last_ms = _TCP_INFO.unpack(data)
+    return last_ms / 1000 if probes or unacked else 0.0
+
+
 def enable_keepalive(
     sock: socket.socket, user_timeout_ms: int = USER_TIMEOUT_MS
 ) -> None:
--- a/tests/test_silent_workers.py
+++ b/tests/test_silent_workers.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from tamarackrill.router.channels import open_channel
+from tamarackrill.decisions.attempt_timeouts import SILENCE_MAX_S
+from tamarackrill.router.channels import Channel, open_channel
 from tamarackrill.testing.edge import EdgeFleet, ask, make_route
 from tamarackrill.testing.tcp_server import TcpServer
 from tamarackrill.testing.worker import (
@@ -95,3 +96,58 @@
             assert (answer.status, answer.body) == (200, b"%d" % BODY_BYTES)
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("unacknowledged_s, requests", [(2.0, 2), (0.0, 1)])
+def test_stream_is_asked_for_elsewhere_only_if_its_link_is_dead(
+    monkeypatch, unacknowledged_s, requests
+):
+    # Guards against streams that wait for the first event of an endpoint whose link is
+    # dead, and against ones that run twice while their engine reads a long prompt.
+    monkeypatch.setattr(
+        Channel, "find_unacknowledged_s", lambda channel: unacknowledged_s
+    )
+    sent = []
+
+    async def begin_late(request, writer):
+        sent.append(request)
+        if len(sent) == 1:
+            await asyncio.sleep(READ_PAUSE_S)
+        writer.write(make_stream_head(request) + make_chunk(make_event(1)))
+        writer.write(make_chunk(b""))
+
+    async def run():
+        route = make_route("/stream/", "streaming", stream_resume=True, timeout_ms=8000)
+        async with EdgeFleet() as fleet:
+            await fleet.put_manifest(1, route)
+            for number in range(2):
+                await fleet.add_worker(f"w{number}", begin_late)
+            router = await fleet.add_router()
+            await fleet.wait(lambda: len(router.view.list_endpoints()) == 2)
+            answer = await ask(router, "/stream/a", body=b"x", X_Deadline_Ms="8000")
+            assert (answer.body, answer.is_whole) == (make_event(1), True)
+            assert len(sent) == requests
+
+    asyncio.run(run())
+
+
+def test_machine_that_acknowledges_is_not_taken_for_a_dead_one():
+    # Guards against links that are suspected because a worker reads nothing.
+    async def run():
+        async def read_nothing(reader, writer):
+            await asyncio.sleep(READ_PAUSE_S)
+
+        async with TcpServer(read_nothing) as server:
+            idle = await open_channel(server.address, 1.0)
+            full = await open_channel(server.address, 1.0)
+            size = [("Host", "a"), ("Content-Length", str(BODY_BYTES))]
+            full.send("POST", "/", size, b"x" * BODY_BYTES)
+            for _ in range(5):
+                await asyncio.sleep(0.4)
+                for channel in (idle, full):
+                    assert channel.is_open
+                    assert channel.find_unacknowledged_s() < SILENCE_MAX_S
+            idle.close()
+            full.close()
+
+    asyncio.run(run())
