Start a third attempt one pause after the second, not one whole silence

The attempt beside a silent one was given as long as the whole silence before the next one, so that with two silent endpoints a third was never asked, whatever the attempts of the route. The new test failed before and holds now.

--- a/src/tamarackrill/decisions/attempt_races.py
+++ b/src/tamarackrill/decisions/attempt_races.py
@@ -103,7 +103,7 @@
 
 def decide_on_silence(
     others: Collection[RaceAttempt],
-    silent_s: float,
+    pause_s: float,
     history: AttemptHistory,
     attempts_max: int,
     retries_left: float,
@@ -117,8 +117,8 @@
     ----------
     others : collection of RaceAttempt
         Attempts that are already under way beside it.
-    silent_s : float
-        How long its endpoint has been silent.
+    pause_s : float
+        How long an attempt that has begun is given before the next one.
     history : AttemptHistory
         All attempts that have been sent, including those under way.
     attempts_max : int
@@ -138,7 +138,7 @@
         Send another attempt; wait, as one beside it has only just begun, or why there
         can be no other.
     """
-    if any(not a.is_sent or now_s - a.started_s < silent_s for a in others):
+    if any(not a.is_sent or now_s - a.started_s < pause_s for a in others):
         return "racing"
     if history.sent >= attempts_max:
         return "attempts"
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -95,7 +95,8 @@
     crashes : CrashChecks
         Finds out whether endpoints that broke a response off have crashed.
     on_silent : callable
-        Called with an attempt whose endpoint is silent, and for how long.
+        Called with an attempt whose endpoint is silent, for how long it has been, and
+        how long another attempt is given before the next one.
     on_first_event : callable
         Called with a request and its endpoint's software version before the first event
         of its stream is forwarded.
@@ -130,8 +131,8 @@
             clock,
             connect,
         )
-        self.on_silent: Callable[[RequestAttempt, float], None] = lambda attempt, s: (
-            None
+        self.on_silent: Callable[[RequestAttempt, float, float], None] = (
+            lambda attempt, silent_s, pause_s: None
         )
         self.on_first_event: Callable[[EdgeCall, str], None] = lambda call, version: (
             None
@@ -404,7 +405,7 @@
             if not is_suspect():
                 return
             attempt.note_silent(True)
-            self.on_silent(attempt, now_s - started_s)
+            self.on_silent(attempt, now_s - started_s, period_s)
 
         timer = lateness.LateTimer(started_s + period_s, observe)
         try:
--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -205,7 +205,9 @@
             return None
         return SeriesEnd(self._clock(), result.outcome)
 
-    def _handle_silence(self, attempt: RequestAttempt, silent_s: float) -> None:
+    def _handle_silence(
+        self, attempt: RequestAttempt, silent_s: float, pause_s: float
+    ) -> None:
         """Send another attempt beside one whose endpoint is silent, if that may be."""
         progress, now_s = attempt.progress, self._clock()
         if attempt.is_overtaken:
@@ -215,7 +217,7 @@
         history = add_attempt(attempt.find_history(), "lost")
         step = decide_on_silence(
             others,
-            silent_s,
+            pause_s,
             history,
             call.route.attempts_max,
             self._count_retries_left(call),
--- a/src/tamarackrill/router/sockets.py
+++ b/src/tamarackrill/router/sockets.py
@@ -44,7 +44,7 @@
 def enable_keepalive(
     sock: socket.socket, user_timeout_ms: int = USER_TIMEOUT_MS
 ) -> None:
-    """Let the kernel close a connection within three seconds of its path failing.
+    """Let the kernel close a connection whose path has failed.
 
     Parameters
     ----------
--- a/tests/test_attempt_races.py
+++ b/tests/test_attempt_races.py
@@ -14,7 +14,7 @@
 from tamarackrill.decisions.event_stream import EventStream, EventStreamError
 from tamarackrill.testing.worker import make_event
 
-NOW_S, SILENT_S = 10.0, 1.5
+NOW_S, PAUSE_S = 10.0, 1.5
 FRESH = RaceAttempt(NOW_S - 1.0, is_sent=True)
 OLD = RaceAttempt(NOW_S - 5.0, is_sent=True)
 UNSENT = RaceAttempt(NOW_S - 5.0)
@@ -23,7 +23,7 @@
 def decide(others=(), sent=1, retries_left=1.0, time_left_s=1.0, has_other=True):
     history = AttemptHistory(sent, may_have_run=True)
     return decide_on_silence(
-        others, SILENT_S, history, 3, retries_left, time_left_s, has_other, NOW_S
+        others, PAUSE_S, history, 3, retries_left, time_left_s, has_other, NOW_S
     )
 
 
--- a/tests/test_take_over.py
+++ b/tests/test_take_over.py
@@ -9,6 +9,7 @@
 from tamarackrill.decisions.retry_shares import BudgetTerms
 from tamarackrill.testing.edge import EdgeAnswer, EdgeFleet, make_route
 from tamarackrill.testing.worker import (
+    in_turn,
     make_answer,
     make_chunk,
     make_event,
@@ -224,6 +225,9 @@
         plays[name] = play_stream(fall_silent(5.0), whole, cut_links=cut)
     plays["inside_event"] = play_stream(fall_silent(5.0, cut_bytes=5), whole)
     plays["lookup_answered_elsewhere"] = play_lookup(5.0, answer_late(0.0))
+    plays["first_of_two_hangs"] = play_stream(
+        fall_silent(5.0), in_turn(hang, whole), attempts=3
+    )
     plays["no_budget"] = play_stream(
         silent, whole, retry_budget=BudgetTerms(ratio=0.0, window_s=10.0, fixed=0.0)
     )
@@ -320,6 +324,14 @@
     assert (play.other_requests, play.others_ended) == (1, 1)
 
 
+def test_third_attempt_starts_if_the_second_is_silent_too(plays):
+    # Guards against a stream that waits for two dead endpoints, though its route allows
+    # a third one.
+    play = find_play(plays, "first_of_two_hangs")
+    assert (play.answer.body, play.answer.is_whole) == (WHOLE, True)
+    assert (play.other_requests, play.first_ended, play.others_ended) == (2, 1, 1)
+
+
 def test_client_that_leaves_ends_both_attempts(plays):
     # Guards against an endpoint that works on for a client that has gone.
     play = find_play(plays, "left")
