--- a/src/tamarackrill/testing/peer_links.py
+++ b/src/tamarackrill/testing/peer_links.py
@@ -16,6 +16,8 @@
     groups : list of collection of int
         Ports of the routers that reach one another; all do if there are no groups.
         Routers in none of them reach nobody.
+    isolated : set of int
+        Ports of routers that reach nobody, whatever the groups are.
     latency_s : float
         Additional latency of all datagrams.
     latencies_s : dict of int to float
@@ -24,12 +26,14 @@
 
     def __init__(self) -> None:
         self.groups: list[Collection[int]] = []
+        self.isolated: set[int] = set()
         self.latency_s = 0.0
         self.latencies_s: dict[int, float] = {}
 
     def restore(self) -> None:
         """Let all datagrams pass."""
         self.groups = []
+        self.isolated.clear()
         self.latency_s = 0.0
         self.latencies_s.clear()
 
@@ -40,6 +44,8 @@
 
         def deliver(peer_socket: PeerSocket, data: bytes, addr: Any) -> None:
             own = peer_socket.port
+            if self.isolated and not self.isolated.isdisjoint((own, addr[1])):
+                return
             if self.groups and not self._is_connected(addr[1], own):
                 return
             latency_s = self.latency_s + max(
