Log what a version of a stream was concluded from

stream_taken_up told has_history as it is after the conclusion. It now has what was used, how old the news of endpoints were, and the zones of the keepers that replied, which tells an answer from old knowledge from one of keepers that knew no better.

--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -272,15 +272,18 @@
         "source",
         "versions",
         "has_history",
+        "news_age_s",
         "replies",
+        "zones",
     ),
     "A client takes up a stream that an earlier attempt of it, `resumed`, began.  It "
     "may go on only at `software_version`, which this router knows itself (`own`), "
     "from a `keeper`, from the `archive` in the store, or because no other version has "
     "served (`only`); if it is `unknown`, the request is refused.  `versions` are "
     "those of the service that the router knows itself, `has_history` tells whether "
-    "they reach back to the start of all streams, and `replies` how many keepers "
-    "replied.",
+    "they reached back to the start of all streams when the version was concluded, and "
+    "`news_age_s` how old its news of endpoints were then, -1 without any.  `replies` "
+    "is how many keepers replied, and `zones` are the availability zones of these.",
 )
 ATTEMPT_RELAYED = Event(
     2208,
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -370,8 +370,12 @@
         return ages_s.get(MANIFEST_KIND, math.inf) > self.settings.news_max_s
 
     def _knows_current_endpoints(self) -> bool:
+        return 0.0 <= self._find_news_age_s() <= self.settings.news_max_s
+
+    def _find_news_age_s(self) -> float:
+        """Return the age of the known endpoints, -1 if there are none."""
         ages_s = self.store_news.find_ages_s(self.clock())
-        return ages_s.get(ENDPOINT_KIND, math.inf) <= self.settings.news_max_s
+        return ages_s.get(ENDPOINT_KIND, -1.0)
 
     def _record_store_call(self, call: StoreCall) -> None:
         self.metrics.record_store_call(
@@ -554,6 +558,7 @@
             self._knows_current_endpoints,
             self.settings.zones,
             self.settings.news_max_s,
+            self._find_news_age_s,
             self._make_version_store,
         )
         self.flow.reserver.keepers = self.keepers
--- a/src/tamarackrill/router/version_keepers.py
+++ b/src/tamarackrill/router/version_keepers.py
@@ -47,15 +47,16 @@
 class _FoundVersion(NamedTuple):
     """Version that a stream may go on at, None if it isn't known, and how it was found.
 
-    `versions` are those of the service that this router knows, `has_history` tells
-    whether no other can have begun a stream, and `replies` how many keepers replied.
+    `own` is what this router knew when the version was concluded, `news_age_s` how old
+    its news of endpoints were then, and `replied` has the zone of each keeper that
+    replied.
     """
 
     software_version: str | None
     source: str
-    versions: list[str]
-    has_history: bool
-    replies: int = 0
+    own: KeeperReply
+    news_age_s: float
+    replied: tuple[str, ...] = ()
 
 
 class VersionKeepers:
@@ -79,6 +80,8 @@
         Availability zones of the deployment; empty if unknown.
     news_max_s : float
         Time in which news of endpoints reach all routers.
+    find_news_age_s : callable
+        Returns the age of the known endpoints, -1 if there are none.
     make_store : callable
         Returns the client of what the store keeps, given the versions known here and
         this router.
@@ -101,6 +104,7 @@
         is_current: Callable[[], bool],
         zones: Collection[str],
         news_max_s: float,
+        find_news_age_s: Callable[[], float],
         make_store: Callable[[StreamVersions, Router], VersionStore],
     ) -> None:
         self.counts: Counter[str] = Counter()
@@ -113,6 +117,7 @@
         self._is_current = is_current
         self._zones = frozenset(zones)
         self._news_max_s = news_max_s
+        self._find_news_age_s = find_news_age_s
         # Random, so that no reply to an earlier process on this address is accepted.
         self._tickets = itertools.count(secrets.randbits(TICKET_BITS))
         self._pending: dict[int, asyncio.Future[KeeperReply]] = {}
@@ -233,9 +238,11 @@
             service=call.service,
             software_version=found.software_version or "",
             source=found.source,
-            versions=found.versions,
-            has_history=found.has_history,
-            replies=found.replies,
+            versions=list(found.own.versions),
+            has_history=found.own.has_history,
+            news_age_s=round(found.news_age_s, 3),
+            replies=len(found.replied),
+            zones=sorted({*found.replied}),
         )
         return found.software_version
 
@@ -244,13 +251,16 @@
         stream = identify_stream(call.headers.resumed_id)
         known = self.versions.find(stream)
         if known is not None:
-            return self._describe(call.service, known, "own")
+            return self._explain(call.service, stream, ())._replace(
+                software_version=known, source="own"
+            )
         await self.store.wait_records()
         # Also if only one version is known here, as another router may know more.
         replies = await self._ask_keepers(stream, call.service)
         now_s = self._clock()
         self.versions.learn(call.service, replies.values(), now_s)
         version = self._conclude(stream, call.service, replies)
+        found = self._explain(call.service, stream, replies)
         if self.versions.find(stream) is not None:
             # Its router has told it meanwhile.
             source = "own"
@@ -260,7 +270,7 @@
             source = "only"
         else:
             version, source = await self._find_archived(stream)
-        return self._describe(call.service, version, source, len(replies))
+        return found._replace(software_version=version, source=source)
 
     def _conclude(
         self, stream: int, service: str, replies: Mapping[str, KeeperReply]
@@ -281,16 +291,17 @@
         version = self.versions.find(stream)
         return version, "unknown" if version is None else "archive"
 
-    def _describe(
-        self, service: str, version: str | None, source: str, replies: int = 0
+    def _explain(
+        self, service: str, stream: int, replied: Collection[str]
     ) -> _FoundVersion:
+        """Return what this router knows now, given the keepers that replied."""
         now_s = self._clock()
         return _FoundVersion(
-            version,
-            source,
-            self.versions.list_versions(service, now_s),
-            self.versions.has_history(service, now_s),
-            replies,
+            None,
+            "unknown",
+            self.versions.describe(service, stream, now_s),
+            self._find_news_age_s(),
+            tuple(router.zone for router in self._routers if router.name in replied),
         )
 
     async def _ask_keepers(self, stream: int, service: str) -> dict[str, KeeperReply]:
--- a/src/tamarackrill/testing/edge.py
+++ b/src/tamarackrill/testing/edge.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 from collections.abc import Callable, Iterable
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Self
 
 from tamarackrill.decisions.retry_shares import BudgetTerms
 from tamarackrill.platform.settings_file import PlatformSettings
@@ -100,7 +100,7 @@
         self._clients: list[EdgeClient] = []
         self.store_address = ""
 
-    async def __aenter__(self) -> "EdgeFleet":
+    async def __aenter__(self) -> Self:
         self._server, self.store_address = listen(self.store.make_application())
         return self
 
