Reproduce versions joined by a router out of step

Four routers, one of which reaches neither the store nor its peers, or hears of them late; and three router processes, one of which is stopped, while a second version joins.

--- /dev/null
+++ b/tests/test_routers_out_of_step.py
@@ -0,0 +1,56 @@
+"""Streams taken up at a router that stood still, or reached nobody, for a while."""
+
+import asyncio
+from collections import Counter
+from itertools import product
+
+import pytest
+
+from tamarackrill.testing.out_of_step import (
+    Play,
+    Suspension,
+    run_plays,
+    run_suspension,
+)
+
+END_S = 6.0
+HEALED_S = 3.0
+
+
+@pytest.mark.parametrize("store", ["hangs", "fails", "late", "reached"])
+def test_router_that_reaches_not_all_joins_no_versions(store):
+    # Guards against a router that takes the only version it knows for that of every
+    # stream, while nobody could tell it of another one.
+    plays = [
+        Play(store, peers, leaves, HEALED_S if leaves else None, END_S)
+        for peers, leaves in product(["reached", "cut", "late"], [False, True])
+        if (store, peers) != ("reached", "reached")
+    ]
+    results = asyncio.run(run_plays(plays))
+    for play, result in results.items():
+        assert set(result.out_of_step) <= {"went_on", "refused"}, (play, result)
+        assert set(result.in_touch) <= {"went_on", "refused"}, (play, result)
+        assert result.began["v2"], (play, result)
+        taken = sum(result.in_touch.values())
+        assert result.in_touch["went_on"] >= taken / 2, (play, result)
+
+
+@pytest.mark.parametrize(
+    ("duration_s", "leaves"), [(1.5, True), (3.0, False), (6.0, False)]
+)
+def test_router_that_stood_still_joins_no_versions(duration_s, leaves, tmp_path):
+    # Guards against a router that answers what waited for it from what it knew before.
+    async def run():
+        folders = [tmp_path / str(number) for number in range(3)]
+        for folder in folders:
+            folder.mkdir()
+        return await asyncio.gather(
+            *(
+                run_suspension(Suspension(duration_s, leaves, number), folder)
+                for number, folder in enumerate(folders)
+            )
+        )
+
+    for before, soon in asyncio.run(run()):
+        taken: Counter[str] = before + soon
+        assert set(taken) <= {"went_on", "refused"}, (before, soon)
