--- a/src/tamarackrill/decisions/retry_shares.py
+++ b/src/tamarackrill/decisions/retry_shares.py
@@ -22,12 +22,6 @@
 # consider the other gone; if both redistributed the fixed part, the service would get
 # it twice. Partitions last seconds; a replaced router is counted twice for this long.
 ROUTER_RETENTION_S = 30.0
-# A router that starts knows the fleet once the number of routers that it knows has not
-# grown by this factor for as long: two rounds of pings, each of which tells of others.
-SETTLED_GROWTH = 1.1
-FLEET_SETTLE_S = 2.0
-# Routers that are assumed until then: no fleet has as many, and no share is left.
-UNKNOWN_FLEET_ROUTERS = 1 << 20
 
 
 class FleetSize:
@@ -37,32 +31,14 @@
     ----------
     retention_s : float, optional
         How long a departed router still counts.
-    settle_s : float, default=0.0
-        How long the number must not have grown before it is believed, once.  Routers
-        that all start at once know few others at first, and each would spend the part
-        of many.
     """
 
-    def __init__(
-        self, retention_s: float = ROUTER_RETENTION_S, settle_s: float = 0.0
-    ) -> None:
+    def __init__(self, retention_s: float = ROUTER_RETENTION_S) -> None:
         self._retention_s = retention_s
-        self._settle_s = settle_s
-        self._is_settled = settle_s == 0.0
-        self._grown: tuple[float, int] | None = None
         self._seen: deque[tuple[float, int]] = deque()
 
-    def settle(self, live: int, now_s: float) -> None:
-        """Believe the number that a router which has settled tells."""
-        self._is_settled = True
-        self.observe(live, now_s)
-
     def observe(self, live: int, now_s: float) -> None:
         """Record the current number of live routers."""
-        if not self._is_settled:
-            if self._grown is None or live >= SETTLED_GROWTH * self._grown[1]:
-                self._grown = now_s, live
-            self._is_settled = now_s - self._grown[0] >= self._settle_s
         while self._seen and self._seen[-1][1] <= live:
             self._seen.pop()
         self._seen.append((now_s, live))
@@ -72,8 +48,6 @@
     @property
     def largest(self) -> int:
         """Number of routers that may be spending the budget."""
-        if not self._is_settled:
-            return UNKNOWN_FLEET_ROUTERS
         return self._seen[0][1] if self._seen else 1
 
 
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -31,7 +31,7 @@
 from tamarackrill.decisions.membership import PeerStateReceived
 from tamarackrill.decisions.news_shares import EVIDENCE_AGE_MAX_SHARE, WATCH_MAX_SHARE
 from tamarackrill.decisions.placement_news import PlacementNews
-from tamarackrill.decisions.retry_shares import FLEET_SETTLE_S, FleetSize
+from tamarackrill.decisions.retry_shares import FleetSize
 from tamarackrill.decisions.standstill import is_outdated
 from tamarackrill.decisions.stream_versions import Router as VersionRouter
 from tamarackrill.decisions.stream_versions import StreamVersions
@@ -207,9 +207,7 @@
             Member(settings.name, address, settings.zone, peer_address=address)
         )
         self._relay_budget = RelayBudget(settings.link_bytes_per_s)
-        self._fleet_size = FleetSize(
-            settle_s=FLEET_SETTLE_S if self._list_other_seeds() else 0.0
-        )
+        self._fleet_size = FleetSize()
         self.cut_off = CutOffMonitor(
             settings.zone, self.view, self.placer, self.members, self.clock
         )
@@ -473,9 +471,10 @@
         return pull(self._router_client, address, PLACEMENTS_PATH, self._peer_keys)
 
     def _make_fleet_news_exchange(self) -> None:
+        own_address = self.members.own.peer_address
         self.fleet_news = FleetNewsExchange(
             self.members,
-            self._list_other_seeds(),
+            (seed for seed in self.settings.seeds if seed != own_address),
             self._list_fleet_news,
             self._observe_fleet_news,
             self._pull_from_peer,
@@ -486,10 +485,6 @@
         )
         self.fleet_news.observe_manifest = self.manifest_recovery.observe
 
-    def _list_other_seeds(self) -> tuple[str, ...]:
-        own_address = self.members.own.peer_address
-        return tuple(seed for seed in self.settings.seeds if seed != own_address)
-
     def _list_fleet_news(self) -> FleetNews:
         return self.view.list_leaving_news(self.clock())._replace(
             brittle=self.placer.brittle.list_services(self.clock()),
@@ -499,8 +494,6 @@
 
     def _observe_fleet_news(self, news: FleetNews) -> None:
         self.slots.observe_news(news)
-        if news.is_complete:
-            self._fleet_size.settle(news.routers, self.clock())
         self.view.observe_leaving_news(news, self.clock())
 
     def _observe_restored(self, kind: str) -> None:
@@ -538,7 +531,8 @@
 
     async def _start_gossip(self) -> None:
         session = self._session
-        seeds = self._list_other_seeds()
+        own_address = self.members.own.peer_address
+        seeds = tuple(s for s in self.settings.seeds if s != own_address)
         self.store_news = EvidenceExchange(
             WatchPolicy(
                 self.settings.name,
