--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -210,7 +210,8 @@
         "is_leaving",
         "retry_after_s",
     ),
-    "An attempt returned no usable response; `next` is what the router does next.  "
+    "An attempt returned no usable response; `next` is what the router does next: "
+    "`await` leaves the request to another attempt that is under way.  "
     "`framing` is how the response states where its body ends, `partial_bytes` what "
     "came of a stream after its last complete event; `is_leaving` and "
     "`retry_after_s` are what a complete response said of its endpoint.",
