--- a/src/tamarackrill/decisions/attempt_races.py
+++ b/src/tamarackrill/decisions/attempt_races.py
@@ -58,7 +58,7 @@
 
     def has_others(self, number: int) -> bool:
         """Return whether other attempts are under way than this one."""
-        return bool(self._attempts.keys() - {number})
+        return len(self._attempts) > (number in self._attempts)
 
     def list_others(self, number: int) -> list[RaceAttempt]:
         """Return the other attempts that are under way."""
--- a/src/tamarackrill/decisions/event_stream.py
+++ b/src/tamarackrill/decisions/event_stream.py
@@ -168,8 +168,10 @@
             raise EventStreamError("event exceeds the allowed size")
         self._forwarded.events += len(events)
         self.own_events += len(events)
-        if any(map(ends_inside_event, events)):
-            self._forwarded.is_event_missing = False
+        forwarded = self._forwarded
+        is_alone = not forwarded.is_event_missing and len(forwarded.sources) <= 1
+        if not is_alone and any(map(ends_inside_event, events)):
+            forwarded.is_event_missing = False
             self._end_others()
         return b"".join(events)
 
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -604,11 +604,14 @@
         _Overtaken
             If another attempt leads.
         """
+        _check_running(attempt)
+        if not attempt.progress.race.has_others(attempt.number):
+            return is_end or bool(events)
+        # Comments are no answer.
         if is_end or ends_inside_event(events):
             self._lead(attempt)
             return True
-        # Comments are no answer.
-        return bool(events) and not attempt.progress.race.has_others(attempt.number)
+        return False
 
     def _observe_events(self, progress: RequestProgress, endpoint: Endpoint) -> None:
         if progress.first_event_s is None:
