Don't take the store for lost because a standstill timed a call out

A call to the store that was under way while the process stood still times out as soon as it goes on. The router logged platform_lost, and took endpoint entries that were removed meanwhile for ones that expired in an outage of the store: it would keep them for 2.2 s. It now asks again at once. The new test failed before.

--- a/src/tamarackrill/router/configuring.py
+++ b/src/tamarackrill/router/configuring.py
@@ -336,6 +336,7 @@
                 wait_s = 0.0
             self._refresh_requested[kind].clear()
             must_list = must_list or self._must_list(kind)
+            asked_s = self._clock()
             try:
                 await (self._list(kind) if must_list else self._watch(kind, wait_s))
                 must_list, wait_s, retry_s = False, None, FIRST_RETRY_S
@@ -344,6 +345,11 @@
             except (WatchLost, AnswerTooLong):
                 must_list = True
             except PlatformUnavailable as error:
+                if asked_s < self.find_resumed_s():
+                    # This process timed out, which says nothing of the platform.
+                    must_list = self._store.get_complete(kind) == 0
+                    wait_s = 0.0
+                    continue
                 self._set_platform_lost(lost=True, reason=error.message)
                 self.on_unavailable(kind, self._clock())
                 # After an outage, a router that holds the configuration asks only for
--- a/tests/test_standstill_decisions.py
+++ b/tests/test_standstill_decisions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+import time
 
 import pytest
 from hypothesis import settings
@@ -9,6 +10,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from tamarackrill.decisions.answer_times import AnswerTimes, StoreAnswer
+from tamarackrill.decisions.configuration import ConfigurationStore
 from tamarackrill.decisions.standstill import (
     NEWS_WAIT_MAX_S,
     find_gap_s,
@@ -16,7 +18,10 @@
     has_news,
     is_outdated,
 )
+from tamarackrill.exceptions import PlatformUnavailable
+from tamarackrill.router.configuring import ConfigurationSync
 from tamarackrill.router.standstill import BEAT_INTERVAL_S, StandstillMonitor
+from tamarackrill.store_api import Listing
 
 NEWS_MAX_S = 2.0
 KINDS = ("manifest", "endpoints")
@@ -152,3 +157,47 @@
 def test_short_gap_is_no_standstill(gap_s, expected):
     # Guards against a busy router that asks the store again at each late beat.
     assert find_gap_s(10.0, 10.0 + gap_s, NEWS_MAX_S) == expected
+
+
+def test_store_call_that_a_standstill_timed_out_doesnt_lose_the_store():
+    # Guards against removed endpoints that are kept as if the store had been away.
+    async def run():
+        states, resumed_s = [], -math.inf
+
+        class Store:
+            """Fails its second call, during which the router stands still."""
+
+            watch_wait_s = 0.01
+            calls = 0
+
+            async def list(self, kind, on_first_byte):
+                return await self.watch(kind)
+
+            async def watch(self, kind, *args):
+                nonlocal resumed_s
+                self.calls += 1
+                await asyncio.sleep(0.01)
+                if self.calls == 2:
+                    resumed_s = time.monotonic()
+                    raise PlatformUnavailable("timed out")
+                return Listing((), 1)
+
+        store = Store()
+        sync = ConfigurationSync(
+            ConfigurationStore(),
+            store,
+            lambda applied: None,
+            None,
+            time.monotonic,
+            ("endpoints",),
+        )
+        sync.on_platform_state = states.append
+        sync.find_resumed_s = lambda: resumed_s
+        await sync.start()
+        async with asyncio.timeout(5.0):
+            while store.calls < 4:
+                await asyncio.sleep(0.01)
+        await sync.stop()
+        assert not any(states)
+
+    asyncio.run(run())
