--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: setup demo demo-platform example test soak soak-cuts soak-native soak-versions soak-parts soak-shares soak-surges soak-entries lint format capacity bench clean
+.PHONY: setup demo demo-platform example test soak soak-cuts soak-native soak-versions soak-parts soak-shares soak-surges soak-entries soak-standstills lint format capacity bench clean
 
 setup: $(READY)
 
@@ -54,6 +54,9 @@
 soak-entries: setup
 	$(BIN)/python -m soak.entries --seed $(SEED) --seeds $(SEEDS)
 
+soak-standstills: setup
+	$(BIN)/python -m soak.standstills --seed $(SEED) --seeds $(SEEDS)
+
 lint: setup
 	$(BIN)/ruff format --check src tests bench soak
 	$(BIN)/ruff check src tests bench soak
--- a/tests/test_standstill_decisions.py
+++ b/tests/test_standstill_decisions.py
@@ -20,8 +20,14 @@
 )
 from tamarackrill.exceptions import PlatformUnavailable
 from tamarackrill.router.configuring import ConfigurationSync
+from tamarackrill.router.relay_messages import (
+    NOT_SENT,
+    OUTCOME_HEADER,
+    RelayedAttempt,
+)
 from tamarackrill.router.standstill import BEAT_INTERVAL_S, StandstillMonitor
 from tamarackrill.store_api import Listing
+from tamarackrill.testing.edge import EdgeFleet, ask, make_route
 
 NEWS_MAX_S = 2.0
 KINDS = ("manifest", "endpoints")
@@ -201,3 +207,57 @@
         assert not any(states)
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("is_relayed", [False, True])
+def test_attempt_waits_for_news_before_it_is_sent(is_relayed):
+    # Guards against attempts chosen before a standstill, here or by another router,
+    # that go to a worker which has begun to leave meanwhile.
+    async def run():
+        async with EdgeFleet() as fleet:
+            await fleet.put_manifest(1, make_route("/lookup/", "idempotent"))
+            for name in ("w0", "w1"):
+                await fleet.add_worker(name)
+            router = await fleet.add_router()
+            left = []
+
+            async def learn():
+                # The worker at which the first attempt is about to arrive leaves.
+                if left:
+                    return
+                endpoints = router.view.list_endpoints()
+                left.append(endpoints[0] if is_relayed else router_choice[-1])
+                router.view.observe_leaving_answer(left[0])
+
+            router_choice = []
+            choose = router.placer.choose
+
+            def note(*args, **kwargs):
+                placed = choose(*args, **kwargs)
+                router_choice.append(placed.endpoint)
+                return placed
+
+            router.placer.choose = note
+            router.flow.attempts.wait_current = learn
+            router.relay_server.wait_current = learn
+            if is_relayed:
+                name = router.view.list_endpoints()[0].name
+                fields = [("X-Request-Attempt-Id", "id-1")]
+                attempt = RelayedAttempt(name, True, "POST", "/lookup/a", fields, b"")
+                assert await router.relay_server._open(attempt) is not None
+                reply = Reply()
+                await router.relay_server.forward(attempt, reply, router.clock())
+                assert reply.headers == [(OUTCOME_HEADER, NOT_SENT)]
+            else:
+                assert (await ask(router, "/lookup/a")).status == 200
+            ran = [worker.name for worker in fleet.workers if worker.ran]
+            assert left[0].name not in ran
+
+    asyncio.run(run())
+
+
+class Reply:
+    """Reply to another router that keeps its headers."""
+
+    async def begin(self, status, headers, body=None):
+        self.headers = headers
