Pass on answers that arrived before the deadline of a late router

Callers got a 504, or a stream was cut, though the whole answer had arrived in time: the event loop was late and went on after the deadline, whose timer was due in the iteration in which the answer was read. The time limit of an answer's body now waits on while the loop is late, as that of its head does. The time between the start of a router and its first beat no longer counts as a standstill.

--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -600,6 +600,7 @@
         self.standstill.on_resumed = sync.refresh
         sync.on_answer = chain(self.standstill.observe_news, sync.on_answer)
         sync.on_unchanged = chain(self.standstill.observe_news, sync.on_unchanged)
+        self.standstill.start(self.clock())
         self._tasks.append(
             asyncio.create_task(run_restarting("standstill", self.standstill.run))
         )
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -380,7 +380,7 @@
             if not relay:
                 self.paths.record_answer(placed.endpoint)
             load = self._observer.observe_load(placed, head, answer_headers)
-            async with asyncio.timeout_at(call.deadline_s + RESPONSE_TRANSIT_S):
+            async with lateness.timeout_at(call.deadline_s + RESPONSE_TRANSIT_S):
                 result = await self._handle_answer(
                     progress, placed, relay, channel, head, answer_headers
                 )
--- a/src/tamarackrill/router/standstill.py
+++ b/src/tamarackrill/router/standstill.py
@@ -69,6 +69,10 @@
         """Whether the store has told all kinds since the last standstill."""
         return self._up_to_date.is_set()
 
+    def start(self, now_s: float) -> None:
+        """Begin to monitor; the time until now counts as no standstill."""
+        self._last_beat_s = now_s
+
     def beat(self, now_s: float) -> None:
         """Show that the process runs; see `find_gap_s` for a beat that is late."""
         self.find_gap_s(now_s)
--- a/tests/test_own_lateness.py
+++ b/tests/test_own_lateness.py
@@ -18,6 +18,8 @@
 from tamarackrill.router.channels import open_channel
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.owners import Owners
+from tamarackrill.testing.edge import EdgeFleet, ask, make_route
+from tamarackrill.testing.worker import make_chunk, make_event, make_stream_head
 
 TIMEOUT_S = 0.15
 KEYS = ("a key",)
@@ -118,3 +120,35 @@
         assert ticket.owner == "owner"
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("is_stream", [False, True])
+def test_answer_that_arrived_before_the_deadline_of_a_late_router_is_passed_on(
+    is_stream,
+):
+    # Guards against answers that are cut though they are whole when a late router goes
+    # on after their deadline.
+    async def act(request, writer):
+        parts = [make_event(1), make_event(2)] if is_stream else [b"o", b"k"]
+        head = make_stream_head(request)
+        if not is_stream:
+            head = head.replace(b"text/event-stream", b"text/plain")
+        writer.write(head + make_chunk(parts[0]))
+        await asyncio.sleep(0.8)
+        writer.write(make_chunk(parts[1]) + make_chunk(b""))
+        time.sleep(1.0)
+
+    async def run():
+        async with EdgeFleet() as fleet:
+            await fleet.put_manifest(
+                1,
+                make_route("/stream/", "streaming"),
+                make_route("/lookup/", "idempotent"),
+            )
+            await fleet.add_worker("w", act)
+            router = await fleet.add_router()
+            target = "/stream/a" if is_stream else "/lookup/a"
+            answer = await ask(router, target, X_Deadline_Ms="1000")
+            assert (answer.status, answer.is_whole) == (200, True)
+
+    asyncio.run(run())
