--- a/tests/test_own_lateness.py
+++ b/tests/test_own_lateness.py
@@ -7,10 +7,22 @@
 
 import pytest
 
+from tamarackrill.contracts import Endpoint
+from tamarackrill.protocol.owner_codec import (
+    Answer,
+    Ask,
+    decode_owner_message,
+    encode_owner_message,
+)
 from tamarackrill.router import lateness
 from tamarackrill.router.channels import open_channel
+from tamarackrill.router.members import Member, Members
+from tamarackrill.router.owners import Owners
+from tamarackrill.testing.edge import EdgeFleet, ask, make_route
+from tamarackrill.testing.worker import make_chunk, make_event, make_stream_head
 
 TIMEOUT_S = 0.15
+KEYS = ("a key",)
 
 
 def block_s(*blocks_s):
@@ -71,3 +83,72 @@
         await fired.wait()
 
     asyncio.run(run())
+
+
+def test_owner_that_answers_while_the_loop_is_late_isnt_silent():
+    # Guards against late routers that leave answered owners of brittle endpoints out.
+    async def run():
+        loop = asyncio.get_running_loop()
+        members = Members(Member("own", "own", "z", peer_address="own"))
+        owner = Member("owner", "owner", "z", peer_address="owner")
+        members.replace([members.own, owner])
+        endpoint = Endpoint("w", "service", ("desk",), "127.0.0.1:1", "z")
+
+        def answer(address, datagram):
+            ask = decode_owner_message(datagram, KEYS)
+            if not isinstance(ask, Ask):
+                return
+            reply = encode_owner_message(Answer(ask.ticket, True, 1, session=1), KEYS)
+            time.sleep(TIMEOUT_S)
+            # The loop reads the datagram after the timeout that became due meanwhile.
+            loop.call_later(0.01, owners.handle_datagram, reply, "owner")
+
+        def send(address, datagram):
+            loop.call_soon(answer, address, datagram)
+
+        owners = Owners(
+            members,
+            1.0,
+            lambda: [endpoint],
+            send,
+            KEYS,
+            time.monotonic,
+            lambda endpoint, count, routers: "owner",
+        )
+        reply, ticket = await owners.reserve(endpoint, 1.0, is_last=True)
+        assert reply is not None and reply.is_granted
+        assert ticket.owner == "owner"
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("is_stream", [False, True])
+def test_answer_that_arrived_before_the_deadline_of_a_late_router_is_passed_on(
+    is_stream,
+):
+    # Guards against answers that are cut though they are whole when a late router goes
+    # on after their deadline.
+    async def act(request, writer):
+        parts = [make_event(1), make_event(2)] if is_stream else [b"o", b"k"]
+        head = make_stream_head(request)
+        if not is_stream:
+            head = head.replace(b"text/event-stream", b"text/plain")
+        writer.write(head + make_chunk(parts[0]))
+        await asyncio.sleep(0.8)
+        writer.write(make_chunk(parts[1]) + make_chunk(b""))
+        time.sleep(1.0)
+
+    async def run():
+        async with EdgeFleet() as fleet:
+            await fleet.put_manifest(
+                1,
+                make_route("/stream/", "streaming"),
+                make_route("/lookup/", "idempotent"),
+            )
+            await fleet.add_worker("w", act)
+            router = await fleet.add_router()
+            target = "/stream/a" if is_stream else "/lookup/a"
+            answer = await ask(router, target, X_Deadline_Ms="1000")
+            assert (answer.status, answer.is_whole) == (200, True)
+
+    asyncio.run(run())
--- a/tests/test_standstill_decisions.py
+++ b/tests/test_standstill_decisions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+import time
 
 import pytest
 from hypothesis import settings
@@ -9,6 +10,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from tamarackrill.decisions.answer_times import AnswerTimes, StoreAnswer
+from tamarackrill.decisions.configuration import ConfigurationStore
 from tamarackrill.decisions.standstill import (
     NEWS_WAIT_MAX_S,
     find_gap_s,
@@ -16,7 +18,16 @@
     has_news,
     is_outdated,
 )
+from tamarackrill.exceptions import PlatformUnavailable
+from tamarackrill.router.configuring import ConfigurationSync
+from tamarackrill.router.relay_messages import (
+    NOT_SENT,
+    OUTCOME_HEADER,
+    RelayedAttempt,
+)
 from tamarackrill.router.standstill import BEAT_INTERVAL_S, StandstillMonitor
+from tamarackrill.store_api import Listing
+from tamarackrill.testing.edge import EdgeFleet, ask, make_route
 
 NEWS_MAX_S = 2.0
 KINDS = ("manifest", "endpoints")
@@ -152,3 +163,101 @@
 def test_short_gap_is_no_standstill(gap_s, expected):
     # Guards against a busy router that asks the store again at each late beat.
     assert find_gap_s(10.0, 10.0 + gap_s, NEWS_MAX_S) == expected
+
+
+def test_store_call_that_a_standstill_timed_out_doesnt_lose_the_store():
+    # Guards against removed endpoints that are kept as if the store had been away.
+    async def run():
+        states, resumed_s = [], -math.inf
+
+        class Store:
+            """Fails its second call, during which the router stands still."""
+
+            watch_wait_s = 0.01
+            calls = 0
+
+            async def list(self, kind, on_first_byte):
+                return await self.watch(kind)
+
+            async def watch(self, kind, *args):
+                nonlocal resumed_s
+                self.calls += 1
+                await asyncio.sleep(0.01)
+                if self.calls == 2:
+                    resumed_s = time.monotonic()
+                    raise PlatformUnavailable("timed out")
+                return Listing((), 1)
+
+        store = Store()
+        sync = ConfigurationSync(
+            ConfigurationStore(),
+            store,
+            lambda applied: None,
+            None,
+            time.monotonic,
+            ("endpoints",),
+        )
+        sync.on_platform_state = states.append
+        sync.find_resumed_s = lambda: resumed_s
+        await sync.start()
+        async with asyncio.timeout(5.0):
+            while store.calls < 4:
+                await asyncio.sleep(0.01)
+        await sync.stop()
+        assert not any(states)
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("is_relayed", [False, True])
+def test_attempt_waits_for_news_before_it_is_sent(is_relayed):
+    # Guards against attempts chosen before a standstill, here or by another router,
+    # that go to a worker which has begun to leave meanwhile.
+    async def run():
+        async with EdgeFleet() as fleet:
+            await fleet.put_manifest(1, make_route("/lookup/", "idempotent"))
+            for name in ("w0", "w1"):
+                await fleet.add_worker(name)
+            router = await fleet.add_router()
+            left = []
+
+            async def learn():
+                # The worker at which the first attempt is about to arrive leaves.
+                if left:
+                    return
+                endpoints = router.view.list_endpoints()
+                left.append(endpoints[0] if is_relayed else router_choice[-1])
+                router.view.observe_leaving_answer(left[0])
+
+            router_choice = []
+            choose = router.placer.choose
+
+            def note(*args, **kwargs):
+                placed = choose(*args, **kwargs)
+                router_choice.append(placed.endpoint)
+                return placed
+
+            router.placer.choose = note
+            router.flow.attempts.wait_current = learn
+            router.relay_server.wait_current = learn
+            if is_relayed:
+                name = router.view.list_endpoints()[0].name
+                fields = [("X-Request-Attempt-Id", "id-1")]
+                attempt = RelayedAttempt(name, True, "POST", "/lookup/a", fields, b"")
+                assert await router.relay_server._open(attempt) is not None
+                reply = Reply()
+                await router.relay_server.forward(attempt, reply, router.clock())
+                assert reply.headers == [(OUTCOME_HEADER, NOT_SENT)]
+            else:
+                assert (await ask(router, "/lookup/a")).status == 200
+            ran = [worker.name for worker in fleet.workers if worker.ran]
+            assert left[0].name not in ran
+
+    asyncio.run(run())
+
+
+class Reply:
+    """Reply to another router that keeps its headers."""
+
+    async def begin(self, status, headers, body=None):
+        self.headers = headers
