Conclude the only version of a stream from evidence asked for since the request

Callers got the rest of a stream from another software version at a router that had stood still, or reached neither the store nor its peers, while a second version joined. Such a router took the only version that it knew for that of every stream, on its own history, or, as it took all others for dead and itself for the fleet, on having had one.

Now one version is concluded only from replies of all keepers that were asked, with one in each zone whose history is current as it replies, or from a read of the endpoints (and of the records, if its history has gaps) that was sent after the request arrived. One read serves all requests that wait; a router sends ten a second at most, all together 1,000, and none while keepers reply. A router that stood still tells so at the moment it decides or replies, not at its next housekeeping. Without evidence the stream is refused at once.

--- a/src/tamarackrill/decisions/stream_versions.py
+++ b/src/tamarackrill/decisions/stream_versions.py
@@ -12,7 +12,8 @@
 them.  What routers remember ends with them, so the versions of each service and, while
 there are several, those of the streams are in the platform's store too; see
 `version_records` and `stream_archive`.  If nobody knows, the stream is refused, as a
-client can begin it again but can't tell the parts of two answers from each other.
+client can begin it again but can't tell the parts of two answers from each other; see
+`version_evidence`.
 While all endpoints have had one version for longer than any stream lasts, nothing is
 told.
 """
@@ -276,14 +277,36 @@
             return True
         return self._learned_s.get(service, self._outdated_s) > self._outdated_s
 
-    def describe(self, service: str, stream: int, now_s: float) -> "KeeperReply":
-        """Return what this router tells one that asks for the version of a stream."""
+    def describe(
+        self,
+        service: str,
+        stream: int,
+        now_s: float,
+        is_current: bool = True,
+        has_paused: bool = False,
+    ) -> "KeeperReply":
+        """Return what this router tells one that asks for the version of a stream.
+
+        Parameters
+        ----------
+        service : str
+            Service of the stream.
+        stream : int
+            The stream.
+        now_s : float
+            Current time.
+        is_current : bool, default=True
+            Whether the known endpoints are as the platform has them now.
+        has_paused : bool, default=False
+            Whether this router has stood still since it last heard of them.
+        """
         has_run = now_s - self._started_s >= self.lifetime_s
+        had_history = has_run or service in self._learned_s
         return KeeperReply(
             self.find(stream) or "",
             tuple(self.list_versions(service, now_s)),
-            self.has_history(service, now_s),
-            has_run or service in self._learned_s,
+            self.has_history(service, now_s) and is_current and not has_paused,
+            had_history and not has_paused,
         )
 
     def list_obsolete(
@@ -443,35 +466,3 @@
     versions: tuple[str, ...]
     has_history: bool
     had_history: bool = False
-
-
-def conclude(
-    own: KeeperReply, replies: Iterable[KeeperReply], has_all_zones: bool
-) -> str | None:
-    """Return the version of a stream from what routers know.
-
-    Parameters
-    ----------
-    own : KeeperReply
-        What the asking router knows.
-    replies : iterable of KeeperReply
-        Replies to its questions.
-    has_all_zones : bool
-        Whether routers of all availability zones are among these.
-
-    Returns
-    -------
-    str or None
-        None if the stream may have begun at more than one version, or at one that
-        nobody knows.
-    """
-    known = (own, *replies)
-    for reply in known:
-        if reply.software_version:
-            return reply.software_version
-    versions = {version for reply in known for version in reply.versions}
-    # While the store is away for all zones, no router hears of a new version.
-    is_complete = any(
-        reply.has_history or (has_all_zones and reply.had_history) for reply in known
-    )
-    return versions.pop() if is_complete and len(versions) == 1 else None
--- a/src/tamarackrill/decisions/watching.py
+++ b/src/tamarackrill/decisions/watching.py
@@ -219,7 +219,7 @@
 
     def observe_answer(self, kind: str, as_of_s: float) -> None:
         """Record that the store has told this router its state as of `as_of_s`."""
-        self._answered_s[kind] = as_of_s
+        self._answered_s[kind] = max(self._answered_s.get(kind, as_of_s), as_of_s)
         self._refused_s.pop(kind, None)
 
     def observe_refusal(self, kind: str, now_s: float) -> None:
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -275,6 +275,9 @@
         "news_age_s",
         "replies",
         "zones",
+        "evidence",
+        "store",
+        "routers",
     ),
     "A client takes up a stream that an earlier attempt of it, `resumed`, began.  It "
     "may go on only at `software_version`, which this router knows itself (`own`), "
@@ -283,7 +286,11 @@
     "those of the service that the router knows itself, `has_history` tells whether "
     "they reached back to the start of all streams when the version was concluded, and "
     "`news_age_s` how old its news of endpoints were then, -1 without any.  `replies` "
-    "is how many keepers replied, and `zones` are the availability zones of these.",
+    "is how many keepers replied, and `zones` are the availability zones of these.  "
+    "`evidence` is what shows that no other than the `only` version is possible: "
+    "replies from all zones (`peers`), a read of the `store` since the request, "
+    "replies while the store is away (`outage`), or that there is no other router "
+    "(`alone`).  `store` tells whether it was read, and `routers` how many are known.",
 )
 ATTEMPT_RELAYED = Event(
     2208,
--- a/src/tamarackrill/router/configuring.py
+++ b/src/tamarackrill/router/configuring.py
@@ -99,6 +99,9 @@
         Called after each call with whether the platform is unavailable.
     on_answer : callable
         Called with the kind of an answer and the time as of which the answer is valid.
+    on_current : callable
+        Called with the kind of an answer to `read_changes`, and the time as of which it
+        is valid.
     on_unchanged : callable
         Called likewise with each polled kind that an answer for another kind shows to
         be unchanged, before `on_answer`.
@@ -144,6 +147,7 @@
         )
         self.on_platform_state: Callable[[bool], None] = lambda is_lost: None
         self.on_answer: Callable[[str, float], None] = lambda kind, as_of_s: None
+        self.on_current: Callable[[str, float], None] = lambda kind, as_of_s: None
         self.on_unchanged: Callable[[str, float], None] = lambda kind, as_of_s: None
         self.on_unavailable: Callable[[str, float], None] = lambda kind, now_s: None
         self.on_restored: Callable[[str], None] = lambda kind: None
@@ -187,6 +191,28 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    async def read_changes(self, kind: str) -> None:
+        """Bring a kind up to date by a call that is sent now.
+
+        Raises
+        ------
+        PlatformUnavailable
+            If the platform did not answer.
+        """
+        asked_s = self._clock()
+        since = self._store.get_complete(kind)
+        try:
+            if not since:
+                raise WatchLost(f"no revision of {kind} is known")
+            listing = await self._platform.watch(kind, since, wait_s=0.0)
+            self._check_era(kind, listing, is_snapshot=False)
+            self._apply_listing(kind, listing, is_snapshot=False)
+        except WatchLost:
+            listing = await self._platform.list(kind)
+            self._check_era(kind, listing, is_snapshot=True)
+            self._apply_listing(kind, listing, is_snapshot=True)
+        self.on_current(kind, asked_s)
+
     def digest(self) -> tuple[ConfigurationDigest, ...]:
         """Return the digests of all kinds."""
         return tuple(self._store.digest(kind) for kind in self._kinds)
@@ -429,10 +455,7 @@
             self._calls_in_progress.discard(kind)
             self._first_byte_s.pop(kind, None)
         self._check_era(kind, listing, is_snapshot)
-        source = "list" if is_snapshot else "watch"
-        era = listing.era or self._store.get_era(kind)
-        changes = _to_changes(kind, listing._replace(era=era), is_snapshot)
-        applied = self._apply(changes, source)
+        applied = self._apply_listing(kind, listing, is_snapshot)
         # Reported only after the changes are applied; otherwise other routers would
         # take the previous configuration for the platform's latest answer.
         answer = StoreAnswer(asked_s, begun_s, wait_s, not listing.items)
@@ -448,6 +471,14 @@
         elif planner is not None:
             planner.observe_watch(item.name for item in listing.items)
 
+    def _apply_listing(
+        self, kind: str, listing: Listing, is_snapshot: bool
+    ) -> list[ObjectVersion]:
+        source = "list" if is_snapshot else "watch"
+        era = listing.era or self._store.get_era(kind)
+        changes = _to_changes(kind, listing._replace(era=era), is_snapshot)
+        return self._apply(changes, source)
+
     def _check_era(self, kind: str, listing: Listing, is_snapshot: bool) -> None:
         known_era = self._store.get_era(kind)
         if listing.era and listing.era < known_era:
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -25,6 +25,7 @@
 )
 from tamarackrill.decisions.leaving import FleetNews
 from tamarackrill.decisions.loads import EndpointLoad
+from tamarackrill.decisions.loop_activity import TICK_S, LoopActivity
 from tamarackrill.decisions.manifest_relay import RelayBudget
 from tamarackrill.decisions.members import MemberRecord, MemberState, PiggybackedEntries
 from tamarackrill.decisions.membership import PeerStateReceived
@@ -95,8 +96,9 @@
 from tamarackrill.router.relay_client import RelayClient
 from tamarackrill.router.relay_server import RelayedRequestMatcher, RelayServer
 from tamarackrill.router.slow_clients import choose_replies
+from tamarackrill.router.store_checks import StoreChecks
 from tamarackrill.router.store_news import EvidenceExchange
-from tamarackrill.router.suspension import find_suspended_s
+from tamarackrill.router.suspension import find_suspended_s, read_clock
 from tamarackrill.router.upstream import close_client, make_client
 from tamarackrill.router.version_keepers import VersionKeepers
 from tamarackrill.router.version_store import VersionStore
@@ -179,6 +181,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._configured = asyncio.Event()
         self._servers: list[HTTPServer] = []
+        self._activity = LoopActivity(self.clock(), read_clock())
         self.metrics = Metrics()
         self.store = ConfigurationStore()
         self.view = DeploymentView(
@@ -243,6 +246,7 @@
             Socket that already listens for callers; opened here by default.
         """
         settings = self.settings
+        self._run_task("loop activity", self._run_activity)
         self._peer_socket = PeerSocket(self.metrics.count)
         peer_address = f"{settings.ip}:{settings.peer_port}"
         with report_bind_error(settings.get_field_location("peer_port"), peer_address):
@@ -276,9 +280,7 @@
                 await self._configured.wait()
                 await self.fleet_news.first_answer.wait()
         self.server.server.add_sockets([listener])
-        self._tasks.append(
-            asyncio.create_task(run_restarting("housekeeping", self._run_housekeeping))
-        )
+        self._run_task("housekeeping", self._run_housekeeping)
         log_event(
             ROUTER_STARTED,
             router=settings.name,
@@ -287,6 +289,9 @@
             peer_address=self.members.own.peer_address,
         )
 
+    def _run_task(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+        self._tasks.append(asyncio.create_task(run_restarting(name, run)))
+
     def _listen_for_peers(self) -> None:
         handlers = list_handlers(
             self.store,
@@ -370,12 +375,26 @@
         return ages_s.get(MANIFEST_KIND, math.inf) > self.settings.news_max_s
 
     def _knows_current_endpoints(self) -> bool:
-        return 0.0 <= self._find_news_age_s() <= self.settings.news_max_s
+        return self.clock() - self._find_known_s() <= self.settings.news_max_s
 
-    def _find_news_age_s(self) -> float:
-        """Return the age of the known endpoints, -1 if there are none."""
-        ages_s = self.store_news.find_ages_s(self.clock())
-        return ages_s.get(ENDPOINT_KIND, -1.0)
+    def _find_known_s(self) -> float:
+        """Return the time as of which the known endpoints are those of the store."""
+        now_s = self.clock()
+        ages_s = self.store_news.find_ages_s(now_s)
+        return now_s - ages_s.get(ENDPOINT_KIND, math.inf)
+
+    def _find_resumed_s(self) -> float:
+        return self._activity.find_resumed_s(self.clock(), read_clock())
+
+    async def _read_versions(self) -> None:
+        """Bring the versions of services up to date with the store."""
+        await self.configuration_sync.read_changes(ENDPOINT_KIND)
+        await self.keepers.store.complete_history()
+
+    async def _run_activity(self) -> None:
+        while True:
+            self._activity.observe(self.clock(), read_clock())
+            await asyncio.sleep(TICK_S)
 
     def _record_store_call(self, call: StoreCall) -> None:
         self.metrics.record_store_call(
@@ -549,6 +568,9 @@
             self.clock,
         )
         self.flow.reserver.permits = self.permits
+        self._store_checks = StoreChecks(
+            self._read_versions, lambda: len(self.members.list_live()), self.clock
+        )
         self.keepers = VersionKeepers(
             self.view,
             self.members,
@@ -558,7 +580,10 @@
             self._knows_current_endpoints,
             self.settings.zones,
             self.settings.news_max_s,
-            self._find_news_age_s,
+            self._find_known_s,
+            self._find_resumed_s,
+            self._store_checks.check,
+            bool(seeds),
             self._make_version_store,
         )
         self.flow.reserver.keepers = self.keepers
@@ -702,6 +727,7 @@
         await self.placement_gossip.stop()
         await self.gossiper.stop()
         await self.configuration_sync.stop()
+        await self._store_checks.stop()
         await self.keepers.store.stop()
         self._peer_socket.stop()
         await self.relays.stop()
--- a/src/tamarackrill/router/store_news.py
+++ b/src/tamarackrill/router/store_news.py
@@ -94,6 +94,8 @@
         self._retransmissions_left = 0
         configuration_sync.on_answer = self._handle_answer
         configuration_sync.on_unchanged = watch_policy.observe_answer
+        # Known to this router only: such reads come in bursts.
+        configuration_sync.on_current = watch_policy.observe_answer
         configuration_sync.on_unavailable = watch_policy.observe_refusal
         configuration_sync.on_read = watch_policy.observe_read
         configuration_sync.find_poll_delay_s = watch_policy.find_wait_s
--- a/src/tamarackrill/router/version_keepers.py
+++ b/src/tamarackrill/router/version_keepers.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import itertools
+import math
 import secrets
 from collections import Counter
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping
 from typing import NamedTuple
 
 from tamarackrill.decisions.manifests import Route, RouteTable
@@ -18,9 +19,15 @@
     StreamVersions,
     choose_asked,
     choose_keepers,
-    conclude,
     identify_stream,
 )
+from tamarackrill.decisions.version_evidence import (
+    StoreCheck,
+    VersionNews,
+    conclude,
+    list_told_zones,
+    must_check_store,
+)
 from tamarackrill.events import STREAM_TAKEN_UP, log_event
 from tamarackrill.protocol.owner_codec import (
     OwnerMessage,
@@ -47,16 +54,15 @@
 class _FoundVersion(NamedTuple):
     """Version that a stream may go on at, None if it isn't known, and how it was found.
 
-    `own` is what this router knew when the version was concluded, `news_age_s` how old
-    its news of endpoints were then, and `replied` has the zone of each keeper that
-    replied.
+    `news` is what it was concluded from, `evidence` what shows that there is no other
+    version, and `age_s` how old the news of endpoints were then.
     """
 
     software_version: str | None
     source: str
-    own: KeeperReply
-    news_age_s: float
-    replied: tuple[str, ...] = ()
+    news: VersionNews
+    evidence: str
+    age_s: float
 
 
 class VersionKeepers:
@@ -80,8 +86,16 @@
         Availability zones of the deployment; empty if unknown.
     news_max_s : float
         Time in which news of endpoints reach all routers.
-    find_news_age_s : callable
-        Returns the age of the known endpoints, -1 if there are none.
+    find_known_s : callable
+        Returns the time as of which the known endpoints are those of the platform,
+        -inf without any.
+    find_resumed_s : callable
+        Returns when this router last went on after standing still.
+    check_store : callable
+        ``await check_store()`` brings endpoints and versions up to date by a read that
+        is sent after this call, and returns whether it was answered.
+    has_seeds : bool
+        Whether there are other routers that this one hasn't found yet.
     make_store : callable
         Returns the client of what the store keeps, given the versions known here and
         this router.
@@ -104,7 +118,10 @@
         is_current: Callable[[], bool],
         zones: Collection[str],
         news_max_s: float,
-        find_news_age_s: Callable[[], float],
+        find_known_s: Callable[[], float],
+        find_resumed_s: Callable[[], float],
+        check_store: Callable[[], Awaitable[bool]],
+        has_seeds: bool,
         make_store: Callable[[StreamVersions, Router], VersionStore],
     ) -> None:
         self.counts: Counter[str] = Counter()
@@ -117,7 +134,12 @@
         self._is_current = is_current
         self._zones = frozenset(zones)
         self._news_max_s = news_max_s
-        self._find_news_age_s = find_news_age_s
+        self._find_known_s = find_known_s
+        self._find_resumed_s = find_resumed_s
+        self._check_store = check_store
+        # Whether there are other routers, as far as was ever known, and their zones.
+        self._has_others = has_seeds
+        self._seen_zones: set[str] = set()
         # Random, so that no reply to an earlier process on this address is accepted.
         self._tickets = itertools.count(secrets.randbits(TICKET_BITS))
         self._pending: dict[int, asyncio.Future[KeeperReply]] = {}
@@ -135,6 +157,7 @@
         self._wait_max_s = 0.0
         # None until the endpoints have been known.
         self._was_current: bool | None = None
+        self._updated_s = clock()
 
     def update(self) -> None:
         """Update routers and versions, and forget streams that have ended."""
@@ -154,15 +177,18 @@
                 tuple(sorted({share.service for r in resumable for share in r.shares}))
             )
         endpoints = self._view.list_endpoints()
-        is_current = self._observe_current()
+        is_current = self._observe_current(now_s)
         for record in self.versions.observe_endpoints(
             endpoints, max(self._lifetime_s, self._wait_max_s), now_s, is_current
         ):
             self._tell(record)
 
-    def _observe_current(self) -> bool:
+    def _observe_current(self, now_s: float) -> bool:
         """Return whether the known endpoints aren't outdated."""
         is_current = self._is_current()
+        # Without updates for so long, the endpoints were outdated in between.
+        updated_s, self._updated_s = self._updated_s, now_s
+        is_current = is_current and now_s - updated_s <= self._news_max_s
         if self._was_current is None and not is_current:
             # This router has just started; what it must know is read anyway.
             return True
@@ -173,6 +199,8 @@
 
     def _update_routers(self) -> None:
         live = self._members.list_live()
+        self._seen_zones.update(member.zone for member in live)
+        self._has_others |= any(member.name != self._own.name for member in live)
         routers = tuple(Router(member.name, member.zone) for member in live)
         self._addresses = {member.name: member.peer_address for member in live}
         incarnations = {member.name: member.incarnation for member in live}
@@ -238,49 +266,83 @@
             service=call.service,
             software_version=found.software_version or "",
             source=found.source,
-            versions=list(found.own.versions),
-            has_history=found.own.has_history,
-            news_age_s=round(found.news_age_s, 3),
-            replies=len(found.replied),
-            zones=sorted({*found.replied}),
+            versions=list(found.news.own.versions),
+            has_history=found.news.own.has_history,
+            news_age_s=round(found.age_s, 3) if math.isfinite(found.age_s) else -1,
+            replies=len(found.news.replies),
+            zones=sorted({router.zone for router in found.news.replies}),
+            evidence=found.evidence,
+            store=found.news.store,
+            routers=len(self._routers),
         )
         return found.software_version
 
     async def _find(self, call: EdgeCall) -> _FoundVersion:
         """Return the version of a stream, and who knows it."""
         stream = identify_stream(call.headers.resumed_id)
-        known = self.versions.find(stream)
-        if known is not None:
-            return self._explain(call.service, stream, ())._replace(
-                software_version=known, source="own"
-            )
-        await self.store.wait_records()
+        if self.versions.find(stream) is not None:
+            return self._conclude(stream, call.service, {})
         # Also if only one version is known here, as another router may know more.
         replies = await self._ask_keepers(stream, call.service)
-        now_s = self._clock()
-        self.versions.learn(call.service, replies.values(), now_s)
-        version = self._conclude(stream, call.service, replies)
-        found = self._explain(call.service, stream, replies)
-        if self.versions.find(stream) is not None:
-            # Its router has told it meanwhile.
+        self.versions.learn(call.service, replies.values(), self._clock())
+        store: StoreCheck = "unasked"
+        if must_check_store(self._collect(stream, call.service, replies)):
+            is_read = await self._check_store()
+            store = "confirmed" if is_read else "unreachable"
+        found = self._conclude(stream, call.service, replies, store)
+        if found.software_version is not None or store == "unreachable":
+            return found
+        version, source = await self._find_archived(stream)
+        return found._replace(software_version=version, source=source)
+
+    def _collect(
+        self,
+        stream: int,
+        service: str,
+        replies: Mapping[str, KeeperReply],
+        store: StoreCheck = "unasked",
+    ) -> VersionNews:
+        """Return what this router knows of a stream now."""
+        by_name = {router.name: router for router in self._routers}
+        zones = self._zones or self._seen_zones
+        return VersionNews(
+            self._describe(service, stream),
+            # A router may have been taken for dead while its reply was on its way.
+            {by_name[name]: r for name, r in replies.items() if name in by_name},
+            list_told_zones(self._own, self._routers, zones),
+            stream != NO_STREAM and not self._find_silent(stream, replies),
+            store,
+            not self._has_others,
+        )
+
+    def _conclude(
+        self,
+        stream: int,
+        service: str,
+        replies: Mapping[str, KeeperReply],
+        store: StoreCheck = "unasked",
+    ) -> _FoundVersion:
+        news = self._collect(stream, service, replies, store)
+        version, evidence = conclude(news)
+        if news.own.software_version:
+            # Perhaps its router has told it meanwhile.
             source = "own"
         elif any(reply.software_version for reply in replies.values()):
             source = "keeper"
-        elif version is not None:
-            source = "only"
         else:
-            version, source = await self._find_archived(stream)
-        return found._replace(software_version=version, source=source)
-
-    def _conclude(
-        self, stream: int, service: str, replies: Mapping[str, KeeperReply]
-    ) -> str | None:
-        zones = {router.zone for router in self._routers if router.name in replies}
-        expected = self._zones or {router.zone for router in self._routers}
-        return conclude(
-            self.versions.describe(service, stream, self._clock()),
-            replies.values(),
-            zones | {self._own.zone} >= {*expected},
+            source = "unknown" if version is None else "only"
+        age_s = self._clock() - self._find_known_s()
+        return _FoundVersion(version, source, news, evidence, age_s)
+
+    def _describe(self, service: str, stream: int) -> KeeperReply:
+        """Return what this router knows of a stream, at the age that its news have."""
+        now_s, known_s = self._clock(), self._find_known_s()
+        return self.versions.describe(
+            service,
+            stream,
+            now_s,
+            now_s - known_s <= self._news_max_s,
+            known_s < self._find_resumed_s(),
         )
 
     async def _find_archived(self, stream: int) -> tuple[str | None, str]:
@@ -291,18 +353,9 @@
         version = self.versions.find(stream)
         return version, "unknown" if version is None else "archive"
 
-    def _explain(
-        self, service: str, stream: int, replied: Collection[str]
-    ) -> _FoundVersion:
-        """Return what this router knows now, given the keepers that replied."""
-        now_s = self._clock()
-        return _FoundVersion(
-            None,
-            "unknown",
-            self.versions.describe(service, stream, now_s),
-            self._find_news_age_s(),
-            tuple(router.zone for router in self._routers if router.name in replied),
-        )
+    def _find_silent(self, stream: int, replied: Collection[str]) -> list[str]:
+        asked = choose_asked(stream, self._routers, self._own)
+        return [name for name in asked if name not in replied]
 
     async def _ask_keepers(self, stream: int, service: str) -> dict[str, KeeperReply]:
         """Ask all possible keepers, and once more those that are silent.
@@ -310,12 +363,11 @@
         Routers that have just ended are silent.  The others are enough if one of them
         knows all versions that streams began at, and these are one.
         """
-        asked = choose_asked(stream, self._routers, self._own)
         replies: dict[str, KeeperReply] = {}
         for _ in range(QUESTIONS_MAX):
-            silent = [name for name in asked if name not in replies]
+            silent = self._find_silent(stream, replies)
             replies |= await self._ask(silent, stream, service)
-            if self._conclude(stream, service, replies) is not None:
+            if conclude(self._collect(stream, service, replies))[0] is not None:
                 break
         return replies
 
@@ -395,9 +447,7 @@
         return True
 
     def _reply(self, question: VersionQuestion, source: str) -> None:
-        found = self.versions.describe(
-            question.service_name, question.stream, self._clock()
-        )
+        found = self._describe(question.service_name, question.stream)
         reply = VersionReply(
             question.ticket,
             found.software_version,
--- a/src/tamarackrill/router/version_store.py
+++ b/src/tamarackrill/router/version_store.py
@@ -1,7 +1,6 @@
 """Keeps the versions of services and of streams in the platform's store."""
 
 import asyncio
-import contextlib
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -51,7 +50,7 @@
 # How long a router that has just started waits before it writes a record, as it may not
 # know the other recorders yet.
 SETTLE_S = 0.3
-# How long a request waits for records that are being read.
+# How long a request waits for streams that are being read.
 READ_WAIT_S = 0.3
 # Between two reads of the streams: what no router knows and is not in the store may be
 # written in the meantime.  Doubled after each read that found nothing new.
@@ -108,7 +107,6 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._records: dict[str, tuple[int, VersionRecord]] = {}
         self._has_services = asyncio.Event()
-        self._are_read = asyncio.Event()
         self._must_read = True
         self._era = 0
         # When this router is to write the record of a service.
@@ -163,7 +161,18 @@
     def read_again(self) -> None:
         """Read the records again, as versions may have come and gone unnoticed."""
         self._must_read = True
-        self._are_read.clear()
+
+    async def complete_history(self) -> None:
+        """Read the records if versions may have come and gone unnoticed.
+
+        Raises
+        ------
+        PlatformUnavailable
+            If the platform did not answer.
+        """
+        now_s = self._clock()
+        if not all(self._state.has_history(name, now_s) for name in self._services):
+            await self._read_records()
 
     def archive(self, record: StreamRecord) -> None:
         """Write the record of a stream with the next batch."""
@@ -171,12 +180,6 @@
         if self._buffer.has_unwritten:
             self._has_unwritten.set()
 
-    async def wait_records(self) -> None:
-        """Wait a moment for the records of the services' versions."""
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(READ_WAIT_S):
-                await self._are_read.wait()
-
     async def read_streams(self) -> None:
         """Read the streams that routers have archived, unless that was just done."""
         if self._reading is None or self._reading.done():
@@ -249,8 +252,6 @@
             self._take_record(item, is_news=True)
         for service in self._services:
             self._trust_missing(service)
-        if not self._must_read:
-            self._are_read.set()
 
     def _take_record(self, item: PlatformObject, is_news: bool = False) -> None:
         """Take over a record that was read."""
--- a/src/tamarackrill/testing/out_of_step.py
+++ b/src/tamarackrill/testing/out_of_step.py
@@ -33,6 +33,7 @@
 # After a router went on.
 SOON_S = 0.5
 STREAMS = 80
+BEGIN_MAX_S = 20.0
 
 
 class Play(NamedTuple):
@@ -153,8 +154,12 @@
         started_s = time.monotonic()
         healed_s, is_healed = play.healed_s or play.end_s, False
         number = 0
-        while (now_s := time.monotonic()) < started_s + play.end_s:
-            if now_s >= started_s + healed_s and not is_healed:
+        while True:
+            played_s = time.monotonic() - started_s
+            # Beside load, streams begin later at the new version.
+            if played_s >= (play.end_s if result.began["v2"] else BEGIN_MAX_S):
+                break
+            if played_s >= healed_s and not is_healed:
                 is_healed = True
                 store_calls = restore()
                 links.isolated.discard(port)
