--- a/soak/versions.py
+++ b/soak/versions.py
@@ -49,6 +49,7 @@
 # How long a leaving worker serves on, and how long routers are replaced in turn.
 LEAVE_RANGE_S = (0.3, 1.5)
 TURN_MAX_S = 3.0
+OUT_OF_STEP_RANGE_S = (0.5, 6.0)
 RUN_MAX_S = 90.0
 # Statuses of failures; 503 says that nothing has run, and when to come back.
 UNAVAILABLE = 503
@@ -352,6 +353,8 @@
             self._lose_revisions,
             self._fault_peer_datagrams,
             self._partition_zone,
+            self._release_out_of_step,
+            self._release_out_of_step,
         )
 
     async def _kill_routers(self, fleet: EdgeFleet) -> None:
@@ -410,6 +413,24 @@
                 for name in others if how != "join" else ():
                     self._start_leaving(fleet, name)
 
+    async def _release_out_of_step(self, fleet: EdgeFleet) -> None:
+        """Stop a router, or cut it off from the store, while versions change."""
+        number = self._rng.randrange(len(self._routers))
+        router, store = self._routers[number], self._store_proxies[number]
+        is_stopped = self._rng.random() < 0.7
+        seconds = self._rng.uniform(*OUT_OF_STEP_RANGE_S)
+        how = "stopped" if is_stopped else "without the store"
+        self.faults.append(f"{router.name} {how} for {seconds:.1f} s")
+        if is_stopped:
+            router.signal(signal.SIGSTOP)
+        else:
+            store.mode = "silence"
+        try:
+            await asyncio.gather(asyncio.sleep(seconds), self._release(fleet))
+        finally:
+            router.signal(signal.SIGCONT)
+            store.mode = "pass"
+
     async def _crash_writer(self, fleet: EdgeFleet) -> None:
         """Let a writer crash, and another one of any version take its place."""
         name = self._rng.choice(self._list_writers())
