Date an answer that was read after standing still before that

A change that ends a watch was dated by its first byte, less the last latency. A router that had stood still for seconds read it then, held it for present, and told all others so, though the store may have changed since. Now it is dated no later than the loop is known to have run before.

Found by reading.

--- a/src/tamarackrill/decisions/answer_times.py
+++ b/src/tamarackrill/decisions/answer_times.py
@@ -1,12 +1,13 @@
 """Time as of which an answer of the store is certainly valid.
 
-Load pattern: the store is slow, the link to it is saturated, or the event loop of the
-calling router is delayed, so an answer is read long after the store produced it.  Dated
+Load pattern: the store is slow, the link to it is saturated, or the calling router
+stands still, so an answer is read long after the store produced it.  Dated
 by its first byte it would appear newer than it is, to all routers that receive it.
 
 The store answers a plain call after the call was sent, and a watch without a change
 after the full wait.  For a watch that returns a change the time of the answer is not
-known; its latency is assumed to equal the last known one.
+known; its latency is assumed to equal the last known one, and it may have arrived as
+soon as the router stood still.
 """
 
 from typing import NamedTuple
@@ -25,12 +26,15 @@
         Maximum time the store waits for a change (long polling); 0 for a plain call.
     is_empty : bool
         Whether the answer contains no change.
+    arrived_s : float or None, optional
+        A time after which the first byte has arrived; when it was read by default.
     """
 
     asked_s: float
     begun_s: float
     wait_s: float
     is_empty: bool
+    arrived_s: float | None = None
 
     @property
     def waited_in_full(self) -> bool:
@@ -55,4 +59,5 @@
             return answer.asked_s + answer.wait_s
         if not answer.wait_s or answer.is_empty:
             return answer.asked_s
-        return max(answer.asked_s, answer.begun_s - self._latency_s)
+        arrived_s = answer.begun_s if answer.arrived_s is None else answer.arrived_s
+        return max(answer.asked_s, arrived_s - self._latency_s)
--- a/src/tamarackrill/router/configuring.py
+++ b/src/tamarackrill/router/configuring.py
@@ -113,6 +113,9 @@
     on_read : callable
         Called with the kind of a change that was read, and the time from the answer's
         first byte until the change was in force.
+    find_arrived_s : callable
+        ``find_arrived_s(now_s)`` returns a time after which something that is read now
+        has arrived, which is earlier after this router stood still.
     find_watch_s : callable
         ``find_watch_s(kind)`` returns the maximum wait of a watch; None for the
         client's default.
@@ -152,6 +155,7 @@
         self.on_unavailable: Callable[[str, float], None] = lambda kind, now_s: None
         self.on_restored: Callable[[str], None] = lambda kind: None
         self.on_read: Callable[[str, float], None] = lambda kind, read_s: None
+        self.find_arrived_s: Callable[[float], float] = lambda now_s: now_s
         self.find_watch_s: Callable[[str], float | None] = lambda kind: None
         self.find_poll_delay_s: Callable[[str, float], float] = lambda kind, now_s: 0.0
         self._read_requested = {kind: asyncio.Event() for kind in kinds}
@@ -439,12 +443,16 @@
     ) -> None:
         has_ended = False
         asked_s = self._clock()
+        arrived_s: float | None = None
 
         def record_first_byte() -> None:
+            nonlocal arrived_s
             # A call that timed out may still be answered.  Counted as an answer being
             # read, it would keep this router from ever pulling from its peers again.
             if not has_ended:
-                self._first_byte_s.setdefault(kind, self._clock())
+                now_s = self._clock()
+                self._first_byte_s.setdefault(kind, now_s)
+                arrived_s = self.find_arrived_s(now_s)
 
         self._calls_in_progress.add(kind)
         try:
@@ -458,7 +466,7 @@
         applied = self._apply_listing(kind, listing, is_snapshot)
         # Reported only after the changes are applied; otherwise other routers would
         # take the previous configuration for the platform's latest answer.
-        answer = StoreAnswer(asked_s, begun_s, wait_s, not listing.items)
+        answer = StoreAnswer(asked_s, begun_s, wait_s, not listing.items, arrived_s)
         as_of_s = self._answer_times.find_as_of_s(answer)
         self._record_polled(kind, listing.revision, as_of_s)
         self.on_answer(kind, as_of_s)
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -354,6 +354,9 @@
             STORE_CALL_PAUSE_S,
             (EVACUATION_KIND,),
         )
+        self.configuration_sync.find_arrived_s = lambda now_s: (
+            self._activity.find_arrived_s(now_s, read_clock())
+        )
         self.configuration_sync.on_platform_state = self._observe_store
         self.configuration_sync.on_restored = self._observe_restored
         self.server.is_outdated = self._is_outdated
--- a/tests/test_answer_times.py
+++ b/tests/test_answer_times.py
@@ -34,6 +34,14 @@
     assert times.find_as_of_s(changed) == pytest.approx(21.5 - 0.24)
 
 
+def test_change_that_arrived_while_the_router_stood_still_is_dated_before():
+    # Guards against a router that takes what it reads after standing still for news.
+    times = AnswerTimes()
+    times.observe(PLAIN)
+    changed = StoreAnswer(20.0, 29.0, 2.0, False, arrived_s=20.5)
+    assert times.find_as_of_s(changed) == pytest.approx(20.5 - 0.24)
+
+
 def test_change_that_ends_a_watch_is_not_dated_before_its_call():
     times = AnswerTimes()
     times.observe(PLAIN)
--- a/tests/test_configuring.py
+++ b/tests/test_configuring.py
@@ -15,6 +15,7 @@
 from tamarackrill.decisions.membership import PeerStateReceived
 from tamarackrill.exceptions import PlatformUnavailable
 from tamarackrill.router.configuring import ConfigurationSync
+from tamarackrill.router.platform_client import WatchLost
 from tamarackrill.store_api import Listing, PlatformObject
 
 KIND = "config"
@@ -347,3 +348,53 @@
         await asyncio.wait_for(waiting, TIMEOUT_S)
 
     run_scenario(scenario)
+
+
+def test_change_read_after_standing_still_is_dated_when_it_may_have_arrived():
+    # Guards against a router that tells others, as of now, what it knew before it stood
+    # still.
+    async def scenario(harness):
+        sync = harness.configuration_sync
+        await sync.start()
+        await harness.wait_until(lambda: len(harness.answers) > 1)
+        harness.store.may_begin.clear()
+        harness.store.version = 2
+        sync.find_arrived_s = lambda now_s: 100.5
+        await asyncio.sleep(0.05)
+        harness.now_s = 109.0
+        harness.store.may_begin.set()
+        await harness.wait_until(lambda: harness.held.get_complete(KIND) == 2)
+        assert harness.answers[-1][1] <= 100.5
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("is_gone", [False, True])
+def test_changes_are_read_by_a_call_that_is_sent_now(is_gone):
+    # Guards against a decision that rests on a call sent before its question was asked.
+    async def scenario(harness):
+        sync, store = harness.configuration_sync, harness.store
+        calls, current = [], []
+        sync.on_current = lambda *answer: current.append(answer)
+
+        async def watch(kind, since, wait_s):
+            calls.append((since, wait_s))
+            if is_gone:
+                raise WatchLost("gone")
+            return Listing((PlatformObject(KIND, "main", 2, {"v": 2}),), 2)
+
+        async def read_all(kind):
+            calls.append("list")
+            return Listing((PlatformObject(KIND, "main", 2, {"v": 2}),), 2)
+
+        await sync.start()
+        await harness.wait_until(lambda: harness.held.get_complete(KIND) == 1)
+        await sync.stop()
+        store.watch, store.list = watch, read_all
+        harness.now_s = 101.0
+        await sync.read_changes(KIND)
+        assert calls == [(1, 0.0), *["list"] * is_gone]
+        assert harness.held.get_complete(KIND) == 2
+        assert current == [(KIND, 101.0)]
+
+    run_scenario(scenario)
