Zones without routers need no reply, except in an outage

In a deployment with a zone that has workers only, each stream that was taken up would have cost a read of the store. A zone in which no router was found within a stream's lifetime counts only while the store can't be read.

--- a/src/tamarackrill/decisions/version_evidence.py
+++ b/src/tamarackrill/decisions/version_evidence.py
@@ -40,6 +40,8 @@
         Replies to questions that it sent after the request had arrived.
     zones : collection of str
         Zones of routers that may have been told the version; see `list_told_zones`.
+    unseen_zones : collection of str, optional
+        Zones of the deployment in which no router was ever known.
     is_certain : bool
         Whether all routers replied that may be keepers of the stream.  If its client
         doesn't name it, nobody knows which these are.
@@ -52,6 +54,7 @@
     own: KeeperReply
     replies: Mapping[Router, KeeperReply]
     zones: Collection[str]
+    unseen_zones: Collection[str] = ()
     is_certain: bool = True
     store: StoreCheck = "unasked"
     is_alone: bool = False
@@ -89,7 +92,9 @@
     them for as long as any stream lasts, one in each zone.  If a keeper is silent, it
     may be the only one that was told, and the store is read.  With that, one such
     history suffices.  While the store is away for all zones, no router hears of a new
-    version, and it suffices that a history was complete until then.
+    version, and it suffices that a history was complete until then.  A zone in which no
+    router was ever known may have some that are cut off; others that reach the store
+    hear of a new version as soon as these.
     """
     current = {r.zone for r, reply in news.replies.items() if reply.has_history}
     has_history = any(reply.has_history for reply in news.known)
@@ -106,7 +111,9 @@
     if news.store == "confirmed":
         return "store" if has_history else ""
     replied = {router.zone for router in news.replies}
-    is_outage = news.store == "unreachable" and replied.issuperset(news.zones)
+    is_outage = news.store == "unreachable" and replied.issuperset(
+        {*news.zones, *news.unseen_zones}
+    )
     return "outage" if is_outage and had_history else ""
 
 
--- a/src/tamarackrill/router/version_keepers.py
+++ b/src/tamarackrill/router/version_keepers.py
@@ -140,6 +140,7 @@
         # Whether there are other routers, as far as was ever known, and their zones.
         self._has_others = has_seeds
         self._seen_zones: set[str] = set()
+        self._started_s = clock()
         # Random, so that no reply to an earlier process on this address is accepted.
         self._tickets = itertools.count(secrets.randbits(TICKET_BITS))
         self._pending: dict[int, asyncio.Future[KeeperReply]] = {}
@@ -304,12 +305,16 @@
     ) -> VersionNews:
         """Return what this router knows of a stream now."""
         by_name = {router.name: router for router in self._routers}
-        zones = self._zones or self._seen_zones
+        seen = self._seen_zones
+        if self._clock() < self._started_s + self.versions.lifetime_s:
+            # It may not have found all others yet.
+            seen = seen | self._zones
         return VersionNews(
             self._describe(service, stream),
             # A router may have been taken for dead while its reply was on its way.
             {by_name[name]: r for name, r in replies.items() if name in by_name},
-            list_told_zones(self._own, self._routers, zones),
+            list_told_zones(self._own, self._routers, seen),
+            self._zones - seen - {self._own.zone},
             stream != NO_STREAM and not self._find_silent(stream, replies),
             store,
             not self._has_others,
--- a/tests/test_version_keepers.py
+++ b/tests/test_version_keepers.py
@@ -180,6 +180,17 @@
     assert conclude(news)[0] == expected
 
 
+@pytest.mark.parametrize(
+    "reply, store, expected",
+    [(KNOWING, "unasked", "v2"), (CUT, "confirmed", None), (CUT, "unreachable", None)],
+)
+def test_zone_without_routers_counts_in_an_outage_only(reply, store, expected):
+    # Guards against a read of the store for each stream in a deployment with such a
+    # zone, and against routers of it that were always cut off and begin streams.
+    news = make_news(CUT, reply, reply, store=store, unseen_zones=["c"])
+    assert conclude(news)[0] == expected
+
+
 @pytest.mark.parametrize("own, expected", [(CUT, "v2"), (UNKNOWING, None)])
 def test_only_router_needs_nobody(own, expected):
     news = VersionNews(own, {}, (), is_alone=True)
@@ -479,6 +490,7 @@
             list_told_zones(
                 self.own, self.list_known(), {router.zone for router in fleet.routers}
             ),
+            (),
             len(replies) == len(asked),
         )
         if must_check_store(news):
