--- a/src/tamarackrill/decisions/answer_times.py
+++ b/src/tamarackrill/decisions/answer_times.py
@@ -1,13 +1,14 @@
 """Time as of which an answer of the store is certainly valid.
 
-Load pattern: the store is slow, the link to it is saturated, or the event loop of the
-calling router is delayed, so an answer is read long after the store produced it.  Dated
+Load pattern: the store is slow, the link to it is saturated, or the calling router
+stands still, so an answer is read long after the store produced it.  Dated
 by its first byte it would appear newer than it is, to all routers that receive it.
 
 The store answers a plain call after the call was sent, and a watch without a change
 after the full wait.  For a watch that returns a change the time of the answer is not
-known; its latency is assumed to equal the last known one.  If the calling process stood
-still meanwhile, the answer may have waited for that long, and is dated by its call.
+known; its latency is assumed to equal the last known one, and it may have arrived as
+soon as the router stood still.  If the calling process stood still between the call and
+the answer, that may have waited for as long, and is dated by its call.
 """
 
 from typing import NamedTuple
@@ -28,6 +29,8 @@
         Whether the answer contains no change.
     was_held_up : bool, optional
         Whether the calling process stood still between the call and its answer.
+    arrived_s : float or None, optional
+        A time after which the first byte has arrived; when it was read by default.
     """
 
     asked_s: float
@@ -35,6 +38,7 @@
     wait_s: float
     is_empty: bool
     was_held_up: bool = False
+    arrived_s: float | None = None
 
     @property
     def waited_in_full(self) -> bool:
@@ -61,4 +65,5 @@
             return answer.asked_s + answer.wait_s
         if not answer.wait_s or answer.is_empty or answer.was_held_up:
             return answer.asked_s
-        return max(answer.asked_s, answer.begun_s - self._latency_s)
+        arrived_s = answer.begun_s if answer.arrived_s is None else answer.arrived_s
+        return max(answer.asked_s, arrived_s - self._latency_s)
