Log where an unexpected error of a request was raised

The log had only task_failed with the error's text, which tells neither the step nor the request, and its text says that the router isn't ready any more. unexpected_error (1011) has the step, the request and the innermost calls, and unexpected_errors_total counts them by step.

--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -56,6 +56,16 @@
     "after half a second.",
     "Report this line to the maintainers.",
 )
+UNEXPECTED_ERROR = Event(
+    1011,
+    "unexpected_error",
+    _ERROR,
+    ("step", "request", "endpoint", "error", "place"),
+    "A step of a request raised an error that it doesn't declare.  An attempt that "
+    "raised it counts as failed at its `endpoint`; apart from that the request is "
+    "answered at once.  `place` is where it was raised, the innermost call last.",
+    "Report this line to the maintainers.",
+)
 LINES_LEFT_OUT = Event(
     1005,
     "lines_left_out",
--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -22,7 +22,7 @@
     TeamKeys,
     choose_service,
 )
-from tamarackrill.events import CALL_LEFT, CALL_REFUSED, TASK_FAILED, log_event
+from tamarackrill.events import CALL_LEFT, CALL_REFUSED, log_event
 from tamarackrill.platform.headers import (
     RequestHeaders,
     build_error_headers,
@@ -40,6 +40,7 @@
 from tamarackrill.router.edge_flow import EdgeFlow
 from tamarackrill.router.edge_reply import ClientTooSlow, EdgeReply, MakeReply
 from tamarackrill.router.metrics import Metrics
+from tamarackrill.router.unexpected_errors import record_unexpected
 
 # Twice the limit of known manifests. Headers above the manifest's limit get a 431; the
 # connection is closed if they exceed this one.
@@ -308,7 +309,7 @@
             reply.abort()
         except Exception as error:  # noqa: BLE001
             # A bug in the router must not leave a client waiting until its deadline.
-            log_event(TASK_FAILED, task="serve", error=repr(error))
+            record_unexpected(server.metrics, "serve", error)
             if not reply.is_over:
                 reply.abort()
         finally:
--- a/src/tamarackrill/router/relay_server.py
+++ b/src/tamarackrill/router/relay_server.py
@@ -17,7 +17,7 @@
 from tornado.routing import Matcher
 
 from tamarackrill.contracts import Endpoint
-from tamarackrill.events import ATTEMPT_RELAYED, TASK_FAILED, log_event
+from tamarackrill.events import ATTEMPT_RELAYED, log_event
 from tamarackrill.platform.headers import (
     filter_response_headers,
     is_resumption,
@@ -40,6 +40,7 @@
     read_attempt,
     remove_relay_headers,
 )
+from tamarackrill.router.unexpected_errors import record_unexpected
 
 # Attempts forwarded at the same time.  Each buffers up to 128 KiB for a slow reader.
 RELAYED_MAX = 256
@@ -100,7 +101,7 @@
         self._view = view
         self._placer = placer
         self._attempts = attempts
-        self._metrics = metrics
+        self.metrics = metrics
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
@@ -149,7 +150,7 @@
         """
         opened = await self._open(attempt)
         if opened is None:
-            self._metrics.count("attempts_relayed", NOT_SENT)
+            self.metrics.count("attempts_relayed", NOT_SENT)
             headers = [(OUTCOME_HEADER, NOT_SENT)]
             await reply.begin(UNAVAILABLE_STATUS, headers, b"")
             return
@@ -169,7 +170,7 @@
             if not is_clean:
                 channel.close()
             outcome = ANSWERED if is_clean else "lost"
-            self._metrics.count("attempts_relayed", outcome)
+            self.metrics.count("attempts_relayed", outcome)
             log_event(
                 ATTEMPT_RELAYED,
                 request=read_request_id(attempt.headers),
@@ -282,6 +283,6 @@
             return
         except Exception as error:  # noqa: BLE001
             # A bug here must not leave the other router waiting until its deadline.
-            log_event(TASK_FAILED, task="relay", error=repr(error))
+            record_unexpected(server.metrics, "relay", error)
             if not reply.is_over:
                 reply.abort()
--- /dev/null
+++ b/src/tamarackrill/router/unexpected_errors.py
@@ -0,0 +1,53 @@
+"""Logs and counts errors that a step of a request doesn't declare."""
+
+import contextlib
+import traceback
+from collections.abc import Iterator
+from pathlib import PurePath
+
+from tamarackrill.events import UNEXPECTED_ERROR, log_event
+from tamarackrill.router.metrics import Metrics
+
+# Innermost calls of a traceback that are logged, and the characters of an error.
+PLACES_MAX = 4
+ERROR_MAX_CHARS = 300
+
+
+def describe_place(error: BaseException) -> tuple[str, ...]:
+    """Return the innermost calls of an error's traceback, the last one last."""
+    # Without the lines of the source, which would be read from files.
+    frames = list(traceback.walk_tb(error.__traceback__))[-PLACES_MAX:]
+    return tuple(
+        f"{PurePath(frame.f_code.co_filename).name}:{line} {frame.f_code.co_name}"
+        for frame, line in frames
+    )
+
+
+def record_unexpected(
+    metrics: Metrics,
+    step: str,
+    error: BaseException,
+    request_id: str = "",
+    endpoint: str = "",
+) -> None:
+    """Log and count an error that a step of a request doesn't declare."""
+    metrics.count("unexpected_errors", step)
+    log_event(
+        UNEXPECTED_ERROR,
+        step=step,
+        request=request_id,
+        endpoint=endpoint,
+        error=repr(error)[:ERROR_MAX_CHARS],
+        place=describe_place(error),
+    )
+
+
+@contextlib.contextmanager
+def tolerate(
+    metrics: Metrics, step: str, request_id: str = "", endpoint: str = ""
+) -> Iterator[None]:
+    """Go on after an unexpected error of a step that only records something."""
+    try:
+        yield
+    except Exception as error:
+        record_unexpected(metrics, step, error, request_id, endpoint)
