--- /dev/null
+++ b/tests/test_unexpected_errors.py
@@ -0,0 +1,226 @@
+"""Steps of a request that raise an error which nobody expects."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from tamarackrill.decisions.event_stream import EventStream
+from tamarackrill.router import edge_attempts, edge_flow, edge_server
+from tamarackrill.router.channels import Channel
+from tamarackrill.router.edge_placing import EdgePlacer
+from tamarackrill.router.edge_reserving import EdgeReserver
+from tamarackrill.testing.edge import EdgeFleet, ask, make_route
+from tamarackrill.testing.worker import answer_ok, make_event, make_streaming
+
+ROUTES = {
+    "idempotent": make_route("/idempotent/", "idempotent"),
+    "non_idempotent": make_route("/non_idempotent/", "non_idempotent"),
+    "streaming": make_route("/streaming/", "streaming"),
+    "stream_resume": make_route("/stream_resume/", "streaming", stream_resume=True),
+}
+EVENTS = 3
+ERRORS = (
+    ValueError("odd"),
+    KeyError("odd"),
+    UnicodeError("odd"),
+    RecursionError("odd"),
+    MemoryError(),
+    AssertionError(),
+    OverflowError("odd"),
+)
+# Steps that concern one endpoint, before anything has been sent to it.
+BEFORE_SENDING = {
+    "connect": (edge_attempts.EdgeAttempts, "open_own_channel"),
+    "start": (EdgePlacer, "start"),
+    "build headers": (edge_attempts, "build_request_headers"),
+    "send": (Channel, "send"),
+}
+# Steps that concern one endpoint, which may have run the request.
+AFTER_SENDING = {
+    "read head": (Channel, "read_head"),
+    "parse headers": (edge_attempts, "parse_response_headers"),
+    "observe head": (EdgePlacer, "observe_response_start"),
+    "read body": (Channel, "read_chunk"),
+    "parse events": (EventStream, "take"),
+    "filter headers": (edge_attempts, "filter_response_headers"),
+}
+# Steps that record what an endpoint has answered.
+RECORDING = {
+    "end connection": (Channel, "finish"),
+    "finish": (EdgePlacer, "finish"),
+    "observe result": (EdgePlacer, "observe_result"),
+    "release": (EdgeReserver, "finish"),
+}
+# Steps that concern the request, before anything has been sent.
+BEFORE_PLACING = {
+    "parse request": (edge_server, "parse_request_headers"),
+    "match": (edge_server.EdgeServer, "match"),
+    "place": (EdgeReserver, "place"),
+    "choose": (EdgePlacer, "choose"),
+}
+# Steps after an attempt that failed.
+AFTER_FAILURE = {
+    "count attempts": (edge_flow, "add_attempt"),
+    "decide": (edge_flow, "decide_next"),
+    "choose again": (EdgePlacer, "choose"),
+}
+
+
+@contextlib.contextmanager
+def raising(owner, name, error, skipped=0):
+    """Let the call of a function after `skipped` ones raise an error, once."""
+    original = getattr(owner, name)
+    calls = 0
+
+    def act(*args, **kwargs):
+        nonlocal calls
+        calls += 1
+        if calls == skipped + 1:
+            raise error
+        return original(*args, **kwargs)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(owner, name, act)
+        yield
+    assert calls > skipped
+
+
+async def start_fleet(fleet, kind, behave=None):
+    await fleet.put_manifest(1, *ROUTES.values())
+    is_stream = kind.startswith("stream")
+    default = make_streaming(EVENTS) if is_stream else answer_ok
+    for number in range(4):
+        await fleet.add_worker(f"w{number}", behave or default)
+    return await fleet.add_router()
+
+
+def count_runs(fleet, request_id):
+    ran = [request for worker in fleet.workers for request in worker.ran]
+    return sum(request.request_id == request_id for request in ran)
+
+
+def is_complete(kind, answer):
+    if not kind.startswith("stream"):
+        return answer.status == 200
+    events = b"".join(map(make_event, range(1, EVENTS + 1)))
+    return answer.status == 200 and answer.is_whole and answer.body == events
+
+
+async def ask_during(fleet, router, kind, step, error, skipped=0):
+    """Return the answer to a request, one of whose steps raises, and its runs."""
+    request_id = f"{kind}-{type(error).__name__}"
+    with raising(*step, error, skipped):
+        answer = await ask(router, f"/{kind}/", request_id)
+    runs = count_runs(fleet, request_id)
+    if answer.status == 503:
+        assert runs == 0
+        assert "retry-after" in answer.headers
+    if not ROUTES[kind]["stream_resume"] and kind != "idempotent":
+        assert runs <= 1
+    # The router serves the next request.
+    assert is_complete(kind, await ask(router, f"/{kind}/", f"{request_id}-next"))
+    return answer, runs
+
+
+def run_each(kind, step, check, behave=None, skipped=0):
+    """Check the answer to a request in whose step each of the errors is raised."""
+
+    async def run():
+        async with EdgeFleet() as fleet:
+            router = await start_fleet(fleet, kind, behave)
+            for error in ERRORS:
+                found = await ask_during(fleet, router, kind, step, error, skipped)
+                check(*found)
+
+    asyncio.run(run())
+
+
+def can_repeat(kind):
+    return kind in ("idempotent", "stream_resume")
+
+
+@pytest.mark.parametrize("kind", ROUTES)
+@pytest.mark.parametrize("step", BEFORE_SENDING)
+def test_request_that_was_not_sent_goes_to_another_endpoint(step, kind):
+    # Guards against a request that ends without an answer because connecting or
+    # sending raises an error other than OSError.
+    def check(answer, runs):
+        assert is_complete(kind, answer)
+        assert runs == 1
+
+    run_each(kind, BEFORE_SENDING[step], check)
+
+
+@pytest.mark.parametrize(
+    ("step", "kind"),
+    [
+        (step, kind)
+        for step in AFTER_SENDING
+        for kind in ROUTES
+        if step != "parse events" or kind.startswith("stream")
+    ],
+)
+def test_unexpected_error_in_an_answer_is_a_failed_attempt(step, kind):
+    # Guards against a request that ends without an answer because what an endpoint
+    # answers raises an unexpected error, and against one that is told as not run.
+    def check(answer, runs):
+        if can_repeat(kind):
+            assert is_complete(kind, answer)
+        else:
+            assert answer.status == 502 or not answer.is_whole
+            assert runs <= 1
+
+    run_each(kind, AFTER_SENDING[step], check)
+
+
+@pytest.mark.parametrize("kind", ROUTES)
+@pytest.mark.parametrize("step", RECORDING)
+def test_answer_is_complete_though_recording_it_fails(step, kind):
+    # Guards against an answer that is lost or requested again because the router fails
+    # to record it.
+    def check(answer, runs):
+        assert is_complete(kind, answer)
+        assert runs == 1
+
+    run_each(kind, RECORDING[step], check)
+
+
+@pytest.mark.parametrize("kind", ROUTES)
+@pytest.mark.parametrize("step", BEFORE_PLACING)
+def test_request_that_was_not_placed_is_refused_as_not_run(step, kind):
+    # Guards against a connection that ends without an answer because a step before any
+    # attempt raises an unexpected error.
+    def check(answer, runs):
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) >= 0.0
+
+    run_each(kind, BEFORE_PLACING[step], check)
+
+
+@pytest.mark.parametrize(
+    ("step", "kind"),
+    [
+        (step, kind)
+        for step in AFTER_FAILURE
+        for kind in ROUTES
+        if step != "choose again" or can_repeat(kind)
+    ],
+)
+def test_request_that_was_sent_is_not_refused_as_not_run(step, kind):
+    # Guards against a 503 for a request that an endpoint may have run, and against none
+    # at all, because a step after its failed attempt raises an unexpected error.
+    async def fail(request, writer):
+        if request.request_id.endswith("-next"):
+            await (make_streaming(EVENTS) if kind.startswith("s") else answer_ok)(
+                request, writer
+            )
+        else:
+            writer.close()
+
+    def check(answer, runs):
+        assert answer.status == 502
+        assert runs >= 1
+
+    skipped = 1 if step == "choose again" else 0
+    run_each(kind, AFTER_FAILURE[step], check, fail, skipped)
