Read addresses strictly, and let connecting raise OSError only

Callers saw connections that ended without an answer (LOST): 5 of 40 requests beside one entry whose IPv6 address has a scope of 64 letters. ip_address takes any scope; connecting then encodes the host as a name and raises UnicodeError, which nobody expects. A port of 70000 raises OverflowError in the same place.

Each place read addresses in its own way: ports as +80, 8_0, ' 80' or other digits, octets above 255 and ports above 65535 in endpoint.schema.json, IPv6 without brackets on one interface and only with brackets on the other. decisions.addresses is now the only reader, for entries of both interfaces, settings and peers: ports are plain digits from 1 to 65535, IPv6 addresses of endpoints are in brackets and have no scope. Routers' own addresses may still have names, scopes and no brackets, as earlier releases tell them. An entry with an invalid address is left out and logged, as before. open_channel turns whatever else connecting raises into an OSError, so that the attempt counts as not sent and another endpoint serves the request; a datagram to an address that can't be used is dropped.

--- a/src/tamarackrill/contracts.py
+++ b/src/tamarackrill/contracts.py
@@ -16,6 +16,7 @@
 from functools import cache
 from typing import Any, Literal, NamedTuple
 
+from tamarackrill.decisions.addresses import is_valid, read_address
 from tamarackrill.documents import Document, FieldPath
 from tamarackrill.exceptions import Finding, FindingsError
 
@@ -243,6 +244,8 @@
         If a known field is missing, malformed or out of range.
     """
     findings = _validate("endpoint", Document("endpoint", value, {}), strict=False)
+    if not findings and not is_valid(read_address, value["address"]):
+        findings.append(Finding("endpoint: address", "is not a valid IP:port"))
     if findings:
         raise FindingsError(findings)
     fields = {name: value[name] for name in Endpoint._fields if name in value}
--- a/src/tamarackrill/platform/objects.py
+++ b/src/tamarackrill/platform/objects.py
@@ -2,10 +2,10 @@
 
 import math
 from collections.abc import Mapping
-from ipaddress import ip_address
 from typing import Any, TypeVar
 
 from tamarackrill.contracts import Endpoint, EndpointState
+from tamarackrill.decisions.addresses import read_address
 from tamarackrill.decisions.manifests import (
     ClientLimits,
     Manifest,
@@ -23,7 +23,6 @@
 # A draining endpoint accepts no new requests; it may or may not have requests left.
 _STATES: Mapping[str, EndpointState] = {"ready": "live", "draining": "leaving"}
 _T = TypeVar("_T")
-_PORT_COUNT = 1 << 16
 
 
 def read_manifest(spec: Mapping[str, Any]) -> Manifest:
@@ -197,11 +196,6 @@
 
 def _read_address(spec: Mapping[str, Any]) -> str:
     address = _read_required(spec, "address", str)
-    host, _, port = address.rpartition(":")
-    if not 0 < int(port) < _PORT_COUNT:
-        raise ValueError("address has no valid port")
-    if not address.isascii():
-        raise ValueError("address can't be sent in a header")
     # Host names are rejected: a DNS lookup would delay the first request that needs it.
-    ip_address(host)
+    read_address(address)
     return address
--- a/src/tamarackrill/platform/settings_file.py
+++ b/src/tamarackrill/platform/settings_file.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
+from tamarackrill.decisions.addresses import PORT_MAX, is_valid, read_router_address
 from tamarackrill.decisions.capacity.sharing_scope import SharingMode
 from tamarackrill.decisions.cold_endpoints import ColdTolerance
 from tamarackrill.decisions.retry_shares import BudgetTerms
@@ -15,7 +16,6 @@
 BYTES_PER_MB = 1_000_000
 # The smallest known VM of a router.
 DEFAULT_MEMORY_MB = 200.0
-PORT_MAX = 65535
 # Default of a field that has to be present.
 _REQUIRED = object()
 # Keys of the listening addresses in the file.
@@ -112,7 +112,7 @@
 
     def read_address(self, path: str) -> str:
         text = str(self.read(path, str))
-        if text and not is_address(text):
+        if text and not is_valid(read_router_address, text):
             self.report(path, f"{text!r} is no host:port")
         return text
 
@@ -136,12 +136,6 @@
         return kind()
 
 
-def is_address(text: str) -> bool:
-    """Return whether a text has the form ``host:port``."""
-    host, _, port = text.rpartition(":")
-    return bool(host) and port.isdigit() and 0 < int(port) <= PORT_MAX
-
-
 def parse_settings(source: str, text: str) -> PlatformSettings:
     """Parse and validate the text of a settings file; unknown fields are ignored.
 
--- a/src/tamarackrill/router/channels.py
+++ b/src/tamarackrill/router/channels.py
@@ -11,6 +11,7 @@
 
 import h11
 
+from tamarackrill.decisions.addresses import read_router_address
 from tamarackrill.decisions.attempt_timeouts import SILENCE_MAX_S
 from tamarackrill.decisions.capacity.buffers import ReadPauses
 from tamarackrill.decisions.status_lines import holds_status_line
@@ -29,6 +30,10 @@
     """A connection ended too early, or its data isn't a valid response."""
 
 
+class ConnectionUnavailable(OSError):
+    """A connection can't be made, for a reason other than the network's."""
+
+
 class ResponseHead(NamedTuple):
     """Status and headers of a response.
 
@@ -302,8 +307,13 @@
     OSError
         If the connection failed or timed out; nothing was sent.
     """
-    host, _, port = address.rpartition(":")
-    loop = asyncio.get_running_loop()
-    async with lateness.timeout(timeout_s):
-        _, channel = await loop.create_connection(Channel, host, int(port))
+    try:
+        host, port = read_router_address(address)
+        loop = asyncio.get_running_loop()
+        async with lateness.timeout(timeout_s):
+            _, channel = await loop.create_connection(Channel, host, port)
+    except OSError:
+        raise
+    except Exception as error:
+        raise ConnectionUnavailable(f"can't connect to {address!r}: {error}") from error
     return channel
--- a/src/tamarackrill/router/datagrams.py
+++ b/src/tamarackrill/router/datagrams.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import Any
 
+from tamarackrill.decisions.addresses import read_router_address
+
 Handler = Callable[[bytes, str], bool]
 
 # Largest datagram that UDP carries.
@@ -61,13 +63,13 @@
 
     def send(self, peer_address: str, datagram: bytes) -> None:
         """Send a datagram; one that can't be sent is dropped, as on the network."""
-        host, _, port = peer_address.rpartition(":")
-        if self._socket is None or not port.isdigit():
+        if self._socket is None or not peer_address:
             return
         self._count("peer_bytes", "sent", len(datagram))
         try:
-            self._socket.sendto(datagram, (host.strip("[]"), int(port)))
-        except OSError:
+            # Another router may tell an address that can't be sent to.
+            self._socket.sendto(datagram, read_router_address(peer_address))
+        except (OSError, ValueError):
             self._count("peer_datagrams", "unsent", 1)
 
     def stop(self) -> None:
--- a/src/tamarackrill/router/edge_options.py
+++ b/src/tamarackrill/router/edge_options.py
@@ -4,13 +4,16 @@
 import socket
 from typing import NamedTuple
 
+from tamarackrill.decisions.addresses import (
+    is_valid,
+    read_port,
+    read_router_address,
+)
 from tamarackrill.decisions.capacity.sharing_scope import SHARING_MODES
 from tamarackrill.exceptions import Finding, FindingsError
 from tamarackrill.platform.settings_file import (
-    PORT_MAX,
     SETTINGS_PATH_VARIABLE,
     PlatformSettings,
-    is_address,
     parse_settings,
 )
 from tamarackrill.router.binding import ListenAddress
@@ -68,9 +71,9 @@
         findings.append(Finding(SETTINGS_PATH_VARIABLE, "is not set"))
     if not peer_keys:
         findings.append(Finding(PEER_KEYS_VARIABLE, "contains no key"))
-    if not port.isdigit() or not 0 < int(port) <= PORT_MAX:
+    if not is_valid(read_port, port):
         findings.append(Finding(METRICS_PORT_VARIABLE, f"{port!r} is no port"))
-    if peer_address and not is_address(peer_address):
+    if peer_address and not is_valid(read_router_address, peer_address):
         message = f"{peer_address!r} is no host:port"
         findings.append(Finding(PEER_ADDRESS_VARIABLE, message))
     if mode is None:
--- a/src/tamarackrill/settings.py
+++ b/src/tamarackrill/settings.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import Any, NamedTuple
 
+from tamarackrill.decisions.addresses import read_address
 from tamarackrill.exceptions import Finding, FindingsError
 
 ENVIRONMENT_PREFIX = "TAMARACKRILL_"
@@ -120,10 +121,10 @@
 
 
 def _parse_host_and_port(text: str) -> str:
-    host, _, port = text.rpartition(":")
-    if not port.isdigit() or not 1 <= int(port) <= 65535:
-        raise ValueError(f"{text!r} is not a valid host:port")
-    _parse_address(host.removeprefix("[").removesuffix("]"))
+    try:
+        read_address(text)
+    except ValueError as error:
+        raise ValueError(f"{text!r} is not a valid host:port") from error
     return text
 
 
--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -3,11 +3,16 @@
 import asyncio
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from tamarackrill.contracts import read_endpoint as read_native
+from tamarackrill.decisions.addresses import read_address, read_router_address
 from tamarackrill.exceptions import FindingsError
 from tamarackrill.platform.objects import read_endpoint
 from tamarackrill.router.channels import open_channel
+from tamarackrill.router.datagrams import PeerSocket
+from tamarackrill.settings import load_settings
 from tamarackrill.testing.edge import EdgeFleet, ask, make_route
 
 ENTRY = {
@@ -96,3 +101,65 @@
             await fleet.wait(lambda: router.view.find_endpoint("later"))
 
     asyncio.run(run())
+
+
+SETTINGS = {
+    "TAMARACKRILL_NAME": "r",
+    "TAMARACKRILL_ZONE": "z",
+    "TAMARACKRILL_PEER_KEYS": "k" * 32,
+}
+
+
+@pytest.mark.parametrize("address", VALID)
+def test_valid_address_of_a_setting_is_read(address):
+    settings = load_settings([], {**SETTINGS, "TAMARACKRILL_PLATFORM": address})
+    assert settings.platform == address
+
+
+@pytest.mark.parametrize("address", INVALID)
+def test_invalid_address_of_a_setting_is_rejected(address):
+    # Guards against a router that starts with a store that it can't connect to.
+    with pytest.raises(FindingsError) as raised:
+        load_settings([], {**SETTINGS, "TAMARACKRILL_PLATFORM": address})
+    assert "PLATFORM" in raised.value.findings[0].place
+
+
+ODD_TEXT = st.one_of(
+    st.text(max_size=80),
+    st.sampled_from(INVALID + VALID),
+    st.builds(
+        "{}:{}".format,
+        st.one_of(st.ip_addresses().map(str), st.text(max_size=8)),
+        st.one_of(st.integers(-9, 99999).map(str), st.text(max_size=6)),
+    ),
+)
+
+
+@given(text=ODD_TEXT)
+def test_address_is_read_or_rejected_and_means_one_host_and_port(text):
+    # Guards against texts that raise another error than ValueError, or that a socket
+    # takes for another address.
+    for read in (read_address, read_router_address):
+        try:
+            host, port = read(text)
+        except ValueError:
+            continue
+        assert 0 < port < 65536
+        assert text.endswith(f":{port}")
+        host.encode("idna") if read is read_address else host.encode("ascii")
+
+
+@given(text=ODD_TEXT)
+def test_datagram_to_any_address_is_sent_or_dropped(text):
+    # Guards against an address told by another router that ends the task which sends.
+    sent = []
+
+    class Socket:
+        def sendto(self, datagram, address):
+            sent.append(address)
+            raise OSError
+
+    peers = PeerSocket()
+    peers._socket = Socket()
+    peers.send(text, b"x")
+    assert all(0 < port < 65536 for _, port in sent)
