Answer each request, whatever one of its steps raises

Callers saw connections that ended without an answer when any step of their request raised an error that it doesn't declare: the request's task logged it and aborted the connection, though nothing may have been sent and other endpoints were free.

Class: an error boundary that ends the request instead of the step. There are three boundaries now. An attempt that raises is a failed attempt at its endpoint, not_sent unless any byte of the request can have been written there (Channel.has_written), else lost, so that the usual rules send it on or end it. Steps that only record or reserve something are passed over (tolerate). Whatever is left is answered at once: 503 with Retry-After if nothing can have been sent, else 502 or 504; a response that has begun is cut. A router that forwards an attempt tells 'not sent' only if nothing was written. A reply that can't be made no longer leaves the client without answer.

An error between the reading of events and their writing would have left them out of a stream that goes on at another endpoint, and the client would take it for complete: EventStream.undo takes them back, and a stream is cut if its last write failed.

Found while fixing: a stream without its first event, complete to its client (case 'filter headers-stream_resume'). Two steps ('begin', 'write') and the buffered replies were added to the tests here.

--- a/src/tamarackrill/decisions/event_stream.py
+++ b/src/tamarackrill/decisions/event_stream.py
@@ -95,6 +95,8 @@
         self._events_before = 0
         # An endpoint broke off inside an event, so that at least this one is missing.
         self._is_event_missing = False
+        # State before the last events, until the client is known to get them.
+        self._before: tuple[int | None, int, bool] | None = None
 
     @property
     def partial_bytes(self) -> int:
@@ -109,6 +111,7 @@
         EventStreamError
             If an event exceeds `EVENT_MAX_BYTES` without ending.
         """
+        self._before = (self.last_id, self.events, self._is_event_missing)
         events = [e for e in self._splitter.take(chunk) if self._should_forward(e)]
         if self.partial_bytes > EVENT_MAX_BYTES:
             raise EventStreamError("event exceeds the allowed size")
@@ -117,6 +120,20 @@
             self._is_event_missing = False
         return b"".join(events)
 
+    def confirm(self) -> None:
+        """Record that the client gets the events that were taken."""
+        self._before = None
+
+    def undo(self) -> None:
+        """Forget the events that were taken last, unless they were confirmed.
+
+        Otherwise an error before they are passed on would leave them out of a stream
+        that goes on at another endpoint.
+        """
+        if self._before is not None:
+            self.last_id, self.events, self._is_event_missing = self._before
+            self._before = None
+
     def finish(self, is_framed: bool = True, may_be_empty: bool = True) -> bytes:
         """Return the bytes after the last event of a stream whose body has ended.
 
--- a/src/tamarackrill/router/channels.py
+++ b/src/tamarackrill/router/channels.py
@@ -62,6 +62,8 @@
     ----------
     requests_sent : int
         Number of requests sent on the connection.
+    has_written : bool
+        Whether any of the present request may have been sent.
     idle_since_s : float
         When the last response ended.
     idle_max_s : float
@@ -72,6 +74,7 @@
 
     def __init__(self) -> None:
         self.requests_sent = 0
+        self.has_written = False
         self.idle_since_s = 0.0
         self.idle_max_s = 0.0
         self.pauses = ReadPauses()
@@ -127,6 +130,7 @@
             sent += self._http.send(h11.Data(data=body)) or b""
         sent += self._http.send(h11.EndOfMessage()) or b""
         assert self._transport is not None
+        self.has_written = True
         self._transport.write(sent)
 
     async def read_head(self) -> ResponseHead:
@@ -190,6 +194,7 @@
         A connection that isn't reusable is closed.
         """
         self._request = None
+        self.has_written = False
         trailing, _ = self._http.trailing_data
         is_clean = not trailing and self._is_write_buffer_empty()
         if not is_clean or not self.is_open or self._http.states != _BOTH_DONE:
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -17,6 +17,7 @@
 from tamarackrill.decisions.prompt_reports import (
     TrialReport,
 )
+from tamarackrill.decisions.unexpected_errors import classify_attempt
 from tamarackrill.events import CALL_SENT, log_event
 from tamarackrill.platform.headers import (
     ResponseHeaders,
@@ -53,6 +54,11 @@
     add_relay_headers,
     remove_relay_headers,
 )
+from tamarackrill.router.unexpected_errors import (
+    DECLARED,
+    record_unexpected,
+    tolerate,
+)
 
 # Responses to earlier requests that are skipped before the connection is closed.
 MISMATCHED_ANSWERS_MAX = 2
@@ -107,6 +113,10 @@
         self.reply = reply
         self.history = AttemptHistory()
         self.avoid: set[str] = set()
+        # Events may have been written that are not known to be.
+        self.is_writing = False
+        # Endpoints to which any of the request may have been written.
+        self.sent_to: set[str] = set()
         self.stream = EventStream(call.headers.last_event_id)
         # The stream may only go on at this version; empty before its first event.
         self.software_version = ""
@@ -219,10 +229,38 @@
         ClientTooSlow
             If the endpoint gave up a response that its client did not read.
         """
+        try:
+            return await self._run(progress, placed)
+        except DECLARED:
+            raise
+        except Exception as error:
+            return self._end_unexpected(progress, placed, error)
+
+    def _end_unexpected(
+        self, progress: RequestProgress, placed: EdgePlacement, error: Exception
+    ) -> AttemptResult:
+        """Return the result of an attempt that raised an undeclared error."""
+        if progress.is_writing:
+            # The client may have some of the events, so that the stream can't go on.
+            raise error
+        call, name = progress.call, placed.endpoint.name
+        record_unexpected(self._metrics, "attempt", error, call.request_id, name)
+        outcome = classify_attempt(name in progress.sent_to, progress.reply.is_complete)
+        result = AttemptResult(outcome, repr(error))
+        progress.avoid.add(name)
+        if outcome == "lost":
+            with tolerate(self._metrics, "report", call.request_id, name):
+                self._report_result(call, placed, result)
+        return result
+
+    async def _run(
+        self, progress: RequestProgress, placed: EdgePlacement
+    ) -> AttemptResult:
         call = progress.call
         endpoint = placed.endpoint
         progress.last_endpoint = endpoint.name
         started_s = self._clock()
+        progress.stream.undo()
         progress.events_before = progress.stream.events
         relay = self._choose_relay(call, endpoint)
         channel = await self._open_channel(call, endpoint, relay)
@@ -248,37 +286,41 @@
             resumed=call.headers.resumed_id,
             parts=[f"{part:016x}" for part in call.parts],
         )
-        self._on_sent(call, progress.history.was_delivered)
-        self._placer.start(call, placed, started_s)
-        progress.exposure = None
-        if self.guard is not None:
-            progress.exposure = self.guard.record_sent(call.prompt, endpoint)
-        is_clean = False
+        is_clean = has_started = False
         suspecting = lateness.LateTimer(
             asyncio.get_running_loop().time() + find_suspicion_timeout_s(call.route),
             lambda: self._observe_overdue(endpoint, relay),
         )
         try:
+            self._on_sent(call, progress.history.was_delivered)
+            self._placer.start(call, placed, started_s)
+            has_started = True
+            progress.exposure = None
+            if self.guard is not None:
+                progress.exposure = self.guard.record_sent(call.prompt, endpoint)
             result = await self._exchange(
                 progress, placed, relay, channel, started_s, suspecting.cancel
             )
             is_clean = result.outcome in ("answered", "failed", "not_run", "misplaced")
         finally:
             suspecting.cancel()
-            self._placer.finish(call, endpoint, self._clock())
             if not is_clean:
                 channel.close()
+            with tolerate(self._metrics, "finish", call.request_id, endpoint.name):
+                if has_started:
+                    self._placer.finish(call, endpoint, self._clock())
         if result.outcome == "answered" and result.status <= OK_MAX:
             self._record_sound(progress)
         events = progress.stream.events - progress.events_before
         ending = AttemptEnding(call, endpoint, events, progress.exposure, self._clock())
         result = result._replace(ending=ending)
-        if relay:
-            await self._report_relayed(call, placed, relay, result)
-        else:
-            self._report_result(call, placed, result)
-            if result.is_broken:
-                await self.crashes.check(ending)
+        with tolerate(self._metrics, "report", call.request_id, endpoint.name):
+            if relay:
+                await self._report_relayed(call, placed, relay, result)
+            else:
+                self._report_result(call, placed, result)
+                if result.is_broken:
+                    await self.crashes.check(ending)
         return result
 
     def _record_sound(self, progress: RequestProgress) -> None:
@@ -389,11 +431,12 @@
             return AttemptResult(
                 "lost", str(error), is_broken=True, framing=framing, load=load
             )
-        if channel.finish():
-            pool, name = self.pool, placed.endpoint.name
-            if relay and self.relays is not None:
-                pool, name = self.relays.pool, relay
-            pool.give_back(name, channel, answer_headers.idle_max_s, self._clock())
+        with tolerate(self._metrics, "keep", call.request_id, placed.endpoint.name):
+            if channel.finish():
+                pool, name = self.pool, placed.endpoint.name
+                if relay and self.relays is not None:
+                    pool, name = self.relays.pool, relay
+                pool.give_back(name, channel, answer_headers.idle_max_s, self._clock())
         return result._replace(
             relay=relay,
             framing=framing,
@@ -434,7 +477,11 @@
                 call.body,
             )
             headers = add_relay_headers(attempt, self._peer_key)
-        channel.send(call.method, call.target, headers, call.body)
+        try:
+            channel.send(call.method, call.target, headers, call.body)
+        finally:
+            if channel.has_written:
+                progress.sent_to.add(placed.endpoint.name)
 
     async def read_matching_head(
         self, request_id: str, endpoint: Endpoint, channel: Channel, relay: str = ""
@@ -551,7 +598,10 @@
                     self._observe_events(progress, placed.endpoint)
                     if stream.events >= progress.events_before + SOUND_EVENTS_MIN:
                         self._record_sound(progress)
+                    stream.confirm()
+                    progress.is_writing = True
                     await reply.write(events)
+                    progress.is_writing = False
                     now_s = self._clock()
                     if last_s is not None:
                         self._metrics.record_token_gap(now_s - last_s)
--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -12,6 +12,7 @@
     decide_next,
 )
 from tamarackrill.decisions.retry_shares import BudgetTerms, RetryShare
+from tamarackrill.decisions.unexpected_errors import RETRY_AFTER_S, choose_status
 from tamarackrill.events import (
     CALL_ANSWERED,
     CALL_ATTEMPT_FAILED,
@@ -42,6 +43,7 @@
 )
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.prompt_guard import PART_BLOCKED_CODE, PromptGuard
+from tamarackrill.router.unexpected_errors import record_unexpected, tolerate
 
 # Reasons that clients are told, by the code of a refusal.
 _REASONS = {
@@ -94,7 +96,7 @@
             placer, self._count_retries_left, self._record_sent, metrics, clock, connect
         )
         self.compute_failover_s: Callable[[], float | None] = lambda: None
-        self.reserver = EdgeReserver(placer, clock)
+        self.reserver = EdgeReserver(placer, clock, metrics)
 
     def use_guard(self, guard: PromptGuard) -> None:
         """Keep parts of prompts that crash endpoints away from these."""
@@ -118,14 +120,51 @@
             If the client has disconnected.
         """
         progress = RequestProgress(call, reply)
-        self._find_share(call.service).note_request(self._clock())
         try:
+            self._find_share(call.service).note_request(self._clock())
             await self._serve(progress)
         except ClientTooSlow:
             progress.history = add_attempt(progress.history, "lost")
             await self._send_final_answer(progress, "slow_client")
+        except StreamClosedError:
+            raise
+        except Exception as error:
+            name = progress.last_endpoint
+            record_unexpected(self._metrics, "flow", error, call.request_id, name)
+            await self._answer_unexpected(progress)
         finally:
-            self.reserver.end_trial(progress)
+            with tolerate(self._metrics, "end trial", call.request_id):
+                self.reserver.end_trial(progress)
+
+    async def _answer_unexpected(self, progress: RequestProgress) -> None:
+        """Answer a request that an undeclared error has ended.
+
+        Raises
+        ------
+        tornado.iostream.StreamClosedError
+            If the client has disconnected.
+        """
+        call, reply, has_sent = progress.call, progress.reply, bool(progress.sent_to)
+        if reply.is_complete or reply.is_over:
+            return
+        if has_sent:
+            progress.history = progress.history._replace(may_have_run=True)
+        with tolerate(self._metrics, "final answer", call.request_id):
+            await self._send_final_answer(progress, "internal")
+            return
+        if reply.has_begun:
+            reply.abort()
+            return
+        now_s = self._clock()
+        await send_refusal(
+            call,
+            reply,
+            choose_status(has_sent, now_s >= call.deadline_s),
+            "internal",
+            None if has_sent else RETRY_AFTER_S,
+            len(progress.sent_to),
+            now_s - call.arrived_s,
+        )
 
     async def _serve(self, progress: RequestProgress) -> None:
         call = progress.call
@@ -153,7 +192,9 @@
                 if call.deadline_s > self._clock():
                     result = await self.attempts.run(progress, placed)
             finally:
-                self.reserver.finish(placed, result)
+                name = placed.endpoint.name
+                with tolerate(self._metrics, "release", call.request_id, name):
+                    self.reserver.finish(placed, result)
             if result is None:
                 await self._send_final_answer(progress, "deadline")
                 return
--- a/src/tamarackrill/router/edge_reply.py
+++ b/src/tamarackrill/router/edge_reply.py
@@ -31,6 +31,9 @@
     ----------
     has_begun : bool
         Whether the response head has been sent.
+    is_complete : bool
+        Whether all of the response has been passed on, though the client may not have
+        all of it yet.
     is_over : bool
         Whether the response is complete or aborted.
     team : str
@@ -49,6 +52,7 @@
         self._must_close = must_close
         self._takes_chunks = takes_chunks
         self.has_begun = False
+        self.is_complete = False
         self.is_over = False
         self.team = ""
         self.takes_body = True
@@ -89,10 +93,12 @@
             fields["Content-Length"] = str(len(body))
         if self._must_close:
             fields["Connection"] = "close"
-        self.has_begun = True
         line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
         sent = body if body and self.takes_body else None
-        return self._connection.write_headers(line, fields, sent)
+        future = self._connection.write_headers(line, fields, sent)
+        # Nothing is sent if the headers can't be.
+        self.has_begun = True
+        return future
 
     async def write(self, chunk: bytes) -> None:
         """Send a chunk; return once the write buffer has room for the next one."""
@@ -100,7 +106,7 @@
 
     def finish(self) -> None:
         """Complete the response."""
-        self.is_over = True
+        self.is_complete = self.is_over = True
         self._connection.finish()
         if self._must_close:
             # The response head announced the close.
--- a/src/tamarackrill/router/edge_reserving.py
+++ b/src/tamarackrill/router/edge_reserving.py
@@ -10,8 +10,10 @@
 from tamarackrill.router.cold_permits import ColdPermits
 from tamarackrill.router.edge_attempts import AttemptResult, RequestProgress
 from tamarackrill.router.edge_placing import EdgePlacement, EdgePlacer, Overloaded
+from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.prompt_guard import PromptGuard
 from tamarackrill.router.relay_client import RelayClient
+from tamarackrill.router.unexpected_errors import tolerate
 from tamarackrill.router.version_keepers import VersionKeepers
 
 UNAVAILABLE_STATUS = 503
@@ -58,6 +60,8 @@
         Chooses endpoints.
     clock : callable
         Returns the present time.
+    metrics : Metrics
+        Counts unexpected errors.
 
     Attributes
     ----------
@@ -75,9 +79,12 @@
         Other routers through which endpoints are reached.
     """
 
-    def __init__(self, placer: EdgePlacer, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, placer: EdgePlacer, clock: Callable[[], float], metrics: Metrics
+    ) -> None:
         self._placer = placer
         self._clock = clock
+        self._metrics = metrics
         self.permits: ColdPermits | None = None
         self.slots: BrittleSlots | None = None
         self.keepers: VersionKeepers | None = None
@@ -144,9 +151,10 @@
             placed = await self._choose(progress, refused)
             if placed is None:
                 break
-            reserved = await slots.reserve(progress.call, placed)
-            if reserved is not None:
-                return reserved
+            with self._tolerate("reserve", progress, placed):
+                reserved = await slots.reserve(progress.call, placed)
+                if reserved is not None:
+                    return reserved
             refused.add(placed.endpoint.name)
         if refused:
             raise _AllFull
@@ -170,6 +178,13 @@
             took_s = result.first_s if result is not None and has_run else None
             self.capacity.finish(placed, result.load if result else None, took_s)
 
+    def _tolerate(
+        self, step: str, progress: RequestProgress, placed: EdgePlacement | None
+    ) -> contextlib.AbstractContextManager[None]:
+        """Pass over an undeclared error, as if the step had granted nothing."""
+        name = "" if placed is None else placed.endpoint.name
+        return tolerate(self._metrics, step, progress.call.request_id, name)
+
     async def _share(
         self, progress: RequestProgress, placed: EdgePlacement | None
     ) -> EdgePlacement | None:
@@ -189,9 +204,10 @@
             if placed is not None and permits.must_request(placed.endpoint):
                 return placed
             avoid += permits.find_cold()
-        granted = await capacity.acquire(call, placed, avoid)
-        if granted is not None:
-            return granted
+        with self._tolerate("acquire", progress, placed):
+            granted = await capacity.acquire(call, placed, avoid)
+            if granted is not None:
+                return granted
         # Without a grant, as loads and endpoints are known after the wait.
         return await self._choose(progress, frozenset())
 
@@ -226,8 +242,9 @@
                 return placed
             if permit_requests < PERMIT_REQUESTS_MAX:
                 permit_requests += 1
-                if await permits.request(call.request_id, placed.endpoint):
-                    return placed
+                with self._tolerate("request permit", progress, placed):
+                    if await permits.request(call.request_id, placed.endpoint):
+                        return placed
                 refused |= permits.find_refused()
             else:
                 refused |= permits.find_cold()
--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -22,6 +22,7 @@
     TeamKeys,
     choose_service,
 )
+from tamarackrill.decisions.unexpected_errors import RETRY_AFTER_S, choose_status
 from tamarackrill.events import CALL_LEFT, CALL_REFUSED, log_event
 from tamarackrill.platform.headers import (
     RequestHeaders,
@@ -40,7 +41,7 @@
 from tamarackrill.router.edge_flow import EdgeFlow
 from tamarackrill.router.edge_reply import ClientTooSlow, EdgeReply, MakeReply
 from tamarackrill.router.metrics import Metrics
-from tamarackrill.router.unexpected_errors import record_unexpected
+from tamarackrill.router.unexpected_errors import record_unexpected, tolerate
 
 # Twice the limit of known manifests. Headers above the manifest's limit get a 431; the
 # connection is closed if they exceed this one.
@@ -62,6 +63,7 @@
 # Time in which a client has to take the router's own response, some hundred bytes, also
 # if its deadline has passed.
 REFUSAL_DELIVERY_S = 1.0
+_INTERNAL_BODY = b'{"error": "internal"}\n'
 
 
 class _Denied(Exception):
@@ -297,9 +299,11 @@
         server = self._server
         must_close = server.is_leaving or server.sheds_connections
         takes_chunks = self._start_line.version != "HTTP/1.0"
-        reply = server.make_reply(self._connection, must_close, takes_chunks)
-        reply.takes_body = self._start_line.method != "HEAD"
+        # Used unless the reply that buffers can be made.
+        reply = EdgeReply(self._connection, must_close, takes_chunks)
         try:
+            reply = server.make_reply(self._connection, must_close, takes_chunks)
+            reply.takes_body = self._start_line.method != "HEAD"
             await self._match_and_serve(reply)
             await reply.deliver(self._find_delivery_end_s())
         except StreamClosedError:
@@ -309,11 +313,32 @@
             reply.abort()
         except Exception as error:  # noqa: BLE001
             # A bug in the router must not leave a client waiting until its deadline.
-            record_unexpected(server.metrics, "serve", error)
-            if not reply.is_over:
-                reply.abort()
+            await self._answer_unexpected(reply, error)
         finally:
-            reply.release()
+            with tolerate(server.metrics, "release reply"):
+                reply.release()
+
+    async def _answer_unexpected(self, reply: EdgeReply, error: Exception) -> None:
+        """Answer a request that an undeclared error has ended."""
+        try:
+            record_unexpected(self._server.metrics, "serve", error)
+            if reply.is_over:
+                return
+            if reply.has_begun:
+                reply.abort()
+                return
+            # Without a call nothing has been sent to an endpoint.
+            has_sent = self._call is not None
+            status = choose_status(has_sent, is_late=False)
+            retry_after_s = None if has_sent else RETRY_AFTER_S
+            request_id = "" if self._call is None else self._call.request_id
+            headers = build_error_headers(request_id, retry_after_s)
+            await reply.begin(status, list(headers.items()), _INTERNAL_BODY)
+            await reply.deliver(self._server.clock() + REFUSAL_DELIVERY_S)
+        except StreamClosedError:
+            self._record_left()
+        except Exception:
+            reply.abort()
 
     def _find_delivery_end_s(self) -> float:
         end_s = self._server.clock() + REFUSAL_DELIVERY_S
--- a/src/tamarackrill/router/relay_client.py
+++ b/src/tamarackrill/router/relay_client.py
@@ -129,7 +129,7 @@
             kept = self.pool.take(router, self._clock())
             if kept is not None:
                 return kept
-        return await open_channel(self._addresses[router], CONNECT_TIMEOUT_S)
+        return await open_channel(self._addresses.get(router, ""), CONNECT_TIMEOUT_S)
 
     async def ask_reached(
         self, endpoint: Endpoint, others: Sequence[Endpoint]
--- a/src/tamarackrill/router/relay_server.py
+++ b/src/tamarackrill/router/relay_server.py
@@ -40,7 +40,7 @@
     read_attempt,
     remove_relay_headers,
 )
-from tamarackrill.router.unexpected_errors import record_unexpected
+from tamarackrill.router.unexpected_errors import record_unexpected, tolerate
 
 # Attempts forwarded at the same time.  Each buffers up to 128 KiB for a slow reader.
 RELAYED_MAX = 256
@@ -148,11 +148,12 @@
         tornado.iostream.StreamClosedError
             If the router has disconnected.
         """
-        opened = await self._open(attempt)
+        opened: tuple[Endpoint, Channel] | None = None
+        request_id = read_request_id(attempt.headers)
+        with tolerate(self.metrics, "open relayed", request_id, attempt.endpoint):
+            opened = await self._open(attempt)
         if opened is None:
-            self.metrics.count("attempts_relayed", NOT_SENT)
-            headers = [(OUTCOME_HEADER, NOT_SENT)]
-            await reply.begin(UNAVAILABLE_STATUS, headers, b"")
+            await self._refuse(reply)
             return
         endpoint, channel = opened
         is_clean = False
@@ -166,6 +167,16 @@
             # The other router sees that the response is incomplete, as it would on a
             # connection of its own.
             reply.abort()
+        except StreamClosedError:
+            raise
+        except Exception as error:
+            record_unexpected(
+                self.metrics, "relay", error, request_id, attempt.endpoint
+            )
+            if channel.has_written or reply.has_begun:
+                reply.abort()
+            else:
+                await self._refuse(reply)
         finally:
             if not is_clean:
                 channel.close()
@@ -173,7 +184,7 @@
             self.metrics.count("attempts_relayed", outcome)
             log_event(
                 ATTEMPT_RELAYED,
-                request=read_request_id(attempt.headers),
+                request=request_id,
                 endpoint=attempt.endpoint,
                 outcome=outcome,
                 status=0 if head is None else head.status,
@@ -181,6 +192,11 @@
                 total_s=round(self.clock() - arrived_s, 4),
             )
 
+    async def _refuse(self, reply: EdgeReply) -> None:
+        """Tell the other router that an attempt has not been sent."""
+        self.metrics.count("attempts_relayed", NOT_SENT)
+        await reply.begin(UNAVAILABLE_STATUS, [(OUTCOME_HEADER, NOT_SENT)], b"")
+
     async def _open(self, attempt: RelayedAttempt) -> tuple[Endpoint, Channel] | None:
         endpoint = self._find_usable(attempt.endpoint)
         is_full = len(self.in_flight) > RELAYED_MAX
--- a/src/tamarackrill/router/slow_clients.py
+++ b/src/tamarackrill/router/slow_clients.py
@@ -169,7 +169,6 @@
         self._staged = bytearray()
         self._is_writing = False
         self._has_left = False
-        self._is_complete = False
         self.reserved_bytes = 0
         # Bytes held in the write in flight, and all including those staged.
         self._in_flight_bytes = 0
@@ -209,7 +208,7 @@
         buffers = self._owner.buffers
         if self._is_writing and buffers.must_cut_body(self.team, size_bytes):
             raise ClientTooSlow
-        self._is_complete = True
+        self.is_complete = True
 
     async def write(self, chunk: bytes) -> None:
         """Send or buffer a chunk; return once the next one may be read.
@@ -232,7 +231,7 @@
 
     def finish(self) -> None:
         """Mark the response as complete; `deliver` waits until the client has it."""
-        self._is_complete = True
+        self.is_complete = True
 
     async def deliver(self, deadline_s: float) -> None:
         """Wait until the client has all of a complete response.
@@ -244,7 +243,7 @@
         tornado.iostream.StreamClosedError
             If the client has disconnected.
         """
-        if not self._is_complete or self.is_over:
+        if not self.is_complete or self.is_over:
             return
         try:
             async with asyncio.timeout_at(deadline_s + RESPONSE_TRANSIT_S):
--- a/src/tamarackrill/router/unexpected_errors.py
+++ b/src/tamarackrill/router/unexpected_errors.py
@@ -1,16 +1,26 @@
-"""Logs and counts errors that a step of a request doesn't declare."""
+"""Handles errors that a step of a request doesn't declare.
+
+An attempt that raises one counts as failed at its endpoint, so that others serve the
+request; a step that only records something is passed over.
+"""
 
 import contextlib
 import traceback
 from collections.abc import Iterator
 from pathlib import PurePath
 
+from tornado.iostream import StreamClosedError
+
 from tamarackrill.events import UNEXPECTED_ERROR, log_event
+from tamarackrill.exceptions import Refusal
+from tamarackrill.router.edge_reply import ClientTooSlow
 from tamarackrill.router.metrics import Metrics
 
 # Innermost calls of a traceback that are logged, and the characters of an error.
 PLACES_MAX = 4
 ERROR_MAX_CHARS = 300
+# Errors that steps of a request declare.
+DECLARED = (StreamClosedError, ClientTooSlow, Refusal)
 
 
 def describe_place(error: BaseException) -> tuple[str, ...]:
@@ -46,8 +56,10 @@
 def tolerate(
     metrics: Metrics, step: str, request_id: str = "", endpoint: str = ""
 ) -> Iterator[None]:
-    """Go on after an unexpected error of a step that only records something."""
+    """Go on after an undeclared error, for a step that the request can do without."""
     try:
         yield
+    except DECLARED:
+        raise
     except Exception as error:
         record_unexpected(metrics, step, error, request_id, endpoint)
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -4,14 +4,23 @@
 import contextlib
 
 import pytest
+from tornado.http1connection import HTTP1Connection
 
 from tamarackrill.decisions.event_stream import EventStream
 from tamarackrill.router import edge_attempts, edge_flow, edge_server
 from tamarackrill.router.channels import Channel
 from tamarackrill.router.edge_placing import EdgePlacer
+from tamarackrill.router.edge_reply import EdgeReply
 from tamarackrill.router.edge_reserving import EdgeReserver
+from tamarackrill.router.slow_clients import BufferedReply
 from tamarackrill.testing.edge import EdgeFleet, ask, make_route
-from tamarackrill.testing.worker import answer_ok, make_event, make_streaming
+from tamarackrill.testing.worker import (
+    answer_ok,
+    make_chunk,
+    make_event,
+    make_stream_head,
+    make_streaming,
+)
 
 ROUTES = {
     "idempotent": make_route("/idempotent/", "idempotent"),
@@ -20,6 +29,9 @@
     "stream_resume": make_route("/stream_resume/", "streaming", stream_resume=True),
 }
 EVENTS = 3
+# The deadline of the requests.
+ANSWER_MAX_S = 3.0
+EVENT_TEXT = b"".join(map(make_event, range(1, EVENTS + 1)))
 ERRORS = (
     ValueError("odd"),
     KeyError("odd"),
@@ -44,6 +56,7 @@
     "read body": (Channel, "read_chunk"),
     "parse events": (EventStream, "take"),
     "filter headers": (edge_attempts, "filter_response_headers"),
+    "begin": (EdgeReply, "begin"),
 }
 # Steps that record what an endpoint has answered.
 RECORDING = {
@@ -86,13 +99,13 @@
     assert calls > skipped
 
 
-async def start_fleet(fleet, kind, behave=None):
+async def start_fleet(fleet, kind, behave, settings):
     await fleet.put_manifest(1, *ROUTES.values())
     is_stream = kind.startswith("stream")
     default = make_streaming(EVENTS) if is_stream else answer_ok
     for number in range(4):
         await fleet.add_worker(f"w{number}", behave or default)
-    return await fleet.add_router()
+    return await fleet.add_router(**settings)
 
 
 def count_runs(fleet, request_id):
@@ -103,19 +116,21 @@
 def is_complete(kind, answer):
     if not kind.startswith("stream"):
         return answer.status == 200
-    events = b"".join(map(make_event, range(1, EVENTS + 1)))
-    return answer.status == 200 and answer.is_whole and answer.body == events
+    return answer.status == 200 and answer.is_whole and answer.body == EVENT_TEXT
 
 
 async def ask_during(fleet, router, kind, step, error, skipped=0):
     """Return the answer to a request, one of whose steps raises, and its runs."""
     request_id = f"{kind}-{type(error).__name__}"
     with raising(*step, error, skipped):
-        answer = await ask(router, f"/{kind}/", request_id)
+        async with asyncio.timeout(ANSWER_MAX_S):
+            answer = await ask(router, f"/{kind}/", request_id)
     runs = count_runs(fleet, request_id)
     if answer.status == 503:
         assert runs == 0
         assert "retry-after" in answer.headers
+    if kind.startswith("stream") and answer.status == 200:
+        assert EVENT_TEXT.startswith(answer.body)
     if not ROUTES[kind]["stream_resume"] and kind != "idempotent":
         assert runs <= 1
     # The router serves the next request.
@@ -123,12 +138,12 @@
     return answer, runs
 
 
-def run_each(kind, step, check, behave=None, skipped=0):
+def run_each(kind, step, check, behave=None, skipped=0, **settings):
     """Check the answer to a request in whose step each of the errors is raised."""
 
     async def run():
         async with EdgeFleet() as fleet:
-            router = await start_fleet(fleet, kind, behave)
+            router = await start_fleet(fleet, kind, behave, settings)
             for error in ERRORS:
                 found = await ask_during(fleet, router, kind, step, error, skipped)
                 check(*found)
@@ -224,3 +239,51 @@
 
     skipped = 1 if step == "choose again" else 0
     run_each(kind, AFTER_FAILURE[step], check, fail, skipped)
+
+
+@pytest.mark.parametrize("kind", ["streaming", "stream_resume"])
+@pytest.mark.parametrize("skipped", [0, 1])
+@pytest.mark.parametrize("reply", [EdgeReply, BufferedReply])
+def test_stream_is_cut_if_it_is_unknown_what_was_written(reply, kind, skipped):
+    # Guards against a stream that goes on without events, or with some of them twice,
+    # after an error while they were passed on.
+    async def send_slowly(request, writer):
+        writer.write(make_stream_head(request))
+        for number in range(1, EVENTS + 1):
+            writer.write(make_chunk(make_event(number)))
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        writer.write(make_chunk(b""))
+
+    def check(answer, runs):
+        assert not answer.is_whole
+        assert runs == 1
+
+    is_buffered = reply is BufferedReply
+    step = (reply, "write")
+    run_each(kind, step, check, send_slowly, skipped, has_slow_peers=is_buffered)
+
+
+@pytest.mark.parametrize("kind", ROUTES)
+@pytest.mark.parametrize("name", ["begin", "drop_reserved", "finish", "deliver"])
+def test_request_is_answered_though_buffering_its_response_fails(name, kind):
+    # Guards against a request that ends without an answer because of the memory that
+    # its response takes.
+    def check(answer, runs):
+        assert answer.status in (200, 502)
+        assert runs >= 1
+
+    is_stream = kind.startswith("stream")
+    owner = BufferedReply
+    if name == "finish" and not is_stream:
+        owner, name = HTTP1Connection, "finish"
+    run_each(kind, (owner, name), check, has_slow_peers=True)
+
+
+@pytest.mark.parametrize("kind", ROUTES)
+def test_request_is_refused_if_its_response_can_not_be_buffered(kind):
+    # Guards against a connection that stays open without an answer.
+    def check(answer, runs):
+        assert answer.status == 503
+
+    run_each(kind, (BufferedReply, "__init__"), check, has_slow_peers=True)
