Native router: a step that raises is a failed attempt, or an answer that is true

A call of which one step raised an undeclared error was answered 500, run unknown, also if nothing had been sent, and wasn't tried at another endpoint; an answer that was complete at its endpoint was refused because recording it failed.

attempt_call is the boundary of an attempt now: an undeclared error is 'not_sent' before the exchange has begun, else 'cut'. Steps that record or release something are passed over. What is left is refused as internal: 503 and not_run if no attempt can have been sent (Reply.may_have_run), else 500 and unknown, as before.

--- a/src/tamarackrill/exceptions.py
+++ b/src/tamarackrill/exceptions.py
@@ -167,3 +167,7 @@
             run=self.run,
             retry_after_s=self.retry_after_s,
         )
+
+
+class ClientTooSlow(Exception):
+    """A client did not read its response before its endpoint or deadline ended it."""
--- a/src/tamarackrill/router/attempts.py
+++ b/src/tamarackrill/router/attempts.py
@@ -54,6 +54,8 @@
         Why the attempt failed, or empty.
     retry_after_s : float
         How long the endpoint asked for no further calls; 0 if it didn't.
+    error : Exception or None
+        Undeclared error that ended the attempt.
     """
 
     outcome: Outcome
@@ -61,6 +63,7 @@
     chunks: int = 0
     reason: str = ""
     retry_after_s: float = 0.0
+    error: Exception | None = None
 
 
 class _EventStreamOutlet(Outlet):
@@ -165,18 +168,22 @@
     Attempt
     """
     sent_s = clock()
-    exchange = Exchange(
-        client,
-        call.method,
-        f"http://{endpoint.address}{call.path}",
-        _build_headers(call, received_chunks),
-        call.body,
-        max(0.001, call.deadline_s - sent_s),
-        # Use a new connection even for idempotent calls.  On a kept-alive connection
-        # to an engine that is exiting, the call would be lost and suspected of having
-        # crashed it.  A new connection is refused by then; otherwise it costs 1 ms.
-        repeatable=False,
-    )
+    try:
+        exchange = Exchange(
+            client,
+            call.method,
+            f"http://{endpoint.address}{call.path}",
+            _build_headers(call, received_chunks),
+            call.body,
+            max(0.001, call.deadline_s - sent_s),
+            # Use a new connection even for idempotent calls.  On a kept-alive
+            # connection to an engine that is exiting, the call would be lost and
+            # suspected of having crashed it.  A new connection is refused by then;
+            # otherwise it costs 1 ms.
+            repeatable=False,
+        )
+    except Exception as error:
+        return Attempt("not_sent", reason=repr(error), error=error)
     reply.set_abandoned_callback(exchange.cancel)
     first_byte_s: float | None = None
     chunks_before = reply.count
@@ -199,6 +206,9 @@
         if outcome == "cancelled" and call.kind == "engine":
             await _cancel_at_engine(client, call, endpoint)
         return Attempt(outcome, first_byte_s, reply.count - chunks_before, error.reason)
+    except Exception as error:
+        chunks = reply.count - chunks_before
+        return Attempt("cut", first_byte_s, chunks, repr(error), error=error)
     finally:
         await exchange.close()
     chunks = reply.count - chunks_before
--- a/src/tamarackrill/router/edge_reply.py
+++ b/src/tamarackrill/router/edge_reply.py
@@ -7,14 +7,11 @@
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, ResponseStartLine
 
+from tamarackrill.exceptions import ClientTooSlow as ClientTooSlow
 from tamarackrill.router.channels import Channel
 from tamarackrill.router.sockets import reset_on_close
 
 
-class ClientTooSlow(Exception):
-    """A client did not read its response before its endpoint or deadline ended it."""
-
-
 class EdgeReply:
     """Writes one response.
 
--- a/src/tamarackrill/router/flow.py
+++ b/src/tamarackrill/router/flow.py
@@ -10,6 +10,7 @@
 
 from tamarackrill.contracts import Endpoint
 from tamarackrill.decisions.retry import Failure, RetryBudget, RetryDecision
+from tamarackrill.decisions.unexpected_errors import SERVICE_UNAVAILABLE
 from tamarackrill.events import REQUEST_REFUSED, REQUEST_ROUTED, log_event
 from tamarackrill.exceptions import Refusal, RunState
 from tamarackrill.router.admitting import Admitter
@@ -21,6 +22,7 @@
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.placing import PlacementResult, Placer
 from tamarackrill.router.replies import Reply
+from tamarackrill.router.unexpected_errors import record_unexpected, tolerate
 from tamarackrill.router.upstream import CurlAsyncHTTPClient
 
 ATTEMPTS_MAX = 3
@@ -30,6 +32,13 @@
 # Delay before a call queues again that found all endpoints full: some tens of steps
 # of an engine, in which a slot may become free.
 FULL_RETRY_DELAY_S = 0.05
+INTERNAL_ERROR = 500
+
+
+def _make_internal(may_have_run: bool, message: str) -> Refusal:
+    if may_have_run:
+        return Refusal("internal", INTERNAL_ERROR, message, "unknown")
+    return Refusal("internal", SERVICE_UNAVAILABLE, message, "not_run")
 
 
 class CallRunner:
@@ -116,12 +125,15 @@
         except Exception as error:  # noqa: BLE001
             # An internal error must still end the reply.  Otherwise the caller and the
             # later requests of its chat would wait for ever.
-            message = f"internal error: {type(error).__name__}"
-            self._refuse(call, reply, Refusal("internal", 500, message, "unknown"))
-            raise
+            record_unexpected(self._metrics, "call", error, call.request_id)
+            if not reply.is_finished:
+                message = f"internal error: {type(error).__name__}"
+                self._refuse(call, reply, _make_internal(reply.may_have_run, message))
         finally:
-            self._chats.finish_call(call, reply, self._clock())
-            self._claimer.record_outcome(call, reply)
+            with tolerate(self._metrics, "end of chat call", call.request_id):
+                self._chats.finish_call(call, reply, self._clock())
+            with tolerate(self._metrics, "outcome", call.request_id):
+                self._claimer.record_outcome(call, reply)
 
     def _refuse(self, call: Call, reply: Reply, refusal: Refusal) -> None:
         self._metrics.count_refusal(refusal.code)
@@ -224,9 +236,11 @@
                     attempt = await self._attempt(call, reply, placed, is_last)
                     return placed, attempt
             finally:
-                if placed is not None:
-                    self._placer.release(placed)
-                self._admitter.release_slot(call, attempt, self._clock())
+                with tolerate(self._metrics, "release", call.request_id):
+                    if placed is not None:
+                        self._placer.release(placed)
+                with tolerate(self._metrics, "release slot", call.request_id):
+                    self._admitter.release_slot(call, attempt, self._clock())
             # Other routers have filled the endpoints, and their load reports had not
             # arrived when the call was admitted.  The call queues again until its
             # deadline; the delay avoids a busy loop until the loads are known.
@@ -291,8 +305,14 @@
     ) -> Attempt:
         endpoint: Endpoint = placed.endpoint
         self._claimer.check(call)
-        self._placer.start(call, endpoint, self._clock())
+        names = (call.request_id, endpoint.name)
+        try:
+            self._placer.start(call, endpoint, self._clock())
+        except Exception as error:
+            record_unexpected(self._metrics, "start", error, *names)
+            return Attempt("not_sent", reason=repr(error))
         attempt = Attempt("cut")
+        could_have_run, reply.may_have_run = reply.may_have_run, True
         try:
             attempt = await attempt_call(
                 self._client,
@@ -303,17 +323,22 @@
                 is_last or not call.idempotent,
                 self._clock,
             )
+            if attempt.outcome == "not_sent":
+                reply.may_have_run = could_have_run
+            if attempt.error is not None:
+                record_unexpected(self._metrics, "attempt", attempt.error, *names)
             if attempt.first_byte_s is not None:
                 self._metrics.record_first_byte(call.kind, attempt.first_byte_s)
         finally:
-            self._placer.finish(
-                call,
-                endpoint,
-                attempt.outcome,
-                attempt.first_byte_s,
-                self._clock(),
-                attempt.chunks if call.stream else 0,
-            )
+            with tolerate(self._metrics, "finish", *names):
+                self._placer.finish(
+                    call,
+                    endpoint,
+                    attempt.outcome,
+                    attempt.first_byte_s,
+                    self._clock(),
+                    attempt.chunks if call.stream else 0,
+                )
         if attempt.retry_after_s:
             self._start_backoff(call, endpoint, attempt.retry_after_s)
         return attempt
--- a/src/tamarackrill/router/replies.py
+++ b/src/tamarackrill/router/replies.py
@@ -34,11 +34,17 @@
     ----------
     keep : bool
         Whether to keep the chunks for later readers.
+
+    Attributes
+    ----------
+    may_have_run : bool
+        Whether any of the call can have been sent to an endpoint.
     """
 
     def __init__(self, keep: bool) -> None:
         super().__init__()
         self.keep = keep
+        self.may_have_run = False
         self.size_bytes = 0
         self.readers = 0
         self.started = False
--- a/src/tamarackrill/router/unexpected_errors.py
+++ b/src/tamarackrill/router/unexpected_errors.py
@@ -12,8 +12,7 @@
 from tornado.iostream import StreamClosedError
 
 from tamarackrill.events import UNEXPECTED_ERROR, log_event
-from tamarackrill.exceptions import Refusal
-from tamarackrill.router.edge_reply import ClientTooSlow
+from tamarackrill.exceptions import ClientTooSlow, Refusal
 from tamarackrill.router.metrics import Metrics
 
 # Innermost calls of a traceback that are logged, and the characters of an error.
--- /dev/null
+++ b/tests/test_unexpected_native_errors.py
@@ -0,0 +1,175 @@
+"""Steps of a call of the product's own interface that raise an undeclared error."""
+
+import asyncio
+import contextlib
+import json
+
+import pytest
+from tornado.httpclient import AsyncHTTPClient
+
+from tamarackrill.contracts import hash_key
+from tamarackrill.decisions.configuration import ObjectVersion
+from tamarackrill.router import attempts
+from tamarackrill.router.admitting import Admitter
+from tamarackrill.router.app import RouterApplication
+from tamarackrill.router.chats import ChatCoordinator
+from tamarackrill.router.limiting import Limiter
+from tamarackrill.router.placing import Placer
+from tamarackrill.router.upstream import Exchange
+from tamarackrill.settings import load_settings
+from tamarackrill.testing.daemon import listen
+from tamarackrill.testing.platform import PlatformState, make_platform
+from tamarackrill.testing.service import ServiceState, make_service
+
+KEY = "the-key"
+CONTRACT = {
+    "team": "t",
+    "key_hashes": [hash_key(KEY)],
+    "services": ["s"],
+    "non_idempotent": [{"service": "s", "method": "*", "path_prefix": "/book"}],
+}
+PATHS = {"idempotent": "/services/s/look", "non_idempotent": "/services/s/book"}
+ERRORS = (ValueError("odd"), KeyError("odd"), MemoryError(), RecursionError("odd"))
+ANSWER_MAX_S = 10.0
+BEFORE_SENDING = {
+    "start": (Placer, "start"),
+    "build headers": (attempts, "_build_headers"),
+    "exchange": (attempts, "Exchange"),
+}
+BEFORE_PLACING = {
+    "limit": (Limiter, "begin"),
+    "admit": (Admitter, "acquire_slot"),
+    "place": (Placer, "place"),
+}
+AFTER_SENDING = {
+    "head": (Exchange, "head"),
+    "strip head": (attempts, "_strip_head"),
+    "pump": (Exchange, "pump"),
+}
+RECORDING = {
+    "finish": (Placer, "finish"),
+    "release": (Placer, "release"),
+    "release slot": (Admitter, "release_slot"),
+    "end limit": (Limiter, "end"),
+    "end chat": (ChatCoordinator, "finish_call"),
+}
+
+
+@contextlib.contextmanager
+def raising(owner, name, error):
+    """Let the next call of a function raise an error."""
+    original = getattr(owner, name)
+    errors = [error]
+
+    def act(*args, **kwargs):
+        if errors:
+            raise errors.pop()
+        return original(*args, **kwargs)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(owner, name, act)
+        yield
+    assert not errors
+
+
+@contextlib.asynccontextmanager
+async def run_router():
+    """Run a router with two endpoints of a service; yields it and their states."""
+    platform, address = listen(make_platform(PlatformState()))
+    flags = ["--name=r", "--zone=z", "--port=0", "--peer-port=0"]
+    flags += [f"--platform={address}", "--peer-keys=the peer key"]
+    router = RouterApplication(load_settings(flags, {}))
+    await router.start()
+    states = []
+    router.known.take(ObjectVersion("contract", "t", 1, CONTRACT))
+    for name in ("e1", "e2"):
+        state = ServiceState(name)
+        _, worker = listen(make_service(state))
+        fields = {"name": name, "kind": "service", "serves": ["s"], "zone": "z"}
+        item = ObjectVersion("endpoint", name, 1, {**fields, "address": worker})
+        router._apply_objects([item])
+        states.append(state)
+    try:
+        yield router, states
+    finally:
+        await router.stop()
+        platform.stop()
+
+
+async def ask(router, kind, key):
+    headers = {"Authorization": f"Bearer {KEY}"}
+    if key:
+        headers["Idempotency-Key"] = key
+    async with asyncio.timeout(ANSWER_MAX_S):
+        return await AsyncHTTPClient().fetch(
+            f"http://{router.address}{PATHS[kind]}",
+            headers=headers,
+            raise_error=False,
+        )
+
+
+def run_each(kind, step, check):
+    async def run():
+        async with run_router() as (router, states):
+            for error in ERRORS:
+                key = f"{kind}-{type(error).__name__}"
+                with raising(*step, error):
+                    answer = await ask(router, kind, key)
+                runs = sum(state.arrivals[key] for state in states)
+                assert answer.code != 599
+                body = {} if answer.code == 200 else json.loads(answer.body)
+                if body.get("run") == "not_run":
+                    assert runs == 0
+                if kind == "non_idempotent":
+                    assert runs <= 1
+                check(answer.code, body.get("run"), runs)
+                # The router serves the next call.
+                assert (await ask(router, kind, f"{key}-next")).code == 200
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("kind", PATHS)
+@pytest.mark.parametrize("step", BEFORE_SENDING)
+def test_call_that_was_not_sent_goes_to_another_endpoint(step, kind):
+    # Guards against a call that is refused as possibly run because a step before its
+    # sending raises an undeclared error.
+    def check(status, run, runs):
+        assert (status, runs) == (200, 1)
+
+    run_each(kind, BEFORE_SENDING[step], check)
+
+
+@pytest.mark.parametrize("kind", PATHS)
+@pytest.mark.parametrize("step", BEFORE_PLACING)
+def test_call_that_was_not_placed_is_refused_as_not_run(step, kind):
+    # Guards against a caller who must take a call for possibly run, though nothing of
+    # it was sent.
+    def check(status, run, runs):
+        assert (status, run, runs) == (503, "not_run", 0)
+
+    run_each(kind, BEFORE_PLACING[step], check)
+
+
+@pytest.mark.parametrize("kind", PATHS)
+@pytest.mark.parametrize("step", AFTER_SENDING)
+def test_undeclared_error_in_an_answer_is_a_failed_attempt(step, kind):
+    # Guards against a call that fails because the answer of one endpoint raises an
+    # undeclared error, and against one told as not run that was sent.
+    def check(status, run, runs):
+        if kind == "idempotent":
+            assert status == 200
+        else:
+            assert (status, run) == (502, "unknown")
+
+    run_each(kind, AFTER_SENDING[step], check)
+
+
+@pytest.mark.parametrize("kind", PATHS)
+@pytest.mark.parametrize("step", RECORDING)
+def test_answer_is_complete_though_recording_the_call_fails(step, kind):
+    # Guards against an answer that is lost because the router fails to record it.
+    def check(status, run, runs):
+        assert (status, runs) == (200, 1)
+
+    run_each(kind, RECORDING[step], check)
