Read the entries of the VM list one by one

An entry of the VM list with another type, a missing or an unknown field made the whole list unreadable, and one with an address that can't be used was taken: routers learned of no change of the list any more. Each entry is read by itself (read_vm), with the addresses checked; an invalid one is left out and logged with its position. Fields of newer releases are ignored.

--- a/src/tamarackrill/contracts.py
+++ b/src/tamarackrill/contracts.py
@@ -14,11 +14,12 @@
 import json
 from collections.abc import Iterable, Iterator
 from functools import cache
-from typing import Any, Literal, NamedTuple
+from typing import Any, Literal, NamedTuple, get_args
 
-from tamarackrill.decisions.addresses import is_valid, read_address
+from tamarackrill.decisions.addresses import is_valid, read_address, read_router_address
 from tamarackrill.documents import Document, FieldPath
 from tamarackrill.exceptions import Finding, FindingsError
+from tamarackrill.lenient_json import is_sound
 
 CONTRACT_KIND = "contract"
 ENDPOINT_KIND = "endpoint"
@@ -29,6 +30,7 @@
 
 EndpointKind = Literal["engine", "service"]
 EndpointState = Literal["live", "leaving"]
+VmState = Literal["live", "leaving"]
 
 
 class CallPattern(NamedTuple):
@@ -153,7 +155,7 @@
     name: str
     address: str
     zone: str
-    state: Literal["live", "leaving"] = "live"
+    state: VmState = "live"
     peer_address: str = ""
 
 
@@ -253,6 +255,27 @@
     return Endpoint(**fields)
 
 
+def read_vm(value: Any) -> Vm:
+    """Build an entry of the VM list from its JSON value; unknown fields are ignored.
+
+    Raises
+    ------
+    TypeError, ValueError
+        If a field is missing or invalid.
+    """
+    if not isinstance(value, dict) or not is_sound(value):
+        raise TypeError("expected an object that can be encoded")
+    fields = {name: value[name] for name in Vm._fields if name in value}
+    vm = Vm(**fields)
+    if not all(isinstance(text, str) for text in vm):
+        raise TypeError("each field must be a string")
+    if not vm.name or vm.state not in get_args(VmState):
+        raise ValueError("the name or the state is invalid")
+    for address in filter(None, (vm.address, vm.peer_address)):
+        read_router_address(address)
+    return vm
+
+
 def load_schema(kind: str) -> dict[str, Any]:
     """Return the published schema of ``"contract"`` or ``"endpoint"``."""
     # Imported late: takes 15 ms; a router without contracts never needs it.
--- a/src/tamarackrill/router/platform_client.py
+++ b/src/tamarackrill/router/platform_client.py
@@ -17,9 +17,9 @@
     HTTPRequest,
 )
 
-from tamarackrill.contracts import Vm
+from tamarackrill.contracts import Vm, read_vm
 from tamarackrill.exceptions import PlatformUnavailable
-from tamarackrill.lenient_json import decode, is_sound
+from tamarackrill.lenient_json import decode
 from tamarackrill.router.store_fetch import CallProgress, fetch, make_curl_setup
 from tamarackrill.store_api import (
     Listing,
@@ -262,7 +262,7 @@
         answer = await self._call("GET", "/vms")
         _check_field(answer.body, "vms")
         try:
-            return tuple(Vm(**vm) for vm in answer.body["vms"] if is_sound(vm))
+            return read_each("vm", read_vm, answer.body["vms"])
         except TypeError as error:
             raise PlatformUnavailable("platform: the VM list is malformed") from error
 
--- a/src/tamarackrill/store_api.py
+++ b/src/tamarackrill/store_api.py
@@ -4,11 +4,12 @@
 """
 
 from collections.abc import Callable, Iterable
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
 from tamarackrill.events import OBJECT_FAULTY, log_event
 from tamarackrill.lenient_json import is_sound
 
+_T = TypeVar("_T")
 # Replaces a value that can't be used.  No kind of object has arrays as values, so that
 # each reader rejects it, while the object and its version are still known.
 UNREADABLE_VALUE: list[Any] = []
@@ -115,17 +116,16 @@
 
 
 def read_each(
-    kind: str, parse: Callable[[Any], PlatformObject], entries: Iterable[Any]
-) -> tuple[PlatformObject, ...]:
+    kind: str, parse: Callable[[Any], _T], entries: Iterable[Any]
+) -> tuple[_T, ...]:
     """Parse the entries of an answer; malformed ones are logged and skipped."""
     items = []
-    for fields in entries:
+    for position, fields in enumerate(entries):
         try:
             items.append(parse(fields))
         except (KeyError, TypeError, ValueError, AttributeError) as error:
-            log_event(
-                OBJECT_FAULTY, kind=kind, object="", version=0, message=repr(error)
-            )
+            message = f"entry {position} of the answer: {error!r}"
+            log_event(OBJECT_FAULTY, kind=kind, object="", version=0, message=message)
     return tuple(items)
 
 
--- a/tests/test_unreadable_objects.py
+++ b/tests/test_unreadable_objects.py
@@ -7,11 +7,15 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from tornado.curl_httpclient import CurlAsyncHTTPClient
 
 from tamarackrill.lenient_json import DEPTH_MAX, decode, is_sound
 from tamarackrill.platform.store import STORE_FORM
 from tamarackrill.router.peer_api import PeerUnavailable, _parse_changes
+from tamarackrill.router.platform_client import PlatformClient
+from tamarackrill.testing.daemon import listen
 from tamarackrill.testing.edge import EdgeFleet, make_route
+from tamarackrill.testing.platform import PlatformState, make_platform
 
 LOOKUP = make_route("/lookup/", "idempotent")
 PLACEHOLDER = "bytes of another program"
@@ -169,3 +173,37 @@
     deep = b"[" * 20000 + b"]" * 20000
     with pytest.raises(PeerUnavailable):
         _parse_changes(zlib.compress(deep))
+
+
+VM = {"name": "r", "address": "10.0.0.1:80", "zone": "a", "peer_address": "[::1]:81"}
+ODD_VMS = {
+    "port": {**VM, "peer_address": "127.0.0.1:70000"},
+    "scope": {**VM, "address": "[fe80::1%" + "e" * 64 + "]:80"},
+    "digits": {**VM, "address": "10.0.0.1:8_0"},
+    "type of a name": {**VM, "name": ["r"]},
+    "type of a zone": {**VM, "zone": 7},
+    "state": {**VM, "state": {"live": 1}},
+    "missing": {"name": "r"},
+    "list": [VM],
+    "null": None,
+    "number": 7,
+}
+
+
+@pytest.mark.parametrize("odd", ODD_VMS.values(), ids=ODD_VMS)
+def test_odd_entry_of_the_vm_list_hides_no_other(odd):
+    # Guards against a router that learns of no change of the VM list because of one
+    # entry, or that ends the task which reads it.
+    async def run():
+        state = PlatformState()
+        server, address = listen(make_platform(state))
+        client = CurlAsyncHTTPClient(force_instance=True)
+        platform = PlatformClient(address, "a", client)
+        later = {**VM, "name": "later", "rack": "a field of a newer release"}
+        state.vms = [VM, odd, later]
+        names = [vm.name for vm in await platform.list_vms()]
+        client.close()
+        server.stop()
+        return names
+
+    assert asyncio.run(run()) == ["r", "later"]
