Leave a manifest out if a field that requests use has another type

A manifest whose route, service or team had a name, host, path, service, number, flag or key of another type was put in force: an anonymous route could be any text that isn't empty, api_keys a text of which each letter was a key, and other values raise or reach logs and headers while requests are matched. The readers check these fields now, and the manifest before stays in force, as for other faults. Null is still read as missing where a field is optional.

--- a/src/tamarackrill/platform/objects.py
+++ b/src/tamarackrill/platform/objects.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Mapping
-from typing import Any, TypeVar
+from typing import Any, TypeVar, cast
 
 from tamarackrill.contracts import Endpoint, EndpointState
 from tamarackrill.decisions.addresses import read_address
@@ -10,6 +10,7 @@
     ClientLimits,
     Manifest,
     Route,
+    RouteKind,
     Service,
     ServiceShare,
     TeamKeys,
@@ -35,7 +36,7 @@
     """
     tenants = spec.get("tenants")
     return Manifest(
-        version=int(spec["version"]),
+        version=_read_required(spec, "version", int),
         routes=tuple(_read_route(route) for route in spec["routes"]),
         services=tuple(_read_service(service) for service in spec["services"]),
         limits=_read_limits(spec["limits"]),
@@ -47,35 +48,40 @@
     split = route.get("traffic_split")
     if split:
         shares = tuple(
-            ServiceShare(share["service"], float(share["weight"])) for share in split
+            ServiceShare(
+                _read_required(share, "service", str), _read_number(share, "weight")
+            )
+            for share in split
         )
     else:
-        shares = (ServiceShare(route["service"], 1.0),)
+        shares = (ServiceShare(_read_required(route, "service", str), 1.0),)
+    timeout_ms = _read_number(route, "timeout_ms")
     return Route(
-        name=route["name"],
-        host=route["host"],
-        path_prefix=route["path_prefix"],
-        kind=route["kind"],
-        timeout_s=route["timeout_ms"] / 1000,
+        name=_read_required(route, "name", str),
+        host=_read_required(route, "host", str),
+        path_prefix=_read_required(route, "path_prefix", str),
+        # Requests of an unknown kind are sent once.
+        kind=cast(RouteKind, _read_required(route, "kind", str)),
+        timeout_s=timeout_ms / 1000,
         # Time until the complete answer; for a stream, until its first event.
-        objective_s=route.get("target_latency_ms", route["timeout_ms"]) / 1000,
-        gap_objective_s=route.get("gap_aim_ms", 0) / 1000,
+        objective_s=_read_number(route, "target_latency_ms", timeout_ms) / 1000,
+        gap_objective_s=_read_number(route, "gap_aim_ms", 0) / 1000,
         priority=int(route.get("priority", 0)),
         shares=shares,
         # Counts the first attempt, so 1 disables retries.
         attempts_max=int(route.get("attempts", 1)),
-        is_anonymous=bool(route.get("anonymous", False)),
+        is_anonymous=bool(_read_unless_null(route, "anonymous", bool)),
         # Requests of such a route list the parts of their prompt.
-        has_affinity=bool(route.get("session_affinity", False)),
-        is_resumable=bool(route.get("stream_resume", False)),
+        has_affinity=bool(_read_unless_null(route, "session_affinity", bool)),
+        is_resumable=bool(_read_unless_null(route, "stream_resume", bool)),
     )
 
 
 def _read_service(service: Mapping[str, Any]) -> Service:
     engine = service.get("engine") or {}
     return Service(
-        name=service["name"],
-        health_path=service.get("health_path", "/"),
+        name=_read_required(service, "name", str),
+        health_path=_read_unless_null(service, "health_path", str) or "/",
         connections_max=int(service.get("max_connections", 0)),
         is_engine=bool(engine),
         copy_token_s=_read_copy_token_s(engine),
@@ -104,16 +110,19 @@
     return ClientLimits(
         header_max_bytes=int(limits["max_header_bytes"]),
         body_max_bytes=int(limits["max_body_bytes"]),
-        header_timeout_s=limits["header_timeout_ms"] / 1000,
-        idle_timeout_s=limits["idle_timeout_ms"] / 1000,
+        header_timeout_s=_read_number(limits, "header_timeout_ms") / 1000,
+        idle_timeout_s=_read_number(limits, "idle_timeout_ms") / 1000,
     )
 
 
 def _read_team(tenant: Mapping[str, Any]) -> TeamKeys:
     priority = tenant.get("priority")
+    keys = _read_required(tenant, "api_keys", list)
+    if not all(isinstance(key, str) for key in keys):
+        raise TypeError("api_keys: expected strings")
     return TeamKeys(
-        name=tenant["name"],
-        keys=tuple(tenant["api_keys"]),
+        name=_read_required(tenant, "name", str),
+        keys=tuple(keys),
         priority=None if priority is None else int(priority),
     )
 
@@ -187,7 +196,15 @@
     return _read_required(spec, field, kind) if field in spec else None
 
 
-def _read_number(spec: Mapping[str, Any], field: str) -> float:
+def _read_unless_null(spec: Mapping[str, Any], field: str, kind: type[_T]) -> _T | None:
+    return None if spec.get(field) is None else _read_required(spec, field, kind)
+
+
+def _read_number(
+    spec: Mapping[str, Any], field: str, default: float | None = None
+) -> float:
+    if default is not None and spec.get(field) is None:
+        return default
     number = spec[field]
     if isinstance(number, float) and math.isfinite(number):
         return number
