--- a/src/tamarackrill/decisions/event_stream.py
+++ b/src/tamarackrill/decisions/event_stream.py
@@ -112,6 +112,8 @@
         self._is_resumed = False
         self._is_ended = False
         self.own_events = 0
+        # State before the last events, until the client is known to get them.
+        self._before: tuple[int | None, int, int, bool] | None = None
 
     @property
     def last_id(self) -> int | None:
@@ -163,18 +165,41 @@
         """
         if self._is_ended:
             return b""
+        forwarded = self._forwarded
+        self._before = (
+            forwarded.last_id,
+            forwarded.events,
+            self.own_events,
+            forwarded.is_event_missing,
+        )
         events = [e for e in self._splitter.take(chunk) if self._should_forward(e)]
         if self.partial_bytes > EVENT_MAX_BYTES:
             raise EventStreamError("event exceeds the allowed size")
         self._forwarded.events += len(events)
         self.own_events += len(events)
-        forwarded = self._forwarded
         is_alone = not forwarded.is_event_missing and len(forwarded.sources) <= 1
         if not is_alone and any(map(ends_inside_event, events)):
             forwarded.is_event_missing = False
             self._end_others()
         return b"".join(events)
 
+    def confirm(self) -> None:
+        """Record that the client gets the events that were taken."""
+        self._before = None
+
+    def undo(self) -> None:
+        """Forget the events that were taken last, unless they were confirmed.
+
+        Otherwise an error before they are passed on would leave them out of a stream
+        that goes on at another endpoint.
+        """
+        if self._before is not None:
+            last_id, events, self.own_events, is_event_missing = self._before
+            self._forwarded.last_id = last_id
+            self._forwarded.events = events
+            self._forwarded.is_event_missing = is_event_missing
+            self._before = None
+
     def finish(self, is_framed: bool = True, may_be_empty: bool = True) -> bytes:
         """Return the bytes after the last event of a stream whose body has ended.
 
--- a/src/tamarackrill/router/channels.py
+++ b/src/tamarackrill/router/channels.py
@@ -11,6 +11,7 @@
 
 import h11
 
+from tamarackrill.decisions.addresses import read_router_address
 from tamarackrill.decisions.attempt_timeouts import CONNECTION_TIMEOUT_S
 from tamarackrill.decisions.capacity.buffers import ReadPauses
 from tamarackrill.decisions.status_lines import holds_status_line
@@ -29,6 +30,10 @@
     """A connection ended too early, or its data isn't a valid response."""
 
 
+class ConnectionUnavailable(OSError):
+    """A connection can't be made, for a reason other than the network's."""
+
+
 class ResponseHead(NamedTuple):
     """Status and headers of a response.
 
@@ -57,6 +62,8 @@
     ----------
     requests_sent : int
         Number of requests sent on the connection.
+    has_written : bool
+        Whether any of the present request may have been sent.
     idle_since_s : float
         When the last response ended.
     idle_max_s : float
@@ -67,6 +74,7 @@
 
     def __init__(self) -> None:
         self.requests_sent = 0
+        self.has_written = False
         self.idle_since_s = 0.0
         self.idle_max_s = 0.0
         self.pauses = ReadPauses()
@@ -129,6 +137,7 @@
             sent += self._http.send(h11.Data(data=body)) or b""
         sent += self._http.send(h11.EndOfMessage()) or b""
         assert self._transport is not None
+        self.has_written = True
         self._transport.write(sent)
 
     async def read_head(self) -> ResponseHead:
@@ -192,6 +201,7 @@
         A connection that isn't reusable is closed.
         """
         self._request = None
+        self.has_written = False
         trailing, _ = self._http.trailing_data
         is_clean = not trailing and self._is_write_buffer_empty()
         if not is_clean or not self.is_open or self._http.states != _BOTH_DONE:
@@ -309,8 +319,13 @@
     OSError
         If the connection failed or timed out; nothing was sent.
     """
-    host, _, port = address.rpartition(":")
-    loop = asyncio.get_running_loop()
-    async with lateness.timeout(timeout_s):
-        _, channel = await loop.create_connection(Channel, host, int(port))
+    try:
+        host, port = read_router_address(address)
+        loop = asyncio.get_running_loop()
+        async with lateness.timeout(timeout_s):
+            _, channel = await loop.create_connection(Channel, host, port)
+    except OSError:
+        raise
+    except Exception as error:
+        raise ConnectionUnavailable(f"can't connect to {address!r}: {error}") from error
     return channel
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -14,6 +14,7 @@
 )
 from tamarackrill.decisions.attempts import Outcome
 from tamarackrill.decisions.event_stream import EventStreamError, ends_inside_event
+from tamarackrill.decisions.unexpected_errors import classify_attempt
 from tamarackrill.events import CALL_OVERTAKEN, CALL_SENT, log_event
 from tamarackrill.platform.headers import (
     ResponseHeaders,
@@ -53,6 +54,11 @@
 )
 from tamarackrill.router.request_progress import RequestAttempt, RequestProgress
 from tamarackrill.router.standstill import wait_never
+from tamarackrill.router.unexpected_errors import (
+    DECLARED,
+    record_unexpected,
+    tolerate,
+)
 
 # Responses to earlier requests that are skipped before the connection is closed.
 MISMATCHED_ANSWERS_MAX = 2
@@ -178,6 +184,37 @@
         ClientTooSlow
             If the endpoint gave up a response that its client did not read.
         """
+        try:
+            return await self._run(attempt, placed)
+        except DECLARED:
+            raise
+        except Exception as error:
+            return self._end_unexpected(attempt, placed, error)
+
+    def _end_unexpected(
+        self, attempt: RequestAttempt, placed: EdgePlacement, error: Exception
+    ) -> AttemptResult:
+        """Return the result of an attempt that raised an undeclared error."""
+        if attempt.is_writing:
+            # The client may have some of the events, so that the stream can't go on.
+            raise error
+        progress = attempt.progress
+        call, name = progress.call, placed.endpoint.name
+        record_unexpected(self._metrics, "attempt", error, call.request_id, name)
+        if attempt.is_overtaken:
+            return AttemptResult("lost", "overtaken", is_overtaken=True)
+        attempt.stream.undo()
+        outcome = classify_attempt(name in progress.sent_to, progress.reply.is_complete)
+        result = AttemptResult(outcome, repr(error))
+        progress.avoid.add(name)
+        if outcome == "lost":
+            with tolerate(self._metrics, "report", call.request_id, name):
+                self._report_result(call, placed, result)
+        return result
+
+    async def _run(
+        self, attempt: RequestAttempt, placed: EdgePlacement
+    ) -> AttemptResult:
         progress = attempt.progress
         call = progress.call
         endpoint = placed.endpoint
@@ -187,7 +224,11 @@
         channel = await self._open_channel(call, endpoint, relay)
         if isinstance(channel, AttemptResult):
             return channel
-        await self.wait_current()
+        try:
+            await self.wait_current()
+        except BaseException:
+            channel.close()
+            raise
         # The choice is as old as all that the request has waited for since.
         if not self._placer.takes_work(endpoint):
             channel.close()
@@ -209,27 +250,30 @@
             parts=[f"{part:016x}" for part in call.parts],
         )
         attempt.channel = channel
-        attempt.note_sent()
-        self._on_sent(call, attempt.find_history().was_delivered)
-        self._placer.start(call, placed, started_s)
-        if self.guard is not None:
-            attempt.exposure = self.guard.record_sent(call.prompt, endpoint)
-        is_clean = False
+        is_clean = has_started = False
         suspecting = lateness.LateTimer(
             asyncio.get_running_loop().time() + find_suspicion_timeout_s(call.route),
             lambda: self._observe_overdue(endpoint, relay),
         )
         try:
+            attempt.note_sent()
+            self._on_sent(call, attempt.find_history().was_delivered)
+            self._placer.start(call, placed, started_s)
+            has_started = True
+            if self.guard is not None:
+                attempt.exposure = self.guard.record_sent(call.prompt, endpoint)
             result = await self._exchange(
                 attempt, placed, relay, channel, started_s, suspecting.cancel
             )
             is_clean = result.outcome in ("answered", "failed", "not_run", "misplaced")
         finally:
             suspecting.cancel()
-            self._placer.finish(call, endpoint, self._clock())
             attempt.channel = None
             if not is_clean:
                 channel.close()
+            with tolerate(self._metrics, "finish", call.request_id, endpoint.name):
+                if has_started:
+                    self._placer.finish(call, endpoint, self._clock())
         if result.outcome == "answered" and result.status <= OK_MAX:
             self._record_sound(attempt)
         ending = AttemptEnding(
@@ -242,12 +286,13 @@
         result = result._replace(ending=ending)
         if result.is_overtaken and not attempt.is_silent:
             return result
-        if relay:
-            await self._report_relayed(call, placed, relay, result)
-        else:
-            self._report_result(call, placed, result)
-            if result.is_broken:
-                await self.crashes.check(ending)
+        with tolerate(self._metrics, "report", call.request_id, endpoint.name):
+            if relay:
+                await self._report_relayed(call, placed, relay, result)
+            else:
+                self._report_result(call, placed, result)
+                if result.is_broken:
+                    await self.crashes.check(ending)
         return result
 
     def _record_sound(self, attempt: RequestAttempt) -> None:
@@ -358,11 +403,12 @@
             )
         except _RelayRefused:
             return AttemptResult("not_sent", "not forwarded", relay=relay)
-        if channel.finish():
-            pool, name = self.pool, placed.endpoint.name
-            if relay and self.relays is not None:
-                pool, name = self.relays.pool, relay
-            pool.give_back(name, channel, answer_headers.idle_max_s, self._clock())
+        with tolerate(self._metrics, "keep", call.request_id, placed.endpoint.name):
+            if channel.finish():
+                pool, name = self.pool, placed.endpoint.name
+                if relay and self.relays is not None:
+                    pool, name = self.relays.pool, relay
+                pool.give_back(name, channel, answer_headers.idle_max_s, self._clock())
         return result._replace(
             relay=relay,
             framing=framing,
@@ -469,7 +515,11 @@
                 call.body,
             )
             headers = add_relay_headers(attempt, self._peer_key)
-        channel.send(call.method, call.target, headers, call.body)
+        try:
+            channel.send(call.method, call.target, headers, call.body)
+        finally:
+            if channel.has_written:
+                progress.sent_to.add(placed.endpoint.name)
 
     async def read_matching_head(
         self, request_id: str, endpoint: Endpoint, channel: Channel, relay: str = ""
@@ -590,7 +640,10 @@
                     self._observe_events(progress, placed.endpoint)
                     if stream.own_events >= SOUND_EVENTS_MIN:
                         self._record_sound(attempt)
+                    stream.confirm()
+                    attempt.is_writing = True
                     await reply.write(events)
+                    attempt.is_writing = False
                     now_s = self._clock()
                     if last_s is not None:
                         self._metrics.record_token_gap(now_s - last_s)
--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -13,6 +13,7 @@
     decide_next,
 )
 from tamarackrill.decisions.retry_shares import BudgetTerms, RetryShare
+from tamarackrill.decisions.unexpected_errors import RETRY_AFTER_S, choose_status
 from tamarackrill.events import (
     CALL_ANSWERED,
     CALL_ATTEMPT_FAILED,
@@ -43,6 +44,11 @@
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.prompt_guard import PART_BLOCKED_CODE, PromptGuard
 from tamarackrill.router.request_progress import RequestAttempt, RequestProgress
+from tamarackrill.router.unexpected_errors import (
+    DECLARED,
+    record_unexpected,
+    tolerate,
+)
 
 # Reasons that clients are told, by the code of a refusal.
 _REASONS = {
@@ -96,7 +102,7 @@
         )
         self.attempts.on_silent = self._handle_silence
         self.compute_failover_s: Callable[[], float | None] = lambda: None
-        self.reserver = EdgeReserver(placer, clock)
+        self.reserver = EdgeReserver(placer, clock, metrics)
 
     def use_guard(self, guard: PromptGuard) -> None:
         """Keep parts of prompts that crash endpoints away from these."""
@@ -120,12 +126,53 @@
             If the client has disconnected.
         """
         progress = RequestProgress(call, reply)
-        self._find_share(call.service).note_request(self._clock())
         try:
+            self._find_share(call.service).note_request(self._clock())
             await self._serve(progress)
         except ClientTooSlow:
             progress.history = add_attempt(progress.history, "lost")
             await self._send_final_answer(progress, "slow_client")
+        except StreamClosedError:
+            raise
+        except Exception as error:
+            self._record_unexpected(progress, error)
+            await self._answer_unexpected(progress)
+
+    def _record_unexpected(self, progress: RequestProgress, error: Exception) -> None:
+        """Record an undeclared error of a step that concerns no single attempt."""
+        name = progress.last_endpoint
+        record_unexpected(self._metrics, "flow", error, progress.call.request_id, name)
+        # It isn't known how far the step that raised it has got.
+        if progress.sent_to:
+            progress.history = progress.history._replace(may_have_run=True)
+
+    async def _answer_unexpected(self, progress: RequestProgress) -> None:
+        """Answer a request that an undeclared error has ended.
+
+        Raises
+        ------
+        tornado.iostream.StreamClosedError
+            If the client has disconnected.
+        """
+        call, reply, has_sent = progress.call, progress.reply, bool(progress.sent_to)
+        if reply.is_complete or reply.is_over:
+            return
+        with tolerate(self._metrics, "final answer", call.request_id):
+            await self._send_final_answer(progress, "internal")
+            return
+        if reply.has_begun:
+            reply.abort()
+            return
+        now_s = self._clock()
+        await send_refusal(
+            call,
+            reply,
+            choose_status(has_sent, now_s >= call.deadline_s),
+            "internal",
+            None if has_sent else RETRY_AFTER_S,
+            len(progress.sent_to),
+            now_s - call.arrived_s,
+        )
 
     async def _serve(self, progress: RequestProgress) -> None:
         try:
@@ -147,8 +194,15 @@
         while True:
             try:
                 ended = await self._run_attempt(attempt)
+            except DECLARED:
+                raise
+            except Exception as error:
+                # Other attempts of the request may be under way.
+                self._record_unexpected(progress, error)
+                ended = SeriesEnd(self._clock(), "internal")
             finally:
-                self.reserver.end_trial(attempt)
+                with tolerate(self._metrics, "end trial", progress.call.request_id):
+                    self.reserver.end_trial(attempt)
                 self._end_attempt(attempt)
             if ended is not None:
                 return ended
@@ -194,7 +248,9 @@
             if call.deadline_s > self._clock():
                 result = await self.attempts.run(attempt, placed)
         finally:
-            self.reserver.finish(placed, result)
+            name = placed.endpoint.name
+            with tolerate(self._metrics, "release", call.request_id, name):
+                self.reserver.finish(placed, result)
         if result is None:
             return SeriesEnd(self._clock(), "deadline")
         if result.outcome == "answered":
--- a/src/tamarackrill/router/relay_server.py
+++ b/src/tamarackrill/router/relay_server.py
@@ -17,7 +17,7 @@
 from tornado.routing import Matcher
 
 from tamarackrill.contracts import Endpoint
-from tamarackrill.events import ATTEMPT_RELAYED, TASK_FAILED, log_event
+from tamarackrill.events import ATTEMPT_RELAYED, log_event
 from tamarackrill.platform.headers import (
     filter_response_headers,
     is_resumption,
@@ -41,6 +41,7 @@
     remove_relay_headers,
 )
 from tamarackrill.router.standstill import wait_never
+from tamarackrill.router.unexpected_errors import record_unexpected, tolerate
 
 # Attempts forwarded at the same time.  Each buffers up to 128 KiB for a slow reader.
 RELAYED_MAX = 256
@@ -104,7 +105,7 @@
         self._view = view
         self._placer = placer
         self._attempts = attempts
-        self._metrics = metrics
+        self.metrics = metrics
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
@@ -152,11 +153,12 @@
             If the router has disconnected.
         """
         await self.wait_current()
-        opened = await self._open(attempt)
+        opened: tuple[Endpoint, Channel] | None = None
+        request_id = read_request_id(attempt.headers)
+        with tolerate(self.metrics, "open relayed", request_id, attempt.endpoint):
+            opened = await self._open(attempt)
         if opened is None:
-            self._metrics.count("attempts_relayed", NOT_SENT)
-            headers = [(OUTCOME_HEADER, NOT_SENT)]
-            await reply.begin(UNAVAILABLE_STATUS, headers, b"")
+            await self._refuse(reply)
             return
         endpoint, channel = opened
         is_clean = False
@@ -170,14 +172,24 @@
             # The other router sees that the response is incomplete, as it would on a
             # connection of its own.
             reply.abort()
+        except StreamClosedError:
+            raise
+        except Exception as error:
+            record_unexpected(
+                self.metrics, "relay", error, request_id, attempt.endpoint
+            )
+            if channel.has_written or reply.has_begun:
+                reply.abort()
+            else:
+                await self._refuse(reply)
         finally:
             if not is_clean:
                 channel.close()
             outcome = ANSWERED if is_clean else "lost"
-            self._metrics.count("attempts_relayed", outcome)
+            self.metrics.count("attempts_relayed", outcome)
             log_event(
                 ATTEMPT_RELAYED,
-                request=read_request_id(attempt.headers),
+                request=request_id,
                 endpoint=attempt.endpoint,
                 outcome=outcome,
                 status=0 if head is None else head.status,
@@ -185,6 +197,11 @@
                 total_s=round(self.clock() - arrived_s, 4),
             )
 
+    async def _refuse(self, reply: EdgeReply) -> None:
+        """Tell the other router that an attempt has not been sent."""
+        self.metrics.count("attempts_relayed", NOT_SENT)
+        await reply.begin(UNAVAILABLE_STATUS, [(OUTCOME_HEADER, NOT_SENT)], b"")
+
     async def _open(self, attempt: RelayedAttempt) -> tuple[Endpoint, Channel] | None:
         endpoint = self._find_usable(attempt.endpoint)
         is_full = len(self.in_flight) > RELAYED_MAX
@@ -287,6 +304,6 @@
             return
         except Exception as error:  # noqa: BLE001
             # A bug here must not leave the other router waiting until its deadline.
-            log_event(TASK_FAILED, task="relay", error=repr(error))
+            record_unexpected(server.metrics, "relay", error)
             if not reply.is_over:
                 reply.abort()
--- a/src/tamarackrill/router/request_progress.py
+++ b/src/tamarackrill/router/request_progress.py
@@ -24,6 +24,8 @@
         Version at which alone its stream may go on; empty before its first event.
     failed_answer : CompleteAnswer or None
         What is answered if no attempt brings more than a failure.
+    sent_to : set of str
+        Endpoints to which any of the request may have been written.
     """
 
     def __init__(self, call: EdgeCall, reply: EdgeReply) -> None:
@@ -34,6 +36,7 @@
         self.attempts: dict[int, RequestAttempt] = {}
         self.tasks = AttemptTasks()
         self.avoid: set[str] = set()
+        self.sent_to: set[str] = set()
         self.stream = EventStream(call.headers.last_event_id)
         self.software_version = ""
         self.first_event_s: float | None = None
@@ -80,6 +83,8 @@
         The trial that the attempt is of a suspect part of its prompt.
     task : asyncio.Task or None
         The task of an attempt that runs beside the first one.
+    is_writing : bool
+        Whether events may have been written to the client that are not known to be.
     """
 
     def __init__(self, progress: RequestProgress, number: int) -> None:
@@ -94,6 +99,7 @@
         self.task: asyncio.Task[object] | None = None
         self.is_sent = False
         self.is_silent = False
+        self.is_writing = False
 
     @property
     def is_overtaken(self) -> bool:
