Tell an endpoint that accepts no connection from one that lost a call

Callers got 502 unknown for confirmations a second after their endpoint had stopped to accept connections, though no byte had been sent and another endpoint served. Calls to the only endpoint of a service failed though it went on a second later, and endpoint and call were suspected of a crash.

Cause: libcurl reports a connection that isn't made in time with the same code as an answer that doesn't come, and the exchange took both for sent.

The exchange looks at the bytes that libcurl has sent; with none, nothing was sent. The call goes to another endpoint, and while there is none it tries the silent one again until its deadline.

--- a/src/tamarackrill/router/attempts.py
+++ b/src/tamarackrill/router/attempts.py
@@ -54,6 +54,8 @@
         Why the attempt failed, or empty.
     retry_after_s : float
         How long the endpoint asked for no further calls; 0 if it didn't.
+    is_silent : bool
+        Whether the endpoint neither accepted nor refused the connection in time.
     """
 
     outcome: Outcome
@@ -61,6 +63,7 @@
     chunks: int = 0
     reason: str = ""
     retry_after_s: float = 0.0
+    is_silent: bool = False
 
 
 class _EventStreamOutlet(Outlet):
@@ -198,7 +201,13 @@
         outcome = _classify_failure(error, reply)
         if outcome == "cancelled" and call.kind == "engine":
             await _cancel_at_engine(client, call, endpoint)
-        return Attempt(outcome, first_byte_s, reply.count - chunks_before, error.reason)
+        return Attempt(
+            outcome,
+            first_byte_s,
+            reply.count - chunks_before,
+            error.reason,
+            is_silent=error.is_silent,
+        )
     finally:
         await exchange.close()
     chunks = reply.count - chunks_before
--- a/src/tamarackrill/router/flow.py
+++ b/src/tamarackrill/router/flow.py
@@ -137,6 +137,7 @@
 
     async def _serve(self, call: Call, reply: Reply) -> None:
         avoid: list[str] = []
+        silent: list[str] = []
         may_have_run = False
         sent = unconnected = 0
         while True:
@@ -144,7 +145,9 @@
             placed, attempt = await self._admit_and_attempt(
                 call, reply, avoid, is_last, may_have_run
             )
-            if attempt.outcome == "not_sent":
+            if attempt.is_silent:
+                is_last = False
+            elif attempt.outcome == "not_sent":
                 unconnected += 1
                 is_last = unconnected == UNCONNECTED_MAX
             else:
@@ -164,11 +167,22 @@
             if is_last or self._decide_retry(call, reply, attempt) != "retry":
                 break
             avoid.append(placed.endpoint.name)
+            if attempt.is_silent:
+                silent.append(placed.endpoint.name)
+            avoid = self._readmit_silent(call, avoid, silent)
         message = "no endpoint returned a complete answer"
         raise Refusal(
             "endpoint_lost", 502, message, "unknown" if may_have_run else "not_run"
         )
 
+    def _readmit_silent(
+        self, call: Call, avoid: list[str], silent: list[str]
+    ) -> list[str]:
+        """Return the endpoints to avoid, without silent ones if no other is left."""
+        if self._placer.is_servable(call, avoid, self._clock()):
+            return avoid
+        return [name for name in avoid if name not in silent]
+
     def _record_success(self, call: Call, attempt: Attempt) -> None:
         if attempt.outcome == "answered":
             self._get_retry_budget(call).note_success()
--- a/src/tamarackrill/router/upstream.py
+++ b/src/tamarackrill/router/upstream.py
@@ -35,12 +35,15 @@
         Error message, usually of libcurl.
     sent : bool
         False only if no byte of the request can have reached the server.
+    is_silent : bool, default=False
+        Whether the server neither accepted nor refused the connection in time.
     """
 
-    def __init__(self, reason: str, sent: bool) -> None:
+    def __init__(self, reason: str, sent: bool, is_silent: bool = False) -> None:
         super().__init__(reason)
         self.reason = reason
         self.sent = sent
+        self.is_silent = is_silent
 
 
 class Head(NamedTuple):
@@ -95,6 +98,8 @@
         self._header_lines: dict[str, str] = {}
         self._curl: Any = None
         self._sent_bytes = 0
+        # Whether libcurl has reported that it sent nothing.
+        self._is_unsent = False
         self._client = client
         self._repeatable = repeatable
         request = _ObservedRequest(
@@ -190,6 +195,7 @@
     def _record_sent_bytes(self) -> None:
         if self._curl is not None:
             self._sent_bytes = int(self._curl.getinfo(pycurl.REQUEST_SIZE))
+            self._is_unsent = self._sent_bytes == 0
 
     def _check_cancelled(self, *progress: int) -> int:
         return 1 if self._cancelled else 0
@@ -259,8 +265,11 @@
             # If an endpoint reads a request on a reused connection and crashes, libcurl
             # reconnects and fails.  The error then reports only the failed connection,
             # although the request was sent and may have run.
-            sent = self._sent_bytes > 0 or error.errno not in _NOTHING_SENT
-            self._error = UpstreamError(self._fault or str(error), sent)
+            is_silent = error.errno == pycurl.E_OPERATION_TIMEDOUT and self._is_unsent
+            sent = not is_silent and (
+                self._sent_bytes > 0 or error.errno not in _NOTHING_SENT
+            )
+            self._error = UpstreamError(self._fault or str(error), sent, is_silent)
         except Exception as error:  # noqa: BLE001 - the exchange must always end
             self._error = UpstreamError(repr(error), sent=True)
         self._is_finished = True
--- a/tests/test_native_silence.py
+++ b/tests/test_native_silence.py
@@ -6,13 +6,13 @@
 import time
 
 import pytest
-from test_upstream import make_call
 
 from tamarackrill.contracts import Endpoint, hash_key
 from tamarackrill.router.attempts import attempt_call
 from tamarackrill.router.replies import Reply
 from tamarackrill.router.upstream import close_client, make_client
 from tamarackrill.testing.processes import FleetProcesses, call
+from test_upstream import make_call
 
 KEY = {"Authorization": "Bearer the-key", "Request-Timeout-Ms": "15000"}
 CONTRACT = {
