Read the news before deciding calls after a standstill

A tamarackrilld that stood still for a second or more sent calls to endpoints that had begun to leave (6 of 12 calls each at 1 s and 6 s), refused callers whose contract was in force everywhere else (401 for 8 of 8), and ran confirmations whose deadline had passed and whose callers had gone.

Cause: calls, the platform's answers and other routers' messages wait in sockets, and the event loop handles the calls first. Membership alone noticed the standstill, at its next tick, from 3 s on.

The event loop's beat shows a gap to the first decision after it. Calls then wait until the platform has been asked for changes of each kind, for a second at most, so that a router that is cut off serves on; waiting calls are neither admitted nor refused meanwhile.

--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -441,6 +441,16 @@
     "alive.",
     "Look for a paused VM, swapping, or a host that is short of CPU time.",
 )
+ROUTER_CAUGHT_UP = Event(
+    3008,
+    "router_caught_up",
+    _WARNING,
+    ("gap_s", "duration_s", "is_complete"),
+    "This process stood still for `gap_s`, and calls then waited for `duration_s` "
+    "until it had read what changed meanwhile.  Unless `is_complete`, the platform did "
+    "not answer, and calls are decided by what was known before.",
+    "Look for a paused VM, swapping, or a host that is short of CPU time.",
+)
 CONFIGURATION_PULL_FAILED = Event(
     3007,
     "configuration_pull_failed",
--- a/src/tamarackrill/router/admitting.py
+++ b/src/tamarackrill/router/admitting.py
@@ -30,6 +30,8 @@
         Largest number of calls that wait for one pool.
     clock : callable
         Returns the current time.
+    is_current : callable, optional
+        Returns whether calls may be admitted or refused by what is known now.
     """
 
     def __init__(
@@ -37,7 +39,9 @@
         count_free: Callable[[Call], int],
         queue_max: int,
         clock: Callable[[], float],
+        is_current: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._is_current = is_current
         self._count_free = count_free
         self._clock = clock
         self._queue = AdmissionQueue(queue_max)
@@ -51,10 +55,15 @@
         """Refuse calls that can no longer meet their deadline, until cancelled."""
         while True:
             await asyncio.sleep(EXPIRE_INTERVAL_S)
-            now_s = self._clock()
-            self._apply(self._queue.expire(now_s))
-            for pool in self._latest_calls:
-                self._dispatch(pool, now_s)
+            if self._is_current():
+                self.admit_all()
+
+    def admit_all(self) -> None:
+        """Admit or refuse the waiting calls of all pools."""
+        now_s = self._clock()
+        self._apply(self._queue.expire(now_s))
+        for pool in self._latest_calls:
+            self._dispatch(pool, now_s)
 
     async def acquire_slot(self, call: Call, now_s: float) -> None:
         """Wait until the call has a slot; the caller must then call `release_slot`.
@@ -119,7 +128,7 @@
         return {pool: self._queue.count_waiting(pool) for pool in self._latest_calls}
 
     def _dispatch(self, pool: str, now_s: float) -> None:
-        if pool in self._latest_calls:
+        if pool in self._latest_calls and self._is_current():
             free = self._count_free(self._latest_calls[pool]) - self._granted[pool]
             self._apply(self._queue.dispatch(pool, max(0, free), now_s))
 
--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -32,6 +32,7 @@
 from tamarackrill.router.admitting import Admitter
 from tamarackrill.router.background import log_task_failure
 from tamarackrill.router.binding import report_bind_error
+from tamarackrill.router.catching_up import CatchUp
 from tamarackrill.router.chats import ChatCoordinator
 from tamarackrill.router.claiming import Claimer
 from tamarackrill.router.configuring import KINDS, ConfigurationSync
@@ -150,6 +151,10 @@
 
     def _make_admission(self) -> None:
         settings = self.settings
+        # Also counts the time suspended, in which no news can be read.
+        self.catch_up = CatchUp(
+            lambda: self.configuration_sync.refresh(), suspension.read_clock
+        )
         self.owners = Owners(
             self.members,
             settings.load_bound,
@@ -175,6 +180,7 @@
             lambda call: self.placer.count_free(call, self.clock()),
             settings.queue_max,
             self.clock,
+            self.catch_up.is_current,
         )
         self.limiter = Limiter(
             self.members,
@@ -203,6 +209,7 @@
             self.placer,
             self.metrics,
             self.clock,
+            self.catch_up.wait,
         )
 
     async def _start_configuration(self) -> None:
@@ -250,6 +257,8 @@
             self.clock,
         )
         reader = LoadReader(self._endpoint_client, self.owners, self.placer, self.clock)
+        self.catch_up.on_current = self.admitter.admit_all
+        self._start_task("catch_up", self.catch_up.run())
         self._start_task("owners", self.owners.run())
         self._start_task("vm_list", self._poll_vm_list())
         self._start_task("admitter", self.admitter.run())
@@ -318,6 +327,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.catch_up.stop()
         await self.claimer.stop()
         await self.load_controller.stop()
         await self.gossiper.stop()
@@ -436,6 +446,7 @@
             self.is_ready,
             self.describe,
             self.explain,
+            self.catch_up,
             self.clock,
         )
 
--- a/src/tamarackrill/router/background.py
+++ b/src/tamarackrill/router/background.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 from tamarackrill.events import TASK_FAILED, TASK_RESTARTED, log_event
 
@@ -28,7 +29,7 @@
         await asyncio.sleep(RESTART_PAUSE_S)
 
 
-def log_task_failure(task: asyncio.Task[None]) -> bool:
+def log_task_failure(task: asyncio.Task[Any]) -> bool:
     """Log the exception that ended a task, if any; return whether there was one.
 
     Otherwise the router would continue to serve, and nobody would notice that, for
--- a/src/tamarackrill/router/callers.py
+++ b/src/tamarackrill/router/callers.py
@@ -1,5 +1,7 @@
 """HTTP handler of the callers' calls, at the entry router and at the home router."""
 
+import socket
+
 from tornado.iostream import StreamClosedError
 from tornado.web import stream_request_body
 
@@ -106,6 +108,8 @@
         self._contract: Contract | None = None
         self._counted = False
         self._is_disconnected = False
+        # How long the call waited in its socket while this process stood still.
+        self._waited_s = 0.0
         self._may_have_run = MAY_HAVE_RUN_HEADER in self.request.headers
 
     def send_refusal(self, refusal: Refusal) -> None:
@@ -123,12 +127,17 @@
             )
         super().send_refusal(refusal)
 
-    def prepare(self) -> None:
+    async def prepare(self) -> None:
         """Check the API key and the Content-Length before the body arrives."""
         front = self.front
         front.metrics.count("requests", self.request.method or "")
         front.open_calls.increment()
         self._counted = True
+        if not front.catch_up.is_current():
+            started_s = front.clock()
+            self._waited_s = front.catch_up.find_waited_s(self._get_socket())
+            await front.catch_up.wait()
+            self._waited_s += front.clock() - started_s
         try:
             self._check_size(int(self.request.headers.get("Content-Length", "0")))
             authorization = self.request.headers.get("Authorization", "")
@@ -140,6 +149,12 @@
         except Refusal as refusal:
             self.send_refusal(refusal)
 
+    def _get_socket(self) -> socket.socket:
+        connection = self.request.connection
+        assert connection is not None
+        found: socket.socket = connection.stream.socket
+        return found
+
     def data_received(self, chunk: bytes) -> None:
         """Append a piece of the body; refuse a body that is too long."""
         self._body += chunk
@@ -158,6 +173,8 @@
 
     async def get(self) -> None:
         """Answer the call, whatever its method."""
+        if self._is_disconnected:
+            return
         try:
             await self._answer()
         except Refusal as refusal:
@@ -178,6 +195,8 @@
         if self._contract is None:
             return
         call = self._read_call(self._contract)
+        if call.deadline_s <= front.clock():
+            raise Refusal("too_late", 504, "the deadline has passed")
         forwarded_id = verify_forwarded_id(
             self.request.headers, call.fingerprint, front.peer_keys
         )
@@ -195,7 +214,7 @@
             request.uri or "",
             request.headers,
             bytes(self._body),
-            self.front.clock(),
+            self.front.clock() - self._waited_s,
         )
 
     def _list_homes(self, call: Call) -> list[Member]:
--- /dev/null
+++ b/src/tamarackrill/router/catching_up.py
@@ -0,0 +1,120 @@
+"""Reads the news before the first decisions after a standstill of this process.
+
+`tamarackrill.decisions.standstills` decides.
+"""
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+
+from tamarackrill.decisions.standstills import (
+    CATCH_UP_MAX_S,
+    Standstill,
+    find_standstill,
+    find_waited_s,
+    may_have_moved,
+)
+from tamarackrill.events import ROUTER_CAUGHT_UP, log_event
+from tamarackrill.router.background import log_task_failure
+from tamarackrill.router.lateness import timeout
+from tamarackrill.router.sockets import read_received_s
+from tamarackrill.router.standstill import BEAT_S, StandstillMonitor
+
+
+class CatchUp:
+    """Lets decisions wait after a standstill until the news has been read.
+
+    Parameters
+    ----------
+    refresh : callable
+        ``await refresh()`` reads the news and returns whether all of it was read.
+    clock : callable
+        Returns the current time, including suspension of the VM.
+
+    Attributes
+    ----------
+    on_standstill : callable
+        Called with each `Standstill`, before anything is read.
+    on_current : callable
+        Called when decisions may go on.
+    """
+
+    def __init__(
+        self, refresh: Callable[[], Awaitable[bool]], clock: Callable[[], float]
+    ) -> None:
+        self._refresh = refresh
+        self._clock = clock
+        self._monitor = StandstillMonitor(clock())
+        self._latest: Standstill | None = None
+        self._task: asyncio.Task[bool] | None = None
+        self.on_standstill: Callable[[Standstill], None] = lambda standstill: None
+        self.on_current: Callable[[], None] = lambda: None
+
+    async def run(self) -> None:
+        """Look for standstills, until cancelled."""
+        while True:
+            self.is_current()
+            self._monitor.beat(self._clock())
+            await asyncio.sleep(BEAT_S)
+
+    async def stop(self) -> None:
+        """Cancel the reading of news."""
+        task, self._task = self._task, None
+        if task is not None:
+            task.cancel()
+            await asyncio.wait([task])
+
+    def is_current(self) -> bool:
+        """Return whether nothing is to be read before the next decision."""
+        now_s = self._clock()
+        standstill = find_standstill(self._monitor.find_gap_s(now_s), now_s)
+        if standstill is not None:
+            self._monitor.beat(now_s)
+            self._start(standstill)
+        return self._task is None
+
+    async def wait(self) -> None:
+        """Wait until decisions may go on."""
+        while not self.is_current():
+            assert self._task is not None
+            await asyncio.wait([self._task])
+
+    def find_waited_s(self, connection: socket.socket) -> float:
+        """Return how long a call waited in its socket because of a standstill."""
+        if self._latest is None:
+            return 0.0
+        received_s = read_received_s(connection)
+        return find_waited_s(self._latest, received_s, self._clock())
+
+    def may_have_moved(self, waited_s: float) -> bool:
+        """Return whether the chat of a call that waited may have another home now."""
+        return may_have_moved(self._latest, waited_s)
+
+    def _start(self, standstill: Standstill) -> None:
+        if self._task is not None:
+            # What is being read may be from before this standstill.
+            self._task.cancel()
+        self._latest = standstill
+        self._task = asyncio.create_task(self._read_news(), name="catch up")
+        self._task.add_done_callback(lambda task: self._end(standstill, task))
+        self.on_standstill(standstill)
+
+    async def _read_news(self) -> bool:
+        try:
+            async with timeout(CATCH_UP_MAX_S):
+                return await self._refresh()
+        except TimeoutError:
+            return False
+
+    def _end(self, standstill: Standstill, task: asyncio.Task[bool]) -> None:
+        if task is not self._task:
+            return
+        self._task = None
+        has_failed = log_task_failure(task)
+        log_event(
+            ROUTER_CAUGHT_UP,
+            gap_s=round(standstill.gap_s, 3),
+            duration_s=round(self._clock() - standstill.ended_s, 3),
+            is_complete=not has_failed and not task.cancelled() and task.result(),
+        )
+        self.on_current()
--- a/src/tamarackrill/router/configuring.py
+++ b/src/tamarackrill/router/configuring.py
@@ -187,6 +187,25 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    async def refresh(self) -> bool:
+        """Read what has changed, without waiting for changes.
+
+        Returns
+        -------
+        bool
+            Whether the platform has answered for all kinds.
+        """
+        known = [kind for kind in self._kinds if self._store.get_complete(kind)]
+        outcomes = await asyncio.gather(
+            *(self._watch(kind, 0.0) for kind in known), return_exceptions=True
+        )
+        failed = [outcome for outcome in outcomes if outcome is not None]
+        for error in failed:
+            # The watches handle an unavailable platform.
+            if not isinstance(error, PlatformUnavailable):
+                raise error
+        return len(known) == len(self._kinds) and not failed
+
     def digest(self) -> tuple[ConfigurationDigest, ...]:
         """Return the digests of all kinds."""
         return tuple(self._store.digest(kind) for kind in self._kinds)
--- a/src/tamarackrill/router/flow.py
+++ b/src/tamarackrill/router/flow.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from tamarackrill.contracts import Endpoint
 from tamarackrill.decisions.retry import Failure, RetryBudget, RetryDecision
@@ -43,6 +43,8 @@
         The steps of a call; not owned.
     clock : callable
         Returns the current time.
+    wait_current : callable
+        ``await wait_current()`` returns when calls may be decided by what is known.
     """
 
     def __init__(
@@ -55,8 +57,10 @@
         placer: Placer,
         metrics: Metrics,
         clock: Callable[[], float],
+        wait_current: Callable[[], Awaitable[None]],
     ) -> None:
         self._client = client
+        self._wait_current = wait_current
         self._chats = chats
         self._claimer = claimer
         self._limiter = limiter
@@ -227,6 +231,7 @@
         arrived_s = self._clock()
         reply.set_abandoned_callback(lambda: self._admitter.cancel(call))
         while True:
+            await self._wait_current()
             self._check_backoff(call, may_have_run)
             await self._wait_for_admission(call, may_have_run)
             attempt = Attempt("not_sent")
--- a/src/tamarackrill/router/front.py
+++ b/src/tamarackrill/router/front.py
@@ -10,6 +10,7 @@
 
 from tamarackrill.contracts import Contract
 from tamarackrill.exceptions import Refusal
+from tamarackrill.router.catching_up import CatchUp
 from tamarackrill.router.explaining import ExplainQuery
 from tamarackrill.router.flow import CallRunner
 from tamarackrill.router.members import Members
@@ -84,6 +85,8 @@
         Returns the status of this router.
     explain : callable
         Returns where a call would be routed.
+    catch_up : CatchUp
+        Lets calls wait after a standstill of this process.
     clock : callable
         Returns the current time.
     """
@@ -100,6 +103,7 @@
     is_ready: Callable[[], bool]
     describe: Callable[[], dict[str, Any]]
     explain: Callable[[ExplainQuery], dict[str, Any]]
+    catch_up: CatchUp
     clock: Callable[[], float] = time.monotonic
 
 
--- a/src/tamarackrill/router/sockets.py
+++ b/src/tamarackrill/router/sockets.py
@@ -14,6 +14,9 @@
 USER_TIMEOUT_MS = 700
 
 
+# Offset in Linux's `struct tcp_info` of the milliseconds since data was last received.
+_LAST_RECEIVED_OFFSET = 52
+_LAST_RECEIVED = struct.Struct("=I")
 _LINGER_NOT = struct.pack("ii", 1, 0)
 
 
@@ -26,6 +29,17 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NOT)
 
 
+def read_received_s(sock: socket.socket) -> float:
+    """Return how long ago the kernel last received data; 0 if that isn't known."""
+    size_bytes = _LAST_RECEIVED_OFFSET + _LAST_RECEIVED.size
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, size_bytes)
+        (received_ms,) = _LAST_RECEIVED.unpack_from(info, _LAST_RECEIVED_OFFSET)
+    except (OSError, struct.error):
+        return 0.0
+    return float(received_ms) / 1000
+
+
 def enable_keepalive(
     sock: socket.socket, user_timeout_ms: int = USER_TIMEOUT_MS
 ) -> None:
