Keep the deviation of service times as time, not as a multiple of the speed

Waiting calls were refused with 503 deadline_unmeetable, far from their deadline, once their endpoint went on after a silence: 4 of 6 calls after 3.7 s, with Retry-After 19 to 41 s.

Cause: the mean deviation was relative to the speed at that moment, so that one silence of an endpoint that answers in milliseconds counted a thousandfold, and was then multiplied with the raised mean. One fast call and eight silences of 4 s gave an estimate of 253 s.

A silence now counts once: the deviation is time per token, as in TCP's retransmission timeout. A standstill of the router, the first guess, was ruled out by plays without one.

--- a/src/tamarackrill/decisions/estimates.py
+++ b/src/tamarackrill/decisions/estimates.py
@@ -46,7 +46,9 @@
     def __init__(self) -> None:
         self._cost = 0.0
         self._time_s = 0.0
-        self._mean_deviation = 0.0
+        # Of the time per token, in seconds.  Relative to the speed, one silence of an
+        # otherwise fast endpoint would count a thousandfold.
+        self._mean_deviation_s = 0.0
         self._short_busy_s = 0.0
         self._short_arrival_s = -math.inf
         self._short_updated_s = 0.0
@@ -60,8 +62,10 @@
         """Update the estimates with a finished request."""
         speed = self.tokens_per_s
         if speed:
-            error = abs(service_s * speed / cost - 1.0)
-            self._mean_deviation += (1.0 - _DECAY) * (error - self._mean_deviation)
+            error_s = abs(service_s / cost - 1.0 / speed)
+            self._mean_deviation_s += (1.0 - _DECAY) * (
+                error_s - self._mean_deviation_s
+            )
         self._cost = self._cost * _DECAY + cost
         self._time_s = self._time_s * _DECAY + max(service_s, 1e-6)
         if short:
@@ -77,8 +81,9 @@
     def estimate_service_s(self, cost: float) -> float:
         """Return the estimated service time; 0 until a request has finished."""
         speed = self.tokens_per_s
-        margin = 1.0 + _DEVIATION_FACTOR * self._mean_deviation
-        return margin * cost / speed if speed else 0.0
+        if not speed:
+            return 0.0
+        return cost * (1.0 / speed + _DEVIATION_FACTOR * self._mean_deviation_s)
 
     def count_reserved(self, slots: int, now_s: float) -> int:
         """Return how many of `slots` are reserved for short requests.
--- a/tests/test_native_silence.py
+++ b/tests/test_native_silence.py
@@ -1,9 +1,11 @@
 """Endpoints that are silent for a while, at a router of the product's own interface."""
 
 import asyncio
+import signal
 import socket
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -11,7 +13,7 @@
 from tamarackrill.router.attempts import attempt_call
 from tamarackrill.router.replies import Reply
 from tamarackrill.router.upstream import close_client, make_client
-from tamarackrill.testing.processes import FleetProcesses, call
+from tamarackrill.testing.processes import FleetProcesses, call, wait_for
 from test_upstream import make_call
 
 KEY = {"Authorization": "Bearer the-key", "Request-Timeout-Ms": "15000"}
@@ -21,6 +23,8 @@
     "services": ["s"],
     "non_idempotent": [{"service": "s", "method": "POST", "path_prefix": "/book"}],
 }
+# As long as engines fall silent when their VM is paused.
+SILENCE_S = 2.0
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -104,7 +108,7 @@
         register(fleet, silent.address)
         router = fleet.add_router("a")
         fleet.wait_ready()
-        threading.Timer(2.0, silent.go_on).start()
+        threading.Timer(SILENCE_S, silent.go_on).start()
         headers = {**KEY, "Idempotency-Key": "k"}
         answer = call(router.address, f"/services/s{path}", None, method, headers)
         assert (answer.status, len(silent.requests)) == (200, 1)
@@ -129,3 +133,22 @@
         ]
         assert statuses == [200] * 4
         assert len(worker.look()["arrivals"]) == 4
+
+
+def test_calls_that_wait_for_a_silent_endpoint_are_answered_when_it_goes_on(fleet):
+    # Guards against waiting calls that are refused as unable to meet their deadline,
+    # though it is far off, once their endpoint goes on after a silence.
+    worker = fleet.add_service("worker-1", "s", "--slots=2")
+    router = fleet.add_router("a")
+    fleet.wait_ready()
+
+    def look(number=0):
+        return call(router.address, "/services/s/look", headers=KEY).status
+
+    assert look() == 200
+    worker.send(signal.SIGSTOP)
+    with ThreadPoolExecutor(8) as pool:
+        answers = pool.map(look, range(8))
+        wait_for(lambda: router.status()["waiting"]["service:s"] == 6, "six wait")
+        threading.Timer(SILENCE_S, worker.send, [signal.SIGCONT]).start()
+        assert list(answers) == [200] * 8
