Go on with claims after an unexpected error of the platform client

After one such error all confirmations of the same bucket were refused by that router with 503 claim_timeout, each after 2 s, until it was restarted.

Cause: a bucket makes no call while one is unanswered, and the task that read or wrote it ended without an outcome.

The error is logged (claim_call_failed) and handled like a platform that did not answer, which reads the bucket again.

--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -526,6 +526,15 @@
     "took effect.",
     "Check the platform if it continues; claims are refused while it is down.",
 )
+CLAIM_CALL_FAILED = Event(
+    4009,
+    "claim_call_failed",
+    _ERROR,
+    ("bucket", "error"),
+    "A read or write of claims failed with an unexpected error.  It is handled like a "
+    "call that the platform did not answer.",
+    "Report this line to the maintainers.",
+)
 REQUEST_JOINED = Event(
     4004,
     "request_joined",
--- a/src/tamarackrill/router/claiming.py
+++ b/src/tamarackrill/router/claiming.py
@@ -40,7 +40,13 @@
     next_due_s,
     step,
 )
-from tamarackrill.events import CLAIM_GRANTED, CLAIM_HELD, CLAIM_UNANSWERED, log_event
+from tamarackrill.events import (
+    CLAIM_CALL_FAILED,
+    CLAIM_GRANTED,
+    CLAIM_HELD,
+    CLAIM_UNANSWERED,
+    log_event,
+)
 from tamarackrill.exceptions import PlatformUnavailable, Refusal
 from tamarackrill.router.calls import Call
 from tamarackrill.router.platform_client import PlatformClient
@@ -224,6 +230,11 @@
         except PlatformUnavailable:
             self._step(ReadFailed(action.bucket))
             return
+        except Exception as error:
+            # Without an outcome no later claim of the bucket would be made.
+            log_event(CLAIM_CALL_FAILED, bucket=action.bucket, error=repr(error))
+            self._step(ReadFailed(action.bucket))
+            return
         self._step(BucketRead(action.bucket, version, entries))
 
     async def _write(self, action: WriteBucket) -> None:
@@ -238,6 +249,10 @@
             log_event(CLAIM_UNANSWERED, bucket=action.bucket, reason=str(error))
             self._step(WriteUnanswered(action.bucket))
             return
+        except Exception as error:
+            log_event(CLAIM_CALL_FAILED, bucket=action.bucket, error=repr(error))
+            self._step(WriteUnanswered(action.bucket))
+            return
         if result.version is not None:
             self._step(BucketWritten(action.bucket, result.version))
         else:
