Leave a chat to its new home after a standstill

Cause: the first home decided by what it knew of the chat before, and did not know that the chat had moved.

After a standstill as long as the others need to remove a router it forgets the chats that don't run, and refuses what waits for a turn, or waited in its sockets, as home_moved, which has not run. The refused request runs there, or is refused because a later one has run.

--- a/src/tamarackrill/decisions/ordering.py
+++ b/src/tamarackrill/decisions/ordering.py
@@ -36,6 +36,9 @@
 
 RETRY_AFTER_S = 1.0
 
+HOME_MOVED = "home_moved"
+"""Code of the refusal of a request that the chat's new home may take."""
+
 
 class Arrived(NamedTuple):
     """A request with a sequence number in its chat arrived."""
@@ -167,6 +170,25 @@
     return actions
 
 
+def forget_chats(order: ChatOrder) -> list[Action]:
+    """Forget the chats, which may have another home, and refuse what waits for a turn.
+
+    That home may have run later requests.  A chat whose request runs here is kept, so
+    that no other request of it runs at the same time if it comes back.
+    """
+    actions: list[Action] = []
+    for name, chat in list(order.chats.items()):
+        actions += [
+            OutOfOrder(waiting.request, HOME_MOVED, "not_run", RETRY_AFTER_S)
+            for waiting in chat.waiting.values()
+        ]
+        chat.waiting.clear()
+        if not chat.running:
+            del order.chats[name]
+    order.waiting.clear()
+    return actions
+
+
 def next_due_s(order: ChatOrder) -> float | None:
     """Return when `handle_timeouts` should next be called, or None."""
     due_times: list[float] = []
--- a/src/tamarackrill/decisions/standstills.py
+++ b/src/tamarackrill/decisions/standstills.py
@@ -10,6 +10,8 @@
 
 from typing import NamedTuple
 
+from tamarackrill.decisions.membership import SUSPICION_TIMEOUT_S, TICK_S
+
 STANDSTILL_MIN_S = 0.5
 """Shorter gaps are ordinary lateness of a loaded router, and what it knows is no older
 than on a router that keeps pace."""
@@ -18,8 +20,8 @@
 """How long calls wait for the platform after a standstill.  A router that is cut off
 from it then serves by what it knows."""
 
-CHATS_MOVED_AFTER_S = 2.0
-"""Other routers remove one that misses two pings of a second each, at the earliest, and
+CHATS_MOVED_AFTER_S = SUSPICION_TIMEOUT_S + TICK_S
+"""Other routers remove one that has not answered for this long, at the earliest, and
 its chats then have another home."""
 
 
@@ -74,10 +76,11 @@
     return min(received_s, standstill.gap_s + since_end_s)
 
 
+def moves_chats(standstill: Standstill) -> bool:
+    """Return whether chats may have got another home during a standstill."""
+    return standstill.gap_s >= CHATS_MOVED_AFTER_S
+
+
 def may_have_moved(standstill: Standstill | None, waited_s: float) -> bool:
     """Return whether the chat of a call that waited may have another home now."""
-    return (
-        standstill is not None
-        and waited_s > 0.0
-        and standstill.gap_s >= CHATS_MOVED_AFTER_S
-    )
+    return standstill is not None and waited_s > 0.0 and moves_chats(standstill)
--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -257,6 +257,7 @@
             self.clock,
         )
         reader = LoadReader(self._endpoint_client, self.owners, self.placer, self.clock)
+        self.catch_up.on_standstill = self.chats.observe_standstill
         self.catch_up.on_current = self.admitter.admit_all
         self._start_task("catch_up", self.catch_up.run())
         self._start_task("owners", self.owners.run())
--- a/src/tamarackrill/router/callers.py
+++ b/src/tamarackrill/router/callers.py
@@ -7,6 +7,7 @@
 
 from tamarackrill.contracts import Contract
 from tamarackrill.decisions.hashing import rendezvous_order
+from tamarackrill.decisions.ordering import HOME_MOVED
 from tamarackrill.events import REQUEST_FORWARDED, log_event
 from tamarackrill.exceptions import Refusal
 from tamarackrill.router.calls import Call, authenticate, read_call
@@ -202,9 +203,20 @@
         )
         if forwarded_id:
             call = call._replace(request_id=forwarded_id)
-        if not forwarded_id and await self._forward(call):
+        if self._may_have_moved(call) and forwarded_id:
+            raise Refusal(HOME_MOVED, 503, "the chat may have another home router now")
+        if not forwarded_id and await self._forward(call, self._may_have_moved(call)):
             return
-        await self._serve(call)
+        try:
+            await self._serve(call)
+        except Refusal as refusal:
+            has_moved = refusal.code == HOME_MOVED and not forwarded_id
+            if not has_moved or not await self._forward(call, has_moved):
+                raise
+
+    def _may_have_moved(self, call: Call) -> bool:
+        is_ordered = bool(call.chat) and call.sequence is not None
+        return is_ordered and self.front.catch_up.may_have_moved(self._waited_s)
 
     def _read_call(self, contract: Contract) -> Call:
         request = self.request
@@ -224,10 +236,15 @@
         names = rendezvous_order(call.home_key, list(live), HOMES_MAX)
         return [live[name] for name in names]
 
-    async def _forward(self, call: Call) -> bool:
-        """Try the other home routers; return whether the call is done with."""
+    async def _forward(self, call: Call, has_moved: bool) -> bool:
+        """Try the other home routers; return whether the call is done with.
+
+        If the chat has moved away from this router, those after it are tried too.
+        """
         for home in self._list_homes(call):
             if home.name == self.front.members.own.name:
+                if has_moved:
+                    continue
                 return False
             try:
                 await self._forward_to(call, home)
@@ -263,7 +280,7 @@
         try:
             head = await exchange.head()
             if LEAVING_HEADER in head.headers:
-                raise UpstreamError("the home router is shutting down", sent=False)
+                raise UpstreamError("the home router refuses the call", sent=False)
             self.start_answer(head)
             outlet = _CallerOutlet(self, call.stream)
             await exchange.pump(outlet)
--- a/src/tamarackrill/router/chats.py
+++ b/src/tamarackrill/router/chats.py
@@ -17,16 +17,19 @@
     start,
 )
 from tamarackrill.decisions.ordering import (
+    HOME_MOVED,
     Action,
     Arrived,
     ChatOrder,
     Ended,
     Started,
+    forget_chats,
     handle_arrival,
     handle_end,
     handle_timeouts,
     next_due_s,
 )
+from tamarackrill.decisions.standstills import Standstill, moves_chats
 from tamarackrill.events import REQUEST_JOINED, log_event
 from tamarackrill.exceptions import Refusal
 from tamarackrill.router.calls import Call
@@ -123,6 +126,11 @@
                 finish(self._answers, identity, reply.size_bytes, is_kept, expires_s)
             )
 
+    def observe_standstill(self, standstill: Standstill) -> None:
+        """Forget the chats that may have got another home meanwhile."""
+        if moves_chats(standstill):
+            self._carry_out(forget_chats(self._order), self._clock())
+
     async def run(self) -> None:
         """Drop expired responses, until cancelled."""
         while True:
@@ -167,6 +175,7 @@
 
 
 _REFUSALS = {
+    HOME_MOVED: (503, "the chat may have another home router now"),
     "sequence_passed": (409, "a later request of the chat has run"),
     "sequence_taken": (409, "another request has this place in the chat"),
     "sequence_skipped": (409, "the place is too far ahead in the chat"),
--- a/src/tamarackrill/router/front.py
+++ b/src/tamarackrill/router/front.py
@@ -9,6 +9,7 @@
 from tornado.web import HTTPError, RequestHandler
 
 from tamarackrill.contracts import Contract
+from tamarackrill.decisions.ordering import HOME_MOVED
 from tamarackrill.exceptions import Refusal
 from tamarackrill.router.catching_up import CatchUp
 from tamarackrill.router.explaining import ExplainQuery
@@ -20,7 +21,8 @@
     CurlAsyncHTTPClient,
 )
 
-# Marks a refusal by a router that is shutting down; the next home router is tried.
+# Marks a refusal by a router that is shutting down, or may no longer be the home of the
+# chat; the next home router is tried.
 LEAVING_HEADER = "Tamarackrill-Leaving"
 LEAVING_CODE = "leaving"
 NOT_FOUND = 404
@@ -137,7 +139,7 @@
             return
         self.clear()
         self.set_status(refusal.status, refusal.code)
-        if refusal.code == LEAVING_CODE:
+        if refusal.code in (LEAVING_CODE, HOME_MOVED):
             self.set_header(LEAVING_HEADER, "1")
         self.set_header("Retry-After", str(max(1, round(refusal.retry_after_s))))
         self.finish(dict(refusal.to_body()))
