Let the native soak's workers fall silent and its routers stand still for up to 4 s

Workers were never silent, and routers stood still for 0.8 s at most, one at a time. The pauses now overlap with the faults that follow.

--- a/soak/native.py
+++ b/soak/native.py
@@ -1,5 +1,6 @@
 """Soak test of the native daemon: non-idempotent calls while routers come and go.
 
+Workers fall silent meanwhile, and routers stand still, for up to `SILENCE_MAX_S`.
 ``python -m soak.native --seed 7`` runs one seed.  Each call has its own idempotency key
 and goes to a random router.
 """
@@ -13,13 +14,21 @@
 
 from soak.command import run_seeds
 from tamarackrill.contracts import hash_key
-from tamarackrill.testing.processes import FleetProcesses, RouterProcess, call
+from tamarackrill.testing.processes import (
+    FleetProcesses,
+    Process,
+    RouterProcess,
+    StandIn,
+    call,
+)
 
 ZONES = ("a", "b", "c")
 WORKERS = 2
 CALLERS = 6
 FAULTS = 8
 PAUSE_MAX_S = 0.8
+SILENCE_MIN_S = 1.0
+SILENCE_MAX_S = 4.0
 # Pause of a caller after a call that failed without a response.
 RETRY_S = 0.05
 KEY = "a key of the soak"
@@ -77,6 +86,8 @@
         self._rng = random.Random(seed)
         self._routers: list[RouterProcess] = []
         self._count = 0
+        self._workers: list[StandIn] = []
+        self._timers: list[threading.Timer] = []
         self.finished = threading.Event()
         self.faults: list[str] = []
         self.statuses: Counter[str] = Counter()
@@ -89,6 +100,7 @@
         """Run the test, and return a description of each violated guarantee."""
         with FleetProcesses() as fleet:
             workers = [fleet.add_service(f"worker-{n}") for n in range(WORKERS)]
+            self._workers = workers
             fleet.put_contract(CONTRACT)
             for zone in ZONES:
                 self._add(fleet, zone)
@@ -103,6 +115,8 @@
             for _ in range(FAULTS):
                 time.sleep(self._rng.random() * PAUSE_MAX_S)
                 violations += self._inject_fault(fleet)
+            for timer in self._timers:
+                timer.join()
             self.finished.set()
             for caller in callers:
                 caller.join()
@@ -124,12 +138,16 @@
 
     def _inject_fault(self, fleet: FleetProcesses) -> list[str]:
         router = self._rng.choice(self._routers)
-        kind = self._rng.choice(["hups", "stop", "kill", "pause"])
+        kind = self._rng.choice(["hups", "stop", "kill", "pause", "silence"])
         self.faults.append(f"{router.name} {kind}")
-        if kind == "pause":
-            router.send(signal.SIGSTOP)
-            time.sleep(self._rng.random() * PAUSE_MAX_S)
-            router.send(signal.SIGCONT)
+        if kind in ("pause", "silence"):
+            stopped = router if kind == "pause" else self._rng.choice(self._workers)
+            stopped.send(signal.SIGSTOP)
+            silence_s = self._rng.uniform(SILENCE_MIN_S, SILENCE_MAX_S)
+            # The next faults overlap with it.
+            timer = threading.Timer(silence_s, _resume, [stopped])
+            self._timers.append(timer)
+            timer.start()
             return []
         if kind == "hups":
             for _ in range(self._rng.randint(1, 3)):
@@ -139,6 +157,8 @@
         self._routers.remove(router)
         del fleet.routers[router.name]
         if kind == "stop":
+            # One that still stands still would not end in time.
+            router.send(signal.SIGCONT)
             router.send(signal.SIGTERM)
             for number in (signal.SIGHUP, signal.SIGTERM):
                 if not router.is_ended():
@@ -151,6 +171,11 @@
         return [f"{router.name} exited with code {code} after SIGTERM"] if code else []
 
 
+def _resume(process: Process) -> None:
+    if not process.is_ended():
+        process.send(signal.SIGCONT)
+
+
 def run_seed(seed: int) -> list[str]:
     """Run one seed, and return a description of each violated guarantee."""
     soak = NativeSoak(seed)
