Don't count a standstill of the router as time in which the platform was silent

Confirmations whose claim was under way when their router stood still for 3 s were refused with 503 claim_timeout (8 of 8), though the platform had answered meanwhile.

Cause: the wait for a claim ends after 2 s by the clock, and its timer is handled before the answer that waits.

The beat of the event loop is a timer now instead of a task, so that a standstill is noticed before later timers, and the wait for claims is extended by the gap, within the call's deadline.

--- a/src/tamarackrill/decisions/claim_messages.py
+++ b/src/tamarackrill/decisions/claim_messages.py
@@ -60,6 +60,12 @@
     """The time returned by `next_due_s` has been reached."""
 
 
+class StoodStill(NamedTuple):
+    """The process did not run for `gap_s`, in which it could get no answer."""
+
+    gap_s: float
+
+
 Message = (
     ClaimRequested
     | RunEnded
@@ -69,6 +75,7 @@
     | WriteConflicted
     | WriteUnanswered
     | TimePassed
+    | StoodStill
 )
 
 
--- a/src/tamarackrill/decisions/claims.py
+++ b/src/tamarackrill/decisions/claims.py
@@ -41,6 +41,7 @@
     ReadFailed,
     Refused,
     RunEnded,
+    StoodStill,
     TimePassed,
     WriteBucket,
     WriteConflicted,
@@ -130,6 +131,8 @@
     """
     if isinstance(message, TimePassed):
         return _handle_timer(claims, now_s)
+    if isinstance(message, StoodStill):
+        return _handle_standstill(claims, message)
     if isinstance(message, ClaimRequested):
         return _handle_request(claims, message, now_s)
     if isinstance(message, RunEnded):
@@ -242,6 +245,19 @@
     return actions
 
 
+def _handle_standstill(claims: Claims, message: StoodStill) -> list[Action]:
+    def extend(change: Change) -> Change:
+        if not isinstance(change, AddClaim):
+            return change
+        wait_until_s = change.wait_until_s + message.gap_s
+        return change._replace(wait_until_s=min(change.deadline_s, wait_until_s))
+
+    for bucket in claims.buckets.values():
+        bucket.queue = [extend(change) for change in bucket.queue]
+        bucket.in_flight = [extend(change) for change in bucket.in_flight]
+    return []
+
+
 def _handle_read(
     claims: Claims, bucket: Bucket, message: BucketRead, now_s: float
 ) -> list[Action]:
--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -21,6 +21,7 @@
 from tamarackrill.decisions.leases import LeaseTiming
 from tamarackrill.decisions.members import MemberRecord, MemberState
 from tamarackrill.decisions.prompts import Prompt
+from tamarackrill.decisions.standstills import Standstill
 from tamarackrill.events import (
     ROUTER_LEAVING,
     ROUTER_STARTED,
@@ -257,7 +258,7 @@
             self.clock,
         )
         reader = LoadReader(self._endpoint_client, self.owners, self.placer, self.clock)
-        self.catch_up.on_standstill = self.chats.observe_standstill
+        self.catch_up.on_standstill = self._observe_standstill
         self.catch_up.on_current = self.admitter.admit_all
         self._start_task("catch_up", self.catch_up.run())
         self._start_task("owners", self.owners.run())
@@ -459,6 +460,10 @@
         for endpoint in self.list_endpoints():
             self._wake_waiting(endpoint)
 
+    def _observe_standstill(self, standstill: Standstill) -> None:
+        self.chats.observe_standstill(standstill)
+        self.claimer.observe_standstill(standstill)
+
     def _wake_waiting(self, endpoint: Endpoint) -> None:
         for pool in endpoint.serves:
             self.admitter.admit_waiting(pool)
--- a/src/tamarackrill/router/catching_up.py
+++ b/src/tamarackrill/router/catching_up.py
@@ -47,15 +47,25 @@
         self._monitor = StandstillMonitor(clock())
         self._latest: Standstill | None = None
         self._task: asyncio.Task[bool] | None = None
+        self._timer: asyncio.TimerHandle | None = None
         self.on_standstill: Callable[[Standstill], None] = lambda standstill: None
         self.on_current: Callable[[], None] = lambda: None
 
     async def run(self) -> None:
         """Look for standstills, until cancelled."""
-        while True:
-            self.is_current()
-            self._monitor.beat(self._clock())
-            await asyncio.sleep(BEAT_S)
+        try:
+            self._beat()
+            await asyncio.get_running_loop().create_future()
+        finally:
+            if self._timer is not None:
+                self._timer.cancel()
+
+    def _beat(self) -> None:
+        # A task would go on an iteration later, after timers that became due during a
+        # standstill have been handled.
+        self._timer = asyncio.get_running_loop().call_later(BEAT_S, self._beat)
+        self.is_current()
+        self._monitor.beat(self._clock())
 
     async def stop(self) -> None:
         """Cancel the reading of news."""
--- a/src/tamarackrill/router/claiming.py
+++ b/src/tamarackrill/router/claiming.py
@@ -28,6 +28,7 @@
     ReadFailed,
     Refused,
     RunEnded,
+    StoodStill,
     TimePassed,
     WriteBucket,
     WriteConflicted,
@@ -40,6 +41,7 @@
     next_due_s,
     step,
 )
+from tamarackrill.decisions.standstills import Standstill
 from tamarackrill.events import (
     CLAIM_CALL_FAILED,
     CLAIM_GRANTED,
@@ -174,6 +176,10 @@
             self._step(RunEnded(grant.key_hash, grant.attempt, sent=True))
         # Otherwise the outcome is unknown, and the claim stays unchanged.
 
+    def observe_standstill(self, standstill: Standstill) -> None:
+        """Let claims under way wait on: the platform's answers waited as well."""
+        self._step(StoodStill(standstill.gap_s))
+
     async def stop(self) -> None:
         """Cancel the timer and the requests to the platform."""
         if self._timer is not None:
--- a/tests/test_native_standstill.py
+++ b/tests/test_native_standstill.py
@@ -15,6 +15,7 @@
 CALLS = 8
 # Until calls that were just sent wait in the socket of a router that stands still.
 SEND_S = 0.3
+CLAIMS_PATH = "/v1/objects/claim"
 
 
 def make_contract(team, **fields):
@@ -167,6 +168,21 @@
     assert fleet.worker.look()["total"] - before == 2
 
 
+def test_confirmation_whose_claim_was_under_way_is_not_refused(open_fleet):
+    # Guards against confirmations that are refused because the time in which their
+    # router stood still counts as the platform's.
+    fleet = open_fleet("a")
+    (router,) = fleet.routers
+    platform = fleet.processes.platform
+    platform.set_faults(answer_delay_s=0.5)
+    sent = fleet.send(router, "/book", Idempotency_Key="k")
+    wait_for(lambda: call(platform.address, CLAIMS_PATH).json()["items"], "the claim")
+    router.send(signal.SIGSTOP)
+    time.sleep(2 * STANDSTILL_S)
+    router.send(signal.SIGCONT)
+    assert sent.result() == 200
+
+
 def find_chat(home):
     names = ["a", "b", "c"]
     for number in itertools.count():
