--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -522,6 +522,16 @@
     "alive.",
     "Look for a paused VM, swapping, or a host that is short of CPU time.",
 )
+ROUTER_CAUGHT_UP = Event(
+    3008,
+    "router_caught_up",
+    _WARNING,
+    ("gap_s", "duration_s", "is_complete"),
+    "This process stood still for `gap_s`, and calls then waited for `duration_s` "
+    "until it had read what changed meanwhile.  Unless `is_complete`, the platform did "
+    "not answer, and calls are decided by what was known before.",
+    "Look for a paused VM, swapping, or a host that is short of CPU time.",
+)
 CONFIGURATION_PULL_FAILED = Event(
     3007,
     "configuration_pull_failed",
@@ -597,6 +607,15 @@
     "took effect.",
     "Check the platform if it continues; claims are refused while it is down.",
 )
+CLAIM_CALL_FAILED = Event(
+    4009,
+    "claim_call_failed",
+    _ERROR,
+    ("bucket", "error"),
+    "A read or write of claims failed with an unexpected error.  It is handled like a "
+    "call that the platform did not answer.",
+    "Report this line to the maintainers.",
+)
 REQUEST_JOINED = Event(
     4004,
     "request_joined",
--- a/src/tamarackrill/router/attempts.py
+++ b/src/tamarackrill/router/attempts.py
@@ -56,6 +56,8 @@
         How long the endpoint asked for no further calls; 0 if it didn't.
     error : Exception or None
         Undeclared error that ended the attempt.
+    is_silent : bool
+        Whether the endpoint neither accepted nor refused the connection in time.
     """
 
     outcome: Outcome
@@ -64,6 +66,7 @@
     reason: str = ""
     retry_after_s: float = 0.0
     error: Exception | None = None
+    is_silent: bool = False
 
 
 class _EventStreamOutlet(Outlet):
@@ -205,7 +208,13 @@
         outcome = _classify_failure(error, reply)
         if outcome == "cancelled" and call.kind == "engine":
             await _cancel_at_engine(client, call, endpoint)
-        return Attempt(outcome, first_byte_s, reply.count - chunks_before, error.reason)
+        return Attempt(
+            outcome,
+            first_byte_s,
+            reply.count - chunks_before,
+            error.reason,
+            is_silent=error.is_silent,
+        )
     except Exception as error:
         chunks = reply.count - chunks_before
         return Attempt("cut", first_byte_s, chunks, repr(error), error=error)
--- a/src/tamarackrill/router/callers.py
+++ b/src/tamarackrill/router/callers.py
@@ -1,10 +1,13 @@
 """HTTP handler of the callers' calls, at the entry router and at the home router."""
 
+import socket
+
 from tornado.iostream import StreamClosedError
 from tornado.web import stream_request_body
 
 from tamarackrill.contracts import Contract
 from tamarackrill.decisions.hashing import rendezvous_order
+from tamarackrill.decisions.ordering import HOME_MOVED
 from tamarackrill.events import REQUEST_FORWARDED, log_event
 from tamarackrill.exceptions import Refusal
 from tamarackrill.router.calls import Call, authenticate, read_call
@@ -106,6 +109,8 @@
         self._contract: Contract | None = None
         self._counted = False
         self._is_disconnected = False
+        # How long the call waited in its socket while this process stood still.
+        self._waited_s = 0.0
         self._may_have_run = MAY_HAVE_RUN_HEADER in self.request.headers
 
     def send_refusal(self, refusal: Refusal) -> None:
@@ -123,12 +128,17 @@
             )
         super().send_refusal(refusal)
 
-    def prepare(self) -> None:
+    async def prepare(self) -> None:
         """Check the API key and the Content-Length before the body arrives."""
         front = self.front
         front.metrics.count("requests", self.request.method or "")
         front.open_calls.increment()
         self._counted = True
+        if not front.catch_up.is_current():
+            started_s = front.clock()
+            self._waited_s = front.catch_up.find_waited_s(self._get_socket())
+            await front.catch_up.wait()
+            self._waited_s += front.clock() - started_s
         try:
             self._check_size(int(self.request.headers.get("Content-Length", "0")))
             authorization = self.request.headers.get("Authorization", "")
@@ -140,6 +150,12 @@
         except Refusal as refusal:
             self.send_refusal(refusal)
 
+    def _get_socket(self) -> socket.socket:
+        connection = self.request.connection
+        assert connection is not None
+        found: socket.socket = connection.stream.socket
+        return found
+
     def data_received(self, chunk: bytes) -> None:
         """Append a piece of the body; refuse a body that is too long."""
         self._body += chunk
@@ -158,6 +174,8 @@
 
     async def get(self) -> None:
         """Answer the call, whatever its method."""
+        if self._is_disconnected:
+            return
         try:
             await self._answer()
         except Refusal as refusal:
@@ -178,14 +196,27 @@
         if self._contract is None:
             return
         call = self._read_call(self._contract)
+        if call.deadline_s <= front.clock():
+            raise Refusal("too_late", 504, "the deadline has passed")
         forwarded_id = verify_forwarded_id(
             self.request.headers, call.fingerprint, front.peer_keys
         )
         if forwarded_id:
             call = call._replace(request_id=forwarded_id)
-        if not forwarded_id and await self._forward(call):
+        if self._may_have_moved(call) and forwarded_id:
+            raise Refusal(HOME_MOVED, 503, "the chat may have another home router now")
+        if not forwarded_id and await self._forward(call, self._may_have_moved(call)):
             return
-        await self._serve(call)
+        try:
+            await self._serve(call)
+        except Refusal as refusal:
+            has_moved = refusal.code == HOME_MOVED and not forwarded_id
+            if not has_moved or not await self._forward(call, has_moved):
+                raise
+
+    def _may_have_moved(self, call: Call) -> bool:
+        is_ordered = bool(call.chat) and call.sequence is not None
+        return is_ordered and self.front.catch_up.may_have_moved(self._waited_s)
 
     def _read_call(self, contract: Contract) -> Call:
         request = self.request
@@ -195,7 +226,7 @@
             request.uri or "",
             request.headers,
             bytes(self._body),
-            self.front.clock(),
+            self.front.clock() - self._waited_s,
         )
 
     def _list_homes(self, call: Call) -> list[Member]:
@@ -205,10 +236,15 @@
         names = rendezvous_order(call.home_key, list(live), HOMES_MAX)
         return [live[name] for name in names]
 
-    async def _forward(self, call: Call) -> bool:
-        """Try the other home routers; return whether the call is done with."""
+    async def _forward(self, call: Call, has_moved: bool) -> bool:
+        """Try the other home routers; return whether the call is done with.
+
+        If the chat has moved away from this router, those after it are tried too.
+        """
         for home in self._list_homes(call):
             if home.name == self.front.members.own.name:
+                if has_moved:
+                    continue
                 return False
             try:
                 await self._forward_to(call, home)
@@ -244,7 +280,7 @@
         try:
             head = await exchange.head()
             if LEAVING_HEADER in head.headers:
-                raise UpstreamError("the home router is shutting down", sent=False)
+                raise UpstreamError("the home router refuses the call", sent=False)
             self.start_answer(head)
             outlet = _CallerOutlet(self, call.stream)
             await exchange.pump(outlet)
--- a/src/tamarackrill/router/claiming.py
+++ b/src/tamarackrill/router/claiming.py
@@ -28,6 +28,7 @@
     ReadFailed,
     Refused,
     RunEnded,
+    StoodStill,
     TimePassed,
     WriteBucket,
     WriteConflicted,
@@ -40,7 +41,14 @@
     next_due_s,
     step,
 )
-from tamarackrill.events import CLAIM_GRANTED, CLAIM_HELD, CLAIM_UNANSWERED, log_event
+from tamarackrill.decisions.standstills import Standstill
+from tamarackrill.events import (
+    CLAIM_CALL_FAILED,
+    CLAIM_GRANTED,
+    CLAIM_HELD,
+    CLAIM_UNANSWERED,
+    log_event,
+)
 from tamarackrill.exceptions import PlatformUnavailable, Refusal
 from tamarackrill.router.calls import Call
 from tamarackrill.router.platform_client import PlatformClient
@@ -168,6 +176,10 @@
             self._step(RunEnded(grant.key_hash, grant.attempt, sent=True))
         # Otherwise the outcome is unknown, and the claim stays unchanged.
 
+    def observe_standstill(self, standstill: Standstill) -> None:
+        """Let claims under way wait on: the platform's answers waited as well."""
+        self._step(StoodStill(standstill.gap_s))
+
     async def stop(self) -> None:
         """Cancel the timer and the requests to the platform."""
         if self._timer is not None:
@@ -224,6 +236,11 @@
         except PlatformUnavailable:
             self._step(ReadFailed(action.bucket))
             return
+        except Exception as error:
+            # Without an outcome no later claim of the bucket would be made.
+            log_event(CLAIM_CALL_FAILED, bucket=action.bucket, error=repr(error))
+            self._step(ReadFailed(action.bucket))
+            return
         self._step(BucketRead(action.bucket, version, entries))
 
     async def _write(self, action: WriteBucket) -> None:
@@ -238,6 +255,10 @@
             log_event(CLAIM_UNANSWERED, bucket=action.bucket, reason=str(error))
             self._step(WriteUnanswered(action.bucket))
             return
+        except Exception as error:
+            log_event(CLAIM_CALL_FAILED, bucket=action.bucket, error=repr(error))
+            self._step(WriteUnanswered(action.bucket))
+            return
         if result.version is not None:
             self._step(BucketWritten(action.bucket, result.version))
         else:
--- a/src/tamarackrill/router/configuring.py
+++ b/src/tamarackrill/router/configuring.py
@@ -200,7 +200,7 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def refresh(self) -> None:
+    def request_news(self) -> None:
         """Ask the platform for all that has changed, without waiting for a change."""
         for kind in self._kinds:
             self._refresh_requested[kind].set()
@@ -228,6 +228,25 @@
             self._apply_listing(kind, listing, is_snapshot=True)
         self.on_current(kind, asked_s)
 
+    async def read_news(self) -> bool:
+        """Read what has changed, without waiting for changes.
+
+        Returns
+        -------
+        bool
+            Whether the platform has answered for all kinds.
+        """
+        known = [kind for kind in self._kinds if self._store.get_complete(kind)]
+        outcomes = await asyncio.gather(
+            *(self._watch(kind, 0.0) for kind in known), return_exceptions=True
+        )
+        failed = [outcome for outcome in outcomes if outcome is not None]
+        for error in failed:
+            # The watches handle an unavailable platform.
+            if not isinstance(error, PlatformUnavailable):
+                raise error
+        return len(known) == len(self._kinds) and not failed
+
     def digest(self) -> tuple[ConfigurationDigest, ...]:
         """Return the digests of all kinds."""
         return tuple(self._store.digest(kind) for kind in self._kinds)
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -630,7 +630,7 @@
     def _watch_standstills(self) -> None:
         sync = self.configuration_sync
         sync.find_resumed_s = self.standstill.find_resumed_s
-        self.standstill.on_resumed = sync.refresh
+        self.standstill.on_resumed = sync.request_news
         sync.on_answer = chain(self.standstill.observe_news, sync.on_answer)
         sync.on_unchanged = chain(self.standstill.observe_news, sync.on_unchanged)
         self.standstill.start(self.clock())
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -221,18 +221,9 @@
         progress.last_endpoint = attempt.endpoint_name = endpoint.name
         started_s = self._clock()
         relay = self._choose_relay(call, endpoint)
-        channel = await self._open_channel(call, endpoint, relay)
+        channel = await self._connect_current(call, endpoint, relay)
         if isinstance(channel, AttemptResult):
             return channel
-        try:
-            await self.wait_current()
-        except BaseException:
-            channel.close()
-            raise
-        # The choice is as old as all that the request has waited for since.
-        if not self._placer.takes_work(endpoint):
-            channel.close()
-            return AttemptResult("not_sent", _LEFT, relay=relay)
         log_event(
             CALL_SENT,
             **describe_call(call),
@@ -307,6 +298,24 @@
             return ""
         return self.relays.choose(endpoint, call.request_id) or ""
 
+    async def _connect_current(
+        self, call: EdgeCall, endpoint: Endpoint, relay: str
+    ) -> Channel | AttemptResult:
+        """Connect to an endpoint that still takes work then."""
+        channel = await self._open_channel(call, endpoint, relay)
+        if isinstance(channel, AttemptResult):
+            return channel
+        try:
+            await self.wait_current()
+        except BaseException:
+            channel.close()
+            raise
+        # The choice is as old as all that the request has waited for since.
+        if not self._placer.takes_work(endpoint):
+            channel.close()
+            return AttemptResult("not_sent", _LEFT, relay=relay)
+        return channel
+
     async def _open_channel(
         self, call: EdgeCall, endpoint: Endpoint, relay: str
     ) -> Channel | AttemptResult:
--- a/src/tamarackrill/router/flow.py
+++ b/src/tamarackrill/router/flow.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from tamarackrill.contracts import Endpoint
 from tamarackrill.decisions.retry import Failure, RetryBudget, RetryDecision
@@ -52,6 +52,8 @@
         The steps of a call; not owned.
     clock : callable
         Returns the current time.
+    wait_current : callable
+        ``await wait_current()`` returns when calls may be decided by what is known.
     """
 
     def __init__(
@@ -64,8 +66,10 @@
         placer: Placer,
         metrics: Metrics,
         clock: Callable[[], float],
+        wait_current: Callable[[], Awaitable[None]],
     ) -> None:
         self._client = client
+        self._wait_current = wait_current
         self._chats = chats
         self._claimer = claimer
         self._limiter = limiter
@@ -149,6 +153,7 @@
 
     async def _serve(self, call: Call, reply: Reply) -> None:
         avoid: list[str] = []
+        silent: list[str] = []
         may_have_run = False
         sent = unconnected = 0
         while True:
@@ -156,7 +161,9 @@
             placed, attempt = await self._admit_and_attempt(
                 call, reply, avoid, is_last, may_have_run
             )
-            if attempt.outcome == "not_sent":
+            if attempt.is_silent:
+                is_last = False
+            elif attempt.outcome == "not_sent":
                 unconnected += 1
                 is_last = unconnected == UNCONNECTED_MAX
             else:
@@ -176,11 +183,22 @@
             if is_last or self._decide_retry(call, reply, attempt) != "retry":
                 break
             avoid.append(placed.endpoint.name)
+            if attempt.is_silent:
+                silent.append(placed.endpoint.name)
+            avoid = self._readmit_silent(call, avoid, silent)
         message = "no endpoint returned a complete answer"
         raise Refusal(
             "endpoint_lost", 502, message, "unknown" if may_have_run else "not_run"
         )
 
+    def _readmit_silent(
+        self, call: Call, avoid: list[str], silent: list[str]
+    ) -> list[str]:
+        """Return the endpoints to avoid, without silent ones if no other is left."""
+        if self._placer.is_servable(call, avoid, self._clock()):
+            return avoid
+        return [name for name in avoid if name not in silent]
+
     def _record_success(self, call: Call, attempt: Attempt) -> None:
         if attempt.outcome == "answered":
             self._get_retry_budget(call).note_success()
@@ -225,6 +243,7 @@
         arrived_s = self._clock()
         reply.set_abandoned_callback(lambda: self._admitter.cancel(call))
         while True:
+            await self._wait_current()
             self._check_backoff(call, may_have_run)
             await self._wait_for_admission(call, may_have_run)
             attempt = Attempt("not_sent")
--- a/src/tamarackrill/router/front.py
+++ b/src/tamarackrill/router/front.py
@@ -9,7 +9,9 @@
 from tornado.web import HTTPError, RequestHandler
 
 from tamarackrill.contracts import Contract
+from tamarackrill.decisions.ordering import HOME_MOVED
 from tamarackrill.exceptions import Refusal
+from tamarackrill.router.catching_up import CatchUp
 from tamarackrill.router.explaining import ExplainQuery
 from tamarackrill.router.flow import CallRunner
 from tamarackrill.router.members import Members
@@ -19,7 +21,8 @@
     CurlAsyncHTTPClient,
 )
 
-# Marks a refusal by a router that is shutting down; the next home router is tried.
+# Marks a refusal by a router that is shutting down, or may no longer be the home of the
+# chat; the next home router is tried.
 LEAVING_HEADER = "Tamarackrill-Leaving"
 LEAVING_CODE = "leaving"
 NOT_FOUND = 404
@@ -84,6 +87,8 @@
         Returns the status of this router.
     explain : callable
         Returns where a call would be routed.
+    catch_up : CatchUp
+        Lets calls wait after a standstill of this process.
     clock : callable
         Returns the current time.
     """
@@ -100,6 +105,7 @@
     is_ready: Callable[[], bool]
     describe: Callable[[], dict[str, Any]]
     explain: Callable[[ExplainQuery], dict[str, Any]]
+    catch_up: CatchUp
     clock: Callable[[], float] = time.monotonic
 
 
@@ -133,7 +139,7 @@
             return
         self.clear()
         self.set_status(refusal.status, refusal.code)
-        if refusal.code == LEAVING_CODE:
+        if refusal.code in (LEAVING_CODE, HOME_MOVED):
             self.set_header(LEAVING_HEADER, "1")
         self.set_header("Retry-After", str(max(1, round(refusal.retry_after_s))))
         self.finish(dict(refusal.to_body()))
