--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -9,6 +9,7 @@
     RESPONSE_TRANSIT_S,
     find_chunk_timeout_s,
     find_header_timeout_s,
+    find_link_timeout_s,
     find_suspicion_timeout_s,
 )
 from tamarackrill.decisions.attempts import Outcome
@@ -94,7 +95,8 @@
     crashes : CrashChecks
         Finds out whether endpoints that broke a response off have crashed.
     on_silent : callable
-        Called with an attempt whose endpoint is silent, and for how long.
+        Called with an attempt whose endpoint is silent, for how long it has been, and
+        how long another attempt is given before the next one.
     on_first_event : callable
         Called with a request and its endpoint's software version before the first event
         of its stream is forwarded.
@@ -129,8 +131,8 @@
             clock,
             connect,
         )
-        self.on_silent: Callable[[RequestAttempt, float], None] = lambda attempt, s: (
-            None
+        self.on_silent: Callable[[RequestAttempt, float, float], None] = (
+            lambda attempt, silent_s, pause_s: None
         )
         self.on_first_event: Callable[[EdgeCall, str], None] = lambda call, version: (
             None
@@ -319,7 +321,8 @@
         self._send(progress, placed, relay, channel)
         try:
             async with lateness.timeout_at(call.deadline_s + RESPONSE_TRANSIT_S):
-                with self._watch_silence(attempt, find_header_timeout_s(call.route)):
+                timeout_s = find_header_timeout_s(call.route)
+                with self._watch_answer(attempt, channel, timeout_s):
                     head, answer_headers = await self.read_matching_head(
                         call.request_id, placed.endpoint, channel, relay
                     )
@@ -365,9 +368,25 @@
             load=load,
         )
 
+    def _watch_answer(
+        self, attempt: RequestAttempt, channel: Channel, timeout_s: float | None
+    ) -> contextlib.AbstractContextManager[None]:
+        """Watch an endpoint's silence, or its link if it may be silent for any time."""
+        if timeout_s is not None:
+            return self._watch_silence(attempt, timeout_s)
+        link_timeout_s = find_link_timeout_s(attempt.progress.call.route)
+        return self._watch_silence(
+            attempt,
+            link_timeout_s,
+            lambda: channel.find_unacknowledged_s() >= (link_timeout_s or 0.0),
+        )
+
     @contextlib.contextmanager
     def _watch_silence(
-        self, attempt: RequestAttempt, timeout_s: float | None
+        self,
+        attempt: RequestAttempt,
+        timeout_s: float | None,
+        is_suspect: Callable[[], bool] = lambda: True,
     ) -> Iterator[None]:
         """Report an attempt each time that its endpoint has been silent for so long."""
         if timeout_s is None:
@@ -383,8 +402,10 @@
             nonlocal timer
             now_s = loop.time()
             timer = lateness.LateTimer(now_s + period_s, observe)
+            if not is_suspect():
+                return
             attempt.note_silent(True)
-            self.on_silent(attempt, now_s - started_s)
+            self.on_silent(attempt, now_s - started_s, period_s)
 
         timer = lateness.LateTimer(started_s + period_s, observe)
         try:
@@ -602,7 +623,7 @@
             progress.history.sent,
             progress.reply.has_begun,
         )
-        with self._watch_silence(attempt, timeout_s):
+        with self._watch_answer(attempt, channel, timeout_s):
             piece = await channel.read_chunk()
         _check_running(attempt)
         attempt.note_silent(False)
