--- a/tests/test_review_take_over.py
+++ b/tests/test_review_take_over.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-from test_take_over import DEADLINE_MS, answer_late, fall_silent, hang
-
 from tamarackrill.decisions.retry_shares import BudgetTerms
 from tamarackrill.router.channels import open_channel
 from tamarackrill.testing.edge import EdgeFleet, make_route
@@ -13,6 +11,7 @@
     make_stream_head,
     make_streaming,
 )
+from test_take_over import DEADLINE_MS, answer_late, fall_silent, hang
 
 STREAMS = 30
 BUDGET_FIXED = 5.0
