--- a/tests/test_review_standstill.py
+++ b/tests/test_review_standstill.py
@@ -1,6 +1,7 @@
 """Requests that wait for news after a standstill."""
 
 import asyncio
+import time
 
 from tamarackrill.testing.edge import EdgeFleet, make_route
 
@@ -31,3 +32,28 @@
             assert not worker.requests
 
     asyncio.run(run())
+
+
+def test_suspension_of_the_vm_is_a_standstill(monkeypatch):
+    # Guards against requests that are decided by old news after the VM was suspended,
+    # for which the monotonic clock stands still too.
+    suspended_s = 0.0
+    read = time.clock_gettime
+
+    def read_clock(clock):
+        return read(clock) + (suspended_s if clock == time.CLOCK_BOOTTIME else 0.0)
+
+    monkeypatch.setattr(time, "clock_gettime", read_clock)
+
+    async def run():
+        nonlocal suspended_s
+        async with EdgeFleet() as fleet:
+            await fleet.put_manifest(1, make_route("/l/", "idempotent"))
+            await fleet.add_worker("w0")
+            router = await fleet.add_router()
+            await asyncio.sleep(0.3)
+            assert router.standstill.find_resumed_s() < 0.0
+            suspended_s = 10.0
+            assert router.standstill.find_resumed_s() > 0.0
+
+    asyncio.run(run())
--- a/tests/test_review_take_over.py
+++ b/tests/test_review_take_over.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from tamarackrill.decisions.retry_shares import BudgetTerms
 from tamarackrill.router.channels import open_channel
 from tamarackrill.testing.edge import EdgeFleet, make_route
@@ -149,3 +151,46 @@
 
     asyncio.run(run())
     assert "unexpected" in caplog.text
+
+
+TOGETHER_MAX_S = 0.4
+
+
+@pytest.mark.parametrize("has_partial", [False, True])
+def test_silent_endpoint_is_left_once_another_one_has_begun(has_partial):
+    # Guards against two endpoints that work on a stream for longer than 400 ms: the
+    # second one has answered, but takes time to complete its first event.
+    async def run():
+        times = {}
+
+        async def begin_slowly(request, writer):
+            event = make_event(5)
+            writer.write(make_stream_head(request))
+            if has_partial:
+                writer.write(make_chunk(event[:5]))
+            await writer.drain()
+            times["begun"] = asyncio.get_running_loop().time()
+            await asyncio.sleep(2 * TOGETHER_MAX_S)
+            writer.write(make_chunk(event[5:] if has_partial else event))
+            rest = b"".join(make_chunk(make_event(n)) for n in (6, 7, 8))
+            writer.write(rest + make_chunk(b""))
+
+        async def note_left(request, writer):
+            try:
+                await fall_silent(9.0)(request, writer)
+            except asyncio.CancelledError:
+                times["left"] = asyncio.get_running_loop().time()
+                raise
+
+        async with EdgeFleet() as fleet:
+            await fleet.put_manifest(1, make_stream_route())
+            await fleet.add_worker("w0", note_left)
+            router = await fleet.add_router()
+            ((_, reading),) = await begin_streams(fleet, router, 1)
+            await fleet.add_worker("w1", begin_slowly)
+            answer = await asyncio.wait_for(reading, 9.0)
+            assert answer.is_whole
+            await fleet.wait(lambda: "left" in times)
+            assert times["left"] - times["begun"] <= TOGETHER_MAX_S
+
+    asyncio.run(run())
--- a/tests/test_review_versions.py
+++ b/tests/test_review_versions.py
@@ -1,4 +1,4 @@
-"""Streams taken up while the store is slow, after the router that began them has died."""
+"""Streams of a router that has died, taken up while the store is slow."""
 
 import asyncio
 
