--- a/soak/versions.py
+++ b/soak/versions.py
@@ -307,7 +307,9 @@
     async def _start_workers(self, fleet: EdgeFleet) -> None:
         for number in range(3):
             await self._add_worker(fleet, f"desk-{number}", "desk", answer_ok)
-        for version in VERSIONS:
+        # With one version at first, routers conclude it until the second one joins.
+        count = self._rng.choice([1, len(VERSIONS)])
+        for version in VERSIONS[:count]:
             await self._add_writers(fleet, version)
 
     async def _add_writers(
@@ -425,12 +427,25 @@
             router.signal(signal.SIGSTOP)
         else:
             store.mode = "silence"
+        release = self._release
+        if len(self._served[-1][1]) == 1:
+            release = self._add_missing
         try:
-            await asyncio.gather(asyncio.sleep(seconds), self._release(fleet))
+            await asyncio.gather(asyncio.sleep(seconds), release(fleet))
         finally:
             router.signal(signal.SIGCONT)
             store.mode = "pass"
 
+    async def _add_missing(self, fleet: EdgeFleet) -> None:
+        """Add writers of the versions that don't serve."""
+        if self._releasing.locked():
+            return
+        async with self._releasing:
+            for version in VERSIONS:
+                if version not in self._served[-1][1]:
+                    self.faults.append(f"{version} join")
+                    await self._add_writers(fleet, version)
+
     async def _crash_writer(self, fleet: EdgeFleet) -> None:
         """Let a writer crash, and another one of any version take its place."""
         name = self._rng.choice(self._list_writers())
