--- a/src/tamarackrill/decisions/version_evidence.py
+++ b/src/tamarackrill/decisions/version_evidence.py
@@ -21,7 +21,7 @@
 # its users allow for.
 CHECKS_PER_S = 1000.0
 # Shortest interval between two reads of one router.
-CHECK_INTERVAL_MIN_S = 0.1
+CHECK_INTERVAL_MIN_S = 0.05
 
 # What a read of the store that was sent after the request had arrived has shown.
 StoreCheck = Literal["unasked", "confirmed", "unreachable"]
--- a/src/tamarackrill/router/version_keepers.py
+++ b/src/tamarackrill/router/version_keepers.py
@@ -44,8 +44,6 @@
 
 # Two round trips between availability zones, and a late event loop on either side.
 REPLY_TIMEOUT_S = 0.04
-# A datagram may be lost.
-QUESTIONS_MAX = 2
 TICKET_BITS = 48
 # A client that doesn't name the attempt that began its stream.
 NO_STREAM = identify_stream("")
@@ -283,14 +281,19 @@
         stream = identify_stream(call.headers.resumed_id)
         if self.versions.find(stream) is not None:
             return self._conclude(stream, call.service, {})
+        service = call.service
         # Also if only one version is known here, as another router may know more.
-        replies = await self._ask_keepers(stream, call.service)
-        self.versions.learn(call.service, replies.values(), self._clock())
+        replies = await self._ask_silent(stream, service, {})
         store: StoreCheck = "unasked"
-        if must_check_store(self._collect(stream, call.service, replies)):
-            is_read = await self._check_store()
-            store = "confirmed" if is_read else "unreachable"
-        found = self._conclude(stream, call.service, replies, store)
+        news = self._collect(stream, service, replies)
+        if conclude(news)[0] is None:
+            # Routers that have just ended are silent, and datagrams get lost.
+            store, more = await asyncio.gather(
+                self._read_store(news), self._ask_silent(stream, service, replies)
+            )
+            replies |= more
+        self.versions.learn(service, replies.values(), self._clock())
+        found = self._conclude(stream, service, replies, store)
         if found.software_version is not None or store == "unreachable":
             return found
         version, source = await self._find_archived(stream)
@@ -362,19 +365,17 @@
         asked = choose_asked(stream, self._routers, self._own)
         return [name for name in asked if name not in replied]
 
-    async def _ask_keepers(self, stream: int, service: str) -> dict[str, KeeperReply]:
-        """Ask all possible keepers, and once more those that are silent.
+    async def _read_store(self, news: VersionNews) -> StoreCheck:
+        """Bring the known versions up to date, if that may show a stream's version."""
+        if not must_check_store(news):
+            return "unasked"
+        return "confirmed" if await self._check_store() else "unreachable"
 
-        Routers that have just ended are silent.  The others are enough if one of them
-        knows all versions that streams began at, and these are one.
-        """
-        replies: dict[str, KeeperReply] = {}
-        for _ in range(QUESTIONS_MAX):
-            silent = self._find_silent(stream, replies)
-            replies |= await self._ask(silent, stream, service)
-            if conclude(self._collect(stream, service, replies))[0] is not None:
-                break
-        return replies
+    async def _ask_silent(
+        self, stream: int, service: str, replied: Collection[str]
+    ) -> dict[str, KeeperReply]:
+        """Ask the possible keepers that have not replied."""
+        return await self._ask(self._find_silent(stream, replied), stream, service)
 
     async def _ask(
         self, asked: Iterable[str], stream: int, service: str
