Don't take clients for slow while the own event loop is late

A whole answer was cut, where clients are buffered because they read slowly, if the loop went on after its deadline: the time to deliver it was over before the client could read a byte. It now waits on while the loop is late.

--- a/src/tamarackrill/router/slow_clients.py
+++ b/src/tamarackrill/router/slow_clients.py
@@ -20,6 +20,7 @@
 )
 from tamarackrill.events import CLIENT_BUFFERS_SHORT, log_event
 from tamarackrill.platform.settings_file import PlatformSettings
+from tamarackrill.router import lateness
 from tamarackrill.router.channels import Channel
 from tamarackrill.router.edge_reply import ClientTooSlow, EdgeReply, MakeReply
 from tamarackrill.router.metrics import Metrics
@@ -247,7 +248,7 @@
         if not self._is_complete or self.is_over:
             return
         try:
-            async with asyncio.timeout_at(deadline_s + RESPONSE_TRANSIT_S):
+            async with lateness.timeout_at(deadline_s + RESPONSE_TRANSIT_S):
                 await self._wait_written()
                 self._check_open()
                 self._connection.finish()
--- a/tests/test_own_lateness.py
+++ b/tests/test_own_lateness.py
@@ -19,10 +19,16 @@
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.owners import Owners
 from tamarackrill.testing.edge import EdgeFleet, ask, make_route
-from tamarackrill.testing.worker import make_chunk, make_event, make_stream_head
+from tamarackrill.testing.worker import (
+    make_answer,
+    make_chunk,
+    make_event,
+    make_stream_head,
+)
 
 TIMEOUT_S = 0.15
 KEYS = ("a key",)
+LONG_BYTES = 640 * 1024
 
 
 def block_s(*blocks_s):
@@ -152,3 +158,23 @@
             assert (answer.status, answer.is_whole) == (200, True)
 
     asyncio.run(run())
+
+
+def test_client_of_a_late_router_isnt_taken_for_slow():
+    # Guards against whole answers that are cut because a late router goes on after
+    # their deadline, before their clients could read them.
+    async def act(request, writer):
+        writer.write(make_answer(request, b"x" * LONG_BYTES))
+        await writer.drain()
+        await asyncio.sleep(0)
+        time.sleep(1.2)
+
+    async def run():
+        async with EdgeFleet() as fleet:
+            await fleet.put_manifest(1, make_route("/lookup/", "idempotent"))
+            await fleet.add_worker("w", act)
+            router = await fleet.add_router(has_slow_peers=True)
+            answer = await ask(router, "/lookup/a", X_Deadline_Ms="1000")
+            assert (answer.status, len(answer.body)) == (200, LONG_BYTES)
+
+    asyncio.run(run())
