Don't count own lateness as time in which an endpoint didn't end

A partial stream could be forwarded as complete: after an answer that ends with its connection, a router connects to the endpoint again and gives it 10 ms to end. If the event loop was late, these were over before the loop could read that the connection had ended. The wait now goes on while the loop is late.

--- a/src/tamarackrill/router/endpoint_checks.py
+++ b/src/tamarackrill/router/endpoint_checks.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from tamarackrill.contracts import Endpoint
+from tamarackrill.router import lateness
 from tamarackrill.router.channel_pool import ChannelPool
 from tamarackrill.router.channels import ChannelError, Connect, ResponseHead
 from tamarackrill.router.edge_placing import EdgePlacer
@@ -104,7 +105,7 @@
             self._paths.probe(endpoint)
             return
         try:
-            await asyncio.sleep(ENDING_S)
+            await lateness.sleep(ENDING_S)
         except asyncio.CancelledError:
             channel.close()
             raise
--- a/tests/test_broken_off.py
+++ b/tests/test_broken_off.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 
 import pytest
 from soak.links import EndpointLinks
@@ -262,6 +263,35 @@
     run_in_fleet(act)
 
 
+def test_late_router_waits_for_an_endpoint_that_ends():
+    # Guards against a partial stream that is forwarded as complete, because a late
+    # router counts its own lateness as time in which the process didn't end.
+    async def act(fleet):
+        worker = await fleet.add_worker("w1")
+
+        async def end_slowly(request, writer):
+            headers = {"Content_Type": "text/event-stream"}
+            writer.write(frame_answer(request, "close", THREE, **headers))
+            await writer.drain()
+            writer.close()
+
+        async def end_at_the_second_connection():
+            while worker.connections < 2:
+                await asyncio.sleep(0.0005)
+            time.sleep(0.05)
+            await asyncio.sleep(0.003)
+            await worker.crash()
+
+        worker.behave = end_slowly
+        router = await fleet.add_router()
+        ending = asyncio.create_task(end_at_the_second_connection())
+        answer = await ask(router, "/once/a", body=b"x")
+        assert (answer.body, answer.is_whole) == (THREE, False)
+        await ending
+
+    run_in_fleet(act)
+
+
 @pytest.mark.parametrize("sent", [THREE, WHOLE])
 def test_stream_of_an_endpoint_that_leaves_is_resumed_when_it_exits(sent):
     # Guards against part of a stream that is forwarded as complete, because the process
