--- a/tests/test_take_over.py
+++ b/tests/test_take_over.py
@@ -353,3 +353,31 @@
     play = find_play(plays, "no_budget")
     assert (play.answer.body, play.answer.is_whole) == (WHOLE, True)
     assert play.other_requests == 0
+
+
+@pytest.mark.parametrize("ends_s, checks", [(0.1, 1), (2.0, 0)])
+def test_end_of_a_silent_endpoint_is_no_crash_by_its_request(ends_s, checks):
+    # Guards against a request that is taken for poison because its endpoint, silent for
+    # long, has ended meanwhile for another reason.
+    async def run():
+        route = make_route("/l/", "idempotent", timeout_ms=8000)
+        async with EdgeFleet() as fleet:
+            await fleet.put_manifest(1, route)
+            worker = await fleet.add_worker("w0", hang)
+            router = await fleet.add_router()
+            await fleet.wait(lambda: router.view.list_endpoints())
+            checked = []
+
+            async def check(ending):
+                checked.append(ending)
+
+            router.flow.attempts.crashes.check = check
+            client = await fleet.connect(router)
+            client.send("/l/a", method="GET", X_Deadline_Ms=DEADLINE_MS)
+            await fleet.wait(lambda: worker.requests)
+            await asyncio.sleep(ends_s)
+            await worker.crash()
+            await client.read()
+            assert len(checked) == checks
+
+    asyncio.run(run())
