Bound the answers of the store to 16 MiB

Answers were only bounded by the HTTP client's default of 100 MB, which takes several times as much once decoded. A longer answer is dropped as it arrives, whether it tells its size or not and also if it is compressed. A watch is then replaced by a list, as before; a list is tried again after a pause, as after an outage.

Three cases of test_answer_of_any_length_takes_bounded_memory failed before (a watch ended as an outage after 100 MB) and pass.

--- a/src/tamarackrill/router/platform_client.py
+++ b/src/tamarackrill/router/platform_client.py
@@ -41,6 +41,9 @@
 WATCH_WAIT_S = 25.0
 # Digits of a number that fits into 64 bits.
 _ERA_DIGITS_MAX = 18
+# Of an answer in memory; decoded, it takes up to ten times that.  A page of a list has
+# a megabyte at most, but the product's own store lists a kind at once.
+ANSWER_MAX_BYTES = 16 * 1024 * 1024
 CONFLICTS = (409, 412)
 NOT_FOUND = 404
 GONE = 410
@@ -362,6 +365,7 @@
         max_bytes: int | None,
     ) -> _Answer:
         first_byte_s = timeout_s or self._timing.call_s
+        is_write = method != "GET"
         request = HTTPRequest(
             self._base + path,
             method,
@@ -370,7 +374,9 @@
             request_timeout=first_byte_s + BODY_MAX_S,
             connect_timeout=self._timing.call_s,
             allow_nonstandard_methods=True,
-            prepare_curl_callback=make_curl_setup(max_bytes, method != "GET"),
+            prepare_curl_callback=make_curl_setup(
+                progress, min(max_bytes or ANSWER_MAX_BYTES, ANSWER_MAX_BYTES), is_write
+            ),
             header_callback=progress.handle_header_line,
         )
         try:
@@ -378,7 +384,9 @@
                 self._client, request, progress.first_byte, first_byte_s
             )
         except (HTTPClientError, OSError) as error:
-            if getattr(error, "errno", None) == pycurl.E_FILESIZE_EXCEEDED:
+            is_long = getattr(error, "errno", None) == pycurl.E_FILESIZE_EXCEEDED
+            # The list that replaces a watch comes in pages.
+            if (is_long or progress.is_too_long) and timeout_s is not None:
                 raise AnswerTooLong("the answer exceeds the size limit") from error
             # The TimeoutError of a missing first byte has no message.
             raise PlatformUnavailable(f"platform: {error or repr(error)}") from error
--- a/src/tamarackrill/router/store_fetch.py
+++ b/src/tamarackrill/router/store_fetch.py
@@ -23,6 +23,8 @@
 
     Attributes
     ----------
+    is_too_long : bool
+        Whether the answer exceeded the limit of its call, and was dropped.
     has_head : bool
         Whether the whole head of the answer has arrived; libcurl reports success also
         if the connection ends within it.
@@ -34,6 +36,7 @@
         self.first_byte_s: float | None = None
         self.size_bytes = 0
         self.has_head = False
+        self.is_too_long = False
         self._is_informational = False
 
     def handle_header_line(self, line: str) -> None:
@@ -81,13 +84,17 @@
     return await fetching
 
 
-def make_curl_setup(max_bytes: int | None, is_write: bool) -> Callable[[Any], None]:
+def make_curl_setup(
+    progress: CallProgress, max_bytes: int, is_write: bool
+) -> Callable[[Any], None]:
     """Return a callback that sets the options of a call's curl handle.
 
     Parameters
     ----------
-    max_bytes : int or None
-        Size above which an answer is not read; None for no limit.
+    progress : CallProgress
+        Is told if the answer is too long.
+    max_bytes : int
+        Size above which an answer is not read, also one that doesn't tell its size.
     is_write : bool
         Whether the call writes.  It then has a connection of its own: libcurl sends a
         call again by itself if a reused one closes without an answer.
@@ -97,8 +104,18 @@
         # A watch on a dead connection would get no change until it times out; pycurl
         # has no option for the number of TCP keepalive probes.
         curl.setopt(pycurl.SOCKOPTFUNCTION, _set_socket_options)
-        # Handles are reused and keep the previous call's limit; 0 means none.
-        curl.setopt(pycurl.MAXFILESIZE_LARGE, max_bytes or 0)
+        # Handles are reused and keep the previous call's limit.
+        curl.setopt(pycurl.MAXFILESIZE_LARGE, max_bytes)
+        body = curl.info["buffer"]
+
+        def write(chunk: bytes) -> int:
+            # Of a compressed answer, what has been decompressed counts.
+            if body.tell() + len(chunk) > max_bytes:
+                progress.is_too_long = True
+                return 0
+            return int(body.write(chunk))
+
+        curl.setopt(pycurl.WRITEFUNCTION, write)
         curl.setopt(pycurl.FRESH_CONNECT, is_write)
         curl.setopt(pycurl.FORBID_REUSE, is_write)
 
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -1,9 +1,12 @@
 """Timeouts and size limits of the platform client."""
 
 import asyncio
+import contextlib
+import resource
 import socket
 import threading
 import time
+import zlib
 
 import pytest
 from tornado.curl_httpclient import CurlAsyncHTTPClient
@@ -18,6 +21,7 @@
 )
 from tamarackrill.testing.daemon import listen
 from tamarackrill.testing.object_store import ObjectStore
+from tamarackrill.testing.tcp_server import TcpServer
 
 CALL_S = 0.3
 BODY = b'{"metadata": {"name": "main", "revision": 7}, "spec": {}}'
@@ -143,3 +147,49 @@
         await server.close_all_connections()
 
     asyncio.run(run())
+
+
+def make_endless_store(is_sized, encoding=b""):
+    """Return a server whose answers have more bytes than a router takes."""
+
+    async def serve(reader, writer):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\n" + encoding)
+            size = b"Content-Length: %d\r\n" % (1 << 40) if is_sized else b""
+            writer.write(size + b"\r\n")
+            packer = zlib.compressobj(wbits=31)
+            piece = b" " * (1 << 20)
+            while not writer.is_closing():
+                writer.write(packer.compress(piece) if encoding else piece)
+                await writer.drain()
+                await asyncio.sleep(0)
+
+    return TcpServer(serve)
+
+
+@pytest.mark.parametrize(
+    ("is_sized", "encoding"),
+    [(True, b""), (False, b""), (False, b"Content-Encoding: gzip\r\n")],
+)
+def test_answer_of_any_length_takes_bounded_memory(is_sized, encoding):
+    # Guards against a router that runs out of memory because of one answer.
+    async def run():
+        server = make_endless_store(is_sized, encoding)
+        await server.start()
+        client = CurlAsyncHTTPClient(force_instance=True)
+        timing = StoreTiming(5.0, 1.0)
+        store = PlatformClient(server.address, "z", client, STORE_FORM, timing)
+        with pytest.raises(PlatformUnavailable) as listed:
+            await store.list("servers")
+        with pytest.raises(AnswerTooLong):
+            await store.watch("servers", 1, 1.0)
+        client.close()
+        await server.stop()
+        # A list that is too long is tried again after a pause, as after an outage.
+        assert not isinstance(listed.value, AnswerTooLong)
+
+    before_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    asyncio.run(run())
+    after_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    assert after_kb - before_kb < 100_000
