Count health checks apart from calls in the service stand-in

The stand-in counted them as calls.

They are counted apart; a call without a key that runs twice is still found.

--- a/src/tamarackrill/testing/service.py
+++ b/src/tamarackrill/testing/service.py
@@ -6,7 +6,7 @@
 
 ====== ================ =====================================================
 any    /<path>          echoes method, path, key and body as JSON
-GET    /admin/state     arrivals by key, their total, and attempts in order
+GET    /admin/state     arrivals by key, their total, attempts in order, health checks
 PUT    /admin/faults    replaces all fields of `ServiceFaults`
 ====== ================ =====================================================
 """
@@ -19,6 +19,8 @@
 from tornado.web import Application, RequestHandler
 
 SENDINGS_MAX = 1000
+# Path of health checks, which routers send on their own and without a key.
+HEALTH_PATH = "/healthz"
 
 
 class ServiceFaults(NamedTuple):
@@ -53,6 +55,7 @@
         self.name = name
         self.arrivals: Counter[str] = Counter()
         self.total = 0
+        self.probes = 0
         self.sendings: deque[str] = deque(maxlen=SENDINGS_MAX)
         self.faults = ServiceFaults()
         self.faults_changed = asyncio.Condition()
@@ -65,9 +68,12 @@
     async def prepare(self) -> None:
         state = self.state
         key = self.request.headers.get("Idempotency-Key", "")
-        state.arrivals[key] += 1
-        state.total += 1
-        state.sendings.append(self.request.headers.get("Sending-Id", ""))
+        if self.request.path == HEALTH_PATH:
+            state.probes += 1
+        else:
+            state.arrivals[key] += 1
+            state.total += 1
+            state.sendings.append(self.request.headers.get("Sending-Id", ""))
         async with state.faults_changed:
             await state.faults_changed.wait_for(lambda: not state.faults.hold)
         if state.faults.delay_s:
@@ -106,6 +112,7 @@
             {
                 "arrivals": dict(state.arrivals),
                 "total": state.total,
+                "probes": state.probes,
                 "sendings": list(state.sendings),
             }
         )
