Check leases, claims and records of versions before they are used

One odd lease ended the task that gives orders again and again, so that engines got none for good. Odd claims raised in the task that reads them, in the middle of a step. A record of versions could be a text, of which each letter was a version, and so was evidence that these serve.

An odd lease counts as held by somebody unknown, and is taken over once it has expired; odd claims keep calls from being sent, as unreadable ones did; an odd record counts as one that lacks versions, as before.

--- a/src/tamarackrill/decisions/claim_buckets.py
+++ b/src/tamarackrill/decisions/claim_buckets.py
@@ -10,8 +10,9 @@
 """
 
 import hashlib
+import math
 from collections.abc import Mapping, Sequence
-from typing import Any, Literal, NamedTuple
+from typing import Any, Literal, NamedTuple, get_args
 
 BUCKETS = 16
 """Number of buckets. Changing it moves keys to other buckets, where their existing
@@ -144,9 +145,29 @@
 
 
 def decode_entries(value: Mapping[str, Any] | None) -> Entries:
-    """Return the claims in an object's value; a missing object has none."""
-    claims = (value or {}).get("claims", {})
-    return {key_hash: Claim(*fields) for key_hash, fields in claims.items()}
+    """Return the claims in an object's value; a missing object has none.
+
+    Raises
+    ------
+    AttributeError, TypeError, ValueError
+        If any of them is malformed.
+    """
+    if value is None:
+        return {}
+    claims = value.get("claims", {})
+    return {key_hash: _decode_claim(fields) for key_hash, fields in claims.items()}
+
+
+def _decode_claim(fields: Any) -> Claim:
+    if not isinstance(fields, list):
+        raise TypeError("a claim is no array")
+    claim = Claim(*fields)
+    parse_attempt(claim.attempt)
+    if claim.state not in get_args(ClaimState):
+        raise ValueError("a claim has no valid state")
+    if type(claim.expires_s) not in (int, float) or not math.isfinite(claim.expires_s):
+        raise TypeError("a claim has no valid time")
+    return claim
 
 
 def encode_entries(entries: Entries) -> dict[str, Any]:
--- a/src/tamarackrill/decisions/leases.py
+++ b/src/tamarackrill/decisions/leases.py
@@ -37,6 +37,10 @@
     order_delivery_max_s: float = 5.0
 
 
+# Readers of JSON keep numbers below this one exactly.
+NUMBER_MAX = 1 << 53
+
+
 class LeaseRecord(NamedTuple):
     """Value of the lease object.
 
@@ -196,6 +200,21 @@
         return self._first_seen_s + timing.lease_s + timing.order_delivery_max_s
 
 
-def read_lease_record(value: dict[str, Any]) -> LeaseRecord:
-    """Return the lease record stored in an object's value."""
-    return LeaseRecord(value["holder"], value["fence"], value["renewal"])
+def read_lease_record(value: Any) -> LeaseRecord:
+    """Return the lease record stored in an object's value.
+
+    Raises
+    ------
+    ValueError
+        If the value isn't one.
+    """
+    if not isinstance(value, dict) or not value.keys() >= set(LeaseRecord._fields):
+        raise ValueError("not the record of a lease")
+    record = LeaseRecord(value["holder"], value["fence"], value["renewal"])
+    is_counted = all(
+        type(number) is int and 0 <= number < NUMBER_MAX
+        for number in (record.fence, record.renewal)
+    )
+    if not isinstance(record.holder, str) or not is_counted:
+        raise ValueError("the record of a lease has odd values")
+    return record
--- a/src/tamarackrill/decisions/version_records.py
+++ b/src/tamarackrill/decisions/version_records.py
@@ -25,6 +25,8 @@
 RECORDER_DELAY_S = 0.3
 # A store that was restored may have lost a record, or never had one.
 FIRST_ERA = 1
+# Versions of one service; releases in turn have a few at a time.
+VERSIONS_MAX = 1000
 # Era of a record that may lack versions.
 UNKNOWN_ERA = -1
 _RANK_KEY = "version-recorders"
@@ -56,9 +58,12 @@
         """
         try:
             versions, era = value["versions"], value["era"]
-            if not all(isinstance(version, str) for version in versions):
-                raise ValueError("versions: expected strings")
-            return cls(tuple(sorted(versions)), int(era))
+            is_list = isinstance(versions, list) and len(versions) <= VERSIONS_MAX
+            if not is_list or not all(isinstance(text, str) for text in versions):
+                raise ValueError("versions: expected a list of strings")
+            if type(era) is not int:
+                raise ValueError("era: expected an integer")
+            return cls(tuple(sorted(versions)), era)
         except (KeyError, TypeError) as error:
             raise ValueError("not the record of a service's versions") from error
 
--- a/src/tamarackrill/router/claiming.py
+++ b/src/tamarackrill/router/claiming.py
@@ -259,7 +259,7 @@
         return 0, {}
     try:
         return found.version, decode_entries(found.value)
-    except (TypeError, AttributeError) as error:
+    except (TypeError, ValueError, AttributeError) as error:
         # Without readable claims no call may be sent.
         message = f"can't decode the claims of {found.name}: {error}"
         raise PlatformUnavailable(message) from error
--- a/src/tamarackrill/router/orders.py
+++ b/src/tamarackrill/router/orders.py
@@ -15,6 +15,7 @@
 from tamarackrill.decisions.hashing import rendezvous_order
 from tamarackrill.decisions.leases import (
     Lease,
+    LeaseRecord,
     LeaseTiming,
     ReadLease,
     WriteLease,
@@ -28,6 +29,7 @@
     plan_loads,
 )
 from tamarackrill.events import (
+    OBJECT_FAULTY,
     ORDER_GIVEN,
     ORDER_LEASE_MOVED,
     ORDER_NOT_TAKEN,
@@ -42,6 +44,7 @@
     Exchange,
     UpstreamError,
 )
+from tamarackrill.store_api import PlatformObject
 
 LEASE_KIND = "lease"
 LEASE_NAME = "engine-orders"
@@ -165,7 +168,7 @@
     async def _run_lease_action(self, action: ReadLease | WriteLease | None) -> None:
         if isinstance(action, ReadLease):
             found = await self._platform.get(LEASE_KIND, LEASE_NAME)
-            record = read_lease_record(found.value) if found else None
+            record = self._read_record(found) if found else None
             version = found.version if found else None
             self._lease.handle_read(record, version, self._clock())
         elif isinstance(action, WriteLease):
@@ -175,6 +178,20 @@
             )
             self._lease.handle_write(action, result.version, sent_s, self._clock())
 
+    def _read_record(self, found: PlatformObject) -> LeaseRecord:
+        try:
+            return read_lease_record(found.value)
+        except ValueError as error:
+            log_event(
+                OBJECT_FAULTY,
+                kind=found.kind,
+                object=found.name,
+                version=found.version,
+                message=str(error),
+            )
+            # Somebody may hold it, so that it is taken over only once it has expired.
+            return LeaseRecord("", self._lease.fence, 0)
+
     async def _send_order(self, order: LoadOrder, engine: Endpoint) -> None:
         now_s = self._clock()
         # The process may have been frozen since planning.  An engine that ignores
--- a/tests/test_odd_values.py
+++ b/tests/test_odd_values.py
@@ -1,5 +1,6 @@
 """Objects whose fields have odd values: wrong types, bounds, and what JSON allows."""
 
+import asyncio
 import contextlib
 import copy
 import json
@@ -7,20 +8,37 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httputil import HTTPHeaders, HTTPInputError, RequestStartLine
 
 from tamarackrill.contracts import read_contract, read_vm
 from tamarackrill.contracts import read_endpoint as read_native_endpoint
+from tamarackrill.decisions.claim_buckets import (
+    AddClaim,
+    decode_entries,
+    encode_entries,
+    merge_changes,
+    parse_attempt,
+)
 from tamarackrill.decisions.configuration import ObjectVersion
+from tamarackrill.decisions.leases import read_lease_record
+from tamarackrill.decisions.stream_archive import ArchivedStreams
+from tamarackrill.decisions.version_records import VersionRecord
 from tamarackrill.exceptions import FindingsError
 from tamarackrill.platform.headers import parse_request_headers, parse_response_headers
 from tamarackrill.platform.objects import read_endpoint
+from tamarackrill.router.app import RouterApplication
 from tamarackrill.router.deployment_view import DeploymentView
 from tamarackrill.router.edge_app import READERS
 from tamarackrill.router.edge_server import EdgeServer, _Denied
 from tamarackrill.router.known_objects import KnownObjects
 from tamarackrill.router.metrics import Metrics
+from tamarackrill.router.orders import LEASE_KIND, LEASE_NAME
+from tamarackrill.router.platform_client import PlatformClient
+from tamarackrill.settings import load_settings
+from tamarackrill.testing.daemon import listen
 from tamarackrill.testing.edge import HOST, KEY, make_manifest, make_route
+from tamarackrill.testing.platform import PlatformState, make_platform
 
 DEPTH = 3000
 SIZES = (300_000, 60_000, 30_000)
@@ -264,3 +282,79 @@
             found.add(name, text)
     parse_request_headers(found)
     parse_response_headers({name.lower(): text for name, text in fields.items()})
+
+
+LEASE = {"holder": "r/1", "fence": 3, "renewal": 2}
+CLAIMS = {
+    "claims": {"0" * 24: ["r/1/1", "claimed", 9.0], "1" * 24: ["r/1/2", "done", 1]}
+}
+RECORD = {"versions": ["v1", "v2"], "era": 1, "writer": "w"}
+STREAMS = {"streams": {"v1": "AAAAAAAAAAE=", "v2": "AAAAAAAAAAI="}}
+
+
+@settings(max_examples=300)
+@given(value=st.one_of(vary(LEASE), st.sampled_from(ODD)))
+def test_lease_is_read_or_rejected(value):
+    # Guards against a task that ends again and again because of one odd lease.
+    try:
+        record = read_lease_record(value)
+    except ValueError:
+        return
+    json.dumps(record._replace(fence=record.fence + 1, renewal=record.renewal + 1))
+
+
+@settings(max_examples=400)
+@given(value=st.one_of(vary(CLAIMS), st.sampled_from(ODD)))
+def test_claims_are_read_or_rejected(value):
+    # Guards against a call that waits until its deadline, as the task that reads its
+    # claims ended.
+    try:
+        entries = decode_entries(value)
+    except (TypeError, ValueError, AttributeError):
+        return
+    change = AddClaim(1, "0" * 24, "r/1/3", 1.0, 1.0, 1.0, 1.0)
+    merged = merge_changes(entries, [change], 0.0)
+    json.dumps(encode_entries(merged.entries))
+    for claim in merged.entries.values():
+        parse_attempt(claim.attempt)
+
+
+@settings(max_examples=400)
+@given(record=vary(RECORD), streams=vary(STREAMS), odd=st.sampled_from(ODD))
+def test_records_of_versions_are_read_or_rejected(record, streams, odd):
+    # Guards against the end of the task that reads records, and against versions that
+    # no record names.
+    archived = ArchivedStreams()
+    for value in (record, odd):
+        with contextlib.suppress(ValueError):
+            found = VersionRecord.parse(value)
+            assert all(text in value["versions"] for text in found.versions)
+            assert isinstance(value["versions"], list)
+    for value in (streams, odd):
+        with contextlib.suppress(ValueError):
+            archived.add(value)
+    archived.sort()
+    archived.find(1)
+
+
+def test_odd_lease_is_taken_over_once_it_has_expired():
+    # Guards against engines that get no orders for good because of one odd lease.
+    async def run():
+        platform, address = listen(make_platform(PlatformState()))
+        flags = ["--name=r", "--zone=z", "--port=0", "--peer-port=0"]
+        flags += [f"--platform={address}", "--peer-keys=the peer key"]
+        client = CurlAsyncHTTPClient(force_instance=True)
+        store = PlatformClient(address, "z", client)
+        await store.put(LEASE_KIND, LEASE_NAME, {"holder": ["odd"], "fence": "7"}, None)
+        router = RouterApplication(load_settings(flags, {}))
+        router.known.take(ObjectVersion("contract", "t", 1, CONTRACT))
+        await router.start()
+        controller = router.load_controller
+        async with asyncio.timeout(30.0):
+            while not controller._lease.may_order(controller._clock()):
+                await asyncio.sleep(0.05)
+        await router.stop()
+        client.close()
+        platform.stop()
+
+    asyncio.run(run())
