Soak of entries: odd addresses and values, beside what a worker writes

An odd entry has all fields of a worker's but its address, as otherwise it is left out for another reason; records of versions get odd objects too.

--- a/soak/entries.py
+++ b/soak/entries.py
@@ -42,9 +42,19 @@
     b"[" * 20000 + b"]" * 20000,
     b"NaN",
     b"1e999",
+    b"1e99999",
+    b"-9223372036854775808",
+    b"[" * 100_000 + b"]" * 100_000,
+    b'"' + b"x" * 300_000 + b'"',
+    b'"127.0.0.1:70000"',
+    b'"127.0.0.1:+80"',
+    b'"fe80::1%' + b"e" * 64 + b':80"',
+    b'"[fe80::1%' + b"e" * 64 + b']:80"',
+    b'"::1:80"',
+    b'{"a": 1, "a": 2}',
 )
 NAMES = ("import-%d", "import-\ud800%d", "import-\x02%d")
-KINDS = ("servers", "evacuations", "config")
+KINDS = ("servers", "evacuations", "config", "stream-versions", "stream-records")
 PIECE = b"x" * 4096
 PIECE_INTERVAL_S = 0.005
 # Time for a worker that was ejected to be tried again, and to get a request.
@@ -100,7 +110,9 @@
         kind = self._rng.choice(KINDS)
         name = self._rng.choice(NAMES) % self._imports
         self.faults.append(f"unreadable object of {kind}")
-        spec = {"service": "desk", "address": placeholder, "state": "ready"}
+        # Apart from its address, it resembles the entry of a worker.
+        entry = self._rng.choice(list(self._entries.values()))
+        spec = {**entry, "address": placeholder}
         await fleet.store.write(kind, name, spec)
         if self._rng.random() < 0.5:
             await asyncio.sleep(self._rng.random() * PAUSE_MAX_S)
