--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -12,6 +12,7 @@
 from tornado.web import Application
 
 from tamarackrill.contracts import Contract, Endpoint
+from tamarackrill.decisions.catching_up import Standstill
 from tamarackrill.decisions.claims import Claims
 from tamarackrill.decisions.configuration import (
     ChangeSet,
@@ -21,7 +22,6 @@
 from tamarackrill.decisions.leases import LeaseTiming
 from tamarackrill.decisions.members import MemberRecord, MemberState
 from tamarackrill.decisions.prompts import Prompt
-from tamarackrill.decisions.standstills import Standstill
 from tamarackrill.events import (
     ROUTER_LEAVING,
     ROUTER_STARTED,
--- a/src/tamarackrill/router/catching_up.py
+++ b/src/tamarackrill/router/catching_up.py
@@ -1,13 +1,13 @@
 """Reads the news before the first decisions after a standstill of this process.
 
-`tamarackrill.decisions.standstills` decides.
+`tamarackrill.decisions.catching_up` decides.
 """
 
 import asyncio
 import socket
 from collections.abc import Awaitable, Callable
 
-from tamarackrill.decisions.standstills import (
+from tamarackrill.decisions.catching_up import (
     CATCH_UP_MAX_S,
     Standstill,
     find_standstill,
@@ -17,9 +17,11 @@
 from tamarackrill.events import ROUTER_CAUGHT_UP, log_event
 from tamarackrill.router.background import log_task_failure
 from tamarackrill.router.lateness import timeout
-from tamarackrill.router.loop_beat import BEAT_S, LoopBeat
 from tamarackrill.router.sockets import read_received_s
 
+# Between two beats of the event loop, by whose gaps a standstill is noticed.
+BEAT_S = 0.1
+
 
 class CatchUp:
     """Lets decisions wait after a standstill until the news has been read.
@@ -44,7 +46,7 @@
     ) -> None:
         self._refresh = refresh
         self._clock = clock
-        self._monitor = LoopBeat(clock())
+        self._last_beat_s = clock()
         self._latest: Standstill | None = None
         self._task: asyncio.Task[bool] | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -68,7 +70,7 @@
         # standstill have been handled.
         self._timer = asyncio.get_running_loop().call_later(BEAT_S, self._beat)
         self.is_current()
-        self._monitor.beat(self._clock())
+        self._last_beat_s = self._clock()
 
     async def stop(self) -> None:
         """Cancel the reading of news."""
@@ -80,9 +82,10 @@
     def is_current(self) -> bool:
         """Return whether nothing is to be read before the next decision."""
         now_s = self._clock()
-        standstill = find_standstill(self._monitor.find_gap_s(now_s), now_s)
+        gap_s = max(0.0, now_s - self._last_beat_s - BEAT_S)
+        standstill = find_standstill(gap_s, now_s)
         if standstill is not None:
-            self._monitor.beat(now_s)
+            self._last_beat_s = now_s
             self._start(standstill)
         return self._task is None
 
--- a/src/tamarackrill/router/chats.py
+++ b/src/tamarackrill/router/chats.py
@@ -16,6 +16,7 @@
     look_up,
     start,
 )
+from tamarackrill.decisions.catching_up import Standstill, moves_chats
 from tamarackrill.decisions.ordering import (
     HOME_MOVED,
     Action,
@@ -29,7 +30,6 @@
     handle_timeouts,
     next_due_s,
 )
-from tamarackrill.decisions.standstills import Standstill, moves_chats
 from tamarackrill.events import REQUEST_JOINED, log_event
 from tamarackrill.exceptions import Refusal
 from tamarackrill.router.calls import Call
--- a/src/tamarackrill/router/claiming.py
+++ b/src/tamarackrill/router/claiming.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from tamarackrill.contracts import CLAIM_KIND
+from tamarackrill.decisions.catching_up import Standstill
 from tamarackrill.decisions.claim_buckets import (
     Entries,
     decode_entries,
@@ -41,7 +42,6 @@
     next_due_s,
     step,
 )
-from tamarackrill.decisions.standstills import Standstill
 from tamarackrill.events import (
     CLAIM_CALL_FAILED,
     CLAIM_GRANTED,
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -405,7 +405,9 @@
 
     async def _run_activity(self) -> None:
         while True:
-            self._activity.observe(self.clock(), read_clock())
+            now_s = self.clock()
+            self._activity.observe(now_s, read_clock())
+            self.standstill.beat(now_s)
             await asyncio.sleep(TICK_S)
 
     def _record_store_call(self, call: StoreCall) -> None:
@@ -633,10 +635,7 @@
         self.standstill.on_resumed = sync.request_news
         sync.on_answer = chain(self.standstill.observe_news, sync.on_answer)
         sync.on_unchanged = chain(self.standstill.observe_news, sync.on_unchanged)
-        self.standstill.start(self.clock())
-        self._tasks.append(
-            asyncio.create_task(run_restarting("standstill", self.standstill.run))
-        )
+        self.standstill.start()
 
     def _make_version_store(
         self, versions: StreamVersions, own: VersionRouter
--- a/src/tamarackrill/router/standstill.py
+++ b/src/tamarackrill/router/standstill.py
@@ -12,9 +12,6 @@
 from tamarackrill.events import ROUTER_RESUMED, ROUTER_UP_TO_DATE, log_event
 from tamarackrill.router import lateness
 
-# Each beat wakes the process up; ten a second take it 0.1% of a processor.
-BEAT_INTERVAL_S = 0.1
-
 
 def chain(
     first: Callable[[str, float], None], then: Callable[[str, float], None]
@@ -76,9 +73,11 @@
         """Whether the store has told all kinds since the last standstill."""
         return self._up_to_date.is_set()
 
-    def start(self, now_s: float) -> None:
+    def start(self) -> None:
         """Begin to monitor; the time until now counts as no standstill."""
-        self._last_beat_s = now_s
+        self._last_beat_s = self._elapsed_clock()
+        self._resumed_s = -math.inf
+        self._up_to_date.set()
 
     def beat(self, now_s: float) -> None:
         """Show that the process runs; see `find_gap_s` for a beat that is late."""
@@ -125,9 +124,3 @@
                 await self._up_to_date.wait()
         except TimeoutError:
             return
-
-    async def run(self) -> None:
-        """Beat until cancelled."""
-        while True:
-            self.beat(self._clock())
-            await asyncio.sleep(BEAT_INTERVAL_S)
--- a/tests/test_catching_up.py
+++ b/tests/test_catching_up.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tamarackrill.decisions.standstills import (
+from tamarackrill.decisions.catching_up import (
     Standstill,
     find_standstill,
     find_waited_s,
--- a/tests/test_standstill_decisions.py
+++ b/tests/test_standstill_decisions.py
@@ -11,6 +11,7 @@
 
 from tamarackrill.decisions.answer_times import AnswerTimes, StoreAnswer
 from tamarackrill.decisions.configuration import ConfigurationStore
+from tamarackrill.decisions.loop_activity import TICK_S
 from tamarackrill.decisions.standstill import (
     NEWS_WAIT_MAX_S,
     find_gap_s,
@@ -25,7 +26,7 @@
     OUTCOME_HEADER,
     RelayedAttempt,
 )
-from tamarackrill.router.standstill import BEAT_INTERVAL_S, StandstillMonitor
+from tamarackrill.router.standstill import StandstillMonitor
 from tamarackrill.store_api import Listing
 from tamarackrill.testing.edge import EdgeFleet, ask, make_route
 
@@ -118,7 +119,7 @@
     def run(self, beats):
         for _ in range(beats):
             self.monitor.beat(self.now_s)
-            self.now_s += BEAT_INTERVAL_S
+            self.now_s += TICK_S
         self.monitor.beat(self.now_s)
 
     @rule(gap_s=st.floats(1.2, 30.0), beats_first=st.booleans())
