--- a/src/tamarackrill/decisions/answer_times.py
+++ b/src/tamarackrill/decisions/answer_times.py
@@ -7,8 +7,7 @@
 The store answers a plain call after the call was sent, and a watch without a change
 after the full wait.  For a watch that returns a change the time of the answer is not
 known; its latency is assumed to equal the last known one, and it may have arrived as
-soon as the router stood still.  If the calling process stood still between the call and
-the answer, that may have waited for as long, and is dated by its call.
+soon as the router stood still.
 """
 
 from typing import NamedTuple
@@ -27,8 +26,6 @@
         Maximum time the store waits for a change (long polling); 0 for a plain call.
     is_empty : bool
         Whether the answer contains no change.
-    was_held_up : bool, optional
-        Whether the calling process stood still between the call and its answer.
     arrived_s : float or None, optional
         A time after which the first byte has arrived; when it was read by default.
     """
@@ -37,9 +34,13 @@
     begun_s: float
     wait_s: float
     is_empty: bool
-    was_held_up: bool = False
     arrived_s: float | None = None
 
+    @property
+    def was_held_up(self) -> bool:
+        """Whether it may have waited for the calling router to read it."""
+        return self.arrived_s is not None and self.arrived_s < self.begun_s
+
     @property
     def waited_in_full(self) -> bool:
         """Whether the store waited for the maximum time."""
@@ -63,7 +64,7 @@
         """Return a time at which the content of an answer was valid."""
         if answer.waited_in_full:
             return answer.asked_s + answer.wait_s
-        if not answer.wait_s or answer.is_empty or answer.was_held_up:
+        if not answer.wait_s or answer.is_empty:
             return answer.asked_s
         arrived_s = answer.begun_s if answer.arrived_s is None else answer.arrived_s
         return max(answer.asked_s, arrived_s - self._latency_s)
--- a/src/tamarackrill/router/configuring.py
+++ b/src/tamarackrill/router/configuring.py
@@ -511,10 +511,7 @@
         applied = self._apply_listing(kind, listing, is_snapshot)
         # Reported only after the changes are applied; otherwise other routers would
         # take the previous configuration for the platform's latest answer.
-        was_held_up = asked_s < self.find_resumed_s()
-        answer = StoreAnswer(
-            asked_s, begun_s, wait_s, not listing.items, was_held_up, arrived_s
-        )
+        answer = StoreAnswer(asked_s, begun_s, wait_s, not listing.items, arrived_s)
         as_of_s = self._answer_times.find_as_of_s(answer)
         self._record_polled(kind, listing.revision, as_of_s)
         self.on_answer(kind, as_of_s)
--- a/tests/test_standstill_decisions.py
+++ b/tests/test_standstill_decisions.py
@@ -50,15 +50,15 @@
 
 
 @pytest.mark.parametrize(
-    ("was_held_up", "as_of_s"), [(False, pytest.approx(12.99)), (True, 10.0)]
+    ("arrived_s", "as_of_s"), [(13.0, pytest.approx(12.99)), (9.5, 10.0)]
 )
 def test_change_that_waited_during_a_standstill_is_dated_by_its_call(
-    was_held_up, as_of_s
+    arrived_s, as_of_s
 ):
     # Guards against evidence that other routers take for newer than it is.
     times = AnswerTimes()
     times.observe(StoreAnswer(9.0, 9.01, 0.0, True))
-    answer = StoreAnswer(10.0, 13.0, 1.0, False, was_held_up)
+    answer = StoreAnswer(10.0, 13.0, 1.0, False, arrived_s)
     assert times.find_as_of_s(answer) == as_of_s
 
 
