--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -268,12 +268,10 @@
                     self._placer.finish(call, endpoint, self._clock())
         if result.outcome == "answered" and result.status <= OK_MAX:
             self._record_sound(attempt)
+        # The end of an endpoint that was silent for long says little of the prompt.
+        exposure = None if attempt.is_silent else attempt.exposure
         ending = AttemptEnding(
-            call,
-            endpoint,
-            attempt.stream.own_events,
-            attempt.exposure,
-            self._clock(),
+            call, endpoint, attempt.stream.own_events, exposure, self._clock()
         )
         result = result._replace(ending=ending)
         if result.is_overtaken and not attempt.is_silent:
