Wait for replies about paths and for crash checks while the loop is late

Cause: a request without a reachable endpoint waits three times 0.2 s for other routers' replies, and an attempt that broke off 0.05 s for the crash check, both by asyncio.wait. In a router whose loop is late the timers are due together with the replies that arrived meanwhile, and win: callers got 503 no_endpoint although another router would have forwarded the request, and a request that crashes endpoints went to the next one before the crash was counted.

Change: both waits use lateness.timeout, which waits on while the loop is late.

--- a/src/tamarackrill/router/crash_checks.py
+++ b/src/tamarackrill/router/crash_checks.py
@@ -1,11 +1,13 @@
 """Finds out whether an endpoint that broke a response off has crashed, and tells it."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Coroutine
 from typing import Any, Literal, NamedTuple
 
 from tamarackrill.contracts import Endpoint
 from tamarackrill.events import BROKEN_ATTEMPT_CHECKED, log_event
+from tamarackrill.router import lateness
 from tamarackrill.router.channels import Connect
 from tamarackrill.router.edge_calls import EdgeCall
 from tamarackrill.router.edge_placing import EdgePlacer
@@ -98,7 +100,9 @@
     async def check(self, ending: AttemptEnding) -> None:
         """Check an endpoint; return when the request may go to the next one."""
         task = self.start(self._check(ending))
-        await asyncio.wait([task], timeout=CRASH_CHECK_WAIT_S)
+        with contextlib.suppress(TimeoutError):
+            async with lateness.timeout(CRASH_CHECK_WAIT_S):
+                await asyncio.wait([task])
 
     async def _check(self, ending: AttemptEnding) -> None:
         finding = await self._find(ending.endpoint)
--- a/src/tamarackrill/router/relay_client.py
+++ b/src/tamarackrill/router/relay_client.py
@@ -1,6 +1,7 @@
 """Finds routers that reach endpoints for this one, and sends attempts through them."""
 
 import asyncio
+import contextlib
 import json
 import math
 from collections.abc import Awaitable, Callable, Sequence
@@ -15,6 +16,7 @@
     choose_wanted,
 )
 from tamarackrill.events import RELAY_FOUND, RELAY_LOST, log_event
+from tamarackrill.router import lateness
 from tamarackrill.router.background import log_task_failure
 from tamarackrill.router.channel_pool import ChannelPool
 from tamarackrill.router.channels import Channel, open_channel
@@ -106,11 +108,12 @@
         is_settled = self._clock() > self._wanted_since_s + SEARCH_MAX_S
         if is_settled or not self._questions:
             return False
-        await asyncio.wait(
-            list(self._questions.values()),
-            timeout=REPLY_WAIT_S,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
+        with contextlib.suppress(TimeoutError):
+            async with lateness.timeout(REPLY_WAIT_S):
+                await asyncio.wait(
+                    list(self._questions.values()),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
         return True
 
     def choose(self, endpoint: Endpoint, request_id: str) -> str | None:
--- a/tests/test_own_lateness.py
+++ b/tests/test_own_lateness.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 import pytest
+from soak.links import EndpointLinks
 
 from tamarackrill.contracts import Endpoint
 from tamarackrill.protocol.owner_codec import (
@@ -16,8 +17,15 @@
 )
 from tamarackrill.router import lateness
 from tamarackrill.router.channels import open_channel
+from tamarackrill.router.crash_checks import (
+    CRASH_CHECK_WAIT_S,
+    AttemptEnding,
+    CrashChecks,
+)
+from tamarackrill.router.edge_reserving import RELAY_QUESTIONS_MAX
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.owners import Owners
+from tamarackrill.router.relay_client import REPLY_WAIT_S
 from tamarackrill.testing.edge import EdgeFleet, ask, make_route
 from tamarackrill.testing.worker import (
     make_answer,
@@ -128,6 +136,68 @@
     asyncio.run(run())
 
 
+async def reply_late(*blocks):
+    """Return after the loop was blocked several times, as replies are read later."""
+    for seconds in blocks:
+        await asyncio.sleep(0.01)
+        time.sleep(seconds)
+    await asyncio.sleep(0.01)
+
+
+def test_reply_about_another_path_is_awaited_though_the_loop_is_late():
+    # Guards against a late router, cut off from its endpoints, that refuses what
+    # another router would forward.
+    async def run():
+        links = EndpointLinks()
+        async with EdgeFleet() as fleet:
+            await fleet.put_manifest(1, make_route("/lookup/", "idempotent"))
+            worker = await fleet.add_worker("w")
+            router = await fleet.add_router(connect=links.connect)
+            await fleet.add_router("helper", "y")
+            await fleet.wait(
+                lambda: all(
+                    len(r.members.list_live()) == 2 and r.view.list_endpoints()
+                    for r in fleet.routers
+                )
+            )
+            links.cut("new", [worker.address])
+            pull = router.relays.pull
+
+            async def pull_late(*args):
+                reply = await pull(*args)
+                await reply_late(*(REPLY_WAIT_S + 0.05,) * RELAY_QUESTIONS_MAX)
+                return reply
+
+            router.relays.pull = pull_late
+            answer = await ask(router, "/lookup/a", X_Deadline_Ms="30000")
+            assert answer.status == 200
+            await links.stop()
+
+    asyncio.run(run())
+
+
+def test_crash_check_is_awaited_though_the_loop_is_late():
+    # Guards against a request that goes to the next endpoint before a late router has
+    # read that it crashed the last one.
+    async def run():
+        loop = asyncio.get_running_loop()
+        endpoint = Endpoint("w", "service", ("desk",), "127.0.0.1:1", "z")
+        recorded = []
+        crashes = CrashChecks(None, None, None, loop.time, open_channel)
+        crashes.record_crash = recorded.append
+
+        async def find(endpoint):
+            await reply_late(2 * CRASH_CHECK_WAIT_S)
+            return "crashed"
+
+        crashes._find = find
+        ending = AttemptEnding(None, endpoint, 0, None, loop.time())
+        await crashes.check(ending)
+        assert recorded == [ending]
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("is_stream", [False, True])
 def test_answer_that_arrived_before_the_deadline_of_a_late_router_is_passed_on(
     is_stream,
