Begin the streams of take-over tests again if they are refused, unrun

Cause: in the plays whose router reaches its only endpoint through another router, the request may come before that router knows the endpoint, or while its reply takes longer than a request waits.

Change: a play begins once all routers know each other and all endpoints, and sends the request again after a 503 that has reached no endpoint. The checks are unchanged.

--- a/tests/test_take_over.py
+++ b/tests/test_take_over.py
@@ -156,15 +156,13 @@
         router = await fleet.add_router(connect=links.connect, **settings)
         if cut_links:
             await fleet.add_router("helper", "y")
-            await fleet.wait(lambda: len(router.members.list_live()) == 2)
+        await _wait_known(fleet)
         if cut_links == "all":
             links.cut("new", [worker.address])
         client = await fleet.connect(router)
-        client.send("/s/a", body=b"x", X_Deadline_Ms=DEADLINE_MS)
-        reading = asyncio.create_task(client.read())
-        await fleet.wait(lambda: make_event(EVENTS_BEFORE) in client.received)
+        reading = await _begin_stream(fleet, client)
         others = [await fleet.add_worker(f"w{n}", other) for n in (1, 2)]
-        await fleet.wait(lambda: len(router.view.list_endpoints()) == 3)
+        await _wait_known(fleet)
         if cut_links:
             links.cut("new", [w.address for w in fleet.workers])
         if stays_s is not None:
@@ -203,6 +201,37 @@
         return Play(answer, _count_requests(workers) - 1, 0, len(ended))
 
 
+async def _wait_known(fleet):
+    """Wait until all routers know each other and all endpoints.
+
+    A router that doesn't know an endpoint yet says that it can't reach it, and isn't
+    asked again for a second.
+    """
+    await fleet.wait(
+        lambda: all(
+            len(router.members.list_live()) == len(fleet.routers)
+            and len(router.view.list_endpoints()) == len(fleet.workers)
+            for router in fleet.routers
+        )
+    )
+
+
+async def _begin_stream(fleet, client):
+    """Begin a stream, and return the task that reads it.
+
+    A router that asks for a path longer than it waits refuses the request, unrun.
+    """
+    while True:
+        client.send("/s/a", body=b"x", X_Deadline_Ms=DEADLINE_MS)
+        reading = asyncio.create_task(client.read())
+        await fleet.wait(
+            lambda r=reading: r.done() or make_event(EVENTS_BEFORE) in client.received
+        )
+        if not reading.done():
+            return reading
+        assert (reading.result().status, fleet.workers[0].requests) == (503, [])
+
+
 async def _end_play(reading):
     answer = await asyncio.wait_for(reading, TIMEOUT_MS / 1000)
     # The end of a connection reaches its worker, maybe through another router.
