Answer requests whose reading raises an undeclared error

tornado closes the connection without an answer if a callback raises that reads a request (start_request, headers_received, data_received, finish). Between routers the one that asked took such an attempt for possibly run and blamed the endpoint. An error in the callback of a client's disconnect left the endpoint working, and tornado then waited for the connection for ever, so that the router could not be stopped.

A guard around these callbacks discards the rest of the request and refuses it as not run; an attempt of another router is answered as not sent. A call of the product's own interface that an error ends before its run is told as not run. A client's disconnect cancels before it is recorded.

--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -41,8 +41,9 @@
 from tamarackrill.router.draining_server import DrainingServer
 from tamarackrill.router.explaining import ExplainQuery, explain
 from tamarackrill.router.flow import CallRunner
-from tamarackrill.router.front import FrontContext, OpenCalls
+from tamarackrill.router.front import FrontContext, OpenCalls, refuse_unread
 from tamarackrill.router.gossip import Gossiper
+from tamarackrill.router.guarded_requests import RequestGuard
 from tamarackrill.router.known_objects import KnownObjects
 from tamarackrill.router.limiting import Limiter
 from tamarackrill.router.load_reports import LoadReader
@@ -291,6 +292,7 @@
             body_timeout=BODY_TIMEOUT_S,
             idle_connection_timeout=HEADERS_TIMEOUT_S,
         )
+        self._server.guard = RequestGuard(refuse_unread, self.metrics)
         self._server.add_sockets(sockets)
 
     def is_ready(self) -> bool:
--- a/src/tamarackrill/router/callers.py
+++ b/src/tamarackrill/router/callers.py
@@ -1,6 +1,7 @@
 """HTTP handler of the callers' calls, at the entry router and at the home router."""
 
 import socket
+from typing import Any
 
 from tornado.iostream import StreamClosedError
 from tornado.web import stream_request_body
@@ -18,10 +19,12 @@
     verify_forwarded_id,
 )
 from tamarackrill.router.front import (
+    INTERNAL_ERROR,
     LEAVING_CODE,
     LEAVING_HEADER,
     FrontContext,
     FrontHandler,
+    make_unsent_refusal,
 )
 from tamarackrill.router.members import Member
 from tamarackrill.router.outlets import Outlet
@@ -109,10 +112,19 @@
         self._contract: Contract | None = None
         self._counted = False
         self._is_disconnected = False
+        # Whether a run or another router may have got the call.
+        self._is_handed_on = False
         # How long the call waited in its socket while this process stood still.
         self._waited_s = 0.0
         self._may_have_run = MAY_HAVE_RUN_HEADER in self.request.headers
 
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Answer an error; one before the call's run is told as not run."""
+        if status_code >= INTERNAL_ERROR and not self._is_handed_on:
+            self.send_refusal(make_unsent_refusal())
+            return
+        super().write_error(status_code, **kwargs)
+
     def send_refusal(self, refusal: Refusal) -> None:
         """Answer with a refusal that also accounts for the routers tried before."""
         # A home router that failed may have sent the call to an endpoint before.  The
@@ -267,6 +279,7 @@
         front = self.front
         authorization = self.request.headers.get("Authorization", "")
         log_event(REQUEST_FORWARDED, team=call.team, chat=call.chat, home=home.name)
+        self._is_handed_on = True
         exchange = forward_call(
             front.client,
             call,
@@ -289,6 +302,7 @@
             await exchange.close()
 
     async def _serve(self, call: Call) -> None:
+        self._is_handed_on = True
         reply = self.front.call_runner.open(call)
         self._reply = reply
         reply.readers += 1
@@ -331,6 +345,7 @@
 
     def on_connection_close(self) -> None:
         """Cancel the run or the forwarded call, as the caller has disconnected."""
+        super().on_connection_close()
         self._is_disconnected = True
         self.on_finish()
         self._detach_reply()
--- a/src/tamarackrill/router/draining_server.py
+++ b/src/tamarackrill/router/draining_server.py
@@ -10,6 +10,7 @@
 from tornado.httputil import HTTPConnection, HTTPMessageDelegate
 from tornado.iostream import IOStream
 
+from tamarackrill.router.guarded_requests import RequestGuard
 from tamarackrill.router.idle_timeouts import IdleTimeout, TimedRequest
 
 # Callers send their first request right after connecting; over a loaded link it takes
@@ -28,6 +29,8 @@
     idle_timeout_s : float or None
         Time in which the next head must arrive on a connection, or the connection is
         closed; read each time that the server waits for a request.
+    guard : RequestGuard or None
+        Answers requests whose reading raises an undeclared error.
     """
 
     def initialize(self, *args: Any, **kwargs: Any) -> None:
@@ -43,6 +46,7 @@
         self.idle_timeout_s = self.conn_params.header_timeout
         self.conn_params.header_timeout = None
         self._idle_timeouts: dict[IOStream, IdleTimeout] = {}
+        self.guard: RequestGuard | None = None
 
     def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
         """Accept connections from listening sockets."""
@@ -61,6 +65,15 @@
     ) -> HTTPMessageDelegate:
         """Return the delegate that reads the next request of a connection."""
         assert isinstance(request_conn, HTTP1Connection)
+        if self.guard is None:
+            return self._start_request(server_conn, request_conn)
+        return self.guard.start(
+            lambda: self._start_request(server_conn, request_conn), request_conn
+        )
+
+    def _start_request(
+        self, server_conn: object, request_conn: HTTP1Connection
+    ) -> HTTPMessageDelegate:
         stream = request_conn.stream
         if self._unanswered.get(stream):
             self._mark_answered(stream)
--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -40,6 +40,7 @@
 )
 from tamarackrill.router.edge_flow import EdgeFlow
 from tamarackrill.router.edge_reply import ClientTooSlow, EdgeReply, MakeReply
+from tamarackrill.router.guarded_requests import OwnAnswer, RequestGuard
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.standstill import wait_never
 from tamarackrill.router.unexpected_errors import record_unexpected, tolerate
@@ -134,6 +135,7 @@
             max_body_size=UNLIMITED_BYTES,
             idle_connection_timeout=IDLE_TIMEOUT_S,
         )
+        self.server.guard = RequestGuard(_refuse_unread, metrics)
 
     def set_idle_timeout(self, idle_s: float) -> None:
         """Close connections that send no complete request head within this time.
@@ -234,6 +236,14 @@
         return _Denied(status, reason)
 
 
+def _refuse_unread(headers: HTTPHeaders) -> OwnAnswer:
+    """Return the refusal of a request whose reading raised an undeclared error."""
+    request_id = headers.get("X-Request-Attempt-Id", "")
+    fields = build_error_headers(request_id, RETRY_AFTER_S)
+    status = choose_status(has_sent=False, is_late=False)
+    return OwnAnswer(status, "Service Unavailable", fields, _INTERNAL_BODY)
+
+
 class _Request(HTTPMessageDelegate):
     """Reads and serves one request of a client."""
 
@@ -286,17 +296,18 @@
         """Cancel the request of a client that has disconnected."""
         if self._task is None or self._task.done():
             return
-        self._record_left()
         self._task.cancel()
+        self._record_left()
 
     def _record_left(self) -> None:
-        self._server.metrics.count("clients_left")
-        if self._call is not None:
-            log_event(
-                CALL_LEFT,
-                **describe_call(self._call),
-                after_s=self._server.clock() - self._arrived_s,
-            )
+        with tolerate(self._server.metrics, "record left"):
+            self._server.metrics.count("clients_left")
+            if self._call is not None:
+                log_event(
+                    CALL_LEFT,
+                    **describe_call(self._call),
+                    after_s=self._server.clock() - self._arrived_s,
+                )
 
     async def _serve(self) -> None:
         server = self._server
--- a/src/tamarackrill/router/front.py
+++ b/src/tamarackrill/router/front.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
+from tornado.httputil import HTTPHeaders
 from tornado.web import HTTPError, RequestHandler
 
 from tamarackrill.contracts import Contract
@@ -14,6 +15,8 @@
 from tamarackrill.router.catching_up import CatchUp
 from tamarackrill.router.explaining import ExplainQuery
 from tamarackrill.router.flow import CallRunner
+from tamarackrill.router.forwarding import MAY_HAVE_RUN_HEADER
+from tamarackrill.router.guarded_requests import OwnAnswer
 from tamarackrill.router.members import Members
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.sockets import reset_on_close
@@ -27,6 +30,7 @@
 LEAVING_CODE = "leaving"
 NOT_FOUND = 404
 INTERNAL_ERROR = 500
+UNAVAILABLE = 503
 
 
 class OpenCalls:
@@ -132,6 +136,16 @@
         """Answer an error raised by tornado with the JSON body of a refusal."""
         self.send_refusal(_build_refusal(status_code, self._reason))
 
+    def send_error(self, status_code: int = INTERNAL_ERROR, **kwargs: Any) -> None:
+        """Answer an error, or abort an answer that has started.
+
+        Tornado would end it as if it were complete.
+        """
+        if self._headers_written and not self._finished:
+            self.abort(_build_refusal(status_code, self._reason))
+            return
+        super().send_error(status_code, **kwargs)
+
     def send_refusal(self, refusal: Refusal) -> None:
         """Answer with a refusal, or abort an answer that has started."""
         if self._headers_written:
@@ -141,7 +155,7 @@
         self.set_status(refusal.status, refusal.code)
         if refusal.code in (LEAVING_CODE, HOME_MOVED):
             self.set_header(LEAVING_HEADER, "1")
-        self.set_header("Retry-After", str(max(1, round(refusal.retry_after_s))))
+        self.set_header("Retry-After", _format_retry_after(refusal))
         self.finish(dict(refusal.to_body()))
 
     def abort(self, refusal: Refusal) -> None:
@@ -158,6 +172,29 @@
             stream.close()
 
 
+def refuse_unread(headers: HTTPHeaders) -> OwnAnswer:
+    """Return the refusal of a call whose reading raised an undeclared error."""
+    refusal = make_unsent_refusal()
+    if MAY_HAVE_RUN_HEADER in headers:
+        refusal.run = "unknown"
+    fields = {
+        "Content-Type": "application/json; charset=UTF-8",
+        "Retry-After": _format_retry_after(refusal),
+    }
+    body = json.dumps(refusal.to_body()).encode()
+    return OwnAnswer(refusal.status, refusal.code, fields, body)
+
+
+def make_unsent_refusal() -> Refusal:
+    """Return the refusal of a call that an undeclared error ended before its run."""
+    message = "internal error in the router"
+    return Refusal("internal", UNAVAILABLE, message, "not_run")
+
+
+def _format_retry_after(refusal: Refusal) -> str:
+    return str(max(1, round(refusal.retry_after_s)))
+
+
 def _build_refusal(status: int, reason: str) -> Refusal:
     # An internal error can happen after the call was sent.  With "not_run" the caller
     # would send its confirmation again under a new key.
--- a/src/tamarackrill/router/relay_server.py
+++ b/src/tamarackrill/router/relay_server.py
@@ -29,6 +29,7 @@
 from tamarackrill.router.edge_attempts import EdgeAttempts
 from tamarackrill.router.edge_placing import EdgePlacer
 from tamarackrill.router.edge_reply import EdgeReply
+from tamarackrill.router.guarded_requests import OwnAnswer, RequestGuard
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.paths import CONNECT_TIMEOUT_S
 from tamarackrill.router.relay_messages import (
@@ -111,8 +112,10 @@
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Return the delegate that reads the next attempt of a connection."""
-        assert isinstance(request_conn, HTTP1Connection)
-        return _RelayedRequest(self, request_conn)
+        connection = request_conn
+        assert isinstance(connection, HTTP1Connection)
+        guard = RequestGuard(_refuse_unread, self.metrics)
+        return guard.start(lambda: _RelayedRequest(self, connection), connection)
 
     def on_close(self, server_conn: object) -> None:
         """Do nothing, as connections have no state here."""
@@ -250,6 +253,12 @@
         return head
 
 
+def _refuse_unread(headers: HTTPHeaders) -> OwnAnswer:
+    """Return the refusal of an attempt whose reading raised an undeclared error."""
+    fields = {OUTCOME_HEADER: NOT_SENT}
+    return OwnAnswer(UNAVAILABLE_STATUS, "Service Unavailable", fields, b"")
+
+
 class _RelayedRequest(HTTPMessageDelegate):
     """Reads and serves one attempt of another router."""
 
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -1,7 +1,6 @@
 """Steps of a request that raise an error which nobody expects."""
 
 import asyncio
-import contextlib
 
 import pytest
 from tornado.http1connection import HTTP1Connection
@@ -14,6 +13,7 @@
 from tamarackrill.router.edge_reserving import EdgeReserver
 from tamarackrill.router.slow_clients import BufferedReply
 from tamarackrill.testing.edge import EdgeFleet, ask, make_route
+from tamarackrill.testing.injection import raising
 from tamarackrill.testing.worker import (
     answer_ok,
     make_chunk,
@@ -80,25 +80,6 @@
 }
 
 
-@contextlib.contextmanager
-def raising(owner, name, error, skipped=0):
-    """Let the call of a function after `skipped` ones raise an error, once."""
-    original = getattr(owner, name)
-    calls = 0
-
-    def act(*args, **kwargs):
-        nonlocal calls
-        calls += 1
-        if calls == skipped + 1:
-            raise error
-        return original(*args, **kwargs)
-
-    with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(owner, name, act)
-        yield
-    assert calls > skipped
-
-
 async def start_fleet(fleet, kind, behave, settings):
     await fleet.put_manifest(1, *ROUTES.values())
     is_stream = kind.startswith("stream")
--- a/tests/test_unexpected_native_errors.py
+++ b/tests/test_unexpected_native_errors.py
@@ -18,6 +18,7 @@
 from tamarackrill.router.upstream import Exchange
 from tamarackrill.settings import load_settings
 from tamarackrill.testing.daemon import listen
+from tamarackrill.testing.injection import raising
 from tamarackrill.testing.platform import PlatformState, make_platform
 from tamarackrill.testing.service import ServiceState, make_service
 
@@ -55,23 +56,6 @@
 }
 
 
-@contextlib.contextmanager
-def raising(owner, name, error):
-    """Let the next call of a function raise an error."""
-    original = getattr(owner, name)
-    errors = [error]
-
-    def act(*args, **kwargs):
-        if errors:
-            raise errors.pop()
-        return original(*args, **kwargs)
-
-    with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(owner, name, act)
-        yield
-    assert not errors
-
-
 @contextlib.asynccontextmanager
 async def run_router():
     """Run a router with endpoints of a service; yields it and their states."""
