Blame no endpoint for errors that others raise too

An undeclared error of an attempt counted as a failure of its endpoint, and on the product's own interface, once the call was sent, as a crash: with a step that raises at each endpoint, two of six were ejected for errors before anything was sent, and after two errors the call was refused as one that crashes endpoints (422) for ten minutes.

--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -14,6 +14,7 @@
     find_suspicion_timeout_s,
 )
 from tamarackrill.decisions.attempts import Outcome
+from tamarackrill.decisions.error_blame import ErrorBlame
 from tamarackrill.decisions.event_stream import EventStreamError, ends_inside_event
 from tamarackrill.decisions.unexpected_errors import classify_attempt
 from tamarackrill.events import CALL_OVERTAKEN, CALL_SENT, log_event
@@ -57,6 +58,7 @@
 from tamarackrill.router.standstill import wait_never
 from tamarackrill.router.unexpected_errors import (
     DECLARED,
+    describe_origin,
     record_unexpected,
     tolerate,
 )
@@ -132,6 +134,7 @@
         self._metrics = metrics
         self._clock = clock
         self._observer = AnswerHeaderObserver(placer, metrics, clock)
+        self._blame = ErrorBlame()
         self.pool = ChannelPool()
         self.paths = PathProber(
             placer.reach,
@@ -208,7 +211,8 @@
         outcome = classify_attempt(name in progress.sent_to, progress.reply.is_complete)
         result = AttemptResult(outcome, repr(error))
         progress.avoid.add(name)
-        if outcome == "lost":
+        is_blamed = self._blame.observe(describe_origin(error), name, self._clock())
+        if outcome == "lost" and is_blamed:
             with tolerate(self._metrics, "report", call.request_id, name):
                 self._report_result(call, placed, result)
         return result
--- a/src/tamarackrill/router/flow.py
+++ b/src/tamarackrill/router/flow.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 
 from tamarackrill.contracts import Endpoint
+from tamarackrill.decisions.error_blame import ErrorBlame
 from tamarackrill.decisions.retry import Failure, RetryBudget, RetryDecision
 from tamarackrill.decisions.unexpected_errors import SERVICE_UNAVAILABLE
 from tamarackrill.events import REQUEST_REFUSED, REQUEST_ROUTED, log_event
@@ -22,7 +23,11 @@
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.placing import PlacementResult, Placer
 from tamarackrill.router.replies import Reply
-from tamarackrill.router.unexpected_errors import record_unexpected, tolerate
+from tamarackrill.router.unexpected_errors import (
+    describe_origin,
+    record_unexpected,
+    tolerate,
+)
 from tamarackrill.router.upstream import CurlAsyncHTTPClient
 
 ATTEMPTS_MAX = 3
@@ -79,6 +84,7 @@
         self._clock = clock
         self._budgets: dict[str, RetryBudget] = {}
         self._runs: set[asyncio.Task[None]] = set()
+        self._blame = ErrorBlame()
 
     @property
     def running(self) -> int:
@@ -353,7 +359,7 @@
                 self._placer.finish(
                     call,
                     endpoint,
-                    attempt.outcome,
+                    self._find_reported(attempt, endpoint),
                     attempt.first_byte_s,
                     self._clock(),
                     attempt.chunks if call.stream else 0,
@@ -362,6 +368,15 @@
             self._start_backoff(call, endpoint, attempt.retry_after_s)
         return attempt
 
+    def _find_reported(self, attempt: Attempt, endpoint: Endpoint) -> str:
+        """Return the outcome of an attempt that counts for its endpoint."""
+        if attempt.error is None:
+            return attempt.outcome
+        origin = describe_origin(attempt.error)
+        is_blamed = self._blame.observe(origin, endpoint.name, self._clock())
+        # An error of the router's code is no crash; "cancelled" counts as nothing.
+        return "refused" if is_blamed else "cancelled"
+
     def _start_backoff(
         self, call: Call, endpoint: Endpoint, retry_after_s: float
     ) -> None:
--- a/src/tamarackrill/router/unexpected_errors.py
+++ b/src/tamarackrill/router/unexpected_errors.py
@@ -32,6 +32,12 @@
     )
 
 
+def describe_origin(error: BaseException) -> str:
+    """Return the type of an error and the function that raised it."""
+    place = describe_place(error)[-1:]
+    return " ".join((type(error).__name__, *place))
+
+
 def record_unexpected(
     metrics: Metrics,
     step: str,
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -268,3 +268,28 @@
         assert answer.status == 503
 
     run_each(kind, (BufferedReply, "__init__"), check, has_slow_peers=True)
+
+
+@pytest.mark.parametrize("raising_names", [{"w0"}, {"w0", "w1", "w2", "w3"}])
+def test_endpoint_is_ejected_only_for_errors_of_its_own(raising_names, monkeypatch):
+    # Guards against endpoints that are ejected for a fault of the router, and against
+    # one whose answers raise each time and that goes on getting requests.
+    observe = EdgePlacer.observe_response_start
+
+    def act(placer, call, endpoint, now_s):
+        if endpoint.name in raising_names:
+            raise ValueError("odd")
+        observe(placer, call, endpoint, now_s)
+
+    async def run():
+        monkeypatch.setattr(EdgePlacer, "observe_response_start", act)
+        async with EdgeFleet() as fleet:
+            router = await start_fleet(fleet, "idempotent", None, {})
+            for number in range(40):
+                await ask(router, "/idempotent/", f"id-{number}")
+            names = {worker.name for worker in fleet.workers}
+            health = router.placer.health
+            excluded = health.find_excluded(names, router.clock())
+            assert excluded == (raising_names if len(raising_names) == 1 else set())
+
+    asyncio.run(run())
--- a/tests/test_unexpected_native_errors.py
+++ b/tests/test_unexpected_native_errors.py
@@ -158,3 +158,21 @@
         assert (status, runs) == (200, 1)
 
     run_each(kind, RECORDING[step], check)
+
+
+@pytest.mark.parametrize("step", [*BEFORE_SENDING.values(), *AFTER_SENDING.values()])
+def test_error_of_the_router_is_no_failure_of_its_endpoints(step):
+    # Guards against endpoints that are ejected, and a call that is refused as one that
+    # crashes endpoints, for a fault of the router.
+    async def run():
+        async with run_router() as (router, states):
+            calls_max = 4 * len(states)
+            with raising(*step, ValueError("odd"), calls_max=calls_max):
+                for _ in range(calls_max):
+                    await ask(router, "idempotent", "")
+            names = [state.name for state in states]
+            health, now_s = router.placer.health, router.clock()
+            assert sorted(health.find_allowed(names, now_s)) == names
+            assert (await ask(router, "idempotent", "")).code == 200
+
+    asyncio.run(run())
