Cut answers of the product's own interface that can't be passed on

If a step raised after the head of an answer had been written, tornado ended the answer in good order: its caller took the part that had been written for all of it. An answer that was aborted otherwise was never counted as ended, so that a router which stopped waited for it until its limit.

tests/test_unexpected_native_errors.py: 4 of 4 cases failed before (two partial answers complete to the caller, two calls open for good); they pass.

--- a/src/tamarackrill/router/front.py
+++ b/src/tamarackrill/router/front.py
@@ -116,6 +116,8 @@
 class FrontHandler(RequestHandler):
     """Base class of the handlers on the callers' port; by itself it answers 404."""
 
+    _finished: bool
+
     def initialize(self, front: FrontContext) -> None:
         """Store the context that the handlers share."""
         self.front = front
@@ -165,11 +167,14 @@
             self.finish(f"event: error\ndata: {json.dumps(refusal.to_body())}\n\n")
             return
         connection = self.request.connection
-        if connection is not None:
+        if connection is not None and not self._finished:
             stream = connection.detach()
             if self.request.version == "HTTP/1.0" and not stream.closed():
                 reset_on_close(stream.socket)
             stream.close()
+            # Tornado would end an answer on the connection that is detached.
+            self._finished = True
+            self.on_finish()
 
 
 def refuse_unread(headers: HTTPHeaders) -> OwnAnswer:
--- a/tests/test_unexpected_native_errors.py
+++ b/tests/test_unexpected_native_errors.py
@@ -12,11 +12,13 @@
 from tamarackrill.router import attempts
 from tamarackrill.router.admitting import Admitter
 from tamarackrill.router.app import RouterApplication
+from tamarackrill.router.callers import _CallerOutlet
 from tamarackrill.router.chats import ChatCoordinator
 from tamarackrill.router.limiting import Limiter
 from tamarackrill.router.placing import Placer
 from tamarackrill.router.upstream import Exchange
 from tamarackrill.settings import load_settings
+from tamarackrill.testing import edge
 from tamarackrill.testing.daemon import listen
 from tamarackrill.testing.injection import raising
 from tamarackrill.testing.platform import PlatformState, make_platform
@@ -160,6 +162,29 @@
     run_each(kind, RECORDING[step], check)
 
 
+@pytest.mark.parametrize("key", ["", "a key"])
+@pytest.mark.parametrize("step", ["take", "finish"])
+def test_answer_that_can_not_be_passed_on_is_not_complete(step, key):
+    # Guards against the part of an answer that was written so far, which its caller
+    # takes for all of it, and against a call that is open for good and delays a stop.
+    async def run():
+        async with run_router() as (router, _):
+            skipped = 1 if step == "take" else 0
+            fields = {"Authorization": f"Bearer {KEY}", "Idempotency_Key": key}
+            # Longer than what is written at once, as control characters are escaped.
+            body = b"\x01" * 900_000
+            for error in ERRORS:
+                with raising(_CallerOutlet, step, error, skipped):
+                    async with asyncio.timeout(ANSWER_MAX_S):
+                        answer = await edge.ask(
+                            router.address, PATHS["idempotent"], body=body, **fields
+                        )
+                assert not answer.is_whole
+                assert not router.open_calls.count
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("step", [*BEFORE_SENDING.values(), *AFTER_SENDING.values()])
 def test_error_of_the_router_is_no_failure_of_its_endpoints(step):
     # Guards against endpoints that are ejected, and a call that is refused as one that
