--- a/src/tamarackrill/router/front.py
+++ b/src/tamarackrill/router/front.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
+from tornado.httputil import HTTPHeaders
 from tornado.web import HTTPError, RequestHandler
 
 from tamarackrill.contracts import Contract
@@ -14,6 +15,8 @@
 from tamarackrill.router.catching_up import CatchUp
 from tamarackrill.router.explaining import ExplainQuery
 from tamarackrill.router.flow import CallRunner
+from tamarackrill.router.forwarding import MAY_HAVE_RUN_HEADER
+from tamarackrill.router.guarded_requests import OwnAnswer
 from tamarackrill.router.members import Members
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.sockets import reset_on_close
@@ -27,6 +30,7 @@
 LEAVING_CODE = "leaving"
 NOT_FOUND = 404
 INTERNAL_ERROR = 500
+UNAVAILABLE = 503
 
 
 class OpenCalls:
@@ -112,6 +116,8 @@
 class FrontHandler(RequestHandler):
     """Base class of the handlers on the callers' port; by itself it answers 404."""
 
+    _finished: bool
+
     def initialize(self, front: FrontContext) -> None:
         """Store the context that the handlers share."""
         self.front = front
@@ -132,6 +138,16 @@
         """Answer an error raised by tornado with the JSON body of a refusal."""
         self.send_refusal(_build_refusal(status_code, self._reason))
 
+    def send_error(self, status_code: int = INTERNAL_ERROR, **kwargs: Any) -> None:
+        """Answer an error, or abort an answer that has started.
+
+        Tornado would end it as if it were complete.
+        """
+        if self._headers_written and not self._finished:
+            self.abort(_build_refusal(status_code, self._reason))
+            return
+        super().send_error(status_code, **kwargs)
+
     def send_refusal(self, refusal: Refusal) -> None:
         """Answer with a refusal, or abort an answer that has started."""
         if self._headers_written:
@@ -141,7 +157,7 @@
         self.set_status(refusal.status, refusal.code)
         if refusal.code in (LEAVING_CODE, HOME_MOVED):
             self.set_header(LEAVING_HEADER, "1")
-        self.set_header("Retry-After", str(max(1, round(refusal.retry_after_s))))
+        self.set_header("Retry-After", _format_retry_after(refusal))
         self.finish(dict(refusal.to_body()))
 
     def abort(self, refusal: Refusal) -> None:
@@ -151,11 +167,37 @@
             self.finish(f"event: error\ndata: {json.dumps(refusal.to_body())}\n\n")
             return
         connection = self.request.connection
-        if connection is not None:
+        if connection is not None and not self._finished:
             stream = connection.detach()
             if self.request.version == "HTTP/1.0" and not stream.closed():
                 reset_on_close(stream.socket)
             stream.close()
+            # Tornado would end an answer on the connection that is detached.
+            self._finished = True
+            self.on_finish()
+
+
+def refuse_unread(headers: HTTPHeaders) -> OwnAnswer:
+    """Return the refusal of a call whose reading raised an undeclared error."""
+    refusal = make_unsent_refusal()
+    if MAY_HAVE_RUN_HEADER in headers:
+        refusal.run = "unknown"
+    fields = {
+        "Content-Type": "application/json; charset=UTF-8",
+        "Retry-After": _format_retry_after(refusal),
+    }
+    body = json.dumps(refusal.to_body()).encode()
+    return OwnAnswer(refusal.status, refusal.code, fields, body)
+
+
+def make_unsent_refusal() -> Refusal:
+    """Return the refusal of a call that an undeclared error ended before its run."""
+    message = "internal error in the router"
+    return Refusal("internal", UNAVAILABLE, message, "not_run")
+
+
+def _format_retry_after(refusal: Refusal) -> str:
+    return str(max(1, round(refusal.retry_after_s)))
 
 
 def _build_refusal(status: int, reason: str) -> Refusal:
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -1,7 +1,6 @@
 """Steps of a request that raise an error which nobody expects."""
 
 import asyncio
-import contextlib
 
 import pytest
 from tornado.http1connection import HTTP1Connection
@@ -14,6 +13,7 @@
 from tamarackrill.router.edge_reserving import EdgeReserver
 from tamarackrill.router.slow_clients import BufferedReply
 from tamarackrill.testing.edge import EdgeFleet, ask, make_route
+from tamarackrill.testing.injection import raising
 from tamarackrill.testing.worker import (
     answer_ok,
     make_chunk,
@@ -80,25 +80,6 @@
 }
 
 
-@contextlib.contextmanager
-def raising(owner, name, error, skipped=0):
-    """Let the call of a function after `skipped` ones raise an error, once."""
-    original = getattr(owner, name)
-    calls = 0
-
-    def act(*args, **kwargs):
-        nonlocal calls
-        calls += 1
-        if calls == skipped + 1:
-            raise error
-        return original(*args, **kwargs)
-
-    with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(owner, name, act)
-        yield
-    assert calls > skipped
-
-
 async def start_fleet(fleet, kind, behave, settings):
     await fleet.put_manifest(1, *ROUTES.values())
     is_stream = kind.startswith("stream")
@@ -287,3 +268,28 @@
         assert answer.status == 503
 
     run_each(kind, (BufferedReply, "__init__"), check, has_slow_peers=True)
+
+
+@pytest.mark.parametrize("raising_names", [{"w0"}, {"w0", "w1", "w2", "w3"}])
+def test_endpoint_is_ejected_only_for_errors_of_its_own(raising_names, monkeypatch):
+    # Guards against endpoints that are ejected for a fault of the router, and against
+    # one whose answers raise each time and that goes on getting requests.
+    observe = EdgePlacer.observe_response_start
+
+    def act(placer, call, endpoint, now_s):
+        if endpoint.name in raising_names:
+            raise ValueError("odd")
+        observe(placer, call, endpoint, now_s)
+
+    async def run():
+        monkeypatch.setattr(EdgePlacer, "observe_response_start", act)
+        async with EdgeFleet() as fleet:
+            router = await start_fleet(fleet, "idempotent", None, {})
+            for number in range(40):
+                await ask(router, "/idempotent/", f"id-{number}")
+            names = {worker.name for worker in fleet.workers}
+            health = router.placer.health
+            excluded = health.find_excluded(names, router.clock())
+            assert excluded == (raising_names if len(raising_names) == 1 else set())
+
+    asyncio.run(run())
--- a/tests/test_unexpected_native_errors.py
+++ b/tests/test_unexpected_native_errors.py
@@ -12,12 +12,15 @@
 from tamarackrill.router import attempts
 from tamarackrill.router.admitting import Admitter
 from tamarackrill.router.app import RouterApplication
+from tamarackrill.router.callers import _CallerOutlet
 from tamarackrill.router.chats import ChatCoordinator
 from tamarackrill.router.limiting import Limiter
 from tamarackrill.router.placing import Placer
 from tamarackrill.router.upstream import Exchange
 from tamarackrill.settings import load_settings
+from tamarackrill.testing import edge
 from tamarackrill.testing.daemon import listen
+from tamarackrill.testing.injection import raising
 from tamarackrill.testing.platform import PlatformState, make_platform
 from tamarackrill.testing.service import ServiceState, make_service
 
@@ -55,23 +58,6 @@
 }
 
 
-@contextlib.contextmanager
-def raising(owner, name, error):
-    """Let the next call of a function raise an error."""
-    original = getattr(owner, name)
-    errors = [error]
-
-    def act(*args, **kwargs):
-        if errors:
-            raise errors.pop()
-        return original(*args, **kwargs)
-
-    with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(owner, name, act)
-        yield
-    assert not errors
-
-
 @contextlib.asynccontextmanager
 async def run_router():
     """Run a router with endpoints of a service; yields it and their states."""
@@ -174,3 +160,44 @@
         assert (status, runs) == (200, 1)
 
     run_each(kind, RECORDING[step], check)
+
+
+@pytest.mark.parametrize("key", ["", "a key"])
+@pytest.mark.parametrize("step", ["take", "finish"])
+def test_answer_that_can_not_be_passed_on_is_not_complete(step, key):
+    # Guards against the part of an answer that was written so far, which its caller
+    # takes for all of it, and against a call that is open for good and delays a stop.
+    async def run():
+        async with run_router() as (router, _):
+            skipped = 1 if step == "take" else 0
+            fields = {"Authorization": f"Bearer {KEY}", "Idempotency_Key": key}
+            # Longer than what is written at once, as control characters are escaped.
+            body = b"\x01" * 900_000
+            for error in ERRORS:
+                with raising(_CallerOutlet, step, error, skipped):
+                    async with asyncio.timeout(ANSWER_MAX_S):
+                        answer = await edge.ask(
+                            router.address, PATHS["idempotent"], body=body, **fields
+                        )
+                assert not answer.is_whole
+                assert not router.open_calls.count
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("step", [*BEFORE_SENDING.values(), *AFTER_SENDING.values()])
+def test_error_of_the_router_is_no_failure_of_its_endpoints(step):
+    # Guards against endpoints that are ejected, and a call that is refused as one that
+    # crashes endpoints, for a fault of the router.
+    async def run():
+        async with run_router() as (router, states):
+            calls_max = 4 * len(states)
+            with raising(*step, ValueError("odd"), calls_max=calls_max):
+                for _ in range(calls_max):
+                    await ask(router, "idempotent", "")
+            names = [state.name for state in states]
+            health, now_s = router.placer.health, router.clock()
+            assert sorted(health.find_allowed(names, now_s)) == names
+            assert (await ask(router, "idempotent", "")).code == 200
+
+    asyncio.run(run())
