Read the endpoints again for requests that find all of them moved

Cause: endpoints that restart answer 421 to requests for their earlier process. A request that finds all endpoints of its service misplaced was refused with 503, and a stream was cut, although the store already had the entries of the processes that answered. A router that polls, as each does in its first seven seconds, learnt of them up to 0.9 s later.

Change: such a request reads the changes of the endpoints' entries, once for all that wait, for at most 0.3 s, and is placed again. It doesn't if the entries were read after the last 421, or while the store is unavailable.

--- a/src/tamarackrill/decisions/misplaced.py
+++ b/src/tamarackrill/decisions/misplaced.py
@@ -9,6 +9,10 @@
 
 A rejection is certain and holds for all routers, so one reports it to the others.  The
 entry may become correct again, so it is tried again after a while.
+
+Whoever answers there has started, and writes its own entry at about that time.  A
+request without another endpoint is worth a read of the entries, unless they have been
+read since.
 """
 
 from collections.abc import Collection
@@ -31,6 +35,22 @@
         self._until_s[endpoint] = now_s + MISPLACED_KEPT_S
         return is_news
 
+    def has_moved_since(self, names: Collection[str], known_s: float) -> bool:
+        """Return whether any of some endpoints was found misplaced later.
+
+        Parameters
+        ----------
+        names : collection of str
+            The endpoints.
+        known_s : float
+            Time as of which their entries are known.
+        """
+        return any(
+            until_s - MISPLACED_KEPT_S > known_s
+            for name, until_s in self._until_s.items()
+            if name in names
+        )
+
     def remove(self, endpoint: str) -> None:
         """Forget an endpoint that has restarted."""
         self._until_s.pop(endpoint, None)
--- a/src/tamarackrill/router/configuring.py
+++ b/src/tamarackrill/router/configuring.py
@@ -200,6 +200,11 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether the platform is unavailable."""
+        return self._is_lost
+
     def request_news(self) -> None:
         """Ask the platform for all that has changed, without waiting for a change."""
         for kind in self._kinds:
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -55,6 +55,7 @@
 )
 from tamarackrill.platform.settings_file import PlatformSettings
 from tamarackrill.platform.store import STORE_FORM
+from tamarackrill.router import lateness
 from tamarackrill.router.background import run_restarting
 from tamarackrill.router.binding import report_bind_error
 from tamarackrill.router.brittle_slots import BrittleSlots
@@ -126,6 +127,9 @@
 # Event-loop lag that is logged. It equals the connect timeout of endpoints, so a router
 # lagging this much takes reachable endpoints for unreachable.
 LOOP_LAG_LOGGED_S = 0.15
+# Time that a request whose endpoints have moved waits for their entries: as long as a
+# slow store takes.
+ENTRIES_WAIT_S = 0.3
 # Time left until SIGKILL when requests still in flight are cut off.
 STOP_MARGIN_S = 0.3
 
@@ -403,6 +407,16 @@
         await self.configuration_sync.read_changes(ENDPOINT_KIND)
         await self.keepers.store.complete_history()
 
+    async def _read_moved(self, service: str) -> bool:
+        """Read the endpoints of a service again if they have moved since."""
+        has_moved = self.placer.has_moved_since(service, self._find_known_s())
+        if not has_moved or self.configuration_sync.is_lost:
+            return False
+        with contextlib.suppress(TimeoutError):
+            async with lateness.timeout(ENTRIES_WAIT_S):
+                return await self._entry_checks.check()
+        return False
+
     async def _run_activity(self) -> None:
         while True:
             now_s = self.clock()
@@ -586,6 +600,12 @@
         self._store_checks = StoreChecks(
             self._read_versions, lambda: len(self.members.list_live()), self.clock
         )
+        self._entry_checks = StoreChecks(
+            lambda: self.configuration_sync.read_changes(ENDPOINT_KIND),
+            lambda: len(self.members.list_live()),
+            self.clock,
+        )
+        self.flow.reserver.read_moved = self._read_moved
         self.keepers = VersionKeepers(
             self.view,
             self.members,
@@ -751,6 +771,7 @@
         await self.gossiper.stop()
         await self.configuration_sync.stop()
         await self._store_checks.stop()
+        await self._entry_checks.stop()
         await self.keepers.store.stop()
         self._peer_socket.stop()
         await self.relays.stop()
--- a/src/tamarackrill/router/edge_placing.py
+++ b/src/tamarackrill/router/edge_placing.py
@@ -277,6 +277,11 @@
         pool = self._view.find_pool(call.service)
         return bool(len(pool.exclude(self._find_unavailable(avoid, now_s))))
 
+    def has_moved_since(self, service: str, known_s: float) -> bool:
+        """Return whether an endpoint of a service was found misplaced later."""
+        pool = self._view.find_pool(service)
+        return self.misplaced.has_moved_since(pool.by_name, known_s)
+
     def find_refused(
         self, call: EdgeCall, avoid: Collection[str], now_s: float
     ) -> set[str]:
--- a/src/tamarackrill/router/edge_reserving.py
+++ b/src/tamarackrill/router/edge_reserving.py
@@ -1,7 +1,7 @@
 """Placement of requests on the platform's interface, with what they must reserve."""
 
 import contextlib
-from collections.abc import Callable, Collection
+from collections.abc import Awaitable, Callable, Collection
 
 from tamarackrill.decisions.brittle import RESERVATION_ATTEMPTS_MAX
 from tamarackrill.exceptions import Refusal
@@ -21,9 +21,9 @@
 # Cold endpoints for which a request asks permits before it goes to one that isn't cold:
 # an answer takes a few milliseconds, and a silent owner ten times that.
 PERMIT_REQUESTS_MAX = 2
-# How often a request without a reachable endpoint waits for other routers to say which
-# ones they reach.  The first reply may come from a router that is cut off too.
-RELAY_QUESTIONS_MAX = 3
+# How often a request without an endpoint waits for news of them.  The first reply of
+# other routers may come from one that is cut off too.
+NEWS_WAITS_MAX = 3
 
 
 class PlacementRefusal(Refusal):
@@ -78,6 +78,9 @@
         Asks for slots of services whose capacity is shared; None asks for none.
     relays : RelayClient or None
         Other routers through which endpoints are reached.
+    read_moved : callable
+        ``await read_moved(service)`` reads the endpoints of a service again if they
+        have moved, and returns whether it has.
     """
 
     def __init__(
@@ -92,6 +95,7 @@
         self.guard: PromptGuard | None = None
         self.capacity: SlotClient | None = None
         self.relays: RelayClient | None = None
+        self.read_moved: Callable[[str], Awaitable[bool]] = _read_nothing
 
     def _find_closed(self, attempt: RequestAttempt) -> Collection[str]:
         """Return the endpoints that must not get the request's prompt.
@@ -229,7 +233,7 @@
         call = progress.call
         closed = self._find_closed(attempt)
         refused: set[str] = set()
-        permit_requests = relay_questions = 0
+        permit_requests = news_waits = 0
         while True:
             # Endpoints may have joined while the request waited.
             others = self._find_others(progress)
@@ -237,9 +241,9 @@
             placed = self._choose_settled(attempt, avoid)
             if placed is None and refused:
                 raise _AllCold
-            if placed is None and relay_questions < RELAY_QUESTIONS_MAX:
-                relay_questions += 1
-                if await self._wait_relays():
+            if placed is None and news_waits < NEWS_WAITS_MAX:
+                news_waits += 1
+                if await self._wait_news(attempt):
                     continue
             if placed is None or permits is None:
                 return placed
@@ -289,6 +293,15 @@
             progress.call.service, progress.software_version
         )
 
-    async def _wait_relays(self) -> bool:
+    async def _wait_news(self, attempt: RequestAttempt) -> bool:
+        """Wait for news of endpoints; return whether there may be any."""
         relays = self.relays
-        return relays is not None and await relays.wait_replies()
+        if relays is not None and await relays.wait_replies():
+            return True
+        with self._tolerate("read endpoints", attempt, None):
+            return await self.read_moved(attempt.progress.call.service)
+        return False
+
+
+async def _read_nothing(service: str) -> bool:
+    return False
--- a/tests/test_misplaced.py
+++ b/tests/test_misplaced.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from tamarackrill.decisions.misplaced import MISPLACED_KEPT_S, MisplacedEndpoints
+from tamarackrill.testing.crashing_worker import CrashBehavior, CrashingWorker
 from tamarackrill.testing.edge import EdgeFleet, ask, make_route, read_reason
 from tamarackrill.testing.worker import answer_ok, make_answer
 
@@ -34,6 +35,15 @@
     assert known.find(1.0) == {"b"}
 
 
+def test_entries_read_since_are_not_read_again():
+    # Guards against a read of the store for each request that no endpoint can take.
+    known = MisplacedEndpoints()
+    known.observe("a", 1.0)
+    assert known.has_moved_since({"a", "b"}, 0.9)
+    assert not known.has_moved_since({"a", "b"}, 1.0)
+    assert not known.has_moved_since({"b"}, 0.9)
+
+
 def run_with_fleet(act):
     async def run():
         async with EdgeFleet() as fleet:
@@ -83,6 +93,39 @@
     run_with_fleet(act)
 
 
+def test_request_is_served_if_all_endpoints_have_just_restarted():
+    # Guards against requests that are refused until the next poll of the store, though
+    # it has the entries of the processes that reject them.
+    async def act(fleet):
+        async def write_entry(worker):
+            await fleet.store.write("servers", worker.name, worker.describe("desk"))
+
+        async def remove_entry(name):
+            await fleet.store.write("servers", name, None)
+
+        workers = [
+            CrashingWorker(
+                name,
+                lambda version, part: False,
+                write_entry,
+                remove_entry,
+                CrashBehavior(down_s=0.0),
+            )
+            for name in ("w0", "w1")
+        ]
+        for worker in workers:
+            await fleet.register_worker(worker)
+        router = await fleet.add_router()
+        await fleet.wait(lambda: len(router.view.list_live("desk")) == len(workers))
+        for worker in workers:
+            await worker.crash()
+            await fleet.wait(worker._crash_task.done)
+        answers = [await ask(router, "/confirm/a", f"id-{n}") for n in range(4)]
+        assert [answer.status for answer in answers] == [200] * 4
+
+    run_with_fleet(act)
+
+
 def test_one_router_learns_from_another_that_an_endpoint_has_moved():
     # Without gossip each router would be rejected by each endpoint that has moved, at
     # the cost of as many retries of the fleet.
--- a/tests/test_own_lateness.py
+++ b/tests/test_own_lateness.py
@@ -22,7 +22,7 @@
     AttemptEnding,
     CrashChecks,
 )
-from tamarackrill.router.edge_reserving import RELAY_QUESTIONS_MAX
+from tamarackrill.router.edge_reserving import NEWS_WAITS_MAX
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.owners import Owners
 from tamarackrill.router.relay_client import REPLY_WAIT_S
@@ -165,7 +165,7 @@
 
             async def pull_late(*args):
                 reply = await pull(*args)
-                await reply_late(*(REPLY_WAIT_S + 0.05,) * RELAY_QUESTIONS_MAX)
+                await reply_late(*(REPLY_WAIT_S + 0.05,) * NEWS_WAITS_MAX)
                 return reply
 
             router.relays.pull = pull_late
