Wait longer for the crash check that makes a request a suspect

Cause: a request waits 0.05 s for the check whether it crashed its endpoint, and pauses for a second after three late crashes. At routers under load a check took 0.2 to 0.3 s, so that the third crash wasn't counted when the request went on: a request that crashes workers took down all four of a pool within 0.6 s, with the sound streams that ran at the last one.

Change: a request that one more crash makes pause, or that is refused then, waits up to 0.5 s for the check. All others still wait 0.05 s.

Measured: the new case of test_own_lateness fails before.

--- a/src/tamarackrill/decisions/poison.py
+++ b/src/tamarackrill/decisions/poison.py
@@ -163,6 +163,21 @@
         newest_s = max(crash.crashed_s for crash in crashes)
         return max(0.0, newest_s + SUSPECT_PAUSE_S - now_s)
 
+    def is_near_pause(self, fingerprint: int, now_s: float, is_late: bool) -> bool:
+        """Return whether a request has to wait, or is refused, after one more crash.
+
+        Parameters
+        ----------
+        fingerprint : int
+            Fingerprint of the request.
+        now_s : float
+            Current time.
+        is_late : bool
+            Whether its response had begun this time.
+        """
+        more = 1 / (LATE_CRASHES_MAX if is_late else CRASHES_MAX)
+        return self._find_blame(fingerprint, now_s) + more >= PAUSED_BLAME
+
     def _find_blame(self, fingerprint: int, now_s: float) -> float:
         """Return the share of the crashes for which a request is refused."""
         crashes = self._list_recent(fingerprint, now_s)
--- a/src/tamarackrill/router/crash_checks.py
+++ b/src/tamarackrill/router/crash_checks.py
@@ -18,7 +18,9 @@
 # How long a request waits to learn whether it broke off because its endpoint crashed,
 # before it goes to the next one.  Other routers answer in a few milliseconds.
 CRASH_CHECK_WAIT_S = 0.05
-
+# The same for a request that one more crash makes a suspect, which could crash the last
+# endpoints of a small pool meanwhile.  Routers under load took up to 0.3 s for a check.
+SUSPECT_CHECK_WAIT_S = 0.5
 
 Finding = Literal["crashed", "left", "alive", "reached", "unreached"]
 
@@ -99,9 +101,13 @@
 
     async def check(self, ending: AttemptEnding) -> None:
         """Check an endpoint; return when the request may go to the next one."""
+        is_near_pause = self._placer.poison.is_near_pause(
+            ending.call.fingerprint, self._clock(), _is_late(ending)
+        )
+        wait_s = SUSPECT_CHECK_WAIT_S if is_near_pause else CRASH_CHECK_WAIT_S
         task = self.start(self._check(ending))
         with contextlib.suppress(TimeoutError):
-            async with lateness.timeout(CRASH_CHECK_WAIT_S):
+            async with lateness.timeout(wait_s):
                 await asyncio.wait([task])
 
     async def _check(self, ending: AttemptEnding) -> None:
@@ -145,10 +151,9 @@
         _log_check(ending, "crashed")
         if self.guard is not None and ending.exposure is not None:
             self.guard.record_crash(ending.exposure, ending.ended_s)
-        is_late = ending.events >= SOUND_EVENTS_MIN
         fingerprint, name = ending.call.fingerprint, ending.endpoint.name
         poison, now_s = self._placer.poison, self._clock()
-        if poison.observe_crash(fingerprint, name, now_s, is_late):
+        if poison.observe_crash(fingerprint, name, now_s, _is_late(ending)):
             self.on_crash(fingerprint)
 
     def record_broken(self, ending: AttemptEnding) -> None:
@@ -164,6 +169,10 @@
             self.guard.record_broken(ending.exposure, ending.ended_s)
 
 
+def _is_late(ending: AttemptEnding) -> bool:
+    return ending.events >= SOUND_EVENTS_MIN
+
+
 def _log_check(ending: AttemptEnding, finding: Finding) -> None:
     log_event(
         BROKEN_ATTEMPT_CHECKED,
--- a/tests/test_own_lateness.py
+++ b/tests/test_own_lateness.py
@@ -3,12 +3,14 @@
 import asyncio
 import socket
 import time
+from types import SimpleNamespace
 from unittest import mock
 
 import pytest
 from soak.links import EndpointLinks
 
 from tamarackrill.contracts import Endpoint
+from tamarackrill.decisions.poison import LATE_CRASHES_MAX, PoisonTracker
 from tamarackrill.protocol.owner_codec import (
     Answer,
     Ask,
@@ -25,6 +27,7 @@
 from tamarackrill.router.edge_reserving import NEWS_WAITS_MAX
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.owners import Owners
+from tamarackrill.router.prompt_guard import SOUND_EVENTS_MIN
 from tamarackrill.router.relay_client import REPLY_WAIT_S
 from tamarackrill.testing.edge import EdgeFleet, ask, make_route
 from tamarackrill.testing.worker import (
@@ -37,6 +40,7 @@
 TIMEOUT_S = 0.15
 KEYS = ("a key",)
 LONG_BYTES = 640 * 1024
+FINGERPRINT = 17
 
 
 def block_s(*blocks_s):
@@ -176,23 +180,33 @@
     asyncio.run(run())
 
 
-def test_crash_check_is_awaited_though_the_loop_is_late():
+@pytest.mark.parametrize(
+    ("crashes", "wait"),
+    [(0, reply_late), (LATE_CRASHES_MAX - 2, asyncio.sleep)],
+    ids=["late loop", "slow check"],
+)
+def test_crash_check_is_awaited_though_the_loop_is_late_or_it_is_slow(crashes, wait):
     # Guards against a request that goes to the next endpoint before a late router has
-    # read that it crashed the last one.
+    # read that it crashed the last one, and against one that crashes all of a small
+    # pool before the checks of the first ones have ended.
     async def run():
         loop = asyncio.get_running_loop()
         endpoint = Endpoint("w", "service", ("desk",), "127.0.0.1:1", "z")
         recorded = []
-        crashes = CrashChecks(None, None, None, loop.time, open_channel)
-        crashes.record_crash = recorded.append
+        placer = SimpleNamespace(poison=PoisonTracker())
+        for number in range(crashes):
+            placer.poison.observe_crash(FINGERPRINT, f"w{number}", loop.time(), True)
+        checks = CrashChecks(placer, None, None, loop.time, open_channel)
+        checks.record_crash = recorded.append
 
         async def find(endpoint):
-            await reply_late(2 * CRASH_CHECK_WAIT_S)
+            await wait(2 * CRASH_CHECK_WAIT_S)
             return "crashed"
 
-        crashes._find = find
-        ending = AttemptEnding(None, endpoint, 0, None, loop.time())
-        await crashes.check(ending)
+        checks._find = find
+        call = SimpleNamespace(fingerprint=FINGERPRINT)
+        ending = AttemptEnding(call, endpoint, SOUND_EVENTS_MIN, None, loop.time())
+        await checks.check(ending)
         assert recorded == [ending]
 
     asyncio.run(run())
