Count the crash of a pool's last endpoint

Cause: an endpoint that refuses connections counts as crashed only if some router reaches another one of its service. If a request has crashed all others before, none is reached, so that its last crash wasn't counted and it took down the next processes too. Up to three others are compared, so that the same happened wherever these had just crashed.

Change: endpoints that the same request is known to have crashed aren't compared. If there are no others, the refused connection is enough, as for the only endpoint of a service.

Measured: the new test got ["lost", "no_endpoint"] before, and gets ["lost", "poison"].

--- a/src/tamarackrill/router/crash_checks.py
+++ b/src/tamarackrill/router/crash_checks.py
@@ -111,7 +111,7 @@
                 await asyncio.wait([task])
 
     async def _check(self, ending: AttemptEnding) -> None:
-        finding = await self._find(ending.endpoint)
+        finding = await self._find(ending)
         if finding == "crashed":
             self.record_crash(ending)
             return
@@ -119,7 +119,8 @@
             self.record_broken(ending)
         _log_check(ending, finding)
 
-    async def _find(self, endpoint: Endpoint) -> Finding:
+    async def _find(self, ending: AttemptEnding) -> Finding:
+        endpoint = ending.endpoint
         # A response may break off although the endpoint is alive.  Only a refused
         # connection shows that its process may have ended, because of the request.
         error = await self._try_connect(endpoint)
@@ -128,11 +129,18 @@
         self._paths.record_failure(endpoint, error)
         if not isinstance(error, ConnectionRefusedError):
             return "unreached"
-        if await self._checks.has_crashed(endpoint):
+        if await self.has_crashed(ending):
             return "crashed"
         # Either this router's link is cut, or another process has just started there.
         return "reached" if await self._try_connect(endpoint) else "alive"
 
+    async def has_crashed(self, ending: AttemptEnding) -> bool:
+        """Return whether an endpoint that refuses connections has crashed."""
+        crashed = self._placer.poison.find_crashed_endpoints(
+            ending.call.fingerprint, self._clock()
+        )
+        return await self._checks.has_crashed(ending.endpoint, crashed=crashed)
+
     async def _try_connect(self, endpoint: Endpoint) -> OSError | None:
         """Return why an endpoint takes no connection, None if it does."""
         try:
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -774,7 +774,7 @@
             relays.observe_refused(relay, endpoint.name)
             if not result.is_broken or result.ending is None:
                 return
-            if await self.checks.has_crashed(endpoint):
+            if await self.crashes.has_crashed(result.ending):
                 self.crashes.record_crash(result.ending)
 
 
--- a/src/tamarackrill/router/endpoint_checks.py
+++ b/src/tamarackrill/router/endpoint_checks.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from tamarackrill.contracts import Endpoint
 from tamarackrill.router import lateness
@@ -120,7 +120,12 @@
         if await self.has_crashed(endpoint, if_unknown=True):
             raise ChannelError("the endpoint ended with its response")
 
-    async def has_crashed(self, endpoint: Endpoint, if_unknown: bool = False) -> bool:
+    async def has_crashed(
+        self,
+        endpoint: Endpoint,
+        if_unknown: bool = False,
+        crashed: Collection[str] = (),
+    ) -> bool:
         """Return whether an endpoint that refuses connections has crashed.
 
         The links of this router may be cut, or those of the routers that it asks.  So a
@@ -134,8 +139,13 @@
         if_unknown : bool, default=False
             What to return if the other endpoints aren't reached either: they may have
             crashed too.
+        crashed : collection of str, optional
+            Endpoints that are known to have crashed.  They aren't reached in any case.
         """
-        others = self._placer.list_others(endpoint)[:COMPARED_ENDPOINTS_MAX]
+        others = [
+            e for e in self._placer.list_others(endpoint) if e.name not in crashed
+        ]
+        others = others[:COMPARED_ENDPOINTS_MAX]
         replies = []
         if self.relays is not None:
             replies = await self.relays.ask_reached(endpoint, others)
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from tamarackrill.decisions.poison import CRASHES_MAX
 from tamarackrill.testing.crashing_worker import CrashBehavior, CrashingWorker
-from tamarackrill.testing.edge import EdgeFleet, ask, make_route
+from tamarackrill.testing.edge import EdgeFleet, ask, make_route, read_reason
 from tamarackrill.testing.worker import make_event
 
 STREAM = make_route("/stream/", "streaming", stream_resume=True, attempts=4)
@@ -134,3 +135,24 @@
             assert whole >= 0.9 * OTHERS
 
     asyncio.run(run())
+
+
+def test_request_that_crashes_the_whole_pool_is_known_for_it():
+    # Guards against a crash that isn't counted since all other endpoints have crashed
+    # too, so that the request takes down the next processes as well.
+    async def run():
+        async with EdgeFleet() as fleet:
+
+            async def crash(request, writer):
+                worker = next(w for w in fleet.workers if request in w.ran)
+                await asyncio.wait([asyncio.create_task(worker.crash())])
+
+            await fleet.put_manifest(1, make_route("/lookup/", "idempotent"))
+            for number in range(CRASHES_MAX):
+                await fleet.add_worker(f"w{number}", crash)
+            router = await fleet.add_router()
+            await fleet.wait(lambda: len(router.view.list_live("desk")) == CRASHES_MAX)
+            reasons = [read_reason(await ask(router, "/lookup/a")) for _ in range(2)]
+            assert reasons == ["lost", "poison"]
+
+    asyncio.run(run())
--- a/tests/test_own_lateness.py
+++ b/tests/test_own_lateness.py
@@ -199,7 +199,7 @@
         checks = CrashChecks(placer, None, None, loop.time, open_channel)
         checks.record_crash = recorded.append
 
-        async def find(endpoint):
+        async def find(ending):
             await wait(2 * CRASH_CHECK_WAIT_S)
             return "crashed"
 
