Replace a take-over that hangs before its head once the silent endpoint has ended

Cause: silence before the response headers of a stream started no race, as an endpoint may take any time for its first event. That also held for the rest of a stream that the client was reading. While the first endpoint was silent, its own timer sent a third attempt; once it had ended, nothing watched the second one, and the stream waited for it until the route's timeout, though the route allowed a third attempt and another endpoint served.

Change: such a stream may be silent for as long before its headers as within it.

Measured: in tests/test_take_over.py the first endpoint ends its connection 2.0 s after its fourth event, the second one doesn't answer, the third one serves.

--- a/src/tamarackrill/decisions/attempt_timeouts.py
+++ b/src/tamarackrill/decisions/attempt_timeouts.py
@@ -38,17 +38,27 @@
     return SUSPECT_OBJECTIVES * route.objective_s
 
 
-def find_header_timeout_s(route: Route) -> float | None:
+def find_header_timeout_s(route: Route, has_begun: bool = False) -> float | None:
     """Return the silence before the response headers that starts a race.
 
+    An endpoint may take any time for the first event of a stream, but not for the
+    rest of one that its client is reading.
+
+    Parameters
+    ----------
+    route : Route
+        Route of the request.
+    has_begun : bool, default=False
+        Whether the client has received part of the stream.
+
     Returns
     -------
     float or None
         None if no other attempt may be sent beside this one.
     """
-    if route.kind != "idempotent":
-        return None
-    return ATTEMPT_TIMEOUT_OBJECTIVES * route.objective_s
+    if route.kind == "idempotent":
+        return ATTEMPT_TIMEOUT_OBJECTIVES * route.objective_s
+    return STREAM_STALL_TIMEOUT_S if route.may_repeat and has_begun else None
 
 
 def find_link_timeout_s(route: Route) -> float | None:
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -379,7 +379,8 @@
         self._send(progress, placed, relay, channel)
         try:
             async with lateness.timeout_at(call.deadline_s + RESPONSE_TRANSIT_S):
-                timeout_s = find_header_timeout_s(call.route)
+                has_begun = progress.reply.has_begun
+                timeout_s = find_header_timeout_s(call.route, has_begun)
                 with self._watch_answer(attempt, channel, timeout_s):
                     head, answer_headers = await self.read_matching_head(
                         call.request_id, placed.endpoint, channel, relay
--- a/tests/test_attempt_timeouts.py
+++ b/tests/test_attempt_timeouts.py
@@ -50,6 +50,16 @@
     assert find_chunk_timeout_s(route, 0, has_begun=True) == STREAM_STALL_TIMEOUT_S
 
 
+@pytest.mark.parametrize("is_resumable", [False, True])
+def test_rest_of_a_stream_times_out_before_its_headers(is_resumable):
+    # Guards against a stream that waits for a dead endpoint which was asked for its
+    # rest.
+    route = make_route("streaming", is_resumable=is_resumable)
+    assert find_header_timeout_s(route, has_begun=False) is None
+    timeout_s = STREAM_STALL_TIMEOUT_S if is_resumable else None
+    assert find_header_timeout_s(route, has_begun=True) == timeout_s
+
+
 @pytest.mark.parametrize(
     ("is_resumable", "sent", "has_begun"),
     [(False, 0, True), (True, 1, True), (True, 0, False)],
--- a/tests/test_take_over.py
+++ b/tests/test_take_over.py
@@ -87,10 +87,11 @@
 LOOKUP_FAILURES = {**FAILURES, "cut_body": cut_body}
 
 
-def fall_silent(silence_s, cut_bytes=0):
+def fall_silent(silence_s, cut_bytes=0, end=None):
     """Return a behaviour that streams, is silent for a while, and goes on.
 
-    The silence begins after `cut_bytes` bytes of an event.
+    The silence begins after `cut_bytes` bytes of an event.  The endpoint behaves like
+    `end` afterwards if that is given.
     """
 
     async def act(request, writer):
@@ -103,6 +104,9 @@
             writer.write(make_chunk(rest[:cut_bytes]))
         await writer.drain()
         await asyncio.sleep(silence_s)
+        if end is not None:
+            await end(request, writer)
+            return
         writer.write(make_chunk(rest[cut_bytes:]) + make_chunk(b""))
 
     return act
@@ -272,6 +276,10 @@
     plays["first_of_two_hangs"] = play_stream(
         fall_silent(5.0), in_turn(hang, whole), attempts=3
     )
+    for name in ("close", "reset"):
+        plays[f"ended_then_hangs-{name}"] = play_stream(
+            fall_silent(2.0, end=FAILURES[name]), in_turn(hang, whole), attempts=3
+        )
     plays["no_budget"] = play_stream(
         silent, whole, retry_budget=BudgetTerms(ratio=0.0, window_s=10.0, fixed=0.0)
     )
@@ -384,6 +392,15 @@
     assert (play.other_requests, play.first_ended, play.others_ended) == (2, 1, 1)
 
 
+@pytest.mark.parametrize("end", ["close", "reset"])
+def test_third_attempt_starts_if_the_first_has_ended_and_the_second_hangs(plays, end):
+    # Guards against a stream that waits for an endpoint which doesn't answer at all,
+    # once the endpoint beside which it was asked has ended.
+    play = find_play(plays, f"ended_then_hangs-{end}")
+    assert (play.answer.body, play.answer.is_whole) == (WHOLE, True)
+    assert (play.other_requests, play.others_ended) == (2, 1)
+
+
 def test_client_that_leaves_ends_both_attempts(plays):
     # Guards against an endpoint that works on for a client that has gone.
     play = find_play(plays, "left")
