Tell streams to routers as soon as they are known, not at housekeeping

Cause: the list of routers from which a stream's keepers and archiver are chosen was renewed every 0.25 s. A router that had just learned of the others told nobody the streams that it began until then, and if it was killed, nobody knew them.

Change: Members calls back when its list has changed, and the keepers follow it then.

--- a/src/tamarackrill/router/members.py
+++ b/src/tamarackrill/router/members.py
@@ -1,5 +1,6 @@
 """The routers that this router considers live."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 
@@ -21,10 +22,16 @@
     ----------
     own : Member
         This router.
+
+    Attributes
+    ----------
+    on_replaced : list of callable
+        Called after the other members have been replaced.
     """
 
     def __init__(self, own: Member) -> None:
         self.own = own
+        self.on_replaced: list[Callable[[], None]] = []
         self._others: dict[str, Member] = {}
         # Cached: it is read for each datagram between routers and seldom changes.
         self._live: tuple[Member, list[Member]] | None = None
@@ -33,6 +40,8 @@
         """Replace the list of other members."""
         self._others = {m.name: m for m in members if m.name != self.own.name}
         self._live = None
+        for call in self.on_replaced:
+            call()
 
     def list_live(self) -> list[Member]:
         """Return the routers that may be the home of a chat, sorted by name."""
--- a/src/tamarackrill/router/version_keepers.py
+++ b/src/tamarackrill/router/version_keepers.py
@@ -157,6 +157,8 @@
         # None until the endpoints have been known.
         self._was_current: bool | None = None
         self._updated_s = clock()
+        # A router that ends before its next update has told nobody who joined since.
+        members.on_replaced.append(self._update_routers)
 
     def update(self) -> None:
         """Update routers and versions, and forget streams that have ended."""
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -61,6 +61,23 @@
     run_fleet(act)
 
 
+def test_routers_that_have_just_become_known_are_told_at_once():
+    # Guards against streams that nobody knows, as their router has ended between two
+    # looks at the list of routers, of whom it had just heard.
+    async def act(fleet):
+        first, neighbour, _, taker = fleet.routers
+        others = [m for m in first.members.list_all() if m != first.members.own]
+        first.members.replace([])
+        first.keepers.update()
+        begun = await fleet.begin_all(STREAMS, first)
+        first.members.replace(others)
+        for router in (first, neighbour):
+            await fleet.kill_router(router)
+        assert await take_up_all(fleet, taker, begun) >= STREAMS / 2
+
+    run_fleet(act)
+
+
 def test_stream_taken_up_again_names_its_first_attempt():
     # Guards against a stream whose version is known for its first interruption only.
     async def act(fleet):
