Send header values with bytes above 127 to endpoints

Callers saw: a request with such a byte in any header was never served.

Cause: h11 encodes texts as ASCII, while the server reads headers as Latin-1, one character a byte. The value raised when it was to be sent, at each endpoint.

Change: headers are sent as the bytes that were read. Names of teams and endpoints, which come from JSON, are sent in UTF-8. A target that HTTP doesn't allow, which no endpoint can get, is answered 400 instead of a 503 that asks its client to come back.

The cases of the team's name and of the target are new.

--- a/src/tamarackrill/platform/headers.py
+++ b/src/tamarackrill/platform/headers.py
@@ -222,9 +222,9 @@
     """
     headers = list(client_headers.forwarded_headers)
     headers.append(("X-Deadline-Ms", str(max(1, int(time_left_s * 1000)))))
-    headers.append(("X-Expect-Instance", endpoint_id))
+    headers.append(("X-Expect-Instance", _encode_text(endpoint_id)))
     if team is not None:
-        headers.append(("X-Tenant-Id", team))
+        headers.append(("X-Tenant-Id", _encode_text(team)))
     if last_event_id is not None:
         headers.append(("Last-Event-Id", str(last_event_id)))
     if copy_from is not None:
@@ -236,6 +236,11 @@
     return headers
 
 
+def _encode_text(text: str) -> str:
+    """Return a text as the value of a header, one character for each byte of it."""
+    return text.encode().decode("latin-1")
+
+
 def read_request_id(headers: Iterable[tuple[str, str]]) -> str:
     """Return the id of a request to an endpoint; empty if it has none."""
     return _find_header(headers, "x-request-attempt-id")
--- a/src/tamarackrill/router/channels.py
+++ b/src/tamarackrill/router/channels.py
@@ -128,8 +128,16 @@
         return find_unacknowledged_s(self._transport.get_extra_info("socket"))
 
     def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
-        """Send a complete request."""
-        self._request = h11.Request(method=method, target=target, headers=headers)
+        """Send a complete request, whose texts hold one character a byte."""
+        # HTTP allows any byte above 127 in the value of a header.
+        self._request = h11.Request(
+            method=method,
+            target=target,
+            headers=[
+                (name.encode("latin-1"), value.encode("latin-1"))
+                for name, value in headers
+            ],
+        )
         self.requests_sent += 1
         self.pauses = ReadPauses()
         sent = self._http.send(self._request) or b""
--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -1,6 +1,7 @@
 """Reads client requests on the platform's interface and matches them to routes."""
 
 import asyncio
+import re
 from collections.abc import Awaitable, Callable
 
 from tornado.http1connection import HTTP1Connection
@@ -48,6 +49,8 @@
 # Twice the limit of known manifests. Headers above the manifest's limit get a 431; the
 # connection is closed if they exceed this one.
 HEADERS_READ_MAX_BYTES = 64 * 1024
+# What HTTP allows as a request's target (RFC 9112, 3.2), without white space.
+_TARGET = re.compile(r"[\x21-\x7e]+")
 UNLIMITED_BYTES = 1 << 40
 # Default until a manifest sets the idle timeout: as long as browsers and proxies
 # commonly keep connections alive, so that no request races with the router's close.
@@ -188,6 +191,8 @@
             raise _Denied(503, "leaving", LEAVING_RETRY_AFTER_S)
         if not headers.request_id:
             raise _Denied(400, "no_request_id")
+        if not _TARGET.fullmatch(line.path):
+            raise _Denied(400, "malformed_target")
         # A stream stays at the service that began it.
         service = choose_service(route.shares, find_first_attempt(headers))
         if service is None:
--- a/tests/test_second_review_requests.py
+++ b/tests/test_second_review_requests.py
@@ -4,16 +4,23 @@
 
 import pytest
 
-from tamarackrill.testing.edge import HOST, KEY, EdgeFleet, make_route
+from tamarackrill.testing.edge import (
+    HOST,
+    KEY,
+    TEAM,
+    EdgeFleet,
+    make_manifest,
+    make_route,
+)
 
 TRIES = 3
 
 
-async def send_raw(fleet, router, lines):
+async def send_raw(fleet, router, lines, path=b"/u/a"):
     """Send a request with these header lines; return its status, None without one."""
     client = await fleet.connect(router)
     head = [
-        b"POST /u/a HTTP/1.1",
+        b"POST " + path + b" HTTP/1.1",
         b"Host: " + HOST.encode(),
         b"X-Api-Key: " + KEY.encode(),
         b"X-Deadline-Ms: 2000",
@@ -28,17 +35,21 @@
         return None
 
 
-async def play(line, **limits):
+async def play(line, path=b"/u/a", team=TEAM, **limits):
     async with EdgeFleet() as fleet:
         route = make_route("/u/", "non_idempotent")
-        await fleet.put_manifest(1, route, limits=limits)
+        manifest = make_manifest(1, route)
+        manifest["limits"] |= limits
+        manifest["tenants"][0]["name"] = team
+        await fleet.store.write("config", "main", manifest)
         worker = await fleet.add_worker("w0")
         router = await fleet.add_router()
         await fleet.wait(lambda: router.view.list_endpoints())
         statuses = []
         for number in range(TRIES):
             name = b"X-Request-Attempt-Id: id-%d" % number
-            statuses.append(await send_raw(fleet, router, [name, line]))
+            status = await send_raw(fleet, router, [name, line], path)
+            statuses.append(status)
         return statuses, [request.headers for request in worker.ran]
 
 
@@ -59,3 +70,19 @@
     line = b"X-Long: " + b"a" * 100_000
     statuses, _ = asyncio.run(play(line, max_header_bytes=200_000))
     assert None not in statuses
+
+
+def test_request_of_a_team_whose_name_is_beyond_latin_1_reaches_its_endpoint():
+    # Guards against a team none of whose requests an endpoint ever gets, because of
+    # its name.
+    name = "Klobu\u010dar"
+    statuses, ran = asyncio.run(play(b"X-User: a", team=name))
+    assert statuses == [200] * TRIES
+    told = [headers["x-tenant-id"].encode("latin-1") for headers in ran]
+    assert told == [name.encode()] * TRIES
+
+
+def test_request_whose_target_no_endpoint_can_get_is_rejected():
+    # Guards against a refusal that tells the client to come back, each time.
+    statuses, ran = asyncio.run(play(b"X-User: a", "/u/Jos\xe9".encode()))
+    assert (statuses, ran) == ([400] * TRIES, [])
