Read heads as long as the manifest allows

Cause: the server read 64 KiB of head, whatever the manifest says.

Change: it reads twice the manifest's limit, at least 64 KiB and at most 8 MiB, so that heads up to twice the limit are answered.

--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -533,7 +533,7 @@
             self._configured.set()
         table = self.view.routes
         if table is not None:
-            self.server.set_idle_timeout(table.manifest.limits.idle_timeout_s)
+            self.server.set_limits(table.manifest.limits)
         self.manifest_recovery.update()
         self.store_news.tell()
         self.keepers.update()
--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -18,6 +18,7 @@
 from tamarackrill.decisions.capacity.sharing_scope import weigh_team
 from tamarackrill.decisions.engine_waits import rank_urgency
 from tamarackrill.decisions.manifests import (
+    ClientLimits,
     Route,
     RouteTable,
     TeamKeys,
@@ -46,9 +47,11 @@
 from tamarackrill.router.standstill import wait_never
 from tamarackrill.router.unexpected_errors import record_unexpected, tolerate
 
-# Twice the limit of known manifests. Headers above the manifest's limit get a 431; the
-# connection is closed if they exceed this one.
-HEADERS_READ_MAX_BYTES = 64 * 1024
+# Headers above the manifest's limit get a 431; the connection is closed if they exceed
+# what is read: this many times the limit, and at least and at most so much.
+HEADERS_READ_LIMITS = 2
+HEADERS_READ_MIN_BYTES = 64 * 1024
+HEADERS_READ_MAX_BYTES = 8 * 1024 * 1024
 # What HTTP allows as a request's target (RFC 9112, 3.2), without white space.
 _TARGET = re.compile(r"[\x21-\x7e]+")
 UNLIMITED_BYTES = 1 << 40
@@ -134,19 +137,24 @@
         self.in_flight: set[asyncio.Task[None]] = set()
         self.server = DrainingServer(
             self,
-            max_header_size=HEADERS_READ_MAX_BYTES,
+            max_header_size=HEADERS_READ_MIN_BYTES,
             max_body_size=UNLIMITED_BYTES,
             idle_connection_timeout=IDLE_TIMEOUT_S,
         )
         self.server.guard = RequestGuard(_refuse_unread, metrics)
 
-    def set_idle_timeout(self, idle_s: float) -> None:
-        """Close connections that send no complete request head within this time.
+    def set_limits(self, limits: ClientLimits) -> None:
+        """Follow the limits of a manifest while heads are read.
 
-        Each idle connection holds a file descriptor and some 50 kB, so clients that
-        vanish without closing would exhaust the router.
+        Connections that send no complete request head within the idle timeout are
+        closed.  Each holds a file descriptor and some 50 kB, so clients that vanish
+        without closing would exhaust the router.
         """
-        self.server.idle_timeout_s = idle_s
+        self.server.idle_timeout_s = limits.idle_timeout_s
+        self.server.conn_params.max_header_size = min(
+            HEADERS_READ_MAX_BYTES,
+            max(HEADERS_READ_MIN_BYTES, HEADERS_READ_LIMITS * limits.header_max_bytes),
+        )
 
     def leave(self) -> None:
         """Close each connection after its next response."""
--- a/tests/test_odd_values.py
+++ b/tests/test_odd_values.py
@@ -180,7 +180,7 @@
     server = make_server(view)
     # As the application does with a new manifest.
     manifest = view.routes.manifest
-    server.set_idle_timeout(manifest.limits.idle_timeout_s)
+    server.set_limits(manifest.limits)
     for host in (HOST, "", "other"):
         for path in ("/a/", "/b/x", "/", "/none"):
             for key in (KEY, "", "other"):
