Send a request again if its kept connection ends unanswered after a silence

Cause: an endpoint whose idle timeout passes while it stands still closes its kept connections when it goes on, with requests in them that it hasn't read. The router took the request for lost at this endpoint and never asked it again: it answered 502 if there was no other endpoint, or the others' failure.

Change: a request that may be repeated is sent to the same endpoint once more, on a new connection, if its kept connection has ended before any data answered it. This counts against the retry budget when it is decided on, and the endpoint must still take work. The other kept connections of the endpoint are dropped. call_reopened (2213) tells of it.

--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -377,6 +377,15 @@
     "Another attempt of the same request, at the endpoint `leader`, was the first to "
     "bring a whole event or answer, so that this one was ended.",
 )
+CALL_REOPENED = Event(
+    2213,
+    "call_reopened",
+    _INFO,
+    ("request", "route", "service", "team", "endpoint", "after_s"),
+    "An endpoint has closed a kept connection before any data answered the request on "
+    "it, which may be repeated; it is sent to the endpoint again on a new connection.",
+    "None; many at one endpoint: it closes idle connections earlier than it says.",
+)
 CALL_OVERLOADED = Event(
     2207,
     "call_overloaded",
--- a/src/tamarackrill/router/channels.py
+++ b/src/tamarackrill/router/channels.py
@@ -64,6 +64,8 @@
         Number of requests sent on the connection.
     has_written : bool
         Whether any of the present request may have been sent.
+    has_received : bool
+        Whether any data has arrived since it was sent.
     idle_since_s : float
         When the last response ended.
     idle_max_s : float
@@ -75,6 +77,7 @@
     def __init__(self) -> None:
         self.requests_sent = 0
         self.has_written = False
+        self.has_received = False
         self.idle_since_s = 0.0
         self.idle_max_s = 0.0
         self.pauses = ReadPauses()
@@ -121,6 +124,12 @@
         is_live = self._transport is not None and not self._transport.is_closing()
         return is_live and not self._is_ended and not self._has_unexpected_data
 
+    @property
+    def has_ended_unanswered(self) -> bool:
+        """Whether a kept connection ended before any data answered its request."""
+        is_kept = self.requests_sent > 1
+        return is_kept and self._is_ended and not self.has_received
+
     def find_unacknowledged_s(self) -> float:
         """Return for how long the endpoint's machine has owed an acknowledgement."""
         if self._transport is None or self._transport.is_closing():
@@ -131,6 +140,7 @@
         """Send a complete request."""
         self._request = h11.Request(method=method, target=target, headers=headers)
         self.requests_sent += 1
+        self.has_received = False
         self.pauses = ReadPauses()
         sent = self._http.send(self._request) or b""
         if body:
@@ -228,6 +238,7 @@
         )
 
     def _receive(self, data: bytes) -> None:
+        self.has_received = True
         self._unread_bytes += len(data)
         try:
             self._http.receive_data(data)
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -16,7 +16,7 @@
 from tamarackrill.decisions.attempts import Outcome
 from tamarackrill.decisions.event_stream import EventStreamError, ends_inside_event
 from tamarackrill.decisions.unexpected_errors import classify_attempt
-from tamarackrill.events import CALL_OVERTAKEN, CALL_SENT, log_event
+from tamarackrill.events import CALL_OVERTAKEN, CALL_REOPENED, CALL_SENT, log_event
 from tamarackrill.platform.headers import (
     ResponseHeaders,
     build_request_headers,
@@ -254,12 +254,13 @@
             has_started = True
             if self.guard is not None:
                 attempt.exposure = self.guard.record_sent(call.prompt, endpoint)
-            result = await self._exchange(
+            result = await self._exchange_reopening(
                 attempt, placed, relay, channel, started_s, suspecting.cancel
             )
             is_clean = result.outcome in ("answered", "failed", "not_run", "misplaced")
         finally:
             suspecting.cancel()
+            channel = attempt.channel or channel
             attempt.channel = None
             if not is_clean:
                 channel.close()
@@ -336,6 +337,63 @@
             self._metrics.count("connects_failed", endpoint.zone)
             return AttemptResult("not_sent", repr(error))
 
+    async def _exchange_reopening(
+        self,
+        attempt: RequestAttempt,
+        placed: EdgePlacement,
+        relay: str,
+        channel: Channel,
+        started_s: float,
+        on_first_byte: Callable[[], None],
+    ) -> AttemptResult:
+        """Exchange a request, again if its kept connection ends unanswered."""
+        result = await self._exchange(
+            attempt, placed, relay, channel, started_s, on_first_byte
+        )
+        if relay or not channel.has_ended_unanswered:
+            return result
+        reopened = await self._reopen(attempt, placed.endpoint)
+        if reopened is None:
+            return result
+        attempt.channel = reopened
+        return await self._exchange(
+            attempt, placed, relay, reopened, started_s, on_first_byte
+        )
+
+    async def _reopen(
+        self, attempt: RequestAttempt, endpoint: Endpoint
+    ) -> Channel | None:
+        """Return a new connection for a request whose kept connection was closed.
+
+        An endpoint whose idle timeout has passed while it was silent closes its
+        connections, with requests in them that it has not read.  It still serves.
+
+        Returns
+        -------
+        Channel or None
+            None if the request can't be sent to the endpoint again.
+        """
+        call = attempt.progress.call
+        if attempt.is_overtaken or self._count_retries_left(call) < 1.0:
+            return None
+        # The endpoint has closed the others too.
+        self.pool.drop(endpoint.name)
+        # Counted before the wait, as the requests of other connections come at once.
+        self._on_sent(attempt, True)
+        channel = await self._connect_current(call, endpoint, "")
+        if isinstance(channel, AttemptResult):
+            return None
+        if attempt.is_overtaken:
+            channel.close()
+            return None
+        log_event(
+            CALL_REOPENED,
+            **describe_call(call),
+            endpoint=endpoint.name,
+            after_s=self._clock() - call.arrived_s,
+        )
+        return channel
+
     async def open_own_channel(
         self, endpoint: Endpoint, may_repeat: bool, timeout_s: float
     ) -> Channel:
--- a/tests/test_silent_workers.py
+++ b/tests/test_silent_workers.py
@@ -6,6 +6,7 @@
 import pytest
 
 from tamarackrill.decisions.attempt_timeouts import SILENCE_MAX_S
+from tamarackrill.decisions.retry_shares import BudgetTerms
 from tamarackrill.router.channels import Channel, open_channel
 from tamarackrill.testing.edge import EdgeFleet, ask, make_route
 from tamarackrill.testing.tcp_server import TcpServer
@@ -13,10 +14,14 @@
     Worker,
     WorkerRequest,
     answer_ok,
+    in_turn,
     make_answer,
     make_chunk,
     make_event,
     make_stream_head,
+    make_streaming,
+    refuse_full,
+    reset_connection,
 )
 
 SILENCE_S = 1.2
@@ -151,3 +156,51 @@
             full.close()
 
     asyncio.run(run())
+
+
+async def close_after_pause(request, writer):
+    await asyncio.sleep(SILENCE_S)
+    writer.close()
+
+
+async def reset_after_pause(request, writer):
+    await asyncio.sleep(SILENCE_S)
+    await reset_connection(writer)
+
+
+@pytest.mark.parametrize(
+    ("kind", "budget", "status", "requests"),
+    [
+        ("idempotent", 56.0, 200, 3),
+        ("streaming", 56.0, 200, 3),
+        ("idempotent", 0.0, 502, 2),
+    ],
+)
+@pytest.mark.parametrize("end", [close_after_pause, reset_after_pause])
+def test_kept_connection_that_ends_unanswered_is_opened_again(
+    kind, budget, status, requests, end
+):
+    # Guards against a request that fails at a sound worker whose idle timeout passed
+    # while it was silent: it closes its connections, with what it hasn't read.
+    async def run():
+        route = make_route(
+            "/a/", kind, timeout_ms=8000, stream_resume=kind == "streaming"
+        )
+        serve = make_streaming(2) if kind == "streaming" else answer_ok
+        terms = BudgetTerms(ratio=0.0, window_s=10.0, fixed=budget)
+        async with EdgeFleet() as fleet:
+            await fleet.put_manifest(1, route)
+            worker = await fleet.add_worker("w0", in_turn(serve, end, serve))
+            router = await fleet.add_router(retry_budget=terms)
+            assert (await ask(router, "/a/a", body=b"x")).status == 200
+            client = await fleet.connect(router)
+            client.send("/a/a", "id-2", b"x", X_Deadline_Ms="8000")
+            reading = asyncio.create_task(client.read())
+            await fleet.wait(lambda: len(worker.requests) == 2)
+            others = [await fleet.add_worker(f"w{n}", refuse_full) for n in (1, 2)]
+            answer = await reading
+            assert (answer.status, answer.is_whole) == (status, True)
+            assert len(worker.requests) == requests
+            assert not any(other.requests for other in others)
+
+    asyncio.run(run())
