Ask another endpoint beside one that is silent in the middle of an answer

Cause: silence started a race only before the headers of an idempotent answer. Once these had come, the request waited for the rest of the body until its deadline, though none of it had been forwarded and other endpoints served.

Change: the same silence starts a race within the body of an answer that isn't a stream. The endpoint's own answer is still forwarded if it completes first.

--- a/src/tamarackrill/decisions/attempt_timeouts.py
+++ b/src/tamarackrill/decisions/attempt_timeouts.py
@@ -39,7 +39,7 @@
 
 
 def find_header_timeout_s(route: Route, has_begun: bool = False) -> float | None:
-    """Return the silence before the response headers that starts a race.
+    """Return the silence before the headers, or a complete answer, that starts a race.
 
     An endpoint may take any time for the first event of a stream, but not for the
     rest of one that its client is reading.
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -641,7 +641,8 @@
     ) -> AttemptResult:
         reply = attempt.progress.reply
         if head.status == MISDIRECTED_REQUEST or answer_headers.has_not_run:
-            reply.drop_reserved(len(await read_body(channel, reply)))
+            body = await read_body(channel.read_chunk, reply)
+            reply.drop_reserved(len(body))
             outcome: Outcome = (
                 "misplaced" if head.status == MISDIRECTED_REQUEST else "not_run"
             )
@@ -654,7 +655,7 @@
         if is_ok and answer_headers.is_event_stream:
             await self._relay(attempt, placed, relay, channel, head)
             return AttemptResult("answered")
-        body = await read_body(channel, reply)
+        body = await read_body(lambda: self._read_chunk(attempt, channel), reply)
         try:
             await self._confirm_end(attempt.progress.call, placed.endpoint, head)
             if head.status >= SERVER_ERROR_MIN:
@@ -752,7 +753,18 @@
             progress.software_version = endpoint.software_version
             self.on_first_event(progress.call, endpoint.software_version)
 
+    async def _read_chunk(self, attempt: RequestAttempt, channel: Channel) -> bytes:
+        """Return the next bytes of an answer that is no stream."""
+        progress = attempt.progress
+        timeout_s = find_header_timeout_s(progress.call.route, progress.reply.has_begun)
+        with self._watch_answer(attempt, channel, timeout_s):
+            chunk = await channel.read_chunk()
+        _check_running(attempt)
+        attempt.note_silent(False)
+        return chunk
+
     async def _read_piece(self, attempt: RequestAttempt, channel: Channel) -> bytes:
+        """Return the next bytes of a stream."""
         progress = attempt.progress
         timeout_s = find_chunk_timeout_s(
             progress.call.route,
--- a/src/tamarackrill/router/edge_reply.py
+++ b/src/tamarackrill/router/edge_reply.py
@@ -1,7 +1,7 @@
 """Writes the response to a client of the platform's interface."""
 
 from asyncio import Future
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from http.client import responses
 
 from tornado.http1connection import HTTP1Connection
@@ -144,9 +144,18 @@
 MakeReply = Callable[[HTTP1Connection, bool, bool], EdgeReply]
 
 
-async def read_body(channel: Channel, reply: EdgeReply) -> bytes:
+async def read_body(
+    read_chunk: Callable[[], Awaitable[bytes]], reply: EdgeReply
+) -> bytes:
     """Return the body of a response, which the reply then sends as a whole.
 
+    Parameters
+    ----------
+    read_chunk : callable
+        Returns the next bytes of the body, empty at its end.
+    reply : EdgeReply
+        Counts what is held.
+
     Raises
     ------
     ChannelError
@@ -155,7 +164,7 @@
     pieces = []
     read_bytes = 0
     try:
-        while piece := await channel.read_chunk():
+        while piece := await read_chunk():
             pieces.append(piece)
             read_bytes += len(piece)
             await reply.reserve(len(piece))
--- a/tests/test_take_over.py
+++ b/tests/test_take_over.py
@@ -120,6 +120,19 @@
     return act
 
 
+def stop_in_body(silence_s):
+    """Return a behaviour that is silent in the middle of its answer."""
+
+    async def act(request, writer):
+        answer = make_answer(request, b"late")
+        writer.write(answer[:-2])
+        await writer.drain()
+        await asyncio.sleep(silence_s)
+        writer.write(answer[-2:])
+
+    return act
+
+
 def note_ended(behave, ended):
     """Return the same behaviour, which notes requests that the router ends."""
 
@@ -178,8 +191,8 @@
         return play
 
 
-async def play_lookup(silence_s, other, attempts=2):
-    """Send an idempotent request to three endpoints; the first is silent."""
+async def play_lookup(first, other, attempts=2):
+    """Send an idempotent request to three endpoints, of which one acts like `first`."""
     route = make_route(
         "/l/",
         "idempotent",
@@ -191,7 +204,7 @@
 
     async def act(request, writer):
         asked.append(request)
-        behave = answer_late(silence_s) if len(asked) == 1 else other
+        behave = first if len(asked) == 1 else other
         await note_ended(behave, ended)(request, writer)
 
     async with EdgeFleet() as fleet:
@@ -257,8 +270,9 @@
     for name, failure in LOOKUP_FAILURES.items():
         for attempts in (2, 3):
             plays[f"lookup-{name}-{attempts}"] = play_lookup(
-                LOOKUP_SILENCE_S, failure, attempts
+                answer_late(LOOKUP_SILENCE_S), failure, attempts
             )
+        plays[f"body-{name}"] = play_lookup(stop_in_body(LOOKUP_SILENCE_S), failure)
     for name in ("503", "close", "hang"):
         first = fall_silent(STREAM_SILENCE_S, cut_bytes=5)
         plays[f"inside_event-{name}"] = play_stream(first, FAILURES[name])
@@ -272,7 +286,8 @@
     for name, cut in (("taken_over", ""), ("others", "others"), ("all", "all")):
         plays[name] = play_stream(fall_silent(RELAYED_SILENCE_S), whole, cut_links=cut)
     plays["inside_event"] = play_stream(fall_silent(5.0, cut_bytes=5), whole)
-    plays["lookup_answered_elsewhere"] = play_lookup(5.0, answer_late(0.0))
+    for name, first in (("head", answer_late(5.0)), ("body", stop_in_body(5.0))):
+        plays[f"elsewhere-{name}"] = play_lookup(first, answer_late(0.0))
     plays["first_of_two_hangs"] = play_stream(
         fall_silent(5.0), in_turn(hang, whole), attempts=3
     )
@@ -371,8 +386,20 @@
     assert play.other_requests == 1
 
 
-def test_request_is_answered_elsewhere_if_its_endpoint_stays_silent(plays):
-    play = find_play(plays, "lookup_answered_elsewhere")
+@pytest.mark.parametrize("failure", LOOKUP_FAILURES)
+def test_answer_that_stops_in_its_body_is_forwarded_whole(plays, failure):
+    # Guards against an answer that is given up or cut because its endpoint is silent
+    # in the middle of it.
+    play = find_play(plays, f"body-{failure}")
+    assert (play.answer.status, play.answer.body) == (200, b"late")
+    assert play.other_requests >= 1
+
+
+@pytest.mark.parametrize("where", ["head", "body"])
+def test_request_is_answered_elsewhere_if_its_endpoint_stays_silent(plays, where):
+    # Guards against a request that waits for a dead endpoint until its deadline, also
+    # once that has sent a part of its answer.
+    play = find_play(plays, f"elsewhere-{where}")
     assert (play.answer.status, play.answer.body) == (200, b"late")
     assert (play.other_requests, play.others_ended) == (1, 1)
 
