Stop each body that is read by its own size, though its reply holds two

Cause: while memory is short, one body at a time is read on, as long as what its reply holds is below the bound of a response. A request whose attempts race holds two bodies. Together they can exceed that bound, so that neither was read on, and bodies of other requests weren't either as long as these held the memory: all waited until their deadlines.

Change: the bound and the exemption look at the body that is read, and a reply keeps the sizes of those that are stopped. A small body beside a large one isn't stopped.

In tests/test_slow_clients.py a request with two bodies of 640 KB got 504 at its deadline. Before both bodies were only read at the same time if the first endpoint's headers came late; not played.

--- a/src/tamarackrill/router/edge_reply.py
+++ b/src/tamarackrill/router/edge_reply.py
@@ -119,8 +119,17 @@
     # Overridden where responses are buffered for clients that read slowly; here a write
     # returns only once the client's connection has taken it.
 
-    async def reserve(self, size_bytes: int) -> None:
-        """Count bytes of a body that is read; return once more may be read."""
+    async def reserve(self, size_bytes: int, body_bytes: int) -> None:
+        """Count bytes of a body that is read; return once more may be read.
+
+        Parameters
+        ----------
+        size_bytes : int
+            Size of the bytes.
+        body_bytes : int
+            Size of all that has been read of the body.  Two attempts of a request may
+            each read one.
+        """
 
     def drop_reserved(self, size_bytes: int | None = None) -> None:
         """Release what was counted for bodies that are forwarded or given up.
@@ -167,7 +176,7 @@
         while piece := await read_chunk():
             pieces.append(piece)
             read_bytes += len(piece)
-            await reply.reserve(len(piece))
+            await reply.reserve(len(piece), read_bytes)
     except BaseException:
         reply.drop_reserved(read_bytes)
         raise
--- a/src/tamarackrill/router/slow_clients.py
+++ b/src/tamarackrill/router/slow_clients.py
@@ -86,22 +86,24 @@
         if usage is not None:
             log_event(CLIENT_BUFFERS_SHORT, **usage._asdict())
 
-    async def wait_room(self, reply: "BufferedReply") -> None:
+    async def wait_room(self, reply: "BufferedReply", body_bytes: int) -> None:
         """Wait until a stopped response of a team may be checked again."""
         waiting = self._stopped.setdefault(reply.team, {})
         waiting[reply] = None
+        reply.stopped_bodies.append(body_bytes)
         try:
             await reply.wait_change()
         finally:
+            reply.stopped_bodies.remove(body_bytes)
             waiting.pop(reply, None)
             # Another attempt may wait for the same reply.
             reply.wake()
             if not waiting and self._stopped.get(reply.team) is waiting:
                 del self._stopped[reply.team]
 
-    def exempt_body(self, reply: "BufferedReply") -> bool:
+    def exempt_body(self, reply: "BufferedReply", body_bytes: int) -> bool:
         """Return whether a body is read on although it exceeds the bounds."""
-        if not self.buffers.may_exempt(reply.reserved_bytes):
+        if not self.buffers.may_exempt(body_bytes):
             self.end_exemption(reply)
             return False
         if self._exempt is None:
@@ -137,7 +139,7 @@
     def _wake_body(self) -> None:
         for waiting in self._stopped.values():
             for reply in waiting:
-                if self.buffers.may_exempt(reply.reserved_bytes):
+                if any(map(self.buffers.may_exempt, reply.stopped_bodies)):
                     del waiting[reply]
                     reply.wake()
                     return
@@ -156,7 +158,9 @@
     Attributes
     ----------
     reserved_bytes : int
-        Bytes held of a body that is still being read.
+        Bytes held of bodies that are still being read.
+    stopped_bodies : list of int
+        Sizes of what has been read of the bodies that are stopped; 0 for a stream.
     """
 
     def __init__(
@@ -173,6 +177,7 @@
         self._is_writing = False
         self._has_left = False
         self.reserved_bytes = 0
+        self.stopped_bodies: list[int] = []
         # Bytes held in the write in flight, and all including those staged.
         self._in_flight_bytes = 0
         self._held_bytes = 0
@@ -231,7 +236,7 @@
         else:
             self._connection.write(chunk)
             self._watch(len(chunk))
-        await self._wait_room(is_forwarded=True)
+        await self._wait_room()
 
     def finish(self) -> None:
         """Mark the response as complete; `deliver` waits until the client has it."""
@@ -262,11 +267,11 @@
         if self._must_close:
             self._connection.close()
 
-    async def reserve(self, size_bytes: int) -> None:
+    async def reserve(self, size_bytes: int, body_bytes: int) -> None:
         """Count bytes of a body that is read; return once more may be read."""
         self.reserved_bytes += size_bytes
         self._hold(size_bytes)
-        await self._wait_room(is_forwarded=False)
+        await self._wait_room(body_bytes)
 
     def drop_reserved(self, size_bytes: int | None = None) -> None:
         """Release what was counted for bodies that are forwarded or given up."""
@@ -303,22 +308,24 @@
             if not change.done():
                 change.set_result(None)
 
-    async def _wait_room(self, is_forwarded: bool) -> None:
-        while (limit := self._find_limit(is_forwarded)) is not None:
+    async def _wait_room(self, body_bytes: int = 0) -> None:
+        """Wait until more may be read of a body, or of a stream if that is 0."""
+        while (limit := self._find_limit(body_bytes)) is not None:
             self._owner.note_limit(limit, limit not in self._limits)
             self._limits.add(limit)
             if limit == "response":
                 await self.wait_change()
             else:
-                await self._owner.wait_room(self)
+                await self._owner.wait_room(self, body_bytes)
             self._check_open()
 
-    def _find_limit(self, is_forwarded: bool) -> Limit | None:
-        buffers = self._owner.buffers
-        limit = buffers.find_limit(self.team, self._held_bytes, is_forwarded)
-        if limit is not None and not is_forwarded and self._owner.exempt_body(self):
-            return None
-        return limit
+    def _find_limit(self, body_bytes: int) -> Limit | None:
+        buffers, is_forwarded = self._owner.buffers, not body_bytes
+        size_bytes = body_bytes or self._held_bytes
+        limit = buffers.find_limit(self.team, size_bytes, is_forwarded)
+        if limit is None or is_forwarded:
+            return limit
+        return None if self._owner.exempt_body(self, body_bytes) else limit
 
     async def _wait_written(self) -> None:
         while self._is_writing:
--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -35,6 +35,7 @@
     "/thrice/", "streaming", stream_resume=True, **{**TIMES, "attempts": 3}
 )
 LOOKUP = make_route("/lookup/", "idempotent", **TIMES)
+RACE = make_route("/race/", "idempotent", **{**TIMES, "target_latency_ms": 100})
 OTHER_KEY = "the-other-key"
 EVENT_BYTES = 16 * 1024
 # Well above what the kernel takes of a response, and below the bound of each.
@@ -45,7 +46,7 @@
 def run_in_fleet(act):
     async def run():
         async with EdgeFleet() as fleet:
-            manifest = make_manifest(1, STREAM, THRICE, LOOKUP)
+            manifest = make_manifest(1, STREAM, THRICE, LOOKUP, RACE)
             other = {"name": "other", "api_keys": [OTHER_KEY], "priority": 1}
             manifest["tenants"].append(other)
             manifest["services"][0]["max_connections"] = 1000
@@ -445,6 +446,7 @@
     team = "team"
 
     def __init__(self):
+        self.stopped_bodies = []
         self.woken = asyncio.Event()
         self.wait_change = self.woken.wait
         self.wake = self.woken.set
@@ -459,7 +461,7 @@
         clients = SlowClients(held, Metrics(), asyncio.get_running_loop().time)
         async with asyncio.timeout(5.0), asyncio.TaskGroup() as group:
             for _ in range(3):
-                group.create_task(clients.wait_room(StoppedReply()))
+                group.create_task(clients.wait_room(StoppedReply(), 0))
             await asyncio.sleep(0)
             clients.release("team", 20)
 
@@ -496,6 +498,33 @@
     run_in_fleet(act)
 
 
+def test_bodies_of_two_attempts_that_together_exceed_the_bound_are_completed():
+    # Guards against a request that waits for its own memory until its deadline, as its
+    # first endpoint, silent within its body, and the one beside it hold more together
+    # than one body may.
+    async def act(fleet):
+        asked = []
+
+        async def answer(request, writer):
+            asked.append(request)
+            data = make_answer(request, b"y" * LONG_BYTES)
+            writer.write(data[:-1])
+            await writer.drain()
+            await asyncio.sleep(1.0)
+            writer.write(data[-1:])
+
+        for number in range(2):
+            await fleet.add_worker(f"w{number}", answer)
+        router = await fleet.add_router(has_slow_peers=True, memory_bytes=8_000_000)
+        await fleet.wait(lambda: len(router.view.list_endpoints()) == 2)
+        answered = await ask(router, "/race/a", X_Deadline_Ms="4000")
+        assert (answered.status, len(asked)) == (200, 2)
+        await fleet.wait(lambda: not router.server.in_flight)
+        assert not find_held_bytes(router)
+
+    run_in_fleet(act)
+
+
 def test_stream_of_a_client_that_reads_steadily_goes_on_at_another_endpoint():
     # Guards against a stream that is cut, and a crash that goes unnoticed, because many
     # short waits for a client that reads steadily add up.
