--- a/src/tamarackrill/router/edge_reply.py
+++ b/src/tamarackrill/router/edge_reply.py
@@ -1,7 +1,7 @@
 """Writes the response to a client of the platform's interface."""
 
 from asyncio import Future
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from http.client import responses
 
 from tornado.http1connection import HTTP1Connection
@@ -119,8 +119,17 @@
     # Overridden where responses are buffered for clients that read slowly; here a write
     # returns only once the client's connection has taken it.
 
-    async def reserve(self, size_bytes: int) -> None:
-        """Count bytes of a body that is read; return once more may be read."""
+    async def reserve(self, size_bytes: int, body_bytes: int) -> None:
+        """Count bytes of a body that is read; return once more may be read.
+
+        Parameters
+        ----------
+        size_bytes : int
+            Size of the bytes.
+        body_bytes : int
+            Size of all that has been read of the body.  Two attempts of a request may
+            each read one.
+        """
 
     def drop_reserved(self, size_bytes: int | None = None) -> None:
         """Release what was counted for bodies that are forwarded or given up.
@@ -144,9 +153,18 @@
 MakeReply = Callable[[HTTP1Connection, bool, bool], EdgeReply]
 
 
-async def read_body(channel: Channel, reply: EdgeReply) -> bytes:
+async def read_body(
+    read_chunk: Callable[[], Awaitable[bytes]], reply: EdgeReply
+) -> bytes:
     """Return the body of a response, which the reply then sends as a whole.
 
+    Parameters
+    ----------
+    read_chunk : callable
+        Returns the next bytes of the body, empty at its end.
+    reply : EdgeReply
+        Counts what is held.
+
     Raises
     ------
     ChannelError
@@ -155,10 +173,10 @@
     pieces = []
     read_bytes = 0
     try:
-        while piece := await channel.read_chunk():
+        while piece := await read_chunk():
             pieces.append(piece)
             read_bytes += len(piece)
-            await reply.reserve(len(piece))
+            await reply.reserve(len(piece), read_bytes)
     except BaseException:
         reply.drop_reserved(read_bytes)
         raise
