Tell a cancellation elsewhere from that of the request's own task

A step that awaits a task or future which another one cancels gets a CancelledError, which no boundary for errors catches: the request's task ended, and its client waited for an answer until its own deadline. A background task ended for good, without a line in the log.

The boundaries of the attempt, of the request and of background tasks raise StrayCancellation instead if their own task isn't being cancelled, and go on as after any other undeclared error.

CancelledError is one more error of tests/test_unexpected_errors.py and its native counterpart.

--- a/src/tamarackrill/router/attempts.py
+++ b/src/tamarackrill/router/attempts.py
@@ -13,6 +13,7 @@
 from tamarackrill.router.calls import Call
 from tamarackrill.router.outlets import Outlet
 from tamarackrill.router.replies import Reply
+from tamarackrill.router.unexpected_errors import convert_stray_cancellation
 from tamarackrill.router.upstream import (
     CurlAsyncHTTPClient,
     Exchange,
@@ -172,26 +173,28 @@
     """
     sent_s = clock()
     try:
-        exchange = Exchange(
-            client,
-            call.method,
-            f"http://{endpoint.address}{call.path}",
-            _build_headers(call, received_chunks),
-            call.body,
-            max(0.001, call.deadline_s - sent_s),
-            # Use a new connection even for idempotent calls.  On a kept-alive
-            # connection to an engine that is exiting, the call would be lost and
-            # suspected of having crashed it.  A new connection is refused by then;
-            # otherwise it costs 1 ms.
-            repeatable=False,
-        )
+        with convert_stray_cancellation():
+            exchange = Exchange(
+                client,
+                call.method,
+                f"http://{endpoint.address}{call.path}",
+                _build_headers(call, received_chunks),
+                call.body,
+                max(0.001, call.deadline_s - sent_s),
+                # Use a new connection even for idempotent calls.  On a kept-alive
+                # connection to an engine that is exiting, the call would be lost and
+                # suspected of having crashed it.  A new connection is refused by then;
+                # otherwise it costs 1 ms.
+                repeatable=False,
+            )
     except Exception as error:
         return Attempt("not_sent", reason=repr(error), error=error)
     reply.set_abandoned_callback(exchange.cancel)
     first_byte_s: float | None = None
     chunks_before = reply.count
     try:
-        head = await exchange.head()
+        with convert_stray_cancellation():
+            head = await exchange.head()
         first_byte_s = clock() - sent_s
         is_stream = call.stream and _is_event_stream(head)
         if reply.count and not (is_stream and head.status == OK):
@@ -203,7 +206,8 @@
         if head.status >= SERVER_ERROR and not is_overloaded and not accept_errors:
             return Attempt("refused", first_byte_s, 0, f"status {head.status}")
         pump = _pump_events if is_stream else _pump_buffered
-        await pump(exchange, _strip_head(head), reply)
+        with convert_stray_cancellation():
+            await pump(exchange, _strip_head(head), reply)
     except UpstreamError as error:
         outcome = _classify_failure(error, reply)
         if outcome == "cancelled" and call.kind == "engine":
--- a/src/tamarackrill/router/background.py
+++ b/src/tamarackrill/router/background.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from tamarackrill.events import TASK_FAILED, TASK_RESTARTED, log_event
+from tamarackrill.router.unexpected_errors import convert_stray_cancellation
 
 # Between a failure of a task and its restart.  A task that fails at once again would
 # otherwise take all of the processor time.
@@ -23,7 +24,8 @@
     """
     while True:
         try:
-            return await run()
+            with convert_stray_cancellation():
+                return await run()
         except Exception as error:
             log_event(TASK_RESTARTED, task=name, error=repr(error))
         await asyncio.sleep(RESTART_PAUSE_S)
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -58,6 +58,7 @@
 from tamarackrill.router.standstill import wait_never
 from tamarackrill.router.unexpected_errors import (
     DECLARED,
+    convert_stray_cancellation,
     describe_origin,
     record_unexpected,
     tolerate,
@@ -189,7 +190,8 @@
             If the endpoint gave up a response that its client did not read.
         """
         try:
-            return await self._run(attempt, placed)
+            with convert_stray_cancellation():
+                return await self._run(attempt, placed)
         except DECLARED:
             raise
         except Exception as error:
--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -46,6 +46,7 @@
 from tamarackrill.router.request_progress import RequestAttempt, RequestProgress
 from tamarackrill.router.unexpected_errors import (
     DECLARED,
+    convert_stray_cancellation,
     record_unexpected,
     tolerate,
 )
@@ -127,8 +128,9 @@
         """
         progress = RequestProgress(call, reply)
         try:
-            self._find_share(call.service).note_request(self._clock())
-            await self._serve(progress)
+            with convert_stray_cancellation():
+                self._find_share(call.service).note_request(self._clock())
+                await self._serve(progress)
         except ClientTooSlow:
             progress.history = add_attempt(progress.history, "lost")
             await self._send_final_answer(progress, "slow_client")
@@ -193,7 +195,8 @@
         progress = attempt.progress
         while True:
             try:
-                ended = await self._run_attempt(attempt)
+                with convert_stray_cancellation():
+                    ended = await self._run_attempt(attempt)
             except DECLARED:
                 raise
             except Exception as error:
--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -43,7 +43,11 @@
 from tamarackrill.router.guarded_requests import OwnAnswer, RequestGuard
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.standstill import wait_never
-from tamarackrill.router.unexpected_errors import record_unexpected, tolerate
+from tamarackrill.router.unexpected_errors import (
+    convert_stray_cancellation,
+    record_unexpected,
+    tolerate,
+)
 
 # Twice the limit of known manifests. Headers above the manifest's limit get a 431; the
 # connection is closed if they exceed this one.
@@ -316,10 +320,11 @@
         # Used unless the reply that buffers can be made.
         reply = EdgeReply(self._connection, must_close, takes_chunks)
         try:
-            reply = server.make_reply(self._connection, must_close, takes_chunks)
-            reply.takes_body = self._start_line.method != "HEAD"
-            await self._match_and_serve(reply)
-            await reply.deliver(self._find_delivery_end_s())
+            with convert_stray_cancellation():
+                reply = server.make_reply(self._connection, must_close, takes_chunks)
+                reply.takes_body = self._start_line.method != "HEAD"
+                await self._match_and_serve(reply)
+                await reply.deliver(self._find_delivery_end_s())
         except StreamClosedError:
             # The client disconnected while its response was written.
             self._record_left()
--- a/src/tamarackrill/router/flow.py
+++ b/src/tamarackrill/router/flow.py
@@ -24,6 +24,7 @@
 from tamarackrill.router.placing import PlacementResult, Placer
 from tamarackrill.router.replies import Reply
 from tamarackrill.router.unexpected_errors import (
+    convert_stray_cancellation,
     describe_origin,
     record_unexpected,
     tolerate,
@@ -123,13 +124,8 @@
 
     async def _run(self, call: Call, reply: Reply) -> None:
         try:
-            self._limiter.begin(call, self._clock())
-            try:
-                await self._chats.wait_turn(call, self._clock())
-                await self._claimer.claim(call, self._clock())
-                await self._serve(call, reply)
-            finally:
-                self._limiter.end(call, reply, self._clock())
+            with convert_stray_cancellation():
+                await self._run_limited(call, reply)
         except Refusal as refusal:
             self._refuse(call, reply, refusal)
         except Exception as error:  # noqa: BLE001
@@ -145,6 +141,15 @@
             with tolerate(self._metrics, "outcome", call.request_id):
                 self._claimer.record_outcome(call, reply)
 
+    async def _run_limited(self, call: Call, reply: Reply) -> None:
+        self._limiter.begin(call, self._clock())
+        try:
+            await self._chats.wait_turn(call, self._clock())
+            await self._claimer.claim(call, self._clock())
+            await self._serve(call, reply)
+        finally:
+            self._limiter.end(call, reply, self._clock())
+
     def _refuse(self, call: Call, reply: Reply, refusal: Refusal) -> None:
         self._metrics.count_refusal(refusal.code)
         log_event(
@@ -332,7 +337,8 @@
         self._claimer.check(call)
         names = (call.request_id, endpoint.name)
         try:
-            self._placer.start(call, endpoint, self._clock())
+            with convert_stray_cancellation():
+                self._placer.start(call, endpoint, self._clock())
         except Exception as error:
             record_unexpected(self._metrics, "start", error, *names)
             return Attempt("not_sent", reason=repr(error))
--- a/src/tamarackrill/router/guarded_requests.py
+++ b/src/tamarackrill/router/guarded_requests.py
@@ -17,7 +17,11 @@
 from tornado.iostream import StreamClosedError
 
 from tamarackrill.router.metrics import Metrics
-from tamarackrill.router.unexpected_errors import record_unexpected, tolerate
+from tamarackrill.router.unexpected_errors import (
+    convert_stray_cancellation,
+    record_unexpected,
+    tolerate,
+)
 
 
 class OwnAnswer(NamedTuple):
@@ -126,7 +130,8 @@
 
     async def _wait(self, step: str, waiting: Awaitable[None]) -> None:
         try:
-            await waiting
+            with convert_stray_cancellation():
+                await waiting
         except (HTTPInputError, StreamClosedError):
             raise
         except Exception as error:
--- a/src/tamarackrill/router/relay_server.py
+++ b/src/tamarackrill/router/relay_server.py
@@ -42,7 +42,11 @@
     remove_relay_headers,
 )
 from tamarackrill.router.standstill import wait_never
-from tamarackrill.router.unexpected_errors import record_unexpected, tolerate
+from tamarackrill.router.unexpected_errors import (
+    convert_stray_cancellation,
+    record_unexpected,
+    tolerate,
+)
 
 # Attempts forwarded at the same time.  Each buffers up to 128 KiB for a slow reader.
 RELAYED_MAX = 256
@@ -169,7 +173,8 @@
         try:
             headers = shorten_deadline(attempt.headers, self.clock() - arrived_s)
             channel.send(attempt.method, attempt.target, headers, attempt.body)
-            head = await self._forward_response(attempt, endpoint, channel, reply)
+            with convert_stray_cancellation():
+                head = await self._forward_response(attempt, endpoint, channel, reply)
             is_clean = True
         except ChannelError:
             # The other router sees that the response is incomplete, as it would on a
@@ -307,7 +312,8 @@
             if attempt is None:
                 await reply.begin(FORBIDDEN_STATUS, [], b"")
                 return
-            await server.forward(attempt, reply, self._arrived_s)
+            with convert_stray_cancellation():
+                await server.forward(attempt, reply, self._arrived_s)
         except StreamClosedError:
             # The router disconnected, and its client with it.
             return
--- a/src/tamarackrill/router/unexpected_errors.py
+++ b/src/tamarackrill/router/unexpected_errors.py
@@ -4,6 +4,7 @@
 request; a step that only records something is passed over.
 """
 
+import asyncio
 import contextlib
 import traceback
 from collections.abc import Iterator
@@ -22,6 +23,26 @@
 DECLARED = (StreamClosedError, ClientTooSlow, Refusal)
 
 
+class StrayCancellation(Exception):
+    """A step was cancelled in a task that nobody has cancelled.
+
+    This happens if it awaits a task or future that is cancelled elsewhere.  Taken for
+    the end of its own task, it would end a request without an answer.
+    """
+
+
+@contextlib.contextmanager
+def convert_stray_cancellation() -> Iterator[None]:
+    """Raise `StrayCancellation` instead of a cancellation of another task."""
+    try:
+        yield
+    except asyncio.CancelledError as error:
+        task = asyncio.current_task()
+        if task is None or task.cancelling():
+            raise
+        raise StrayCancellation("a step was cancelled elsewhere") from error
+
+
 def describe_place(error: BaseException) -> tuple[str, ...]:
     """Return the innermost calls of an error's traceback, the last one last."""
     # Without the lines of the source, which would be read from files.
@@ -63,7 +84,8 @@
 ) -> Iterator[None]:
     """Go on after an undeclared error, for a step that the request can do without."""
     try:
-        yield
+        with convert_stray_cancellation():
+            yield
     except DECLARED:
         raise
     except Exception as error:
--- a/tests/test_restarted_tasks.py
+++ b/tests/test_restarted_tasks.py
@@ -4,6 +4,8 @@
 import logging
 from unittest import mock
 
+import pytest
+
 from tamarackrill.router.background import run_restarting
 from tamarackrill.testing.edge import EdgeFleet, make_route
 
@@ -27,15 +29,17 @@
     asyncio.run(act())
 
 
-def test_task_that_fails_is_started_again_until_it_ends():
-    # Guards against a task of a router that ends for good by an exception.
+@pytest.mark.parametrize("error", [OSError("odd"), asyncio.CancelledError()])
+def test_task_that_fails_is_started_again_until_it_ends(error):
+    # Guards against a task of a router that ends for good by an exception, or because
+    # something that it waits for is cancelled elsewhere.
     async def act():
         runs = []
 
         async def run():
             runs.append(1)
             if len(runs) < 3:
-                raise OSError("odd")
+                raise error
 
         with mock.patch("tamarackrill.router.background.RESTART_PAUSE_S", 0.0):
             await run_restarting("odd", run)
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -40,6 +40,7 @@
     MemoryError(),
     AssertionError(),
     OverflowError("odd"),
+    asyncio.CancelledError(),
 )
 # Steps that concern one endpoint, before anything has been sent to it.
 BEFORE_SENDING = {
--- a/tests/test_unexpected_native_errors.py
+++ b/tests/test_unexpected_native_errors.py
@@ -32,7 +32,13 @@
     "non_idempotent": [{"service": "s", "method": "*", "path_prefix": "/book"}],
 }
 PATHS = {"idempotent": "/services/s/look", "non_idempotent": "/services/s/book"}
-ERRORS = (ValueError("odd"), KeyError("odd"), MemoryError(), RecursionError("odd"))
+ERRORS = (
+    ValueError("odd"),
+    KeyError("odd"),
+    MemoryError(),
+    RecursionError("odd"),
+    asyncio.CancelledError(),
+)
 ANSWER_MAX_S = 10.0
 BEFORE_SENDING = {
     "start": (Placer, "start"),
