Leave out an endpoint that makes the choice among others raise

An undeclared error while one endpoint of several was compared refused each request of its service as not run, until what was known of the endpoint changed.

An error that does not come again is passed over. On both interfaces, and there for the health of endpoints too.

--- a/src/tamarackrill/router/edge_placing.py
+++ b/src/tamarackrill/router/edge_placing.py
@@ -34,6 +34,7 @@
     PlacementRequest,
     RoomSharing,
 )
+from tamarackrill.decisions.set_aside import SetAside
 from tamarackrill.events import (
     ENDPOINT_BACKOFF,
     ENDPOINT_EJECTED,
@@ -50,6 +51,7 @@
 from tamarackrill.router.edge_calls import EdgeCall
 from tamarackrill.router.endpoint_pauses import EndpointPauses
 from tamarackrill.router.owners import UNCOUNTED, Ticket
+from tamarackrill.router.unexpected_errors import leave_out_faulty
 
 # Share of the load cap that a router uses as its own bound: it learns of the requests
 # of other routers only from the loads reported with responses, which lag behind.
@@ -166,6 +168,7 @@
         self.fleet_health = FleetHealth(find_zone, zone, load_cap)
         self._news = news
         self._incarnations = Incarnations()
+        self._set_aside = SetAside()
         self._pauses = EndpointPauses(self.fleet_health, self.placement.loads)
         self.relayed: AbstractSet[str] = frozenset()
         self.reports_slowdown = self.placement.slowdowns.is_reported
@@ -208,7 +211,29 @@
             If the request has crashed too many endpoints.
         """
         self.poison.check(call.fingerprint, now_s)
-        pool = self._view.find_pool(call.service)
+        pool = self._find_pool(call.service, now_s)
+        return leave_out_faulty(
+            lambda left_out: self._choose(
+                call, pool.exclude(left_out), avoid, now_s, may_refuse
+            ),
+            pool.by_name.keys(),
+            self._set_aside,
+            now_s,
+            call.request_id,
+        )
+
+    def _find_pool(self, service: str, now_s: float) -> EndpointPool:
+        """Return the live endpoints of a service that can be compared."""
+        return self._view.find_pool(service).exclude(self._set_aside.find(now_s))
+
+    def _choose(
+        self,
+        call: EdgeCall,
+        pool: EndpointPool,
+        avoid: Collection[str],
+        now_s: float,
+        may_refuse: bool,
+    ) -> EdgePlacement | None:
         available = pool.exclude(self._find_unavailable(avoid, now_s))
         probed = self._choose_probe(call, available, now_s)
         if probed is not None:
@@ -274,7 +299,7 @@
         self, call: EdgeCall, avoid: Collection[str], now_s: float
     ) -> bool:
         """Return whether any endpoint but those to avoid is available."""
-        pool = self._view.find_pool(call.service)
+        pool = self._find_pool(call.service, now_s)
         return bool(len(pool.exclude(self._find_unavailable(avoid, now_s))))
 
     def find_refused(
--- a/src/tamarackrill/router/placing.py
+++ b/src/tamarackrill/router/placing.py
@@ -21,6 +21,7 @@
     LoadBalancer,
     PlacementRequest,
 )
+from tamarackrill.decisions.set_aside import SetAside
 from tamarackrill.events import (
     ENDPOINT_BACKOFF,
     ENDPOINT_CRASHED,
@@ -31,6 +32,7 @@
 from tamarackrill.router.calls import Call
 from tamarackrill.router.owners import UNCOUNTED, Owners, Ticket
 from tamarackrill.router.prompt_guard import SOUND_EVENTS_MIN, Exposure, PromptGuard
+from tamarackrill.router.unexpected_errors import leave_out_faulty
 
 # Prompts are mostly English or Welsh text, at about four bytes per token.  The result
 # only needs the right order of magnitude, to compare two engines that cache parts of
@@ -87,6 +89,7 @@
         self.backoffs = Backoffs()
         self.poison = PoisonTracker()
         self.tell_crash: Callable[[CrashCount], None] = lambda count: None
+        self._set_aside = SetAside()
         self.guard: PromptGuard | None = None
         # Trials of parts, and what endpoints are exposed to, by request.
         self._trials: dict[str, TrialReport] = {}
@@ -249,9 +252,26 @@
         allowed: list[Endpoint],
         refused: Collection[str],
         now_s: float,
+    ) -> EndpointChoice | None:
+        self.poison.check(shorten_fingerprint(call.fingerprint), now_s)
+        return leave_out_faulty(
+            lambda left_out: self._compare(
+                call, [e for e in allowed if e.name not in left_out], refused, now_s
+            ),
+            [endpoint.name for endpoint in allowed],
+            self._set_aside,
+            now_s,
+            call.request_id,
+        )
+
+    def _compare(
+        self,
+        call: Call,
+        allowed: list[Endpoint],
+        refused: Collection[str],
+        now_s: float,
     ) -> EndpointChoice | None:
         fingerprint = shorten_fingerprint(call.fingerprint)
-        self.poison.check(fingerprint, now_s)
         names = [endpoint.name for endpoint in allowed]
         shares = self.health.find_slow_start_shares(names, now_s)
         request = _make_request(call, self._zone)
@@ -421,8 +441,17 @@
 
     def _list_allowed(self, call: Call, now_s: float) -> list[Endpoint]:
         candidates = self.list_candidates(call)
-        names = [endpoint.name for endpoint in candidates]
-        allowed = set(self.health.find_allowed(names, now_s))
+        set_aside = self._set_aside.find(now_s)
+        names = [e.name for e in candidates if e.name not in set_aside]
+        allowed = leave_out_faulty(
+            lambda left_out: set(
+                self.health.find_allowed([n for n in names if n not in left_out], now_s)
+            ),
+            names,
+            self._set_aside,
+            now_s,
+            call.request_id,
+        )
         allowed -= self.backoffs.find(now_s)
         return [endpoint for endpoint in candidates if endpoint.name in allowed]
 
--- a/src/tamarackrill/router/unexpected_errors.py
+++ b/src/tamarackrill/router/unexpected_errors.py
@@ -7,15 +7,19 @@
 import asyncio
 import contextlib
 import traceback
-from collections.abc import Iterator
+from collections.abc import Callable, Collection, Iterator
 from pathlib import PurePath
+from typing import TypeVar
 
 from tornado.iostream import StreamClosedError
 
+from tamarackrill.decisions.set_aside import SetAside
 from tamarackrill.events import UNEXPECTED_ERROR, log_event
 from tamarackrill.exceptions import ClientTooSlow, Refusal
 from tamarackrill.router.metrics import Metrics
 
+Chosen = TypeVar("Chosen")
+
 # Innermost calls of a traceback that are logged, and the characters of an error.
 PLACES_MAX = 4
 ERROR_MAX_CHARS = 300
@@ -68,6 +72,13 @@
 ) -> None:
     """Log and count an error that a step of a request doesn't declare."""
     metrics.count("unexpected_errors", step)
+    log_unexpected(step, error, request_id, endpoint)
+
+
+def log_unexpected(
+    step: str, error: BaseException, request_id: str = "", endpoint: str = ""
+) -> None:
+    """Log an error that a step of a request doesn't declare."""
     log_event(
         UNEXPECTED_ERROR,
         step=step,
@@ -90,3 +101,47 @@
         raise
     except Exception as error:
         record_unexpected(metrics, step, error, request_id, endpoint)
+
+
+def leave_out_faulty(
+    act: Callable[[Collection[str]], Chosen],
+    names: Collection[str],
+    set_aside: SetAside,
+    now_s: float,
+    request_id: str = "",
+) -> Chosen:
+    """Compare endpoints without those for which that raises an undeclared error.
+
+    Parameters
+    ----------
+    act : callable
+        Compares all endpoints but those that it is given, and returns the result.
+    names : collection of str
+        All endpoints.
+    set_aside : SetAside
+        Remembers endpoints for which it raises.
+    now_s : float
+        Current time.
+    request_id : str, optional
+        Request for which they are compared, for the log.
+    """
+    try:
+        return act(())
+    except Refusal:
+        raise
+    except Exception as error:
+        found = set_aside.search(
+            sorted(names), lambda some: _works(act, set(names).difference(some)), now_s
+        )
+        log_unexpected("choose", error, request_id, ",".join(found))
+        return act(found)
+
+
+def _works(act: Callable[[Collection[str]], Chosen], left_out: Collection[str]) -> bool:
+    try:
+        act(left_out)
+    except Refusal:
+        return True
+    except Exception:
+        return False
+    return True
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -6,6 +6,7 @@
 from tornado.http1connection import HTTP1Connection
 
 from tamarackrill.decisions.event_stream import EventStream
+from tamarackrill.decisions.routing import LoadBalancer
 from tamarackrill.router import edge_attempts, edge_flow, edge_server
 from tamarackrill.router.channels import Channel
 from tamarackrill.router.edge_placing import EdgePlacer
@@ -294,3 +295,25 @@
             assert excluded == (raising_names if len(raising_names) == 1 else set())
 
     asyncio.run(run())
+
+
+def test_endpoint_that_can_not_be_compared_is_left_out(monkeypatch):
+    # Guards against a service whose requests are all refused because what is known of
+    # one endpoint makes the choice raise.
+    choose = LoadBalancer.choose
+
+    def act(placement, request, pool, *args, **kwargs):
+        if "w0" in pool.by_name:
+            raise OverflowError("odd")
+        return choose(placement, request, pool, *args, **kwargs)
+
+    async def run():
+        monkeypatch.setattr(LoadBalancer, "choose", act)
+        async with EdgeFleet() as fleet:
+            router = await start_fleet(fleet, "idempotent", None, {})
+            for number in range(12):
+                answer = await ask(router, "/idempotent/", f"id-{number}")
+                assert answer.status == 200
+            assert router.placer.health.find_excluded(["w0"], router.clock()) == set()
+
+    asyncio.run(run())
--- a/tests/test_unexpected_native_errors.py
+++ b/tests/test_unexpected_native_errors.py
@@ -9,6 +9,8 @@
 
 from tamarackrill.contracts import hash_key
 from tamarackrill.decisions.configuration import ObjectVersion
+from tamarackrill.decisions.health import Health
+from tamarackrill.decisions.routing import LoadBalancer
 from tamarackrill.router import attempts
 from tamarackrill.router.admitting import Admitter
 from tamarackrill.router.app import RouterApplication
@@ -207,3 +209,27 @@
             assert (await ask(router, "idempotent", "")).code == 200
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("owner", [LoadBalancer, Health])
+def test_endpoint_that_can_not_be_compared_is_left_out(owner, monkeypatch):
+    # Guards against a service whose calls are all refused because what is known of one
+    # endpoint makes the choice raise.
+    name = {LoadBalancer: "choose", Health: "find_allowed"}[owner]
+    original = getattr(owner, name)
+
+    def act(state, *args):
+        # Endpoints for the load balancer, their names for the health.
+        for found in args[0] if owner is Health else args[1]:
+            if "e1" in (found, getattr(found, "name", "")):
+                raise OverflowError("odd")
+        return original(state, *args)
+
+    async def run():
+        async with run_router() as (router, states):
+            monkeypatch.setattr(owner, name, act)
+            for _ in range(12):
+                assert (await ask(router, "idempotent", "")).code == 200
+            assert not states[0].total
+
+    asyncio.run(run())
