Forward header bytes above 0x7f; refuse targets that aren't ASCII for good

h11 encodes text as ASCII, so that a header of a client, or a team's name, with another character raised at each endpoint: the request was refused as not run (503), and again each time that its client came back. The same held for a target with such bytes, which h11 never sends.

Headers are sent as the bytes that they were read from, and names of teams as UTF-8. A target that isn't visible ASCII is refused with 400.

--- a/src/tamarackrill/platform/headers.py
+++ b/src/tamarackrill/platform/headers.py
@@ -224,7 +224,9 @@
     headers.append(("X-Deadline-Ms", str(max(1, int(time_left_s * 1000)))))
     headers.append(("X-Expect-Instance", endpoint_id))
     if team is not None:
-        headers.append(("X-Tenant-Id", team))
+        # Each character of a header stands for a byte, a team may have any name.
+        team_text = team.encode("utf-8", "surrogatepass").decode("latin-1")
+        headers.append(("X-Tenant-Id", team_text))
     if last_event_id is not None:
         headers.append(("Last-Event-Id", str(last_event_id)))
     if copy_from is not None:
--- a/src/tamarackrill/router/channels.py
+++ b/src/tamarackrill/router/channels.py
@@ -129,7 +129,9 @@
 
     def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
         """Send a complete request."""
-        self._request = h11.Request(method=method, target=target, headers=headers)
+        # Values may have bytes above 0x7f, which clients' headers are decoded from.
+        fields = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers]
+        self._request = h11.Request(method=method, target=target, headers=fields)
         self.requests_sent += 1
         self.pauses = ReadPauses()
         sent = self._http.send(self._request) or b""
--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -22,6 +22,7 @@
     TeamKeys,
     choose_service,
 )
+from tamarackrill.decisions.request_targets import is_sendable
 from tamarackrill.decisions.unexpected_errors import RETRY_AFTER_S, choose_status
 from tamarackrill.events import CALL_LEFT, CALL_REFUSED, log_event
 from tamarackrill.platform.headers import (
@@ -182,6 +183,8 @@
         table = self.view.routes
         if table is None:
             raise _Denied(503, "no_manifest", NO_MANIFEST_RETRY_AFTER_S)
+        if not is_sendable(line.path):
+            raise _Denied(400, "malformed_target")
         route = table.find_route(host, line.path.partition("?")[0])
         if route is None:
             raise self.deny_unmatched(404, "no_route")
--- a/src/tamarackrill/testing/worker.py
+++ b/src/tamarackrill/testing/worker.py
@@ -239,7 +239,7 @@
     fields |= {name.replace("_", "-"): value for name, value in headers.items()}
     lines = [f"HTTP/1.1 {status} Status"]
     lines += [f"{name}: {value}" for name, value in fields.items() if value]
-    return "\r\n".join(lines).encode() + HEAD_END + body
+    return "\r\n".join(lines).encode("latin-1") + HEAD_END + body
 
 
 def make_stream_head(request: WorkerRequest) -> bytes:
@@ -251,7 +251,7 @@
         "Content-Type: text/event-stream",
         "Transfer-Encoding: chunked",
     ]
-    return "\r\n".join(lines).encode() + HEAD_END
+    return "\r\n".join(lines).encode("latin-1") + HEAD_END
 
 
 def frame_answer(
