Native router: send a call under the path that its contract was checked for

libcurl removes the dot segments and the fragment of a path: a call of /a/../b ran as /b, so that one that may run only once could be reached under a path that may be repeated. A target with bytes above 0x7f arrived as another one; two endpoints were taken for crashed by it, and the call for one that crashes endpoints (422).

PATH_AS_IS is set, and targets that aren't visible ASCII or have a fragment are refused with 400. libcurl still writes percent-encodings in capitals.

tests/test_client_heads.py: 5 of 5 cases failed before, and pass.

--- a/src/tamarackrill/router/calls.py
+++ b/src/tamarackrill/router/calls.py
@@ -11,6 +11,7 @@
 from tamarackrill.decisions.claim_buckets import find_bucket, hash_claim_key
 from tamarackrill.decisions.hashing import hash_name
 from tamarackrill.decisions.prompts import PARTS_MAX, Prompt
+from tamarackrill.decisions.request_targets import is_sendable
 from tamarackrill.exceptions import Refusal
 
 CHAT_PATH = "/v1/chat/completions"
@@ -193,6 +194,9 @@
     Refusal
         If the request is malformed or the contract does not allow it.
     """
+    if not is_sendable(path) or "#" in path:
+        message = "the target must be visible ASCII without a fragment"
+        raise Refusal("malformed_target", 400, message)
     kind: EndpointKind
     if path.partition("?")[0] == CHAT_PATH:
         kind, endpoint_path = "engine", CHAT_PATH
--- a/src/tamarackrill/router/upstream.py
+++ b/src/tamarackrill/router/upstream.py
@@ -185,6 +185,9 @@
         curl.setopt(pycurl.WRITEFUNCTION, self._write)
         curl.setopt(pycurl.XFERINFOFUNCTION, self._check_cancelled)
         curl.setopt(pycurl.NOPROGRESS, 0)
+        # Otherwise libcurl removes the dot segments of a path, so that the call runs
+        # under another one than its contract was checked for.
+        curl.setopt(pycurl.PATH_AS_IS, 1)
         # libcurl resends a request by itself if a reused connection closes before any
         # byte of the response, so that the server may get the request twice.  It never
         # does so on a new connection.
--- a/tests/test_client_heads.py
+++ b/tests/test_client_heads.py
@@ -15,6 +15,7 @@
     make_route,
 )
 from test_unexpected_native_errors import KEY as NATIVE_KEY
+from test_unexpected_native_errors import run_router
 
 ANSWER_MAX_S = 3.0
 ODD_TEAM = "krojač-ż"
@@ -110,3 +111,37 @@
             assert not worker.requests
 
     asyncio.run(run())
+
+
+NATIVE = {
+    b"/services/s/\xc3\xa9": (400, None),
+    b"/services/s/a?q=\xff": (400, None),
+    b"/services/s/a#b": (400, None),
+    b"/services/s/a/../b": (200, "/a/../b"),
+    b"/services/s/./b/%2E%2E/c": (200, "/./b/%2E%2E/c"),
+}
+
+
+@pytest.mark.parametrize("target", NATIVE)
+def test_native_call_runs_under_the_path_that_was_checked(target):
+    # Guards against a call that may run once and is taken for one that may run more
+    # often, as another path is sent than the one that the contract was checked for, and
+    # against endpoints that are taken for crashed by odd targets.
+    status, path = NATIVE[target]
+
+    async def run():
+        async with run_router() as (router, states):
+            head = make_head(b"GET " + target + b" HTTP/1.1")
+            found, _ = await exchange(router.address, head)
+            assert found == status
+            assert sum(state.total for state in states) == (path is not None)
+            if path is not None:
+                answer = await ask(
+                    router.address,
+                    target.decode(),
+                    method="GET",
+                    Authorization=f"Bearer {NATIVE_KEY}",
+                )
+                assert f'"path": "{path}"'.encode() in answer.body
+
+    asyncio.run(run())
