Bound the numbers in the heads of requests and answers

Routers tell each other tokens and rejections as 32-bit integers. A prompt with a part of more tokens ended the exchange of placements again and again (task_restarted), and one of 1e308 tokens made the choice of an endpoint raise; a worker's Server-Brittle of 1e308 lost each answer that had it (502). On the product's own interface max_tokens of thousands of digits was refused as an internal error, and so was any Content-Length that isn't a single plain number, also one that is given twice.

Counts of heads are bounded by 2^31-1, prefixes too; numbers with underscores or other digits are malformed. max_tokens is bounded, and a malformed length is refused by the HTTP server (400).

--- a/src/tamarackrill/decisions/prompts.py
+++ b/src/tamarackrill/decisions/prompts.py
@@ -59,12 +59,16 @@
     parts: tuple[int, ...]
 
 
+# Length of a prefix that routers can tell each other.
+TOKENS_MAX = (1 << 31) - 1
+
+
 def list_prefixes(parts: Sequence[PromptPart]) -> tuple[Prefix, ...]:
     """Return the prefixes of a prompt, longest first."""
     prefixes = []
     path, tokens = "", 0
     for part in parts:
         path += f"/{part.id}"
-        tokens += part.tokens
+        tokens = min(tokens + part.tokens, TOKENS_MAX)
         prefixes.append(Prefix(f"{hash_name(path):016x}", tokens))
     return tuple(reversed(prefixes))
--- a/src/tamarackrill/platform/headers.py
+++ b/src/tamarackrill/platform/headers.py
@@ -46,6 +46,9 @@
 )
 
 _LOAD_HEADER = "x-instance-load"
+# Numbers beyond it are taken for it.  Routers tell each other tokens and rejections as
+# 32-bit integers, and numbers of hundreds of digits can't be calculated with.
+COUNT_MAX = (1 << 31) - 1
 # Three or four integers.  `int` alone would also accept underscores, and the limit
 # keeps it from converting thousands of digits.
 _LOAD_FORMAT = re.compile(r"[+-]?[0-9]{1,18}(?:\s*,\s*[+-]?[0-9]{1,18}){2,3}")
@@ -145,9 +148,8 @@
         prompt_parts=_read_parts(headers.get("X-Prompt-Prefix", "")),
         # The first number is the length of the prompt, the second the maximum length of
         # the answer.
-        prompt_tokens=int(
-            _read_number(headers.get("X-Token-Count", "").partition(",")[0]) or 0
-        ),
+        prompt_tokens=_read_count(headers.get("X-Token-Count", "").partition(",")[0])
+        or 0,
         model=headers.get("X-Model", ""),
         forwarded_headers=tuple(_list_forwarded(headers)),
     )
@@ -158,13 +160,16 @@
     for entry in text.split(","):
         name, _, tokens = entry.strip().partition(":")
         if name:
-            prompt_parts.append(PromptPart(name, int(_read_number(tokens) or 0)))
+            prompt_parts.append(PromptPart(name, _read_count(tokens) or 0))
     return tuple(prompt_parts)
 
 
 def _read_number(text: str | None) -> float | None:
+    # `float` also reads underscores and the digits of other scripts.
+    if not text or not text.isascii() or "_" in text:
+        return None
     try:
-        number = float(text) if text else math.nan
+        number = float(text)
     except ValueError:
         return None
     return max(0.0, number) if math.isfinite(number) else None
@@ -172,7 +177,7 @@
 
 def _read_count(text: str | None) -> int | None:
     number = _read_number(text)
-    return None if number is None else int(number)
+    return None if number is None else int(min(number, COUNT_MAX))
 
 
 def _list_forwarded(headers: HTTPHeaders) -> Iterable[tuple[str, str]]:
--- a/src/tamarackrill/router/callers.py
+++ b/src/tamarackrill/router/callers.py
@@ -3,6 +3,7 @@
 import socket
 from typing import Any
 
+from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
 from tornado.web import stream_request_body
 
@@ -39,6 +40,7 @@
 HOMES_MAX = 2
 # Answers up to this size are sent at once, with their length; longer ones in pieces.
 BUFFERED_MAX_BYTES = 1024 * 1024
+LENGTH_DIGITS_MAX = 18
 DROPPED_RESPONSE_HEADERS = (
     "Connection",
     "Transfer-Encoding",
@@ -47,6 +49,16 @@
 )
 
 
+def _read_length(headers: HTTPHeaders) -> int:
+    """Return the length that a request states; 0 unless it is a plain number.
+
+    Tornado refuses what is malformed, and the body is counted as it arrives.
+    """
+    text = headers.get("Content-Length", "")
+    is_number = text.isascii() and text.isdigit() and len(text) <= LENGTH_DIGITS_MAX
+    return int(text) if is_number else 0
+
+
 class _CallerOutlet(Outlet):
     """Writes an answer to the caller; applies backpressure while its socket is full."""
 
@@ -152,7 +164,7 @@
             await front.catch_up.wait()
             self._waited_s += front.clock() - started_s
         try:
-            self._check_size(int(self.request.headers.get("Content-Length", "0")))
+            self._check_size(_read_length(self.request.headers))
             authorization = self.request.headers.get("Authorization", "")
             self._contract = authenticate(
                 front.find_contract_by_key_hash, authorization
--- a/src/tamarackrill/router/calls.py
+++ b/src/tamarackrill/router/calls.py
@@ -18,6 +18,8 @@
 SERVICES_PATH = "/services/"
 HEADER_VALUE_MAX = 256
 MAX_TOKENS_DEFAULT = 256
+# Usage is calculated as floating-point numbers.
+MAX_TOKENS_MAX = 1 << 31
 SERVICE_CALL_TOKENS = 1
 PRIORITY_MAX = 9
 
@@ -272,9 +274,11 @@
 
 def _read_max_tokens(fields: dict[str, Any]) -> int:
     size = fields.get("max_tokens", MAX_TOKENS_DEFAULT)
-    if not isinstance(size, int) or isinstance(size, bool) or size < 1:
-        raise Refusal("malformed_body", 400, "max_tokens must be a whole number from 1")
-    return size
+    is_number = isinstance(size, int) and not isinstance(size, bool)
+    if not is_number or not 1 <= size <= MAX_TOKENS_MAX:
+        message = f"max_tokens must be a whole number from 1 to {MAX_TOKENS_MAX}"
+        raise Refusal("malformed_body", 400, message)
+    return int(size)
 
 
 def _read_service(contract: Contract, path: str) -> str:
--- a/tests/test_client_heads.py
+++ b/tests/test_client_heads.py
@@ -5,6 +5,7 @@
 import pytest
 from soak.links import EndpointLinks
 
+from tamarackrill.decisions.configuration import ObjectVersion
 from tamarackrill.testing.edge import (
     HOST,
     KEY,
@@ -14,8 +15,9 @@
     make_manifest,
     make_route,
 )
+from tamarackrill.testing.worker import make_answer, make_streaming
+from test_unexpected_native_errors import CONTRACT, run_router
 from test_unexpected_native_errors import KEY as NATIVE_KEY
-from test_unexpected_native_errors import run_router
 
 ANSWER_MAX_S = 3.0
 ODD_TEAM = "krojač-ż"
@@ -145,3 +147,95 @@
                 assert f'"path": "{path}"'.encode() in answer.body
 
     asyncio.run(run())
+
+
+ODD_NUMBERS = ("1e308", "9" * 400, "1e999", "-1", "nan", "1_0", "\xb2")
+
+
+@pytest.mark.parametrize("name", ["X-Prompt-Prefix", "X-Token-Count", "X-Deadline-Ms"])
+def test_number_of_any_size_harms_nobody(name, caplog):
+    # Guards against a request that is refused for a number in its head, and against
+    # one that ends the exchange of news between routers.
+    async def run():
+        async with EdgeFleet() as fleet:
+            route = make_route("/a/", "streaming", session_affinity=True)
+            await fleet.put_manifest(1, route, engine={"kv_token_bytes": 9})
+            await fleet.add_worker("w0", make_streaming(1))
+            await fleet.add_worker("w1", make_streaming(1))
+            routers = [await fleet.add_router(f"r{n}") for n in range(2)]
+            await fleet.wait(lambda: len(routers[0].members.list_live()) == 2)
+            for number in ODD_NUMBERS:
+                prefix = f"a:{number},b:{number},{hash(number):x}:1"
+                value = prefix if name == "X-Prompt-Prefix" else number
+                for _ in range(2):
+                    fields = {name.replace("-", "_"): value}
+                    answer = await ask(routers[0], "/a/", number[:9], **fields)
+                    is_due = name == "X-Deadline-Ms" and number == "-1"
+                    assert answer.status == (503 if is_due else 200)
+            # The session of the last request is told to the other router.
+            index, other = (router.placer.index for router in routers)
+            told = {key for key, _ in index.list_recent(1, routers[0].clock())}
+            await fleet.wait(
+                lambda: all(other.holders(key, routers[1].clock()) for key in told)
+            )
+        assert "unexpected_error" not in caplog.text
+        assert "task_restarted" not in caplog.text
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("number", [*ODD_NUMBERS, "0,1"])
+@pytest.mark.parametrize("name", ["Server_Brittle", "X_Instance_Load", "Retry_After"])
+def test_answer_with_an_odd_number_is_passed_on(name, number, caplog):
+    # Guards against an answer that is lost for a number in its head.
+    async def run():
+        async with EdgeFleet() as fleet:
+            worker, router = await start(fleet)
+            await fleet.add_router("other")
+            await fleet.wait(lambda: len(router.members.list_live()) == 2)
+
+            async def behave(request, writer):
+                writer.write(make_answer(request, **{name: number}))
+
+            worker.behave = behave
+            assert (await ask(router, "/a/b")).status == 200
+        assert "unexpected_error" not in caplog.text
+
+    asyncio.run(run())
+
+
+NATIVE_FIELDS = {
+    "twice": ((b"Content-Length: 2", b"Content-Length: 2"), b"hi", 200),
+    "no number": ((b"Content-Length: x",), b"hi", 400),
+    "thousands of digits": ((b"Content-Length: " + b"9" * 5000,), b"hi", 400),
+    "other digits": ((b"Content-Length: \xb2",), b"hi", 400),
+}
+
+
+@pytest.mark.parametrize("case", NATIVE_FIELDS)
+def test_odd_length_of_a_native_call_is_no_internal_error(case):
+    # Guards against a caller who is told to come back with a call that is malformed.
+    fields, body, status = NATIVE_FIELDS[case]
+
+    async def run():
+        async with run_router() as (router, _):
+            head = make_head(b"POST /services/s/look HTTP/1.1", *fields)
+            assert (await exchange(router.address, head + body))[0] == status
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("number", ["9" * 4000, str(1 << 64), "0", "1e3"])
+def test_native_call_for_too_many_tokens_is_refused_for_good(number):
+    # Guards against a caller who is told to come back with a call that is malformed.
+    async def run():
+        async with run_router() as (router, _):
+            contract = {**CONTRACT, "models": ["m"]}
+            router.known.take(ObjectVersion("contract", "t", 2, contract))
+            body = b'{"model": "m", "messages": [{"content": "x"}], "max_tokens": %s}'
+            body %= number.encode()
+            length = b"Content-Length: %d" % len(body)
+            head = make_head(b"POST /v1/chat/completions HTTP/1.1", length)
+            assert (await exchange(router.address, head + body))[0] == 400
+
+    asyncio.run(run())
