Answer heads and chunk lines that are too long to be read

tornado closes a connection without an answer if a head is longer than it reads (64 KiB, 32 KiB on the product's own interface) or the line before a chunk than 64 bytes, as with a chunk extension.

--- a/src/tamarackrill/router/draining_server.py
+++ b/src/tamarackrill/router/draining_server.py
@@ -10,6 +10,7 @@
 from tornado.httputil import HTTPConnection, HTTPMessageDelegate
 from tornado.iostream import IOStream
 
+from tamarackrill.router.client_streams import ClientStream
 from tamarackrill.router.guarded_requests import RequestGuard
 from tamarackrill.router.idle_timeouts import IdleTimeout, TimedRequest
 
@@ -56,6 +57,11 @@
 
     def handle_stream(self, stream: IOStream, address: tuple) -> None:
         """Handle a connection that was accepted."""
+        stream = ClientStream(
+            stream.socket,
+            max_buffer_size=stream.max_buffer_size,
+            read_chunk_size=stream.read_chunk_size,
+        )
         self._unanswered[stream] = False
         self._all_answered.clear()
         super().handle_stream(stream, address)
--- a/tests/test_client_heads.py
+++ b/tests/test_client_heads.py
@@ -239,3 +239,35 @@
             assert (await exchange(router.address, head + body))[0] == 400
 
     asyncio.run(run())
+
+
+CHUNKED = b"Transfer-Encoding: chunked"
+TOO_LONG = {
+    "head": ((b"X-Note: " + b"a" * 70_000,), b"", 431),
+    "long head": ((b"X-Note: " + b"a" * 2_000_000,), b"", 431),
+    "chunk extension": ((CHUNKED,), b"2;a=" + b"b" * 100 + b"\r\nhi\r\n", 400),
+    "chunk size": ((CHUNKED,), b"0" * 100 + b"2\r\nhi\r\n0\r\n\r\n", 400),
+}
+
+
+@pytest.mark.parametrize("is_native", [False, True])
+@pytest.mark.parametrize("case", TOO_LONG)
+def test_what_is_too_long_to_be_read_is_refused(case, is_native):
+    # Guards against a connection that is closed without an answer, so that its client
+    # sends the same again and again.
+    fields, body, status = TOO_LONG[case]
+
+    async def run():
+        if is_native:
+            async with run_router() as (router, _):
+                head = make_head(b"POST /services/s/look HTTP/1.1", *fields)
+                assert (await exchange(router.address, head + body))[0] == status
+            return
+        async with EdgeFleet() as fleet:
+            _, router = await start(fleet)
+            head = make_head(b"POST /a/b HTTP/1.1", *fields)
+            address = router.settings.callers_address
+            assert (await exchange(address, head + body))[0] == status
+            await fleet.wait(lambda: not router.server.server._connections)
+
+    asyncio.run(run())
