--- a/src/tamarackrill/router/channels.py
+++ b/src/tamarackrill/router/channels.py
@@ -137,16 +137,10 @@
         return find_unacknowledged_s(self._transport.get_extra_info("socket"))
 
     def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
-        """Send a complete request, whose texts hold one character a byte."""
-        # HTTP allows any byte above 127 in the value of a header.
-        self._request = h11.Request(
-            method=method,
-            target=target,
-            headers=[
-                (name.encode("latin-1"), value.encode("latin-1"))
-                for name, value in headers
-            ],
-        )
+        """Send a complete request."""
+        # Values may have bytes above 0x7f, which clients' headers are decoded from.
+        fields = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers]
+        self._request = h11.Request(method=method, target=target, headers=fields)
         self.requests_sent += 1
         self.has_received = False
         self.pauses = ReadPauses()
--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -1,7 +1,6 @@
 """Reads client requests on the platform's interface and matches them to routes."""
 
 import asyncio
-import re
 from collections.abc import Awaitable, Callable
 
 from tornado.http1connection import HTTP1Connection
@@ -24,6 +23,7 @@
     TeamKeys,
     choose_service,
 )
+from tamarackrill.decisions.request_targets import is_sendable
 from tamarackrill.decisions.unexpected_errors import RETRY_AFTER_S, choose_status
 from tamarackrill.events import CALL_LEFT, CALL_REFUSED, log_event
 from tamarackrill.platform.headers import (
@@ -45,15 +45,17 @@
 from tamarackrill.router.guarded_requests import OwnAnswer, RequestGuard
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.standstill import wait_never
-from tamarackrill.router.unexpected_errors import record_unexpected, tolerate
+from tamarackrill.router.unexpected_errors import (
+    convert_stray_cancellation,
+    record_unexpected,
+    tolerate,
+)
 
 # Headers above the manifest's limit get a 431; the connection is closed if they exceed
 # what is read: this many times the limit, and at least and at most so much.
 HEADERS_READ_LIMITS = 2
 HEADERS_READ_MIN_BYTES = 64 * 1024
 HEADERS_READ_MAX_BYTES = 8 * 1024 * 1024
-# What HTTP allows as a request's target (RFC 9112, 3.2), without white space.
-_TARGET = re.compile(r"[\x21-\x7e]+")
 UNLIMITED_BYTES = 1 << 40
 # Default until a manifest sets the idle timeout: as long as browsers and proxies
 # commonly keep connections alive, so that no request races with the router's close.
@@ -189,6 +191,8 @@
         table = self.view.routes
         if table is None:
             raise _Denied(503, "no_manifest", NO_MANIFEST_RETRY_AFTER_S)
+        if not is_sendable(line.path):
+            raise _Denied(400, "malformed_target")
         route = table.find_route(host, line.path.partition("?")[0])
         if route is None:
             raise self.deny_unmatched(404, "no_route")
@@ -199,8 +203,6 @@
             raise _Denied(503, "leaving", LEAVING_RETRY_AFTER_S)
         if not headers.request_id:
             raise _Denied(400, "no_request_id")
-        if not _TARGET.fullmatch(line.path):
-            raise _Denied(400, "malformed_target")
         # A stream stays at the service that began it.
         service = choose_service(route.shares, find_first_attempt(headers))
         if service is None:
@@ -329,10 +331,11 @@
         # Used unless the reply that buffers can be made.
         reply = EdgeReply(self._connection, must_close, takes_chunks)
         try:
-            reply = server.make_reply(self._connection, must_close, takes_chunks)
-            reply.takes_body = self._start_line.method != "HEAD"
-            await self._match_and_serve(reply)
-            await reply.deliver(self._find_delivery_end_s())
+            with convert_stray_cancellation():
+                reply = server.make_reply(self._connection, must_close, takes_chunks)
+                reply.takes_body = self._start_line.method != "HEAD"
+                await self._match_and_serve(reply)
+                await reply.deliver(self._find_delivery_end_s())
         except StreamClosedError:
             # The client disconnected while its response was written.
             self._record_left()
