Let claims wait on after a standstill, whatever is handled first

Cause: a router that stood still while a claim was under way handles what is due in any order. If the claim's timer or the timeout of its read came before the standstill was noticed, the booking was refused with claim_timeout or platform_unavailable, and the latter refused all other claims for a second although the platform was available.

Change: the claimer notices a standstill before it handles its timer or a read that failed, and repeats a read during which the process stood still.

Measured: both cases of the new test fail before.

--- a/src/tamarackrill/decisions/claim_messages.py
+++ b/src/tamarackrill/decisions/claim_messages.py
@@ -30,9 +30,10 @@
 
 
 class ReadFailed(NamedTuple):
-    """The platform did not respond to a read."""
+    """The platform did not respond to a read; `stood_still` if the process did."""
 
     bucket: str
+    stood_still: bool = False
 
 
 class BucketWritten(NamedTuple):
--- a/src/tamarackrill/decisions/claims.py
+++ b/src/tamarackrill/decisions/claims.py
@@ -141,7 +141,7 @@
     if isinstance(message, BucketRead):
         return _handle_read(claims, bucket, message, now_s)
     if isinstance(message, ReadFailed):
-        return _handle_read_failure(claims, bucket, now_s)
+        return _handle_read_failure(claims, bucket, message, now_s)
     if isinstance(message, BucketWritten):
         return _handle_written(claims, bucket, message, now_s)
     if isinstance(message, WriteConflicted):
@@ -300,7 +300,12 @@
     return _request_read(bucket)
 
 
-def _handle_read_failure(claims: Claims, bucket: Bucket, now_s: float) -> list[Action]:
+def _handle_read_failure(
+    claims: Claims, bucket: Bucket, message: ReadFailed, now_s: float
+) -> list[Action]:
+    if message.stood_still:
+        # The call timed out while its answer waited: the platform may be available.
+        return _request_read(bucket)
     claims.outage_until_s = now_s + OUTAGE_BACKOFF_S
     bucket.version = None
     bucket.entries = {}
--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -201,6 +201,7 @@
             self.platform,
             lambda: [member.name for member in self.members.list_live()],
         )
+        self.claimer.notice_standstill = self.catch_up.is_current
         self.call_runner = CallRunner(
             self._endpoint_client,
             self.chats,
--- a/src/tamarackrill/router/claiming.py
+++ b/src/tamarackrill/router/claiming.py
@@ -87,6 +87,11 @@
         Returns the names of the routers believed to be live.
     wall_clock : callable
         Returns the wall-clock time, since VMs compare the expiry of claims.
+
+    Attributes
+    ----------
+    notice_standstill : callable
+        Calls `observe_standstill` if the process has just stood still.
     """
 
     def __init__(
@@ -103,6 +108,8 @@
         self._pending: dict[int, asyncio.Future[Granted | Held | Refused]] = {}
         self._last_request = 0
         self._grants: dict[str, Granted] = {}
+        self.notice_standstill: Callable[[], object] = lambda: None
+        self._standstills = 0
         self._timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -178,6 +185,7 @@
 
     def observe_standstill(self, standstill: Standstill) -> None:
         """Let claims under way wait on: the platform's answers waited as well."""
+        self._standstills += 1
         self._step(StoodStill(standstill.gap_s))
 
     async def stop(self) -> None:
@@ -230,11 +238,14 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _read(self, action: ReadBucket) -> None:
+        standstills = self._standstills
         try:
             found = await self._platform.get(CLAIM_KIND, action.bucket)
             version, entries = _decode_bucket(found)
         except PlatformUnavailable:
-            self._step(ReadFailed(action.bucket))
+            self.notice_standstill()
+            stood_still = self._standstills > standstills
+            self._step(ReadFailed(action.bucket, stood_still))
             return
         except Exception as error:
             # Without an outcome no later claim of the bucket would be made.
@@ -272,7 +283,12 @@
         if due_s is not None:
             wait_s = min(TIMER_MAX_S, max(0.0, due_s - now_s))
             loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(wait_s, self._step, TimePassed())
+            self._timer = loop.call_later(wait_s, self._handle_timer)
+
+    def _handle_timer(self) -> None:
+        # This timer may be due before the one that notices standstills.
+        self.notice_standstill()
+        self._step(TimePassed())
 
 
 def _decode_bucket(found: PlatformObject | None) -> tuple[int, Entries]:
--- a/tests/test_native_errors.py
+++ b/tests/test_native_errors.py
@@ -9,9 +9,10 @@
 
 from tamarackrill.contracts import hash_key
 from tamarackrill.decisions.claims import Claims
-from tamarackrill.exceptions import Refusal
+from tamarackrill.exceptions import PlatformUnavailable, Refusal
 from tamarackrill.router import attempts, callers, flow
 from tamarackrill.router.app import RouterApplication
+from tamarackrill.router.catching_up import CatchUp
 from tamarackrill.router.claiming import Claimer
 from tamarackrill.settings import load_settings
 from tamarackrill.store_api import WriteResult
@@ -27,6 +28,9 @@
 }
 
 
+STANDSTILL_S = 0.7
+
+
 class UnexpectedError(Exception):
     """Not a subclass of anything that is caught by name."""
 
@@ -77,6 +81,40 @@
     assert asyncio.run(run()) == ["granted"] * 2
 
 
+class StoppedPlatform(FaultyPlatform):
+    """Platform during whose first answer the router's process stands still."""
+
+    async def get(self, kind, name):
+        if not self._faulty:
+            return
+        answer, self._faulty = self._faulty, ""
+        time.sleep(STANDSTILL_S)
+        if answer == "timed out":
+            raise PlatformUnavailable("the process saw the timeout first")
+        await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize("answer", ["timed out", "late"])
+def test_claim_waits_for_an_answer_that_a_standstill_has_delayed(answer, monkeypatch):
+    # Guards against a router that stood still and refuses bookings, the one whose claim
+    # was under way and those of the next second, as if the platform were down.
+    monkeypatch.setattr("tamarackrill.decisions.claims.CLAIM_WAIT_MAX_S", 0.2)
+
+    async def run():
+        claimer = Claimer(Claims("a", "1"), StoppedPlatform(answer), list)
+        catch_up = CatchUp(lambda: asyncio.sleep(0, True), time.monotonic)
+        catch_up.on_standstill = claimer.observe_standstill
+        claimer.notice_standstill = catch_up.is_current
+        booking = make_call()._replace(idempotent=False, key="k", request_id="1")
+        try:
+            await claimer.claim(booking, time.monotonic())
+        finally:
+            await claimer.stop()
+            await catch_up.stop()
+
+    asyncio.run(run())
+
+
 # What a call may get that fails at an unknown step, besides "not_run" if it has arrived
 # nowhere.
 TRUE_ANSWERS = {"unknown", "200"}
