Take fencing numbers above the version of the lease

A router that started beside a lease which can't be read, or after the lease was deleted, did not know the newest fencing number and began again at 1: engines that check the number would refuse its orders until the numbers had caught up.

Each change of the number takes a write, and each write raises the version of the object. So no earlier number is above the version, and a new holder takes one above both the version and the newest number that it knows. The version of a new object isn't known before it is written: its holder writes again, with another number, before it orders.

--- a/src/tamarackrill/decisions/leases.py
+++ b/src/tamarackrill/decisions/leases.py
@@ -12,6 +12,11 @@
 Some engines reject an order with an outdated fencing number; others ignore the number.
 For the latter, the holder checks its lease right before each order (`may_order`), and a
 candidate waits for the lease plus the longest order delivery (`LeaseTiming`).
+
+A new holder's fencing number is above the newest one that it knows and above the
+version of the object.  Each change of the number takes a write, and each write raises
+the version, so that no earlier number is above it, also if the record can't be read or
+was deleted.
 """
 
 from typing import Any, NamedTuple
@@ -93,6 +98,7 @@
         self._valid_until_s = float("-inf")
         self._is_known = False
         self._last_poll_s = float("-inf")
+        self._newest_fence = 0
 
     @property
     def holder(self) -> str:
@@ -126,7 +132,11 @@
             return self._renew(now_s)
         if self._record is not None and now_s < self._takeover_from_s():
             return self._poll(now_s)
-        return WriteLease(LeaseRecord(self._identity, self.fence + 1, 0), self._version)
+        return WriteLease(self._make_first_record(), self._version)
+
+    def _make_first_record(self) -> LeaseRecord:
+        fence = max(self._newest_fence, self._version or 0) + 1
+        return LeaseRecord(self._identity, fence, 0)
 
     def _poll(self, now_s: float) -> Action | None:
         # A candidate that did not poll would miss the holder's renewals, wait for the
@@ -144,7 +154,7 @@
         if now_s >= self._valid_until_s:
             # The lease expired. A successor may already hold it or may be writing now;
             # only a conditional write with a new fencing number is safe.
-            record = LeaseRecord(self._identity, self.fence + 1, 0)
+            record = self._make_first_record()
         else:
             record = self._record._replace(renewal=self._record.renewal + 1)
         return WriteLease(record, self._version)
@@ -179,6 +189,9 @@
         # The lease starts before the write was sent: the platform may have applied it
         # immediately, and a candidate may have seen it then.
         self._valid_until_s = sent_s + self._timing.lease_s
+        if action.expected_version is None:
+            # The version was not known; the next write takes a number above it.
+            self._valid_until_s = float("-inf")
 
     def handle_lost_write(self) -> None:
         """Process a write that got no response: the next read shows its outcome."""
@@ -189,6 +202,8 @@
     ) -> None:
         if version != self._version or self._record is None:
             self._first_seen_s = now_s
+        if record is not None:
+            self._newest_fence = max(self._newest_fence, record.fence)
         self._record = record
         self._version = version
 
--- a/src/tamarackrill/router/orders.py
+++ b/src/tamarackrill/router/orders.py
@@ -190,7 +190,7 @@
                 message=str(error),
             )
             # Somebody may hold it, so that it is taken over only once it has expired.
-            return LeaseRecord("", self._lease.fence, 0)
+            return LeaseRecord("", 0, 0)
 
     async def _send_order(self, order: LoadOrder, engine: Endpoint) -> None:
         now_s = self._clock()
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -4,6 +4,7 @@
 
 from tamarackrill.decisions.leases import (
     Lease,
+    LeaseRecord,
     LeaseTiming,
     ReadLease,
     WriteLease,
@@ -19,14 +20,26 @@
         self.version = None
         self.record = None
         self.delayed = []
+        # As on the platform, a version is never used again.
+        self._writes = 0
 
     def write(self, action):
         if action.expected_version != self.version:
             return None
-        self.version = (self.version or 0) + 1
+        self._writes += 1
+        self.version = self._writes
         self.record = action.record
         return self.version
 
+    def write_odd(self):
+        """Replace the record by one that can't be read."""
+        self._writes += 1
+        self.version, self.record = self._writes, LeaseRecord("", 0, 0)
+
+    def delete(self):
+        self._writes += 1
+        self.version = self.record = None
+
 
 def _step(lease, platform, rng, now_s):
     action = lease.next_action(now_s)
@@ -113,10 +126,35 @@
     assert sum(late for late, _ in results) > 0
 
 
+@pytest.mark.parametrize("interfere", [_Platform.write_odd, _Platform.delete])
+def test_fencing_numbers_rise_though_another_program_writes_the_lease(interfere):
+    # Guards against a router that starts beside a lease that can't be read, or after it
+    # was deleted, and whose orders are refused by engines for their old number.
+    for seed in range(SEEDS):
+        rng = random.Random(seed)
+        platform, leases, fences = _Platform(), [], []
+        now_s = 0.0
+        for _ in range(STEPS):
+            now_s += rng.choice([0.5, 1.0, 3.0])
+            if rng.random() < 0.05:
+                interfere(platform)
+            if not leases or rng.random() < 0.02:
+                # All routers start again.
+                leases = [_make_lease(f"r{len(fences)}-{now_s}-{i}") for i in range(2)]
+            lease = rng.choice(leases)
+            _step(lease, platform, rng, now_s)
+            if lease.may_order(now_s) and (lease.fence, lease) not in fences:
+                fences.append((lease.fence, lease))
+        numbers = [fence for fence, _ in fences]
+        assert numbers == sorted(set(numbers))
+        assert len(numbers) > 1
+
+
 def test_restarted_router_is_a_different_holder():
     platform = _Platform()
     first, second = _make_lease("r/1"), _make_lease("r/2")
-    for now_s in (0.0, 0.1):
+    for now_s in (0.0, 0.1, 0.2):
         _step(first, platform, random.Random(1), now_s)
-    second.handle_read(platform.record, platform.version, 0.2)
-    assert not second.may_order(0.2)
+    assert first.may_order(0.3)
+    second.handle_read(platform.record, platform.version, 0.3)
+    assert not second.may_order(0.3)
--- a/tests/test_odd_values.py
+++ b/tests/test_odd_values.py
@@ -345,7 +345,8 @@
         flags += [f"--platform={address}", "--peer-keys=the peer key"]
         client = CurlAsyncHTTPClient(force_instance=True)
         store = PlatformClient(address, "z", client)
-        await store.put(LEASE_KIND, LEASE_NAME, {"holder": ["odd"], "fence": "7"}, None)
+        odd = {"holder": ["odd"], "fence": "7"}
+        written = await store.put(LEASE_KIND, LEASE_NAME, odd, None)
         router = RouterApplication(load_settings(flags, {}))
         router.known.take(ObjectVersion("contract", "t", 1, CONTRACT))
         await router.start()
@@ -353,6 +354,8 @@
         async with asyncio.timeout(30.0):
             while not controller._lease.may_order(controller._clock()):
                 await asyncio.sleep(0.05)
+        # No fencing number of an earlier holder can be above it.
+        assert controller._lease.fence > written.version
         await router.stop()
         client.close()
         platform.stop()
