Refuse a request as not run if its progress can't be set up

An undeclared error before the first step of a matched request was told as 502, though nothing had been sent: a request that may run once was not tried again by its client.

tests/test_unexpected_errors.py: step "begin" answered 502 before (seen in an injection over 814 functions), and 503 with Retry-After now.

--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -126,7 +126,9 @@
         tornado.iostream.StreamClosedError
             If the client has disconnected.
         """
-        progress = RequestProgress(call, reply)
+        progress = await self._begin(call, reply)
+        if progress is None:
+            return
         try:
             with convert_stray_cancellation():
                 self._find_share(call.service).note_request(self._clock())
@@ -140,6 +142,15 @@
             self._record_unexpected(progress, error)
             await self._answer_unexpected(progress)
 
+    async def _begin(self, call: EdgeCall, reply: EdgeReply) -> RequestProgress | None:
+        """Return the progress of a request, None if it is refused."""
+        with tolerate(self._metrics, "begin", call.request_id):
+            return RequestProgress(call, reply)
+        after_s = self._clock() - call.arrived_s
+        status = choose_status(has_sent=False, is_late=False)
+        await send_refusal(call, reply, status, "internal", RETRY_AFTER_S, 0, after_s)
+        return None
+
     def _record_unexpected(self, progress: RequestProgress, error: Exception) -> None:
         """Record an undeclared error of a step that concerns no single attempt."""
         name = progress.last_endpoint
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -71,6 +71,7 @@
 BEFORE_PLACING = {
     "parse request": (edge_server, "parse_request_headers"),
     "match": (edge_server.EdgeServer, "match"),
+    "begin": (edge_flow, "RequestProgress"),
     "place": (EdgeReserver, "place"),
     "choose": (EdgePlacer, "choose"),
 }
