Read the manifest from another router if the store's can't be read

A router that started while config/main held what can't be read (nested too deep, a number too large) had no manifest, and refused all requests until the operator wrote the next one, though other routers served by the one before. Seen with router processes beside such objects.

A router without a manifest whose store has an unreadable one asks others, as after a restore; those that keep an older one tell so.

tests/test_lost_manifests.py: 4 of 4 plays failed before (not ready within 20 s), and pass.

--- a/src/tamarackrill/decisions/lost_manifests.py
+++ b/src/tamarackrill/decisions/lost_manifests.py
@@ -4,6 +4,9 @@
 keep the manifest in force that the copy lacks, until the operator has written it again.
 One that starts reads the copy's, and would serve by routes and keys of before.
 
+The store's manifest may also be one that can't be read, as another program has written
+it.  Routers that ran keep the one before; one that starts has none.
+
 In the same era the store's own manifest counts, unless the other router knows that it
 is older than the one in force: otherwise each start would read a large manifest twice.
 """
@@ -21,7 +24,7 @@
     era : int, default=0
         Era of the store there.
     is_lost : bool, default=False
-        Whether the store of that era has an older one.
+        Whether the store of that era has an older one, or one that can't be read.
     """
 
     version: int = 0
@@ -43,7 +46,7 @@
         """Forget a router that has not sent its manifest."""
         self._told.pop(address, None)
 
-    def choose(self, version: int, era: int) -> str | None:
+    def choose(self, version: int, era: int, is_unreadable: bool = False) -> str | None:
         """Return the address of the router to read from.
 
         Parameters
@@ -52,17 +55,20 @@
             Version of the manifest in force here; 0 if there is none yet.
         era : int
             Era of the store here.
+        is_unreadable : bool, default=False
+            Whether the store's manifest can't be read.
 
         Returns
         -------
         str or None
             None if no router has a newer manifest that the store has lost.
         """
-        if not version:
+        if not version and not is_unreadable:
             return None
+        has_none = not version
         newer = {
             address: told.version
             for address, told in self._told.items()
-            if told.version > version and (told.is_lost or told.era < era)
+            if told.version > version and (has_none or told.is_lost or told.era < era)
         }
         return max(newer, key=lambda address: newer[address], default=None)
--- a/src/tamarackrill/router/deployment_view.py
+++ b/src/tamarackrill/router/deployment_view.py
@@ -176,6 +176,12 @@
             )
             if item.kind == self._readers.endpoint_kind:
                 self._drop(item.name)
+            elif self._is_manifest(item):
+                self._is_manifest_lost = True
+
+    def _is_manifest(self, item: ObjectVersion) -> bool:
+        names = (self._readers.manifest_kind, self._readers.manifest_name)
+        return (item.kind, item.name) == names
 
     def _take(self, item: ObjectVersion, now_s: float) -> None:
         readers = self._readers
--- a/src/tamarackrill/router/manifest_recovery.py
+++ b/src/tamarackrill/router/manifest_recovery.py
@@ -1,4 +1,4 @@
-"""Reads the manifest in force from another router if the store has lost it."""
+"""Reads the manifest in force from another router if the store's can't be used."""
 
 import asyncio
 import json
@@ -80,7 +80,8 @@
 
     def _choose(self) -> str | None:
         own = self._view.tell_manifest()
-        return self._lost.choose(own.version, own.era)
+        is_unreadable = not own.version and own.is_lost
+        return self._lost.choose(own.version, own.era, is_unreadable)
 
     async def _recover(self) -> None:
         while (address := self._choose()) is not None:
--- a/src/tamarackrill/testing/object_store.py
+++ b/src/tamarackrill/testing/object_store.py
@@ -53,7 +53,7 @@
     removal_revision : RemovalRevision
         Revision in the events of removals.
     substitutes : dict of str to bytes
-        Strings, and the bytes that lists and watches have in place of their JSON.
+        Strings, and the bytes that answers to reads have in place of their JSON.
     writes_lost : int
         Number of next writes that take effect and whose connection is closed without
         an answer.
@@ -125,6 +125,14 @@
             self.set_status(self.store.status)
             self.finish({"error": "unavailable"})
 
+    def finish_json(self, body: dict[str, Any]) -> None:
+        """Answer with a body, in which substitutes replace their strings."""
+        text = json.dumps(body).encode()
+        for written, substitute in self.store.substitutes.items():
+            text = text.replace(json.dumps(written).encode(), substitute)
+        self.set_header("Content-Type", "application/json")
+        self.finish(text)
+
     def find(self, kind: str, name: str) -> StoredObject | None:
         """Return an object, or None if there is none."""
         found = self.store.state.read(kind, name)
@@ -151,7 +159,7 @@
         if found is None:
             self._finish_missing()
             return
-        self.finish(_write_object(found))
+        self.finish_json(_write_object(found))
 
     async def put(self, kind: str, name: str) -> None:
         body = json.loads(self.request.body)
@@ -256,8 +264,4 @@
         if self.store.body_delay_s:
             await self.flush()
             await asyncio.sleep(self.store.body_delay_s)
-        text = json.dumps(body).encode()
-        for written, substitute in self.store.substitutes.items():
-            text = text.replace(json.dumps(written).encode(), substitute)
-        self.set_header("Content-Type", "application/json")
-        self.finish(text)
+        self.finish_json(body)
--- a/tests/test_lost_manifests.py
+++ b/tests/test_lost_manifests.py
@@ -27,8 +27,19 @@
         (ToldManifest(20, 2, True), (20, 2), False),
         (ToldManifest(20, 1), (0, 0), False),
         (ToldManifest(), (1, 2), False),
+        (ToldManifest(20, 1), (0, 1, True), True),
+        (ToldManifest(), (0, 1, True), False),
+    ],
+    ids=[
+        "change",
+        "teller is late",
+        "lost",
+        "same",
+        "nothing read yet",
+        "old release",
+        "unreadable",
+        "unreadable there too",
     ],
-    ids=["change", "teller is late", "lost", "same", "nothing read yet", "old release"],
 )
 def test_manifest_is_read_from_another_router_only_if_the_store_has_lost_it(
     told, own, is_read
@@ -127,3 +138,36 @@
     await fleet.wait(
         lambda: all(r.view.tell_manifest().version == version for r in fleet.routers)
     )
+
+
+@pytest.mark.parametrize("text", [b"[" * 400_000 + b"]" * 400_000, b"7" * 100_000])
+@pytest.mark.parametrize("is_first", [False, True])
+def test_router_that_starts_beside_an_unreadable_manifest_serves(is_first, text):
+    # Guards against a router that refuses all requests until the operator writes the
+    # next manifest, though others serve by the one before.
+    async def run():
+        async with EdgeFleet() as fleet:
+            await fleet.put_manifest(1, LOOKUP)
+            await fleet.add_worker("w")
+            running = await fleet.add_router("running")
+            fleet.store.substitutes["odd"] = text
+            odd = {**make_manifest(2, LOOKUP), "routes": "odd"}
+            if is_first:
+                # The one that starts asks before the other has read the manifest.
+                later = fleet.make_router("later")
+                await fleet.store.write("config", "main", odd)
+                await later.start()
+            else:
+                await fleet.store.write("config", "main", odd)
+                await fleet.wait(lambda: running.view.tell_manifest().is_lost)
+                later = fleet.make_router("later")
+                await later.start()
+            await fleet.wait(later.is_ready)
+            for router in (running, later):
+                assert (await ask(router, "/lookup/a")).status == 200
+            await fleet.put_manifest(3, LOOKUP, NEW)
+            for router in (running, later):
+                await fleet.wait(lambda r=router: r.view.tell_manifest().version == 3)
+                assert (await ask(router, "/new/a")).status == 200
+
+    asyncio.run(run())
