End each reading of a peer's changes, however it ends

A reading that raised before its first step stayed listed as under way, so that the router read no change from other routers any more; its error was logged nowhere.

--- a/src/tamarackrill/router/configuring.py
+++ b/src/tamarackrill/router/configuring.py
@@ -28,7 +28,7 @@
     log_event,
 )
 from tamarackrill.exceptions import PlatformUnavailable
-from tamarackrill.router.background import run_restarting
+from tamarackrill.router.background import log_task_failure, run_restarting
 from tamarackrill.router.peer_api import PeerUnavailable
 from tamarackrill.router.platform_client import AnswerTooLong, PlatformClient, WatchLost
 from tamarackrill.store_api import Listing
@@ -322,17 +322,19 @@
         if kind in self._pulls or kind in self._first_byte_s:
             return
         task = asyncio.create_task(self._pull_unless_read(peer_state, kind))
+        task.add_done_callback(functools.partial(self._end_pull, kind))
         self._pulls[kind] = task
 
+    def _end_pull(self, kind: str, task: asyncio.Task[None]) -> None:
+        del self._pulls[kind]
+        log_task_failure(task)
+
     async def _pull_unless_read(self, peer_state: PeerStateReceived, kind: str) -> None:
-        try:
-            if self._awaits_first_answer(kind):
-                await asyncio.sleep(FIRST_PULL_DELAY_S)
-                if kind in self._first_byte_s or self._store.get_complete(kind):
-                    return
-            await self._pull_or_request_read(peer_state, kind)
-        finally:
-            del self._pulls[kind]
+        if self._awaits_first_answer(kind):
+            await asyncio.sleep(FIRST_PULL_DELAY_S)
+            if kind in self._first_byte_s or self._store.get_complete(kind):
+                return
+        await self._pull_or_request_read(peer_state, kind)
 
     async def _pull_or_request_read(
         self, peer_state: PeerStateReceived, kind: str
--- a/src/tamarackrill/testing/injection.py
+++ b/src/tamarackrill/testing/injection.py
@@ -1,6 +1,7 @@
 """Raises errors in chosen calls of functions, for tests of what nobody expects."""
 
 import contextlib
+import inspect
 from collections.abc import Iterator
 from typing import Any
 from unittest import mock
@@ -10,7 +11,7 @@
 def raising(
     owner: Any, name: str, error: BaseException, skipped: int = 0, calls_max: int = 1
 ) -> Iterator[None]:
-    """Let calls of a function raise an error.
+    """Let calls of a function, or the coroutines that it returns, raise an error.
 
     Parameters
     ----------
@@ -33,13 +34,21 @@
     original = getattr(owner, name)
     calls = 0
 
-    def act(*args: Any, **kwargs: Any) -> Any:
+    def count() -> None:
         nonlocal calls
         calls += 1
         if skipped < calls <= skipped + calls_max:
             raise error
+
+    def act(*args: Any, **kwargs: Any) -> Any:
+        count()
         return original(*args, **kwargs)
 
-    with mock.patch.object(owner, name, act):
+    async def act_later(*args: Any, **kwargs: Any) -> Any:
+        count()
+        return await original(*args, **kwargs)
+
+    is_coroutine = inspect.iscoroutinefunction(original)
+    with mock.patch.object(owner, name, act_later if is_coroutine else act):
         yield
     assert calls > skipped, f"{name} was not called"
