Answer a request whose task fails before it has a reply

The reply to a request is made before the boundary for undeclared errors: if that raised, the task ended and the client waited until its deadline; another router that had asked for an attempt did the same, and told its client that the request may have run.

The end of the task is observed: it refuses the request as not run if no reply was made, and closes the connection else.

--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -30,6 +30,7 @@
     build_error_headers,
     parse_request_headers,
 )
+from tamarackrill.router.background import log_task_failure
 from tamarackrill.router.deployment_view import DeploymentView
 from tamarackrill.router.draining_server import DrainingServer
 from tamarackrill.router.edge_calls import (
@@ -41,7 +42,7 @@
 )
 from tamarackrill.router.edge_flow import EdgeFlow
 from tamarackrill.router.edge_reply import ClientTooSlow, EdgeReply, MakeReply
-from tamarackrill.router.guarded_requests import OwnAnswer, RequestGuard
+from tamarackrill.router.guarded_requests import OwnAnswer, RequestGuard, send_answer
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.standstill import wait_never
 from tamarackrill.router.unexpected_errors import (
@@ -263,6 +264,7 @@
         self._is_discarded = False
         self._task: asyncio.Task[None] | None = None
         self._call: EdgeCall | None = None
+        self._reply: EdgeReply | None = None
         self._arrived_s = 0.0
 
     def headers_received(
@@ -297,7 +299,18 @@
         self._connection.set_close_callback(self.on_connection_close)
         self._task = asyncio.create_task(self._serve())
         self._server.in_flight.add(self._task)
-        self._task.add_done_callback(self._server.in_flight.discard)
+        self._task.add_done_callback(self._end)
+
+    def _end(self, task: asyncio.Task[None]) -> None:
+        self._server.in_flight.discard(task)
+        if not log_task_failure(task):
+            return
+        # Otherwise the client would wait for an answer until its deadline.
+        if self._reply is not None:
+            self._connection.close()
+            return
+        answer = _refuse_unread(self._headers)
+        send_answer(self._connection, answer, self._start_line.method)
 
     def on_connection_close(self) -> None:
         """Cancel the request of a client that has disconnected."""
@@ -322,6 +335,7 @@
         takes_chunks = self._start_line.version != "HTTP/1.0"
         # Used unless the reply that buffers can be made.
         reply = EdgeReply(self._connection, must_close, takes_chunks)
+        self._reply = reply
         try:
             with convert_stray_cancellation():
                 reply = server.make_reply(self._connection, must_close, takes_chunks)
--- a/src/tamarackrill/router/guarded_requests.py
+++ b/src/tamarackrill/router/guarded_requests.py
@@ -147,9 +147,13 @@
 
     def _refuse(self) -> None:
         answer = self._guard.make_refusal(self._headers)
-        headers = HTTPHeaders(answer.headers)
-        headers["Content-Length"] = str(len(answer.body))
-        line = ResponseStartLine("HTTP/1.1", answer.status, answer.reason)
-        body = None if self._method == "HEAD" else answer.body
-        self._connection.write_headers(line, headers, body)
-        self._connection.finish()
+        send_answer(self._connection, answer, self._method)
+
+
+def send_answer(connection: HTTP1Connection, answer: OwnAnswer, method: str) -> None:
+    """Answer a request of a method that nothing else answers."""
+    headers = HTTPHeaders(answer.headers)
+    headers["Content-Length"] = str(len(answer.body))
+    line = ResponseStartLine("HTTP/1.1", answer.status, answer.reason)
+    connection.write_headers(line, headers, None if method == "HEAD" else answer.body)
+    connection.finish()
--- a/src/tamarackrill/router/relay_server.py
+++ b/src/tamarackrill/router/relay_server.py
@@ -24,12 +24,13 @@
     read_request_id,
     shorten_deadline,
 )
+from tamarackrill.router.background import log_task_failure
 from tamarackrill.router.channels import Channel, ChannelError, ResponseHead
 from tamarackrill.router.deployment_view import DeploymentView
 from tamarackrill.router.edge_attempts import EdgeAttempts
 from tamarackrill.router.edge_placing import EdgePlacer
 from tamarackrill.router.edge_reply import EdgeReply
-from tamarackrill.router.guarded_requests import OwnAnswer, RequestGuard
+from tamarackrill.router.guarded_requests import OwnAnswer, RequestGuard, send_answer
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.paths import CONNECT_TIMEOUT_S
 from tamarackrill.router.relay_messages import (
@@ -272,6 +273,7 @@
         self._connection = connection
         self._chunks: list[bytes] = []
         self._task: asyncio.Task[None] | None = None
+        self._reply: EdgeReply | None = None
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -293,7 +295,17 @@
         self._connection.set_close_callback(self.on_connection_close)
         self._task = asyncio.create_task(self._serve())
         self._server.in_flight.add(self._task)
-        self._task.add_done_callback(self._server.in_flight.discard)
+        self._task.add_done_callback(self._end)
+
+    def _end(self, task: asyncio.Task[None]) -> None:
+        self._server.in_flight.discard(task)
+        if not log_task_failure(task):
+            return
+        if self._reply is not None:
+            self._connection.close()
+            return
+        answer = _refuse_unread(self._headers)
+        send_answer(self._connection, answer, self._start_line.method)
 
     def on_connection_close(self) -> None:
         """Cancel the attempt of a router that has disconnected."""
@@ -302,7 +314,8 @@
 
     async def _serve(self) -> None:
         server, line = self._server, self._start_line
-        reply = EdgeReply(self._connection, must_close=server.is_leaving)
+        self._reply = EdgeReply(self._connection, must_close=server.is_leaving)
+        reply = self._reply
         pairs = list(self._headers.get_all())
         body = b"".join(self._chunks)
         try:
--- a/tests/test_reading_errors.py
+++ b/tests/test_reading_errors.py
@@ -21,6 +21,8 @@
     "head": (edge_server._Request, "headers_received"),
     "body": (edge_server._Request, "data_received"),
     "finish": (edge_server._Request, "finish"),
+    "serve": (edge_server._Request, "_serve"),
+    "reply": (edge_server, "EdgeReply"),
     "idle timeout": (IdleTimeout, "cancel"),
 }
 NATIVE = {
@@ -34,6 +36,7 @@
     "head": (relay_server._RelayedRequest, "headers_received"),
     "body": (relay_server._RelayedRequest, "data_received"),
     "finish": (relay_server._RelayedRequest, "finish"),
+    "reply": (relay_server, "EdgeReply"),
 }
 
 
