Wait for the archive if a stream may be known to its archiver alone

Cause: a router that couldn't ask those who know a stream read the archive once a second at most, and refused at once (83 ms) what wasn't in its last read, though archivers write every 0.3 s and the request had its whole time. In a zone that doesn't reach the stream's zone, nearly all streams were refused.

Change: if a possible keeper is silent, a zone is lost, or a router ended within a stream's lifetime, the request waits for a read that is sent a write interval after its arrival, 1.5 s and half of its time at most. If all reply, it is refused at once as before. Reads are as frequent as before, once a second at most, but the interval is doubled only after the second one that found nothing new. Waits for a read go on while the own loop is late.

--- a/src/tamarackrill/decisions/stream_archive.py
+++ b/src/tamarackrill/decisions/stream_archive.py
@@ -18,7 +18,7 @@
 import sys
 from array import array
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping
 from typing import Any, NamedTuple
 
 from tamarackrill.decisions import hashing
@@ -37,6 +37,13 @@
 # More are begun only while the store is away, and then the oldest are dropped.
 STREAMS_MAX = 8192
 _STREAM_BYTES = 8
+# An archiver's write, and its datagram before that; the store takes 4 ms, 250 ms when
+# it is slow.
+WRITE_MAX_S = 0.1
+# How long a request waits for a record that may be on its way to the archive, and the
+# share of its time that it has left for the stream.
+ARCHIVE_WAIT_MAX_S = 1.5
+STREAM_SHARE = 0.5
 
 
 def count_archivers(routers: int) -> int:
@@ -71,6 +78,70 @@
     return max(WRITE_INTERVAL_MIN_S, archivers / FLEET_WRITES_PER_S)
 
 
+class ArchiveWait(NamedTuple):
+    """Wait of a request whose stream no router knows.
+
+    Parameters
+    ----------
+    sent_s : float
+        A read that is sent from then on has all streams that began before the request.
+    until_s : float
+        When the request is refused.
+    """
+
+    sent_s: float
+    until_s: float
+
+
+def find_archive_wait(
+    silent: Collection[str],
+    lost_s: Mapping[str, float],
+    lost_zones: Collection[str],
+    routers: Iterable[Router],
+    lifetime_s: float,
+    arrived_s: float,
+    deadline_s: float,
+) -> ArchiveWait | None:
+    """Return how long a stream that no router knows may still be archived.
+
+    A router that isn't reached, or has ended, may have told nobody but its archiver.
+    If there is none, the stream is unknown to all, and there is nothing to wait for.
+
+    Parameters
+    ----------
+    silent : collection of str
+        Possible keepers that have not replied.
+    lost_s : mapping of str to float
+        Routers that have ended or were taken for dead, and when.
+    lost_zones : collection of str
+        Zones all of whose routers have; more probably they aren't reached.
+    routers : iterable of Router
+        Live routers.
+    lifetime_s : float
+        For how long a client may come back to a stream.
+    arrived_s : float
+        When the stream was taken up.
+    deadline_s : float
+        Deadline of the request.
+
+    Returns
+    -------
+    ArchiveWait or None
+        None if the stream can't be archived any more, or only too late.
+    """
+    may_be_unknown = (
+        silent
+        or lost_zones
+        or any(arrived_s - since_s < lifetime_s for since_s in lost_s.values())
+    )
+    sent_s = arrived_s + find_write_interval_s(routers) + WRITE_MAX_S
+    until_s = min(
+        arrived_s + ARCHIVE_WAIT_MAX_S,
+        arrived_s + (1.0 - STREAM_SHARE) * (deadline_s - arrived_s),
+    )
+    return ArchiveWait(sent_s, until_s) if may_be_unknown and sent_s < until_s else None
+
+
 def format_streams(records: Iterable[StreamRecord]) -> dict[str, Any]:
     """Return records as the JSON value of an object."""
     streams: dict[str, bytearray] = defaultdict(bytearray)
--- a/src/tamarackrill/router/version_keepers.py
+++ b/src/tamarackrill/router/version_keepers.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from tamarackrill.decisions.manifests import Route, RouteTable
-from tamarackrill.decisions.stream_archive import choose_archiver
+from tamarackrill.decisions.stream_archive import choose_archiver, find_archive_wait
 from tamarackrill.decisions.stream_versions import (
     KEEPERS,
     LIFETIME_DEFAULT_S,
@@ -146,6 +146,8 @@
         self.store = make_store(self.versions, self._own)
         self._routers: tuple[Router, ...] = ()
         self._incarnations: dict[str, int] = {}
+        # When routers ended or were taken for dead.
+        self._lost_s: dict[str, float] = {}
         # Routers that know a stream of this one, with their incarnations.
         self._told: dict[int, dict[str, int]] = {}
         self._addresses: dict[str, str] = {}
@@ -207,6 +209,13 @@
         incarnations = {member.name: member.incarnation for member in live}
         if routers == self._routers and incarnations == self._incarnations:
             return
+        now_s = self._clock()
+        oldest_s = now_s - self.versions.lifetime_s
+        self._lost_s = {n: s for n, s in self._lost_s.items() if s > oldest_s} | {
+            name: now_s
+            for name, started in self._incarnations.items()
+            if incarnations.get(name) != started
+        }
         self._routers, self._incarnations = routers, incarnations
         self.store.update_routers(routers)
         own = self.versions.list_own()
@@ -280,6 +289,7 @@
 
     async def _find(self, call: EdgeCall) -> _FoundVersion:
         """Return the version of a stream, and who knows it."""
+        arrived_s = self._clock()
         stream = identify_stream(call.headers.resumed_id)
         if self.versions.find(stream) is not None:
             return self._conclude(stream, call.service, {})
@@ -298,7 +308,10 @@
         found = self._conclude(stream, service, replies, store)
         if found.software_version is not None or store == "unreachable":
             return found
-        version, source = await self._find_archived(stream)
+        if stream != NO_STREAM:
+            await self._read_archive(stream, replies, arrived_s, call.deadline_s)
+        version = self.versions.find(stream)
+        source = "unknown" if version is None else "archive"
         return found._replace(software_version=version, source=source)
 
     def _collect(
@@ -355,13 +368,36 @@
             known_s < self._find_resumed_s(),
         )
 
-    async def _find_archived(self, stream: int) -> tuple[str | None, str]:
-        """Return the version of a stream that no router knows, and its source."""
-        if stream == NO_STREAM:
-            return None, "unknown"
+    async def _read_archive(
+        self,
+        stream: int,
+        replied: Collection[str],
+        arrived_s: float,
+        deadline_s: float,
+    ) -> None:
+        """Read the archived streams until one that no router knows may be among them.
+
+        Parameters
+        ----------
+        stream : int
+            The stream.
+        replied : collection of str
+            Routers that don't know it.
+        arrived_s, deadline_s : float
+            Arrival and deadline of the request.
+        """
         await self.store.read_streams()
-        version = self.versions.find(stream)
-        return version, "unknown" if version is None else "archive"
+        wait = find_archive_wait(
+            self._find_silent(stream, replied),
+            self._lost_s,
+            self._seen_zones.difference(router.zone for router in self._routers),
+            self._routers,
+            self.versions.lifetime_s,
+            arrived_s,
+            deadline_s,
+        )
+        if wait is not None and self.versions.find(stream) is None:
+            await self.store.read_streams_later(wait)
 
     def _find_silent(self, stream: int, replied: Collection[str]) -> list[str]:
         asked = choose_asked(stream, self._routers, self._own)
--- a/src/tamarackrill/router/version_store.py
+++ b/src/tamarackrill/router/version_store.py
@@ -1,12 +1,15 @@
 """Keeps the versions of services and of streams in the platform's store."""
 
 import asyncio
+import contextlib
+import math
 from collections.abc import Callable, Iterable
 from typing import Any
 
 from tamarackrill.decisions.stream_archive import (
     ArchiveBuffer,
     ArchivedStreams,
+    ArchiveWait,
     Batch,
     find_write_interval_s,
     format_streams,
@@ -33,6 +36,7 @@
     log_event,
 )
 from tamarackrill.exceptions import PlatformUnavailable
+from tamarackrill.router import lateness
 from tamarackrill.router.background import run_restarting
 from tamarackrill.router.platform_client import PlatformClient
 from tamarackrill.store_api import PlatformObject
@@ -53,7 +57,7 @@
 # How long a request waits for streams that are being read.
 READ_WAIT_S = 0.3
 # Between two reads of the streams: what no router knows and is not in the store may be
-# written in the meantime.  Doubled after each read that found nothing new.
+# written in the meantime.  Doubled after each read but one that found nothing new.
 READ_INTERVAL_S = 1.0
 READ_INTERVAL_MAX_S = 8.0
 # Interval between two looks for objects of archivers that have ended, in lifetimes of
@@ -120,7 +124,9 @@
         self._segment_versions: dict[int, int] = {}
         self._reading: asyncio.Task[None] | None = None
         self._next_read_s = 0.0
-        self._read_interval_s = READ_INTERVAL_S
+        # When the last read of the streams was sent.
+        self._read_s = -math.inf
+        self._read_interval_s = READ_INTERVAL_S / 2
         self._archived_count = 0
         # Objects with streams at the last clean-up.
         self._left: dict[str, int] = {}
@@ -186,11 +192,36 @@
             if self._clock() < self._next_read_s:
                 return
             self._reading = asyncio.create_task(self._read_streams())
-        # Others wait for the same task, so that it must not be cancelled here.
-        await asyncio.wait([self._reading], timeout=READ_WAIT_S)
+        await self._wait_read(self._reading, READ_WAIT_S)
+
+    async def read_streams_later(self, wait: ArchiveWait) -> None:
+        """Read the archived streams once more, as soon as and while that may help."""
+        while True:
+            if self._reading is None or self._reading.done():
+                if self._read_s >= wait.sent_s:
+                    return
+                due_s = max(wait.sent_s, self._next_read_s)
+                if due_s >= wait.until_s:
+                    return
+                await asyncio.sleep(due_s - self._clock())
+                if self._reading is None or self._reading.done():
+                    self._reading = asyncio.create_task(self._read_streams())
+            left_s = wait.until_s - self._clock()
+            if left_s <= 0:
+                return
+            await self._wait_read(self._reading, left_s)
+
+    @staticmethod
+    async def _wait_read(reading: asyncio.Task[None], timeout_s: float) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with lateness.timeout(timeout_s):
+                # Others wait for the same task, so that it must not be cancelled here.
+                await asyncio.wait([reading])
 
     async def _read_streams(self) -> None:
-        self._next_read_s = self._clock() + self._read_interval_s
+        self._read_s = self._clock()
+        interval_s = max(READ_INTERVAL_S, self._read_interval_s)
+        self._next_read_s = self._read_s + interval_s
         try:
             listing = await self._platform.list(STREAMS_KIND)
         except PlatformUnavailable:
@@ -210,11 +241,12 @@
         is_new = len(archived) != self._archived_count
         self._archived_count = len(archived)
         self._read_interval_s = (
-            READ_INTERVAL_S
+            READ_INTERVAL_S / 2
             if is_new
             else min(READ_INTERVAL_MAX_S, 2 * self._read_interval_s)
         )
-        self._next_read_s = self._clock() + self._read_interval_s
+        interval_s = max(READ_INTERVAL_S, self._read_interval_s)
+        self._next_read_s = self._clock() + interval_s
         log_event(
             STREAM_RECORDS_READ, streams=len(archived), objects=len(listing.items)
         )
--- a/tests/test_streams_across_a_cut.py
+++ b/tests/test_streams_across_a_cut.py
@@ -78,3 +78,24 @@
                 assert not joined, f"{joined} of {len(began_new)} joined, {went_on}"
 
     asyncio.run(run())
+
+
+def test_streams_go_on_at_a_zone_that_does_not_reach_theirs():
+    # Guards against refusals at once in a zone that can't ask the routers which know a
+    # stream, though these archive it within a moment and the store answers both zones.
+    async def run():
+        links = PeerLinks()
+        with links.intercept():
+            async with VersionedFleet() as fleet:
+                await fleet.start(timeout_ms=TIMEOUT_MS)
+                near, far = fleet.routers[:2], fleet.routers[2:]
+                links.groups = [
+                    [r.settings.peer_port for r in half] for half in (near, far)
+                ]
+                begun = await fleet.begin_all(STREAMS, *near)
+                joined, went_on = await take_up_all(fleet, far, begun)
+                links.restore()
+                assert not joined
+                assert went_on >= STREAMS / 2
+
+    asyncio.run(run())
--- a/tests/test_version_keepers.py
+++ b/tests/test_version_keepers.py
@@ -18,6 +18,7 @@
     ArchiveBuffer,
     ArchivedStreams,
     choose_archiver,
+    find_archive_wait,
     find_write_interval_s,
     format_streams,
 )
@@ -340,6 +341,31 @@
     assert len(kept) < 2.5 * LIFETIME_S / 0.5
 
 
+@pytest.mark.parametrize(
+    "silent, lost_s, lost_zones, deadline_s, expected",
+    [
+        # All have replied: it is refused at once.
+        ((), {}, (), 120.0, None),
+        ((), {"a": 100.0 - LIFETIME_S - 0.1}, (), 120.0, None),
+        ((), {"a": 99.0}, (), 120.0, (100.4, 101.5)),
+        ((), {}, ("zone-9",), 120.0, (100.4, 101.5)),
+        (("a",), {}, (), 120.0, (100.4, 101.5)),
+        (("a",), {}, (), 102.0, (100.4, 101.0)),
+        # No time would be left for the stream.
+        (("a",), {}, (), 100.6, None),
+    ],
+)
+def test_stream_that_a_lost_router_may_archive_is_waited_for(
+    silent, lost_s, lost_zones, deadline_s, expected
+):
+    # Guards against refusals of streams that the archive has a moment later, and
+    # against waits for streams that it can't have.
+    found = find_archive_wait(
+        silent, lost_s, lost_zones, make_routers(8, 4), LIFETIME_S, 100.0, deadline_s
+    )
+    assert found == (expected and pytest.approx(expected))
+
+
 class StoreModel:
     """Store with the record of one service, and the streams of archivers."""
 
@@ -446,8 +472,8 @@
             )
             self.state.observe_recorded(SERVICE, store.record.versions)
 
-    def use_store(self):
-        """Do what a router does with the store within a second."""
+    def use_records(self):
+        """Do what a router does with the store's records within a second."""
         fleet, store = self.fleet, self.fleet.store
         if self.era != store.era:
             self.read_record(is_news=True)
@@ -465,11 +491,6 @@
             )
             store.record = wanted or store.record
             self.read_record()
-        if self.buffer.has_unwritten:
-            batch = self.buffer.take(fleet.now_s)
-            name = self.own.name, self.session, batch.segment
-            store.streams[name] = batch.records
-            self.buffer.observe_written(batch, self.state.lifetime_s, fleet.now_s)
 
     def find(self, stream):
         fleet, state, now_s = self.fleet, self.state, self.fleet.now_s
@@ -503,13 +524,41 @@
                 store="confirmed" if is_read else "unreachable",
             )
         found = conclude(news)[0]
-        if found is not None:
+        if found is not None or not self.reaches_store():
             return found
-        if self.reaches_store():
-            records = [r for batch in fleet.store.streams.values() for r in batch]
-            state.take_archived(dict(r[:2] for r in records).get, now_s)
+        self.read_archive()
+        wait = find_archive_wait(
+            [name for name in asked if fleet.processes[name] not in others.values()],
+            {} if self.list_known() == fleet.routers else {"lost": now_s},
+            (),
+            self.list_known(),
+            state.lifetime_s,
+            now_s,
+            now_s + LIFETIME_S,
+        )
+        if state.find(stream) is None and wait is not None:
+            fleet.archive(wait.sent_s)
+            self.read_archive()
         return state.find(stream)
 
+    def misses_reply(self, stream):
+        """Return whether a router doesn't reply that may know a stream."""
+        asked = choose_asked(stream, self.list_known(), self.own)
+        processes = [self.fleet.processes[name] for name in asked]
+        return not all(self.reaches(p) and p.queue is None for p in processes)
+
+    def read_archive(self):
+        store = self.fleet.store
+        records = [r for batch in store.streams.values() for r in batch]
+        self.state.take_archived(dict(r[:2] for r in records).get, self.fleet.now_s)
+
+    def write_archive(self):
+        if self.buffer.has_unwritten:
+            batch = self.buffer.take(self.fleet.now_s)
+            name = self.own.name, self.session, batch.segment
+            self.fleet.store.streams[name] = batch.records
+            self.buffer.observe_written(batch, self.state.lifetime_s, self.fleet.now_s)
+
     def check_store(self):
         """Read what has changed."""
         fleet, name = self.fleet, self.own.name
@@ -545,6 +594,24 @@
     def list_up(self):
         return tuple(r for r in self.routers if r.name in self.processes)
 
+    def will_archive(self, stream):
+        """Return whether a running archiver has a stream still to write."""
+        return any(
+            any(
+                record.stream == stream
+                for record in process.buffer.take(self.now_s).records
+            )
+            for process in self.processes.values()
+            if process.queue is None and process.reaches_store()
+        )
+
+    def archive(self, until_s):
+        """Let the archivers that run write what they have."""
+        self.now_s = until_s
+        for process in self.processes.values():
+            if process.queue is None and process.reaches_store():
+                process.write_archive()
+
     def seen_by(self, process):
         name = process.own.name
         return self.outdated.get(name) or self.late.get(name) or self.serving
@@ -568,6 +635,9 @@
 
     @rule(data=st.data())
     def begin(self, data):
+        self.begin_stream(data)
+
+    def begin_stream(self, data):
         process = self.processes[data.draw(st.sampled_from(sorted(self.processes)))]
         if process.queue is not None:
             return
@@ -608,7 +678,8 @@
                     continue
                 process.state.expire(self.now_s)
                 if process.reaches_store() and seconds >= 0.5:
-                    process.use_store()
+                    process.use_records()
+                    process.write_archive()
 
     @rule(data=st.data())
     def restart_routers(self, data):
@@ -617,7 +688,15 @@
 
     @rule(versions=st.sampled_from([None, ["v1"], ["v2"], ["v2", "v3"]]))
     def restart_all_routers(self, versions):
-        """Kill all routers; endpoints may be replaced while these are down."""
+        """Kill all routers; endpoints may be replaced while these are down.
+
+        What a router finds as it starts is on record before all are killed again.
+        """
+        if not self.store.is_up:
+            versions = None
+        for process in self.processes.values():
+            if process.queue is None and process.reaches_store():
+                process.use_records()
         self.replace_routers(set(self.processes), versions or self.serving)
 
     def replace_routers(self, names, versions):
@@ -689,14 +768,30 @@
     @rule(data=st.data())
     def take_up(self, data):
         stream = data.draw(st.sampled_from(sorted(self.begun)))
-        version, begun_s = self.begun[stream]
-        if self.now_s - begun_s > LIFETIME_S:
-            return
         process = self.processes[data.draw(st.sampled_from(sorted(self.processes)))]
-        if process.queue is not None:
+        self.check(stream, process)
+
+    @precondition(lambda self: any(p.unreached for p in self.processes.values()))
+    @rule(data=st.data())
+    def take_up_unreached(self, data):
+        """Begin a stream beside another version, and take it up at a cut-off router."""
+        if self.store.is_up:
+            self.serving = ["v1", "v2"]
+            self.observe()
+        self.begin_stream(data)
+        cut = sorted(name for name, p in self.processes.items() if p.unreached)
+        process = self.processes[data.draw(st.sampled_from(cut))]
+        if self.begun:
+            self.check([*self.begun][-1], process)
+
+    def check(self, stream, process):
+        """Check what a router finds of a stream."""
+        version, begun_s = self.begun[stream]
+        if self.now_s - begun_s > LIFETIME_S or process.queue is not None:
             return
         batches = self.store.streams.values()
         is_archived = any(r.stream == stream for batch in batches for r in batch)
+        is_archived |= process.misses_reply(stream) and self.will_archive(stream)
         found = process.find(stream)
         assert found in (version, None)
         oldest_s = self.now_s - 3 * (LIFETIME_S + RETURN_SLACK_S)
