Don't count own lateness in calls to other routers and to the store

Cause: libcurl's timeout of 0.3 s for a question to another router counts the lateness of the asking process. Beside load, a cut-off router that was 0.23 s late took the router through which it reached its only endpoint for lost ("Operation timed out after 314 milliseconds") and refused the next requests as no_endpoint within a millisecond. A call to the store whose timer came due together with its answer ended as "the answer ended within its head", as tornado passes header lines on an iteration later.

Change: both timeouts are lateness.timeout; libcurl's own is 2 s longer for other routers.

--- a/src/tamarackrill/router/background.py
+++ b/src/tamarackrill/router/background.py
@@ -39,3 +39,9 @@
         return False
     log_event(TASK_FAILED, task=task.get_name(), error=repr(task.exception()))
     return True
+
+
+def discard_error(ended: asyncio.Future[Any]) -> None:
+    """Drop the error of a future that nobody waits for any more."""
+    if not ended.cancelled():
+        ended.exception()
--- a/src/tamarackrill/router/peer_api.py
+++ b/src/tamarackrill/router/peer_api.py
@@ -5,6 +5,7 @@
 the request's nonce, so that a replayed answer, or one to another request, is rejected.
 """
 
+import asyncio
 import hashlib
 import hmac
 import json
@@ -30,6 +31,8 @@
 )
 from tamarackrill.exceptions import TamarackrillError
 from tamarackrill.lenient_json import decode
+from tamarackrill.router import lateness
+from tamarackrill.router.background import discard_error
 from tamarackrill.store_api import make_object, read_each, read_revision
 
 CONFIGURATION_PATH = "/internal/v1/configuration"
@@ -39,6 +42,8 @@
 MANIFEST_PATH = "/internal/v1/manifest"
 PLACEMENTS_PATH = "/internal/v1/placements"
 PULL_TIMEOUT_S = 3.0
+# Lateness of this process that a call survives.
+LATENESS_MAX_S = 2.0
 # Compresses a manifest of 281 kB to a tenth within a few ms.
 COMPRESSION_LEVEL = 1
 # Enough for a few revisions of two kinds.
@@ -290,16 +295,23 @@
         NONCE_HEADER: nonce,
         PROOF_HEADER: sign(peer_keys[0], nonce, uri.encode()),
     }
+    # libcurl would count the lateness of this process.
+    client_timeout_s = timeout_s + LATENESS_MAX_S
     request = HTTPRequest(
         f"http://{address}{uri}",
         headers=headers,
-        request_timeout=timeout_s,
-        connect_timeout=timeout_s,
+        request_timeout=client_timeout_s,
+        connect_timeout=client_timeout_s,
     )
+    fetching = asyncio.ensure_future(client.fetch(request))
+    # After the timeout here the client ends the call at its own; its error would be
+    # logged as never retrieved.
+    fetching.add_done_callback(discard_error)
     try:
-        response = await client.fetch(request)
+        async with lateness.timeout(timeout_s):
+            response = await asyncio.shield(fetching)
     except (HTTPClientError, OSError) as error:
-        raise PeerUnavailable(str(error)) from error
+        raise PeerUnavailable(str(error) or "no answer in time") from error
     signature = response.headers.get(PROOF_HEADER, "")
     if not is_authentic(peer_keys, "answer " + nonce, response.body, signature):
         raise PeerUnavailable("the answer is not signed with a peer key")
--- a/src/tamarackrill/router/store_fetch.py
+++ b/src/tamarackrill/router/store_fetch.py
@@ -10,6 +10,8 @@
 import pycurl
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 
+from tamarackrill.router import lateness
+from tamarackrill.router.background import discard_error
 from tamarackrill.router.sockets import enable_keepalive
 
 
@@ -71,9 +73,9 @@
     fetching = asyncio.ensure_future(client.fetch(request, raise_error=False))
     # After a timeout here, or when the router stops, the client ends the call at its
     # own timeout; its error would be logged as never retrieved.
-    fetching.add_done_callback(_discard_error)
+    fetching.add_done_callback(discard_error)
     try:
-        async with asyncio.timeout(first_byte_s):
+        async with lateness.timeout(first_byte_s):
             await _wait_for_first_byte(fetching, first_byte)
     except TimeoutError:
         # A process that was not scheduled sees the timeout and the answer at once.  If
@@ -81,6 +83,8 @@
         # of no change.
         if not first_byte.is_set() and not fetching.done():
             raise
+        # tornado passes header lines on in the iteration after it has read them.
+        await asyncio.sleep(0)
     return await fetching
 
 
@@ -122,11 +126,6 @@
     return set_options
 
 
-def _discard_error(fetching: asyncio.Future[Any]) -> None:
-    if not fetching.cancelled():
-        fetching.exception()
-
-
 async def _wait_for_first_byte(
     fetching: asyncio.Future[Any], first_byte: asyncio.Event
 ) -> None:
--- a/tests/test_own_lateness.py
+++ b/tests/test_own_lateness.py
@@ -27,8 +27,10 @@
 from tamarackrill.router.edge_reserving import NEWS_WAITS_MAX
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.owners import Owners
+from tamarackrill.router.peer_api import PeerUnavailable, pull
 from tamarackrill.router.prompt_guard import SOUND_EVENTS_MIN
 from tamarackrill.router.relay_client import REPLY_WAIT_S
+from tamarackrill.router.upstream import close_client, make_client
 from tamarackrill.testing.edge import EdgeFleet, ask, make_route
 from tamarackrill.testing.worker import (
     make_answer,
@@ -36,6 +38,7 @@
     make_event,
     make_stream_head,
 )
+from test_platform_client import SlowStore
 
 TIMEOUT_S = 0.15
 KEYS = ("a key",)
@@ -148,6 +151,29 @@
     await asyncio.sleep(0.01)
 
 
+def test_answer_of_another_router_is_read_though_the_loop_is_late():
+    # Guards against a late router that takes those through which it reaches endpoints
+    # for lost, and refuses the next requests.
+    other = SlowStore()
+
+    async def run():
+        client = make_client()
+        asking = asyncio.create_task(pull(client, other.address, "/", KEYS, TIMEOUT_S))
+        while not other.has_asked.is_set():
+            await asyncio.sleep(0.001)
+        other.may_answer.set()
+        other.has_answered.wait()
+        time.sleep(2 * TIMEOUT_S)
+        with pytest.raises(PeerUnavailable, match="not signed"):
+            await asking
+        close_client(client)
+
+    try:
+        asyncio.run(run())
+    finally:
+        other.close()
+
+
 def test_reply_about_another_path_is_awaited_though_the_loop_is_late():
     # Guards against a late router, cut off from its endpoints, that refuses what
     # another router would forward.
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -60,10 +60,11 @@
     return PlatformClient(address, "z", client, STORE_FORM, StoreTiming(CALL_S, 1.0))
 
 
-def test_answer_that_arrives_while_the_event_loop_is_blocked_is_used():
+@pytest.mark.parametrize("blocked_before_s", [0.0, 2 * CALL_S])
+def test_answer_that_arrives_while_the_event_loop_is_blocked_is_used(blocked_before_s):
     # A busy router's event loop is blocked past the timeout of a call that the store
-    # answered long before.  If the call timed out, a busy router would repeat it again
-    # and again, and learn of no change.
+    # answered long before, or answers while it is blocked again.  If the call timed
+    # out, a busy router would repeat it again and again, and learn of no change.
     store = SlowStore()
 
     async def run():
@@ -72,6 +73,9 @@
         asking = asyncio.create_task(platform.get("config", "main"))
         while not store.has_asked.is_set():
             await asyncio.sleep(0.001)
+        if blocked_before_s:
+            time.sleep(blocked_before_s)
+            await asyncio.sleep(0)
         store.may_answer.set()
         store.has_answered.wait()
         time.sleep(2 * CALL_S)
