Go on with an answer that its client reads when a late router's deadline passes

Cause: the delivery of a buffered answer waits on while the loop is late, by 50 ms at a time. A body of 8 MB takes longer than that on loopback, so that its client was taken for slow and the answer was cut, 0.9 MB of 8 MB after a standstill of 1.2 s.

Change: once the loop was late, the delivery goes on as long as the client takes bytes, for half a second at most. A complete body is written in pieces of 64 KiB, without another copy, so that this can be seen.

--- a/src/tamarackrill/router/edge_reply.py
+++ b/src/tamarackrill/router/edge_reply.py
@@ -76,13 +76,18 @@
         tornado.iostream.StreamClosedError
             If the client has disconnected.
         """
-        await self._start(status, headers, body)
+        await self._start(status, headers, body, body)
         if body is not None:
             self.finish()
 
     def _start(
-        self, status: int, headers: Sequence[tuple[str, str]], body: bytes | None
+        self,
+        status: int,
+        headers: Sequence[tuple[str, str]],
+        body: bytes | None,
+        first: bytes | None,
     ) -> "Future[None]":
+        """Send the head, with the first piece of a body that is complete."""
         fields = HTTPHeaders()
         for name, value in headers:
             fields.add(name, value)
@@ -91,7 +96,7 @@
         if self._must_close:
             fields["Connection"] = "close"
         line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
-        sent = body if body and self.takes_body else None
+        sent = first if first and self.takes_body else None
         future = self._connection.write_headers(line, fields, sent)
         # Nothing is sent if the headers can't be.
         self.has_begun = True
--- a/src/tamarackrill/router/lateness.py
+++ b/src/tamarackrill/router/lateness.py
@@ -26,11 +26,20 @@
         When it is due, by the loop's clock.
     on_due : callable
         Called once.
+    has_progress : callable, optional
+        Returns whether what is waited for has gone on since the last call.  While it
+        does, the timer waits on once the loop was late.
     """
 
-    def __init__(self, due_s: float, on_due: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        due_s: float,
+        on_due: Callable[[], None],
+        has_progress: Callable[[], bool] = lambda: False,
+    ) -> None:
         self._loop = asyncio.get_running_loop()
         self._on_due = on_due
+        self._has_progress = has_progress
         self._catch_ups = 0
         self._start(due_s)
 
@@ -43,7 +52,9 @@
 
     def _fire(self, due_s: float) -> None:
         now_s = self._loop.time()
-        if now_s < due_s + LATE_S or self._catch_ups >= CATCH_UPS_MAX:
+        has_progress = self._has_progress()
+        goes_on = now_s >= due_s + LATE_S or (self._catch_ups > 0 and has_progress)
+        if not goes_on or self._catch_ups >= CATCH_UPS_MAX:
             self._on_due()
             return
         self._catch_ups += 1
@@ -62,9 +73,18 @@
 
 
 @contextlib.asynccontextmanager
-async def timeout_at(due_s: float) -> AsyncIterator[None]:
+async def timeout_at(
+    due_s: float, has_progress: Callable[[], bool] = lambda: False
+) -> AsyncIterator[None]:
     """Like ``asyncio.timeout_at``, but wait on while the loop is late.
 
+    Parameters
+    ----------
+    due_s : float
+        When it is due, by the loop's clock.
+    has_progress : callable, optional
+        As for `LateTimer`.
+
     Raises
     ------
     TimeoutError
@@ -72,7 +92,7 @@
     """
     async with asyncio.timeout(None) as scope:
         # A time that has passed lets it expire in the next iteration.
-        timer = LateTimer(due_s, lambda: scope.reschedule(due_s))
+        timer = LateTimer(due_s, lambda: scope.reschedule(due_s), has_progress)
         try:
             yield
         finally:
--- a/src/tamarackrill/router/slow_clients.py
+++ b/src/tamarackrill/router/slow_clients.py
@@ -170,6 +170,8 @@
         self._owner = owner
         self._stream = connection.stream
         self._staged = bytearray()
+        # Of a complete body, which isn't copied.
+        self._rest = memoryview(b"")
         self._is_writing = False
         self._has_left = False
         self.reserved_bytes = 0
@@ -201,14 +203,20 @@
             If the client has disconnected.
         """
         self.drop_reserved()
-        future = self._start(status, headers, body)
+        first = b"" if body is None else body[:WRITE_MAX_BYTES]
+        future = self._start(status, headers, body, first)
         if future.done():
             future.result()
-        size_bytes = len(body or b"")
-        self._hold(size_bytes)
-        self._watch(size_bytes)
+        self._hold(len(first))
+        self._watch(len(first))
         if body is None:
             return
+        size_bytes = len(body)
+        if self.takes_body:
+            # In pieces, so that `deliver` sees whether the client reads.
+            self._rest = memoryview(body)[WRITE_MAX_BYTES:]
+            self._hold(len(self._rest))
+            self._write_staged()
         buffers = self._owner.buffers
         if self._is_writing and buffers.must_cut_body(self.team, size_bytes):
             raise ClientTooSlow
@@ -250,7 +258,9 @@
         if not self.is_complete or self.is_over:
             return
         try:
-            async with lateness.timeout_at(deadline_s + RESPONSE_TRANSIT_S):
+            async with lateness.timeout_at(
+                deadline_s + RESPONSE_TRANSIT_S, self._watch_progress()
+            ):
                 await self._wait_written()
                 self._check_open()
                 self._connection.finish()
@@ -279,6 +289,7 @@
     def release(self) -> None:
         """Drop all that is held."""
         self._staged.clear()
+        self._rest = memoryview(b"")
         self.reserved_bytes = self._in_flight_bytes = 0
         self._release(self._held_bytes)
         self._owner.end_exemption(self)
@@ -320,6 +331,17 @@
             return None
         return limit
 
+    def _watch_progress(self) -> Callable[[], bool]:
+        """Return a function that tells whether more was written since its last call."""
+        held_bytes = self._held_bytes
+
+        def has_progress() -> bool:
+            nonlocal held_bytes
+            before_bytes, held_bytes = held_bytes, self._held_bytes
+            return held_bytes < before_bytes
+
+        return has_progress
+
     async def _wait_written(self) -> None:
         while self._is_writing:
             await self.wait_change()
@@ -359,9 +381,16 @@
             self.release()
         written_bytes, self._in_flight_bytes = self._in_flight_bytes, 0
         self._release(written_bytes)
-        while self._staged and not self._is_writing:
-            piece = bytes(self._staged[:WRITE_MAX_BYTES])
-            del self._staged[:WRITE_MAX_BYTES]
+        self._write_staged()
+        self.wake()
+
+    def _write_staged(self) -> None:
+        while (self._rest or self._staged) and not self._is_writing:
+            if self._rest:
+                piece = bytes(self._rest[:WRITE_MAX_BYTES])
+                self._rest = self._rest[WRITE_MAX_BYTES:]
+            else:
+                piece = bytes(self._staged[:WRITE_MAX_BYTES])
+                del self._staged[:WRITE_MAX_BYTES]
             self._connection.write(piece)
             self._watch(len(piece))
-        self.wake()
--- a/tests/test_own_lateness.py
+++ b/tests/test_own_lateness.py
@@ -42,7 +42,7 @@
 
 TIMEOUT_S = 0.15
 KEYS = ("a key",)
-LONG_BYTES = 640 * 1024
+MIB = 1024 * 1024
 FINGERPRINT = 17
 
 
@@ -106,6 +106,42 @@
     asyncio.run(run())
 
 
+class FakeLoop:
+    """Event loop with one timer, whose clock the test sets."""
+
+    def __init__(self):
+        self.now_s = 0.0
+
+    def time(self):
+        return self.now_s
+
+    def call_at(self, due_s, act, *arguments):
+        self.due = due_s, act, arguments
+
+    def run(self, late_s):
+        due_s, act, arguments = self.due
+        self.now_s = due_s + late_s
+        act(*arguments)
+
+
+@pytest.mark.parametrize(
+    ("late_s", "has_progress", "waits"),
+    [(0.0, True, 0), (0.2, False, 1), (0.2, True, lateness.CATCH_UPS_MAX)],
+)
+def test_timer_waits_for_progress_once_the_loop_was_late(late_s, has_progress, waits):
+    # Guards against a client that reads slowly and is served past its deadline for as
+    # long as it likes, and against one that is cut though it reads.
+    loop, fired_s = FakeLoop(), []
+    with mock.patch.object(asyncio, "get_running_loop", return_value=loop):
+        lateness.LateTimer(
+            1.0, lambda: fired_s.append(loop.now_s), lambda: has_progress
+        )
+    loop.run(late_s)
+    while not fired_s:
+        loop.run(0.0)
+    assert fired_s == [pytest.approx(1.0 + late_s + waits * lateness.CATCH_UP_S)]
+
+
 def test_owner_that_answers_while_the_loop_is_late_isnt_silent():
     # Guards against late routers that leave answered owners of brittle endpoints out.
     async def run():
@@ -270,11 +306,12 @@
     asyncio.run(run())
 
 
-def test_client_of_a_late_router_isnt_taken_for_slow():
+@pytest.mark.parametrize("size_bytes", [5 * MIB // 8, 8 * MIB])
+def test_client_of_a_late_router_isnt_taken_for_slow(size_bytes):
     # Guards against whole answers that are cut because a late router goes on after
     # their deadline, before their clients could read them.
     async def act(request, writer):
-        writer.write(make_answer(request, b"x" * LONG_BYTES))
+        writer.write(make_answer(request, b"x" * size_bytes))
         await writer.drain()
         await asyncio.sleep(0)
         time.sleep(1.2)
@@ -285,6 +322,6 @@
             await fleet.add_worker("w", act)
             router = await fleet.add_router(has_slow_peers=True)
             answer = await ask(router, "/lookup/a", X_Deadline_Ms="1000")
-            assert (answer.status, len(answer.body)) == (200, LONG_BYTES)
+            assert (answer.status, len(answer.body)) == (200, size_bytes)
 
     asyncio.run(run())
