--- a/tests/test_own_lateness.py
+++ b/tests/test_own_lateness.py
@@ -27,8 +27,10 @@
 from tamarackrill.router.edge_reserving import NEWS_WAITS_MAX
 from tamarackrill.router.members import Member, Members
 from tamarackrill.router.owners import Owners
+from tamarackrill.router.peer_api import PeerUnavailable, pull
 from tamarackrill.router.prompt_guard import SOUND_EVENTS_MIN
 from tamarackrill.router.relay_client import REPLY_WAIT_S
+from tamarackrill.router.upstream import close_client, make_client
 from tamarackrill.testing.edge import EdgeFleet, ask, make_route
 from tamarackrill.testing.worker import (
     make_answer,
@@ -36,10 +38,11 @@
     make_event,
     make_stream_head,
 )
+from test_platform_client import SlowStore
 
 TIMEOUT_S = 0.15
 KEYS = ("a key",)
-LONG_BYTES = 640 * 1024
+MIB = 1024 * 1024
 FINGERPRINT = 17
 
 
@@ -103,6 +106,42 @@
     asyncio.run(run())
 
 
+class FakeLoop:
+    """Event loop with one timer, whose clock the test sets."""
+
+    def __init__(self):
+        self.now_s = 0.0
+
+    def time(self):
+        return self.now_s
+
+    def call_at(self, due_s, act, *arguments):
+        self.due = due_s, act, arguments
+
+    def run(self, late_s):
+        due_s, act, arguments = self.due
+        self.now_s = due_s + late_s
+        act(*arguments)
+
+
+@pytest.mark.parametrize(
+    ("late_s", "has_progress", "waits"),
+    [(0.0, True, 0), (0.2, False, 1), (0.2, True, lateness.CATCH_UPS_MAX)],
+)
+def test_timer_waits_for_progress_once_the_loop_was_late(late_s, has_progress, waits):
+    # Guards against a client that reads slowly and is served past its deadline for as
+    # long as it likes, and against one that is cut though it reads.
+    loop, fired_s = FakeLoop(), []
+    with mock.patch.object(asyncio, "get_running_loop", return_value=loop):
+        lateness.LateTimer(
+            1.0, lambda: fired_s.append(loop.now_s), lambda: has_progress
+        )
+    loop.run(late_s)
+    while not fired_s:
+        loop.run(0.0)
+    assert fired_s == [pytest.approx(1.0 + late_s + waits * lateness.CATCH_UP_S)]
+
+
 def test_owner_that_answers_while_the_loop_is_late_isnt_silent():
     # Guards against late routers that leave answered owners of brittle endpoints out.
     async def run():
@@ -148,6 +187,29 @@
     await asyncio.sleep(0.01)
 
 
+def test_answer_of_another_router_is_read_though_the_loop_is_late():
+    # Guards against a late router that takes those through which it reaches endpoints
+    # for lost, and refuses the next requests.
+    other = SlowStore()
+
+    async def run():
+        client = make_client()
+        asking = asyncio.create_task(pull(client, other.address, "/", KEYS, TIMEOUT_S))
+        while not other.has_asked.is_set():
+            await asyncio.sleep(0.001)
+        other.may_answer.set()
+        other.has_answered.wait()
+        time.sleep(2 * TIMEOUT_S)
+        with pytest.raises(PeerUnavailable, match="not signed"):
+            await asking
+        close_client(client)
+
+    try:
+        asyncio.run(run())
+    finally:
+        other.close()
+
+
 def test_reply_about_another_path_is_awaited_though_the_loop_is_late():
     # Guards against a late router, cut off from its endpoints, that refuses what
     # another router would forward.
@@ -244,11 +306,12 @@
     asyncio.run(run())
 
 
-def test_client_of_a_late_router_isnt_taken_for_slow():
+@pytest.mark.parametrize("size_bytes", [5 * MIB // 8, 8 * MIB])
+def test_client_of_a_late_router_isnt_taken_for_slow(size_bytes):
     # Guards against whole answers that are cut because a late router goes on after
     # their deadline, before their clients could read them.
     async def act(request, writer):
-        writer.write(make_answer(request, b"x" * LONG_BYTES))
+        writer.write(make_answer(request, b"x" * size_bytes))
         await writer.drain()
         await asyncio.sleep(0)
         time.sleep(1.2)
@@ -259,6 +322,6 @@
             await fleet.add_worker("w", act)
             router = await fleet.add_router(has_slow_peers=True)
             answer = await ask(router, "/lookup/a", X_Deadline_Ms="1000")
-            assert (answer.status, len(answer.body)) == (200, LONG_BYTES)
+            assert (answer.status, len(answer.body)) == (200, size_bytes)
 
     asyncio.run(run())
