Two attempts of a request that are stopped for memory don't wake each other

Cause: attempts that wait for room in the same reply are listed once. One that was checked again took the reply off the list and woke the other one, which did the same: in vain, as long as memory was short. The router spun.

Change: the reply stays listed while any of its attempts waits.

--- a/src/tamarackrill/router/slow_clients.py
+++ b/src/tamarackrill/router/slow_clients.py
@@ -95,9 +95,9 @@
             await reply.wait_change()
         finally:
             reply.stopped_bodies.remove(body_bytes)
-            waiting.pop(reply, None)
             # Another attempt may wait for the same reply.
-            reply.wake()
+            if not reply.stopped_bodies:
+                waiting.pop(reply, None)
             if not waiting and self._stopped.get(reply.team) is waiting:
                 del self._stopped[reply.team]
 
--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import socket
+from types import SimpleNamespace
 
 import pytest
 
@@ -468,6 +469,38 @@
     asyncio.run(run())
 
 
+def test_two_attempts_that_are_stopped_do_not_wake_each_other():
+    # Guards against a router that spins while memory is short, as each attempt of a
+    # request that is checked again in vain wakes the other one.
+    async def run():
+        held = buffers.ClientBuffers(800_000)
+        clients = SlowClients(held, Metrics(), asyncio.get_running_loop().time)
+        clients.buffers.add("other", 200_000)
+        with socket.socket() as sock:
+            stream = SimpleNamespace(closed=lambda: False, socket=sock)
+            connection = SimpleNamespace(stream=stream)
+            exempt, reply = (clients.make_reply(connection, False) for _ in range(2))
+            assert clients.exempt_body(exempt, 1)
+            waits = []
+            wait_change = reply.wait_change
+
+            async def count_waits():
+                waits.append(reply)
+                await wait_change()
+
+            reply.wait_change = count_waits
+            async with asyncio.timeout(5.0), asyncio.TaskGroup() as group:
+                for _ in range(2):
+                    group.create_task(reply.reserve(40_000, 40_000))
+                await asyncio.sleep(0)
+                reply.wake()
+                await asyncio.sleep(0.05)
+                assert len(waits) == 4
+                clients.end_exemption(exempt)
+
+    asyncio.run(run())
+
+
 def test_bodies_that_together_exceed_the_bound_are_completed():
     # Guards against complete responses that wait for each other's memory until their
     # deadlines, each read in part, although their clients read at once.
