Take no other connection's end for that of the client

StreamClosedError in a step means that the client has left. Raised for another reason, it ended the request's task without an answer, and on the product's own interface the call was answered 200 with an empty body.

It means so only if the client's connection is closed.

tests/test_unexpected_errors.py and its native counterpart: 13 of 13 cases failed before (no answer within 3 s; 200), and pass.

--- a/src/tamarackrill/router/callers.py
+++ b/src/tamarackrill/router/callers.py
@@ -205,6 +205,9 @@
         except Refusal as refusal:
             self.send_refusal(refusal)
         except StreamClosedError:
+            connection = self.request.connection
+            if connection is not None and not connection.stream.closed():
+                raise
             self.on_connection_close()
 
     post = put = patch = delete = get
--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -136,9 +136,9 @@
         except ClientTooSlow:
             progress.history = add_attempt(progress.history, "lost")
             await self._send_final_answer(progress, "slow_client")
-        except StreamClosedError:
-            raise
         except Exception as error:
+            if isinstance(error, StreamClosedError) and reply.is_client_gone:
+                raise
             self._record_unexpected(progress, error)
             await self._answer_unexpected(progress)
 
--- a/src/tamarackrill/router/edge_reply.py
+++ b/src/tamarackrill/router/edge_reply.py
@@ -54,6 +54,11 @@
         self.team = ""
         self.takes_body = True
 
+    @property
+    def is_client_gone(self) -> bool:
+        """Whether the client has closed its connection."""
+        return self._connection.stream.closed()
+
     async def begin(
         self,
         status: int,
--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -342,9 +342,11 @@
                 reply.takes_body = self._start_line.method != "HEAD"
                 await self._match_and_serve(reply)
                 await reply.deliver(self._find_delivery_end_s())
-        except StreamClosedError:
-            # The client disconnected while its response was written.
-            self._record_left()
+        except StreamClosedError as error:
+            if reply.is_client_gone:
+                self._record_left()
+            else:
+                await self._answer_unexpected(reply, error)
         except ClientTooSlow:
             reply.abort()
         except Exception as error:  # noqa: BLE001
--- a/src/tamarackrill/router/relay_server.py
+++ b/src/tamarackrill/router/relay_server.py
@@ -328,8 +328,8 @@
             with convert_stray_cancellation():
                 await server.forward(attempt, reply, self._arrived_s)
         except StreamClosedError:
-            # The router disconnected, and its client with it.
-            return
+            if not reply.is_client_gone:
+                reply.abort()
         except Exception as error:  # noqa: BLE001
             # A bug here must not leave the other router waiting until its deadline.
             record_unexpected(server.metrics, "relay", error)
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -4,6 +4,7 @@
 
 import pytest
 from tornado.http1connection import HTTP1Connection
+from tornado.iostream import StreamClosedError
 
 from tamarackrill.decisions.event_stream import EventStream
 from tamarackrill.decisions.routing import LoadBalancer
@@ -318,3 +319,24 @@
             assert router.placer.health.find_excluded(["w0"], router.clock()) == set()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("kind", ROUTES)
+@pytest.mark.parametrize(
+    ("step", "status"),
+    [
+        (BEFORE_PLACING["match"], 503),
+        (BEFORE_PLACING["place"], 503),
+        (AFTER_SENDING["observe head"], 502),
+    ],
+)
+def test_error_of_another_connection_is_no_disconnect_of_the_client(step, status, kind):
+    # Guards against a client that waits until its deadline because a step raises what
+    # means that the client has left.
+    async def run():
+        async with EdgeFleet() as fleet:
+            router = await start_fleet(fleet, kind, None, {})
+            found = await ask_during(fleet, router, kind, step, StreamClosedError())
+            assert found[0].status == status
+
+    asyncio.run(run())
--- a/tests/test_unexpected_native_errors.py
+++ b/tests/test_unexpected_native_errors.py
@@ -6,6 +6,7 @@
 
 import pytest
 from tornado.httpclient import AsyncHTTPClient
+from tornado.iostream import StreamClosedError
 
 from tamarackrill.contracts import hash_key
 from tamarackrill.decisions.configuration import ObjectVersion
@@ -14,7 +15,7 @@
 from tamarackrill.router import attempts
 from tamarackrill.router.admitting import Admitter
 from tamarackrill.router.app import RouterApplication
-from tamarackrill.router.callers import _CallerOutlet
+from tamarackrill.router.callers import CallHandler, _CallerOutlet
 from tamarackrill.router.chats import ChatCoordinator
 from tamarackrill.router.limiting import Limiter
 from tamarackrill.router.placing import Placer
@@ -233,3 +234,16 @@
             assert not states[0].total
 
     asyncio.run(run())
+
+
+def test_error_of_another_connection_is_no_disconnect_of_the_caller():
+    # Guards against an empty answer of status 200 to a call that has not run.
+    async def run():
+        async with run_router() as (router, states):
+            step = (CallHandler, "_serve")
+            with raising(*step, StreamClosedError()):
+                answer = await ask(router, "idempotent", "a key")
+            assert answer.code in (500, 503)
+            assert not sum(state.total for state in states)
+
+    asyncio.run(run())
