End a buffered response at once if it can't be written on

Buffered responses to slow clients are written on by the callback of the write before. If that raised, nobody was woken: the client waited for the rest until its deadline.

The error is kept, and raised where the response is written or waited for.

--- a/src/tamarackrill/router/slow_clients.py
+++ b/src/tamarackrill/router/slow_clients.py
@@ -172,6 +172,8 @@
         self._staged = bytearray()
         self._is_writing = False
         self._has_left = False
+        # What a callback of a write has raised.
+        self._error: Exception | None = None
         self.reserved_bytes = 0
         # Bytes held in the write in flight, and all including those staged.
         self._in_flight_bytes = 0
@@ -323,11 +325,15 @@
     async def _wait_written(self) -> None:
         while self._is_writing:
             await self.wait_change()
+        if self._error is not None:
+            raise self._error
         # After its last write the stream may have been closed here.
         if self._has_left:
             raise StreamClosedError
 
     def _check_open(self) -> None:
+        if self._error is not None:
+            raise self._error
         if self._stream.closed():
             raise StreamClosedError
 
@@ -354,6 +360,14 @@
 
     def _end_write(self, future: "asyncio.Future[None]") -> None:
         self._is_writing = False
+        try:
+            self._write_staged(future)
+        except Exception as error:
+            # Raised where the response is written or waited for.
+            self._error = error
+        self.wake()
+
+    def _write_staged(self, future: "asyncio.Future[None]") -> None:
         self._has_left = future.exception() is not None
         if self._has_left:
             self.release()
@@ -364,4 +378,3 @@
             del self._staged[:WRITE_MAX_BYTES]
             self._connection.write(piece)
             self._watch(len(piece))
-        self.wake()
--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -6,6 +6,7 @@
 import socket
 
 import pytest
+from tornado.http1connection import HTTP1Connection
 
 from tamarackrill.decisions.capacity import buffers
 from tamarackrill.router import edge_server
@@ -559,3 +560,28 @@
         await worker.stop()
 
     asyncio.run(run())
+
+
+def test_response_ends_at_once_if_its_buffer_can_not_be_written(monkeypatch):
+    # Guards against a client that waits until its deadline for the rest of a response,
+    # because the callback that writes it has raised.
+    write = HTTP1Connection.write
+
+    def act(connection, chunk):
+        # Larger than one event: what was staged while the client read nothing.
+        if len(chunk) > 2 * EVENT_BYTES:
+            raise MemoryError
+        return write(connection, chunk)
+
+    async def run(fleet):
+        await fleet.add_worker("w", make_impatient(LONG_BYTES, patience_s=20.0))
+        router = await fleet.add_router(has_slow_peers=True)
+        client = await start_slow(fleet, router, "/stream/a")
+        await fleet.wait(lambda: find_held_bytes(router) > 4 * EVENT_BYTES)
+        monkeypatch.setattr(HTTP1Connection, "write", act)
+        async with asyncio.timeout(5.0):
+            answer = await client.read()
+        assert not answer.is_whole
+        await fleet.wait(lambda: not router.server.in_flight)
+
+    run_in_fleet(run)
