--- a/src/tamarackrill/testing/platform.py
+++ b/src/tamarackrill/testing/platform.py
@@ -77,6 +77,8 @@
         self.vms: list[dict[str, Any]] = []
         self.counts = {"read": 0, "write": 0, "watch": 0, "conflict": 0, "vms": 0}
         self.faults = Faults()
+        # Strings, and the bytes that answers have in place of their JSON.
+        self.substitutes: dict[str, bytes] = {}
         self.changed = asyncio.Condition()
 
     async def write(self, kind: str, name: str, value: Any) -> StoredObject:
@@ -131,7 +133,11 @@
 
     def send_json(self, body: Any, status: int = 200) -> None:
         self.set_status(status)
-        self.finish(body if isinstance(body, dict) else json.dumps(body))
+        text = json.dumps(body).encode()
+        for written, substitute in self.state.substitutes.items():
+            text = text.replace(json.dumps(written).encode(), substitute)
+        self.set_header("Content-Type", "application/json; charset=UTF-8")
+        self.finish(text)
 
 
 class _ObjectApiHandler(_Handler):
