Count routers that are taken for dead in the shares of the retry budget

Cause: a router that hadn't heard of another one for 30 s shared the fixed part of the budget among those that it still heard. If zones don't reach each other for longer, each spends the whole of it; a router that is cut off alone takes itself for the fleet.

The cost is the share of a router that failed for good and comes back under another name.

--- a/src/tamarackrill/decisions/membership.py
+++ b/src/tamarackrill/decisions/membership.py
@@ -185,6 +185,10 @@
         others = (r for r in self._view.records.values() if r.state not in GONE_STATES)
         return sorted([self.own, *others])
 
+    def count_dead(self) -> int:
+        """Return how many routers were taken for dead; none that said that it left."""
+        return sum(r.state == MemberState.DEAD for r in self._view.records.values())
+
     def update_vm_list(self, vms: Iterable[Vm]) -> None:
         """Update the platform's VM list, which lags.
 
--- a/src/tamarackrill/decisions/retry_shares.py
+++ b/src/tamarackrill/decisions/retry_shares.py
@@ -9,7 +9,8 @@
 equal share of the fixed number. This needs no coordination, so a partitioned zone can
 keep retrying within its share. The cost is that shares of routers that see no failures
 go unused. A safety factor covers routers that have not yet learned that others left or
-joined.
+joined. A router that doesn't hear of another one doesn't take over its share: that one
+may be cut off and serve on.
 """
 
 from collections import deque
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -680,7 +680,7 @@
                 # The balancer directs only new connections; a kept-alive one stays with
                 # this router until the router closes it.
                 self.server.sheds_connections = self.cut_off.is_cut_off
-            self._fleet_size.observe(len(self.members.list_live()), self.clock())
+            self._fleet_size.observe(self.members.count_serving(), self.clock())
             self.store_news.update_members()
             self.permits.update_members()
             self.keepers.update()
--- a/src/tamarackrill/router/gossip.py
+++ b/src/tamarackrill/router/gossip.py
@@ -135,6 +135,7 @@
         while True:
             self._update_payload()
             self._execute(self._membership.tick(self._clock(), self._random.randrange))
+            self._members.dead = self._membership.count_dead()
             self._log_dropped()
             await asyncio.sleep(TICK_S)
 
--- a/src/tamarackrill/router/members.py
+++ b/src/tamarackrill/router/members.py
@@ -25,12 +25,15 @@
 
     Attributes
     ----------
+    dead : int
+        How many other routers were taken for dead and haven't said that they left.
     on_replaced : list of callable
         Called after the other members have been replaced.
     """
 
     def __init__(self, own: Member) -> None:
         self.own = own
+        self.dead = 0
         self.on_replaced: list[Callable[[], None]] = []
         self._others: dict[str, Member] = {}
         # Cached: it is read for each datagram between routers and seldom changes.
@@ -54,6 +57,13 @@
             self._live = (self.own, sorted(live))
         return list(self._live[1])
 
+    def count_serving(self) -> int:
+        """Return how many routers may be serving, including those taken for dead.
+
+        One that isn't heard of may be cut off and serve on, or this one is cut off.
+        """
+        return len(self.list_all()) + self.dead
+
     def list_all(self) -> list[Member]:
         """Return all known routers, sorted by name."""
         return sorted([self.own, *self._others.values()])
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -95,6 +95,7 @@
     network.run(20)
     states = {change.record.state for change in network.changes}
     assert not states & {MemberState.SUSPECT, MemberState.DEAD}
+    assert not any(state.count_dead() for state in network.states.values())
 
 
 def test_frozen_router_rejoins_and_suspects_nobody(network):
@@ -143,6 +144,18 @@
     network.run_until(network.has_converged, TICKS_MAX)
 
 
+def test_routers_that_do_not_hear_each_other_leave_one_another_their_shares(network):
+    # The two sides of a partition have declared each other dead.  If each shared the
+    # retry budget among those that it hears, a service would get it twice.
+    network.cut_zones = {"zone-1"}
+    network.run(TICKS_MAX)
+    known = [
+        len(state.list_members()) + state.count_dead()
+        for state in network.states.values()
+    ]
+    assert known == [ROUTERS] * ROUTERS
+
+
 def test_router_of_the_same_name_replaces_its_predecessor(network):
     # A VM is replaced by one of the same name before its failure is detected.  Late
     # messages of the old process must not count as those of the new one.
--- a/tests/test_retry_shares.py
+++ b/tests/test_retry_shares.py
@@ -9,6 +9,7 @@
     FleetSize,
     RetryShare,
 )
+from tamarackrill.router.members import Member, Members
 
 TERMS = BudgetTerms(ratio=0.2, window_s=10.0, fixed=56.0)
 
@@ -69,3 +70,14 @@
     size.observe(2, 0.0)
     size.observe(9, 0.1)
     assert size.largest == 9
+
+
+def test_router_that_is_not_heard_of_keeps_its_share():
+    # Guards against a router that takes over the shares of those that it can't hear,
+    # though these serve on.
+    members = Members(Member("own", "", "a"))
+    members.replace([Member("near", "", "a"), Member("far", "", "b", "suspect")])
+    assert members.count_serving() == 3
+    members.replace([Member("near", "", "a")])
+    members.dead = 1
+    assert members.count_serving() == 3
