Wait for the end of an endpoint in steps of the event loop

Cause: after an unframed answer a router waits 10 ms to see whether its endpoint's process ends too. lateness.sleep counts lateness below 10 ms, which is all of this wait: with a loop that was 8 ms late, a partial stream was forwarded as complete.

Change: the wait has ten steps of 1 ms, each of which counts once however late the loop is, and ends early if the connection is closed. lateness.sleep isn't used any more.

--- a/src/tamarackrill/router/endpoint_checks.py
+++ b/src/tamarackrill/router/endpoint_checks.py
@@ -5,9 +5,13 @@
 from collections.abc import Callable, Collection
 
 from tamarackrill.contracts import Endpoint
-from tamarackrill.router import lateness
 from tamarackrill.router.channel_pool import ChannelPool
-from tamarackrill.router.channels import ChannelError, Connect, ResponseHead
+from tamarackrill.router.channels import (
+    Channel,
+    ChannelError,
+    Connect,
+    ResponseHead,
+)
 from tamarackrill.router.edge_placing import EdgePlacer
 from tamarackrill.router.paths import CONNECT_TIMEOUT_S, PathProber
 from tamarackrill.router.relay_client import RelayClient
@@ -17,6 +21,8 @@
 # A process that ends closes its connections one after the other, and may take another
 # one until it has closed its listening socket.
 ENDING_S = 0.01
+# It is waited for in so many steps: however late the loop is, it counts as one step.
+ENDING_STEPS = 10
 
 
 class EndpointChecks:
@@ -105,7 +111,7 @@
             self._paths.probe(endpoint)
             return
         try:
-            await lateness.sleep(ENDING_S)
+            await _wait_closed(channel)
         except asyncio.CancelledError:
             channel.close()
             raise
@@ -154,3 +160,11 @@
         if if_unknown or not others or any(replies):
             return True
         return bool(await self._paths.confirm_reached(others, is_fresh=True))
+
+
+async def _wait_closed(channel: Channel) -> None:
+    """Wait until a connection is closed, or would have been if its process ends."""
+    for _ in range(ENDING_STEPS):
+        if not channel.is_open:
+            return
+        await asyncio.sleep(ENDING_S / ENDING_STEPS)
--- a/src/tamarackrill/router/lateness.py
+++ b/src/tamarackrill/router/lateness.py
@@ -61,17 +61,6 @@
         self._start(now_s + CATCH_UP_S)
 
 
-async def sleep(duration_s: float) -> None:
-    """Like ``asyncio.sleep``, but wait on while the loop is late."""
-    loop = asyncio.get_running_loop()
-    is_over = asyncio.Event()
-    timer = LateTimer(loop.time() + duration_s, is_over.set)
-    try:
-        await is_over.wait()
-    finally:
-        timer.cancel()
-
-
 @contextlib.asynccontextmanager
 async def timeout_at(
     due_s: float, has_progress: Callable[[], bool] = lambda: False
--- a/tests/test_broken_off.py
+++ b/tests/test_broken_off.py
@@ -263,7 +263,8 @@
     run_in_fleet(act)
 
 
-def test_late_router_waits_for_an_endpoint_that_ends():
+@pytest.mark.parametrize("block_s", [0.008, 0.05])
+def test_late_router_waits_for_an_endpoint_that_ends(block_s):
     # Guards against a partial stream that is forwarded as complete, because a late
     # router counts its own lateness as time in which the process didn't end.
     async def act(fleet):
@@ -278,7 +279,7 @@
         async def end_at_the_second_connection():
             while worker.connections < 2:
                 await asyncio.sleep(0.0005)
-            time.sleep(0.05)
+            time.sleep(block_s)
             await asyncio.sleep(0.003)
             await worker.crash()
 
