Tell a starting router what was sound since the crashes it hears of

Cause: routers tell others, a starting one at once, the crashes that are held against some part, with all parts of the prompt, also those that sound answers have cleared since.

Change: newest sound answers of the teller, as few as clear the parts of these crashes, are told with them, and a receiver takes them first.

Measured: the new test fails before (a block of both shared parts).

--- a/src/tamarackrill/decisions/prompt_faults.py
+++ b/src/tamarackrill/decisions/prompt_faults.py
@@ -47,6 +47,8 @@
 # one prompt of ten is taken to have had a crash for another reason.
 PRIOR_CRASHED = 0.5
 PRIOR_SOUND = 4.5
+# Sound answers that are told with the crashes whose parts they clear.
+SOUND_TOLD_MAX = 16
 # Newest crashes, and newest sound answers, that are kept for that.
 REPORTS_KEPT = 512
 # Pause from a crash to the next trial of a part that is not blocked, and its factor
@@ -151,6 +153,22 @@
             and any((report.scope, part) in self._crashes for part in report.parts)
         ]
 
+    def list_sound(self, crashes: Sequence[CrashReport]) -> list[SoundReport]:
+        """Return this router's own sound answers that clear parts of some crashes.
+
+        Whoever is told of the crashes alone would hold them against parts that nearly
+        all prompts share.
+        """
+        since_s = min((crash.crashed_s for crash in crashes), default=math.inf)
+        left = {(crash.scope, part) for crash in crashes for part in crash.parts}
+        found = []
+        for answer in reversed(self._answers):
+            cleared = left.intersection((answer.scope, part) for part in answer.parts)
+            if cleared and answer.seen_s > since_s:
+                found.append(answer)
+                left -= cleared
+        return found[:SOUND_TOLD_MAX]
+
     def knows(self, report: CrashReport) -> bool:
         """Return whether a crash has been told before."""
         return (report.process, report.parts) in self._reports
--- a/src/tamarackrill/router/prompt_guard.py
+++ b/src/tamarackrill/router/prompt_guard.py
@@ -350,7 +350,9 @@
 
     def _list_known(self, now_s: float) -> tuple[Report, ...]:
         crashes = self.faults.list_crashes(now_s - EXCHANGE_CRASHES_AGE_S)
-        return (*self.faults.list_blocks(), *crashes[:EXCHANGE_CRASHES_MAX])
+        crashes = crashes[:EXCHANGE_CRASHES_MAX]
+        sound = self.faults.list_sound(crashes)
+        return (*self.faults.list_blocks(), *sound, *crashes)
 
     def _list_peers(self) -> list[Member]:
         own = self._members.own.name
@@ -410,7 +412,8 @@
             self._questions_left = 0
         if news.asks:
             self._send_reports(source, self._list_known(now_s), is_reply=True)
-        for report in news.reports:
+        # What has been cleared since isn't held against a part meanwhile.
+        for report in sorted(news.reports, key=_is_no_sound):
             self._observe(report, news.sender, now_s)
         return True
 
@@ -437,6 +440,10 @@
             self.faults.begin_trial(report)
 
 
+def _is_no_sound(report: Report) -> bool:
+    return not isinstance(report, SoundReport)
+
+
 def _strip_time(block: BlockReport) -> BlockReport:
     """Return a block without its time, which differs a little at each router."""
     return block._replace(blocked_s=0.0)
--- a/tests/test_prompt_faults.py
+++ b/tests/test_prompt_faults.py
@@ -24,6 +24,9 @@
     SoundReport,
     TrialReport,
 )
+from tamarackrill.router.members import Member, Members
+from tamarackrill.router.metrics import Metrics
+from tamarackrill.router.prompt_guard import PromptGuard
 from tamarackrill.testing.part_fleet import BAD, Load, PartFleet
 
 SCOPE, OTHER_SCOPE = 1, 2
@@ -208,6 +211,31 @@
     assert not faults.list_blocks()
 
 
+def test_router_that_starts_later_is_told_what_was_sound_since():
+    # Guards against a part that all prompts share, blocked at a router that has heard
+    # of all crashes, but of no answer between them.
+    sent = []
+
+    def make_guard(name):
+        own = Members(Member(name, name, "z", peer_address=name))
+        nothing = lambda *given: ()  # noqa: E731
+        send = lambda address, datagram: sent.append(datagram)  # noqa: E731
+        clock = lambda: CRASHES_BLOCKED + 2.0  # noqa: E731
+        return PromptGuard(nothing, nothing, own, send, ("key",), Metrics(), clock)
+
+    known, started = make_guard("known"), make_guard("started")
+    for number in range(1, CRASHES_BLOCKED + 2):
+        crash(known.faults, number, (SHARED, SESSION + number))
+        sound = SoundReport(SCOPE, (SHARED, 5), number + 0.5)
+        known.faults.observe_sound(sound, is_own=True)
+    started.ask(["known"])
+    known.handle_datagram(sent.pop(), "started")
+    while sent:
+        started.handle_datagram(sent.pop(0), "known")
+    assert not started.faults.list_blocks()
+    assert started.faults.count_crashes(SCOPE, SESSION + 1, CRASHES_BLOCKED) == 1
+
+
 def test_evidence_is_forgotten():
     faults = PromptFaults()
     for number in range(1, CRASHES_SUSPECTED + 1):
