--- a/src/tamarackrill/router/slow_clients.py
+++ b/src/tamarackrill/router/slow_clients.py
@@ -390,20 +390,19 @@
     def _end_write(self, future: "asyncio.Future[None]") -> None:
         self._is_writing = False
         try:
-            self._write_staged(future)
+            self._write_on(future)
         except Exception as error:
             # Raised where the response is written or waited for.
             self._error = error
         self.wake()
 
-    def _write_staged(self, future: "asyncio.Future[None]") -> None:
+    def _write_on(self, future: "asyncio.Future[None]") -> None:
         self._has_left = future.exception() is not None
         if self._has_left:
             self.release()
         written_bytes, self._in_flight_bytes = self._in_flight_bytes, 0
         self._release(written_bytes)
         self._write_staged()
-        self.wake()
 
     def _write_staged(self) -> None:
         while (self._rest or self._staged) and not self._is_writing:
