Release the ports of tests that have ended

Cause: a test process keeps a port bound for each port that it has handed out, until it exits, so that no other process gets the same one. The range has 10,000.

Change: each test releases the ports that were found for it.

Measured: the new test fails without the release.

--- a/src/tamarackrill/testing/ports.py
+++ b/src/tamarackrill/testing/ports.py
@@ -1,7 +1,9 @@
 """Loopback ports for processes that a test starts and restarts."""
 
+import contextlib
 import random
 import socket
+from collections.abc import Iterator
 
 # The kernel assigns outgoing connections local ports from 32768 on.  It could assign
 # the port of a router that is being restarted, whose listener then fails to bind, so
@@ -9,7 +11,8 @@
 FIRST_PORT = 12_000
 PORT_COUNT = 10_000
 # Test processes run concurrently.  A process that gets a port keeps the port at this
-# offset above it bound until it exits, so that no other process gets the same one.
+# offset above it bound until it exits or `release_ports` ends, so that no other process
+# gets the same one.
 GUARD_OFFSET = PORT_COUNT
 TRIES_MAX = 1_000
 
@@ -27,7 +30,8 @@
     Returns
     -------
     int
-        Free port; no other call in any process returns it while this process lives.
+        Free port; no other call in any process returns it while this process lives, or
+        until the innermost `release_ports` ends.
 
     Raises
     ------
@@ -42,6 +46,21 @@
     raise OSError(f"no free port found in {TRIES_MAX} tries")
 
 
+@contextlib.contextmanager
+def release_ports() -> Iterator[None]:
+    """Let other processes get the ports that are found within the context.
+
+    Eight processes that run all tests would otherwise hold most of the range.
+    """
+    before = len(_guard_sockets)
+    try:
+        yield
+    finally:
+        for guard_socket in _guard_sockets[before:]:
+            guard_socket.close()
+        del _guard_sockets[before:]
+
+
 def _reserve(port: int) -> bool:
     guard_socket = socket.socket()
     try:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,12 +3,20 @@
 import pytest
 from hypothesis import settings
 
+from tamarackrill.testing.ports import release_ports
+
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 settings.register_profile("fixed", derandomize=True, deadline=None, database=None)
 settings.load_profile("fixed")
 
 
+@pytest.fixture(autouse=True)
+def release_ports_of_test():
+    with release_ports():
+        yield
+
+
 def read_known_red():
     """Return the lines of KNOWN-RED.txt by the id of their test."""
     if not KNOWN_RED.exists():
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -4,7 +4,9 @@
 import sys
 from pathlib import Path
 
-from tamarackrill.testing.ports import find_free_port
+import pytest
+
+from tamarackrill.testing.ports import FIRST_PORT, find_free_port, release_ports
 
 LOCAL_PORTS = Path("/proc/sys/net/ipv4/ip_local_port_range")
 IN_ANOTHER_PROCESS = """
@@ -39,3 +41,20 @@
     with socket.socket() as taken:
         taken.bind(("127.0.0.1", port))
         assert find_free_port(chance) != port
+
+
+def test_ports_of_ended_tests_are_found_again():
+    # Guards against long test runs that use up all ports, at which those beside them
+    # fail.
+    with release_ports():
+        port = find_free_port()
+
+    class Always(random.Random):
+        def randrange(self, stop):
+            return port - FIRST_PORT
+
+    for _ in range(2):
+        with release_ports():
+            assert find_free_port(Always()) == port
+            with pytest.raises(OSError, match="no free port"):
+                find_free_port(Always())
