Soak of entries: unreadable manifests, odd heads, undeclared errors

To the faults come manifests that can't be read, until the next one is written, and requests with odd heads. At the end each router answers eight odd heads, and no router has logged an undeclared error, a restarted or a failed task: such lines failed no test so far.

--- a/soak/entries.py
+++ b/soak/entries.py
@@ -2,8 +2,12 @@
 
 ``python -m soak.entries --seed 1 --seeds 50`` runs seeds one after the other.  To the
 faults of ``soak.run`` come entries that are removed and written again at once, objects
-of other programs that can't be read, zones that are evacuated twice, and workers whose
-events have no end.  Seeds differ in the revision that the events of removals carry.
+of other programs that can't be read, also in place of the manifest, requests with odd
+heads, zones that are evacuated twice, and workers whose events have no end.  Seeds
+differ in the revision that the events of removals carry.
+
+No router may log an error that no step declares, and at the end each router answers
+each odd head.
 """
 
 import asyncio
@@ -17,13 +21,14 @@
 from soak.run import (
     EVENTS,
     PAUSE_MAX_S,
+    ROUTES,
     WORKER_ZONES,
     FaultInjector,
     Soak,
     Topology,
     report,
 )
-from tamarackrill.testing.edge import EdgeFleet
+from tamarackrill.testing.edge import HOST, KEY, EdgeFleet, make_manifest
 from tamarackrill.testing.object_store import RemovalRevision
 from tamarackrill.testing.worker import (
     WorkerRequest,
@@ -53,6 +58,22 @@
     b'"::1:80"',
     b'{"a": 1, "a": 2}',
 )
+# Events that show an error which no step of the code declares.
+UNDECLARED = ("unexpected_error", "task_restarted", "task_failed")
+# Fields of heads, and bodies, with the statuses that answer them.
+ODD_HEADS = (
+    (b"X-Note: \xff\xe9\r\nContent-Length: 0\r\n\r\n", (200,)),
+    (b"X-Prompt-Prefix: a:1e308,b:1e308,c:1\r\nContent-Length: 0\r\n\r\n", (200,)),
+    (b"X-Deadline-Ms: " + b"9" * 5000 + b"\r\nContent-Length: 0\r\n\r\n", (200,)),
+    (b"Content-Length: \xb2\r\n\r\n", (400,)),
+    (b"Content-Length: " + b"9" * 5000 + b"\r\n\r\n", (400,)),
+    (b"X-Note: a\r\n b\r\nContent-Length: 0\r\n\r\n", (400,)),
+    (b"X-Note: " + b"a" * 100_000 + b"\r\n\r\n", (431,)),
+    (b"Transfer-Encoding: chunked\r\n\r\n2;a=" + b"b" * 100 + b"\r\nhi", (400,)),
+)
+ODD_ID = "odd"
+ODD_TARGET = "/lookup/odd"
+HEAD_MAX_S = 5.0
 NAMES = ("import-%d", "import-\ud800%d", "import-\x02%d")
 KINDS = ("servers", "evacuations", "config", "stream-versions", "stream-records")
 PIECE = b"x" * 4096
@@ -71,6 +92,27 @@
         await asyncio.sleep(PIECE_INTERVAL_S)
 
 
+async def _ask_odd(address: str, rest: bytes, request_id: str) -> int:
+    """Return the status of the answer to an odd head; 0 if there is none."""
+    fields = {
+        "Host": HOST,
+        "X-Request-Attempt-Id": request_id,
+        "X-Api-Key": KEY,
+    }
+    lines = [f"POST {ODD_TARGET} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in fields.items()]
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(HEAD_MAX_S):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write("\r\n".join(lines).encode() + b"\r\n" + rest)
+            head = await reader.readuntil(b"\r\n\r\n")
+    except (OSError, TimeoutError, asyncio.IncompleteReadError):
+        return 0
+    writer.close()
+    return int(head.split(b" ")[1])
+
+
 class EntrySoak(Soak):
     """Soak test of one seed with faults of the store's objects."""
 
@@ -89,6 +131,8 @@
             self._replace_entry,
             self._replace_entry,
             self._write_unreadable,
+            self._write_unreadable_manifest,
+            self._send_odd_head,
             self._evacuate_twice,
             self._start_endless_events,
         )
@@ -118,6 +162,54 @@
             await asyncio.sleep(self._rng.random() * PAUSE_MAX_S)
             await fleet.store.write(kind, name, None)
 
+    async def _write_unreadable_manifest(self, fleet: EdgeFleet) -> None:
+        """Replace the manifest by one that can't be read, and write the next one."""
+        placeholder = f"bytes of manifest {self._version}"
+        fleet.store.substitutes[placeholder] = self._rng.choice(UNREADABLE)
+        self.faults.append("unreadable manifest")
+        odd = {**make_manifest(self._version), "routes": placeholder}
+        await fleet.store.write("config", "main", odd)
+        await asyncio.sleep(self._rng.random() * PAUSE_MAX_S)
+        self._version += 1
+        await fleet.put_manifest(self._version, *ROUTES)
+
+    async def _send_odd_head(self, fleet: EdgeFleet) -> None:
+        """Send a request with an odd head to a router, which may be about to end."""
+        router = self._rng.choice(self._routers)
+        rest, _ = self._rng.choice(ODD_HEADS)
+        self.faults.append(f"odd head to {router.name}")
+        await _ask_odd(router.addresses.callers, rest, ODD_ID)
+
+    def _find_violations(self, fleet: EdgeFleet) -> list[str]:
+        # Requests with odd heads come from no caller.
+        for worker in fleet.workers:
+            for requests in (worker.requests, worker.ran):
+                requests[:] = [
+                    r for r in requests if not r.request_id.startswith(ODD_ID)
+                ]
+        return super()._find_violations(fleet)
+
+    async def _find_unanswered_heads(self) -> list[str]:
+        """Return the odd heads that a router doesn't answer as it should."""
+        found = []
+        for router in self._routers:
+            for number, (rest, statuses) in enumerate(ODD_HEADS):
+                request_id = f"{ODD_ID}-{router.name}-{number}"
+                status = await _ask_odd(router.addresses.callers, rest, request_id)
+                # Endpoints may still be ejected, or evacuated.
+                if status not in (*statuses, 503):
+                    found.append(f"{router.name} answers {status} to {rest[:30]!r}")
+        return found
+
+    def _find_undeclared_errors(self) -> list[str]:
+        """Return the lines of logs that show an undeclared error."""
+        return [
+            f"{router.name}: {line[:300]}"
+            for router in self._routers
+            for line in router.log_path.read_text().splitlines()
+            if any(f'"{name}"' in line for name in UNDECLARED)
+        ]
+
     async def _evacuate_twice(self, fleet: EdgeFleet) -> None:
         """Evacuate a zone, take it back, and evacuate it again at once."""
         await self._evacuate_zone(fleet)
@@ -137,6 +229,8 @@
     ) -> list[str]:
         """Check that all workers are used, and that second evacuations hold."""
         unused = await self._find_unused_workers(fleet)
+        unused += await self._find_unanswered_heads()
+        unused += self._find_undeclared_errors()
         for zone in WORKER_ZONES:
             await fleet.evacuate(zone)
             await asyncio.sleep(self._rng.random())
