Answer requests though a reading callback raises CancelledError

The guard of the callbacks that read a request, and the end of its task, took a CancelledError that a callback raises for the end of their own task. It is handled like any other undeclared error now, unless the client has left.

--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -265,6 +265,8 @@
         self._task: asyncio.Task[None] | None = None
         self._call: EdgeCall | None = None
         self._reply: EdgeReply | None = None
+        # Whether the task was cancelled for the client's disconnect.
+        self._is_cancelled = False
         self._arrived_s = 0.0
 
     def headers_received(
@@ -303,7 +305,8 @@
 
     def _end(self, task: asyncio.Task[None]) -> None:
         self._server.in_flight.discard(task)
-        if not log_task_failure(task):
+        is_stray = task.cancelled() and not self._is_cancelled
+        if not log_task_failure(task) and not is_stray:
             return
         # Otherwise the client would wait for an answer until its deadline.
         if self._reply is not None:
@@ -316,6 +319,7 @@
         """Cancel the request of a client that has disconnected."""
         if self._task is None or self._task.done():
             return
+        self._is_cancelled = True
         self._task.cancel()
         self._record_left()
 
--- a/src/tamarackrill/router/guarded_requests.py
+++ b/src/tamarackrill/router/guarded_requests.py
@@ -86,7 +86,8 @@
         # None once one of its callbacks has raised.
         self._request: HTTPMessageDelegate | None = None
         try:
-            self._request = start()
+            with convert_stray_cancellation():
+                self._request = start()
         except Exception as error:
             self._give_up("start", error)
 
@@ -120,7 +121,8 @@
         if self._request is None:
             return None
         try:
-            waiting = act(self._request)
+            with convert_stray_cancellation():
+                waiting = act(self._request)
         except (HTTPInputError, StreamClosedError):
             raise
         except Exception as error:
--- a/tests/test_reading_errors.py
+++ b/tests/test_reading_errors.py
@@ -12,7 +12,13 @@
 from tamarackrill.testing.injection import raising
 from test_unexpected_native_errors import KEY, run_router
 
-ERRORS = (ValueError("odd"), MemoryError(), RecursionError("odd"), UnicodeError("odd"))
+ERRORS = (
+    ValueError("odd"),
+    MemoryError(),
+    RecursionError("odd"),
+    UnicodeError("odd"),
+    asyncio.CancelledError(),
+)
 ANSWER_MAX_S = 3.0
 BODY = b"a body"
 # Owner and name of each callback of a delegate, and of what it calls.
