Wait for no zone whose routers have left in order

With routers in zones a and b, those of b were stopped in order. Each stream that was taken up afterwards read the store (21 reads for 20 streams), and without the store all 20 were refused, until the last router of zone a restarts.

Cause: a zone in which any router was ever known was expected to reply for good, as a zone that doesn't reply may be cut off. Routers that leave say so; those that are cut off or have died don't.

Zones with routers that are present or were taken for dead are expected to reply. A zone that a router has found and that has left is not one that it may not have found yet.

--- a/src/tamarackrill/decisions/membership.py
+++ b/src/tamarackrill/decisions/membership.py
@@ -92,6 +92,12 @@
     before: MemberState | None
 
 
+class MemberForgotten(NamedTuple):
+    """A router that failed or left long ago is no longer remembered."""
+
+    name: str
+
+
 class PeerStateReceived(NamedTuple):
     """A peer's message reported its configuration and its piggybacked entries."""
 
@@ -113,7 +119,14 @@
     gap_s: float
 
 
-Action = Send | MemberChanged | PeerStateReceived | StaleMessageDropped | ProcessFroze
+Action = (
+    Send
+    | MemberChanged
+    | MemberForgotten
+    | PeerStateReceived
+    | StaleMessageDropped
+    | ProcessFroze
+)
 
 
 class _Ping(NamedTuple):
@@ -185,6 +198,11 @@
         others = (r for r in self._view.records.values() if r.state not in GONE_STATES)
         return sorted([self.own, *others])
 
+    def list_dead(self) -> list[MemberRecord]:
+        """Return the routers that were taken for dead, by name; not those that left."""
+        records = self._view.records.values()
+        return sorted(r for r in records if r.state == MemberState.DEAD)
+
     def update_vm_list(self, vms: Iterable[Vm]) -> None:
         """Update the platform's VM list, which lags.
 
@@ -216,7 +234,7 @@
             return actions
         actions += self._expire_pings(now_s)
         actions += self._expire_suspects(now_s)
-        self._purge_gone(now_s)
+        actions += self._purge_gone(now_s)
         for _ in range(self._count_pings()):
             actions += self._ping_random(now_s, pick)
         actions += self._ping_suspect(pick)
@@ -335,7 +353,8 @@
                 actions.append(MemberChanged(dead, record.state))
         return actions
 
-    def _purge_gone(self, now_s: float) -> None:
+    def _purge_gone(self, now_s: float) -> list[Action]:
+        actions: list[Action] = []
         for record in list(self._view.records.values()):
             old = now_s - self._view.changed_s[record.name] >= GONE_RETENTION_S
             if (
@@ -346,6 +365,8 @@
                 self._view.forget(record.name)
                 self._ever_listed.discard(record.name)
                 self._last_sequences.pop(record.name, None)
+                actions.append(MemberForgotten(record.name))
+        return actions
 
     def _ping_random(self, now_s: float, pick: RandomIndex) -> list[Action]:
         others = [r for r in self.list_members() if r != self.own]
--- a/src/tamarackrill/decisions/version_evidence.py
+++ b/src/tamarackrill/decisions/version_evidence.py
@@ -77,7 +77,7 @@
     routers : iterable of Router
         Live routers.
     zones : iterable of str
-        Zones of the deployment, and of all routers that were ever known.
+        Zones with routers that may run.
     """
     has_neighbours = any(
         router.zone == own.zone and router.name != own.name for router in routers
--- a/src/tamarackrill/router/gossip.py
+++ b/src/tamarackrill/router/gossip.py
@@ -13,6 +13,7 @@
     TICK_S,
     Action,
     MemberChanged,
+    MemberForgotten,
     Membership,
     PeerStateReceived,
     ProcessFroze,
@@ -162,7 +163,8 @@
                 self._drop("stale", action.sender)
             elif isinstance(action, ProcessFroze):
                 log_event(ROUTER_FROZE, gap_s=action.gap_s)
-        if any(isinstance(action, MemberChanged) for action in actions):
+        changes = (MemberChanged, MemberForgotten)
+        if any(isinstance(action, changes) for action in actions):
             self._publish()
 
     def _send(self, action: Send) -> None:
@@ -189,17 +191,10 @@
             # The VM list shows it as leaving, but the router doesn't know yet.
             if state in ("alive", "suspect") and record.name not in available:
                 state = "leaving"
-            members.append(
-                Member(
-                    record.name,
-                    record.address,
-                    record.zone,
-                    state,
-                    record.peer_address,
-                    record.incarnation,
-                )
-            )
-        self._members.replace(members)
+            members.append(_make_member(record, state))
+        dead = self._membership.list_dead()
+        lost = [_make_member(record, _STATE_NAMES[record.state]) for record in dead]
+        self._members.replace(members, lost)
 
     def _drop(self, reason: str, source: str) -> None:
         self.counts[f"dropped_{reason}"] += 1
@@ -211,3 +206,14 @@
         for reason, (count, source) in self._dropped.items():
             log_event(PEER_MESSAGES_DROPPED, reason=reason, count=count, source=source)
         self._dropped.clear()
+
+
+def _make_member(record: MemberRecord, state: str) -> Member:
+    return Member(
+        record.name,
+        record.address,
+        record.zone,
+        state,
+        record.peer_address,
+        record.incarnation,
+    )
--- a/src/tamarackrill/router/members.py
+++ b/src/tamarackrill/router/members.py
@@ -1,6 +1,6 @@
 """The routers that this router considers live."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 
@@ -25,19 +25,23 @@
 
     Attributes
     ----------
+    lost : tuple of Member
+        Routers that were taken for dead.  They may run, and not be reached.
     on_replaced : list of callable
         Called after the other members have been replaced.
     """
 
     def __init__(self, own: Member) -> None:
         self.own = own
+        self.lost: tuple[Member, ...] = ()
         self.on_replaced: list[Callable[[], None]] = []
         self._others: dict[str, Member] = {}
         # Cached: it is read for each datagram between routers and seldom changes.
         self._live: tuple[Member, list[Member]] | None = None
 
-    def replace(self, members: list[Member]) -> None:
-        """Replace the list of other members."""
+    def replace(self, members: list[Member], lost: Iterable[Member] = ()) -> None:
+        """Replace the list of other members, and those that were taken for dead."""
+        self.lost = tuple(lost)
         self._others = {m.name: m for m in members if m.name != self.own.name}
         self._live = None
         for call in self.on_replaced:
--- a/src/tamarackrill/router/version_keepers.py
+++ b/src/tamarackrill/router/version_keepers.py
@@ -138,6 +138,8 @@
         # Whether there are other routers, as far as was ever known, and their zones.
         self._has_others = has_seeds
         self._seen_zones: set[str] = set()
+        # Zones with routers that may run.
+        self._used_zones: set[str] = set()
         self._started_s = clock()
         # Random, so that no reply to an earlier process on this address is accepted.
         self._tickets = itertools.count(secrets.randbits(TICKET_BITS))
@@ -200,7 +202,9 @@
 
     def _update_routers(self) -> None:
         live = self._members.list_live()
-        self._seen_zones.update(member.zone for member in live)
+        present = (*self._members.list_all(), *self._members.lost)
+        self._used_zones = {member.zone for member in present}
+        self._seen_zones |= self._used_zones
         self._has_others |= any(member.name != self._own.name for member in live)
         routers = tuple(Router(member.name, member.zone) for member in live)
         self._addresses = {member.name: member.peer_address for member in live}
@@ -310,16 +314,17 @@
     ) -> VersionNews:
         """Return what this router knows of a stream now."""
         by_name = {router.name: router for router in self._routers}
-        seen = self._seen_zones
+        used = self._used_zones
+        unseen = self._zones - self._seen_zones - {self._own.zone}
         if self._clock() < self._started_s + self.versions.lifetime_s:
             # It may not have found all others yet.
-            seen = seen | self._zones
+            used, unseen = used | unseen, frozenset()
         return VersionNews(
             self._describe(service, stream),
             # A router may have been taken for dead while its reply was on its way.
             {by_name[name]: r for name, r in replies.items() if name in by_name},
-            list_told_zones(self._own, self._routers, seen),
-            self._zones - seen - {self._own.zone},
+            list_told_zones(self._own, self._routers, used),
+            unseen,
             stream != NO_STREAM and not self._find_silent(stream, replies),
             store,
             not self._has_others,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,10 +7,12 @@
 from tamarackrill.decisions.members import MemberState, PiggybackedEntries, Purpose
 from tamarackrill.decisions.membership import (
     FREEZE_THRESHOLD_S,
+    GONE_RETENTION_S,
     SENT_BURST_BYTES,
     SENT_BYTES_PER_S,
     SUSPICION_TIMEOUT_S,
     MemberChanged,
+    MemberForgotten,
     Membership,
     ProcessFroze,
     Send,
@@ -97,6 +99,23 @@
     assert not states & {MemberState.SUSPECT, MemberState.DEAD}
 
 
+@pytest.mark.parametrize("has_left", [False, True])
+def test_router_that_died_may_still_run_unlike_one_that_has_left(network, has_left):
+    # Guards against a zone that was taken out of service and is waited for for good.
+    if has_left:
+        state = network.states[TARGET]
+        network.act(TARGET, state.announce(MemberState.LEFT, network.pick))
+    network.kill(TARGET)
+    network.run_until(lambda: is_gone(network, TARGET), TICKS_MAX)
+    observer = network.states["vm-0000"]
+    dead = {record.name for record in observer.list_dead()}
+    assert dead == (set() if has_left else {TARGET})
+    observer.update_vm_list([])
+    actions = observer.tick(network.now_s + GONE_RETENTION_S, network.pick)
+    assert MemberForgotten(TARGET) in actions
+    assert not observer.list_dead()
+
+
 def test_frozen_router_rejoins_and_suspects_nobody(network):
     # A VM is paused until all others have removed its router.  When it resumes, all its
     # timers are overdue; if they fired, it would remove the whole fleet from its view,
