Go on with streams beside dead routers while the store is away

Four routers in two zones or six in three, one version all along; a router or a zone dies just as the store is away.

A dead router can't be told from one that is cut off, reaches the store and hears of a new version. So the two decisions share a rule now:

- While the store is away, a version is the only one if a majority of all routers reply (those that were taken for dead count as silent) and a history was complete until the outage; or if half of them reply and a history is complete now.
- Streams begin at a new version once at least half of all routers have said that they know it, besides the two seconds and the record as before.
Where a new version has more than half of the slots it gets streams at once only at a router that reaches a majority.
As before, this gives way where no endpoint of the old version can take the request.

The asker's own history counts for its zone, beside a neighbour that has just started.

--- a/src/tamarackrill/decisions/stream_versions.py
+++ b/src/tamarackrill/decisions/stream_versions.py
@@ -18,7 +18,7 @@
 told.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from functools import lru_cache
 from typing import NamedTuple
 
@@ -225,7 +225,13 @@
         seen_s = self._seen_s.setdefault(service, {})
         seen_s |= dict.fromkeys(sorted(versions), now_s)
 
-    def list_joining(self, service: str, news_max_s: float, now_s: float) -> set[str]:
+    def list_joining(
+        self,
+        service: str,
+        news_max_s: float,
+        now_s: float,
+        known: Collection[str] | None = None,
+    ) -> set[str]:
         """Return the versions at which streams should not begin yet.
 
         Other routers may not have heard of them, or they aren't on record, so that a
@@ -239,6 +245,8 @@
             Time in which news of endpoints reach all routers.
         now_s : float
             Current time.
+        known : collection of str, optional
+            Versions that enough other routers have said they know; all by default.
         """
         joined_s = self._joined_s.get(service)
         if not joined_s:
@@ -247,13 +255,18 @@
         joining = set()
         for version, since_s in list(joined_s.items()):
             age_s = now_s - since_s
-            is_known = age_s >= news_max_s and version in recorded
-            if is_known or age_s >= news_max_s + RECORD_WAIT_MAX_S:
+            wait_s = 0.0 if version in recorded else RECORD_WAIT_MAX_S
+            is_known = known is None or version in known
+            if is_known and age_s >= news_max_s + wait_s:
                 del joined_s[version]
             else:
                 joining.add(version)
         return joining
 
+    def list_with_joining(self) -> list[str]:
+        """Return the services that have versions which may have joined just now."""
+        return [service for service, joined_s in self._joined_s.items() if joined_s]
+
     def observe_recorded(self, service: str, versions: Iterable[str]) -> None:
         """Process that the store has a record with these versions."""
         self._recorded[service] = set(versions)
--- a/src/tamarackrill/decisions/version_evidence.py
+++ b/src/tamarackrill/decisions/version_evidence.py
@@ -10,6 +10,12 @@
 the request had arrived: from replies of keepers in all availability zones, or from a
 read of the store.  If neither can be had, the stream is refused, as its client can come
 back, but can't tell the parts of two answers from each other.
+
+While the store is away, some routers have perhaps ended too, and can't be told from
+such that are cut off and hear of a new version.  Then it suffices that more than half
+of all routers reply, as streams begin at a new version only where at least half know
+it.  Half of them suffice while their news are current: streams begin later than that at
+a new version, or at once where more than half reply.
 """
 
 from collections.abc import Collection, Iterable, Mapping
@@ -23,6 +29,9 @@
 # Shortest interval between two reads of one router.
 CHECK_INTERVAL_MIN_S = 0.05
 
+# Shares above it are a majority of all routers.
+HALF = 0.5
+
 # What a read of the store that was sent after the request had arrived has shown.
 StoreCheck = Literal["unasked", "confirmed", "unreachable"]
 # What a version was concluded from; empty if that isn't possible.
@@ -40,11 +49,15 @@
         Replies to questions that it sent after the request had arrived.
     zones : collection of str
         Zones of routers that may have been told the version; see `list_told_zones`.
+    own_zone : str, optional
+        Zone of the asking router.
     unseen_zones : collection of str, optional
         Zones of the deployment in which no router was ever known.
     is_certain : bool
         Whether all routers replied that may be keepers of the stream.  If its client
         doesn't name it, nobody knows which these are.
+    reach : float
+        Share of all routers that have replied, this one included; see `find_reach`.
     store : {"unasked", "confirmed", "unreachable"}
         What a read of the store has shown that was sent after the request had arrived.
     is_alone : bool
@@ -54,8 +67,10 @@
     own: KeeperReply
     replies: Mapping[Router, KeeperReply]
     zones: Collection[str]
+    own_zone: str = ""
     unseen_zones: Collection[str] = ()
     is_certain: bool = True
+    reach: float = 0.0
     store: StoreCheck = "unasked"
     is_alone: bool = False
 
@@ -91,30 +106,59 @@
     Replies count if their routers know the endpoints as they are now and have known
     them for as long as any stream lasts, one in each zone.  If a keeper is silent, it
     may be the only one that was told, and the store is read.  With that, one such
-    history suffices.  While the store is away for all zones, no router hears of a new
-    version, and it suffices that a history was complete until then.  A zone in which no
-    router was ever known may have some that are cut off; others that reach the store
-    hear of a new version as soon as these.
+    history suffices.  While the store is away, no router in touch hears of a new
+    version, and it suffices that a majority replies and that a history was complete
+    until then, or that half of them reply and a history is complete.  A zone in which
+    no router was ever known may have some that are cut off, and don't know how many
+    others there are.
     """
     current = {r.zone for r, reply in news.replies.items() if reply.has_history}
+    if news.own.has_history:
+        current.add(news.own_zone)
     has_history = any(reply.has_history for reply in news.known)
     had_history = has_history or any(reply.had_history for reply in news.known)
     if news.is_alone:
         return "alone" if had_history else ""
-    if not news.zones:
-        # Other routers exist, but none is known.
-        return "store" if news.store == "confirmed" and has_history else ""
-    if current.issuperset(news.zones) and (
-        news.is_certain or news.store == "unreachable"
-    ):
+    if news.replies and current.issuperset(news.zones) and news.is_certain:
         return "peers"
     if news.store == "confirmed":
         return "store" if has_history else ""
-    replied = {router.zone for router in news.replies}
-    is_outage = news.store == "unreachable" and replied.issuperset(
-        {*news.zones, *news.unseen_zones}
-    )
-    return "outage" if is_outage and had_history else ""
+    is_outage = news.store == "unreachable" and not news.unseen_zones
+    has_most = news.reach > HALF or (news.reach >= HALF and has_history)
+    return "outage" if is_outage and news.replies and has_most and had_history else ""
+
+
+def find_reach(
+    own: Router,
+    routers: Iterable[Router],
+    lost: int,
+    asked: Collection[str],
+    replied: Collection[str],
+) -> float:
+    """Return the share of all routers that have replied, this one included.
+
+    Some routers of each zone are asked and stand for the others there.
+
+    Parameters
+    ----------
+    own : Router
+        The asking router.
+    routers : iterable of Router
+        Live routers.
+    lost : int
+        How many others were taken for dead.
+    asked, replied : collection of str
+        The routers that were asked, and those that have replied.
+    """
+    zones: dict[str, list[str]] = {}
+    for router in {own, *routers}:
+        zones.setdefault(router.zone, []).append(router.name)
+    reached = 0.0
+    for names in zones.values():
+        known = [name for name in names if name in asked or name == own.name]
+        met = [name for name in known if name in replied or name == own.name]
+        reached += len(names) * len(met) / max(1, len(known))
+    return reached / (sum(map(len, zones.values())) + lost)
 
 
 def conclude(news: VersionNews) -> tuple[str | None, Evidence]:
--- a/src/tamarackrill/router/version_keepers.py
+++ b/src/tamarackrill/router/version_keepers.py
@@ -23,9 +23,11 @@
     identify_stream,
 )
 from tamarackrill.decisions.version_evidence import (
+    HALF,
     StoreCheck,
     VersionNews,
     conclude,
+    find_reach,
     list_told_zones,
     must_check_store,
 )
@@ -193,6 +195,8 @@
         self._tickets = itertools.count(secrets.randbits(TICKET_BITS))
         # Questions by ticket, with the router that is asked.
         self._pending: dict[int, tuple[_Inquiry, str]] = {}
+        # What others know of the services with versions that join.
+        self._joining: dict[str, _Inquiry] = {}
         self._own = Router(members.own.name, members.own.zone)
         self.store = make_store(self.versions, self._own)
         self._routers: tuple[Router, ...] = ()
@@ -235,6 +239,44 @@
             endpoints, max(self._lifetime_s, self._wait_max_s), now_s, is_current
         ):
             self._tell(record)
+        self._ask_joining()
+
+    def _ask_joining(self) -> None:
+        """Ask whether other routers know the versions that join."""
+        services = self.versions.list_with_joining()
+        for service in self._joining.keys() - services:
+            self._end(self._joining.pop(service))
+        for service in services:
+            inquiry = self._joining.setdefault(
+                service, _Inquiry(identify_stream(service), service)
+            )
+            joining = self._list_joining(service)
+            known = [
+                name
+                for name, reply in inquiry.replies.items()
+                if joining.issubset(reply.versions)
+            ]
+            if joining:
+                self._ask_silent(inquiry, known)
+
+    def _list_joining(self, service: str) -> set[str]:
+        """Return the versions at which streams should not begin yet."""
+        now_s = self._clock()
+        known = []
+        for version in self.versions.list_versions(service, now_s):
+            replied = self._list_replied(service, version)
+            if self._find_reach(identify_stream(service), replied) >= HALF:
+                known.append(version)
+        return self.versions.list_joining(service, self._news_max_s, now_s, known)
+
+    def _list_replied(self, service: str, version: str | None = None) -> list[str]:
+        """Return the routers that replied since a version joined, or that know one."""
+        inquiry = self._joining.get(service)
+        return [
+            name
+            for name, reply in (inquiry.replies.items() if inquiry else ())
+            if version is None or version in reply.versions
+        ]
 
     def _observe_current(self, now_s: float) -> bool:
         """Return whether the known endpoints aren't outdated."""
@@ -277,16 +319,21 @@
     def find_joining(self, service: str) -> set[str]:
         """Return the endpoints at which streams should not begin yet.
 
-        Empty if the others have less than half of the service's slots.
+        Empty if the others have less than half of the service's slots, but not at a
+        router that doesn't reach more than half of all.
         """
-        joining = self.versions.list_joining(service, self._news_max_s, self._clock())
+        if service not in self.versions.list_with_joining():
+            return set()
+        joining = self._list_joining(service)
         if not joining:
             return set()
         pool = self._view.find_pool(service).by_name
         names = {n for n, e in pool.items() if e.software_version in joining}
         slots = sum(endpoint.slots for endpoint in pool.values())
         joining_slots = sum(pool[name].slots for name in names)
-        return names if 2 * joining_slots <= slots else set()
+        replied = self._list_replied(service)
+        reach = self._find_reach(identify_stream(service), replied)
+        return names if 2 * joining_slots <= slots or reach <= HALF else set()
 
     def record_begin(self, call: EdgeCall, software_version: str) -> None:
         """Record the version of a stream before its first event is forwarded."""
@@ -366,12 +413,23 @@
                 if name in self._by_name
             },
             list_told_zones(self._own, self._routers, used),
+            self._own.zone,
             unseen,
             stream != NO_STREAM and not self._find_silent(stream, replies),
+            self._find_reach(stream, replies),
             store,
             not self._has_others,
         )
 
+    def _find_reach(self, stream: int, replied: Collection[str]) -> float:
+        return find_reach(
+            self._own,
+            self._routers,
+            len(self._members.lost),
+            choose_asked(stream, self._routers, self._own),
+            replied,
+        )
+
     def _conclude(self, inquiry: _Inquiry, store: StoreCheck) -> _FoundVersion:
         news = self._collect(inquiry, store)
         version, evidence = conclude(news)
@@ -492,12 +550,19 @@
         try:
             yield inquiry
         finally:
-            for ticket in inquiry.tickets:
-                self._pending.pop(ticket, None)
+            self._end(inquiry)
+
+    def _end(self, inquiry: _Inquiry) -> None:
+        for ticket in inquiry.tickets:
+            self._pending.pop(ticket, None)
 
-    def _ask_silent(self, inquiry: _Inquiry) -> None:
+    def _ask_silent(
+        self, inquiry: _Inquiry, replied: Collection[str] | None = None
+    ) -> None:
         """Ask the possible keepers that have not replied."""
-        for name in self._find_silent(inquiry.stream, inquiry.replies):
+        if replied is None:
+            replied = inquiry.replies
+        for name in self._find_silent(inquiry.stream, replied):
             ticket = next(self._tickets)
             self._pending[ticket] = inquiry, name
             inquiry.tickets.append(ticket)
