Read no store for streams that clients don't name, if all routers reply

In a calm fleet of one version, four routers, each stream without `Resumes` read the store (22 reads for 20 streams), as nobody knows which routers were told of it. Beside a store that hangs the slowest of them took 1.08 s.

Change: if all routers were asked and replied, and none was taken for dead, nobody knows of another version. In larger fleets, where two of a zone are asked, the store is read as before. A router whose calls to the store aren't answered doesn't read it for a stream that the replies suffice for.

--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -618,6 +618,7 @@
             self._find_known_s,
             self._find_resumed_s,
             self._store_checks.check,
+            lambda: self.configuration_sync.is_lost,
             bool(seeds),
             self._make_version_store,
         )
--- a/src/tamarackrill/router/version_keepers.py
+++ b/src/tamarackrill/router/version_keepers.py
@@ -142,6 +142,8 @@
     check_store : callable
         ``await check_store()`` brings endpoints and versions up to date by a read that
         is sent after this call, and returns whether it was answered.
+    is_store_lost : callable
+        Returns whether the last calls to the store were not answered.
     has_seeds : bool
         Whether there are other routers that this one hasn't found yet.
     make_store : callable
@@ -169,6 +171,7 @@
         find_known_s: Callable[[], float],
         find_resumed_s: Callable[[], float],
         check_store: Callable[[], Awaitable[bool]],
+        is_store_lost: Callable[[], bool],
         has_seeds: bool,
         make_store: Callable[[StreamVersions, Router], VersionStore],
     ) -> None:
@@ -185,6 +188,7 @@
         self._find_known_s = find_known_s
         self._find_resumed_s = find_resumed_s
         self._check_store = check_store
+        self._is_store_lost = is_store_lost
         # Whether there are other routers, as far as was ever known, and their zones.
         self._has_others = has_seeds
         self._seen_zones: set[str] = set()
@@ -415,12 +419,21 @@
             list_told_zones(self._own, self._routers, used),
             self._own.zone,
             unseen,
-            stream != NO_STREAM and not self._find_silent(stream, replies),
+            self._is_certain(stream, replies),
             self._find_reach(stream, replies),
             store,
             not self._has_others,
         )
 
+    def _is_certain(self, stream: int, replied: Collection[str]) -> bool:
+        """Return whether all replied that may know a stream."""
+        if self._find_silent(stream, replied):
+            return False
+        if stream != NO_STREAM:
+            return True
+        # Any router may have begun it.
+        return not self._members.lost and len(replied) + 1 >= len(self._routers)
+
     def _find_reach(self, stream: int, replied: Collection[str]) -> float:
         return find_reach(
             self._own,
@@ -476,6 +489,8 @@
             self.counts["keepers_silent"] += 1
         if not must_check_store(self._collect(inquiry)):
             return "unasked"
+        if self._is_store_lost() and self._has_evidence(inquiry, "unreachable"):
+            return "unreachable"
         reading = asyncio.ensure_future(self._check_store())
         reading.add_done_callback(lambda _: inquiry.has_changed.set())
         try:
--- a/tests/test_second_review_versions.py
+++ b/tests/test_second_review_versions.py
@@ -205,3 +205,25 @@
 
 def _lose(rng, send):
     return lambda *message: None if rng.random() < LOST_SHARE else send(*message)
+
+
+@pytest.mark.parametrize("is_away", [False, True])
+def test_streams_that_clients_do_not_name_go_on_without_a_read_of_the_store(is_away):
+    # Guards against a read of the store for each stream whose client doesn't say which
+    # attempt began it, and against a wait for it while the store hangs.
+    async def run():
+        async with OneVersion() as fleet:
+            await fleet.start_settled("aabb")
+            await fleet.wait_settled()
+            if is_away:
+                for router in fleet.routers:
+                    router._platform._call = hang
+                # A watch that has begun is answered, and the next one fails.
+                await asyncio.sleep(2 * STORE_AWAY_S)
+            reads = fleet.count_reads()
+            waits_s = await take_up_in_turn(fleet, "")
+            return waits_s, len(reads)
+
+    waits_s, reads = asyncio.run(run())
+    assert max(waits_s) <= WAIT_MAX_S
+    assert is_away or reads <= READS_MAX
