Keep what a router knew of versions over short pauses of its event loop

While the store is away, versions are concluded from what routers knew until then.

Cause: any pause of more than 0.3 s counted as time in which versions may have come and gone. That holds for news that count as current. What was known until an outage is only misleading after a standstill in which a version can have joined, served and left.

Change: for that, standstills count as `StandstillMonitor` notices them, from half of `news_max_s` (1 s) on. News are still not current after any pause of 0.3 s.

--- a/src/tamarackrill/decisions/stream_versions.py
+++ b/src/tamarackrill/decisions/stream_versions.py
@@ -297,6 +297,7 @@
         now_s: float,
         is_current: bool = True,
         has_paused: bool = False,
+        has_stood_still: bool = False,
     ) -> "KeeperReply":
         """Return what this router tells one that asks for the version of a stream.
 
@@ -311,7 +312,9 @@
         is_current : bool, default=True
             Whether the known endpoints are as the platform has them now.
         has_paused : bool, default=False
-            Whether this router has stood still since it last heard of them.
+            Whether its event loop has paused since it last heard of them.
+        has_stood_still : bool, default=False
+            Whether that lasted so long that versions may have come and gone meanwhile.
         """
         has_run = now_s - self._started_s >= self.lifetime_s
         had_history = has_run or service in self._learned_s
@@ -319,7 +322,7 @@
             self.find(stream) or "",
             tuple(self.list_versions(service, now_s)),
             self.has_history(service, now_s) and is_current and not has_paused,
-            had_history and not has_paused,
+            had_history and not has_stood_still,
         )
 
     def list_obsolete(
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -617,6 +617,7 @@
             self.settings.news_max_s,
             self._find_known_s,
             self._find_resumed_s,
+            self.standstill.find_resumed_s,
             self._store_checks.check,
             lambda: self.configuration_sync.is_lost,
             bool(seeds),
--- a/src/tamarackrill/router/version_keepers.py
+++ b/src/tamarackrill/router/version_keepers.py
@@ -138,7 +138,9 @@
         Returns the time as of which the known endpoints are those of the platform,
         -inf without any.
     find_resumed_s : callable
-        Returns when this router last went on after standing still.
+        Returns when the event loop of this router last went on after a pause.
+    find_stood_still_s : callable
+        Returns when it last went on after a pause in which versions may have changed.
     check_store : callable
         ``await check_store()`` brings endpoints and versions up to date by a read that
         is sent after this call, and returns whether it was answered.
@@ -170,6 +172,7 @@
         news_max_s: float,
         find_known_s: Callable[[], float],
         find_resumed_s: Callable[[], float],
+        find_stood_still_s: Callable[[], float],
         check_store: Callable[[], Awaitable[bool]],
         is_store_lost: Callable[[], bool],
         has_seeds: bool,
@@ -187,6 +190,7 @@
         self._news_max_s = news_max_s
         self._find_known_s = find_known_s
         self._find_resumed_s = find_resumed_s
+        self._find_stood_still_s = find_stood_still_s
         self._check_store = check_store
         self._is_store_lost = is_store_lost
         # Whether there are other routers, as far as was ever known, and their zones.
@@ -465,6 +469,7 @@
             now_s,
             now_s - known_s <= self._news_max_s,
             known_s < self._find_resumed_s(),
+            known_s < self._find_stood_still_s(),
         )
 
     async def _find_archived(self, stream: int) -> tuple[str | None, str]:
--- a/tests/test_version_keepers.py
+++ b/tests/test_version_keepers.py
@@ -50,6 +50,7 @@
 LIFETIME_S = 15.0
 LATE_MAX_S = 1.5
 NEWS_MAX_S = 2.0
+STANDSTILL_MIN_S = 1.0
 READ_S = 0.004
 SERVICE = "writer"
 
@@ -297,9 +298,14 @@
         versions.observe_endpoints([make_endpoint("v1")], LIFETIME_S, now_s)
     told = [
         versions.describe(SERVICE, 0, 60.0, *state)[2:]
-        for state in ((True, False), (False, False), (True, True))
+        for state in (
+            (True, False, False),
+            (False, False, False),
+            (True, True, False),
+            (True, True, True),
+        )
     ]
-    assert told == [(True, True), (False, True), (False, False)]
+    assert told == [(True, True), (False, True), (False, True), (False, False)]
 
 
 def test_version_that_left_is_forgotten_though_routers_learn_from_each_other():
@@ -436,8 +442,9 @@
         self.was_current = True
         self.unreached = set()
         self.queue = None
-        # Stood still, and has heard of the endpoints since.
-        self.has_paused = False
+        # Stood still, perhaps for long, and has not heard of the endpoints since.
+        self.has_paused = self.has_stood_still = False
+        self.stopped_s = fleet.now_s
         self.observed_s = fleet.now_s
 
     def reaches_store(self):
@@ -447,8 +454,13 @@
         is_near = self.fleet.is_near(self.own, process.own)
         return is_near and "peers" not in (self.unreached | process.unreached)
 
+    def stop(self):
+        self.queue = []
+        self.stopped_s = self.fleet.now_s
+
     def go_on(self):
         self.has_paused = True
+        self.has_stood_still |= self.fleet.now_s - self.stopped_s >= STANDSTILL_MIN_S
         self.read_queue()
         self.queue = None
 
@@ -459,7 +471,9 @@
     def describe(self, stream):
         now_s, is_current = self.fleet.now_s, self.fleet.is_current(self)
         is_current = is_current and now_s - self.observed_s <= NEWS_MAX_S
-        return self.state.describe(SERVICE, stream, now_s, is_current, self.has_paused)
+        return self.state.describe(
+            SERVICE, stream, now_s, is_current, self.has_paused, self.has_stood_still
+        )
 
     def list_known(self):
         """Return the routers that it doesn't take for dead."""
@@ -479,7 +493,7 @@
         observed_s, self.observed_s = self.observed_s, self.fleet.now_s
         is_current = is_current and self.observed_s - observed_s <= NEWS_MAX_S
         if self.own.name not in self.fleet.outdated and self.fleet.store.is_up:
-            self.has_paused = False
+            self.has_paused = self.has_stood_still = False
         if is_current and not self.was_current:
             self.era = None
         self.was_current = is_current
@@ -619,7 +633,7 @@
         if name in fleet.outdated:
             fleet.outdated[name] = list(fleet.serving)
             fleet.cut_s[name] = fleet.now_s
-        self.has_paused = False
+        self.has_paused = self.has_stood_still = False
         self.observe()
         if self.era is None or not self.state.has_history(SERVICE, fleet.now_s):
             self.read_record(is_news=True)
@@ -792,7 +806,7 @@
         """Stop a router, or let it go on; it looks at nothing by itself."""
         process = self.processes[data.draw(st.sampled_from(sorted(self.processes)))]
         if process.queue is None:
-            process.queue = []
+            process.stop()
         else:
             process.go_on()
 
