--- a/src/tamarackrill/router/members.py
+++ b/src/tamarackrill/router/members.py
@@ -58,6 +58,13 @@
             self._live = (self.own, sorted(live))
         return list(self._live[1])
 
+    def count_serving(self) -> int:
+        """Return how many routers may be serving, including those taken for dead.
+
+        One that isn't heard of may be cut off and serve on, or this one is cut off.
+        """
+        return len(self.list_all()) + len(self.lost)
+
     def list_all(self) -> list[Member]:
         """Return all known routers, sorted by name."""
         return sorted([self.own, *self._others.values()])
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -97,6 +97,7 @@
     network.run(20)
     states = {change.record.state for change in network.changes}
     assert not states & {MemberState.SUSPECT, MemberState.DEAD}
+    assert not any(state.list_dead() for state in network.states.values())
 
 
 @pytest.mark.parametrize("has_left", [False, True])
@@ -162,6 +163,18 @@
     network.run_until(network.has_converged, TICKS_MAX)
 
 
+def test_routers_that_do_not_hear_each_other_leave_one_another_their_shares(network):
+    # The two sides of a partition have declared each other dead.  If each shared the
+    # retry budget among those that it hears, a service would get it twice.
+    network.cut_zones = {"zone-1"}
+    network.run(TICKS_MAX)
+    known = [
+        len(state.list_members()) + len(state.list_dead())
+        for state in network.states.values()
+    ]
+    assert known == [ROUTERS] * ROUTERS
+
+
 def test_router_of_the_same_name_replaces_its_predecessor(network):
     # A VM is replaced by one of the same name before its failure is detected.  Late
     # messages of the old process must not count as those of the new one.
