--- a/soak/out_of_step.py
+++ b/soak/out_of_step.py
@@ -1,8 +1,9 @@
 """Plays of routers out of step, started by hand.
 
-``python -m soak.out_of_step`` runs all combinations of what a router doesn't reach, and
-of how long it is suspended, and prints what became of the streams taken up there.  The
-exit code is 1 if any was joined to another version.
+``python -m soak.out_of_step`` runs all combinations of what a router doesn't reach, of
+how long it is suspended, and of two groups that don't reach each other, and prints what
+became of the streams taken up there.  The exit code is 1 if any was joined to another
+version.
 """
 
 import argparse
@@ -13,8 +14,10 @@
 from pathlib import Path
 
 from tamarackrill.testing.out_of_step import (
+    Partition,
     Play,
     Suspension,
+    run_partitions,
     run_plays,
     run_suspension,
 )
@@ -62,13 +65,35 @@
     return joined
 
 
+def list_partitions() -> list[Partition]:
+    """Return one router or one zone cut off, with the store on either side or none."""
+    return [
+        Partition(zones, cut, store, leaves)
+        for zones, cut, store, leaves in itertools.product(
+            ("aabb", "aabbcc"), (1, 2), ("cut", "rest", "none"), (False, True)
+        )
+    ]
+
+
+async def _run_partitions(partitions: list[Partition]) -> int:
+    joined = 0
+    for partition, result in (await run_partitions(partitions)).items():
+        print(*partition[:4], *result, flush=True)
+        joined += result.across["joined"] + result.near["joined"]
+    return joined
+
+
 def _main() -> int:
     parser = argparse.ArgumentParser(description="Plays of routers out of step.")
     parser.add_argument("--plays", type=int, default=44, help="how many of the plays")
     parser.add_argument("--rounds", type=int, default=1, help="of each suspension")
     parser.add_argument("--end", type=float, default=12.0, help="of each play, in s")
+    parser.add_argument(
+        "--partitions", type=int, default=24, help="how many plays of two groups"
+    )
     options = parser.parse_args()
     joined = asyncio.run(_run_plays(list_plays(options.end)[: options.plays]))
+    joined += asyncio.run(_run_partitions(list_partitions()[: options.partitions]))
     joined += asyncio.run(_run_suspensions(options.rounds))
     print(f"{joined} streams joined")
     return 1 if joined else 0
--- a/src/tamarackrill/testing/out_of_step.py
+++ b/src/tamarackrill/testing/out_of_step.py
@@ -192,6 +192,94 @@
     return dict(zip(plays, results, strict=True))
 
 
+class Partition(NamedTuple):
+    """Two groups of routers that don't reach each other while a second version joins.
+
+    Parameters
+    ----------
+    zones : str
+        Availability zones of the routers.
+    cut : int
+        How many of the last ones don't reach the others.
+    store : {"cut", "rest", "none"}
+        Which group reaches the store.
+    leaves : bool
+        Whether most endpoints of the first version leave.
+    end_s : float
+        When the play ends.
+    """
+
+    zones: str
+    cut: int
+    store: Literal["cut", "rest", "none"]
+    leaves: bool
+    end_s: float = 6.0
+
+
+class PartitionResult(NamedTuple):
+    """What became of streams of the group that reaches the store.
+
+    Parameters
+    ----------
+    began : Counter
+        Streams that began there, by their version.
+    across, near : Counter
+        Streams taken up in the other group and there, by what became of them.
+    """
+
+    began: Counter[str]
+    across: Counter[str]
+    near: Counter[str]
+
+
+async def run_partition(partition: Partition, links: PeerLinks) -> PartitionResult:
+    """Cut routers off from the others, and take streams up in both groups.
+
+    Parameters
+    ----------
+    partition : Partition
+        What happens.
+    links : PeerLinks
+        Links that intercept the datagrams of this process.
+    """
+    async with VersionedFleet() as fleet:
+        zones = tuple(partition.zones)
+        await fleet.start(("v1",) * 3, zones=zones, timeout_ms=TIMEOUT_MS)
+        near, far = fleet.routers[: -partition.cut], fleet.routers[-partition.cut :]
+        if partition.store == "cut":
+            near, far = far, near
+        links.groups = [[r.settings.peer_port for r in group] for group in (near, far)]
+        for router in fleet.routers if partition.store == "none" else far:
+            fail_store(router, "fails")
+        await replace_versions(fleet, partition.leaves)
+        result = PartitionResult(Counter(), Counter(), Counter())
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + partition.end_s
+        number = 0
+        while loop.time() < end_s:
+            number += 1
+            name = f"first-{number}"
+            client, began = await fleet.begin(near[number % len(near)], name)
+            client.close()
+            result.began[min(began).decode()] += 1
+            for group, counts in ((far, result.across), (near, result.near)):
+                router = group[(number + 1) % len(group)]
+                answer = await fleet.take_up(router, f"take-{name}", name)
+                counts[judge(answer, began)] += 1
+            await asyncio.sleep(PAUSE_S)
+        links.restore()
+        return result
+
+
+async def run_partitions(
+    partitions: Iterable[Partition],
+) -> dict[Partition, PartitionResult]:
+    """Run plays one after the other."""
+    links = PeerLinks()
+    with links.intercept():
+        return {play: await run_partition(play, links) for play in partitions}
+
+
 class Suspension(NamedTuple):
     """A router process that is suspended while a second version joins.
 
--- a/tests/test_routers_out_of_step.py
+++ b/tests/test_routers_out_of_step.py
@@ -6,14 +6,17 @@
 import pytest
 
 from tamarackrill.testing.out_of_step import (
+    Partition,
     Play,
     Suspension,
+    run_partitions,
     run_plays,
     run_suspension,
 )
 
 END_S = 6.0
 HEALED_S = 3.0
+CUT_END_S = 3.0
 
 
 @pytest.mark.parametrize(
@@ -43,6 +46,19 @@
         assert result.in_touch["went_on"] >= taken / 2, (play, result)
 
 
+@pytest.mark.parametrize(("zones", "cut"), [("aabb", 1), ("aabbcc", 2)])
+def test_few_routers_with_the_store_begin_no_version_that_others_cannot_know(
+    zones, cut
+):
+    # Guards against a router or a zone that is cut off and begins streams at a version
+    # of which the others don't hear, and against others that refuse all for that.
+    play = Partition(zones, cut, "cut", leaves=True, end_s=CUT_END_S)
+    (result,) = asyncio.run(run_partitions([play])).values()
+    assert result.began["v1"]
+    assert set(result.across) <= {"went_on", "refused"}, result
+    assert result.across["went_on"] >= sum(result.across.values()) / 2, result
+
+
 @pytest.mark.parametrize(
     ("duration_s", "leaves"), [(1.5, True), (3.0, False), (6.0, False)]
 )
