--- a/src/tamarackrill/router/members.py
+++ b/src/tamarackrill/router/members.py
@@ -1,6 +1,6 @@
 """The routers that this router considers live."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 
@@ -25,22 +25,23 @@
 
     Attributes
     ----------
-    dead : int
-        How many other routers were taken for dead and haven't said that they left.
+    lost : tuple of Member
+        Routers that were taken for dead.  They may run, and not be reached.
     on_replaced : list of callable
         Called after the other members have been replaced.
     """
 
     def __init__(self, own: Member) -> None:
         self.own = own
-        self.dead = 0
+        self.lost: tuple[Member, ...] = ()
         self.on_replaced: list[Callable[[], None]] = []
         self._others: dict[str, Member] = {}
         # Cached: it is read for each datagram between routers and seldom changes.
         self._live: tuple[Member, list[Member]] | None = None
 
-    def replace(self, members: list[Member]) -> None:
-        """Replace the list of other members."""
+    def replace(self, members: list[Member], lost: Iterable[Member] = ()) -> None:
+        """Replace the list of other members, and those that were taken for dead."""
+        self.lost = tuple(lost)
         self._others = {m.name: m for m in members if m.name != self.own.name}
         self._live = None
         for call in self.on_replaced:
@@ -62,7 +63,7 @@
 
         One that isn't heard of may be cut off and serve on, or this one is cut off.
         """
-        return len(self.list_all()) + self.dead
+        return len(self.list_all()) + len(self.lost)
 
     def list_all(self) -> list[Member]:
         """Return all known routers, sorted by name."""
--- a/tests/test_retry_shares.py
+++ b/tests/test_retry_shares.py
@@ -78,6 +78,5 @@
     members = Members(Member("own", "", "a"))
     members.replace([Member("near", "", "a"), Member("far", "", "b", "suspect")])
     assert members.count_serving() == 3
-    members.replace([Member("near", "", "a")])
-    members.dead = 1
+    members.replace([Member("near", "", "a")], [Member("far", "", "b", "dead")])
     assert members.count_serving() == 3
