Read the id of a refused request through the platform's adapter

The guard of requests whose reading raised looked the header up by its name on the wire, outside the folder that holds the platform's words.

--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -30,6 +30,7 @@
     RequestHeaders,
     build_error_headers,
     parse_request_headers,
+    read_request_id,
 )
 from tamarackrill.router.background import log_task_failure
 from tamarackrill.router.deployment_view import DeploymentView
@@ -254,8 +255,7 @@
 
 def _refuse_unread(headers: HTTPHeaders) -> OwnAnswer:
     """Return the refusal of a request whose reading raised an undeclared error."""
-    request_id = headers.get("X-Request-Attempt-Id", "")
-    fields = build_error_headers(request_id, RETRY_AFTER_S)
+    fields = build_error_headers(read_request_id(headers.get_all()), RETRY_AFTER_S)
     status = choose_status(has_sent=False, is_late=False)
     return OwnAnswer(status, "Service Unavailable", fields, _INTERNAL_BODY)
 
