Leave what a router has imported out of garbage collections

The collection examines all modules, some 50,000 objects, which are never garbage.

Objects that exist once a daemon has started are left to the permanent generation now.

--- a/src/tamarackrill/router/lifecycle.py
+++ b/src/tamarackrill/router/lifecycle.py
@@ -1,6 +1,7 @@
 """Application lifecycle: start, wait for a stop signal, drain, stop."""
 
 import asyncio
+import gc
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
@@ -56,6 +57,9 @@
     try:
         handle_signals()
         await start()
+        # A full garbage collection would examine all modules each time, which takes a
+        # VM with an eighth of a core a quarter of a second.
+        gc.freeze()
         try:
             await stop_event.wait()
             assert signals.stop_requested_s is not None
