Release the retry of a race that ends as it begins

Callers got 502 for failed attempts that had been retried before, for as long as the router ran: each answer, or leaving client, that was read in the iteration of the event loop in which its race began took one retry out of the budget for good.

Cause: the retry is reserved when the race is decided on, and released by the series of attempts that the new task runs. A task that is cancelled before its first step runs nothing, not even the finally of its coroutine.

--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -242,7 +242,14 @@
 
     def _start_beside(self, progress: RequestProgress) -> None:
         attempt = self._start_retry(progress)
-        attempt.task = progress.tasks.start(self._run_series(attempt))
+        task = progress.tasks.start(self._run_series(attempt))
+        attempt.task = task
+        # A task that is cancelled before its first step runs nothing of the series.
+        task.add_done_callback(lambda _: self._end_unbegun(attempt))
+
+    def _end_unbegun(self, attempt: RequestAttempt) -> None:
+        self._end_reservation(attempt)
+        attempt.end()
 
     def _end_attempt(self, attempt: RequestAttempt) -> None:
         progress = attempt.progress
