Native router: send no call whose caller has left

An endpoint that was silent while it was connected to got the call once it went on, 1.6 s after its caller had gone (GONE); sent nothing.

Cause: an attempt that ended before anything was sent counts as not sent, also if the caller's leaving ended it, and such attempts are made again until the deadline. Nor was a call that waited for an owner's reply looked at again before it was sent.

--- a/src/tamarackrill/router/flow.py
+++ b/src/tamarackrill/router/flow.py
@@ -47,6 +47,12 @@
     return Refusal("internal", SERVICE_UNAVAILABLE, message, "not_run")
 
 
+def _check_not_abandoned(reply: Reply, may_have_run: bool) -> None:
+    if reply.abandoned.is_set():
+        run: RunState = "unknown" if may_have_run else "not_run"
+        raise Refusal("cancelled", 499, "the caller went away", run)
+
+
 class CallRunner:
     """Runs each call in a task of its own and starts its retries.
 
@@ -188,6 +194,7 @@
                 return
             if attempt.outcome == "cancelled":
                 raise Refusal("cancelled", 499, "the caller went away", "unknown")
+            _check_not_abandoned(reply, may_have_run)
             if may_have_run and not call.idempotent:
                 message = "the endpoint did not answer; the call may have run"
                 raise Refusal("endpoint_lost", 502, message, "unknown")
@@ -262,6 +269,7 @@
             try:
                 wait_s = self._clock() - arrived_s
                 placed = await self._place(call, avoid, wait_s, may_have_run)
+                _check_not_abandoned(reply, may_have_run)
                 if placed is not None:
                     attempt = await self._attempt(call, reply, placed, is_last)
                     return placed, attempt
@@ -275,9 +283,7 @@
             # arrived when the call was admitted.  The call queues again until its
             # deadline; the delay avoids a busy loop until the loads are known.
             await asyncio.sleep(FULL_RETRY_DELAY_S)
-            if reply.abandoned.is_set():
-                run: RunState = "unknown" if may_have_run else "not_run"
-                raise Refusal("cancelled", 499, "the caller went away", run)
+            _check_not_abandoned(reply, may_have_run)
 
     def _check_backoff(self, call: Call, may_have_run: bool) -> None:
         """Refuse a call that would wait until an endpoint's backoff ends."""
