Let standstills of a router share one wait for news

Callers of a router that stands still for a second again and again, beside a store that takes 0.25 s, waited for seconds: 1.93 and 1.95 s at the median. Each standstill began the wait for news anew, for each request and attempt, so that nothing was decided before the next standstill. The wait of 0.3 s is shared now: what the router ran without news counts, and is regained while it runs with news.

--- a/src/tamarackrill/decisions/standstill.py
+++ b/src/tamarackrill/decisions/standstill.py
@@ -9,6 +9,10 @@
 of a standstill.  News that was asked for afterwards arrives within milliseconds if the
 store is there.  Requests wait for it, but not for long: a router that the store doesn't
 answer goes on serving by what it knows, and denies nothing for good.
+
+A process that stands still every second, beside a slow store, would begin that wait
+anew each time, and hold all requests over the next standstill.  So standstills share
+one wait, which is regained only while the process runs with news.
 """
 
 import math
@@ -58,7 +62,25 @@
     return all(as_of_s.get(kind, -math.inf) >= resumed_s for kind in kinds)
 
 
-def find_news_wait_s(is_current: bool, resumed_s: float, now_s: float) -> float:
+def find_spent_wait_s(spent_s: float, waited_s: float, current_s: float) -> float:
+    """Return how much of the wait for news is spent when a process goes on again.
+
+    Parameters
+    ----------
+    spent_s : float
+        How much was spent when the process went on the last time.
+    waited_s : float
+        How long it ran without news then.
+    current_s : float
+        How long it ran on with news, up to the next standstill.
+    """
+    spent_s = min(NEWS_WAIT_MAX_S, spent_s + waited_s)
+    return max(0.0, spent_s - max(0.0, current_s))
+
+
+def find_news_wait_s(
+    is_current: bool, resumed_s: float, now_s: float, spent_s: float = 0.0
+) -> float:
     """Return how long a decision waits for news; 0 to decide now.
 
     Parameters
@@ -69,10 +91,12 @@
         When the process went on.
     now_s : float
         Current time.
+    spent_s : float
+        Part of the wait that earlier standstills have used; see `find_spent_wait_s`.
     """
     if is_current:
         return 0.0
-    return max(0.0, NEWS_WAIT_MAX_S - (now_s - resumed_s))
+    return max(0.0, NEWS_WAIT_MAX_S - spent_s - (now_s - resumed_s))
 
 
 def is_outdated(
--- a/src/tamarackrill/router/standstill.py
+++ b/src/tamarackrill/router/standstill.py
@@ -4,9 +4,11 @@
 import math
 from collections.abc import Callable, Collection
 
+from tamarackrill.decisions.loop_activity import TICK_S
 from tamarackrill.decisions.standstill import (
     find_gap_s,
     find_news_wait_s,
+    find_spent_wait_s,
     has_news,
 )
 from tamarackrill.events import ROUTER_RESUMED, ROUTER_UP_TO_DATE, log_event
@@ -62,6 +64,9 @@
         self._elapsed_clock = elapsed_clock
         self._last_beat_s = elapsed_clock()
         self._resumed_s = -math.inf
+        # On the clock of beats: when the process went on, and when it was up to date.
+        self._ran_since_s = self._current_since_s = self._last_beat_s
+        self._spent_s = 0.0
         self._as_of_s: dict[str, float] = {}
         self._up_to_date = asyncio.Event()
         self._up_to_date.set()
@@ -77,6 +82,8 @@
         """Begin to monitor; the time until now counts as no standstill."""
         self._last_beat_s = self._elapsed_clock()
         self._resumed_s = -math.inf
+        self._ran_since_s = self._current_since_s = self._last_beat_s
+        self._spent_s = 0.0
         self._up_to_date.set()
 
     def beat(self, now_s: float) -> None:
@@ -89,13 +96,25 @@
         elapsed_s = self._elapsed_clock()
         gap_s = find_gap_s(self._last_beat_s, elapsed_s, self._news_max_s)
         if gap_s:
+            self._spend()
             self._last_beat_s, self._resumed_s = elapsed_s, now_s
+            self._ran_since_s = elapsed_s
             self._up_to_date.clear()
             self._waited = 0
             log_event(ROUTER_RESUMED, gap_s=round(gap_s, 3))
             self.on_resumed()
         return gap_s
 
+    def _spend(self) -> None:
+        """Count the time that the process ran since it went on, up to its last beat."""
+        waited_s = self._current_since_s - self._ran_since_s
+        current_s = self._last_beat_s - self._current_since_s
+        if not self.has_news:
+            # Less than a beat counts as one, or short runs would spend nothing.
+            waited_s = max(TICK_S, self._last_beat_s - self._ran_since_s)
+            current_s = 0.0
+        self._spent_s = find_spent_wait_s(self._spent_s, waited_s, current_s)
+
     def find_resumed_s(self) -> float:
         """Return when the process last went on; minus infinity if it never stopped."""
         self.find_gap_s(self._clock())
@@ -110,12 +129,13 @@
         if has_news(self._kinds, self._as_of_s, resumed_s):
             after_s = self._clock() - resumed_s
             log_event(ROUTER_UP_TO_DATE, after_s=round(after_s, 4), waited=self._waited)
+            self._current_since_s = self._elapsed_clock()
             self._up_to_date.set()
 
     async def wait_current(self) -> None:
         """Wait for news, if there was none since a standstill, but not for long."""
-        resumed_s = self.find_resumed_s()
-        wait_s = find_news_wait_s(self.has_news, resumed_s, self._clock())
+        resumed_s, now_s = self.find_resumed_s(), self._clock()
+        wait_s = find_news_wait_s(self.has_news, resumed_s, now_s, self._spent_s)
         if not wait_s:
             return
         self._waited += 1
--- a/tests/test_standstill_decisions.py
+++ b/tests/test_standstill_decisions.py
@@ -16,6 +16,7 @@
     NEWS_WAIT_MAX_S,
     find_gap_s,
     find_news_wait_s,
+    find_spent_wait_s,
     has_news,
     is_outdated,
 )
@@ -89,6 +90,23 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize(
+    ("spent_s", "waited_s", "current_s", "expected_s"),
+    [
+        (0.0, 0.2, 0.0, 0.1),
+        (0.2, 0.2, 0.0, 0.0),
+        (0.2, 9.0, 0.1, 0.1),
+        (0.2, 9.0, NEWS_WAIT_MAX_S, NEWS_WAIT_MAX_S),
+        (0.2, 0.2, -0.1, 0.0),
+    ],
+)
+def test_standstills_in_a_row_share_one_wait(spent_s, waited_s, current_s, expected_s):
+    # Guards against a wait that each standstill begins anew, and against one that
+    # isn't regained once the router runs with news.
+    spent_s = find_spent_wait_s(spent_s, waited_s, current_s)
+    assert find_news_wait_s(False, 10.0, 10.0, spent_s) == pytest.approx(expected_s)
+
+
 class MonitorMachine(RuleBasedStateMachine):
     """Beats, standstills, decisions and news in any order.
 
