Use an ended entry of a copy only once the store has told that it kept it

Requests reached a worker whose entry had been deleted twice: before the store came back from a copy that has it, and once more afterwards. A router puts such an entry aside for 4 s, in which the store ends it if its endpoint is silent, and then used it by its own clock. If its loop was late, that timer fired before the news was read that the entry had ended; if it couldn't reach the store, nobody could tell it. The entry is now used once the store, or another router's evidence, has told as of the end of the 4 s that it is there.

Evidence: the three new cases of tests/test_store_restored.py fail before and pass.

--- a/src/tamarackrill/decisions/lapses.py
+++ b/src/tamarackrill/decisions/lapses.py
@@ -14,7 +14,9 @@
 
 The copy may also have entries that have ended since.  They end again after three
 heartbeats that fail to come, and are not used until then, unless they are written.  A
-router that has not seen them end, as it has started since, is told by others.
+router that has not seen them end, as it has started since, is told by others.  One that
+is late, or can't reach the store, would be told of that second end only after the time
+in which it has to come: it uses an entry once the store has told that it kept it.
 
 A router that cannot reach the store learns of a missing entry from one that can.  The
 store then answers again, so such an entry is kept for no longer than the grace period:
@@ -204,7 +206,12 @@
         return EndedNews(tuple(ends[-TOLD_MAX:]), era, suspect_s)
 
     def must_hold(
-        self, item: ObjectVersion, now_s: float, era: int = 0, is_new: bool = False
+        self,
+        item: ObjectVersion,
+        now_s: float,
+        era: int = 0,
+        is_new: bool = False,
+        known_s: float | None = None,
     ) -> bool:
         """Return whether to put an entry aside, as its endpoint has ended before.
 
@@ -220,11 +227,13 @@
             Era of the store.
         is_new : bool, default=False
             Whether it is known to have been written after the last restore.
+        known_s : float, optional
+            As of when the store's entries are known; now by default.
         """
         confirmed_era = self._ended.pop(item.name, None)
         self._held.pop(item.name, None)
         until_s = self._find_suspect_until_s(item.name, now_s, era)
-        if is_new or now_s >= until_s:
+        if is_new or (now_s if known_s is None else known_s) >= until_s:
             return False
         self._held[item.name] = _HeldEntry(item, until_s, confirmed_era)
         return True
@@ -239,7 +248,13 @@
         # The store may have come back only after this router was told.
         return told.until_s if told.era >= era else now_s + SILENT_ENTRY_S
 
-    def release(self, now_s: float) -> list[ObjectVersion]:
-        """Return, once each, the entries put aside that the store has kept."""
-        due = [name for name, held in self._held.items() if held.until_s <= now_s]
+    def release(self, known_s: float) -> list[ObjectVersion]:
+        """Return, once each, the entries put aside that the store has kept.
+
+        Parameters
+        ----------
+        known_s : float
+            As of when the store's entries are known.
+        """
+        due = [name for name, held in self._held.items() if held.until_s <= known_s]
         return [self._held.pop(name).item for name in due]
--- a/src/tamarackrill/router/configuring.py
+++ b/src/tamarackrill/router/configuring.py
@@ -205,6 +205,10 @@
         """Whether the platform is unavailable."""
         return self._is_lost
 
+    def is_pulling(self, kind: str) -> bool:
+        """Return whether another router is being asked for what is missing here."""
+        return kind in self._pulls
+
     def request_news(self) -> None:
         """Ask the platform for all that has changed, without waiting for a change."""
         for kind in self._kinds:
--- a/src/tamarackrill/router/deployment_view.py
+++ b/src/tamarackrill/router/deployment_view.py
@@ -67,6 +67,11 @@
         Availability zones of the deployment; others can't be evacuated.
     store : ConfigurationStore, optional
         Holds the objects.  Without it their eras are unknown.
+
+    Attributes
+    ----------
+    find_known_s : callable
+        ``find_known_s(now_s)`` returns as of when the store's endpoints are known.
     """
 
     def __init__(
@@ -94,6 +99,7 @@
         self.manifest_item: ObjectVersion | None = None
         self._is_manifest_lost = False
         self.has_endpoint_data = False
+        self.find_known_s: Callable[[float], float] = lambda now_s: now_s
 
     @property
     def is_complete(self) -> bool:
@@ -154,7 +160,9 @@
 
     def _must_hold(self, item: ObjectVersion, now_s: float) -> bool:
         is_new = self._store.is_of_era(item)
-        must_hold = self._ended_entries.must_hold(item, now_s, self._find_era(), is_new)
+        must_hold = self._ended_entries.must_hold(
+            item, now_s, self._find_era(), is_new, self.find_known_s(now_s)
+        )
         if must_hold:
             log_event(ENDPOINT_SUSPECT, endpoint=item.name, revision=item.version)
         return must_hold
@@ -318,7 +326,7 @@
 
     def expire(self, now_s: float) -> None:
         """Apply the ends of all grace periods."""
-        for item in self._ended_entries.release(now_s):
+        for item in self._ended_entries.release(self.find_known_s(now_s)):
             self.take(item, now_s)
         for name in self._expiry_grace.expire(now_s):
             self._drop(name)
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -399,6 +399,12 @@
         ages_s = self.store_news.find_ages_s(now_s)
         return now_s - ages_s.get(ENDPOINT_KIND, math.inf)
 
+    def _find_confirmed_s(self, now_s: float) -> float:
+        """Return as of when the store's endpoints are known, and nothing is missing."""
+        if self.configuration_sync.is_pulling(ENDPOINT_KIND):
+            return -math.inf
+        return min(now_s, self._find_known_s())
+
     def _find_resumed_s(self) -> float:
         return self._activity.find_resumed_s(self.clock(), read_clock())
 
@@ -570,6 +576,7 @@
             seeds,
             find_suspended_s=find_suspended_s,
         )
+        self.view.find_known_s = self._find_confirmed_s
         self._watch_standstills()
         own = MemberRecord(
             self.settings.name,
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -1,9 +1,11 @@
 """A store that comes back from a copy: revisions are given out again."""
 
 import asyncio
+import time
 
 import pytest
 
+from tamarackrill.decisions import lapses
 from tamarackrill.decisions.configuration import ObjectVersion
 from tamarackrill.decisions.lapses import EXPIRY_GRACE_S, SILENT_ENTRY_S
 from tamarackrill.router import edge_app
@@ -184,6 +186,60 @@
     assert bool(view.list_live("desk")) == is_used
 
 
+@pytest.mark.parametrize("is_ended_again", [False, True])
+def test_ended_entry_is_not_used_before_the_store_has_told_that_it_kept_it(
+    is_ended_again,
+):
+    # Guards against requests at an endpoint that has ended, by a router that was late,
+    # or couldn't reach the store, when its entry ended once more.
+    view = make_view(make_entry(6), ObjectVersion("servers", "w1", 9, None))
+    known_s = 1.0
+    view.find_known_s = lambda now_s: known_s
+    view.observe_restored("servers", 1.0)
+    view.take(make_entry(6), 1.0)
+    view.expire(1.5 + SILENT_ENTRY_S)
+    assert not view.list_live("desk")
+    if is_ended_again:
+        view.take(ObjectVersion("servers", "w1", 8, None), 1.6 + SILENT_ENTRY_S)
+    known_s = 1.6 + SILENT_ENTRY_S
+    view.expire(1.6 + SILENT_ENTRY_S)
+    assert bool(view.list_live("desk")) != is_ended_again
+
+
+def test_ended_entry_is_not_used_by_a_router_that_stood_still_as_it_ended_again(
+    monkeypatch,
+):
+    # Guards against timers that use the entries of a copy before the news is read that
+    # they have ended, which waits in the next socket.
+    monkeypatch.setattr(lapses, "SILENT_ENTRY_S", 1.0)
+
+    async def act(fleet):
+        for name in ("w1", "w2"):
+            await fleet.add_worker(name)
+        router = await fleet.add_router()
+        view, store = router.view, fleet.store
+        await fleet.wait(lambda: len(view.list_live("desk")) == 2)
+        copied = store.state.revision
+        await store.write("servers", "w1", None)
+        await fleet.wait(lambda: view.find_endpoint("w1") is None)
+        await store.restore(copied)
+        await fleet.wait(lambda: router.store.get_era("servers") == 2)
+        used, take = [], view.take
+
+        def note(item, now_s):
+            take(item, now_s)
+            used.append(view.find_endpoint("w1") is not None)
+
+        view.take = note
+        await asyncio.sleep(0.3)
+        time.sleep(1.0)
+        await store.write("servers", "w1", None)
+        await fleet.wait(lambda: used)
+        assert not any(used)
+
+    run_in_fleet(act)
+
+
 def test_endpoint_that_comes_back_without_a_restore_is_used_at_once():
     view = make_view(make_entry(6), ObjectVersion("servers", "w1", 9, None))
     view.take(make_entry(10), 1.0)
