Restart the background tasks of tamarackrilld

A task of tamarackrilld that raised an undeclared error ended for good, and the router stayed unready until it was restarted. They run under run_restarting now, as those of the platform's router do. The router is unready from the error until the task has run again for as long as the pause, so that one that fails each time keeps it unready, as before.

What the tasks held is sound afterwards: a probe without a result no longer counts as under way for ever, so that its endpoint is probed again; an admission that raises leaves the queue and gives its slot back; and a pool whose waiting calls can't be admitted doesn't hold up the other pools.

test_router_with_a_failed_task_is_not_ready is replaced: its task is started again now, so the router must be unready between four failures in a row, and ready again once a task keeps running.

--- a/src/tamarackrill/decisions/health.py
+++ b/src/tamarackrill/decisions/health.py
@@ -303,7 +303,8 @@
     ) -> str | None:
         """Return the ejected endpoint to probe now, if any is due.
 
-        The caller sends the probe and reports its result to `observe_probe`.
+        The caller sends the probe and reports its result to `observe_probe`, or that
+        there is none to `end_probe`.
 
         Parameters
         ----------
@@ -330,6 +331,11 @@
         self._states[name].is_probing = True
         return name
 
+    def end_probe(self, endpoint: str) -> None:
+        """Record that a probe has ended, perhaps without a result."""
+        if endpoint in self._states:
+            self._states[endpoint].is_probing = False
+
     def observe_probe(
         self,
         endpoint: str,
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -42,9 +42,8 @@
     "task_failed",
     _ERROR,
     ("task", "error"),
-    "A background task of the router ended with an unexpected error; the router is no "
-    "longer ready.",
-    "Restart the router and report this line to the maintainers.",
+    "A single piece of background work of the router ended with an unexpected error.",
+    "Report this line to the maintainers.",
 )
 
 TASK_RESTARTED = Event(
@@ -53,7 +52,8 @@
     _ERROR,
     ("task", "error"),
     "A background task of the router raised an unexpected error, and is started again "
-    "after half a second.",
+    "after half a second.  `tamarackrilld` isn't ready until the task has then run for "
+    "another half second.",
     "Report this line to the maintainers.",
 )
 UNEXPECTED_ERROR = Event(
--- a/src/tamarackrill/router/admitting.py
+++ b/src/tamarackrill/router/admitting.py
@@ -10,6 +10,7 @@
 from tamarackrill.exceptions import Refusal
 from tamarackrill.router.attempts import Attempt
 from tamarackrill.router.calls import Call
+from tamarackrill.router.unexpected_errors import log_unexpected
 
 EXPIRE_INTERVAL_S = 0.25
 _REFUSAL_MESSAGES = {
@@ -63,7 +64,11 @@
         now_s = self._clock()
         self._apply(self._queue.expire(now_s))
         for pool in self._latest_calls:
-            self._dispatch(pool, now_s)
+            try:
+                self._dispatch(pool, now_s)
+            except Exception as error:
+                # The calls that wait for other pools are admitted all the same.
+                log_unexpected("admit", error)
 
     async def acquire_slot(self, call: Call, now_s: float) -> None:
         """Wait until the call has a slot; the caller must then call `release_slot`.
@@ -77,12 +82,16 @@
         self._latest_calls[pool] = call
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiters[call.request_id] = future
-        self._apply(self._queue.offer(_make_waiting_request(call, pool, now_s), now_s))
-        self._dispatch(pool, now_s)
+        request = _make_waiting_request(call, pool, now_s)
         try:
+            self._apply(self._queue.offer(request, now_s))
+            self._dispatch(pool, now_s)
             await future
-        except asyncio.CancelledError:
-            self.cancel(call)
+        except Refusal:
+            raise
+        except BaseException:
+            # A request that nobody waits for would hold its slot for ever.
+            self._queue.cancel(call.request_id)
             self._queue.release(call.request_id, now_s, completed=False)
             raise
         finally:
--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -4,7 +4,7 @@
 import socket
 import time
 import uuid
-from collections.abc import Awaitable, Coroutine
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from tornado.curl_httpclient import CurlAsyncHTTPClient
@@ -31,7 +31,7 @@
 from tamarackrill.exceptions import PlatformUnavailable
 from tamarackrill.router import suspension
 from tamarackrill.router.admitting import Admitter
-from tamarackrill.router.background import log_task_failure
+from tamarackrill.router.background import RESTART_PAUSE_S, run_restarting
 from tamarackrill.router.binding import report_bind_error
 from tamarackrill.router.catching_up import CatchUp
 from tamarackrill.router.chats import ChatCoordinator
@@ -99,7 +99,7 @@
         self.open_calls = OpenCalls()
         self.known = KnownObjects()
         self._leaving = False
-        self._failed_task = ""
+        self._failed_tasks: set[str] = set()
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -262,26 +262,36 @@
         reader = LoadReader(self._endpoint_client, self.owners, self.placer, self.clock)
         self.catch_up.on_standstill = self._observe_standstill
         self.catch_up.on_current = self.admitter.admit_all
-        self._start_task("catch_up", self.catch_up.run())
-        self._start_task("owners", self.owners.run())
-        self._start_task("vm_list", self._poll_vm_list())
-        self._start_task("admitter", self.admitter.run())
-        self._start_task("limiter", self.limiter.run())
-        self._start_task("guard", self.guard.run())
-        self._start_task("chats", self.chats.run())
-        self._start_task("prober", prober.run())
-        self._start_task("load_reader", reader.run())
-
-    def _start_task(self, name: str, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work, name=name)
-        task.add_done_callback(self._record_task_failure)
-        self._tasks.append(task)
-
-    def _record_task_failure(self, task: asyncio.Task[None]) -> None:
+        self._start_task("catch_up", self.catch_up.run)
+        self._start_task("owners", self.owners.run)
+        self._start_task("vm_list", self._poll_vm_list)
+        self._start_task("admitter", self.admitter.run)
+        self._start_task("limiter", self.limiter.run)
+        self._start_task("guard", self.guard.run)
+        self._start_task("chats", self.chats.run)
+        self._start_task("prober", prober.run)
+        self._start_task("load_reader", reader.run)
+
+    def _start_task(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+        work = run_restarting(name, lambda: self._run_observed(name, run))
+        self._tasks.append(asyncio.create_task(work, name=name))
+
+    async def _run_observed(
+        self, name: str, run: Callable[[], Awaitable[None]]
+    ) -> None:
         # Without one of its tasks a router must not report itself ready: for example,
-        # it would no longer refuse calls that wait too long.
-        if log_task_failure(task):
-            self._failed_task = task.get_name()
+        # it would no longer refuse calls that wait too long.  One that fails each time
+        # that it is started must not make the router ready for a moment.
+        recovery = asyncio.get_running_loop().call_later(
+            RESTART_PAUSE_S, self._failed_tasks.discard, name
+        )
+        try:
+            await run()
+        except BaseException:
+            self._failed_tasks.add(name)
+            raise
+        finally:
+            recovery.cancel()
 
     def _serve_callers(self, sockets: list[socket.socket]) -> None:
         self._server = DrainingServer(
@@ -299,7 +309,7 @@
     def is_ready(self) -> bool:
         """Return whether the load balancer may send new calls to this router."""
         has_contracts = bool(self.known.list_contracts())
-        return has_contracts and not self._leaving and not self._failed_task
+        return has_contracts and not self._leaving and not self._failed_tasks
 
     async def drain(self, stop_requested_s: float | None = None) -> None:
         """Refuse new calls; return when none is in flight, or after the drain limit.
--- a/src/tamarackrill/router/probing.py
+++ b/src/tamarackrill/router/probing.py
@@ -58,9 +58,14 @@
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
             name = self._placer.health.next_probe(self._clock())
-            for endpoint in self._list_endpoints():
-                if endpoint.name == name:
-                    await self._probe(endpoint)
+            if name is None:
+                continue
+            try:
+                for endpoint in self._list_endpoints():
+                    if endpoint.name == name:
+                        await self._probe(endpoint)
+            finally:
+                self._placer.health.end_probe(name)
 
     async def _probe(self, endpoint: Endpoint) -> None:
         sent_s = self._clock()
