Refuse only calls whose own claim can't be read

One entry of a claim object that isn't a claim made the whole bucket unreadable: a sixteenth of all calls that aren't idempotent was refused as platform_unavailable, by all routers and for as long as the entry stood there.

Each entry is read by itself now. One that can't be read keeps its key: it is written back as it is, never removed or written over, and a call of that key gets 409 claim_unreadable, run unknown, as the claim that stood there may have let it run.

--- a/src/tamarackrill/decisions/claim_buckets.py
+++ b/src/tamarackrill/decisions/claim_buckets.py
@@ -52,7 +52,17 @@
     expires_s: float
 
 
-Entries = dict[str, Claim]
+class UnreadableClaim(NamedTuple):
+    """An entry that isn't a claim, as another program may have written it.
+
+    It is written back as it is, and holds its key: the claim that stood there may have
+    let a request run.
+    """
+
+    content: Any
+
+
+Entries = dict[str, Claim | UnreadableClaim]
 
 
 class AddClaim(NamedTuple):
@@ -103,8 +113,8 @@
         To be granted once the write is known to have taken effect.
     already_stored : list of AddClaim
         Already in the bucket under the same attempt.
-    held : list of (AddClaim, Claim)
-        Another attempt holds the key.
+    held : list of (AddClaim, Claim or UnreadableClaim)
+        Another attempt holds the key, or may hold it.
     full : list of AddClaim
         Rejected because the bucket is full.
     deferred : list of Change
@@ -115,7 +125,7 @@
     changed: bool
     added: list[AddClaim]
     already_stored: list[AddClaim]
-    held: list[tuple[AddClaim, Claim]]
+    held: list[tuple[AddClaim, Claim | UnreadableClaim]]
     full: list[AddClaim]
     deferred: list[Change]
 
@@ -150,29 +160,46 @@
     Raises
     ------
     AttributeError, TypeError, ValueError
-        If any of them is malformed.
+        If the value isn't a bucket.  Of a bucket, malformed entries are returned as
+        `UnreadableClaim`.
     """
     if value is None:
         return {}
     claims = value.get("claims", {})
-    return {key_hash: _decode_claim(fields) for key_hash, fields in claims.items()}
+    return {key_hash: _decode_claim(content) for key_hash, content in claims.items()}
+
+
+def _decode_claim(content: Any) -> Claim | UnreadableClaim:
+    if not isinstance(content, list):
+        return UnreadableClaim(content)
+    try:
+        claim = Claim(*content)
+        parse_attempt(claim.attempt)
+        is_valid = (
+            claim.state in get_args(ClaimState)
+            and type(claim.expires_s) in (int, float)
+            and math.isfinite(claim.expires_s)
+        )
+    except (TypeError, ValueError, AttributeError):
+        is_valid = False
+    return claim if is_valid else UnreadableClaim(content)
 
 
-def _decode_claim(fields: Any) -> Claim:
-    if not isinstance(fields, list):
-        raise TypeError("a claim is no array")
-    claim = Claim(*fields)
-    parse_attempt(claim.attempt)
-    if claim.state not in get_args(ClaimState):
-        raise ValueError("a claim has no valid state")
-    if type(claim.expires_s) not in (int, float) or not math.isfinite(claim.expires_s):
-        raise TypeError("a claim has no valid time")
-    return claim
+def list_unreadable(entries: Entries) -> list[str]:
+    """Return the keys of the entries that aren't claims."""
+    return [key for key, claim in entries.items() if isinstance(claim, UnreadableClaim)]
 
 
 def encode_entries(entries: Entries) -> dict[str, Any]:
     """Return the object value that stores the claims."""
-    return {"claims": {key_hash: list(claim) for key_hash, claim in entries.items()}}
+    return {
+        "claims": {
+            key_hash: claim.content
+            if isinstance(claim, UnreadableClaim)
+            else list(claim)
+            for key_hash, claim in entries.items()
+        }
+    }
 
 
 def merge_changes(
@@ -193,7 +220,11 @@
     -------
     MergeResult
     """
-    kept = {key: claim for key, claim in entries.items() if claim.expires_s > now_s}
+    kept = {
+        key: claim
+        for key, claim in entries.items()
+        if isinstance(claim, UnreadableClaim) or claim.expires_s > now_s
+    }
     merge = MergeResult(kept, False, [], [], [], [], [])
     changed = False
     added_keys: set[str] = set()
@@ -212,7 +243,7 @@
 def _add_claim(merge: MergeResult, change: AddClaim) -> bool:
     found = merge.entries.get(change.key_hash)
     if found is not None:
-        if found.attempt == change.attempt:
+        if isinstance(found, Claim) and found.attempt == change.attempt:
             merge.already_stored.append(change)
         else:
             merge.held.append((change, found))
@@ -230,7 +261,7 @@
     found = entries.get(change.key_hash)
     # Only modify the attempt's own entry. Removing another attempt's entry would allow
     # its request to run a second time.
-    if found is None or found.attempt != change.attempt:
+    if not isinstance(found, Claim) or found.attempt != change.attempt:
         return False
     if isinstance(change, DropClaim):
         del entries[change.key_hash]
--- a/src/tamarackrill/decisions/claim_messages.py
+++ b/src/tamarackrill/decisions/claim_messages.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from tamarackrill.decisions.claim_buckets import Claim, Entries
+from tamarackrill.decisions.claim_buckets import Claim, Entries, UnreadableClaim
 
 
 class ClaimRequested(NamedTuple):
@@ -104,11 +104,11 @@
 
 
 class Held(NamedTuple):
-    """Another attempt holds the key; this request must not be sent."""
+    """Another attempt holds the key, or may hold it; this request must not be sent."""
 
     request: int
     key_hash: str
-    claim: Claim
+    claim: Claim | UnreadableClaim
 
 
 class Refused(NamedTuple):
--- a/src/tamarackrill/decisions/claims.py
+++ b/src/tamarackrill/decisions/claims.py
@@ -24,6 +24,7 @@
     DropClaim,
     Entries,
     MarkDone,
+    UnreadableClaim,
     find_bucket,
     format_attempt,
     merge_changes,
@@ -180,6 +181,8 @@
     the router is not live, or if it is this router, which would have found the request
     locally if it still knew it.
     """
+    if isinstance(held.claim, UnreadableClaim):
+        return ""
     router, _ = parse_attempt(held.claim.attempt)
     return router if router != claims.router and router in live_routers else ""
 
--- a/src/tamarackrill/router/claiming.py
+++ b/src/tamarackrill/router/claiming.py
@@ -13,9 +13,11 @@
 from tamarackrill.decisions.catching_up import Standstill
 from tamarackrill.decisions.claim_buckets import (
     Entries,
+    UnreadableClaim,
     decode_entries,
     encode_entries,
     hash_claim_key,
+    list_unreadable,
 )
 from tamarackrill.decisions.claim_messages import (
     Action,
@@ -47,6 +49,7 @@
     CLAIM_GRANTED,
     CLAIM_HELD,
     CLAIM_UNANSWERED,
+    OBJECT_FAULTY,
     log_event,
 )
 from tamarackrill.exceptions import PlatformUnavailable, Refusal
@@ -128,8 +131,8 @@
         ClaimHeldElsewhere
             If another live router holds the claim.
         Refusal
-            ``unknown`` if another attempt holds the claim, ``not_run`` if the claim
-            could not be written.
+            ``unknown`` if another attempt holds the claim or what stands there can't be
+            read, ``not_run`` if the claim could not be written.
         """
         if call.idempotent:
             return
@@ -197,6 +200,9 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def _refuse_held(self, call: Call, held: Held) -> Refusal:
+        if isinstance(held.claim, UnreadableClaim):
+            message = "the claim of the request can't be read; the request may have run"
+            return Refusal("claim_unreadable", 409, message, "unknown")
         router = find_router_to_ask(self._claims, held, self._list_live())
         log_event(
             CLAIM_HELD,
@@ -295,11 +301,20 @@
     if found is None:
         return 0, {}
     try:
-        return found.version, decode_entries(found.value)
+        entries = decode_entries(found.value)
     except (TypeError, ValueError, AttributeError) as error:
         # Without readable claims no call may be sent.
         message = f"can't decode the claims of {found.name}: {error}"
         raise PlatformUnavailable(message) from error
+    if unreadable := list_unreadable(entries):
+        log_event(
+            OBJECT_FAULTY,
+            kind=found.kind,
+            object=found.name,
+            version=found.version,
+            message=f"unreadable claims: {len(unreadable)}, the first {unreadable[0]}",
+        )
+    return found.version, entries
 
 
 def _build_refusal(action: Refused) -> Refusal:
