Refuse heads without exactly one Host as malformed

A request with two Host fields got 404 no_route, as their values were joined to one that no route has; so did a request of HTTP/1.1 without any. RFC 9112, 3.2 asks for 400. They get 400 malformed_host now.

tests/test_client_heads.py: 5 of the 8 new cases failed before; all pass, as do the tests of the platform, of reading errors and of the edge.

--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -253,6 +253,21 @@
         return _Denied(status, reason)
 
 
+def _read_host(line: RequestStartLine, headers: HTTPHeaders) -> str:
+    """Return the host that a client names; empty if HTTP/1.0 lets it name none.
+
+    Raises
+    ------
+    _Denied
+        If there are several, by which a program in front may choose another route, or
+        none (RFC 9112, 3.2).
+    """
+    hosts = headers.get_list("Host")
+    if len(hosts) > 1 or (not hosts and line.version != "HTTP/1.0"):
+        raise _Denied(400, "malformed_host")
+    return hosts[0] if hosts else ""
+
+
 def _refuse_unread(headers: HTTPHeaders) -> OwnAnswer:
     """Return the refusal of a request whose reading raised an undeclared error."""
     fields = build_error_headers(read_request_id(headers.get_all()), RETRY_AFTER_S)
@@ -402,7 +417,7 @@
             self._check_sizes()
             self._call = self._server.match(
                 self._start_line,
-                self._headers.get("Host", ""),
+                _read_host(self._start_line, self._headers),
                 headers,
                 b"".join(self._chunks),
                 self._arrived_s,
--- a/tests/test_client_heads.py
+++ b/tests/test_client_heads.py
@@ -149,6 +149,40 @@
     asyncio.run(run())
 
 
+HOST_LINE = b"Host: " + HOST.encode()
+OTHER_LINE = b"Host: other.example"
+HOSTS = {
+    "one": ([HOST_LINE], b"HTTP/1.1", 200),
+    "none": ([], b"HTTP/1.1", 400),
+    "none in 1.0": ([], b"HTTP/1.0", 404),
+    "the same twice": ([HOST_LINE, HOST_LINE], b"HTTP/1.1", 400),
+    "two": ([HOST_LINE, OTHER_LINE], b"HTTP/1.1", 400),
+    "two, the other first": ([OTHER_LINE, HOST_LINE], b"HTTP/1.1", 400),
+    "two in 1.0": ([HOST_LINE, OTHER_LINE], b"HTTP/1.0", 400),
+    "another": ([OTHER_LINE], b"HTTP/1.1", 404),
+}
+
+
+@pytest.mark.parametrize("case", HOSTS)
+def test_head_without_exactly_one_host_is_malformed(case):
+    # Guards against a client that is told that its route doesn't exist, though its
+    # head is malformed.
+    lines, version, status = HOSTS[case]
+
+    async def run():
+        async with EdgeFleet() as fleet:
+            worker, router = await start(fleet)
+            head = make_head(b"POST /a/b " + version, b"Content-Length: 0")
+            head = head.replace(HOST_LINE + b"\r\n", b"")
+            line, _, fields = head.partition(b"\r\n")
+            head = b"\r\n".join([line, *lines, fields])
+            found, _ = await exchange(router.settings.callers_address, head)
+            assert found == status
+            assert len(worker.requests) == (status == 200)
+
+    asyncio.run(run())
+
+
 ODD_NUMBERS = ("1e308", "9" * 400, "1e999", "-1", "nan", "1_0", "\xb2")
 
 
