Find versions that were never recorded in the store's history of endpoints

Cause: a missing record in a store of the first era was taken for that of a new service, and a record that lacks a version for a complete one, though nobody could have written it.

Change: a router without history that reads such a record also reads which entries of endpoints have come and gone since, and counts their versions. If the store no longer tells the changes since the record, the oldest revision since which it does is searched for, in some seven calls. This only adds versions: a fleet whose store was sound, or tells no history, goes on as before. Not found is a version that came and left before what the store still tells, or whose removal it tells without contents and whose creation it no longer tells.

Ruled out: giving an unrecorded version no streams stops it for as long as the store refuses writes; confirming records regularly costs writes in a calm fleet.

--- a/src/tamarackrill/decisions/version_records.py
+++ b/src/tamarackrill/decisions/version_records.py
@@ -10,11 +10,17 @@
 of a version that has left must have ended; a router reads the records as it starts.
 Several routers watch over them, each a little later than the one before, so that one of
 them suffices and none has to be chosen.
+
+A store that refuses what routers write has no record of a version, or none at all, and
+a version may come and go meanwhile.  So a router that reads the records also reads
+which endpoints have come and gone since they were written, as far as the store still
+tells: the endpoints write their own entries.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 from typing import Any, NamedTuple
 
+from tamarackrill.contracts import Endpoint
 from tamarackrill.decisions import hashing
 from tamarackrill.decisions.stream_versions import StreamVersions
 
@@ -29,6 +35,9 @@
 VERSIONS_MAX = 1000
 # Era of a record that may lack versions.
 UNKNOWN_ERA = -1
+# Part of the changes since a record that is asked for after those that the store no
+# longer tells: about seven calls until all that it tells is known to an eighth.
+HISTORY_STEP = 8
 _RANK_KEY = "version-recorders"
 
 
@@ -134,3 +143,55 @@
     versions = {*record.versions, *seen}.difference(obsolete) or {*record.versions}
     wanted = VersionRecord(tuple(sorted(versions)), era if knows_all else record.era)
     return None if wanted == record else wanted
+
+
+def choose_history_start(lost: int, told: int | None, revision: int) -> int | None:
+    """Return the next revision since which to ask for past changes.
+
+    The store tells them for some time, and not how many that are.
+
+    Parameters
+    ----------
+    lost : int
+        Newest revision asked for since which it no longer tells them.
+    told : int or None
+        Oldest one since which it does; None if there is none yet.
+    revision : int
+        Present revision of the store.
+
+    Returns
+    -------
+    int or None
+        None if asking for more isn't worth a call.
+    """
+    if told is None:
+        start = revision - max(1, (revision - lost) // HISTORY_STEP)
+        return start if start > lost else None
+    if told - lost <= 1 + (revision - told) // HISTORY_STEP:
+        return None
+    return (lost + told) // 2
+
+
+def find_past_versions(
+    changes: Iterable[tuple[int, Endpoint]], recorded: Mapping[str, int]
+) -> dict[str, set[str]]:
+    """Return the versions that endpoints had since the records were written.
+
+    Parameters
+    ----------
+    changes : iterable of tuple of int and Endpoint
+        Past entries of endpoints, with their revisions.
+    recorded : mapping of str to int
+        Revision of the record of each service; 0 without one.
+
+    Returns
+    -------
+    dict of str to set of str
+        Versions by service.
+    """
+    versions: dict[str, set[str]] = {}
+    for revision, endpoint in changes:
+        for service in endpoint.serves:
+            if revision > recorded.get(service, revision):
+                versions.setdefault(service, set()).add(endpoint.software_version)
+    return versions
--- a/src/tamarackrill/platform/store.py
+++ b/src/tamarackrill/platform/store.py
@@ -97,6 +97,13 @@
     return Listing(events, read_revision(body["store_revision"]))
 
 
+def _read_history(kind: str, body: dict[str, Any]) -> Listing:
+    events = read_each(
+        kind, lambda event: _read_object(kind, event["object"], False), body["events"]
+    )
+    return Listing(events, read_revision(body["store_revision"]))
+
+
 STORE_FORM = StoreApi(
     base="",
     list_path=_list_path,
@@ -106,6 +113,7 @@
     make_delete=_make_delete,
     read_page=_read_page,
     read_events=_read_events,
+    read_history=_read_history,
     read_object=lambda kind, body: _read_object(kind, body, False),
     read_conflict=lambda kind, body: _read_object(kind, body, False),
     era_header="Store-Era",
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -6,6 +6,7 @@
 import socket
 import time
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpserver import HTTPServer
@@ -77,6 +78,7 @@
 )
 from tamarackrill.router.edge_placing import EdgePlacer
 from tamarackrill.router.edge_server import EdgeServer
+from tamarackrill.router.endpoint_history import read_endpoint_history
 from tamarackrill.router.fleet_news import FleetNewsExchange
 from tamarackrill.router.gossip import Gossiper
 from tamarackrill.router.manifest_recovery import ManifestRecovery
@@ -669,6 +671,7 @@
             self._session,
             self._knows_current_endpoints,
             self.clock,
+            partial(read_endpoint_history, self._platform, READERS),
         )
 
     def _collect_entries(self) -> PiggybackedEntries:
--- a/src/tamarackrill/router/platform_client.py
+++ b/src/tamarackrill/router/platform_client.py
@@ -249,6 +249,40 @@
         PlatformUnavailable
             If the platform did not answer.
         """
+        return await self._read_changes(
+            kind, since, self._form.read_events, wait_s, on_first_byte, max_bytes
+        )
+
+    async def read_history(self, kind: str, since: int) -> Listing:
+        """Return past changes, of removed objects with their last contents if told.
+
+        Parameters
+        ----------
+        kind : str
+            Kind of objects.
+        since : int
+            Revision.
+
+        Raises
+        ------
+        WatchLost
+            If the platform no longer has that revision.
+        AnswerTooLong
+            If there are too many changes.
+        PlatformUnavailable
+            If the platform did not answer.
+        """
+        return await self._read_changes(kind, since, self._form.read_history, 0.0)
+
+    async def _read_changes(
+        self,
+        kind: str,
+        since: int,
+        read: Callable[[str, Any], Listing],
+        wait_s: float | None,
+        on_first_byte: Callable[[], None] = lambda: None,
+        max_bytes: int | None = None,
+    ) -> Listing:
         wait_s = self._timing.watch_wait_s if wait_s is None else wait_s
         path = self._form.watch_path(kind, since, wait_s)
         timeout_s = wait_s + self._timing.call_s
@@ -257,7 +291,7 @@
         )
         if answer.code == GONE:
             raise WatchLost(f"revision {since} of {kind} is gone")
-        listing = _parse(self._form.read_events, kind, answer.body)
+        listing = _parse(read, kind, answer.body)
         return listing._replace(size_bytes=answer.size_bytes, era=answer.era)
 
     async def list_vms(self) -> tuple[Vm, ...]:
@@ -487,6 +521,7 @@
     ),
     read_page=lambda kind, body: ObjectPage(*_parse_objects(kind, body, "items")),
     read_events=lambda kind, body: Listing(*_parse_objects(kind, body, "events")),
+    read_history=lambda kind, body: Listing(*_parse_objects(kind, body, "events")),
     read_object=_parse_object,
     read_conflict=_parse_conflict,
 )
--- a/src/tamarackrill/router/version_store.py
+++ b/src/tamarackrill/router/version_store.py
@@ -3,9 +3,10 @@
 import asyncio
 import contextlib
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping
 from typing import Any
 
+from tamarackrill.contracts import Endpoint
 from tamarackrill.decisions.stream_archive import (
     ArchiveBuffer,
     ArchivedStreams,
@@ -25,6 +26,7 @@
     RECORDERS,
     UNKNOWN_ERA,
     VersionRecord,
+    find_past_versions,
     find_recorder_rank,
     lacks_version,
     update_record,
@@ -39,7 +41,7 @@
 from tamarackrill.router import lateness
 from tamarackrill.router.background import run_restarting
 from tamarackrill.router.platform_client import PlatformClient
-from tamarackrill.store_api import PlatformObject
+from tamarackrill.store_api import Listing, PlatformObject
 
 # Objects of the system's own kinds: a record for each service, and batches of streams.
 RECORD_KIND = "stream-versions"
@@ -86,6 +88,8 @@
         Returns whether the known endpoints are as the platform has them now.
     clock : callable
         Returns the current time.
+    read_history : callable
+        ``await read_history(since, now)``; see `endpoint_history`.
     """
 
     def __init__(
@@ -96,7 +100,11 @@
         session: int,
         is_current: Callable[[], bool],
         clock: Callable[[], float],
+        read_history: Callable[
+            [int, Listing], Awaitable[Iterable[tuple[int, Endpoint]]]
+        ],
     ) -> None:
+        self._read_history = read_history
         self._services: tuple[str, ...] = ()
         self._routers: tuple[Router, ...] = ()
         # Rank among the routers that write records; None if this one doesn't.
@@ -275,16 +283,40 @@
         self._must_read = False
         try:
             listing = await self._platform.list(RECORD_KIND)
+            past = await self._read_past_versions(listing)
         except PlatformUnavailable:
             self._must_read = True
             raise
         self._era = listing.era
+        for service, versions in past.items():
+            now_s = self._clock()
+            self._state.learn_record(service, versions, False, now_s, is_news=True)
         self._records.clear()
         for item in listing.items:
             self._take_record(item, is_news=True)
         for service in self._services:
             self._trust_missing(service)
 
+    async def _read_past_versions(
+        self, listing: Listing
+    ) -> Mapping[str, Collection[str]]:
+        """Return versions that have come since records that are taken for complete."""
+        now_s = self._clock()
+        recorded = {item.name: item for item in listing.items}
+        wanted = {}
+        for service in self._services:
+            if self._state.has_history(service, now_s):
+                continue
+            item = recorded.get(service)
+            if item is None and listing.era <= FIRST_ERA:
+                wanted[service] = 0
+            elif item is not None and _find_era(item) == listing.era:
+                wanted[service] = item.version
+        if not wanted:
+            return {}
+        past = await self._read_history(min(wanted.values()), listing)
+        return find_past_versions(past, wanted)
+
     def _take_record(self, item: PlatformObject, is_news: bool = False) -> None:
         """Take over a record that was read."""
         try:
@@ -441,3 +473,11 @@
         unchanged = [n for n, version in self._left.items() if before.get(n) == version]
         for name in unchanged[:DELETIONS_MAX]:
             await self._platform.delete(STREAMS_KIND, name, self._left[name])
+
+
+def _find_era(item: PlatformObject) -> int:
+    """Return the era of a record."""
+    try:
+        return VersionRecord.parse(item.value).era
+    except ValueError:
+        return UNKNOWN_ERA
--- a/src/tamarackrill/store_api.py
+++ b/src/tamarackrill/store_api.py
@@ -147,9 +147,10 @@
         the object must not exist.
     make_delete : callable
         ``make_delete(kind, name, expected_version)``.
-    read_page, read_events, read_object : callable
+    read_page, read_events, read_history, read_object : callable
         ``read(kind, body)`` parses a response body; raises KeyError, TypeError or
-        ValueError if it is not in the expected format.
+        ValueError if it is not in the expected format.  In a history, objects that were
+        removed have their last contents, if the store tells them.
     read_conflict : callable
         The same for the answer to a write whose condition failed; returns the existing
         object, or None.
@@ -165,6 +166,7 @@
     make_delete: Callable[[str, str, int], WriteRequest]
     read_page: Callable[[str, Any], ObjectPage]
     read_events: Callable[[str, Any], Listing]
+    read_history: Callable[[str, Any], Listing]
     read_object: Callable[[str, Any], PlatformObject]
     read_conflict: Callable[[str, Any], PlatformObject | None]
     era_header: str = ""
--- a/tests/test_unrecorded_versions.py
+++ b/tests/test_unrecorded_versions.py
@@ -48,6 +48,15 @@
 ):
     # Guards against a record that lacks a version, as the store refused its write (or
     # routers of an earlier build wrote none), and that routers take for complete.
+    run_release(release, was_recorded, monkeypatch)
+
+
+def test_unrecorded_version_is_found_in_what_is_left_of_the_history(monkeypatch):
+    # Guards against asking for changes since an old record only, which are gone.
+    run_release(add_and_take_back, True, monkeypatch, is_history_short=True)
+
+
+def run_release(release, was_recorded, monkeypatch, is_history_short=False):
     async def run():
         async with VersionedFleet() as fleet:
             if not was_recorded:
@@ -58,6 +67,9 @@
                     lambda: fleet.store.state.read("stream-versions", "desk")
                 )
                 monkeypatch.setattr(PlatformClient, "put", refuse)
+            if is_history_short:
+                await fleet.store.write("notes", "any", {})
+                await fleet.store.compact_history()
             leaving = await release(fleet)
             left = {fleet.versions[fleet.workers.index(w)].encode() for w in leaving}
             async with asyncio.timeout(BEGIN_MAX_S):
