Let no comment of an endpoint answer a request

Streams were cut after their fourth event though their endpoint went on: another one, asked for the rest, had sent a comment (whole, without its blank line, or in two pieces) and closed half a second later.

Cause: bytes after the last complete event count as an event that has begun, which answers the request 0.1 s later. Lines of a comment don't count now.

--- a/src/tamarackrill/decisions/event_stream.py
+++ b/src/tamarackrill/decisions/event_stream.py
@@ -130,6 +130,11 @@
         """Bytes received after the last complete event."""
         return self._splitter.partial_bytes
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun that isn't complete."""
+        return ends_inside_event(self._splitter.partial)
+
     def fork(self) -> "EventStream":
         """Return the rest of the same stream, as another endpoint supplies it."""
         fork = EventStream()
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -743,7 +743,7 @@
         if is_end or ends_inside_event(events):
             self._lead(attempt)
             return True
-        if attempt.leading is None and attempt.stream.partial_bytes:
+        if attempt.leading is None and attempt.stream.is_inside_event:
             loop = asyncio.get_running_loop()
             attempt.leading = loop.call_later(BEGUN_LEAD_S, self._lead_begun, attempt)
         return False
