Send relayed attempts on connections of their own

The first send takes a new connection now, as for requests that may not repeat: one for each attempt that is relayed, only where a router's own link to the endpoint fails.

--- a/src/tamarackrill/router/relay_server.py
+++ b/src/tamarackrill/router/relay_server.py
@@ -217,8 +217,10 @@
         if endpoint is None or is_full or self.is_leaving:
             return None
         try:
+            # A kept connection may end with the request unread, which only the other
+            # router may send again, as it knows what is left of the retry budget.
             channel = await self._attempts.open_own_channel(
-                endpoint, attempt.is_repeatable, CONNECT_TIMEOUT_S
+                endpoint, False, CONNECT_TIMEOUT_S
             )
         except OSError as error:
             self._attempts.paths.record_failure(endpoint, error)
