--- a/src/tamarackrill/router/unexpected_errors.py
+++ b/src/tamarackrill/router/unexpected_errors.py
@@ -5,10 +5,11 @@
 """
 
 import asyncio
-import contextlib
 import traceback
-from collections.abc import Callable, Collection, Iterator
+from collections.abc import Callable, Collection
+from contextlib import AbstractContextManager
 from pathlib import PurePath
+from types import TracebackType
 from typing import TypeVar
 
 from tornado.iostream import StreamClosedError
@@ -35,16 +36,38 @@
     """
 
 
-@contextlib.contextmanager
-def convert_stray_cancellation() -> Iterator[None]:
+class _CancellationConverter:
+    """Context of `convert_stray_cancellation`."""
+
+    # A generator would take several times as long, and each request enters dozens.
+    def __enter__(self) -> None:
+        pass
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        if isinstance(error, asyncio.CancelledError) and _is_stray():
+            raise _make_stray() from error
+
+
+_CONVERTER = _CancellationConverter()
+
+
+def convert_stray_cancellation() -> AbstractContextManager[None]:
     """Raise `StrayCancellation` instead of a cancellation of another task."""
-    try:
-        yield
-    except asyncio.CancelledError as error:
-        task = asyncio.current_task()
-        if task is None or task.cancelling():
-            raise
-        raise StrayCancellation("a step was cancelled elsewhere") from error
+    return _CONVERTER
+
+
+def _is_stray() -> bool:
+    task = asyncio.current_task()
+    return task is not None and not task.cancelling()
+
+
+def _make_stray() -> StrayCancellation:
+    return StrayCancellation("a step was cancelled elsewhere")
 
 
 def describe_place(error: BaseException) -> tuple[str, ...]:
@@ -89,18 +112,43 @@
     )
 
 
-@contextlib.contextmanager
+class _Tolerance:
+    """Context of `tolerate`."""
+
+    __slots__ = ("_endpoint", "_metrics", "_request_id", "_step")
+
+    def __init__(
+        self, metrics: Metrics, step: str, request_id: str, endpoint: str
+    ) -> None:
+        self._metrics = metrics
+        self._step = step
+        self._request_id = request_id
+        self._endpoint = endpoint
+
+    def __enter__(self) -> None:
+        pass
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> bool:
+        if isinstance(error, asyncio.CancelledError) and _is_stray():
+            error = _make_stray().with_traceback(trace)
+        if not isinstance(error, Exception) or isinstance(error, DECLARED):
+            return False
+        record_unexpected(
+            self._metrics, self._step, error, self._request_id, self._endpoint
+        )
+        return True
+
+
 def tolerate(
     metrics: Metrics, step: str, request_id: str = "", endpoint: str = ""
-) -> Iterator[None]:
+) -> AbstractContextManager[None]:
     """Go on after an undeclared error, for a step that the request can do without."""
-    try:
-        with convert_stray_cancellation():
-            yield
-    except DECLARED:
-        raise
-    except Exception as error:
-        record_unexpected(metrics, step, error, request_id, endpoint)
+    return _Tolerance(metrics, step, request_id, endpoint)
 
 
 def leave_out_faulty(
