Let a router that stood still as it started read what it was told before it serves

After a restore, a router that starts from the store's copy could send requests to a worker that had ended: it is ready once another router has told it who has left, or after a second by its clock. If it stood still during that second, the time was over before the answer was read. The wait for the answer, and the one before the listener opens, now count the time that the router stood still as its own.

--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -288,7 +288,7 @@
         await self.configuration_sync.start()
         listener = listener or open_listener(settings.callers_address)
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(INITIAL_CONFIG_WAIT_S):
+            async with lateness.timeout(INITIAL_CONFIG_WAIT_S):
                 await self._configured.wait()
                 await self.fleet_news.first_answer.wait()
         self.server.server.add_sockets([listener])
@@ -366,9 +366,7 @@
             STORE_CALL_PAUSE_S,
             (EVACUATION_KIND,),
         )
-        self.configuration_sync.find_arrived_s = lambda now_s: (
-            self._activity.find_arrived_s(now_s, read_clock())
-        )
+        self.configuration_sync.find_arrived_s = self._find_arrived_s
         self.configuration_sync.on_platform_state = self._observe_store
         self.configuration_sync.on_restored = self._observe_restored
         self.server.is_outdated = self._is_outdated
@@ -405,6 +403,9 @@
             return -math.inf
         return min(now_s, self._find_known_s())
 
+    def _find_arrived_s(self, now_s: float) -> float:
+        return self._activity.find_arrived_s(now_s, read_clock())
+
     def _find_resumed_s(self) -> float:
         return self._activity.find_resumed_s(self.clock(), read_clock())
 
@@ -508,6 +509,7 @@
         self.manifest_recovery = ManifestRecovery(
             self.view, self._pull_from_peer, lambda: self._apply_objects([])
         )
+        self.fleet_news.find_arrived_s = self._find_arrived_s
         self.fleet_news.observe_manifest = self.manifest_recovery.observe
 
     def _list_fleet_news(self) -> FleetNews:
--- a/src/tamarackrill/router/fleet_news.py
+++ b/src/tamarackrill/router/fleet_news.py
@@ -56,6 +56,9 @@
     ----------
     observe_manifest : callable
         Called with the address of a router and what it tells of its manifest.
+    find_arrived_s : callable
+        ``find_arrived_s(now_s)`` returns a time after which something that is read now
+        has arrived, which is earlier after this router stood still.
     """
 
     def __init__(
@@ -76,6 +79,7 @@
         self.observe_manifest: Callable[[str, ToldManifest], None] = (
             lambda address, told: None
         )
+        self.find_arrived_s: Callable[[float], float] = lambda now_s: now_s
         self._started_s = clock()
         self._was_told = False
         self._tasks: set[asyncio.Task[None]] = set()
@@ -99,8 +103,11 @@
     @property
     def may_serve(self) -> bool:
         """Whether new connections may come."""
-        is_late = self._clock() >= self._started_s + ANSWER_TIMEOUT_S
-        return self.first_answer.is_set() or is_late
+        if self.first_answer.is_set():
+            return True
+        # Answers may wait in this router's sockets.
+        arrived_s = self.find_arrived_s(self._clock())
+        return arrived_s >= self._started_s + ANSWER_TIMEOUT_S
 
     async def encode_news(self) -> bytes:
         """Return what this router knows, as the answer to another one."""
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -11,6 +11,7 @@
 from tamarackrill.router import edge_app
 from tamarackrill.router.deployment_view import DeploymentView
 from tamarackrill.router.edge_app import READERS
+from tamarackrill.router.fleet_news import FleetNewsExchange
 from tamarackrill.testing.edge import EdgeFleet, ask, make_manifest, make_route
 from tamarackrill.testing.worker import Worker, answer_ok
 
@@ -240,6 +241,35 @@
     run_in_fleet(act)
 
 
+def test_router_that_stands_still_as_it_starts_is_told_before_it_serves(monkeypatch):
+    # Guards against requests at an endpoint that has ended and is in the copy, by a
+    # router that takes its own lateness for that of the others that know.
+    ask_one = FleetNewsExchange._ask_one
+
+    async def act(fleet):
+        for name in ("w1", "w2"):
+            await fleet.add_worker(name)
+        first = await fleet.add_router("r1")
+        copied = fleet.store.state.revision
+        await fleet.store.write("servers", "w1", None)
+        await fleet.wait(lambda: first.view.find_endpoint("w1") is None)
+        await fleet.store.restore(copied)
+        await fleet.wait(lambda: first.store.get_era("servers") == 2)
+        router = fleet.make_router("r2")
+
+        async def ask_late(self, address):
+            await fleet.wait(lambda: router.view.find_endpoint("w1"))
+            time.sleep(1.2)
+            return await ask_one(self, address)
+
+        monkeypatch.setattr(FleetNewsExchange, "_ask_one", ask_late)
+        await router.start()
+        await fleet.wait(router.is_ready)
+        assert router.view.find_endpoint("w1") is None
+
+    run_in_fleet(act)
+
+
 def test_endpoint_that_comes_back_without_a_restore_is_used_at_once():
     view = make_view(make_entry(6), ObjectVersion("servers", "w1", 9, None))
     view.take(make_entry(10), 1.0)
