Go on with claims after an undeclared error of a decision

An undeclared error while the answer to a read or a write of a claim object was processed left the object's bucket reading or writing for good: each of its claims was refused as claim_timeout after two seconds until the router was restarted. One in the timer left calls waiting until their deadlines, as no timer was set again.

The error counts as a failed read, or as an unanswered write, after which the bucket is read again, so that a claim is granted only if it is found there. Only errors of the decision itself count so, before any of its actions is carried out: otherwise a call of the platform that has begun would be answered twice, and a claim could be granted for the write of another. The timer is set in any case.

tests/test_native_errors.py: the three new cases (the error at the timer, after a read, after a write) failed before, and pass. The tests of claims, their search, at most once, standstills and undeclared errors pass.

--- a/src/tamarackrill/decisions/claims.py
+++ b/src/tamarackrill/decisions/claims.py
@@ -310,6 +310,9 @@
         # The call timed out while its answer waited: the platform may be available.
         return _request_read(bucket)
     claims.outage_until_s = now_s + OUTAGE_BACKOFF_S
+    # There are changes in flight only if processing the last answer raised an error,
+    # so that no write was made.
+    _requeue(bucket)
     bucket.version = None
     bucket.entries = {}
     bucket.phase = "idle"
--- a/src/tamarackrill/router/claiming.py
+++ b/src/tamarackrill/router/claiming.py
@@ -144,7 +144,11 @@
         key_hash = hash_claim_key(call.team, call.key)
         wall_s = self._wall_clock()
         deadline_s = wall_s + call.deadline_s - now_s
-        self._step(ClaimRequested(request, key_hash, deadline_s))
+        try:
+            self._step(ClaimRequested(request, key_hash, deadline_s))
+        except Exception:
+            del self._pending[request]
+            raise
         action = await outcome
         if isinstance(action, Refused):
             raise _build_refusal(action)
@@ -224,9 +228,18 @@
 
     def _step(self, message: Message) -> None:
         now_s = self._wall_clock()
-        for action in step(self._claims, message, now_s):
+        try:
+            actions = step(self._claims, message, now_s)
+            due_s = next_due_s(self._claims)
+        except Exception:
+            # Claims that are under way still time out.
+            self._set_timer(TIMER_MAX_S)
+            raise
+        # From here on nothing may raise: a call of the platform that has begun would
+        # be answered twice.
+        for action in actions:
             self._carry_out(action)
-        self._set_timer(now_s)
+        self._set_timer(None if due_s is None else due_s - now_s)
 
     def _carry_out(self, action: Action) -> None:
         if isinstance(action, ReadBucket):
@@ -234,8 +247,9 @@
         elif isinstance(action, WriteBucket):
             self._start_task(self._write(action))
         else:
-            outcome = self._pending.pop(action.request)
-            if not outcome.done():
+            # None after an undeclared error of the request's own first step.
+            outcome = self._pending.pop(action.request, None)
+            if outcome is not None and not outcome.done():
                 outcome.set_result(action)
 
     def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
@@ -248,17 +262,15 @@
         try:
             found = await self._platform.get(CLAIM_KIND, action.bucket)
             version, entries = _decode_bucket(found)
+            self._step(BucketRead(action.bucket, version, entries))
         except PlatformUnavailable:
             self.notice_standstill()
             stood_still = self._standstills > standstills
             self._step(ReadFailed(action.bucket, stood_still))
-            return
         except Exception as error:
             # Without an outcome no later claim of the bucket would be made.
             log_event(CLAIM_CALL_FAILED, bucket=action.bucket, error=repr(error))
             self._step(ReadFailed(action.bucket))
-            return
-        self._step(BucketRead(action.bucket, version, entries))
 
     async def _write(self, action: WriteBucket) -> None:
         value = encode_entries(action.entries)
@@ -268,26 +280,23 @@
                 CLAIM_KIND, action.bucket, value, expected
             )
             current_version, current = _decode_bucket(result.current)
+            if result.version is not None:
+                self._step(BucketWritten(action.bucket, result.version))
+            else:
+                self._step(WriteConflicted(action.bucket, current_version, current))
         except PlatformUnavailable as error:
             log_event(CLAIM_UNANSWERED, bucket=action.bucket, reason=str(error))
             self._step(WriteUnanswered(action.bucket))
-            return
         except Exception as error:
             log_event(CLAIM_CALL_FAILED, bucket=action.bucket, error=repr(error))
             self._step(WriteUnanswered(action.bucket))
-            return
-        if result.version is not None:
-            self._step(BucketWritten(action.bucket, result.version))
-        else:
-            self._step(WriteConflicted(action.bucket, current_version, current))
 
-    def _set_timer(self, now_s: float) -> None:
+    def _set_timer(self, wait_s: float | None) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        due_s = next_due_s(self._claims)
-        if due_s is not None:
-            wait_s = min(TIMER_MAX_S, max(0.0, due_s - now_s))
+        if wait_s is not None:
+            wait_s = min(TIMER_MAX_S, max(0.0, wait_s))
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(wait_s, self._handle_timer)
 
--- a/tests/test_native_errors.py
+++ b/tests/test_native_errors.py
@@ -10,12 +10,13 @@
 from tamarackrill.contracts import hash_key
 from tamarackrill.decisions.claims import Claims
 from tamarackrill.exceptions import PlatformUnavailable, Refusal
-from tamarackrill.router import attempts, callers, flow
+from tamarackrill.router import attempts, callers, claiming, flow
 from tamarackrill.router.app import RouterApplication
 from tamarackrill.router.catching_up import CatchUp
 from tamarackrill.router.claiming import Claimer
 from tamarackrill.settings import load_settings
 from tamarackrill.store_api import WriteResult
+from tamarackrill.testing.injection import raising
 from tamarackrill.testing.processes import PEER_KEY, FleetProcesses, call, wait_for
 from test_upstream import make_call
 
@@ -29,6 +30,8 @@
 
 
 STANDSTILL_S = 0.7
+# Well above the longest wait for a claim.
+DECISION_MAX_S = 8.0
 
 
 class UnexpectedError(Exception):
@@ -81,6 +84,32 @@
     assert asyncio.run(run()) == ["granted"] * 2
 
 
+@pytest.mark.parametrize("skipped", [1, 2, 3])
+def test_claims_go_on_after_an_unexpected_error_of_a_decision(skipped, monkeypatch):
+    # Guards against calls that wait until their deadlines, and a bucket whose claims
+    # all time out, after one undeclared error.
+    monkeypatch.setattr("tamarackrill.decisions.claims.OUTAGE_BACKOFF_S", 0.0)
+
+    async def run():
+        claimer = Claimer(Claims("a", "1"), FaultyPlatform(""), list)
+        try:
+            for number in range(2):
+                booking = make_call()._replace(
+                    idempotent=False, key="k", request_id=f"{number}"
+                )
+                async with asyncio.timeout(DECISION_MAX_S):
+                    try:
+                        await claimer.claim(booking, time.monotonic())
+                    except Refusal as refusal:
+                        assert number == 0
+                        assert refusal.run == "not_run"
+        finally:
+            await claimer.stop()
+
+    with raising(claiming, "step", UnexpectedError("odd"), skipped=skipped):
+        asyncio.run(run())
+
+
 class StoppedPlatform(FaultyPlatform):
     """Platform during whose first answer the router's process stands still."""
 
