Count the fleet's routers in the store for their shares of the retry budget

Cause: the fixed number is divided by the routers that are known, which is one right after a start, and nobody who knew more was left.

Change: each router has an object of its name in the store, written once, and counts these objects as it starts. Until that is answered or has failed (half a second at most) it retries within the ratio of its own requests. The number counts for the usual 30 s, then what gossip tells.

The decision holds at 8, 60 and 370 routers (test_retry_shares.py).

Remains: while the store can't be read as all start, and for those that start first when a fleet starts for the first time, each still takes itself for the fleet.

--- a/src/tamarackrill/decisions/retry_shares.py
+++ b/src/tamarackrill/decisions/retry_shares.py
@@ -11,6 +11,10 @@
 go unused. A safety factor covers routers that have not yet learned that others left or
 joined. A router that doesn't hear of another one doesn't take over its share: that one
 may be cut off and serve on.
+
+Routers that all start at once know no others yet, and each would spend the fixed number
+by itself. So they count those that are registered in the platform's store, and until
+that is answered a router retries within the ratio of its own requests.
 """
 
 from collections import deque
@@ -23,6 +27,9 @@
 # consider the other gone; if both redistributed the fixed part, the service would get
 # it twice. Partitions last seconds; a replaced router is counted twice for this long.
 ROUTER_RETENTION_S = 30.0
+# Routers that are assumed until they are counted: no fleet has as many, so that nothing
+# of the fixed number is left.
+UNCOUNTED_ROUTERS = 1 << 20
 
 
 class FleetSize:
@@ -32,10 +39,15 @@
     ----------
     retention_s : float, optional
         How long a departed router still counts.
+    uncounted : int, default=1
+        Number that is assumed until one is recorded.
     """
 
-    def __init__(self, retention_s: float = ROUTER_RETENTION_S) -> None:
+    def __init__(
+        self, retention_s: float = ROUTER_RETENTION_S, uncounted: int = 1
+    ) -> None:
         self._retention_s = retention_s
+        self._uncounted = uncounted
         self._seen: deque[tuple[float, int]] = deque()
 
     def observe(self, live: int, now_s: float) -> None:
@@ -49,7 +61,7 @@
     @property
     def largest(self) -> int:
         """Number of routers that may be spending the budget."""
-        return self._seen[0][1] if self._seen else 1
+        return self._seen[0][1] if self._seen else self._uncounted
 
 
 class BudgetTerms(NamedTuple):
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -32,7 +32,7 @@
 from tamarackrill.decisions.membership import PeerStateReceived
 from tamarackrill.decisions.news_shares import EVIDENCE_AGE_MAX_SHARE, WATCH_MAX_SHARE
 from tamarackrill.decisions.placement_news import PlacementNews
-from tamarackrill.decisions.retry_shares import FleetSize
+from tamarackrill.decisions.retry_shares import UNCOUNTED_ROUTERS, FleetSize
 from tamarackrill.decisions.standstill import is_outdated
 from tamarackrill.decisions.stream_versions import Router as VersionRouter
 from tamarackrill.decisions.stream_versions import StreamVersions
@@ -80,6 +80,7 @@
 from tamarackrill.router.edge_server import EdgeServer
 from tamarackrill.router.endpoint_history import read_endpoint_history
 from tamarackrill.router.fleet_news import FleetNewsExchange
+from tamarackrill.router.fleet_registry import FleetRegistry
 from tamarackrill.router.gossip import Gossiper
 from tamarackrill.router.manifest_recovery import ManifestRecovery
 from tamarackrill.router.members import Member, Members
@@ -213,7 +214,7 @@
             Member(settings.name, address, settings.zone, peer_address=address)
         )
         self._relay_budget = RelayBudget(settings.link_bytes_per_s)
-        self._fleet_size = FleetSize()
+        self._fleet_size = FleetSize(uncounted=UNCOUNTED_ROUTERS)
         self.cut_off = CutOffMonitor(
             settings.zone, self.view, self.placer, self.members, self.clock
         )
@@ -285,6 +286,10 @@
         self._make_configurer()
         await self._start_gossip()
         add_gauges(self)
+        self._registry = FleetRegistry(
+            self._platform, settings.name, self._list_serving, self._observe_fleet
+        )
+        self._run_task("fleet registry", self._registry.run)
         self.fleet_news.start()
         self.keepers.store.start()
         await self.configuration_sync.start()
@@ -705,7 +710,8 @@
                 # The balancer directs only new connections; a kept-alive one stays with
                 # this router until the router closes it.
                 self.server.sheds_connections = self.cut_off.is_cut_off
-            self._fleet_size.observe(self.members.count_serving(), self.clock())
+            if self._registry.has_asked:
+                self._observe_fleet(self.members.count_serving())
             self.store_news.update_members()
             self.permits.update_members()
             self.keepers.update()
@@ -715,6 +721,12 @@
             self.store_news.repeat_evidence()
             self._flush_log()
 
+    def _observe_fleet(self, routers: int) -> None:
+        self._fleet_size.observe(routers, self.clock())
+
+    def _list_serving(self) -> list[str]:
+        return [m.name for m in (*self.members.list_all(), *self.members.lost)]
+
     def _update_reporter_zones(self) -> None:
         self._reporter_zones.clear()
         for member in self.members.list_live():
--- a/tests/test_retry_shares.py
+++ b/tests/test_retry_shares.py
@@ -5,6 +5,7 @@
 from tamarackrill.decisions.retry_shares import (
     ROUTER_RETENTION_S,
     SAFETY_FACTOR,
+    UNCOUNTED_ROUTERS,
     BudgetTerms,
     FleetSize,
     RetryShare,
@@ -80,3 +81,16 @@
     assert members.count_serving() == 3
     members.replace([Member("near", "", "a")], [Member("far", "", "b", "dead")])
     assert members.count_serving() == 3
+
+
+@pytest.mark.parametrize("routers", [8, 60, 370])
+def test_routers_that_know_no_others_stay_within_the_budget(routers):
+    # Guards against routers that all start at once and each spend the fixed number.
+    share, size = RetryShare(TERMS), FleetSize(uncounted=UNCOUNTED_ROUTERS)
+    assert routers * share.count_retries_left(size.largest, 0.0) < 1.0
+    share.note_request(0.0)
+    size.observe(routers, 0.1)
+    size.observe(1, 0.2)
+    left = routers * share.count_retries_left(size.largest, 0.3)
+    requests = routers
+    assert left <= TERMS.fixed + TERMS.ratio * requests
