Find old news and unread stores with the versions' state machine

Cause: streams were begun beside a cut mostly after versions had changed, where no router concludes one; and each router looked at its endpoints whenever time had passed, so that its news never became too old between two looks.

Change: a release beside a cut may follow a time in which one version served for longer than any stream lasts, and a router without the store is asked before its next housekeeping.

--- a/tests/test_version_keepers.py
+++ b/tests/test_version_keepers.py
@@ -53,6 +53,7 @@
 NEWS_MAX_S = 2.0
 STANDSTILL_MIN_S = 1.0
 READ_S = 0.004
+HOUSEKEEPING_S = 0.25
 SERVICE = "writer"
 
 
@@ -911,24 +912,48 @@
     @precondition(lambda self: self.store.is_up)
     @rule(
         versions=st.sampled_from([["v2"], ["v1", "v2"]]),
-        wait_s=st.sampled_from([0.5, 5.0]),
+        waits_s=st.sampled_from([(0.5,), (0.9, 1.0), (5.0,)]),
         zones=st.sampled_from([{"zone-0"}, {"zone-0", "zone-1"}]),
         is_inside=st.booleans(),
+        was_calm=st.booleans(),
         data=st.data(),
     )
-    def release_while_partitioned(self, versions, wait_s, zones, is_inside, data):
-        """Begin a stream on the side that reaches the store; take it up everywhere."""
+    def release_while_partitioned(
+        self, versions, waits_s, zones, is_inside, was_calm, data
+    ):
+        """Begin a stream on the side that reaches the store; take it up everywhere.
+
+        The other side's news become too old before it looks at its endpoints again.
+        """
+        if was_calm:
+            self.calm_down()
         if not self.cut_zones:
             self.partition(zones, (is_inside, not is_inside))
         self.late, self.serving = {}, versions
         self.observe()
-        self.wait(wait_s)
+        for wait_s in waits_s:
+            self.wait(wait_s)
+        self.now_s += HOUSEKEEPING_S
+        for process in self.processes.values():
+            if process.reaches_store():
+                process.observe()
         self.begin_stream(
             data, [n for n, p in self.processes.items() if p.reaches_store()]
         )
         for process in self.processes.values() if self.begun else ():
             self.check([*self.begun][-1], process)
 
+    def calm_down(self):
+        """Let one version serve all routers for longer than any stream lasts."""
+        self.cut_zones, self.outdated, self.late = set(), {}, {}
+        self.partitioned_s = self.now_s
+        for process in self.processes.values():
+            process.unreached = set()
+            if process.queue is not None:
+                process.go_on()
+        self.serving = ["v1"]
+        self.wait(3 * LIFETIME_S)
+
     @precondition(lambda self: any(p.unreached for p in self.processes.values()))
     @rule(data=st.data())
     def take_up_unreached(self, data):
