Answer with a failure in time for its client to come back

Callers whose request had failed at one endpoint and was unanswered at a silent one got nothing until their deadline: a 504, or the failure, too late to come back. Cause: a failure beside a silent attempt waited for as long as that ran.

find_failure_wait_s decides how long all silent attempts are awaited once another one has failed: until a second and 2.5 response-time goals of the client's time are left. Then they are ended (call_given_up, 2214) and the failure is answered: the endpoint's own, or 502. Streams that have begun, attempts that aren't silent, and clients with less than one goal left wait on.

--- a/src/tamarackrill/decisions/attempt_races.py
+++ b/src/tamarackrill/decisions/attempt_races.py
@@ -11,18 +11,22 @@
 failure, answers the request; the others are ended at that moment, so that no two
 endpoints work on a request whose answer has come.  An endpoint that takes long for its
 first event answers once it has begun it.  Until then a failure of one attempt
-leaves the others alone.
+leaves the others alone, unless what is left of its client's time is needed for the
+client to come back: a failure that arrives with the deadline is of no use.
 """
 
 from collections.abc import Collection
 from typing import Literal, NamedTuple
 
+from tamarackrill.decisions.attempt_timeouts import ATTEMPT_TIMEOUT_OBJECTIVES
 from tamarackrill.decisions.attempts import ATTEMPT_TIME_MIN_S, AttemptHistory
 
 # An endpoint that has begun an event answers the request after this long, though the
 # event isn't complete: two endpoints may work on a request for 0.4 s, and a router
 # beside other work reads the event up to 0.2 s late.
 BEGUN_LEAD_S = 0.1
+# Clients that come back allow this long for their new connection.
+CLIENT_CONNECT_MAX_S = 1.0
 
 SilenceStep = Literal["race", "racing", "attempts", "no_time", "budget", "no_other"]
 
@@ -91,6 +95,12 @@
             del self._attempts[other]
         return overtaken
 
+    def give_up(self) -> list[int]:
+        """Let no attempt answer any more, and return those that must be ended."""
+        given_up = list(self._attempts)
+        self._attempts.clear()
+        return given_up
+
     def end(self, number: int) -> None:
         """Record that an attempt has ended."""
         self._attempts.pop(number, None)
@@ -162,3 +172,39 @@
     retried at once.
     """
     return any(not other.is_silent for other in others)
+
+
+def find_failure_wait_s(
+    others: Collection[RaceAttempt],
+    failed: AttemptHistory,
+    objective_s: float,
+    client_time_left_s: float,
+) -> float | None:
+    """Return how long silent attempts are awaited before a failure is answered.
+
+    A client that comes back needs time for its connection, and for an endpoint beside
+    one that is silent again.
+
+    Parameters
+    ----------
+    others : collection of RaceAttempt
+        Attempts that are still under way.
+    failed : AttemptHistory
+        Attempts that have ended without an answer.
+    objective_s : float
+        Response-time goal of the route.
+    client_time_left_s : float
+        Time until the client's deadline.
+
+    Returns
+    -------
+    float or None
+        None if there is no failure, if an attempt isn't silent, or if a client that
+        comes back couldn't be served any more.
+    """
+    if not failed.was_delivered or any(not other.is_silent for other in others):
+        return None
+    if not others or client_time_left_s < objective_s:
+        return None
+    needed_s = CLIENT_CONNECT_MAX_S + ATTEMPT_TIMEOUT_OBJECTIVES * objective_s
+    return max(0.0, client_time_left_s - needed_s)
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -386,6 +386,15 @@
     "it, which may be repeated; it is sent to the endpoint again on a new connection.",
     "None; many at one endpoint: it closes idle connections earlier than it says.",
 )
+CALL_GIVEN_UP = Event(
+    2214,
+    "call_given_up",
+    _INFO,
+    ("request", "route", "service", "team", "endpoint", "after_s"),
+    "Another attempt of the same request has failed, and the client needs what is left "
+    "of its time to come back, so that this one was ended, whose endpoint is silent.",
+    "Many at one endpoint: see docs/OPERATIONS.md, from a request to its cause.",
+)
 CALL_OVERLOADED = Event(
     2207,
     "call_overloaded",
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -384,6 +384,7 @@
             return None
         # The endpoint has closed the others too.
         self.pool.drop(endpoint.name)
+        attempt.note_silent(False)
         # Counted before the wait, as the requests of other connections come at once.
         self._on_sent(attempt, True)
         channel = await self._connect_current(call, endpoint, "")
--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -5,7 +5,11 @@
 
 from tornado.iostream import StreamClosedError
 
-from tamarackrill.decisions.attempt_races import decide_on_silence, must_await_others
+from tamarackrill.decisions.attempt_races import (
+    decide_on_silence,
+    find_failure_wait_s,
+    must_await_others,
+)
 from tamarackrill.decisions.attempts import (
     NextStep,
     add_attempt,
@@ -18,6 +22,7 @@
     CALL_ANSWERED,
     CALL_ATTEMPT_FAILED,
     CALL_CUT,
+    CALL_GIVEN_UP,
     CALL_OVERLOADED,
     CALL_PAUSED,
     CALL_REFUSED,
@@ -41,6 +46,7 @@
     EdgeReserver,
     PlacementRefusal,
 )
+from tamarackrill.router.lateness import LateTimer
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.prompt_guard import PART_BLOCKED_CODE, PromptGuard
 from tamarackrill.router.request_progress import RequestAttempt, RequestProgress
@@ -194,6 +200,7 @@
             ended = await self._run_series(attempt)
             ended = await progress.tasks.wait_end(ended)
         finally:
+            progress.plan_giving_up(None)
             await progress.tasks.cancel()
         if ended.answer is None or ended.placed is None:
             await self._send_final_answer(progress, ended.reason, ended.retry_after_s)
@@ -219,6 +226,8 @@
                     self.reserver.end_trial(attempt)
                 self._end_attempt(attempt)
             if ended is not None:
+                if ended.answer is None:
+                    self._plan_giving_up(progress)
                 return ended
             task = attempt.task
             if task is None and progress.race.has_others(attempt.number):
@@ -322,6 +331,41 @@
         if step == "race":
             self._metrics.count("attempt_races", call.route.kind)
             self._start_beside(progress)
+        else:
+            self._plan_giving_up(progress)
+
+    def _plan_giving_up(self, progress: RequestProgress) -> None:
+        """Answer with a failure in time for the client to come back."""
+        wait_s = self._find_failure_wait_s(progress)
+        if wait_s is None:
+            progress.plan_giving_up(None)
+            return
+        due_s = asyncio.get_running_loop().time() + wait_s
+        progress.plan_giving_up(LateTimer(due_s, lambda: self._give_up(progress)))
+
+    def _find_failure_wait_s(self, progress: RequestProgress) -> float | None:
+        if progress.reply.has_begun:
+            return None
+        call = progress.call
+        return find_failure_wait_s(
+            progress.race.list_others(0),
+            progress.history,
+            call.route.objective_s,
+            self._find_client_time_left_s(call),
+        )
+
+    def _give_up(self, progress: RequestProgress) -> None:
+        """End silent attempts, unless one of them has gone on."""
+        if self._find_failure_wait_s(progress) is None:
+            return
+        call = progress.call
+        for attempt in progress.give_up():
+            log_event(
+                CALL_GIVEN_UP,
+                **describe_call(call),
+                endpoint=attempt.endpoint_name,
+                after_s=self._clock() - call.arrived_s,
+            )
 
     async def _pause_suspect(self, call: EdgeCall) -> None:
         """Wait until endpoints that a request has crashed may have come back."""
--- a/src/tamarackrill/router/request_progress.py
+++ b/src/tamarackrill/router/request_progress.py
@@ -12,6 +12,7 @@
 from tamarackrill.router.channels import Channel
 from tamarackrill.router.edge_calls import EdgeCall
 from tamarackrill.router.edge_reply import EdgeReply
+from tamarackrill.router.lateness import LateTimer
 from tamarackrill.router.prompt_guard import Exposure
 
 
@@ -24,6 +25,8 @@
         Version at which alone its stream may go on; empty before its first event.
     failed_answer : CompleteAnswer or None
         What is answered if no attempt brings more than a failure.
+    giving_up : LateTimer or None
+        Ends silent attempts in time for the client to come back after a failure.
     sent_to : set of str
         Endpoints to which any of the request may have been written.
     """
@@ -42,6 +45,7 @@
         self.first_event_s: float | None = None
         self.last_endpoint = ""
         self.failed_answer: CompleteAnswer | None = None
+        self.giving_up: LateTimer | None = None
 
     def find_avoided(self) -> set[str]:
         """Return the endpoints that have failed the request, or that work on it."""
@@ -60,6 +64,19 @@
             self.reply.drop_reserved(len(self.failed_answer.body))
         self.failed_answer = answer
 
+    def give_up(self) -> list["RequestAttempt"]:
+        """End all attempts that are under way, and return them."""
+        given_up = [self.attempts[number] for number in self.race.give_up()]
+        for attempt in given_up:
+            attempt.close()
+        return given_up
+
+    def plan_giving_up(self, timer: LateTimer | None) -> None:
+        """Replace the timer that ends silent attempts."""
+        if self.giving_up is not None:
+            self.giving_up.cancel()
+        self.giving_up = timer
+
 
 class RequestAttempt:
     """One attempt of a request, at one endpoint.
@@ -140,13 +157,17 @@
             return []
         overtaken = [progress.attempts[n] for n in progress.race.lead(self.number)]
         for other in overtaken:
-            if other.channel is not None:
-                # Its reader ends, and reports the attempt.
-                other.channel.close()
-            elif other.task is not None:
-                other.task.cancel()
+            other.close()
         return overtaken
 
+    def close(self) -> None:
+        """End the exchange with the endpoint."""
+        if self.channel is not None:
+            # Its reader ends, and reports the attempt.
+            self.channel.close()
+        elif self.task is not None:
+            self.task.cancel()
+
     def end(self) -> None:
         """Record that the attempt has ended."""
         if self.leading is not None:
--- a/tests/test_attempt_races.py
+++ b/tests/test_attempt_races.py
@@ -8,6 +8,7 @@
     AttemptRace,
     RaceAttempt,
     decide_on_silence,
+    find_failure_wait_s,
     must_await_others,
 )
 from tamarackrill.decisions.attempts import AttemptHistory
@@ -77,6 +78,29 @@
     assert not must_await_others([])
 
 
+SILENT = OLD._replace(is_silent=True)
+
+
+@pytest.mark.parametrize(
+    ("others", "sent", "time_left_s", "wait_s"),
+    [
+        # A second for a connection, and 2.5 goals.
+        ([SILENT], 1, 3.0, 1.25),
+        ([SILENT, SILENT], 1, 1.0, 0.0),
+        ([SILENT, FRESH], 1, 1.0, None),
+        ([SILENT], 0, 1.0, None),
+        ([SILENT], 1, 0.2, None),
+        ([], 1, 1.0, None),
+    ],
+)
+def test_failure_is_answered_only_beside_silence_and_to_clients_that_can_come_back(
+    others, sent, time_left_s, wait_s
+):
+    # Guards against a sound endpoint that is given up while nothing is gained by it.
+    failed = AttemptHistory(sent, may_have_run=True)
+    assert find_failure_wait_s(others, failed, 0.3, time_left_s) == wait_s
+
+
 EVENTS = 6
 WHOLE = b"".join(make_event(number) for number in range(1, EVENTS + 1))
 
--- a/tests/test_take_over.py
+++ b/tests/test_take_over.py
@@ -191,7 +191,7 @@
         return play
 
 
-async def play_lookup(first, other, attempts=2):
+async def play_lookup(first, other, attempts=2, deadline_ms=DEADLINE_MS):
     """Send an idempotent request to three endpoints, of which one acts like `first`."""
     route = make_route(
         "/l/",
@@ -213,7 +213,7 @@
         router = await fleet.add_router()
         await fleet.wait(lambda: len(router.view.list_endpoints()) == 3)
         client = await fleet.connect(router)
-        client.send("/l/a", method="GET", X_Deadline_Ms=DEADLINE_MS)
+        client.send("/l/a", method="GET", X_Deadline_Ms=deadline_ms)
         answer = await _end_play(asyncio.create_task(client.read()))
         return Play(answer, _count_requests(workers) - 1, 0, len(ended))
 
@@ -267,12 +267,6 @@
     for name, failure in STREAM_FAILURES.items():
         for attempts in (2, 3):
             plays[f"stream-{name}-{attempts}"] = play_stream(silent, failure, attempts)
-    for name, failure in LOOKUP_FAILURES.items():
-        for attempts in (2, 3):
-            plays[f"lookup-{name}-{attempts}"] = play_lookup(
-                answer_late(LOOKUP_SILENCE_S), failure, attempts
-            )
-        plays[f"body-{name}"] = play_lookup(stop_in_body(STREAM_SILENCE_S), failure)
     for name in ("503", "close", "hang"):
         first = fall_silent(STREAM_SILENCE_S, cut_bytes=5)
         plays[f"inside_event-{name}"] = play_stream(first, FAILURES[name])
@@ -299,6 +293,21 @@
         silent, whole, retry_budget=BudgetTerms(ratio=0.0, window_s=10.0, fixed=0.0)
     )
     plays["left"] = play_stream(fall_silent(5.0), hang, stays_s=2.5)
+    return plays | _make_lookup_plays()
+
+
+def _make_lookup_plays():
+    plays = {}
+    for name, failure in LOOKUP_FAILURES.items():
+        for attempts in (2, 3):
+            plays[f"lookup-{name}-{attempts}"] = play_lookup(
+                answer_late(LOOKUP_SILENCE_S), failure, attempts
+            )
+        plays[f"body-{name}"] = play_lookup(stop_in_body(STREAM_SILENCE_S), failure)
+        for kind, first in (("hang", hang), ("late", answer_late(1.0))):
+            plays[f"short-{name}-{kind}"] = play_lookup(
+                first, failure, deadline_ms="3000"
+            )
     return plays
 
 
@@ -359,6 +368,19 @@
     assert (play.answer.status, play.answer.body) == (200, b"late")
 
 
+@pytest.mark.parametrize("failure", LOOKUP_FAILURES)
+def test_failure_that_is_answered_beside_a_silent_endpoint_promises_nothing(
+    plays, failure
+):
+    # Guards against a promise that a request hasn't run which a silent endpoint may
+    # run, and against a sound endpoint that is given up although time is left.
+    hung = find_play(plays, f"short-{failure}-hang").answer
+    expected = {"500": 500, "hang": 504}.get(failure, 502)
+    assert (hung.status, "retry-after" in hung.headers) == (expected, False)
+    late = find_play(plays, f"short-{failure}-late").answer
+    assert (late.status, late.body) == (200, b"late")
+
+
 @pytest.mark.parametrize("cut", ["others", "all"])
 @pytest.mark.parametrize("failure", ["503", "close", "hang"])
 def test_stream_goes_on_if_its_take_over_through_another_router_fails(
