Send on kept connections only what could be sent again

Requests on a kept connection that a sound endpoint closed unread ended in 502 while the retry budget was spent: 10 of 20. Cause: such a request is sent again within the budget only, rightly, as an endpoint that has read a request and one that hasn't close alike; but the connection was chosen without regard to that.

A first send takes a new connection now while no retry is left, like requests that may not repeat. Nothing is sent again outside the budget.

--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -325,24 +325,29 @@
     async def _open_channel(
         self, call: EdgeCall, endpoint: Endpoint, relay: str
     ) -> Channel | AttemptResult:
-        may_repeat = call.route.may_repeat
         if not self._placer.takes_work(endpoint):
             return AttemptResult("not_sent", _LEFT, relay=relay)
         if relay:
             assert self.relays is not None
             try:
-                return await self.relays.open_channel(relay, may_repeat)
+                return await self.relays.open_channel(relay, call.route.may_repeat)
             except OSError as error:
                 self.relays.observe_lost(relay, endpoint.name, repr(error))
                 return AttemptResult("not_sent", repr(error), relay=relay)
         timeout_s = min(CONNECT_TIMEOUT_S, max(0.001, call.deadline_s - self._clock()))
         try:
-            return await self.open_own_channel(endpoint, may_repeat, timeout_s)
+            return await self.open_own_channel(
+                endpoint, self._may_reopen(call), timeout_s
+            )
         except OSError as error:
             self.paths.record_failure(endpoint, error)
             self._metrics.count("connects_failed", endpoint.zone)
             return AttemptResult("not_sent", repr(error))
 
+    def _may_reopen(self, call: EdgeCall) -> bool:
+        """Return whether a request may be sent again if its connection is closed."""
+        return call.route.may_repeat and self._count_retries_left(call) >= 1.0
+
     async def _exchange_reopening(
         self,
         attempt: RequestAttempt,
@@ -380,7 +385,7 @@
             None if the request can't be sent to the endpoint again.
         """
         call = attempt.progress.call
-        if attempt.is_overtaken or self._count_retries_left(call) < 1.0:
+        if attempt.is_overtaken or not self._may_reopen(call):
             return None
         # The endpoint has closed the others too.
         self.pool.drop(endpoint.name)
@@ -411,7 +416,7 @@
         endpoint : Endpoint
             The endpoint.
         may_repeat : bool
-            Whether the request to be sent may run more than once.
+            Whether the request to be sent may be sent once more.
         timeout_s : float
             Timeout for connecting.
 
@@ -421,8 +426,9 @@
             If the connection failed or timed out; nothing was sent.
         """
         # The endpoint may close a pooled connection just as a request is sent, so that
-        # it is unknown whether the request has run.  A request that may not run twice
-        # would fail, so it gets a new connection, which takes a millisecond.
+        # it is unknown whether the request has run.  A request that may not run twice,
+        # or for which no retry is left, would fail, so it gets a new connection, which
+        # takes a millisecond.
         if may_repeat:
             kept = self.pool.take(endpoint.name, self._clock())
             if kept is not None:
