Check a kept connection again after the wait for news

A request of a router that had just stood still could be sent on a kept connection that the endpoint had closed while the router waited for news. It counted as sent and cost a retry of the budget. Cause: the connection was checked only before that wait.

test_kept_connection_that_ends_while_its_router_waits_for_news_is_not_used failed before (one retry fewer left) and holds.

--- a/src/tamarackrill/router/channel_pool.py
+++ b/src/tamarackrill/router/channel_pool.py
@@ -15,6 +15,16 @@
 IDLE_SLACK_S = 0.5
 
 
+def is_safe(channel: Channel, now_s: float) -> bool:
+    """Return whether a request can be sent on an idle connection.
+
+    A connection that may be closed just as a request arrives is not safe: it would be
+    unknown whether that request has run.
+    """
+    left_s = channel.idle_since_s + channel.idle_max_s - now_s
+    return channel.is_open and left_s > IDLE_SLACK_S
+
+
 class ChannelPool:
     """Idle connections by endpoint name."""
 
@@ -22,16 +32,11 @@
         self._idle: dict[str, list[Channel]] = {}
 
     def take(self, endpoint: str, now_s: float) -> Channel | None:
-        """Return a connection that is safe to use, or None.
-
-        A connection that may be closed just as a request arrives is not safe: it would
-        be unknown whether that request has run.
-        """
+        """Return a connection that is safe to use, or None."""
         idle = self._idle.get(endpoint, [])
         while idle:
             channel = idle.pop()
-            left_s = channel.idle_since_s + channel.idle_max_s - now_s
-            if channel.is_open and left_s > IDLE_SLACK_S:
+            if is_safe(channel, now_s):
                 return channel
             channel.close()
         return None
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -30,7 +30,7 @@
     AnswerHeaderObserver,
 )
 from tamarackrill.router.attempt_results import AttemptResult, CompleteAnswer
-from tamarackrill.router.channel_pool import ChannelPool
+from tamarackrill.router.channel_pool import ChannelPool, is_safe
 from tamarackrill.router.channels import (
     Channel,
     ChannelError,
@@ -308,14 +308,19 @@
         self, call: EdgeCall, endpoint: Endpoint, relay: str
     ) -> Channel | AttemptResult:
         """Connect to an endpoint that still takes work then."""
-        channel = await self._open_channel(call, endpoint, relay)
-        if isinstance(channel, AttemptResult):
-            return channel
-        try:
-            await self.wait_current()
-        except BaseException:
+        while True:
+            channel = await self._open_channel(call, endpoint, relay)
+            if isinstance(channel, AttemptResult):
+                return channel
+            try:
+                await self.wait_current()
+            except BaseException:
+                channel.close()
+                raise
+            if not channel.requests_sent or is_safe(channel, self._clock()):
+                break
+            # A kept connection may have been closed during the wait.
             channel.close()
-            raise
         # The choice is as old as all that the request has waited for since.
         if not self._placer.takes_work(endpoint):
             channel.close()
--- a/tests/test_silent_workers.py
+++ b/tests/test_silent_workers.py
@@ -204,3 +204,35 @@
             assert not any(other.requests for other in others)
 
     asyncio.run(run())
+
+
+def test_kept_connection_that_ends_while_its_router_waits_for_news_is_not_used():
+    # Guards against a request that counts as lost, and costs a retry, because a router
+    # that stood still sends it on a connection which has ended meanwhile.
+    async def run():
+        async with EdgeFleet() as fleet:
+            await fleet.put_manifest(1, make_route("/a/", "idempotent"))
+            ended = asyncio.Event()
+
+            async def serve_until_ended(request, writer):
+                await answer_ok(request, writer)
+                await writer.drain()
+                await ended.wait()
+                writer.close()
+
+            worker = await fleet.add_worker("w0", in_turn(serve_until_ended, answer_ok))
+            terms = BudgetTerms(ratio=0.0, window_s=10.0, fixed=56.0)
+            router = await fleet.add_router(retry_budget=terms)
+            assert (await ask(router, "/a/a", method="GET")).status == 200
+            left = router.flow.list_retries_left()
+
+            async def wait_for_end():
+                ended.set()
+                await asyncio.sleep(0.1)
+
+            router.flow.attempts.wait_current = wait_for_end
+            assert (await ask(router, "/a/a", "id-2", method="GET")).status == 200
+            assert len(worker.requests) == 2
+            assert router.flow.list_retries_left() == left
+
+    asyncio.run(run())
