--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -30,7 +30,7 @@
     AnswerHeaderObserver,
 )
 from tamarackrill.router.attempt_results import AttemptResult, CompleteAnswer
-from tamarackrill.router.channel_pool import ChannelPool
+from tamarackrill.router.channel_pool import ChannelPool, is_safe
 from tamarackrill.router.channels import (
     Channel,
     ChannelError,
@@ -308,14 +308,19 @@
         self, call: EdgeCall, endpoint: Endpoint, relay: str
     ) -> Channel | AttemptResult:
         """Connect to an endpoint that still takes work then."""
-        channel = await self._open_channel(call, endpoint, relay)
-        if isinstance(channel, AttemptResult):
-            return channel
-        try:
-            await self.wait_current()
-        except BaseException:
+        while True:
+            channel = await self._open_channel(call, endpoint, relay)
+            if isinstance(channel, AttemptResult):
+                return channel
+            try:
+                await self.wait_current()
+            except BaseException:
+                channel.close()
+                raise
+            if not channel.requests_sent or is_safe(channel, self._clock()):
+                break
+            # A kept connection may have been closed during the wait.
             channel.close()
-            raise
         # The choice is as old as all that the request has waited for since.
         if not self._placer.takes_work(endpoint):
             channel.close()
@@ -325,24 +330,29 @@
     async def _open_channel(
         self, call: EdgeCall, endpoint: Endpoint, relay: str
     ) -> Channel | AttemptResult:
-        may_repeat = call.route.may_repeat
         if not self._placer.takes_work(endpoint):
             return AttemptResult("not_sent", _LEFT, relay=relay)
         if relay:
             assert self.relays is not None
             try:
-                return await self.relays.open_channel(relay, may_repeat)
+                return await self.relays.open_channel(relay, call.route.may_repeat)
             except OSError as error:
                 self.relays.observe_lost(relay, endpoint.name, repr(error))
                 return AttemptResult("not_sent", repr(error), relay=relay)
         timeout_s = min(CONNECT_TIMEOUT_S, max(0.001, call.deadline_s - self._clock()))
         try:
-            return await self.open_own_channel(endpoint, may_repeat, timeout_s)
+            return await self.open_own_channel(
+                endpoint, self._may_reopen(call), timeout_s
+            )
         except OSError as error:
             self.paths.record_failure(endpoint, error)
             self._metrics.count("connects_failed", endpoint.zone)
             return AttemptResult("not_sent", repr(error))
 
+    def _may_reopen(self, call: EdgeCall) -> bool:
+        """Return whether a request may be sent again if its connection is closed."""
+        return call.route.may_repeat and self._count_retries_left(call) >= 1.0
+
     async def _exchange_reopening(
         self,
         attempt: RequestAttempt,
@@ -380,10 +390,11 @@
             None if the request can't be sent to the endpoint again.
         """
         call = attempt.progress.call
-        if attempt.is_overtaken or self._count_retries_left(call) < 1.0:
+        if attempt.is_overtaken or not self._may_reopen(call):
             return None
         # The endpoint has closed the others too.
         self.pool.drop(endpoint.name)
+        attempt.note_silent(False)
         # Counted before the wait, as the requests of other connections come at once.
         self._on_sent(attempt, True)
         channel = await self._connect_current(call, endpoint, "")
@@ -410,7 +421,7 @@
         endpoint : Endpoint
             The endpoint.
         may_repeat : bool
-            Whether the request to be sent may run more than once.
+            Whether the request to be sent may be sent once more.
         timeout_s : float
             Timeout for connecting.
 
@@ -420,8 +431,9 @@
             If the connection failed or timed out; nothing was sent.
         """
         # The endpoint may close a pooled connection just as a request is sent, so that
-        # it is unknown whether the request has run.  A request that may not run twice
-        # would fail, so it gets a new connection, which takes a millisecond.
+        # it is unknown whether the request has run.  A request that may not run twice,
+        # or for which no retry is left, would fail, so it gets a new connection, which
+        # takes a millisecond.
         if may_repeat:
             kept = self.pool.take(endpoint.name, self._clock())
             if kept is not None:
