Read the history of endpoints and the list of routers from stale copies

Both may be seconds old: they are about what happened before the router started. Such calls cost a tenth, and don't count toward the store's rates, which the routers of a large fleet that start together would exceed.

--- a/src/tamarackrill/platform/store.py
+++ b/src/tamarackrill/platform/store.py
@@ -33,6 +33,10 @@
     return f"/objects/{kind}?{query}"
 
 
+def _stale_path(path: str) -> str:
+    return f"{path}{'&' if '?' in path else '?'}allow_stale=1"
+
+
 def _make_put(
     kind: str, name: str, value: Any, expected_version: int | None
 ) -> WriteRequest:
@@ -108,6 +112,7 @@
     base="",
     list_path=_list_path,
     watch_path=_watch_path,
+    stale_path=_stale_path,
     object_path=_object_path,
     make_put=_make_put,
     make_delete=_make_delete,
--- a/src/tamarackrill/router/fleet_registry.py
+++ b/src/tamarackrill/router/fleet_registry.py
@@ -67,7 +67,8 @@
     async def _register(self) -> bool:
         """Count the registered routers and add this one; return whether it is there."""
         try:
-            listing = await self._platform.list(ROUTERS_KIND)
+            # Names of seconds ago will do, and cost less.
+            listing = await self._platform.list(ROUTERS_KIND, allows_stale=True)
             names = {item.name for item in listing.items}
             self._on_counted(len(names | {self._name}))
         except PlatformUnavailable:
--- a/src/tamarackrill/router/platform_client.py
+++ b/src/tamarackrill/router/platform_client.py
@@ -186,7 +186,10 @@
         return Reading(_parse(self._form.read_object, kind, answer.body), answer.era)
 
     async def list(
-        self, kind: str, on_first_byte: Callable[[], None] = lambda: None
+        self,
+        kind: str,
+        on_first_byte: Callable[[], None] = lambda: None,
+        allows_stale: bool = False,
     ) -> Listing:
         """Return all objects of a kind, page by page.
 
@@ -199,15 +202,21 @@
             Kind of objects.
         on_first_byte : callable, optional
             Called when the first page begins to arrive.
+        allows_stale : bool, default=False
+            Whether the answer may be seconds old.
         """
-        path = self._form.list_path(kind, "")
-        answer = await self._call("GET", path, on_first_byte=on_first_byte)
+
+        def find_path(after: str) -> str:
+            path = self._form.list_path(kind, after)
+            return self._form.stale_path(path) if allows_stale else path
+
+        answer = await self._call("GET", find_path(""), on_first_byte=on_first_byte)
         page = _parse(self._form.read_page, kind, answer.body)
         revision, era = page.revision, answer.era
         items = list(page.items)
         size_bytes = answer.size_bytes
         while page.after:
-            answer = await self._call("GET", self._form.list_path(kind, page.after))
+            answer = await self._call("GET", find_path(page.after))
             if answer.era != era:
                 raise WatchLost(f"the store was restored while {kind} was listed")
             before, page = page.after, _parse(self._form.read_page, kind, answer.body)
@@ -249,13 +258,17 @@
         PlatformUnavailable
             If the platform did not answer.
         """
+        wait_s = self._timing.watch_wait_s if wait_s is None else wait_s
+        path = self._form.watch_path(kind, since, wait_s)
         return await self._read_changes(
-            kind, since, self._form.read_events, wait_s, on_first_byte, max_bytes
+            kind, since, path, self._form.read_events, wait_s, on_first_byte, max_bytes
         )
 
     async def read_history(self, kind: str, since: int) -> Listing:
         """Return past changes, of removed objects with their last contents if told.
 
+        The answer may lack the changes of the last seconds.
+
         Parameters
         ----------
         kind : str
@@ -272,19 +285,19 @@
         PlatformUnavailable
             If the platform did not answer.
         """
-        return await self._read_changes(kind, since, self._form.read_history, 0.0)
+        path = self._form.stale_path(self._form.watch_path(kind, since, 0.0))
+        return await self._read_changes(kind, since, path, self._form.read_history)
 
     async def _read_changes(
         self,
         kind: str,
         since: int,
+        path: str,
         read: Callable[[str, Any], Listing],
-        wait_s: float | None,
+        wait_s: float = 0.0,
         on_first_byte: Callable[[], None] = lambda: None,
         max_bytes: int | None = None,
     ) -> Listing:
-        wait_s = self._timing.watch_wait_s if wait_s is None else wait_s
-        path = self._form.watch_path(kind, since, wait_s)
         timeout_s = wait_s + self._timing.call_s
         answer = await self._call(
             "GET", path, timeout_s, on_first_byte=on_first_byte, max_bytes=max_bytes
@@ -512,6 +525,7 @@
     watch_path=lambda kind, since, wait_s: (
         f"/watch/{kind}?since={since}&wait_s={wait_s}"
     ),
+    stale_path=lambda path: path,
     object_path=_object_path,
     make_put=lambda kind, name, value, expected_version: _make_write(
         "PUT", kind, name, json.dumps(value), expected_version
--- a/src/tamarackrill/store_api.py
+++ b/src/tamarackrill/store_api.py
@@ -140,6 +140,8 @@
         ``list_path(kind, after)``, for the page after the name `after`.
     watch_path : callable
         ``watch_path(kind, since, wait_s)``.
+    stale_path : callable
+        ``stale_path(path)``, for an answer that may be seconds old and costs less.
     object_path : callable
         ``object_path(kind, name)``.
     make_put : callable
@@ -161,6 +163,7 @@
     base: str
     list_path: Callable[[str, str], str]
     watch_path: Callable[[str, int, float], str]
+    stale_path: Callable[[str], str]
     object_path: Callable[[str, str], str]
     make_put: Callable[[str, str, Any, int | None], WriteRequest]
     make_delete: Callable[[str, str, int], WriteRequest]
