Let a late router see that an endpoint broke off before its event answers

The timer of 0.1 s, after which a begun event answers, fires before what arrived meanwhile is read if the loop was late.

--- a/src/tamarackrill/decisions/attempt_races.py
+++ b/src/tamarackrill/decisions/attempt_races.py
@@ -27,6 +27,8 @@
 BEGUN_LEAD_S = 0.1
 # Clients that come back allow this long for their new connection.
 CLIENT_CONNECT_MAX_S = 1.0
+# A loaded router notices that much later that the client's time is short.
+GIVE_UP_LATE_MAX_S = 0.25
 
 SilenceStep = Literal["race", "racing", "attempts", "no_time", "budget", "no_other"]
 
@@ -199,12 +201,12 @@
     Returns
     -------
     float or None
-        None if there is no failure, if an attempt isn't silent, or if a client that
-        comes back couldn't be served any more.
+        None if there is no failure, if an attempt isn't silent, or if too little time
+        is left for a client to come back, so that the silent ones are its only chance.
     """
     if not failed.was_delivered or any(not other.is_silent for other in others):
         return None
-    if not others or client_time_left_s < objective_s:
-        return None
     needed_s = CLIENT_CONNECT_MAX_S + ATTEMPT_TIMEOUT_OBJECTIVES * objective_s
+    if not others or client_time_left_s < needed_s - GIVE_UP_LATE_MAX_S:
+        return None
     return max(0.0, client_time_left_s - needed_s)
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -756,8 +756,10 @@
             self._lead(attempt)
             return True
         if attempt.leading is None and attempt.stream.is_inside_event:
-            loop = asyncio.get_running_loop()
-            attempt.leading = loop.call_later(BEGUN_LEAD_S, self._lead_begun, attempt)
+            due_s = asyncio.get_running_loop().time() + BEGUN_LEAD_S
+            attempt.leading = lateness.LateTimer(
+                due_s, lambda: self._lead_begun(attempt), catch_ups_max=1
+            )
         return False
 
     def _lead_begun(self, attempt: RequestAttempt) -> None:
--- a/src/tamarackrill/router/lateness.py
+++ b/src/tamarackrill/router/lateness.py
@@ -29,6 +29,8 @@
     has_progress : callable, optional
         Returns whether what is waited for has gone on since the last call.  While it
         does, the timer waits on once the loop was late.
+    catch_ups_max : int, optional
+        How often it waits on.
     """
 
     def __init__(
@@ -36,11 +38,13 @@
         due_s: float,
         on_due: Callable[[], None],
         has_progress: Callable[[], bool] = lambda: False,
+        catch_ups_max: int = CATCH_UPS_MAX,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._on_due = on_due
         self._has_progress = has_progress
         self._catch_ups = 0
+        self._catch_ups_max = catch_ups_max
         self._start(due_s)
 
     def cancel(self) -> None:
@@ -54,7 +58,7 @@
         now_s = self._loop.time()
         has_progress = self._has_progress()
         goes_on = now_s >= due_s + LATE_S or (self._catch_ups > 0 and has_progress)
-        if not goes_on or self._catch_ups >= CATCH_UPS_MAX:
+        if not goes_on or self._catch_ups >= self._catch_ups_max:
             self._on_due()
             return
         self._catch_ups += 1
--- a/src/tamarackrill/router/request_progress.py
+++ b/src/tamarackrill/router/request_progress.py
@@ -102,7 +102,7 @@
         The task of an attempt that runs beside the first one.
     is_writing : bool
         Whether events may have been written to the client that are not known to be.
-    leading : asyncio.TimerHandle or None
+    leading : LateTimer or None
         Lets the attempt answer the request soon, as its endpoint has begun an event.
     has_reserved : bool
         Whether a retry of the budget is reserved for it.
@@ -122,7 +122,7 @@
         self.is_silent = False
         self.is_writing = False
         self.has_reserved = False
-        self.leading: asyncio.TimerHandle | None = None
+        self.leading: LateTimer | None = None
 
     @property
     def is_overtaken(self) -> bool:
