Don't count routers that have ended against a new version

With the store up and two of three routers killed, all new streams went to the last endpoint of the old version (30 of 30, 15 allowed), although four of the new one had joined ten seconds before. Routers that were taken for dead counted for ten minutes as such that don't know the new version.

They can't be left out where the store is read: they may be cut off together, without the store, and as the larger part conclude the old version. So a router connects to the addresses of those it takes for dead while versions join. One that refuses has no process and isn't counted; one that doesn't answer is.

--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -77,6 +77,7 @@
 )
 from tamarackrill.router.edge_placing import EdgePlacer
 from tamarackrill.router.edge_server import EdgeServer
+from tamarackrill.router.ended_checks import EndedChecks
 from tamarackrill.router.fleet_news import FleetNewsExchange
 from tamarackrill.router.gossip import Gossiper
 from tamarackrill.router.manifest_recovery import ManifestRecovery
@@ -606,6 +607,7 @@
             self.clock,
         )
         self.flow.reserver.read_moved = self._read_moved
+        self._ended = EndedChecks(self.members, open_channel, self.clock)
         self.keepers = VersionKeepers(
             self.view,
             self.members,
@@ -618,6 +620,7 @@
             self._find_known_s,
             self._find_resumed_s,
             self.standstill.find_resumed_s,
+            self._ended,
             self._store_checks.check,
             lambda: self.configuration_sync.is_lost,
             bool(seeds),
@@ -774,6 +777,7 @@
         await self.configuration_sync.stop()
         await self._store_checks.stop()
         await self._entry_checks.stop()
+        await self._ended.stop()
         await self.keepers.store.stop()
         self._peer_socket.stop()
         await self.relays.stop()
--- a/src/tamarackrill/router/version_keepers.py
+++ b/src/tamarackrill/router/version_keepers.py
@@ -42,6 +42,7 @@
 from tamarackrill.router import lateness
 from tamarackrill.router.deployment_view import DeploymentView
 from tamarackrill.router.edge_calls import EdgeCall
+from tamarackrill.router.ended_checks import EndedChecks
 from tamarackrill.router.members import Members
 from tamarackrill.router.version_store import VersionStore
 
@@ -141,6 +142,8 @@
         Returns when the event loop of this router last went on after a pause.
     find_stood_still_s : callable
         Returns when it last went on after a pause in which versions may have changed.
+    ended : EndedChecks
+        Finds out which of the routers that were taken for dead have ended.
     check_store : callable
         ``await check_store()`` brings endpoints and versions up to date by a read that
         is sent after this call, and returns whether it was answered.
@@ -173,6 +176,7 @@
         find_known_s: Callable[[], float],
         find_resumed_s: Callable[[], float],
         find_stood_still_s: Callable[[], float],
+        ended: EndedChecks,
         check_store: Callable[[], Awaitable[bool]],
         is_store_lost: Callable[[], bool],
         has_seeds: bool,
@@ -191,6 +195,7 @@
         self._find_known_s = find_known_s
         self._find_resumed_s = find_resumed_s
         self._find_stood_still_s = find_stood_still_s
+        self._ended = ended
         self._check_store = check_store
         self._is_store_lost = is_store_lost
         # Whether there are other routers, as far as was ever known, and their zones.
@@ -256,6 +261,8 @@
         services = self.versions.list_with_joining()
         for service in self._joining.keys() - services:
             self._end(self._joining.pop(service))
+        if services:
+            self._ended.update()
         for service in services:
             inquiry = self._joining.setdefault(
                 service, _Inquiry(identify_stream(service), service)
@@ -275,7 +282,7 @@
         known = []
         for version in self.versions.list_versions(service, now_s):
             replied = self._list_replied(service, version)
-            if self._find_reach(identify_stream(service), replied) >= HALF:
+            if self._find_reach_running(service, replied) >= HALF:
                 known.append(version)
         return self.versions.list_joining(service, self._news_max_s, now_s, known)
 
@@ -349,7 +356,7 @@
         slots = sum(endpoint.slots for endpoint in pool.values())
         joining_slots = sum(pool[name].slots for name in names)
         replied = self._list_replied(service)
-        reach = self._find_reach(identify_stream(service), replied)
+        reach = self._find_reach_running(service, replied)
         return names if 2 * joining_slots <= slots or reach <= HALF else set()
 
     def record_begin(self, call: EdgeCall, software_version: str) -> None:
@@ -437,7 +444,7 @@
             self._own.zone,
             unseen,
             self._is_certain(stream, replies),
-            self._find_reach(stream, replies),
+            self._find_reach(stream, replies, len(self._members.lost)),
             store,
             not self._has_others,
         )
@@ -451,11 +458,16 @@
         # Any router may have begun it.
         return not self._members.lost and len(replied) + 1 >= len(self._routers)
 
-    def _find_reach(self, stream: int, replied: Collection[str]) -> float:
+    def _find_reach_running(self, service: str, replied: Collection[str]) -> float:
+        """Return the share of the routers that may conclude the version of a stream."""
+        running = self._ended.count_running()
+        return self._find_reach(identify_stream(service), replied, running)
+
+    def _find_reach(self, stream: int, replied: Collection[str], lost: int) -> float:
         return find_reach(
             self._own,
             self._routers,
-            len(self._members.lost),
+            lost,
             choose_asked(stream, self._routers, self._own),
             replied,
         )
--- a/tests/test_routers_out_of_step.py
+++ b/tests/test_routers_out_of_step.py
@@ -17,6 +17,8 @@
 END_S = 6.0
 HEALED_S = 3.0
 CUT_END_S = 3.0
+# Routers that don't reach others take them for dead by then.
+LOST_END_S = 12.0
 
 
 @pytest.mark.parametrize(
@@ -46,13 +48,16 @@
         assert result.in_touch["went_on"] >= taken / 2, (play, result)
 
 
-@pytest.mark.parametrize(("zones", "cut"), [("aabb", 1), ("aabbcc", 2)])
+@pytest.mark.parametrize(
+    ("zones", "cut", "end_s"),
+    [("aabb", 1, CUT_END_S), ("aabbcc", 2, CUT_END_S), ("aab", 1, LOST_END_S)],
+)
 def test_few_routers_with_the_store_begin_no_version_that_others_cannot_know(
-    zones, cut
+    zones, cut, end_s
 ):
     # Guards against a router or a zone that is cut off and begins streams at a version
     # of which the others don't hear, and against others that refuse all for that.
-    play = Partition(zones, cut, "cut", leaves=True, end_s=CUT_END_S)
+    play = Partition(zones, cut, "cut", leaves=True, end_s=end_s)
     (result,) = asyncio.run(run_partitions([play])).values()
     assert result.began["v1"]
     assert set(result.across) <= {"went_on", "refused"}, result
--- a/tests/test_version_keepers.py
+++ b/tests/test_version_keepers.py
@@ -630,12 +630,12 @@
             if self.reaches(process) and process.queue is None
         }
 
-    def find_reach(self, stream, replies):
+    def find_reach(self, stream, replies, ended=()):
         known = self.list_known()
         return find_reach(
             self.own,
             known,
-            len(self.fleet.routers) - len(known),
+            len(set(self.fleet.routers).difference(known, ended)),
             choose_asked(stream, known, self.own),
             {router.name for router in replies},
         )
@@ -644,18 +644,32 @@
         """Return the versions at which no stream begins if they have most slots."""
         stream, fleet = identify_stream(SERVICE), self.fleet
         replies = self.ask(stream)
-        if is_most and self.find_reach(stream, replies) > HALF:
+        ended = self.list_ended()
+        if is_most and self.find_reach(stream, replies, ended) > HALF:
             return set()
         known = [
             version
             for version in self.state.list_versions(SERVICE, fleet.now_s)
             if self.find_reach(
-                stream, {r for r, reply in replies.items() if version in reply.versions}
+                stream,
+                {r for r, reply in replies.items() if version in reply.versions},
+                ended,
             )
             >= HALF
         ]
         return self.state.list_joining(SERVICE, NEWS_MAX_S, fleet.now_s, known)
 
+    def list_ended(self):
+        """Return the routers whose addresses refuse connections."""
+        fleet = self.fleet
+        return {
+            router
+            for router in fleet.routers
+            if router.name not in fleet.processes
+            and fleet.is_near(self.own, router)
+            and "peers" not in self.unreached
+        }
+
     def misses_reply(self, stream):
         """Return whether a router doesn't reply that may know a stream."""
         asked = choose_asked(stream, self.list_known(), self.own)
@@ -911,7 +925,7 @@
     @precondition(lambda self: self.store.is_up)
     @rule(
         versions=st.sampled_from([["v2"], ["v1", "v2"]]),
-        wait_s=st.sampled_from([0.5, 5.0]),
+        wait_s=st.sampled_from([0.5, 5.0, 6.0]),
         zones=st.sampled_from([{"zone-0"}, {"zone-0", "zone-1"}]),
         is_inside=st.booleans(),
         data=st.data(),
