--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -78,6 +78,7 @@
 )
 from tamarackrill.router.edge_placing import EdgePlacer
 from tamarackrill.router.edge_server import EdgeServer
+from tamarackrill.router.ended_checks import EndedChecks
 from tamarackrill.router.endpoint_history import read_endpoint_history
 from tamarackrill.router.fleet_news import FleetNewsExchange
 from tamarackrill.router.fleet_registry import FleetRegistry
@@ -622,6 +623,7 @@
             self.clock,
         )
         self.flow.reserver.read_moved = self._read_moved
+        self._ended = EndedChecks(self.members, open_channel, self.clock)
         self.keepers = VersionKeepers(
             self.view,
             self.members,
@@ -634,6 +636,7 @@
             self._find_known_s,
             self._find_resumed_s,
             self.standstill.find_resumed_s,
+            self._ended,
             self._store_checks.check,
             lambda: self.configuration_sync.is_lost,
             bool(seeds),
@@ -798,6 +801,7 @@
         await self.configuration_sync.stop()
         await self._store_checks.stop()
         await self._entry_checks.stop()
+        await self._ended.stop()
         await self.keepers.store.stop()
         self._peer_socket.stop()
         await self.relays.stop()
