Ask endpoints anew when another router asks whether they live

A router whose connection to an endpoint is refused after an unframed answer asks others, and takes the answer for complete if one of them reaches it.

Cause: a router that is asked joined a probe that was already running, and then went by the endpoint's last answer, of up to a second ago. If it was late, the probe's connection, or the last answer that it had read, was from before the end of the process.

Change: for a fresh question only connections count that are opened after it. Those that wait for the same running probe share the next one.

Measured: both cases of test_what_a_late_router_saw_before_is_no_sign_of_life failed before (a partial stream was complete) and hold.

--- a/src/tamarackrill/router/paths.py
+++ b/src/tamarackrill/router/paths.py
@@ -59,7 +59,7 @@
         self._clock = clock
         self.on_reached: Callable[[Endpoint], None] = lambda endpoint: None
         self.probe_outcomes: Counter[str] = Counter()
-        self._probes: dict[str, asyncio.Task[None]] = {}
+        self._probes: dict[str, asyncio.Task[bool]] = {}
 
     def record_failure(self, endpoint: Endpoint, error: Exception) -> None:
         """Record that a connection could not be made or was lost."""
@@ -107,14 +107,17 @@
         endpoints : iterable of Endpoint
             Endpoints in question.
         is_fresh : bool, default=False
-            Whether to probe those too that have answered recently.
+            Whether only connections count that are opened after this call.
         """
         wanted = list(endpoints)
+        if is_fresh:
+            found = await asyncio.gather(*map(self._probe_afresh, wanted))
+            return [e.name for e, ok in zip(wanted, found, strict=True) if ok]
         now_s = self._clock()
         probed = [
             endpoint
             for endpoint in wanted
-            if is_fresh or not self._reach.has_answered(endpoint.name, now_s)
+            if not self._reach.has_answered(endpoint.name, now_s)
         ]
         for endpoint in probed:
             self.probe(endpoint)
@@ -124,6 +127,22 @@
         now_s = self._clock()
         return [e.name for e in wanted if self._reach.has_answered(e.name, now_s)]
 
+    async def _probe_afresh(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint takes a connection that is opened from now on.
+
+        A process that has just ended may have taken the connection of a probe that is
+        still running, and its last answers may be read late.
+        """
+        running = self._probes.get(endpoint.name)
+        if running is not None:
+            await asyncio.wait([running])
+        # Whoever waited for the same probe shares the next one.
+        self.probe(endpoint)
+        task = self._probes[endpoint.name]
+        await asyncio.wait([task])
+        is_done = not task.cancelled() and task.exception() is None
+        return is_done and task.result()
+
     def probe(self, endpoint: Endpoint) -> None:
         """Start a probe of an endpoint, unless one is running."""
         if endpoint.name in self._probes:
@@ -132,20 +151,21 @@
         self._probes[endpoint.name] = task
         task.add_done_callback(lambda done: self._end(endpoint.name, done))
 
-    def _end(self, name: str, task: asyncio.Task[None]) -> None:
+    def _end(self, name: str, task: asyncio.Task[bool]) -> None:
         del self._probes[name]
         log_task_failure(task)
 
-    async def _probe(self, endpoint: Endpoint) -> None:
+    async def _probe(self, endpoint: Endpoint) -> bool:
         try:
             channel = await self._connect(endpoint.address, CONNECT_TIMEOUT_S)
         except OSError as error:
             self.probe_outcomes["failed"] += 1
             self.record_failure(endpoint, error)
-        else:
-            self.probe_outcomes["reached"] += 1
-            channel.close()
-            self.record_answer(endpoint)
+            return False
+        self.probe_outcomes["reached"] += 1
+        channel.close()
+        self.record_answer(endpoint)
+        return True
 
     async def stop(self) -> None:
         """Cancel all running probes."""
--- a/tests/test_broken_off.py
+++ b/tests/test_broken_off.py
@@ -7,6 +7,7 @@
 import pytest
 from soak.links import EndpointLinks
 
+from tamarackrill.router.channels import open_channel
 from tamarackrill.testing.edge import (
     HOST,
     KEY,
@@ -32,6 +33,7 @@
     make_route("/confirm/", "non_idempotent", attempts=1),
 )
 EVENTS = 6
+EVENT_STREAM = {"Content_Type": "text/event-stream"}
 WHOLE = b"".join(make_event(number) for number in range(1, EVENTS + 1))
 THREE = b"".join(make_event(number) for number in range(1, 4))
 FRAMINGS = ("length", "chunked", "close")
@@ -293,6 +295,49 @@
     run_in_fleet(act)
 
 
+@pytest.mark.parametrize("seen", ["answer", "probe"])
+def test_what_a_late_router_saw_before_is_no_sign_of_life(seen):
+    # Guards against a partial stream that is forwarded as complete, because another
+    # router that is late takes what it saw before the endpoint's crash for news.
+    async def act(fleet):
+        worker = await fleet.add_worker("w1")
+        has_ended = asyncio.Event()
+
+        async def connect_late(address, timeout_s):
+            try:
+                channel = await open_channel(address, timeout_s)
+            except ConnectionRefusedError:
+                if seen == "answer":
+                    asyncio.get_running_loop().call_soon(paths.record_answer, endpoint)
+                raise
+            await has_ended.wait()
+            return channel
+
+        router = await fleet.add_router()
+        other = await fleet.add_router("other", "y", connect=connect_late)
+        await fleet.wait(lambda: len(router.members.list_live()) == 2)
+        paths = other.flow.attempts.paths
+        endpoint = other.view.find_endpoint("w1")
+        crash = crash_after(worker, THREE, **EVENT_STREAM)
+
+        async def crash_when_probed(request, writer):
+            if seen == "probe":
+                paths.probe(endpoint)
+                await fleet.wait(lambda: worker.connections == 2)
+            await crash(request, writer)
+
+        worker.behave = crash_when_probed
+        asking = asyncio.create_task(ask(router, "/once/a", body=b"x"))
+        await worker.closed.wait()
+        # The answer to the probe is due as soon as the other router has been asked.
+        await asyncio.sleep(0.05)
+        has_ended.set()
+        answer = await asking
+        assert (answer.body, answer.is_whole) == (THREE, False)
+
+    run_in_fleet(act)
+
+
 @pytest.mark.parametrize("sent", [THREE, WHOLE])
 def test_stream_of_an_endpoint_that_leaves_is_resumed_when_it_exits(sent):
     # Guards against part of a stream that is forwarded as complete, because the process
@@ -459,9 +504,6 @@
     run_in_fleet(act)
 
 
-EVENT_STREAM = {"Content_Type": "text/event-stream"}
-
-
 @pytest.mark.parametrize(
     "target, sent, headers",
     [
