Print what workers and routers did with a stream that looked complete

Of two streams that soak.versions called short nothing was known afterwards. For such a stream it now prints the framing, bytes and end of each answer of its workers, when their processes ended and how many connections were reset, and the routers' log lines of the request and of these endpoints.

--- a/soak/versions.py
+++ b/soak/versions.py
@@ -12,6 +12,7 @@
 import re
 import signal
 import sys
+from datetime import datetime
 from pathlib import Path
 from typing import Literal, NamedTuple
 
@@ -72,11 +73,34 @@
         return bool(self.last_id and self.answer and self.answer.status == 200)
 
 
+class WorkerAnswer:
+    """How a worker answered an attempt; `ended` is the last thing that it did."""
+
+    def __init__(self, worker: str, framing: Framing, last_id: int) -> None:
+        self.worker = worker
+        self.framing = framing
+        self.last_id = last_id
+        self.sent_bytes = 0
+        self.ended = "under way"
+        self.at = datetime.now()
+
+    def end(self, how: str) -> None:
+        """Record how it ended."""
+        self.ended, self.at = how, datetime.now()
+
+    def __str__(self) -> str:
+        return (
+            f"{self.worker} after event {self.last_id}, framing {self.framing}, "
+            f"{self.sent_bytes} bytes, {self.ended} at {self.at:%H:%M:%S.%f}"
+        )
+
+
 class Stream:
     """What a caller has of a stream of `events` events after its attempts.
 
     `version`, `first_name` and `first_s` are the software version of its first event,
-    and the attempt that brought it; `faults` is what was wrong, by kind.
+    and the attempt that brought it; `faults` is what was wrong, by kind, and
+    `short_name` the attempt that looked complete too early.
     """
 
     def __init__(self, events: int = EVENTS_DEFAULT) -> None:
@@ -86,6 +110,7 @@
         self.version = ""
         self.first_name = ""
         self.first_s = 0.0
+        self.short_name = ""
         self.faults: dict[str, str] = {}
 
     def add(self, attempt: Attempt) -> None:
@@ -104,6 +129,7 @@
         self._add_events(attempt, answer)
         if answer.is_whole and self.last_id != self.events and not self.faults:
             self._note("short", f"{attempt.name} complete after {self.last_id}")
+            self.short_name = attempt.name
 
     def _add_events(self, attempt: Attempt, answer: EdgeAnswer) -> None:
         end = 0
@@ -142,20 +168,29 @@
 
 
 def make_versioned(
-    version: str, rng: random.Random, open_writers: set[asyncio.StreamWriter]
+    name: str,
+    version: str,
+    rng: random.Random,
+    open_writers: set[asyncio.StreamWriter],
+    answers: dict[str, list[WorkerAnswer]],
 ) -> Behave:
     """Return a behaviour that streams slowly, and breaks some of its answers off.
 
-    `open_writers` holds the connections of the answers under way.
+    `open_writers` holds the connections of the answers under way; `answers` gets how
+    each one ended, by its attempt.
     """
 
     async def act(request: WorkerRequest, writer: asyncio.StreamWriter) -> None:
         open_writers.add(writer)
+        framing: Framing = rng.choice(("chunked", "close", "length"))
+        last_id = int(request.headers.get("last-event-id", 0))
+        answer = WorkerAnswer(name, framing, last_id)
+        answers.setdefault(request.request_id, []).append(answer)
         try:
-            await _write_stream(version, rng, request, writer)
+            await _write_stream(version, rng, request, writer, answer)
         except ConnectionError:
             # The router or the end of the worker has closed the connection.
-            return
+            answer.end("lost")
         finally:
             open_writers.discard(writer)
 
@@ -167,10 +202,11 @@
     rng: random.Random,
     request: WorkerRequest,
     writer: asyncio.StreamWriter,
+    answer: WorkerAnswer,
 ) -> None:
-    framing: Framing = rng.choice(("chunked", "close", "length"))
+    framing = answer.framing
     line_end = rng.choice((b"\n", b"\r\n"))
-    start = int(request.headers.get("last-event-id", 0)) + 1
+    start = answer.last_id + 1
     name = request.target.rpartition("/")[2]
     last = int(name) if name.isdigit() else EVENTS_DEFAULT
     events = [
@@ -193,13 +229,17 @@
         for piece in (sent[:split], sent[split:]):
             if piece:
                 writer.write(make_chunk(piece) if framing == "chunked" else piece)
+                answer.sent_bytes += len(piece)
                 await asyncio.sleep(EVENT_PAUSE_S / 2)
         await asyncio.sleep(EVENT_PAUSE_S / 2)
         if left < 0 or writer.is_closing():
             break
+    how = f"of {size} bytes, closing {writer.is_closing()}"
     if is_cut and not _can_tell(rng, framing, is_inside):
+        answer.end(f"reset {how}")
         await reset_connection(writer)
         return
+    answer.end(f"{'cut' if is_cut else 'ended'} {how}")
     # Something in front of a crashed worker may complete its frame.
     if framing == "chunked" and (not is_cut or (is_inside and rng.random() < 0.5)):
         writer.write(make_chunk(b""))
@@ -287,6 +327,9 @@
         super().__init__(seed, folder, TWO_ZONES)
         self.streams: list[Stream] = []
         self._writers_added = 0
+        self._answers: dict[str, list[WorkerAnswer]] = {}
+        # When the processes of writers ended, and how many connections were reset.
+        self._ends: dict[str, str] = {}
         self._open_writers: dict[str, set[asyncio.StreamWriter]] = {}
         self._releasing = asyncio.Lock()
         self._leaving: set[asyncio.Task[None]] = set()
@@ -319,7 +362,8 @@
             self._writers_added += 1
             name = f"writer-{self._writers_added}"
             self._open_writers[name] = set()
-            behave = make_versioned(version, self._rng, self._open_writers[name])
+            writers = self._open_writers[name]
+            behave = make_versioned(name, version, self._rng, writers, self._answers)
             await self._add_worker(fleet, name, "writer", behave, version)
         self._note_versions()
 
@@ -483,9 +527,14 @@
         proxy = next(proxy for proxy in self._proxies if proxy.target == worker.address)
         self._proxies.remove(proxy)
         proxy.refuse()
-        for writer in self._open_writers[name]:
-            if self._rng.random() < 0.5:
-                reset_on_close(writer.get_extra_info("socket"))
+        open_writers = self._open_writers[name]
+        reset = [w for w in open_writers if self._rng.random() < 0.5]
+        for writer in reset:
+            reset_on_close(writer.get_extra_info("socket"))
+        self._ends[name] = (
+            f"{name} at {proxy.address} ended at {datetime.now():%H:%M:%S.%f} with "
+            f"{len(open_writers)} answers, {len(reset)} of them reset"
+        )
         await worker.crash()
         self._ended.append(proxy)
 
@@ -515,8 +564,25 @@
             f"routers were killed while both versions served, "
             f"faults: { {kind: kinds.count(kind) for kind in kinds} }"
         )
+        for name in (s.short_name for s in self.streams if s.short_name):
+            self._explain(name)
         return [f"{kind}: {text}" for kind, text in faults]
 
+    def _explain(self, name: str) -> None:
+        """Print what workers and routers did with an attempt that looked complete."""
+        answers = self._answers.get(name, [])
+        workers = {answer.worker for answer in answers}
+        for line in [*answers, *(self._ends[w] for w in workers if w in self._ends)]:
+            print(f"    {line}")
+        for router in self._routers:
+            for line in router.log_path.read_text(errors="replace").splitlines():
+                # Lines of no request tell what routers saw of the endpoints' ends.
+                is_near = '"request"' not in line and any(
+                    f'"{worker}"' in line for worker in workers
+                )
+                if is_near or f'"{name}"' in line:
+                    print(f"    {router.name}: {line}")
+
     def _list_after_all_killed(self) -> list[Attempt]:
         """Return the first answered attempts after all routers were killed.
 
