Check the end of an unframed answer after its deadline too

Callers got part of a stream as a complete one: its router stood still while the endpoint's process ended, and saw that after the deadline.

Cause: confirm_end had until the deadline, and after it an unframed answer counted as complete without a check. So the lateness of the router turned the end of a process into the end of an answer.

Change: the check has at least 50 ms; a refusal takes milliseconds.

--- a/src/tamarackrill/router/endpoint_checks.py
+++ b/src/tamarackrill/router/endpoint_checks.py
@@ -18,6 +18,9 @@
 
 # Endpoints with which one that seems to have crashed is compared.
 COMPARED_ENDPOINTS_MAX = 3
+# A connection is taken or refused in a few milliseconds.  Shorter than the time that an
+# answer has after its deadline, so that a whole one is still passed on.
+CHECK_MIN_S = 0.05
 # A process that ends closes its connections one after the other, and may take another
 # one until it has closed its listening socket.
 ENDING_S = 0.01
@@ -77,6 +80,8 @@
         right after its last response, so that the response counts as complete unless
         another endpoint can repeat or resume it.
         Without an answer by the deadline nothing is known, and it counts as complete.
+        But a router that is late may see the end after the deadline for the first time,
+        so that the endpoint has `CHECK_MIN_S` to answer in any case.
 
         Parameters
         ----------
@@ -98,9 +103,8 @@
             return
         if self._placer.is_leaving(endpoint) and not may_repeat:
             return
-        timeout_s = min(CONNECT_TIMEOUT_S, deadline_s - self._clock())
-        if timeout_s <= 0:
-            return
+        left_s = max(CHECK_MIN_S, deadline_s - self._clock())
+        timeout_s = min(CONNECT_TIMEOUT_S, left_s)
         try:
             channel = await self._connect(endpoint.address, timeout_s)
         except ConnectionRefusedError:
--- a/tests/test_broken_off.py
+++ b/tests/test_broken_off.py
@@ -295,6 +295,29 @@
     run_in_fleet(act)
 
 
+@pytest.mark.parametrize("target", ["/once/a", "/stream/a"])
+@pytest.mark.parametrize("late_s", [0.0, 0.05, 0.3])
+def test_crash_that_is_seen_at_the_deadline_is_no_end_of_a_stream(late_s, target):
+    # Guards against a partial stream that is forwarded as complete, because a router
+    # that stood still meanwhile sees its endpoint's end when the deadline has passed.
+    async def act(fleet):
+        worker = await fleet.add_worker("w1")
+        crash = crash_after(worker, THREE, **EVENT_STREAM)
+
+        async def crash_and_block(request, writer):
+            left_ms = int(request.headers["x-deadline-ms"])
+            due_s = time.monotonic() + left_ms / 1000
+            await crash(request, writer)
+            time.sleep(max(0.0, due_s + late_s - time.monotonic()))
+
+        worker.behave = crash_and_block
+        router = await fleet.add_router()
+        answer = await ask(router, target, body=b"x", X_Deadline_Ms="300")
+        assert answer.status != 200 or not answer.is_whole
+
+    run_in_fleet(act)
+
+
 @pytest.mark.parametrize("seen", ["answer", "probe"])
 def test_what_a_late_router_saw_before_is_no_sign_of_life(seen):
     # Guards against a partial stream that is forwarded as complete, because another
