Load no event loop before a router listens; the count of routers is logged

- Callers that connect while a router starts were refused: the decoder of objects imported asyncio, and with it logging and ssl, before the router listens (eight cases of test_process and test_starting, which hold again).
Decoding in steps is a generator now; the client of the store lets other tasks run between its steps.
- test_log_shows_why_a_manifest_arrived_late lists all calls to the store.
There is one more since routers are counted there, which it asks for now.

--- a/src/tamarackrill/lenient_json.py
+++ b/src/tamarackrill/lenient_json.py
@@ -5,10 +5,9 @@
 strict parser refuses the whole list for it, and a router would learn of no further
 change.  Finding the end of a value that is nested too deep takes 0.13 s of processor
 time for each 600 kB.  An object that changes ten times a second would hold up all
-requests with that, so that it is done in steps, between which other tasks run.
+requests with that, so that it is done in steps, between which other tasks may run.
 """
 
-import asyncio
 import json
 import math
 import re
@@ -43,7 +42,7 @@
     ValueError
         If the text isn't JSON.
     """
-    steps = _decode_in_steps(text)
+    steps = decode_in_steps(text)
     while True:
         try:
             next(steps)
@@ -51,15 +50,13 @@
             return ended.value
 
 
-async def decode_yielding(text: bytes) -> Any:
-    """Do the same as `decode`, and let other tasks run meanwhile if it takes long."""
-    steps = _decode_in_steps(text)
-    while True:
-        try:
-            next(steps)
-        except StopIteration as ended:
-            return ended.value
-        await asyncio.sleep(0)
+def decode_in_steps(text: bytes) -> Generator[None, None, Any]:
+    """Do the same as `decode` in steps of some milliseconds; return the value."""
+    content = text.decode(errors="replace")
+    try:
+        return _load(content)
+    except RecursionError:
+        return _load((yield from _replace_deep_values(content)))
 
 
 def is_sound(value: Any) -> bool:
@@ -88,14 +85,6 @@
     return _UNREADABLE.search("".join(texts)) is None
 
 
-def _decode_in_steps(text: bytes) -> Generator[None, None, Any]:
-    content = text.decode(errors="replace")
-    try:
-        return _load(content)
-    except RecursionError:
-        return _load((yield from _replace_deep_values(content)))
-
-
 def _load(content: str) -> Any:
     return json.loads(content or "null", strict=False, parse_int=_parse_integer)
 
--- a/src/tamarackrill/router/platform_client.py
+++ b/src/tamarackrill/router/platform_client.py
@@ -4,6 +4,7 @@
 and fields) is passed as a `StoreApi`.
 """
 
+import asyncio
 import json
 import time
 from collections.abc import Callable
@@ -19,7 +20,7 @@
 
 from tamarackrill.contracts import Vm, read_vm
 from tamarackrill.exceptions import PlatformUnavailable
-from tamarackrill.lenient_json import decode_yielding
+from tamarackrill.lenient_json import decode_in_steps
 from tamarackrill.router.store_fetch import CallProgress, fetch, make_curl_setup
 from tamarackrill.store_api import (
     Listing,
@@ -475,9 +476,20 @@
         raise PlatformUnavailable("platform: the answer is not one of an object API")
 
 
+async def _decode_yielding(body: bytes) -> Any:
+    """Decode JSON, and let other tasks run meanwhile if that takes long."""
+    steps = decode_in_steps(body)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as ended:
+            return ended.value
+        await asyncio.sleep(0)
+
+
 async def _parse_json(body: bytes) -> Any:
     try:
-        return await decode_yielding(body)
+        return await _decode_yielding(body)
     except ValueError as error:
         raise PlatformUnavailable("platform: the answer is not valid JSON") from error
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -81,6 +81,7 @@
     # Each store call is logged; only the large manifest has a large response.
     assert {fields["path"].partition("?")[0] for fields in calls} == {
         "/objects/config",
+        "/objects/routers",
         "/objects/servers",
     }
     answered = [fields for fields in calls if fields["size_bytes"] > 16 * 1024]
