Answer a failure that is due though the router is late

A client whose request had failed beside a silent endpoint got 504 at its deadline in place of the failure in time: if the loop was late by more than 0.25 s, the time that the client needs to come back was checked again, and found too short. It is checked when the answer is planned only.

--- a/src/tamarackrill/decisions/attempt_races.py
+++ b/src/tamarackrill/decisions/attempt_races.py
@@ -176,6 +176,23 @@
     return any(not other.is_silent for other in others)
 
 
+def may_give_up(others: Collection[RaceAttempt], failed: AttemptHistory) -> bool:
+    """Return whether silent attempts may be ended, as another one has failed.
+
+    Parameters
+    ----------
+    others : collection of RaceAttempt
+        Attempts that are still under way.
+    failed : AttemptHistory
+        Attempts that have ended without an answer.
+    """
+    return (
+        failed.was_delivered
+        and bool(others)
+        and all(other.is_silent for other in others)
+    )
+
+
 def find_failure_wait_s(
     others: Collection[RaceAttempt],
     failed: AttemptHistory,
@@ -204,9 +221,8 @@
         None if there is no failure, if an attempt isn't silent, or if too little time
         is left for a client to come back, so that the silent ones are its only chance.
     """
-    if not failed.was_delivered or any(not other.is_silent for other in others):
-        return None
     needed_s = CLIENT_CONNECT_MAX_S + ATTEMPT_TIMEOUT_OBJECTIVES * objective_s
-    if not others or client_time_left_s < needed_s - GIVE_UP_LATE_MAX_S:
+    has_time = client_time_left_s >= needed_s - GIVE_UP_LATE_MAX_S
+    if not has_time or not may_give_up(others, failed):
         return None
     return max(0.0, client_time_left_s - needed_s)
--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -8,6 +8,7 @@
 from tamarackrill.decisions.attempt_races import (
     decide_on_silence,
     find_failure_wait_s,
+    may_give_up,
     must_await_others,
 )
 from tamarackrill.decisions.attempts import (
@@ -363,7 +364,8 @@
 
     def _give_up(self, progress: RequestProgress) -> None:
         """End silent attempts, unless one of them has gone on."""
-        if self._find_failure_wait_s(progress) is None:
+        others = progress.race.list_others(0)
+        if progress.reply.has_begun or not may_give_up(others, progress.history):
             return
         call = progress.call
         for attempt in progress.give_up():
