Test of idle timeouts: send all first requests before their answers are read

Traced by a trial with 60 ms before each request: the ten connections are opened first and used one after the other, so that the last ones are idle for longer than the timeout of 0.5 s before their clients send anything, and are closed rightly. All send now before the first answer is read; the check is unchanged.

--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -56,7 +56,7 @@
             if is_kept:
                 for number, connection in enumerate(connections):
                     connection.sendall(make_request(number))
-                    assert await receive(connection)
+                assert all([await receive(connection) for connection in connections])
             await asyncio.sleep(IDLE_S / 2)
             for number, connection in enumerate(connections):
                 connection.sendall(make_request(100 + number))
