Keep descriptors for requests in flight, and stop with none left

Callers saw: a router whose clients hold as many connections as it may have descriptors, stopped as planned, ended with all requests that it had passed on, with half of the grace left (20 of 20 non-idempotent, exit code 1). In calm it refused all requests, those on its open connections too (200 of 200), took three endpoints for unreachable, and spent a core on raising the same error.

Cause: accept fails with EMFILE, which the drain took for a fault of the program and tornado's loop raises in each iteration. Nothing kept descriptors for the endpoints of requests that are open.

Change: a pure decision keeps a share for endpoints, idle connections make room, further ones are refused at once as not run; accepting pauses where it must, and goes on during a stop; the shortage is blamed on no endpoint.

--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -127,6 +127,26 @@
     "after it went on; `waited` requests waited for that.",
 )
 
+ACCEPT_FAILED = Event(
+    1023,
+    "accept_failed",
+    _WARNING,
+    ("reason",),
+    "A client's connection could not be accepted; it waits, and is tried again 50 ms "
+    "later.",
+    "Check the limit of descriptors of the process and the memory of the VM.",
+)
+DESCRIPTORS_SHORT = Event(
+    1024,
+    "descriptors_short",
+    _WARNING,
+    ("limit", "clients", "endpoints", "surplus"),
+    "Connections of clients and to endpoints use up the descriptors of the process; "
+    "logged once until there is room again.  Connections that are idle are closed, and "
+    "the first requests of `surplus` ones are refused.",
+    "Add routers, or raise the limit of descriptors.",
+)
+
 # 2000: requests, routing and admission
 REQUEST_ROUTED = Event(
     2001,
--- a/src/tamarackrill/platform/settings_file.py
+++ b/src/tamarackrill/platform/settings_file.py
@@ -16,6 +16,8 @@
 BYTES_PER_MB = 1_000_000
 # The smallest known VM of a router.
 DEFAULT_MEMORY_MB = 200.0
+# Descriptors that the platform reserves for files.
+FILE_DESCRIPTORS = 200
 # Default of a field that has to be present.
 _REQUIRED = object()
 # Keys of the listening addresses in the file.
@@ -69,6 +71,8 @@
         abort responses that stay unread.
     memory_bytes : int
         Memory of this VM.
+    sockets_max : int or None
+        How many sockets and pipes the process may have open, if that is limited.
     source : str
         Path of the file.
     """
@@ -92,6 +96,7 @@
     capacity_sharing: SharingMode = "auto"
     has_slow_peers: bool = False
     memory_bytes: int = int(DEFAULT_MEMORY_MB * BYTES_PER_MB)
+    sockets_max: int | None = None
     source: str = ""
 
     def get_field_location(self, field: str) -> str:
@@ -219,9 +224,15 @@
         memory_bytes=int(
             BYTES_PER_MB * reader.read("limits.memory_mb", float, DEFAULT_MEMORY_MB)
         ),
+        sockets_max=_read_sockets_max(reader),
     )
 
 
+def _read_sockets_max(reader: _Reader) -> int | None:
+    descriptors: int | None = reader.read("limits.max_fds", int, None)
+    return None if descriptors is None else max(0, descriptors - FILE_DESCRIPTORS)
+
+
 def _read_news_max_s(reader: _Reader) -> float:
     manifest_ms = reader.read("bounds.config_ms", float, 2000.0)
     # Counted from when a worker announces that it drains, not from its exit.
--- a/src/tamarackrill/router/channels.py
+++ b/src/tamarackrill/router/channels.py
@@ -16,7 +16,11 @@
 from tamarackrill.decisions.capacity.buffers import ReadPauses
 from tamarackrill.decisions.status_lines import holds_status_line
 from tamarackrill.router import lateness
-from tamarackrill.router.sockets import enable_keepalive, find_unacknowledged_s
+from tamarackrill.router.sockets import (
+    enable_keepalive,
+    find_unacknowledged_s,
+    is_shortage,
+)
 
 Headers = list[tuple[str, str]]
 Framing = Literal["none", "length", "chunked", "close"]
@@ -34,6 +38,10 @@
     """A connection can't be made, for a reason other than the network's."""
 
 
+class DescriptorsExhausted(ConnectionUnavailable):
+    """The process has no descriptor left, which says nothing of the endpoint."""
+
+
 class ResponseHead(NamedTuple):
     """Status and headers of a response.
 
@@ -55,6 +63,14 @@
     framing: Framing
 
 
+_open_channels: set["Channel"] = set()
+
+
+def count_open() -> int:
+    """Return how many connections to endpoints and other routers are open."""
+    return len(_open_channels)
+
+
 class Channel(asyncio.Protocol):
     """One connection to an endpoint.
 
@@ -97,6 +113,7 @@
         """Store the transport and enable TCP keepalive."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        _open_channels.add(self)
         user_timeout_ms = int(1000 * CONNECTION_TIMEOUT_S)
         enable_keepalive(transport.get_extra_info("socket"), user_timeout_ms)
 
@@ -114,6 +131,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Handle the end of the connection; `exc` is set if it was reset."""
+        _open_channels.discard(self)
         self._handle_end(exc)
 
     # Requests and responses
@@ -337,7 +355,9 @@
         loop = asyncio.get_running_loop()
         async with lateness.timeout(timeout_s):
             _, channel = await loop.create_connection(Channel, host, port)
-    except OSError:
+    except OSError as error:
+        if is_shortage(error):
+            raise DescriptorsExhausted(str(error)) from error
         raise
     except Exception as error:
         raise ConnectionUnavailable(f"can't connect to {address!r}: {error}") from error
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -251,6 +251,8 @@
         self.relay_server.wait_current = self.standstill.wait_current
         self.server = EdgeServer(self.view, self.flow, self.metrics, self.clock)
         self.server.wait_current = self.standstill.wait_current
+        if settings.sockets_max is not None:
+            self.server.server.limit_descriptors(settings.sockets_max)
         self.server.make_reply = choose_replies(settings, self.metrics, self.clock)
 
     async def start(self, listener: socket.socket | None = None) -> None:
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -35,6 +35,7 @@
     Channel,
     ChannelError,
     Connect,
+    DescriptorsExhausted,
     ResponseHead,
     open_channel,
 )
@@ -336,6 +337,9 @@
             assert self.relays is not None
             try:
                 return await self.relays.open_channel(relay, call.route.may_repeat)
+            except DescriptorsExhausted as error:
+                self._free_descriptors()
+                return AttemptResult("not_sent", repr(error), relay=relay)
             except OSError as error:
                 self.relays.observe_lost(relay, endpoint.name, repr(error))
                 return AttemptResult("not_sent", repr(error), relay=relay)
@@ -344,11 +348,19 @@
             return await self.open_own_channel(
                 endpoint, self._may_reopen(call), timeout_s
             )
+        except DescriptorsExhausted as error:
+            self._free_descriptors()
+            return AttemptResult("not_sent", repr(error))
         except OSError as error:
             self.paths.record_failure(endpoint, error)
             self._metrics.count("connects_failed", endpoint.zone)
             return AttemptResult("not_sent", repr(error))
 
+    def _free_descriptors(self) -> None:
+        """Close the idle connections to endpoints, as descriptors are used up."""
+        self._metrics.count("descriptors_exhausted")
+        self.pool.close()
+
     def _may_reopen(self, call: EdgeCall) -> bool:
         """Return whether a request may be sent again if its connection is closed."""
         return call.route.may_repeat and self._count_retries_left(call) >= 1.0
--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -14,6 +14,9 @@
 )
 from tornado.iostream import StreamClosedError
 
+from tamarackrill.decisions.capacity.descriptors import (
+    RETRY_AFTER_S as SURPLUS_RETRY_AFTER_S,
+)
 from tamarackrill.decisions.capacity.sharing_scope import weigh_team
 from tamarackrill.decisions.engine_waits import rank_urgency
 from tamarackrill.decisions.manifests import (
@@ -146,6 +149,7 @@
             idle_connection_timeout=IDLE_TIMEOUT_S,
         )
         self.server.guard = RequestGuard(_refuse_unread, metrics)
+        self.server.refuses_surplus = True
 
     def set_limits(self, limits: ClientLimits) -> None:
         """Follow the limits of a manifest while heads are read.
@@ -358,7 +362,7 @@
 
     async def _serve(self) -> None:
         server = self._server
-        must_close = server.is_leaving or server.sheds_connections
+        must_close = server.is_leaving or server.sheds_connections or self._is_surplus()
         takes_chunks = self._start_line.version != "HTTP/1.0"
         # Used unless the reply that buffers can be made.
         reply = EdgeReply(self._connection, must_close, takes_chunks)
@@ -414,6 +418,8 @@
         headers = parse_request_headers(self._headers)
         await self._server.wait_current()
         try:
+            if self._is_surplus():
+                raise _Denied(503, "too_many_connections", SURPLUS_RETRY_AFTER_S)
             self._check_sizes()
             self._call = self._server.match(
                 self._start_line,
@@ -428,6 +434,9 @@
         reply.team = self._call.team or ""
         await self._server.flow.serve(self._call, reply)
 
+    def _is_surplus(self) -> bool:
+        return self._server.server.is_surplus(self._connection.stream)
+
     def _check_sizes(self) -> None:
         table = self._server.view.routes
         if table is None:
--- a/src/tamarackrill/router/idle_timeouts.py
+++ b/src/tamarackrill/router/idle_timeouts.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import socket
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 
 from tornado.httputil import (
     HTTPHeaders,
@@ -17,6 +17,7 @@
 )
 from tornado.iostream import IOStream
 
+from tamarackrill.decisions.capacity.descriptors import may_close_idle
 from tamarackrill.router.lateness import LateTimer
 
 # Time in which the loop reads bytes that had arrived when the timeout was due.
@@ -37,13 +38,23 @@
     def __init__(self, stream: IOStream, idle_s: float) -> None:
         self._stream = stream
         self._loop = asyncio.get_running_loop()
-        self._timer = LateTimer(self._loop.time() + idle_s, self._end)
+        self._since_s = self._loop.time()
+        self._timer = LateTimer(self._since_s + idle_s, self._end)
         self._has_waited = False
 
     def cancel(self) -> None:
         """Let the connection be, as the head has been read or the connection ended."""
         self._timer.cancel()
 
+    def close_early(self) -> bool:
+        """Close the connection if it may make room for another; return whether so."""
+        if not may_close_idle(self._since_s, self._loop.time()):
+            return False
+        if self._stream.closed() or _has_unread(self._stream):
+            return False
+        self._stream.close()
+        return True
+
     def _end(self) -> None:
         if self._stream.closed():
             return
@@ -67,15 +78,17 @@
 class TimedRequest(HTTPMessageDelegate):
     """Passes a request on, and ends the timeout of its head."""
 
-    def __init__(self, request: HTTPMessageDelegate, timeout: IdleTimeout) -> None:
+    def __init__(
+        self, request: HTTPMessageDelegate, end_timeout: Callable[[], None]
+    ) -> None:
         self._request = request
-        self._timeout = timeout
+        self._end_timeout = end_timeout
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> Awaitable[None] | None:
         """End the timeout."""
-        self._timeout.cancel()
+        self._end_timeout()
         return self._request.headers_received(start_line, headers)
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
--- a/src/tamarackrill/router/paths.py
+++ b/src/tamarackrill/router/paths.py
@@ -8,7 +8,7 @@
 from tamarackrill.decisions.reach import Reachability
 from tamarackrill.events import ENDPOINT_REACHED, ENDPOINT_UNREACHED, log_event
 from tamarackrill.router.background import log_task_failure
-from tamarackrill.router.channels import Connect, open_channel
+from tamarackrill.router.channels import Connect, DescriptorsExhausted, open_channel
 
 # Connecting within a region takes 3 ms.  A lost SYN is sent again only after 1 s, and
 # by then another endpoint has answered.
@@ -63,6 +63,8 @@
 
     def record_failure(self, endpoint: Endpoint, error: Exception) -> None:
         """Record that a connection could not be made or was lost."""
+        if isinstance(error, DescriptorsExhausted):
+            return
         self._drop_idle(endpoint.name)
         if not self._reach.observe_failure(endpoint, self._clock()):
             return
--- a/src/tamarackrill/router/sockets.py
+++ b/src/tamarackrill/router/sockets.py
@@ -1,5 +1,6 @@
 """Socket options that detect dead connections."""
 
+import errno
 import socket
 import struct
 
@@ -18,6 +19,8 @@
 _LAST_RECEIVED_OFFSET = 52
 _LAST_RECEIVED = struct.Struct("=I")
 _LINGER_NOT = struct.pack("ii", 1, 0)
+# Errors of a process or machine that is short of descriptors or memory for a socket.
+_SHORTAGES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
 def reset_on_close(sock: socket.socket) -> None:
@@ -72,3 +75,8 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES_MAX)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
+
+
+def is_shortage(error: OSError) -> bool:
+    """Return whether a socket couldn't be opened for want of this machine's means."""
+    return error.errno in _SHORTAGES
--- a/src/tamarackrill/testing/edge_processes.py
+++ b/src/tamarackrill/testing/edge_processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import resource
 import signal
 import subprocess
 import sys
@@ -69,6 +70,8 @@
         Bounds in its settings, in addition to the default ones.
     fields : mapping of str to any, optional
         Further fields of its settings file.
+    descriptors_max : int, optional
+        Limit of its descriptors; that of this process by default.
 
     Attributes
     ----------
@@ -87,8 +90,10 @@
         addresses: RouterAddresses | None = None,
         bounds: Mapping[str, float] | None = None,
         fields: Mapping[str, Any] | None = None,
+        descriptors_max: int | None = None,
     ) -> None:
         self.name = name
+        self._descriptors_max = descriptors_max
         self.addresses = addresses or choose_addresses()
         self.peer_address = ""
         self._sent_signals: set[signal.Signals] = set()
@@ -124,8 +129,14 @@
                 env={**os.environ, **self.environment},
                 stdout=log,
                 stderr=subprocess.STDOUT,
+                preexec_fn=self._set_limits,
             )
 
+    def _set_limits(self) -> None:
+        limit = self._descriptors_max
+        if limit is not None:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))
+
     @property
     def environment(self) -> dict[str, str]:
         """Environment variables that the daemon reads."""
