--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: setup demo demo-platform example test soak soak-cuts soak-native soak-versions soak-parts soak-shares soak-surges soak-entries soak-silences soak-standstills lint format capacity bench clean
+.PHONY: setup demo demo-platform example test soak soak-cuts soak-native soak-versions soak-parts soak-shares soak-surges soak-entries soak-silences soak-standstills soak-endless lint format capacity bench clean
 
 setup: $(READY)
 
@@ -60,6 +60,9 @@
 soak-standstills: setup
 	$(BIN)/python -m soak.standstills --seed $(SEED) --seeds $(SEEDS)
 
+soak-endless: setup
+	$(BIN)/python -m soak.endless --seed $(SEED) --seeds $(SEEDS)
+
 lint: setup
 	$(BIN)/ruff format --check src tests bench soak
 	$(BIN)/ruff check src tests bench soak
