--- a/src/tamarackrill/router/channels.py
+++ b/src/tamarackrill/router/channels.py
@@ -14,8 +14,15 @@
 from tamarackrill.decisions.addresses import read_router_address
 from tamarackrill.decisions.attempt_timeouts import CONNECTION_TIMEOUT_S
 from tamarackrill.decisions.capacity.buffers import ReadPauses
+from tamarackrill.decisions.parsing_turns import (
+    LINES_PER_ELEMENT,
+    ParsingAllowance,
+    count_text_elements,
+    find_text_end,
+)
 from tamarackrill.decisions.status_lines import holds_status_line
 from tamarackrill.router import lateness
+from tamarackrill.router.parsing_turns import wait_turn
 from tamarackrill.router.sockets import (
     enable_keepalive,
     find_unacknowledged_s,
@@ -28,6 +35,15 @@
 # Bytes of a response buffered for a slow client before reading from the endpoint is
 # paused: two socket reads of asyncio, which keep the path full.
 UNREAD_MAX_BYTES = 128 * 1024
+# Interim responses before an answer, and bytes of their headers.  A server sends one or
+# two; one that reports progress each 20 s (RFC 2518) sends 30 in ten minutes.
+INTERIM_MAX = 100
+INTERIM_MAX_BYTES = 64 * 1024
+# Bytes of a body that is read only so that its connection can be used again.  A new
+# connection takes less than reading on.
+SKIPPED_MAX_BYTES = 64 * 1024
+# Added for each chunk, so that chunks of one byte end soon too.
+CHUNK_OVERHEAD_BYTES = 64
 
 
 class ChannelError(Exception):
@@ -104,8 +120,12 @@
         self._unread_bytes = 0
         self._is_paused = False
         self._is_ended = False
+        self._is_closed_here = False
         self._error: Exception | None = None
         self._has_unexpected_data = False
+        self._allowance = ParsingAllowance(asyncio.get_running_loop().time())
+        # A piece of an event stream of which only the first part has been returned.
+        self._text, self._text_start = b"", 0
 
     # asyncio.Protocol
 
@@ -121,6 +141,8 @@
         """Process data; without a request in flight, mark the connection unusable."""
         if self._request is None:
             self._has_unexpected_data = True
+            # It is of no more use, and may send without end.
+            self.close()
             return
         self._receive(data)
 
@@ -178,6 +200,7 @@
         ChannelError
             If the connection ends or its data is invalid.
         """
+        interim = interim_bytes = 0
         while True:
             event = await self._next_event()
             if not isinstance(event, h11.Response | h11.InformationalResponse):
@@ -186,6 +209,10 @@
                 raise ChannelError("another response begins within the head")
             if isinstance(event, h11.Response):
                 return _read_head(event, self._is_head_request())
+            interim += 1
+            interim_bytes += sum(len(n) + len(v) for n, v in event.headers)
+            if interim > INTERIM_MAX or interim_bytes > INTERIM_MAX_BYTES:
+                raise ChannelError("too many interim responses")
 
     async def read_chunk(self) -> bytes:
         """Return the next bytes of the body, empty at its end.
@@ -205,14 +232,59 @@
             else:
                 raise ChannelError("the connection ended within an answer")
 
+    async def read_text(self) -> bytes:
+        """Return the next bytes of an event stream, empty at its end.
+
+        A piece of many lines is returned in parts, so that each takes little time.
+
+        Raises
+        ------
+        ChannelError
+            If the body is incomplete or invalid.
+        """
+        if not self._text:
+            text = await self.read_chunk()
+            if text.count(b"\n") < LINES_PER_ELEMENT:
+                return text
+            self._text, self._text_start = text, 0
+        start, end = self._text_start, find_text_end(self._text, self._text_start)
+        part = self._text[start:end]
+        is_last = end == len(self._text)
+        self._text, self._text_start = (b"", 0) if is_last else (self._text, end)
+        if not self._allowance.take(count_text_elements(part)):
+            await self._wait_turn()
+        return part
+
+    async def skip_body(self) -> bool:
+        """Discard a body that says nothing; return whether all of it has been read.
+
+        If not, the connection can't be used again.
+
+        Raises
+        ------
+        ChannelError
+            If the body is incomplete or invalid.
+        """
+        skipped_bytes = 0
+        while chunk := await self.read_chunk():
+            skipped_bytes += len(chunk) + CHUNK_OVERHEAD_BYTES
+            if skipped_bytes > SKIPPED_MAX_BYTES:
+                return False
+        return True
+
     async def skip_response(self) -> None:
         """Discard a response to another request, and prepare to read the next one.
 
         An endpoint may send a second response to a request; it then arrives where the
         response to the next request is expected.
+
+        Raises
+        ------
+        ChannelError
+            If it is incomplete or invalid, or too long to read on.
         """
-        while await self.read_chunk():
-            pass
+        if not await self.skip_body():
+            raise ChannelError("a response to another request is too long")
         trailing, _ = self._http.trailing_data
         assert self._request is not None
         # h11 accepts one response per request, so a new parser gets the request again.
@@ -242,6 +314,7 @@
 
     def close(self) -> None:
         """Abort the connection, so that the endpoint stops work on its request."""
+        self._is_closed_here = True
         if self._transport is not None:
             self._transport.abort()
 
@@ -288,7 +361,23 @@
         if self._waiting is not None and not self._waiting.done():
             self._waiting.set_result(None)
 
+    async def _wait_turn(self) -> None:
+        """Wait until a connection that has used up its allowance may go on."""
+        loop = asyncio.get_running_loop()
+        if self._allowance.refill(loop.time()):
+            return
+        # Unread for the router's own reasons meanwhile, not for its client's.
+        self.pauses.end(loop.time())
+        await wait_turn()
+        self._allowance.grant(loop.time())
+        if self._is_paused:
+            self.pauses.begin(loop.time())
+        if self._is_closed_here:
+            raise ChannelError("the connection has been closed")
+
     async def _next_event(self) -> object:
+        if not self._allowance.take():
+            await self._wait_turn()
         while True:
             try:
                 event = self._http.next_event()
