Bound the memory of requests, and how long a body is read

What callers saw: clients whose bodies ended one byte short, or were whole and waited for a slow endpoint, filled the memory of a router; at the limit of its VM the process ends, and with it all that others wait for. A body beyond the limit of the manifest was read for ever, and one that stopped kept its connection for ever.

Cause: each body was collected up to the limit of one request, with no bound over all of them, and kept a second time while it was served. Nothing bounded how long a body took.

Now requests above 8 KB are counted, in read buffers, while they are collected and while they are served, against a fifth of the memory; a team gets three quarters of it at most. What finds no room is refused with 503 and Retry-After and has not run. Smaller ones are always taken, so nobody is kept out by what others hold. A body that has not arrived at the client's deadline or the longest timeout of a route is answered 408, one beyond the limit 413 after 1 MB or 1 s more. Before such a connection is closed, up to 16 MB are discarded for up to 1 s, so that no reset destroys the answer.

--- a/src/tamarackrill/router/client_streams.py
+++ b/src/tamarackrill/router/client_streams.py
@@ -1,27 +1,64 @@
-"""Connections of clients that send a line or a head which is too long to be read."""
+"""Connections of clients: their memory, their processor time and their end."""
 
 import asyncio
 import socket
 from asyncio import Future
 from collections.abc import Awaitable
+from typing import Any
 
 from tornado.iostream import IOStream, UnsatisfiableReadError
 
-# Time in which a client takes the answer.  Closed with bytes that were not read, the
-# connection would be reset and the answer lost.
+from tamarackrill.decisions.capacity.request_bytes import SMALL_BYTES, RequestBytes
+
+# Time in which a client takes the answer, and bytes read meanwhile.  Closed with bytes
+# that were not read, the connection would be reset and the answer lost.
 LINGER_S = 1.0
+LINGER_MAX_BYTES = 16 * 1024 * 1024
 READ_MAX_BYTES = 64 * 1024
+# Time after which there may be room for a head, in seconds.
+RETRY_AFTER = b"0.5"
+
+
+class _NoRoom(UnsatisfiableReadError):
+    """A head that exceeds the memory for requests."""
+
+
+class RequestLimits:
+    """What the connections of a server share.
+
+    Parameters
+    ----------
+    held : RequestBytes
+        Bytes of requests.
+    """
+
+    def __init__(self, held: RequestBytes) -> None:
+        self.held = held
 
 
 class ClientStream(IOStream):
-    """Answers a client that sends a line which is too long, before it is closed.
+    """Bounds what a client sends, and answers it before it is closed.
 
     Tornado closes the connection without an answer if a head, or the line before a
     chunk of a body, exceeds its limit.
+
+    Attributes
+    ----------
+    lingers : bool
+        Whether the client may still be sending when the connection is closed.
     """
 
     _is_reading_head = False
     _has_written = False
+    # Of the read buffer, 0 if it is small.
+    _counted_bytes = 0
+    lingers = False
+
+    def __init__(
+        self, *args: Any, limits: RequestLimits | None = None, **kwargs: Any
+    ) -> None:
+        super().__init__(*args, **kwargs)
+        self._limits = limits
 
     def read_until_regex(
         self, regex: bytes, max_bytes: int | None = None
@@ -42,31 +79,74 @@
         self._has_written = True
         return super().write(data)
 
+    def _read_to_buffer(self) -> int | None:
+        limits = self._limits
+        if limits is None:
+            return super()._read_to_buffer()
+        self.read_chunk_size = limits.held.choose_read_bytes()
+        size_bytes = super()._read_to_buffer()
+        if self._read_buffer_size > SMALL_BYTES and not self.closed():
+            self._count()
+            if self._is_reading_head and limits.held.must_refuse(
+                None, self._read_buffer_size
+            ):
+                raise _NoRoom("no memory for the head of a request")
+        return size_bytes
+
+    def _consume(self, loc: int) -> bytes:
+        data = super()._consume(loc)
+        if self._counted_bytes:
+            self._count()
+        return data
+
+    def _count(self) -> None:
+        """Count the bytes of the read buffer."""
+        assert self._limits is not None
+        size_bytes = self._read_buffer_size
+        if size_bytes <= SMALL_BYTES:
+            size_bytes = 0
+        self._limits.held.add(None, size_bytes - self._counted_bytes)
+        self._counted_bytes = size_bytes
+
     def close_fd(self) -> None:
         """Close the connection, after an answer to a line that is too long."""
         if isinstance(self.error, UnsatisfiableReadError) and not self._has_written:
-            self._answer_too_long(self.socket.dup())
+            self._answer_unread(self.socket.dup())
+            # Its exception refers to the frames of the read, and these to the buffer.
+            self._read_buffer, self._read_buffer_size = bytearray(), 0
+        elif self.lingers and self.error is None:
+            _linger(self.socket.dup())
         super().close_fd()
+        if self._limits is not None and self._counted_bytes:
+            self._limits.held.add(None, -self._counted_bytes)
+            self._counted_bytes = 0
 
-    def _answer_too_long(self, connection: socket.socket) -> None:
+    def _answer_unread(self, connection: socket.socket) -> None:
         status = b"431 Request Header Fields Too Large"
-        if not self._is_reading_head:
+        if isinstance(self.error, _NoRoom):
+            status = b"503 Service Unavailable\r\nRetry-After: " + RETRY_AFTER
+        elif not self._is_reading_head:
             status = b"400 Bad Request"
         answer = (
             b"HTTP/1.1 %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n" % status
         )
         try:
             connection.send(answer)
-            connection.shutdown(socket.SHUT_WR)
         except OSError:
             connection.close()
             return
-        _discard_rest(connection)
+        _linger(connection)
 
 
-def _discard_rest(connection: socket.socket) -> None:
+def _linger(connection: socket.socket) -> None:
     """Read a connection until its client closes it, for a short while at most."""
     loop = asyncio.get_running_loop()
+    try:
+        connection.shutdown(socket.SHUT_WR)
+    except OSError:
+        connection.close()
+        return
+    left_bytes = LINGER_MAX_BYTES
 
     def end() -> None:
         loop.remove_reader(connection)
@@ -75,14 +155,17 @@
     timer = loop.call_later(LINGER_S, end)
 
     def discard() -> None:
+        nonlocal left_bytes
         try:
-            if connection.recv(READ_MAX_BYTES):
-                return
+            size_bytes = len(connection.recv(READ_MAX_BYTES))
         except BlockingIOError:
             return
         except OSError:
             # The client has reset the connection.
-            pass
+            size_bytes = 0
+        left_bytes -= size_bytes
+        if size_bytes and left_bytes > 0:
+            return
         timer.cancel()
         end()
 
--- a/src/tamarackrill/router/draining_server.py
+++ b/src/tamarackrill/router/draining_server.py
@@ -10,7 +10,7 @@
 from tornado.httputil import HTTPConnection, HTTPMessageDelegate
 from tornado.iostream import IOStream
 
-from tamarackrill.router.client_streams import ClientStream
+from tamarackrill.router.client_streams import ClientStream, RequestLimits
 from tamarackrill.router.guarded_requests import RequestGuard
 from tamarackrill.router.idle_timeouts import IdleTimeout, TimedRequest
 
@@ -32,6 +32,8 @@
         closed; read each time that the server waits for a request.
     guard : RequestGuard or None
         Answers requests whose reading raises an undeclared error.
+    limits : RequestLimits or None
+        Bounds what clients send.
     """
 
     def initialize(self, *args: Any, **kwargs: Any) -> None:
@@ -48,6 +50,7 @@
         self.conn_params.header_timeout = None
         self._idle_timeouts: dict[IOStream, IdleTimeout] = {}
         self.guard: RequestGuard | None = None
+        self.limits: RequestLimits | None = None
 
     def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
         """Accept connections from listening sockets."""
@@ -61,6 +64,7 @@
             stream.socket,
             max_buffer_size=stream.max_buffer_size,
             read_chunk_size=stream.read_chunk_size,
+            limits=self.limits,
         )
         self._unanswered[stream] = False
         self._all_answered.clear()
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -249,7 +249,9 @@
             self.clock,
         )
         self.relay_server.wait_current = self.standstill.wait_current
-        self.server = EdgeServer(self.view, self.flow, self.metrics, self.clock)
+        self.server = EdgeServer(
+            self.view, self.flow, self.metrics, self.clock, settings.memory_bytes
+        )
         self.server.wait_current = self.standstill.wait_current
         self.server.make_reply = choose_replies(settings, self.metrics, self.clock)
 
@@ -713,6 +715,7 @@
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
             self._record_loop_lag(self.clock() - due_s)
             self.view.expire(self.clock())
+            self.server.end_overdue()
             self.flow.attempts.paths.probe_due()
             self.relays.update()
             self.cut_off.update_services(
--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -14,6 +14,7 @@
 )
 from tornado.iostream import StreamClosedError
 
+from tamarackrill.decisions.capacity.request_bytes import RequestBytes
 from tamarackrill.decisions.capacity.sharing_scope import weigh_team
 from tamarackrill.decisions.engine_waits import rank_urgency
 from tamarackrill.decisions.manifests import (
@@ -23,6 +24,7 @@
     TeamKeys,
     choose_service,
 )
+from tamarackrill.decisions.request_reading import BodyProgress, is_overdue
 from tamarackrill.decisions.request_targets import is_sendable
 from tamarackrill.decisions.unexpected_errors import RETRY_AFTER_S, choose_status
 from tamarackrill.events import CALL_LEFT, CALL_REFUSED, log_event
@@ -33,6 +35,7 @@
     read_request_id,
 )
 from tamarackrill.router.background import log_task_failure
+from tamarackrill.router.client_streams import ClientStream, RequestLimits
 from tamarackrill.router.deployment_view import DeploymentView
 from tamarackrill.router.draining_server import DrainingServer
 from tamarackrill.router.edge_calls import (
@@ -46,6 +49,7 @@
 from tamarackrill.router.edge_reply import ClientTooSlow, EdgeReply, MakeReply
 from tamarackrill.router.guarded_requests import OwnAnswer, RequestGuard, send_answer
 from tamarackrill.router.metrics import Metrics
+from tamarackrill.router.request_bodies import RequestBody
 from tamarackrill.router.standstill import wait_never
 from tamarackrill.router.unexpected_errors import (
     convert_stray_cancellation,
@@ -72,9 +76,12 @@
 LEAVING_RETRY_AFTER_S = 0.2
 # Other routers put a manifest in force within this time of this one.
 LIMIT_RAISED_RETRY_AFTER_S = 0.5
+# Bodies are held for about as long as requests take.
+NO_MEMORY_RETRY_AFTER_S = 0.5
 # Time in which a client has to take the router's own response, some hundred bytes, also
 # if its deadline has passed.
 REFUSAL_DELIVERY_S = 1.0
+DEFAULT_MEMORY_BYTES = 200 * 1024 * 1024
 _INTERNAL_BODY = b'{"error": "internal"}\n'
 
 
@@ -103,6 +110,8 @@
         Records counters.
     clock : callable
         Returns the present time.
+    memory_bytes : int, optional
+        Memory of the VM.
 
     Attributes
     ----------
@@ -127,6 +136,7 @@
         flow: EdgeFlow,
         metrics: Metrics,
         clock: Callable[[], float],
+        memory_bytes: int = DEFAULT_MEMORY_BYTES,
     ) -> None:
         self.view = view
         self.flow = flow
@@ -139,6 +149,9 @@
         self.wait_current: Callable[[], Awaitable[None]] = wait_never
         self.make_reply: MakeReply = EdgeReply
         self.in_flight: set[asyncio.Task[None]] = set()
+        self.request_bytes = RequestBytes(memory_bytes)
+        # Requests whose head has arrived, and whose body is being read.
+        self.reading: set[_Request] = set()
         self.server = DrainingServer(
             self,
             max_header_size=HEADERS_READ_MIN_BYTES,
@@ -146,6 +159,7 @@
             idle_connection_timeout=IDLE_TIMEOUT_S,
         )
         self.server.guard = RequestGuard(_refuse_unread, metrics)
+        self.server.limits = RequestLimits(self.request_bytes)
 
     def set_limits(self, limits: ClientLimits) -> None:
         """Follow the limits of a manifest while heads are read.
@@ -175,6 +189,24 @@
     def on_close(self, server_conn: object) -> None:
         """Do nothing, as connections have no state here."""
 
+    def end_overdue(self) -> None:
+        """Refuse the requests whose bodies do not arrive in time."""
+        table = self.view.routes
+        if table is None or not self.reading:
+            return
+        idle_max_s = table.manifest.limits.idle_timeout_s
+        wait_max_s = max((r.timeout_s for r in table.manifest.routes), default=0.0)
+        for request in list(self.reading):
+            request.end_overdue(idle_max_s, wait_max_s, self.clock())
+
+    def find_team_name(self, key: str) -> str | None:
+        """Return the team that holds a key, None if the manifest has no teams."""
+        table = self.view.routes
+        if table is None or not table.needs_keys:
+            return None
+        team = table.find_team(key)
+        return "" if team is None else team.name
+
     def match(
         self,
         line: RequestStartLine,
@@ -281,10 +313,13 @@
     def __init__(self, server: EdgeServer, connection: HTTP1Connection) -> None:
         self._server = server
         self._connection = connection
-        self._chunks: list[bytes] = []
-        self._size_bytes = 0
-        # Whether the body was beyond the limit when some of it arrived.
-        self._is_discarded = False
+        self._body = RequestBody(server.request_bytes, self._find_team)
+        # Why the request is refused before all of it has been read.
+        self._denied: _Denied | None = None
+        self._is_refused_early = False
+        # Whether it was overdue when that was last checked.
+        self._is_overdue = False
+        self._progress: BodyProgress | None = None
         self._task: asyncio.Task[None] | None = None
         self._call: EdgeCall | None = None
         self._reply: EdgeReply | None = None
@@ -302,32 +337,88 @@
         self._start_line = start_line
         self._headers = headers
         self._arrived_s = self._server.clock()
+        self._server.reading.add(self)
         return None
 
+    def _find_team(self) -> str | None:
+        return self._server.find_team_name(parse_request_headers(self._headers).key)
+
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Store a chunk of the body; a body beyond the size limit is discarded."""
-        self._size_bytes += len(chunk)
-        table = self._server.view.routes
-        if table and self._size_bytes > table.manifest.limits.body_max_bytes:
-            self._is_discarded = True
-            self._chunks.clear()
-        if not self._is_discarded:
-            self._chunks.append(chunk)
+        if self._task is not None:
+            return self._wait_refused(self._task)
+        server = self._server
+        table = server.view.routes
+        limit_bytes = None if table is None else table.manifest.limits.body_max_bytes
+        if not self._body.take(chunk, limit_bytes, server.clock()):
+            denied = _Denied(503, "no_memory", NO_MEMORY_RETRY_AFTER_S)
+            return self._wait_refused(self._refuse_early(denied))
+        if self._body.is_far_beyond:
+            return self._wait_refused(self._refuse_early(None))
         return None
 
+    async def _wait_refused(self, task: "asyncio.Task[None]") -> None:
+        """Read nothing more until the request has been refused."""
+        await asyncio.wait([task])
+
+    def end_overdue(self, idle_max_s: float, wait_max_s: float, now_s: float) -> None:
+        """Refuse the request if its body has not arrived in time."""
+        body = self._body
+        if self._progress is None:
+            wait_s = parse_request_headers(self._headers).wait_s
+            self._progress = BodyProgress(
+                self._arrived_s, self._arrived_s, None, wait_s
+            )
+        if body.read_s is not None:
+            self._progress = self._progress._replace(
+                read_s=body.read_s, excess_s=body.excess_s
+            )
+        if not is_overdue(self._progress, idle_max_s, wait_max_s, now_s):
+            self._is_overdue = False
+            return
+        if not self._is_overdue:
+            # After a standstill the rest of the body may have arrived unread.
+            self._is_overdue = True
+            return
+        self._refuse_early(None if body.is_discarded else _Denied(408, "body_late"))
+
+    def _refuse_early(self, denied: _Denied | None) -> "asyncio.Task[None]":
+        """Refuse the request before all of it has been read.
+
+        Parameters
+        ----------
+        denied : _Denied or None
+            Why; None for the limits of the manifest.
+        """
+        self._denied, self._is_refused_early = denied, True
+        self._body.release()
+        stream = self._connection.stream
+        assert isinstance(stream, ClientStream)
+        stream.lingers = True
+        return self._start()
+
     def finish(self) -> None:
         """Serve the request, which is now complete."""
+        if self._task is not None:
+            # It has been refused in the meantime.
+            return
         # Once a request is complete, tornado reports a disconnect of its client only to
         # this callback. Unnoticed, the request would hold its slot at an unresponsive
         # endpoint until its deadline: of 130 such requests, 83 were still running half
         # a second after their clients had left.
         self._connection.set_close_callback(self.on_connection_close)
+        self._start()
+
+    def _start(self) -> "asyncio.Task[None]":
+        self._server.reading.discard(self)
         self._task = asyncio.create_task(self._serve())
         self._server.in_flight.add(self._task)
         self._task.add_done_callback(self._end)
+        return self._task
 
     def _end(self, task: asyncio.Task[None]) -> None:
         self._server.in_flight.discard(task)
+        self._body.release()
         is_stray = task.cancelled() and not self._is_cancelled
         if not log_task_failure(task) and not is_stray:
             return
@@ -340,7 +431,11 @@
 
     def on_connection_close(self) -> None:
         """Cancel the request of a client that has disconnected."""
-        if self._task is None or self._task.done():
+        if self._task is None:
+            self._server.reading.discard(self)
+            self._body.release()
+            return
+        if self._task.done():
             return
         self._is_cancelled = True
         self._task.cancel()
@@ -359,6 +454,7 @@
     async def _serve(self) -> None:
         server = self._server
         must_close = server.is_leaving or server.sheds_connections
+        must_close = must_close or self._is_refused_early
         takes_chunks = self._start_line.version != "HTTP/1.0"
         # Used unless the reply that buffers can be made.
         reply = EdgeReply(self._connection, must_close, takes_chunks)
@@ -414,12 +510,14 @@
         headers = parse_request_headers(self._headers)
         await self._server.wait_current()
         try:
+            if self._denied is not None:
+                raise self._denied
             self._check_sizes()
             self._call = self._server.match(
                 self._start_line,
                 _read_host(self._start_line, self._headers),
                 headers,
-                b"".join(self._chunks),
+                self._body.join(),
                 self._arrived_s,
             )
         except _Denied as denied:
@@ -436,9 +534,9 @@
         size_bytes = sum(len(n) + len(v) + 4 for n, v in self._headers.get_all())
         if size_bytes + len(self._start_line.path) > limits.header_max_bytes:
             raise self._server.deny_unmatched(431, "head_too_long")
-        if self._size_bytes > limits.body_max_bytes:
+        if self._body.size_bytes > limits.body_max_bytes:
             raise self._server.deny_unmatched(413, "body_too_long")
-        if self._is_discarded:
+        if self._body.is_discarded:
             # A newer manifest allows the body, which is gone by now.
             raise _Denied(503, "limit_raised", LIMIT_RAISED_RETRY_AFTER_S)
 
--- /dev/null
+++ b/tests/test_endless_senders.py
@@ -0,0 +1,201 @@
+"""Clients, routers and a store that send without end, and a router process."""
+
+import asyncio
+import itertools
+from collections import Counter
+from pathlib import Path
+
+import pytest
+
+from tamarackrill.decisions.capacity.request_bytes import SMALL_BYTES, RequestBytes
+from tamarackrill.decisions.request_reading import (
+    EXCESS_MAX_S,
+    BodyProgress,
+    is_overdue,
+)
+from tamarackrill.testing.edge import HOST, KEY, EdgeFleet, ask, make_route
+from tamarackrill.testing.edge_processes import EdgeProcess
+from tamarackrill.testing.worker import Worker, answer_ok
+
+MEMORY_MB = 300
+MB = 1 << 20
+DEADLINE_S = 3.0
+REQUESTS = 24
+ROUTES = (
+    make_route("/lookup/", "idempotent"),
+    make_route("/slow/", "idempotent", service="slow"),
+)
+PIECE = b"x" * 65536
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+def make_head(target="/lookup/x"):
+    lines = (
+        f"POST {target} HTTP/1.1",
+        f"Host: {HOST}",
+        "X-Request-Attempt-Id: sender",
+        "X-Deadline-Ms: 3000",
+        f"X-Api-Key: {KEY}",
+    )
+    return "".join(f"{line}\r\n" for line in lines).encode()
+
+
+def make_length(size_bytes):
+    return b"Content-Length: %d\r\n\r\n" % size_bytes
+
+
+# Number of connections, what each sends first and what it sends then, for ever or once.
+SENDERS = {
+    "body without end": (1, make_head() + make_length(1 << 40), PIECE, None),
+    "one byte short": (300, make_head() + make_length(MB), b"x" * (MB - 1), 1),
+    "whole bodies": (300, make_head("/slow/x") + make_length(MB), b"x" * MB, 1),
+}
+
+
+async def connect(address):
+    host, _, port = address.rpartition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+async def send_on(address, first, piece, times):
+    """Send until the router closes the connection; return the status of its answer."""
+    reader, writer = await connect(address)
+
+    async def write():
+        writer.write(first)
+        for _ in itertools.count() if times is None else range(times):
+            writer.write(piece)
+            await writer.drain()
+
+    writing = asyncio.create_task(write())
+    try:
+        line = await reader.readline()
+        return line.split()[1].decode() if line else "none"
+    except ConnectionError:
+        return "none"
+    finally:
+        writing.cancel()
+        await asyncio.gather(writing, return_exceptions=True)
+        writer.close()
+
+
+async def ask_in_time(address, number):
+    try:
+        async with asyncio.timeout(DEADLINE_S):
+            return (await ask(address, "/lookup/x", f"sound {number}")).status
+    except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
+        return type(error).__name__
+
+
+async def ask_often(address):
+    tasks = []
+    for number in range(REQUESTS):
+        tasks.append(asyncio.create_task(ask_in_time(address, number)))
+        await asyncio.sleep(DEADLINE_S / REQUESTS)
+    return Counter(await asyncio.gather(*tasks))
+
+
+def read_peak_mb(router):
+    lines = Path(f"/proc/{router._process.pid}/status").read_text().splitlines()
+    peak = next(line for line in lines if line.startswith("VmHWM"))
+    return int(peak.split()[1]) / 1024
+
+
+async def answer_slowly(request, writer):
+    await asyncio.sleep(1.0)
+    await answer_ok(request, writer)
+
+
+def run_beside(folder, send):
+    """Run a router with senders, and return what became of both."""
+
+    async def run():
+        async with EdgeFleet() as fleet:
+            limits = {"max_body_bytes": MB}
+            await fleet.put_manifest(1, *ROUTES, limits=limits)
+            await fleet.register_worker(Worker("sound", answer_ok))
+            slow = Worker("slow", answer_slowly)
+            await fleet.register_worker(slow, service="slow", slots=1000)
+            memory = {"limits": {"memory_mb": MEMORY_MB}}
+            router = EdgeProcess(
+                "r", "z", fleet.store_address, [], folder, fields=memory
+            )
+            router.start()
+            try:
+                await router.wait_ready()
+                sending = asyncio.create_task(send(router.addresses))
+                others = await ask_often(router.addresses.callers)
+                # Each request has ended, with an answer, soon after its deadline.
+                async with asyncio.timeout(DEADLINE_S):
+                    statuses = await sending
+                assert router.is_running
+                return statuses, others, read_peak_mb(router)
+            finally:
+                router.kill()
+
+    return asyncio.run(run())
+
+
+@pytest.mark.parametrize("kind", SENDERS)
+def test_requests_without_end_leave_room_and_time_for_others(kind, tmp_path):
+    # Guards against clients whose requests never end, and which take up the memory of a
+    # router, or its time, until the requests of all others are lost.
+    connections, first, piece, times = SENDERS[kind]
+
+    async def send(addresses):
+        sending = (
+            send_on(addresses.callers, first, piece, times) for _ in range(connections)
+        )
+        return Counter(await asyncio.gather(*sending))
+
+    statuses, others, peak_mb = run_beside(tmp_path, send)
+    assert peak_mb < MEMORY_MB
+    assert others == {200: REQUESTS}
+    assert sum(statuses.values()) == connections
+    assert (
+        set(statuses)
+        <= {
+            "body without end": {"413"},
+            "one byte short": {"408", "503"},
+            "whole bodies": {"200", "503", "504"},
+        }[kind]
+    ), statuses
+
+
+def test_small_requests_are_served_however_much_others_hold():
+    # Guards against a bound on memory by which a few senders of long bodies keep all
+    # other clients out.
+    held = RequestBytes(100 * MB)
+    held.add("long", 40 * MB)
+    assert held.must_refuse("long", MB)
+    assert not held.must_refuse("other", SMALL_BYTES)
+
+
+def test_one_team_leaves_room_for_others():
+    # Guards against a team that takes up all of the memory for requests.
+    held = RequestBytes(100 * MB)
+    while not held.must_refuse("greedy", MB):
+        held.add("greedy", MB)
+    assert held.held_bytes < 0.85 * held.total_max_bytes
+    held.add("other", MB)
+    assert not held.must_refuse("other", MB)
+    held.add("other", -MB)
+    held.add("greedy", -held.held_bytes)
+    assert held.held_bytes == 0
+
+
+@pytest.mark.parametrize(
+    ("progress", "now_s", "expected"),
+    [
+        (BodyProgress(0.0, 2.9, None, 3.0), 2.9, False),
+        (BodyProgress(0.0, 2.9, None, 3.0), 3.0, True),
+        (BodyProgress(0.0, 8.9, None, None), 9.0, True),
+        (BodyProgress(0.0, 0.0, None, None), 5.0, True),
+        (BodyProgress(0.0, 1.0, 1.0, 3.0), 1.0 + EXCESS_MAX_S, True),
+    ],
+)
+def test_body_is_read_until_its_client_gives_up_or_stops_sending(
+    progress, now_s, expected
+):
+    # Guards against bodies that are read for ever.
+    assert is_overdue(progress, 5.0, 9.0, now_s) == expected
