Read short chunks of requests in turns

What callers saw: while 200 clients sent bodies in chunks of one byte, no request of any other client was answered.

Cause: a chunk costs some 7 us however small it is. tornado reads 256 of them before it gives way to the event loop, for each connection, so that one round of the loop took 0.4 s and more.

Now 64 short chunks of one connection are read each 2 ms, whatever the number of connections. Chunks of 512 bytes and more on average never wait, nor do the first 64 of a body.

The case "chunks of one byte" of tests/test_endless_senders.py fails before.

--- a/src/tamarackrill/decisions/request_reading.py
+++ b/src/tamarackrill/decisions/request_reading.py
@@ -1,7 +1,10 @@
-"""How long a router reads a request.
+"""How long a router reads a request, and in which pieces.
 
-Load pattern: clients send bodies that never end or stop before their end.  A body read
-for ever takes all the processor time of a router: one connection 4.9 s of 5 s.
+Load pattern: clients send bodies that never end or stop before their end, and bodies in
+chunks of one byte.  A body read for ever takes all the processor time of a router: one
+connection 4.9 s of 5 s.  One chunk takes some 7 us however small it is, so that 200
+clients that send chunks of one byte keep the event loop from anything else: of 24
+requests of other clients none was answered within 6 s.
 
 A body that exceeds the manifest's limit is read a little further, as a manifest that
 allows it may come into force, and as a client that is still sending may not read the
@@ -13,6 +16,11 @@
 # Read of a body beyond the limit before it is refused.
 EXCESS_MAX_BYTES = 1 << 20
 EXCESS_MAX_S = 1.0
+# Chunks of a body that are read at once.  Further ones wait for a turn unless they are
+# long.  With one turn at a time, they take up to half of a processor.
+CHUNKS_PER_TURN = 64
+TURN_S = 0.002
+LONG_CHUNK_BYTES = 512
 
 
 class BodyProgress(NamedTuple):
@@ -58,3 +66,20 @@
     if progress.wait_s is not None:
         wait_s = min(wait_s, progress.wait_s)
     return now_s >= min(progress.arrived_s + wait_s, progress.read_s + idle_max_s)
+
+
+def needs_turn(chunks: int, body_bytes: int) -> bool:
+    """Return whether the next chunk of a body waits until it is its turn.
+
+    Parameters
+    ----------
+    chunks : int
+        Chunks of the body that have been read.
+    body_bytes : int
+        Their size.
+    """
+    return (
+        chunks > 0
+        and chunks % CHUNKS_PER_TURN == 0
+        and body_bytes < chunks * LONG_CHUNK_BYTES
+    )
--- a/src/tamarackrill/router/client_streams.py
+++ b/src/tamarackrill/router/client_streams.py
@@ -3,12 +3,14 @@
 import asyncio
 import socket
 from asyncio import Future
+from collections import deque
 from collections.abc import Awaitable
 from typing import Any
 
 from tornado.iostream import IOStream, UnsatisfiableReadError
 
 from tamarackrill.decisions.capacity.request_bytes import SMALL_BYTES, RequestBytes
+from tamarackrill.decisions.request_reading import TURN_S, needs_turn
 
 # Time in which a client takes the answer, and bytes read meanwhile.  Closed with bytes
 # that were not read, the connection would be reset and the answer lost.
@@ -23,6 +25,29 @@
     """A head that exceeds the memory for requests."""
 
 
+class ReadTurns:
+    """Lets one connection at a time read short chunks, at a fixed rate."""
+
+    def __init__(self) -> None:
+        self._waiting: deque[Future[None]] = deque()
+
+    async def wait(self) -> None:
+        """Wait for the next turn."""
+        loop = asyncio.get_running_loop()
+        turn = loop.create_future()
+        if not self._waiting:
+            loop.call_later(TURN_S, self._give_turn)
+        self._waiting.append(turn)
+        await turn
+
+    def _give_turn(self) -> None:
+        turn = self._waiting.popleft()
+        if self._waiting:
+            asyncio.get_running_loop().call_later(TURN_S, self._give_turn)
+        if not turn.done():
+            turn.set_result(None)
+
+
 class RequestLimits:
     """What the connections of a server share.
 
@@ -34,6 +59,7 @@
 
     def __init__(self, held: RequestBytes) -> None:
         self.held = held
+        self.turns = ReadTurns()
 
 
 class ClientStream(IOStream):
@@ -52,6 +78,8 @@
     _has_written = False
     # Of the read buffer, 0 if it is small.
     _counted_bytes = 0
+    _chunks = 0
+    _taken_bytes = 0
     lingers = False
 
     def __init__(
@@ -65,14 +93,26 @@
     ) -> Awaitable[bytes]:
         """Read a head."""
         self._is_reading_head, self._has_written = True, False
+        self._chunks = self._taken_bytes = 0
         return super().read_until_regex(regex, max_bytes)
 
     def read_until(
         self, delimiter: bytes, max_bytes: int | None = None
     ) -> Awaitable[bytes]:
-        """Read a line."""
+        """Read a line, which is that before a chunk."""
         self._is_reading_head = False
-        return super().read_until(delimiter, max_bytes)
+        limits = self._limits
+        if limits is None or not needs_turn(self._chunks, self._taken_bytes):
+            self._chunks += 1
+            return super().read_until(delimiter, max_bytes)
+        self._chunks += 1
+        return self._read_in_turn(limits.turns, delimiter, max_bytes)
+
+    async def _read_in_turn(
+        self, turns: ReadTurns, delimiter: bytes, max_bytes: int | None
+    ) -> bytes:
+        await turns.wait()
+        return await super().read_until(delimiter, max_bytes)
 
     def write(self, data: bytes | memoryview) -> "Future[None]":
         """Write to the client."""
@@ -95,6 +135,7 @@
 
     def _consume(self, loc: int) -> bytes:
         data = super()._consume(loc)
+        self._taken_bytes += loc
         if self._counted_bytes:
             self._count()
         return data
--- a/tests/test_endless_senders.py
+++ b/tests/test_endless_senders.py
@@ -47,6 +47,7 @@
 # Number of connections, what each sends first and what it sends then, for ever or once.
 SENDERS = {
     "body without end": (1, make_head() + make_length(1 << 40), PIECE, None),
+    "chunks of one byte": (200, make_head() + CHUNKED, b"1\r\nx\r\n" * 10000, None),
     "one byte short": (300, make_head() + make_length(MB), b"x" * (MB - 1), 1),
     "whole bodies": (300, make_head("/slow/x") + make_length(MB), b"x" * MB, 1),
 }
@@ -156,6 +157,7 @@
         set(statuses)
         <= {
             "body without end": {"413"},
+            "chunks of one byte": {"408", "413"},
             "one byte short": {"408", "503"},
             "whole bodies": {"200", "503", "504"},
         }[kind]
