Search the end of a request's head only in what has arrived

What callers saw: under a manifest that allows heads of 4 MB, clients that sent heads without end took up a router: of 24 sound requests none was answered within 6 s (trial, 100 connections; 201 MB).

Cause: the buffer was searched again from its beginning with each read, with a pattern that begins with an optional CR, which takes 25 ns for each byte.

The case "heads without end" of tests/test_endless_senders.py fails before.

--- a/src/tamarackrill/router/client_streams.py
+++ b/src/tamarackrill/router/client_streams.py
@@ -17,6 +17,9 @@
 LINGER_S = 1.0
 LINGER_MAX_BYTES = 16 * 1024 * 1024
 READ_MAX_BYTES = 64 * 1024
+# Matches where tornado's pattern, with an optional first CR, does; it is found faster.
+HEAD_END = rb"\n\r?\n"
+HEAD_END_BYTES = 3
 # Time after which there may be room for a head, in seconds.
 RETRY_AFTER = b"0.5"
 
@@ -78,6 +81,8 @@
     _has_written = False
     # Of the read buffer, 0 if it is small.
     _counted_bytes = 0
+    # Of the read buffer, without the end of a head.
+    _searched_bytes = 0
     _chunks = 0
     _taken_bytes = 0
     lingers = False
@@ -93,8 +98,8 @@
     ) -> Awaitable[bytes]:
         """Read a head."""
         self._is_reading_head, self._has_written = True, False
-        self._chunks = self._taken_bytes = 0
-        return super().read_until_regex(regex, max_bytes)
+        self._chunks = self._taken_bytes = self._searched_bytes = 0
+        return super().read_until_regex(HEAD_END, max_bytes)
 
     def read_until(
         self, delimiter: bytes, max_bytes: int | None = None
@@ -140,6 +145,17 @@
             self._count()
         return data
 
+    def _find_read_pos(self) -> int | None:
+        if self._read_regex is None or not self._read_buffer:
+            return super()._find_read_pos()
+        # A head that arrives in pieces is not searched again from its beginning.
+        begin = max(0, self._searched_bytes - HEAD_END_BYTES)
+        found = self._read_regex.search(self._read_buffer, begin)
+        self._searched_bytes = self._read_buffer_size if found is None else 0
+        end = self._read_buffer_size if found is None else found.end()
+        self._check_max_bytes(self._read_regex, end)
+        return None if found is None else end
+
     def _count(self) -> None:
         """Count the bytes of the read buffer."""
         assert self._limits is not None
--- a/tests/test_endless_senders.py
+++ b/tests/test_endless_senders.py
@@ -50,6 +50,7 @@
     "chunks of one byte": (200, make_head() + CHUNKED, b"1\r\nx\r\n" * 10000, None),
     "one byte short": (300, make_head() + make_length(MB), b"x" * (MB - 1), 1),
     "whole bodies": (300, make_head("/slow/x") + make_length(MB), b"x" * MB, 1),
+    "heads without end": (100, make_head() + b"X-More: ", PIECE, None),
 }
 
 
@@ -112,7 +113,7 @@
 
     async def run():
         async with EdgeFleet() as fleet:
-            limits = {"max_body_bytes": MB}
+            limits = {"max_body_bytes": MB, "max_header_bytes": 4 * MB}
             await fleet.put_manifest(1, *ROUTES, limits=limits)
             await fleet.register_worker(Worker("sound", answer_ok))
             slow = Worker("slow", answer_slowly)
@@ -160,6 +161,7 @@
             "chunks of one byte": {"408", "413"},
             "one byte short": {"408", "503"},
             "whole bodies": {"200", "503", "504"},
+            "heads without end": {"431", "503"},
         }[kind]
     ), statuses
 
