--- a/src/tamarackrill/router/client_streams.py
+++ b/src/tamarackrill/router/client_streams.py
@@ -15,7 +15,7 @@
 # Time in which a client takes the answer, and bytes read meanwhile.  Closed with bytes
 # that were not read, the connection would be reset and the answer lost.
 LINGER_S = 1.0
-LINGER_MAX_BYTES = 16 * 1024 * 1024
+LINGER_MAX_BYTES = 8 * 1024 * 1024
 READ_MAX_BYTES = 64 * 1024
 # Matches where tornado's pattern, with an optional first CR, does; it is found faster.
 HEAD_END = rb"\n\r?\n"
@@ -221,9 +221,11 @@
             # The client has reset the connection.
             size_bytes = 0
         left_bytes -= size_bytes
-        if size_bytes and left_bytes > 0:
-            return
-        timer.cancel()
-        end()
+        if not size_bytes:
+            timer.cancel()
+            end()
+        elif left_bytes <= 0:
+            # The client, which can send no more, still has time to read the answer.
+            loop.remove_reader(connection)
 
     loop.add_reader(connection, discard)
