--- a/src/tamarackrill/router/draining_server.py
+++ b/src/tamarackrill/router/draining_server.py
@@ -22,7 +22,7 @@
     read_descriptor_limit,
 )
 from tamarackrill.router.channels import count_open
-from tamarackrill.router.client_streams import ClientStream
+from tamarackrill.router.client_streams import ClientStream, RequestLimits
 from tamarackrill.router.guarded_requests import RequestGuard
 from tamarackrill.router.idle_timeouts import IdleTimeout, TimedRequest
 
@@ -47,6 +47,8 @@
     refuses_surplus : bool
         Whether the first request of a connection for which there are too few
         descriptors is refused, see `is_surplus`; otherwise the connection waits.
+    limits : RequestLimits or None
+        Bounds what clients send.
     """
 
     def initialize(self, *args: Any, **kwargs: Any) -> None:
@@ -69,6 +71,7 @@
         self.conn_params.header_timeout = None
         self._idle_timeouts: dict[IOStream, IdleTimeout] = {}
         self.guard: RequestGuard | None = None
+        self.limits: RequestLimits | None = None
 
     def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
         """Accept connections from listening sockets."""
@@ -133,6 +136,7 @@
             stream.socket,
             max_buffer_size=stream.max_buffer_size,
             read_chunk_size=stream.read_chunk_size,
+            limits=self.limits,
         )
         self._streams.add(stream)
         if self._decision == "refuse":
