A stopping router takes only what can end, and tells what it knows of the rest

What callers saw: requests that a router took up to 2.6 s after SIGTERM, and some it had taken before, ended without a byte at the end of its grace period, among them some that may not run twice and that had been passed on to an endpoint. Another router would have served them.

Cause: `drain` took everything for DRAIN_SERVING_S, whatever a route's timeout or what its requests take, and returned STOP_MARGIN_S before the end, after which `stop` closed all connections. Nothing answered requests at work, requests that waited, or requests whose body was half read.

Why it works: each request is decided on when it arrives and each time before it is sent to an endpoint (decisions/stopping.py), by its timeout, or by how long requests of its route and service have taken and the age of those at work. Those that wait are looked at again ten times a second. At a time that leaves half a second (a twelfth of a short grace period) for it, requests without an answer get 503 if nothing was sent to an endpoint, else 502, and only then their endpoints' connections end; no attempt can be sent, or answer, once that has begun. Responses that have begun go on until connections are closed. A client with no other router to turn to is served what may fit. Relayed attempts that were sent are cut without a word, since routers of earlier releases take every answer but `answered` for one that was not sent.

DRAIN_SERVING_S stays as it was; STOP_MARGIN_S has moved to decisions/stopping.py.

The test of a relayed attempt guards what held before too, once connections were closed by `stop`.

--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -425,6 +425,46 @@
     "Find out why clients of this team do not read; their streams are cut off.",
 )
 
+CALL_UNFIT_AT_STOP = Event(
+    2215,
+    "call_unfit_at_stop",
+    _INFO,
+    (
+        "request",
+        "route",
+        "service",
+        "team",
+        "left_s",
+        "timeout_left_s",
+        "work_s",
+        "known",
+        "after_s",
+    ),
+    "A router that stops does not pass a request on, as it could not end within "
+    "`left_s`: its timeout ends in `timeout_left_s`, and it is expected to take "
+    "`work_s`, by `known` earlier requests of its route and service.  The client is "
+    "refused, and another router serves it.",
+)
+CALL_ENDED_AT_STOP = Event(
+    2216,
+    "call_ended_at_stop",
+    _WARNING,
+    (
+        "request",
+        "route",
+        "service",
+        "team",
+        "endpoint",
+        "status",
+        "sent",
+        "events",
+        "after_s",
+    ),
+    "A router that stops has ended a request that had no complete response: with a "
+    "`status` of 503 if no endpoint can have run it, of 502 if one may have, and of 0 "
+    "if its response had begun and was cut off.",
+    "Many with 502 or 0: requests take longer than the grace period; raise it.",
+)
 SLOT_QUEUED = Event(
     2301,
     "slot_queued",
--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -34,6 +34,7 @@
 from tamarackrill.decisions.placement_news import PlacementNews
 from tamarackrill.decisions.retry_shares import UNCOUNTED_ROUTERS, FleetSize
 from tamarackrill.decisions.standstill import is_outdated
+from tamarackrill.decisions.stopping import plan_stop
 from tamarackrill.decisions.stream_versions import Router as VersionRouter
 from tamarackrill.decisions.stream_versions import StreamVersions
 from tamarackrill.decisions.watching import SETTLE_S, WatchPolicy
@@ -134,8 +135,8 @@
 # Time that a request whose endpoints have moved waits for their entries: as long as a
 # slow store takes.
 ENTRIES_WAIT_S = 0.3
-# Time left until SIGKILL when requests still in flight are cut off.
-STOP_MARGIN_S = 0.3
+# How often a drain checks whether anything is left to wait for.
+DRAIN_POLL_S = 0.1
 
 READERS = ObjectReaders(
     MANIFEST_KIND,
@@ -233,6 +234,7 @@
             self._list_kinds(), settings.news_max_s, self.clock, read_clock
         )
         self.flow.attempts.wait_current = self.standstill.wait_current
+        self.flow.stopping.has_others = self._has_others
         self.capacity: SlotSharing | None = None
         self.cold = ColdMonitor(self.view, settings.cold_tolerance, self.clock)
         self.flow.attempts.paths.on_reached = self.cold.observe_reached
@@ -749,6 +751,10 @@
         if lag_s >= LOOP_LAG_LOGGED_S:
             log_event(ROUTER_LATE, lag_s=round(lag_s, 4))
 
+    def _has_others(self) -> bool:
+        own = self.members.own.name
+        return any(member.name != own for member in self.members.list_live())
+
     def is_ready(self) -> bool:
         """Return whether the balancer may send new connections to this router."""
         if self.server.is_leaving or self.cut_off.is_cut_off:
@@ -766,6 +772,10 @@
         """
         if stop_requested_s is None:
             stop_requested_s = self.clock()
+        grace_s = self.settings.grace_s
+        plan = plan_stop(stop_requested_s, grace_s, DRAIN_SERVING_S)
+        stopping = self.flow.stopping
+        stopping.plan = plan
         self.server.leave()
         self.relay_server.is_leaving = True
         self.gossiper.leave()
@@ -774,15 +784,29 @@
             router=self.settings.name,
             in_flight=len(self.server.in_flight),
         )
-        serving_s = min(DRAIN_SERVING_S, self.settings.grace_s / 2)
-        await asyncio.sleep(stop_requested_s + serving_s - self.clock())
+        self._run_task("refuse unfit", stopping.refuse_unfit)
+        await asyncio.sleep(plan.serving_end_s - self.clock())
         self.server.accepts_requests = False
-        end_s = stop_requested_s + self.settings.grace_s - STOP_MARGIN_S
-        await self.server.server.finish(end_s - self.clock())
-        left_s = end_s - self.clock()
-        in_flight = self.server.in_flight | self.relay_server.in_flight
-        if in_flight and left_s > 0:
-            await asyncio.wait(in_flight, timeout=left_s)
+        await self.server.server.finish(plan.answers_end_s - self.clock())
+        await self._wait_idle(plan.answers_end_s)
+        stopping.end_unanswered()
+        self.server.refuse_unread()
+        self.relay_server.cut(is_last=False)
+        await self._wait_idle(plan.end_s)
+        await stopping.cut_begun()
+        self.server.refuse_unread()
+        self.relay_server.cut(is_last=True)
+
+    async def _wait_idle(self, until_s: float) -> None:
+        """Wait until no request is being read or served, at most until `until_s`."""
+        while (left_s := until_s - self.clock()) > 0:
+            wait_s = min(DRAIN_POLL_S, left_s)
+            if in_flight := self.server.in_flight | self.relay_server.in_flight:
+                await asyncio.wait(in_flight, timeout=wait_s)
+            elif self.server.reading:
+                await asyncio.sleep(wait_s)
+            else:
+                return
 
     async def stop(self) -> None:
         """Close everything that `start` opened."""
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -117,6 +117,8 @@
         Is told which parts of prompts crash endpoints.
     wait_current : callable
         Waits for news if the router has just stood still.
+    may_send : callable
+        Returns whether a request may still be sent, given its progress.
     """
 
     def __init__(
@@ -156,6 +158,7 @@
         self.relays: RelayClient | None = None
         self.guard: PromptGuard | None = None
         self.wait_current: Callable[[], Awaitable[None]] = wait_never
+        self.may_send: Callable[[RequestProgress], bool] = lambda progress: True
         self._peer_key = ""
 
     def use_relays(self, relays: RelayClient, peer_key: str) -> None:
@@ -231,6 +234,10 @@
         channel = await self._connect_current(call, endpoint, relay)
         if isinstance(channel, AttemptResult):
             return channel
+        # What it has waited for since may have taken too long.
+        if not self.may_send(progress):
+            channel.close()
+            return AttemptResult("not_sent", "stopping", relay=relay)
         log_event(
             CALL_SENT,
             **describe_call(call),
--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -18,6 +18,7 @@
     decide_next,
 )
 from tamarackrill.decisions.retry_shares import BudgetTerms, RetryShare
+from tamarackrill.decisions.stopping import RETRY_AFTER_S as STOPPING_RETRY_AFTER_S
 from tamarackrill.decisions.unexpected_errors import RETRY_AFTER_S, choose_status
 from tamarackrill.events import (
     CALL_ANSWERED,
@@ -49,6 +50,7 @@
 )
 from tamarackrill.router.lateness import LateTimer
 from tamarackrill.router.metrics import Metrics
+from tamarackrill.router.planned_stop import STOPPING, PlannedStop
 from tamarackrill.router.prompt_guard import PART_BLOCKED_CODE, PromptGuard
 from tamarackrill.router.request_progress import RequestAttempt, RequestProgress
 from tamarackrill.router.unexpected_errors import (
@@ -88,6 +90,8 @@
     ----------
     reserver : EdgeReserver
         Places requests, and reserves what they need at their endpoints.
+    stopping : PlannedStop
+        Decides what becomes of requests when the router stops.
     """
 
     def __init__(
@@ -111,6 +115,9 @@
         self.attempts.on_silent = self._handle_silence
         self.compute_failover_s: Callable[[], float | None] = lambda: None
         self.reserver = EdgeReserver(placer, clock, metrics)
+        self.stopping = PlannedStop(metrics, clock)
+        self.stopping.send_final_answer = self._send_final_answer
+        self.attempts.may_send = self.stopping.may_send
 
     def use_guard(self, guard: PromptGuard) -> None:
         """Keep parts of prompts that crash endpoints away from these."""
@@ -136,6 +143,7 @@
         progress = await self._begin(call, reply)
         if progress is None:
             return
+        self.stopping.in_flight[progress] = asyncio.current_task()
         try:
             with convert_stray_cancellation():
                 self._find_share(call.service).note_request(self._clock())
@@ -148,6 +156,8 @@
                 raise
             self._record_unexpected(progress, error)
             await self._answer_unexpected(progress)
+        finally:
+            del self.stopping.in_flight[progress]
 
     async def _begin(self, call: EdgeCall, reply: EdgeReply) -> RequestProgress | None:
         """Return the progress of a request, None if it is refused."""
@@ -203,7 +213,11 @@
         finally:
             progress.plan_giving_up(None)
             await progress.tasks.cancel()
+        if await self.stopping.has_ended(progress):
+            return
         if ended.answer is None or ended.placed is None:
+            if self._clock() >= progress.call.deadline_s:
+                self.stopping.observe_end(progress)
             await self._send_final_answer(progress, ended.reason, ended.retry_after_s)
             return
         await progress.reply.deliver(progress.call.deadline_s)
@@ -274,9 +288,8 @@
         """Make an attempt; return how the series ended, None if it is to be retried."""
         progress = attempt.progress
         call = progress.call
-        await self._pause_suspect(call)
         try:
-            placed = await self.reserver.place(attempt)
+            placed = await self._place(attempt)
         except Overloaded as overloaded:
             _log_overloaded(call, overloaded)
             return SeriesEnd(self._clock(), overloaded.code)
@@ -305,6 +318,21 @@
             return None
         return SeriesEnd(self._clock(), result.outcome)
 
+    async def _place(self, attempt: RequestAttempt) -> EdgePlacement | None:
+        """Choose an endpoint once the request may be sent; see `EdgeReserver.place`.
+
+        Raises
+        ------
+        Refusal
+            If no endpoint may get it now.
+        """
+        progress = attempt.progress
+        if not self.stopping.may_send(progress):
+            message = "the request could not end before the router does"
+            raise PlacementRefusal(STOPPING, UNAVAILABLE_STATUS, message)
+        await self._pause_suspect(progress.call)
+        return await self.reserver.place(attempt)
+
     def _handle_silence(
         self, attempt: RequestAttempt, silent_s: float, pause_s: float
     ) -> None:
@@ -391,6 +419,8 @@
 
     def _record_sent(self, attempt: RequestAttempt, is_retry: bool) -> None:
         self._end_reservation(attempt)
+        if attempt.progress.sent_s is None:
+            attempt.progress.sent_s = self._clock()
         if is_retry:
             service = attempt.progress.call.service
             self._find_share(service).note_retry(self._clock())
@@ -449,6 +479,7 @@
         self, progress: RequestProgress, placed: EdgePlacement, result: AttemptResult
     ) -> None:
         call = progress.call
+        self.stopping.observe_end(progress)
         if progress.first_event_s is not None and self.reserver.keepers is not None:
             self.reserver.keepers.record_end(call)
         self._metrics.count("calls_answered", call.route.kind)
@@ -487,6 +518,9 @@
             self._metrics.count("streams_cut", reason)
             reply.abort()
             return
+        if self.stopping.plan is not None:
+            # The client has to turn to another router.
+            reply.close_after()
         if progress.failed_answer is not None:
             answer = progress.failed_answer
             await reply.begin(
@@ -507,6 +541,8 @@
         self._metrics.count_refusal(reason)
 
     def _choose_retry_after_s(self, call: EdgeCall, reason: str) -> float:
+        if reason == STOPPING:
+            return STOPPING_RETRY_AFTER_S
         backoff_s = self._placer.compute_backoff_s(call, self._clock())
         is_unreachable = reason in ("no_endpoint", "not_sent") or backoff_s is not None
         times_s = [backoff_s, self.compute_failover_s()]
--- a/src/tamarackrill/router/edge_reply.py
+++ b/src/tamarackrill/router/edge_reply.py
@@ -54,6 +54,10 @@
         self.team = ""
         self.takes_body = True
 
+    def close_after(self) -> None:
+        """Close the connection after this response, which has not begun."""
+        self._must_close = True
+
     @property
     def is_client_gone(self) -> bool:
         """Whether the client has closed its connection."""
--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -24,6 +24,7 @@
     choose_service,
 )
 from tamarackrill.decisions.request_targets import is_sendable
+from tamarackrill.decisions.stopping import RETRY_AFTER_S as LEAVING_RETRY_AFTER_S
 from tamarackrill.decisions.unexpected_errors import RETRY_AFTER_S, choose_status
 from tamarackrill.events import CALL_LEFT, CALL_REFUSED, log_event
 from tamarackrill.platform.headers import (
@@ -67,15 +68,13 @@
 # Time in which a router reads a newer manifest that others already hold: half a second
 # over a slow link.
 OUTDATED_RETRY_AFTER_S = 0.5
-# A balancer removes a router within two seconds of SIGTERM; a client that retries after
-# that reaches another one.
-LEAVING_RETRY_AFTER_S = 0.2
 # Other routers put a manifest in force within this time of this one.
 LIMIT_RAISED_RETRY_AFTER_S = 0.5
 # Time in which a client has to take the router's own response, some hundred bytes, also
 # if its deadline has passed.
 REFUSAL_DELIVERY_S = 1.0
 _INTERNAL_BODY = b'{"error": "internal"}\n'
+_LEAVING_BODY = b'{"error": "leaving"}\n'
 
 
 class _Denied(Exception):
@@ -119,6 +118,8 @@
         Returns whether other routers may already have a newer manifest.
     wait_current : callable
         Waits for news if the router has just stood still.
+    reading : set of _Request
+        Requests whose head has been read and whose body hasn't.
     """
 
     def __init__(
@@ -139,6 +140,7 @@
         self.wait_current: Callable[[], Awaitable[None]] = wait_never
         self.make_reply: MakeReply = EdgeReply
         self.in_flight: set[asyncio.Task[None]] = set()
+        self.reading: set[_Request] = set()
         self.server = DrainingServer(
             self,
             max_header_size=HEADERS_READ_MIN_BYTES,
@@ -165,6 +167,12 @@
         self.is_leaving = True
         self.server.leave()
 
+    def refuse_unread(self) -> None:
+        """Refuse the requests whose body has not arrived as a whole."""
+        for request in list(self.reading):
+            with tolerate(self.metrics, "refuse unread"):
+                request.refuse()
+
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
@@ -302,6 +310,7 @@
         self._start_line = start_line
         self._headers = headers
         self._arrived_s = self._server.clock()
+        self._server.reading.add(self)
         return None
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
@@ -321,6 +330,7 @@
         # this callback. Unnoticed, the request would hold its slot at an unresponsive
         # endpoint until its deadline: of 130 such requests, 83 were still running half
         # a second after their clients had left.
+        self._server.reading.discard(self)
         self._connection.set_close_callback(self.on_connection_close)
         self._task = asyncio.create_task(self._serve())
         self._server.in_flight.add(self._task)
@@ -340,12 +350,23 @@
 
     def on_connection_close(self) -> None:
         """Cancel the request of a client that has disconnected."""
+        self._server.reading.discard(self)
         if self._task is None or self._task.done():
             return
         self._is_cancelled = True
         self._task.cancel()
         self._record_left()
 
+    def refuse(self) -> None:
+        """Answer that the request, whose body hasn't been read, has not run."""
+        self._server.reading.discard(self)
+        request_id = read_request_id(self._headers.get_all())
+        fields = build_error_headers(request_id, LEAVING_RETRY_AFTER_S)
+        fields["Connection"] = "close"
+        self._server.metrics.count_refusal("leaving")
+        answer = OwnAnswer(503, "Service Unavailable", fields, _LEAVING_BODY)
+        send_answer(self._connection, answer, self._start_line.method)
+
     def _record_left(self) -> None:
         with tolerate(self._server.metrics, "record left"):
             self._server.metrics.count("clients_left")
--- a/src/tamarackrill/router/relay_server.py
+++ b/src/tamarackrill/router/relay_server.py
@@ -108,6 +108,7 @@
         self.is_leaving = False
         self.wait_current: Callable[[], Awaitable[None]] = wait_never
         self.in_flight: set[asyncio.Task[None]] = set()
+        self._sent: set[EdgeReply] = set()
         self._view = view
         self._placer = placer
         self._attempts = attempts
@@ -172,6 +173,7 @@
         is_clean = False
         head: ResponseHead | None = None
         try:
+            self._sent.add(reply)
             headers = shorten_deadline(attempt.headers, self.clock() - arrived_s)
             channel.send(attempt.method, attempt.target, headers, attempt.body)
             with convert_stray_cancellation():
@@ -192,6 +194,7 @@
             else:
                 await self._refuse(reply)
         finally:
+            self._sent.discard(reply)
             if not is_clean:
                 channel.close()
             outcome = ANSWERED if is_clean else "lost"
@@ -206,6 +209,16 @@
                 total_s=round(self.clock() - arrived_s, 4),
             )
 
+    def cut(self, is_last: bool) -> None:
+        """Cut off attempts that were sent and have no response, or all at last.
+
+        The other router then knows only that the attempt may have run.
+        """
+        for reply in list(self._sent):
+            if is_last or not reply.has_begun:
+                self.metrics.count("attempts_relayed", "stopped")
+                reply.abort()
+
     async def _refuse(self, reply: EdgeReply) -> None:
         """Tell the other router that an attempt has not been sent."""
         self.metrics.count("attempts_relayed", NOT_SENT)
--- a/src/tamarackrill/router/request_progress.py
+++ b/src/tamarackrill/router/request_progress.py
@@ -29,6 +29,10 @@
         Ends silent attempts in time for the client to come back after a failure.
     sent_to : set of str
         Endpoints to which any of the request may have been written.
+    sent_s : float or None
+        When it was first sent to an endpoint.
+    ending : asyncio.Task or None
+        Answers the request as the router stops; its attempts may not any more.
     """
 
     def __init__(self, call: EdgeCall, reply: EdgeReply) -> None:
@@ -46,6 +50,8 @@
         self.last_endpoint = ""
         self.failed_answer: CompleteAnswer | None = None
         self.giving_up: LateTimer | None = None
+        self.sent_s: float | None = None
+        self.ending: asyncio.Task[None] | None = None
 
     def find_avoided(self) -> set[str]:
         """Return the endpoints that have failed the request, or that work on it."""
