--- a/src/tamarackrill/router/edge_server.py
+++ b/src/tamarackrill/router/edge_server.py
@@ -29,6 +29,7 @@
 )
 from tamarackrill.decisions.request_reading import BodyProgress, is_overdue
 from tamarackrill.decisions.request_targets import is_sendable
+from tamarackrill.decisions.stopping import RETRY_AFTER_S as LEAVING_RETRY_AFTER_S
 from tamarackrill.decisions.unexpected_errors import RETRY_AFTER_S, choose_status
 from tamarackrill.events import CALL_LEFT, CALL_REFUSED, log_event
 from tamarackrill.platform.headers import (
@@ -74,9 +75,6 @@
 # Time in which a router reads a newer manifest that others already hold: half a second
 # over a slow link.
 OUTDATED_RETRY_AFTER_S = 0.5
-# A balancer removes a router within two seconds of SIGTERM; a client that retries after
-# that reaches another one.
-LEAVING_RETRY_AFTER_S = 0.2
 # Other routers put a manifest in force within this time of this one.
 LIMIT_RAISED_RETRY_AFTER_S = 0.5
 # Bodies are held for about as long as requests take.
@@ -84,6 +82,8 @@
 # Time in which a client has to take the router's own response, some hundred bytes, also
 # if its deadline has passed.
 REFUSAL_DELIVERY_S = 1.0
+# Time for the refusals of requests that a router which stops has not read.
+UNREAD_REFUSAL_S = 0.1
 DEFAULT_MEMORY_BYTES = 200 * 1024 * 1024
 _INTERNAL_BODY = b'{"error": "internal"}\n'
 
@@ -131,6 +131,8 @@
         Returns whether other routers may already have a newer manifest.
     wait_current : callable
         Waits for news if the router has just stood still.
+    reading : set of _Request
+        Requests whose head has been read and whose body hasn't.
     """
 
     def __init__(
@@ -153,7 +155,6 @@
         self.make_reply: MakeReply = EdgeReply
         self.in_flight: set[asyncio.Task[None]] = set()
         self.request_bytes = RequestBytes(memory_bytes)
-        # Requests whose head has arrived, and whose body is being read.
         self.reading: set[_Request] = set()
         self.server = DrainingServer(
             self,
@@ -183,6 +184,15 @@
         self.is_leaving = True
         self.server.leave()
 
+    async def refuse_unread(self) -> None:
+        """Refuse the requests whose body has not arrived as a whole."""
+        tasks = []
+        for request in list(self.reading):
+            with tolerate(self.metrics, "refuse unread"):
+                tasks.append(request.refuse())
+        if tasks:
+            await asyncio.wait(tasks, timeout=UNREAD_REFUSAL_S)
+
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
@@ -445,6 +455,10 @@
         self._task.cancel()
         self._record_left()
 
+    def refuse(self) -> "asyncio.Task[None]":
+        """Answer that the request, whose body hasn't been read, has not run."""
+        return self._refuse_early(_Denied(503, "leaving", LEAVING_RETRY_AFTER_S))
+
     def _record_left(self) -> None:
         with tolerate(self._server.metrics, "record left"):
             self._server.metrics.count("clients_left")
