--- a/src/tamarackrill/router/channels.py
+++ b/src/tamarackrill/router/channels.py
@@ -25,7 +25,7 @@
 # client's connection, would take 150 MB for 300 clients that do not read.
 READ_MAX_BYTES = 32 * 1024
 # Bytes of a response buffered for a slow client before reading from the endpoint is
-# paused.
+# paused.  A reader that keeps up takes one read before the next, and is never paused.
 UNREAD_MAX_BYTES = 32 * 1024
 # The event loop fills it and hands it over in one step, so that all connections of a
 # loop, of which a process has one, share it.
@@ -256,7 +256,7 @@
             self._http.receive_data(data)
         except h11.RemoteProtocolError as error:
             self._error = error
-        if self._unread_bytes >= UNREAD_MAX_BYTES and not self._is_paused:
+        if self._unread_bytes > UNREAD_MAX_BYTES and not self._is_paused:
             self._is_paused = True
             assert self._transport is not None
             self._transport.pause_reading()
--- a/src/tamarackrill/testing/long_bodies.py
+++ b/src/tamarackrill/testing/long_bodies.py
@@ -7,7 +7,13 @@
 from typing import Literal, NamedTuple
 
 from tamarackrill.testing.edge import HOST, KEY
-from tamarackrill.testing.worker import HEAD_END, SIGNATURE, WorkerRequest, make_chunk
+from tamarackrill.testing.worker import (
+    HEAD_END,
+    SIGNATURE,
+    WorkerRequest,
+    make_chunk,
+    reset_connection,
+)
 
 Framing = Literal["chunked", "one chunk", "length", "close"]
 FRAMINGS: tuple[Framing, ...] = ("chunked", "one chunk", "length", "close")
@@ -54,7 +60,7 @@
     status : int
         HTTP status.
     pieces : int, default=0
-        Number of pieces of the body; 0 if it never ends.
+        Number of pieces that are sent of the body; 0 if it never ends.
     then : {"end", "break"}, default="end"
         Whether the body is complete then, or its connection is reset.
     """
@@ -82,7 +88,9 @@
 async def _send_body(request: WorkerRequest, writer: asyncio.StreamWriter) -> None:
     framing, status, pieces_text, then = request.target.split("/")[-4:]
     pieces = int(pieces_text)
-    size_bytes = pieces * PIECE_BYTES or ENDLESS_BYTES
+    # A body that breaks off lacks its last piece.
+    announced = pieces + (then == "break")
+    size_bytes = announced * PIECE_BYTES if pieces else ENDLESS_BYTES
     lines = [
         f"HTTP/1.1 {status} Status",
         f"X-Request-Attempt-Id: {request.request_id}",
@@ -105,7 +113,7 @@
         # A drain returns at once while the kernel takes everything.
         await asyncio.sleep(0)
     if then == "break":
-        writer.transport.abort()
+        await reset_connection(writer)
     elif framing == "close":
         writer.close()
     elif framing != "length":
