--- a/src/tamarackrill/decisions/parsing_turns.py
+++ b/src/tamarackrill/decisions/parsing_turns.py
@@ -10,7 +10,7 @@
 One that has used it up waits for a turn, in which it gets another small one.  Turns are
 granted in order of arrival, one for each iteration of the event loop, so that all such
 answers together take one turn beside everybody else's work.  If that work is long, they
-get a quarter of the time: long answers in chunks of a few kilobytes wait for turns too,
+get a tenth of the time: long answers in chunks of a few kilobytes wait for turns too,
 and would starve in a busy router.  A stream of events stays below the allowance; one
 that repeats many events at once, as it was resumed, waits for its next turn.
 """
@@ -18,17 +18,23 @@
 from collections import deque
 from typing import Generic, TypeVar
 
-# Elements of a turn, and of a connection that has been idle: some 2 ms of work.
-ELEMENTS_MAX = 32
-# Time of the event loop for which a turn is granted; a turn takes some 2 ms of it.
-SHARE_S = 0.008
+# Elements of a turn: some 2 ms of work, if each is an event that is passed on.
+TURN_ELEMENTS = 16
+# Elements of a connection that has been idle.  An answer that isn't chunked has three;
+# with 32, a hundred endless answers that began within a second made iterations of 50 to
+# 140 ms.
+IDLE_ELEMENTS = 8
+# Time of the event loop for which a turn is granted; a turn takes some 2 ms of it, and
+# 4 on a busy machine.  With 8 ms, iterations there had two turns on average.
+SHARE_S = 0.02
 # Turns of one iteration, so that it stays short after a pause of the process.
-TURNS_MAX = 8
-# An engine sends a token each 46 ms, and fast ones each 5 ms.
-ELEMENTS_PER_S = 200.0
+TURNS_MAX = 4
+# An engine sends a token each 46 ms.  A hundred connections that use it up take a third
+# of a processor without turns, at 60 µs for each element.
+ELEMENTS_PER_S = 50.0
 # Lines of an event stream that are split into events at once.  Events of two lines take
 # some 2 µs each, beside the 60 µs of a chunk.
-LINES_MAX = 512
+LINES_MAX = 256
 LINES_PER_ELEMENT = 16
 
 _Waiter = TypeVar("_Waiter")
@@ -46,7 +52,7 @@
     __slots__ = ("_counted_s", "_left")
 
     def __init__(self, now_s: float) -> None:
-        self._left: float = ELEMENTS_MAX
+        self._left: float = IDLE_ELEMENTS
         self._counted_s = now_s
 
     def take(self, elements: int = 1) -> bool:
@@ -57,16 +63,26 @@
         self._left -= elements
         return self._left >= 0.0
 
-    def refill(self, now_s: float) -> bool:
-        """Add what has accrued; return whether it covers the elements counted."""
-        accrued = (now_s - self._counted_s) * ELEMENTS_PER_S
-        self._left = min(ELEMENTS_MAX, self._left + max(0.0, accrued))
-        self._counted_s = now_s
+    def refill(self, now_s: float, has_waited: bool) -> bool:
+        """Add what has accrued; return whether it covers the elements counted.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time.
+        has_waited : bool
+            Whether all that had arrived was parsed since the last call or turn.  If
+            not, nothing accrues: its client is slow, or others have turns.
+        """
+        if has_waited:
+            accrued = (now_s - self._counted_s) * ELEMENTS_PER_S
+            self._left = min(IDLE_ELEMENTS, self._left + max(0.0, accrued))
+            self._counted_s = now_s
         return self._left >= 0.0
 
     def grant(self, now_s: float) -> None:
         """Start a turn."""
-        self._left = ELEMENTS_MAX
+        self._left = TURN_ELEMENTS
         self._counted_s = now_s
 
 
--- a/src/tamarackrill/router/channels.py
+++ b/src/tamarackrill/router/channels.py
@@ -130,6 +130,8 @@
         self._error: Exception | None = None
         self._has_unexpected_data = False
         self._allowance = ParsingAllowance(asyncio.get_running_loop().time())
+        # Whether data has been waited for since the allowance was last counted.
+        self._has_waited = False
         # A piece of an event stream of which only the first part has been returned.
         self._text, self._text_start = b"", 0
 
@@ -374,7 +376,8 @@
     async def _wait_turn(self) -> None:
         """Wait until a connection that has used up its allowance may go on."""
         loop = asyncio.get_running_loop()
-        if self._allowance.refill(loop.time()):
+        has_waited, self._has_waited = self._has_waited, False
+        if self._allowance.refill(loop.time(), has_waited):
             return
         # Unread for the router's own reasons meanwhile, not for its client's.
         self.pauses.end(loop.time())
@@ -402,6 +405,7 @@
             self._resume_reading()
             self._waiting = asyncio.get_running_loop().create_future()
             await self._waiting
+            self._has_waited = True
 
     def _resume_reading(self) -> None:
         self._unread_bytes = 0
