Parse answers in tiny pieces in small turns

Cause: Channel goes on parsing for as long as data is buffered and never gives way to the event loop. One read of a socket brings 40,000 chunks of one byte, each of which takes tens of microseconds, so that an iteration of the loop takes a second and more.

A connection now has an allowance of protocol elements, refilled with time. One that has used it up waits for a turn; turns are granted in order, one for each iteration, or some tenth of the time of a busy loop. However many such answers there are, each iteration holds a few milliseconds of them. A piece of an event stream is split into parts of 256 lines, and the search for content in a partial event, which began anew with each byte, goes on where it ended.

The time in which a connection is unread because it waits for its turn is no pause that its client explains.

--- a/src/tamarackrill/decisions/event_stream.py
+++ b/src/tamarackrill/decisions/event_stream.py
@@ -22,6 +22,8 @@
 import re
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+# Begin of a line that is neither blank nor a comment.
+_CONTENT = re.compile(rb"(?:\A|[\r\n])[^:\r\n]")
 # Bytes of the longest end of an event that may have arrived without its last one.
 _END_PARTIAL_BYTES = 3
 # A number of more digits is no id: ids count events.
@@ -40,8 +42,7 @@
 
     Blank lines and comments are no part of an event.
     """
-    lines = rest.splitlines()
-    return any(line and not line.startswith(b":") for line in lines)
+    return _CONTENT.search(rest) is not None
 
 
 class EventSplitter:
@@ -49,6 +50,19 @@
 
     def __init__(self) -> None:
         self._partial = bytearray()
+        # Whether the partial event has content up to here.
+        self._checked_bytes = 0
+        self._has_content = False
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun that isn't complete."""
+        if not self._has_content:
+            # What was there before has been searched, but for its last line break.
+            found = _CONTENT.search(self._partial, self._checked_bytes)
+            self._has_content = found is not None
+            self._checked_bytes = max(0, len(self._partial) - 1)
+        return self._has_content
 
     @property
     def partial(self) -> bytes:
@@ -74,11 +88,17 @@
             for start, end in zip(starts, ends, strict=True)
         ]
         del self._partial[: ends[-1]]
+        self._restart_check()
         return events
 
     def clear(self) -> None:
         """Drop the bytes after the last complete event."""
         self._partial.clear()
+        self._restart_check()
+
+    def _restart_check(self) -> None:
+        self._checked_bytes = 0
+        self._has_content = False
 
 
 class _Forwarded:
@@ -133,7 +153,7 @@
     @property
     def is_inside_event(self) -> bool:
         """Whether an event has begun that isn't complete."""
-        return ends_inside_event(self._splitter.partial)
+        return self._splitter.is_inside_event
 
     def fork(self) -> "EventStream":
         """Return the rest of the same stream, as another endpoint supplies it."""
--- a/src/tamarackrill/router/channels.py
+++ b/src/tamarackrill/router/channels.py
@@ -14,8 +14,15 @@
 from tamarackrill.decisions.addresses import read_router_address
 from tamarackrill.decisions.attempt_timeouts import CONNECTION_TIMEOUT_S
 from tamarackrill.decisions.capacity.buffers import ReadPauses
+from tamarackrill.decisions.parsing_turns import (
+    LINES_PER_ELEMENT,
+    ParsingAllowance,
+    count_text_elements,
+    find_text_end,
+)
 from tamarackrill.decisions.status_lines import holds_status_line
 from tamarackrill.router import lateness
+from tamarackrill.router.parsing_turns import wait_turn
 from tamarackrill.router.sockets import enable_keepalive, find_unacknowledged_s
 
 Headers = list[tuple[str, str]]
@@ -88,8 +95,14 @@
         self._unread_bytes = 0
         self._is_paused = False
         self._is_ended = False
+        self._is_closed_here = False
         self._error: Exception | None = None
         self._has_unexpected_data = False
+        self._allowance = ParsingAllowance(asyncio.get_running_loop().time())
+        # Whether data has been waited for since the allowance was last counted.
+        self._has_waited = False
+        # A piece of an event stream of which only the first part has been returned.
+        self._text, self._text_start = b"", 0
 
     # asyncio.Protocol
 
@@ -187,6 +200,29 @@
             else:
                 raise ChannelError("the connection ended within an answer")
 
+    async def read_text(self) -> bytes:
+        """Return the next bytes of an event stream, empty at its end.
+
+        A piece of many lines is returned in parts, so that each takes little time.
+
+        Raises
+        ------
+        ChannelError
+            If the body is incomplete or invalid.
+        """
+        if not self._text:
+            text = await self.read_chunk()
+            if text.count(b"\n") < LINES_PER_ELEMENT:
+                return text
+            self._text, self._text_start = text, 0
+        start, end = self._text_start, find_text_end(self._text, self._text_start)
+        part = self._text[start:end]
+        is_last = end == len(self._text)
+        self._text, self._text_start = (b"", 0) if is_last else (self._text, end)
+        if not self._allowance.take(count_text_elements(part)):
+            await self._wait_turn()
+        return part
+
     async def skip_response(self) -> None:
         """Discard a response to another request, and prepare to read the next one.
 
@@ -224,6 +260,7 @@
 
     def close(self) -> None:
         """Abort the connection, so that the endpoint stops work on its request."""
+        self._is_closed_here = True
         if self._transport is not None:
             self._transport.abort()
 
@@ -270,7 +307,24 @@
         if self._waiting is not None and not self._waiting.done():
             self._waiting.set_result(None)
 
+    async def _wait_turn(self) -> None:
+        """Wait until a connection that has used up its allowance may go on."""
+        loop = asyncio.get_running_loop()
+        has_waited, self._has_waited = self._has_waited, False
+        if self._allowance.refill(loop.time(), has_waited):
+            return
+        # Unread for the router's own reasons meanwhile, not for its client's.
+        self.pauses.end(loop.time())
+        await wait_turn()
+        self._allowance.grant(loop.time())
+        if self._is_paused:
+            self.pauses.begin(loop.time())
+        if self._is_closed_here:
+            raise ChannelError("the connection has been closed")
+
     async def _next_event(self) -> object:
+        if not self._allowance.take():
+            await self._wait_turn()
         while True:
             try:
                 event = self._http.next_event()
@@ -285,6 +339,7 @@
             self._resume_reading()
             self._waiting = asyncio.get_running_loop().create_future()
             await self._waiting
+            self._has_waited = True
 
     def _resume_reading(self) -> None:
         self._unread_bytes = 0
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -792,7 +792,7 @@
             progress.reply.has_begun,
         )
         with self._watch_answer(attempt, channel, timeout_s):
-            piece = await channel.read_chunk()
+            piece = await channel.read_text()
         _check_running(attempt)
         attempt.note_silent(False)
         return piece
