Bound what is read of an endpoint without use for the answer

Requests to an endpoint that sends interim responses without end, an answer to another request without end, or a body without end behind "421" or "X-Not-Executed", ended with 504 at their deadline: up to 24 of 24 where all endpoints of the service did so, also where the head had told that the request had not run.

Cause: read_head skips any number of interim responses, skip_response any length, and the body behind a head that says that a request has not run is read to its end before it is sent elsewhere.

100 interim responses or 64 KB of them now break the attempt, as do 64 KB of an answer to another request, with 64 bytes counted for each chunk. The rest of an answer whose head has told all is read for 0.1 s or 64 KB, only so that the connection can be used again; then it is closed and the request goes on.

--- a/src/tamarackrill/router/channels.py
+++ b/src/tamarackrill/router/channels.py
@@ -31,6 +31,15 @@
 # Bytes of a response buffered for a slow client before reading from the endpoint is
 # paused: two socket reads of asyncio, which keep the path full.
 UNREAD_MAX_BYTES = 128 * 1024
+# Interim responses before an answer, and bytes of their headers.  A server sends one or
+# two; one that reports progress each 20 s (RFC 2518) sends 30 in ten minutes.
+INTERIM_MAX = 100
+INTERIM_MAX_BYTES = 64 * 1024
+# Bytes of a body that is read only so that its connection can be used again.  A new
+# connection takes less than reading on.
+SKIPPED_MAX_BYTES = 64 * 1024
+# Added for each chunk, so that chunks of one byte end soon too.
+CHUNK_OVERHEAD_BYTES = 64
 
 
 class ChannelError(Exception):
@@ -173,6 +182,7 @@
         ChannelError
             If the connection ends or its data is invalid.
         """
+        interim = interim_bytes = 0
         while True:
             event = await self._next_event()
             if not isinstance(event, h11.Response | h11.InformationalResponse):
@@ -181,6 +191,10 @@
                 raise ChannelError("another response begins within the head")
             if isinstance(event, h11.Response):
                 return _read_head(event, self._is_head_request())
+            interim += 1
+            interim_bytes += sum(len(n) + len(v) for n, v in event.headers)
+            if interim > INTERIM_MAX or interim_bytes > INTERIM_MAX_BYTES:
+                raise ChannelError("too many interim responses")
 
     async def read_chunk(self) -> bytes:
         """Return the next bytes of the body, empty at its end.
@@ -223,14 +237,36 @@
             await self._wait_turn()
         return part
 
+    async def skip_body(self) -> bool:
+        """Discard a body that says nothing; return whether all of it has been read.
+
+        If not, the connection can't be used again.
+
+        Raises
+        ------
+        ChannelError
+            If the body is incomplete or invalid.
+        """
+        skipped_bytes = 0
+        while chunk := await self.read_chunk():
+            skipped_bytes += len(chunk) + CHUNK_OVERHEAD_BYTES
+            if skipped_bytes > SKIPPED_MAX_BYTES:
+                return False
+        return True
+
     async def skip_response(self) -> None:
         """Discard a response to another request, and prepare to read the next one.
 
         An endpoint may send a second response to a request; it then arrives where the
         response to the next request is expected.
+
+        Raises
+        ------
+        ChannelError
+            If it is incomplete or invalid, or too long to read on.
         """
-        while await self.read_chunk():
-            pass
+        if not await self.skip_body():
+            raise ChannelError("a response to another request is too long")
         trailing, _ = self._http.trailing_data
         assert self._request is not None
         # h11 accepts one response per request, so a new parser gets the request again.
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -66,6 +66,9 @@
 
 # Responses to earlier requests that are skipped before the connection is closed.
 MISMATCHED_ANSWERS_MAX = 2
+# How long the end of a body is waited for that is read only so that its connection can
+# be used again; a new one takes a millisecond.
+SKIP_TIMEOUT_S = 0.1
 OK_MIN, OK_MAX = 200, 299
 SERVER_ERROR_MIN = 500
 _LEFT = "the endpoint takes no more work"
@@ -659,8 +662,10 @@
     ) -> AttemptResult:
         reply = attempt.progress.reply
         if head.status == MISDIRECTED_REQUEST or answer_headers.has_not_run:
-            body = await read_body(channel.read_chunk, reply)
-            reply.drop_reserved(len(body))
+            # What its head says holds, however long its body takes.
+            with contextlib.suppress(TimeoutError):
+                async with lateness.timeout(SKIP_TIMEOUT_S):
+                    await channel.skip_body()
             outcome: Outcome = (
                 "misplaced" if head.status == MISDIRECTED_REQUEST else "not_run"
             )
--- a/tests/test_endless_pieces.py
+++ b/tests/test_endless_pieces.py
@@ -6,10 +6,13 @@
 
 import pytest
 
+from tamarackrill.router.channels import ChannelError, open_channel
 from tamarackrill.testing.edge import EdgeClient, EdgeFleet, make_route
 from tamarackrill.testing.edge_processes import EdgeProcess
+from tamarackrill.testing.tcp_server import TcpServer
 from tamarackrill.testing.worker import (
     Worker,
+    WorkerRequest,
     answer_ok,
     make_answer,
     make_chunk,
@@ -166,9 +169,12 @@
     ("kind", "target", "are_all"),
     [
         ("byte chunks", "/plain/x", True),
+        ("interim", "/stream/x", True),
         ("empty lines", "/stream/x", False),
         ("comments in chunks", "/stream/x", True),
         ("events in chunks", "/stream/x", True),
+        ("misplaced", "/plain/x", True),
+        ("foreign body", "/plain/x", True),
     ],
 )
 def test_tiny_pieces_without_end_hold_up_no_other_request(
@@ -180,3 +186,45 @@
     assert others == {200: REQUESTS}
     assert not own["none"], own
     assert longest_s <= DEADLINE_S + LATE_MAX_S
+
+
+@pytest.mark.parametrize("kind", ["misplaced", "not run"])
+def test_request_that_has_not_run_goes_on_though_the_body_has_no_end(kind, tmp_path):
+    # Guards against a request that misses its deadline for the rest of an answer whose
+    # head has told that it may be sent elsewhere.
+    own, others, longest_s = asyncio.run(play(kind, "/stream/x", False, tmp_path))
+    assert own == others == {200: REQUESTS}
+    assert longest_s <= DEADLINE_S + LATE_MAX_S
+
+
+@pytest.mark.parametrize("kind", ["interim", "foreign body"])
+def test_bytes_that_say_nothing_end_their_connection(kind):
+    # Guards against a connection that is read until a deadline, or for ever if no
+    # request is under way, though it can bring nothing of use.
+    closed = asyncio.Event()
+
+    async def serve(reader, writer):
+        request = WorkerRequest("POST", "/", {"x-request-attempt-id": "id"}, b"")
+        beginning, piece = (b"", b"x") if kind == "idle" else find_bytes(kind, request)
+        writer.write(beginning)
+        with contextlib.suppress(ConnectionError):
+            while not writer.transport.is_closing():
+                writer.write(piece * 1000)
+                await writer.drain()
+                await asyncio.sleep(0)
+        closed.set()
+
+    async def run():
+        async with TcpServer(serve) as server, asyncio.timeout(DEADLINE_S):
+            channel = await open_channel(server.address, DEADLINE_S)
+            if kind == "idle":
+                await closed.wait()
+                assert not channel.is_open
+                return
+            channel.send("POST", "/", [("Host", "h"), ("Content-Length", "0")], b"")
+            with pytest.raises(ChannelError, match="too"):
+                await channel.read_head()
+                await channel.skip_response()
+            channel.close()
+
+    asyncio.run(run())
