Close connections to endpoints that send without a request

A kept connection on which data arrives without a request is of no more use. It stayed open in the pool until it was next chosen, and was read meanwhile, also if the endpoint sent without end. It is now closed as soon as the data arrives. What callers saw of it was not measured.

The test added here failed before: the connection was still open 1.5 s later.

--- a/src/tamarackrill/router/channels.py
+++ b/src/tamarackrill/router/channels.py
@@ -126,6 +126,8 @@
         """Process data; without a request in flight, mark the connection unusable."""
         if self._request is None:
             self._has_unexpected_data = True
+            # It is of no more use, and may send without end.
+            self.close()
             return
         self._receive(data)
 
--- a/tests/test_endless_pieces.py
+++ b/tests/test_endless_pieces.py
@@ -197,7 +197,7 @@
     assert longest_s <= DEADLINE_S + LATE_MAX_S
 
 
-@pytest.mark.parametrize("kind", ["interim", "foreign body"])
+@pytest.mark.parametrize("kind", ["interim", "foreign body", "idle"])
 def test_bytes_that_say_nothing_end_their_connection(kind):
     # Guards against a connection that is read until a deadline, or for ever if no
     # request is under way, though it can bring nothing of use.
