End deadlines half a second after a late loop has noticed them

An endpoint was still read, and its request unanswered, seconds after the deadline, while the router's loop was late: a timer that fires late waits on for 50 ms, ten times in a row, and each of these may be late too. In a loop that is late by 0.5 s each time, a timer fired 6 s after it was due (0.2 s: 2.7 s; 0.02 s: 0.72 s).

All such waits together now take half a second at most, which is what ten of them take in a loop that is no longer late. An iteration that begins meanwhile still processes what arrived before the timers.

The test added here failed in its three cases before; those of own lateness hold.

--- a/src/tamarackrill/router/lateness.py
+++ b/src/tamarackrill/router/lateness.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import AsyncIterator, Callable
 
 # A timer that fires this much after it was due shows that the loop was late.
@@ -15,6 +16,9 @@
 CATCH_UP_S = 0.05
 # Times in a row.  In a router that is always late, every timeout ends at last.
 CATCH_UPS_MAX = 10
+# All of them together, however late the loop is at each: ten of a loop that is late by
+# half a second would prolong a deadline by five.
+CATCH_UPS_MAX_S = CATCH_UPS_MAX * CATCH_UP_S
 
 
 class LateTimer:
@@ -44,6 +48,7 @@
         self._on_due = on_due
         self._has_progress = has_progress
         self._catch_ups = 0
+        self._end_s = math.inf
         self._catch_ups_max = catch_ups_max
         self._start(due_s)
 
@@ -58,11 +63,14 @@
         now_s = self._loop.time()
         has_progress = self._has_progress()
         goes_on = now_s >= due_s + LATE_S or (self._catch_ups > 0 and has_progress)
-        if not goes_on or self._catch_ups >= self._catch_ups_max:
+        has_ended = self._catch_ups >= self._catch_ups_max or now_s >= self._end_s
+        if not goes_on or has_ended:
             self._on_due()
             return
+        if not self._catch_ups:
+            self._end_s = now_s + CATCH_UPS_MAX_S
         self._catch_ups += 1
-        self._start(now_s + CATCH_UP_S)
+        self._start(min(now_s + CATCH_UP_S, self._end_s))
 
 
 @contextlib.asynccontextmanager
--- a/tests/test_own_lateness.py
+++ b/tests/test_own_lateness.py
@@ -142,6 +142,18 @@
     assert fired_s == [pytest.approx(1.0 + late_s + waits * lateness.CATCH_UP_S)]
 
 
+@pytest.mark.parametrize("late_s", [0.02, 0.2, 0.5])
+def test_deadline_ends_soon_however_late_the_loop_is(late_s):
+    # Guards against a loop held up by one request, whose deadline is put off each time.
+    loop, fired_s = FakeLoop(), []
+    with mock.patch.object(asyncio, "get_running_loop", return_value=loop):
+        lateness.LateTimer(1.0, lambda: fired_s.append(loop.now_s))
+    while not fired_s:
+        loop.run(late_s)
+    # It may be late once more when it is due for good.
+    assert fired_s[0] <= 1.0 + late_s + 0.5 + late_s
+
+
 def test_owner_that_answers_while_the_loop_is_late_isnt_silent():
     # Guards against late routers that leave answered owners of brittle endpoints out.
     async def run():
