--- a/src/tamarackrill/decisions/capacity/buffers.py
+++ b/src/tamarackrill/decisions/capacity/buffers.py
@@ -33,8 +33,8 @@
 SMALL_TEAM_SHARE = 1 / 8
 RESERVE_SHARE = 1 / 2
 # The kernel's buffer of each client connection takes this much of a response.  A body
-# up to this size is read in any case, and isn't counted until it is sent, as it usually
-# never waits here.
+# up to this size is read in any case, and isn't counted meanwhile, as it usually never
+# waits here.
 KERNEL_BYTES = 32 * 1024
 # A shortage ends when less than this share of the total is in use, so that a total that
 # varies around a threshold is not reported each time.
