Forward bodies that can't be held, instead of filling the memory with them

With pressure in the contracts memory held, but a sound answer of 100 MB got 504 at its deadline.

Cause: a body that is no stream was collected as a whole before anything was written, whatever its status, and counted only with pressure. There it stopped at the bound and waited for memory that only its own end could free, and one at a time might exceed the bounds.

A body is now held, and its attempt can be retried, up to 1 MiB and up to an eighth of the VM's memory over all of them, on every deployment. Beyond either, its answer begins early: it is forwarded as its client reads it. Such an answer isn't retried; if it breaks off, its connection is aborted. A failure beyond the bound is retried elsewhere without its body if that may be. Of a refusal's body 4 KB are read at most. Connections to endpoints are read in pieces of 32 KiB, so that an answer whose client stalls holds some tens of KB.

Two tests depended on what is replaced. The exemption of one body and the wait for memory are gone, so that the test of two stopped attempts now demands that neither waits, and that of may_exempt that no body is held beyond any bound. Bodies of two attempts exceed the bound together only with 12 MB of memory, as one alone begins early with 8.

Teams that hold less than an eighth of the total may now exceed it by a half.

--- a/src/tamarackrill/decisions/capacity/buffers.py
+++ b/src/tamarackrill/decisions/capacity/buffers.py
@@ -1,4 +1,4 @@
-"""How much of its responses a router buffers for clients that read slowly.
+"""How much of its responses a router holds: whole bodies, and what clients don't read.
 
 Load pattern: clients open responses and read them slowly, or not at all, up to ten
 thousand at a time and most of them of one team.  A router that stops reading from the
@@ -7,7 +7,10 @@
 out of memory, and takes the responses of all its clients with it.
 
 So a router goes on reading and buffers, up to a bound per response and one for the
-process.  The threshold of a team is what is free of the process's bound.  It falls as
+process.  Bodies that it reads before it answers count too, on all deployments; one that
+reaches a bound is forwarded from then on (`early_answers`).
+
+The threshold of a team is what is free of the process's bound.  It falls as
 buffers fill, the same for all teams, so the team that holds most is stopped first: one
 team alone gets half of the memory, each of three a quarter, and the rest stays free for
 teams that hold nothing yet.  A response whose client keeps up holds nothing and is
@@ -18,14 +21,20 @@
 from typing import Literal, NamedTuple
 
 # A router takes 51 MB without load and some 22 kB for each response, so on the smallest
-# VM, 200 MB, this leaves room for some thousand of them.
+# VM, 200 MB, this leaves room for some thousand of them.  A body that is sent whole
+# takes twice its size while its client does not read it.
 TOTAL_SHARE = 1 / 8
 # A long response of a model engine, 4,000 events of 250 bytes.
 RESPONSE_MAX_BYTES = 1 << 20
 # Threshold of a team, as a multiple of the free bytes.
 TEAM_FREE_SHARE = 1.0
+# A response that is stopped has read one piece too many, and many of them exceed the
+# total.  Teams that hold less than the first share of it may go on up to the second.
+SMALL_TEAM_SHARE = 1 / 8
+RESERVE_SHARE = 1 / 2
 # The kernel's buffer of each client connection takes this much of a response.  A body
-# up to this size is read in any case, as it usually never waits here.
+# up to this size is read in any case, and isn't counted meanwhile, as it usually never
+# waits here.
 KERNEL_BYTES = 32 * 1024
 # A shortage ends when less than this share of the total is in use, so that a total that
 # varies around a threshold is not reported each time.
@@ -98,8 +107,15 @@
 
     def find_room_bytes(self, team: str) -> float:
         """Return how much more a team may hold; 0 or less if it is stopped."""
-        free_bytes = self.total_max_bytes - self.held_bytes
-        return min(free_bytes, TEAM_FREE_SHARE * free_bytes - self._by_team[team])
+        team_bytes, total_bytes = self._by_team[team], self.total_max_bytes
+        free_bytes = total_bytes - self.held_bytes
+        reserve_bytes = min(
+            free_bytes + RESERVE_SHARE * total_bytes,
+            SMALL_TEAM_SHARE * total_bytes - team_bytes,
+        )
+        return max(
+            min(free_bytes, TEAM_FREE_SHARE * free_bytes - team_bytes), reserve_bytes
+        )
 
     def find_limit(
         self, team: str, response_bytes: int, is_forwarded: bool
@@ -113,32 +129,23 @@
         response_bytes : int
             Bytes that it holds.
         is_forwarded : bool
-            Whether the client may read what is held.  A body that is forwarded when it
-            is complete has no bound of its own, which would end it.
+            Whether the client may read what is held, so that the response is stopped;
+            a body that is held until it is complete is forwarded from now on.
         """
         if response_bytes <= (0 if is_forwarded else KERNEL_BYTES):
             return None
-        if is_forwarded and response_bytes >= self.response_max_bytes:
+        if response_bytes >= self.response_max_bytes:
             return "response"
-        if self.held_bytes >= self.total_max_bytes:
-            return "total"
-        return None if self.find_room_bytes(team) > 0 else "team"
-
-    def may_exempt(self, body_bytes: int) -> bool:
-        """Return whether a body that is being read may exceed the bounds.
-
-        The memory of a body is only freed once it is complete, so that bodies which
-        together exceed the bounds would all be stopped until their deadlines.  One of
-        them at a time is therefore read on, up to the bound of a response.
-        """
-        return 0 < body_bytes < self.response_max_bytes
+        if self.find_room_bytes(team) > 0:
+            return None
+        return "total" if self.held_bytes >= self.total_max_bytes else "team"
 
     def must_cut_body(self, team: str, body_bytes: int) -> bool:
         """Return whether a complete body that its client does not take is dropped.
 
         Its endpoint has completed it, so that nothing is left to be stopped.  Bodies
         above `KERNEL_BYTES` have been within their team's threshold while they were
-        read, or were the one that might exceed it.
+        read.
         """
         if self.held_bytes >= self.total_max_bytes:
             return True
--- a/src/tamarackrill/events.py
+++ b/src/tamarackrill/events.py
@@ -279,7 +279,8 @@
     "call_cut",
     _WARNING,
     ("request", "route", "service", "team", "endpoint", "events", "reason"),
-    "A stream broke off and could not be resumed at another endpoint.",
+    "A stream broke off and could not be resumed at another endpoint, or a body that "
+    "had begun early (2312) broke off.",
     "See docs/OPERATIONS.md: from a request to its cause.",
 )
 CALL_LEFT = Event(
@@ -419,10 +420,33 @@
     "client_buffers_short",
     _WARNING,
     ("held_bytes", "total_max_bytes", "team", "team_bytes", "teams"),
-    "Clients read their responses so slowly that the memory for buffering these is "
-    "short: responses of the teams that hold most are no longer read from endpoints "
-    "before their clients read.  `team` holds most, `teams` hold anything.",
-    "Find out why clients of this team do not read; their streams are cut off.",
+    "Responses are so long, or read so slowly by their clients, that the memory for "
+    "holding these is short: responses of the teams that hold most are no longer read "
+    "from endpoints before their clients read, and bodies begin early (2312).  `team` "
+    "holds most, `teams` hold anything.",
+    "Find out why clients of this team do not read, or which endpoints send long "
+    "bodies; streams that stay unread are cut off.",
+)
+ANSWER_BEGUN_EARLY = Event(
+    2312,
+    "answer_begun_early",
+    _INFO,
+    (
+        "request",
+        "route",
+        "service",
+        "team",
+        "endpoint",
+        "status",
+        "framing",
+        "limit",
+        "after_s",
+    ),
+    "A body is too long to be held until it is complete: it has reached the bound of a "
+    "`response`, of its `team` or of the process (`total`), and is forwarded as its "
+    "client reads it.  If it breaks off, the request is not retried, and its client's "
+    "connection is closed (`call_cut`).",
+    "None, unless an endpoint should send no long bodies.",
 )
 
 SLOT_QUEUED = Event(
--- a/src/tamarackrill/router/channels.py
+++ b/src/tamarackrill/router/channels.py
@@ -21,9 +21,15 @@
 Headers = list[tuple[str, str]]
 Framing = Literal["none", "length", "chunked", "close"]
 
+# Read from a connection at a time.  asyncio's own 256 KiB, buffered here and in the
+# client's connection, would take 150 MB for 300 clients that do not read.
+READ_MAX_BYTES = 32 * 1024
 # Bytes of a response buffered for a slow client before reading from the endpoint is
-# paused: two socket reads of asyncio, which keep the path full.
-UNREAD_MAX_BYTES = 128 * 1024
+# paused.  A reader that keeps up takes one read before the next, and is never paused.
+UNREAD_MAX_BYTES = 32 * 1024
+# The event loop fills it and hands it over in one step, so that all connections of a
+# loop, of which a process has one, share it.
+_READ_BUFFER = memoryview(bytearray(READ_MAX_BYTES))
 
 
 class ChannelError(Exception):
@@ -55,7 +61,7 @@
     framing: Framing
 
 
-class Channel(asyncio.Protocol):
+class Channel(asyncio.BufferedProtocol):
     """One connection to an endpoint.
 
     Attributes
@@ -91,7 +97,7 @@
         self._error: Exception | None = None
         self._has_unexpected_data = False
 
-    # asyncio.Protocol
+    # asyncio.BufferedProtocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and enable TCP keepalive."""
@@ -100,12 +106,16 @@
         user_timeout_ms = int(1000 * CONNECTION_TIMEOUT_S)
         enable_keepalive(transport.get_extra_info("socket"), user_timeout_ms)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer into which the next data is read."""
+        return _READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Process data; without a request in flight, mark the connection unusable."""
         if self._request is None:
             self._has_unexpected_data = True
             return
-        self._receive(data)
+        self._receive(bytes(_READ_BUFFER[:nbytes]))
 
     def eof_received(self) -> bool:
         """Handle the end of the endpoint's data."""
--- a/src/tamarackrill/router/edge_attempts.py
+++ b/src/tamarackrill/router/edge_attempts.py
@@ -14,10 +14,22 @@
     find_suspicion_timeout_s,
 )
 from tamarackrill.decisions.attempts import Outcome
+from tamarackrill.decisions.capacity.buffers import Limit
+from tamarackrill.decisions.capacity.early_answers import (
+    SERVER_ERROR_MIN,
+    decide_early,
+    must_read_refusal,
+)
 from tamarackrill.decisions.error_blame import ErrorBlame
 from tamarackrill.decisions.event_stream import EventStreamError, ends_inside_event
 from tamarackrill.decisions.unexpected_errors import classify_attempt
-from tamarackrill.events import CALL_OVERTAKEN, CALL_REOPENED, CALL_SENT, log_event
+from tamarackrill.events import (
+    ANSWER_BEGUN_EARLY,
+    CALL_OVERTAKEN,
+    CALL_REOPENED,
+    CALL_SENT,
+    log_event,
+)
 from tamarackrill.platform.headers import (
     ResponseHeaders,
     build_request_headers,
@@ -41,7 +53,7 @@
 from tamarackrill.router.crash_checks import AttemptEnding, CrashChecks
 from tamarackrill.router.edge_calls import EdgeCall, describe_call
 from tamarackrill.router.edge_placing import EdgePlacement, EdgePlacer
-from tamarackrill.router.edge_reply import read_body
+from tamarackrill.router.edge_reply import HeldBody
 from tamarackrill.router.endpoint_checks import EndpointChecks
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.paths import CONNECT_TIMEOUT_S, PathProber
@@ -67,7 +79,6 @@
 # Responses to earlier requests that are skipped before the connection is closed.
 MISMATCHED_ANSWERS_MAX = 2
 OK_MIN, OK_MAX = 200, 299
-SERVER_ERROR_MIN = 500
 _LEFT = "the endpoint takes no more work"
 # Reports that the request's deadline has passed, not that the endpoint is faulty.
 GATEWAY_TIMEOUT = 504
@@ -111,6 +122,9 @@
     on_first_event : callable
         Called with a request and its endpoint's software version before the first event
         of its stream is forwarded.
+    may_replace : callable
+        Returns whether another attempt may answer the request of one that brings a
+        failure.
     relays : RelayClient or None
         Other routers through which endpoints are reached.
     guard : PromptGuard or None
@@ -151,6 +165,7 @@
         self.on_first_event: Callable[[EdgeCall, str], None] = lambda call, version: (
             None
         )
+        self.may_replace: Callable[[RequestAttempt], bool] = lambda attempt: False
         self.checks = EndpointChecks(placer, self.paths, self.pool, clock, connect)
         self.crashes = CrashChecks(placer, self.paths, self.checks, clock, connect)
         self.relays: RelayClient | None = None
@@ -659,8 +674,7 @@
     ) -> AttemptResult:
         reply = attempt.progress.reply
         if head.status == MISDIRECTED_REQUEST or answer_headers.has_not_run:
-            body = await read_body(channel.read_chunk, reply)
-            reply.drop_reserved(len(body))
+            await _skip_refusal(channel)
             outcome: Outcome = (
                 "misplaced" if head.status == MISDIRECTED_REQUEST else "not_run"
             )
@@ -673,20 +687,83 @@
         if is_ok and answer_headers.is_event_stream:
             await self._relay(attempt, placed, relay, channel, head)
             return AttemptResult("answered")
-        body = await read_body(lambda: self._read_chunk(attempt, channel), reply)
+        body = HeldBody(reply)
+        limit = await body.read(lambda: self._read_chunk(attempt, channel))
+        if limit is not None:
+            return await self._forward(attempt, placed, channel, head, body, limit)
         try:
             await self._confirm_end(attempt.progress.call, placed.endpoint, head)
             if head.status >= SERVER_ERROR_MIN:
                 _check_running(attempt)
-                answer = CompleteAnswer(head, body)
+                answer = CompleteAnswer(head, body.take())
                 return AttemptResult("failed", f"status {head.status}", answer)
             if reply.has_begun:
                 raise ChannelError(f"stream resumed with status {head.status}")
             self._lead(attempt)
         except BaseException:
-            reply.drop_reserved(len(body))
+            body.drop()
             raise
-        await reply.begin(head.status, filter_response_headers(head.headers), body)
+        await reply.begin(
+            head.status, filter_response_headers(head.headers), body.take()
+        )
+        return AttemptResult("answered")
+
+    async def _forward(
+        self,
+        attempt: RequestAttempt,
+        placed: EdgePlacement,
+        channel: Channel,
+        head: ResponseHead,
+        body: HeldBody,
+        limit: Limit,
+    ) -> AttemptResult:
+        """Begin an answer whose body can't be held, and pass the rest on as it comes.
+
+        Raises
+        ------
+        ChannelError
+            If the answer breaks off, or can't be begun.
+        """
+        progress = attempt.progress
+        call, reply = progress.call, progress.reply
+        try:
+            _check_running(attempt)
+            may_retry = self.may_replace(attempt)
+            step = decide_early(head.status, reply.has_begun, may_retry)
+            if step == "begin":
+                self._lead(attempt)
+        except BaseException:
+            body.drop()
+            raise
+        if step != "begin":
+            body.drop()
+            if step == "retry":
+                return AttemptResult("failed", f"status {head.status}, body not held")
+            raise ChannelError(f"stream resumed with status {head.status}")
+        self._metrics.count("answers_begun_early", limit)
+        log_event(
+            ANSWER_BEGUN_EARLY,
+            **describe_call(call),
+            endpoint=placed.endpoint.name,
+            status=head.status,
+            framing=head.framing,
+            limit=limit,
+            after_s=self._clock() - call.arrived_s,
+        )
+        is_sized = head.framing == "length"
+        attempt.is_writing = True
+        progress.failed_answer = None
+        await reply.begin_early(
+            head.status,
+            filter_response_headers(head.headers),
+            int(head.by_name["content-length"]) if is_sized else None,
+            body.take(),
+        )
+        while chunk := await channel.read_chunk():
+            await reply.write(chunk)
+        await self._confirm_end(call, placed.endpoint, head)
+        reply.finish()
+        attempt.is_writing = False
         return AttemptResult("answered")
 
     async def _confirm_end(
@@ -869,6 +946,13 @@
                 self.crashes.record_crash(result.ending)
 
 
+async def _skip_refusal(channel: Channel) -> None:
+    """Read the body of a refusal, unless it is long; its connection then closes."""
+    read_bytes = 0
+    while must_read_refusal(read_bytes) and (piece := await channel.read_chunk()):
+        read_bytes += len(piece)
+
+
 def _check_running(attempt: RequestAttempt) -> None:
     if attempt.is_overtaken:
         raise _Overtaken
--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -109,6 +109,7 @@
             placer, self._count_retries_left, self._record_sent, metrics, clock, connect
         )
         self.attempts.on_silent = self._handle_silence
+        self.attempts.may_replace = self._may_replace
         self.compute_failover_s: Callable[[], float | None] = lambda: None
         self.reserver = EdgeReserver(placer, clock, metrics)
 
@@ -399,6 +400,23 @@
         share = self._find_share(call.service)
         return share.count_retries_left(self._count_routers(), self._clock())
 
+    def _may_replace(self, attempt: RequestAttempt) -> bool:
+        """Return whether another attempt may answer if this one brings a failure."""
+        progress = attempt.progress
+        call, now_s = progress.call, self._clock()
+        if progress.race.has_others(attempt.number):
+            return True
+        next_step = decide_next(
+            "failed",
+            add_attempt(attempt.find_history(), "failed"),
+            call.route.may_repeat,
+            call.route.attempts_max,
+            self._count_retries_left(call),
+            call.deadline_s - now_s,
+        )
+        is_repeated = next_step == "repeat" and not self._placer.is_poison(call, now_s)
+        return is_repeated and self.attempts.has_other(progress)
+
     def _must_retry(
         self, attempt: RequestAttempt, placed: EdgePlacement, result: AttemptResult
     ) -> bool:
@@ -422,6 +440,8 @@
         )
         if next_step == "repeat" and self._placer.is_poison(call, now_s):
             next_step = "give_up" if history.may_have_run else "refuse"
+        if progress.reply.is_early:
+            next_step = "give_up"
         others = progress.race.list_others(attempt.number)
         is_awaited = bool(others) and (
             next_step != "repeat" or must_await_others(others)
@@ -484,7 +504,9 @@
                 events=progress.stream.events,
                 reason=reason,
             )
-            self._metrics.count("streams_cut", reason)
+            self._metrics.count(
+                "bodies_cut" if reply.is_early else "streams_cut", reason
+            )
             reply.abort()
             return
         if progress.failed_answer is not None:
--- a/src/tamarackrill/router/relay_server.py
+++ b/src/tamarackrill/router/relay_server.py
@@ -49,7 +49,7 @@
     tolerate,
 )
 
-# Attempts forwarded at the same time.  Each buffers up to 128 KiB for a slow reader.
+# Attempts forwarded at the same time.  Each buffers up to 64 KiB for a slow reader.
 RELAYED_MAX = 256
 FORBIDDEN_STATUS = 403
 UNAVAILABLE_STATUS = 503
--- a/src/tamarackrill/router/slow_clients.py
+++ b/src/tamarackrill/router/slow_clients.py
@@ -16,17 +16,22 @@
 from tamarackrill.decisions.capacity.buffers import (
     KERNEL_BYTES,
     ClientBuffers,
-    Limit,
 )
-from tamarackrill.events import CLIENT_BUFFERS_SHORT, log_event
 from tamarackrill.platform.settings_file import PlatformSettings
 from tamarackrill.router import lateness
 from tamarackrill.router.channels import Channel
-from tamarackrill.router.edge_reply import ClientTooSlow, EdgeReply, MakeReply
+from tamarackrill.router.edge_reply import (
+    WRITE_MAX_BYTES,
+    ClientTooSlow,
+    EdgeReply,
+    MakeReply,
+    ReplyMemory,
+)
 from tamarackrill.router.metrics import Metrics
 
-# Written to a client's connection at a time; more would be copied twice.
-WRITE_MAX_BYTES = 64 * 1024
+# The kernel's buffer of a client connection for a long body.  A client acknowledges two
+# segments at once and a single one 40 ms later, and those of loopback have 64 KiB.
+LONG_KERNEL_BYTES = 128 * 1024
 # Stopped responses are checked this often at most, so that many of them cost little.
 WAKE_INTERVAL_S = 0.02
 
@@ -35,12 +40,13 @@
     settings: PlatformSettings, metrics: Metrics, clock: Callable[[], float]
 ) -> MakeReply:
     """Return what makes the replies to clients: buffered ones if they read slowly."""
+    buffers = ClientBuffers(settings.memory_bytes)
     if not settings.has_slow_peers:
-        return EdgeReply
-    return SlowClients(ClientBuffers(settings.memory_bytes), metrics, clock).make_reply
+        return ReplyMemory(buffers, metrics).make_reply
+    return SlowClients(buffers, metrics, clock).make_reply
 
 
-class SlowClients:
+class SlowClients(ReplyMemory):
     """Buffers of all responses of a router.
 
     Parameters
@@ -56,15 +62,11 @@
     def __init__(
         self, buffers: ClientBuffers, metrics: Metrics, clock: Callable[[], float]
     ) -> None:
-        self.buffers = buffers
-        self.metrics = metrics
+        super().__init__(buffers, metrics)
         self.clock = clock
         # Responses stopped by the bound of their team or the total, in order.
         self._stopped: dict[str, dict[BufferedReply, None]] = {}
         self._is_wake_due = False
-        # The body that is read on although it exceeds the bounds.
-        self._exempt: BufferedReply | None = None
-        metrics.add_gauge("client_buffer_bytes", lambda: {"": buffers.held_bytes})
 
     def make_reply(
         self, connection: HTTP1Connection, must_close: bool, takes_chunks: bool = True
@@ -74,48 +76,21 @@
 
     def release(self, team: str, size_bytes: int) -> None:
         """Subtract bytes that a response no longer holds."""
-        self.buffers.add(team, -size_bytes)
+        super().release(team, size_bytes)
         if self._stopped:
             self._wake_later()
 
-    def note_limit(self, limit: Limit, is_first: bool) -> None:
-        """Record that a response was stopped, `is_first` by this bound."""
-        if is_first:
-            self.metrics.count("client_buffers", limit)
-        usage = self.buffers.note_limit(limit)
-        if usage is not None:
-            log_event(CLIENT_BUFFERS_SHORT, **usage._asdict())
-
-    async def wait_room(self, reply: "BufferedReply", body_bytes: int) -> None:
+    async def wait_room(self, reply: "BufferedReply") -> None:
         """Wait until a stopped response of a team may be checked again."""
         waiting = self._stopped.setdefault(reply.team, {})
         waiting[reply] = None
-        reply.stopped_bodies.append(body_bytes)
         try:
             await reply.wait_change()
         finally:
-            reply.stopped_bodies.remove(body_bytes)
-            # Another attempt may wait for the same reply.
-            if not reply.stopped_bodies:
-                waiting.pop(reply, None)
+            waiting.pop(reply, None)
             if not waiting and self._stopped.get(reply.team) is waiting:
                 del self._stopped[reply.team]
 
-    def exempt_body(self, reply: "BufferedReply", body_bytes: int) -> bool:
-        """Return whether a body is read on although it exceeds the bounds."""
-        if not self.buffers.may_exempt(body_bytes):
-            self.end_exemption(reply)
-            return False
-        if self._exempt is None:
-            self._exempt = reply
-        return self._exempt is reply
-
-    def end_exemption(self, reply: "BufferedReply") -> None:
-        """Let another body be read on if it was this one."""
-        if self._exempt is reply:
-            self._exempt = None
-            self._wake_later()
-
     def _wake_later(self) -> None:
         if not self._is_wake_due:
             self._is_wake_due = True
@@ -133,16 +108,6 @@
             # Those that are woken may have nothing more to read, and release nothing.
             if waiting and room_bytes > 0:
                 self._wake_later()
-        if self._exempt is None:
-            self._wake_body()
-
-    def _wake_body(self) -> None:
-        for waiting in self._stopped.values():
-            for reply in waiting:
-                if any(map(self.buffers.may_exempt, reply.stopped_bodies)):
-                    del waiting[reply]
-                    reply.wake()
-                    return
 
 
 class BufferedReply(EdgeReply):
@@ -154,13 +119,6 @@
         Buffers of all responses.
     connection, must_close, takes_chunks
         As for `EdgeReply`.
-
-    Attributes
-    ----------
-    reserved_bytes : int
-        Bytes held of bodies that are still being read.
-    stopped_bodies : list of int
-        Sizes of what has been read of the bodies that are stopped; 0 for a stream.
     """
 
     def __init__(
@@ -170,7 +128,7 @@
         must_close: bool,
         takes_chunks: bool = True,
     ) -> None:
-        super().__init__(connection, must_close, takes_chunks)
+        super().__init__(connection, must_close, takes_chunks, owner)
         self._owner = owner
         self._stream = connection.stream
         self._staged = bytearray()
@@ -180,14 +138,11 @@
         self._has_left = False
         # What a callback of a write has raised.
         self._error: Exception | None = None
-        self.reserved_bytes = 0
-        self.stopped_bodies: list[int] = []
         # Bytes held in the write in flight, and all including those staged.
         self._in_flight_bytes = 0
         self._held_bytes = 0
         # Two attempts of a request may wait at the same time.
         self._changes: set[asyncio.Future[None]] = set()
-        self._limits: set[Limit] = set()
         if not self._stream.closed():
             # By default the kernel takes up to 4 MB for a client that reads nothing.
             self._stream.socket.setsockopt(
@@ -210,24 +165,56 @@
             If the client has disconnected.
         """
         self.drop_reserved()
-        first = b"" if body is None else body[:WRITE_MAX_BYTES]
-        future = self._start(status, headers, body, first)
+        size_bytes = None if body is None else len(body)
+        self._start_writing(status, headers, size_bytes, body or b"")
+        if size_bytes is None:
+            return
+        buffers = self._owner.buffers
+        if self._is_writing and buffers.must_cut_body(self.team, size_bytes):
+            raise ClientTooSlow
+        self.is_complete = True
+
+    async def begin_early(
+        self,
+        status: int,
+        headers: Sequence[tuple[str, str]],
+        size_bytes: int | None,
+        held: bytes,
+    ) -> None:
+        """Send the head and the beginning of a body; return once more may be read.
+
+        Raises
+        ------
+        tornado.iostream.StreamClosedError
+            If the client has disconnected.
+        """
+        self._note_early(size_bytes)
+        if not self._stream.closed():
+            self._stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, LONG_KERNEL_BYTES
+            )
+        self.drop_reserved()
+        self._start_writing(status, headers, size_bytes, held)
+        await self._wait_room()
+
+    def _start_writing(
+        self,
+        status: int,
+        headers: Sequence[tuple[str, str]],
+        size_bytes: int | None,
+        body: bytes,
+    ) -> None:
+        first = body[:WRITE_MAX_BYTES]
+        future = self._start(status, headers, size_bytes, first)
         if future.done():
             future.result()
         self._hold(len(first))
         self._watch(len(first))
-        if body is None:
-            return
-        size_bytes = len(body)
-        if self.takes_body:
+        if self.takes_body and len(body) > WRITE_MAX_BYTES:
             # In pieces, so that `deliver` sees whether the client reads.
             self._rest = memoryview(body)[WRITE_MAX_BYTES:]
             self._hold(len(self._rest))
             self._write_staged()
-        buffers = self._owner.buffers
-        if self._is_writing and buffers.must_cut_body(self.team, size_bytes):
-            raise ClientTooSlow
-        self.is_complete = True
 
     async def write(self, chunk: bytes) -> None:
         """Send or buffer a chunk; return once the next one may be read.
@@ -279,27 +266,12 @@
         if self._must_close:
             self._connection.close()
 
-    async def reserve(self, size_bytes: int, body_bytes: int) -> None:
-        """Count bytes of a body that is read; return once more may be read."""
-        self.reserved_bytes += size_bytes
-        self._hold(size_bytes)
-        await self._wait_room(body_bytes)
-
-    def drop_reserved(self, size_bytes: int | None = None) -> None:
-        """Release what was counted for bodies that are forwarded or given up."""
-        if size_bytes is None or size_bytes > self.reserved_bytes:
-            size_bytes = self.reserved_bytes
-        self._release(size_bytes)
-        self.reserved_bytes -= size_bytes
-        self._owner.end_exemption(self)
-
     def release(self) -> None:
         """Drop all that is held."""
         self._staged.clear()
         self._rest = memoryview(b"")
         self.reserved_bytes = self._in_flight_bytes = 0
         self._release(self._held_bytes)
-        self._owner.end_exemption(self)
 
     def check_unread(self, channel: Channel) -> None:
         """Raise `ClientTooSlow` if a break of the response is due to the client."""
@@ -321,25 +293,17 @@
             if not change.done():
                 change.set_result(None)
 
-    async def _wait_room(self, body_bytes: int = 0) -> None:
-        """Wait until more may be read of a body, or of a stream if that is 0."""
-        while (limit := self._find_limit(body_bytes)) is not None:
-            self._owner.note_limit(limit, limit not in self._limits)
-            self._limits.add(limit)
+    async def _wait_room(self) -> None:
+        """Wait until more may be read of a response that is forwarded."""
+        buffers = self._owner.buffers
+        while limit := buffers.find_limit(self.team, self._held_bytes, True):
+            self._note_limit(limit)
             if limit == "response":
                 await self.wait_change()
             else:
-                await self._owner.wait_room(self, body_bytes)
+                await self._owner.wait_room(self)
             self._check_open()
 
-    def _find_limit(self, body_bytes: int) -> Limit | None:
-        buffers, is_forwarded = self._owner.buffers, not body_bytes
-        size_bytes = body_bytes or self._held_bytes
-        limit = buffers.find_limit(self.team, size_bytes, is_forwarded)
-        if limit is None or is_forwarded:
-            return limit
-        return None if self._owner.exempt_body(self, body_bytes) else limit
-
     def _watch_progress(self) -> Callable[[], bool]:
         """Return a function that tells whether more was written since its last call."""
         held_bytes = self._held_bytes
--- a/src/tamarackrill/testing/edge_processes.py
+++ b/src/tamarackrill/testing/edge_processes.py
@@ -141,6 +141,13 @@
         """Whether the process exists, even if it is suspended by SIGSTOP."""
         return self._process is not None and self._process.poll() is None
 
+    def read_peak_memory_bytes(self) -> int:
+        """Return the most memory that the process has used since its start."""
+        assert self._process is not None
+        status = Path(f"/proc/{self._process.pid}/status").read_text(encoding="ascii")
+        peak = next(line for line in status.splitlines() if line.startswith("VmHWM:"))
+        return 1024 * int(peak.split()[1])
+
     async def signal_listening(
         self, *numbers: signal.Signals, over_s: float = 0
     ) -> bool:
