Record how long a request took as soon as its answer is complete

Cause: `call_unfit_at_stop` said known=0 where four had been served: a duration was recorded after the attempts beside the answer had ended and the client had all of it. With buffered responses a client that leaves at once cancels the request before that.

--- a/src/tamarackrill/router/edge_flow.py
+++ b/src/tamarackrill/router/edge_flow.py
@@ -311,6 +311,8 @@
         if result is None:
             return SeriesEnd(self._clock(), "deadline")
         if result.outcome == "answered":
+            # At once, as a client may leave when it has all of the response.
+            self.stopping.observe_end(progress)
             return SeriesEnd(self._clock(), placed=placed, answer=result)
         if attempt.is_overtaken:
             return SeriesEnd(self._clock(), "overtaken", is_overtaken=True)
@@ -479,7 +481,6 @@
         self, progress: RequestProgress, placed: EdgePlacement, result: AttemptResult
     ) -> None:
         call = progress.call
-        self.stopping.observe_end(progress)
         if progress.first_event_s is not None and self.reserver.keepers is not None:
             self.reserver.keepers.record_end(call)
         self._metrics.count("calls_answered", call.route.kind)
--- a/src/tamarackrill/router/planned_stop.py
+++ b/src/tamarackrill/router/planned_stop.py
@@ -1,7 +1,7 @@
 """Ends the requests of a router that stops, each with what is known of it."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 from tornado.iostream import StreamClosedError
 
@@ -61,6 +61,10 @@
             work_s = self._clock() - progress.sent_s
             self._durations.observe(_find_kind(progress.call), work_s)
 
+    def list_known_s(self, route: str, service: str) -> Sequence[float]:
+        """Return how long the last requests of a route and service took."""
+        return self._durations.list_known_s((route, service))
+
     def may_send(self, progress: RequestProgress) -> bool:
         """Return whether a request may be sent to an endpoint now."""
         plan = self.plan
@@ -76,7 +80,7 @@
     def _fits(self, plan: StopPlan, progress: RequestProgress) -> bool:
         call, now_s = progress.call, self._clock()
         kind = _find_kind(call)
-        known_s = self._durations.list_known_s(kind)
+        known_s = self.list_known_s(*kind)
         decision = decide_at_stop(
             plan,
             now_s,
--- a/tests/test_stop_in_time.py
+++ b/tests/test_stop_in_time.py
@@ -7,7 +7,8 @@
 from soak.links import EndpointLinks
 
 from tamarackrill.decisions.stopping import decide_at_stop, plan_stop
-from tamarackrill.testing.edge import EdgeFleet, make_route, read_reason
+from tamarackrill.router.attempt_tasks import AttemptTasks
+from tamarackrill.testing.edge import EdgeFleet, ask, make_route, read_reason
 from tamarackrill.testing.stopping_routers import SILENT_S, StoppingRouters
 
 # A balancer sends new connections for up to two checks after the signal.
@@ -112,6 +113,26 @@
     assert decide_at_stop(PLAN, 0.0, deadline_s, False, True, [], []).must_serve
 
 
+def test_durations_are_known_though_clients_leave_at_once(monkeypatch):
+    # Guards against requests that are refused at a stop as if nothing was known of
+    # them, as each client leaves before a silent attempt beside its answer has ended.
+    async def wait(tasks):
+        await asyncio.Event().wait()
+
+    async def run():
+        async with EdgeFleet() as fleet:
+            await fleet.put_manifest(1, make_route("/lookup/", "idempotent"))
+            await fleet.add_worker("w")
+            router = await fleet.add_router(has_slow_peers=True)
+            monkeypatch.setattr(AttemptTasks, "cancel", wait)
+            answer = await ask(router, "/lookup/a")
+            await fleet.wait(lambda: not router.server.in_flight)
+            known_s = router.flow.stopping.list_known_s("r-lookup", "desk")
+            return answer.status, len(known_s)
+
+    assert asyncio.run(run()) == (200, 1)
+
+
 async def hold(request, writer):
     await asyncio.Event().wait()
 
