Soak: routers are stopped with work that outlasts their grace period

Each planned stop of `soak.run` now has three requests of 3.7 s sent before it and three after, at a grace of 4 s; none may end without an answer while the router ends by itself, nor be refused and have run. Streams over versions have other workers and go without.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,8 +11,11 @@
 EVENTS = 5
 STREAM_BODY = b"".join(make_event(number) for number in range(1, EVENTS + 1))
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+# Requests that run at most once.
+ONCE_TARGETS = ("/confirm/", "/long/")
 ANSWER_MAX_S = 6.0
 PAUSE_S = 0.05
+LONG_TIMEOUT_MS = 9000
 CONNECTION_ERRORS = (OSError, asyncio.IncompleteReadError, ValueError)
 
 
@@ -83,6 +86,30 @@
             client.close()
 
 
+async def send_long(
+    address: str, request_id: str, exchanges: list[Exchange]
+) -> str | None:
+    """Send a request that takes long; return its id if it got no answer."""
+    sent_s = asyncio.get_running_loop().time()
+    try:
+        client = await EdgeClient.connect(address)
+    except OSError:
+        return None
+    response = None
+    try:
+        # The router may be suspended meanwhile.
+        async with asyncio.timeout(2 * ANSWER_MAX_S):
+            body = request_id.encode()
+            client.send("/long/a", request_id, body, X_Deadline_Ms=str(LONG_TIMEOUT_MS))
+            response = await client.read()
+    except (TimeoutError, *CONNECTION_ERRORS):
+        response = None
+    finally:
+        client.close()
+    exchanges.append(Exchange(request_id, "/long/a", response, sent_s))
+    return request_id if response is None else None
+
+
 def _is_kept(response: EdgeAnswer | None) -> bool:
     if response is None or not response.is_whole:
         return False
@@ -103,7 +130,7 @@
         request.request_id
         for worker in workers
         for request in worker.ran
-        if request.target.startswith("/confirm/")
+        if request.target.startswith(ONCE_TARGETS)
     )
     sent = {item.request_id for item in exchanges}
     violations = [
@@ -128,7 +155,7 @@
     owner = response.headers.get("x-request-attempt-id")
     if owner != item.request_id:
         violations.append(f"{item.request_id} got the response to {owner}")
-    is_confirmation = item.target.startswith("/confirm/")
+    is_confirmation = item.target.startswith(ONCE_TARGETS)
     if is_confirmation and response.status in NOT_RUN_STATUSES and ran[item.request_id]:
         violations.append(
             f"{item.request_id} ran, but its response said that it had not"
--- a/soak/run.py
+++ b/soak/run.py
@@ -16,7 +16,14 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from soak.callers import EVENTS, Caller, Exchange, find_violations
+from soak.callers import (
+    EVENTS,
+    LONG_TIMEOUT_MS,
+    Caller,
+    Exchange,
+    find_violations,
+    send_long,
+)
 from soak.faults import Proxy
 from soak.peers import PeerNetwork
 from tamarackrill.testing.edge import EdgeFleet, make_route
@@ -25,6 +32,7 @@
 from tamarackrill.testing.worker import (
     Behave,
     Worker,
+    WorkerRequest,
     answer_ok,
     in_turn,
     make_streaming,
@@ -39,10 +47,15 @@
 RECOVERY_S = 4.0
 FAULT_PAUSE_S = 0.7
 PAUSE_MAX_S = 1.5
+# Requests that take long and are sent to a router before it is told to stop, and as
+# many after that; they outlast the grace period of four seconds.
+LONG_CALLS = 3
+LONG_WORK_S = 3.7
 ROUTES = (
     make_route("/lookup/", "idempotent"),
     make_route("/confirm/", "non_idempotent", attempts=1),
     make_route("/resumed/", "streaming", stream_resume=True, service="writer"),
+    make_route("/long/", "non_idempotent", attempts=1, timeout_ms=LONG_TIMEOUT_MS),
 )
 
 
@@ -106,14 +119,25 @@
     writer.transport.abort()
 
 
+async def _answer_desk(request: WorkerRequest, writer: asyncio.StreamWriter) -> None:
+    if request.target.startswith("/long/"):
+        await asyncio.sleep(LONG_WORK_S)
+    await answer_ok(request, writer)
+
+
 class Soak:
     """Soak test of one seed."""
 
+    # Whether routers are stopped with requests that take long.
+    has_long_calls = True
+
     def __init__(self, seed: int, folder: Path, topology: Topology = ONE_ZONE) -> None:
         self._rng = random.Random(seed)
         self._topology = topology
         self._network = PeerNetwork(random.Random(seed))
         self._unexpected_exits: list[str] = []
+        self._unanswered: list[str] = []
+        self._stops = 0
         self._folder = folder
         self._routers: list[EdgeProcess] = []
         self._proxies: list[Proxy] = []
@@ -142,7 +166,7 @@
 
     async def _start_workers(self, fleet: EdgeFleet) -> None:
         for number in range(WORKERS):
-            await self._add_worker(fleet, f"desk-{number}", "desk", answer_ok)
+            await self._add_worker(fleet, f"desk-{number}", "desk", _answer_desk)
             await self._add_worker(
                 fleet, f"writer-{number}", "writer", make_streaming(EVENTS)
             )
@@ -240,6 +264,7 @@
         watch_task.cancel()
         violations = [
             *self._unexpected_exits,
+            *self._unanswered,
             *outdated,
             *self._find_violations(fleet),
         ]
@@ -399,12 +424,35 @@
         else:
             if kind == "kill":
                 router.signal(signal.SIGKILL)
-            elif not await router.signal_listening(signal.SIGTERM):
+                await router.wait_ended()
+            elif not await self._stop_router(router):
                 return
-            await router.wait_ended()
             if not router.is_running:
                 router.start()
 
+    async def _stop_router(self, router: EdgeProcess) -> bool:
+        """Stop a router that is at work; return whether it was told to stop."""
+        self._stops += 1
+        calls = self._send_long(router, f"long-{self._stops}-before")
+        is_told = await router.signal_listening(signal.SIGTERM)
+        calls += self._send_long(router, f"long-{self._stops}-after")
+        code = await router.wait_ended() if is_told else None
+        unanswered = [name for name in await asyncio.gather(*calls) if name]
+        # Another fault may have killed it meanwhile.
+        if code == 0:
+            self._unanswered += [f"{name} got no answer" for name in unanswered]
+        return is_told
+
+    def _send_long(
+        self, router: EdgeProcess, name: str
+    ) -> list[asyncio.Task[str | None]]:
+        address = router.addresses.callers
+        count = LONG_CALLS if self.has_long_calls else 0
+        return [
+            asyncio.create_task(send_long(address, f"{name}-{n}", self.exchanges))
+            for n in range(count)
+        ]
+
     async def _fault_worker_path(self, fleet: EdgeFleet) -> None:
         await self._fault_proxy(self._rng.choice(self._proxies), "worker")
 
@@ -454,7 +502,7 @@
         is_desk = worker.name.startswith("desk")
         if is_desk:
             behave = self._rng.choice([_lose_answer, refuse_full])
-            normal: Behave = answer_ok
+            normal: Behave = _answer_desk
         else:
             last = self._rng.randrange(EVENTS)
             normal = make_streaming(EVENTS)
--- a/soak/versions.py
+++ b/soak/versions.py
@@ -323,6 +323,8 @@
 class VersionSoak(Soak):
     """Soak test of one seed."""
 
+    has_long_calls = False
+
     def __init__(self, seed: int, folder: Path) -> None:
         super().__init__(seed, folder, TWO_ZONES)
         self.streams: list[Stream] = []
