--- a/tests/test_stop_in_time.py
+++ b/tests/test_stop_in_time.py
@@ -192,3 +192,41 @@
 
     answer, runs = asyncio.run(run())
     assert (answer.status, runs) == (502, 1)
+
+
+def test_request_that_waits_for_a_slot_is_refused_once_it_could_not_end():
+    # Guards against requests that keep waiting in a router that stops, and are sent
+    # when a slot is free at last, though they may not run twice and can't end.
+    async def run():
+        async with EdgeFleet() as fleet:
+            route = make_route("/confirm/", "non_idempotent", timeout_ms=9000)
+            await fleet.put_manifest(1, route)
+            worker = await fleet.add_worker("w", hold)
+            router = await fleet.add_router()
+            await fleet.add_router("other")
+            await fleet.wait(lambda: len(router.members.list_live()) == 2)
+            running = await fleet.connect(router)
+            running.send("/confirm/a", "running", X_Deadline_Ms="9000")
+            await fleet.wait(lambda: worker.requests)
+            placing = asyncio.Event()
+
+            async def wait(attempt):
+                placing.set()
+                await asyncio.Event().wait()
+
+            router.flow.reserver.place = wait
+            waiting = await fleet.connect(router)
+            waiting.send("/confirm/a", "waiting", X_Deadline_Ms="9000")
+            await placing.wait()
+            draining = asyncio.create_task(router.drain())
+            refused = await waiting.read()
+            is_early = router.clock() < router.flow.stopping.plan.answers_end_s
+            await draining
+            ended = await running.read()
+            runs = [request.request_id for request in worker.requests]
+            return refused, ended, is_early, runs
+
+    refused, ended, is_early, runs = asyncio.run(run())
+    assert (refused.status, read_reason(refused)) == (503, "stopping")
+    assert (ended.status, read_reason(ended)) == (502, "stopping")
+    assert is_early and runs == ["running"]
