--- a/tests/test_stop_in_time.py
+++ b/tests/test_stop_in_time.py
@@ -7,7 +7,8 @@
 from soak.links import EndpointLinks
 
 from tamarackrill.decisions.stopping import decide_at_stop, plan_stop
-from tamarackrill.testing.edge import EdgeFleet, make_route, read_reason
+from tamarackrill.router.attempt_tasks import AttemptTasks
+from tamarackrill.testing.edge import EdgeFleet, ask, make_route, read_reason
 from tamarackrill.testing.stopping_routers import SILENT_S, StoppingRouters
 
 # A balancer sends new connections for up to two checks after the signal.
@@ -112,6 +113,26 @@
     assert decide_at_stop(PLAN, 0.0, deadline_s, False, True, [], []).must_serve
 
 
+def test_durations_are_known_though_clients_leave_at_once(monkeypatch):
+    # Guards against requests that are refused at a stop as if nothing was known of
+    # them, as each client leaves before a silent attempt beside its answer has ended.
+    async def wait(tasks):
+        await asyncio.Event().wait()
+
+    async def run():
+        async with EdgeFleet() as fleet:
+            await fleet.put_manifest(1, make_route("/lookup/", "idempotent"))
+            await fleet.add_worker("w")
+            router = await fleet.add_router(has_slow_peers=True)
+            monkeypatch.setattr(AttemptTasks, "cancel", wait)
+            answer = await ask(router, "/lookup/a")
+            await fleet.wait(lambda: not router.server.in_flight)
+            known_s = router.flow.stopping.list_known_s("r-lookup", "desk")
+            return answer.status, len(known_s)
+
+    assert asyncio.run(run()) == (200, 1)
+
+
 async def hold(request, writer):
     await asyncio.Event().wait()
 
@@ -171,3 +192,41 @@
 
     answer, runs = asyncio.run(run())
     assert (answer.status, runs) == (502, 1)
+
+
+def test_request_that_waits_for_a_slot_is_refused_once_it_could_not_end():
+    # Guards against requests that keep waiting in a router that stops, and are sent
+    # when a slot is free at last, though they may not run twice and can't end.
+    async def run():
+        async with EdgeFleet() as fleet:
+            route = make_route("/confirm/", "non_idempotent", timeout_ms=9000)
+            await fleet.put_manifest(1, route)
+            worker = await fleet.add_worker("w", hold)
+            router = await fleet.add_router()
+            await fleet.add_router("other")
+            await fleet.wait(lambda: len(router.members.list_live()) == 2)
+            running = await fleet.connect(router)
+            running.send("/confirm/a", "running", X_Deadline_Ms="9000")
+            await fleet.wait(lambda: worker.requests)
+            placing = asyncio.Event()
+
+            async def wait(attempt):
+                placing.set()
+                await asyncio.Event().wait()
+
+            router.flow.reserver.place = wait
+            waiting = await fleet.connect(router)
+            waiting.send("/confirm/a", "waiting", X_Deadline_Ms="9000")
+            await placing.wait()
+            draining = asyncio.create_task(router.drain())
+            refused = await waiting.read()
+            is_early = router.clock() < router.flow.stopping.plan.answers_end_s
+            await draining
+            ended = await running.read()
+            runs = [request.request_id for request in worker.requests]
+            return refused, ended, is_early, runs
+
+    refused, ended, is_early, runs = asyncio.run(run())
+    assert (refused.status, read_reason(refused)) == (503, "stopping")
+    assert (ended.status, read_reason(ended)) == (502, "stopping")
+    assert is_early and runs == ["running"]
