Bound requests at the port for other routers

What callers saw: anybody who reached the port for other routers could fill the memory of a router, signed or not.

Cause: tornado's server collected up to 100 MB of a body for each request, also for pages that take none, and the proof of a relayed attempt is checked when all of its body is there. RELAYED_MAX bounds the number of attempts that are forwarded, not those that arrive.

These connections now share the memory and the turns of clients' requests. A relayed attempt beyond the manifest's limit, or that finds no room, is refused with the outcome not_sent; pages take 64 KB; a body ends after 5 s.

--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -68,6 +68,7 @@
 from tamarackrill.router.cut_off import CutOffMonitor
 from tamarackrill.router.datagrams import PeerSocket
 from tamarackrill.router.deployment_view import DeploymentView, ObjectReaders
+from tamarackrill.router.draining_server import DrainingServer
 from tamarackrill.router.early_listener import open_listener
 from tamarackrill.router.edge_flow import EdgeFlow
 from tamarackrill.router.edge_gauges import add_gauges
@@ -134,6 +135,10 @@
 # Time that a request whose endpoints have moved waits for their entries: as long as a
 # slow store takes.
 ENTRIES_WAIT_S = 0.3
+# Body of a request to a page of the router, and time in which the body of an attempt of
+# another router arrives: 1 MB over 5 Mbit/s takes 1.7 s.
+BODY_MAX_BYTES = 64 * 1024
+BODY_MAX_S = 5.0
 # Time left until SIGKILL when requests still in flight are cut off.
 STOP_MARGIN_S = 0.3
 
@@ -240,6 +245,9 @@
         self.relays = RelayClient(self.view, self.placer, self.members, self.clock)
         self.flow.attempts.use_relays(self.relays, peer_keys[0])
         self.flow.reserver.relays = self.relays
+        self.server = EdgeServer(
+            self.view, self.flow, self.metrics, self.clock, settings.memory_bytes
+        )
         self.relay_server = RelayServer(
             self.view,
             self.placer,
@@ -247,11 +255,9 @@
             peer_keys,
             self.metrics,
             self.clock,
+            self.server.request_bytes,
         )
         self.relay_server.wait_current = self.standstill.wait_current
-        self.server = EdgeServer(
-            self.view, self.flow, self.metrics, self.clock, settings.memory_bytes
-        )
         self.server.wait_current = self.standstill.wait_current
         self.server.make_reply = choose_replies(settings, self.metrics, self.clock)
 
@@ -345,7 +351,11 @@
 
     def _listen(self, pages: Router, address: str, place: str) -> None:
         host, _, port = address.rpartition(":")
-        server = HTTPServer(pages)
+        # Only attempts of other routers have a body, up to the limit of the manifest.
+        server = DrainingServer(
+            pages, max_body_size=BODY_MAX_BYTES, body_timeout=BODY_MAX_S
+        )
+        server.limits = self.server.server.limits
         with report_bind_error(place, address):
             server.listen(int(port), host)
         self._servers.append(server)
--- a/src/tamarackrill/router/relay_server.py
+++ b/src/tamarackrill/router/relay_server.py
@@ -17,6 +17,7 @@
 from tornado.routing import Matcher
 
 from tamarackrill.contracts import Endpoint
+from tamarackrill.decisions.capacity.request_bytes import RequestBytes
 from tamarackrill.events import ATTEMPT_RELAYED, log_event
 from tamarackrill.platform.headers import (
     filter_response_headers,
@@ -26,6 +27,7 @@
 )
 from tamarackrill.router.background import log_task_failure
 from tamarackrill.router.channels import Channel, ChannelError, ResponseHead
+from tamarackrill.router.client_streams import ClientStream
 from tamarackrill.router.deployment_view import DeploymentView
 from tamarackrill.router.edge_attempts import EdgeAttempts
 from tamarackrill.router.edge_placing import EdgePlacer
@@ -42,6 +44,7 @@
     read_attempt,
     remove_relay_headers,
 )
+from tamarackrill.router.request_bodies import RequestBody
 from tamarackrill.router.standstill import wait_never
 from tamarackrill.router.unexpected_errors import (
     convert_stray_cancellation,
@@ -53,6 +56,7 @@
 RELAYED_MAX = 256
 FORBIDDEN_STATUS = 403
 UNAVAILABLE_STATUS = 503
+UNLIMITED_BYTES = 1 << 40
 
 
 class RelayedRequestMatcher(Matcher):
@@ -83,6 +87,8 @@
         Records counters.
     clock : callable
         Returns the current time.
+    request_bytes : RequestBytes
+        Bytes of requests that are held, also those of clients.
 
     Attributes
     ----------
@@ -102,7 +108,9 @@
         peer_keys: tuple[str, ...],
         metrics: Metrics,
         clock: Callable[[], float],
+        request_bytes: RequestBytes,
     ) -> None:
+        self.request_bytes = request_bytes
         self.peer_keys = peer_keys
         self.clock = clock
         self.is_leaving = False
@@ -119,12 +127,19 @@
         """Return the delegate that reads the next attempt of a connection."""
         connection = request_conn
         assert isinstance(connection, HTTP1Connection)
+        # The limit of the manifest applies instead of that of the other pages.
+        connection.set_max_body_size(UNLIMITED_BYTES)
         guard = RequestGuard(_refuse_unread, self.metrics)
         return guard.start(lambda: _RelayedRequest(self, connection), connection)
 
     def on_close(self, server_conn: object) -> None:
         """Do nothing, as connections have no state here."""
 
+    def find_body_max_bytes(self) -> int | None:
+        """Return the limit of the manifest, None if there is none."""
+        table = self._view.routes
+        return None if table is None else table.manifest.limits.body_max_bytes
+
     async def find_reached(self, names: list[str], is_fresh: bool) -> list[str]:
         """Return which endpoints this router reaches.
 
@@ -273,7 +288,7 @@
     def __init__(self, server: RelayServer, connection: HTTP1Connection) -> None:
         self._server = server
         self._connection = connection
-        self._chunks: list[bytes] = []
+        self._body = RequestBody(server.request_bytes, lambda: None)
         self._task: asyncio.Task[None] | None = None
         self._reply: EdgeReply | None = None
 
@@ -288,10 +303,23 @@
         return None
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
-        """Store a chunk of the body."""
-        self._chunks.append(chunk)
+        """Store a chunk of the body, or refuse the attempt if it is too long."""
+        server, body = self._server, self._body
+        has_room = body.take(chunk, server.find_body_max_bytes(), server.clock())
+        if not has_room or body.is_discarded:
+            self._refuse_early()
         return None
 
+    def _refuse_early(self) -> None:
+        self._body.release()
+        self._server.metrics.count("attempts_relayed", NOT_SENT)
+        stream = self._connection.stream
+        assert isinstance(stream, ClientStream)
+        stream.lingers = True
+        answer = _refuse_unread(self._headers)
+        answer.headers["Connection"] = "close"
+        send_answer(self._connection, answer, self._start_line.method)
+
     def finish(self) -> None:
         """Serve the attempt, which is now complete."""
         self._connection.set_close_callback(self.on_connection_close)
@@ -301,6 +329,7 @@
 
     def _end(self, task: asyncio.Task[None]) -> None:
         self._server.in_flight.discard(task)
+        self._body.release()
         if not log_task_failure(task):
             return
         if self._reply is not None:
@@ -311,7 +340,9 @@
 
     def on_connection_close(self) -> None:
         """Cancel the attempt of a router that has disconnected."""
-        if self._task is not None:
+        if self._task is None:
+            self._body.release()
+        else:
             self._task.cancel()
 
     async def _serve(self) -> None:
@@ -319,7 +350,7 @@
         self._reply = EdgeReply(self._connection, must_close=server.is_leaving)
         reply = self._reply
         pairs = list(self._headers.get_all())
-        body = b"".join(self._chunks)
+        body = self._body.join()
         try:
             attempt = read_attempt(
                 line.method, line.path, pairs, body, server.peer_keys
--- a/tests/test_endless_senders.py
+++ b/tests/test_endless_senders.py
@@ -166,6 +166,28 @@
     ), statuses
 
 
+@pytest.mark.parametrize("path", ["/lookup/x", "/internal/v1/news"])
+def test_requests_of_routers_leave_room_and_time_for_others(path, tmp_path):
+    # Guards against bodies without end at the port for other routers, which was open to
+    # 100 MB from anybody for each connection.
+    first = b"".join(
+        (
+            f"POST {path} HTTP/1.1\r\nHost: peer\r\n".encode(),
+            b"" if "internal" in path else b"Tamarackrill-Relay-Proof: 0\r\n",
+            make_length(99_999_999),
+        )
+    )
+
+    async def send(addresses):
+        sending = (send_on(addresses.peers, first, PIECE, 1500) for _ in range(60))
+        return Counter(await asyncio.gather(*sending))
+
+    statuses, others, peak_mb = run_beside(tmp_path, send)
+    assert peak_mb < MEMORY_MB
+    assert others == {200: REQUESTS}
+    assert set(statuses) <= {"503", "400", "none"}, statuses
+
+
 def test_small_requests_are_served_however_much_others_hold():
     # Guards against a bound on memory by which a few senders of long bodies keep all
     # other clients out.
