Bound the lists of the store, and the size of its answers by the memory

What callers saw: a store whose lists have no end, or pages of millions of entries, filled the memory of a router and took up its time.

Cause: only each answer was bounded, by 16 MB, which decoded take up to 24 times that; pages were collected as long as the store told of more; each entry that can't be used was logged. An answer in pieces of one byte was read to its timeout, one call of Python for each.

An answer is now bounded by 1/64 of the VM's memory, all lists that are being read by 1/32, the entries of an answer by 100,000; 100 faulty entries of an answer are logged. tamarackrilld and the tools keep 16 MB for an answer, and 64 MB for lists.

test_store_that_sends_without_end_ends_the_call fails before: the list of pages had not ended after 3 s, that of entries not after 60 s, and the case of pieces ended pytest with an internal error.

--- a/src/tamarackrill/router/edge_app.py
+++ b/src/tamarackrill/router/edge_app.py
@@ -14,6 +14,7 @@
 from tornado.web import Application
 
 from tamarackrill.decisions.capacity.sharing_scope import SharingScope
+from tamarackrill.decisions.capacity.store_answers import make_answer_limits
 from tamarackrill.decisions.configuration import (
     ChangeSet,
     ConfigurationStore,
@@ -374,6 +375,7 @@
                 watch_wait_s=WATCH_MAX_SHARE * news_max_s,
             ),
         )
+        self._platform.limits = make_answer_limits(self.settings.memory_bytes)
         self.configuration_sync = ConfigurationSync(
             self.store,
             self._platform,
--- a/src/tamarackrill/router/platform_client.py
+++ b/src/tamarackrill/router/platform_client.py
@@ -19,6 +19,7 @@
 )
 
 from tamarackrill.contracts import Vm, read_vm
+from tamarackrill.decisions.capacity.store_answers import AnswerLimits
 from tamarackrill.exceptions import PlatformUnavailable
 from tamarackrill.lenient_json import decode_in_steps
 from tamarackrill.router.store_fetch import CallProgress, fetch, make_curl_setup
@@ -45,6 +46,7 @@
 # Of an answer in memory; decoded, it takes up to ten times that.  A page of a list has
 # a megabyte at most, but the product's own store lists a kind at once.
 ANSWER_MAX_BYTES = 16 * 1024 * 1024
+DEFAULT_LIMITS = AnswerLimits(ANSWER_MAX_BYTES, 4 * ANSWER_MAX_BYTES)
 CONFLICTS = (409, 412)
 NOT_FOUND = 404
 GONE = 410
@@ -140,6 +142,8 @@
     ----------
     on_call : callable
         Called with each `StoreCall` that has ended.
+    limits : AnswerLimits
+        Bounds of the store's answers.
     """
 
     def __init__(
@@ -156,6 +160,9 @@
         self._headers = {"Zone": zone}
         self._client = client
         self.on_call: Callable[[StoreCall], None] = lambda call: None
+        self.limits = DEFAULT_LIMITS
+        # Pages of the lists that are being read.
+        self._listed_bytes = 0
 
     @property
     def watch_wait_s(self) -> float:
@@ -215,17 +222,27 @@
         page = _parse(self._form.read_page, kind, answer.body)
         revision, era = page.revision, answer.era
         items = list(page.items)
-        size_bytes = answer.size_bytes
-        while page.after:
-            answer = await self._call("GET", find_path(page.after))
-            if answer.era != era:
-                raise WatchLost(f"the store was restored while {kind} was listed")
-            before, page = page.after, _parse(self._form.read_page, kind, answer.body)
-            if page.after == before:
-                raise PlatformUnavailable(f"platform: the list of {kind} has no end")
-            items += page.items
-            size_bytes += answer.size_bytes
-        return Listing(tuple(items), revision, size_bytes, era)
+        size_bytes = 0
+        try:
+            while True:
+                size_bytes += answer.size_bytes
+                self._listed_bytes += answer.size_bytes
+                if not page.after:
+                    return Listing(tuple(items), revision, size_bytes, era)
+                if self._listed_bytes > self.limits.lists_max_bytes:
+                    raise PlatformUnavailable(f"platform: the list of {kind} is long")
+                answer = await self._call("GET", find_path(page.after))
+                if answer.era != era:
+                    raise WatchLost(f"the store was restored while {kind} was listed")
+                before = page.after
+                page = _parse(self._form.read_page, kind, answer.body)
+                if page.after == before:
+                    raise PlatformUnavailable(
+                        f"platform: the list of {kind} has no end"
+                    )
+                items += page.items
+        finally:
+            self._listed_bytes -= size_bytes
 
     async def watch(
         self,
@@ -413,6 +430,7 @@
         max_bytes: int | None,
     ) -> _Answer:
         first_byte_s = timeout_s or self._timing.call_s
+        answer_max_bytes = self.limits.answer_max_bytes
         is_write = method != "GET"
         request = HTTPRequest(
             self._base + path,
@@ -423,7 +441,7 @@
             connect_timeout=self._timing.call_s,
             allow_nonstandard_methods=True,
             prepare_curl_callback=make_curl_setup(
-                progress, min(max_bytes or ANSWER_MAX_BYTES, ANSWER_MAX_BYTES), is_write
+                progress, min(max_bytes or answer_max_bytes, answer_max_bytes), is_write
             ),
             header_callback=progress.handle_header_line,
         )
--- a/src/tamarackrill/router/store_fetch.py
+++ b/src/tamarackrill/router/store_fetch.py
@@ -10,6 +10,7 @@
 import pycurl
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 
+from tamarackrill.decisions.capacity.store_answers import is_too_fine
 from tamarackrill.router import lateness
 from tamarackrill.router.background import discard_error
 from tamarackrill.router.sockets import enable_keepalive
@@ -111,8 +112,13 @@
         # Handles are reused and keep the previous call's limit.
         curl.setopt(pycurl.MAXFILESIZE_LARGE, max_bytes)
         body = curl.info["buffer"]
+        pieces = 0
 
         def write(chunk: bytes) -> int:
+            nonlocal pieces
+            pieces += 1
+            if is_too_fine(pieces, body.tell()):
+                return 0
             # Of a compressed answer, what has been decompressed counts.
             if body.tell() + len(chunk) > max_bytes:
                 progress.is_too_long = True
--- a/src/tamarackrill/store_api.py
+++ b/src/tamarackrill/store_api.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple, TypeVar
 
+from tamarackrill.decisions.capacity.store_answers import ENTRIES_MAX, FAULTS_LOGGED
 from tamarackrill.events import OBJECT_FAULTY, log_event
 from tamarackrill.lenient_json import is_sound
 
@@ -118,12 +119,25 @@
 def read_each(
     kind: str, parse: Callable[[Any], _T], entries: Iterable[Any]
 ) -> tuple[_T, ...]:
-    """Parse the entries of an answer; malformed ones are logged and skipped."""
+    """Parse the entries of an answer; malformed ones are logged and skipped.
+
+    Raises
+    ------
+    ValueError
+        If there are too many.
+    """
     items = []
+    faults = 0
+    entries = list(entries)
+    if len(entries) > ENTRIES_MAX:
+        raise ValueError(f"an answer has more than {ENTRIES_MAX} entries")
     for position, fields in enumerate(entries):
         try:
             items.append(parse(fields))
         except (KeyError, TypeError, ValueError, AttributeError) as error:
+            faults += 1
+            if faults > FAULTS_LOGGED:
+                continue
             message = f"entry {position} of the answer: {error!r}"
             log_event(OBJECT_FAULTY, kind=kind, object="", version=0, message=message)
     return tuple(items)
--- a/tests/test_endless_senders.py
+++ b/tests/test_endless_senders.py
@@ -2,17 +2,24 @@
 
 import asyncio
 import itertools
+import json
 from collections import Counter
 from pathlib import Path
 
 import pytest
+from tornado.curl_httpclient import CurlAsyncHTTPClient
 
 from tamarackrill.decisions.capacity.request_bytes import SMALL_BYTES, RequestBytes
+from tamarackrill.decisions.capacity.store_answers import make_answer_limits
 from tamarackrill.decisions.request_reading import (
     EXCESS_MAX_S,
     BodyProgress,
     is_overdue,
 )
+from tamarackrill.exceptions import PlatformUnavailable
+from tamarackrill.platform.store import STORE_FORM
+from tamarackrill.router.platform_client import PlatformClient
+from tamarackrill.router.upstream import close_client
 from tamarackrill.testing.edge import HOST, KEY, EdgeFleet, ask, make_route
 from tamarackrill.testing.edge_processes import EdgeProcess
 from tamarackrill.testing.worker import Worker, answer_ok
@@ -26,6 +33,7 @@
     make_route("/slow/", "idempotent", service="slow"),
 )
 PIECE = b"x" * 65536
+ANSWER_HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 
 
@@ -188,6 +196,62 @@
     assert set(statuses) <= {"503", "400", "none"}, statuses
 
 
+async def send_pages(writer):
+    for number in itertools.count():
+        items = [
+            {"metadata": {"name": f"{number}-{i}", "revision": 1}, "spec": "x" * 1000}
+            for i in range(500)
+        ]
+        page = {"items": items, "has_more": True, "store_revision": 5}
+        yield make_answer(json.dumps(page).encode())
+
+
+async def send_entries(writer):
+    yield make_answer(b'{"items":[' + b"{}," * 1_500_000 + b'{}],"store_revision":5}')
+
+
+async def send_pieces(writer):
+    yield ANSWER_HEAD + CHUNKED
+    while True:
+        yield b"1\r\nx\r\n" * 10000
+
+
+def make_answer(body):
+    return ANSWER_HEAD + make_length(len(body)) + body
+
+
+@pytest.mark.parametrize("make", [send_pages, send_entries, send_pieces])
+def test_store_that_sends_without_end_ends_the_call(make):
+    # Guards against a store whose answers never end, or hold millions of entries, and
+    # which takes up the memory and the time of a router.
+    async def serve(reader, writer):
+        try:
+            async for answer in make(writer):
+                if answer.startswith(ANSWER_HEAD):
+                    await reader.readuntil(b"\r\n\r\n")
+                writer.write(answer)
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            writer.close()
+
+    async def run():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        curl = CurlAsyncHTTPClient(force_instance=True)
+        client = PlatformClient(f"127.0.0.1:{port}", "z", curl, STORE_FORM)
+        client.limits = make_answer_limits(MEMORY_MB * MB)
+        calls = []
+        client.on_call = calls.append
+        with pytest.raises(PlatformUnavailable):
+            async with asyncio.timeout(DEADLINE_S):
+                await client.list("servers")
+        close_client(curl)
+        server.close()
+        return sum(call.size_bytes for call in calls)
+
+    assert asyncio.run(run()) < MEMORY_MB * MB / 20
+
+
 def test_small_requests_are_served_however_much_others_hold():
     # Guards against a bound on memory by which a few senders of long bodies keep all
     # other clients out.
