Bound what a router reads of another router's answer

What callers saw (would see): another router, or what answers at its address, that sends without end fills the memory of the router that asks it.

Cause: pulls collected the whole answer before its signature was checked, with no bound but the timeout of 3 s.

--- a/src/tamarackrill/router/peer_api.py
+++ b/src/tamarackrill/router/peer_api.py
@@ -15,10 +15,12 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPClientError, HTTPRequest
 from tornado.web import HTTPError, RequestHandler
 
+from tamarackrill.decisions.capacity.store_answers import is_too_fine
 from tamarackrill.decisions.configuration import (
     ChangeSet,
     ConfigurationStore,
@@ -42,6 +44,8 @@
 MANIFEST_PATH = "/internal/v1/manifest"
 PLACEMENTS_PATH = "/internal/v1/placements"
 PULL_TIMEOUT_S = 3.0
+# A manifest of a thousand routes takes some hundred kilobytes.
+PULL_MAX_BYTES = 8 * 1024 * 1024
 # Lateness of this process that a call survives.
 LATENESS_MAX_S = 2.0
 # Compresses a manifest of 281 kB to a tenth within a few ms.
@@ -302,6 +306,7 @@
         headers=headers,
         request_timeout=client_timeout_s,
         connect_timeout=client_timeout_s,
+        prepare_curl_callback=_limit_answer,
     )
     fetching = asyncio.ensure_future(client.fetch(request))
     # After the timeout here the client ends the call at its own; its error would be
@@ -318,6 +323,22 @@
     return response.body
 
 
+def _limit_answer(curl: Any) -> None:
+    """End a call whose answer is too long, before its signature can be checked."""
+    body = curl.info["buffer"]
+    pieces = 0
+
+    def write(chunk: bytes) -> int:
+        nonlocal pieces
+        pieces += 1
+        is_long = body.tell() + len(chunk) > PULL_MAX_BYTES
+        if is_long or is_too_fine(pieces, body.tell()):
+            return 0
+        return int(body.write(chunk))
+
+    curl.setopt(pycurl.WRITEFUNCTION, write)
+
+
 def _parse_changes(text: bytes) -> ChangeSet:
     # A peer of another release may send a signed answer in another format, and objects
     # that it has not checked.
--- a/tests/test_endless_senders.py
+++ b/tests/test_endless_senders.py
@@ -18,10 +18,12 @@
 )
 from tamarackrill.exceptions import PlatformUnavailable
 from tamarackrill.platform.store import STORE_FORM
+from tamarackrill.router.peer_api import PeerUnavailable, pull
 from tamarackrill.router.platform_client import PlatformClient
-from tamarackrill.router.upstream import close_client
+from tamarackrill.router.upstream import close_client, make_client
 from tamarackrill.testing.edge import HOST, KEY, EdgeFleet, ask, make_route
 from tamarackrill.testing.edge_processes import EdgeProcess
+from tamarackrill.testing.tcp_server import TcpServer
 from tamarackrill.testing.worker import Worker, answer_ok
 
 MEMORY_MB = 300
@@ -86,7 +88,7 @@
     finally:
         writing.cancel()
         await asyncio.gather(writing, return_exceptions=True)
-        writer.close()
+        writer.transport.abort()
 
 
 async def ask_in_time(address, number):
@@ -196,7 +198,7 @@
     assert set(statuses) <= {"503", "400", "none"}, statuses
 
 
-async def send_pages(writer):
+async def send_pages():
     for number in itertools.count():
         items = [
             {"metadata": {"name": f"{number}-{i}", "revision": 1}, "spec": "x" * 1000}
@@ -206,11 +208,11 @@
         yield make_answer(json.dumps(page).encode())
 
 
-async def send_entries(writer):
+async def send_entries():
     yield make_answer(b'{"items":[' + b"{}," * 1_500_000 + b'{}],"store_revision":5}')
 
 
-async def send_pieces(writer):
+async def send_pieces():
     yield ANSWER_HEAD + CHUNKED
     while True:
         yield b"1\r\nx\r\n" * 10000
@@ -226,32 +228,58 @@
     # which takes up the memory and the time of a router.
     async def serve(reader, writer):
         try:
-            async for answer in make(writer):
+            async for answer in make():
                 if answer.startswith(ANSWER_HEAD):
                     await reader.readuntil(b"\r\n\r\n")
                 writer.write(answer)
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
-            writer.close()
+            return
 
     async def run():
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        port = server.sockets[0].getsockname()[1]
-        curl = CurlAsyncHTTPClient(force_instance=True)
-        client = PlatformClient(f"127.0.0.1:{port}", "z", curl, STORE_FORM)
-        client.limits = make_answer_limits(MEMORY_MB * MB)
-        calls = []
-        client.on_call = calls.append
-        with pytest.raises(PlatformUnavailable):
-            async with asyncio.timeout(DEADLINE_S):
-                await client.list("servers")
-        close_client(curl)
-        server.close()
-        return sum(call.size_bytes for call in calls)
+        async with TcpServer(serve) as server:
+            curl = CurlAsyncHTTPClient(force_instance=True)
+            client = PlatformClient(server.address, "z", curl, STORE_FORM)
+            client.limits = make_answer_limits(MEMORY_MB * MB)
+            calls = []
+            client.on_call = calls.append
+            with pytest.raises(PlatformUnavailable):
+                async with asyncio.timeout(DEADLINE_S):
+                    await client.list("servers")
+            close_client(curl)
+            return sum(call.size_bytes for call in calls)
 
     assert asyncio.run(run()) < MEMORY_MB * MB / 20
 
 
+def test_router_that_sends_without_end_ends_the_pull():
+    # Guards against an answer of another router that fills the memory before its
+    # signature can be checked.
+    sent_bytes = 0
+
+    async def serve(reader, writer):
+        nonlocal sent_bytes
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(ANSWER_HEAD + CHUNKED)
+        try:
+            while True:
+                writer.write(b"10000\r\n" + PIECE + b"\r\n")
+                await writer.drain()
+                sent_bytes += len(PIECE)
+        except ConnectionError:
+            return
+
+    async def run():
+        async with TcpServer(serve) as server:
+            client = make_client()
+            with pytest.raises(PeerUnavailable):
+                await pull(client, server.address, "/internal/v1/news", ("key",))
+            close_client(client)
+
+    asyncio.run(run())
+    assert sent_bytes < MEMORY_MB * MB / 8
+
+
 def test_small_requests_are_served_however_much_others_hold():
     # Guards against a bound on memory by which a few senders of long bodies keep all
     # other clients out.
