Native router: bound the reading of one answer in each turn of the loop

Callers saw: beside one endpoint whose answers don't end, calls of other services were refused as unable to meet their deadline, or answered after it (24 calls in 3 s beside one endpoint, deadline 3 s: chunks of one byte 2 in time, one-byte lines of a stream 0, empty lines 1, comments 1, whole events 3; in chunk extensions, length and chunked bodies of 4 KB all in time, but after up to 2.8 s). Calls that were being read ended up to 2 s after their deadline, some got 502 from an exception ("pause/unpause failed").

Cause: libcurl passes on all that a socket holds in one go, up to some ten reads of 16 KB, and calls Python for each chunk (54,000 calls or 30 ms for one event of a socket with chunks of one byte, measured), the splitter makes 8,000 events of 16 KB of empty lines, and nothing gives way to the loop. An unpause that ends the exchange raises.

Each response now has a share of bytes and pieces (decisions/read_slices.py), which time refills; beyond it the response is paused, and paused ones are resumed in turn for at most 2 ms of each iteration. libcurl joins the small chunks that arrive in a paused response, so that pieces grow as soon as there are many. Progress without a piece (an extension of a chunk) counts too. An ordinary answer or stream never pauses.

--- a/src/tamarackrill/router/attempts.py
+++ b/src/tamarackrill/router/attempts.py
@@ -15,9 +15,9 @@
 from tamarackrill.router.replies import Reply
 from tamarackrill.router.unexpected_errors import convert_stray_cancellation
 from tamarackrill.router.upstream import (
-    CurlAsyncHTTPClient,
     Exchange,
     Head,
+    UpstreamClient,
     UpstreamError,
 )
 
@@ -85,6 +85,7 @@
         events = self._splitter.take(piece.replace(b"\r\n", b"\n"))
         if self._splitter.partial_bytes > PIECE_MAX_BYTES:
             raise UpstreamError("an event of the stream is too long", sent=True)
+        self.parts = len(events)
         if not events:
             return True
         self.is_complete = events[-1].startswith(DONE_EVENT)
@@ -138,7 +139,7 @@
 
 
 async def attempt_call(
-    client: CurlAsyncHTTPClient,
+    client: UpstreamClient,
     call: Call,
     endpoint: Endpoint,
     reply: Reply,
@@ -150,7 +151,7 @@
 
     Parameters
     ----------
-    client : CurlAsyncHTTPClient
+    client : UpstreamClient
         Not owned.
     call : Call
         The call.
@@ -241,7 +242,7 @@
 
 
 async def _cancel_at_engine(
-    client: CurlAsyncHTTPClient, call: Call, endpoint: Endpoint
+    client: UpstreamClient, call: Call, endpoint: Endpoint
 ) -> None:
     # An engine keeps a stream running for a while after its connection closed, so that
     # it can be resumed.  Without this request it would go on generating in vain.
--- a/src/tamarackrill/router/flow.py
+++ b/src/tamarackrill/router/flow.py
@@ -29,7 +29,7 @@
     record_unexpected,
     tolerate,
 )
-from tamarackrill.router.upstream import CurlAsyncHTTPClient
+from tamarackrill.router.upstream import UpstreamClient
 
 ATTEMPTS_MAX = 3
 # Endpoints that refuse a connection before a call is given up.  Several may have ended
@@ -58,7 +58,7 @@
 
     Parameters
     ----------
-    client : CurlAsyncHTTPClient
+    client : UpstreamClient
         For calls to endpoints; not owned.
     chats, claimer, limiter, admitter, placer, metrics
         The steps of a call; not owned.
@@ -70,7 +70,7 @@
 
     def __init__(
         self,
-        client: CurlAsyncHTTPClient,
+        client: UpstreamClient,
         chats: ChatCoordinator,
         claimer: Claimer,
         limiter: Limiter,
--- a/src/tamarackrill/router/forwarding.py
+++ b/src/tamarackrill/router/forwarding.py
@@ -10,7 +10,7 @@
 
 from tamarackrill.router.calls import CHAT_PATH, SERVICES_PATH, Call
 from tamarackrill.router.members import Member
-from tamarackrill.router.upstream import CurlAsyncHTTPClient, Exchange
+from tamarackrill.router.upstream import Exchange, UpstreamClient
 
 FORWARDED_HEADER = "Tamarackrill-Forwarded"
 SIGNATURE_HEADER = "Tamarackrill-Signature"
@@ -45,7 +45,7 @@
 
 
 def forward_call(
-    client: CurlAsyncHTTPClient,
+    client: UpstreamClient,
     call: Call,
     home: Member,
     authorization: str,
@@ -57,7 +57,7 @@
 
     Parameters
     ----------
-    client : CurlAsyncHTTPClient
+    client : UpstreamClient
         Not owned.
     call : Call
         The call.
--- a/src/tamarackrill/router/front.py
+++ b/src/tamarackrill/router/front.py
@@ -21,7 +21,7 @@
 from tamarackrill.router.metrics import Metrics
 from tamarackrill.router.sockets import reset_on_close
 from tamarackrill.router.upstream import (
-    CurlAsyncHTTPClient,
+    UpstreamClient,
 )
 
 # Marks a refusal by a router that is shutting down, or may no longer be the home of the
@@ -71,7 +71,7 @@
         Runs calls at this router.
     members : Members
         Live routers, including this one.
-    client : CurlAsyncHTTPClient
+    client : UpstreamClient
         For calls to other routers.
     metrics : Metrics
         Counters.
@@ -99,7 +99,7 @@
 
     call_runner: CallRunner
     members: Members
-    client: CurlAsyncHTTPClient
+    client: UpstreamClient
     metrics: Metrics
     open_calls: OpenCalls
     body_max_bytes: int
--- a/src/tamarackrill/router/orders.py
+++ b/src/tamarackrill/router/orders.py
@@ -40,8 +40,8 @@
 from tamarackrill.router.members import Members
 from tamarackrill.router.platform_client import PlatformClient
 from tamarackrill.router.upstream import (
-    CurlAsyncHTTPClient,
     Exchange,
+    UpstreamClient,
     UpstreamError,
 )
 from tamarackrill.store_api import PlatformObject
@@ -80,7 +80,7 @@
         Input of the planning.
     platform : PlatformClient
         Not owned.
-    client : CurlAsyncHTTPClient
+    client : UpstreamClient
         For requests to engines; not owned.
     clock : callable
         Returns the current time.
@@ -93,7 +93,7 @@
         identity: str,
         fleet: FleetView,
         platform: PlatformClient,
-        client: CurlAsyncHTTPClient,
+        client: UpstreamClient,
         clock: Callable[[], float],
         timing: LeaseTiming | None = None,
     ) -> None:
--- a/src/tamarackrill/router/outlets.py
+++ b/src/tamarackrill/router/outlets.py
@@ -15,10 +15,13 @@
     ----------
     on_writable : callable
         Set by the source; called when it may send again after `take` returned False.
+    parts : int
+        Number of parts that the last chunk was split into; each takes time to handle.
     """
 
     def __init__(self) -> None:
         self.on_writable: Callable[[], None] = lambda: None
+        self.parts = 1
 
     def take(self, piece: bytes) -> bool:
         """Accept a chunk in any case; return whether the source may send another."""
--- a/src/tamarackrill/router/probing.py
+++ b/src/tamarackrill/router/probing.py
@@ -9,8 +9,8 @@
 from tamarackrill.router.calls import CHAT_PATH
 from tamarackrill.router.placing import Placer
 from tamarackrill.router.upstream import (
-    CurlAsyncHTTPClient,
     Exchange,
+    UpstreamClient,
     UpstreamError,
 )
 
@@ -27,7 +27,7 @@
 
     Parameters
     ----------
-    client : CurlAsyncHTTPClient
+    client : UpstreamClient
         Not owned.
     placer : Placer
         Its health state selects the endpoint, and it receives the result.
@@ -41,7 +41,7 @@
 
     def __init__(
         self,
-        client: CurlAsyncHTTPClient,
+        client: UpstreamClient,
         placer: Placer,
         list_endpoints: Callable[[], list[Endpoint]],
         on_result: Callable[[Endpoint], None],
--- a/src/tamarackrill/router/upstream.py
+++ b/src/tamarackrill/router/upstream.py
@@ -6,8 +6,10 @@
 
 import asyncio
 import collections
+import contextlib
 import os
 import socket
+import time
 from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
 
@@ -15,6 +17,14 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPRequest, HTTPResponse
 
+from tamarackrill.decisions.read_slices import (
+    ReadShare,
+    may_resume_another,
+    refill,
+    take_piece,
+    take_unseen,
+    use_up,
+)
 from tamarackrill.decisions.status_lines import holds_status_line
 from tamarackrill.router.outlets import Outlet
 
@@ -53,12 +63,36 @@
     headers: dict[str, str]
 
 
+class ReadTurns:
+    """Resumes paused responses in turn, a few in each iteration of the event loop."""
+
+    def __init__(self) -> None:
+        self._waiting: collections.deque[Callable[[], None]] = collections.deque()
+
+    def add(self, resume: Callable[[], None]) -> None:
+        """Call `resume` in a later iteration of the event loop."""
+        self._waiting.append(resume)
+        if len(self._waiting) == 1:
+            asyncio.get_running_loop().call_soon(self._run)
+
+    def _run(self) -> None:
+        started_s = time.monotonic()
+        for _ in range(len(self._waiting)):
+            self._waiting[0]()
+            # Removed afterwards, so that `add` doesn't schedule another iteration.
+            self._waiting.popleft()
+            if not may_resume_another(started_s, time.monotonic()):
+                break
+        if self._waiting:
+            asyncio.get_running_loop().call_soon(self._run)
+
+
 class Exchange:
     """One request and its streamed response; it starts when it is created.
 
     Parameters
     ----------
-    client : CurlAsyncHTTPClient
+    client : UpstreamClient
         HTTP client; closed by the caller.
     method, url : str
         Method and URL of the request.
@@ -74,7 +108,7 @@
 
     def __init__(
         self,
-        client: CurlAsyncHTTPClient,
+        client: "UpstreamClient",
         method: str,
         url: str,
         headers: Mapping[str, str],
@@ -88,6 +122,8 @@
         self._outlet_error: Exception | None = None
         self._is_full = False
         self._paused = False
+        self._share = ReadShare(time.monotonic())
+        self._awaits_turn = False
         self._cancelled = False
         self._is_finished = False
         self._error: UpstreamError | None = None
@@ -101,6 +137,7 @@
         # Whether libcurl has reported that it sent nothing.
         self._is_unsent = False
         self._client = client
+        self._turns = client.turns
         self._repeatable = repeatable
         request = _ObservedRequest(
             url,
@@ -163,6 +200,9 @@
         self._changed.set()
         if self._is_finished or self._curl is None:
             return
+        if self._paused:
+            # libcurl doesn't watch the socket of a paused response.
+            self._await_turn()
         # libcurl calls the progress callback only when data arrives or once a second.
         # Shutting down the socket makes it react at once, so that an engine doesn't
         # keep generating for a client that has disconnected.
@@ -183,7 +223,7 @@
         # first bytes of the body could arrive before them.
         curl.setopt(pycurl.HEADERFUNCTION, self._take_header_line)
         curl.setopt(pycurl.WRITEFUNCTION, self._write)
-        curl.setopt(pycurl.XFERINFOFUNCTION, self._check_cancelled)
+        curl.setopt(pycurl.XFERINFOFUNCTION, self._check_progress)
         curl.setopt(pycurl.NOPROGRESS, 0)
         # Otherwise libcurl removes the dot segments of a path, so that the call runs
         # under another one than its contract was checked for.
@@ -200,12 +240,21 @@
             self._sent_bytes = int(self._curl.getinfo(pycurl.REQUEST_SIZE))
             self._is_unsent = self._sent_bytes == 0
 
-    def _check_cancelled(self, *progress: int) -> int:
-        return 1 if self._cancelled else 0
+    def _check_progress(self, *progress: int) -> int:
+        if self._cancelled:
+            return 1
+        if self._head.done() and not self._paused:
+            now_s = time.monotonic()
+            if not take_unseen(self._share, now_s):
+                self._pause_until_turn()
+                self._curl.pause(pycurl.PAUSE_RECV)
+        return 0
 
     def _write(self, chunk: bytes) -> int:
         if self._cancelled:
             return 0
+        if not take_piece(self._share, len(chunk), time.monotonic()):
+            return self._pause_until_turn()
         if self._outlet is not None and not self._is_full:
             self._forward(chunk)
             return 0 if self._cancelled else len(chunk)
@@ -222,6 +271,8 @@
         assert self._outlet is not None
         try:
             self._is_full = not self._outlet.take(chunk)
+            if self._outlet.parts > 1:
+                use_up(self._share, self._outlet.parts)
         except Exception as error:  # noqa: BLE001
             # pycurl would only print an exception raised in its callback and continue.
             # `pump` has to raise it, and nothing more may be read.
@@ -236,11 +287,38 @@
             self._forward(chunk)
         if self._is_finished or self._cancelled:
             self._changed.set()
-        elif self._paused and not self._is_full and self._curl is not None:
+        else:
+            self._unpause()
+
+    def _pause_until_turn(self) -> int:
+        self._paused = True
+        self._await_turn()
+        return int(pycurl.WRITEFUNC_PAUSE)
+
+    def _await_turn(self) -> None:
+        if not self._awaits_turn:
+            self._awaits_turn = True
+            self._turns.add(self._take_turn)
+
+    def _take_turn(self) -> None:
+        self._awaits_turn = False
+        refill(self._share, time.monotonic())
+        self._unpause()
+
+    def _unpause(self) -> None:
+        must_wait = self._awaits_turn or (self._is_full and not self._cancelled)
+        if self._paused and not must_wait and self._curl is not None:
             self._paused = False
-            self._curl.pause(pycurl.PAUSE_CONT)
+            # It fails if the exchange ends meanwhile; `_fetch` gets that error.
+            with contextlib.suppress(pycurl.error):
+                self._curl.pause(pycurl.PAUSE_CONT)
 
     def _take_header_line(self, raw: bytes) -> int:
+        if self._cancelled:
+            return 0
+        # Interim responses may be followed by others without end.
+        if not take_piece(self._share, len(raw), time.monotonic()):
+            return self._pause_until_turn()
         if holds_status_line(raw, 1):
             # libcurl ends the exchange if less is taken than it passes on.
             self._fault = "another response begins within the head"
@@ -292,8 +370,19 @@
     on_end: Callable[[], None] = staticmethod(lambda: None)
 
 
-class _ObservingClient(CurlAsyncHTTPClient):
-    """Calls a request's `on_end` before its libcurl handle is reused."""
+class UpstreamClient(CurlAsyncHTTPClient):
+    """Calls a request's `on_end` before its libcurl handle is reused.
+
+    Attributes
+    ----------
+    turns : ReadTurns
+        Turns of the responses that are paused.
+    """
+
+    def initialize(self, *args: Any, **kwargs: Any) -> None:
+        """Initialize the client; the arguments are those of its base class."""
+        super().initialize(*args, **kwargs)
+        self.turns = ReadTurns()
 
     def fetch_impl(
         self, request: HTTPRequest, callback: Callable[[HTTPResponse], None]
@@ -323,9 +412,9 @@
         return
 
 
-def make_client() -> CurlAsyncHTTPClient:
+def make_client() -> UpstreamClient:
     """Return a new client for exchanges; the caller closes it."""
-    return _ObservingClient(
+    return UpstreamClient(
         force_instance=True, max_clients=CLIENTS_MAX, max_body_size=1 << 40
     )
 
--- /dev/null
+++ b/tests/test_native_endless.py
@@ -0,0 +1,169 @@
+"""Endpoints that send without end, at a router of the product's own interface."""
+
+import socket
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
+
+import pytest
+
+from tamarackrill.contracts import Endpoint, hash_key
+from tamarackrill.decisions.read_slices import (
+    SHARE_BYTES,
+    ReadShare,
+    refill,
+    take_piece,
+    use_up,
+)
+from tamarackrill.testing.processes import WAIT_TIMEOUT_S, FleetProcesses, call
+
+CONTRACT = {
+    "team": "t",
+    "key_hashes": [hash_key("k")],
+    "models": ["m"],
+    "services": ["odd", "s"],
+}
+KEY = b"Authorization: Bearer k\r\n"
+TIMEOUT_S = 3.0
+# A router's VM has 200 to 300 MB.
+MEMORY_MAX_KB = 200 * 1024
+CHAT = b'{"model":"m","stream":true,"messages":[{"content":"x"}]}'
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+EVENTS = CHUNKED + b"Content-Type: text/event-stream\r\n\r\n"
+
+
+def make_chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+KINDS = {
+    "bytes": ("service", CHUNKED + b"\r\n", make_chunk(b"x") * 8192),
+    "chunk extension": ("service", CHUNKED + b"\r\n1;", b"x" * 65536),
+    "length": (
+        "service",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9999999999\r\n\r\n",
+        b"x" * 65536,
+    ),
+    "lines": ("engine", EVENTS, make_chunk(b"\n" * 4096)),
+    "events": ("engine", EVENTS, make_chunk(b"data: x\n\n") * 4096),
+}
+
+
+class EndlessEndpoint:
+    """Sends the same bytes again and again in response to any request.
+
+    `load_reports_ended` counts the requests for load reports whose connections were
+    closed.
+    """
+
+    def __init__(self, head, piece):
+        self.load_reports_ended = threading.Semaphore(0)
+        self._head, self._piece = head, piece
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+        host, port = self._listener.getsockname()
+        self.address = f"{host}:{port}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self):
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+    def _accept(self):
+        with suppress(OSError):
+            while True:
+                connection, _ = self._listener.accept()
+                send = threading.Thread(target=self._send, args=[connection])
+                send.daemon = True
+                send.start()
+
+    def _send(self, connection):
+        with connection:
+            request = b""
+            with suppress(OSError):
+                request = connection.recv(65536)
+                connection.sendall(self._head)
+                while True:
+                    connection.sendall(self._piece)
+            if request.startswith(b"GET /v1/load "):
+                self.load_reports_ended.release()
+
+
+def ask(address, kind):
+    """Send a request, read all of its answer; return its status, 0 if it came late."""
+    host, port = address.split(":")
+    path = {"engine": "/v1/chat/completions", "service": "/services/odd/x"}
+    body = CHAT if kind == "engine" else b""
+    head = (
+        f"POST {path.get(kind, '/services/s/x')} HTTP/1.1\r\nHost: x\r\n"
+        f"Request-Timeout-Ms: {TIMEOUT_S * 1000:.0f}\r\nConnection: close\r\n"
+        f"Content-Length: {len(body)}\r\n"
+    )
+    end_s = time.monotonic() + TIMEOUT_S + 1.0
+    status = b"0"
+    with socket.create_connection((host, int(port))) as connection:
+        connection.sendall(head.encode() + KEY + b"\r\n" + body)
+        while time.monotonic() < end_s:
+            connection.settimeout(max(0.01, end_s - time.monotonic()))
+            try:
+                data = connection.recv(1 << 18)
+            except OSError:
+                data = b""
+            if not data:
+                return int(status) if time.monotonic() < end_s else 0
+            status = data[9:12] if status == b"0" else status
+    return 0
+
+
+@pytest.fixture
+def fleet():
+    with FleetProcesses() as fleet:
+        fleet.put_contract(CONTRACT)
+        fleet.add_service("sound", "s", "--slots=64")
+        yield fleet
+
+
+def add_endless(fleet, name, head, piece, kind):
+    endless = EndlessEndpoint(head, piece)
+    serves = ("m",) if kind == "engine" else ("odd",)
+    value = Endpoint(name, kind, serves, endless.address, "zone-a", slots=64)
+    path = f"/v1/objects/endpoint/{name}"
+    call(fleet.platform.address, path, value._asdict(), "PUT")
+    return endless
+
+
+def read_peak_kb(process):
+    with open(f"/proc/{process.pid}/status") as status:
+        return next(int(line.split()[1]) for line in status if "VmHWM" in line)
+
+
+@pytest.mark.parametrize("sort", KINDS)
+def test_answers_without_end_harm_no_other_service(sort, fleet):
+    # Guards against a faulty endpoint whose answers take up a router's memory and its
+    # event loop, so that calls of other services are refused or answered late.
+    kind, head, piece = KINDS[sort]
+    endless = add_endless(fleet, "odd", head, piece, kind)
+    router = fleet.add_router("a")
+    fleet.wait_ready()
+    with ThreadPoolExecutor(48) as pool:
+        own = [pool.submit(ask, router.address, kind) for _ in range(24)]
+        others = [pool.submit(ask, router.address, "sound") for _ in range(24)]
+        assert [other.result() for other in others] == [200] * 24
+        # Each of them ends at its deadline.
+        assert 0 not in [one.result() for one in own]
+    endless.close()
+    assert read_peak_kb(router) < MEMORY_MAX_KB
+
+
+def test_share_of_a_response_is_used_up_by_pieces_and_refilled_by_time():
+    # Guards against a response that never gives way, and against an ordinary stream
+    # of events that is paused.
+    share = ReadShare(0.0)
+    assert sum(take_piece(share, 1, 0.0) for _ in range(1000)) < 200
+    assert not take_piece(share, 1, 0.0)
+    refill(share, 0.0)
+    assert take_piece(share, SHARE_BYTES, 0.0)
+    assert not take_piece(share, 1, 0.0)
+    assert all(take_piece(share, 100, 1.0 + n / 1000) for n in range(5000))
+    use_up(share, 1000)
+    assert not take_piece(share, 1, 6.0)
