Native router: bound the load reports of engines

Seen: a router's memory grew from 56 to 432, 485 and 518 MB within 3 s beside one engine that answers everything without end (three trials), though its streams were given up after 1 MB; the VM of a router has 200 to 300 MB.

Cause: the load report of an engine (GET /v1/load, each 2 s) was read whole with a limit of 2^40 bytes until its timeout of 1 s. Found by elimination: attempts alone left 53 MB.

A report is now given up beyond 64 KB; ordinary ones have some hundred bytes. 58 MB afterwards in the same trials. The test fails on (565 MB) and passes here.

--- a/src/tamarackrill/router/load_reports.py
+++ b/src/tamarackrill/router/load_reports.py
@@ -8,27 +8,43 @@
 import json
 from collections.abc import Callable
 
-from tornado.curl_httpclient import CurlAsyncHTTPClient
-from tornado.httpclient import HTTPClientError, HTTPRequest
-
 from tamarackrill.contracts import Endpoint
+from tamarackrill.router.outlets import Outlet
 from tamarackrill.router.owners import Owners
 from tamarackrill.router.placing import Placer
+from tamarackrill.router.upstream import Exchange, UpstreamClient, UpstreamError
 
 # At full size a router owns two engines; at about 350 bytes per report this costs
 # 0.35 KB/s.
 POLL_INTERVAL_S = 2.0
 LOAD_PATH = "/v1/load"
 LOAD_TIMEOUT_S = 1.0
+# A report has some hundred bytes; an engine that sends more is faulty.
+REPORT_MAX_BYTES = 64 * 1024
 OK = 200
 
 
+class _ReportOutlet(Outlet):
+    """Keeps a report, up to its maximum size."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.text = bytearray()
+
+    def take(self, piece: bytes) -> bool:
+        """Append a piece; raise an error if there are too many bytes."""
+        if len(self.text) + len(piece) > REPORT_MAX_BYTES:
+            raise UpstreamError("the load report is too long", sent=True)
+        self.text += piece
+        return True
+
+
 class LoadReader:
     """Polls the load reports of the owned engines.
 
     Parameters
     ----------
-    client : CurlAsyncHTTPClient
+    client : UpstreamClient
         HTTP client; closed by the caller.
     owners : Owners
         Lists the owned engines, and uses the reports for reservations.
@@ -40,7 +56,7 @@
 
     def __init__(
         self,
-        client: CurlAsyncHTTPClient,
+        client: UpstreamClient,
         owners: Owners,
         placer: Placer,
         clock: Callable[[], float],
@@ -74,17 +90,19 @@
         self._placer.placement.observe_report(endpoint.name, load, asked_s, now_s)
 
     async def _fetch_load(self, endpoint: Endpoint) -> int | None:
-        request = HTTPRequest(
-            f"http://{endpoint.address}{LOAD_PATH}",
-            connect_timeout=LOAD_TIMEOUT_S,
-            request_timeout=LOAD_TIMEOUT_S,
-            follow_redirects=False,
-        )
+        url = f"http://{endpoint.address}{LOAD_PATH}"
+        report = _ReportOutlet()
+        exchange = Exchange(self._client, "GET", url, {}, b"", LOAD_TIMEOUT_S, True)
         try:
-            response = await self._client.fetch(request, raise_error=False)
-        except (HTTPClientError, OSError):
+            head = await exchange.head()
+            if head.status != OK:
+                return None
+            await exchange.pump(report)
+        except UpstreamError:
             return None
-        return _read_load(response.body) if response.code == OK else None
+        finally:
+            await exchange.close()
+        return _read_load(bytes(report.text))
 
 
 def _read_load(text: bytes) -> int | None:
--- a/tests/test_native_endless.py
+++ b/tests/test_native_endless.py
@@ -155,6 +155,20 @@
     assert read_peak_kb(router) < MEMORY_MAX_KB
 
 
+def test_load_report_without_end_takes_no_memory(fleet):
+    # Guards against an engine whose load reports, which are read as a whole, take up
+    # all memory of a router.
+    endless = add_endless(
+        fleet, "odd", KINDS["length"][1], KINDS["length"][2], "engine"
+    )
+    router = fleet.add_router("a")
+    fleet.wait_ready()
+    for _ in range(2):
+        assert endless.load_reports_ended.acquire(timeout=WAIT_TIMEOUT_S)
+    endless.close()
+    assert read_peak_kb(router) < MEMORY_MAX_KB
+
+
 def test_share_of_a_response_is_used_up_by_pieces_and_refilled_by_time():
     # Guards against a response that never gives way, and against an ordinary stream
     # of events that is paused.
