Release what a failed attempt has buffered at once

An attempt that ends with an error of its outlet kept up to 1 MB until the next full garbage collection, which is rare: the error's traceback referred to the exchange, which kept the error.

The exchange gives up its outlet and the error when it raises it. No test of its own: it would assert on what the garbage collector does.

--- a/src/tamarackrill/router/attempts.py
+++ b/src/tamarackrill/router/attempts.py
@@ -84,6 +84,7 @@
         """Pass on the events that are complete; keep the rest for the next piece."""
         events = self._splitter.take(piece.replace(b"\r\n", b"\n"))
         if self._splitter.partial_bytes > PIECE_MAX_BYTES:
+            self._splitter.clear()
             raise UpstreamError("an event of the stream is too long", sent=True)
         self.parts = len(events)
         if not events:
--- a/src/tamarackrill/router/upstream.py
+++ b/src/tamarackrill/router/upstream.py
@@ -188,8 +188,15 @@
         while not self._is_finished or self._chunks:
             self._changed.clear()
             await self._changed.wait()
-        if self._outlet_error is not None:
-            raise self._outlet_error
+        # The traceback of the error refers to the outlet.  If this exchange kept
+        # either, what the outlet has buffered would stay until a garbage collection.
+        self._outlet = None
+        error, self._outlet_error = self._outlet_error, None
+        if error is not None:
+            try:
+                raise error
+            finally:
+                del error
         if self._error is not None:
             raise self._error
 
