Native router: answer the calls that outlast a planned stop

Callers saw: at a planned stop, calls that were in flight at the drain limit ended with a closed connection, so that nobody could know whether they had run. drain_max_s 4, work of 7 s, 48 calls sent in the 1.5 s before SIGTERM: 25 closed without a byte, 5 streams among them, and 3 streams cut; drain_max_s 2 and silent endpoints: 48 of 48 closed. Calls that waited for a slot and couldn't end in time waited until the end, though another router would have taken them. (All calls sent after SIGTERM were refused at once as not run, as before.) Each run that was cut off logged an unexpected error of libcurl.

Cause: after the limit the application closed all connections and then the clients of the runs; nothing told the callers what was known.

On SIGTERM, calls that wait and aren't expected to end in time are refused at once, truthfully, and are never sent. Shortly before the limit (a twelfth of it, 0.5 s at most) the others get 503 "not_run" if nothing of them was sent, else 502 "router_lost" with "unknown", also those whose stream has begun (an event) and those that wait for another router or for the rest of their body; their endpoints are told by the closed connection. A router that had forwarded such a call is told by a header that it may have run, and goes on as it did when the connection was lost.

--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -22,6 +22,7 @@
 from tamarackrill.decisions.leases import LeaseTiming
 from tamarackrill.decisions.members import MemberRecord, MemberState
 from tamarackrill.decisions.prompts import Prompt
+from tamarackrill.decisions.stopping import STOP_MARGIN_S, plan_stop
 from tamarackrill.events import (
     ROUTER_LEAVING,
     ROUTER_STARTED,
@@ -314,13 +315,19 @@
     async def drain(self, stop_requested_s: float | None = None) -> None:
         """Refuse new calls; return when none is in flight, or after the drain limit.
 
+        Shortly before the limit, the callers of those in flight are told what is known.
+
         Parameters
         ----------
         stop_requested_s : float, optional
             When the router was told to stop, which the limit counts from; defaults
             to now.
         """
-        waited_s = 0.0 if stop_requested_s is None else self.clock() - stop_requested_s
+        if stop_requested_s is None:
+            stop_requested_s = self.clock()
+        # The process ends after the drain limit.
+        grace_s = self.settings.drain_max_s + STOP_MARGIN_S
+        plan = plan_stop(stop_requested_s, grace_s, 0.0)
         self._leaving = True
         self._server.leave()
         self.members.own = self.members.own._replace(state="leaving")
@@ -328,12 +335,25 @@
         log_event(
             ROUTER_LEAVING, router=self.settings.name, in_flight=self.open_calls.count
         )
+        self.call_runner.begin_stop(plan, self._has_other_routers)
+        if not await self._wait_for_calls(plan.answers_end_s):
+            self.call_runner.end_all()
+            self.open_calls.stop_all()
+            await self._wait_for_calls(plan.end_s)
+
+    async def _wait_for_calls(self, end_s: float) -> bool:
+        """Wait until no call is open; return False if that is not so in time."""
         try:
-            async with asyncio.timeout(self.settings.drain_max_s - waited_s):
+            async with asyncio.timeout(end_s - self.clock()):
                 await self.call_runner.drain()
                 await self.open_calls.wait_until_zero()
         except TimeoutError:
-            return
+            return False
+        return True
+
+    def _has_other_routers(self) -> bool:
+        own = self.settings.name
+        return any(member.name != own for member in self.members.list_live())
 
     async def stop(self) -> None:
         """Close everything that `start` opened."""
--- a/src/tamarackrill/router/callers.py
+++ b/src/tamarackrill/router/callers.py
@@ -14,6 +14,7 @@
 from tamarackrill.exceptions import Refusal
 from tamarackrill.router.calls import Call, authenticate, read_call
 from tamarackrill.router.claiming import ClaimHeldElsewhere
+from tamarackrill.router.flow import make_stop_refusal
 from tamarackrill.router.forwarding import (
     MAY_HAVE_RUN_HEADER,
     forward_call,
@@ -21,7 +22,6 @@
 )
 from tamarackrill.router.front import (
     INTERNAL_ERROR,
-    LEAVING_CODE,
     LEAVING_HEADER,
     FrontContext,
     FrontHandler,
@@ -124,6 +124,7 @@
         self._contract: Contract | None = None
         self._counted = False
         self._is_disconnected = False
+        self._is_stopped = False
         # Whether a run or another router may have got the call.
         self._is_handed_on = False
         # How long the call waited in its socket while this process stood still.
@@ -156,7 +157,7 @@
         """Check the API key and the Content-Length before the body arrives."""
         front = self.front
         front.metrics.count("requests", self.request.method or "")
-        front.open_calls.increment()
+        front.open_calls.add(self, self._stop)
         self._counted = True
         if not front.catch_up.is_current():
             started_s = front.clock()
@@ -170,7 +171,7 @@
                 front.find_contract_by_key_hash, authorization
             )
             if front.is_leaving():
-                raise Refusal(LEAVING_CODE, 503, "this router is shutting down")
+                raise make_stop_refusal(False)
         except Refusal as refusal:
             self.send_refusal(refusal)
 
@@ -216,7 +217,7 @@
         """Remove the call from the count of open calls."""
         if self._counted:
             self._counted = False
-            self.front.open_calls.decrement()
+            self.front.open_calls.remove(self)
 
     async def _answer(self) -> None:
         front = self.front
@@ -279,6 +280,8 @@
             except UpstreamError as error:
                 if self._is_disconnected:
                     return True
+                if self._is_stopped:
+                    raise make_stop_refusal(True) from None
                 self._may_have_run = self._may_have_run or error.sent
                 # The state of the chat is lost with its home router, and the next
                 # router in order takes over.  A non-idempotent call still runs at
@@ -309,6 +312,8 @@
             head = await exchange.head()
             if LEAVING_HEADER in head.headers:
                 raise UpstreamError("the home router refuses the call", sent=False)
+            if MAY_HAVE_RUN_HEADER in head.headers:
+                raise UpstreamError("the home router has stopped", sent=True)
             self.start_answer(head)
             outlet = _CallerOutlet(self, call.stream)
             await exchange.pump(outlet)
@@ -344,6 +349,8 @@
         try:
             await self._forward_to(call, live[held.router])
         except UpstreamError:
+            if self._is_stopped:
+                raise make_stop_refusal(True) from None
             raise held from None
 
     def start_answer(self, head: Head) -> None:
@@ -353,6 +360,15 @@
             if name not in DROPPED_RESPONSE_HEADERS:
                 self.set_header(name, value)
 
+    def _stop(self) -> None:
+        """Tell the caller that this router stops, unless a run does so."""
+        self._is_stopped = True
+        if self._exchange is not None:
+            self._exchange.cancel()
+        elif not self._is_handed_on and self._contract is not None:
+            self._contract = None
+            self.send_refusal(make_stop_refusal(False))
+
     def _detach_reply(self) -> None:
         reply, self._reply = self._reply, None
         if reply is not None:
--- a/src/tamarackrill/router/flow.py
+++ b/src/tamarackrill/router/flow.py
@@ -11,6 +11,7 @@
 from tamarackrill.contracts import Endpoint
 from tamarackrill.decisions.error_blame import ErrorBlame
 from tamarackrill.decisions.retry import Failure, RetryBudget, RetryDecision
+from tamarackrill.decisions.stopping import StopPlan, WorkDurations, decide_at_stop
 from tamarackrill.decisions.unexpected_errors import SERVICE_UNAVAILABLE
 from tamarackrill.events import REQUEST_REFUSED, REQUEST_ROUTED, log_event
 from tamarackrill.exceptions import Refusal, RunState
@@ -39,6 +40,10 @@
 # of an engine, in which a slot may become free.
 FULL_RETRY_DELAY_S = 0.05
 INTERNAL_ERROR = 500
+# A call that a router refuses because it stops.
+LEAVING_CODE = "leaving"
+# A call that may have run at a router that stopped meanwhile.
+STOPPED_CODE = "router_lost"
 
 
 def _make_internal(may_have_run: bool, message: str) -> Refusal:
@@ -47,12 +52,25 @@
     return Refusal("internal", SERVICE_UNAVAILABLE, message, "not_run")
 
 
+def make_stop_refusal(may_have_run: bool) -> Refusal:
+    """Return the refusal of a call that a router which stops won't complete."""
+    if may_have_run:
+        message = "the router stopped before the answer was complete"
+        return Refusal(STOPPED_CODE, 502, message, "unknown")
+    return Refusal(LEAVING_CODE, 503, "this router is shutting down")
+
+
 def _check_not_abandoned(reply: Reply, may_have_run: bool) -> None:
     if reply.abandoned.is_set():
         run: RunState = "unknown" if may_have_run else "not_run"
         raise Refusal("cancelled", 499, "the caller went away", run)
 
 
+def _find_work_kind(call: Call) -> tuple[str, str]:
+    """Return what calls have in common that take about the same time."""
+    return (f"{call.kind}:{call.pool}", "" if call.idempotent else call.method)
+
+
 class CallRunner:
     """Runs each call in a task of its own and starts its retries.
 
@@ -90,7 +108,10 @@
         self._metrics = metrics
         self._clock = clock
         self._budgets: dict[str, RetryBudget] = {}
-        self._runs: set[asyncio.Task[None]] = set()
+        self._runs: dict[asyncio.Task[None], tuple[Call, Reply]] = {}
+        self._durations = WorkDurations()
+        self._stop: StopPlan | None = None
+        self._has_others: Callable[[], bool] = lambda: False
         self._blame = ErrorBlame()
 
     @property
@@ -119,10 +140,51 @@
         reply = Reply(keep=self._chats.can_recognize_resend(call))
         self._chats.register(call, reply, self._clock())
         task = asyncio.create_task(self._run(call, reply))
-        self._runs.add(task)
-        task.add_done_callback(self._runs.discard)
+        self._runs[task] = (call, reply)
+        task.add_done_callback(self._runs.pop)
         return reply
 
+    def begin_stop(self, plan: StopPlan, has_others: Callable[[], bool]) -> None:
+        """Refuse the calls that wait and aren't expected to end before the stop.
+
+        Parameters
+        ----------
+        plan : StopPlan
+            Times of the stop.
+        has_others : callable
+            Returns whether there is another router that callers can turn to.
+        """
+        self._stop = plan
+        self._has_others = has_others
+        for call, reply in list(self._runs.values()):
+            if not reply.may_have_run and not self._fits_before_stop(call):
+                self._end_at_stop(call, reply)
+
+    def end_all(self) -> None:
+        """Tell the callers of all calls that have not ended what is known of them."""
+        for call, reply in list(self._runs.values()):
+            if not reply.is_finished:
+                self._end_at_stop(call, reply)
+
+    def _end_at_stop(self, call: Call, reply: Reply) -> None:
+        self._refuse(call, reply, make_stop_refusal(reply.may_have_run))
+        # What has not been sent to an endpoint never is, as its caller relies on that.
+        reply.abandon()
+
+    def _fits_before_stop(self, call: Call) -> bool:
+        if self._stop is None:
+            return True
+        decision = decide_at_stop(
+            self._stop,
+            self._clock(),
+            call.deadline_s,
+            call.idempotent,
+            self._has_others(),
+            self._durations.list_known_s(_find_work_kind(call)),
+            (),
+        )
+        return decision.must_serve
+
     async def drain(self) -> None:
         """Wait until every call has ended."""
         while self._runs:
@@ -133,7 +195,8 @@
             with convert_stray_cancellation():
                 await self._run_limited(call, reply)
         except Refusal as refusal:
-            self._refuse(call, reply, refusal)
+            if not reply.is_finished:
+                self._refuse(call, reply, refusal)
         except Exception as error:  # noqa: BLE001
             # An internal error must still end the reply.  Otherwise the caller and the
             # later requests of its chat would wait for ever.
@@ -264,9 +327,12 @@
             await self._wait_current()
             self._check_backoff(call, may_have_run)
             await self._wait_for_admission(call, may_have_run)
+            is_fitting = self._fits_before_stop(call)
             attempt = Attempt("not_sent")
             placed: PlacementResult | None = None
             try:
+                if not is_fitting:
+                    raise make_stop_refusal(may_have_run)
                 wait_s = self._clock() - arrived_s
                 placed = await self._place(call, avoid, wait_s, may_have_run)
                 _check_not_abandoned(reply, may_have_run)
@@ -350,6 +416,7 @@
             return Attempt("not_sent", reason=repr(error))
         attempt = Attempt("cut")
         could_have_run, reply.may_have_run = reply.may_have_run, True
+        sent_s = self._clock()
         try:
             attempt = await attempt_call(
                 self._client,
@@ -364,6 +431,9 @@
                 reply.may_have_run = could_have_run
             if attempt.error is not None:
                 record_unexpected(self._metrics, "attempt", attempt.error, *names)
+            if attempt.outcome == "answered":
+                duration_s = self._clock() - sent_s
+                self._durations.observe(_find_work_kind(call), duration_s)
             if attempt.first_byte_s is not None:
                 self._metrics.record_first_byte(call.kind, attempt.first_byte_s)
         finally:
--- a/src/tamarackrill/router/front.py
+++ b/src/tamarackrill/router/front.py
@@ -14,7 +14,7 @@
 from tamarackrill.exceptions import Refusal
 from tamarackrill.router.catching_up import CatchUp
 from tamarackrill.router.explaining import ExplainQuery
-from tamarackrill.router.flow import CallRunner
+from tamarackrill.router.flow import LEAVING_CODE, STOPPED_CODE, CallRunner
 from tamarackrill.router.forwarding import MAY_HAVE_RUN_HEADER
 from tamarackrill.router.guarded_requests import OwnAnswer
 from tamarackrill.router.members import Members
@@ -27,36 +27,40 @@
 # Marks a refusal by a router that is shutting down, or may no longer be the home of the
 # chat; the next home router is tried.
 LEAVING_HEADER = "Tamarackrill-Leaving"
-LEAVING_CODE = "leaving"
 NOT_FOUND = 404
 INTERNAL_ERROR = 500
 UNAVAILABLE = 503
 
 
 class OpenCalls:
-    """Counts the calls of clients whose answers have not ended."""
+    """Calls of clients whose answers have not ended."""
 
     def __init__(self) -> None:
-        self._count = 0
+        self._stops: dict[object, Callable[[], None]] = {}
         self._none = asyncio.Event()
         self._none.set()
 
     @property
     def count(self) -> int:
         """Number of calls that are open now."""
-        return self._count
+        return len(self._stops)
 
-    def increment(self) -> None:
-        """Add one call."""
-        self._count += 1
+    def add(self, call: object, stop: Callable[[], None]) -> None:
+        """Add one call, and what tells its client that this router stops."""
+        self._stops[call] = stop
         self._none.clear()
 
-    def decrement(self) -> None:
+    def remove(self, call: object) -> None:
         """Remove one call."""
-        self._count -= 1
-        if not self._count:
+        del self._stops[call]
+        if not self._stops:
             self._none.set()
 
+    def stop_all(self) -> None:
+        """Tell the clients of all open calls that this router stops."""
+        for stop in list(self._stops.values()):
+            stop()
+
     async def wait_until_zero(self) -> None:
         """Wait until no call is open."""
         await self._none.wait()
@@ -157,6 +161,9 @@
         self.set_status(refusal.status, refusal.code)
         if refusal.code in (LEAVING_CODE, HOME_MOVED):
             self.set_header(LEAVING_HEADER, "1")
+        if refusal.code == STOPPED_CODE:
+            # The router that forwarded the call can turn to another one.
+            self.set_header(MAY_HAVE_RUN_HEADER, "1")
         self.set_header("Retry-After", _format_retry_after(refusal))
         self.finish(dict(refusal.to_body()))
 
--- a/src/tamarackrill/router/replies.py
+++ b/src/tamarackrill/router/replies.py
@@ -157,8 +157,12 @@
         """Remove a reader; abandon the run if it was the last and nothing is kept."""
         self.readers -= 1
         if self.readers <= 0 and not self.keep:
-            self.abandoned.set()
-            self._on_abandoned()
+            self.abandon()
+
+    def abandon(self) -> None:
+        """Cancel the run, whoever reads it."""
+        self.abandoned.set()
+        self._on_abandoned()
 
     def set_abandoned_callback(self, callback: Callable[[], None]) -> None:
         """Set what is called once no reader is left and nothing is kept."""
--- a/src/tamarackrill/router/upstream.py
+++ b/src/tamarackrill/router/upstream.py
@@ -213,7 +213,10 @@
         # libcurl calls the progress callback only when data arrives or once a second.
         # Shutting down the socket makes it react at once, so that an engine doesn't
         # keep generating for a client that has disconnected.
-        fd = self._curl.getinfo(pycurl.ACTIVESOCKET)
+        fd = -1
+        # The client may be closed before its exchanges, which ended them.
+        with contextlib.suppress(pycurl.error):
+            fd = self._curl.getinfo(pycurl.ACTIVESOCKET)
         if fd >= 0:
             with socket.socket(fileno=os.dup(fd)) as active:
                 _shut_down(active)
