--- a/src/tamarackrill/decisions/read_slices.py
+++ b/src/tamarackrill/decisions/read_slices.py
@@ -11,17 +11,18 @@
 is joined by the HTTP client, so that pieces become longer as soon as there are many.
 """
 
-# Twice what the HTTP client reads from a socket at once, so that an answer of ordinary
-# size passes without a pause.
-SHARE_BYTES = 64 * 1024
-# A piece takes about as long to handle as 512 bytes of a long one.  A share thus holds
-# 128 pieces, more than an ordinary head has fields.
-PIECE_BYTES = 512
-# A stream of 1,000 short events a second never pauses; engines make some hundred.
-REFILL_BYTES_PER_S = 1000 * 1024
+# As much as a socket of the loopback interface or of a fast link holds: an answer of
+# ordinary size passes without a pause, and long ones lose little throughput.
+SHARE_BYTES = 256 * 1024
+# A piece takes about as long to handle as 2 KB of a long one.  A share thus holds 128
+# pieces, more than an ordinary head has fields.
+PIECE_BYTES = 2048
+# A stream of 1,000 events of a kilobyte each second never pauses; engines make some
+# hundred, and each holds a few tokens.
+REFILL_BYTES_PER_S = 1000 * 3 * 1024
 # What the HTTP client has read and dropped, if it reports progress without a piece; it
 # does so for the extension of a chunk, which may have no end.
-UNSEEN_BYTES = 16 * 1024
+UNSEEN_BYTES = 64 * 1024
 # It also reports progress a few times around each piece, and once a second.
 UNSEEN_FREE = 4
 # A twentieth of the targeted time between tokens, 46 ms.
