Native router: bound the memory of answers over all calls

Cause: each answer may hold 1 MB for a retry, 1 MB in the outlet to its caller, 1 MB for resends and a piece of 1 MB in the caller's socket, and nothing bounds their sum. Small events take six times their bytes. An answer that had failed waited for good until its caller had read what there was of it.

decisions/answer_memory.py counts them over all calls. Above 32 MB the oldest answers that are kept for resends are kept no longer: they go on at the pace of their readers, and a later resend is told so (409, as for an answer longer than 1 MB). Above 16 MB, and once an answer has begun to be passed on, pieces have 64 KB instead of 1 MB. What there is of a failed answer is held for 5 s. The cache of whole answers keeps its own bound.

--- a/src/tamarackrill/router/attempts.py
+++ b/src/tamarackrill/router/attempts.py
@@ -5,6 +5,10 @@
 from typing import Literal, NamedTuple
 
 from tamarackrill.contracts import Endpoint
+from tamarackrill.decisions.answer_memory import (
+    PIECE_MAX_BYTES,
+    find_piece_max_bytes,
+)
 from tamarackrill.decisions.event_stream import (
     EventSplitter,
     EventStream,
@@ -24,9 +28,6 @@
 Outcome = Literal["answered", "overloaded", "refused", "not_sent", "cut", "cancelled"]
 
 DONE_EVENT = b"data: [DONE]"
-# Longest event of a stream; a longer answer that is not a stream is no longer buffered
-# until it is complete.
-PIECE_MAX_BYTES = 1024 * 1024
 OK = 200
 SERVER_ERROR = 500
 OVERLOADED = 503
@@ -102,9 +103,9 @@
 
     def __init__(self, reply: Reply, head: Head) -> None:
         super().__init__()
-        self._buffered: list[bytes] = []
-        self._size_bytes = 0
+        self._buffered = bytearray()
         self._reply = reply
+        self._memory = reply.memory
         self._head = head
         reply.on_writable = lambda: self.on_writable()
         self._events = EventStream() if _is_event_stream(head) else None
@@ -113,9 +114,11 @@
         """Buffer bytes of the answer; write them once there are too many."""
         if self._events is not None:
             self._events.take(piece)
-        self._buffered.append(piece)
-        self._size_bytes += len(piece)
-        return self._size_bytes <= PIECE_MAX_BYTES or self.write()
+        self._buffered += piece
+        memory = self._memory
+        memory.total_bytes += len(piece)
+        max_bytes = find_piece_max_bytes(memory.total_bytes, self._reply.started)
+        return len(self._buffered) <= max_bytes or self.write()
 
     def finish(self) -> None:
         """Write the rest of the answer, which has ended.
@@ -133,11 +136,16 @@
         """Write the buffered bytes to the reply; return whether it can take more."""
         if not self._reply.started:
             self._reply.start(self._head)
-        buffered = b"".join(self._buffered)
-        self._buffered.clear()
-        self._size_bytes = 0
+        buffered = self.clear()
         return self._reply.take(buffered) if buffered else True
 
+    def clear(self) -> bytes:
+        """Remove the buffered bytes and return them."""
+        buffered = bytes(self._buffered)
+        self._buffered.clear()
+        self._memory.total_bytes -= len(buffered)
+        return buffered
+
 
 async def attempt_call(
     client: UpstreamClient,
@@ -298,3 +306,5 @@
         outlet.finish()
     except EventStreamError as error:
         raise UpstreamError(str(error), sent=True) from error
+    finally:
+        outlet.clear()
--- a/src/tamarackrill/router/callers.py
+++ b/src/tamarackrill/router/callers.py
@@ -8,6 +8,7 @@
 from tornado.web import stream_request_body
 
 from tamarackrill.contracts import Contract
+from tamarackrill.decisions.answer_memory import find_piece_max_bytes
 from tamarackrill.decisions.hashing import rendezvous_order
 from tamarackrill.decisions.ordering import HOME_MOVED
 from tamarackrill.events import REQUEST_FORWARDED, log_event
@@ -38,8 +39,6 @@
 
 # Home routers that are tried before the entry router runs a call itself.
 HOMES_MAX = 2
-# Answers up to this size are sent at once, with their length; longer ones in pieces.
-BUFFERED_MAX_BYTES = 1024 * 1024
 LENGTH_DIGITS_MAX = 18
 DROPPED_RESPONSE_HEADERS = (
     "Connection",
@@ -66,28 +65,39 @@
         super().__init__()
         self._handler = handler
         self._stream = stream
-        self._buffered: list[bytes] = []
-        self._size_bytes = 0
+        self._buffered = bytearray()
+        self._memory = handler.front.call_runner.memory
+        self._has_begun = False
         self._last_s: float | None = None
 
     def take(self, piece: bytes) -> bool:
-        """Write a piece of a stream at once; buffer other answers up to the limit."""
+        """Write a piece of a stream at once; buffer other answers up to a limit.
+
+        Short answers are sent at once, with their length; longer ones in pieces.
+        """
         if self._stream:
             self._record_gap()
             return self._write(piece)
-        self._buffered.append(piece)
-        self._size_bytes += len(piece)
-        return self._size_bytes <= BUFFERED_MAX_BYTES or self._write_buffered()
+        self._buffered += piece
+        memory = self._memory
+        memory.total_bytes += len(piece)
+        max_bytes = find_piece_max_bytes(memory.total_bytes, self._has_begun)
+        return len(self._buffered) <= max_bytes or self._write_buffered()
 
     def finish(self) -> None:
         """Write what is buffered and end the answer."""
-        self._handler.finish(b"".join(self._buffered) or None)
+        self._handler.finish(self.clear() or None)
 
-    def _write_buffered(self) -> bool:
-        data = b"".join(self._buffered)
+    def clear(self) -> bytes:
+        """Remove the buffered bytes and return them."""
+        data = bytes(self._buffered)
         self._buffered.clear()
-        self._size_bytes = 0
-        return self._write(data)
+        self._memory.total_bytes -= len(data)
+        return data
+
+    def _write_buffered(self) -> bool:
+        self._has_begun = True
+        return self._write(self.clear())
 
     def _write(self, piece: bytes) -> bool:
         handler = self._handler
@@ -316,8 +326,11 @@
                 raise UpstreamError("the home router has stopped", sent=True)
             self.start_answer(head)
             outlet = _CallerOutlet(self, call.stream)
-            await exchange.pump(outlet)
-            outlet.finish()
+            try:
+                await exchange.pump(outlet)
+                outlet.finish()
+            finally:
+                outlet.clear()
         finally:
             await exchange.close()
 
@@ -330,8 +343,11 @@
             head = await reply.head()
             self.start_answer(head)
             outlet = _CallerOutlet(self, call.stream)
-            await reply.pump(outlet, call.last_event_id)
-            outlet.finish()
+            try:
+                await reply.pump(outlet, call.last_event_id)
+                outlet.finish()
+            finally:
+                outlet.clear()
         except ClaimHeldElsewhere as held:
             await self._forward_to_claim_holder(call, held)
         finally:
--- a/src/tamarackrill/router/flow.py
+++ b/src/tamarackrill/router/flow.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 
 from tamarackrill.contracts import Endpoint
+from tamarackrill.decisions.answer_memory import AnswerMemory
 from tamarackrill.decisions.error_blame import ErrorBlame
 from tamarackrill.decisions.retry import Failure, RetryBudget, RetryDecision
 from tamarackrill.decisions.stopping import StopPlan, WorkDurations, decide_at_stop
@@ -84,6 +85,11 @@
         Returns the current time.
     wait_current : callable
         ``await wait_current()`` returns when calls may be decided by what is known.
+
+    Attributes
+    ----------
+    memory : AnswerMemory
+        Memory of the answers that are passed on.
     """
 
     def __init__(
@@ -98,6 +104,7 @@
         clock: Callable[[], float],
         wait_current: Callable[[], Awaitable[None]],
     ) -> None:
+        self.memory = AnswerMemory()
         self._client = client
         self._wait_current = wait_current
         self._chats = chats
@@ -137,7 +144,7 @@
             # join parts of two answers.
             message = "the answer is no longer kept; request it again from the start"
             raise Refusal("answer_gone", 409, message, "unknown")
-        reply = Reply(keep=self._chats.can_recognize_resend(call))
+        reply = Reply(self._chats.can_recognize_resend(call), self.memory)
         self._chats.register(call, reply, self._clock())
         task = asyncio.create_task(self._run(call, reply))
         self._runs[task] = (call, reply)
--- a/src/tamarackrill/router/replies.py
+++ b/src/tamarackrill/router/replies.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable
 
+from tamarackrill.decisions.answer_memory import CHUNK_OVERHEAD_BYTES, AnswerMemory
 from tamarackrill.exceptions import Refusal
 from tamarackrill.router.outlets import Outlet
 from tamarackrill.router.upstream import Head
@@ -16,6 +17,8 @@
 READ_AHEAD_MAX_BYTES = 64 * 1024
 # A longer answer is passed on but not kept, so it can't be read a second time.
 RETAINED_MAX_BYTES = 1024 * 1024
+# How long a caller that doesn't read may hold what there is of an answer that failed.
+FAILED_READ_MAX_S = 5.0
 
 
 class _Reader:
@@ -34,6 +37,8 @@
     ----------
     keep : bool
         Whether to keep the chunks for later readers.
+    memory : AnswerMemory, optional
+        Memory of all answers; not owned.
 
     Attributes
     ----------
@@ -41,9 +46,15 @@
         Whether any of the call can have been sent to an endpoint.
     """
 
-    def __init__(self, keep: bool) -> None:
+    def __init__(self, keep: bool, memory: AnswerMemory | None = None) -> None:
         super().__init__()
         self.keep = keep
+        self.memory = AnswerMemory() if memory is None else memory
+        if keep:
+            self.memory.retain(self)
+        # Bytes that are counted in `memory`, until the run and its readers have ended.
+        self._counted_bytes = 0
+        self._is_counted = True
         self.may_have_run = False
         self.size_bytes = 0
         self.readers = 0
@@ -96,25 +107,31 @@
         self._chunks += pieces
         self.size_bytes += size_bytes
         self._buffered_bytes += size_bytes
-        if self.size_bytes > RETAINED_MAX_BYTES:
+        self._count(size_bytes + CHUNK_OVERHEAD_BYTES * len(pieces))
+        if self.keep and self.size_bytes > RETAINED_MAX_BYTES:
             self.keep = False
+            self.memory.release(self)
         for reader in self._active_readers:
             self._deliver(reader)
         self._discard_delivered()
+        while (oldest := self.memory.pop_excess()) is not None:
+            assert isinstance(oldest, Reply)
+            oldest.stop_keeping()
         self._was_full = not self._has_room()
         return not self._was_full
 
     def finish(self) -> None:
         """Mark the answer as complete."""
         self._finished = True
+        self.memory.release(self)
+        self._stop_counting()
         self._wake()
 
     def fail(self, refusal: Refusal) -> None:
         """End the reply without a complete answer, unless it has ended already."""
         if not self._finished:
             self._refusal = refusal
-            self._finished = True
-            self._wake()
+            self.finish()
 
     async def head(self) -> Head:
         """Wait for the status and headers, and return them.
@@ -147,7 +164,13 @@
         try:
             self._resume(reader)
             while not self._finished or reader.position < self.count:
-                await self._wait()
+                if self._refusal is None:
+                    await self._wait()
+                    continue
+                async with asyncio.timeout(FAILED_READ_MAX_S):
+                    await self._wait()
+        except TimeoutError:
+            assert self._refusal is not None
         finally:
             self._active_readers.remove(reader)
         if self._refusal is not None:
@@ -156,9 +179,17 @@
     def remove_reader(self) -> None:
         """Remove a reader; abandon the run if it was the last and nothing is kept."""
         self.readers -= 1
+        self._stop_counting()
         if self.readers <= 0 and not self.keep:
             self.abandon()
 
+    def stop_keeping(self) -> None:
+        """Keep only what its readers haven't got yet."""
+        self.keep = False
+        self._discard_delivered()
+        if self.readers <= 0:
+            self.abandon()
+
     def abandon(self) -> None:
         """Cancel the run, whoever reads it."""
         self.abandoned.set()
@@ -190,9 +221,22 @@
         lowest = min(reader.position for reader in self._active_readers)
         delivered = self._chunks[: lowest - self._discarded]
         del self._chunks[: lowest - self._discarded]
-        self._buffered_bytes -= sum(map(len, delivered))
+        size_bytes = sum(map(len, delivered))
+        self._buffered_bytes -= size_bytes
+        self._count(-size_bytes - CHUNK_OVERHEAD_BYTES * len(delivered))
         self._discarded = lowest
 
+    def _count(self, size_bytes: int) -> None:
+        if self._is_counted:
+            self._counted_bytes += size_bytes
+            self.memory.total_bytes += size_bytes
+
+    def _stop_counting(self) -> None:
+        """Leave an answer that was kept after its end to the cache of answers."""
+        if self._finished and self.readers <= 0 and self._is_counted:
+            self._count(-self._counted_bytes)
+            self._is_counted = False
+
     def _has_room(self) -> bool:
         return self.keep or self._buffered_bytes <= READ_AHEAD_MAX_BYTES
 
--- a/src/tamarackrill/router/upstream.py
+++ b/src/tamarackrill/router/upstream.py
@@ -185,7 +185,8 @@
         outlet.on_writable = self._resume
         self._outlet = outlet
         self._resume()
-        while not self._is_finished or self._chunks:
+        # A caller that doesn't read would hold an answer that failed for ever.
+        while not self._is_finished or (self._chunks and self._error is None):
             self._changed.clear()
             await self._changed.wait()
         # The traceback of the error refers to the outlet.  If this exchange kept
--- a/tests/test_native_endless.py
+++ b/tests/test_native_endless.py
@@ -9,6 +9,10 @@
 import pytest
 
 from tamarackrill.contracts import Endpoint, hash_key
+from tamarackrill.decisions.answer_memory import (
+    RETAINED_ALL_MAX_BYTES,
+    AnswerMemory,
+)
 from tamarackrill.decisions.read_slices import (
     SHARE_BYTES,
     ReadShare,
@@ -16,7 +20,12 @@
     take_piece,
     use_up,
 )
-from tamarackrill.testing.processes import WAIT_TIMEOUT_S, FleetProcesses, call
+from tamarackrill.testing.processes import (
+    WAIT_TIMEOUT_S,
+    FleetProcesses,
+    call,
+    wait_for,
+)
 
 CONTRACT = {
     "team": "t",
@@ -26,6 +35,8 @@
 }
 KEY = b"Authorization: Bearer k\r\n"
 TIMEOUT_S = 3.0
+# As many calls as a team may have in flight.
+CALLERS = 100
 # A router's VM has 200 to 300 MB.
 MEMORY_MAX_KB = 200 * 1024
 CHAT = b'{"model":"m","stream":true,"messages":[{"content":"x"}]}'
@@ -89,20 +100,26 @@
                 self.load_reports_ended.release()
 
 
-def ask(address, kind):
-    """Send a request, read all of its answer; return its status, 0 if it came late."""
+def send(address, kind, more=""):
+    """Connect, send a request and return the connection."""
     host, port = address.split(":")
     path = {"engine": "/v1/chat/completions", "service": "/services/odd/x"}
     body = CHAT if kind == "engine" else b""
     head = (
         f"POST {path.get(kind, '/services/s/x')} HTTP/1.1\r\nHost: x\r\n"
         f"Request-Timeout-Ms: {TIMEOUT_S * 1000:.0f}\r\nConnection: close\r\n"
-        f"Content-Length: {len(body)}\r\n"
+        f"Content-Length: {len(body)}\r\n{more}"
     )
+    connection = socket.create_connection((host, int(port)))
+    connection.sendall(head.encode() + KEY + b"\r\n" + body)
+    return connection
+
+
+def ask(address, kind):
+    """Send a request, read all of its answer; return its status, 0 if it came late."""
     end_s = time.monotonic() + TIMEOUT_S + 1.0
     status = b"0"
-    with socket.create_connection((host, int(port))) as connection:
-        connection.sendall(head.encode() + KEY + b"\r\n" + body)
+    with send(address, kind) as connection:
         while time.monotonic() < end_s:
             connection.settimeout(max(0.01, end_s - time.monotonic()))
             try:
@@ -155,6 +172,35 @@
     assert read_peak_kb(router) < MEMORY_MAX_KB
 
 
+def test_many_answers_without_end_to_callers_that_do_not_read(fleet):
+    # Guards against a router whose memory is taken up by hundreds of answers, each of
+    # which is bounded, and against runs that go on after the deadline of such callers.
+    kind, head, piece = KINDS["length"]
+    endless = [add_endless(fleet, f"odd-{n}", head, piece, kind) for n in range(2)]
+    router = fleet.add_router("a")
+    fleet.wait_ready()
+    callers = [
+        send(router.address, kind, f"Idempotency-Key: {n}\r\n") for n in range(CALLERS)
+    ]
+    wait_for(lambda: router.status()["in_flight"] > CALLERS / 2, "most calls")
+    wait_for(lambda: not router.status()["in_flight"], "the end of all calls")
+    for one in (*callers, *endless):
+        one.close()
+    assert read_peak_kb(router) < MEMORY_MAX_KB
+
+
+def test_oldest_answers_are_no_longer_kept_if_all_take_too_much():
+    # Guards against memory that isn't bounded, and against the loss of the answers that
+    # are most likely to be asked for again.
+    memory = AnswerMemory()
+    for name in "abc":
+        memory.retain(name)
+    assert memory.pop_excess() is None
+    memory.total_bytes = RETAINED_ALL_MAX_BYTES + 1
+    memory.release("b")
+    assert [memory.pop_excess() for _ in range(3)] == ["a", "c", None]
+
+
 def test_load_report_without_end_takes_no_memory(fleet):
     # Guards against an engine whose load reports, which are read as a whole, take up
     # all memory of a router.
