--- a/src/tamarackrill/router/attempts.py
+++ b/src/tamarackrill/router/attempts.py
@@ -5,6 +5,10 @@
 from typing import Literal, NamedTuple
 
 from tamarackrill.contracts import Endpoint
+from tamarackrill.decisions.answer_memory import (
+    PIECE_MAX_BYTES,
+    find_piece_max_bytes,
+)
 from tamarackrill.decisions.event_stream import (
     EventSplitter,
     EventStream,
@@ -15,18 +19,15 @@
 from tamarackrill.router.replies import Reply
 from tamarackrill.router.unexpected_errors import convert_stray_cancellation
 from tamarackrill.router.upstream import (
-    CurlAsyncHTTPClient,
     Exchange,
     Head,
+    UpstreamClient,
     UpstreamError,
 )
 
 Outcome = Literal["answered", "overloaded", "refused", "not_sent", "cut", "cancelled"]
 
 DONE_EVENT = b"data: [DONE]"
-# Longest event of a stream; a longer answer that is not a stream is no longer buffered
-# until it is complete.
-PIECE_MAX_BYTES = 1024 * 1024
 OK = 200
 SERVER_ERROR = 500
 OVERLOADED = 503
@@ -84,7 +85,9 @@
         """Pass on the events that are complete; keep the rest for the next piece."""
         events = self._splitter.take(piece.replace(b"\r\n", b"\n"))
         if self._splitter.partial_bytes > PIECE_MAX_BYTES:
+            self._splitter.clear()
             raise UpstreamError("an event of the stream is too long", sent=True)
+        self.parts = len(events)
         if not events:
             return True
         self.is_complete = events[-1].startswith(DONE_EVENT)
@@ -100,9 +103,9 @@
 
     def __init__(self, reply: Reply, head: Head) -> None:
         super().__init__()
-        self._buffered: list[bytes] = []
-        self._size_bytes = 0
+        self._buffered = bytearray()
         self._reply = reply
+        self._memory = reply.memory
         self._head = head
         reply.on_writable = lambda: self.on_writable()
         self._events = EventStream() if _is_event_stream(head) else None
@@ -111,9 +114,11 @@
         """Buffer bytes of the answer; write them once there are too many."""
         if self._events is not None:
             self._events.take(piece)
-        self._buffered.append(piece)
-        self._size_bytes += len(piece)
-        return self._size_bytes <= PIECE_MAX_BYTES or self.write()
+        self._buffered += piece
+        memory = self._memory
+        memory.total_bytes += len(piece)
+        max_bytes = find_piece_max_bytes(memory.total_bytes, self._reply.started)
+        return len(self._buffered) <= max_bytes or self.write()
 
     def finish(self) -> None:
         """Write the rest of the answer, which has ended.
@@ -131,14 +136,19 @@
         """Write the buffered bytes to the reply; return whether it can take more."""
         if not self._reply.started:
             self._reply.start(self._head)
-        buffered = b"".join(self._buffered)
-        self._buffered.clear()
-        self._size_bytes = 0
+        buffered = self.clear()
         return self._reply.take(buffered) if buffered else True
 
+    def clear(self) -> bytes:
+        """Remove the buffered bytes and return them."""
+        buffered = bytes(self._buffered)
+        self._buffered.clear()
+        self._memory.total_bytes -= len(buffered)
+        return buffered
+
 
 async def attempt_call(
-    client: CurlAsyncHTTPClient,
+    client: UpstreamClient,
     call: Call,
     endpoint: Endpoint,
     reply: Reply,
@@ -150,7 +160,7 @@
 
     Parameters
     ----------
-    client : CurlAsyncHTTPClient
+    client : UpstreamClient
         Not owned.
     call : Call
         The call.
@@ -241,7 +251,7 @@
 
 
 async def _cancel_at_engine(
-    client: CurlAsyncHTTPClient, call: Call, endpoint: Endpoint
+    client: UpstreamClient, call: Call, endpoint: Endpoint
 ) -> None:
     # An engine keeps a stream running for a while after its connection closed, so that
     # it can be resumed.  Without this request it would go on generating in vain.
@@ -296,3 +306,5 @@
         outlet.finish()
     except EventStreamError as error:
         raise UpstreamError(str(error), sent=True) from error
+    finally:
+        outlet.clear()
--- a/src/tamarackrill/router/callers.py
+++ b/src/tamarackrill/router/callers.py
@@ -8,12 +8,14 @@
 from tornado.web import stream_request_body
 
 from tamarackrill.contracts import Contract
+from tamarackrill.decisions.answer_memory import find_piece_max_bytes
 from tamarackrill.decisions.hashing import rendezvous_order
 from tamarackrill.decisions.ordering import HOME_MOVED
 from tamarackrill.events import REQUEST_FORWARDED, log_event
 from tamarackrill.exceptions import Refusal
 from tamarackrill.router.calls import Call, authenticate, read_call
 from tamarackrill.router.claiming import ClaimHeldElsewhere
+from tamarackrill.router.flow import make_stop_refusal
 from tamarackrill.router.forwarding import (
     MAY_HAVE_RUN_HEADER,
     forward_call,
@@ -21,7 +23,6 @@
 )
 from tamarackrill.router.front import (
     INTERNAL_ERROR,
-    LEAVING_CODE,
     LEAVING_HEADER,
     FrontContext,
     FrontHandler,
@@ -38,8 +39,6 @@
 
 # Home routers that are tried before the entry router runs a call itself.
 HOMES_MAX = 2
-# Answers up to this size are sent at once, with their length; longer ones in pieces.
-BUFFERED_MAX_BYTES = 1024 * 1024
 LENGTH_DIGITS_MAX = 18
 DROPPED_RESPONSE_HEADERS = (
     "Connection",
@@ -66,28 +65,39 @@
         super().__init__()
         self._handler = handler
         self._stream = stream
-        self._buffered: list[bytes] = []
-        self._size_bytes = 0
+        self._buffered = bytearray()
+        self._memory = handler.front.call_runner.memory
+        self._has_begun = False
         self._last_s: float | None = None
 
     def take(self, piece: bytes) -> bool:
-        """Write a piece of a stream at once; buffer other answers up to the limit."""
+        """Write a piece of a stream at once; buffer other answers up to a limit.
+
+        Short answers are sent at once, with their length; longer ones in pieces.
+        """
         if self._stream:
             self._record_gap()
             return self._write(piece)
-        self._buffered.append(piece)
-        self._size_bytes += len(piece)
-        return self._size_bytes <= BUFFERED_MAX_BYTES or self._write_buffered()
+        self._buffered += piece
+        memory = self._memory
+        memory.total_bytes += len(piece)
+        max_bytes = find_piece_max_bytes(memory.total_bytes, self._has_begun)
+        return len(self._buffered) <= max_bytes or self._write_buffered()
 
     def finish(self) -> None:
         """Write what is buffered and end the answer."""
-        self._handler.finish(b"".join(self._buffered) or None)
+        self._handler.finish(self.clear() or None)
 
-    def _write_buffered(self) -> bool:
-        data = b"".join(self._buffered)
+    def clear(self) -> bytes:
+        """Remove the buffered bytes and return them."""
+        data = bytes(self._buffered)
         self._buffered.clear()
-        self._size_bytes = 0
-        return self._write(data)
+        self._memory.total_bytes -= len(data)
+        return data
+
+    def _write_buffered(self) -> bool:
+        self._has_begun = True
+        return self._write(self.clear())
 
     def _write(self, piece: bytes) -> bool:
         handler = self._handler
@@ -124,6 +134,7 @@
         self._contract: Contract | None = None
         self._counted = False
         self._is_disconnected = False
+        self._is_stopped = False
         # Whether a run or another router may have got the call.
         self._is_handed_on = False
         # How long the call waited in its socket while this process stood still.
@@ -156,7 +167,7 @@
         """Check the API key and the Content-Length before the body arrives."""
         front = self.front
         front.metrics.count("requests", self.request.method or "")
-        front.open_calls.increment()
+        front.open_calls.add(self, self._stop)
         self._counted = True
         if not front.catch_up.is_current():
             started_s = front.clock()
@@ -170,7 +181,7 @@
                 front.find_contract_by_key_hash, authorization
             )
             if front.is_leaving():
-                raise Refusal(LEAVING_CODE, 503, "this router is shutting down")
+                raise make_stop_refusal(False)
         except Refusal as refusal:
             self.send_refusal(refusal)
 
@@ -216,7 +227,7 @@
         """Remove the call from the count of open calls."""
         if self._counted:
             self._counted = False
-            self.front.open_calls.decrement()
+            self.front.open_calls.remove(self)
 
     async def _answer(self) -> None:
         front = self.front
@@ -279,6 +290,8 @@
             except UpstreamError as error:
                 if self._is_disconnected:
                     return True
+                if self._is_stopped:
+                    raise make_stop_refusal(True) from None
                 self._may_have_run = self._may_have_run or error.sent
                 # The state of the chat is lost with its home router, and the next
                 # router in order takes over.  A non-idempotent call still runs at
@@ -309,10 +322,15 @@
             head = await exchange.head()
             if LEAVING_HEADER in head.headers:
                 raise UpstreamError("the home router refuses the call", sent=False)
+            if MAY_HAVE_RUN_HEADER in head.headers:
+                raise UpstreamError("the home router has stopped", sent=True)
             self.start_answer(head)
             outlet = _CallerOutlet(self, call.stream)
-            await exchange.pump(outlet)
-            outlet.finish()
+            try:
+                await exchange.pump(outlet)
+                outlet.finish()
+            finally:
+                outlet.clear()
         finally:
             await exchange.close()
 
@@ -325,8 +343,11 @@
             head = await reply.head()
             self.start_answer(head)
             outlet = _CallerOutlet(self, call.stream)
-            await reply.pump(outlet, call.last_event_id)
-            outlet.finish()
+            try:
+                await reply.pump(outlet, call.last_event_id)
+                outlet.finish()
+            finally:
+                outlet.clear()
         except ClaimHeldElsewhere as held:
             await self._forward_to_claim_holder(call, held)
         finally:
@@ -344,6 +365,8 @@
         try:
             await self._forward_to(call, live[held.router])
         except UpstreamError:
+            if self._is_stopped:
+                raise make_stop_refusal(True) from None
             raise held from None
 
     def start_answer(self, head: Head) -> None:
@@ -353,6 +376,15 @@
             if name not in DROPPED_RESPONSE_HEADERS:
                 self.set_header(name, value)
 
+    def _stop(self) -> None:
+        """Tell the caller that this router stops, unless a run does so."""
+        self._is_stopped = True
+        if self._exchange is not None:
+            self._exchange.cancel()
+        elif not self._is_handed_on and self._contract is not None:
+            self._contract = None
+            self.send_refusal(make_stop_refusal(False))
+
     def _detach_reply(self) -> None:
         reply, self._reply = self._reply, None
         if reply is not None:
