--- a/src/tamarackrill/router/edge_gauges.py
+++ b/src/tamarackrill/router/edge_gauges.py
@@ -20,6 +20,9 @@
         "relay_endpoints", lambda: dict(router.relays.paths.count_endpoints())
     )
     metrics.add_gauge("in_flight", lambda: {"": len(router.server.in_flight)})
+    metrics.add_gauge(
+        "request_bytes", lambda: {"": router.server.request_bytes.held_bytes}
+    )
     metrics.add_gauge("repeats_left", router.flow.list_retries_left)
     metrics.add_gauge("endpoints", lambda: _count_endpoints(router))
     metrics.add_gauge("streams_known", lambda: dict(router.keepers.versions.count()))
