Native router: bound the memory of request bodies over all calls

Seen: 200 callers whose bodies of 1,000,000 bytes lack the last one took a router to 271 MB (276 MB in the test); its VM has 200 to 300 MB. Each is within the limit of a call, and a body was held twice while its call ran.

No setting says how much memory a native router has, so that its smallest VM is a constant. The body that was read is dropped when its call is made of it.

--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -12,6 +12,7 @@
 from tornado.web import Application
 
 from tamarackrill.contracts import Contract, Endpoint
+from tamarackrill.decisions.capacity.request_bytes import RequestBytes
 from tamarackrill.decisions.catching_up import Standstill
 from tamarackrill.decisions.claims import Claims
 from tamarackrill.decisions.configuration import (
@@ -70,6 +71,8 @@
 UNLIMITED_BYTES = 1 << 40
 BUFFER_MAX_BYTES = 256 * 1024
 HEADERS_MAX_BYTES = 32 * 1024
+# The smallest VM of a router; no setting says how much memory it has.
+VM_MEMORY_BYTES = 200 * 1024 * 1024
 # Without these timeouts a client that sends its headers or body byte by byte would
 # hold a connection for ever.  A load balancer's idle timeout is usually 60 s.
 HEADERS_TIMEOUT_S = 75.0
@@ -475,6 +478,7 @@
             self.metrics,
             self.open_calls,
             self.settings.body_max_bytes,
+            RequestBytes(VM_MEMORY_BYTES),
             self.settings.peer_keys,
             self.known.find_holder,
             lambda: self._leaving,
--- a/src/tamarackrill/router/callers.py
+++ b/src/tamarackrill/router/callers.py
@@ -9,6 +9,7 @@
 
 from tamarackrill.contracts import Contract
 from tamarackrill.decisions.answer_memory import find_piece_max_bytes
+from tamarackrill.decisions.capacity.request_bytes import SMALL_BYTES
 from tamarackrill.decisions.hashing import rendezvous_order
 from tamarackrill.decisions.ordering import HOME_MOVED
 from tamarackrill.events import REQUEST_FORWARDED, log_event
@@ -131,6 +132,8 @@
         self._exchange: Exchange | None = None
         self._reply: Reply | None = None
         self._body = bytearray()
+        # Bytes of the body that are counted, until the call has ended.
+        self._counted_bytes = 0
         self._contract: Contract | None = None
         self._counted = False
         self._is_disconnected = False
@@ -192,10 +195,11 @@
         return found
 
     def data_received(self, chunk: bytes) -> None:
-        """Append a piece of the body; refuse a body that is too long."""
+        """Append a piece of the body; refuse a body that can't be kept."""
         self._body += chunk
         try:
             self._check_size(len(self._body))
+            self._check_memory(len(self._body))
         except Refusal as refusal:
             self._body.clear()
             if not self._finished:
@@ -207,9 +211,19 @@
             message = f"the body is longer than {limit_bytes} bytes"
             raise Refusal("body_too_long", 413, message)
 
+    def _check_memory(self, size_bytes: int) -> None:
+        if size_bytes <= SMALL_BYTES or self._contract is None or not self._counted:
+            return
+        held, team = self.front.request_bytes, self._contract.team
+        held.add(team, size_bytes - self._counted_bytes)
+        self._counted_bytes = size_bytes
+        if held.must_refuse(team, size_bytes):
+            message = "too many request bodies are being read"
+            raise Refusal("bodies_full", 503, message)
+
     async def get(self) -> None:
         """Answer the call, whatever its method."""
-        if self._is_disconnected:
+        if self._is_disconnected or self._finished:
             return
         try:
             await self._answer()
@@ -227,6 +241,9 @@
         """Remove the call from the count of open calls."""
         if self._counted:
             self._counted = False
+            if self._counted_bytes and self._contract is not None:
+                released_bytes = -self._counted_bytes
+                self.front.request_bytes.add(self._contract.team, released_bytes)
             self.front.open_calls.remove(self)
 
     async def _answer(self) -> None:
@@ -258,12 +275,14 @@
 
     def _read_call(self, contract: Contract) -> Call:
         request = self.request
+        body = bytes(self._body)
+        self._body.clear()
         return read_call(
             contract,
             request.method or "",
             request.uri or "",
             request.headers,
-            bytes(self._body),
+            body,
             self.front.clock() - self._waited_s,
         )
 
@@ -381,8 +400,7 @@
         self._is_stopped = True
         if self._exchange is not None:
             self._exchange.cancel()
-        elif not self._is_handed_on and self._contract is not None:
-            self._contract = None
+        elif not self._is_handed_on and not self._finished:
             self.send_refusal(make_stop_refusal(False))
 
     def _detach_reply(self) -> None:
--- a/src/tamarackrill/router/front.py
+++ b/src/tamarackrill/router/front.py
@@ -10,6 +10,7 @@
 from tornado.web import HTTPError, RequestHandler
 
 from tamarackrill.contracts import Contract
+from tamarackrill.decisions.capacity.request_bytes import RequestBytes
 from tamarackrill.decisions.ordering import HOME_MOVED
 from tamarackrill.exceptions import Refusal
 from tamarackrill.router.catching_up import CatchUp
@@ -83,6 +84,8 @@
         Count of calls whose answers have not ended.
     body_max_bytes : int
         Maximum size of a request body.
+    request_bytes : RequestBytes
+        Bytes of all request bodies.
     peer_keys : tuple of str
         Keys shared by the routers.
     find_contract_by_key_hash : callable
@@ -107,6 +110,7 @@
     metrics: Metrics
     open_calls: OpenCalls
     body_max_bytes: int
+    request_bytes: RequestBytes
     peer_keys: tuple[str, ...]
     find_contract_by_key_hash: Callable[[str], Contract | None]
     is_leaving: Callable[[], bool]
--- a/tests/test_native_endless.py
+++ b/tests/test_native_endless.py
@@ -1,5 +1,6 @@
 """Endpoints that send without end, at a router of the product's own interface."""
 
+import select
 import socket
 import threading
 import time
@@ -189,6 +190,33 @@
     assert read_peak_kb(router) < MEMORY_MAX_KB
 
 
+def test_bodies_that_do_not_end_take_no_memory(fleet):
+    # Guards against a router whose memory is taken up by hundreds of bodies, each of
+    # which is within the limit of one.
+    router = fleet.add_router("a")
+    fleet.wait_ready()
+    head = b"POST /services/s/x HTTP/1.1\r\nHost: x\r\n"
+    unfinished = head + KEY + b"Content-Length: 1000000\r\n\r\n" + b"x" * 999_999
+    host, port = router.address.split(":")
+    callers = [socket.create_connection((host, int(port))) for _ in range(2 * CALLERS)]
+    with ThreadPoolExecutor(16) as pool:
+        list(pool.map(lambda caller: caller.sendall(unfinished), callers))
+
+    def find_answered():
+        return select.select(callers, [], [], 0)[0]
+
+    def is_read():
+        return router.status()["in_flight"] + len(find_answered()) >= len(callers)
+
+    wait_for(is_read, "all bodies read or refused")
+    # Who is refused is told so, and a short request is served all the same.
+    assert {one.recv(12) for one in find_answered()} <= {b"HTTP/1.1 503"}
+    assert ask(router.address, "sound") == 200
+    assert read_peak_kb(router) < MEMORY_MAX_KB
+    for caller in callers:
+        caller.close()
+
+
 def test_oldest_answers_are_no_longer_kept_if_all_take_too_much():
     # Guards against memory that isn't bounded, and against the loss of the answers that
     # are most likely to be asked for again.
