--- a/src/tamarackrill/decisions/stopping.py
+++ b/src/tamarackrill/decisions/stopping.py
@@ -17,9 +17,9 @@
 
 # Time until SIGKILL in which connections are closed; by then all requests have ended.
 STOP_MARGIN_S = 0.3
-# Time before that in which requests in flight are answered: some hundred take a tenth
-# of a second on half a core. With STOP_MARGIN_S it is less than a sixth of a grace
-# period of four seconds, and at most this share of a shorter one.
+# Time before that in which requests in flight are answered: 300 take an eighth of a
+# second of a core. With STOP_MARGIN_S it is less than a sixth of a grace period of four
+# seconds, and at most this share of a shorter one.
 ANSWER_MARGIN_MAX_S = 0.5
 ANSWER_MARGIN_SHARE = 1 / 12
 # A client that is refused goes to another router at once; the pause spreads them.
