Don't decode an answer of the store with too many entries

What callers saw: within the bound by size (4.7 MB on a VM of 300 MB), an answer of 1.5 million empty objects still took a router to 282 MB (trial).

Cause: entries were counted once they were decoded, 24 times their size, for each of the kinds that are listed at a time.

An answer with more than 200,000 arrays or objects that another one follows is now refused before it is decoded. No test measures this; the case "entries" of test_store_that_sends_without_end_ends_the_call sends such an answer.

--- a/src/tamarackrill/decisions/capacity/store_answers.py
+++ b/src/tamarackrill/decisions/capacity/store_answers.py
@@ -46,6 +46,15 @@
     )
 
 
+def has_too_many_entries(text: bytes) -> bool:
+    """Return whether an answer holds more arrays and objects than are decoded.
+
+    Only those followed by another one count; decoded, 4.5 MB of empty objects take
+    100 MB and more.
+    """
+    return text.count(b"},") + text.count(b"],") > 2 * ENTRIES_MAX
+
+
 def is_too_fine(pieces: int, size_bytes: int) -> bool:
     """Return whether an answer comes in pieces that are too small to be read on."""
     return pieces > PIECES_FREE and size_bytes < pieces * PIECE_MIN_BYTES
--- a/src/tamarackrill/router/platform_client.py
+++ b/src/tamarackrill/router/platform_client.py
@@ -19,7 +19,10 @@
 )
 
 from tamarackrill.contracts import Vm, read_vm
-from tamarackrill.decisions.capacity.store_answers import AnswerLimits
+from tamarackrill.decisions.capacity.store_answers import (
+    AnswerLimits,
+    has_too_many_entries,
+)
 from tamarackrill.exceptions import PlatformUnavailable
 from tamarackrill.lenient_json import decode_in_steps
 from tamarackrill.router.store_fetch import CallProgress, fetch, make_curl_setup
@@ -506,6 +509,8 @@
 
 
 async def _parse_json(body: bytes) -> Any:
+    if has_too_many_entries(body):
+        raise PlatformUnavailable("platform: the answer has too many entries")
     try:
         return await _decode_yielding(body)
     except ValueError as error:
