--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -38,6 +38,7 @@
 from tamarackrill.router.catching_up import CatchUp
 from tamarackrill.router.chats import ChatCoordinator
 from tamarackrill.router.claiming import Claimer
+from tamarackrill.router.client_streams import RequestLimits
 from tamarackrill.router.configuring import KINDS, ConfigurationSync
 from tamarackrill.router.datagrams import PeerSocket
 from tamarackrill.router.draining_server import DrainingServer
@@ -100,6 +101,7 @@
         self.peer_address = ""
         self.store = ConfigurationStore()
         self.metrics = Metrics()
+        self._request_bytes = RequestBytes(VM_MEMORY_BYTES)
         self.open_calls = OpenCalls()
         self.known = KnownObjects()
         self._leaving = False
@@ -308,6 +310,7 @@
             idle_connection_timeout=HEADERS_TIMEOUT_S,
         )
         self._server.guard = RequestGuard(refuse_unread, self.metrics)
+        self._server.limits = RequestLimits(self._request_bytes)
         self._server.add_sockets(sockets)
 
     def is_ready(self) -> bool:
@@ -478,7 +481,7 @@
             self.metrics,
             self.open_calls,
             self.settings.body_max_bytes,
-            RequestBytes(VM_MEMORY_BYTES),
+            self._request_bytes,
             self.settings.peer_keys,
             self.known.find_holder,
             lambda: self._leaving,
--- a/tests/test_native_endless.py
+++ b/tests/test_native_endless.py
@@ -217,6 +217,33 @@
         caller.close()
 
 
+def test_callers_that_send_chunks_of_one_byte_hold_up_no_others(fleet):
+    # Guards against callers without a key that take up a router's event loop, so that
+    # calls of others are answered late.
+    router = fleet.add_router("a")
+    fleet.wait_ready()
+    head = b"POST /services/s/x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+    host, port = router.address.split(":")
+    has_ended = threading.Event()
+    senders = 2 * CALLERS
+
+    def send_on():
+        while not has_ended.is_set():
+            with suppress(OSError), socket.create_connection((host, int(port))) as one:
+                one.sendall(head + b"\r\n")
+                while not has_ended.is_set():
+                    one.sendall(make_chunk(b"x") * 8192)
+
+    with ThreadPoolExecutor(senders + 24) as pool:
+        for _ in range(senders):
+            pool.submit(send_on)
+        others = [pool.submit(ask, router.address, "sound") for _ in range(24)]
+        statuses = [other.result() for other in others]
+        has_ended.set()
+        router.kill()
+    assert statuses == [200] * 24
+
+
 def test_oldest_answers_are_no_longer_kept_if_all_take_too_much():
     # Guards against memory that isn't bounded, and against the loss of the answers that
     # are most likely to be asked for again.
