Short waits for others go on as before while the loop is late

Cause: the bound on all catch-ups of a late timer, made for the deadlines of requests, held for waits of a few hundred milliseconds too.

--- a/src/tamarackrill/router/lateness.py
+++ b/src/tamarackrill/router/lateness.py
@@ -35,6 +35,8 @@
         does, the timer waits on once the loop was late.
     catch_ups_max : int, optional
         How often it waits on.
+    catch_ups_max_s : float, optional
+        How long it waits on, however late the loop is each time.
     """
 
     def __init__(
@@ -43,6 +45,7 @@
         on_due: Callable[[], None],
         has_progress: Callable[[], bool] = lambda: False,
         catch_ups_max: int = CATCH_UPS_MAX,
+        catch_ups_max_s: float = CATCH_UPS_MAX_S,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._on_due = on_due
@@ -50,6 +53,7 @@
         self._catch_ups = 0
         self._end_s = math.inf
         self._catch_ups_max = catch_ups_max
+        self._catch_ups_max_s = catch_ups_max_s
         self._start(due_s)
 
     def cancel(self) -> None:
@@ -68,14 +72,16 @@
             self._on_due()
             return
         if not self._catch_ups:
-            self._end_s = now_s + CATCH_UPS_MAX_S
+            self._end_s = now_s + self._catch_ups_max_s
         self._catch_ups += 1
         self._start(min(now_s + CATCH_UP_S, self._end_s))
 
 
 @contextlib.asynccontextmanager
 async def timeout_at(
-    due_s: float, has_progress: Callable[[], bool] = lambda: False
+    due_s: float,
+    has_progress: Callable[[], bool] = lambda: False,
+    catch_ups_max_s: float = CATCH_UPS_MAX_S,
 ) -> AsyncIterator[None]:
     """Like ``asyncio.timeout_at``, but wait on while the loop is late.
 
@@ -83,7 +89,7 @@
     ----------
     due_s : float
         When it is due, by the loop's clock.
-    has_progress : callable, optional
+    has_progress, catch_ups_max_s : callable and float, optional
         As for `LateTimer`.
 
     Raises
@@ -93,7 +99,12 @@
     """
     async with asyncio.timeout(None) as scope:
         # A time that has passed lets it expire in the next iteration.
-        timer = LateTimer(due_s, lambda: scope.reschedule(due_s), has_progress)
+        timer = LateTimer(
+            due_s,
+            lambda: scope.reschedule(due_s),
+            has_progress,
+            catch_ups_max_s=catch_ups_max_s,
+        )
         try:
             yield
         finally:
@@ -101,7 +112,12 @@
 
 
 def timeout(timeout_s: float | None) -> contextlib.AbstractAsyncContextManager[None]:
-    """Like ``asyncio.timeout``, but wait on while the loop is late."""
+    """Like ``asyncio.timeout``, but wait on while the loop is late.
+
+    A process that stands still for a second, twice, would otherwise take others that
+    answered within milliseconds for silent.
+    """
     if timeout_s is None:
         return contextlib.nullcontext()
-    return timeout_at(asyncio.get_running_loop().time() + timeout_s)
+    due_s = asyncio.get_running_loop().time() + timeout_s
+    return timeout_at(due_s, catch_ups_max_s=math.inf)
