Answer requests in flight also if a drain is late or descriptors are used up

finish() waited for connections until the answers were due, and then for a second more for first requests, so that a router without descriptors passed the end of its grace period; a late drain aborted answers that it had only just started. Connections that linger after a refusal were duplicated and not counted, so that they used up all descriptors; where the duplicate failed, they were never closed.

--- a/src/tamarackrill/router/client_streams.py
+++ b/src/tamarackrill/router/client_streams.py
@@ -168,16 +168,23 @@
     def close_fd(self) -> None:
         """Close the connection, after an answer to a line that is too long."""
         if isinstance(self.error, UnsatisfiableReadError) and not self._has_written:
-            self._answer_unread(self.socket.dup())
+            self._answer_unread(self._take_socket())
             # Its exception refers to the frames of the read, and these to the buffer.
             self._read_buffer, self._read_buffer_size = bytearray(), 0
         elif self.lingers and self.error is None:
-            _linger(self.socket.dup())
+            _linger(self._take_socket())
         super().close_fd()
         if self._limits is not None and self._counted_bytes:
             self._limits.held.add(None, -self._counted_bytes)
             self._counted_bytes = 0
 
+    def _take_socket(self) -> socket.socket:
+        """Return the connection's socket, which this stream no longer closes."""
+        # A duplicate would need another descriptor, of which there may be none.
+        connection = socket.socket(fileno=self.socket.detach())
+        connection.setblocking(False)
+        return connection
+
     def _answer_unread(self, connection: socket.socket) -> None:
         status = b"431 Request Header Fields Too Large"
         if isinstance(self.error, _NoRoom):
@@ -195,6 +202,14 @@
         _linger(connection)
 
 
+_lingering: set[socket.socket] = set()
+
+
+def count_lingering() -> int:
+    """Return how many connections are open only until their clients have an answer."""
+    return len(_lingering)
+
+
 def _linger(connection: socket.socket) -> None:
     """Read a connection until its client closes it, for a short while at most."""
     loop = asyncio.get_running_loop()
@@ -204,8 +219,10 @@
         connection.close()
         return
     left_bytes = LINGER_MAX_BYTES
+    _lingering.add(connection)
 
     def end() -> None:
+        _lingering.discard(connection)
         loop.remove_reader(connection)
         connection.close()
 
--- a/src/tamarackrill/router/draining_server.py
+++ b/src/tamarackrill/router/draining_server.py
@@ -22,7 +22,11 @@
     read_descriptor_limit,
 )
 from tamarackrill.router.channels import count_open
-from tamarackrill.router.client_streams import ClientStream, RequestLimits
+from tamarackrill.router.client_streams import (
+    ClientStream,
+    RequestLimits,
+    count_lingering,
+)
 from tamarackrill.router.guarded_requests import RequestGuard
 from tamarackrill.router.idle_timeouts import IdleTimeout, TimedRequest
 
@@ -104,7 +108,8 @@
         return self._decision != "wait"
 
     def _decide_connection(self) -> Decision:
-        usage = DescriptorUsage(self._descriptors_max, len(self._streams), count_open())
+        clients = len(self._streams) + count_lingering()
+        usage = DescriptorUsage(self._descriptors_max, clients, count_open())
         decision = decide_connection(usage)
         self._note_shortage(usage, decision != "serve")
         if decision == "serve" or self._close_idle():
@@ -197,19 +202,21 @@
             Maximum wait for connections that send no request.
         """
         self.leave()
-        await self._accept_waiting(wait_s)
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + wait_s
+        await self._accept_waiting(end_s)
         self.stop()
+        left_s = max(0.0, end_s - loop.time())
         try:
-            async with asyncio.timeout(min(wait_s, FIRST_REQUEST_TIMEOUT_S)):
+            async with asyncio.timeout(min(left_s, FIRST_REQUEST_TIMEOUT_S)):
                 await self._all_answered.wait()
         except TimeoutError:
             # The remaining connections have sent no request.
             return
 
-    async def _accept_waiting(self, wait_s: float) -> None:
+    async def _accept_waiting(self, end_s: float) -> None:
         # Closing a listener resets the connections in its backlog, whose callers are
         # connected and may have sent a request.  Requests that end free descriptors.
-        end_s = asyncio.get_running_loop().time() + wait_s
         while not all(acceptor.accept_waiting() for acceptor in self._acceptors):
             left_s = end_s - asyncio.get_running_loop().time()
             if left_s <= 0:
--- a/src/tamarackrill/router/planned_stop.py
+++ b/src/tamarackrill/router/planned_stop.py
@@ -17,6 +17,8 @@
 STOPPING = "stopping"
 # How often requests that wait are checked, and how old the ages of others may be.
 CHECK_INTERVAL_S = 0.1
+# Time for answers of a router that is late; a third of what is left until SIGKILL.
+LATE_ANSWERS_S = 0.1
 
 _Kind = tuple[str, str]
 
@@ -133,6 +135,10 @@
 
     async def cut_begun(self) -> None:
         """Cut off what is left, so that no partial response passes for complete."""
+        # A router that is late has only just begun to answer these.
+        endings = [p.ending for p in self.in_flight if p.ending is not None]
+        if endings:
+            await asyncio.wait(endings, timeout=LATE_ANSWERS_S)
         for progress in list(self.in_flight):
             if progress.reply.is_over:
                 continue
