--- a/src/tamarackrill/router/app.py
+++ b/src/tamarackrill/router/app.py
@@ -12,6 +12,7 @@
 from tornado.web import Application
 
 from tamarackrill.contracts import Contract, Endpoint
+from tamarackrill.decisions.capacity.request_bytes import RequestBytes
 from tamarackrill.decisions.catching_up import Standstill
 from tamarackrill.decisions.claims import Claims
 from tamarackrill.decisions.configuration import (
@@ -37,6 +38,7 @@
 from tamarackrill.router.catching_up import CatchUp
 from tamarackrill.router.chats import ChatCoordinator
 from tamarackrill.router.claiming import Claimer
+from tamarackrill.router.client_streams import RequestLimits
 from tamarackrill.router.configuring import KINDS, ConfigurationSync
 from tamarackrill.router.datagrams import PeerSocket
 from tamarackrill.router.draining_server import DrainingServer
@@ -70,6 +72,8 @@
 UNLIMITED_BYTES = 1 << 40
 BUFFER_MAX_BYTES = 256 * 1024
 HEADERS_MAX_BYTES = 32 * 1024
+# The smallest VM of a router; no setting says how much memory it has.
+VM_MEMORY_BYTES = 200 * 1024 * 1024
 # Without these timeouts a client that sends its headers or body byte by byte would
 # hold a connection for ever.  A load balancer's idle timeout is usually 60 s.
 HEADERS_TIMEOUT_S = 75.0
@@ -97,6 +101,7 @@
         self.peer_address = ""
         self.store = ConfigurationStore()
         self.metrics = Metrics()
+        self._request_bytes = RequestBytes(VM_MEMORY_BYTES)
         self.open_calls = OpenCalls()
         self.known = KnownObjects()
         self._leaving = False
@@ -305,6 +310,7 @@
             idle_connection_timeout=HEADERS_TIMEOUT_S,
         )
         self._server.guard = RequestGuard(refuse_unread, self.metrics)
+        self._server.limits = RequestLimits(self._request_bytes)
         self._server.add_sockets(sockets)
 
     def is_ready(self) -> bool:
@@ -475,6 +481,7 @@
             self.metrics,
             self.open_calls,
             self.settings.body_max_bytes,
+            self._request_bytes,
             self.settings.peer_keys,
             self.known.find_holder,
             lambda: self._leaving,
--- a/tests/test_native_endless.py
+++ b/tests/test_native_endless.py
@@ -1,5 +1,6 @@
 """Endpoints that send without end, at a router of the product's own interface."""
 
+import select
 import socket
 import threading
 import time
@@ -189,6 +190,60 @@
     assert read_peak_kb(router) < MEMORY_MAX_KB
 
 
+def test_bodies_that_do_not_end_take_no_memory(fleet):
+    # Guards against a router whose memory is taken up by hundreds of bodies, each of
+    # which is within the limit of one.
+    router = fleet.add_router("a")
+    fleet.wait_ready()
+    head = b"POST /services/s/x HTTP/1.1\r\nHost: x\r\n"
+    unfinished = head + KEY + b"Content-Length: 1000000\r\n\r\n" + b"x" * 999_999
+    host, port = router.address.split(":")
+    callers = [socket.create_connection((host, int(port))) for _ in range(2 * CALLERS)]
+    with ThreadPoolExecutor(16) as pool:
+        list(pool.map(lambda caller: caller.sendall(unfinished), callers))
+
+    def find_answered():
+        return select.select(callers, [], [], 0)[0]
+
+    def is_read():
+        return router.status()["in_flight"] + len(find_answered()) >= len(callers)
+
+    wait_for(is_read, "all bodies read or refused")
+    # Who is refused is told so, and a short request is served all the same.
+    assert {one.recv(12) for one in find_answered()} <= {b"HTTP/1.1 503"}
+    assert ask(router.address, "sound") == 200
+    assert read_peak_kb(router) < MEMORY_MAX_KB
+    for caller in callers:
+        caller.close()
+
+
+def test_callers_that_send_chunks_of_one_byte_hold_up_no_others(fleet):
+    # Guards against callers without a key that take up a router's event loop, so that
+    # calls of others are answered late.
+    router = fleet.add_router("a")
+    fleet.wait_ready()
+    head = b"POST /services/s/x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+    host, port = router.address.split(":")
+    has_ended = threading.Event()
+    senders = 2 * CALLERS
+
+    def send_on():
+        while not has_ended.is_set():
+            with suppress(OSError), socket.create_connection((host, int(port))) as one:
+                one.sendall(head + b"\r\n")
+                while not has_ended.is_set():
+                    one.sendall(make_chunk(b"x") * 8192)
+
+    with ThreadPoolExecutor(senders + 24) as pool:
+        for _ in range(senders):
+            pool.submit(send_on)
+        others = [pool.submit(ask, router.address, "sound") for _ in range(24)]
+        statuses = [other.result() for other in others]
+        has_ended.set()
+        router.kill()
+    assert statuses == [200] * 24
+
+
 def test_oldest_answers_are_no_longer_kept_if_all_take_too_much():
     # Guards against memory that isn't bounded, and against the loss of the answers that
     # are most likely to be asked for again.
