--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -13,6 +13,7 @@
     "test_endless_bodies.py",
     "test_endless_pieces.py",
     "test_endless_senders.py",
+    "test_fourth_review_descriptors.py",
     "test_native_endless.py",
     "test_soak_endless.py",
 )
