--- a/src/tamarackrill/router/planned_stop.py
+++ b/src/tamarackrill/router/planned_stop.py
@@ -140,12 +140,17 @@
         if endings:
             await asyncio.wait(endings, timeout=LATE_ANSWERS_S)
         for progress in list(self.in_flight):
-            if progress.reply.is_over:
-                continue
-            self._log_ended(progress, 0)
-            if progress.reply.has_begun and not progress.reply.is_complete:
-                await self.send_final_answer(progress, STOPPING)
-            progress.reply.abort()
+            with tolerate(self._metrics, "stop", progress.call.request_id):
+                await self._cut(progress)
+
+    async def _cut(self, progress: RequestProgress) -> None:
+        reply = progress.reply
+        if reply.is_over:
+            return
+        self._log_ended(progress, 0)
+        if reply.has_begun and not reply.is_complete:
+            await self.send_final_answer(progress, STOPPING)
+        reply.abort()
 
     async def has_ended(self, progress: RequestProgress) -> bool:
         """Return whether a request was answered here, once that is known."""
--- a/src/tamarackrill/router/upstream.py
+++ b/src/tamarackrill/router/upstream.py
@@ -77,14 +77,19 @@
 
     def _run(self) -> None:
         started_s = time.monotonic()
-        for _ in range(len(self._waiting)):
-            self._waiting[0]()
-            # Removed afterwards, so that `add` doesn't schedule another iteration.
-            self._waiting.popleft()
-            if not may_resume_another(started_s, time.monotonic()):
-                break
-        if self._waiting:
-            asyncio.get_running_loop().call_soon(self._run)
+        try:
+            for _ in range(len(self._waiting)):
+                try:
+                    self._waiting[0]()
+                finally:
+                    # Afterwards, so that `add` doesn't schedule another iteration.
+                    self._waiting.popleft()
+                if not may_resume_another(started_s, time.monotonic()):
+                    break
+        finally:
+            # One that fails must not stop the others for good.
+            if self._waiting:
+                asyncio.get_running_loop().call_soon(self._run)
 
 
 class Exchange:
--- a/tests/test_stop_in_time.py
+++ b/tests/test_stop_in_time.py
@@ -155,12 +155,15 @@
             try:
                 await router.wait_ready()
                 address = router.addresses.callers
-                clients = [await fleet.connect(address)]
-                clients[0].send("/confirm/a", "unread", b"half", Content_Length="8")
+                clients = []
                 for number in range(300):
                     clients.append(await fleet.connect(address))
                     clients[-1].send("/confirm/a", f"{number}", X_Deadline_Ms="9000")
-                    await fleet.wait(lambda: len(worker.requests) == len(clients) - 1)
+                    await fleet.wait(lambda: len(worker.requests) == len(clients))
+                clients.append(await fleet.connect(address))
+                # Its client still waits when the grace period ends.
+                fields = {"Content_Length": "8", "X_Deadline_Ms": "9000"}
+                clients[-1].send("/confirm/a", "unread", b"half", **fields)
                 router.signal(signal.SIGTERM)
                 ending = asyncio.create_task(router.wait_ended())
                 await asyncio.wait([ending], timeout=GRACE_S)
