--- a/review/lib2/standins.py
+++ b/review/standins2.py
@@ -20,7 +20,7 @@
 import tomllib
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 HOST = "ficu95.example"
 KEY = "n2ctnfzs989anu6wsjnb"
 TENANT = "hule930"
